Add the frame: build, checks, core types and shared interfaces

Cause: every package needs the same clock, result codes, events, rings and model types, and a build with formatter and linter before code grows on it.

--- /dev/null
+++ b/src/calls/Call.cpp
@@ -0,0 +1,39 @@
+#include "calls/Call.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace fescuewood {
+
+std::string CallId::text() const {
+  return fmt::format("{:x}-{:x}", Incarnation, Sequence);
+}
+
+std::string_view outcomeName(Outcome Value) {
+  switch (Value) {
+  case Outcome::NotRun:
+    return "not-run";
+  case Outcome::Ran:
+    return "ran";
+  case Outcome::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+CallAnswer refusal(int Status, ResultCode Reason, Outcome Ran) {
+  const nlohmann::json Body = {
+      {"code", static_cast<int>(Reason)},
+      {"reason", std::string(resultText(Reason))},
+      {"outcome", std::string(outcomeName(Ran))},
+  };
+  CallAnswer Answer;
+  Answer.Status = Status;
+  Answer.Headers = {{"Content-Type", "application/json"}};
+  Answer.Body = Body.dump() + "\n";
+  Answer.Ran = Ran;
+  Answer.Reason = Reason;
+  return Answer;
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/calls/Call.h
@@ -0,0 +1,79 @@
+/// \file
+/// A request and its answer as they travel through the mesh.
+///
+/// Callers hand in a \ref CallRequest with an \ref AnswerHook; the hook is
+/// called exactly once. The key that a caller showed is never part of either.
+
+#ifndef FESCUEWOOD_CALLS_CALL_H
+#define FESCUEWOOD_CALLS_CALL_H
+
+#include "core/Clock.h"
+#include "core/ResultCode.h"
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace fescuewood {
+
+/// Identifies one call between nodes for as long as its entry node lives.
+struct CallId {
+  std::uint64_t Incarnation = 0; ///< Of the entry node's process.
+  std::uint64_t Sequence = 0;
+
+  auto operator<=>(const CallId &) const = default;
+
+  /// "incarnation-sequence" in hexadecimal, as in logs and the time line.
+  std::string text() const;
+};
+
+/// An HTTP header field. Names keep the case in which they came.
+struct Header {
+  std::string Name;
+  std::string Value;
+
+  bool operator==(const Header &) const = default;
+};
+
+/// What is known of whether a request reached its target and ran there.
+enum class Outcome : std::uint8_t { NotRun = 0, Ran = 1, Unknown = 2 };
+
+/// "not-run", "ran" or "unknown", as callers read it.
+std::string_view outcomeName(Outcome Value);
+
+/// A request after its route and organisation are known.
+struct CallRequest {
+  CallId Id;
+  std::string Method;
+  std::string Target; ///< Path and query, as the caller sent them.
+  std::vector<Header> Headers;
+  std::string Body;
+  std::string Route;
+  std::string Service;
+  std::string Organisation; ///< Empty on routes open to all.
+  DurationMs Remaining{0};  ///< Time left when this copy was sent.
+  std::uint8_t Depth = 0;   ///< Calls above this one, 0 from a caller outside.
+  bool Idempotent = false;
+  bool CanWait = false;
+};
+
+/// A whole answer, or a refusal by the mesh.
+struct CallAnswer {
+  int Status = 0; ///< HTTP status towards the caller.
+  std::vector<Header> Headers;
+  std::string Body;
+  Outcome Ran = Outcome::NotRun;
+  ResultCode Reason = ResultCode::Ok; ///< Ok when the target answered.
+};
+
+/// Receives the one answer to a call; may be called on any thread.
+using AnswerHook = std::function<void(CallAnswer)>;
+
+/// A refusal by the mesh as an answer: JSON body with reason and outcome.
+CallAnswer refusal(int Status, ResultCode Reason, Outcome Ran);
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_CALLS_CALL_H
--- /dev/null
+++ b/src/core/Duty.cpp
@@ -0,0 +1,48 @@
+#include "core/Duty.h"
+
+#include <pthread.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace fescuewood {
+
+Duty::Duty(std::string Name, std::size_t Capacity)
+    : Name(std::move(Name)), Tasks(Capacity) {}
+
+Duty::~Duty() { stop(); }
+
+void Duty::start(DurationMs TickPeriod, Task OnTick) {
+  Thread = std::thread([this, TickPeriod, OnTick = std::move(OnTick)] {
+    pthread_setname_np(pthread_self(), Name.c_str());
+    loop(TickPeriod, OnTick);
+  });
+}
+
+bool Duty::post(Task Work) { return Tasks.push(std::move(Work)); }
+
+void Duty::stop() {
+  Tasks.close();
+  if (Thread.joinable())
+    Thread.join();
+}
+
+void Duty::loop(DurationMs TickPeriod, const Task &OnTick) {
+  const Clock Monotonic = Clock::monotonic();
+  TimeMs NextTick = Monotonic.now() + TickPeriod;
+  while (true) {
+    const DurationMs Left = NextTick - Monotonic.now();
+    std::optional<Task> Work = Tasks.pop(std::max(Left, DurationMs(0)));
+    if (Work)
+      (*Work)();
+    else if (Tasks.closed())
+      return;
+    if (Monotonic.now() < NextTick)
+      continue;
+    if (OnTick)
+      OnTick();
+    NextTick = Monotonic.now() + TickPeriod;
+  }
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/tests/core/DutyTest.cpp
@@ -0,0 +1,47 @@
+#include "core/Duty.h"
+
+#include <atomic>
+#include <future>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+TEST_GROUP(Duty){};
+
+TEST(Duty, RunsTasksInTheOrderOfPosts) {
+  Duty Worker("worker", 16);
+  std::vector<int> Ran;
+  Worker.start(DurationMs(1000), {});
+
+  for (int I = 0; I < 8; ++I)
+    Worker.post([&Ran, I] { Ran.push_back(I); });
+  Worker.stop();
+
+  CHECK((std::vector<int>{0, 1, 2, 3, 4, 5, 6, 7}) == Ran);
+}
+
+TEST(Duty, RefusesTasksAfterStop) {
+  Duty Worker("worker", 16);
+  Worker.start(DurationMs(1000), {});
+
+  Worker.stop();
+
+  CHECK_FALSE(Worker.post([] {}));
+}
+
+TEST(Duty, TicksWithoutTasks) {
+  Duty Worker("worker", 16);
+  std::promise<void> Ticked;
+  std::atomic<int> Ticks = 0;
+
+  Worker.start(DurationMs(1), [&] {
+    if (++Ticks == 1)
+      Ticked.set_value();
+  });
+  Ticked.get_future().wait();
+  Worker.stop();
+
+  CHECK(Ticks >= 1);
+}
