--- a/src/callers/CallerServer.h
+++ b/src/callers/CallerServer.h
@@ -44,15 +44,16 @@
 
 /// Limits and address of a \ref CallerServer.
 struct CallerServerOptions {
-  std::string Address = "127.0.0.1"; ///< IP literal to listen on.
-  std::uint16_t Port = 0;            ///< 0 takes any free port.
+  std::string Address = "127.0.0.1";      ///< IP literal to listen on.
+  std::uint16_t Port = 0;                 ///< 0 takes any free port.
   std::size_t MaxHeaderBytes = 32 * 1024; ///< Request line and all fields.
   std::size_t MaxHeaderFields = 100;
   std::size_t MaxBodyBytes = 4 * 1024 * 1024;
   std::size_t MaxConnections = 1024;
-  DurationMs ReadTimeout{15'000};  ///< For the rest of a request begun.
-  DurationMs IdleTimeout{60'000};  ///< Between requests on a connection.
+  DurationMs ReadTimeout{60'000};  ///< For a whole request, idle time included.
   DurationMs WriteTimeout{60'000}; ///< For an answer that is not taken.
+  DurationMs DrainGrace{
+      500}; ///< Idle connections stay open as long in a drain.
 };
 
 /// An HTTP/1.1 server for callers.
--- a/src/nodes/CallMessages.h
+++ b/src/nodes/CallMessages.h
@@ -65,7 +65,7 @@
   Running = 0,   ///< Queued or at the target.
   Done = 1,      ///< The answer is held; the reply carries a piece of it.
   NeverSeen = 2, ///< The id never came here, or is forgotten.
-  Refused = 3,   ///< Not run and never will be; \ref CallReply::Reason says why.
+  Refused = 3, ///< Not run and never will be; \ref CallReply::Reason says why.
 };
 
 /// The load of one target as its node sees it; carried back on every reply.
--- a/src/targets/TargetClient.h
+++ b/src/targets/TargetClient.h
@@ -51,7 +51,7 @@
   std::string Address; ///< "IP:port" of the target.
   std::size_t MaxConnections = 130;
   std::size_t MaxAnswerBytes = 7 * 1024 * 1024; ///< Head and body together.
-  std::size_t MaxRequests = 1024; ///< Most requests held at once.
+  std::size_t MaxRequests = 1024;               ///< Most requests held at once.
   DurationMs ConnectTimeout{1000};
 };
 
@@ -66,7 +66,8 @@
   /// Sends a request and returns its id for \ref cancel. When the client is
   /// stopped or holds too many requests, nothing is sent, the hook is not
   /// called, and nothing is returned.
-  std::optional<std::uint64_t> start(TargetRequest Request, TargetHook OnResult);
+  std::optional<std::uint64_t> start(TargetRequest Request,
+                                     TargetHook OnResult);
 
   /// Ends a request early. Its hook is called with TargetCancelled, unless its
   /// result came first.
