--- a/src/calls/Call.cpp
+++ b/src/calls/Call.cpp
@@ -21,6 +21,13 @@
   return "unknown";
 }
 
+std::uint64_t keyMark(const Digest &Sha256) {
+  std::uint64_t Mark = 0;
+  for (std::size_t I = 0; I < sizeof(Mark); ++I)
+    Mark = (Mark << 8U) | Sha256.Bytes[I];
+  return Mark;
+}
+
 CallAnswer refusal(int Status, ResultCode Reason, Outcome Ran) {
   const nlohmann::json Body = {
       {"code", static_cast<int>(Reason)},
--- a/src/calls/Call.h
+++ b/src/calls/Call.h
@@ -8,6 +8,7 @@
 #define FESCUEWOOD_CALLS_CALL_H
 
 #include "core/Clock.h"
+#include "core/Digest.h"
 #include "core/ResultCode.h"
 
 #include <compare>
@@ -53,12 +54,18 @@
   std::string Route;
   std::string Service;
   std::string Organisation; ///< Empty on routes open to all.
-  DurationMs Remaining{0};  ///< Time left when this copy was sent.
-  std::uint8_t Depth = 0;   ///< Calls above this one, 0 from a caller outside.
+  /// The start of the digest of the key that was shown, see \ref keyMark, so
+  /// that a withdrawn key also stops calls that wait; 0 for other calls.
+  std::uint64_t KeyMark = 0;
+  DurationMs Remaining{0}; ///< Time left when this copy was sent.
+  std::uint8_t Depth = 0;  ///< Calls above this one, 0 from a caller outside.
   bool Idempotent = false;
   bool CanWait = false;
 };
 
+/// The first 64 bits of a key's digest; tells keys apart, reveals none.
+std::uint64_t keyMark(const Digest &Sha256);
+
 /// A whole answer, or a refusal by the mesh.
 struct CallAnswer {
   int Status = 0; ///< HTTP status towards the caller.
--- /dev/null
+++ b/src/calls/Entry.h
@@ -0,0 +1,86 @@
+/// \file
+/// From a caller's raw request to a call, or to a refusal that says why.
+///
+/// The caller server hands each request to \ref Entry::take. The entry finds
+/// the route in the configuration in force, learns the organisation from the
+/// key or, for a call inside the mesh, from its token, charges the rate, strips
+/// the key from everything that travels on, and submits the call. Thread-safe:
+/// it holds only the present configuration.
+
+#ifndef FESCUEWOOD_CALLS_ENTRY_H
+#define FESCUEWOOD_CALLS_ENTRY_H
+
+#include "callers/CallerServer.h"
+#include "calls/Call.h"
+#include "core/Clock.h"
+#include "core/Event.h"
+#include "core/ResultCode.h"
+#include "intent/Snapshot.h"
+#include "policy/RateDecision.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace fescuewood {
+
+/// Deepest nesting of calls that is carried, as in a chain of services.
+inline constexpr std::uint8_t MaxCallDepth = 24;
+
+/// Header in which a caller shows its key; `Authorization: Bearer` is the
+/// other.
+inline constexpr std::string_view KeyField = "X-Api-Key";
+
+/// Query parameter in which a caller may show its key.
+inline constexpr std::string_view KeyParameter = "api_key";
+
+/// Header in which a service inside the mesh shows the token of the call that
+/// it is answering.
+inline constexpr std::string_view CallTokenField = "X-Call-Token";
+
+/// What a valid call token says.
+struct CallTokenClaims {
+  std::string Organisation; ///< Empty on a chain that began on an open route.
+  std::uint8_t Depth = 0;   ///< Of the call that the token was given to.
+};
+
+/// What the entry asks of others. The hooks must be thread-safe and quick.
+struct EntryHooks {
+  /// The organisation of a key in force, or nothing.
+  std::function<std::optional<std::string>(std::string_view Key)> FindKey;
+  /// The claims of a call token that this fleet issued, or nothing.
+  std::function<std::optional<CallTokenClaims>(std::string_view Token)>
+      CheckToken;
+  /// Charges one request to an organisation.
+  RateHook Charge;
+  /// Takes the call.
+  std::function<void(CallRequest, AnswerHook)> Submit;
+  EventHook OnEvent;
+};
+
+/// Turns requests into calls.
+class Entry {
+public:
+  explicit Entry(EntryHooks Hooks);
+  ~Entry();
+  Entry(const Entry &) = delete;
+  Entry &operator=(const Entry &) = delete;
+
+  /// Puts a configuration in force for the requests that follow.
+  void setSnapshot(SnapshotPtr Snapshot);
+
+  /// Answers the request through the hook, exactly once: by a refusal at once,
+  /// or by the call's own answer.
+  void take(CallerRequest Request, const AnswerHook &OnAnswer) const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> State;
+};
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_CALLS_ENTRY_H
--- a/src/nodes/CallMessages.h
+++ b/src/nodes/CallMessages.h
@@ -26,6 +26,9 @@
 /// Largest piece of an answer in one reply, in bytes.
 inline constexpr std::size_t MaxAnswerPieceBytes = 256 * 1024;
 
+/// Largest set of crash marks in one message, in bytes.
+inline constexpr std::size_t MaxMarksBytes = 4 * 1024;
+
 /// Largest request or answer as encoded, in bytes; larger ones are refused.
 inline constexpr std::size_t MaxCallBytes = 8 * 1024 * 1024;
 
@@ -41,6 +44,7 @@
 /// Asks a node to run a request at its target.
 struct CallStart {
   CallRequest Request;
+  std::string Marks; ///< Crash marks as encoded by policy/CrashGuard.
 };
 
 /// Asks what became of a call, and for its answer from an offset on.
@@ -89,6 +93,10 @@
   std::uint64_t TotalBytes = 0;       ///< Of the encoded answer, when done.
   std::string Piece;
   LoadReport Load;
+  /// Every id seen in this last span is still remembered; a call that was sent
+  /// within it and is NeverSeen has not run.
+  DurationMs Remembered{0};
+  std::string Marks; ///< Crash marks as encoded by policy/CrashGuard.
 
   bool operator==(const CallReply &) const = default;
 };
