--- /dev/null
+++ b/src/core/Endpoint.h
@@ -0,0 +1,34 @@
+/// \file
+/// An IP number and a port, as settings and instance lists write them.
+
+#ifndef FESCUEWOOD_CORE_ENDPOINT_H
+#define FESCUEWOOD_CORE_ENDPOINT_H
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace fescuewood {
+
+/// Where a process listens or connects to. Host names are not accepted.
+struct Endpoint {
+  std::string Ip; ///< IPv4 in dotted form, or IPv6 without brackets.
+  std::uint16_t Port = 0;
+
+  auto operator<=>(const Endpoint &) const = default;
+
+  /// "127.0.0.1:80" or "[::1]:80".
+  std::string text() const;
+
+  /// Parses what \ref text writes; nothing for anything else.
+  static std::optional<Endpoint> parse(std::string_view Text);
+};
+
+/// Whether \p Text is an IPv4 or IPv6 number.
+bool isIpNumber(std::string_view Text);
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_CORE_ENDPOINT_H
--- /dev/null
+++ b/src/ini/Schema.h
@@ -0,0 +1,74 @@
+/// \file
+/// A table of the keys that a text may hold: one row per key.
+///
+/// Settings and intent describe their keys with rows; the same rows parse the
+/// values, supply the defaults and are held against the documentation. To add
+/// a key, add a member to the struct and one row to its table.
+
+#ifndef FESCUEWOOD_INI_SCHEMA_H
+#define FESCUEWOOD_INI_SCHEMA_H
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace fescuewood {
+
+/// What people are told of a key.
+struct KeyInfo {
+  std::string Section; ///< Without the name of the thing described.
+  std::string Name;
+  std::string Unit;                   ///< Empty for none.
+  std::optional<std::string> Default; ///< Nothing for a key that must be given.
+  std::string Form;                   ///< What a value looks like.
+  std::string Meaning;
+};
+
+/// How values of one type are written.
+template <typename Value> struct ValueForm {
+  std::string Text; ///< "a whole number from 1 to 65535".
+  std::function<std::optional<Value>(std::string_view)> Parse;
+};
+
+/// One key of the struct \p Owner.
+template <typename Owner> struct KeyRow {
+  KeyInfo Info;
+  /// Parses a value into the owner; false when it has another form.
+  std::function<bool(std::string_view Text, Owner &Into)> Store;
+};
+
+/// Reaches the member that a key fills; a pointer to a member will do.
+template <typename Owner, typename Value>
+using Binding = std::function<Value &(Owner &)>;
+
+/// Reaches a member of a member.
+template <typename Owner, typename Inner, typename Value>
+Binding<Owner, Value> within(Inner Owner::*Outer, Value Inner::*Member) {
+  return [Outer, Member](Owner &O) -> Value & { return (O.*Outer).*Member; };
+}
+
+/// Makes a row. \p Default is parsed like any other value.
+template <typename Owner, typename Value>
+KeyRow<Owner> keyRow(std::string Section, std::string Name, std::string Unit,
+                     std::optional<std::string> Default, ValueForm<Value> Form,
+                     std::type_identity_t<Binding<Owner, Value>> Member,
+                     std::string Meaning) {
+  KeyInfo Info{std::move(Section), std::move(Name), std::move(Unit),
+               std::move(Default), Form.Text,       std::move(Meaning)};
+  auto Store = [Parse = std::move(Form.Parse),
+                Member = std::move(Member)](std::string_view Text, Owner &O) {
+    std::optional<Value> Parsed = Parse(Text);
+    if (!Parsed)
+      return false;
+    Member(O) = std::move(*Parsed);
+    return true;
+  };
+  return {std::move(Info), std::move(Store)};
+}
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_INI_SCHEMA_H
--- /dev/null
+++ b/src/platform/PlatformSource.h
@@ -0,0 +1,83 @@
+/// \file
+/// How the platform is read: hooks that a source fills in.
+///
+/// The users' own protocol takes the place of \ref httpSource or
+/// \ref folderSource by filling in the same hooks. Nothing is ever written.
+
+#ifndef FESCUEWOOD_PLATFORM_PLATFORMSOURCE_H
+#define FESCUEWOOD_PLATFORM_PLATFORMSOURCE_H
+
+#include "core/Clock.h"
+#include "core/ResultCode.h"
+#include "intent/Snapshot.h"
+#include "settings/NodeSettings.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fescuewood {
+
+/// Most instances that one list may name.
+inline constexpr std::size_t MaxListedInstances = 8192;
+
+/// What the platform says of an instance; it lags.
+enum class ListedState : std::uint8_t { Live, Leaving };
+
+/// One row of the platform's list of instances.
+struct ListedInstance {
+  std::string Name;
+  std::string Domain;
+  std::string Service;
+  std::uint32_t Slot = 0;
+  std::string PeerAddress; ///< "IP:port".
+  ListedState State = ListedState::Live;
+
+  bool operator==(const ListedInstance &) const = default;
+};
+
+/// The platform's list of instances under its own revision.
+struct InstanceList {
+  std::uint64_t Revision = 0;
+  std::vector<ListedInstance> Instances;
+};
+
+/// The outcome of one read. Value is empty with Reason Ok when the platform
+/// holds nothing newer than was asked for.
+template <typename T> struct PlatformRead {
+  std::optional<T> Value;
+  ResultCode Reason = ResultCode::Ok;
+  std::string Detail; ///< For people, when Reason is not Ok.
+};
+
+/// The hooks of one source. Reads may block for up to Wait and are made from
+/// one thread; they return early once Cancel was called.
+struct PlatformSource {
+  /// Reads the intent if its revision is above \p After; whole and with its
+  /// digests checked, or not at all.
+  std::function<PlatformRead<IntentBundle>(std::uint64_t After,
+                                           DurationMs Wait)>
+      ReadIntent;
+
+  /// Reads the list of instances if its revision is above \p After.
+  std::function<PlatformRead<InstanceList>(std::uint64_t After)> ReadInstances;
+
+  /// Makes a blocked read and all later ones return; from any thread.
+  std::function<void()> Cancel;
+};
+
+/// The platform behind HTTP; see docs/DESIGN.md for the protocol.
+PlatformSource httpSource(const Endpoint &Server, DurationMs Timeout);
+
+/// A local folder, for trying the product on one machine.
+PlatformSource folderSource(const std::string &Folder);
+
+/// The source that the settings name.
+PlatformSource makeSource(const PlatformSettings &Settings);
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_PLATFORM_PLATFORMSOURCE_H
--- /dev/null
+++ b/src/policy/ReadAllowance.h
@@ -0,0 +1,50 @@
+/// \file
+/// One node's part of the platform's read allowance.
+///
+/// Every node is allowed the same number of reads in every window, and a
+/// process counts as having used them all just before it started. So the whole
+/// fleet stays inside the allowance in every window, also when every process
+/// starts or restarts at once, without any node knowing of another.
+
+#ifndef FESCUEWOOD_POLICY_READALLOWANCE_H
+#define FESCUEWOOD_POLICY_READALLOWANCE_H
+
+#include "core/Clock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+namespace fescuewood {
+
+/// A sliding window over one node's own reads.
+class ReadAllowance {
+public:
+  /// \param FleetReadsPerSecond what the platform bears; at least 1.
+  /// \param FleetNodes most processes that may read; at least 1.
+  /// \param StartedAt when this process started.
+  ReadAllowance(std::uint32_t FleetReadsPerSecond, std::uint32_t FleetNodes,
+                TimeMs StartedAt);
+
+  /// Earliest time at which the next read is allowed; never before \p Now.
+  TimeMs nextRead(TimeMs Now) const;
+
+  /// Takes one read if it is allowed at \p Now.
+  bool take(TimeMs Now);
+
+  /// The window that the promise holds for: 1 s, or longer when the fleet has
+  /// more nodes than the allowance has reads in a second.
+  DurationMs window() const { return Window; }
+
+  /// Reads that this node may make in every window.
+  std::size_t readsPerWindow() const { return ReadsPerWindow; }
+
+private:
+  DurationMs Window;
+  std::size_t ReadsPerWindow;
+  std::deque<TimeMs> Taken; ///< The last ReadsPerWindow reads.
+};
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_POLICY_READALLOWANCE_H
