--- /dev/null
+++ b/src/calls/CallContext.h
@@ -0,0 +1,72 @@
+/// \file
+/// What the two sides of the calls duty share.
+
+#ifndef FESCUEWOOD_CALLS_CALLCONTEXT_H
+#define FESCUEWOOD_CALLS_CALLCONTEXT_H
+
+#include "calls/CallEngine.h"
+#include "calls/CallStatus.h"
+#include "core/Clock.h"
+#include "core/Event.h"
+#include "intent/Snapshot.h"
+#include "nodes/CallMessages.h"
+#include "policy/CallSettings.h"
+#include "policy/CrashGuard.h"
+
+#include <deque>
+#include <functional>
+#include <utility>
+#include <vector>
+
+namespace fescuewood {
+
+/// Receives the reply to a start; called at most once.
+using CallReplyHook = std::function<void(const CallReply &)>;
+
+/// Identity, settings, hooks and shared state. Not thread-safe.
+struct CallContext {
+  CallContext(CallIdentity Self, const CallSettings &Settings, CallHooks Hooks,
+              Clock Time)
+      : Self(std::move(Self)), Settings(Settings), Hooks(std::move(Hooks)),
+        Time(std::move(Time)),
+        Guard({Settings.CrashLimit, Settings.CrashMemory}) {}
+
+  CallIdentity Self;
+  CallSettings Settings;
+  CallHooks Hooks;
+  Clock Time;
+  SnapshotPtr Config; ///< Null until the first one is in force.
+  CrashGuard Guard;
+  CallStatus Figures;
+  bool Draining = false;
+
+  TimeMs now() const { return Time.now(); }
+
+  void report(EventId Id, std::vector<EventField> Fields) const {
+    if (Hooks.OnEvent)
+      Hooks.OnEvent({Id, std::move(Fields)});
+  }
+
+  /// Runs a step, after the one that is under way: a hook that calls back at
+  /// once never changes state in the middle of another step.
+  void run(std::function<void()> Step) {
+    Steps.push_back(std::move(Step));
+    if (Running)
+      return;
+    Running = true;
+    while (!Steps.empty()) {
+      const std::function<void()> Next = std::move(Steps.front());
+      Steps.pop_front();
+      Next();
+    }
+    Running = false;
+  }
+
+private:
+  std::deque<std::function<void()>> Steps;
+  bool Running = false;
+};
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_CALLS_CALLCONTEXT_H
--- /dev/null
+++ b/src/calls/CallCore.cpp
@@ -0,0 +1,100 @@
+#include "calls/CallCore.h"
+
+#include <utility>
+
+namespace fescuewood {
+
+CallCore::CallCore(CallIdentity Identity, const CallSettings &Settings,
+                   CallHooks Hooks, Clock Time)
+    : Context(std::move(Identity), Settings, std::move(Hooks), std::move(Time)),
+      Target(Context),
+      Entries(Context,
+              {[this](CallStart Start, const CallReplyHook &OnReply) {
+                 Target.start(std::move(Start), OnReply);
+               },
+               [this](const CallFetch &Fetch) { return Target.fetch(Fetch); },
+               [this](const CallCancel &Cancel) {
+                 return Target.cancel(Cancel);
+               }}) {}
+
+void CallCore::submit(CallHandle Handle, CallRequest Request,
+                      AnswerHook OnAnswer) {
+  Context.run([this, Handle, Request = std::move(Request),
+               OnAnswer = std::move(OnAnswer)]() mutable {
+    Entries.submit(Handle, std::move(Request), std::move(OnAnswer));
+  });
+}
+
+void CallCore::cancel(CallHandle Handle) {
+  Context.run([this, Handle] { Entries.cancel(Handle); });
+}
+
+void CallCore::handlePeer(PeerKind Kind, std::string_view Body,
+                          ReplyHook Reply) {
+  Context.run([this, Kind, Body = std::string(Body), Reply = std::move(Reply)] {
+    if (Kind == PeerKind::CallStart) {
+      if (auto Start = decodeCallStart(Body)) {
+        Target.start(std::move(*Start), [Reply](const CallReply &Answer) {
+          Reply(encode(Answer));
+        });
+        return;
+      }
+    } else if (Kind == PeerKind::CallFetch) {
+      if (const auto Fetch = decodeCallFetch(Body)) {
+        Reply(encode(Target.fetch(*Fetch)));
+        return;
+      }
+    } else if (Kind == PeerKind::CallCancel) {
+      if (const auto Cancel = decodeCallCancel(Body)) {
+        Reply(encode(Target.cancel(*Cancel)));
+        return;
+      }
+    }
+    Reply({});
+  });
+}
+
+void CallCore::setSnapshot(SnapshotPtr Snapshot) {
+  Context.run([this, Snapshot = std::move(Snapshot)]() mutable {
+    Context.Config = std::move(Snapshot);
+    if (!Context.Config)
+      return;
+    Entries.onConfig();
+    Target.onConfig();
+  });
+}
+
+void CallCore::setInstances(const std::vector<Instance> &Instances) {
+  Context.run([this, &Instances] { Entries.setInstances(Instances); });
+}
+
+void CallCore::setDraining() {
+  Context.run([this] {
+    Context.Draining = true;
+    Target.onDraining();
+  });
+}
+
+void CallCore::abandonAll() {
+  Context.run([this] { Entries.abandonAll(); });
+}
+
+void CallCore::tick() {
+  Context.run([this] {
+    Entries.tick();
+    Target.tick();
+  });
+}
+
+CallStatus CallCore::status() {
+  CallStatus Status = Context.Figures;
+  Entries.fill(Status);
+  Target.fill(Status);
+  return Status;
+}
+
+std::vector<RouterCandidate> CallCore::explain(std::string_view Service) const {
+  return Entries.router().explain(Service, Context.now());
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/calls/EntryReplies.cpp
@@ -0,0 +1,219 @@
+// The replies that an entry node gets about its calls, and what follows from
+// each. The other half of EntrySide sends.
+
+#include "calls/EntrySide.h"
+#include "calls/Refusals.h"
+
+#include <utility>
+
+namespace fescuewood {
+
+namespace {
+
+/// What two clocks may differ over the span that a ledger is asked for: one
+/// part in a hundred and the resolution of both.
+constexpr std::int64_t DriftDivisor = 100;
+constexpr DurationMs ClockResolution{2};
+
+/// Whether an id that a ledger does not hold cannot have been there before.
+bool provesNeverSeen(const CallReply &Reply, DurationMs SinceSent) {
+  const DurationMs Needed =
+      SinceSent + DurationMs(SinceSent.Value / DriftDivisor) + ClockResolution;
+  return Reply.Fenced && Reply.Remembered >= Needed;
+}
+
+TargetLoad loadOf(const LoadReport &Report) {
+  return {Report.InFlight, Report.Queued, Report.Limit, Report.Latency,
+          Report.State};
+}
+
+/// Whether a refusal says nothing about load, so that moving on is free.
+bool movesFreely(ResultCode Reason) {
+  switch (Reason) {
+  case ResultCode::TargetDraining:
+  case ResultCode::TargetDown:
+  case ResultCode::TargetUnreachable:
+  case ResultCode::DomainOut:
+  case ResultCode::NoTargetAvailable:
+  case ResultCode::CallFenced:
+    return true;
+  default:
+    return false;
+  }
+}
+
+/// Whether a refusal holds for every target alike.
+bool isFinal(ResultCode Reason) {
+  switch (Reason) {
+  case ResultCode::RequestCrashesTargets:
+  case ResultCode::KeyWithdrawn:
+  case ResultCode::CallerGone:
+  case ResultCode::TargetRequestInvalid:
+    return true;
+  default:
+    return false;
+  }
+}
+
+} // namespace
+
+void EntrySide::onStartReply(CallHandle Handle, const CallId &Id,
+                             const PeerReply &Reply, PeerRoute Route) {
+  EntryCall *Call = find(Handle, Id);
+  if (!Call)
+    return;
+  const auto Decoded = Reply.Body ? decodeCallReply(*Reply.Body) : std::nullopt;
+  if (Decoded) {
+    hear(*Decoded, *Call->Present, Route);
+    onReply(Handle, *Call, *Decoded);
+    return;
+  }
+  // Whether the request arrived is not known; a question tells.
+  if (Context.Settings.Retry == RetryMode::Fetch && !Call->Present->Asking)
+    ask(Handle, *Call, PeerRoute::Fresh);
+}
+
+void EntrySide::onFetchReply(CallHandle Handle, const CallId &Id,
+                             const PeerReply &Reply, PeerRoute Route) {
+  EntryCall *Call = find(Handle, Id);
+  if (!Call)
+    return;
+  Call->Present->Asking = false;
+  const auto Decoded = Reply.Body ? decodeCallReply(*Reply.Body) : std::nullopt;
+  if (!Decoded) {
+    onNoReply(Handle, *Call);
+    return;
+  }
+  hear(*Decoded, *Call->Present, Route);
+  Call->Present->Unanswered = 0;
+  onReply(Handle, *Call, *Decoded);
+}
+
+void EntrySide::hear(const CallReply &Reply, const Attempt &From,
+                     PeerRoute Route) {
+  const TimeMs Now = Context.now();
+  Targets.onLoad(From.Target, loadOf(Reply.Load), Now);
+  Context.Guard.merge(Reply.Marks, Now);
+  if (Route != PeerRoute::Reuse || From.Address.empty())
+    return;
+  Link &Known = Links[From.Address];
+  Known.Heard = Now;
+  Known.FreshUntil = TimeMs(0);
+}
+
+void EntrySide::onReply(CallHandle Handle, EntryCall &Call,
+                        const CallReply &Reply) {
+  switch (Reply.State) {
+  case CallState::Running: {
+    Attempt &Present = *Call.Present;
+    Present.Heartbeats = std::min(Present.Heartbeats + 1, MaxHeartbeatFactor);
+    schedule(Handle, Call,
+             std::min(Context.now() + Context.Settings.HeartbeatInterval *
+                                          Present.Heartbeats,
+                      Call.Deadline + AnswerGrace));
+    return;
+  }
+  case CallState::Done:
+    onDone(Handle, Call, Reply);
+    return;
+  case CallState::Refused:
+    // A fence proves only that the call will not run from now on.
+    if (Reply.Reason == ResultCode::CallFenced)
+      onNeverSeen(Handle, Call, Reply);
+    else
+      onRefused(Handle, Call, Reply.Reason);
+    return;
+  case CallState::NeverSeen:
+    onNeverSeen(Handle, Call, Reply);
+    return;
+  }
+}
+
+void EntrySide::onNoReply(CallHandle Handle, EntryCall &Call) {
+  Attempt &Present = *Call.Present;
+  const TimeMs Now = Context.now();
+  ++Present.Unanswered;
+  Targets.onSilent(Present.Target, Now);
+  Context.report(EventId::CallUnanswered,
+                 {{"call", Present.Id.text()}, {"target", Present.Target}});
+  if (Call.Request.Idempotent && mayMove(Call, true)) {
+    Call.MayHaveRun = true;
+    move(Handle, Call, "its node does not answer", Leaving::Unsettled);
+    return;
+  }
+  schedule(Handle, Call,
+           std::min(Now + Context.Settings.HeartbeatInterval,
+                    Call.Deadline + AnswerGrace));
+}
+
+void EntrySide::onDone(CallHandle Handle, EntryCall &Call,
+                       const CallReply &Reply) {
+  Attempt &Present = *Call.Present;
+  if (Reply.TotalBytes == 0) {
+    refuse(Handle, Call, ResultCode::AnswerLost, Outcome::Ran);
+    return;
+  }
+  const bool Added = Present.Answer.add(Reply);
+  if (Added && !Present.Answer.complete()) {
+    if (!Present.Asking)
+      ask(Handle, Call, PeerRoute::Reuse);
+    return;
+  }
+  auto Answer = Added ? Present.Answer.answer() : std::nullopt;
+  if (Answer)
+    onAnswer(Handle, Call, std::move(*Answer));
+  else
+    refuse(Handle, Call, ResultCode::AnswerLost, Outcome::Ran);
+}
+
+void EntrySide::onAnswer(CallHandle Handle, EntryCall &Call,
+                         CallAnswer Answer) {
+  const bool Broken = Answer.Reason == ResultCode::TargetConnectionLost;
+  const bool Shed =
+      Answer.Reason == ResultCode::Ok && Answer.Status == ServiceUnavailable;
+  if (Call.Request.Idempotent && (Broken || Shed) && mayMove(Call, true)) {
+    Call.MayHaveRun = true;
+    Call.LastRefusal = Answer.Reason;
+    move(Handle, Call, Broken ? "its target broke off" : "its target sheds",
+         Leaving::Settled);
+    return;
+  }
+  if (Answer.Reason == ResultCode::Ok)
+    Budget.onSuccess();
+  finish(Handle, Call, std::move(Answer));
+}
+
+void EntrySide::onRefused(CallHandle Handle, EntryCall &Call,
+                          ResultCode Reason) {
+  Call.LastRefusal = Reason;
+  if (Reason == ResultCode::CallFenced) {
+    // The request was lost on its way: the node is well, its connection not.
+    Links[Call.Present->Address].FreshUntil =
+        Context.now() + FreshConnectionTime;
+  }
+  if (isFinal(Reason)) {
+    refuse(Handle, Call, Reason, unrun(Call));
+    return;
+  }
+  if (Call.Request.CanWait || mayMove(Call, !movesFreely(Reason))) {
+    move(Handle, Call, resultName(Reason), Leaving::Settled);
+    return;
+  }
+  refuse(Handle, Call, Reason, unrun(Call));
+}
+
+void EntrySide::onNeverSeen(CallHandle Handle, EntryCall &Call,
+                            const CallReply &Reply) {
+  if (provesNeverSeen(Reply, Context.now() - Call.Present->SentAt)) {
+    onRefused(Handle, Call, ResultCode::CallFenced);
+    return;
+  }
+  if (Call.Request.Idempotent && mayMove(Call, true)) {
+    Call.MayHaveRun = true;
+    move(Handle, Call, "its node has forgotten it", Leaving::Unsettled);
+    return;
+  }
+  refuse(Handle, Call, ResultCode::CallForgotten, Outcome::Unknown);
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/calls/EntrySide.cpp
@@ -0,0 +1,373 @@
+#include "calls/EntrySide.h"
+
+#include "calls/Refusals.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fescuewood {
+
+namespace {
+
+RouterSettings routerOf(const CallSettings &Settings) {
+  RouterSettings Result;
+  Result.PickAtRandom = Settings.Routing == RoutingMode::Random;
+  Result.Choices = Settings.Choices;
+  Result.RegionCost = Settings.RegionCost;
+  Result.RemoteCost = Settings.RemoteCost;
+  Result.LoadMaxAge = Settings.LoadMaxAge;
+  Result.DomainRampTime = Settings.DomainRampTime;
+  Result.SuspectTime = Settings.SuspectTime;
+  return Result;
+}
+
+std::size_t bytesOf(const CallRequest &Request) {
+  std::size_t Bytes = sizeof(CallRequest) + Request.Body.size();
+  Bytes += Request.Target.size();
+  for (const Header &Field : Request.Headers)
+    Bytes += Field.Name.size() + Field.Value.size();
+  return Bytes;
+}
+
+} // namespace
+
+EntrySide::EntrySide(CallContext &Context, LocalTarget Local)
+    : Context(Context), Local(std::move(Local)),
+      Targets(routerOf(Context.Settings), Context.Self.Domain),
+      Budget(Context.Settings.RetryShare, Context.Settings.RetryReserve) {}
+
+void EntrySide::submit(CallHandle Handle, CallRequest Request,
+                       AnswerHook OnAnswer) {
+  const TimeMs Now = Context.now();
+  EntryCall &Call = Calls[Handle];
+  Call.OnAnswer = std::move(OnAnswer);
+  Call.Submitted = Now;
+  Call.Deadline = Now + Request.Remaining;
+  if (Request.CanWait && Request.Depth == 0)
+    Call.Deadline = Call.Deadline + Context.Settings.WaitLimit;
+  Call.Bytes = bytesOf(Request);
+  Call.Request = std::move(Request);
+  HeldBytes += Call.Bytes;
+  if (Context.Draining)
+    refuse(Handle, Call, ResultCode::ShuttingDown, Outcome::NotRun);
+  else if (!Context.Config)
+    refuse(Handle, Call, ResultCode::NotConfigured, Outcome::NotRun);
+  else if (HeldBytes > Context.Settings.MaxHeldBytes)
+    refuse(Handle, Call, ResultCode::QueueFull, Outcome::NotRun);
+  else
+    dispatch(Handle, Call);
+}
+
+void EntrySide::cancel(CallHandle Handle) {
+  const auto Found = Calls.find(Handle);
+  if (Found == Calls.end())
+    return;
+  EntryCall &Call = Found->second;
+  const bool Sent = Call.Present.has_value();
+  leave(Call, Leaving::Unsettled);
+  refuse(Handle, Call, ResultCode::CallerGone,
+         Sent ? Outcome::Unknown : unrun(Call));
+}
+
+void EntrySide::onConfig() {
+  const Snapshot &Config = *Context.Config;
+  Withdrawn.update(Config);
+  for (const DomainChange &Change : Targets.setSnapshot(Config, Context.now()))
+    Context.report(Change.Status == DomainStatus::Out ? EventId::DomainTakenOut
+                                                      : EventId::DomainReturned,
+                   {{"domain", Change.Domain}});
+}
+
+void EntrySide::setInstances(std::span<const Instance> Instances) {
+  Targets.setInstances(Instances);
+  std::set<std::string, std::less<>> Addresses;
+  for (const Instance &Place : Instances)
+    Addresses.insert(Place.PeerAddress);
+  std::erase_if(Links, [&Addresses](const auto &Item) {
+    return !Addresses.contains(Item.first);
+  });
+}
+
+void EntrySide::tick() {
+  const TimeMs Now = Context.now();
+  while (!Timers.empty() && Timers.begin()->first <= Now) {
+    const CallHandle Handle = Timers.begin()->second;
+    Timers.erase(Timers.begin());
+    step(Handle);
+  }
+}
+
+void EntrySide::abandonAll() {
+  while (!Calls.empty()) {
+    const CallHandle Handle = Calls.begin()->first;
+    EntryCall &Call = Calls.begin()->second;
+    const bool Sent = Call.Present.has_value();
+    refuse(Handle, Call, ResultCode::ShuttingDown,
+           Sent ? Outcome::Unknown : unrun(Call));
+  }
+}
+
+void EntrySide::fill(CallStatus &Status) const {
+  Status.Entered = Calls.size();
+  Status.HeldBytes = HeldBytes;
+}
+
+EntrySide::EntryCall *EntrySide::find(CallHandle Handle, const CallId &Id) {
+  const auto Found = Calls.find(Handle);
+  if (Found == Calls.end() || !Found->second.Present ||
+      Found->second.Present->Id != Id)
+    return nullptr;
+  return &Found->second;
+}
+
+void EntrySide::schedule(CallHandle Handle, EntryCall &Call, TimeMs When) {
+  Timers.erase({Call.Due, Handle});
+  Call.Due = When;
+  Timers.emplace(When, Handle);
+}
+
+void EntrySide::step(CallHandle Handle) {
+  const auto Found = Calls.find(Handle);
+  if (Found == Calls.end())
+    return;
+  EntryCall &Call = Found->second;
+  const TimeMs Now = Context.now();
+  const DurationMs Grace = Call.Present ? AnswerGrace : DurationMs(0);
+  if (Now >= Call.Deadline + Grace) {
+    giveUp(Handle, Call);
+    return;
+  }
+  if (!Call.Present) {
+    dispatch(Handle, Call);
+    return;
+  }
+  if (Context.Settings.Retry == RetryMode::Plain) {
+    // The comparison: what became of the first request is not asked.
+    if (mayMove(Call, true))
+      move(Handle, Call, "plain retry", Leaving::Unsettled);
+    else
+      schedule(Handle, Call, Call.Deadline + AnswerGrace);
+    return;
+  }
+  if (Call.Present->Asking) {
+    schedule(Handle, Call, Now + Context.Settings.HeartbeatInterval);
+    return;
+  }
+  ask(Handle, Call, PeerRoute::Fresh);
+}
+
+void EntrySide::dispatch(CallHandle Handle, EntryCall &Call) {
+  const TimeMs Now = Context.now();
+  if (Withdrawn.contains(Call.Request.KeyMark) && Call.Request.KeyMark != 0) {
+    refuse(Handle, Call, ResultCode::KeyWithdrawn, unrun(Call));
+    return;
+  }
+  if (!Context.Guard.empty() &&
+      Context.Guard.refuses(fingerprintOf(Call.Request), Now)) {
+    refuse(Handle, Call, ResultCode::RequestCrashesTargets, unrun(Call));
+    return;
+  }
+  const Instance *Target =
+      Targets.pick(Call.Request.Service, Call.Tried, Now, Context.Hooks.Random);
+  if (Target)
+    begin(Handle, Call, *Target);
+  else
+    park(Handle, Call);
+}
+
+void EntrySide::park(CallHandle Handle, EntryCall &Call) {
+  const bool TriedEnough =
+      !Call.Request.CanWait && Call.Attempts >= Context.Settings.MaxAttempts;
+  // A refusal that another round would only repeat is passed on at once.
+  const bool Hopeless = !Call.Request.CanWait &&
+                        Call.LastRefusal == ResultCode::DeadlineUnreachable;
+  if (TriedEnough || Hopeless) {
+    refuse(Handle, Call, Call.LastRefusal, unrun(Call));
+    return;
+  }
+  const TimeMs Now = Context.now();
+  // Half of the pause is random, so that parked calls do not come back at once.
+  const auto Half = static_cast<std::uint64_t>(Call.Pause.Value) / 2;
+  const DurationMs Jitter(
+      static_cast<std::int64_t>(Context.Hooks.Random() % (Half + 1)));
+  const TimeMs Next =
+      Now + DurationMs(static_cast<std::int64_t>(Half)) + Jitter;
+  Call.Pause = std::min(Call.Pause * 2, LongestRetryPause);
+  Call.Tried.clear();
+  schedule(Handle, Call, std::min(Next, Call.Deadline));
+}
+
+void EntrySide::begin(CallHandle Handle, EntryCall &Call,
+                      const Instance &Target) {
+  const TimeMs Now = Context.now();
+  ++Call.Attempts;
+  Attempt &Present = Call.Present.emplace();
+  Present.Id = {Context.Self.Incarnation, NextSequence++};
+  Present.Target = Target.Name;
+  Present.SentAt = Now;
+  const bool IsLocal = Target.Name == Context.Self.Name;
+  if (!IsLocal)
+    Present.Address = Target.PeerAddress;
+  Targets.onSent(Target.Name);
+  CallStart Start;
+  Start.Request = Call.Request;
+  Start.Request.Id = Present.Id;
+  Start.Request.Remaining = Call.Deadline - Now;
+  Start.Marks = Context.Guard.encode(Now);
+  const bool Plain = Context.Settings.Retry == RetryMode::Plain;
+  const DurationMs Patience =
+      Context.Settings.HeartbeatInterval * (Plain ? MaxHeartbeatFactor : 1);
+  schedule(Handle, Call, std::min(Now + Patience, Call.Deadline + AnswerGrace));
+  if (IsLocal) {
+    Local.Start(std::move(Start),
+                [this, Handle, Id = Present.Id](const CallReply &Reply) {
+                  Context.run([this, Handle, Id, Reply] {
+                    if (EntryCall *Known = find(Handle, Id)) {
+                      hear(Reply, *Known->Present, PeerRoute::Fresh);
+                      onReply(Handle, *Known, Reply);
+                    }
+                  });
+                });
+    return;
+  }
+  PeerRequest Message;
+  Message.Address = Present.Address;
+  Message.Kind = PeerKind::CallStart;
+  Message.Body = encode(Start);
+  Message.Timeout = Call.Deadline + AnswerGrace - Now;
+  if (Links[Present.Address].FreshUntil > Now)
+    Message.Route = PeerRoute::Fresh;
+  const PeerRoute Route = Message.Route;
+  Context.Hooks.Send(std::move(Message), [this, Handle, Id = Present.Id,
+                                          Route](const PeerReply &Reply) {
+    Context.run([this, Handle, Id, Reply, Route] {
+      onStartReply(Handle, Id, Reply, Route);
+    });
+  });
+}
+
+void EntrySide::ask(CallHandle Handle, EntryCall &Call, PeerRoute Route) {
+  Attempt &Present = *Call.Present;
+  const TimeMs Now = Context.now();
+  ++Context.Figures.Fetches;
+  CallFetch Fetch;
+  Fetch.Id = Present.Id;
+  Fetch.Offset = Present.Answer.offset();
+  Fetch.Fence = true;
+  Present.Asking = true;
+  schedule(Handle, Call,
+           std::min(Now + Context.Settings.FetchTimeout,
+                    Call.Deadline + AnswerGrace));
+  if (Present.Address.empty()) {
+    const CallReply Reply = Local.Fetch(Fetch);
+    Present.Asking = false;
+    onReply(Handle, Call, Reply);
+    return;
+  }
+  // A connection that was heard of a moment ago need not be doubted.
+  const Link &Known = Links[Present.Address];
+  const bool Alive = Now - Known.Heard < Context.Settings.HeartbeatInterval &&
+                     Known.Heard >= Present.SentAt && Present.Unanswered == 0;
+  PeerRequest Message;
+  Message.Address = Present.Address;
+  Message.Kind = PeerKind::CallFetch;
+  Message.Body = encode(Fetch);
+  Message.Timeout = Context.Settings.FetchTimeout;
+  Message.Route = Alive ? PeerRoute::Reuse : Route;
+  const PeerRoute Used = Message.Route;
+  Context.Hooks.Send(std::move(Message), [this, Handle, Id = Present.Id,
+                                          Used](const PeerReply &Reply) {
+    Context.run([this, Handle, Id, Reply, Used] {
+      onFetchReply(Handle, Id, Reply, Used);
+    });
+  });
+}
+
+void EntrySide::tellCancelled(const Attempt &Gone) {
+  const CallCancel Cancel{Gone.Id};
+  if (Gone.Address.empty()) {
+    Local.Cancel(Cancel);
+    return;
+  }
+  PeerRequest Message;
+  Message.Address = Gone.Address;
+  Message.Kind = PeerKind::CallCancel;
+  Message.Body = encode(Cancel);
+  Message.Timeout = Context.Settings.FetchTimeout;
+  Context.Hooks.Send(std::move(Message), [](const PeerReply &) {});
+}
+
+bool EntrySide::mayMove(EntryCall &Call, bool Costs) {
+  if (!Call.Request.CanWait && Call.Attempts >= Context.Settings.MaxAttempts)
+    return false;
+  return !Costs || Budget.spend();
+}
+
+void EntrySide::move(CallHandle Handle, EntryCall &Call, std::string_view Why,
+                     Leaving Left) {
+  ++Context.Figures.Retries;
+  Context.report(EventId::CallMoved, {{"call", Call.Present->Id.text()},
+                                      {"target", Call.Present->Target},
+                                      {"reason", std::string(Why)}});
+  Call.Tried.push_back(Call.Present->Target);
+  leave(Call, Left);
+  dispatch(Handle, Call);
+}
+
+void EntrySide::leave(EntryCall &Call, Leaving Left) {
+  if (!Call.Present)
+    return;
+  Targets.onEnded(Call.Present->Target);
+  if (Left == Leaving::Unsettled && Context.Settings.Retry != RetryMode::Plain)
+    tellCancelled(*Call.Present);
+  Call.Present.reset();
+}
+
+void EntrySide::giveUp(CallHandle Handle, EntryCall &Call) {
+  if (!Call.Present) {
+    const bool Untried = Call.Attempts == 0;
+    refuse(Handle, Call,
+           Untried ? ResultCode::NoTargetAvailable
+                   : ResultCode::DeadlineExceeded,
+           unrun(Call));
+    return;
+  }
+  leave(Call, Leaving::Unsettled);
+  refuse(Handle, Call, ResultCode::DeadlineExceeded, Outcome::Unknown);
+}
+
+void EntrySide::refuse(CallHandle Handle, EntryCall &Call, ResultCode Reason,
+                       Outcome Ran) {
+  Context.report(EventId::CallRefused,
+                 {{"organisation", Call.Request.Organisation},
+                  {"route", Call.Request.Route},
+                  {"reason", std::string(resultName(Reason))},
+                  {"outcome", std::string(outcomeName(Ran))}});
+  if (!Call.Request.Organisation.empty())
+    ++Context.Figures.RefusedByOrganisation[Call.Request.Organisation];
+  finish(Handle, Call, refusal(statusOf(Reason), Reason, Ran));
+}
+
+void EntrySide::finish(CallHandle Handle, EntryCall &Call, CallAnswer Answer) {
+  OutcomeCounts &Counts = Context.Figures.Results[Answer.Reason];
+  if (Answer.Ran == Outcome::NotRun)
+    ++Counts.NotRun;
+  else if (Answer.Ran == Outcome::Ran)
+    ++Counts.Ran;
+  else
+    ++Counts.Unknown;
+  Context.Figures.EntryLatency.add(Context.now() - Call.Submitted);
+  if (Call.Present)
+    Targets.onEnded(Call.Present->Target);
+  HeldBytes -= Call.Bytes;
+  Timers.erase({Call.Due, Handle});
+  const AnswerHook OnAnswer = std::move(Call.OnAnswer);
+  Calls.erase(Handle);
+  OnAnswer(std::move(Answer));
+}
+
+Outcome EntrySide::unrun(const EntryCall &Call) const {
+  return Call.MayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/calls/Refusals.cpp
@@ -0,0 +1,34 @@
+#include "calls/Refusals.h"
+
+namespace fescuewood {
+
+int statusOf(ResultCode Reason) {
+  switch (Reason) {
+  case ResultCode::CallerUnknown:
+  case ResultCode::KeyWithdrawn:
+    return 401;
+  case ResultCode::RouteUnknown:
+    return 404;
+  case ResultCode::RequestBodyTooLarge:
+    return 413;
+  case ResultCode::RequestCrashesTargets:
+    return 422;
+  case ResultCode::RateExceeded:
+    return 429;
+  case ResultCode::CallerGone:
+    return 499; // Not registered; the usual sign in logs. Nobody receives it.
+  case ResultCode::AnswerLost:
+  case ResultCode::CallForgotten:
+  case ResultCode::TargetConnectionLost:
+    return 502;
+  case ResultCode::DeadlineExceeded:
+  case ResultCode::TargetTimeout:
+    return 504;
+  case ResultCode::DepthExceeded:
+    return 508;
+  default:
+    return ServiceUnavailable;
+  }
+}
+
+} // namespace fescuewood
--- a/src/policy/CallSettings.h
+++ b/src/policy/CallSettings.h
@@ -60,6 +60,7 @@
   double ColdShare = 0.34;         ///< Of the slots, at a cold start.
   double LatencyTolerance = 2.0;   ///< Times the usual latency that is fine.
   DurationMs CautionTime{500};     ///< Least time between two decreases.
+  DurationMs WarmTime{10000};      ///< Least time from cold to all slots.
   DurationMs IdleDecayTime{60000}; ///< Idleness after which a limit is cold.
   DurationMs ProbeInterval{250};   ///< Between tries of a target that is down.
 
--- /dev/null
+++ b/src/policy/CrashGuard.cpp
@@ -0,0 +1,160 @@
+#include "policy/CrashGuard.h"
+
+#include "core/Digest.h"
+
+#include <algorithm>
+#include <exception>
+#include <msgpack.hpp>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace fescuewood {
+
+namespace {
+
+/// A crash on the wire: request, crash, age in milliseconds, cleared.
+using WireCrash = std::tuple<std::uint64_t, std::uint64_t, std::int64_t, bool>;
+
+void append(std::string &Text, std::string_view Part) {
+  // Lengths keep two different splits of the same bytes apart.
+  Text += std::to_string(Part.size());
+  Text += ':';
+  Text += Part;
+}
+
+} // namespace
+
+RequestFingerprint fingerprintOf(const CallRequest &Request) {
+  std::string Text;
+  append(Text, Request.Organisation);
+  append(Text, Request.Route);
+  append(Text, Request.Method);
+  append(Text, Request.Target);
+  append(Text, Request.Body);
+  return keyMark(Digest::of(Text));
+}
+
+bool CrashGuard::crashed(RequestFingerprint Request, CrashId Id, TimeMs Now) {
+  const auto Known = Marks.find(Request);
+  const std::size_t Before = Known == Marks.end() ? 0 : standing(Known->second);
+  add(Request, Id, {Now, false});
+  const auto Marked = Marks.find(Request);
+  const std::size_t After =
+      Marked == Marks.end() ? 0 : standing(Marked->second);
+  return Before < Settings.CrashLimit && After >= Settings.CrashLimit;
+}
+
+void CrashGuard::succeeded(RequestFingerprint Request) {
+  const auto Found = Marks.find(Request);
+  if (Found == Marks.end())
+    return;
+  for (auto &[Id, Entry] : Found->second.Crashes)
+    Entry.Cleared = true;
+}
+
+bool CrashGuard::refuses(RequestFingerprint Request, TimeMs Now) {
+  const auto Found = Marks.find(Request);
+  if (Found == Marks.end())
+    return false;
+  Mark &Entry = Found->second;
+  const std::size_t Count = standing(Entry);
+  if (Count < Settings.CrashLimit)
+    return false;
+  DurationMs Wait = Settings.FirstTrial;
+  for (std::size_t I = Settings.CrashLimit; I < Count; ++I)
+    Wait = Wait * TrialBackoff;
+  const TimeMs Since =
+      Entry.Trial ? std::max(*Entry.Trial, Entry.Newest) : Entry.Newest;
+  if (Now - Since < Wait)
+    return true;
+  Entry.Trial = Now;
+  return false;
+}
+
+void CrashGuard::expire(TimeMs Now) {
+  for (auto &[Request, Entry] : Marks)
+    std::erase_if(Entry.Crashes, [this, Now](const auto &Item) {
+      return Now - Item.second.When >= Settings.Memory;
+    });
+  std::erase_if(Marks,
+                [](const auto &Item) { return Item.second.Crashes.empty(); });
+}
+
+std::size_t CrashGuard::quarantined() const {
+  return static_cast<std::size_t>(
+      std::count_if(Marks.begin(), Marks.end(), [this](const auto &Item) {
+        return standing(Item.second) >= Settings.CrashLimit;
+      }));
+}
+
+std::string CrashGuard::encode(TimeMs Now) const {
+  if (Marks.empty())
+    return {};
+  std::vector<std::pair<TimeMs, RequestFingerprint>> Newest;
+  Newest.reserve(Marks.size());
+  for (const auto &[Request, Entry] : Marks)
+    Newest.emplace_back(Entry.Newest, Request);
+  std::sort(Newest.rbegin(), Newest.rend());
+  if (Newest.size() > MaxCrashMarksSent)
+    Newest.resize(MaxCrashMarksSent);
+  std::vector<WireCrash> Wire;
+  for (const auto &[When, Request] : Newest)
+    for (const auto &[Id, Entry] : Marks.at(Request).Crashes)
+      Wire.emplace_back(Request, Id, (Now - Entry.When).Value, Entry.Cleared);
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Wire);
+  return {Buffer.data(), Buffer.size()};
+}
+
+void CrashGuard::merge(std::string_view Bytes, TimeMs Now) {
+  constexpr std::size_t MaxItems = MaxCrashMarksSent * MaxCrashesPerMark;
+  if (Bytes.empty())
+    return;
+  std::vector<WireCrash> Wire;
+  try {
+    const msgpack::unpack_limit Limit(MaxItems, 0, 0, 0, 0, 4);
+    const msgpack::object_handle Handle =
+        msgpack::unpack(Bytes.data(), Bytes.size(), nullptr, nullptr, Limit);
+    Handle.get().convert(Wire);
+  } catch (const std::exception &) {
+    return;
+  }
+  for (const auto &[Request, Id, Age, Cleared] : Wire) {
+    if (Age < 0 || Age >= Settings.Memory.Value)
+      continue;
+    add(Request, Id, {Now - DurationMs(Age), Cleared});
+  }
+}
+
+std::size_t CrashGuard::standing(const Mark &Entry) {
+  return static_cast<std::size_t>(
+      std::count_if(Entry.Crashes.begin(), Entry.Crashes.end(),
+                    [](const auto &Item) { return !Item.second.Cleared; }));
+}
+
+void CrashGuard::add(RequestFingerprint Request, CrashId Id, Crash New) {
+  Mark &Entry = Marks[Request];
+  const auto [At, Added] = Entry.Crashes.emplace(Id, New);
+  // Each copy of a mark ages on its way; the oldest view of it is the truest,
+  // and keeps a mark from being handed round for ever.
+  At->second.When = std::min(At->second.When, New.When);
+  At->second.Cleared = At->second.Cleared || New.Cleared;
+  if (Added)
+    Entry.Newest =
+        Entry.Crashes.size() == 1 ? New.When : std::max(Entry.Newest, New.When);
+  if (Entry.Crashes.size() > MaxCrashesPerMark)
+    Entry.Crashes.erase(std::min_element(Entry.Crashes.begin(),
+                                         Entry.Crashes.end(),
+                                         [](const auto &A, const auto &B) {
+                                           return A.second.When < B.second.When;
+                                         }));
+  if (Marks.size() <= MaxCrashMarks)
+    return;
+  Marks.erase(std::min_element(Marks.begin(), Marks.end(),
+                               [](const auto &A, const auto &B) {
+                                 return A.second.Newest < B.second.Newest;
+                               }));
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/policy/FairQueue.cpp
@@ -0,0 +1,172 @@
+#include "policy/FairQueue.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace fescuewood {
+
+namespace {
+
+/// Share of the typical latency that must be left when a request is started.
+constexpr double LeastLatencyShare = 0.5;
+
+/// Virtual service time of a request, before its weight.
+double cost(const QueuedCall &Call) {
+  return static_cast<double>(std::max<std::int64_t>(1, Call.Cost.Value));
+}
+
+} // namespace
+
+FairQueue::FairQueue(FairQueueSettings Settings, ExpiryHook OnExpiry)
+    : Settings(Settings), OnExpiry(std::move(OnExpiry)) {}
+
+bool FairQueue::push(QueuedCall Call, const ServiceRate &Rate, TimeMs Now) {
+  Call.Weight = std::max(1U, Call.Weight);
+  if (!hasRoom(Call))
+    return refuse(ResultCode::QueueFull);
+  if (!Call.CanWait && comesTooLate(Call, Rate, Now))
+    return refuse(ResultCode::DeadlineUnreachable);
+  const Class Which = Call.CanWait ? Class::Waiting : Class::Urgent;
+  Lane &Into = lane(Which);
+  Backlog &Own = Into.Backlogs[Call.Organisation];
+  Own.Weight = Call.Weight;
+  const double Start = std::max(Into.VirtualTime, Own.LastFinish);
+  Own.LastFinish = Start + cost(Call) / Call.Weight;
+  ++Into.Size;
+  Bytes += Call.Bytes;
+  BytesByOrganisation[Call.Organisation] += Call.Bytes;
+  Index.emplace(Call.Id, Place{Which, Call.Organisation});
+  Own.Waiters.push_back({std::move(Call), Start});
+  return true;
+}
+
+std::optional<CallId> FairQueue::pop(const ServiceRate &Rate, TimeMs Now) {
+  const DurationMs Least(static_cast<std::int64_t>(
+      LeastLatencyShare * static_cast<double>(Rate.Latency.Value)));
+  while (!Index.empty()) {
+    const bool WaitingTurn = UrgentInARow + 1 >= Settings.WaitingShare;
+    const bool FromWaiting = lane(Class::Urgent).Size == 0 ||
+                             (WaitingTurn && lane(Class::Waiting).Size > 0);
+    auto Next = popFrom(lane(FromWaiting ? Class::Waiting : Class::Urgent));
+    if (!Next)
+      return std::nullopt;
+    forget(*Next);
+    const DurationMs Needed = Next->CanWait ? DurationMs(0) : Least;
+    if (Next->Deadline <= Now + Needed) {
+      OnExpiry(Next->Id);
+      continue;
+    }
+    UrgentInARow = FromWaiting ? 0 : UrgentInARow + 1;
+    return Next->Id;
+  }
+  return std::nullopt;
+}
+
+bool FairQueue::remove(const CallId &Id) {
+  const auto Found = Index.find(Id);
+  if (Found == Index.end())
+    return false;
+  Lane &From = lane(Found->second.Which);
+  Backlog &Own = From.Backlogs.at(Found->second.Organisation);
+  const auto At =
+      std::find_if(Own.Waiters.begin(), Own.Waiters.end(),
+                   [&Id](const Waiter &W) { return W.Call.Id == Id; });
+  const QueuedCall Call = std::move(At->Call);
+  Own.Waiters.erase(At);
+  --From.Size;
+  forget(Call);
+  return true;
+}
+
+void FairQueue::expire(TimeMs Now) {
+  std::vector<CallId> Late;
+  for (Lane &From : Lanes) {
+    for (const auto &[Name, Own] : From.Backlogs)
+      for (const Waiter &W : Own.Waiters)
+        if (W.Call.Deadline <= Now)
+          Late.push_back(W.Call.Id);
+    prune(From);
+  }
+  for (const CallId &Id : Late) {
+    remove(Id);
+    OnExpiry(Id);
+  }
+}
+
+bool FairQueue::refuse(ResultCode Reason) {
+  LastReason = Reason;
+  return false;
+}
+
+bool FairQueue::hasRoom(const QueuedCall &Call) const {
+  if (Index.size() >= Settings.MaxRequests ||
+      Bytes + Call.Bytes > Settings.MaxBytes)
+    return false;
+  const auto Held = BytesByOrganisation.find(Call.Organisation);
+  if (Held == BytesByOrganisation.end())
+    return true;
+  return Held->second + Call.Bytes <= Settings.MaxBytes - Bytes;
+}
+
+bool FairQueue::comesTooLate(const QueuedCall &Call, const ServiceRate &Rate,
+                             TimeMs Now) {
+  Lane &Into = lane(Class::Urgent);
+  std::uint64_t Weights = Call.Weight;
+  std::size_t Ahead = 0;
+  for (const auto &[Name, Own] : Into.Backlogs) {
+    if (Name == Call.Organisation)
+      Ahead = Own.Waiters.size();
+    else if (!Own.Waiters.empty())
+      Weights += Own.Weight;
+  }
+  // Its own organisation's requests go before it, each with a turn of every
+  // other; what waits in total bounds that from above.
+  const double Turns = std::min(static_cast<double>(Ahead + 1) *
+                                    static_cast<double>(Weights) / Call.Weight,
+                                static_cast<double>(Into.Size + 1));
+  const double Rounds = Turns / std::max(1U, Rate.Limit);
+  const double Wait = Rounds * static_cast<double>(Rate.Latency.Value);
+  return Now + DurationMs(static_cast<std::int64_t>(Wait)) +
+             DurationMs(static_cast<std::int64_t>(
+                 LeastLatencyShare *
+                 static_cast<double>(Rate.Latency.Value))) >=
+         Call.Deadline;
+}
+
+std::optional<QueuedCall> FairQueue::popFrom(Lane &From) {
+  Backlog *Best = nullptr;
+  for (auto &[Name, Own] : From.Backlogs) {
+    if (Own.Waiters.empty())
+      continue;
+    if (!Best || Own.Waiters.front().Start < Best->Waiters.front().Start)
+      Best = &Own;
+  }
+  if (!Best)
+    return std::nullopt;
+  Waiter Next = std::move(Best->Waiters.front());
+  Best->Waiters.pop_front();
+  --From.Size;
+  From.VirtualTime = std::max(From.VirtualTime, Next.Start);
+  return std::move(Next.Call);
+}
+
+void FairQueue::forget(const QueuedCall &Call) {
+  Index.erase(Call.Id);
+  Bytes -= Call.Bytes;
+  const auto Held = BytesByOrganisation.find(Call.Organisation);
+  Held->second -= Call.Bytes;
+  if (Held->second == 0)
+    BytesByOrganisation.erase(Held);
+}
+
+void FairQueue::prune(Lane &From) {
+  // An organisation whose share is used up in virtual time owes nothing.
+  std::erase_if(From.Backlogs, [&From](const auto &Item) {
+    const Backlog &Own = Item.second;
+    return Own.Waiters.empty() &&
+           (Own.LastFinish <= From.VirtualTime || From.Size == 0);
+  });
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/policy/FairQueue.h
@@ -0,0 +1,133 @@
+/// \file
+/// The requests that wait for a slot of one target, shared fairly between
+/// organisations.
+///
+/// A request enters with \ref FairQueue::push or is refused early, when its
+/// deadline cannot be met, and leaves with \ref FairQueue::pop. Within a class,
+/// organisations share by start-time fair queueing (Goyal, Vin and Cheng,
+/// 1996): over any span in which two of them wait, what they get differs by at
+/// most one request each, in proportion to their weights, whatever they send.
+/// Urgent requests go before those that can wait, but for a fixed share.
+///
+/// Memory is bounded. An organisation may hold at most as much as is still
+/// free (Choudhury and Hahne, 1998), so one alone never fills the queue.
+
+#ifndef FESCUEWOOD_POLICY_FAIRQUEUE_H
+#define FESCUEWOOD_POLICY_FAIRQUEUE_H
+
+#include "calls/Call.h"
+#include "core/Clock.h"
+#include "core/ResultCode.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace fescuewood {
+
+/// Bounds and shares of a \ref FairQueue.
+struct FairQueueSettings {
+  std::size_t MaxBytes = 16 << 20;
+  std::size_t MaxRequests = 20000;
+  std::uint32_t WaitingShare = 8; ///< One pop in so many is a waiting one's.
+};
+
+/// What the queue has to know of a request.
+struct QueuedCall {
+  CallId Id;
+  std::string Organisation;
+  std::uint32_t Weight = 1; ///< Of the organisation.
+  bool CanWait = false;
+  TimeMs Deadline;
+  std::size_t Bytes = 0; ///< Memory that the request holds.
+  DurationMs Cost{1};    ///< Expected time at the target.
+};
+
+/// What the target can do at present.
+struct ServiceRate {
+  std::uint32_t Limit = 1; ///< Requests at once.
+  DurationMs Latency{0};   ///< Typical time of one.
+};
+
+/// Requests of all organisations for one target. Not thread-safe.
+class FairQueue {
+public:
+  /// Called with each request that is dropped because it is too late.
+  using ExpiryHook = std::function<void(const CallId &)>;
+
+  FairQueue(FairQueueSettings Settings, ExpiryHook OnExpiry);
+
+  /// Adds a request. Returns false when there is no room for its organisation
+  /// (QueueFull) or an urgent one would come too late (DeadlineUnreachable);
+  /// \ref lastReason then says which.
+  bool push(QueuedCall Call, const ServiceRate &Rate, TimeMs Now);
+
+  /// Takes the next request that can still be answered in time.
+  std::optional<CallId> pop(const ServiceRate &Rate, TimeMs Now);
+
+  /// Takes a request out. Returns false when it does not wait here.
+  bool remove(const CallId &Id);
+
+  /// Drops what is too late, through the hook.
+  void expire(TimeMs Now);
+
+  std::size_t size() const { return Index.size(); }
+  std::size_t bytes() const { return Bytes; }
+
+  /// Why the last push returned false.
+  ResultCode lastReason() const { return LastReason; }
+
+private:
+  enum class Class : std::uint8_t { Urgent, Waiting };
+
+  struct Waiter {
+    QueuedCall Call;
+    double Start = 0; ///< Virtual time at which its service may begin.
+  };
+
+  struct Backlog {
+    std::deque<Waiter> Waiters;
+    double LastFinish = 0; ///< Virtual finish time of the newest request.
+    std::uint32_t Weight = 1;
+  };
+
+  /// The requests of one class, by organisation.
+  struct Lane {
+    std::map<std::string, Backlog, std::less<>> Backlogs;
+    double VirtualTime = 0;
+    std::size_t Size = 0;
+  };
+
+  struct Place {
+    Class Which = Class::Urgent;
+    std::string Organisation;
+  };
+
+  Lane &lane(Class Which) { return Lanes.at(static_cast<std::size_t>(Which)); }
+  bool refuse(ResultCode Reason);
+  bool hasRoom(const QueuedCall &Call) const;
+  bool comesTooLate(const QueuedCall &Call, const ServiceRate &Rate,
+                    TimeMs Now);
+  std::optional<QueuedCall> popFrom(Lane &From);
+  void forget(const QueuedCall &Call);
+  static void prune(Lane &From);
+
+  FairQueueSettings Settings;
+  ExpiryHook OnExpiry;
+  std::array<Lane, 2> Lanes;
+  std::map<CallId, Place> Index;
+  std::map<std::string, std::size_t, std::less<>> BytesByOrganisation;
+  std::size_t Bytes = 0;
+  std::uint32_t UrgentInARow = 0;
+  ResultCode LastReason = ResultCode::Ok;
+};
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_POLICY_FAIRQUEUE_H
--- /dev/null
+++ b/src/policy/Router.cpp
@@ -0,0 +1,217 @@
+#include "policy/Router.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fescuewood {
+
+namespace {
+
+/// Relative chances to be drawn, by nearness.
+constexpr double OwnDomainWeight = 4.0;
+constexpr double OwnRegionWeight = 2.0;
+constexpr double RemoteWeight = 0.05;
+
+/// Factor on the chance of an instance whose node did not answer lately.
+constexpr double SuspectWeight = 0.01;
+
+/// Latency assumed before the first report, in milliseconds.
+constexpr double UnknownLatency = 10.0;
+
+/// Share of the latency that a fully used target costs though nothing waits;
+/// keeps load even among targets that all have free slots.
+constexpr double UseCost = 0.5;
+
+/// A uniform number from 0 up to, but not including, 1.
+double uniform(const RandomHook &Random) {
+  constexpr int MantissaBits = 53;
+  constexpr double Scale = 1.0 / static_cast<double>(1ULL << MantissaBits);
+  return static_cast<double>(Random() >> (64 - MantissaBits)) * Scale;
+}
+
+} // namespace
+
+Router::Router(RouterSettings Settings, std::string OwnDomain)
+    : Settings(Settings), OwnDomain(std::move(OwnDomain)),
+      Ramp(Settings.DomainRampTime) {}
+
+std::vector<DomainChange> Router::setSnapshot(const Snapshot &Config,
+                                              TimeMs Now) {
+  Regions.clear();
+  for (const auto &[Name, Declared] : Config.Domains)
+    Regions[Name] = Declared.Region;
+  const auto Own = Regions.find(OwnDomain);
+  OwnRegion = Own == Regions.end() ? std::string() : Own->second;
+  return Ramp.update(Config, Now);
+}
+
+void Router::setInstances(std::span<const Instance> Instances) {
+  std::map<std::string, Entry, std::less<>> Next;
+  for (const Instance &Place : Instances) {
+    Entry &Kept = Next[Place.Name];
+    const auto Known = Entries.find(Place.Name);
+    if (Known != Entries.end())
+      Kept = std::move(Known->second);
+    Kept.Place = Place;
+  }
+  Entries = std::move(Next);
+  Services.clear();
+  for (const auto &[Name, Kept] : Entries)
+    Services[Kept.Place.Service].push_back(&Kept);
+}
+
+void Router::onLoad(std::string_view Name, const TargetLoad &Load, TimeMs Now) {
+  Entry *Known = find(Name);
+  if (!Known)
+    return;
+  Known->Load = Load;
+  Known->LoadAt = Now;
+  Known->SentSinceLoad = 0;
+  Known->SuspectUntil = TimeMs(0);
+}
+
+void Router::onSent(std::string_view Name) {
+  Entry *Known = find(Name);
+  if (!Known)
+    return;
+  ++Known->SentSinceLoad;
+  ++Known->Outstanding;
+}
+
+void Router::onEnded(std::string_view Name) {
+  Entry *Known = find(Name);
+  if (Known && Known->Outstanding > 0)
+    --Known->Outstanding;
+}
+
+void Router::onSilent(std::string_view Name, TimeMs Now) {
+  if (Entry *Known = find(Name))
+    Known->SuspectUntil = Now + Settings.SuspectTime;
+}
+
+const Instance *Router::pick(std::string_view Service,
+                             std::span<const std::string> Tried, TimeMs Now,
+                             const RandomHook &Random) const {
+  std::vector<Choice> Open = choices(Service, Tried, Now);
+  if (Open.empty())
+    return nullptr;
+  if (Settings.PickAtRandom)
+    return &Open.at(Random() % Open.size()).Candidate->Place;
+  double Total = 0;
+  for (const Choice &C : Open)
+    Total += C.Weight;
+  const Entry *Best = nullptr;
+  double BestWait = 0;
+  for (std::uint32_t I = 0; I < Settings.Choices && !Open.empty(); ++I) {
+    double Drawn = uniform(Random) * Total;
+    std::size_t At = 0;
+    while (At + 1 < Open.size() && Drawn >= Open[At].Weight)
+      Drawn -= Open[At++].Weight;
+    const double Wait = expectedWait(*Open[At].Candidate, Now);
+    if (!Best || Wait < BestWait) {
+      Best = Open[At].Candidate;
+      BestWait = Wait;
+    }
+    Total -= Open[At].Weight;
+    Open.erase(Open.begin() + static_cast<std::ptrdiff_t>(At));
+  }
+  return &Best->Place;
+}
+
+std::vector<RouterCandidate> Router::explain(std::string_view Service,
+                                             TimeMs Now) const {
+  std::vector<RouterCandidate> Result;
+  const auto Found = Services.find(Service);
+  if (Found == Services.end())
+    return Result;
+  for (const Entry *Each : Found->second)
+    Result.push_back({Each->Place.Name, Each->Place.Domain, stateOf(*Each, Now),
+                      weightOf(*Each, Now), expectedWait(*Each, Now)});
+  return Result;
+}
+
+TargetState Router::stateOf(const Entry &Candidate, TimeMs Now) const {
+  // A leaving instance never comes back under its name and place, whatever an
+  // older report says; of the rest the fresher word counts.
+  if (Candidate.Place.State == TargetState::Draining)
+    return TargetState::Draining;
+  const bool Fresh =
+      Candidate.Load && Now - Candidate.LoadAt <= Settings.LoadMaxAge;
+  return Fresh ? Candidate.Load->State : Candidate.Place.State;
+}
+
+Router::Nearness Router::nearnessOf(const Entry &Candidate) const {
+  if (Candidate.Place.Domain == OwnDomain)
+    return Nearness::OwnDomain;
+  const auto Region = Regions.find(Candidate.Place.Domain);
+  if (Region != Regions.end() && Region->second == OwnRegion)
+    return Nearness::OwnRegion;
+  return Nearness::Remote;
+}
+
+double Router::weightOf(const Entry &Candidate, TimeMs Now) const {
+  const TargetState State = stateOf(Candidate, Now);
+  if (State == TargetState::Draining || State == TargetState::Down)
+    return 0;
+  double Weight = Ramp.share(Candidate.Place.Domain, Now);
+  if (Candidate.SuspectUntil > Now)
+    Weight *= SuspectWeight;
+  switch (nearnessOf(Candidate)) {
+  case Nearness::OwnDomain:
+    return Weight * OwnDomainWeight;
+  case Nearness::OwnRegion:
+    return Weight * OwnRegionWeight;
+  case Nearness::Remote:
+    return Weight * RemoteWeight;
+  }
+  return Weight;
+}
+
+double Router::expectedWait(const Entry &Candidate, TimeMs Now) const {
+  const bool Fresh =
+      Candidate.Load && Now - Candidate.LoadAt <= Settings.LoadMaxAge;
+  double Limit = 1;
+  double Latency = UnknownLatency;
+  double Held = Candidate.Outstanding;
+  if (Candidate.Load) {
+    Limit = std::max(1U, Candidate.Load->Limit);
+    if (Candidate.Load->Latency > DurationMs(0))
+      Latency = static_cast<double>(Candidate.Load->Latency.Value);
+  }
+  if (Fresh)
+    Held = std::max(Held, static_cast<double>(Candidate.Load->InFlight +
+                                              Candidate.Load->Queued +
+                                              Candidate.SentSinceLoad));
+  const double Queue = std::max(0.0, Held + 1 - Limit) / Limit;
+  const double Use = std::min(1.0, Held / Limit);
+  double Cost = 0;
+  if (nearnessOf(Candidate) == Nearness::OwnRegion)
+    Cost = static_cast<double>(Settings.RegionCost.Value);
+  if (nearnessOf(Candidate) == Nearness::Remote)
+    Cost = static_cast<double>(Settings.RemoteCost.Value);
+  return Cost + (Queue + UseCost * Use) * Latency;
+}
+
+std::vector<Router::Choice> Router::choices(std::string_view Service,
+                                            std::span<const std::string> Tried,
+                                            TimeMs Now) const {
+  std::vector<Choice> Open;
+  const auto Found = Services.find(Service);
+  if (Found == Services.end())
+    return Open;
+  for (const Entry *Each : Found->second) {
+    if (std::find(Tried.begin(), Tried.end(), Each->Place.Name) != Tried.end())
+      continue;
+    const double Weight = weightOf(*Each, Now);
+    if (Weight > 0)
+      Open.push_back({Each, Weight});
+  }
+  return Open;
+}
+
+Router::Entry *Router::find(std::string_view Name) {
+  const auto Found = Entries.find(Name);
+  return Found == Entries.end() ? nullptr : &Found->second;
+}
+
+} // namespace fescuewood
