--- /dev/null
+++ b/tests/operators/TimelineTest.cpp
@@ -0,0 +1,73 @@
+#include "operators/Timeline.h"
+
+#include "support/Property.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+namespace {
+
+StampedEvent at(std::int64_t WallMs, const std::string &Domain,
+                std::uint64_t Sequence) {
+  StampedEvent Value;
+  Value.Time = {WallMs, 0};
+  Value.Domain = Domain;
+  Value.Node = Domain + "/till-0";
+  Value.Sequence = Sequence;
+  Value.What = {EventId::PauseNoticed, {{"organisation", "olinda"}}};
+  return Value;
+}
+
+} // namespace
+
+TEST_GROUP(Timeline){};
+
+TEST(Timeline, IsTheSameWhateverTheOrderOfItsSources) {
+  checkProperty("merge(shuffle(events)) = merge(events)", [] {
+    std::vector<StampedEvent> Events;
+    const auto Times =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 20));
+    for (std::size_t I = 0; I < Times.size(); ++I)
+      Events.push_back(at(Times[I], I % 2 ? "recife" : "caruaru", I));
+    const auto Straight = mergeTimeline(Events, {});
+
+    std::reverse(Events.begin(), Events.end());
+    // A node asked twice gives its events twice.
+    Events.insert(Events.end(), Straight.begin(), Straight.end());
+    const auto Shuffled = mergeTimeline(Events, {});
+
+    RC_ASSERT(Shuffled.size() == Straight.size());
+    for (std::size_t I = 0; I < Straight.size(); ++I)
+      RC_ASSERT(toJsonLine(Shuffled[I]) == toJsonLine(Straight[I]));
+  });
+}
+
+TEST(Timeline, FiltersByDomainOrganisationAndTime) {
+  const std::vector<StampedEvent> Events = {
+      at(10, "recife", 1), at(20, "caruaru", 1), at(30, "recife", 2)};
+  TimelineFilter Filter;
+  Filter.Domain = "recife";
+  Filter.Organisation = "olinda";
+  Filter.FromWallMs = 20;
+
+  const auto Shown = mergeTimeline(Events, Filter);
+
+  LONGS_EQUAL(1, Shown.size());
+  LONGS_EQUAL(30, Shown.front().Time.WallMs);
+}
+
+TEST(Timeline, DrawsAMarkPerEventAndALanePerDomain) {
+  const auto Svg =
+      drawTimeline(std::vector{at(10, "recife", 1), at(20, "caru<aru", 1)});
+
+  std::size_t Marks = 0;
+  for (std::size_t At = Svg.find("<title>"); At != std::string::npos;
+       At = Svg.find("<title>", At + 1))
+    ++Marks;
+  LONGS_EQUAL(2, Marks);
+  CHECK(Svg.find("caru&lt;aru") != std::string::npos);
+  CHECK(Svg.find("caru<aru") == std::string::npos);
+}
