Serve the operator port and write the log

Cause: status, metrics and time line need a read-only port, and events a log. Conclusion: a busy address, an unknown page and a failing page are answered errors; the process goes on.

--- /dev/null
+++ b/src/operators/LogWriter.cpp
@@ -0,0 +1,82 @@
+#include "operators/LogWriter.h"
+
+#include <memory>
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+namespace fescuewood {
+
+namespace {
+
+constexpr const char *LoggerName = "fescuewood";
+constexpr int KeptFiles = 1;
+
+/// log4cplus wants to be set up once per process and before the first logger.
+void initializeLibrary() { static const log4cplus::Initializer Once; }
+
+log4cplus::Logger logger() {
+  return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT(LoggerName));
+}
+
+log4cplus::SharedAppenderPtr makeAppender(const std::string &File) {
+  constexpr bool ToStdErr = true;
+  constexpr bool FlushEachLine = true;
+  if (File.empty())
+    return log4cplus::SharedAppenderPtr(
+        new log4cplus::ConsoleAppender(ToStdErr, FlushEachLine));
+  return log4cplus::SharedAppenderPtr(new log4cplus::RollingFileAppender(
+      File, MaxLogFileBytes, KeptFiles, FlushEachLine));
+}
+
+log4cplus::LogLevel libraryLevel(EventLevel Level) {
+  switch (Level) {
+  case EventLevel::Debug:
+    return log4cplus::DEBUG_LOG_LEVEL;
+  case EventLevel::Info:
+    return log4cplus::INFO_LOG_LEVEL;
+  case EventLevel::Warn:
+    return log4cplus::WARN_LOG_LEVEL;
+  case EventLevel::Error:
+    return log4cplus::ERROR_LOG_LEVEL;
+  }
+  return log4cplus::ERROR_LOG_LEVEL;
+}
+
+bool canAppend(const std::string &File) {
+  if (File.empty())
+    return true;
+  std::FILE *Opened = std::fopen(File.c_str(), "a");
+  if (!Opened)
+    return false;
+  std::fclose(Opened);
+  return true;
+}
+
+} // namespace
+
+LogWriter::LogWriter(EventLevel Lowest, const std::string &File)
+    : Lowest(Lowest), Usable(canAppend(File)) {
+  initializeLibrary();
+  log4cplus::SharedAppenderPtr Appender = makeAppender(Usable ? File : "");
+  Appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+  logger().removeAllAppenders();
+  logger().setAdditivity(false);
+  logger().setLogLevel(log4cplus::ALL_LOG_LEVEL);
+  logger().addAppender(Appender);
+}
+
+LogWriter::~LogWriter() { logger().removeAllAppenders(); }
+
+void LogWriter::write(const StampedEvent &Value) {
+  const EventLevel Level = eventEntry(Value.What.Id).Level;
+  if (Level < Lowest)
+    return;
+  logger().log(libraryLevel(Level), toTextLine(Value));
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/operators/OperatorServer.cpp
@@ -0,0 +1,130 @@
+#include "operators/OperatorServer.h"
+
+#include <string_view>
+#include <thread>
+
+#include <restinio/all.hpp>
+
+namespace fescuewood {
+
+namespace {
+
+using Traits = restinio::default_single_thread_traits_t;
+using Server = restinio::http_server_t<Traits>;
+using RequestHandle = restinio::request_handle_t;
+
+constexpr auto ReadTimeout = std::chrono::seconds(10);
+constexpr auto WriteTimeout = std::chrono::seconds(10);
+constexpr int MethodNotAllowed = 405;
+constexpr int NotFound = 404;
+constexpr int BadRequest = 400;
+constexpr int ServerError = 500;
+
+Page errorPage(int Status, std::string_view Message) {
+  return {Status, "text/plain", std::string(Message) + "\n"};
+}
+
+PageQuery parseQuery(std::string_view Text) {
+  PageQuery Result;
+  const auto Parsed =
+      restinio::parse_query(restinio::string_view_t(Text.data(), Text.size()));
+  for (const auto &Item : Parsed)
+    Result.emplace(std::string(Item.first), std::string(Item.second));
+  return Result;
+}
+
+Page makePage(const Pages &Served,
+              const restinio::http_request_header_t &Head) {
+  if (Head.method() != restinio::http_method_get())
+    return errorPage(MethodNotAllowed, "the operator port only answers GET");
+  const auto Found = Served.find(std::string_view(Head.path()));
+  if (Found == Served.end())
+    return errorPage(NotFound, "no such page");
+  PageQuery Query;
+  try {
+    Query = parseQuery(Head.query());
+  } catch (const std::exception &) {
+    return errorPage(BadRequest, "the query cannot be decoded");
+  }
+  try {
+    return Found->second(Query);
+  } catch (const std::exception &Error) {
+    return errorPage(ServerError, Error.what());
+  }
+}
+
+restinio::request_handling_status_t serve(const Pages &Served,
+                                          const RequestHandle &Request) {
+  Page Made = makePage(Served, Request->header());
+  const auto Status =
+      restinio::http_status_code_t(static_cast<std::uint16_t>(Made.Status));
+  return Request
+      ->create_response(restinio::http_status_line_t(
+          Status, Made.Status < BadRequest ? "OK" : "Error"))
+      .append_header(restinio::http_field::content_type, Made.ContentType)
+      .append_header(restinio::http_field::cache_control, "no-store")
+      .set_body(std::move(Made.Body))
+      .done();
+}
+
+} // namespace
+
+/// The library's server with the thread that runs it.
+class OperatorServer::Impl {
+public:
+  Impl(const Endpoint &Listen, Pages Served)
+      : Served(std::move(Served)),
+        Http(restinio::external_io_context(Io), [&](auto &Settings) {
+          Settings.address(Listen.Ip)
+              .port(Listen.Port)
+              .read_next_http_message_timelimit(ReadTimeout)
+              .write_http_response_timelimit(WriteTimeout)
+              .request_handler([this](const RequestHandle &Request) {
+                return serve(this->Served, Request);
+              });
+        }) {}
+
+  ~Impl() { stop(); }
+
+  bool start() {
+    try {
+      Http.open_sync();
+    } catch (const std::exception &) {
+      return false;
+    }
+    Thread = std::thread([this] { Io.run(); });
+    return true;
+  }
+
+  void stop() {
+    if (!Thread.joinable())
+      return;
+    asio::post(Io, [this] {
+      Http.close_sync();
+      Io.stop();
+    });
+    Thread.join();
+  }
+
+private:
+  Pages Served;
+  asio::io_context Io{1};
+  Server Http;
+  std::thread Thread;
+};
+
+OperatorServer::OperatorServer(Endpoint Listen, Pages Served)
+    : State(std::make_unique<Impl>(Listen, std::move(Served))) {}
+
+OperatorServer::~OperatorServer() = default;
+
+bool OperatorServer::start() {
+  if (State->start())
+    return true;
+  LastReason = ResultCode::OperatorAddressBusy;
+  return false;
+}
+
+void OperatorServer::stop() { State->stop(); }
+
+} // namespace fescuewood
