--- /dev/null
+++ b/src/nodes/PeerTraffic.cpp
@@ -0,0 +1,60 @@
+#include "nodes/PeerTraffic.h"
+
+namespace fescuewood {
+
+namespace {
+
+constexpr std::size_t FramingBytes = 12;
+constexpr std::size_t SegmentPayloadBytes = 1448;
+constexpr std::size_t SegmentHeaderBytes = 52;
+constexpr std::size_t AcknowledgementShareBytes = SegmentHeaderBytes / 2;
+constexpr std::uint16_t FirstReason = 400;
+
+} // namespace
+
+std::size_t wireBytes(std::size_t SealedBytes) {
+  const std::size_t Payload = SealedBytes + FramingBytes;
+  const std::size_t Segments =
+      (Payload + SegmentPayloadBytes - 1) / SegmentPayloadBytes;
+  return Payload + Segments * (SegmentHeaderBytes + AcknowledgementShareBytes);
+}
+
+void PeerTraffic::countSent(PeerKind Kind, std::size_t SealedBytes) {
+  Cell &C = Kinds[static_cast<std::size_t>(Kind) % KindCount];
+  ++C.MessagesSent;
+  C.BytesSent += wireBytes(SealedBytes);
+}
+
+void PeerTraffic::countReceived(PeerKind Kind, std::size_t SealedBytes) {
+  Cell &C = Kinds[static_cast<std::size_t>(Kind) % KindCount];
+  ++C.MessagesReceived;
+  C.BytesReceived += wireBytes(SealedBytes);
+}
+
+void PeerTraffic::countRefused(ResultCode Reason) {
+  const auto Number = static_cast<std::uint16_t>(Reason);
+  if (Number >= FirstReason && Number < FirstReason + ReasonCount)
+    ++Refused[Number - FirstReason];
+}
+
+std::vector<PeerKindTraffic> PeerTraffic::byKind() const {
+  std::vector<PeerKindTraffic> Result;
+  for (std::size_t I = 0; I < KindCount; ++I) {
+    const Cell &C = Kinds[I];
+    if (C.MessagesSent + C.MessagesReceived == 0)
+      continue;
+    Result.push_back({static_cast<PeerKind>(I), C.MessagesSent,
+                      C.MessagesReceived, C.BytesSent, C.BytesReceived});
+  }
+  return Result;
+}
+
+std::vector<PeerRefusals> PeerTraffic::refusals() const {
+  std::vector<PeerRefusals> Result;
+  for (std::size_t I = 0; I < ReasonCount; ++I)
+    if (Refused[I] != 0)
+      Result.push_back({static_cast<ResultCode>(FirstReason + I), Refused[I]});
+  return Result;
+}
+
+} // namespace fescuewood
--- a/src/nodes/PeerTransport.h
+++ b/src/nodes/PeerTransport.h
@@ -12,6 +12,7 @@
 #include "core/Clock.h"
 #include "core/ResultCode.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -22,6 +23,7 @@
 
 /// What a message asks for; the number is on the wire.
 enum class PeerKind : std::uint8_t {
+  Heartbeat = 0,  ///< Asks whether the connection lives; the server answers.
   Exchange = 1,   ///< Versions and membership.
   Fetch = 2,      ///< The files of a version.
   CallStart = 10, ///< Run a call.
@@ -30,6 +32,9 @@
   Tokens = 20, ///< Leases and transfers of rate tokens.
 };
 
+/// Largest body of a message in either direction.
+inline constexpr std::size_t MaxPeerBodyBytes = 2 * 1024 * 1024;
+
 /// Who sent a message, after its seal was checked.
 struct PeerIdentity {
   std::string Name; ///< The instance's name.
@@ -50,6 +55,10 @@
   ResultCode Reason = ResultCode::Ok;
 };
 
+/// True when a request that failed for this reason never left the process, so
+/// the other node cannot have seen it. After any other reason it may have.
+bool neverSent(ResultCode Reason);
+
 /// Called exactly once per request, on a transport thread.
 using PeerReplyHook = std::function<void(PeerReply)>;
 
