--- a/tests/core/HybridClockTest.cpp
+++ b/tests/core/HybridClockTest.cpp
@@ -29,7 +29,7 @@
 TEST_GROUP(HybridClock){};
 
 TEST(HybridClock, StampsAnEffectAfterItsCauseWhateverTheSkew) {
-  checkProperty("cause < effect", [](std::vector<std::uint16_t> Steps) {
+  checkProperty("cause < effect", [](const std::vector<std::uint16_t> &Steps) {
     SkewedNodes Nodes;
     std::array<HybridTime, SkewedNodes::Count> Latest{};
     for (std::uint16_t Step : Steps) {
@@ -51,7 +51,7 @@
 }
 
 TEST(HybridClock, StaysWithinTheLargestWallClock) {
-  checkProperty("bounded drift", [](std::vector<std::uint8_t> Steps) {
+  checkProperty("bounded drift", [](const std::vector<std::uint8_t> &Steps) {
     SkewedNodes Nodes;
     std::int64_t LargestWall = 1400;
     for (std::uint8_t Step : Steps) {
