--- /dev/null
+++ b/src/policy/KeyTable.cpp
@@ -0,0 +1,36 @@
+#include "policy/KeyTable.h"
+
+namespace fescuewood {
+
+KeyTable::KeyTable(const Snapshot &Source) {
+  Entries.reserve(Source.Keys.size());
+  for (const Key &Declared : Source.Keys)
+    Entries.push_back({Declared.Sha256, Declared.Organisation});
+}
+
+std::optional<std::string_view>
+KeyTable::identify(std::string_view KeyText) const {
+  if (KeyText.empty() || KeyText.size() > MaxKeyBytes)
+    return std::nullopt;
+  return identify(Digest::of(KeyText));
+}
+
+std::optional<std::string_view>
+KeyTable::identify(const Digest &KeyDigest) const {
+  const Entry *Found = nullptr;
+  bool Ambiguous = false;
+  // Every entry is compared, also after a match, so that the time taken does
+  // not tell which entry matched.
+  for (const Entry &Candidate : Entries) {
+    if (!equalInConstantTime(Candidate.Sha256, KeyDigest))
+      continue;
+    if (Found && Found->Organisation != Candidate.Organisation)
+      Ambiguous = true;
+    Found = &Candidate;
+  }
+  if (!Found || Ambiguous)
+    return std::nullopt;
+  return Found->Organisation;
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/tests/calls/CallTokenTest.cpp
@@ -0,0 +1,87 @@
+#include "calls/CallToken.h"
+
+#include "support/Property.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+namespace {
+
+const std::string Secret = "fleet secret of the test";
+
+CallToken anyToken() {
+  CallToken Token;
+  Token.Organisation = *rc::gen::container<std::string>(
+      *rc::gen::inRange(0, 40), rc::gen::arbitrary<char>());
+  Token.Depth = *rc::gen::inRange<std::uint8_t>(0, MaxCallDepth);
+  Token.Deadline = TimeMs(*rc::gen::inRange<std::int64_t>(1, 1'000'000'000));
+  Token.Call = {*rc::gen::arbitrary<std::uint64_t>(),
+                *rc::gen::arbitrary<std::uint64_t>()};
+  return Token;
+}
+
+} // namespace
+
+TEST_GROUP(CallToken) {
+  CallTokenSealer Node{Secret, "recife/archive-2"};
+  CallToken Token{"registry", 3, TimeMs(1000), {7, 8}};
+};
+
+TEST(CallToken, OpensWhatItSealed) {
+  checkProperty("open(seal(token)) = token", [] {
+    CallTokenSealer Node(Secret, "recife/archive-2");
+    const CallToken Token = anyToken();
+
+    const auto Opened = Node.open(Node.seal(Token), TimeMs(0));
+
+    RC_ASSERT(Opened == Token);
+  });
+}
+
+TEST(CallToken, RefusesAnyFlippedBit) {
+  checkProperty("a flipped bit is refused", [] {
+    CallTokenSealer Node(Secret, "recife/archive-2");
+    const std::string Sealed = Node.seal(anyToken());
+
+    for (std::size_t Bit = 0; Bit < Sealed.size() * 8; ++Bit) {
+      std::string Altered = Sealed;
+      Altered[Bit / 8] = static_cast<char>(Altered[Bit / 8] ^ (1 << (Bit % 8)));
+      RC_ASSERT(!Node.open(Altered, TimeMs(0)).has_value());
+    }
+  });
+}
+
+TEST(CallToken, RefusesEveryTruncationAndExtension) {
+  const std::string Sealed = Node.seal(Token);
+
+  for (std::size_t Length = 0; Length < Sealed.size(); ++Length)
+    CHECK_FALSE(Node.open(Sealed.substr(0, Length), TimeMs(0)).has_value());
+  CHECK_FALSE(Node.open(Sealed + "0", TimeMs(0)).has_value());
+  CHECK(ResultCode::CallTokenMalformed == Node.lastReason());
+}
+
+TEST(CallToken, RefusesAnotherNodesTokenAndAnotherSecret) {
+  const CallTokenSealer Neighbour(Secret, "recife/archive-3");
+  const CallTokenSealer Stranger("a guess", "recife/archive-2");
+
+  CHECK_FALSE(Node.open(Neighbour.seal(Token), TimeMs(0)).has_value());
+  CHECK(ResultCode::CallTokenForged == Node.lastReason());
+  CHECK_FALSE(Node.open(Stranger.seal(Token), TimeMs(0)).has_value());
+  CHECK(ResultCode::CallTokenForged == Node.lastReason());
+}
+
+TEST(CallToken, LapsesAtTheDeadline) {
+  const std::string Sealed = Node.seal(Token);
+
+  CHECK(Node.open(Sealed, TimeMs(999)).has_value());
+  CHECK_FALSE(Node.open(Sealed, TimeMs(1000)).has_value());
+  CHECK(ResultCode::CallTokenExpired == Node.lastReason());
+}
+
+TEST(CallToken, RefusesACallBelowTheDeepestOne) {
+  Token.Depth = MaxCallDepth;
+
+  CHECK_FALSE(Node.open(Node.seal(Token), TimeMs(0)).has_value());
+  CHECK(ResultCode::CallTooDeep == Node.lastReason());
+}
