--- a/src/calls/CallToken.cpp
+++ b/src/calls/CallToken.cpp
@@ -1,6 +1,5 @@
 #include "calls/CallToken.h"
 
-
 #include <charconv>
 #include <fmt/format.h>
 #include <limits>
@@ -117,8 +116,6 @@
     return refuse(ResultCode::CallTokenMalformed);
   if (Token->Deadline <= Now)
     return refuse(ResultCode::CallTokenExpired);
-  if (Token->Depth + 1 > MaxCallDepth)
-    return refuse(ResultCode::CallTooDeep);
   return Token;
 }
 
--- a/src/calls/CallToken.h
+++ b/src/calls/CallToken.h
@@ -25,13 +25,6 @@
 
 namespace fescuewood {
 
-/// Header that carries the token to a target and back from it. A node removes
-/// it from every answer and from every request that it passes on.
-inline constexpr std::string_view CallTokenHeader = "Fescuewood-Call";
-
-/// Most calls above one another.
-inline constexpr std::uint8_t MaxCallDepth = 32;
-
 /// Longest token text that is looked at, in bytes.
 inline constexpr std::size_t MaxCallTokenBytes = 512;
 
@@ -45,19 +38,19 @@
   bool operator==(const CallToken &) const = default;
 };
 
-/// Makes and opens tokens. Not thread-safe: each duty holds its own.
+/// Makes and opens tokens. Cheap to copy and not thread-safe: each thread that
+/// opens tokens uses its own copy.
 class CallTokenSealer {
 public:
   /// \param Issuer name of this node's instance; tokens of others are refused.
   CallTokenSealer(std::string FleetSecret, std::string Issuer);
 
-  /// The token as the value of \ref CallTokenHeader.
+  /// The token as the value of \ref CallTokenField (calls/Entry.h).
   std::string seal(const CallToken &Token) const;
 
   /// What a token states, or nothing with \ref lastReason:
   /// ResultCode::CallTokenMalformed, CallTokenForged (altered, or made under
-  /// another secret or by another node), CallTokenExpired or CallTooDeep (a
-  /// call below this one would exceed \ref MaxCallDepth).
+  /// another secret or by another node) or CallTokenExpired.
   std::optional<CallToken> open(std::string_view Text, TimeMs Now);
 
   /// Why the last \ref open that returned nothing did so.
--- a/src/policy/RateDecision.h
+++ b/src/policy/RateDecision.h
@@ -20,6 +20,14 @@
 /// Charges one request to an organisation. Thread-safe and non-blocking.
 using RateHook = std::function<RateDecision(std::string_view Organisation)>;
 
+/// Receives one decision.
+using RateDecisionHook = std::function<void(RateDecision)>;
+
+/// As \ref RateHook, but a request may wait for tokens on their way: the hook
+/// is called exactly once, at once or some milliseconds later, on any thread.
+using DeferredRateHook =
+    std::function<void(std::string_view Organisation, RateDecisionHook)>;
+
 } // namespace fescuewood
 
 #endif // FESCUEWOOD_POLICY_RATEDECISION_H
--- a/tests/policy/KeyTableTest.cpp
+++ b/tests/policy/KeyTableTest.cpp
@@ -2,6 +2,7 @@
 
 #include "support/Property.h"
 
+#include <algorithm>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
