--- a/src/operators/OperatorServer.cpp
+++ b/src/operators/OperatorServer.cpp
@@ -113,7 +113,7 @@
   std::thread Thread;
 };
 
-OperatorServer::OperatorServer(Endpoint Listen, Pages Served)
+OperatorServer::OperatorServer(const Endpoint &Listen, Pages Served)
     : State(std::make_unique<Impl>(Listen, std::move(Served))) {}
 
 OperatorServer::~OperatorServer() = default;
--- a/src/operators/OperatorServer.h
+++ b/src/operators/OperatorServer.h
@@ -35,7 +35,7 @@
 /// An HTTP server on the operator address.
 class OperatorServer {
 public:
-  OperatorServer(Endpoint Listen, Pages Served);
+  OperatorServer(const Endpoint &Listen, Pages Served);
   ~OperatorServer();
   OperatorServer(const OperatorServer &) = delete;
   OperatorServer &operator=(const OperatorServer &) = delete;
