--- a/src/calls/CallEngine.cpp
+++ b/src/calls/CallEngine.cpp
@@ -5,6 +5,7 @@
 #include "core/Duty.h"
 
 #include <atomic>
+#include <memory>
 #include <mutex>
 #include <utility>
 
@@ -70,6 +71,7 @@
   }
 
   CallHandle submit(CallRequest Request, AnswerHook OnAnswer) {
+    Idle.store(false);
     const CallHandle Handle = NextHandle.fetch_add(1);
     // Kept outside the task, so that a refused task leaves it to be answered.
     auto Hook = std::make_shared<AnswerHook>(std::move(OnAnswer));
@@ -90,6 +92,7 @@
   }
 
   void handlePeer(PeerKind Kind, std::string_view Body, ReplyHook Reply) {
+    Idle.store(false);
     // A message that finds the ring full is as if it were lost on its way.
     Worker.post(
         [this, Kind, Body = std::string(Body), Reply = std::move(Reply)] {
@@ -151,13 +154,14 @@
                 [OnResult, Result = std::move(Result)] { OnResult(Result); });
           });
     };
-    if (auto Probe = std::move(Hooks.Target.Probe))
+    if (auto Probe = std::move(Hooks.Target.Probe)) {
       Hooks.Target.Probe =
           [this, Probe = std::move(Probe)](std::function<void(bool)> OnResult) {
             Probe([this, OnResult = std::move(OnResult)](bool Answers) {
               change([OnResult, Answers] { OnResult(Answers); });
             });
           };
+    }
     return Hooks;
   }
 
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -16,11 +16,13 @@
 #include "core/Event.h"
 #include "core/ResultCode.h"
 #include "intent/Snapshot.h"
+#include "policy/KeyTable.h"
 #include "policy/RateDecision.h"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,11 +32,14 @@
 /// Deepest nesting of calls that is carried, as in a chain of services.
 inline constexpr std::uint8_t MaxCallDepth = 24;
 
-/// Header in which a caller shows its key; `Authorization: Bearer` is the
-/// other.
+/// Header in which a caller shows its key.
 inline constexpr std::string_view KeyField = "X-Api-Key";
 
-/// Query parameter in which a caller may show its key.
+/// Header in which a caller may show its key as `Bearer KEY`, when it sends no
+/// \ref KeyField. Another bearer token than a key is the target's own matter.
+inline constexpr std::string_view AuthorizationField = "Authorization";
+
+/// Query parameter in which a caller may show its key, when no header does.
 inline constexpr std::string_view KeyParameter = "api_key";
 
 /// Header in which a service inside the mesh shows the token of the call that
@@ -45,12 +50,11 @@
 struct CallTokenClaims {
   std::string Organisation; ///< Empty on a chain that began on an open route.
   std::uint8_t Depth = 0;   ///< Of the call that the token was given to.
+  DurationMs Remaining{0};  ///< Time left to that call.
 };
 
 /// What the entry asks of others. The hooks must be thread-safe and quick.
 struct EntryHooks {
-  /// The organisation of a key in force, or nothing.
-  std::function<std::optional<std::string>(std::string_view Key)> FindKey;
   /// The claims of a call token that this fleet issued, or nothing.
   std::function<std::optional<CallTokenClaims>(std::string_view Token)>
       CheckToken;
@@ -65,9 +69,6 @@
 class Entry {
 public:
   explicit Entry(EntryHooks Hooks);
-  ~Entry();
-  Entry(const Entry &) = delete;
-  Entry &operator=(const Entry &) = delete;
 
   /// Puts a configuration in force for the requests that follow.
   void setSnapshot(SnapshotPtr Snapshot);
@@ -77,8 +78,22 @@
   void take(CallerRequest Request, const AnswerHook &OnAnswer) const;
 
 private:
-  class Impl;
-  std::unique_ptr<Impl> State;
+  /// A configuration and what is derived from it, put in force together.
+  struct InForce {
+    SnapshotPtr Config;
+    KeyTable Keys;
+  };
+  using InForcePtr = std::shared_ptr<const InForce>;
+
+  InForcePtr inForce() const;
+  void refuse(const AnswerHook &OnAnswer, ResultCode Reason,
+              const CallRequest &Request) const;
+  ResultCode identify(const InForce &Present, const Route &Matched,
+                      CallRequest &Request) const;
+
+  EntryHooks Hooks;
+  mutable std::mutex Mutex;
+  InForcePtr Present;
 };
 
 } // namespace fescuewood
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -50,6 +50,18 @@
   std::function<CallReply(const CallCancel &)> Cancel;
 };
 
+/// One request sent to one node.
+struct EntryAttempt {
+  CallId Id;
+  std::string Target;  ///< Instance name.
+  std::string Address; ///< Empty for the own node.
+  TimeMs SentAt;
+  std::int64_t Heartbeats = 0;
+  bool Asking = false;          ///< A question is under way.
+  std::uint32_t Unanswered = 0; ///< Questions without a reply, in a row.
+  AnswerAssembler Answer;
+};
+
 /// The calls that entered at one node. Not thread-safe; used inside
 /// CallContext::run.
 class EntrySide {
@@ -81,17 +93,7 @@
   const Router &router() const { return Targets; }
 
 private:
-  /// One request sent to one node.
-  struct Attempt {
-    CallId Id;
-    std::string Target;  ///< Instance name.
-    std::string Address; ///< Empty for the own node.
-    TimeMs SentAt;
-    std::int64_t Heartbeats = 0;
-    bool Asking = false;          ///< A question is under way.
-    std::uint32_t Unanswered = 0; ///< Questions without a reply, in a row.
-    AnswerAssembler Answer;
-  };
+  using Attempt = EntryAttempt;
 
   struct EntryCall {
     CallRequest Request;
--- /dev/null
+++ b/src/calls/KeyStrip.cpp
@@ -0,0 +1,131 @@
+#include "calls/KeyStrip.h"
+
+#include "callers/HeaderFields.h"
+#include "calls/Entry.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace fescuewood {
+
+namespace {
+
+constexpr std::string_view BearerScheme = "bearer ";
+
+/// A query parameter, as views into the request target.
+struct Parameter {
+  std::string_view Name;
+  std::string_view Value;
+  std::string_view Whole;
+};
+
+std::string percentDecoded(std::string_view Text) {
+  std::string Result;
+  for (std::size_t I = 0; I < Text.size(); ++I) {
+    unsigned Byte = 0;
+    if (Text[I] == '%' && I + 2 < Text.size()) {
+      const char *First = Text.data() + I + 1;
+      const auto Parsed = std::from_chars(First, First + 2, Byte, 16);
+      if (Parsed.ec == std::errc() && Parsed.ptr == First + 2) {
+        Result += static_cast<char>(Byte);
+        I += 2;
+        continue;
+      }
+    }
+    Result += Text[I] == '+' ? ' ' : Text[I];
+  }
+  return Result;
+}
+
+std::vector<Parameter> parameters(std::string_view Target) {
+  std::vector<Parameter> Result;
+  const std::size_t Question = Target.find('?');
+  if (Question == std::string_view::npos)
+    return Result;
+  std::string_view Rest = Target.substr(Question + 1);
+  while (!Rest.empty()) {
+    const std::size_t End = std::min(Rest.find('&'), Rest.size());
+    const std::string_view Whole = Rest.substr(0, End);
+    const std::size_t Equals = std::min(Whole.find('='), Whole.size());
+    const std::string_view Value =
+        Equals < Whole.size() ? Whole.substr(Equals + 1) : std::string_view();
+    Result.push_back({Whole.substr(0, Equals), Value, Whole});
+    Rest.remove_prefix(std::min(End + 1, Rest.size()));
+  }
+  return Result;
+}
+
+std::optional<std::string_view> bearerToken(std::string_view Value) {
+  if (Value.size() <= BearerScheme.size())
+    return std::nullopt;
+  const bool Matches = std::equal(
+      BearerScheme.begin(), BearerScheme.end(), Value.begin(),
+      [](char Wanted, char Given) {
+        return Wanted == std::tolower(static_cast<unsigned char>(Given));
+      });
+  if (!Matches)
+    return std::nullopt;
+  return Value.substr(BearerScheme.size());
+}
+
+bool isKeyParameter(const Parameter &Each) {
+  return percentDecoded(Each.Name) == KeyParameter;
+}
+
+bool holds(std::string_view Text, std::string_view Key) {
+  return Text.find(Key) != std::string_view::npos ||
+         percentDecoded(Text).find(Key) != std::string::npos;
+}
+
+} // namespace
+
+std::optional<std::string> shownKey(const std::vector<Header> &Headers,
+                                    std::string_view Target,
+                                    const IsKeyHook &IsKey) {
+  std::vector<std::string> Shown;
+  for (const Header &Field : Headers)
+    if (sameFieldName(Field.Name, KeyField))
+      Shown.push_back(Field.Value);
+  if (Shown.empty()) {
+    for (const Header &Field : Headers) {
+      if (!sameFieldName(Field.Name, AuthorizationField))
+        continue;
+      const auto Token = bearerToken(Field.Value);
+      if (Token && IsKey(*Token))
+        Shown.emplace_back(*Token);
+    }
+  }
+  if (Shown.empty())
+    for (const Parameter &Each : parameters(Target))
+      if (isKeyParameter(Each))
+        Shown.push_back(percentDecoded(Each.Value));
+  if (Shown.empty() || Shown.front().empty())
+    return std::nullopt;
+  const bool Same = std::all_of(
+      Shown.begin(), Shown.end(),
+      [&Shown](const std::string &Each) { return Each == Shown.front(); });
+  if (!Same)
+    return std::nullopt;
+  return Shown.front();
+}
+
+bool stripKey(std::string_view Key, std::vector<Header> &Headers,
+              std::string &Target) {
+  removeField(Headers, KeyField);
+  std::erase_if(Headers, [Key](const Header &Field) {
+    return !Key.empty() && (holds(Field.Value, Key) || holds(Field.Name, Key));
+  });
+  const std::string Path = Target.substr(0, Target.find('?'));
+  std::string Query;
+  for (const Parameter &Each : parameters(Target)) {
+    if (isKeyParameter(Each) || (!Key.empty() && holds(Each.Whole, Key)))
+      continue;
+    Query += Query.empty() ? '?' : '&';
+    Query += Each.Whole;
+  }
+  Target = Path + Query;
+  return Key.empty() || !holds(Path, Key);
+}
+
+} // namespace fescuewood
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -349,11 +349,12 @@
     Limit.onResult(Call.Request.Route, verdictOf(Result), Now - Call.Started,
                    InFlight, Now);
   const std::uint32_t After = Limit.limit(Now);
-  if (After < Before)
+  if (After < Before) {
     Context.report(EventId::LimitReduced,
                    {{"target", Context.Self.Name},
                     {"limit", std::to_string(After)},
                     {"slots", std::to_string(Limit.slots())}});
+  }
   if (Result.Answer && !Context.Guard.empty())
     Context.Guard.succeeded(fingerprintOf(Call.Request));
 }
@@ -377,12 +378,13 @@
     Context.report(EventId::TargetCrashed, {{"target", Context.Self.Name}});
   }
   const RequestFingerprint Request = fingerprintOf(Call.Request);
-  if (Context.Guard.crashed(Request, Crash, Context.now()))
+  if (Context.Guard.crashed(Request, Crash, Context.now())) {
     Context.report(EventId::RequestQuarantined,
                    {{"target", Context.Self.Name},
                     {"organisation", Call.Request.Organisation},
                     {"route", Call.Request.Route},
                     {"call", Call.Request.Id.text()}});
+  }
   Suspended = true;
   NextProbe = Context.now();
   probe();
--- a/src/policy/CrashGuard.cpp
+++ b/src/policy/CrashGuard.cpp
@@ -143,12 +143,13 @@
   if (Added)
     Entry.Newest =
         Entry.Crashes.size() == 1 ? New.When : std::max(Entry.Newest, New.When);
-  if (Entry.Crashes.size() > MaxCrashesPerMark)
+  if (Entry.Crashes.size() > MaxCrashesPerMark) {
     Entry.Crashes.erase(std::min_element(Entry.Crashes.begin(),
                                          Entry.Crashes.end(),
                                          [](const auto &A, const auto &B) {
                                            return A.second.When < B.second.When;
                                          }));
+  }
   if (Marks.size() <= MaxCrashMarks)
     return;
   Marks.erase(std::min_element(Marks.begin(), Marks.end(),
