--- /dev/null
+++ b/src/callers/CallerServer.cpp
@@ -0,0 +1,42 @@
+#include "callers/CallerServer.h"
+
+#include "callers/CallerServerCore.h"
+
+#include <utility>
+
+namespace fescuewood {
+
+class CallerServer::Impl {
+public:
+  // Answers may come after the server has ended, on any thread, so their hooks
+  // hold weak references to the core.
+  std::shared_ptr<CallerServerCore> Core;
+};
+
+CallerServer::CallerServer(CallerServerOptions Options, CallerHook OnRequest,
+                           GoneHook OnGone, EventHook OnEvent)
+    : State(std::make_unique<Impl>()) {
+  State->Core = std::make_shared<CallerServerCore>(
+      std::move(Options), std::move(OnRequest), std::move(OnGone),
+      std::move(OnEvent));
+}
+
+CallerServer::~CallerServer() { stop(); }
+
+bool CallerServer::start() { return State->Core->start(); }
+
+std::uint16_t CallerServer::port() const { return State->Core->port(); }
+
+void CallerServer::stopAccepting() { State->Core->stopAccepting(); }
+
+std::size_t CallerServer::unanswered() const {
+  return State->Core->unanswered();
+}
+
+void CallerServer::stop() { State->Core->stop(); }
+
+ResultCode CallerServer::lastReason() const {
+  return State->Core->lastReason();
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/callers/CallerServerCore.cpp
@@ -0,0 +1,273 @@
+#include "callers/CallerServerCore.h"
+
+#include "callers/HeaderFields.h"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+#include <pthread.h>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace fescuewood {
+
+namespace {
+
+/// Bytes read from a connection at once.
+constexpr std::size_t ReadBufferBytes = 16 * 1024;
+
+/// Requests of one connection that are handled at once. Two, so that the
+/// server goes on reading while it handles one, and notices a caller who left.
+constexpr std::size_t MaxPipelinedRequests = 2;
+
+/// The mesh ends every call at its own deadline; RESTinio's is out of reach.
+constexpr std::chrono::hours HandlingTimeout{24};
+
+std::chrono::milliseconds chronoSpan(DurationMs Span) {
+  return std::chrono::milliseconds(Span.Value);
+}
+
+CallerRequest convert(std::uint64_t Number,
+                      const restinio::request_handle_t &Handle) {
+  CallerRequest Request;
+  Request.Number = Number;
+  Request.Method = Handle->header().method().c_str();
+  Request.Target = Handle->header().request_target();
+  Request.Body = Handle->body();
+  Handle->header().for_each_field([&](const auto &Field) {
+    Request.Headers.push_back({Field.name(), Field.value()});
+  });
+  removeHopFields(Request.Headers);
+  if (const auto Remaining = numberField(Request.Headers, TimeoutField)) {
+    constexpr std::uint64_t MaxRemainingMs = 24ULL * 60 * 60 * 1000;
+    Request.Remaining = DurationMs(
+        static_cast<std::int64_t>(std::min(*Remaining, MaxRemainingMs)));
+  }
+  constexpr std::uint64_t MaxDepth = std::numeric_limits<std::uint8_t>::max();
+  Request.Depth = static_cast<std::uint8_t>(
+      std::min(numberField(Request.Headers, DepthField).value_or(0), MaxDepth));
+  removeField(Request.Headers, TimeoutField);
+  removeField(Request.Headers, DepthField);
+  return Request;
+}
+
+/// Whether HTTP allows a body after this status line.
+bool hasContent(const std::string &Method, int Status) {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  return Method != "HEAD" && Status != NoContent && Status != NotModified;
+}
+
+/// The length that a `HEAD` answer names: what the target said, as there is no
+/// body to measure.
+std::size_t namedLength(const CallAnswer &Answer) {
+  return numberField(Answer.Headers, "Content-Length")
+      .value_or(Answer.Body.size());
+}
+
+std::string reasonPhrase(int Status) {
+  return http_status_str(static_cast<http_status>(Status));
+}
+
+} // namespace
+
+void ConnectionListener::state_changed(
+    const restinio::connection_state::notice_t &Notice) {
+  if (restinio::holds_alternative<restinio::connection_state::closed_t>(
+          Notice.cause()))
+    Core.connectionClosed(Notice.connection_id());
+}
+
+CallerServerCore::CallerServerCore(CallerServerOptions Options,
+                                   CallerHook OnRequest, GoneHook OnGone,
+                                   EventHook OnEvent)
+    : Options(std::move(Options)), OnRequest(std::move(OnRequest)),
+      OnGone(std::move(OnGone)), OnEvent(std::move(OnEvent)) {}
+
+CallerServerCore::~CallerServerCore() { stop(); }
+
+bool CallerServerCore::start() {
+  std::error_code Error;
+  const auto Address = asio::ip::make_address(Options.Address, Error);
+  if (Error) {
+    LastReason = ResultCode::AddressInvalid;
+    return false;
+  }
+  asio::use_service<ConnectionRegistry>(Context).configure(
+      {Options.MaxHeaderBytes, Options.MaxHeaderFields, Options.MaxBodyBytes},
+      [this](const asio::ip::tcp::endpoint &Caller) { return busy(Caller); },
+      [this](ResultCode Reason) { reportRefusal(Reason); });
+  try {
+    Http = std::make_unique<Server>(restinio::external_io_context(Context),
+                                    settings(Address));
+    Http->open_sync();
+  } catch (const std::system_error &Failure) {
+    const bool Busy = Failure.code() == asio::error::address_in_use;
+    LastReason = Busy ? ResultCode::AddressBusy : ResultCode::AddressInvalid;
+    Http.reset();
+    return false;
+  }
+  Work.emplace(Context.get_executor());
+  Thread = std::thread([this] { runThread(); });
+  return true;
+}
+
+restinio::server_settings_t<CallerServerTraits>
+CallerServerCore::settings(const asio::ip::address &Address) {
+  restinio::server_settings_t<CallerServerTraits> Settings;
+  Settings.address(Address)
+      .protocol(Address.is_v6() ? asio::ip::tcp::v6() : asio::ip::tcp::v4())
+      .port(Options.Port)
+      .buffer_size(ReadBufferBytes)
+      .max_pipelined_requests(MaxPipelinedRequests)
+      .max_parallel_connections(Options.MaxConnections)
+      .read_next_http_message_timelimit(chronoSpan(Options.ReadTimeout))
+      .write_http_response_timelimit(chronoSpan(Options.WriteTimeout))
+      .handle_request_timeout(HandlingTimeout)
+      .connection_state_listener(std::make_shared<ConnectionListener>(*this))
+      .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &Acceptor) {
+        Port = Acceptor.local_endpoint().port();
+      })
+      .socket_options_setter([](auto &SocketOptions) {
+        SocketOptions.set_option(asio::ip::tcp::no_delay(true));
+      })
+      .request_handler([this](const restinio::request_handle_t &Handle) {
+        return take(Handle);
+      });
+  return Settings;
+}
+
+void CallerServerCore::runThread() {
+  pthread_setname_np(pthread_self(), "callers");
+  Context.run();
+}
+
+restinio::request_handling_status_t
+CallerServerCore::take(const restinio::request_handle_t &Handle) {
+  const std::uint64_t Number = ++LastNumber;
+  CallerRequest Request = convert(Number, Handle);
+  Pending[Number] = {Handle, Handle->connection_id(), Handle->remote_endpoint(),
+                     Request.Method};
+  ++Unanswered;
+  OnRequest(std::move(Request), answerHook(Number));
+  return restinio::request_accepted();
+}
+
+AnswerHook CallerServerCore::answerHook(std::uint64_t Number) {
+  return [Weak = weak_from_this(), Number](CallAnswer Answer) {
+    const auto Core = Weak.lock();
+    if (!Core)
+      return;
+    asio::post(Core->Context,
+               [Weak, Number, Answer = std::move(Answer)]() mutable {
+                 if (const auto Owner = Weak.lock())
+                   Owner->answer(Number, std::move(Answer));
+               });
+  };
+}
+
+void CallerServerCore::answer(std::uint64_t Number, CallAnswer Answer) {
+  auto Position = Pending.find(Number);
+  if (Position == Pending.end() || !Position->second.Handle)
+    return;
+  PendingRequest &Request = Position->second;
+  const auto Handle = std::move(Request.Handle);
+  Request.Handle = nullptr;
+  auto Response = Handle->create_response<restinio::user_controlled_output_t>(
+      restinio::http_status_line_t(
+          restinio::http_status_code_t(
+              static_cast<std::uint16_t>(Answer.Status)),
+          reasonPhrase(Answer.Status)));
+  const std::size_t Length = namedLength(Answer);
+  removeHopFields(Answer.Headers);
+  for (Header &Field : Answer.Headers)
+    Response.append_header(restinio::http_header_field_t(
+        std::move(Field.Name), std::move(Field.Value)));
+  if (hasContent(Request.Method, Answer.Status)) {
+    Response.set_content_length(Answer.Body.size());
+    Response.set_body(std::move(Answer.Body));
+  } else {
+    Response.set_content_length(Length);
+  }
+  if (Draining && lastOfConnection(Number))
+    Response.connection_close();
+  Response.done([this, Number](const auto &) { forget(Number); });
+}
+
+bool CallerServerCore::lastOfConnection(std::uint64_t Number) const {
+  const auto Connection = Pending.at(Number).Connection;
+  return std::none_of(
+      Pending.upper_bound(Number), Pending.end(),
+      [&](const auto &Entry) { return Entry.second.Connection == Connection; });
+}
+
+void CallerServerCore::connectionClosed(restinio::connection_id_t Connection) {
+  std::vector<std::uint64_t> Gone;
+  for (const auto &[Number, Request] : Pending)
+    if (Request.Connection == Connection)
+      Gone.push_back(Number);
+  for (std::uint64_t Number : Gone) {
+    const bool Answered = !Pending.at(Number).Handle;
+    forget(Number);
+    if (!Answered && OnGone)
+      OnGone(Number);
+  }
+}
+
+bool CallerServerCore::busy(const asio::ip::tcp::endpoint &Caller) const {
+  return std::any_of(Pending.begin(), Pending.end(), [&](const auto &Entry) {
+    return Entry.second.Caller == Caller;
+  });
+}
+
+void CallerServerCore::forget(std::uint64_t Number) {
+  if (Pending.erase(Number) != 0)
+    --Unanswered;
+}
+
+void CallerServerCore::reportRefusal(ResultCode Reason) {
+  if (OnEvent)
+    OnEvent(
+        {EventId::CallRefused, {{"reason", std::string(resultName(Reason))}}});
+}
+
+void CallerServerCore::stopAccepting() {
+  asio::post(Context, [this] {
+    Draining = true;
+    closeAcceptor();
+    closeIdleAfterGrace();
+  });
+}
+
+void CallerServerCore::closeAcceptor() {
+  if (!Http)
+    return;
+  // Only this closes the listening socket; connections live on.
+  Http->close_sync();
+}
+
+void CallerServerCore::closeIdleAfterGrace() {
+  GraceTimer.expires_after(chronoSpan(Options.DrainGrace));
+  GraceTimer.async_wait([this](const std::error_code &Error) {
+    if (!Error)
+      asio::use_service<ConnectionRegistry>(Context).closeIdle();
+  });
+}
+
+void CallerServerCore::stop() {
+  if (!Thread.joinable())
+    return;
+  asio::post(Context, [this] {
+    closeAcceptor();
+    GraceTimer.cancel();
+    Pending.clear();
+    Unanswered = 0;
+    asio::use_service<ConnectionRegistry>(Context).closeAll();
+    Work.reset();
+  });
+  // The thread ends when the last handler of a closed connection has run.
+  Thread.join();
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/callers/CallerServerCore.h
@@ -0,0 +1,127 @@
+/// \file
+/// The RESTinio server behind \ref CallerServer. Internal to the package.
+
+#ifndef FESCUEWOOD_CALLERS_CALLERSERVERCORE_H
+#define FESCUEWOOD_CALLERS_CALLERSERVERCORE_H
+
+#include "callers/CallerServer.h"
+#include "callers/GuardedSocket.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <optional>
+#include <thread>
+
+#include <restinio/all.hpp>
+
+namespace fescuewood {
+
+// RESTinio finds these two by the type of the socket.
+// NOLINTBEGIN(readability-identifier-naming): RESTinio's names.
+
+/// Starts to read from a new connection at once.
+template <typename Connection, typename StartRead, typename Fail>
+void prepare_connection_and_start_read(GuardedSocket &, Connection &,
+                                       StartRead OnReady, Fail) {
+  OnReady();
+}
+
+/// A connection without TLS has no TLS socket to show to a listener.
+inline restinio::tls_socket_t *
+make_tls_socket_pointer_for_state_listener(GuardedSocket &) noexcept {
+  return nullptr;
+}
+
+// NOLINTEND(readability-identifier-naming)
+
+class CallerServerCore;
+
+/// Tells the core of each connection that ends.
+class ConnectionListener {
+public:
+  explicit ConnectionListener(CallerServerCore &Core) : Core(Core) {}
+
+  // NOLINTNEXTLINE(readability-identifier-naming): RESTinio's name.
+  void state_changed(const restinio::connection_state::notice_t &Notice);
+
+private:
+  CallerServerCore &Core;
+};
+
+/// RESTinio on one thread, reading through \ref GuardedSocket.
+struct CallerServerTraits : public restinio::default_single_thread_traits_t {
+  // NOLINTBEGIN(readability-identifier-naming): RESTinio's names.
+  using stream_socket_t = GuardedSocket;
+  using connection_state_listener_t = ConnectionListener;
+  static constexpr bool use_connection_count_limiter = true;
+  // NOLINTEND(readability-identifier-naming)
+};
+
+/// Holds the server and the requests whose answers are not written. All state
+/// but the counters belongs to the server's thread.
+class CallerServerCore : public std::enable_shared_from_this<CallerServerCore> {
+public:
+  CallerServerCore(CallerServerOptions Options, CallerHook OnRequest,
+                   GoneHook OnGone, EventHook OnEvent);
+  ~CallerServerCore();
+  CallerServerCore(const CallerServerCore &) = delete;
+  CallerServerCore &operator=(const CallerServerCore &) = delete;
+
+  bool start();
+  std::uint16_t port() const { return Port; }
+  void stopAccepting();
+  std::size_t unanswered() const { return Unanswered; }
+  void stop();
+  ResultCode lastReason() const { return LastReason; }
+
+private:
+  friend class ConnectionListener;
+  using Server = restinio::http_server_t<CallerServerTraits>;
+
+  /// A request whose answer is not wholly written.
+  struct PendingRequest {
+    restinio::request_handle_t Handle; ///< Null once the answer is written to.
+    restinio::connection_id_t Connection = 0;
+    asio::ip::tcp::endpoint Caller;
+    std::string Method;
+  };
+
+  restinio::server_settings_t<CallerServerTraits>
+  settings(const asio::ip::address &Address);
+  void runThread();
+
+  restinio::request_handling_status_t
+  take(const restinio::request_handle_t &Handle);
+  AnswerHook answerHook(std::uint64_t Number);
+  void answer(std::uint64_t Number, CallAnswer Answer);
+  bool lastOfConnection(std::uint64_t Number) const;
+  void connectionClosed(restinio::connection_id_t Connection);
+  bool busy(const asio::ip::tcp::endpoint &Caller) const;
+  void forget(std::uint64_t Number);
+  void reportRefusal(ResultCode Reason);
+  void closeAcceptor();
+  void closeIdleAfterGrace();
+
+  const CallerServerOptions Options;
+  const CallerHook OnRequest;
+  const GoneHook OnGone;
+  const EventHook OnEvent;
+  ResultCode LastReason = ResultCode::Ok;
+  std::uint16_t Port = 0;
+  std::atomic<std::size_t> Unanswered = 0;
+
+  asio::io_context Context{1};
+  asio::steady_timer GraceTimer{Context};
+  std::optional<asio::executor_work_guard<asio::io_context::executor_type>>
+      Work;
+  std::unique_ptr<Server> Http;
+  std::map<std::uint64_t, PendingRequest> Pending;
+  std::uint64_t LastNumber = 0;
+  bool Draining = false;
+  std::thread Thread;
+};
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_CALLERS_CALLERSERVERCORE_H
--- /dev/null
+++ b/src/callers/GuardedSocket.cpp
@@ -0,0 +1,119 @@
+#include "callers/GuardedSocket.h"
+
+#include "calls/Call.h"
+
+#include <string_view>
+
+#include <fmt/format.h>
+
+namespace fescuewood {
+
+namespace {
+
+/// Most bytes read and thrown away after a refusal; closing earlier would
+/// reset the connection and could take the refusal away from the caller.
+constexpr std::size_t MaxDiscardedBytes = 16 * 1024 * 1024;
+
+constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
+
+std::string refusalText(ResultCode Reason) {
+  const int Status = refusalStatus(Reason);
+  const CallAnswer Answer = refusal(Status, Reason, Outcome::NotRun);
+  return fmt::format("HTTP/1.1 {} Refused\r\nConnection: close\r\n"
+                     "Content-Type: application/json\r\n"
+                     "Content-Length: {}\r\n\r\n{}",
+                     Status, Answer.Body.size(), Answer.Body);
+}
+
+} // namespace
+
+asio::execution_context::id ConnectionRegistry::id;
+
+void ConnectionRegistry::configure(RequestLimits NewLimits, BusyHook NewBusy,
+                                   RefusedHook NewRefused) {
+  Limits = NewLimits;
+  Busy = std::move(NewBusy);
+  Refused = std::move(NewRefused);
+}
+
+void ConnectionRegistry::closeIdle() {
+  for (GuardedConnection *Connection : Connections) {
+    if (Connection->Guard.inRequest() || Connection->busy())
+      continue;
+    std::error_code Ignored;
+    Connection->Socket.shutdown(asio::socket_base::shutdown_receive, Ignored);
+  }
+}
+
+void ConnectionRegistry::closeAll() {
+  for (GuardedConnection *Connection : Connections) {
+    std::error_code Ignored;
+    Connection->Socket.close(Ignored);
+  }
+}
+
+GuardedConnection::GuardedConnection(asio::io_context &Context)
+    : Socket(Context), Registry(asio::use_service<ConnectionRegistry>(Context)),
+      Guard(Registry.Limits) {
+  Registry.Connections.insert(this);
+}
+
+GuardedConnection::~GuardedConnection() { Registry.Connections.erase(this); }
+
+bool GuardedConnection::busy() const {
+  std::error_code Error;
+  const auto Caller = Socket.remote_endpoint(Error);
+  return !Error && Registry.Busy(Caller);
+}
+
+void GuardedConnection::read(asio::mutable_buffer Buffer, ReadHandler Handler) {
+  // RESTinio's handler keeps the connection alive until it has been called.
+  Socket.async_read_some(Buffer,
+                         [this, Buffer, Handler = std::move(Handler)](
+                             const std::error_code &Error, std::size_t Size) {
+                           if (Error)
+                             Handler(Error, Size);
+                           else
+                             inspect(Buffer, Size, Handler);
+                         });
+}
+
+void GuardedConnection::inspect(asio::mutable_buffer Buffer, std::size_t Size,
+                                const ReadHandler &Handler) {
+  const ResultCode Reason =
+      Guard.take({static_cast<const char *>(Buffer.data()), Size});
+  if (Reason != ResultCode::Ok) {
+    refuse(Reason);
+    discard(Handler);
+    return;
+  }
+  if (Guard.takeContinueWanted() && !busy()) {
+    std::error_code Ignored;
+    Socket.write_some(asio::buffer(ContinueAnswer), Ignored);
+  }
+  Handler({}, Size);
+}
+
+void GuardedConnection::refuse(ResultCode Reason) {
+  Registry.Refused(Reason);
+  // An answer under way must not be mixed with the refusal of a later request.
+  if (busy())
+    return;
+  std::error_code Ignored;
+  Socket.write_some(asio::buffer(refusalText(Reason)), Ignored);
+  Socket.shutdown(asio::socket_base::shutdown_send, Ignored);
+}
+
+void GuardedConnection::discard(ReadHandler Handler) {
+  Socket.async_read_some(asio::buffer(Scratch),
+                         [this, Handler = std::move(Handler)](
+                             const std::error_code &Error, std::size_t N) {
+                           Discarded += N;
+                           if (Error || Discarded > MaxDiscardedBytes)
+                             Handler(asio::error::connection_reset, 0);
+                           else
+                             discard(Handler);
+                         });
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/callers/GuardedSocket.h
@@ -0,0 +1,142 @@
+/// \file
+/// The socket type that RESTinio reads callers' connections through.
+///
+/// It passes every byte by a \ref RequestGuard. When the guard objects, the
+/// socket writes the refusal itself, discards what the caller still sends and
+/// then shows RESTinio the end of the connection. Internal to the package.
+
+#ifndef FESCUEWOOD_CALLERS_GUARDEDSOCKET_H
+#define FESCUEWOOD_CALLERS_GUARDEDSOCKET_H
+
+#include "callers/RequestGuard.h"
+#include "core/ResultCode.h"
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <set>
+#include <system_error>
+#include <utility>
+
+#include <asio.hpp>
+
+namespace fescuewood {
+
+class GuardedConnection;
+
+/// Every connection of one server, found through its io_context.
+class ConnectionRegistry : public asio::execution_context::service {
+public:
+  using key_type = ConnectionRegistry;
+  static asio::execution_context::id id; // NOLINT: the name asio looks up.
+
+  explicit ConnectionRegistry(asio::execution_context &Owner)
+      : asio::execution_context::service(Owner) {}
+
+  /// Whether a request of this caller waits for its answer.
+  using BusyHook = std::function<bool(const asio::ip::tcp::endpoint &Caller)>;
+  using RefusedHook = std::function<void(ResultCode)>;
+
+  /// Set before the first connection.
+  void configure(RequestLimits NewLimits, BusyHook NewBusy,
+                 RefusedHook NewRefused);
+
+  /// Ends the reading side of each connection without a request.
+  void closeIdle();
+
+  /// Closes every connection.
+  void closeAll();
+
+private:
+  friend class GuardedConnection;
+  void shutdown() override {}
+
+  RequestLimits Limits;
+  BusyHook Busy;
+  RefusedHook Refused;
+  std::set<GuardedConnection *> Connections;
+};
+
+/// The parts of a connection that stay in place while its socket object moves.
+class GuardedConnection {
+public:
+  using ReadHandler = std::function<void(const std::error_code &, std::size_t)>;
+
+  explicit GuardedConnection(asio::io_context &Context);
+  ~GuardedConnection();
+  GuardedConnection(const GuardedConnection &) = delete;
+  GuardedConnection &operator=(const GuardedConnection &) = delete;
+
+  void read(asio::mutable_buffer Buffer, ReadHandler Handler);
+
+  asio::ip::tcp::socket Socket;
+
+private:
+  friend class ConnectionRegistry;
+
+  bool busy() const;
+  void inspect(asio::mutable_buffer Buffer, std::size_t Size,
+               const ReadHandler &Handler);
+  void refuse(ResultCode Reason);
+  void discard(ReadHandler Handler);
+
+  ConnectionRegistry &Registry;
+  RequestGuard Guard;
+  std::size_t Discarded = 0;
+  std::array<char, 4096> Scratch{};
+};
+
+/// Has the interface of `asio::ip::tcp::socket` that RESTinio uses.
+class GuardedSocket {
+public:
+  using executor_type = asio::ip::tcp::socket::executor_type; // NOLINT
+  using lowest_layer_type = asio::ip::tcp::socket;            // NOLINT
+
+  explicit GuardedSocket(asio::io_context &Context) : Context(&Context) {}
+
+  // NOLINTBEGIN(readability-identifier-naming): asio's names.
+  lowest_layer_type &lowest_layer() {
+    // RESTinio accepts the next connection into the object it moved from.
+    if (!Connection)
+      Connection = std::make_unique<GuardedConnection>(*Context);
+    return Connection->Socket;
+  }
+
+  executor_type get_executor() { return lowest_layer().get_executor(); }
+
+  auto remote_endpoint() { return lowest_layer().remote_endpoint(); }
+
+  bool is_open() { return lowest_layer().is_open(); }
+
+  template <typename... Arguments> void cancel(Arguments &&...Values) {
+    lowest_layer().cancel(std::forward<Arguments>(Values)...);
+  }
+
+  template <typename... Arguments> void shutdown(Arguments &&...Values) {
+    lowest_layer().shutdown(std::forward<Arguments>(Values)...);
+  }
+
+  template <typename... Arguments> void close(Arguments &&...Values) {
+    lowest_layer().close(std::forward<Arguments>(Values)...);
+  }
+
+  template <typename Buffers, typename Handler>
+  void async_read_some(const Buffers &Target, Handler &&OnRead) {
+    lowest_layer();
+    Connection->read(Target, std::forward<Handler>(OnRead));
+  }
+
+  template <typename Buffers, typename Handler>
+  void async_write_some(const Buffers &Source, Handler &&OnWritten) {
+    lowest_layer().async_write_some(Source, std::forward<Handler>(OnWritten));
+  }
+  // NOLINTEND(readability-identifier-naming)
+
+private:
+  asio::io_context *Context;
+  std::unique_ptr<GuardedConnection> Connection;
+};
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_CALLERS_GUARDEDSOCKET_H
--- /dev/null
+++ b/src/callers/HeaderFields.cpp
@@ -0,0 +1,85 @@
+#include "callers/HeaderFields.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+
+namespace fescuewood {
+
+namespace {
+
+/// Fields that describe one hop (RFC 9110, section 7.6.1, and the framing of
+/// RFC 9112, section 6).
+constexpr std::array<std::string_view, 10> HopFields = {
+    "Connection", "Keep-Alive",     "Proxy-Connection",  "Proxy-Authenticate",
+    "TE",         "Trailer",        "Transfer-Encoding", "Upgrade",
+    "Expect",     "Content-Length",
+};
+
+/// Calls \p Visit with each trimmed member of a comma-separated list.
+template <typename Visitor>
+void forEachListMember(std::string_view List, Visitor Visit) {
+  while (!List.empty()) {
+    const std::size_t Comma = List.find(',');
+    std::string_view Member = List.substr(0, Comma);
+    List = Comma == std::string_view::npos ? "" : List.substr(Comma + 1);
+    const std::size_t First = Member.find_first_not_of(" \t");
+    if (First == std::string_view::npos)
+      continue;
+    Member.remove_prefix(First);
+    Member = Member.substr(0, Member.find_last_not_of(" \t") + 1);
+    Visit(Member);
+  }
+}
+
+} // namespace
+
+bool sameFieldName(std::string_view Left, std::string_view Right) {
+  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
+                    [](unsigned char A, unsigned char B) {
+                      return std::tolower(A) == std::tolower(B);
+                    });
+}
+
+const std::string *findField(const std::vector<Header> &Fields,
+                             std::string_view Name) {
+  for (const Header &Field : Fields)
+    if (sameFieldName(Field.Name, Name))
+      return &Field.Value;
+  return nullptr;
+}
+
+std::optional<std::uint64_t> numberField(const std::vector<Header> &Fields,
+                                         std::string_view Name) {
+  const std::string *Value = findField(Fields, Name);
+  if (!Value || Value->empty())
+    return std::nullopt;
+  std::uint64_t Number = 0;
+  const char *End = Value->data() + Value->size();
+  const auto [Stop, Error] = std::from_chars(Value->data(), End, Number);
+  if (Error != std::errc() || Stop != End)
+    return std::nullopt;
+  return Number;
+}
+
+void removeField(std::vector<Header> &Fields, std::string_view Name) {
+  std::erase_if(Fields, [&](const Header &Field) {
+    return sameFieldName(Field.Name, Name);
+  });
+}
+
+void removeHopFields(std::vector<Header> &Fields) {
+  std::vector<std::string> Named;
+  for (const Header &Field : Fields)
+    if (sameFieldName(Field.Name, "Connection"))
+      forEachListMember(Field.Value, [&](std::string_view Member) {
+        Named.emplace_back(Member);
+      });
+  for (const std::string &Name : Named)
+    removeField(Fields, Name);
+  for (std::string_view Name : HopFields)
+    removeField(Fields, Name);
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/targets/TargetClient.cpp
@@ -0,0 +1,188 @@
+#include "targets/TargetClient.h"
+
+#include "targets/TargetTransfer.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <pthread.h>
+#include <thread>
+#include <utility>
+
+#include <curl/curl.h>
+
+namespace fescuewood {
+
+namespace {
+
+/// Longest wait for network events; commands end it at once.
+constexpr int PollTimeoutMs = 1000;
+
+/// Initialises libcurl once per process, before its first use.
+void initialiseCurl() {
+  static const CURLcode Result = curl_global_init(CURL_GLOBAL_ALL);
+  static_cast<void>(Result);
+}
+
+struct MultiDeleter {
+  void operator()(CURLM *Multi) const { curl_multi_cleanup(Multi); }
+};
+
+} // namespace
+
+class TargetClient::Impl {
+public:
+  explicit Impl(TargetClientOptions Options)
+      : Options(std::move(Options)),
+        Base("http://" + this->Options.Address + "/") {
+    initialiseCurl();
+    Multi.reset(curl_multi_init());
+    const long Connections = static_cast<long>(this->Options.MaxConnections);
+    curl_multi_setopt(Multi.get(), CURLMOPT_MAXCONNECTS, Connections);
+    curl_multi_setopt(Multi.get(), CURLMOPT_MAX_TOTAL_CONNECTIONS, Connections);
+    Thread = std::thread([this] { run(); });
+    pthread_setname_np(Thread.native_handle(), "target-client");
+  }
+
+  std::optional<std::uint64_t> start(TargetRequest Request,
+                                     TargetHook OnResult) {
+    std::uint64_t Id = 0;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      if (Stopping || Count >= Options.MaxRequests)
+        return std::nullopt;
+      ++Count;
+      Id = ++LastId;
+      Started.push_back({Id, std::move(Request), std::move(OnResult)});
+    }
+    curl_multi_wakeup(Multi.get());
+    return Id;
+  }
+
+  void cancel(std::uint64_t Id) {
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Cancelled.push_back(Id);
+    }
+    curl_multi_wakeup(Multi.get());
+  }
+
+  std::size_t inFlight() const { return Count; }
+
+  void stop() {
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Stopping = true;
+    }
+    curl_multi_wakeup(Multi.get());
+    if (Thread.joinable())
+      Thread.join();
+  }
+
+private:
+  struct StartCommand {
+    std::uint64_t Id;
+    TargetRequest Request;
+    TargetHook OnResult;
+  };
+
+  void run() {
+    while (!takeCommands()) {
+      int Running = 0;
+      curl_multi_perform(Multi.get(), &Running);
+      takeFinished();
+      curl_multi_poll(Multi.get(), nullptr, 0, PollTimeoutMs, nullptr);
+    }
+    while (!Transfers.empty())
+      finish(Transfers.begin()->first, ResultCode::Stopped);
+  }
+
+  /// Carries out what other threads asked for; true when asked to stop.
+  bool takeCommands() {
+    std::vector<StartCommand> NewStarted;
+    std::vector<std::uint64_t> NewCancelled;
+    bool Stop = false;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      NewStarted.swap(Started);
+      NewCancelled.swap(Cancelled);
+      Stop = Stopping;
+    }
+    for (StartCommand &Command : NewStarted)
+      begin(std::move(Command));
+    for (std::uint64_t Id : NewCancelled)
+      finish(Id, ResultCode::TargetCancelled);
+    return Stop;
+  }
+
+  void begin(StartCommand Command) {
+    auto Transfer = std::make_unique<TargetTransfer>(
+        Base, std::move(Command.Request), Options.MaxAnswerBytes,
+        Options.ConnectTimeout, std::move(Command.OnResult));
+    TargetTransfer &Begun = *Transfer;
+    Transfers.emplace(Command.Id, std::move(Transfer));
+    if (!Begun.prepare()) {
+      finish(Command.Id, ResultCode::TargetRequestInvalid);
+      return;
+    }
+    ByHandle[Begun.handle()] = Command.Id;
+    curl_multi_add_handle(Multi.get(), Begun.handle());
+  }
+
+  void takeFinished() {
+    int Left = 0;
+    while (CURLMsg *Message = curl_multi_info_read(Multi.get(), &Left)) {
+      if (Message->msg != CURLMSG_DONE)
+        continue;
+      const CURLcode Code = Message->data.result;
+      const std::uint64_t Id = ByHandle.at(Message->easy_handle);
+      finish(Id, Transfers.at(Id)->reasonFor(Code));
+    }
+  }
+
+  /// Ends a transfer, if it is still held, and calls its hook.
+  void finish(std::uint64_t Id, ResultCode Reason) {
+    auto Position = Transfers.find(Id);
+    if (Position == Transfers.end())
+      return;
+    std::unique_ptr<TargetTransfer> Transfer = std::move(Position->second);
+    Transfers.erase(Position);
+    ByHandle.erase(Transfer->handle());
+    curl_multi_remove_handle(Multi.get(), Transfer->handle());
+    // Counted down first, so that a hook can start the next request.
+    --Count;
+    Transfer->complete(Reason);
+  }
+
+  const TargetClientOptions Options;
+  const std::string Base;
+  std::unique_ptr<CURLM, MultiDeleter> Multi;
+  std::map<std::uint64_t, std::unique_ptr<TargetTransfer>> Transfers;
+  std::map<CURL *, std::uint64_t> ByHandle;
+  std::atomic<std::size_t> Count = 0;
+
+  std::mutex Mutex;
+  std::vector<StartCommand> Started;
+  std::vector<std::uint64_t> Cancelled;
+  std::uint64_t LastId = 0;
+  bool Stopping = false;
+  std::thread Thread;
+};
+
+TargetClient::TargetClient(TargetClientOptions Options)
+    : State(std::make_unique<Impl>(std::move(Options))) {}
+
+TargetClient::~TargetClient() { stop(); }
+
+std::optional<std::uint64_t> TargetClient::start(TargetRequest Request,
+                                                 TargetHook OnResult) {
+  return State->start(std::move(Request), std::move(OnResult));
+}
+
+void TargetClient::cancel(std::uint64_t Id) { State->cancel(Id); }
+
+std::size_t TargetClient::inFlight() const { return State->inFlight(); }
+
+void TargetClient::stop() { State->stop(); }
+
+} // namespace fescuewood
--- /dev/null
+++ b/tests/callers/CallerServerTest.cpp
@@ -0,0 +1,290 @@
+#include "callers/CallerServer.h"
+
+#include "callers/HeaderFields.h"
+#include "standins/Http.h"
+
+#include <future>
+#include <mutex>
+#include <thread>
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+using standins::Tcp;
+
+namespace {
+
+constexpr std::chrono::seconds Patience{20};
+
+/// A caller's connection with blocking reads.
+class Caller {
+public:
+  explicit Caller(std::uint16_t Port) : Socket(Context) {
+    Socket.connect({asio::ip::make_address("127.30.0.2"), Port});
+  }
+
+  void send(const std::string &Text) {
+    std::error_code Ignored;
+    asio::write(Socket, asio::buffer(Text), Ignored);
+  }
+
+  standins::Message receive(bool HeadOnly = false) {
+    std::string Head;
+    std::error_code Error;
+    while (Head.find("\r\n\r\n") == std::string::npos) {
+      char Byte = 0;
+      if (asio::read(Socket, asio::buffer(&Byte, 1), Error) == 0)
+        return {};
+      Head += Byte;
+    }
+    standins::Message Answer = standins::parseHead(Head);
+    if (HeadOnly)
+      return Answer;
+    Answer.Body.resize(std::stoul("0" + Answer.field("content-length")));
+    asio::read(Socket, asio::buffer(Answer.Body), Error);
+    return Answer;
+  }
+
+  /// True when the server has ended the connection.
+  bool ended() {
+    char Byte = 0;
+    std::error_code Error;
+    return asio::read(Socket, asio::buffer(&Byte, 1), Error) == 0;
+  }
+
+  void close() { Socket.close(); }
+
+private:
+  asio::io_context Context;
+  Tcp::socket Socket;
+};
+
+std::string get(const std::string &Target) {
+  return "GET " + Target + " HTTP/1.1\r\nHost: mesh\r\n\r\n";
+}
+
+CallAnswer answerWith(std::string Body) {
+  CallAnswer Answer;
+  Answer.Status = 200;
+  Answer.Body = std::move(Body);
+  return Answer;
+}
+
+bool eventually(const std::function<bool()> &Condition) {
+  const auto End = std::chrono::steady_clock::now() + Patience;
+  while (!Condition()) {
+    if (std::chrono::steady_clock::now() > End)
+      return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+  return true;
+}
+
+} // namespace
+
+TEST_GROUP(CallerServer) {
+  std::mutex Mutex;
+  std::vector<std::pair<CallerRequest, AnswerHook>> Held;
+  std::vector<std::uint64_t> Gone;
+  bool Hold = false;
+  CallerServer Server{options(),
+                      [this](CallerRequest Request, AnswerHook Answer) {
+                        take(std::move(Request), std::move(Answer));
+                      },
+                      [this](std::uint64_t Number) {
+                        std::lock_guard<std::mutex> Lock(Mutex);
+                        Gone.push_back(Number);
+                      },
+                      {}};
+
+  static CallerServerOptions options() {
+    CallerServerOptions Options;
+    Options.Address = "127.30.0.2";
+    Options.MaxHeaderBytes = 2000;
+    Options.MaxBodyBytes = 5000;
+    Options.DrainGrace = DurationMs(0);
+    return Options;
+  }
+
+  void take(CallerRequest Request, AnswerHook Answer) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    const std::string Body = Request.Target + Request.Body;
+    Held.emplace_back(std::move(Request), Answer);
+    if (!Hold)
+      Answer(answerWith(Body));
+  }
+
+  std::size_t held() {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return Held.size();
+  }
+
+  void setup() override { CHECK(Server.start()); }
+  void teardown() override { Server.stop(); }
+
+  void checkRefused(const std::string &Text, int Status, ResultCode Reason) {
+    Caller Client(Server.port());
+    Client.send(Text);
+
+    const auto Answer = Client.receive();
+
+    LONGS_EQUAL(Status, Answer.status());
+    const auto Json = nlohmann::json::parse(Answer.Body);
+    LONGS_EQUAL(static_cast<int>(Reason), Json["code"].get<int>());
+    STRCMP_EQUAL("not-run", Json["outcome"].get<std::string>().c_str());
+    CHECK(Client.ended());
+    LONGS_EQUAL(0, held());
+  }
+};
+
+TEST(CallerServer, AnswersRequestsOfOneConnectionInTurn) {
+  Caller Client(Server.port());
+
+  for (const std::string Target : {"/a", "/b?c=d"}) {
+    Client.send(get(Target));
+    const auto Answer = Client.receive();
+
+    LONGS_EQUAL(200, Answer.status());
+    STRCMP_EQUAL(Target.c_str(), Answer.Body.c_str());
+  }
+}
+
+TEST(CallerServer, TakesTimeoutAndDepthOutOfTheFields) {
+  Caller Client(Server.port());
+
+  Client.send("GET / HTTP/1.1\r\nX-Request-Timeout-Ms: 250\r\n"
+              "X-Request-Depth: 3\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"
+              "X-Kept: 1\r\n\r\n");
+  Client.receive();
+
+  const CallerRequest &Request = Held.at(0).first;
+  CHECK(std::optional(DurationMs(250)) == Request.Remaining);
+  LONGS_EQUAL(3, Request.Depth);
+  CHECK((std::vector<Header>{{"X-Kept", "1"}}) == Request.Headers);
+}
+
+TEST(CallerServer, RefusesBadRequestsWithANumberedReason) {
+  const std::string Long(3000, 'x');
+  const std::string Large(6000, 'b');
+
+  checkRefused("nonsense\r\n\r\n", 501, ResultCode::MethodUnknown);
+  checkRefused("GET / HTTP/x.1\r\n\r\n", 400, ResultCode::RequestMalformed);
+  checkRefused("GET / HTTP/1.1\r\nX: " + Long + "\r\n\r\n", 431,
+               ResultCode::RequestHeadTooLarge);
+  checkRefused("GET /" + Long + " HTTP/1.1\r\n\r\n", 431,
+               ResultCode::RequestHeadTooLarge);
+  checkRefused("POST / HTTP/1.1\r\nContent-Length: 6000\r\n\r\n" + Large, 413,
+               ResultCode::RequestBodyTooLarge);
+  checkRefused("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1770\r\n" +
+                   Large + "\r\n0\r\n\r\n",
+               413, ResultCode::RequestBodyTooLarge);
+  checkRefused("CONNECT a:1 HTTP/1.1\r\n\r\n", 501, ResultCode::MethodUnknown);
+}
+
+TEST(CallerServer, AsksForABodyThatTheCallerHoldsBack) {
+  Caller Client(Server.port());
+
+  Client.send("POST /p HTTP/1.1\r\nExpect: 100-continue\r\n"
+              "Content-Length: 4\r\n\r\n");
+  LONGS_EQUAL(100, Client.receive().status());
+  Client.send("body");
+
+  STRCMP_EQUAL("/pbody", Client.receive().Body.c_str());
+}
+
+TEST(CallerServer, WritesNoBodyWhereHttpAllowsNone) {
+  Hold = true;
+  Caller Client(Server.port());
+  Client.send("HEAD /h HTTP/1.1\r\n\r\n");
+  CHECK(eventually([&] { return held() == 1; }));
+
+  CallAnswer Named = answerWith("");
+  Named.Headers = {{"Content-Length", "300"}};
+  Held[0].second(Named);
+
+  const auto Answer = Client.receive(true);
+  LONGS_EQUAL(200, Answer.status());
+  STRCMP_EQUAL("300", Answer.field("content-length").c_str());
+  Client.send(get("/next"));
+  CHECK(eventually([&] { return held() == 2; }));
+  Held[1].second(answerWith("next"));
+  STRCMP_EQUAL("next", Client.receive().Body.c_str());
+}
+
+TEST(CallerServer, SaysWhenACallerHasGone) {
+  Hold = true;
+  Caller Client(Server.port());
+  Client.send(get("/a"));
+  CHECK(eventually([&] { return held() == 1; }));
+
+  Client.close();
+
+  CHECK(eventually([&] { return Server.unanswered() == 0; }));
+  std::lock_guard<std::mutex> Lock(Mutex);
+  CHECK((std::vector<std::uint64_t>{Held[0].first.Number}) == Gone);
+}
+
+TEST(CallerServer, CutsNoRequestInADrain) {
+  Hold = true;
+  Caller Busy(Server.port());
+  Caller Idle(Server.port());
+  Caller Half(Server.port());
+  Idle.send(get("/idle"));
+  CHECK(eventually([&] { return held() == 1; }));
+  Held[0].second(answerWith("idle"));
+  Idle.receive();
+  Busy.send(get("/busy"));
+  Half.send("POST /half HTTP/1.1\r\nContent-Length: 4\r\n\r\nbo");
+  CHECK(eventually([&] { return held() == 2; }));
+
+  Server.stopAccepting();
+
+  CHECK(Idle.ended());
+  CHECK_THROWS(std::system_error, Caller(Server.port()));
+  Half.send("dy");
+  CHECK(eventually([&] { return held() == 3; }));
+  Held[1].second(answerWith("whole"));
+  Held[2].second(answerWith("too"));
+  const auto Answer = Busy.receive();
+  STRCMP_EQUAL("whole", Answer.Body.c_str());
+  STRCMP_EQUAL("close", Answer.field("connection").c_str());
+  CHECK(Busy.ended());
+  STRCMP_EQUAL("too", Half.receive().Body.c_str());
+  CHECK(eventually([&] { return Server.unanswered() == 0; }));
+}
+
+TEST(CallerServer, NumbersAnAddressThatItCannotListenOn) {
+  CallerServerOptions Taken = options();
+  Taken.Port = Server.port();
+  CallerServer Second(Taken, {}, {}, {});
+  CallerServerOptions Wrong = options();
+  Wrong.Address = "not an address";
+  CallerServer Third(Wrong, {}, {}, {});
+
+  CHECK_FALSE(Second.start());
+  CHECK(ResultCode::AddressBusy == Second.lastReason());
+  CHECK_FALSE(Third.start());
+  CHECK(ResultCode::AddressInvalid == Third.lastReason());
+}
+
+TEST(CallerServer, DropsAnswersThatComeAfterItHasEnded) {
+  Hold = true;
+  AnswerHook Late;
+  {
+    CallerServer Short(options(),
+                       [&](CallerRequest Request, AnswerHook Answer) {
+                         Late = Answer;
+                         take(std::move(Request), std::move(Answer));
+                       },
+                       {}, {});
+    CHECK(Short.start());
+    Caller Client(Short.port());
+    Client.send(get("/a"));
+    CHECK(eventually([&] { return held() == 1; }));
+    Short.stop();
+  }
+
+  Late(answerWith("late"));
+}
--- /dev/null
+++ b/tests/nodes/CallMessagesTest.cpp
@@ -0,0 +1,128 @@
+#include "support/Property.h"
+
+#include "nodes/CallMessages.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+namespace {
+
+CallStart anyStart() {
+  CallStart Start;
+  CallRequest &R = Start.Request;
+  R.Id = {*rc::gen::arbitrary<std::uint64_t>(),
+          *rc::gen::arbitrary<std::uint64_t>()};
+  R.Method = *rc::gen::element<std::string>("GET", "POST", "PURGE");
+  R.Target = "/" + *rc::gen::arbitrary<std::string>();
+  for (const auto &Value : *rc::gen::arbitrary<std::vector<std::string>>())
+    R.Headers.push_back({"X-Field", Value});
+  R.Body = *rc::gen::arbitrary<std::string>();
+  R.Organisation = *rc::gen::arbitrary<std::string>();
+  R.Remaining = DurationMs(*rc::gen::inRange(0, 100'000));
+  R.Idempotent = *rc::gen::arbitrary<bool>();
+  return Start;
+}
+
+CallReply anyReply() {
+  CallReply Reply;
+  Reply.State = *rc::gen::element(CallState::Running, CallState::Done,
+                                  CallState::NeverSeen, CallState::Refused);
+  Reply.Reason = *rc::gen::element(ResultCode::Ok, ResultCode::ShuttingDown);
+  Reply.Offset = *rc::gen::inRange<std::uint64_t>(0, MaxCallBytes);
+  Reply.TotalBytes = *rc::gen::inRange<std::uint64_t>(0, MaxCallBytes);
+  Reply.Piece = *rc::gen::arbitrary<std::string>();
+  Reply.Load.InFlight = *rc::gen::arbitrary<std::uint32_t>();
+  Reply.Load.State = *rc::gen::element(TargetState::Cold, TargetState::Down);
+  return Reply;
+}
+
+} // namespace
+
+TEST_GROUP(CallMessages){};
+
+TEST(CallMessages, DecodeToWhatWasEncoded) {
+  checkProperty("decode(encode(x)) = x", [] {
+    const CallStart Start = anyStart();
+    const CallReply Reply = anyReply();
+    const CallFetch Fetch{Start.Request.Id, Reply.Offset, true, DurationMs(7)};
+    const CallCancel Cancel{Start.Request.Id};
+
+    const auto StartBack = decodeCallStart(encode(Start));
+
+    RC_ASSERT(StartBack.has_value());
+    RC_ASSERT(StartBack->Request.Id == Start.Request.Id);
+    RC_ASSERT(StartBack->Request.Target == Start.Request.Target);
+    RC_ASSERT(StartBack->Request.Headers == Start.Request.Headers);
+    RC_ASSERT(StartBack->Request.Body == Start.Request.Body);
+    RC_ASSERT(StartBack->Request.Organisation == Start.Request.Organisation);
+    RC_ASSERT(StartBack->Request.Remaining == Start.Request.Remaining);
+    RC_ASSERT(StartBack->Request.Idempotent == Start.Request.Idempotent);
+    RC_ASSERT(decodeCallReply(encode(Reply)) == std::optional(Reply));
+    RC_ASSERT(decodeCallFetch(encode(Fetch)) == std::optional(Fetch));
+    RC_ASSERT(decodeCallCancel(encode(Cancel)) == std::optional(Cancel));
+  });
+}
+
+// Whatever bytes come from outside, decoding ends, and a message that is cut,
+// longer or changed is either refused or within its bounds.
+TEST(CallMessages, SurviveBytesFromOutside) {
+  checkProperty("no decoder fails on mutated bytes", [] {
+    std::string Bytes =
+        *rc::gen::arbitrary<bool>() ? encode(anyStart()) : encode(anyReply());
+    const auto At = *rc::gen::inRange<std::size_t>(0, Bytes.size());
+    switch (*rc::gen::inRange(0, 3)) {
+    case 0:
+      Bytes.resize(At);
+      break;
+    case 1:
+      Bytes[At] = *rc::gen::arbitrary<char>();
+      break;
+    default:
+      Bytes.insert(At, *rc::gen::arbitrary<std::string>());
+    }
+
+    const auto Start = decodeCallStart(Bytes);
+    const auto Reply = decodeCallReply(Bytes);
+    decodeCallFetch(Bytes);
+    decodeCallCancel(Bytes);
+    decodeAnswer(Bytes);
+
+    RC_ASSERT(!Start || Start->Request.Headers.size() <= MaxHeaderFields);
+    RC_ASSERT(!Reply || Reply->Piece.size() <= MaxAnswerPieceBytes);
+  });
+}
+
+TEST(CallMessages, RefuseBytesAfterTheMessage) {
+  const std::string Bytes = encode(CallCancel{{1, 2}});
+
+  CHECK_FALSE(decodeCallCancel(Bytes + "x").has_value());
+  CHECK_FALSE(decodeCallCancel(Bytes.substr(1)).has_value());
+}
+
+// Pieces may be lost, repeated and reordered; the answer comes out whole or
+// not at all.
+TEST(CallMessages, AssembleAnAnswerFromPiecesInAnyOrder) {
+  checkProperty("assembled = sent", [] {
+    CallAnswer Answer;
+    Answer.Status = 200;
+    Answer.Headers = {{"ETag", "x"}};
+    Answer.Body = std::string(*rc::gen::inRange<std::size_t>(0, 900'000), 'b');
+    const std::string Encoded = encodeAnswer(Answer);
+    AnswerAssembler Assembler;
+
+    for (int Step = 0; Step < 200 && !Assembler.complete(); ++Step) {
+      RC_ASSERT(!Assembler.answer().has_value());
+      const auto Stray = *rc::gen::inRange<std::uint64_t>(0, Encoded.size());
+      const bool Next = *rc::gen::inRange(0, 3) != 0;
+      RC_ASSERT(Assembler.add(
+          answerPiece(Encoded, Next ? Assembler.offset() : Stray, {})));
+    }
+
+    RC_PRE(Assembler.complete());
+    const auto Joined = Assembler.answer();
+    RC_ASSERT(Joined.has_value());
+    RC_ASSERT(Joined->Body == Answer.Body);
+    RC_ASSERT(Joined->Headers == Answer.Headers);
+  });
+}
--- /dev/null
+++ b/tests/standins/Http.h
@@ -0,0 +1,181 @@
+/// \file
+/// The little HTTP that the stand-ins share: one message at a time over an
+/// asio socket, in coroutines. Not a library: no chunks, no continuation lines.
+
+#ifndef FESCUEWOOD_TESTS_STANDINS_HTTP_H
+#define FESCUEWOOD_TESTS_STANDINS_HTTP_H
+
+#include <cstdlib>
+#include <functional>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <asio.hpp>
+
+namespace standins {
+
+using Tcp = asio::ip::tcp;
+
+/// Field by which a request and its answer are told from all others.
+inline constexpr const char *MarkField = "X-Request-Mark";
+
+/// A request or an answer.
+struct Message {
+  std::string StartLine;
+  std::map<std::string, std::string, std::less<>> Fields; ///< Lower-case names.
+  std::string Body;
+
+  std::string field(std::string_view Name) const {
+    const auto Position = Fields.find(Name);
+    return Position == Fields.end() ? "" : Position->second;
+  }
+
+  /// The n-th word of the start line: the method, the target or the status.
+  std::string word(std::size_t N) const {
+    std::istringstream Words(StartLine);
+    std::string Word;
+    for (std::size_t I = 0; I <= N; ++I)
+      Words >> Word;
+    return Word;
+  }
+
+  int status() const { return std::atoi(word(1).c_str()); }
+};
+
+inline Message parseHead(const std::string &Head) {
+  Message Result;
+  std::istringstream Lines(Head);
+  std::string Line;
+  std::getline(Lines, Result.StartLine);
+  while (std::getline(Lines, Line) && Line.size() > 1) {
+    const std::size_t Colon = Line.find(':');
+    if (Colon == std::string::npos)
+      continue;
+    std::string Name = Line.substr(0, Colon);
+    for (char &C : Name)
+      C = static_cast<char>(std::tolower(static_cast<unsigned char>(C)));
+    std::string Value = Line.substr(Colon + 1);
+    Value.erase(0, Value.find_first_not_of(' '));
+    while (!Value.empty() && (Value.back() == '\r' || Value.back() == ' '))
+      Value.pop_back();
+    Result.Fields[Name] = Value;
+  }
+  return Result;
+}
+
+/// Reads one message; \p Buffer keeps what came after it. Throws
+/// asio::system_error when the connection ends first.
+inline asio::awaitable<Message> readMessage(Tcp::socket &Socket,
+                                            std::string &Buffer) {
+  const std::size_t HeadSize = co_await asio::async_read_until(
+      Socket, asio::dynamic_buffer(Buffer), "\r\n\r\n", asio::use_awaitable);
+  Message Result = parseHead(Buffer.substr(0, HeadSize));
+  Buffer.erase(0, HeadSize);
+  const std::size_t Size =
+      std::strtoull(Result.field("content-length").c_str(), nullptr, 10);
+  if (Buffer.size() < Size)
+    co_await asio::async_read(Socket, asio::dynamic_buffer(Buffer),
+                              asio::transfer_exactly(Size - Buffer.size()),
+                              asio::use_awaitable);
+  Result.Body = Buffer.substr(0, Size);
+  Buffer.erase(0, Size);
+  co_return Result;
+}
+
+/// An answer's bytes. \p Fields are whole lines that end in CRLF.
+inline std::string answerText(int Status, const std::string &Fields,
+                              const std::string &Body) {
+  return "HTTP/1.1 " + std::to_string(Status) + " Answer\r\n" + Fields +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+/// A request's bytes.
+inline std::string requestText(const std::string &Method,
+                               const std::string &Target,
+                               const std::string &Fields,
+                               const std::string &Body) {
+  return Method + " " + Target + " HTTP/1.1\r\nHost: mesh\r\n" + Fields +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+inline asio::awaitable<void> send(Tcp::socket &Socket, std::string Text) {
+  co_await asio::async_write(Socket, asio::buffer(Text), asio::use_awaitable);
+}
+
+/// "IP:port" as an endpoint; throws when malformed.
+inline Tcp::endpoint endpointOf(const std::string &Address) {
+  const std::size_t Colon = Address.rfind(':');
+  return {asio::ip::make_address(Address.substr(0, Colon)),
+          static_cast<std::uint16_t>(std::stoi(Address.substr(Colon + 1)))};
+}
+
+/// A value of the query "?a=1&b=2" of a request's target.
+inline std::optional<std::string> queryValue(const std::string &Target,
+                                             const std::string &Name) {
+  const std::size_t Start = Target.find_first_of('?');
+  std::istringstream Pairs(
+      Start == std::string::npos ? "" : Target.substr(Start + 1));
+  std::string Pair;
+  while (std::getline(Pairs, Pair, '&'))
+    if (Pair.starts_with(Name + "="))
+      return Pair.substr(Name.size() + 1);
+  return std::nullopt;
+}
+
+inline asio::awaitable<void> sleepFor(std::chrono::milliseconds Span) {
+  asio::steady_timer Timer(co_await asio::this_coro::executor, Span);
+  co_await Timer.async_wait(asio::use_awaitable);
+}
+
+/// Serves a control port: each request's target goes to \p Control, whose text
+/// is the answer.
+inline asio::awaitable<void>
+serveControl(Tcp::acceptor &Acceptor,
+             std::function<std::string(const std::string &Target)> Control) {
+  for (;;) {
+    Tcp::socket Socket = co_await Acceptor.async_accept(asio::use_awaitable);
+    try {
+      std::string Buffer;
+      const Message Request = co_await readMessage(Socket, Buffer);
+      co_await send(Socket, answerText(200, "Connection: close\r\n",
+                                       Control(Request.word(1))));
+    } catch (const std::exception &) {
+      // The next connection is served all the same.
+    }
+  }
+}
+
+/// Asks once, blocking, on a connection of its own; throws when that fails.
+inline Message ask(const std::string &Address, const std::string &Text) {
+  asio::io_context Context;
+  Tcp::socket Socket(Context);
+  Socket.connect(endpointOf(Address));
+  asio::write(Socket, asio::buffer(Text));
+  std::string Buffer;
+  std::optional<Message> Answer;
+  std::exception_ptr Failure;
+  asio::co_spawn(
+      Context,
+      [&]() -> asio::awaitable<void> {
+        Answer = co_await readMessage(Socket, Buffer);
+      },
+      [&](std::exception_ptr Error) { Failure = Error; });
+  Context.run();
+  if (Failure)
+    std::rethrow_exception(Failure);
+  return *Answer;
+}
+
+/// Asks a control port.
+inline std::string control(const std::string &Address,
+                           const std::string &Target) {
+  return ask(Address, requestText("GET", Target, "", "")).Body;
+}
+
+} // namespace standins
+
+#endif // FESCUEWOOD_TESTS_STANDINS_HTTP_H
--- /dev/null
+++ b/tests/standins/Target.h
@@ -0,0 +1,222 @@
+/// \file
+/// A stand-in for a target: an HTTP service with slots that starts cold, can
+/// be slow, stall, crash and cut, and records every run of every request.
+///
+/// A crash is played inside the process: every connection ends, the port is
+/// closed for a while, and the target comes back cold. So the record survives.
+
+#ifndef FESCUEWOOD_TESTS_STANDINS_TARGET_H
+#define FESCUEWOOD_TESTS_STANDINS_TARGET_H
+
+#include "standins/Http.h"
+
+#include <algorithm>
+#include <chrono>
+#include <list>
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+namespace standins {
+
+struct TargetOptions {
+  Tcp::endpoint Listen;
+  int Slots = 6;
+  int ColdMs = 0; ///< Time until a fresh start bears all slots.
+  int LatencyMs = 2;
+  int RestartMs = 300; ///< Time for which a crash closes the port.
+};
+
+class Target {
+public:
+  using SteadyClock = std::chrono::steady_clock;
+
+  Target(asio::io_context &Context, TargetOptions Options)
+      : Context(Context), Options(Options), Acceptor(Context) {
+    listen();
+  }
+
+  std::uint16_t port() const { return Options.Listen.port(); }
+
+  /// Carries out a command of the control port and returns its JSON answer.
+  std::string control(const std::string &Command) {
+    if (Command.starts_with("/control/runs"))
+      return nlohmann::json(Runs).dump();
+    if (Command.starts_with("/control/restart"))
+      crash();
+    if (Command.starts_with("/control/set")) {
+      set(Command, "latency_ms", Options.LatencyMs);
+      set(Command, "restart_ms", Options.RestartMs);
+      set(Command, "cold_ms", Options.ColdMs);
+      set(Command, "stall", Stall);
+      set(Command, "close_next", CloseNext);
+    }
+    return stats().dump();
+  }
+
+  nlohmann::json stats() const {
+    return {{"runs", Total},
+            {"in_flight", InFlight},
+            {"max_in_flight", MaxInFlight},
+            {"slot_overloads", SlotOverloads},
+            {"cold_overloads", ColdOverloads},
+            {"max_cold_excess", MaxColdExcess},
+            {"crashes", Crashes},
+            {"connections", Accepted},
+            {"doubled", doubled()}};
+  }
+
+  /// Number of marks that ran more than once here.
+  std::size_t doubled() const {
+    return static_cast<std::size_t>(
+        std::count_if(Runs.begin(), Runs.end(),
+                      [](const auto &Run) { return Run.second > 1; }));
+  }
+
+  const std::map<std::string, int> &runs() const { return Runs; }
+
+private:
+  static void set(const std::string &Command, const char *Name, int &Value) {
+    if (const auto Text = queryValue(Command, Name))
+      Value = std::stoi(*Text);
+  }
+
+  void listen() {
+    Acceptor.open(Options.Listen.protocol());
+    Acceptor.set_option(Tcp::acceptor::reuse_address(true));
+    Acceptor.bind(Options.Listen);
+    Acceptor.listen();
+    Options.Listen = Acceptor.local_endpoint();
+    Started = SteadyClock::now();
+    asio::co_spawn(Context, acceptLoop(), asio::detached);
+  }
+
+  asio::awaitable<void> acceptLoop() {
+    try {
+      for (;;) {
+        Tcp::socket Socket =
+            co_await Acceptor.async_accept(asio::use_awaitable);
+        Socket.set_option(Tcp::no_delay(true));
+        ++Accepted;
+        asio::co_spawn(Context, serve(std::move(Socket)), asio::detached);
+      }
+    } catch (const std::exception &) {
+      // The port was closed by a crash.
+    }
+  }
+
+  asio::awaitable<void> serve(Tcp::socket Given) {
+    const auto Place = Sockets.insert(Sockets.end(), std::move(Given));
+    Tcp::socket &Socket = *Place;
+    try {
+      std::string Buffer;
+      for (;;) {
+        const Message Request = co_await readMessage(Socket, Buffer);
+        co_await run(Socket, Request);
+      }
+    } catch (const std::exception &) {
+      // The connection has ended.
+    }
+    Sockets.erase(Place);
+  }
+
+  /// Requests that the target bears at once, from one after a start to all
+  /// slots when it is warm.
+  int bearable() const {
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    const auto Age =
+        duration_cast<milliseconds>(SteadyClock::now() - Started).count();
+    if (Age >= Options.ColdMs)
+      return Options.Slots;
+    return 1 + static_cast<int>((Options.Slots - 1) * Age / Options.ColdMs);
+  }
+
+  asio::awaitable<void> run(Tcp::socket &Socket, const Message &Request) {
+    const int Life = Crashes;
+    const std::string Mark = Request.field("x-request-mark");
+    ++Runs[Mark];
+    ++Total;
+    ++InFlight;
+    const int Bearable = bearable();
+    record(Bearable);
+    if (Request.field("x-test-crash") == "1") {
+      crash();
+      co_return;
+    }
+    int Latency = Options.LatencyMs;
+    if (const auto Own = queryValue(Request.word(1), "latency_ms"))
+      Latency = std::stoi(*Own);
+    // Beyond what it bears, the target is slower for everybody.
+    if (InFlight > Bearable)
+      Latency = Latency * 2 * InFlight / Bearable;
+    do {
+      co_await sleepFor(std::chrono::milliseconds(Latency));
+    } while (Stall != 0 && Life == Crashes);
+    if (Life != Crashes)
+      co_return;
+    --InFlight;
+    if (CloseNext > 0) {
+      --CloseNext;
+      Socket.close();
+      co_return;
+    }
+    co_await send(Socket, answer(Request, Mark));
+  }
+
+  void record(int Bearable) {
+    MaxInFlight = std::max(MaxInFlight, InFlight);
+    if (InFlight > Options.Slots)
+      ++SlotOverloads;
+    else if (InFlight > Bearable)
+      ++ColdOverloads;
+    if (Bearable < Options.Slots)
+      MaxColdExcess = std::max(MaxColdExcess, InFlight - Bearable);
+  }
+
+  static std::string answer(const Message &Request, const std::string &Mark) {
+    std::string Body = "mark=" + Mark + "\n";
+    if (const auto Bytes = queryValue(Request.word(1), "bytes"))
+      Body.resize(std::max<std::size_t>(Body.size(), std::stoull(*Bytes)), '.');
+    if (Request.field("x-test-echo") == "1")
+      Body = nlohmann::json(Request.Fields).dump();
+    return answerText(200, std::string(MarkField) + ": " + Mark + "\r\n", Body);
+  }
+
+  void crash() {
+    ++Crashes;
+    InFlight = 0;
+    std::error_code Ignored;
+    Acceptor.close(Ignored);
+    for (Tcp::socket &Socket : Sockets)
+      Socket.close(Ignored);
+    asio::co_spawn(Context, comeBack(Crashes), asio::detached);
+  }
+
+  asio::awaitable<void> comeBack(int Life) {
+    co_await sleepFor(std::chrono::milliseconds(Options.RestartMs));
+    if (Life == Crashes)
+      listen();
+  }
+
+  asio::io_context &Context;
+  TargetOptions Options;
+  Tcp::acceptor Acceptor;
+  std::list<Tcp::socket> Sockets;
+  SteadyClock::time_point Started;
+  std::map<std::string, int> Runs;
+  int Total = 0;
+  int InFlight = 0;
+  int MaxInFlight = 0;
+  int SlotOverloads = 0;
+  int ColdOverloads = 0;
+  int MaxColdExcess = 0;
+  int Crashes = 0;
+  int Accepted = 0;
+  int Stall = 0;
+  int CloseNext = 0;
+};
+
+} // namespace standins
+
+#endif // FESCUEWOOD_TESTS_STANDINS_TARGET_H
--- /dev/null
+++ b/tests/targets/TargetClientTest.cpp
@@ -0,0 +1,200 @@
+#include "targets/TargetClient.h"
+
+#include "callers/HeaderFields.h"
+#include "standins/Target.h"
+
+#include <future>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+namespace {
+
+constexpr std::chrono::seconds Patience{20};
+
+/// A target stand-in on a thread of its own.
+class RunningTarget {
+public:
+  explicit RunningTarget(standins::TargetOptions Options)
+      : Server(Context, Options), Thread([this] { Context.run(); }) {}
+
+  ~RunningTarget() {
+    Context.stop();
+    Thread.join();
+  }
+
+  std::string address() const {
+    return "127.30.0.1:" + std::to_string(Server.port());
+  }
+
+  /// Runs a command on the target's thread.
+  std::string control(const std::string &Command) {
+    std::promise<std::string> Done;
+    asio::post(Context, [&] { Done.set_value(Server.control(Command)); });
+    return Done.get_future().get();
+  }
+
+  int runsOf(const std::string &Mark) {
+    return nlohmann::json::parse(control("/control/runs")).value(Mark, 0);
+  }
+
+private:
+  asio::io_context Context;
+  standins::Target Server;
+  std::thread Thread;
+};
+
+standins::TargetOptions options() {
+  return {standins::endpointOf("127.30.0.1:0")};
+}
+
+TargetRequest request(const std::string &Method, const std::string &Mark) {
+  TargetRequest Request;
+  Request.Method = Method;
+  Request.Target = "/work";
+  Request.Headers = {{standins::MarkField, Mark}};
+  Request.Idempotent = Method == "GET";
+  Request.Timeout = DurationMs(10'000);
+  return Request;
+}
+
+/// Starts a request and returns the future of its result.
+std::future<TargetResult> send(TargetClient &Client, TargetRequest Request,
+                               std::uint64_t *Id = nullptr) {
+  auto Promise = std::make_shared<std::promise<TargetResult>>();
+  auto Future = Promise->get_future();
+  const auto Started =
+      Client.start(std::move(Request), [Promise](TargetResult Result) {
+        Promise->set_value(std::move(Result));
+      });
+  CHECK(Started.has_value());
+  if (Id)
+    *Id = *Started;
+  return Future;
+}
+
+TargetResult await(std::future<TargetResult> Future) {
+  CHECK(Future.wait_for(Patience) == std::future_status::ready);
+  return Future.get();
+}
+
+} // namespace
+
+TEST_GROUP(TargetClient) {
+  RunningTarget Target{options()};
+  TargetClient Client{{Target.address()}};
+};
+
+TEST(TargetClient, ReturnsTheWholeAnswer) {
+  TargetRequest Request = request("GET", "m1");
+  Request.Target = "/work?bytes=300000";
+
+  const TargetResult Result = await(send(Client, Request));
+
+  CHECK(ResultCode::Ok == Result.Reason);
+  CHECK(Outcome::Ran == Result.Ran);
+  LONGS_EQUAL(200, Result.Answer->Status);
+  LONGS_EQUAL(300'000, Result.Answer->Body.size());
+  STRCMP_EQUAL("m1",
+               findField(Result.Answer->Headers, "x-request-mark")->c_str());
+  CHECK(findField(Result.Answer->Headers, "Content-Length") == nullptr);
+}
+
+// libcurl sends a request again, POST included, when a reused connection
+// closes before the answer. Each method first leaves a connection to reuse.
+TEST(TargetClient, NeverDoublesARequestWhoseConnectionCloses) {
+  for (const std::string Method : {"GET", "POST", "PUT", "DELETE", "HEAD"}) {
+    const std::string Mark = "closed-" + Method;
+    await(send(Client, request("GET", "warm-" + Method)));
+    Target.control("/control/set?close_next=1");
+
+    const TargetResult Result = await(send(Client, request(Method, Mark)));
+
+    CHECK_FALSE(Result.Answer.has_value());
+    CHECK(ResultCode::TargetConnectionLost == Result.Reason);
+    CHECK(Outcome::Unknown == Result.Ran);
+    LONGS_EQUAL(1, Target.runsOf(Mark));
+  }
+}
+
+TEST(TargetClient, SaysNotRunWhenTheTargetCannotBeReached) {
+  Target.control("/control/set?restart_ms=600000");
+  Target.control("/control/restart");
+
+  const TargetResult Result = await(send(Client, request("POST", "m")));
+
+  CHECK(ResultCode::TargetUnreachable == Result.Reason);
+  CHECK(Outcome::NotRun == Result.Ran);
+  LONGS_EQUAL(0, Target.runsOf("m"));
+}
+
+TEST(TargetClient, SaysUnknownWhenNoAnswerComesInTime) {
+  Target.control("/control/set?stall=1");
+  TargetRequest Request = request("POST", "slow");
+  Request.Timeout = DurationMs(200);
+
+  const TargetResult Result = await(send(Client, Request));
+
+  CHECK(ResultCode::TargetTimeout == Result.Reason);
+  CHECK(Outcome::Unknown == Result.Ran);
+}
+
+TEST(TargetClient, RefusesAnAnswerAboveTheLimit) {
+  TargetClient Small{{Target.address(), 4, 1000}};
+  TargetRequest Request = request("GET", "big");
+  Request.Target = "/work?bytes=2000";
+
+  const TargetResult Result = await(send(Small, Request));
+
+  CHECK_FALSE(Result.Answer.has_value());
+  CHECK(ResultCode::TargetAnswerTooLarge == Result.Reason);
+  CHECK(Outcome::Ran == Result.Ran);
+}
+
+TEST(TargetClient, RefusesWhatCannotBeWrittenAsHttp) {
+  TargetRequest Smuggled = request("GET", "m");
+  Smuggled.Headers.push_back({"X-Split", "a\r\nX-Other: b"});
+  TargetRequest Spaced = request("GET", "m");
+  Spaced.Target = "/a HTTP/1.1\r\n";
+
+  for (const TargetRequest &Request : {Smuggled, Spaced}) {
+    const TargetResult Result = await(send(Client, Request));
+
+    CHECK(ResultCode::TargetRequestInvalid == Result.Reason);
+    CHECK(Outcome::NotRun == Result.Ran);
+  }
+}
+
+TEST(TargetClient, EndsARequestThatIsCancelled) {
+  Target.control("/control/set?stall=1");
+  std::uint64_t Id = 0;
+  auto Future = send(Client, request("GET", "m"), &Id);
+
+  Client.cancel(Id);
+
+  CHECK(ResultCode::TargetCancelled == await(std::move(Future)).Reason);
+  LONGS_EQUAL(0, Client.inFlight());
+}
+
+TEST(TargetClient, EndsEveryRequestWhenStopped) {
+  Target.control("/control/set?stall=1");
+  auto Future = send(Client, request("GET", "m"));
+
+  Client.stop();
+
+  CHECK(ResultCode::Stopped == await(std::move(Future)).Reason);
+  CHECK_FALSE(Client.start(request("GET", "n"), {}).has_value());
+}
+
+TEST(TargetClient, HoldsNoMoreRequestsThanItsBound) {
+  Target.control("/control/set?stall=1");
+  TargetClient Small{{Target.address(), 4, 1000, 2}};
+  auto First = send(Small, request("GET", "a"));
+  auto Second = send(Small, request("GET", "b"));
+
+  CHECK_FALSE(Small.start(request("GET", "c"), {}).has_value());
+
+  Small.stop();
+}
