--- a/src/nodes/CallMessages.cpp
+++ b/src/nodes/CallMessages.cpp
@@ -13,10 +13,10 @@
 constexpr DurationMs MaxSpan{24LL * 60 * 60 * 1000};
 
 /// Fields of the fixed part of each message; another number is malformed.
-constexpr std::size_t StartFields = 13;
+constexpr std::size_t StartFields = 15;
 constexpr std::size_t FetchFields = 5;
 constexpr std::size_t CancelFields = 2;
-constexpr std::size_t ReplyFields = 12;
+constexpr std::size_t ReplyFields = 14;
 constexpr std::size_t AnswerFields = 5;
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
@@ -184,6 +184,8 @@
   Out.pack(Request.Depth);
   Out.pack(Request.Idempotent);
   Out.pack(Request.CanWait);
+  Out.pack(Request.KeyMark);
+  packBytes(Out, Message.Marks);
   return text(Buffer);
 }
 
@@ -203,6 +205,8 @@
     Request.Depth = static_cast<std::uint8_t>(In.number(UINT8_MAX));
     Request.Idempotent = In.flag();
     Request.CanWait = In.flag();
+    Request.KeyMark = In.number(UINT64_MAX);
+    Message.Marks = In.bytes(MaxMarksBytes);
     return Message;
   });
 }
@@ -258,6 +262,8 @@
   Out.pack(Message.Load.Queued);
   packSpan(Out, Message.Load.Latency);
   Out.pack(static_cast<std::uint8_t>(Message.Load.State));
+  packSpan(Out, Message.Remembered);
+  packBytes(Out, Message.Marks);
   return text(Buffer);
 }
 
@@ -278,6 +284,8 @@
     Message.Load.Latency = In.span();
     Message.Load.State = static_cast<TargetState>(
         In.number(static_cast<std::uint8_t>(TargetState::Down)));
+    Message.Remembered = In.span();
+    Message.Marks = In.bytes(MaxMarksBytes);
     return Message;
   });
 }
--- /dev/null
+++ b/tests/support/FakeCallMesh.h
@@ -0,0 +1,306 @@
+/// \file
+/// Many nodes' calls in one thread and in virtual time, with a network that
+/// loses, delays, doubles and reorders messages, and with fake targets.
+
+#ifndef FESCUEWOOD_TESTS_SUPPORT_FAKECALLMESH_H
+#define FESCUEWOOD_TESTS_SUPPORT_FAKECALLMESH_H
+
+#include "calls/CallCore.h"
+#include "support/FakeTarget.h"
+#include "support/VirtualTime.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Faults of the network between nodes.
+struct FakeNetworkOptions {
+  std::int64_t DelayUs = 500; ///< One way between failure domains.
+  std::int64_t JitterUs = 100;
+  double Loss = 0;   ///< Share of messages lost, requests and replies alike.
+  double Double = 0; ///< Share of requests that arrive twice.
+  double Late = 0;   ///< Share of messages held up for up to \ref LateUs.
+  std::int64_t LateUs = 2'000'000;
+};
+
+/// What a caller saw of one call.
+struct FakeCall {
+  std::string Tag;
+  std::string Organisation;
+  std::string Route;
+  bool Idempotent = false;
+  int Answers = 0;
+  fescuewood::CallAnswer Answer;
+  std::int64_t SentUs = 0;
+  std::int64_t AnsweredUs = 0;
+};
+
+/// One node and its target.
+struct FakeNode {
+  fescuewood::Instance Place;
+  std::unique_ptr<fescuewood::CallCore> Core;
+  std::unique_ptr<FakeTarget> Target;
+  std::uint64_t Life = 0; ///< Grows with each restart of the process.
+  std::int64_t PausedUntilUs = 0;
+  fescuewood::TargetState Told = fescuewood::TargetState::Cold;
+};
+
+/// The mesh. Add nodes, put a configuration in force, then submit and run.
+class FakeCallMesh {
+public:
+  FakeCallMesh(std::uint64_t Seed, fescuewood::CallSettings Settings,
+               FakeNetworkOptions Network)
+      : Network(Network), Settings(Settings), Random(Seed) {}
+
+  std::size_t addNode(const std::string &Name, const std::string &Domain,
+                      const std::string &Service, FakeTargetOptions Options) {
+    auto Node = std::make_unique<FakeNode>();
+    Node->Place.Name = Name;
+    Node->Place.Domain = Domain;
+    Node->Place.Service = Service;
+    Node->Place.PeerAddress = Name;
+    Node->Target = std::make_unique<FakeTarget>(Time, Options, Random());
+    Nodes.push_back(std::move(Node));
+    startNode(Nodes.size() - 1);
+    return Nodes.size() - 1;
+  }
+
+  void setSnapshot(fescuewood::SnapshotPtr Next) {
+    Config = std::move(Next);
+    for (std::size_t I = 0; I < Nodes.size(); ++I)
+      if (Nodes[I]->Core)
+        onNode(I, [this](FakeNode &Node) { Node.Core->setSnapshot(Config); });
+  }
+
+  /// Tells every node of all instances and their states, as membership would.
+  void tellInstances() {
+    std::vector<fescuewood::Instance> All;
+    for (const auto &Node : Nodes) {
+      All.push_back(Node->Place);
+      All.back().State = Node->Told;
+    }
+    for (std::size_t I = 0; I < Nodes.size(); ++I)
+      onNode(I, [All](FakeNode &Node) { Node.Core->setInstances(All); });
+  }
+
+  /// Starts a node's process, or starts it again with nothing kept.
+  void startNode(std::size_t At) {
+    FakeNode &Node = *Nodes.at(At);
+    ++Node.Life;
+    fescuewood::CallIdentity Self;
+    Self.Name = Node.Place.Name;
+    Self.Domain = Node.Place.Domain;
+    Self.Service = Node.Place.Service;
+    Self.Incarnation = Random() | 1U;
+    Node.Core = std::make_unique<fescuewood::CallCore>(Self, Settings,
+                                                       hooks(At), Time.clock());
+    if (Config)
+      Node.Core->setSnapshot(Config);
+    tickLater(At, Node.Life);
+  }
+
+  /// Kills a node's process; calls that entered there get no answer.
+  void killNode(std::size_t At) {
+    ++Nodes.at(At)->Life;
+    Nodes[At]->Core.reset();
+    Nodes[At]->Target->dropAll();
+  }
+
+  void pauseNode(std::size_t At, std::int64_t ForUs) {
+    Nodes.at(At)->PausedUntilUs = Time.nowUs() + ForUs;
+  }
+
+  /// Makes the open connection between two nodes pass nothing; fresh ones work.
+  void silence(std::size_t From, std::size_t To) { Silent.insert({From, To}); }
+
+  /// Sends a call from a caller outside to a node; returns its number.
+  std::size_t submit(std::size_t At, fescuewood::CallRequest Request) {
+    const std::size_t Number = Calls.size();
+    FakeCall &Call = Calls.emplace_back();
+    Call.Tag = Request.Body;
+    Call.Organisation = Request.Organisation;
+    Call.Route = Request.Route;
+    Call.Idempotent = Request.Idempotent;
+    Call.SentUs = Time.nowUs();
+    onNode(At, [this, Number, Request = std::move(Request)](FakeNode &Node) {
+      Node.Core->submit(Number + 1, Request,
+                        [this, Number](fescuewood::CallAnswer Answer) {
+                          FakeCall &Known = Calls.at(Number);
+                          ++Known.Answers;
+                          Known.Answer = std::move(Answer);
+                          Known.AnsweredUs = Time.nowUs();
+                        });
+    });
+    return Number;
+  }
+
+  /// Times that a request of this tag was run, over all targets.
+  int runsOf(const std::string &Tag) const {
+    int Total = 0;
+    for (const auto &Node : Nodes) {
+      const auto Found = Node->Target->RunsOf.find(Tag);
+      if (Found != Node->Target->RunsOf.end())
+        Total += Found->second;
+    }
+    return Total;
+  }
+
+  void runFor(std::int64_t SpanUs) { Time.runUntil(Time.nowUs() + SpanUs); }
+
+  VirtualTime Time;
+  FakeNetworkOptions Network;
+  std::vector<std::unique_ptr<FakeNode>> Nodes;
+  std::deque<FakeCall> Calls;
+  fescuewood::SnapshotPtr Config;
+
+private:
+  static constexpr std::int64_t TickUs = 5'000;
+
+  /// A request between nodes and whether its one reply was given.
+  struct Exchange {
+    fescuewood::PeerReplyHook OnReply;
+    bool Ended = false;
+  };
+
+  double uniform() {
+    return std::uniform_real_distribution<double>(0, 1)(Random);
+  }
+
+  std::int64_t delay() {
+    std::int64_t Us = Network.DelayUs;
+    if (Network.JitterUs > 0)
+      Us += static_cast<std::int64_t>(uniform() *
+                                      static_cast<double>(Network.JitterUs));
+    if (Network.Late > 0 && uniform() < Network.Late)
+      Us += static_cast<std::int64_t>(uniform() *
+                                      static_cast<double>(Network.LateUs));
+    return Us;
+  }
+
+  /// Runs work on a node when it is not paused, unless it has died by then.
+  void onNode(std::size_t At, std::function<void(FakeNode &)> Work) {
+    onLife(At, Nodes.at(At)->Life, std::move(Work));
+  }
+
+  void onLife(std::size_t At, std::uint64_t Life,
+              std::function<void(FakeNode &)> Work) {
+    FakeNode &Node = *Nodes.at(At);
+    if (Node.Life != Life || !Node.Core)
+      return;
+    if (Node.PausedUntilUs > Time.nowUs()) {
+      Time.after(
+          Node.PausedUntilUs - Time.nowUs(),
+          [this, At, Life, Work = std::move(Work)] { onLife(At, Life, Work); });
+      return;
+    }
+    Work(Node);
+  }
+
+  void tickLater(std::size_t At, std::uint64_t Life) {
+    Time.after(TickUs, [this, At, Life] {
+      onLife(At, Life, [this, At, Life](FakeNode &Node) {
+        Node.Core->tick();
+        tickLater(At, Life);
+      });
+    });
+  }
+
+  fescuewood::CallHooks hooks(std::size_t At) {
+    const std::uint64_t Life = Nodes.at(At)->Life;
+    fescuewood::CallHooks Hooks;
+    Hooks.Random = [this] { return Random(); };
+    Hooks.Send = [this, At, Life](fescuewood::PeerRequest Request,
+                                  fescuewood::PeerReplyHook OnReply) {
+      send(At, Life, std::move(Request), std::move(OnReply));
+    };
+    Hooks.OnTargetState = [this, At](fescuewood::TargetState State) {
+      Nodes[At]->Told = State;
+    };
+    Hooks.Target.Run = [this, At, Life](const fescuewood::CallRequest &Request,
+                                        fescuewood::DurationMs Timeout,
+                                        fescuewood::RunHook OnResult) {
+      Nodes[At]->Target->run(
+          Request, Timeout,
+          [this, At, Life, OnResult](const fescuewood::RunResult &Result) {
+            onLife(At, Life,
+                   [OnResult, Result](FakeNode &) { OnResult(Result); });
+          });
+    };
+    Hooks.Target.Cancel = [this, At](const fescuewood::CallId &Id) {
+      Nodes[At]->Target->cancel(Id);
+    };
+    Hooks.Target.Probe = [this, At, Life](std::function<void(bool)> OnResult) {
+      Nodes[At]->Target->probe([this, At, Life, OnResult](bool Answers) {
+        onLife(At, Life,
+               [OnResult, Answers](FakeNode &) { OnResult(Answers); });
+      });
+    };
+    return Hooks;
+  }
+
+  void send(std::size_t From, std::uint64_t Life,
+            fescuewood::PeerRequest Request,
+            fescuewood::PeerReplyHook OnReply) {
+    auto Open = std::make_shared<Exchange>();
+    Open->OnReply = std::move(OnReply);
+    Time.after(Request.Timeout.Value * VirtualTime::UsPerMs,
+               [this, From, Life, Open] { reply(From, Life, Open, {}); });
+    const auto To = find(Request.Address);
+    if (!To || lost(From, *To, Request.Route))
+      return;
+    const int Copies = uniform() < Network.Double ? 2 : 1;
+    for (int I = 0; I < Copies; ++I)
+      Time.after(delay(), [this, From, Life, To, Request, Open] {
+        onNode(*To, [this, From, Life, To, Request, Open](FakeNode &Node) {
+          Node.Core->handlePeer(Request.Kind, Request.Body,
+                                [this, From, Life, To, Open,
+                                 Route = Request.Route](std::string Body) {
+                                  if (lost(From, *To, Route))
+                                    return;
+                                  Time.after(delay(), [this, From, Life, Open,
+                                                       Body = std::move(Body)] {
+                                    fescuewood::PeerReply Reply;
+                                    Reply.Body = Body;
+                                    reply(From, Life, Open, Reply);
+                                  });
+                                });
+        });
+      });
+  }
+
+  void reply(std::size_t From, std::uint64_t Life,
+             const std::shared_ptr<Exchange> &Open,
+             const fescuewood::PeerReply &Reply) {
+    if (Open->Ended)
+      return;
+    Open->Ended = true;
+    onLife(From, Life, [Open, Reply](FakeNode &) { Open->OnReply(Reply); });
+  }
+
+  bool lost(std::size_t From, std::size_t To, fescuewood::PeerRoute Route) {
+    if (Route == fescuewood::PeerRoute::Reuse && Silent.contains({From, To}))
+      return true;
+    return Network.Loss > 0 && uniform() < Network.Loss;
+  }
+
+  std::optional<std::size_t> find(const std::string &Address) const {
+    for (std::size_t I = 0; I < Nodes.size(); ++I)
+      if (Nodes[I]->Place.PeerAddress == Address)
+        return I;
+    return std::nullopt;
+  }
+
+  fescuewood::CallSettings Settings;
+  std::mt19937_64 Random;
+  std::set<std::pair<std::size_t, std::size_t>> Silent;
+};
+
+#endif // FESCUEWOOD_TESTS_SUPPORT_FAKECALLMESH_H
--- /dev/null
+++ b/tests/support/FakeTarget.h
@@ -0,0 +1,180 @@
+/// \file
+/// A target in virtual time: slots, a cold start, crashes, a record of runs.
+
+#ifndef FESCUEWOOD_TESTS_SUPPORT_FAKETARGET_H
+#define FESCUEWOOD_TESTS_SUPPORT_FAKETARGET_H
+
+#include "calls/TargetPort.h"
+#include "support/VirtualTime.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <utility>
+
+/// How a \ref FakeTarget behaves.
+struct FakeTargetOptions {
+  std::uint32_t Slots = 6;
+  double MeanMs = 10;        ///< Time of a request when warm and not crowded.
+  double ColdShare = 0.34;   ///< Of the slots, bearable at a cold start.
+  double ColdSlowdown = 1.5; ///< Of requests while cold.
+  std::int64_t ColdUs = 6'000'000; ///< From start to warm.
+  std::int64_t RestartUs = 2'000'000;
+  double FallOver = 1.5; ///< Times what a cold target bears that crash it.
+  double Sheds = 4.0;    ///< Times the slots at which a warm one answers 503.
+};
+
+/// Body of a request that crashes each target that runs it.
+inline constexpr const char *CrashBody = "crash";
+
+/// One target. Requests are told apart by their body, the caller's tag.
+class FakeTarget {
+public:
+  FakeTarget(VirtualTime &Time, FakeTargetOptions Options, std::uint64_t Seed)
+      : Time(Time), Options(Options), Random(Seed), Started(Time.nowUs()) {}
+
+  void run(const fescuewood::CallRequest &Request,
+           fescuewood::DurationMs Timeout, fescuewood::RunHook OnResult) {
+    if (!Up) {
+      fail(std::move(OnResult), fescuewood::RunFailure::NotReached,
+           fescuewood::ResultCode::TargetUnreachable);
+      return;
+    }
+    const std::uint64_t Id = NextRun++;
+    Runs[Id] = {Request.Id, std::move(OnResult)};
+    MaxInFlight = std::max(MaxInFlight, inFlight());
+    ++RunsOf[Request.Body];
+    ++RunsByOrganisation[Request.Organisation];
+    const double Bearable = bearable();
+    if (Request.Body == CrashBody ||
+        (cold() && inFlight() > Bearable * Options.FallOver)) {
+      Time.after(VirtualTime::UsPerMs, [this, Id] {
+        if (Runs.contains(Id))
+          crash();
+      });
+      return;
+    }
+    if (inFlight() > Options.Slots * Options.Sheds) {
+      answer(Id, 503, "", VirtualTime::UsPerMs);
+      return;
+    }
+    std::exponential_distribution<double> Spread(1.0);
+    // Half of the time is fixed, so that no run is unusually short.
+    double Ms = Options.MeanMs * (0.5 + 0.5 * Spread(Random));
+    Ms *= std::max(1.0, inFlight() / Bearable);
+    if (cold())
+      Ms *= Options.ColdSlowdown;
+    answer(Id, 200, Request.Body, static_cast<std::int64_t>(Ms * 1000));
+    Time.after(Timeout.Value * VirtualTime::UsPerMs,
+               [this, Id] { end(Id, fescuewood::RunFailure::TimedOut); });
+  }
+
+  void cancel(const fescuewood::CallId &Call) {
+    for (const auto &[Id, Each] : Runs)
+      if (Each.Call == Call) {
+        end(Id, fescuewood::RunFailure::Cancelled);
+        return;
+      }
+  }
+
+  void probe(const std::function<void(bool)> &OnResult) {
+    Time.after(VirtualTime::UsPerMs, [this, OnResult] { OnResult(Up); });
+  }
+
+  /// Breaks off every run; comes back cold after the restart time.
+  void crash() {
+    if (!Up)
+      return;
+    Up = false;
+    ++Crashes;
+    auto Broken = std::move(Runs);
+    Runs.clear();
+    for (auto &[Id, Each] : Broken)
+      fail(std::move(Each.OnResult), fescuewood::RunFailure::Broken,
+           fescuewood::ResultCode::TargetConnectionLost);
+    Time.after(Options.RestartUs, [this] {
+      Up = true;
+      Started = Time.nowUs();
+    });
+  }
+
+  /// Ends every run, as when the connections close because the node died.
+  void dropAll() { Runs.clear(); }
+
+  /// Turns cold without warning or interruption.
+  void chill() { Started = Time.nowUs(); }
+
+  std::uint32_t inFlight() const {
+    return static_cast<std::uint32_t>(Runs.size());
+  }
+
+  std::map<std::string, int> RunsOf; ///< By body.
+  std::map<std::string, int> RunsByOrganisation;
+  std::uint32_t MaxInFlight = 0;
+  int Crashes = 0;
+  bool Up = true;
+
+private:
+  struct Run {
+    fescuewood::CallId Call;
+    fescuewood::RunHook OnResult;
+  };
+
+  bool cold() const { return Time.nowUs() - Started < Options.ColdUs; }
+
+  double bearable() const {
+    if (!cold())
+      return Options.Slots;
+    const double Age = static_cast<double>(Time.nowUs() - Started);
+    const double Warm = Age / static_cast<double>(Options.ColdUs);
+    const double Share = Options.ColdShare + (1 - Options.ColdShare) * Warm;
+    return std::max(1.0, Share * Options.Slots);
+  }
+
+  void answer(std::uint64_t Id, int Status, const std::string &Body,
+              std::int64_t DelayUs) {
+    Time.after(DelayUs, [this, Id, Status, Body] {
+      const auto Found = Runs.find(Id);
+      if (Found == Runs.end())
+        return;
+      const auto OnResult = std::move(Found->second.OnResult);
+      Runs.erase(Found);
+      fescuewood::RunResult Result;
+      Result.Answer.emplace();
+      Result.Answer->Status = Status;
+      Result.Answer->Body = Body;
+      Result.Answer->Ran = fescuewood::Outcome::Ran;
+      OnResult(std::move(Result));
+    });
+  }
+
+  void end(std::uint64_t Id, fescuewood::RunFailure Failure) {
+    const auto Found = Runs.find(Id);
+    if (Found == Runs.end())
+      return;
+    auto OnResult = std::move(Found->second.OnResult);
+    Runs.erase(Found);
+    fail(std::move(OnResult), Failure, fescuewood::ResultCode::TargetTimeout);
+  }
+
+  void fail(fescuewood::RunHook OnResult, fescuewood::RunFailure Failure,
+            fescuewood::ResultCode Reason) {
+    Time.after(0, [OnResult = std::move(OnResult), Failure, Reason] {
+      fescuewood::RunResult Result;
+      Result.Failure = Failure;
+      Result.Reason = Reason;
+      OnResult(std::move(Result));
+    });
+  }
+
+  VirtualTime &Time;
+  FakeTargetOptions Options;
+  std::mt19937_64 Random;
+  std::int64_t Started;
+  std::map<std::uint64_t, Run> Runs;
+  std::uint64_t NextRun = 0;
+};
+
+#endif // FESCUEWOOD_TESTS_SUPPORT_FAKETARGET_H
--- /dev/null
+++ b/tests/support/VirtualTime.h
@@ -0,0 +1,52 @@
+/// \file
+/// Time that a test moves: events run in order, and nothing waits.
+
+#ifndef FESCUEWOOD_TESTS_SUPPORT_VIRTUALTIME_H
+#define FESCUEWOOD_TESTS_SUPPORT_VIRTUALTIME_H
+
+#include "core/Clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+/// A queue of events in microseconds. Events of one time run in the order in
+/// which they were added.
+class VirtualTime {
+public:
+  using Task = std::function<void()>;
+
+  void after(std::int64_t DelayUs, Task Work) {
+    Events.emplace(std::pair(NowUs + (DelayUs > 0 ? DelayUs : 0), Next++),
+                   std::move(Work));
+  }
+
+  /// Runs every event up to a point of time and stands there.
+  void runUntil(std::int64_t EndUs) {
+    while (!Events.empty() && Events.begin()->first.first <= EndUs) {
+      NowUs = Events.begin()->first.first;
+      const Task Work = std::move(Events.begin()->second);
+      Events.erase(Events.begin());
+      Work();
+    }
+    NowUs = EndUs;
+  }
+
+  std::int64_t nowUs() const { return NowUs; }
+
+  /// A clock for the code under test.
+  fescuewood::Clock clock() const {
+    return fescuewood::Clock(
+        [this] { return fescuewood::TimeMs(NowUs / UsPerMs); });
+  }
+
+  static constexpr std::int64_t UsPerMs = 1000;
+
+private:
+  std::map<std::pair<std::int64_t, std::uint64_t>, Task> Events;
+  std::int64_t NowUs = 1'000'000'000; // Far from 0, as a real clock is.
+  std::uint64_t Next = 0;
+};
+
+#endif // FESCUEWOOD_TESTS_SUPPORT_VIRTUALTIME_H
