--- a/src/callers/HeaderFields.cpp
+++ b/src/callers/HeaderFields.cpp
@@ -71,11 +71,13 @@
 
 void removeHopFields(std::vector<Header> &Fields) {
   std::vector<std::string> Named;
-  for (const Header &Field : Fields)
-    if (sameFieldName(Field.Name, "Connection"))
-      forEachListMember(Field.Value, [&](std::string_view Member) {
-        Named.emplace_back(Member);
-      });
+  for (const Header &Field : Fields) {
+    if (!sameFieldName(Field.Name, "Connection"))
+      continue;
+    forEachListMember(Field.Value, [&](std::string_view Member) {
+      Named.emplace_back(Member);
+    });
+  }
   for (const std::string &Name : Named)
     removeField(Fields, Name);
   for (std::string_view Name : HopFields)
--- a/tests/callers/CallerServerTest.cpp
+++ b/tests/callers/CallerServerTest.cpp
@@ -90,8 +90,8 @@
   std::vector<std::uint64_t> Gone;
   bool Hold = false;
   CallerServer Server{options(),
-                      [this](CallerRequest Request, AnswerHook Answer) {
-                        take(std::move(Request), std::move(Answer));
+                      [this](CallerRequest Request, const AnswerHook &Answer) {
+                        take(std::move(Request), Answer);
                       },
                       [this](std::uint64_t Number) {
                         std::lock_guard<std::mutex> Lock(Mutex);
@@ -108,7 +108,7 @@
     return Options;
   }
 
-  void take(CallerRequest Request, AnswerHook Answer) {
+  void take(CallerRequest Request, const AnswerHook &Answer) {
     std::lock_guard<std::mutex> Lock(Mutex);
     const std::string Body = Request.Target + Request.Body;
     Held.emplace_back(std::move(Request), Answer);
@@ -274,9 +274,9 @@
   AnswerHook Late;
   {
     CallerServer Short(options(),
-                       [&](CallerRequest Request, AnswerHook Answer) {
+                       [&](CallerRequest Request, const AnswerHook &Answer) {
                          Late = Answer;
-                         take(std::move(Request), std::move(Answer));
+                         take(std::move(Request), Answer);
                        },
                        {}, {});
     CHECK(Short.start());
--- a/tests/standins/Http.h
+++ b/tests/standins/Http.h
@@ -77,10 +77,11 @@
   Buffer.erase(0, HeadSize);
   const std::size_t Size =
       std::strtoull(Result.field("content-length").c_str(), nullptr, 10);
-  if (Buffer.size() < Size)
+  if (Buffer.size() < Size) {
     co_await asio::async_read(Socket, asio::dynamic_buffer(Buffer),
                               asio::transfer_exactly(Size - Buffer.size()),
                               asio::use_awaitable);
+  }
   Result.Body = Buffer.substr(0, Size);
   Buffer.erase(0, Size);
   co_return Result;
@@ -163,7 +164,7 @@
       [&]() -> asio::awaitable<void> {
         Answer = co_await readMessage(Socket, Buffer);
       },
-      [&](std::exception_ptr Error) { Failure = Error; });
+      [&](const std::exception_ptr &Error) { Failure = Error; });
   Context.run();
   if (Failure)
     std::rethrow_exception(Failure);
--- a/tests/standins/Target.h
+++ b/tests/standins/Target.h
@@ -31,7 +31,7 @@
 public:
   using SteadyClock = std::chrono::steady_clock;
 
-  Target(asio::io_context &Context, TargetOptions Options)
+  Target(asio::io_context &Context, const TargetOptions &Options)
       : Context(Context), Options(Options), Acceptor(Context) {
     listen();
   }
--- a/tests/targets/TargetClientTest.cpp
+++ b/tests/targets/TargetClientTest.cpp
@@ -17,7 +17,7 @@
 /// A target stand-in on a thread of its own.
 class RunningTarget {
 public:
-  explicit RunningTarget(standins::TargetOptions Options)
+  explicit RunningTarget(const standins::TargetOptions &Options)
       : Server(Context, Options), Thread([this] { Context.run(); }) {}
 
   ~RunningTarget() {
@@ -61,13 +61,14 @@
 }
 
 /// Starts a request and returns the future of its result.
-std::future<TargetResult> send(TargetClient &Client, TargetRequest Request,
+std::future<TargetResult> send(TargetClient &Client,
+                               const TargetRequest &Request,
                                std::uint64_t *Id = nullptr) {
   auto Promise = std::make_shared<std::promise<TargetResult>>();
   auto Future = Promise->get_future();
   const auto Started =
-      Client.start(std::move(Request), [Promise](TargetResult Result) {
-        Promise->set_value(std::move(Result));
+      Client.start(Request, [Promise](const TargetResult &Result) {
+        Promise->set_value(Result);
       });
   CHECK(Started.has_value());
   if (Id)
