Parse settings and intent, merge, validate and report with file and line

inih cuts section names at 49 bytes, ends values at a blank and ';', joins indented lines and splits long ones; each line is therefore checked before the library sees it, and what it would change is a numbered problem. One table row per key parses the value, gives the default and describes the key. Deltas by file are held to the digest of the version that they name. The read allowance is a sliding window that counts as used up at the start, so that restarts in herds stay inside it.

--- /dev/null
+++ b/src/ini/Forms.cpp
@@ -0,0 +1,110 @@
+#include "ini/Forms.h"
+
+#include "ini/IniReader.h"
+
+#include <cmath>
+
+#include <fmt/format.h>
+
+namespace fescuewood {
+
+namespace {
+
+std::string_view withoutBlanks(std::string_view Text) {
+  const std::size_t First = Text.find_first_not_of(' ');
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(' ') - First + 1);
+}
+
+std::optional<std::vector<Endpoint>> parseEndpoints(std::string_view Text,
+                                                    std::size_t MaxCount) {
+  std::vector<Endpoint> Parsed;
+  while (!Text.empty()) {
+    const std::size_t Comma = Text.find(',');
+    const auto Next = Endpoint::parse(withoutBlanks(Text.substr(0, Comma)));
+    const bool EndsInComma = Comma + 1 == Text.size();
+    if (!Next || Parsed.size() == MaxCount || EndsInComma)
+      return std::nullopt;
+    Parsed.push_back(*Next);
+    Text = Comma == std::string_view::npos ? "" : Text.substr(Comma + 1);
+  }
+  return Parsed;
+}
+
+} // namespace
+
+ValueForm<DurationMs> milliseconds(std::uint64_t Min, std::uint64_t Max) {
+  ValueForm<std::int64_t> Number = wholeNumber<std::int64_t>(Min, Max);
+  auto Parse = [Count = std::move(Number.Parse)](
+                   std::string_view Text) -> std::optional<DurationMs> {
+    const std::optional<std::int64_t> Value = Count(Text);
+    if (!Value)
+      return std::nullopt;
+    return DurationMs(*Value);
+  };
+  return {std::move(Number.Text), std::move(Parse)};
+}
+
+ValueForm<double> decimalNumber(double Min, double Max) {
+  auto Parse = [Min, Max](std::string_view Text) -> std::optional<double> {
+    double Value = 0;
+    const char *End = Text.data() + Text.size();
+    const auto [Rest, Error] =
+        std::from_chars(Text.data(), End, Value, std::chars_format::fixed);
+    const bool Whole = Error == std::errc() && Rest == End;
+    if (!Whole || !std::isfinite(Value) || Value < Min || Value > Max)
+      return std::nullopt;
+    return Value;
+  };
+  return {fmt::format("a number from {} to {}", Min, Max), std::move(Parse)};
+}
+
+ValueForm<bool> yesOrNo() {
+  return oneOf<bool>({{"yes", true}, {"no", false}});
+}
+
+ValueForm<std::string> nameForm() {
+  auto Parse = [](std::string_view Text) -> std::optional<std::string> {
+    if (!isIniName(Text))
+      return std::nullopt;
+    return std::string(Text);
+  };
+  return {std::string(IniNameForm), std::move(Parse)};
+}
+
+ValueForm<std::string> textForm(std::size_t MinBytes, std::size_t MaxBytes) {
+  auto Parse = [MinBytes,
+                MaxBytes](std::string_view Text) -> std::optional<std::string> {
+    if (Text.size() < MinBytes || Text.size() > MaxBytes)
+      return std::nullopt;
+    return std::string(Text);
+  };
+  return {fmt::format("text of {} to {} bytes", MinBytes, MaxBytes),
+          std::move(Parse)};
+}
+
+ValueForm<std::string> ipForm() {
+  auto Parse = [](std::string_view Text) -> std::optional<std::string> {
+    if (!isIpNumber(Text))
+      return std::nullopt;
+    return std::string(Text);
+  };
+  return {"an IP number", std::move(Parse)};
+}
+
+ValueForm<Endpoint> endpointForm() { return {"IP:port", &Endpoint::parse}; }
+
+ValueForm<std::vector<Endpoint>> endpointListForm(std::size_t MaxCount) {
+  auto Parse = [MaxCount](std::string_view Text) {
+    return parseEndpoints(Text, MaxCount);
+  };
+  return {fmt::format("up to {} of IP:port with commas between", MaxCount),
+          std::move(Parse)};
+}
+
+ValueForm<Digest> sha256Form() {
+  return {"64 hexadecimal digits", &Digest::fromHex};
+}
+
+} // namespace fescuewood
--- a/src/ini/Problem.h
+++ b/src/ini/Problem.h
@@ -6,12 +6,17 @@
 
 #include "core/ResultCode.h"
 
+#include <compare>
 #include <cstddef>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fescuewood {
 
+/// Most problems that one text is given; later ones are only counted as more.
+inline constexpr std::size_t MaxProblems = 500;
+
 /// A place in a file; line 0 stands for the file as a whole.
 struct SourceLine {
   std::string File;
@@ -36,9 +41,19 @@
 
 using Problems = std::vector<Problem>;
 
-/// Every problem on a line of its own, in the order of file and line.
+/// Adds a problem. Beyond \ref MaxProblems one last entry says that there are
+/// more, so that a large text of nonsense costs bounded memory.
+void report(Problems &Found, Problem Next);
+
+/// Orders problems by file and line, and keeps the order of those of one line.
+void sortProblems(Problems &Found);
+
+/// Every problem on a line of its own.
 std::string problemsText(const Problems &Found);
 
+/// \p Text in quotes for a message: cut when long, control characters as '?'.
+std::string quoted(std::string_view Text);
+
 } // namespace fescuewood
 
 #endif // FESCUEWOOD_INI_PROBLEM_H
--- /dev/null
+++ b/src/ini/Schema.cpp
@@ -0,0 +1,38 @@
+#include "ini/Schema.h"
+
+#include <fmt/format.h>
+
+namespace fescuewood {
+
+namespace {
+
+std::string keyTitle(std::string_view Title, std::string_view Name) {
+  return fmt::format("{} {}", Title, Name);
+}
+
+} // namespace
+
+Problem malformedValue(const KeyInfo &Info, std::string_view Title,
+                       const SourcedValue &Given) {
+  return {ResultCode::ValueMalformed, Given.Where, keyTitle(Title, Info.Name),
+          fmt::format("found {}, expected {}", quoted(Given.Text), Info.Form)};
+}
+
+Problem unknownKey(std::span<const KeyInfo> Known, std::string_view Section,
+                   std::string_view Title, std::string_view Name,
+                   const SourceLine &Where) {
+  std::string Names;
+  for (const KeyInfo &Info : Known)
+    if (Info.Section == Section)
+      Names += (Names.empty() ? "" : ", ") + Info.Name;
+  return {ResultCode::KeyUnknown, Where, keyTitle(Title, Name),
+          fmt::format("no such key, expected one of {}", Names)};
+}
+
+Problem missingKey(const KeyInfo &Info, std::string_view Title,
+                   const SourceLine &Where) {
+  return {ResultCode::KeyMissing, Where, keyTitle(Title, Info.Name),
+          fmt::format("missing, expected {}", Info.Form)};
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/intent/IntentReport.cpp
@@ -0,0 +1,84 @@
+#include "intent/IntentReport.h"
+
+#include "intent/CompileIntent.h"
+#include "intent/IntentFolder.h"
+#include "intent/MergedIntent.h"
+
+#include <algorithm>
+#include <map>
+#include <string_view>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace fescuewood {
+
+namespace {
+
+/// Column at which the origin of a value starts, where the value leaves room.
+constexpr std::size_t OriginColumn = 48;
+
+using DefaultsByKind =
+    std::map<std::string, std::map<std::string, std::string>, std::less<>>;
+
+DefaultsByKind defaultsByKind() {
+  DefaultsByKind Defaults;
+  for (const KeyInfo &Info : intentKeys())
+    if (Info.Default)
+      Defaults[Info.Section][Info.Name] = *Info.Default;
+  return Defaults;
+}
+
+std::string line(std::string_view Name, std::string_view Value,
+                 std::string_view Origin) {
+  const std::string Assignment = fmt::format("{} = {}", Name, Value);
+  return fmt::format("{:<{}}  # {}\n", Assignment, OriginColumn, Origin);
+}
+
+std::string originOf(const MergedSection &Section, const std::string &Name,
+                     const SourcedValue &Value) {
+  std::string Origin = Value.Where.text();
+  const auto [First, Last] = Section.Overridden.equal_range(Name);
+  if (First != Last)
+    Origin += ", over " + std::prev(Last)->second.Where.text();
+  return Origin;
+}
+
+std::string sectionText(const SectionId &Id, const MergedSection &Section,
+                        const std::map<std::string, std::string> &Defaults) {
+  std::string Text = Id.heading() + "\n";
+  for (const auto &[Name, Value] : Section.Values)
+    Text += line(Name, Value.Text, originOf(Section, Name, Value));
+  for (const auto &[Name, Default] : Defaults)
+    if (!Section.Values.contains(Name))
+      Text += line(Name, Default, "default");
+  return Text + "\n";
+}
+
+} // namespace
+
+IntentReport reportIntent(const IntentBundle &Bundle) {
+  IntentReport Report;
+  Problems MergeProblems;
+  const MergedIntent Merged = mergeIntent(Bundle, MergeProblems);
+  DefaultsByKind Defaults = defaultsByKind();
+  for (const auto &[Id, Section] : Merged)
+    Report.Merged += sectionText(Id, Section, Defaults[Id.Kind]);
+  const CompiledIntent Compiled = compileIntent(Bundle);
+  Report.Accepted = Compiled.Result != nullptr;
+  Report.Errors = problemsText(Compiled.Found);
+  return Report;
+}
+
+IntentReport reportIntentFolder(const std::string &Path) {
+  Problems Found;
+  const std::optional<IntentFolder> Folder = readIntentFolder(Path, Found);
+  if (!Folder)
+    return {false, "", problemsText(Found)};
+  IntentReport Report = reportIntent(Folder->Bundle);
+  for (const std::string &Name : Folder->Ignored)
+    Report.Merged += "# ignored, as its name is not intent: " + Name + "\n";
+  return Report;
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/intent/Snapshot.cpp
@@ -0,0 +1,83 @@
+#include "intent/Snapshot.h"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+namespace fescuewood {
+
+namespace {
+
+constexpr std::string_view FramingTag = "fescuewood-intent-1";
+
+/// Appends a length in a fixed size, so that no two lists of texts give the
+/// same bytes.
+void appendLength(std::string &Bytes, std::size_t Length) {
+  for (unsigned Shift = 0; Shift < 64; Shift += 8)
+    Bytes +=
+        static_cast<char>((static_cast<std::uint64_t>(Length) >> Shift) & 0xff);
+}
+
+void appendText(std::string &Bytes, std::string_view Text) {
+  appendLength(Bytes, Text.size());
+  Bytes += Text;
+}
+
+bool isPrefix(const Route &R) { return R.Path.ends_with('*'); }
+
+/// The part of a route's path that a request's path must start with or equal.
+std::string_view literalPart(const Route &R) {
+  const std::string_view Path = R.Path;
+  return isPrefix(R) ? Path.substr(0, Path.size() - 1) : Path;
+}
+
+bool matches(const Route &R, std::string_view Method, std::string_view Path) {
+  if (R.Method != "*" && R.Method != Method)
+    return false;
+  const std::string_view Literal = literalPart(R);
+  return isPrefix(R) ? Path.starts_with(Literal) : Path == Literal;
+}
+
+/// Greater for the route that wins.
+auto precedence(const Route &R) {
+  return std::tuple(literalPart(R).size(), !isPrefix(R), R.Method != "*");
+}
+
+} // namespace
+
+Version IntentBundle::version() const {
+  std::vector<const IntentFile *> Sorted;
+  std::size_t Size = 0;
+  for (const IntentFile &F : Files) {
+    Sorted.push_back(&F);
+    Size += F.Name.size() + F.Text.size();
+  }
+  std::sort(Sorted.begin(), Sorted.end(),
+            [](const IntentFile *Left, const IntentFile *Right) {
+              return std::tie(Left->Name, Left->Text) <
+                     std::tie(Right->Name, Right->Text);
+            });
+  constexpr std::size_t BytesOfTwoLengths = 16;
+  std::string Bytes;
+  Bytes.reserve(Size + Sorted.size() * BytesOfTwoLengths + FramingTag.size());
+  Bytes += FramingTag;
+  for (const IntentFile *F : Sorted) {
+    appendText(Bytes, F->Name);
+    appendText(Bytes, F->Text);
+  }
+  return {Revision, Digest::of(Bytes)};
+}
+
+const Route *Snapshot::findRoute(std::string_view Method,
+                                 std::string_view Path) const {
+  const Route *Best = nullptr;
+  for (const Route &R : Routes) {
+    if (!matches(R, Method, Path))
+      continue;
+    if (!Best || precedence(R) > precedence(*Best))
+      Best = &R;
+  }
+  return Best;
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/policy/ReadAllowance.cpp
@@ -0,0 +1,40 @@
+#include "policy/ReadAllowance.h"
+
+#include <algorithm>
+
+namespace fescuewood {
+
+namespace {
+
+constexpr std::int64_t MsPerSecond = 1000;
+
+/// Whole seconds in which every node may read at least once.
+std::int64_t windowSeconds(std::uint32_t Reads, std::uint32_t Nodes) {
+  return (static_cast<std::int64_t>(Nodes) + Reads - 1) / Reads;
+}
+
+} // namespace
+
+ReadAllowance::ReadAllowance(std::uint32_t FleetReadsPerSecond,
+                             std::uint32_t FleetNodes, TimeMs StartedAt)
+    : Window(windowSeconds(FleetReadsPerSecond, FleetNodes) * MsPerSecond),
+      ReadsPerWindow(static_cast<std::size_t>(
+          windowSeconds(FleetReadsPerSecond, FleetNodes) * FleetReadsPerSecond /
+          FleetNodes)),
+      // What an earlier process in this place read is not known, so it counts
+      // as the most that it may have been.
+      Taken(ReadsPerWindow, StartedAt) {}
+
+TimeMs ReadAllowance::nextRead(TimeMs Now) const {
+  return std::max(Now, Taken.front() + Window);
+}
+
+bool ReadAllowance::take(TimeMs Now) {
+  if (nextRead(Now) > Now)
+    return false;
+  Taken.pop_front();
+  Taken.push_back(Now);
+  return true;
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/tests/intent/IntentReportTest.cpp
@@ -0,0 +1,53 @@
+#include "intent/IntentReport.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+TEST_GROUP(IntentReport) {
+  IntentBundle Bundle{1,
+                      {{"10-a.ini", "[service queue]\nslots = 6\n"},
+                       {"20-b.ini", "; busy\n[service queue]\nslots = 4\n"}}};
+};
+
+TEST(IntentReport, ShowsForEveryValueWhereItCameFrom) {
+  const IntentReport Report = reportIntent(Bundle);
+
+  CHECK(Report.Accepted);
+  STRCMP_EQUAL("[service queue]\n"
+               "slots = 4                                         "
+               "# 20-b.ini:3, over 10-a.ini:2\n\n",
+               Report.Merged.c_str());
+}
+
+TEST(IntentReport, ShowsDefaultsAsSuch) {
+  Bundle.Files = {{"10-a.ini", "[service queue]\n"}};
+
+  const IntentReport Report = reportIntent(Bundle);
+
+  STRCMP_EQUAL("[service queue]\n"
+               "slots = 1                                         "
+               "# default\n\n",
+               Report.Merged.c_str());
+}
+
+TEST(IntentReport, ShowsTheMergedIntentAlsoWhenThereAreErrors) {
+  Bundle.Files.push_back({"30-c.ini", "[service till]\nslots = none\n"});
+
+  const IntentReport Report = reportIntent(Bundle);
+
+  CHECK_FALSE(Report.Accepted);
+  CHECK(Report.Merged.find("slots = none") != std::string::npos);
+  STRCMP_EQUAL("30-c.ini:2: [service till] slots: found \"none\", expected a "
+               "whole number from 1 to 65535 (code 113)\n",
+               Report.Errors.c_str());
+}
+
+TEST(IntentReport, SaysThatAFolderCannotBeRead) {
+  const IntentReport Report = reportIntentFolder("/nonexistent");
+
+  CHECK_FALSE(Report.Accepted);
+  CHECK(Report.Errors.find("/nonexistent") != std::string::npos);
+}
--- /dev/null
+++ b/tests/policy/ReadAllowanceTest.cpp
@@ -0,0 +1,63 @@
+#include "policy/ReadAllowance.h"
+
+#include "support/Property.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <optional>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+TEST_GROUP(ReadAllowance){};
+
+// Every node reads as early as it may or a little later, and restarts whenever
+// it likes: no window holds more reads than the platform bears.
+TEST(ReadAllowance, KeepsTheWholeFleetInsideInEveryWindow) {
+  checkProperty("reads in any window <= allowance", [] {
+    const auto Reads = *rc::gen::inRange<std::uint32_t>(1, 40);
+    const auto Nodes = *rc::gen::inRange<std::uint32_t>(1, 40);
+    std::vector<TimeMs> Taken;
+    DurationMs Window;
+    for (std::uint32_t Node = 0; Node < Nodes; ++Node) {
+      TimeMs Now(0);
+      std::optional<ReadAllowance> Allowance;
+      // Times of the steps; a negative one restarts the process.
+      for (const int Step : *rc::gen::container<std::vector<int>>(
+               rc::gen::inRange(-500, 1500))) {
+        Now = Now + DurationMs(std::abs(Step));
+        if (!Allowance || Step < 0)
+          Allowance.emplace(Reads, Nodes, Now);
+        Window = Allowance->window();
+        while (Allowance->take(Now))
+          Taken.push_back(Now);
+        RC_ASSERT(Allowance->nextRead(Now) > Now);
+      }
+    }
+    std::sort(Taken.begin(), Taken.end());
+    for (std::size_t First = 0; First < Taken.size(); ++First) {
+      const auto Last =
+          std::lower_bound(Taken.begin(), Taken.end(), Taken[First] + Window);
+      const auto Count = Last - (Taken.begin() + static_cast<long>(First));
+      RC_ASSERT(Count * 1000 <= Reads * Window.Value);
+    }
+  });
+}
+
+TEST(ReadAllowance, GivesAFleetOfTheDeclaredSizeOneReadASecondEach) {
+  ReadAllowance Allowance(2000, 1200, TimeMs(0));
+
+  CHECK_FALSE(Allowance.take(TimeMs(999)));
+  CHECK(Allowance.take(TimeMs(1000)));
+  CHECK_FALSE(Allowance.take(TimeMs(1999)));
+  CHECK(TimeMs(2000) == Allowance.nextRead(TimeMs(1500)));
+}
+
+TEST(ReadAllowance, WidensTheWindowForAFleetLargerThanTheAllowance) {
+  ReadAllowance Allowance(2000, 5000, TimeMs(0));
+
+  CHECK(DurationMs(3000) == Allowance.window());
+  LONGS_EQUAL(1, Allowance.readsPerWindow());
+}
