--- a/src/intent/CompileIntent.cpp
+++ b/src/intent/CompileIntent.cpp
@@ -41,20 +41,22 @@
 
 private:
   void checkKinds() {
-    if (Merged.empty() && Found.empty())
+    if (Merged.empty() && Found.empty()) {
       report(Found, {ResultCode::IntentEmpty,
                      {},
                      "intent",
                      "no section, expected at least one"});
+    }
     for (const auto &[Id, Section] : Merged) {
-      if (!isKnown(Id.Kind))
+      if (!isKnown(Id.Kind)) {
         report(Found,
                {ResultCode::SectionUnknown, Section.Heading, Id.heading(),
                 "no such kind, expected service, domain, rate, "
                 "organisation, key or route"});
-      else if (Id.Name.empty())
+      } else if (Id.Name.empty()) {
         report(Found, {ResultCode::IniBadHeading, Section.Heading, Id.heading(),
                        "expected a name, such as \"[" + Id.Kind + " NAME]\""});
+      }
     }
   }
 
@@ -135,11 +137,12 @@
       const SectionId Id{"route", R.Name};
       requireKnown(S.Services, Id, "service", R.Service);
       const auto [First, Added] = Seen.try_emplace({R.Method, R.Path}, R.Name);
-      if (!Added && valueOf(Id, "path"))
+      if (!Added && valueOf(Id, "path")) {
         report(Found,
                {ResultCode::RouteAmbiguous, valueOf(Id, "path")->Where,
                 Id.heading() + " path",
                 "same method and path as [route " + First->second + "]"});
+      }
     }
   }
 
