--- /dev/null
+++ b/tests/standins/LoadDriver.h
@@ -0,0 +1,194 @@
+/// \file
+/// Sends requests at a set rate, whether or not earlier ones were answered, and
+/// checks that each answer is whole and belongs to its own request.
+
+#ifndef FESCUEWOOD_TESTS_STANDINS_LOADDRIVER_H
+#define FESCUEWOOD_TESTS_STANDINS_LOADDRIVER_H
+
+#include "standins/Http.h"
+
+#include <chrono>
+#include <list>
+#include <random>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace standins {
+
+/// Requests of one kind from one organisation.
+struct LoadStream {
+  std::string Organisation;
+  std::string Key; ///< Empty on a route open to all.
+  std::string Method = "GET";
+  std::string Path = "/";
+  double PerSecond = 10;
+  int InTimeMs = 500; ///< An answer later than this is late.
+  std::string Fields; ///< Whole lines that end in CRLF.
+};
+
+enum class LoadFault {
+  None,
+  Broken,  ///< The connection ended without an answer.
+  Silent,  ///< No answer within the driver's patience.
+  Foreign, ///< The answer of another request.
+};
+
+/// One request and what came of it.
+struct LoadSample {
+  std::size_t Stream = 0;
+  std::string Mark;
+  double AtMs = 0;      ///< When it was due, from the start of the run.
+  double LatencyMs = 0; ///< From when it was due to its whole answer.
+  int Status = 0;
+  int Code = 0;        ///< Result code of a refusal.
+  std::string Outcome; ///< Of a refusal: not-run, ran or unknown.
+  LoadFault Fault = LoadFault::None;
+
+  bool inTime(const LoadStream &Kind) const {
+    return Status == 200 && Fault == LoadFault::None &&
+           LatencyMs <= Kind.InTimeMs;
+  }
+};
+
+struct LoadOptions {
+  std::vector<std::string> Nodes; ///< "IP:port" of the nodes that callers use.
+  std::vector<LoadStream> Streams;
+  double Seconds = 5;
+  unsigned Seed = 1;
+  int PatienceMs = 15'000; ///< Longest wait for one answer.
+  std::string MarkPrefix = "m";
+};
+
+/// One run of load on an io_context of its own.
+class LoadDriver {
+public:
+  using SteadyClock = std::chrono::steady_clock;
+
+  explicit LoadDriver(LoadOptions Options)
+      : Options(std::move(Options)), Idle(this->Options.Nodes.size()) {}
+
+  /// Runs to the last answer and returns a sample for each request.
+  std::vector<LoadSample> run() {
+    Start = SteadyClock::now();
+    for (std::size_t I = 0; I < Options.Streams.size(); ++I)
+      asio::co_spawn(Context, arrivals(I), asio::detached);
+    Context.run();
+    return std::move(Samples);
+  }
+
+private:
+  struct Connection {
+    explicit Connection(asio::io_context &Context) : Socket(Context) {}
+
+    Tcp::socket Socket;
+    std::string Buffer;
+  };
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  double elapsedMs() const {
+    return std::chrono::duration<double, std::milli>(SteadyClock::now() - Start)
+        .count();
+  }
+
+  /// Poisson arrivals, the same for the same seed.
+  asio::awaitable<void> arrivals(std::size_t Stream) {
+    std::mt19937 Random(Options.Seed * 1000 + static_cast<unsigned>(Stream));
+    std::exponential_distribution<double> Gap(
+        Options.Streams[Stream].PerSecond);
+    double DueSeconds = Gap(Random);
+    asio::steady_timer Timer(Context);
+    for (int Number = 0; DueSeconds < Options.Seconds; ++Number) {
+      Timer.expires_at(Start +
+                       std::chrono::duration_cast<SteadyClock::duration>(
+                           std::chrono::duration<double>(DueSeconds)));
+      co_await Timer.async_wait(asio::use_awaitable);
+      LoadSample Sample;
+      Sample.Stream = Stream;
+      Sample.Mark = Options.MarkPrefix + std::to_string(Options.Seed) + "-" +
+                    std::to_string(Stream) + "-" + std::to_string(Number);
+      Sample.AtMs = DueSeconds * 1000;
+      asio::co_spawn(Context, request(Sample, Random() % Options.Nodes.size()),
+                     asio::detached);
+      DueSeconds += Gap(Random);
+    }
+  }
+
+  asio::awaitable<void> request(LoadSample Sample, std::size_t Node) {
+    const ConnectionPtr Used = take(Node);
+    const auto Timer = std::make_shared<asio::steady_timer>(
+        Context, std::chrono::milliseconds(Options.PatienceMs));
+    bool TimedOut = false;
+    Timer->async_wait([Used, &TimedOut, Timer](const std::error_code &Error) {
+      if (Error)
+        return;
+      TimedOut = true;
+      std::error_code Ignored;
+      Used->Socket.close(Ignored);
+    });
+    try {
+      co_await exchange(*Used, Node, Sample);
+      if (Used->Socket.is_open())
+        Idle[Node].push_back(Used);
+    } catch (const std::exception &) {
+      Sample.Fault = TimedOut ? LoadFault::Silent : LoadFault::Broken;
+    }
+    Timer->cancel();
+    Sample.LatencyMs = elapsedMs() - Sample.AtMs;
+    Samples.push_back(std::move(Sample));
+  }
+
+  ConnectionPtr take(std::size_t Node) {
+    if (Idle[Node].empty())
+      return std::make_shared<Connection>(Context);
+    ConnectionPtr Taken = Idle[Node].back();
+    Idle[Node].pop_back();
+    return Taken;
+  }
+
+  asio::awaitable<void> exchange(Connection &Used, std::size_t Node,
+                                 LoadSample &Sample) {
+    if (!Used.Socket.is_open()) {
+      co_await Used.Socket.async_connect(endpointOf(Options.Nodes[Node]),
+                                         asio::use_awaitable);
+      Used.Socket.set_option(Tcp::no_delay(true));
+    }
+    const LoadStream &Kind = Options.Streams[Sample.Stream];
+    std::string Fields =
+        std::string(MarkField) + ": " + Sample.Mark + "\r\n" + Kind.Fields;
+    if (!Kind.Key.empty())
+      Fields += "X-Api-Key: " + Kind.Key + "\r\n";
+    const std::string Body = Kind.Method == "POST" ? Sample.Mark : "";
+    co_await send(Used.Socket,
+                  requestText(Kind.Method, Kind.Path, Fields, Body));
+    const Message Answer = co_await readMessage(Used.Socket, Used.Buffer);
+    if (Answer.field("connection") == "close")
+      Used.Socket.close();
+    check(Answer, Sample);
+  }
+
+  static void check(const Message &Answer, LoadSample &Sample) {
+    Sample.Status = Answer.status();
+    if (Sample.Status == 200) {
+      const bool Own = Answer.field("x-request-mark") == Sample.Mark &&
+                       Answer.Body.starts_with("mark=" + Sample.Mark + "\n");
+      Sample.Fault = Own ? LoadFault::None : LoadFault::Foreign;
+      return;
+    }
+    const auto Json = nlohmann::json::parse(Answer.Body, nullptr, false);
+    if (!Json.is_object())
+      return;
+    Sample.Code = Json.value("code", 0);
+    Sample.Outcome = Json.value("outcome", "");
+  }
+
+  LoadOptions Options;
+  asio::io_context Context;
+  SteadyClock::time_point Start;
+  std::vector<std::vector<ConnectionPtr>> Idle;
+  std::vector<LoadSample> Samples;
+};
+
+} // namespace standins
+
+#endif // FESCUEWOOD_TESTS_STANDINS_LOADDRIVER_H
--- /dev/null
+++ b/tests/standins/LoadReport.h
@@ -0,0 +1,122 @@
+/// \file
+/// Sums up the samples of a \ref LoadDriver and holds them against the targets'
+/// own record of runs.
+
+#ifndef FESCUEWOOD_TESTS_STANDINS_LOADREPORT_H
+#define FESCUEWOOD_TESTS_STANDINS_LOADREPORT_H
+
+#include "standins/LoadDriver.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+
+namespace standins {
+
+/// How often each mark ran, over all targets.
+using RunRecord = std::map<std::string, int>;
+
+/// The figures of one run of load.
+struct LoadSummary {
+  std::size_t Requests = 0;
+  std::size_t InTime = 0;
+  std::size_t Broken = 0;  ///< No answer: the connection ended or was silent.
+  std::size_t Foreign = 0; ///< Answers of other requests.
+  std::map<std::string, std::size_t> Refused; ///< By outcome.
+  std::map<int, std::size_t> Codes;           ///< Refusals by result code.
+  std::map<std::string, double> InTimeShare;  ///< By organisation.
+  std::string Worst;                          ///< The worst-served one.
+  double P50Ms = 0;                           ///< Of whole answers.
+  double P99Ms = 0;
+  std::size_t Doubled = 0;     ///< Non-idempotent requests that ran twice.
+  std::size_t FalseNotRun = 0; ///< Refused with "not-run", but they ran.
+  std::size_t FalseRan = 0;    ///< Answered with 200, but no run is recorded.
+};
+
+inline double percentile(std::vector<double> Values, double Share) {
+  if (Values.empty())
+    return 0;
+  const auto At =
+      Values.begin() + static_cast<std::ptrdiff_t>(
+                           Share * static_cast<double>(Values.size() - 1));
+  std::nth_element(Values.begin(), At, Values.end());
+  return *At;
+}
+
+inline LoadSummary summarise(const std::vector<LoadStream> &Streams,
+                             const std::vector<LoadSample> &Samples,
+                             const RunRecord &Runs) {
+  LoadSummary Sum;
+  std::vector<double> Latencies;
+  std::map<std::string, std::pair<std::size_t, std::size_t>> ByOrganisation;
+  for (const LoadSample &Sample : Samples) {
+    const LoadStream &Kind = Streams[Sample.Stream];
+    const auto Run = Runs.find(Sample.Mark);
+    const int Times = Run == Runs.end() ? 0 : Run->second;
+    const bool Good = Sample.inTime(Kind);
+    auto &[All, InTime] = ByOrganisation[Kind.Organisation];
+    ++All;
+    ++Sum.Requests;
+    InTime += Good ? 1 : 0;
+    Sum.InTime += Good ? 1 : 0;
+    Sum.Foreign += Sample.Fault == LoadFault::Foreign ? 1 : 0;
+    Sum.Doubled += Kind.Method == "POST" && Times > 1 ? 1 : 0;
+    if (Sample.Status == 200) {
+      Latencies.push_back(Sample.LatencyMs);
+      Sum.FalseRan += Times == 0 ? 1 : 0;
+    } else if (Sample.Status == 0) {
+      ++Sum.Broken;
+    } else {
+      ++Sum.Refused[Sample.Outcome];
+      ++Sum.Codes[Sample.Code];
+      Sum.FalseNotRun += Sample.Outcome == "not-run" && Times > 0 ? 1 : 0;
+    }
+  }
+  double Least = 2;
+  for (const auto &[Name, Counts] : ByOrganisation) {
+    const double Share =
+        static_cast<double>(Counts.second) / static_cast<double>(Counts.first);
+    Sum.InTimeShare[Name] = Share;
+    if (Share < Least) {
+      Least = Share;
+      Sum.Worst = Name;
+    }
+  }
+  Sum.P50Ms = percentile(Latencies, 0.5);
+  Sum.P99Ms = percentile(Latencies, 0.99);
+  return Sum;
+}
+
+inline const char *markdownHead() {
+  return "| Run | Requests | In time | Worst served | p50 ms | p99 ms | Not "
+         "run "
+         "| Ran | Unknown | No answer | Foreign | Doubled | False not-run |\n"
+         "|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
+}
+
+inline std::string markdownRow(const std::string &Name,
+                               const LoadSummary &Sum) {
+  const auto Refused = [&](const char *Outcome) {
+    const auto Found = Sum.Refused.find(Outcome);
+    return Found == Sum.Refused.end() ? 0 : Found->second;
+  };
+  const double Share = Sum.Requests == 0
+                           ? 0
+                           : 100.0 * static_cast<double>(Sum.InTime) /
+                                 static_cast<double>(Sum.Requests);
+  const auto Worst = Sum.InTimeShare.find(Sum.Worst);
+  return fmt::format(
+      "| {} | {} | {:.2f} % | {} {:.2f} % | {:.2f} | {:.2f} | {} | {} | {} | "
+      "{} | {} | {} | {} |\n",
+      Name, Sum.Requests, Share, Sum.Worst,
+      Worst == Sum.InTimeShare.end() ? 0 : 100 * Worst->second, Sum.P50Ms,
+      Sum.P99Ms, Refused("not-run"), Refused("ran"), Refused("unknown"),
+      Sum.Broken, Sum.Foreign, Sum.Doubled, Sum.FalseNotRun);
+}
+
+} // namespace standins
+
+#endif // FESCUEWOOD_TESTS_STANDINS_LOADREPORT_H
