--- /dev/null
+++ b/tests/standins/Mesh.h
@@ -0,0 +1,290 @@
+/// \file
+/// A whole mesh of real processes on loopback addresses: a platform, targets,
+/// nodes, and where asked for a fault proxy in front of each node and target.
+///
+/// Addresses are chosen by the process id, so that runs side by side do not
+/// meet. Everything is ended when the mesh goes out of scope.
+
+#ifndef FESCUEWOOD_TESTS_STANDINS_MESH_H
+#define FESCUEWOOD_TESTS_STANDINS_MESH_H
+
+#include "standins/LoadReport.h"
+#include "standins/Process.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace standins {
+
+/// Instances of one service in one failure domain.
+struct MeshGroup {
+  std::string Service;
+  std::string Domain;
+  int Count = 1;
+  int Slots = 6;
+};
+
+struct MeshOptions {
+  std::string Binaries; ///< The build folder.
+  std::vector<MeshGroup> Groups;
+  std::string Region = "coast";
+  int ColdMs = 0;
+  int LatencyMs = 2;
+  bool PeerProxies = false;   ///< Nodes reach each other through proxies.
+  bool TargetProxies = false; ///< Nodes reach their targets through proxies.
+  std::string Settings;       ///< Further lines of each node's settings.
+  std::map<std::string, std::string> Intent; ///< Files by name.
+};
+
+/// One target, the node beside it, and their proxies.
+struct MeshInstance {
+  std::string Name;
+  std::string Domain;
+  std::string Service;
+  int Slot = 0;
+  int Slots = 6;
+  std::string Ip;
+  std::string Settings; ///< Path of the node's settings.
+  Process Node;
+  Process Target;
+  Process PeerProxy;
+  Process TargetProxy;
+};
+
+class Mesh {
+public:
+  // Ports of every instance, each on an address of its own.
+  enum Port { Callers, Peers, Operators, TargetPort, TargetControl };
+  enum ProxyPort { ForPeers = 5, PeersControl, ForTarget, ForTargetControl };
+
+  explicit Mesh(MeshOptions Given) : Options(std::move(Given)) {
+    std::string Pattern =
+        (std::filesystem::temp_directory_path() / "mesh-XXXXXX").string();
+    Folder = mkdtemp(Pattern.data());
+    std::filesystem::create_directory(Folder + "/intent");
+    std::filesystem::create_directory(Folder + "/state");
+    const int Id = getpid();
+    Net = "127.30." + std::to_string(64 + Id % 190) + ".";
+    BasePort = 10'000 + Id / 190 % 1500 * 10;
+    for (const auto &[Name, Text] : Options.Intent)
+      writeIntent(Name, Text);
+    for (const MeshGroup &Group : Options.Groups)
+      addGroup(Group);
+    writeInstances();
+  }
+
+  ~Mesh() {
+    for (MeshInstance &Each : Instances)
+      Each.Node.end();
+    Instances.clear();
+    Platform.end();
+    std::error_code Ignored;
+    if (!std::getenv("KEEP_MESH"))
+      std::filesystem::remove_all(Folder, Ignored);
+  }
+  Mesh(const Mesh &) = delete;
+  Mesh &operator=(const Mesh &) = delete;
+
+  /// Starts everything and waits until every node serves.
+  void start() {
+    startPlatform();
+    for (MeshInstance &Each : Instances) {
+      startTarget(Each);
+      startNode(Each);
+    }
+    awaitServing();
+  }
+
+  void startPlatform() {
+    Platform =
+        launch("standins/Platform",
+               {"--listen", platformAddress(), "--folder", Folder + "/intent",
+                "--instances", Folder + "/state/instances.json"},
+               "platform");
+  }
+
+  void startTarget(MeshInstance &Each) {
+    Each.Target = launch("standins/Target",
+                         {"--listen", address(Each, TargetPort), "--control",
+                          address(Each, TargetControl), "--slots",
+                          std::to_string(Each.Slots), "--cold_ms",
+                          std::to_string(Options.ColdMs), "--latency_ms",
+                          std::to_string(Options.LatencyMs)},
+                         "target");
+    if (Options.TargetProxies)
+      Each.TargetProxy =
+          launchProxy(Each, ForTarget, TargetPort, ForTargetControl);
+    if (Options.PeerProxies)
+      Each.PeerProxy = launchProxy(Each, ForPeers, Peers, PeersControl);
+  }
+
+  void startNode(MeshInstance &Each) {
+    writeSettings(Each);
+    Each.Node =
+        launch("fescuewood", {"run", "--settings", Each.Settings}, "node");
+  }
+
+  /// Waits until every running node has a version and knows every instance.
+  void awaitServing() {
+    for (MeshInstance &Each : Instances)
+      if (Each.Node.running())
+        await("node serves", [&] { return serving(Each); });
+  }
+
+  /// Waits for a condition; throws when it does not come.
+  static void await(const std::string &What,
+                    const std::function<bool()> &Condition,
+                    std::chrono::seconds Patience = std::chrono::seconds(30)) {
+    const auto End = std::chrono::steady_clock::now() + Patience;
+    while (!Condition()) {
+      if (std::chrono::steady_clock::now() > End)
+        throw std::runtime_error("did not come in time: " + What);
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+  }
+
+  std::string address(const MeshInstance &Each, int Offset) const {
+    return Each.Ip + ":" + std::to_string(BasePort + Offset);
+  }
+
+  std::string platformAddress() const {
+    return Net + "250:" + std::to_string(BasePort);
+  }
+
+  std::vector<std::string> callerAddresses() const {
+    std::vector<std::string> Addresses;
+    for (const MeshInstance &Each : Instances)
+      Addresses.push_back(address(Each, Callers));
+    return Addresses;
+  }
+
+  /// Sends one request to a node; an empty message when there is no answer.
+  Message request(const MeshInstance &To, const std::string &Method,
+                  const std::string &Path, const std::string &Fields) const {
+    try {
+      return ask(address(To, Callers), requestText(Method, Path, Fields, ""));
+    } catch (const std::exception &) {
+      return {};
+    }
+  }
+
+  nlohmann::json targetStats(const MeshInstance &Each,
+                             const std::string &Command = "stats") const {
+    return nlohmann::json::parse(
+        control(address(Each, TargetControl), "/control/" + Command));
+  }
+
+  /// The targets' records together.
+  RunRecord runs() const {
+    RunRecord All;
+    for (const MeshInstance &Each : Instances)
+      for (const auto &[Mark, Times] :
+           targetStats(Each, "runs").get<RunRecord>())
+        All[Mark] += Times;
+    return All;
+  }
+
+  void writeIntent(const std::string &Name, const std::string &Text) const {
+    replaceFile(Folder + "/intent/" + Name, Text);
+  }
+
+  void removeIntent(const std::string &Name) const {
+    std::filesystem::remove(Folder + "/intent/" + Name);
+  }
+
+  /// Publishes the list of instances; those in \p Leaving are named so.
+  void writeInstances(const std::vector<std::string> &Leaving = {}) const {
+    nlohmann::json Rows = nlohmann::json::array();
+    for (const MeshInstance &Each : Instances) {
+      const bool Leaves =
+          std::find(Leaving.begin(), Leaving.end(), Each.Name) != Leaving.end();
+      Rows.push_back(
+          {{"name", Each.Name},
+           {"domain", Each.Domain},
+           {"service", Each.Service},
+           {"slot", Each.Slot},
+           {"peer_address",
+            address(Each, Options.PeerProxies ? int(ForPeers) : int(Peers))},
+           {"state", Leaves ? "leaving" : "live"}});
+    }
+    replaceFile(Folder + "/state/instances.json",
+                nlohmann::json{{"instances", Rows}}.dump());
+  }
+
+  std::vector<MeshInstance> Instances;
+  Process Platform;
+
+private:
+  void addGroup(const MeshGroup &Group) {
+    for (int I = 0; I < Group.Count; ++I) {
+      MeshInstance Each;
+      Each.Domain = Group.Domain;
+      Each.Service = Group.Service;
+      Each.Slot = SlotsUsed[Group.Domain]++;
+      Each.Slots = Group.Slots;
+      Each.Name = fmt::format("{}-{}-{}", Group.Domain, Group.Service, I);
+      Each.Ip = Net + std::to_string(1 + Instances.size());
+      Each.Settings = Folder + "/state/" + Each.Name + ".ini";
+      Instances.push_back(std::move(Each));
+    }
+  }
+
+  void writeSettings(const MeshInstance &Each) const {
+    const int Behind = Options.TargetProxies ? int(ForTarget) : int(TargetPort);
+    std::string Text = fmt::format(
+        "[node]\nname = {}\ndomain = {}\nservice = {}\nslot = {}\naddress = "
+        "{}\n[callers]\nlisten = {}\n[peers]\nlisten = {}\nsecret = "
+        "a-secret-of-this-test-mesh-only\n[target]\naddress = {}\n"
+        "[platform]\nsource = http://{}\n[operators]\nlisten = {}\n",
+        Each.Name, Each.Domain, Each.Service, Each.Slot, Each.Ip,
+        address(Each, Callers), address(Each, Peers), address(Each, Behind),
+        platformAddress(), address(Each, Operators));
+    replaceFile(Each.Settings, Text + Options.Settings);
+  }
+
+  /// Readers see the old file or the new one, never half of it.
+  void replaceFile(const std::string &Path, const std::string &Text) const {
+    const std::string Draft = Folder + "/state/draft";
+    std::ofstream(Draft) << Text;
+    std::filesystem::rename(Draft, Path);
+  }
+
+  Process launch(const std::string &Program, std::vector<std::string> Words,
+                 const std::string &Log) const {
+    Words.insert(Words.begin(), Options.Binaries + "/" + Program);
+    return {Words, Folder + "/state/" + Log + ".log"};
+  }
+
+  Process launchProxy(const MeshInstance &Each, int Listen, int To,
+                      int Control) const {
+    return launch("standins/FaultProxy",
+                  {"--listen", address(Each, Listen), "--to", address(Each, To),
+                   "--control", address(Each, Control)},
+                  "proxy");
+  }
+
+  /// A node that serves knows that this route does not exist.
+  bool serving(const MeshInstance &Each) const {
+    const Message Answer = request(Each, "GET", "/no/such/route", "");
+    const auto Json = nlohmann::json::parse(Answer.Body, nullptr, false);
+    constexpr int RouteUnknown = 500;
+    return Json.is_object() && Json.value("code", 0) == RouteUnknown;
+  }
+
+  MeshOptions Options;
+  std::string Folder;
+  std::string Net;
+  int BasePort = 0;
+  std::map<std::string, int> SlotsUsed;
+};
+
+} // namespace standins
+
+#endif // FESCUEWOOD_TESTS_STANDINS_MESH_H
--- /dev/null
+++ b/tests/standins/Process.h
@@ -0,0 +1,98 @@
+/// \file
+/// A child process for tests: started, signalled by its own id, and never left
+/// behind.
+
+#ifndef FESCUEWOOD_TESTS_STANDINS_PROCESS_H
+#define FESCUEWOOD_TESTS_STANDINS_PROCESS_H
+
+#include <chrono>
+#include <csignal>
+#include <fcntl.h>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+#include <vector>
+
+namespace standins {
+
+class Process {
+public:
+  Process() = default;
+
+  /// Starts a program; what it prints goes to the file \p Output.
+  Process(const std::vector<std::string> &Command, const std::string &Output) {
+    Id = fork();
+    if (Id < 0)
+      throw std::runtime_error("cannot start " + Command.front());
+    if (Id == 0)
+      become(Command, Output);
+  }
+
+  ~Process() { end(); }
+  Process(const Process &) = delete;
+  Process &operator=(const Process &) = delete;
+  Process(Process &&Other) noexcept : Id(std::exchange(Other.Id, 0)) {}
+  Process &operator=(Process &&Other) noexcept {
+    std::swap(Id, Other.Id);
+    return *this;
+  }
+
+  void signal(int Number) const {
+    if (Id > 0)
+      kill(Id, Number);
+  }
+
+  /// The exit code once the process has ended by itself (128 + the signal's
+  /// number when by a signal); nothing when it has not within \p Patience.
+  std::optional<int> wait(std::chrono::seconds Patience) {
+    const auto End = std::chrono::steady_clock::now() + Patience;
+    int Status = 0;
+    while (Id > 0 && waitpid(Id, &Status, WNOHANG) == 0) {
+      if (std::chrono::steady_clock::now() > End)
+        return std::nullopt;
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    Id = 0;
+    return WIFEXITED(Status) ? WEXITSTATUS(Status) : 128 + WTERMSIG(Status);
+  }
+
+  /// Kills the process, if it still runs, and waits for its end.
+  void end() {
+    if (Id <= 0)
+      return;
+    kill(Id, SIGKILL);
+    waitpid(Id, nullptr, 0);
+    Id = 0;
+  }
+
+  bool running() const { return Id > 0 && kill(Id, 0) == 0; }
+  pid_t id() const { return Id; }
+
+private:
+  [[noreturn]] static void become(const std::vector<std::string> &Command,
+                                  const std::string &Output) {
+    // A test that is killed takes its children with it.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int File =
+        open(Output.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    dup2(File, STDOUT_FILENO);
+    dup2(File, STDERR_FILENO);
+    std::vector<char *> Arguments;
+    for (const std::string &Word : Command)
+      Arguments.push_back(const_cast<char *>(Word.c_str()));
+    Arguments.push_back(nullptr);
+    execv(Arguments[0], Arguments.data());
+    _exit(127);
+  }
+
+  pid_t Id = 0;
+};
+
+} // namespace standins
+
+#endif // FESCUEWOOD_TESTS_STANDINS_PROCESS_H
