--- a/tests/standins/FaultProxy.h
+++ b/tests/standins/FaultProxy.h
@@ -125,8 +125,9 @@
           --LoseAnswers;
           break;
         }
-        if (DelayMs > 0)
+        if (DelayMs > 0) {
           co_await sleepFor(std::chrono::milliseconds(DelayMs));
+        }
         co_await asio::async_write(Into, asio::buffer(Bytes.data(), Size),
                                    asio::use_awaitable);
       }
