Read and watch the platform over HTTP or from a folder, and stand in for it

One thread reads and watches; every answer is bounded and checked against its digests before it is handed on, and a revision that was seen is never followed by a lower one. Reads stay inside the node's part of the allowance, failed ones are retried with full jitter up to 5 s. The stand-in serves a folder with rising revisions, counts reads and can be slow, stale, out, silent or torn.

--- a/src/ini/IniReader.cpp
+++ b/src/ini/IniReader.cpp
@@ -126,7 +126,7 @@
     if (Content.empty() || isOneOf(Content.front(), CommentStarts))
       return false;
     if (isOneOf(Text.front(), Blanks))
-      return problem(ResultCode::IniIndentedLine, quoted(Content),
+      return problem(ResultCode::IniIndentedLine, quotedText(Content),
                      "the line starts with a blank; values cannot be "
                      "continued, so start it at the margin");
     return Content.front() == '[' ? acceptHeading(Content)
@@ -142,14 +142,14 @@
     const std::string_view Name = Named ? Inner.substr(Space + 1) : "";
     if (!isIniName(Kind) || (Named && !isIniName(Name))) {
       return problem(
-          ResultCode::IniBadHeading, quoted(Content),
+          ResultCode::IniBadHeading, quotedText(Content),
           fmt::format("expected \"[kind]\" or \"[kind name]\" with nothing "
                       "after it, each {}, at most {} bytes",
                       IniNameForm, MaxIniNameBytes));
     }
     InSection = true;
     if (!Seen.insert({std::string(Kind), std::string(Name)}).second)
-      problem(ResultCode::IniDuplicateSection, quoted(Content),
+      problem(ResultCode::IniDuplicateSection, quotedText(Content),
               "stands twice in this file; put its keys under one heading");
     Sections.push_back(
         IniSection{std::string(Kind), std::string(Name), Line, {}});
@@ -161,15 +161,15 @@
     const std::string_view Name = trimmed(Content.substr(0, Equals));
     if (Equals == std::string_view::npos || !isIniName(Name))
       return problem(
-          ResultCode::IniBadLine, quoted(Content),
+          ResultCode::IniBadLine, quotedText(Content),
           fmt::format("expected \"name = value\" with {}", IniNameForm));
     if (holdsComment(Content.substr(Equals + 1)))
-      return problem(ResultCode::IniInlineComment, quoted(Name),
+      return problem(ResultCode::IniInlineComment, quotedText(Name),
                      "put the comment on a line of its own");
     if (InSection)
       return true;
     if (!SkipEntries)
-      problem(ResultCode::IniBadLine, quoted(Name),
+      problem(ResultCode::IniBadLine, quotedText(Name),
               "stands before any section; expected a heading first");
     return false;
   }
--- a/src/ini/Problem.cpp
+++ b/src/ini/Problem.cpp
@@ -56,7 +56,7 @@
   return Text;
 }
 
-std::string quoted(std::string_view Text) {
+std::string quotedText(std::string_view Text) {
   std::string Shown(Text.substr(0, MaxQuotedBytes));
   std::replace_if(
       Shown.begin(), Shown.end(), [](char C) { return !isPrintable(C); }, '?');
--- a/src/ini/Problem.h
+++ b/src/ini/Problem.h
@@ -52,7 +52,7 @@
 std::string problemsText(const Problems &Found);
 
 /// \p Text in quotes for a message: cut when long, control characters as '?'.
-std::string quoted(std::string_view Text);
+std::string quotedText(std::string_view Text);
 
 } // namespace fescuewood
 
--- a/src/ini/Schema.cpp
+++ b/src/ini/Schema.cpp
@@ -14,8 +14,9 @@
 
 Problem malformedValue(const KeyInfo &Info, std::string_view Title,
                        const SourcedValue &Given) {
-  return {ResultCode::ValueMalformed, Given.Where, keyTitle(Title, Info.Name),
-          fmt::format("found {}, expected {}", quoted(Given.Text), Info.Form)};
+  return {
+      ResultCode::ValueMalformed, Given.Where, keyTitle(Title, Info.Name),
+      fmt::format("found {}, expected {}", quotedText(Given.Text), Info.Form)};
 }
 
 Problem unknownKey(std::span<const KeyInfo> Known, std::string_view Section,
--- a/src/intent/IntentFolder.cpp
+++ b/src/intent/IntentFolder.cpp
@@ -3,8 +3,9 @@
 #include "core/ReadFile.h"
 #include "intent/CompileIntent.h"
 
+#include <sys/stat.h>
+
 #include <algorithm>
-#include <chrono>
 #include <cstdint>
 #include <filesystem>
 #include <system_error>
@@ -18,19 +19,6 @@
 
 namespace fs = std::filesystem;
 
-/// Milliseconds since the Unix epoch, or 0 when the time cannot be read.
-std::uint64_t modifiedMs(const fs::path &Path) {
-  std::error_code Error;
-  const fs::file_time_type Modified = fs::last_write_time(Path, Error);
-  if (Error)
-    return 0;
-  const auto Since =
-      std::chrono::file_clock::to_sys(Modified).time_since_epoch();
-  const auto Ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Since).count();
-  return Ms < 0 ? 0 : static_cast<std::uint64_t>(Ms);
-}
-
 std::nullopt_t unreadable(const std::string &Path, std::string Detail,
                           Problems &Found) {
   report(Found, {ResultCode::FileUnreadable, {Path, 0}, "", std::move(Detail)});
@@ -39,6 +27,25 @@
 
 } // namespace
 
+std::uint64_t changeTimeMs(const std::string &Path) {
+  constexpr std::uint64_t MsPerSecond = 1000;
+  constexpr std::uint64_t NsPerMs = 1000000;
+  struct stat Status {};
+  if (::stat(Path.c_str(), &Status) != 0)
+    return 0;
+  return static_cast<std::uint64_t>(Status.st_ctim.tv_sec) * MsPerSecond +
+         static_cast<std::uint64_t>(Status.st_ctim.tv_nsec) / NsPerMs;
+}
+
+std::uint64_t intentFolderRevision(const std::string &Path) {
+  std::error_code Error;
+  std::uint64_t Newest = changeTimeMs(Path);
+  for (const fs::directory_entry &Entry : fs::directory_iterator(Path, Error))
+    if (isIntentFileName(Entry.path().filename().string()))
+      Newest = std::max(Newest, changeTimeMs(Entry.path().string()));
+  return Newest;
+}
+
 std::optional<IntentFolder> readIntentFolder(const std::string &Path,
                                              Problems &Found) {
   std::error_code Error;
@@ -46,7 +53,7 @@
   if (Error)
     return unreadable(Path, "expected a folder: " + Error.message(), Found);
   IntentFolder Folder;
-  Folder.Bundle.Revision = modifiedMs(Path);
+  Folder.Bundle.Revision = changeTimeMs(Path);
   std::size_t Bytes = 0;
   for (const fs::directory_entry &Entry : Entries) {
     const std::string Name = Entry.path().filename().string();
@@ -67,7 +74,7 @@
           Found);
     }
     Folder.Bundle.Revision =
-        std::max(Folder.Bundle.Revision, modifiedMs(Entry.path()));
+        std::max(Folder.Bundle.Revision, changeTimeMs(Entry.path().string()));
     Folder.Bundle.Files.push_back({Name, std::move(*Text)});
   }
   std::sort(Folder.Bundle.Files.begin(), Folder.Bundle.Files.end(),
--- a/src/intent/MergedIntent.cpp
+++ b/src/intent/MergedIntent.cpp
@@ -45,7 +45,7 @@
     return true;
   report(Found, {ResultCode::IntentFileName,
                  {File.Name, 0},
-                 quoted(File.Name),
+                 quotedText(File.Name),
                  Twice ? "stands twice"
                        : "expected lower-case letters, digits, '.', '_' or "
                          "'-', and \".ini\" at the end"});
--- /dev/null
+++ b/src/platform/PlatformCodec.cpp
@@ -0,0 +1,145 @@
+#include "platform/PlatformCodec.h"
+
+#include "core/Endpoint.h"
+#include "ini/IniReader.h"
+#include "intent/CompileIntent.h"
+
+#include <set>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace fescuewood {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int MaxNesting = 4;
+constexpr std::uint32_t MaxSlot = 65535;
+
+template <typename T>
+PlatformRead<T> refused(ResultCode Code, std::string Why) {
+  return {std::nullopt, Code, std::move(Why)};
+}
+
+template <typename T> PlatformRead<T> malformed(std::string Why) {
+  return refused<T>(ResultCode::PlatformMalformed, std::move(Why));
+}
+
+/// Parses without exceptions. Values that are nested too deeply are dropped
+/// while parsing, which bounds the memory that nonsense can take.
+Json parse(std::string_view Text) {
+  const auto Keep = [](int Depth, Json::parse_event_t, const Json &) {
+    return Depth <= MaxNesting;
+  };
+  return Json::parse(Text, Keep, /*allow_exceptions=*/false);
+}
+
+/// A member of an object, or null when it is not there.
+const Json *member(const Json &Object, const char *Name) {
+  if (!Object.is_object())
+    return nullptr;
+  const auto It = Object.find(Name);
+  return It == Object.end() ? nullptr : &*It;
+}
+
+std::optional<std::string> textMember(const Json &Object, const char *Name) {
+  const Json *Value = member(Object, Name);
+  if (!Value || !Value->is_string())
+    return std::nullopt;
+  return Value->get<std::string>();
+}
+
+std::optional<std::uint64_t> numberMember(const Json &Object,
+                                          const char *Name) {
+  const Json *Value = member(Object, Name);
+  if (!Value || !Value->is_number_unsigned())
+    return std::nullopt;
+  return Value->get<std::uint64_t>();
+}
+
+std::optional<Digest> digestMember(const Json &Object, const char *Name) {
+  const std::optional<std::string> Text = textMember(Object, Name);
+  return Text ? Digest::fromHex(*Text) : std::nullopt;
+}
+
+std::optional<ListedState> parseState(std::string_view Text) {
+  if (Text == "live")
+    return ListedState::Live;
+  if (Text == "leaving")
+    return ListedState::Leaving;
+  return std::nullopt;
+}
+
+std::optional<ListedInstance> decodeInstance(const Json &Row) {
+  const auto Name = textMember(Row, "name");
+  const auto Domain = textMember(Row, "domain");
+  const auto Service = textMember(Row, "service");
+  const auto Slot = numberMember(Row, "slot");
+  const auto Address = textMember(Row, "peer_address");
+  const auto State = parseState(textMember(Row, "state").value_or(""));
+  if (!Name || !Domain || !Service || !Slot || !Address || !State)
+    return std::nullopt;
+  const bool Valid = isIniName(*Name) && isIniName(*Domain) &&
+                     isIniName(*Service) && *Slot <= MaxSlot &&
+                     Endpoint::parse(*Address);
+  if (!Valid)
+    return std::nullopt;
+  return ListedInstance{*Name,    *Domain,
+                        *Service, static_cast<std::uint32_t>(*Slot),
+                        *Address, *State};
+}
+
+} // namespace
+
+PlatformRead<IntentBundle> decodeIntent(std::string_view Text) {
+  const Json Answer = parse(Text);
+  const auto Revision = numberMember(Answer, "revision");
+  const auto Content = digestMember(Answer, "digest");
+  const Json *Files = member(Answer, "files");
+  if (!Revision || !Content || !Files || !Files->is_array())
+    return malformed<IntentBundle>("no revision, digest or files");
+  if (Files->size() > MaxBundleFiles)
+    return refused<IntentBundle>(ResultCode::PlatformTooLarge,
+                                 "too many files");
+  IntentBundle Bundle{*Revision, {}};
+  for (const Json &Row : *Files) {
+    const auto Name = textMember(Row, "name");
+    const auto FileText = textMember(Row, "text");
+    const auto FileDigest = digestMember(Row, "sha256");
+    if (!Name || !FileText || !FileDigest)
+      return malformed<IntentBundle>("a file without name, sha256 or text");
+    if (Digest::of(*FileText) != *FileDigest)
+      return refused<IntentBundle>(ResultCode::PlatformTorn,
+                                   "digest of file " + quotedText(*Name));
+    Bundle.Files.push_back({*Name, *FileText});
+  }
+  if (Bundle.version().Content != *Content)
+    return refused<IntentBundle>(ResultCode::PlatformTorn,
+                                 "digest over all files");
+  return {std::move(Bundle), ResultCode::Ok, ""};
+}
+
+PlatformRead<InstanceList> decodeInstances(std::string_view Text) {
+  const Json Answer = parse(Text);
+  const auto Revision = numberMember(Answer, "revision");
+  const Json *Rows = member(Answer, "instances");
+  if (!Revision || !Rows || !Rows->is_array())
+    return malformed<InstanceList>("no revision or instances");
+  if (Rows->size() > MaxListedInstances)
+    return refused<InstanceList>(ResultCode::PlatformTooLarge,
+                                 "too many instances");
+  InstanceList List{*Revision, {}, 0};
+  std::set<std::string> Seen;
+  for (const Json &Row : *Rows) {
+    std::optional<ListedInstance> Instance = decodeInstance(Row);
+    if (Instance && Seen.insert(Instance->Name).second)
+      List.Instances.push_back(std::move(*Instance));
+    else
+      ++List.RowsLeftOut;
+  }
+  return {std::move(List), ResultCode::Ok, ""};
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/platform/PlatformCodec.h
@@ -0,0 +1,31 @@
+/// \file
+/// The platform's answers, decoded from JSON and checked.
+///
+/// An answer is taken whole or not at all: sizes are bounded, and the digests
+/// in an answer must match its files, so that a torn read is never used.
+
+#ifndef FESCUEWOOD_PLATFORM_PLATFORMCODEC_H
+#define FESCUEWOOD_PLATFORM_PLATFORMCODEC_H
+
+#include "platform/PlatformSource.h"
+
+#include <cstddef>
+#include <string_view>
+
+namespace fescuewood {
+
+/// Largest answer that is read. A version's text may grow in JSON.
+inline constexpr std::size_t MaxAnswerBytes = 4 * 1024 * 1024;
+
+/// Decodes {"revision": N, "digest": HEX, "files": [{"name": S, "sha256": HEX,
+/// "text": S}, ...]}. The digest is that of \ref IntentBundle::version.
+PlatformRead<IntentBundle> decodeIntent(std::string_view Json);
+
+/// Decodes {"revision": N, "instances": [{"name": S, "domain": S, "service":
+/// S, "slot": N, "peer_address": "IP:port", "state": "live"|"leaving"}, ...]}.
+/// Rows that are malformed or name an instance again are left out and counted.
+PlatformRead<InstanceList> decodeInstances(std::string_view Json);
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_PLATFORM_PLATFORMCODEC_H
--- /dev/null
+++ b/src/platform/PlatformReader.cpp
@@ -0,0 +1,49 @@
+#include "platform/PlatformReader.h"
+
+#include <pthread.h>
+
+#include <chrono>
+#include <utility>
+
+namespace fescuewood {
+
+PlatformReader::PlatformReader(PlatformSource Source,
+                               const PlatformSettings &Settings,
+                               PlatformReaderHooks Hooks, std::uint64_t Seed)
+    : Cancel(Source.Cancel), Loop(std::move(Source), Settings, std::move(Hooks),
+                                  Clock::monotonic(), Seed) {}
+
+PlatformReader::~PlatformReader() { stop(); }
+
+void PlatformReader::start() {
+  Thread = std::thread([this] {
+    pthread_setname_np(pthread_self(), "platform");
+    run();
+  });
+}
+
+void PlatformReader::stop() {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Stopping = true;
+  }
+  Changed.notify_all();
+  if (Cancel)
+    Cancel();
+  if (Thread.joinable())
+    Thread.join();
+}
+
+void PlatformReader::run() {
+  while (true) {
+    const DurationMs Pause = Loop.step();
+    std::unique_lock<std::mutex> Lock(Mutex);
+    const bool Stopped =
+        Changed.wait_for(Lock, std::chrono::milliseconds(Pause.Value),
+                         [this] { return Stopping; });
+    if (Stopped)
+      return;
+  }
+}
+
+} // namespace fescuewood
--- a/src/platform/PlatformReader.h
+++ b/src/platform/PlatformReader.h
@@ -8,43 +8,16 @@
 #ifndef FESCUEWOOD_PLATFORM_PLATFORMREADER_H
 #define FESCUEWOOD_PLATFORM_PLATFORMREADER_H
 
-#include "core/Event.h"
 #include "platform/PlatformSource.h"
-#include "policy/ReadAllowance.h"
+#include "platform/ReadLoop.h"
 
-#include <atomic>
+#include <condition_variable>
 #include <cstdint>
-#include <functional>
-#include <memory>
-#include <random>
+#include <mutex>
 #include <thread>
-#include <vector>
 
 namespace fescuewood {
 
-/// What a reader asks of and tells the rest of the process. All are called on
-/// the reader's thread and must not block for long.
-struct PlatformReaderHooks {
-  /// Whether this node is one of the readers now.
-  std::function<bool()> AmReader;
-  /// The revision of the newest version that this node holds, 0 for none.
-  std::function<std::uint64_t()> HeldRevision;
-  /// A whole version that is newer than the one held.
-  std::function<void(IntentBundle)> OnBundle;
-  /// The platform's list of instances, whenever it has changed.
-  std::function<void(std::vector<ListedInstance>)> OnInstances;
-  /// The source has become unreachable (false) or answers again (true).
-  std::function<void(bool Reachable)> OnSourceState;
-  EventHook OnEvent;
-};
-
-/// Counts for metrics; never reset.
-struct PlatformReaderCounts {
-  std::uint64_t Reads = 0;
-  std::uint64_t Failures = 0;
-  std::uint64_t Stale = 0; ///< Answers older than what was already seen.
-};
-
 /// Reads the platform on a thread of its own.
 class PlatformReader {
 public:
@@ -56,15 +29,21 @@
 
   void start();
 
-  /// Cancels a blocked read and joins the thread.
+  /// Cancels a blocked read and joins the thread; at most about a second.
   void stop();
 
   /// From any thread.
-  PlatformReaderCounts counts() const;
+  PlatformReaderCounts counts() const { return Loop.counts(); }
 
 private:
-  class Loop;
-  std::unique_ptr<Loop> State;
+  void run();
+
+  std::function<void()> Cancel;
+  ReadLoop Loop;
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  bool Stopping = false;
+  std::thread Thread;
 };
 
 } // namespace fescuewood
--- a/src/platform/PlatformSource.h
+++ b/src/platform/PlatformSource.h
@@ -24,6 +24,9 @@
 /// Most instances that one list may name.
 inline constexpr std::size_t MaxListedInstances = 8192;
 
+/// Time without any change after which a folder counts as whole.
+inline constexpr DurationMs FolderSettleTime{100};
+
 /// What the platform says of an instance; it lags.
 enum class ListedState : std::uint8_t { Live, Leaving };
 
@@ -43,6 +46,7 @@
 struct InstanceList {
   std::uint64_t Revision = 0;
   std::vector<ListedInstance> Instances;
+  std::size_t RowsLeftOut = 0; ///< Malformed rows, and repeated names.
 };
 
 /// The outcome of one read. Value is empty with Reason Ok when the platform
@@ -72,7 +76,10 @@
 /// The platform behind HTTP; see docs/DESIGN.md for the protocol.
 PlatformSource httpSource(const Endpoint &Server, DurationMs Timeout);
 
-/// A local folder, for trying the product on one machine.
+/// A local folder, for trying the product on one machine: the intent files and
+/// an optional instances.json. A change is read once the folder has been still
+/// for \ref FolderSettleTime. Revisions are the newest change of the folder or
+/// a file in it, so that all processes that read the folder agree on them.
 PlatformSource folderSource(const std::string &Folder);
 
 /// The source that the settings name.
--- /dev/null
+++ b/src/platform/ReadLoop.cpp
@@ -0,0 +1,160 @@
+#include "platform/ReadLoop.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fescuewood {
+
+namespace {
+
+/// How often a node that is no reader asks whether it has become one.
+constexpr DurationMs ReaderCheckPeriod{500};
+
+/// Least time between two reads of the list of instances.
+constexpr DurationMs InstancesPeriod{2000};
+
+/// Bounds of the exponential backoff after failed reads. The greater one is
+/// short enough to find a source that is back well within the 15 s in which a
+/// version has to be in force.
+constexpr DurationMs MinBackoff{500};
+constexpr DurationMs MaxBackoff{5000};
+constexpr unsigned MaxBackoffDoublings = 4;
+
+/// One failed read may be chance; at two in a row the source counts as out.
+constexpr unsigned FailuresUntilOut = 2;
+
+DurationMs backoffBound(unsigned FailuresInARow) {
+  const unsigned Doublings = std::min(FailuresInARow, MaxBackoffDoublings);
+  return std::min(MinBackoff * (std::int64_t{1} << Doublings), MaxBackoff);
+}
+
+} // namespace
+
+ReadLoop::ReadLoop(PlatformSource Source, const PlatformSettings &Settings,
+                   PlatformReaderHooks Hooks, Clock Time, std::uint64_t Seed)
+    : Source(std::move(Source)), Settings(Settings), Hooks(std::move(Hooks)),
+      Time(std::move(Time)), Random(Seed),
+      Allowance(Settings.FleetReadsPerSecond, Settings.FleetNodes,
+                this->Time.now()) {
+  // A fleet that starts at once spreads its first reads over a window.
+  NextAttempt = this->Time.now() + jitter(Allowance.window());
+}
+
+DurationMs ReadLoop::step() {
+  if (!isReader())
+    return ReaderCheckPeriod;
+  const TimeMs Now = Time.now();
+  const TimeMs Due = std::max(NextAttempt, Allowance.nextRead(Now));
+  if (Due > Now)
+    return Due - Now;
+  if (!Allowance.take(Now))
+    return Allowance.window();
+  ++Reads;
+  // The list comes first after a start: a node that sees the others learns that
+  // it need not read the intent at all.
+  if (Now >= NextInstances)
+    readInstances();
+  else
+    readIntent();
+  return DurationMs(0);
+}
+
+PlatformReaderCounts ReadLoop::counts() const {
+  return {Reads.load(), Failures.load(), Stale.load()};
+}
+
+bool ReadLoop::isReader() const { return !Hooks.AmReader || Hooks.AmReader(); }
+
+void ReadLoop::readIntent() {
+  // A version that was refused is not held, yet must not be read again.
+  const std::uint64_t Held = Hooks.HeldRevision ? Hooks.HeldRevision() : 0;
+  const std::uint64_t After = std::max(SeenIntent, Held);
+  PlatformRead<IntentBundle> Read =
+      Source.ReadIntent(After, Settings.WatchWait);
+  if (Read.Reason != ResultCode::Ok)
+    return failed(Read.Reason, Read.Detail);
+  succeeded();
+  if (Read.Value)
+    judge(std::move(*Read.Value), After);
+}
+
+void ReadLoop::readInstances() {
+  NextInstances = Time.now() + InstancesPeriod;
+  PlatformRead<InstanceList> Read = Source.ReadInstances(SeenInstances);
+  if (Read.Reason != ResultCode::Ok)
+    return failed(Read.Reason, Read.Detail);
+  succeeded();
+  if (Read.Value)
+    judge(std::move(*Read.Value));
+}
+
+void ReadLoop::judge(IntentBundle Bundle, std::uint64_t After) {
+  if (Bundle.Revision <= After) {
+    ++Stale;
+    return emit(
+        EventId::PlatformAnsweredStale,
+        {{"version", std::to_string(Bundle.Revision)},
+         {"reason", "at least " + std::to_string(After) + " is known"}});
+  }
+  SeenIntent = Bundle.Revision;
+  emit(EventId::PlatformVersionRead,
+       {{"version", std::to_string(Bundle.Revision)}});
+  if (Hooks.OnBundle)
+    Hooks.OnBundle(std::move(Bundle));
+}
+
+void ReadLoop::judge(InstanceList List) {
+  if (List.Revision <= SeenInstances) {
+    ++Stale;
+    return emit(EventId::PlatformAnsweredStale,
+                {{"reason", "list of instances"}});
+  }
+  SeenInstances = List.Revision;
+  if (List.RowsLeftOut > 0)
+    emit(EventId::PlatformRowsLeftOut,
+         {{"reason", std::to_string(List.RowsLeftOut) + " rows"}});
+  if (Hooks.OnInstances)
+    Hooks.OnInstances(std::move(List.Instances));
+}
+
+void ReadLoop::succeeded() {
+  FailuresInARow = 0;
+  LastFailure = ResultCode::Ok;
+  if (Reachable)
+    return;
+  Reachable = true;
+  emit(EventId::PlatformBack);
+  if (Hooks.OnSourceState)
+    Hooks.OnSourceState(true);
+}
+
+void ReadLoop::failed(ResultCode Reason, const std::string &Detail) {
+  if (Reason == ResultCode::Stopped)
+    return;
+  ++Failures;
+  // An outage of hours is one event for each new reason, not one per read.
+  if (Reason != LastFailure)
+    emit(EventId::PlatformReadFailed,
+         {{"reason", std::string(resultName(Reason)) + ": " + Detail}});
+  LastFailure = Reason;
+  NextAttempt = Time.now() + jitter(backoffBound(FailuresInARow));
+  ++FailuresInARow;
+  if (!Reachable || FailuresInARow < FailuresUntilOut)
+    return;
+  Reachable = false;
+  emit(EventId::PlatformOut);
+  if (Hooks.OnSourceState)
+    Hooks.OnSourceState(false);
+}
+
+DurationMs ReadLoop::jitter(DurationMs Most) {
+  std::uniform_int_distribution<std::int64_t> Spread(0, Most.Value);
+  return DurationMs(Spread(Random));
+}
+
+void ReadLoop::emit(EventId Id, std::vector<EventField> Fields) const {
+  if (Hooks.OnEvent)
+    Hooks.OnEvent({Id, std::move(Fields)});
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/platform/ReadLoop.h
@@ -0,0 +1,91 @@
+/// \file
+/// One step after the other of reading and watching the platform.
+///
+/// The owner calls \ref ReadLoop::step and waits for as long as it says. A step
+/// makes at most one read.
+
+#ifndef FESCUEWOOD_PLATFORM_READLOOP_H
+#define FESCUEWOOD_PLATFORM_READLOOP_H
+
+#include "core/Clock.h"
+#include "core/Event.h"
+#include "platform/PlatformSource.h"
+#include "policy/ReadAllowance.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace fescuewood {
+
+/// What a reader asks of and tells the rest of the process. All are called on
+/// the reader's thread and must not block for long. Any may be empty.
+struct PlatformReaderHooks {
+  /// Whether this node is one of the readers now; empty for always.
+  std::function<bool()> AmReader;
+  /// The revision of the newest version that this node holds, 0 for none.
+  std::function<std::uint64_t()> HeldRevision;
+  /// A whole version that is newer than the one held and than any given before.
+  std::function<void(IntentBundle)> OnBundle;
+  /// The platform's list of instances, whenever it has changed.
+  std::function<void(std::vector<ListedInstance>)> OnInstances;
+  /// The source has become unreachable (false) or answers again (true).
+  std::function<void(bool Reachable)> OnSourceState;
+  EventHook OnEvent;
+};
+
+/// Counts for metrics; never reset.
+struct PlatformReaderCounts {
+  std::uint64_t Reads = 0;
+  std::uint64_t Failures = 0;
+  std::uint64_t Stale = 0; ///< Answers older than what was already seen.
+};
+
+/// Decides when to read what, and judges the answers. Owned by one thread,
+/// but for \ref counts.
+class ReadLoop {
+public:
+  ReadLoop(PlatformSource Source, const PlatformSettings &Settings,
+           PlatformReaderHooks Hooks, Clock Time, std::uint64_t Seed);
+
+  /// Makes at most one read and returns the time until the next step.
+  DurationMs step();
+
+  /// From any thread.
+  PlatformReaderCounts counts() const;
+
+private:
+  bool isReader() const;
+  void readIntent();
+  void readInstances();
+  void judge(IntentBundle Bundle, std::uint64_t After);
+  void judge(InstanceList List);
+  void succeeded();
+  void failed(ResultCode Reason, const std::string &Detail);
+  DurationMs jitter(DurationMs Most);
+  void emit(EventId Id, std::vector<EventField> Fields = {}) const;
+
+  PlatformSource Source;
+  PlatformSettings Settings;
+  PlatformReaderHooks Hooks;
+  Clock Time;
+  std::mt19937_64 Random;
+  ReadAllowance Allowance;
+  TimeMs NextAttempt;
+  TimeMs NextInstances;
+  std::uint64_t SeenIntent = 0;
+  std::uint64_t SeenInstances = 0;
+  unsigned FailuresInARow = 0;
+  ResultCode LastFailure = ResultCode::Ok;
+  bool Reachable = true;
+  std::atomic<std::uint64_t> Reads = 0;
+  std::atomic<std::uint64_t> Failures = 0;
+  std::atomic<std::uint64_t> Stale = 0;
+};
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_PLATFORM_READLOOP_H
--- /dev/null
+++ b/tests/standins/PlatformMain.cpp
@@ -0,0 +1,373 @@
+/// \file
+/// Stand-in for the platform: serves an intent folder and a list of instances
+/// with rising revisions, counts reads, and can be slow, stale, out or torn.
+///
+///   GET /v1/intent?after=REV&wait_ms=N   200, or 204 when nothing is newer
+///   GET /v1/instances?after=REV          the same
+///   GET /stats[?reset=1]                 counts of reads as JSON
+///   GET /control?NAME=VALUE&...          any of the faults in \ref Faults
+///
+/// Prints "listening IP:port" once it accepts connections.
+
+#include "core/Clock.h"
+#include "core/Endpoint.h"
+#include "core/ReadFile.h"
+#include "intent/IntentFolder.h"
+#include "platform/PlatformCodec.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <asio.hpp>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+DEFINE_string(listen, "127.0.0.1:0", "IP:port to listen on; port 0 for any");
+DEFINE_string(folder, "", "folder of intent files to serve");
+DEFINE_string(instances, "", "JSON file with {\"instances\": [...]} to serve");
+
+using namespace fescuewood;
+using asio::ip::tcp;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::size_t MaxRequestBytes = 16 * 1024;
+constexpr std::size_t MaxHistory = 256;
+constexpr DurationMs LookPeriod{20};
+constexpr DurationMs StatsWindow{1000};
+
+/// What /control sets; a name that is not given stays as it is.
+struct Faults {
+  std::int64_t SlowMs = 0;        ///< slow_ms: delays every answer.
+  std::uint64_t StaleAt = 0;      ///< stale: newest revision shown; 0 for all.
+  std::int64_t InstanceLagMs = 0; ///< lag_ms: age at which a list is shown.
+  bool Out = false;               ///< out: closes connections unanswered.
+  bool Silent = false;            ///< silent: accepts and never answers.
+  bool Torn = false;              ///< torn: a file that misses its digest.
+  bool Refusing = false;          ///< refusing: answers with status 500.
+  bool Garbled = false;           ///< garbled: answers with half a JSON text.
+};
+
+struct Request {
+  std::string Path;
+  std::map<std::string, std::string> Query;
+
+  std::uint64_t number(const std::string &Name) const {
+    const auto It = Query.find(Name);
+    return It == Query.end() ? 0
+                             : std::strtoull(It->second.c_str(), nullptr, 10);
+  }
+};
+
+struct Answer {
+  int Status = 200;
+  std::string Body;
+};
+
+Request parseRequest(std::string_view Head) {
+  Request R;
+  const std::size_t Start = Head.find(' ') + 1;
+  const std::string_view Target =
+      Head.substr(Start, Head.find(' ', Start) - Start);
+  const std::size_t Mark = Target.find('?');
+  R.Path = std::string(Target.substr(0, Mark));
+  std::string_view Query =
+      Mark == std::string_view::npos ? "" : Target.substr(Mark + 1);
+  while (!Query.empty()) {
+    const std::string_view Pair = Query.substr(0, Query.find('&'));
+    Query.remove_prefix(std::min(Pair.size() + 1, Query.size()));
+    const std::size_t Equals = Pair.find('=');
+    if (Equals != std::string_view::npos)
+      R.Query[std::string(Pair.substr(0, Equals))] =
+          std::string(Pair.substr(Equals + 1));
+  }
+  return R;
+}
+
+std::string encodeIntent(const IntentBundle &Bundle, bool Torn) {
+  Json Files = Json::array();
+  for (const IntentFile &F : Bundle.Files)
+    Files.push_back({{"name", F.Name},
+                     {"sha256", Digest::of(F.Text).hex()},
+                     {"text", F.Text}});
+  if (Torn && !Files.empty())
+    Files[0]["text"] = Files[0]["text"].get<std::string>() + "; torn\n";
+  const Json Whole{{"revision", Bundle.Revision},
+                   {"digest", Bundle.version().Content.hex()},
+                   {"files", std::move(Files)}};
+  return Whole.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+/// Reads by path and the most in any window of a second.
+class ReadCounts {
+public:
+  void add(const std::string &Path, TimeMs Now) {
+    ++ByPath[Path];
+    Recent.push_back(Now);
+    while (Recent.front() + StatsWindow <= Now)
+      Recent.pop_front();
+    Peak = std::max(Peak, Recent.size());
+  }
+
+  Json json() const {
+    std::uint64_t Total = 0;
+    for (const auto &[Path, Count] : ByPath)
+      Total += Count;
+    return {{"by_path", ByPath}, {"total", Total}, {"peak_per_second", Peak}};
+  }
+
+private:
+  std::map<std::string, std::uint64_t> ByPath;
+  std::deque<TimeMs> Recent;
+  std::size_t Peak = 0;
+};
+
+/// What is published, and the faults with which it is answered.
+class Platform {
+public:
+  /// Takes up what has changed in the folder and the list.
+  void look() {
+    const auto Now = static_cast<std::uint64_t>(Wall.now().Value);
+    lookAtIntent(Now);
+    lookAtInstances(Now);
+  }
+
+  /// The answer to a request, or nothing while a watch has to wait.
+  std::optional<Answer> answer(const Request &R, bool LastTry) {
+    if (R.Path == "/v1/intent")
+      return intent(R, LastTry);
+    if (R.Path == "/v1/instances")
+      return instances(R);
+    if (R.Path == "/stats")
+      return stats(R);
+    if (R.Path == "/control")
+      return control(R);
+    return Answer{404, "{}"};
+  }
+
+  void count(const std::string &Path) { Counts.add(Path, Monotonic.now()); }
+
+  const Faults &faults() const { return Present; }
+
+private:
+  void lookAtIntent(std::uint64_t Now) {
+    const std::uint64_t Revision = intentFolderRevision(FLAGS_folder);
+    const std::uint64_t Newest =
+        Versions.empty() ? 0 : Versions.rbegin()->first;
+    const auto Settle = static_cast<std::uint64_t>(FolderSettleTime.Value);
+    if (Revision <= Newest || Revision + Settle > Now)
+      return;
+    Problems Found;
+    std::optional<IntentFolder> Read = readIntentFolder(FLAGS_folder, Found);
+    if (!Read || Read->Bundle.Revision != Revision)
+      return;
+    Versions.emplace(Revision, std::move(Read->Bundle));
+    if (Versions.size() > MaxHistory)
+      Versions.erase(Versions.begin());
+  }
+
+  void lookAtInstances(std::uint64_t Now) {
+    const std::uint64_t Revision = changeTimeMs(FLAGS_instances);
+    const auto Lag = static_cast<std::uint64_t>(
+        std::max(FolderSettleTime.Value, Present.InstanceLagMs));
+    if (Revision <= ListRevision || Revision + Lag > Now)
+      return;
+    const auto Text = readFile(FLAGS_instances, MaxAnswerBytes);
+    Json Parsed = Json::parse(Text.value_or(""), nullptr, false);
+    if (!Parsed.is_object())
+      return;
+    Parsed["revision"] = Revision;
+    List = Parsed.dump();
+    ListRevision = Revision;
+  }
+
+  std::optional<Answer> intent(const Request &R, bool LastTry) {
+    const auto Shown = Present.StaleAt == 0
+                           ? Versions.end()
+                           : Versions.upper_bound(Present.StaleAt);
+    const bool None = Shown == Versions.begin();
+    if (!None && std::prev(Shown)->first > R.number("after"))
+      return Answer{200, encodeIntent(std::prev(Shown)->second, Present.Torn)};
+    if (!LastTry)
+      return std::nullopt;
+    return Answer{204, ""};
+  }
+
+  Answer instances(const Request &R) {
+    if (ListRevision > R.number("after"))
+      return {200, List};
+    return {204, ""};
+  }
+
+  Answer stats(const Request &R) {
+    Json Whole = Counts.json();
+    Whole["revision"] = Versions.empty() ? 0 : Versions.rbegin()->first;
+    if (R.number("reset") != 0)
+      Counts = ReadCounts();
+    return {200, Whole.dump()};
+  }
+
+  Answer control(const Request &R) {
+    const std::map<std::string, bool *> Switches{
+        {"out", &Present.Out},
+        {"silent", &Present.Silent},
+        {"torn", &Present.Torn},
+        {"refusing", &Present.Refusing},
+        {"garbled", &Present.Garbled}};
+    for (const auto &[Name, Text] : R.Query) {
+      const std::uint64_t Value = R.number(Name);
+      if (const auto It = Switches.find(Name); It != Switches.end())
+        *It->second = Value != 0;
+      else if (Name == "slow_ms")
+        Present.SlowMs = static_cast<std::int64_t>(Value);
+      else if (Name == "lag_ms")
+        Present.InstanceLagMs = static_cast<std::int64_t>(Value);
+      else if (Name == "stale")
+        Present.StaleAt = Value;
+      else
+        return {404, "{\"unknown\": \"" + Name + "\"}"};
+    }
+    return {200, "{}"};
+  }
+
+  const Clock Monotonic = Clock::monotonic();
+  const Clock Wall = Clock::wall();
+  std::map<std::uint64_t, IntentBundle> Versions;
+  std::string List = "{}";
+  std::uint64_t ListRevision = 0;
+  Faults Present;
+  ReadCounts Counts;
+};
+
+/// One connection: a request at a time until the peer closes.
+class Session : public std::enable_shared_from_this<Session> {
+public:
+  Session(tcp::socket Accepted, Platform &Served)
+      : Socket(std::move(Accepted)), Timer(Socket.get_executor()),
+        Served(Served) {}
+
+  void read() {
+    asio::async_read_until(
+        Socket, asio::dynamic_buffer(Input, MaxRequestBytes), "\r\n\r\n",
+        [Self = shared_from_this()](const asio::error_code &Error,
+                                    std::size_t Bytes) {
+          if (!Error)
+            Self->handle(Bytes);
+        });
+  }
+
+private:
+  void handle(std::size_t Bytes) {
+    Asked = parseRequest(std::string_view(Input).substr(0, Bytes));
+    Input.erase(0, Bytes);
+    IsRead = Asked.Path.starts_with("/v1/");
+    if (IsRead)
+      Served.count(Asked.Path);
+    if (IsRead && Served.faults().Out)
+      return Socket.close();
+    if (IsRead && Served.faults().Silent)
+      return waitWhileSilent();
+    Until = Monotonic.now() +
+            DurationMs(static_cast<std::int64_t>(Asked.number("wait_ms")));
+    wait(DurationMs(IsRead ? Served.faults().SlowMs : 0),
+         [Self = shared_from_this()] { Self->tryToAnswer(); });
+  }
+
+  /// Holds the connection open without a word until the fault is over.
+  void waitWhileSilent() {
+    if (!Served.faults().Silent)
+      return Socket.close();
+    wait(LookPeriod, [Self = shared_from_this()] { Self->waitWhileSilent(); });
+  }
+
+  void tryToAnswer() {
+    const bool LastTry = Monotonic.now() >= Until;
+    std::optional<Answer> Found = Served.answer(Asked, LastTry);
+    if (Found)
+      return write(std::move(*Found));
+    wait(LookPeriod, [Self = shared_from_this()] { Self->tryToAnswer(); });
+  }
+
+  void write(Answer A) {
+    if (IsRead && Served.faults().Refusing)
+      A = {500, "{}"};
+    if (IsRead && Served.faults().Garbled)
+      A.Body.resize(A.Body.size() / 2);
+    Output = fmt::format(
+        "HTTP/1.1 {} Answer\r\nContent-Type: application/json\r\n", A.Status);
+    if (A.Status != 204)
+      Output += fmt::format("Content-Length: {}\r\n", A.Body.size());
+    Output += "\r\n" + A.Body;
+    asio::async_write(Socket, asio::buffer(Output),
+                      [Self = shared_from_this()](const asio::error_code &Error,
+                                                  std::size_t) {
+                        if (!Error)
+                          Self->read();
+                      });
+  }
+
+  template <typename Function> void wait(DurationMs Span, Function Then) {
+    Timer.expires_after(std::chrono::milliseconds(Span.Value));
+    Timer.async_wait(
+        [Then = std::move(Then)](const asio::error_code &Error) mutable {
+          if (!Error)
+            Then();
+        });
+  }
+
+  tcp::socket Socket;
+  asio::steady_timer Timer;
+  Platform &Served;
+  const Clock Monotonic = Clock::monotonic();
+  std::string Input;
+  std::string Output;
+  Request Asked;
+  bool IsRead = false;
+  TimeMs Until;
+};
+
+void acceptNext(tcp::acceptor &Acceptor, Platform &Served) {
+  Acceptor.async_accept(
+      [&Acceptor, &Served](const asio::error_code &Error, tcp::socket Socket) {
+        if (!Error)
+          std::make_shared<Session>(std::move(Socket), Served)->read();
+        acceptNext(Acceptor, Served);
+      });
+}
+
+void lookAgain(asio::steady_timer &Timer, Platform &Served) {
+  Served.look();
+  Timer.expires_after(std::chrono::milliseconds(LookPeriod.Value));
+  Timer.async_wait([&](const asio::error_code &) { lookAgain(Timer, Served); });
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  const std::optional<Endpoint> Where = Endpoint::parse(FLAGS_listen);
+  if (!Where) {
+    std::fprintf(stderr, "--listen: expected IP:port\n");
+    return EXIT_FAILURE;
+  }
+  asio::io_context Context(1);
+  Platform Served;
+  tcp::acceptor Acceptor(
+      Context, tcp::endpoint(asio::ip::make_address(Where->Ip), Where->Port));
+  asio::steady_timer Timer(Context);
+  lookAgain(Timer, Served);
+  acceptNext(Acceptor, Served);
+  std::printf("listening %s:%u\n", Where->Ip.c_str(),
+              static_cast<unsigned>(Acceptor.local_endpoint().port()));
+  std::fflush(stdout);
+  Context.run();
+  return EXIT_SUCCESS;
+}
