Wait in a drain for requests that are still being received

A drain that only counted whole requests cut one whose body was on its way: unanswered() was 0 between the end of accepting and the last byte. It now counts open connections, and idle ones are closed after a grace, unless bytes wait to be read.

--- a/src/callers/CallerServer.h
+++ b/src/callers/CallerServer.h
@@ -72,12 +72,14 @@
   /// The port that is listened on, once started.
   std::uint16_t port() const;
 
-  /// Refuses new connections, closes idle ones and ends the others after the
-  /// answer under way (`Connection: close`). Requests already begun are still
-  /// served. From any thread; returns at once.
+  /// Refuses new connections, closes idle ones after the grace and ends the
+  /// others after the answer under way (`Connection: close`). Requests that
+  /// arrive until then are still served. From any thread; returns at once.
   void stopAccepting();
 
-  /// Requests given to the hook whose answers are not wholly written yet.
+  /// Requests given to the hook whose answers are not wholly written yet. In a
+  /// drain also each connection that is still open, since a request may be
+  /// under way on it; 0 then means that nothing is left.
   std::size_t unanswered() const;
 
   /// Closes everything and joins the thread. Answers not written are lost, so
--- a/src/callers/CallerServerCore.cpp
+++ b/src/callers/CallerServerCore.cpp
@@ -74,8 +74,11 @@
 
 void ConnectionListener::state_changed(
     const restinio::connection_state::notice_t &Notice) {
-  if (restinio::holds_alternative<restinio::connection_state::closed_t>(
-          Notice.cause()))
+  using restinio::connection_state::accepted_t;
+  using restinio::connection_state::closed_t;
+  if (restinio::holds_alternative<accepted_t>(Notice.cause()))
+    Core.connectionOpened(Notice.connection_id());
+  if (restinio::holds_alternative<closed_t>(Notice.cause()))
     Core.connectionClosed(Notice.connection_id());
 }
 
@@ -202,7 +205,15 @@
       [&](const auto &Entry) { return Entry.second.Connection == Connection; });
 }
 
+void CallerServerCore::connectionOpened(restinio::connection_id_t Connection) {
+  Open.insert(Connection);
+  OpenConnections = Open.size();
+}
+
 void CallerServerCore::connectionClosed(restinio::connection_id_t Connection) {
+  // RESTinio may tell of the same end twice.
+  Open.erase(Connection);
+  OpenConnections = Open.size();
   std::vector<std::uint64_t> Gone;
   for (const auto &[Number, Request] : Pending)
     if (Request.Connection == Connection)
@@ -232,9 +243,17 @@
         {EventId::CallRefused, {{"reason", std::string(resultName(Reason))}}});
 }
 
+std::size_t CallerServerCore::unanswered() const {
+  if (!Draining)
+    return Unanswered;
+  return std::max(Unanswered.load(), OpenConnections.load()) +
+         (InGrace ? 1 : 0);
+}
+
 void CallerServerCore::stopAccepting() {
+  InGrace = true;
+  Draining = true;
   asio::post(Context, [this] {
-    Draining = true;
     closeAcceptor();
     closeIdleAfterGrace();
   });
@@ -250,8 +269,13 @@
 void CallerServerCore::closeIdleAfterGrace() {
   GraceTimer.expires_after(chronoSpan(Options.DrainGrace));
   GraceTimer.async_wait([this](const std::error_code &Error) {
-    if (!Error)
-      asio::use_service<ConnectionRegistry>(Context).closeIdle();
+    if (Error)
+      return;
+    asio::use_service<ConnectionRegistry>(Context).closeIdle();
+    InGrace = false;
+    // A connection that was busy now may be idle the next time.
+    if (OpenConnections > 0)
+      closeIdleAfterGrace();
   });
 }
 
@@ -262,7 +286,10 @@
     closeAcceptor();
     GraceTimer.cancel();
     Pending.clear();
+    Open.clear();
     Unanswered = 0;
+    OpenConnections = 0;
+    InGrace = false;
     asio::use_service<ConnectionRegistry>(Context).closeAll();
     Work.reset();
   });
--- a/src/callers/CallerServerCore.h
+++ b/src/callers/CallerServerCore.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <thread>
 
 #include <restinio/all.hpp>
@@ -71,7 +72,7 @@
   bool start();
   std::uint16_t port() const { return Port; }
   void stopAccepting();
-  std::size_t unanswered() const { return Unanswered; }
+  std::size_t unanswered() const;
   void stop();
   ResultCode lastReason() const { return LastReason; }
 
@@ -96,6 +97,7 @@
   AnswerHook answerHook(std::uint64_t Number);
   void answer(std::uint64_t Number, CallAnswer Answer);
   bool lastOfConnection(std::uint64_t Number) const;
+  void connectionOpened(restinio::connection_id_t Connection);
   void connectionClosed(restinio::connection_id_t Connection);
   bool busy(const asio::ip::tcp::endpoint &Caller) const;
   void forget(std::uint64_t Number);
@@ -110,6 +112,9 @@
   ResultCode LastReason = ResultCode::Ok;
   std::uint16_t Port = 0;
   std::atomic<std::size_t> Unanswered = 0;
+  std::atomic<std::size_t> OpenConnections = 0;
+  std::atomic<bool> Draining = false;
+  std::atomic<bool> InGrace = false;
 
   asio::io_context Context{1};
   asio::steady_timer GraceTimer{Context};
@@ -117,8 +122,8 @@
       Work;
   std::unique_ptr<Server> Http;
   std::map<std::uint64_t, PendingRequest> Pending;
+  std::set<restinio::connection_id_t> Open;
   std::uint64_t LastNumber = 0;
-  bool Draining = false;
   std::thread Thread;
 };
 
--- a/src/callers/GuardedSocket.cpp
+++ b/src/callers/GuardedSocket.cpp
@@ -38,9 +38,10 @@
 
 void ConnectionRegistry::closeIdle() {
   for (GuardedConnection *Connection : Connections) {
-    if (Connection->Guard.inRequest() || Connection->busy())
-      continue;
     std::error_code Ignored;
+    const bool Unread = Connection->Socket.available(Ignored) > 0;
+    if (Connection->Guard.inRequest() || Connection->busy() || Unread)
+      continue;
     Connection->Socket.shutdown(asio::socket_base::shutdown_receive, Ignored);
   }
 }
--- a/tests/callers/CallerServerTest.cpp
+++ b/tests/callers/CallerServerTest.cpp
@@ -104,7 +104,7 @@
     Options.Address = "127.30.0.2";
     Options.MaxHeaderBytes = 2000;
     Options.MaxBodyBytes = 5000;
-    Options.DrainGrace = DurationMs(0);
+    Options.DrainGrace = DurationMs(20);
     return Options;
   }
 
@@ -242,6 +242,7 @@
   Server.stopAccepting();
 
   CHECK(Idle.ended());
+  CHECK(Server.unanswered() >= 2);
   CHECK_THROWS(std::system_error, Caller(Server.port()));
   Half.send("dy");
   CHECK(eventually([&] { return held() == 3; }));
@@ -252,6 +253,7 @@
   STRCMP_EQUAL("close", Answer.field("connection").c_str());
   CHECK(Busy.ended());
   STRCMP_EQUAL("too", Half.receive().Body.c_str());
+  CHECK(Half.ended());
   CHECK(eventually([&] { return Server.unanswered() == 0; }));
 }
 
