Hold the promises of calls over whole runs in virtual time

Several nodes' call cores run in one thread against a network that loses, delays, doubles and reorders, with pauses, crashes, restarts and silent connections. The property found a request that ran twice: a doubled message whose second copy reached the node's next process. A request that must not run twice is now bound to the incarnation of the node, which the entry node asks for at first contact. It also found answers later than the deadline and its grace; every step is now capped by it.

--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -64,7 +64,7 @@
     return;
   const auto Decoded = Reply.Body ? decodeCallReply(*Reply.Body) : std::nullopt;
   if (Decoded) {
-    hear(*Decoded, *Call->Present, Route);
+    hear(*Decoded, Reply.From, *Call->Present, Route);
     onReply(Handle, *Call, *Decoded);
     return;
   }
@@ -80,23 +80,47 @@
     return;
   Call->Present->Asking = false;
   const auto Decoded = Reply.Body ? decodeCallReply(*Reply.Body) : std::nullopt;
+  if (Decoded)
+    hear(*Decoded, Reply.From, *Call->Present, Route);
+  if (Call->Present->Greeting) {
+    onGreeted(Handle, *Call, Decoded.has_value());
+    return;
+  }
   if (!Decoded) {
     onNoReply(Handle, *Call);
     return;
   }
-  hear(*Decoded, *Call->Present, Route);
   Call->Present->Unanswered = 0;
   onReply(Handle, *Call, *Decoded);
 }
 
-void EntrySide::hear(const CallReply &Reply, const Attempt &From,
-                     PeerRoute Route) {
+void EntrySide::onGreeted(CallHandle Handle, EntryCall &Call, bool Answered) {
+  Attempt &Present = *Call.Present;
+  if (Answered) {
+    Present.Greeting = false;
+    sendStart(Handle, Call);
+    return;
+  }
+  // Nothing was sent that could run. The connection may be at fault.
+  Link &Known = Links[Present.Address];
+  const TimeMs Now = Context.now();
+  if (Known.FreshUntil > Now)
+    Targets.onSilent(Present.Target, Now);
+  Known.FreshUntil = Now + FreshConnectionTime;
+  onRefused(Handle, Call, ResultCode::TargetUnreachable);
+}
+
+void EntrySide::hear(const CallReply &Reply, const PeerIdentity &Sender,
+                     const Attempt &From, PeerRoute Route) {
   const TimeMs Now = Context.now();
   Targets.onLoad(From.Target, loadOf(Reply.Load), Now);
   Context.Guard.merge(Reply.Marks, Now);
-  if (Route != PeerRoute::Reuse || From.Address.empty())
+  if (From.Address.empty())
     return;
   Link &Known = Links[From.Address];
+  Known.Incarnation = Sender.Incarnation;
+  if (Route != PeerRoute::Reuse)
+    return;
   Known.Heard = Now;
   Known.FreshUntil = TimeMs(0);
 }
@@ -108,9 +132,8 @@
     Attempt &Present = *Call.Present;
     Present.Heartbeats = std::min(Present.Heartbeats + 1, MaxHeartbeatFactor);
     schedule(Handle, Call,
-             std::min(Context.now() + Context.Settings.HeartbeatInterval *
-                                          Present.Heartbeats,
-                      Call.Deadline + AnswerGrace));
+             Context.now() +
+                 Context.Settings.HeartbeatInterval * Present.Heartbeats);
     return;
   }
   case CallState::Done:
@@ -141,9 +164,7 @@
     move(Handle, Call, "its node does not answer", Leaving::Unsettled);
     return;
   }
-  schedule(Handle, Call,
-           std::min(Now + Context.Settings.HeartbeatInterval,
-                    Call.Deadline + AnswerGrace));
+  schedule(Handle, Call, Now + Context.Settings.HeartbeatInterval);
 }
 
 void EntrySide::onDone(CallHandle Handle, EntryCall &Call,
@@ -186,11 +207,6 @@
 void EntrySide::onRefused(CallHandle Handle, EntryCall &Call,
                           ResultCode Reason) {
   Call.LastRefusal = Reason;
-  if (Reason == ResultCode::CallFenced) {
-    // The request was lost on its way: the node is well, its connection not.
-    Links[Call.Present->Address].FreshUntil =
-        Context.now() + FreshConnectionTime;
-  }
   if (isFinal(Reason)) {
     refuse(Handle, Call, Reason, unrun(Call));
     return;
@@ -205,6 +221,9 @@
 void EntrySide::onNeverSeen(CallHandle Handle, EntryCall &Call,
                             const CallReply &Reply) {
   if (provesNeverSeen(Reply, Context.now() - Call.Present->SentAt)) {
+    // The request was lost on its way: the node is well, its connection not.
+    Links[Call.Present->Address].FreshUntil =
+        Context.now() + FreshConnectionTime;
     onRefused(Handle, Call, ResultCode::CallFenced);
     return;
   }
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -63,7 +63,7 @@
   if (Found == Calls.end())
     return;
   EntryCall &Call = Found->second;
-  const bool Sent = Call.Present.has_value();
+  const bool Sent = Call.Present && !Call.Present->Greeting;
   leave(Call, Leaving::Unsettled);
   refuse(Handle, Call, ResultCode::CallerGone,
          Sent ? Outcome::Unknown : unrun(Call));
@@ -101,7 +101,7 @@
   while (!Calls.empty()) {
     const CallHandle Handle = Calls.begin()->first;
     EntryCall &Call = Calls.begin()->second;
-    const bool Sent = Call.Present.has_value();
+    const bool Sent = Call.Present && !Call.Present->Greeting;
     refuse(Handle, Call, ResultCode::ShuttingDown,
            Sent ? Outcome::Unknown : unrun(Call));
   }
@@ -121,9 +121,10 @@
 }
 
 void EntrySide::schedule(CallHandle Handle, EntryCall &Call, TimeMs When) {
+  const DurationMs Grace = Call.Present ? AnswerGrace : DurationMs(0);
   Timers.erase({Call.Due, Handle});
-  Call.Due = When;
-  Timers.emplace(When, Handle);
+  Call.Due = std::min(When, Call.Deadline + Grace);
+  Timers.emplace(Call.Due, Handle);
 }
 
 void EntrySide::step(CallHandle Handle) {
@@ -194,7 +195,7 @@
       Now + DurationMs(static_cast<std::int64_t>(Half)) + Jitter;
   Call.Pause = std::min(Call.Pause * 2, LongestRetryPause);
   Call.Tried.clear();
-  schedule(Handle, Call, std::min(Next, Call.Deadline));
+  schedule(Handle, Call, Next);
 }
 
 void EntrySide::begin(CallHandle Handle, EntryCall &Call,
@@ -209,7 +210,36 @@
   if (!IsLocal)
     Present.Address = Target.PeerAddress;
   Targets.onSent(Target.Name);
+  // A request that must not run twice is bound to one process of the node, so
+  // that no copy of it can run in the next one.
+  const bool Known = IsLocal || Links[Present.Address].Incarnation != 0;
+  if (Known || Call.Request.Idempotent)
+    sendStart(Handle, Call);
+  else
+    greet(Handle, Call);
+}
+
+void EntrySide::greet(CallHandle Handle, EntryCall &Call) {
+  Attempt &Present = *Call.Present;
+  Present.Greeting = true;
+  Present.Asking = true;
+  schedule(Handle, Call, Context.now() + Context.Settings.HeartbeatInterval);
+  CallFetch Fetch;
+  Fetch.Id = Present.Id;
+  const bool Doubted = Links[Present.Address].FreshUntil > Context.now();
+  sendFetch(Handle, Present, Fetch,
+            Doubted ? PeerRoute::Fresh : PeerRoute::Reuse,
+            Context.Settings.HeartbeatInterval);
+}
+
+void EntrySide::sendStart(CallHandle Handle, EntryCall &Call) {
+  const TimeMs Now = Context.now();
+  Attempt &Present = *Call.Present;
+  Present.SentAt = Now;
+  const bool IsLocal = Present.Address.empty();
   CallStart Start;
+  Start.Recipient =
+      IsLocal ? Context.Self.Incarnation : Links[Present.Address].Incarnation;
   Start.Request = Call.Request;
   Start.Request.Id = Present.Id;
   Start.Request.Remaining = Call.Deadline - Now;
@@ -217,13 +247,13 @@
   const bool Plain = Context.Settings.Retry == RetryMode::Plain;
   const DurationMs Patience =
       Context.Settings.HeartbeatInterval * (Plain ? MaxHeartbeatFactor : 1);
-  schedule(Handle, Call, std::min(Now + Patience, Call.Deadline + AnswerGrace));
+  schedule(Handle, Call, Now + Patience);
   if (IsLocal) {
     Local.Start(std::move(Start),
                 [this, Handle, Id = Present.Id](const CallReply &Reply) {
                   Context.run([this, Handle, Id, Reply] {
                     if (EntryCall *Known = find(Handle, Id)) {
-                      hear(Reply, *Known->Present, PeerRoute::Fresh);
+                      hear(Reply, {}, *Known->Present, PeerRoute::Fresh);
                       onReply(Handle, *Known, Reply);
                     }
                   });
@@ -255,9 +285,7 @@
   Fetch.Offset = Present.Answer.offset();
   Fetch.Fence = true;
   Present.Asking = true;
-  schedule(Handle, Call,
-           std::min(Now + Context.Settings.FetchTimeout,
-                    Call.Deadline + AnswerGrace));
+  schedule(Handle, Call, Now + Context.Settings.FetchTimeout);
   if (Present.Address.empty()) {
     const CallReply Reply = Local.Fetch(Fetch);
     Present.Asking = false;
@@ -268,17 +296,23 @@
   const Link &Known = Links[Present.Address];
   const bool Alive = Now - Known.Heard < Context.Settings.HeartbeatInterval &&
                      Known.Heard >= Present.SentAt && Present.Unanswered == 0;
+  sendFetch(Handle, Present, Fetch, Alive ? PeerRoute::Reuse : Route,
+            Context.Settings.FetchTimeout);
+}
+
+void EntrySide::sendFetch(CallHandle Handle, const Attempt &Present,
+                          const CallFetch &Fetch, PeerRoute Route,
+                          DurationMs Timeout) {
   PeerRequest Message;
   Message.Address = Present.Address;
   Message.Kind = PeerKind::CallFetch;
   Message.Body = encode(Fetch);
-  Message.Timeout = Context.Settings.FetchTimeout;
-  Message.Route = Alive ? PeerRoute::Reuse : Route;
-  const PeerRoute Used = Message.Route;
+  Message.Timeout = Timeout;
+  Message.Route = Route;
   Context.Hooks.Send(std::move(Message), [this, Handle, Id = Present.Id,
-                                          Used](const PeerReply &Reply) {
-    Context.run([this, Handle, Id, Reply, Used] {
-      onFetchReply(Handle, Id, Reply, Used);
+                                          Route](const PeerReply &Reply) {
+    Context.run([this, Handle, Id, Reply, Route] {
+      onFetchReply(Handle, Id, Reply, Route);
     });
   });
 }
@@ -332,8 +366,9 @@
            unrun(Call));
     return;
   }
+  const Outcome Known = Call.Present->Greeting ? unrun(Call) : Outcome::Unknown;
   leave(Call, Leaving::Unsettled);
-  refuse(Handle, Call, ResultCode::DeadlineExceeded, Outcome::Unknown);
+  refuse(Handle, Call, ResultCode::DeadlineExceeded, Known);
 }
 
 void EntrySide::refuse(CallHandle Handle, EntryCall &Call, ResultCode Reason,
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -56,6 +56,7 @@
   std::string Target;  ///< Instance name.
   std::string Address; ///< Empty for the own node.
   TimeMs SentAt;
+  bool Greeting = false; ///< Not sent yet: the node's incarnation is asked.
   std::int64_t Heartbeats = 0;
   bool Asking = false;          ///< A question is under way.
   std::uint32_t Unanswered = 0; ///< Questions without a reply, in a row.
@@ -112,19 +113,25 @@
 
   /// What is known of the open connection to a node.
   struct Link {
-    TimeMs Heard{0};      ///< Last reply over it.
-    TimeMs FreshUntil{0}; ///< Until then fresh connections are used.
+    TimeMs Heard{0};               ///< Last reply over it.
+    TimeMs FreshUntil{0};          ///< Until then fresh connections are used.
+    std::uint64_t Incarnation = 0; ///< Of the node; 0 until it is known.
   };
 
   using CallMap = std::map<CallHandle, EntryCall>;
 
   EntryCall *find(CallHandle Handle, const CallId &Id);
+  /// Sets the time of the next step, at the latest when the call ends.
   void schedule(CallHandle Handle, EntryCall &Call, TimeMs When);
   void step(CallHandle Handle);
 
   void dispatch(CallHandle Handle, EntryCall &Call);
   void park(CallHandle Handle, EntryCall &Call);
   void begin(CallHandle Handle, EntryCall &Call, const Instance &Target);
+  void sendStart(CallHandle Handle, EntryCall &Call);
+  void greet(CallHandle Handle, EntryCall &Call);
+  void sendFetch(CallHandle Handle, const Attempt &Present,
+                 const CallFetch &Fetch, PeerRoute Route, DurationMs Timeout);
   void ask(CallHandle Handle, EntryCall &Call, PeerRoute Route);
   void tellCancelled(const Attempt &Gone);
 
@@ -133,12 +140,14 @@
   void onFetchReply(CallHandle Handle, const CallId &Id, const PeerReply &Reply,
                     PeerRoute Route);
   void onReply(CallHandle Handle, EntryCall &Call, const CallReply &Reply);
+  void onGreeted(CallHandle Handle, EntryCall &Call, bool Answered);
   void onNoReply(CallHandle Handle, EntryCall &Call);
   void onDone(CallHandle Handle, EntryCall &Call, const CallReply &Reply);
   void onRefused(CallHandle Handle, EntryCall &Call, ResultCode Reason);
   void onNeverSeen(CallHandle Handle, EntryCall &Call, const CallReply &Reply);
   void onAnswer(CallHandle Handle, EntryCall &Call, CallAnswer Answer);
-  void hear(const CallReply &Reply, const Attempt &From, PeerRoute Route);
+  void hear(const CallReply &Reply, const PeerIdentity &Sender,
+            const Attempt &From, PeerRoute Route);
 
   /// Whether the node of an attempt that is left may still work on it.
   enum class Leaving : std::uint8_t { Settled, Unsettled };
--- /dev/null
+++ b/src/calls/TargetRuns.cpp
@@ -0,0 +1,242 @@
+// The runs at the target: when one starts, what its end teaches, and how a
+// target that broke off comes back. The other half of TargetSide takes and
+// answers messages.
+
+#include "calls/TargetSide.h"
+
+#include "callers/HeaderFields.h"
+#include "calls/Entry.h"
+#include "calls/Refusals.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <limits>
+#include <utility>
+
+namespace fescuewood {
+
+namespace {
+
+constexpr int TooManyRequests = 429;
+constexpr int FirstServerError = 500;
+constexpr int BadGateway = 502;
+constexpr int GatewayTimeout = 504;
+
+RunVerdict verdictOf(const RunResult &Result) {
+  if (Result.Answer) {
+    const int Status = Result.Answer->Status;
+    if (Status == ServiceUnavailable || Status == TooManyRequests)
+      return RunVerdict::Shed;
+    return Status >= FirstServerError ? RunVerdict::Failed
+                                      : RunVerdict::Answered;
+  }
+  switch (Result.Failure) {
+  case RunFailure::NotReached:
+    return RunVerdict::Lost;
+  case RunFailure::TimedOut:
+    return RunVerdict::TimedOut;
+  case RunFailure::None:
+  case RunFailure::Broken:
+  case RunFailure::Cancelled:
+    break;
+  }
+  return RunVerdict::Failed;
+}
+
+} // namespace
+
+void TargetSide::pump() {
+  while (!Down && !Suspended && InFlight < allowed()) {
+    const auto Next = Queue.pop(rate(), Context.now());
+    if (!Next)
+      return;
+    HeldCall &Call = Held.at(*Next);
+    const ResultCode Refusal = refusalOnStart(Call.Request);
+    if (Refusal == ResultCode::Ok)
+      run(*Next, Call);
+    else
+      refuse(*Next, Refusal);
+  }
+}
+
+std::uint32_t TargetSide::allowed() {
+  switch (Context.Settings.Admission) {
+  case AdmissionMode::Adaptive:
+    return Limit.limit(Context.now());
+  case AdmissionMode::Slots:
+    return Limit.slots();
+  case AdmissionMode::Off:
+    break;
+  }
+  return std::numeric_limits<std::uint32_t>::max();
+}
+
+void TargetSide::run(const CallId &Id, HeldCall &Call) {
+  const TimeMs Now = Context.now();
+  Call.Running = true;
+  Call.Started = Now;
+  Call.Epoch = Epoch;
+  ++InFlight;
+  ++Context.Figures.Runs;
+  Context.Figures.QueueWait.add(Now - Call.Arrived);
+  CallRequest Request = outgoing(Call);
+  const DurationMs Timeout = Request.Remaining;
+  Context.Hooks.Target.Run(Request, Timeout, [this, Id](RunResult Result) {
+    Context.run([this, Id, Result = std::move(Result)]() mutable {
+      onResult(Id, std::move(Result));
+    });
+  });
+}
+
+CallRequest TargetSide::outgoing(const HeldCall &Call) const {
+  CallRequest Request = Call.Request;
+  Request.Remaining = Call.Deadline - Call.Started;
+  if (Context.Config && Request.CanWait) {
+    // The time that a call may wait is not time that it may run.
+    for (const Route &Each : Context.Config->Routes)
+      if (Each.Name == Request.Route)
+        Request.Remaining = std::min(Request.Remaining, Each.Timeout);
+  }
+  removeField(Request.Headers, TimeoutField);
+  removeField(Request.Headers, DepthField);
+  Request.Headers.push_back(
+      {std::string(TimeoutField), std::to_string(Request.Remaining.Value)});
+  Request.Headers.push_back(
+      {std::string(DepthField), std::to_string(Request.Depth)});
+  if (Context.Hooks.IssueToken)
+    Request.Headers.push_back(
+        {std::string(CallTokenField), Context.Hooks.IssueToken(Request)});
+  return Request;
+}
+
+void TargetSide::onResult(const CallId &Id, RunResult Result) {
+  const auto Found = Held.find(Id);
+  if (Found == Held.end())
+    return;
+  const TimeMs Now = Context.now();
+  const HeldCall &Call = Found->second;
+  Context.Figures.TargetLatency.add(Now - Call.Started);
+  learn(Call, Result, Now);
+  const bool GivenUp = Result.Failure == RunFailure::TimedOut ||
+                       Result.Failure == RunFailure::Cancelled;
+  if (GivenUp)
+    Abandoned.push_back(Now + AbandonedRunHold);
+  else
+    --InFlight;
+  if (Result.Answer)
+    onAnswer(Id, Call, std::move(*Result.Answer));
+  else if (Result.Failure == RunFailure::NotReached)
+    refuse(Id, Result.Reason);
+  else
+    onAnswer(Id, Call,
+             refusal(GivenUp ? GatewayTimeout : BadGateway, Result.Reason,
+                     Outcome::Unknown));
+  if (Result.Failure == RunFailure::NotReached)
+    goDown();
+  setState();
+  pump();
+}
+
+void TargetSide::learn(const HeldCall &Call, const RunResult &Result,
+                       TimeMs Now) {
+  const std::uint32_t Before = Limit.limit(Now);
+  if (Result.Failure == RunFailure::Broken)
+    onBroken(Call);
+  if (Result.Failure != RunFailure::Cancelled)
+    Limit.onResult(Call.Request.Route, verdictOf(Result), Now - Call.Started,
+                   InFlight, Now);
+  const std::uint32_t After = Limit.limit(Now);
+  if (After < Before) {
+    Context.report(EventId::LimitReduced,
+                   {{"target", Context.Self.Name},
+                    {"limit", std::to_string(After)},
+                    {"slots", std::to_string(Limit.slots())}});
+  }
+  if (Result.Answer && !Context.Guard.empty())
+    Context.Guard.succeeded(fingerprintOf(Call.Request));
+}
+
+void TargetSide::onAnswer(const CallId &Id, const HeldCall &Call,
+                          CallAnswer Answer) {
+  if (Answer.Reason == ResultCode::Ok)
+    Answer.Ran = Outcome::Ran;
+  (void)Call;
+  Ledger.finish(Id, encodeAnswer(Answer), Context.now());
+  end(Id, describe(Id, 0));
+}
+
+void TargetSide::onBroken(const HeldCall &Call) {
+  // Every run that had started before the break was noticed shares its id.
+  const CrashId Crash =
+      stableHash(fmt::format("{:x}/{}", Context.Self.Incarnation, Call.Epoch));
+  if (Call.Epoch == Epoch) {
+    ++Epoch;
+    ++Context.Figures.Crashes;
+    Context.report(EventId::TargetCrashed, {{"target", Context.Self.Name}});
+  }
+  const RequestFingerprint Request = fingerprintOf(Call.Request);
+  if (Context.Guard.crashed(Request, Crash, Context.now())) {
+    Context.report(EventId::RequestQuarantined,
+                   {{"target", Context.Self.Name},
+                    {"organisation", Call.Request.Organisation},
+                    {"route", Call.Request.Route},
+                    {"call", Call.Request.Id.text()}});
+  }
+  Suspended = true;
+  NextProbe = Context.now();
+  probe();
+}
+
+void TargetSide::goDown() {
+  if (!Down)
+    NextProbe = Context.now() + Context.Settings.ProbeInterval;
+  Down = true;
+  Suspended = false;
+  setState();
+  refuseAllQueued(ResultCode::TargetDown);
+}
+
+void TargetSide::probe() {
+  if (Probing)
+    return;
+  NextProbe = Context.now() + Context.Settings.ProbeInterval;
+  if (!Context.Hooks.Target.Probe) {
+    onProbe(true);
+    return;
+  }
+  Probing = true;
+  Context.Hooks.Target.Probe([this](bool Answers) {
+    Context.run([this, Answers] {
+      Probing = false;
+      onProbe(Answers);
+    });
+  });
+}
+
+void TargetSide::onProbe(bool Answers) {
+  if (!Answers) {
+    goDown();
+    return;
+  }
+  const bool SurvivorsLeft =
+      std::any_of(Held.begin(), Held.end(), [this](const auto &Item) {
+        return Item.second.Running && Item.second.Epoch < Epoch;
+      });
+  // Requests that began before the break and still run show that the target
+  // did not restart; otherwise it has to be taken for cold.
+  if (Down || !SurvivorsLeft)
+    Limit.reset(Context.now());
+  Down = false;
+  Suspended = false;
+  setState();
+  pump();
+}
+
+void TargetSide::releaseAbandoned(TimeMs Now) {
+  while (!Abandoned.empty() && Abandoned.front() <= Now) {
+    Abandoned.pop_front();
+    --InFlight;
+  }
+}
+
+} // namespace fescuewood
--- a/src/nodes/CallMessages.cpp
+++ b/src/nodes/CallMessages.cpp
@@ -13,7 +13,7 @@
 constexpr DurationMs MaxSpan{24LL * 60 * 60 * 1000};
 
 /// Fields of the fixed part of each message; another number is malformed.
-constexpr std::size_t StartFields = 15;
+constexpr std::size_t StartFields = 16;
 constexpr std::size_t FetchFields = 5;
 constexpr std::size_t CancelFields = 2;
 constexpr std::size_t ReplyFields = 14;
@@ -185,6 +185,7 @@
   Out.pack(Request.Idempotent);
   Out.pack(Request.CanWait);
   Out.pack(Request.KeyMark);
+  Out.pack(Message.Recipient);
   packBytes(Out, Message.Marks);
   return text(Buffer);
 }
@@ -206,6 +207,7 @@
     Request.Idempotent = In.flag();
     Request.CanWait = In.flag();
     Request.KeyMark = In.number(UINT64_MAX);
+    Message.Recipient = In.number(UINT64_MAX);
     Message.Marks = In.bytes(MaxMarksBytes);
     return Message;
   });
--- a/src/nodes/CallMessages.h
+++ b/src/nodes/CallMessages.h
@@ -44,6 +44,9 @@
 /// Asks a node to run a request at its target.
 struct CallStart {
   CallRequest Request;
+  /// Incarnation of the node that it is meant for; another one fences it. 0
+  /// when it is not known, which only an idempotent request may leave open.
+  std::uint64_t Recipient = 0;
   std::string Marks; ///< Crash marks as encoded by policy/CrashGuard.
 };
 
--- /dev/null
+++ b/tests/calls/MeshFixture.cpp
@@ -0,0 +1,70 @@
+#include "calls/MeshFixture.h"
+
+#include <utility>
+
+using namespace fescuewood;
+
+Snapshot smallConfig() {
+  Snapshot Config;
+  Config.Id.Revision = 1;
+  Config.Services["queue"] = {"queue", 6};
+  for (const char *Name : {"east", "north", "west"})
+    Config.Domains[Name] = {Name, "coast", DomainStatus::In, 4};
+  for (const char *Name : {"large", "small"})
+    Config.Organisations[Name] = {Name, "", 1};
+  Route Read;
+  Read.Name = "read";
+  Read.Service = "queue";
+  Config.Routes.push_back(Read);
+  return Config;
+}
+
+std::unique_ptr<FakeCallMesh>
+smallMesh(std::uint64_t Seed, CallSettings Settings, FakeNetworkOptions Network,
+          std::size_t PerDomain, FakeTargetOptions Target) {
+  auto Mesh = std::make_unique<FakeCallMesh>(Seed, Settings, Network);
+  for (const char *Domain : {"east", "north", "west"})
+    for (std::size_t I = 0; I < PerDomain; ++I)
+      Mesh->addNode(std::string(Domain) + "/queue-" + std::to_string(I), Domain,
+                    "queue", Target);
+  Mesh->setSnapshot(std::make_shared<const Snapshot>(smallConfig()));
+  Mesh->tellInstances();
+  Mesh->runFor(10 * SecondUs);
+  return Mesh;
+}
+
+CallRequest requestOf(const std::string &Tag, bool Idempotent) {
+  CallRequest Request;
+  Request.Method = Idempotent ? "GET" : "POST";
+  Request.Target = "/queue";
+  Request.Body = Tag;
+  Request.Route = "read";
+  Request.Service = "queue";
+  Request.Organisation = "large";
+  Request.Remaining = DurationMs(2000);
+  Request.Idempotent = Idempotent;
+  return Request;
+}
+
+std::string brokenInvariant(const FakeCallMesh &Mesh, std::uint32_t Slots) {
+  for (const FakeCall &Call : Mesh.Calls) {
+    const std::string Which = " (" + Call.Tag + ")";
+    if (Call.Answers != 1)
+      return "answered " + std::to_string(Call.Answers) + " times" + Which;
+    const int Runs = Mesh.runsOf(Call.Tag);
+    if (Call.Answer.Reason == ResultCode::Ok && Call.Answer.Status == 200 &&
+        Call.Answer.Body != Call.Tag)
+      return "got another's answer" + Which;
+    if (!Call.Idempotent && Runs > 1)
+      return "ran twice" + Which;
+    if (Call.Answer.Ran == Outcome::NotRun && Runs > 0)
+      return "was told not run, but ran" + Which;
+    if (Call.Answer.Ran == Outcome::Ran && Runs == 0)
+      return "was told ran, but did not" + Which;
+  }
+  for (const auto &Node : Mesh.Nodes)
+    if (Node->Target->MaxInFlight > Slots)
+      return Node->Place.Name + " was given " +
+             std::to_string(Node->Target->MaxInFlight);
+  return {};
+}
--- a/tests/nodes/CallMessagesTest.cpp
+++ b/tests/nodes/CallMessagesTest.cpp
@@ -22,6 +22,7 @@
   R.Remaining = DurationMs(*rc::gen::inRange(0, 100'000));
   R.Idempotent = *rc::gen::arbitrary<bool>();
   R.KeyMark = *rc::gen::arbitrary<std::uint64_t>();
+  Start.Recipient = *rc::gen::arbitrary<std::uint64_t>();
   Start.Marks = *rc::gen::arbitrary<std::string>();
   return Start;
 }
@@ -63,6 +64,7 @@
     RC_ASSERT(StartBack->Request.Remaining == Start.Request.Remaining);
     RC_ASSERT(StartBack->Request.Idempotent == Start.Request.Idempotent);
     RC_ASSERT(StartBack->Request.KeyMark == Start.Request.KeyMark);
+    RC_ASSERT(StartBack->Recipient == Start.Recipient);
     RC_ASSERT(StartBack->Marks == Start.Marks);
     RC_ASSERT(decodeCallReply(encode(Reply)) == std::optional(Reply));
     RC_ASSERT(decodeCallFetch(encode(Fetch)) == std::optional(Fetch));
--- a/tests/support/FakeCallMesh.h
+++ b/tests/support/FakeCallMesh.h
@@ -48,6 +48,7 @@
   fescuewood::Instance Place;
   std::unique_ptr<fescuewood::CallCore> Core;
   std::unique_ptr<FakeTarget> Target;
+  std::uint64_t Incarnation = 0;
   std::uint64_t Life = 0; ///< Grows with each restart of the process.
   std::int64_t PausedUntilUs = 0;
   fescuewood::TargetState Told = fescuewood::TargetState::Cold;
@@ -100,6 +101,7 @@
     Self.Domain = Node.Place.Domain;
     Self.Service = Node.Place.Service;
     Self.Incarnation = Random() | 1U;
+    Node.Incarnation = Self.Incarnation;
     Node.Core = std::make_unique<fescuewood::CallCore>(Self, Settings,
                                                        hooks(At), Time.clock());
     if (Config)
@@ -217,16 +219,16 @@
     const std::uint64_t Life = Nodes.at(At)->Life;
     fescuewood::CallHooks Hooks;
     Hooks.Random = [this] { return Random(); };
-    Hooks.Send = [this, At, Life](fescuewood::PeerRequest Request,
+    Hooks.Send = [this, At, Life](const fescuewood::PeerRequest &Request,
                                   fescuewood::PeerReplyHook OnReply) {
-      send(At, Life, std::move(Request), std::move(OnReply));
+      send(At, Life, Request, std::move(OnReply));
     };
     Hooks.OnTargetState = [this, At](fescuewood::TargetState State) {
       Nodes[At]->Told = State;
     };
     Hooks.Target.Run = [this, At, Life](const fescuewood::CallRequest &Request,
                                         fescuewood::DurationMs Timeout,
-                                        fescuewood::RunHook OnResult) {
+                                        const fescuewood::RunHook &OnResult) {
       Nodes[At]->Target->run(
           Request, Timeout,
           [this, At, Life, OnResult](const fescuewood::RunResult &Result) {
@@ -237,7 +239,8 @@
     Hooks.Target.Cancel = [this, At](const fescuewood::CallId &Id) {
       Nodes[At]->Target->cancel(Id);
     };
-    Hooks.Target.Probe = [this, At, Life](std::function<void(bool)> OnResult) {
+    Hooks.Target.Probe = [this, At,
+                          Life](const std::function<void(bool)> &OnResult) {
       Nodes[At]->Target->probe([this, At, Life, OnResult](bool Answers) {
         onLife(At, Life,
                [OnResult, Answers](FakeNode &) { OnResult(Answers); });
@@ -247,7 +250,7 @@
   }
 
   void send(std::size_t From, std::uint64_t Life,
-            fescuewood::PeerRequest Request,
+            const fescuewood::PeerRequest &Request,
             fescuewood::PeerReplyHook OnReply) {
     auto Open = std::make_shared<Exchange>();
     Open->OnReply = std::move(OnReply);
@@ -257,23 +260,32 @@
     if (!To || lost(From, *To, Request.Route))
       return;
     const int Copies = uniform() < Network.Double ? 2 : 1;
-    for (int I = 0; I < Copies; ++I)
+    for (int I = 0; I < Copies; ++I) {
       Time.after(delay(), [this, From, Life, To, Request, Open] {
         onNode(*To, [this, From, Life, To, Request, Open](FakeNode &Node) {
-          Node.Core->handlePeer(Request.Kind, Request.Body,
-                                [this, From, Life, To, Open,
-                                 Route = Request.Route](std::string Body) {
-                                  if (lost(From, *To, Route))
-                                    return;
-                                  Time.after(delay(), [this, From, Life, Open,
-                                                       Body = std::move(Body)] {
-                                    fescuewood::PeerReply Reply;
-                                    Reply.Body = Body;
-                                    reply(From, Life, Open, Reply);
-                                  });
-                                });
+          deliver(From, Life, *To, Node, Request, Open);
         });
       });
+    }
+  }
+
+  void deliver(std::size_t From, std::uint64_t Life, std::size_t To,
+               FakeNode &Node, const fescuewood::PeerRequest &Request,
+               const std::shared_ptr<Exchange> &Open) {
+    const fescuewood::PeerIdentity Sender{Node.Place.Name, Node.Incarnation};
+    const fescuewood::PeerRoute Route = Request.Route;
+    Node.Core->handlePeer(
+        Request.Kind, Request.Body,
+        [this, From, Life, To, Open, Sender, Route](std::string Body) {
+          if (lost(From, To, Route))
+            return;
+          fescuewood::PeerReply Reply;
+          Reply.Body = std::move(Body);
+          Reply.From = Sender;
+          Time.after(delay(), [this, From, Life, Open, Reply] {
+            reply(From, Life, Open, Reply);
+          });
+        });
   }
 
   void reply(std::size_t From, std::uint64_t Life,
--- a/tests/support/FakeTarget.h
+++ b/tests/support/FakeTarget.h
@@ -72,11 +72,12 @@
   }
 
   void cancel(const fescuewood::CallId &Call) {
-    for (const auto &[Id, Each] : Runs)
+    for (const auto &[Id, Each] : Runs) {
       if (Each.Call == Call) {
         end(Id, fescuewood::RunFailure::Cancelled);
         return;
       }
+    }
   }
 
   void probe(const std::function<void(bool)> &OnResult) {
