--- /dev/null
+++ b/bench/PolicyBench.cpp
@@ -0,0 +1,402 @@
+/// \file
+/// Measures the call policy in virtual time, at the sizes of two deployments.
+///
+/// Every node's calls duty runs as it is in the product; the network and the
+/// targets are models (tests/support). One run prints a Markdown table of
+/// scenarios against policies. The same flags give the same figures on every
+/// machine: nothing here depends on real time.
+
+#include "support/FakeCallMesh.h"
+
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+DEFINE_uint64(seed, 1, "seed of arrivals, service times and faults");
+DEFINE_string(deployment, "both", "stalls (3 domains), agreste (4) or both");
+DEFINE_string(scenario, "all", "name of one scenario, or all");
+DEFINE_string(policy, "all", "name of one policy, or all");
+DEFINE_double(load, 0.6, "share of all slots in use at rest");
+DEFINE_double(service_ms, 40, "mean time of a request at a warm target");
+DEFINE_uint32(seconds, 45, "virtual seconds of arrivals in each run");
+DEFINE_uint32(threads, 4, "runs at once");
+DEFINE_bool(codes, false, "also print the refusals by result code");
+
+using namespace fescuewood;
+
+namespace {
+
+constexpr std::int64_t SecondUs = 1'000'000;
+
+/// Faults begin at this time after the arrivals, and end at the other. What
+/// was sent before is not measured: the targets were still being warmed up.
+constexpr std::int64_t FaultStartUs = 15 * SecondUs;
+constexpr std::int64_t FaultEndUs = 25 * SecondUs;
+
+/// Arrivals begin after the targets have had time to start.
+constexpr std::int64_t WarmUpUs = 5 * SecondUs;
+
+/// Longest time after the last arrival in which calls may still be answered.
+constexpr int LongestTailSeconds = 90;
+
+struct ServiceSize {
+  std::string Name;
+  std::size_t Targets;
+};
+
+struct Deployment {
+  std::string Name;
+  std::vector<std::string> Domains;
+  std::vector<ServiceSize> Services;
+  std::uint32_t Slots;
+  std::int64_t DelayUs; ///< One way between domains.
+};
+
+const std::vector<Deployment> Deployments = {
+    {"stalls",
+     {"harbour", "market", "pier"},
+     {{"queue", 3}, {"till", 3}, {"gallery", 3}, {"ledger", 3}},
+     6,
+     500},
+    {"agreste",
+     {"caruaru", "garanhuns", "arcoverde", "recife"},
+     {{"catalogue", 5}, {"order", 4}, {"contract", 4}, {"archive", 4}},
+     9,
+     750},
+};
+
+/// Shares of the arrivals, by organisation; a few are large.
+const std::vector<double> Shares = {0.30, 0.25, 0.15, 0.10,
+                                    0.05, 0.05, 0.05, 0.05};
+
+/// The organisation that sends five times its share in that scenario.
+constexpr std::size_t Offender = 2;
+
+const std::vector<std::string> Scenarios = {
+    "rest",   "domain out and back", "half restarted", "half cold",
+    "5x org", "silent links",        "paused 10 s",    "crashing request",
+    "loss 2%"};
+
+struct Policy {
+  std::string Name;
+  CallSettings Settings;
+};
+
+std::vector<Policy> policies() {
+  std::vector<Policy> All(6);
+  All[0].Name = "product";
+  All[1].Name = "random target";
+  All[1].Settings.Routing = RoutingMode::Random;
+  All[2].Name = "limit = slots";
+  All[2].Settings.Admission = AdmissionMode::Slots;
+  All[3].Name = "no admission";
+  All[3].Settings.Admission = AdmissionMode::Off;
+  All[4].Name = "plain retry";
+  All[4].Settings.Retry = RetryMode::Plain;
+  All[5].Name = "none of the three";
+  All[5].Settings.Routing = RoutingMode::Random;
+  All[5].Settings.Admission = AdmissionMode::Off;
+  All[5].Settings.Retry = RetryMode::Plain;
+  return All;
+}
+
+std::string organisation(std::size_t At) {
+  return fmt::format("org-{}", At + 1);
+}
+
+Snapshot configOf(const Deployment &Size, const std::string &DomainOut) {
+  Snapshot Config;
+  for (const ServiceSize &Each : Size.Services)
+    Config.Services[Each.Name] = {Each.Name, Size.Slots};
+  for (const std::string &Name : Size.Domains)
+    Config.Domains[Name] = {
+        Name, "one", Name == DomainOut ? DomainStatus::Out : DomainStatus::In,
+        16};
+  for (std::size_t I = 0; I < Shares.size(); ++I)
+    Config.Organisations[organisation(I)] = {organisation(I), "", 1};
+  return Config;
+}
+
+/// One run of a scenario under a policy.
+class Run {
+public:
+  Run(const Deployment &Size, const Policy &Under, std::string Scenario)
+      : Size(Size), Scenario(std::move(Scenario)), Random(FLAGS_seed),
+        Mesh(FLAGS_seed, Under.Settings, network()) {
+    FakeTargetOptions Target;
+    Target.Slots = Size.Slots;
+    Target.MeanMs = FLAGS_service_ms;
+    for (const ServiceSize &Each : Size.Services)
+      for (std::size_t I = 0; I < Each.Targets; ++I)
+        Mesh.addNode(
+            fmt::format("{}-{}", Each.Name, I),
+            Size.Domains.at((I + Services.size()) % Size.Domains.size()),
+            Each.Name, Target),
+            Services.push_back(Each.Name);
+  }
+
+  void go() {
+    configure({});
+    Mesh.tellInstances();
+    Mesh.runFor(WarmUpUs);
+    const std::int64_t Start = Mesh.Time.nowUs();
+    MeasuredFromUs = Start + FaultStartUs;
+    const std::int64_t End = Start + FLAGS_seconds * SecondUs;
+    Mesh.Time.after(FaultStartUs, [this] { beginFault(); });
+    Mesh.Time.after(FaultEndUs, [this] { endFault(); });
+    tellLater();
+    while (Mesh.Time.nowUs() < End) {
+      arrive();
+      std::exponential_distribution<double> Gap(rate());
+      Mesh.runFor(static_cast<std::int64_t>(Gap(Random) * SecondUs));
+    }
+    for (int I = 0; I < LongestTailSeconds && !allAnswered(); ++I)
+      Mesh.runFor(SecondUs);
+  }
+
+  std::string row(const std::string &PolicyName) const {
+    std::vector<double> Latencies;
+    std::size_t InTime = 0;
+    std::size_t Asked = 0;
+    int Doubled = 0;
+    int Untrue = 0;
+    std::vector<std::size_t> InTimeOf(Shares.size());
+    std::vector<std::size_t> AskedOf(Shares.size());
+    for (const FakeCall &Call : Mesh.Calls) {
+      const int Runs = Mesh.runsOf(Call.Tag);
+      if (Call.Tag != CrashBody) {
+        Doubled += !Call.Idempotent && Runs > 1 ? 1 : 0;
+        Untrue += Call.Answer.Ran == Outcome::NotRun && Runs > 0 ? 1 : 0;
+      }
+      const std::size_t Org = Call.Organisation.back() - '1';
+      if (Call.Tag == CrashBody || Call.SentUs < MeasuredFromUs)
+        continue;
+      const double Ms =
+          static_cast<double>(Call.AnsweredUs - Call.SentUs) / 1e3;
+      const bool Good = Call.Answers == 1 && Call.Answer.Status == 200 &&
+                        (Call.Route == "wait" || Ms <= 1000);
+      ++AskedOf[Org];
+      InTimeOf[Org] += Good ? 1 : 0;
+      if (Scenario == "5x org" && Org == Offender)
+        continue;
+      ++Asked;
+      InTime += Good ? 1 : 0;
+      if (Good && Call.Route != "wait")
+        Latencies.push_back(Ms);
+    }
+    double Worst = 1;
+    for (std::size_t I = 0; I < Shares.size(); ++I)
+      if (AskedOf[I] > 0 && !(Scenario == "5x org" && I == Offender))
+        Worst = std::min(Worst, static_cast<double>(InTimeOf[I]) /
+                                    static_cast<double>(AskedOf[I]));
+    int Crashes = 0;
+    for (const auto &Node : Mesh.Nodes)
+      Crashes += Node->Target->Crashes;
+    std::sort(Latencies.begin(), Latencies.end());
+    return fmt::format(
+        "| {} | {} | {} | {:.2f} | {:.2f} | {:.0f} | {:.0f} | {} | {} | {} |",
+        Size.Name, Scenario, PolicyName,
+        100.0 * static_cast<double>(InTime) / static_cast<double>(Asked),
+        100.0 * Worst, at(Latencies, 0.5), at(Latencies, 0.99), Doubled, Untrue,
+        Crashes);
+  }
+
+  std::string codes() const {
+    std::map<std::string, int> Counts;
+    for (const FakeCall &Call : Mesh.Calls) {
+      if (Call.SentUs < MeasuredFromUs)
+        continue;
+      if (Call.Answer.Status != 200)
+        ++Counts[fmt::format("{} {} {}", Call.Route, Call.Answer.Status,
+                             resultName(Call.Answer.Reason))];
+      else if (Call.Route != "wait" && Call.AnsweredUs - Call.SentUs > SecondUs)
+        ++Counts[Call.Route + " late"];
+    }
+    std::ostringstream Text;
+    for (const auto &[Name, Count] : Counts)
+      Text << "  " << Name << ": " << Count << "\n";
+    return Text.str();
+  }
+
+private:
+  bool allAnswered() const {
+    return std::all_of(Mesh.Calls.begin(), Mesh.Calls.end(),
+                       [](const FakeCall &Call) { return Call.Answers > 0; });
+  }
+
+  FakeNetworkOptions network() const {
+    FakeNetworkOptions Network;
+    Network.DelayUs = Size.DelayUs;
+    Network.Loss = Scenario == "loss 2%" ? 0.02 : 0;
+    return Network;
+  }
+
+  static double at(const std::vector<double> &Sorted, double Share) {
+    if (Sorted.empty())
+      return 0;
+    const auto Last = static_cast<double>(Sorted.size() - 1);
+    return Sorted.at(static_cast<std::size_t>(Share * Last));
+  }
+
+  void configure(const std::string &DomainOut) {
+    Mesh.setSnapshot(
+        std::make_shared<const Snapshot>(configOf(Size, DomainOut)));
+  }
+
+  /// Membership brings target states to every node twice a second.
+  void tellLater() {
+    Mesh.Time.after(SecondUs / 2, [this] {
+      Mesh.tellInstances();
+      tellLater();
+    });
+  }
+
+  /// Arrivals a second over all services at present.
+  double rate() const {
+    const double Slots = static_cast<double>(Services.size()) * Size.Slots;
+    const double AtRest = FLAGS_load * Slots * 1000 / FLAGS_service_ms;
+    return Offending ? AtRest * (1 + 4 * Shares[Offender]) : AtRest;
+  }
+
+  std::size_t drawOrganisation() {
+    std::vector<double> Weights = Shares;
+    if (Offending)
+      Weights[Offender] *= 5;
+    std::discrete_distribution<std::size_t> Draw(Weights.begin(),
+                                                 Weights.end());
+    return Draw(Random);
+  }
+
+  void arrive() {
+    CallRequest Request;
+    Request.Body = fmt::format("tag{}", Mesh.Calls.size());
+    Request.Organisation = organisation(drawOrganisation());
+    // Callers spread over services as these have targets.
+    Request.Service = Services.at(Random() % Services.size());
+    const auto Kind = Random() % 10;
+    Request.Idempotent = Kind != 0 && Kind != 1;
+    Request.CanWait = Kind == 9;
+    Request.Route = Request.CanWait      ? "wait"
+                    : Request.Idempotent ? "read"
+                                         : "write";
+    Request.Remaining = DurationMs(Request.Route == "read" ? 1000 : 2000);
+    if (Crashing && Random() % 200 == 0) {
+      Request.Body = CrashBody;
+      Request.Organisation = organisation(0);
+      Request.Service = Services.front();
+      Request.Idempotent = true;
+      Request.Route = "read";
+    }
+    Mesh.submit(entryNode(), std::move(Request));
+  }
+
+  /// Callers leave a node that does not answer, as their connections time out.
+  std::size_t entryNode() {
+    while (true) {
+      const std::size_t At = Random() % Mesh.Nodes.size();
+      if (Mesh.Nodes[At]->PausedUntilUs <= Mesh.Time.nowUs())
+        return At;
+    }
+  }
+
+  void beginFault() {
+    Offending = Scenario == "5x org";
+    Crashing = Scenario == "crashing request";
+    if (Scenario == "domain out and back")
+      configure(Size.Domains.back());
+    for (std::size_t I = 0; I < Mesh.Nodes.size(); ++I) {
+      if (Scenario == "half restarted" && I % 2 == 0)
+        Mesh.Nodes[I]->Target->crash();
+      if (Scenario == "half cold" && I % 2 == 0)
+        Mesh.Nodes[I]->Target->chill();
+      if (Scenario == "paused 10 s" && I % 6 == 0)
+        Mesh.pauseNode(I, 10 * SecondUs);
+      if (Scenario == "silent links")
+        for (std::size_t J = 0; J < Mesh.Nodes.size(); ++J)
+          if (Random() % 2 == 0)
+            Mesh.silence(I, J);
+    }
+  }
+
+  void endFault() {
+    Offending = false;
+    Crashing = false;
+    if (Scenario != "domain out and back")
+      return;
+    // Whole domains come back with freshly started targets.
+    for (const auto &Node : Mesh.Nodes)
+      if (Node->Place.Domain == Size.Domains.back())
+        Node->Target->chill();
+    configure({});
+  }
+
+  const Deployment &Size;
+  std::string Scenario;
+  std::mt19937_64 Random;
+  FakeCallMesh Mesh;
+  std::vector<std::string> Services; ///< Of each node.
+  std::int64_t MeasuredFromUs = 0;
+  bool Offending = false;
+  bool Crashing = false;
+};
+
+/// One cell of the table.
+struct Task {
+  const Deployment *Size;
+  const Policy *Under;
+  std::string Scenario;
+  std::string Text;
+};
+
+/// Runs every task; each is independent of the others and of the threads.
+void runAll(std::vector<Task> &Tasks) {
+  std::atomic<std::size_t> Next{0};
+  std::vector<std::thread> Threads;
+  for (std::uint32_t I = 0; I < FLAGS_threads; ++I)
+    Threads.emplace_back([&Tasks, &Next] {
+      for (std::size_t At = Next++; At < Tasks.size(); At = Next++) {
+        Task &Each = Tasks[At];
+        Run Cell(*Each.Size, *Each.Under, Each.Scenario);
+        Cell.go();
+        Each.Text = Cell.row(Each.Under->Name);
+        if (FLAGS_codes)
+          Each.Text += "\n" + Cell.codes();
+      }
+    });
+  for (std::thread &Each : Threads)
+    Each.join();
+}
+
+bool chosen(const std::string &Flag, const std::string &Name) {
+  return Flag == "all" || Flag == "both" || Flag == Name;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  gflags::SetUsageMessage("measures the call policy in virtual time");
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  std::puts("| Deployment | Scenario | Policy | In time % | Worst-served "
+            "organisation % | p50 ms | p99 ms | Ran twice | Untrue \"not "
+            "run\" | Target crashes |");
+  std::puts("|---|---|---|---|---|---|---|---|---|---|");
+  const std::vector<Policy> Policies = policies();
+  std::vector<Task> Tasks;
+  for (const Deployment &Size : Deployments)
+    for (const std::string &Scenario : Scenarios)
+      for (const Policy &Under : Policies)
+        if (chosen(FLAGS_deployment, Size.Name) &&
+            chosen(FLAGS_scenario, Scenario) &&
+            chosen(FLAGS_policy, Under.Name))
+          Tasks.push_back({&Size, &Under, Scenario, {}});
+  runAll(Tasks);
+  for (const Task &Each : Tasks)
+    std::puts(Each.Text.c_str());
+  return 0;
+}
