--- a/bench/PolicyBench.cpp
+++ b/bench/PolicyBench.cpp
@@ -26,6 +26,8 @@
 DEFINE_double(service_ms, 40, "mean time of a request at a warm target");
 DEFINE_uint32(seconds, 45, "virtual seconds of arrivals in each run");
 DEFINE_uint32(threads, 4, "runs at once");
+DEFINE_int64(cold_ms, 6000, "time in which a fresh target warms up");
+DEFINE_int64(warm_ms, 0, "the product's WarmTime; 0 for its default");
 DEFINE_bool(codes, false, "also print the refusals by result code");
 
 using namespace fescuewood;
@@ -103,6 +105,9 @@
   All[5].Settings.Routing = RoutingMode::Random;
   All[5].Settings.Admission = AdmissionMode::Off;
   All[5].Settings.Retry = RetryMode::Plain;
+  for (Policy &Each : All)
+    if (FLAGS_warm_ms > 0)
+      Each.Settings.WarmTime = DurationMs(FLAGS_warm_ms);
   return All;
 }
 
@@ -110,6 +115,11 @@
   return fmt::format("org-{}", At + 1);
 }
 
+/// Time in which an answer is useful, by route.
+DurationMs limitOf(const std::string &Route) {
+  return DurationMs(Route == "read" ? 1000 : 2000);
+}
+
 Snapshot configOf(const Deployment &Size, const std::string &DomainOut) {
   Snapshot Config;
   for (const ServiceSize &Each : Size.Services)
@@ -132,13 +142,17 @@
     FakeTargetOptions Target;
     Target.Slots = Size.Slots;
     Target.MeanMs = FLAGS_service_ms;
-    for (const ServiceSize &Each : Size.Services)
-      for (std::size_t I = 0; I < Each.Targets; ++I)
-        Mesh.addNode(
-            fmt::format("{}-{}", Each.Name, I),
-            Size.Domains.at((I + Services.size()) % Size.Domains.size()),
-            Each.Name, Target),
-            Services.push_back(Each.Name);
+    Target.ColdUs = FLAGS_cold_ms * 1000;
+    std::size_t Shift = 0;
+    for (const ServiceSize &Each : Size.Services) {
+      for (std::size_t I = 0; I < Each.Targets; ++I) {
+        Mesh.addNode(fmt::format("{}-{}", Each.Name, I),
+                     Size.Domains.at((I + Shift) % Size.Domains.size()),
+                     Each.Name, Target);
+        Services.push_back(Each.Name);
+      }
+      ++Shift;
+    }
   }
 
   void go() {
@@ -180,7 +194,8 @@
       const double Ms =
           static_cast<double>(Call.AnsweredUs - Call.SentUs) / 1e3;
       const bool Good = Call.Answers == 1 && Call.Answer.Status == 200 &&
-                        (Call.Route == "wait" || Ms <= 1000);
+                        (Call.Route == "wait" ||
+                         Ms <= static_cast<double>(limitOf(Call.Route).Value));
       ++AskedOf[Org];
       InTimeOf[Org] += Good ? 1 : 0;
       if (Scenario == "5x org" && Org == Offender)
@@ -215,7 +230,8 @@
       if (Call.Answer.Status != 200)
         ++Counts[fmt::format("{} {} {}", Call.Route, Call.Answer.Status,
                              resultName(Call.Answer.Reason))];
-      else if (Call.Route != "wait" && Call.AnsweredUs - Call.SentUs > SecondUs)
+      else if (Call.Route != "wait" &&
+               Call.AnsweredUs - Call.SentUs > limitOf(Call.Route).Value * 1000)
         ++Counts[Call.Route + " late"];
     }
     std::ostringstream Text;
@@ -285,7 +301,7 @@
     Request.Route = Request.CanWait      ? "wait"
                     : Request.Idempotent ? "read"
                                          : "write";
-    Request.Remaining = DurationMs(Request.Route == "read" ? 1000 : 2000);
+    Request.Remaining = limitOf(Request.Route);
     if (Crashing && Random() % 200 == 0) {
       Request.Body = CrashBody;
       Request.Organisation = organisation(0);
--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -107,6 +107,7 @@
   if (Known.FreshUntil > Now)
     Targets.onSilent(Present.Target, Now);
   Known.FreshUntil = Now + FreshConnectionTime;
+  Call.MetSilence = true;
   onRefused(Handle, Call, ResultCode::TargetUnreachable);
 }
 
@@ -211,7 +212,7 @@
     refuse(Handle, Call, Reason, unrun(Call));
     return;
   }
-  if (Call.Request.CanWait || mayMove(Call, !movesFreely(Reason))) {
+  if (mayMove(Call, !movesFreely(Reason))) {
     move(Handle, Call, resultName(Reason), Leaving::Settled);
     return;
   }
@@ -224,6 +225,7 @@
     // The request was lost on its way: the node is well, its connection not.
     Links[Call.Present->Address].FreshUntil =
         Context.now() + FreshConnectionTime;
+    Call.MetSilence = true;
     onRefused(Handle, Call, ResultCode::CallFenced);
     return;
   }
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -226,7 +226,8 @@
   schedule(Handle, Call, Context.now() + Context.Settings.HeartbeatInterval);
   CallFetch Fetch;
   Fetch.Id = Present.Id;
-  const bool Doubted = Links[Present.Address].FreshUntil > Context.now();
+  const bool Doubted =
+      Call.MetSilence || Links[Present.Address].FreshUntil > Context.now();
   sendFetch(Handle, Present, Fetch,
             Doubted ? PeerRoute::Fresh : PeerRoute::Reuse,
             Context.Settings.HeartbeatInterval);
@@ -265,7 +266,7 @@
   Message.Kind = PeerKind::CallStart;
   Message.Body = encode(Start);
   Message.Timeout = Call.Deadline + AnswerGrace - Now;
-  if (Links[Present.Address].FreshUntil > Now)
+  if (Call.MetSilence || Links[Present.Address].FreshUntil > Now)
     Message.Route = PeerRoute::Fresh;
   const PeerRoute Route = Message.Route;
   Context.Hooks.Send(std::move(Message), [this, Handle, Id = Present.Id,
@@ -332,7 +333,10 @@
 }
 
 bool EntrySide::mayMove(EntryCall &Call, bool Costs) {
-  if (!Call.Request.CanWait && Call.Attempts >= Context.Settings.MaxAttempts)
+  // A call that can wait is paced by its pauses instead.
+  if (Call.Request.CanWait)
+    return true;
+  if (Call.Attempts >= Context.Settings.MaxAttempts)
     return false;
   return !Costs || Budget.spend();
 }
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -108,6 +108,7 @@
     std::uint32_t Attempts = 0;
     DurationMs Pause = FirstRetryPause;
     ResultCode LastRefusal = ResultCode::NoTargetAvailable;
+    bool MetSilence = false; ///< Goes by fresh connections from now on.
     bool MayHaveRun = false; ///< An attempt was left without a last word.
   };
 
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -95,8 +95,12 @@
   if (Own != Config.Services.end())
     Limit.setSlots(Own->second.Slots);
   const bool AnyWithdrawn = Withdrawn.update(Config);
-  if (ownDomainOut())
+  const bool WasOut = std::exchange(OutBefore, ownDomainOut());
+  if (OutBefore)
     refuseAllQueued(ResultCode::DomainOut);
+  // While its domain was out the target may have been restarted unnoticed.
+  if (WasOut && !OutBefore)
+    Limit.reset(Context.now());
   if (AnyWithdrawn) {
     std::vector<CallId> Revoked;
     for (const auto &[Id, Call] : Held)
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -110,6 +110,7 @@
   std::uint64_t Epoch = 0;      ///< Grows by one with each noticed crash.
   bool Suspended = false;       ///< Nothing starts until a probe says so.
   bool Down = false;
+  bool OutBefore = false; ///< Own domain, in the last configuration.
   bool Probing = false;
   TimeMs NextProbe{0};
   std::optional<TargetState> Told;
--- a/src/policy/Router.cpp
+++ b/src/policy/Router.cpp
@@ -12,8 +12,8 @@
 constexpr double OwnRegionWeight = 2.0;
 constexpr double RemoteWeight = 0.05;
 
-/// Factor on the chance of an instance whose node did not answer lately.
-constexpr double SuspectWeight = 0.01;
+/// Longest suspicion, in times of the first.
+constexpr std::int64_t MaxSuspectFactor = 8;
 
 /// Latency assumed before the first report, in milliseconds.
 constexpr double UnknownLatency = 10.0;
@@ -68,6 +68,7 @@
   Known->LoadAt = Now;
   Known->SentSinceLoad = 0;
   Known->SuspectUntil = TimeMs(0);
+  Known->SuspectSpan = DurationMs(0);
 }
 
 void Router::onSent(std::string_view Name) {
@@ -85,8 +86,12 @@
 }
 
 void Router::onSilent(std::string_view Name, TimeMs Now) {
-  if (Entry *Known = find(Name))
-    Known->SuspectUntil = Now + Settings.SuspectTime;
+  Entry *Known = find(Name);
+  if (!Known || Known->SuspectUntil > Now)
+    return;
+  Known->SuspectSpan = std::clamp(Known->SuspectSpan * 2, Settings.SuspectTime,
+                                  Settings.SuspectTime * MaxSuspectFactor);
+  Known->SuspectUntil = Now + Known->SuspectSpan;
 }
 
 const Instance *Router::pick(std::string_view Service,
@@ -131,8 +136,8 @@
 }
 
 TargetState Router::stateOf(const Entry &Candidate, TimeMs Now) const {
-  // A leaving instance never comes back under its name and place, whatever an
-  // older report says; of the rest the fresher word counts.
+  // That an instance leaves outranks an older report of its load; otherwise
+  // the fresher word counts.
   if (Candidate.Place.State == TargetState::Draining)
     return TargetState::Draining;
   const bool Fresh =
@@ -153,9 +158,7 @@
   const TargetState State = stateOf(Candidate, Now);
   if (State == TargetState::Draining || State == TargetState::Down)
     return 0;
-  double Weight = Ramp.share(Candidate.Place.Domain, Now);
-  if (Candidate.SuspectUntil > Now)
-    Weight *= SuspectWeight;
+  const double Weight = Ramp.share(Candidate.Place.Domain, Now);
   switch (nearnessOf(Candidate)) {
   case Nearness::OwnDomain:
     return Weight * OwnDomainWeight;
@@ -196,6 +199,7 @@
                                             std::span<const std::string> Tried,
                                             TimeMs Now) const {
   std::vector<Choice> Open;
+  std::vector<Choice> Suspected;
   const auto Found = Services.find(Service);
   if (Found == Services.end())
     return Open;
@@ -204,9 +208,10 @@
       continue;
     const double Weight = weightOf(*Each, Now);
     if (Weight > 0)
-      Open.push_back({Each, Weight});
+      (Each->SuspectUntil > Now ? Suspected : Open).push_back({Each, Weight});
   }
-  return Open;
+  // A suspected node is the last resort: to a call it may cost the deadline.
+  return Open.empty() ? Suspected : Open;
 }
 
 Router::Entry *Router::find(std::string_view Name) {
--- a/src/policy/Router.h
+++ b/src/policy/Router.h
@@ -38,7 +38,8 @@
   DurationMs RemoteCost{40};   ///< Added wait of another region.
   DurationMs LoadMaxAge{2000}; ///< A load report older is not believed.
   DurationMs DomainRampTime{20000};
-  DurationMs SuspectTime{3000}; ///< A silent node is avoided this long.
+  /// A silent node is avoided this long at first, and longer each time.
+  DurationMs SuspectTime{3000};
 };
 
 /// What the node beside a target reports of it.
@@ -102,6 +103,7 @@
     std::uint32_t SentSinceLoad = 0;
     std::uint32_t Outstanding = 0;
     TimeMs SuspectUntil{0};
+    DurationMs SuspectSpan{0}; ///< Grows while the node stays silent.
   };
 
   /// An entry that may be picked, with its chance.
