Do not blame the target for requests that had little time left

A request started shortly before its deadline times out whatever the target bears. A timeout now counts only when it took several times the usual latency. A target that is lost while it warms up is warmed up more slowly the next time.

--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -225,7 +225,7 @@
   // Requests that began before the break and still run show that the target
   // did not restart; otherwise it has to be taken for cold.
   if (Down || !SurvivorsLeft)
-    Limit.reset(Context.now());
+    Limit.restartAfterLoss(Context.now());
   Down = false;
   Suspended = false;
   setState();
--- a/src/policy/AdmissionLimit.cpp
+++ b/src/policy/AdmissionLimit.cpp
@@ -31,6 +31,12 @@
 
 constexpr double TimeoutDecrease = 0.5;
 
+/// Longest warming up, in times of the setting.
+constexpr std::int64_t MaxWarmFactor = 16;
+
+/// Warming-up times after which a loss is not blamed on the warming up.
+constexpr std::int64_t TrustedAfter = 3;
+
 } // namespace
 
 AdmissionLimit::AdmissionLimit(AdmissionSettings Settings, std::uint32_t Slots,
@@ -51,7 +57,8 @@
                               TimeMs Now) {
   LastResult = Now;
   if (Verdict == RunVerdict::Lost) {
-    reset(Now);
+    Limit = startLimit();
+    Cold = true;
     return;
   }
   const bool Failed = Verdict == RunVerdict::Failed;
@@ -61,7 +68,9 @@
     return;
   }
   if (Verdict == RunVerdict::TimedOut) {
-    decrease(TimeoutDecrease, Now);
+    // A request that had little time left says nothing about the target.
+    if (static_cast<double>(Took.Value) > ColdSlowdown * Recent)
+      decrease(TimeoutDecrease, Now);
     return;
   }
   const double Slowdown = observe(Route, Took);
@@ -77,6 +86,21 @@
     grow(InFlight, Now);
 }
 
+void AdmissionLimit::restartAfterLoss(TimeMs Now) {
+  // A target that is lost while, or soon after, it was warmed up was given too
+  // much too soon; one that is lost later is not blamed on the warming up.
+  const DurationMs Trusted = warmTime() * TrustedAfter;
+  if (Now - ColdSince < Trusted)
+    WarmFactor = std::min(WarmFactor * 2, MaxWarmFactor);
+  else
+    WarmFactor = 1;
+  reset(Now);
+}
+
+DurationMs AdmissionLimit::warmTime() const {
+  return Settings.WarmTime * WarmFactor;
+}
+
 void AdmissionLimit::reset(TimeMs Now) {
   Limit = startLimit();
   Cold = true;
@@ -105,7 +129,7 @@
   if (!Cold || Settings.WarmTime <= DurationMs(0))
     return Slots;
   const double Warm = static_cast<double>((Now - ColdSince).Value) /
-                      static_cast<double>(Settings.WarmTime.Value);
+                      static_cast<double>(warmTime().Value);
   return startLimit() + std::min(1.0, Warm) * (Slots - startLimit());
 }
 
--- a/src/policy/AdmissionLimit.h
+++ b/src/policy/AdmissionLimit.h
@@ -65,6 +65,10 @@
   /// Starts again from cold, as after a restart of the target.
   void reset(TimeMs Now);
 
+  /// Starts again from cold when a target that was lost is back; more slowly
+  /// when it was lost while, or soon after, it warmed up.
+  void restartAfterLoss(TimeMs Now);
+
   /// Requests that the target may hold now, from 1 to the slots.
   std::uint32_t limit(TimeMs Now);
 
@@ -83,6 +87,7 @@
     std::uint32_t Samples = 0;
   };
 
+  DurationMs warmTime() const;
   double startLimit() const;
   double ceiling(TimeMs Now) const;
   /// Takes a latency in and returns its slowdown against the usual one.
@@ -94,6 +99,7 @@
   std::uint32_t Slots;
   double Limit = 1;
   bool Cold = true;
+  std::int64_t WarmFactor = 1; ///< Of the warming-up time.
   TimeMs ColdSince;
   TimeMs LastResult;
   TimeMs LastDecrease;
