--- a/bench/PolicyBench.cpp
+++ b/bench/PolicyBench.cpp
@@ -73,7 +73,7 @@
      750},
 };
 
-/// Shares of the arrivals, by organisation; a few are large.
+/// Shares of the arrivals and weights, by organisation; a few are large.
 const std::vector<double> Shares = {0.30, 0.25, 0.15, 0.10,
                                     0.05, 0.05, 0.05, 0.05};
 
@@ -129,7 +129,8 @@
         Name, "one", Name == DomainOut ? DomainStatus::Out : DomainStatus::In,
         16};
   for (std::size_t I = 0; I < Shares.size(); ++I)
-    Config.Organisations[organisation(I)] = {organisation(I), "", 1};
+    Config.Organisations[organisation(I)] = {
+        organisation(I), "", static_cast<std::uint32_t>(Shares[I] * 100)};
   return Config;
 }
 
@@ -276,7 +277,11 @@
   /// Arrivals a second over all services at present.
   double rate() const {
     const double Slots = static_cast<double>(Services.size()) * Size.Slots;
-    const double AtRest = FLAGS_load * Slots * 1000 / FLAGS_service_ms;
+    // The offender's scenario starts from a load at which its excess is more
+    // than the targets bear.
+    const double Load =
+        Scenario == "5x org" ? std::max(FLAGS_load, 0.8) : FLAGS_load;
+    const double AtRest = Load * Slots * 1000 / FLAGS_service_ms;
     return Offending ? AtRest * (1 + 4 * Shares[Offender]) : AtRest;
   }
 
--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -104,7 +104,7 @@
   // Nothing was sent that could run. The connection may be at fault.
   Link &Known = Links[Present.Address];
   const TimeMs Now = Context.now();
-  if (Known.FreshUntil > Now)
+  if (Known.FreshUntil > Now || Call.MetSilence)
     Targets.onSilent(Present.Target, Now);
   Known.FreshUntil = Now + FreshConnectionTime;
   Call.MetSilence = true;
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -211,8 +211,10 @@
     Present.Address = Target.PeerAddress;
   Targets.onSent(Target.Name);
   // A request that must not run twice is bound to one process of the node, so
-  // that no copy of it can run in the next one.
-  const bool Known = IsLocal || Links[Present.Address].Incarnation != 0;
+  // that no copy of it can run in the next one. A node that was silent is asked
+  // first too: a question that is lost leaves nothing unknown.
+  const bool Known = IsLocal || (Links[Present.Address].Incarnation != 0 &&
+                                 !Targets.doubtful(Present.Target));
   if (Known || Call.Request.Idempotent)
     sendStart(Handle, Call);
   else
--- a/src/policy/FairQueue.cpp
+++ b/src/policy/FairQueue.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-/// Share of the typical latency that must be left when a request is started.
-constexpr double LeastLatencyShare = 0.5;
+/// Times the typical latency that must be left when a request is started; one
+/// that is started later mostly ends in a timeout and wastes its slot.
+constexpr double LeastLatencyShare = 1.5;
 
 /// Virtual service time of a request, before its weight.
 double cost(const QueuedCall &Call) {
--- a/src/policy/Router.cpp
+++ b/src/policy/Router.cpp
@@ -94,6 +94,11 @@
   Known->SuspectUntil = Now + Known->SuspectSpan;
 }
 
+bool Router::doubtful(std::string_view Name) const {
+  const auto Found = Entries.find(Name);
+  return Found != Entries.end() && Found->second.SuspectSpan > DurationMs(0);
+}
+
 const Instance *Router::pick(std::string_view Service,
                              std::span<const std::string> Tried, TimeMs Now,
                              const RandomHook &Random) const {
--- a/src/policy/Router.h
+++ b/src/policy/Router.h
@@ -84,6 +84,9 @@
   /// Avoids an instance for a while because its node did not answer.
   void onSilent(std::string_view Name, TimeMs Now);
 
+  /// Whether an instance has been silent and not been heard of since.
+  bool doubtful(std::string_view Name) const;
+
   /// The instance to send a call to, or null when none may be sent to.
   /// Valid until the next \ref setInstances.
   /// \param Tried names of instances that are not to be tried again.
