Add the command line, status and metrics pages, and the first pages for readers

Cause: people on shift need one binary with commands, and pages to read. Change: check, key-digest, status, timeline, explain and version; status as JSON and table; metrics held against docs/METRICS.md; README, primer, glossary, commands and questions.

--- /dev/null
+++ b/src/app/Flags.h
@@ -0,0 +1,26 @@
+/// \file
+/// Every flag of the command line. Defaults and effects stand in Flags.cpp.
+
+#ifndef FESCUEWOOD_APP_FLAGS_H
+#define FESCUEWOOD_APP_FLAGS_H
+
+#include <gflags/gflags.h>
+
+DECLARE_string(settings);
+DECLARE_string(node);
+DECLARE_string(log);
+DECLARE_bool(json);
+DECLARE_string(svg);
+DECLARE_string(call);
+DECLARE_string(organisation);
+DECLARE_string(target);
+DECLARE_string(domain);
+DECLARE_string(instance);
+DECLARE_int32(event);
+DECLARE_int64(from_ms);
+DECLARE_int64(to_ms);
+DECLARE_string(method);
+DECLARE_string(path);
+DECLARE_int32(timeout_ms);
+
+#endif // FESCUEWOOD_APP_FLAGS_H
--- a/src/app/Main.cpp
+++ b/src/app/Main.cpp
@@ -1,6 +1,5 @@
-#include <cstdio>
+#include "app/Commands.h"
 
-int main() {
-  std::puts("fescuewood " FESCUEWOOD_VERSION);
-  return 0;
+int main(int Argc, char **Argv) {
+  return static_cast<int>(fescuewood::runCommandLine(Argc, Argv));
 }
--- /dev/null
+++ b/src/app/TargetAdapter.h
@@ -0,0 +1,43 @@
+/// \file
+/// Joins the calls duty to the HTTP client of the target beside the node.
+
+#ifndef FESCUEWOOD_APP_TARGETADAPTER_H
+#define FESCUEWOOD_APP_TARGETADAPTER_H
+
+#include "calls/TargetPort.h"
+#include "settings/NodeSettings.h"
+#include "targets/TargetClient.h"
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+
+namespace fescuewood {
+
+/// What the calls duty is told of a result of the client.
+RunResult toRunResult(TargetResult Result);
+
+/// Fills in a \ref TargetPort with a \ref TargetClient, and keeps which request
+/// of the client belongs to which call.
+class TargetAdapter {
+public:
+  /// The client must outlive the adapter and be stopped before it ends.
+  TargetAdapter(TargetClient &Client, TargetSettings Settings);
+
+  TargetPort port();
+
+private:
+  void run(const CallRequest &Request, DurationMs Timeout, RunHook OnResult);
+  void cancel(const CallId &Id);
+  void probe(std::function<void(bool)> OnResult);
+  void forget(const CallId &Id);
+
+  TargetClient &Client;
+  TargetSettings Settings;
+  std::mutex Mutex;
+  std::map<CallId, std::uint64_t> Running;
+};
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_APP_TARGETADAPTER_H
--- a/src/operators/EventRecorder.cpp
+++ b/src/operators/EventRecorder.cpp
@@ -15,7 +15,7 @@
   // The lock spans the line hook, so that lines come out in sequence.
   std::lock_guard<std::mutex> Lock(Mutex);
   ++Counts[What.Id];
-  const EventTime Time = Stamp();
+  const HybridTime Time = Stamp();
   const auto HeldBack = Limit.pass(What, TimeMs(Time.WallMs));
   if (!HeldBack)
     return;
--- a/src/operators/EventRecorder.h
+++ b/src/operators/EventRecorder.h
@@ -30,7 +30,7 @@
 
 class EventRecorder {
 public:
-  using StampHook = std::function<EventTime()>;
+  using StampHook = std::function<HybridTime()>;
   using LineHook = std::function<void(const StampedEvent &)>;
 
   /// \param Stamp called for each event, on the thread that reports it.
--- a/src/operators/StampedEvent.cpp
+++ b/src/operators/StampedEvent.cpp
@@ -70,7 +70,7 @@
     StampedEvent Value;
     Value.Sequence = Json.at("sequence").get<std::uint64_t>();
     Value.Time.WallMs = Json.at("time_ms").get<std::int64_t>();
-    Value.Time.Counter = Json.at("counter").get<std::uint32_t>();
+    Value.Time.Counter = Json.at("counter").get<std::uint16_t>();
     Value.Node = Json.at("node").get<std::string>();
     Value.Domain = Json.at("domain").get<std::string>();
     Value.What.Id = *Id;
@@ -84,10 +84,12 @@
 
 std::string toTextLine(const StampedEvent &Value) {
   const EventEntry &Entry = eventEntry(Value.What.Id);
-  std::string Line = fmt::format(
-      "{} {:<5} {} {} node={} domain={}", utcText(Value.Time.WallMs),
-      levelName(Entry.Level), static_cast<int>(Entry.Id), Entry.Name,
-      word(Value.Node), word(Value.Domain));
+  std::string Line =
+      fmt::format("{} {:<5} {} {} node={} domain={} hlc={}.{} seq={}",
+                  utcText(Value.Time.WallMs), levelName(Entry.Level),
+                  static_cast<int>(Entry.Id), Entry.Name, word(Value.Node),
+                  word(Value.Domain), Value.Time.WallMs, Value.Time.Counter,
+                  Value.Sequence);
   for (const EventField &Field : Value.What.Fields)
     Line += fmt::format(" {}={}", Field.Key, word(Field.Value));
   return Line;
--- a/src/operators/StampedEvent.h
+++ b/src/operators/StampedEvent.h
@@ -5,6 +5,7 @@
 #define FESCUEWOOD_OPERATORS_STAMPEDEVENT_H
 
 #include "core/Event.h"
+#include "core/HybridClock.h"
 
 #include <cstdint>
 #include <optional>
@@ -13,19 +14,10 @@
 
 namespace fescuewood {
 
-/// A hybrid logical time: wall clock milliseconds and a counter that orders
-/// events of one millisecond. Ordered as a whole, across processes.
-struct EventTime {
-  std::int64_t WallMs = 0; ///< Since the Unix epoch.
-  std::uint32_t Counter = 0;
-
-  auto operator<=>(const EventTime &) const = default;
-};
-
 /// An event as it stands in the time line.
 struct StampedEvent {
   std::uint64_t Sequence = 0; ///< Rises by one per event of one process.
-  EventTime Time;
+  HybridTime Time;
   std::string Node;   ///< The instance's name.
   std::string Domain; ///< Its failure domain.
   Event What;
@@ -41,9 +33,13 @@
 /// object or that names an event that this version does not know.
 std::optional<StampedEvent> fromJsonLine(std::string_view Line);
 
-/// One line for people: time, level, number, name, place and fields.
+/// One line for people and logs: time, level, number, name, then `key=value`
+/// words. A value that is not one plain word stands as a JSON string.
 std::string toTextLine(const StampedEvent &Value);
 
+/// Reads what \ref toTextLine wrote; nothing for any other line.
+std::optional<StampedEvent> fromTextLine(std::string_view Line);
+
 } // namespace fescuewood
 
 #endif // FESCUEWOOD_OPERATORS_STAMPEDEVENT_H
--- a/tests/operators/EventRecorderTest.cpp
+++ b/tests/operators/EventRecorderTest.cpp
@@ -7,7 +7,7 @@
 using namespace fescuewood;
 
 TEST_GROUP(EventRecorder) {
-  EventTime Now{1000, 0};
+  HybridTime Now{1000, 0};
   std::vector<StampedEvent> Lines;
   EventRecorder Recorder{"recife/till-1", "recife", 8, [this] { return Now; },
                          [this](const StampedEvent &E) { Lines.push_back(E); }};
