--- a/src/app/TargetAdapter.cpp
+++ b/src/app/TargetAdapter.cpp
@@ -56,8 +56,8 @@
   // The lock spans the start, so that a result that comes at once finds the
   // entry that it has to remove.
   std::unique_lock<std::mutex> Lock(Mutex);
-  const auto Number = Client.start(
-      std::move(Sent), [this, Id, OnResult](TargetResult Result) {
+  const auto Number =
+      Client.start(std::move(Sent), [this, Id, OnResult](TargetResult Result) {
         forget(Id);
         OnResult(toRunResult(std::move(Result)));
       });
