--- a/src/app/CallerBridge.cpp
+++ b/src/app/CallerBridge.cpp
@@ -16,7 +16,7 @@
                 },
                 std::move(OnEvent)}) {}
 
-void CallerBridge::take(CallerRequest Request, AnswerHook OnAnswer) {
+void CallerBridge::take(CallerRequest Request, const AnswerHook &OnAnswer) {
   Taking = Request.Number;
   Incoming.take(std::move(Request), OnAnswer);
 }
--- a/src/app/CallerBridge.h
+++ b/src/app/CallerBridge.h
@@ -28,7 +28,7 @@
                EventHook OnEvent);
 
   /// For \ref CallerServer; on the server's thread.
-  void take(CallerRequest Request, AnswerHook OnAnswer);
+  void take(CallerRequest Request, const AnswerHook &OnAnswer);
 
   /// For \ref CallerServer; on the server's thread.
   void gone(std::uint64_t Number);
--- a/src/app/TargetAdapter.cpp
+++ b/src/app/TargetAdapter.cpp
@@ -38,18 +38,18 @@
 TargetPort TargetAdapter::port() {
   TargetPort Port;
   Port.Run = [this](const CallRequest &Request, DurationMs Timeout,
-                    RunHook OnResult) {
-    run(Request, Timeout, std::move(OnResult));
+                    const RunHook &OnResult) {
+    run(Request, Timeout, OnResult);
   };
   Port.Cancel = [this](const CallId &Id) { cancel(Id); };
-  Port.Probe = [this](std::function<void(bool)> OnResult) {
-    probe(std::move(OnResult));
+  Port.Probe = [this](const std::function<void(bool)> &OnResult) {
+    probe(OnResult);
   };
   return Port;
 }
 
 void TargetAdapter::run(const CallRequest &Request, DurationMs Timeout,
-                        RunHook OnResult) {
+                        const RunHook &OnResult) {
   const CallId Id = Request.Id;
   TargetRequest Sent{Request.Method, Request.Target,     Request.Headers,
                      Request.Body,   Request.Idempotent, Timeout};
@@ -88,7 +88,7 @@
     Client.cancel(*Number);
 }
 
-void TargetAdapter::probe(std::function<void(bool)> OnResult) {
+void TargetAdapter::probe(const std::function<void(bool)> &OnResult) {
   TargetRequest Sent;
   Sent.Method = "GET";
   Sent.Target = Settings.ProbePath;
--- a/src/app/TargetAdapter.h
+++ b/src/app/TargetAdapter.h
@@ -27,9 +27,10 @@
   TargetPort port();
 
 private:
-  void run(const CallRequest &Request, DurationMs Timeout, RunHook OnResult);
+  void run(const CallRequest &Request, DurationMs Timeout,
+           const RunHook &OnResult);
   void cancel(const CallId &Id);
-  void probe(std::function<void(bool)> OnResult);
+  void probe(const std::function<void(bool)> &OnResult);
   void forget(const CallId &Id);
 
   TargetClient &Client;
--- a/src/operators/StatusJson.cpp
+++ b/src/operators/StatusJson.cpp
@@ -50,12 +50,13 @@
 
 Json resultsJson(const CallStatus &Calls) {
   Json Rows = Json::array();
-  for (const auto &[Code, Counts] : Calls.Results)
+  for (const auto &[Code, Counts] : Calls.Results) {
     Rows.push_back({{"code", static_cast<int>(Code)},
                     {"name", std::string(resultName(Code))},
                     {"not_run", Counts.NotRun},
                     {"ran", Counts.Ran},
                     {"unknown", Counts.Unknown}});
+  }
   return Rows;
 }
 
--- a/src/operators/StatusTable.cpp
+++ b/src/operators/StatusTable.cpp
@@ -93,19 +93,20 @@
 std::string instancesText(const Json &Page) {
   std::string Text = "\ninstance                 domain           target    "
                      "health     version\n";
-  for (const Json &Row : Page.at("fleet"))
+  for (const Json &Row : Page.at("fleet")) {
     Text += fmt::format(
         "{:<24} {:<16} {:<9} {:<10} {}\n", Row.at("name").get<std::string>(),
         Row.at("domain").get<std::string>(),
         Row.at("target").get<std::string>(),
         Row.at("health").get<std::string>(), versionText(Row.at("version")));
+  }
   return Text;
 }
 
 std::string organisationsText(const Json &Page) {
   std::string Text = "\norganisation             rate/s    burst   demand here "
                      " refused here\n";
-  for (const Json &Row : Page.at("organisations"))
+  for (const Json &Row : Page.at("organisations")) {
     Text += fmt::format(
         "{:<22} {:>8.1f} {:>8.0f} {:>13.1f} {:>13}{}\n",
         Row.at("name").get<std::string>(),
@@ -113,6 +114,7 @@
         Row.at("demand_here").get<double>(),
         Row.at("refused").get<std::uint64_t>(),
         Row.at("near_rate").get<bool>() ? "  NEAR ITS RATE" : "");
+  }
   return Text;
 }
 
