--- /dev/null
+++ b/tests/platform/FolderSourceTest.cpp
@@ -0,0 +1,85 @@
+#include "platform/PlatformSource.h"
+
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+namespace {
+
+constexpr DurationMs LongestWait{20000};
+
+} // namespace
+
+TEST_GROUP(FolderSource) {
+  std::string Folder;
+
+  void setup() override {
+    std::string Name =
+        (std::filesystem::temp_directory_path() / "fescuewoodXXXXXX").string();
+    Folder = mkdtemp(Name.data());
+    write("10-a.ini", "[service a]\n");
+  }
+  void teardown() override { std::filesystem::remove_all(Folder); }
+
+  void write(const std::string &Name, const std::string &Text) {
+    std::ofstream(Folder + "/" + Name) << Text;
+  }
+};
+
+TEST(FolderSource, GivesTwoReadersTheSameVersion) {
+  const auto First = folderSource(Folder).ReadIntent(0, LongestWait);
+  const auto Second = folderSource(Folder).ReadIntent(0, LongestWait);
+
+  CHECK(First.Value->version() == Second.Value->version());
+}
+
+TEST(FolderSource, RaisesTheRevisionForEveryChangeAlsoAnOldFile) {
+  const PlatformSource Source = folderSource(Folder);
+  std::uint64_t Revision = Source.ReadIntent(0, LongestWait).Value->Revision;
+
+  write("20-b.ini", "[service b]\n");
+  const auto Added = Source.ReadIntent(Revision, LongestWait);
+  std::filesystem::last_write_time(Folder + "/20-b.ini", {});
+  const auto Touched = Source.ReadIntent(Added.Value->Revision, LongestWait);
+  std::filesystem::remove(Folder + "/20-b.ini");
+  const auto Removed = Source.ReadIntent(Touched.Value->Revision, LongestWait);
+
+  LONGS_EQUAL(2, Added.Value->Files.size());
+  LONGS_EQUAL(2, Touched.Value->Files.size());
+  LONGS_EQUAL(1, Removed.Value->Files.size());
+}
+
+TEST(FolderSource, LeavesFilesOutThatAreNotIntent) {
+  write("README.md", "notes");
+  write(".10-a.ini.swp", "editor");
+  write("instances.json", "{}");
+
+  const auto Read = folderSource(Folder).ReadIntent(0, LongestWait);
+
+  LONGS_EQUAL(1, Read.Value->Files.size());
+}
+
+TEST(FolderSource, SaysThatAFolderCannotBeRead) {
+  const auto Read = folderSource("/nonexistent").ReadIntent(0, DurationMs(0));
+
+  CHECK(ResultCode::PlatformUnreachable == Read.Reason);
+}
+
+TEST(FolderSource, ReturnsEarlyOnceCancelled) {
+  const PlatformSource Source = folderSource(Folder);
+  const auto First = Source.ReadIntent(0, LongestWait);
+  std::future<PlatformRead<IntentBundle>> Watch =
+      std::async(std::launch::async, [&] {
+        return Source.ReadIntent(First.Value->Revision, DurationMs(3600000));
+      });
+
+  Source.Cancel();
+
+  CHECK(std::future_status::ready ==
+        Watch.wait_for(std::chrono::milliseconds(LongestWait.Value)));
+}
--- /dev/null
+++ b/tests/platform/HttpSourceTest.cpp
@@ -0,0 +1,182 @@
+#include "platform/PlatformReader.h"
+#include "platform/PlatformSource.h"
+
+#include "support/ChildProcess.h"
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <string>
+#include <thread>
+
+#include <curl/curl.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+namespace {
+
+constexpr DurationMs LongestWait{20000};
+
+/// A folder that the test owns.
+struct TemporaryFolder {
+  std::string Path;
+
+  TemporaryFolder() {
+    std::string Name =
+        (std::filesystem::temp_directory_path() / "fescuewoodXXXXXX").string();
+    Path = mkdtemp(Name.data());
+  }
+  ~TemporaryFolder() { std::filesystem::remove_all(Path); }
+
+  void write(const std::string &Name, const std::string &Text) const {
+    std::ofstream(Path + "/" + Name) << Text;
+  }
+};
+
+std::size_t ignoreBody(char *, std::size_t Size, std::size_t Count, void *) {
+  return Size * Count;
+}
+
+} // namespace
+
+TEST_GROUP(HttpSource) {
+  TemporaryFolder Folder;
+  ChildProcess Process{{BINARY_DIR "/standins/Platform", "--listen",
+                        "127.10.1.1:0", "--folder", Folder.Path, "--instances",
+                        Folder.Path + "/instances.json"}};
+  Endpoint Server;
+  PlatformSource Source;
+
+  void setup() override {
+    const std::string Listening = "listening ";
+    STRCMP_CONTAINS(Listening.c_str(), Process.firstLine().c_str());
+    Server = *Endpoint::parse(Process.firstLine().substr(Listening.size()));
+    Source = httpSource(Server, DurationMs(500));
+    Folder.write("10-a.ini", "[service a]\n");
+  }
+
+  void control(const std::string &Query) {
+    const std::string Url = "http://" + Server.text() + "/control?" + Query;
+    CURL *Curl = curl_easy_init();
+    curl_easy_setopt(Curl, CURLOPT_URL, Url.c_str());
+    curl_easy_setopt(Curl, CURLOPT_WRITEFUNCTION, &ignoreBody);
+    LONGS_EQUAL(CURLE_OK, curl_easy_perform(Curl));
+    curl_easy_cleanup(Curl);
+  }
+
+  /// The next version above \p After, waited for.
+  IntentBundle next(std::uint64_t After) {
+    PlatformRead<IntentBundle> Read = Source.ReadIntent(After, LongestWait);
+    STRCMP_EQUAL("", Read.Detail.c_str());
+    CHECK(Read.Value.has_value());
+    return *Read.Value;
+  }
+
+  ResultCode reason() { return Source.ReadIntent(0, DurationMs(0)).Reason; }
+};
+
+TEST(HttpSource, WatchesForEachNewVersion) {
+  const IntentBundle First = next(0);
+  std::future<IntentBundle> Watch =
+      std::async(std::launch::async, [&] { return next(First.Revision); });
+
+  Folder.write("20-b.ini", "[service b]\n");
+  const IntentBundle Second = Watch.get();
+
+  LONGS_EQUAL(1, First.Files.size());
+  LONGS_EQUAL(2, Second.Files.size());
+  CHECK(Second.Revision > First.Revision);
+}
+
+TEST(HttpSource, ShowsARemovedFileAsANewVersion) {
+  Folder.write("20-b.ini", "[service b]\n");
+  const IntentBundle First = next(0);
+
+  std::filesystem::remove(Folder.Path + "/20-b.ini");
+  const IntentBundle Second = next(First.Revision);
+
+  LONGS_EQUAL(1, Second.Files.size());
+}
+
+TEST(HttpSource, GivesNothingWhenNothingIsNewer) {
+  const IntentBundle First = next(0);
+
+  const auto Read = Source.ReadIntent(First.Revision, DurationMs(50));
+
+  CHECK_FALSE(Read.Value.has_value());
+  CHECK(ResultCode::Ok == Read.Reason);
+}
+
+TEST(HttpSource, TellsEveryFaultOfThePlatformApart) {
+  next(0);
+  const std::pair<const char *, ResultCode> Faults[] = {
+      {"out", ResultCode::PlatformUnreachable},
+      {"silent", ResultCode::PlatformUnreachable},
+      {"torn", ResultCode::PlatformTorn},
+      {"refusing", ResultCode::PlatformRefused},
+      {"garbled", ResultCode::PlatformMalformed}};
+  for (const auto &[Name, Expected] : Faults) {
+    control(std::string(Name) + "=1");
+    const ResultCode During = reason();
+    control(std::string(Name) + "=0");
+
+    CHECK_TRUE_TEXT(Expected == During, Name);
+    CHECK_TRUE_TEXT(ResultCode::Ok == reason(), Name);
+  }
+}
+
+TEST(HttpSource, ShowsAStalePlatformAsItIs) {
+  const IntentBundle First = next(0);
+  Folder.write("20-b.ini", "[service b]\n");
+  const IntentBundle Second = next(First.Revision);
+
+  control("stale=" + std::to_string(First.Revision));
+
+  CHECK(First.Revision == next(0).Revision);
+  CHECK_FALSE(
+      Source.ReadIntent(Second.Revision, DurationMs(0)).Value.has_value());
+}
+
+TEST(HttpSource, ReadsTheListOfInstances) {
+  Folder.write("instances.json",
+               R"({"instances": [{"name": "a-1", "domain": "recife",
+                   "service": "a", "slot": 3, "state": "leaving",
+                   "peer_address": "127.10.0.1:7000"}]})");
+  const Clock Time = Clock::monotonic();
+  const TimeMs Until = Time.now() + LongestWait;
+  PlatformRead<InstanceList> Read;
+  while (!Read.Value && Time.now() < Until)
+    Read = Source.ReadInstances(0);
+
+  LONGS_EQUAL(1, Read.Value->Instances.size());
+  CHECK(ListedState::Leaving == Read.Value->Instances[0].State);
+  CHECK_FALSE(Source.ReadInstances(Read.Value->Revision).Value.has_value());
+}
+
+TEST(HttpSource, CannotConnectWhereNothingListens) {
+  Source = httpSource(*Endpoint::parse("127.10.1.2:1"), DurationMs(500));
+
+  CHECK(ResultCode::PlatformUnreachable == reason());
+}
+
+// The whole duty against the real stand-in.
+TEST(HttpSource, FeedsAReaderThatStopsWhileItWatches) {
+  PlatformSettings Settings;
+  Settings.FleetReadsPerSecond = 100;
+  Settings.FleetNodes = 1;
+  Settings.WatchWait = LongestWait;
+  std::promise<IntentBundle> Given;
+  PlatformReaderHooks Hooks;
+  Hooks.OnBundle = [&](IntentBundle B) { Given.set_value(std::move(B)); };
+  PlatformReader Reader(Source, Settings, std::move(Hooks), 1);
+
+  Reader.start();
+  const auto Done =
+      Given.get_future().wait_for(std::chrono::milliseconds(LongestWait.Value));
+  Reader.stop();
+
+  CHECK(std::future_status::ready == Done);
+}
--- /dev/null
+++ b/tests/support/ChildProcess.h
@@ -0,0 +1,58 @@
+/// \file
+/// A stand-in that runs as a process of its own for as long as the test.
+
+#ifndef FESCUEWOOD_TESTS_SUPPORT_CHILDPROCESS_H
+#define FESCUEWOOD_TESTS_SUPPORT_CHILDPROCESS_H
+
+#include <csignal>
+#include <string>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <vector>
+
+/// Starts a program and keeps the first line that it prints.
+class ChildProcess {
+public:
+  explicit ChildProcess(std::vector<std::string> Command) {
+    int Pipe[2];
+    if (pipe(Pipe) != 0)
+      return;
+    Id = fork();
+    if (Id == 0) {
+      dup2(Pipe[1], STDOUT_FILENO);
+      close(Pipe[0]);
+      close(Pipe[1]);
+      std::vector<char *> Arguments;
+      Arguments.reserve(Command.size());
+      for (std::string &Word : Command)
+        Arguments.push_back(Word.data());
+      Arguments.push_back(nullptr);
+      execv(Arguments[0], Arguments.data());
+      _exit(127);
+    }
+    close(Pipe[1]);
+    char Next = 0;
+    while (read(Pipe[0], &Next, 1) == 1 && Next != '\n')
+      First += Next;
+    close(Pipe[0]);
+  }
+
+  ~ChildProcess() {
+    if (Id <= 0)
+      return;
+    kill(Id, SIGKILL);
+    waitpid(Id, nullptr, 0);
+  }
+
+  ChildProcess(const ChildProcess &) = delete;
+  ChildProcess &operator=(const ChildProcess &) = delete;
+
+  /// The first line of the program's output; empty when it did not start.
+  const std::string &firstLine() const { return First; }
+
+private:
+  pid_t Id = -1;
+  std::string First;
+};
+
+#endif // FESCUEWOOD_TESTS_SUPPORT_CHILDPROCESS_H
