--- a/tests/platform/HttpSourceTest.cpp
+++ b/tests/platform/HttpSourceTest.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr DurationMs LongestWait{20000};
+constexpr const char *PlatformProgram = BINARY_DIR "/standins/Platform";
 
 /// A folder that the test owns.
 struct TemporaryFolder {
@@ -44,8 +45,8 @@
 
 TEST_GROUP(HttpSource) {
   TemporaryFolder Folder;
-  ChildProcess Process{{BINARY_DIR "/standins/Platform", "--listen",
-                        "127.10.1.1:0", "--folder", Folder.Path, "--instances",
+  ChildProcess Process{{PlatformProgram, "--listen", "127.10.1.1:0", "--folder",
+                        Folder.Path, "--instances",
                         Folder.Path + "/instances.json"}};
   Endpoint Server;
   PlatformSource Source;
