--- /dev/null
+++ b/src/nodes/ControlMessages.h
@@ -0,0 +1,86 @@
+/// \file
+/// The bodies of the Exchange and Fetch messages between nodes.
+///
+/// An exchange carries what each side has in force, a digest of its member
+/// table, a few changed member records, and on difference the bucket digests;
+/// its size does not grow with the fleet, but for the slot bits, one bit for
+/// each declared slot while a version spreads. A repair carries the records of
+/// a few buckets. A fetch carries files.
+
+#ifndef FESCUEWOOD_NODES_CONTROLMESSAGES_H
+#define FESCUEWOOD_NODES_CONTROLMESSAGES_H
+
+#include "intent/BundleDelta.h"
+#include "intent/Snapshot.h"
+#include "policy/MemberRecord.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fescuewood {
+
+/// Most member records in one message; more are cut by the sender and make the
+/// message malformed for the receiver.
+inline constexpr std::size_t MaxMessageMembers = 4096;
+
+/// What both sides of an exchange say.
+struct ExchangeMessage {
+  std::optional<Version> InForce;
+  bool Starting = false; ///< It has no version yet because it has just started.
+  std::uint32_t MemberCount = 0;
+  std::uint64_t TableDigest = 0;
+  std::uint32_t SpreadDigest = 0; ///< Of the slot bits for InForce.
+  std::vector<MemberRecord> Rumours;
+
+  // Only in a reply:
+  std::uint32_t KnownRumours = 0;     ///< Bit i: the request's i-th was known.
+  std::vector<std::uint32_t> Buckets; ///< When the tables differ.
+  std::string SlotBits;               ///< When they differ, for InForce.
+};
+
+/// Asks for what the other side knows better in some buckets.
+struct RepairRequest {
+  std::vector<std::uint32_t> Buckets;
+  std::vector<MemberRecord> Members; ///< The sender's records in them.
+};
+
+struct RepairReply {
+  std::vector<MemberRecord> Members;
+};
+
+struct FetchRequest {
+  Version Wanted;
+  std::optional<Version> Base; ///< What the sender can apply a delta to.
+};
+
+/// Exactly one of the two is set, or none when the version is not held.
+struct FetchReply {
+  std::optional<IntentBundle> Whole;
+  std::optional<BundleDelta> Delta;
+};
+
+std::string packExchange(const ExchangeMessage &Message);
+std::string packRepair(const RepairRequest &Message);
+std::string packRepairReply(const RepairReply &Message);
+std::string packFetch(const FetchRequest &Message);
+std::string packFetchReply(const FetchReply &Message);
+
+/// What a message of kind Exchange asks for: exactly one is set.
+struct ExchangeRequest {
+  std::optional<ExchangeMessage> Exchange;
+  std::optional<RepairRequest> Repair;
+};
+
+/// Each returns nothing when the body is malformed or out of bounds.
+std::optional<ExchangeRequest> unpackExchangeRequest(std::string_view Body);
+std::optional<ExchangeMessage> unpackExchange(std::string_view Body);
+std::optional<RepairReply> unpackRepairReply(std::string_view Body);
+std::optional<FetchRequest> unpackFetch(std::string_view Body);
+std::optional<FetchReply> unpackFetchReply(std::string_view Body);
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_NODES_CONTROLMESSAGES_H
--- /dev/null
+++ b/src/nodes/MemberSync.cpp
@@ -0,0 +1,344 @@
+#include "nodes/MemberSync.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fescuewood {
+
+namespace {
+
+constexpr DurationMs EagerPeriod{300};
+constexpr std::size_t EagerPeers = 3;
+constexpr DurationMs RefreshPeriod{500};
+
+/// One exchange in this many goes to a dead member or a seed.
+constexpr std::uint64_t OutsiderShare = 10;
+
+constexpr std::size_t RememberedOutcomes = 8;
+constexpr std::size_t IsolatedFailures = 6;
+
+/// One difference in this many is repaired while rumours still travel, which
+/// would mostly settle it.
+constexpr std::uint64_t RepairShare = 4;
+
+constexpr double MsPerSecond = 1000;
+
+} // namespace
+
+MemberSync::MemberSync(const ControlSettings &Settings,
+                       std::uint64_t Incarnation, const ControlHooks &Hooks,
+                       MemberSyncHooks Own, Clock Time, RandomHook Random,
+                       ControlCounts &Counts)
+    : Settings(Settings), Hooks(Hooks), Own(std::move(Own)),
+      Time(std::move(Time)), Random(std::move(Random)), Counts(Counts),
+      Members(Settings.Members, Settings.Self, Incarnation, this->Time.now()),
+      View(Settings.Peers, this->Random), NextExchange(this->Time.now()),
+      NextEager(NextExchange), NextRefresh(NextExchange),
+      PushTokens(static_cast<double>(Settings.MaxPushesPerSecond)),
+      PushTokensAt(NextExchange) {}
+
+void MemberSync::setRegions(
+    std::map<std::string, std::string, std::less<>> ByDomain) {
+  Regions = std::move(ByDomain);
+  NextRefresh = Time.now();
+}
+
+void MemberSync::tick(bool Eager) {
+  const TimeMs Now = Time.now();
+  if (Now >= NextRefresh) {
+    NextRefresh = Now + RefreshPeriod;
+    Members.expire(Now);
+    refreshView();
+  }
+  if (Members.takeUrgent())
+    push(Settings.PushFanout);
+  if (Eager && Now >= NextEager) {
+    NextEager = Now + EagerPeriod;
+    askEagerly();
+  }
+  if (Now < NextExchange)
+    return;
+  // Spread over half a period to either side, so that nodes which started
+  // together do not stay in step.
+  const std::int64_t Period = Settings.ExchangePeriod.Value;
+  const auto Jitter =
+      static_cast<std::int64_t>(Random() % static_cast<std::uint64_t>(Period));
+  NextExchange = Now + DurationMs(Period / 2 + Jitter);
+  exchangeInTurn();
+}
+
+void MemberSync::refreshView() {
+  std::vector<PeerCandidate> Candidates;
+  for (const auto &[Name, Entry] : Members.members()) {
+    if (Name == Settings.Self.Name ||
+        Entry.Record.Order.Health >= MemberHealth::Dead)
+      continue;
+    Candidates.push_back({Name, distanceOf(Entry.Record.Place)});
+  }
+  View.refresh(Candidates, Time.now());
+}
+
+PeerDistance MemberSync::distanceOf(const Instance &Place) const {
+  if (Place.Domain == Settings.Self.Domain)
+    return PeerDistance::OwnDomain;
+  const auto Theirs = Regions.find(Place.Domain);
+  const auto Ours = Regions.find(Settings.Self.Domain);
+  if (Theirs != Regions.end() && Ours != Regions.end() &&
+      Theirs->second != Ours->second)
+    return PeerDistance::OtherRegion;
+  return PeerDistance::OwnRegion;
+}
+
+void MemberSync::exchangeInTurn() {
+  const std::string Name = View.next();
+  const bool Outsider = Name.empty() || Random() % OutsiderShare == 0;
+  const std::string Other = Outsider ? pickOutsider() : std::string();
+  if (!Other.empty()) {
+    exchange({}, Other, PeerRoute::Reuse);
+    return;
+  }
+  if (const Member *Entry = Members.find(Name))
+    exchange(Name, Entry->Record.Place.PeerAddress, PeerRoute::Reuse);
+}
+
+/// The address of a dead member or a seed, or empty when there is none.
+std::string MemberSync::pickOutsider() {
+  std::vector<std::string> Addresses;
+  for (const auto &[Name, Entry] : Members.members())
+    if (Entry.Record.Order.Health == MemberHealth::Dead)
+      Addresses.push_back(Entry.Record.Place.PeerAddress);
+  // Seeds matter only while no others are known or many are dead.
+  if (Addresses.empty() && View.names().size() < EagerPeers)
+    Addresses = Settings.Seeds;
+  std::erase(Addresses, Settings.Self.PeerAddress);
+  return Addresses.empty() ? std::string()
+                           : Addresses[Random() % Addresses.size()];
+}
+
+void MemberSync::askEagerly() {
+  const std::vector<std::string> Peers = View.sample(EagerPeers);
+  for (const std::string &Name : Peers)
+    if (const Member *Entry = Members.find(Name))
+      exchange(Name, Entry->Record.Place.PeerAddress, PeerRoute::Reuse);
+  for (std::size_t I = Peers.size(); I < EagerPeers; ++I) {
+    const std::string Address = pickOutsider();
+    if (!Address.empty())
+      exchange({}, Address, PeerRoute::Reuse);
+  }
+}
+
+void MemberSync::push(std::size_t Fanout) {
+  for (const std::string &Name : View.sample(Fanout)) {
+    const Member *Entry = Members.find(Name);
+    if (Entry == nullptr || !mayPush())
+      continue;
+    ++Counts.Pushes;
+    exchange(Name, Entry->Record.Place.PeerAddress, PeerRoute::Reuse);
+  }
+}
+
+/// Whether the allowance for exchanges out of turn permits one more.
+bool MemberSync::mayPush() {
+  const TimeMs Now = Time.now();
+  const auto Rate = static_cast<double>(Settings.MaxPushesPerSecond);
+  const DurationMs Since = Now - PushTokensAt;
+  PushTokens = std::min(
+      Rate, PushTokens + Rate * static_cast<double>(Since.Value) / MsPerSecond);
+  PushTokensAt = Now;
+  if (PushTokens < 1)
+    return false;
+  PushTokens -= 1;
+  return true;
+}
+
+ExchangeMessage MemberSync::describe(std::string_view Receiver) {
+  ExchangeMessage Message;
+  Message.MemberCount = static_cast<std::uint32_t>(Members.members().size());
+  Message.Rumours = Members.takeRumours(Settings.MaxRumours);
+  Message.TableDigest = Members.digest();
+  addBelief(Receiver, Message);
+  Own.Describe(Message);
+  return Message;
+}
+
+/// Tells a member what is wrongly thought of it, so that it can refute that.
+void MemberSync::addBelief(std::string_view Receiver,
+                           ExchangeMessage &Message) const {
+  const Member *Entry = Members.find(Receiver);
+  if (Entry == nullptr || Entry->Record.Order.Health == MemberHealth::Alive)
+    return;
+  Message.Rumours.push_back(Entry->Record);
+}
+
+void MemberSync::exchange(const std::string &Name, const std::string &Address,
+                          PeerRoute Route) {
+  ++Counts.Exchanges;
+  std::string Receiver = Name;
+  if (Receiver.empty())
+    for (const auto &[Known, Entry] : Members.members())
+      if (Entry.Record.Place.PeerAddress == Address)
+        Receiver = Known;
+  const ExchangeMessage Message = describe(Receiver);
+  PeerRequest Request;
+  Request.Address = Address;
+  Request.Kind = PeerKind::Exchange;
+  Request.Body = packExchange(Message);
+  Request.Timeout = Settings.ExchangeTimeout;
+  Request.Route = Route;
+  Hooks.Send(std::move(Request),
+             [this, Name, Address, Route,
+              Sent = Message.Rumours](const PeerReply &Reply) {
+               onReply(Name, Address, Route, Sent, Reply);
+             });
+}
+
+void MemberSync::onReply(const std::string &Name, const std::string &Address,
+                         PeerRoute Route, const std::vector<MemberRecord> &Sent,
+                         const PeerReply &Reply) {
+  const auto Theirs = Reply.Body ? unpackExchange(*Reply.Body) : std::nullopt;
+  if (Theirs) {
+    onAnswer(Reply, Address, Sent, *Theirs);
+    return;
+  }
+  onSilence(Name, Address, Route);
+}
+
+void MemberSync::onSilence(const std::string &Name, const std::string &Address,
+                           PeerRoute Route) {
+  ++Counts.ExchangeFailures;
+  if (Name.empty())
+    return;
+  Outcomes.push_back(false);
+  if (Outcomes.size() > RememberedOutcomes)
+    Outcomes.pop_front();
+  if (Route == PeerRoute::Reuse) {
+    exchange(Name, Address, PeerRoute::Fresh);
+    return;
+  }
+  // A node that hardly reaches anyone has itself to suspect.
+  if (isolated() || !Members.onUnreachable(Name, Time.now()))
+    return;
+  ++Counts.Suspicions;
+  if (Hooks.OnEvent)
+    Hooks.OnEvent({EventId::MemberSuspected, {{"node", Name}}});
+}
+
+bool MemberSync::isolated() const {
+  const auto Failures = std::count(Outcomes.begin(), Outcomes.end(), false);
+  return static_cast<std::size_t>(Failures) >= IsolatedFailures;
+}
+
+void MemberSync::onAnswer(const PeerReply &Reply, const std::string &Address,
+                          const std::vector<MemberRecord> &Sent,
+                          const ExchangeMessage &Theirs) {
+  Outcomes.push_back(true);
+  if (Outcomes.size() > RememberedOutcomes)
+    Outcomes.pop_front();
+  Members.onRumoursKnown(Sent, Theirs.KnownRumours);
+  mergeRumours(Theirs.Rumours);
+  Members.onHeard(Reply.From.Name, Time.now());
+  Own.OnDescribed(Reply.From.Name, Address, Theirs);
+  if (!Theirs.Buckets.empty())
+    repair(Address, Theirs);
+}
+
+/// Merges records; returns the bits of those that were known.
+std::uint32_t
+MemberSync::mergeRumours(const std::vector<MemberRecord> &Rumours) {
+  std::uint32_t Known = 0;
+  for (std::size_t I = 0; I < Rumours.size(); ++I)
+    if (!Members.merge(Rumours[I], Spreading::PassOn, Time.now()) && I < 32)
+      Known |= 1U << I;
+  return Known;
+}
+
+std::string MemberSync::serve(const PeerIdentity &From, std::string_view Body) {
+  const auto Request = unpackExchangeRequest(Body);
+  if (!Request)
+    return {};
+  if (Request->Repair)
+    return serveRepair(*Request->Repair);
+  const ExchangeMessage &Theirs = *Request->Exchange;
+  const std::uint32_t Known = mergeRumours(Theirs.Rumours);
+  Members.onHeard(From.Name, Time.now());
+  const Member *Entry = Members.find(From.Name);
+  const std::string Address =
+      Entry == nullptr ? std::string() : Entry->Record.Place.PeerAddress;
+  ExchangeMessage Reply = describe(From.Name);
+  Reply.KnownRumours = Known;
+  if (Theirs.TableDigest != Reply.TableDigest)
+    Reply.Buckets.assign(Members.bucketDigests().begin(),
+                         Members.bucketDigests().end());
+  Own.DescribeDifference(Theirs, Reply);
+  std::string Packed = packExchange(Reply);
+  Own.OnDescribed(From.Name, Address, Theirs);
+  return Packed;
+}
+
+void MemberSync::repair(const std::string &Address,
+                        const ExchangeMessage &Theirs) {
+  RepairRequest Request;
+  Request.Buckets = bucketsToRepair(Theirs);
+  if (Request.Buckets.empty())
+    return;
+  ++Counts.Repairs;
+  for (std::uint32_t Index : Request.Buckets)
+    for (MemberRecord &Record : Members.bucket(Index))
+      Request.Members.push_back(std::move(Record));
+  PeerRequest Message;
+  Message.Address = Address;
+  Message.Kind = PeerKind::Exchange;
+  Message.Body = packRepair(Request);
+  Message.Timeout = Settings.ExchangeTimeout;
+  Hooks.Send(std::move(Message), [this](const PeerReply &Reply) {
+    const auto Repaired =
+        Reply.Body ? unpackRepairReply(*Reply.Body) : std::nullopt;
+    if (!Repaired)
+      return;
+    for (const MemberRecord &Record : Repaired->Members)
+      Members.merge(Record, Spreading::Keep, Time.now());
+  });
+}
+
+/// A few of the buckets that differ; all of them when this table is far
+/// smaller, as after a start.
+std::vector<std::uint32_t>
+MemberSync::bucketsToRepair(const ExchangeMessage &Theirs) {
+  const bool FarSmaller = Members.members().size() * 2 < Theirs.MemberCount;
+  const bool RumoursTravel = !Theirs.Rumours.empty();
+  if (Theirs.Buckets.size() != MemberBuckets ||
+      (!FarSmaller && RumoursTravel && Random() % RepairShare != 0))
+    return {};
+  std::vector<std::uint32_t> Differing;
+  for (std::uint32_t I = 0; I < MemberBuckets; ++I)
+    if (Theirs.Buckets[I] != Members.bucketDigests()[I])
+      Differing.push_back(I);
+  while (!FarSmaller && Differing.size() > Settings.MaxRepairBuckets) {
+    std::swap(Differing[Random() % Differing.size()], Differing.back());
+    Differing.pop_back();
+  }
+  return Differing;
+}
+
+/// Merges what the other node sent of some buckets and returns what is newer
+/// here.
+std::string MemberSync::serveRepair(const RepairRequest &Request) {
+  std::map<std::string_view, const MemberRecord *> Sent;
+  for (const MemberRecord &Record : Request.Members)
+    Sent[Record.Place.Name] = &Record;
+  RepairReply Reply;
+  for (std::uint32_t Index : Request.Buckets) {
+    for (MemberRecord &Record : Members.bucket(Index)) {
+      const auto Known = Sent.find(Record.Place.Name);
+      MemberRecord Theirs =
+          Known == Sent.end() ? MemberRecord() : *Known->second;
+      if (Known == Sent.end() || mergeRecord(Theirs, Record))
+        Reply.Members.push_back(std::move(Record));
+    }
+  }
+  for (const MemberRecord &Record : Request.Members)
+    Members.merge(Record, Spreading::Keep, Time.now());
+  return packRepairReply(Reply);
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/nodes/VersionSync.cpp
@@ -0,0 +1,200 @@
+#include "nodes/VersionSync.h"
+
+#include "nodes/ControlMessages.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace fescuewood {
+
+namespace {
+
+constexpr std::size_t MaxHolders = 8;
+constexpr std::string_view SourceName = "source";
+
+} // namespace
+
+std::string versionText(const Version &Id) {
+  return fmt::format("{}-{}", Id.Revision, Id.Content.shortHex());
+}
+
+VersionSync::VersionSync(const ControlSettings &Settings,
+                         const ControlHooks &Hooks, Clock Time,
+                         ControlCounts &Counts, AppliedHook OnApplied)
+    : Settings(Settings), Hooks(Hooks), Time(std::move(Time)), Counts(Counts),
+      OnApplied(std::move(OnApplied)),
+      Keeper(Settings.Versions, this->Time.now()),
+      Bundles(Settings.HeldBundles) {}
+
+bool VersionSync::tick() {
+  const TimeMs Now = Time.now();
+  const bool Paused = Keeper.tick(Now);
+  if (Fetch && Now > Fetch->Deadline)
+    fetchFailed(ResultCode::PeerTimeout);
+  considerOffered();
+  return Paused;
+}
+
+ControlPhase VersionSync::phase() const {
+  const TimeMs Now = Time.now();
+  if (Keeper.catchingUp(Now))
+    return ControlPhase::CatchingUp;
+  return Keeper.starting(Now) ? ControlPhase::Starting : ControlPhase::Current;
+}
+
+void VersionSync::onPeerAnswer(std::string_view Peer,
+                               const std::string &Address,
+                               const std::optional<Version> &InForce) {
+  const TimeMs Now = Time.now();
+  Keeper.onPeerAnswer(Peer, InForce, Now);
+  if (!InForce)
+    return;
+  noteConflict(*InForce);
+  if (Address.empty() || Keeper.consider(*InForce, VersionOrigin::Peer, Now) !=
+                             VersionVerdict::Accept)
+    return;
+  std::erase_if(Holders, [&](const Holder &H) { return H.Peer == Peer; });
+  if (Holders.size() >= MaxHolders)
+    Holders.pop_front();
+  Holders.push_back({std::string(Peer), Address, *InForce});
+  fetchNext();
+}
+
+/// Asks the holder of the largest version, unless a fetch runs already.
+void VersionSync::fetchNext() {
+  std::erase_if(Holders, [this](const Holder &H) {
+    return Keeper.consider(H.Id, VersionOrigin::Peer, Time.now()) !=
+           VersionVerdict::Accept;
+  });
+  if (Fetch || Holders.empty())
+    return;
+  const auto Newest = std::max_element(
+      Holders.begin(), Holders.end(),
+      [](const Holder &L, const Holder &R) { return L.Id < R.Id; });
+  Fetch = Fetching{*Newest, ++FetchNumber, Time.now() + Settings.FetchTimeout};
+  Holders.erase(Newest);
+  ++Counts.Fetches;
+  PeerRequest Request;
+  Request.Address = Fetch->From.Address;
+  Request.Kind = PeerKind::Fetch;
+  Request.Body = packFetch({Fetch->From.Id, Keeper.inForce()});
+  Request.Timeout = Settings.FetchTimeout;
+  Hooks.Send(std::move(Request),
+             [this, Number = FetchNumber](const PeerReply &Reply) {
+               onFetched(Number, Reply);
+             });
+}
+
+void VersionSync::onFetched(std::uint64_t Number, const PeerReply &Reply) {
+  // A reply that comes after the deadline belongs to a fetch given up.
+  if (!Fetch || Fetch->Number != Number)
+    return;
+  auto Bundle = openReply(Reply);
+  if (!Bundle) {
+    fetchFailed(Reply.Body ? ResultCode::PeerMessageMalformed : Reply.Reason);
+    return;
+  }
+  const Holder From = Fetch->From;
+  Fetch.reset();
+  const Version Id = Bundle->version();
+  if (Keeper.consider(Id, VersionOrigin::Peer, Time.now()) ==
+      VersionVerdict::Accept)
+    apply(Id, std::move(*Bundle), From.Peer);
+  fetchNext();
+}
+
+std::optional<IntentBundle> VersionSync::openReply(const PeerReply &Reply) {
+  if (!Reply.Body)
+    return std::nullopt;
+  auto Message = unpackFetchReply(*Reply.Body);
+  if (!Message)
+    return std::nullopt;
+  return Bundles.open(std::move(*Message));
+}
+
+void VersionSync::fetchFailed(ResultCode Reason) {
+  ++Counts.FetchFailures;
+  if (Hooks.OnEvent)
+    Hooks.OnEvent({EventId::VersionFetchFailed,
+                   {{"version", versionText(Fetch->From.Id)},
+                    {"node", Fetch->From.Peer},
+                    {"reason", std::string(resultName(Reason))}}});
+  Fetch.reset();
+  fetchNext();
+}
+
+void VersionSync::offer(IntentBundle Bundle) {
+  OfferedId = Bundle.version();
+  Offered = std::move(Bundle);
+  considerOffered();
+}
+
+void VersionSync::considerOffered() {
+  if (!Offered)
+    return;
+  noteConflict(OfferedId);
+  const VersionVerdict Verdict =
+      Keeper.consider(OfferedId, VersionOrigin::Source, Time.now());
+  if (Verdict == VersionVerdict::Wait)
+    return;
+  IntentBundle Bundle = std::move(*Offered);
+  Offered.reset();
+  if (Verdict == VersionVerdict::Accept)
+    apply(OfferedId, std::move(Bundle), SourceName);
+}
+
+void VersionSync::apply(const Version &Id, IntentBundle Bundle,
+                        std::string_view From) {
+  std::string Why;
+  const SnapshotPtr Compiled = Hooks.Compile(Bundle, Why);
+  if (!Compiled) {
+    refuse(Id, Why, From);
+    return;
+  }
+  Keeper.onApplied(Id);
+  Bundles.add(Id, std::move(Bundle));
+  ++Counts.VersionsApplied;
+  if (Hooks.OnEvent)
+    Hooks.OnEvent(
+        {EventId::VersionInForce,
+         {{"version", versionText(Id)}, {"node", std::string(From)}}});
+  if (Hooks.OnSnapshot)
+    Hooks.OnSnapshot(Compiled);
+  OnApplied(Compiled);
+}
+
+void VersionSync::refuse(const Version &Id, const std::string &Why,
+                         std::string_view From) {
+  Keeper.onRefused(Id);
+  ++Counts.VersionsRefused;
+  LastRefused = RefusedVersion{Id, Why};
+  if (Hooks.OnEvent)
+    Hooks.OnEvent({EventId::VersionRefused,
+                   {{"version", versionText(Id)},
+                    {"node", std::string(From)},
+                    {"reason", Why}}});
+}
+
+void VersionSync::noteConflict(const Version &Seen) {
+  if (!Keeper.conflicts(Seen) || ReportedConflict == Seen)
+    return;
+  ReportedConflict = Seen;
+  if (Hooks.OnEvent)
+    Hooks.OnEvent({EventId::VersionConflict, {{"version", versionText(Seen)}}});
+}
+
+std::string VersionSync::serve(std::string_view Body) {
+  const auto Request = unpackFetch(Body);
+  if (!Request)
+    return {};
+  const FetchReply Reply = Bundles.serve(*Request);
+  if (Reply.Delta)
+    ++Counts.DeltasServed;
+  if (Reply.Whole)
+    ++Counts.WholesServed;
+  return packFetchReply(Reply);
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/policy/Membership.cpp
@@ -0,0 +1,289 @@
+#include "policy/Membership.h"
+
+#include "core/Digest.h"
+
+#include <utility>
+
+namespace fescuewood {
+
+namespace {
+
+bool countsAsPresent(const MemberRecord &Record) {
+  return Record.Order.Health < MemberHealth::Dead;
+}
+
+/// Whether callers must hear at once that a member takes no more work.
+bool isUrgent(const MemberRecord &Record) {
+  return Record.Order.Health >= MemberHealth::Dead ||
+         effectiveState(Record) >= TargetState::Draining;
+}
+
+} // namespace
+
+TargetState effectiveState(const MemberRecord &Record) {
+  if (Record.Order.Health >= MemberHealth::Dead)
+    return TargetState::Down;
+  if (Record.Place.State < TargetState::Draining && Record.platformLeaving())
+    return TargetState::Draining;
+  return Record.Place.State;
+}
+
+Membership::Membership(MembershipSettings Settings, const Instance &Self,
+                       std::uint64_t Incarnation, TimeMs Now)
+    : Settings(Settings), OwnName(Self.Name), StartedAt(Now) {
+  Member &Entry = *add(Self, Now);
+  update(
+      Entry,
+      [Incarnation](MemberRecord &R) { R.Order.Incarnation = Incarnation; },
+      Now);
+}
+
+Member *Membership::add(const Instance &Place, TimeMs Now) {
+  if (Table.size() >= Settings.MaxMembers)
+    return nullptr;
+  Member &Entry = Table[Place.Name];
+  Entry.Record.Place = Place;
+  Entry.ChangedAt = Now;
+  toggle(Entry.Record);
+  Changed = true;
+  return &Entry;
+}
+
+/// Adds a record to its bucket's digest, or takes it out again.
+void Membership::toggle(const MemberRecord &Record) {
+  if (countsAsPresent(Record))
+    Buckets[bucketOf(Record.Place.Name)] ^=
+        static_cast<std::uint32_t>(Record.hash());
+}
+
+void Membership::update(Member &Entry, const Change &Apply, TimeMs Now) {
+  MemberRecord &Record = Entry.Record;
+  const MemberHealth OldHealth = Record.Order.Health;
+  const Instance OldPlace = Record.Place;
+  const TargetState OldState = effectiveState(Record);
+  toggle(Record);
+  Apply(Record);
+  toggle(Record);
+  if (Record.Order.Health != OldHealth)
+    Entry.ChangedAt = Now;
+  const bool StateChanged = effectiveState(Record) != OldState;
+  if (StateChanged || Record.Place != OldPlace ||
+      Record.Order.Health == MemberHealth::Left)
+    Changed = true;
+  if (StateChanged && isUrgent(Record))
+    Urgent = true;
+  Rumours.add(Record.Place.Name, isUrgent(Record), Table.size());
+}
+
+void Membership::updateSelf(const Change &Apply, TimeMs Now) {
+  Member &Entry = Table.at(OwnName);
+  if (Entry.Record.Order.Health != MemberHealth::Left)
+    update(Entry, Apply, Now);
+}
+
+void Membership::setOwnState(TargetState State, TimeMs Now) {
+  if (self().Place.State == State)
+    return;
+  updateSelf(
+      [State](MemberRecord &R) {
+        R.Place.State = State;
+        ++R.Order.Sequence;
+      },
+      Now);
+}
+
+void Membership::leave(TimeMs Now) {
+  updateSelf(
+      [](MemberRecord &R) {
+        R.Place.State = TargetState::Draining;
+        R.Order.Health = MemberHealth::Left;
+        ++R.Order.Sequence;
+      },
+      Now);
+}
+
+void Membership::onHeard(std::string_view Name, TimeMs Now) {
+  const auto Found = Table.find(Name);
+  if (Found != Table.end())
+    Found->second.HeardAt = Now;
+}
+
+bool Membership::onUnreachable(std::string_view Name, TimeMs Now) {
+  const auto Found = Table.find(Name);
+  if (Found == Table.end() || Name == OwnName ||
+      Found->second.Record.Order.Health != MemberHealth::Alive)
+    return false;
+  update(
+      Found->second,
+      [](MemberRecord &R) { R.Order.Health = MemberHealth::Suspect; }, Now);
+  return true;
+}
+
+bool Membership::merge(const MemberRecord &Record, Spreading Spread,
+                       TimeMs Now) {
+  if (Record.Place.Name == OwnName) {
+    mergeSelf(Record, Now);
+    return true;
+  }
+  auto Found = Table.find(Record.Place.Name);
+  if (Found == Table.end()) {
+    // What has ended already need not become known here.
+    if (!countsAsPresent(Record) || add(Record.Place, Now) == nullptr)
+      return false;
+    Found = Table.find(Record.Place.Name);
+    update(
+        Found->second, [&](MemberRecord &R) { R = Record; }, Now);
+  } else {
+    MemberRecord Merged = Found->second.Record;
+    if (!mergeRecord(Merged, Record))
+      return false;
+    update(
+        Found->second, [&](MemberRecord &R) { R = Merged; }, Now);
+  }
+  if (Spread == Spreading::Keep)
+    Rumours.remove(Record.Place.Name);
+  return true;
+}
+
+/// Refutes what others say of this member when it is not so.
+void Membership::mergeSelf(const MemberRecord &Record, TimeMs Now) {
+  const MemberOrder Own = self().Order;
+  if (Record.Listing > self().Listing)
+    updateSelf([&](MemberRecord &R) { R.Listing = Record.Listing; }, Now);
+  if (Record.Order <= Own || Own.Health == MemberHealth::Left)
+    return;
+  // A larger incarnation is either left over from a process whose clock was
+  // ahead, or belongs to a process that has replaced this one. Only a process
+  // that has just started takes the name over.
+  if (Record.Order.Incarnation > Own.Incarnation &&
+      Now - StartedAt > Settings.TakeOverTime) {
+    Replaced = true;
+    return;
+  }
+  ++Refutations;
+  updateSelf(
+      [&](MemberRecord &R) {
+        R.Order.Incarnation = Record.Order.Incarnation;
+        R.Order.Sequence = Record.Order.Sequence + 1;
+      },
+      Now);
+}
+
+void Membership::onListed(std::span<const ListedMember> List,
+                          std::uint64_t Revision, TimeMs Now) {
+  for (const ListedMember &Listed : List) {
+    auto Found = Table.find(Listed.Place.Name);
+    if (Found == Table.end()) {
+      if (add(Listed.Place, Now) == nullptr)
+        return;
+      Found = Table.find(Listed.Place.Name);
+      Rumours.add(Listed.Place.Name, false, Table.size());
+    }
+    const MemberListing &Known = Found->second.Record.Listing;
+    if (Known.Leaving == Listed.Leaving || Revision <= Known.ListRevision)
+      continue;
+    update(
+        Found->second,
+        [&](MemberRecord &R) {
+          R.Listing = {Revision, Listed.Leaving, R.Order.Incarnation};
+        },
+        Now);
+  }
+}
+
+void Membership::expire(TimeMs Now) {
+  for (auto It = Table.begin(); It != Table.end();) {
+    Member &Entry = It->second;
+    if (It->first != OwnName && expired(Entry, Now)) {
+      if (Entry.Record.Order.Health == MemberHealth::Suspect) {
+        update(
+            Entry, [](MemberRecord &R) { R.Order.Health = MemberHealth::Dead; },
+            Now);
+      } else {
+        toggle(Entry.Record);
+        Rumours.remove(It->first);
+        It = Table.erase(It);
+        Changed = true;
+        continue;
+      }
+    }
+    ++It;
+  }
+}
+
+bool Membership::expired(const Member &Entry, TimeMs Now) const {
+  const DurationMs Since = Now - Entry.ChangedAt;
+  switch (Entry.Record.Order.Health) {
+  case MemberHealth::Alive:
+    return false;
+  case MemberHealth::Suspect:
+    return Since >= Settings.SuspectTime;
+  case MemberHealth::Dead:
+    return Since >= Settings.DeadTime;
+  case MemberHealth::Left:
+    return Since >= Settings.LeftTime;
+  }
+  return false;
+}
+
+std::vector<MemberRecord> Membership::takeRumours(std::size_t Most) {
+  std::vector<MemberRecord> Result;
+  for (const std::string &Name : Rumours.take(Most))
+    if (const Member *Entry = find(Name))
+      Result.push_back(Entry->Record);
+  return Result;
+}
+
+void Membership::onRumoursKnown(std::span<const MemberRecord> Sent,
+                                std::uint32_t Known) {
+  for (std::size_t I = 0; I < Sent.size() && I < 32; ++I) {
+    const Member *Entry = find(Sent[I].Place.Name);
+    // A record that has changed since is news again.
+    if (((Known >> I) & 1U) != 0 && Entry != nullptr &&
+        Entry->Record.Order == Sent[I].Order)
+      Rumours.onKnown(Sent[I].Place.Name);
+  }
+}
+
+bool Membership::takeUrgent() { return std::exchange(Urgent, false); }
+
+bool Membership::takeChanged() { return std::exchange(Changed, false); }
+
+const Member *Membership::find(std::string_view Name) const {
+  const auto Found = Table.find(Name);
+  return Found == Table.end() ? nullptr : &Found->second;
+}
+
+std::vector<Instance> Membership::instances() const {
+  std::vector<Instance> Result;
+  Result.reserve(Table.size());
+  for (const auto &[Name, Entry] : Table) {
+    if (Entry.Record.Order.Health == MemberHealth::Left)
+      continue;
+    Instance Seen = Entry.Record.Place;
+    Seen.State = effectiveState(Entry.Record);
+    Result.push_back(std::move(Seen));
+  }
+  return Result;
+}
+
+std::uint64_t Membership::digest() const {
+  std::uint64_t Sum = 0;
+  for (std::uint32_t Bucket : Buckets)
+    Sum = Sum * 0x100000001b3ULL + Bucket;
+  return Sum;
+}
+
+std::vector<MemberRecord> Membership::bucket(std::size_t Index) const {
+  std::vector<MemberRecord> Result;
+  for (const auto &[Name, Entry] : Table)
+    if (bucketOf(Name) == Index)
+      Result.push_back(Entry.Record);
+  return Result;
+}
+
+std::size_t Membership::bucketOf(std::string_view Name) {
+  return stableHash(Name) % MemberBuckets;
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/policy/Membership.h
@@ -0,0 +1,150 @@
+/// \file
+/// The table of the fleet's members as one node sees it.
+///
+/// The node reports what it observes (\ref Membership::onHeard,
+/// \ref Membership::onUnreachable), merges the records that other nodes send,
+/// and passes on what \ref Membership::takeRumours hands out. A member that
+/// does not answer is suspected first and dead only when it has not refuted
+/// that in time, by a record of its own with a larger sequence. After A. Das et
+/// al., "SWIM: Scalable Weakly-consistent Infection-style Process Group
+/// Membership Protocol" (2002).
+///
+/// Tables are compared by digests of a fixed number of buckets, so that the
+/// bytes of a comparison do not grow with the fleet.
+
+#ifndef FESCUEWOOD_POLICY_MEMBERSHIP_H
+#define FESCUEWOOD_POLICY_MEMBERSHIP_H
+
+#include "core/Clock.h"
+#include "policy/MemberRecord.h"
+#include "policy/MembershipSettings.h"
+#include "policy/RumourQueue.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fescuewood {
+
+/// Buckets that members are hashed into for comparison.
+inline constexpr std::size_t MemberBuckets = 64;
+
+/// One digest for each bucket.
+using BucketDigests = std::array<std::uint32_t, MemberBuckets>;
+
+/// What a node knows of one member.
+struct Member {
+  MemberRecord Record;
+  std::optional<TimeMs> HeardAt; ///< It spoke to this very node.
+  TimeMs ChangedAt;              ///< Its health changed as seen here.
+};
+
+/// Whether merged records are passed on to others.
+enum class Spreading : std::uint8_t { PassOn, Keep };
+
+/// A row of the platform's list.
+struct ListedMember {
+  Instance Place;
+  bool Leaving = false;
+};
+
+/// The table of one node. Not thread-safe.
+class Membership {
+public:
+  using MemberMap = std::map<std::string, Member, std::less<>>;
+
+  Membership(MembershipSettings Settings, const Instance &Self,
+             std::uint64_t Incarnation, TimeMs Now);
+
+  /// Changes the own record; nothing happens once this member has left.
+  void setOwnState(TargetState State, TimeMs Now);
+  void leave(TimeMs Now);
+
+  /// A member spoke to this node.
+  void onHeard(std::string_view Name, TimeMs Now);
+
+  /// A member did not answer this node. Returns whether it is suspected now.
+  bool onUnreachable(std::string_view Name, TimeMs Now);
+
+  /// Takes a record that another node sent. Returns whether it was news.
+  bool merge(const MemberRecord &Record, Spreading Spread, TimeMs Now);
+
+  /// Takes the platform's list.
+  void onListed(std::span<const ListedMember> List, std::uint64_t Revision,
+                TimeMs Now);
+
+  /// Declares suspects dead and forgets members when their time has come.
+  void expire(TimeMs Now);
+
+  /// Records to pass on, urgent ones first; each a limited number of times.
+  std::vector<MemberRecord> takeRumours(std::size_t Most);
+
+  /// The receiver of these rumours knew the ones whose bit is set.
+  void onRumoursKnown(std::span<const MemberRecord> Sent, std::uint32_t Known);
+
+  /// Whether something waits that callers depend on: a member that takes no
+  /// work any more. Cleared by this call.
+  bool takeUrgent();
+
+  /// Whether \ref instances has changed since the last call.
+  bool takeChanged();
+
+  /// Times that this member refuted a suspicion.
+  std::uint64_t refutations() const { return Refutations; }
+
+  /// Whether another, newer process runs under this member's name.
+  bool replaced() const { return Replaced; }
+
+  const MemberRecord &self() const { return Table.at(OwnName).Record; }
+  const MemberMap &members() const { return Table; }
+  const Member *find(std::string_view Name) const;
+
+  /// Members as the other duties see them: one that the platform lets leave is
+  /// draining, a dead one is down, and one that left is not there.
+  std::vector<Instance> instances() const;
+
+  /// One number over all members that are not dead and have not left.
+  std::uint64_t digest() const;
+  const BucketDigests &bucketDigests() const { return Buckets; }
+
+  /// Every record in a bucket, dead ones included.
+  std::vector<MemberRecord> bucket(std::size_t Index) const;
+
+  /// The bucket of a name.
+  static std::size_t bucketOf(std::string_view Name);
+
+private:
+  using Change = std::function<void(MemberRecord &)>;
+
+  void update(Member &Entry, const Change &Apply, TimeMs Now);
+  void updateSelf(const Change &Apply, TimeMs Now);
+  void mergeSelf(const MemberRecord &Record, TimeMs Now);
+  Member *add(const Instance &Place, TimeMs Now);
+  void toggle(const MemberRecord &Record);
+  bool expired(const Member &Entry, TimeMs Now) const;
+
+  MembershipSettings Settings;
+  std::string OwnName;
+  TimeMs StartedAt;
+  bool Replaced = false;
+  MemberMap Table;
+  BucketDigests Buckets{};
+  RumourQueue Rumours;
+  bool Urgent = false;
+  bool Changed = true;
+  std::uint64_t Refutations = 0;
+};
+
+/// The state that other duties see of a member.
+TargetState effectiveState(const MemberRecord &Record);
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_POLICY_MEMBERSHIP_H
--- /dev/null
+++ b/src/policy/MembershipSettings.h
@@ -0,0 +1,23 @@
+/// \file
+/// Time limits and bounds of the table of members.
+
+#ifndef FESCUEWOOD_POLICY_MEMBERSHIPSETTINGS_H
+#define FESCUEWOOD_POLICY_MEMBERSHIPSETTINGS_H
+
+#include "core/Clock.h"
+
+#include <cstddef>
+
+namespace fescuewood {
+
+struct MembershipSettings {
+  DurationMs SuspectTime{5000};        ///< Then a suspect is dead.
+  DurationMs DeadTime{30 * 60 * 1000}; ///< Then a dead one is forgotten.
+  DurationMs LeftTime{5 * 60 * 1000};  ///< Then one that left is forgotten.
+  DurationMs TakeOverTime{60 * 1000};  ///< Of a name, after the start.
+  std::size_t MaxMembers = 4096;
+};
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_POLICY_MEMBERSHIPSETTINGS_H
