--- /dev/null
+++ b/src/nodes/ControlCore.h
@@ -0,0 +1,90 @@
+/// \file
+/// The control duty without its thread.
+///
+/// \ref ControlDuty drives it on a duty; tests drive many of them with their
+/// own clock over a network in memory. Replies to its requests must come back
+/// on the thread that drives it.
+
+#ifndef FESCUEWOOD_NODES_CONTROLCORE_H
+#define FESCUEWOOD_NODES_CONTROLCORE_H
+
+#include "core/Clock.h"
+#include "nodes/ControlHooks.h"
+#include "nodes/ControlSettings.h"
+#include "nodes/ControlStatus.h"
+#include "nodes/MemberSync.h"
+#include "nodes/VersionSync.h"
+#include "platform/PlatformSource.h"
+#include "policy/RandomHook.h"
+#include "policy/VersionSpread.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fescuewood {
+
+/// Configuration and membership of one node. Not thread-safe.
+class ControlCore {
+public:
+  ControlCore(ControlSettings Settings, std::uint64_t Incarnation,
+              ControlHooks Hooks, Clock Time, RandomHook Random);
+  ControlCore(const ControlCore &) = delete;
+  ControlCore &operator=(const ControlCore &) = delete;
+
+  /// Does what is due; to be called every few tens of milliseconds.
+  void tick();
+
+  /// Answers a message of kind Exchange or Fetch; an empty body when it is
+  /// malformed.
+  std::string serve(PeerKind Kind, const PeerIdentity &From,
+                    std::string_view Body);
+
+  void offerBundle(IntentBundle Bundle);
+  void offerInstances(const InstanceList &List);
+  void setOwnState(TargetState State);
+  void leave();
+
+  bool amReader() const { return Reader; }
+  std::uint64_t heldRevision() const {
+    return Versions.keeper().heldRevision();
+  }
+  const std::optional<Version> &inForce() const {
+    return Versions.keeper().inForce();
+  }
+  ControlPhase phase() const { return Versions.phase(); }
+  const VersionSpread &spread() const { return Spread; }
+  ControlStatus status() const;
+
+private:
+  MemberSyncHooks memberHooks();
+  void onApplied(const SnapshotPtr &InForce);
+  void onDescribed(const std::string &Peer, const std::string &Address,
+                   const ExchangeMessage &Theirs);
+  void notePhase();
+  void noteMembers();
+  void noteHealth();
+  void chooseReader();
+  std::vector<std::string> readers() const;
+
+  const ControlSettings Settings;
+  const ControlHooks Hooks;
+  const Clock Time;
+  ControlCounts Counts;
+  VersionSpread Spread;
+  VersionSync Versions;
+  MemberSync Members;
+  bool Reader = false;
+  ControlPhase LastPhase = ControlPhase::Starting;
+  TimeMs NextInstances;
+  bool InstancesDue = false;
+  std::map<std::string, MemberHealth, std::less<>> LastHealth; ///< By name.
+  bool ReportedReplaced = false;
+};
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_NODES_CONTROLCORE_H
--- a/src/nodes/ControlDuty.h
+++ b/src/nodes/ControlDuty.h
@@ -28,7 +28,8 @@
 class ControlDuty {
 public:
   /// \param Self the identity that the transport sends.
-  ControlDuty(ControlSettings Settings, PeerIdentity Self, ControlHooks Hooks);
+  ControlDuty(ControlSettings Settings, const PeerIdentity &Self,
+              ControlHooks Hooks);
   ~ControlDuty();
   ControlDuty(const ControlDuty &) = delete;
   ControlDuty &operator=(const ControlDuty &) = delete;
--- a/src/nodes/VersionSync.cpp
+++ b/src/nodes/VersionSync.cpp
@@ -116,11 +116,10 @@
 
 void VersionSync::fetchFailed(ResultCode Reason) {
   ++Counts.FetchFailures;
-  if (Hooks.OnEvent)
-    Hooks.OnEvent({EventId::VersionFetchFailed,
-                   {{"version", versionText(Fetch->From.Id)},
-                    {"node", Fetch->From.Peer},
-                    {"reason", std::string(resultName(Reason))}}});
+  report({EventId::VersionFetchFailed,
+          {{"version", versionText(Fetch->From.Id)},
+           {"node", Fetch->From.Peer},
+           {"reason", std::string(resultName(Reason))}}});
   Fetch.reset();
   fetchNext();
 }
@@ -156,10 +155,8 @@
   Keeper.onApplied(Id);
   Bundles.add(Id, std::move(Bundle));
   ++Counts.VersionsApplied;
-  if (Hooks.OnEvent)
-    Hooks.OnEvent(
-        {EventId::VersionInForce,
-         {{"version", versionText(Id)}, {"node", std::string(From)}}});
+  report({EventId::VersionInForce,
+          {{"version", versionText(Id)}, {"node", std::string(From)}}});
   if (Hooks.OnSnapshot)
     Hooks.OnSnapshot(Compiled);
   OnApplied(Compiled);
@@ -170,11 +167,10 @@
   Keeper.onRefused(Id);
   ++Counts.VersionsRefused;
   LastRefused = RefusedVersion{Id, Why};
-  if (Hooks.OnEvent)
-    Hooks.OnEvent({EventId::VersionRefused,
-                   {{"version", versionText(Id)},
-                    {"node", std::string(From)},
-                    {"reason", Why}}});
+  report({EventId::VersionRefused,
+          {{"version", versionText(Id)},
+           {"node", std::string(From)},
+           {"reason", Why}}});
 }
 
 void VersionSync::noteConflict(const Version &Seen) {
--- a/src/nodes/VersionSync.h
+++ b/src/nodes/VersionSync.h
@@ -79,6 +79,7 @@
   void apply(const Version &Id, IntentBundle Bundle, std::string_view From);
   void refuse(const Version &Id, const std::string &Why, std::string_view From);
   void noteConflict(const Version &Seen);
+  void report(const Event &Occurred) const;
 
   const ControlSettings &Settings;
   const ControlHooks &Hooks;
