--- a/src/platform/ReadLoop.cpp
+++ b/src/platform/ReadLoop.cpp
@@ -114,7 +114,7 @@
     emit(EventId::PlatformRowsLeftOut,
          {{"reason", std::to_string(List.RowsLeftOut) + " rows"}});
   if (Hooks.OnInstances)
-    Hooks.OnInstances(std::move(List.Instances));
+    Hooks.OnInstances(std::move(List));
 }
 
 void ReadLoop::succeeded() {
--- a/src/platform/ReadLoop.h
+++ b/src/platform/ReadLoop.h
@@ -31,7 +31,7 @@
   /// A whole version that is newer than the one held and than any given before.
   std::function<void(IntentBundle)> OnBundle;
   /// The platform's list of instances, whenever it has changed.
-  std::function<void(std::vector<ListedInstance>)> OnInstances;
+  std::function<void(InstanceList)> OnInstances;
   /// The source has become unreachable (false) or answers again (true).
   std::function<void(bool Reachable)> OnSourceState;
   EventHook OnEvent;
