Hold the promises of distribution over whole runs in virtual time

Many control cores over a network in memory that delays, loses, doubles and cuts messages; nodes restart and pause, the source is stale, out or bad.

--- a/src/nodes/VersionSync.cpp
+++ b/src/nodes/VersionSync.cpp
@@ -177,8 +177,12 @@
   if (!Keeper.conflicts(Seen) || ReportedConflict == Seen)
     return;
   ReportedConflict = Seen;
+  report({EventId::VersionConflict, {{"version", versionText(Seen)}}});
+}
+
+void VersionSync::report(const Event &Occurred) const {
   if (Hooks.OnEvent)
-    Hooks.OnEvent({EventId::VersionConflict, {{"version", versionText(Seen)}}});
+    Hooks.OnEvent(Occurred);
 }
 
 std::string VersionSync::serve(std::string_view Body) {
--- /dev/null
+++ b/tests/nodes/FakeFleet.cpp
@@ -0,0 +1,273 @@
+#include "nodes/FakeFleet.h"
+
+#include <algorithm>
+#include <utility>
+
+using namespace fescuewood;
+
+namespace {
+
+constexpr int StepMs = 10;
+constexpr int TickEveryMs = 50;
+constexpr int ReadEveryMs = 500;
+
+std::string domainName(std::size_t Domain) {
+  return "domain-" + std::to_string(Domain);
+}
+
+bool isBad(const IntentBundle &Bundle) {
+  return std::any_of(Bundle.Files.begin(), Bundle.Files.end(),
+                     [](const IntentFile &F) { return F.Text == BadText; });
+}
+
+} // namespace
+
+FakeFleet::FakeFleet(std::size_t Domains, std::size_t NodesPerDomain,
+                     std::uint64_t Seed, const Adjust &Change)
+    : NodesPerDomain(NodesPerDomain), Random(Seed) {
+  for (std::size_t I = 0; I < Domains * NodesPerDomain; ++I) {
+    auto Node = std::make_unique<FakeNode>();
+    const std::string Domain = domainName(I / NodesPerDomain);
+    const auto Slot = static_cast<std::uint32_t>(I % NodesPerDomain);
+    Instance &Self = Node->Settings.Self;
+    Self = {Domain + "/node-" + std::to_string(Slot),
+            Domain,
+            "service",
+            Slot,
+            "10.0." + std::to_string(I / 250) + "." +
+                std::to_string(I % 250 + 1) + ":7000",
+            TargetState::Cold};
+    // The first node of each domain is everybody's seed.
+    for (std::size_t D = 0; D < Domains; ++D)
+      Node->Settings.Seeds.push_back(
+          "10.0." + std::to_string(D * NodesPerDomain / 250) + "." +
+          std::to_string(D * NodesPerDomain % 250 + 1) + ":7000");
+    if (Change)
+      Change(Node->Settings);
+    ByAddress[Self.PeerAddress] = I;
+    Nodes.push_back(std::move(Node));
+  }
+  for (std::size_t I = 0; I < Nodes.size(); ++I)
+    start(I);
+}
+
+void FakeFleet::start(std::size_t Index) {
+  FakeNode &Node = *Nodes[Index];
+  ++Node.Life;
+  Node.Paused = false;
+  Node.Waiting.clear();
+  Node.InForce.clear();
+  // Constructed before the old core goes, whose replies must not reach it.
+  Node.Core = std::make_unique<ControlCore>(
+      Node.Settings, Node.Life, hooksOf(Index), Clock([this] { return Now; }),
+      [Engine = std::mt19937_64(Random())]() mutable { return Engine(); });
+}
+
+void FakeFleet::restart(std::size_t Index) {
+  stop(Index);
+  start(Index);
+}
+
+void FakeFleet::wake(std::size_t Index) {
+  FakeNode &Node = *Nodes[Index];
+  Node.Paused = false;
+  std::vector<std::function<void()>> Late;
+  Late.swap(Node.Waiting);
+  for (const auto &Action : Late)
+    Action();
+}
+
+void FakeFleet::cut(std::size_t Domain, bool Off) {
+  if (Off)
+    CutDomains.insert(Domain);
+  else
+    CutDomains.erase(Domain);
+}
+
+Version FakeFleet::publish(const std::string &Text) {
+  ++Revision;
+  Published.push_back(
+      {Revision, {{"10-a.ini", Text}, {"20-b.ini", std::to_string(Revision)}}});
+  return Published.back().version();
+}
+
+Version FakeFleet::publishAgain() {
+  IntentBundle Other = Published.back();
+  Other.Files.push_back({"30-c.ini", std::to_string(Random())});
+  Published.push_back(Other);
+  return Other.version();
+}
+
+void FakeFleet::run(int Milliseconds) {
+  for (int T = 0; T < Milliseconds; T += StepMs) {
+    Now = Now + DurationMs(StepMs);
+    while (!Queue.empty() && Queue.top().At <= Now.Value) {
+      const auto Action = Queue.top().Action;
+      Queue.pop();
+      Action();
+    }
+    for (std::size_t I = 0; I < Nodes.size(); ++I) {
+      FakeNode &Node = *Nodes[I];
+      if (!Node.Core || Node.Paused)
+        continue;
+      const auto Phase = static_cast<std::int64_t>(I) * StepMs;
+      if ((Now.Value + Phase) % TickEveryMs == 0)
+        Node.Core->tick();
+      if ((Now.Value + Phase) % ReadEveryMs == 0)
+        readSource(I);
+    }
+  }
+}
+
+int FakeFleet::runUntilInForce(const Version &Wanted, int Milliseconds) {
+  for (int T = 0; T < Milliseconds; T += StepMs) {
+    if (allHave(Wanted))
+      return T;
+    run(StepMs);
+  }
+  return allHave(Wanted) ? Milliseconds : -1;
+}
+
+bool FakeFleet::allHave(const Version &Wanted) const {
+  return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &Node) {
+    return !Node->Core || Node->Core->inForce() == Wanted;
+  });
+}
+
+void FakeFleet::readSource(std::size_t Index) {
+  ControlCore &Core = *Nodes[Index]->Core;
+  if (SourceOut || Published.empty() || !Core.amReader())
+    return;
+  ++SourceReads;
+  const std::size_t Back = std::min(Behind, Published.size() - 1);
+  const IntentBundle &Answer = Published[Published.size() - 1 - Back];
+  if (Answer.Revision > Core.heldRevision() ||
+      (Answer.Revision == Core.heldRevision() && chance(0.5)))
+    Core.offerBundle(Answer);
+}
+
+ControlHooks FakeFleet::hooksOf(std::size_t Index) {
+  ControlHooks Hooks;
+  Hooks.Send = [this, Index](const PeerRequest &Request,
+                             const PeerReplyHook &OnReply) {
+    send(Index, Request, OnReply);
+  };
+  Hooks.Compile = [this](const IntentBundle &Bundle,
+                         std::string &Why) -> SnapshotPtr {
+    if (isBad(Bundle)) {
+      Why = "10-a.ini:1: bad";
+      return nullptr;
+    }
+    auto Result = std::make_shared<Snapshot>();
+    Result->Id = Bundle.version();
+    for (std::size_t D = 0; D * NodesPerDomain < Nodes.size(); ++D)
+      Result->Domains[domainName(D)] = {
+          domainName(D), D < 3 ? "north" : "south", DomainStatus::In,
+          static_cast<std::uint32_t>(NodesPerDomain)};
+    return Result;
+  };
+  Hooks.OnSnapshot = [this, Index](const SnapshotPtr &Applied) {
+    onSnapshot(Index, Applied->Id);
+  };
+  Hooks.OnInstances = [this, Index](std::span<const Instance> Seen) {
+    Nodes[Index]->Instances.assign(Seen.begin(), Seen.end());
+  };
+  Hooks.OnViewCurrent = [this, Index](bool Current) {
+    Nodes[Index]->ViewCurrent.push_back(Current);
+  };
+  return Hooks;
+}
+
+void FakeFleet::onSnapshot(std::size_t Index, const Version &Id) {
+  std::vector<Version> &History = Nodes[Index]->InForce;
+  if (!History.empty() && Id <= History.back())
+    Violation = "a version went back";
+  const bool Known =
+      std::any_of(Published.begin(), Published.end(), [&](const auto &P) {
+        return P.version() == Id && !isBad(P);
+      });
+  if (!Known)
+    Violation = "a version that was not published whole came into force";
+  History.push_back(Id);
+}
+
+bool FakeFleet::chance(double Probability) {
+  return std::uniform_real_distribution<>(0, 1)(Random) < Probability;
+}
+
+int FakeFleet::delay() {
+  return 1 + static_cast<int>(Random() %
+                              static_cast<std::uint64_t>(Faults.MaxDelayMs));
+}
+
+bool FakeFleet::reachable(std::size_t From, std::size_t To) const {
+  const std::size_t Left = From / NodesPerDomain;
+  const std::size_t Right = To / NodesPerDomain;
+  return Left == Right ||
+         (CutDomains.count(Left) == 0 && CutDomains.count(Right) == 0);
+}
+
+void FakeFleet::after(int Delay, std::function<void()> Action) {
+  Queue.push({Now.Value + Delay, ++DeliveryNumber, std::move(Action)});
+}
+
+/// Runs an action on a node if it is still the same process; a paused one runs
+/// it when it wakes.
+void FakeFleet::onNode(std::size_t Index, std::uint64_t Life,
+                       std::function<void()> Action) {
+  FakeNode &Node = *Nodes[Index];
+  if (!Node.Core || Node.Life != Life)
+    return;
+  if (Node.Paused)
+    Node.Waiting.push_back(std::move(Action));
+  else
+    Action();
+}
+
+void FakeFleet::send(std::size_t From, const PeerRequest &Request,
+                     const PeerReplyHook &OnReply) {
+  const std::uint64_t Life = Nodes[From]->Life;
+  // The reply or the timeout, whichever comes first, and only one of them.
+  auto Done = std::make_shared<bool>(false);
+  const auto Answer = [this, From, Life, Done, OnReply](PeerReply Reply) {
+    if (std::exchange(*Done, true))
+      return;
+    onNode(From, Life, [OnReply, Reply] { OnReply(Reply); });
+  };
+  after(static_cast<int>(Request.Timeout.Value), [Answer] {
+    Answer({std::nullopt, {}, ResultCode::PeerTimeout});
+  });
+  ++Messages;
+  BodyBytes += Request.Body.size();
+  const auto Found = ByAddress.find(Request.Address);
+  if (Found == ByAddress.end())
+    return;
+  const std::size_t To = Found->second;
+  const int Copies = chance(Faults.Doubling) ? 2 : 1;
+  for (int I = 0; I < Copies; ++I)
+    if (!chance(Faults.Loss))
+      after(delay(), [this, From, To, Life, Request, Answer] {
+        deliver(From, To, Life, Request, Answer);
+      });
+}
+
+void FakeFleet::deliver(std::size_t From, std::size_t To, std::uint64_t Life,
+                        const PeerRequest &Request,
+                        const std::function<void(PeerReply)> &Answer) {
+  if (!reachable(From, To))
+    return;
+  const std::uint64_t Receiver = Nodes[To]->Life;
+  onNode(To, Receiver, [this, From, To, Life, Request, Answer, Receiver] {
+    const PeerIdentity Sender{Nodes[From]->Settings.Self.Name, Life};
+    const std::string Body =
+        Nodes[To]->Core->serve(Request.Kind, Sender, Request.Body);
+    ++Messages;
+    BodyBytes += Body.size();
+    if (chance(Faults.Loss) || !reachable(From, To))
+      return;
+    const PeerIdentity Replier{Nodes[To]->Settings.Self.Name, Receiver};
+    after(delay(), [Answer, Body, Replier] {
+      Answer({Body, Replier, ResultCode::Ok});
+    });
+  });
+}
