--- a/src/app/Node.h
+++ b/src/app/Node.h
@@ -16,6 +16,8 @@
 
 namespace fescuewood {
 
+class NodeParts;
+
 class Node {
 public:
   explicit Node(NodeSettings Settings);
@@ -38,8 +40,7 @@
   ResultCode lastReason() const;
 
 private:
-  class Parts;
-  std::unique_ptr<Parts> State;
+  std::unique_ptr<NodeParts> State;
 };
 
 } // namespace fescuewood
--- /dev/null
+++ b/src/app/NodeParts.h
@@ -0,0 +1,82 @@
+/// \file
+/// The duties of a node and how they are joined. Internal to the app package.
+
+#ifndef FESCUEWOOD_APP_NODEPARTS_H
+#define FESCUEWOOD_APP_NODEPARTS_H
+
+#include "app/CallerBridge.h"
+#include "app/Latest.h"
+#include "app/TargetAdapter.h"
+#include "callers/CallerServer.h"
+#include "calls/CallEngine.h"
+#include "nodes/ControlDuty.h"
+#include "nodes/PeerClient.h"
+#include "nodes/PeerServer.h"
+#include "operators/EventRecorder.h"
+#include "operators/LogWriter.h"
+#include "operators/NodeStatus.h"
+#include "operators/OperatorServer.h"
+#include "platform/PlatformReader.h"
+#include "settings/NodeSettings.h"
+
+#include <atomic>
+#include <cstdint>
+#include <span>
+
+namespace fescuewood {
+
+/// Every duty of a node, in the order in which they depend on each other.
+class NodeParts {
+public:
+  explicit NodeParts(NodeSettings Given);
+
+  /// Listens and starts the duties; false with \ref lastReason.
+  bool start();
+
+  /// Finishes what is held; false when some of it had to be cut.
+  bool drain();
+
+  NodeStatus status() const;
+
+  ResultCode lastReason() const { return LastReason; }
+
+private:
+  CallHooks callHooks();
+  ControlHooks controlHooks();
+  PlatformReaderHooks readerHooks();
+  Pages pages();
+
+  void putInForce(const SnapshotPtr &Snapshot);
+  bool listenToPeers();
+  bool fail(ResultCode Reason);
+  bool waitUntilAnswered(TimeMs Until) const;
+  void stop();
+
+  const NodeSettings Settings;
+  const std::uint64_t Incarnation;
+  const Clock Monotonic = Clock::monotonic();
+  const TimeMs Started = Monotonic.now();
+  std::atomic<bool> Draining = false;
+  std::atomic<bool> SourceReachable = true;
+  Latest<SnapshotPtr> InForce;
+  ResultCode LastReason = ResultCode::Ok;
+
+  PeerLink Link;
+  LogWriter Log;
+  EventRecorder Recorder;
+  PeerServer Server;
+  PeerClient Peers;
+  TargetClient Target;
+  TargetAdapter Adapter;
+  CallTokenSealer Tokens;
+  ControlDuty Control;
+  CallEngine Engine;
+  CallerBridge Bridge;
+  CallerServer Callers;
+  PlatformReader Reader;
+  OperatorServer Operators;
+};
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_APP_NODEPARTS_H
--- a/src/operators/StampedEvent.cpp
+++ b/src/operators/StampedEvent.cpp
@@ -85,7 +85,7 @@
 std::string toTextLine(const StampedEvent &Value) {
   const EventEntry &Entry = eventEntry(Value.What.Id);
   std::string Line =
-      fmt::format("{} {:<5} {} {} node={} domain={} hlc={}.{} seq={}",
+      fmt::format("{} {:<5} {} {} at={} at_domain={} hlc={}.{} seq={}",
                   utcText(Value.Time.WallMs), levelName(Entry.Level),
                   static_cast<int>(Entry.Id), Entry.Name, word(Value.Node),
                   word(Value.Domain), Value.Time.WallMs, Value.Time.Counter,
--- a/src/operators/StampedEventText.cpp
+++ b/src/operators/StampedEventText.cpp
@@ -67,9 +67,9 @@
 
 /// Stores a field that stands in every line; false for any other field.
 bool storePlace(const EventField &Field, StampedEvent &Into) {
-  if (Field.Key == "node")
+  if (Field.Key == "at")
     Into.Node = Field.Value;
-  else if (Field.Key == "domain")
+  else if (Field.Key == "at_domain")
     Into.Domain = Field.Value;
   else
     return false;
