--- a/tests/nodes/FakeFleet.cpp
+++ b/tests/nodes/FakeFleet.cpp
@@ -229,7 +229,8 @@
   const std::uint64_t Life = Nodes[From]->Life;
   // The reply or the timeout, whichever comes first, and only one of them.
   auto Done = std::make_shared<bool>(false);
-  const auto Answer = [this, From, Life, Done, OnReply](PeerReply Reply) {
+  const auto Answer = [this, From, Life, Done,
+                       OnReply](const PeerReply &Reply) {
     if (std::exchange(*Done, true))
       return;
     onNode(From, Life, [OnReply, Reply] { OnReply(Reply); });
@@ -244,11 +245,13 @@
     return;
   const std::size_t To = Found->second;
   const int Copies = chance(Faults.Doubling) ? 2 : 1;
-  for (int I = 0; I < Copies; ++I)
-    if (!chance(Faults.Loss))
-      after(delay(), [this, From, To, Life, Request, Answer] {
-        deliver(From, To, Life, Request, Answer);
-      });
+  for (int I = 0; I < Copies; ++I) {
+    if (chance(Faults.Loss))
+      continue;
+    after(delay(), [this, From, To, Life, Request, Answer] {
+      deliver(From, To, Life, Request, Answer);
+    });
+  }
 }
 
 void FakeFleet::deliver(std::size_t From, std::size_t To, std::uint64_t Life,
