--- a/src/app/Node.cpp
+++ b/src/app/Node.cpp
@@ -178,8 +178,8 @@
     return Now ? Now->Id.Revision : 0;
   };
   Hooks.OnBundle = [this](const IntentBundle &Bundle) { accept(Bundle); };
-  Hooks.OnInstances = [this](const std::vector<ListedInstance> &Listed) {
-    Engine.setInstances(toInstances(Listed));
+  Hooks.OnInstances = [this](const InstanceList &Listed) {
+    Engine.setInstances(toInstances(Listed.Instances));
   };
   Hooks.OnSourceState = [this](bool Reachable) { SourceReachable = Reachable; };
   Hooks.OnEvent = Recorder.hook();
