--- /dev/null
+++ b/tests/intent/IntentFuzzTest.cpp
@@ -0,0 +1,186 @@
+// Mutations of the example intents: whatever the bytes, a version is accepted
+// whole and closed, or refused with problems that lie inside of its files.
+
+#include "intent/CompileIntent.h"
+#include "intent/IntentFolder.h"
+#include "intent/IntentReport.h"
+#include "intent/MergedIntent.h"
+
+#include "support/Property.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <random>
+#include <set>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+namespace {
+
+IntentBundle example(bool First) {
+  Problems Found;
+  const std::string Name = First ? "intent-teiknibas" : "intent-secretaria";
+  return readIntentFolder(SOURCE_DIR "/examples/" + Name, Found)->Bundle;
+}
+
+std::size_t countLines(const std::string &Text) {
+  return static_cast<std::size_t>(std::count(Text.begin(), Text.end(), '\n')) +
+         1;
+}
+
+/// Lines that say something: neither blank nor a comment.
+std::size_t countStatements(const std::string &Text) {
+  std::size_t Count = 0;
+  for (std::size_t Start = 0; Start < Text.size();) {
+    const std::size_t End = std::min(Text.find('\n', Start), Text.size());
+    const std::string Line = Text.substr(Start, End - Start);
+    const std::size_t First = Line.find_first_not_of(" \t\r");
+    const bool Silent =
+        First == std::string::npos || Line[First] == ';' || Line[First] == '#';
+    Count += Silent ? 0 : 1;
+    Start = End + 1;
+  }
+  return Count;
+}
+
+void mutate(std::string &Text, std::mt19937 &Random) {
+  static const std::vector<std::string> Pieces{"\n",
+                                               "=",
+                                               ";",
+                                               "[",
+                                               "]",
+                                               " ",
+                                               "\t",
+                                               "\r\n",
+                                               "\"",
+                                               "[service queue]\n",
+                                               "0",
+                                               "*",
+                                               "slots = 1\n",
+                                               "-1",
+                                               std::string(1, '\0'),
+                                               "\xff",
+                                               "status = out\n",
+                                               "[route x]\n",
+                                               "path = /x\n",
+                                               "service = till\n"};
+  const auto Below = [&](std::size_t Bound) {
+    return std::uniform_int_distribution<std::size_t>(0, Bound - 1)(Random);
+  };
+  const std::size_t Place = Below(Text.size() + 1);
+  switch (Below(4)) {
+  case 0:
+    Text.insert(Place, Pieces[Below(Pieces.size())]);
+    break;
+  case 1:
+    Text.erase(Place, Below(40) + 1);
+    break;
+  case 2:
+    Text.insert(Place, Text.substr(Below(Text.size() + 1), Below(80)));
+    break;
+  default:
+    if (Place < Text.size())
+      Text[Place] = static_cast<char>(Below(256));
+    break;
+  }
+}
+
+void requireClosed(const Snapshot &S) {
+  std::set<Digest> Digests;
+  std::set<std::pair<std::string, std::string>> Paths;
+  for (const Route &R : S.Routes) {
+    RC_ASSERT(S.Services.contains(R.Service));
+    RC_ASSERT(Paths.insert({R.Method, R.Path}).second);
+  }
+  for (const auto &[Name, O] : S.Organisations)
+    RC_ASSERT(S.Rates.contains(O.Rate));
+  for (const Key &K : S.Keys) {
+    RC_ASSERT(S.Organisations.contains(K.Organisation));
+    RC_ASSERT(Digests.insert(K.Sha256).second);
+  }
+}
+
+void requireInside(const IntentBundle &Bundle, const Problems &Found) {
+  for (const Problem &P : Found) {
+    const auto File = std::find_if(
+        Bundle.Files.begin(), Bundle.Files.end(),
+        [&](const IntentFile &F) { return F.Name == P.Where.File; });
+    const bool Whole = P.Where.Line == 0;
+    RC_ASSERT((Whole || File != Bundle.Files.end()));
+    RC_ASSERT((Whole || P.Where.Line <= countLines(File->Text)));
+  }
+}
+
+void requireNothingLost(const IntentBundle &Bundle) {
+  Problems Found;
+  std::size_t Held = 0;
+  for (const auto &[Id, Section] : mergeIntent(Bundle, Found))
+    Held += Section.Values.size() + Section.Overridden.size();
+  std::size_t Headings = 0;
+  std::size_t Stated = 0;
+  for (const IntentFile &F : Bundle.Files) {
+    Stated += countStatements(F.Text);
+    Headings += static_cast<std::size_t>(F.Text.starts_with("[") ||
+                                         F.Text.starts_with("\xef\xbb\xbf["));
+    for (std::size_t At = F.Text.find("\n["); At != std::string::npos;
+         At = F.Text.find("\n[", At + 1))
+      ++Headings;
+  }
+  RC_ASSERT(Held + Headings == Stated);
+}
+
+void requireWholeOrRefused(const IntentBundle &Bundle) {
+  const CompiledIntent Compiled = compileIntent(Bundle);
+  RC_ASSERT((Compiled.Result != nullptr) == Compiled.Found.empty());
+  requireInside(Bundle, Compiled.Found);
+  if (!Compiled.Result)
+    return;
+  requireClosed(*Compiled.Result);
+  requireNothingLost(Bundle);
+}
+
+} // namespace
+
+TEST_GROUP(IntentFuzz){};
+
+TEST(IntentFuzz, AcceptsAMutatedIntentWholeOrRefusesIt) {
+  const IntentBundle Examples[] = {example(false), example(true)};
+  checkProperty("mutations", [&] {
+    std::mt19937 Random(*rc::gen::arbitrary<std::uint32_t>());
+    IntentBundle Bundle = Examples[Random() % 2];
+    for (auto Left = Random() % 4 + 1; Left > 0; --Left)
+      mutate(Bundle.Files[Random() % Bundle.Files.size()].Text, Random);
+
+    requireWholeOrRefused(Bundle);
+  });
+}
+
+TEST(IntentFuzz, SurvivesAnyBytes) {
+  checkProperty("bytes", [] {
+    const auto Text = *rc::gen::arbitrary<std::string>();
+    const auto Name = *rc::gen::arbitrary<std::string>();
+
+    requireWholeOrRefused({1, {{"a.ini", Text}, {Name, Text}}});
+  });
+}
+
+// Inputs that once gave a wrong result. Each file is one intent file.
+TEST(IntentFuzz, GivesTheKnownVerdictOnTheCorpus) {
+  const std::filesystem::path Corpus = SOURCE_DIR "/tests/corpus/intent";
+  std::size_t Seen = 0;
+  for (const auto &Entry : std::filesystem::directory_iterator(Corpus)) {
+    const std::string Name = Entry.path().filename().string();
+    Problems Found;
+    const auto Folder = readIntentFolder(Entry.path().string(), Found);
+    const CompiledIntent Compiled = compileIntent(Folder->Bundle);
+    const bool Accepted = Compiled.Result != nullptr;
+
+    CHECK_TRUE_TEXT(Name.starts_with(Accepted ? "accepted-" : "refused-"),
+                    (Name + "\n" + problemsText(Compiled.Found)).c_str());
+    ++Seen;
+  }
+  CHECK(Seen > 0);
+}
--- /dev/null
+++ b/tests/intent/MergedIntentTest.cpp
@@ -0,0 +1,153 @@
+#include "intent/MergedIntent.h"
+
+#include "intent/CompileIntent.h"
+
+#include "support/Property.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+namespace {
+
+using Value = std::pair<std::string, std::string>; ///< Key and text.
+/// Values of one file by section heading.
+using FileValues = std::map<std::string, std::map<std::string, std::string>>;
+using Files = std::map<std::string, FileValues>;
+
+std::string textOf(const FileValues &Values) {
+  std::string Text = "; a comment\n";
+  for (const auto &[Heading, Entries] : Values) {
+    Text += "[" + Heading + "]\n\n";
+    for (const auto &[Name, Given] : Entries)
+      Text += Name + " = " + Given + "\n";
+  }
+  return Text;
+}
+
+IntentBundle bundleOf(const Files &All, std::uint64_t Revision = 1) {
+  IntentBundle Bundle{Revision, {}};
+  for (const auto &[Name, Values] : All)
+    Bundle.Files.push_back({Name, textOf(Values)});
+  return Bundle;
+}
+
+/// Files that set a few keys of a few sections, so that they often overlap.
+Files anyFiles() {
+  Files All;
+  for (const char *Name : {"10-a.ini", "20-b.ini", "9-c.ini", "a.ini"}) {
+    if (!*rc::gen::arbitrary<bool>())
+      continue;
+    FileValues &Values = All[Name];
+    for (const char *Heading : {"service a", "service b", "domain d"}) {
+      if (!*rc::gen::arbitrary<bool>())
+        continue;
+      auto &Entries = Values[Heading];
+      for (const char *Key : {"slots", "region", "nodes"})
+        if (*rc::gen::arbitrary<bool>())
+          Entries[Key] = std::to_string(*rc::gen::inRange(0, 5));
+    }
+  }
+  return All;
+}
+
+std::string lineOf(const IntentBundle &Bundle, const SourceLine &Where) {
+  for (const IntentFile &F : Bundle.Files) {
+    if (F.Name != Where.File)
+      continue;
+    std::size_t Start = 0;
+    for (std::size_t Line = 1; Line < Where.Line; ++Line)
+      Start = F.Text.find('\n', Start) + 1;
+    return F.Text.substr(Start, F.Text.find('\n', Start) - Start);
+  }
+  return "";
+}
+
+} // namespace
+
+TEST_GROUP(MergedIntent){};
+
+TEST(MergedIntent, TakesEachKeyFromTheLastFileThatGivesIt) {
+  checkProperty("merged = last writer by file name", [] {
+    const Files All = anyFiles();
+    std::map<std::string, std::map<std::string, std::string>> Expected;
+    for (const auto &[Name, Values] : All) {
+      for (const auto &[Heading, Entries] : Values) {
+        Expected["[" + Heading + "]"];
+        for (const auto &[Key, Given] : Entries)
+          Expected["[" + Heading + "]"][Key] = Given;
+      }
+    }
+    Problems Found;
+
+    const MergedIntent Merged = mergeIntent(bundleOf(All), Found);
+
+    std::map<std::string, std::map<std::string, std::string>> Actual;
+    for (const auto &[Id, Section] : Merged) {
+      Actual[Id.heading()];
+      for (const auto &[Key, Given] : Section.Values)
+        Actual[Id.heading()][Key] = Given.Text;
+    }
+    RC_ASSERT(Found.empty());
+    RC_ASSERT(Actual == Expected);
+  });
+}
+
+TEST(MergedIntent, KnowsForEachValueTheLineThatItStandsOn) {
+  checkProperty("file:line holds key = value", [] {
+    const IntentBundle Bundle = bundleOf(anyFiles());
+    Problems Found;
+
+    for (const auto &[Id, Section] : mergeIntent(Bundle, Found)) {
+      RC_ASSERT(lineOf(Bundle, Section.Heading) == Id.heading());
+      for (const auto &[Key, Given] : Section.Values)
+        RC_ASSERT(lineOf(Bundle, Given.Where) == Key + " = " + Given.Text);
+      for (const auto &[Key, Given] : Section.Overridden)
+        RC_ASSERT(lineOf(Bundle, Given.Where) == Key + " = " + Given.Text);
+    }
+  });
+}
+
+TEST(MergedIntent, DoesNotDependOnTheOrderInWhichFilesAreListed) {
+  checkProperty("shuffled = sorted", [] {
+    const IntentBundle Bundle = bundleOf(anyFiles());
+    IntentBundle Shuffled = Bundle;
+    for (std::size_t I = Shuffled.Files.size(); I > 1; --I)
+      std::swap(Shuffled.Files[I - 1],
+                Shuffled.Files[*rc::gen::inRange<std::size_t>(0, I)]);
+
+    const CompiledIntent One = compileIntent(Bundle);
+    const CompiledIntent Other = compileIntent(Shuffled);
+
+    RC_ASSERT(problemsText(One.Found) == problemsText(Other.Found));
+    RC_ASSERT(Bundle.version() == Shuffled.version());
+  });
+}
+
+// An operator adds a file, finds it wrong and removes it.
+TEST(MergedIntent, RemovingALaterFileRestoresWhatWasBefore) {
+  checkProperty("add then remove = before, as a newer version", [] {
+    const Files Before = anyFiles();
+    Files During = Before;
+    During["90-change.ini"] = {{"service a", {{"slots", "9"}}}};
+    Files After = During;
+    After.erase("90-change.ini");
+
+    const CompiledIntent Old = compileIntent(bundleOf(Before, 1));
+    const CompiledIntent Changed = compileIntent(bundleOf(During, 2));
+    const CompiledIntent Restored = compileIntent(bundleOf(After, 3));
+
+    RC_ASSERT(problemsText(Old.Found) == problemsText(Restored.Found));
+    if (!Old.Result)
+      return;
+    // An override never keeps the version from being accepted afterwards.
+    RC_ASSERT(Changed.Result != nullptr);
+    RC_ASSERT(Restored.Result->Id > Changed.Result->Id);
+    RC_ASSERT(Restored.Result->Id.Content == Old.Result->Id.Content);
+  });
+}
