--- a/tests/intent/MergedIntentTest.cpp
+++ b/tests/intent/MergedIntentTest.cpp
@@ -25,7 +25,7 @@
   for (const auto &[Heading, Entries] : Values) {
     Text += "[" + Heading + "]\n\n";
     for (const auto &[Name, Given] : Entries)
-      Text += Name + " = " + Given + "\n";
+      Text.append(Name).append(" = ").append(Given).append("\n");
   }
   return Text;
 }
