End a blocked read at once and pace reads where the allowance has room

A stopping process waited up to a second for curl's progress hook; the transfer now runs in a multi handle that a cancel wakes. A fleet of one node may make 2,000 reads a second by its allowance: a platform that answers watches at once would have been asked in a tight loop, so two reads start 100 ms apart at least.

--- a/src/platform/HttpSource.cpp
+++ b/src/platform/HttpSource.cpp
@@ -17,10 +17,17 @@
 constexpr long StatusOk = 200;
 constexpr long StatusNoContent = 204;
 
+/// Longest sleep between two looks at a transfer; curl wakes earlier.
+constexpr int PollMs = 1000;
+
 struct CurlDeleter {
   void operator()(CURL *Handle) const { curl_easy_cleanup(Handle); }
 };
 
+struct CurlMultiDeleter {
+  void operator()(CURLM *Transfers) const { curl_multi_cleanup(Transfers); }
+};
+
 /// The body of one answer, bounded while it arrives.
 struct Body {
   std::string Bytes;
@@ -46,6 +53,7 @@
     static std::once_flag Initialised;
     std::call_once(Initialised, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
     Handle.reset(curl_easy_init());
+    Transfers.reset(curl_multi_init());
   }
 
   /// The body of a path, with Value empty when there is nothing newer.
@@ -54,7 +62,7 @@
       return {std::nullopt, ResultCode::Stopped, ""};
     Body Received;
     prepare("http://" + Server.text() + Path, Wait, Received);
-    const CURLcode Result = curl_easy_perform(Handle.get());
+    const CURLcode Result = perform();
     if (Cancelled)
       return {std::nullopt, ResultCode::Stopped, ""};
     if (Received.TooLarge)
@@ -66,7 +74,10 @@
     return byStatus(std::move(Received.Bytes));
   }
 
-  void cancel() { Cancelled = true; }
+  void cancel() {
+    Cancelled = true;
+    curl_multi_wakeup(Transfers.get());
+  }
 
 private:
   void prepare(const std::string &Url, DurationMs Wait, Body &Into) {
@@ -82,10 +93,6 @@
                      static_cast<long>((Wait + Timeout).Value));
     curl_easy_setopt(Curl, CURLOPT_WRITEFUNCTION, &appendBody);
     curl_easy_setopt(Curl, CURLOPT_WRITEDATA, &Into);
-    // curl asks the progress hook about once a second while it waits.
-    curl_easy_setopt(Curl, CURLOPT_NOPROGRESS, 0L);
-    curl_easy_setopt(Curl, CURLOPT_XFERINFOFUNCTION, &stopIfCancelled);
-    curl_easy_setopt(Curl, CURLOPT_XFERINFODATA, this);
   }
 
   PlatformRead<std::string> byStatus(std::string Bytes) {
@@ -99,14 +106,29 @@
     return {std::move(Bytes), ResultCode::Ok, ""};
   }
 
-  static int stopIfCancelled(void *Self, curl_off_t, curl_off_t, curl_off_t,
-                             curl_off_t) {
-    return static_cast<HttpClient *>(Self)->Cancelled ? 1 : 0;
+  /// Runs the one transfer until it ends or is cancelled.
+  CURLcode perform() {
+    CURLM *Multi = Transfers.get();
+    curl_multi_add_handle(Multi, Handle.get());
+    int Running = 1;
+    while (Running > 0 && !Cancelled) {
+      curl_multi_perform(Multi, &Running);
+      if (Running > 0)
+        curl_multi_poll(Multi, nullptr, 0, PollMs, nullptr);
+    }
+    CURLcode Result = CURLE_ABORTED_BY_CALLBACK;
+    int Left = 0;
+    while (const CURLMsg *Message = curl_multi_info_read(Multi, &Left))
+      if (Message->msg == CURLMSG_DONE)
+        Result = Message->data.result;
+    curl_multi_remove_handle(Multi, Handle.get());
+    return Result;
   }
 
   Endpoint Server;
   DurationMs Timeout;
-  std::unique_ptr<CURL, CurlDeleter> Handle;
+  std::unique_ptr<CURLM, CurlMultiDeleter> Transfers;
+  std::unique_ptr<CURL, CurlDeleter> Handle; ///< Ends before Transfers.
   std::atomic<bool> Cancelled = false;
 };
 
--- a/src/platform/PlatformReader.h
+++ b/src/platform/PlatformReader.h
@@ -29,7 +29,7 @@
 
   void start();
 
-  /// Cancels a blocked read and joins the thread; at most about a second.
+  /// Cancels a blocked read and joins the thread.
   void stop();
 
   /// From any thread.
--- a/src/platform/ReadLoop.cpp
+++ b/src/platform/ReadLoop.cpp
@@ -13,6 +13,10 @@
 /// Least time between two reads of the list of instances.
 constexpr DurationMs InstancesPeriod{2000};
 
+/// Least time between the starts of two reads, also where the allowance has
+/// room: a platform that answers watches at once is not asked in a tight loop.
+constexpr DurationMs MinReadPeriod{100};
+
 /// Bounds of the exponential backoff after failed reads. The greater one is
 /// short enough to find a source that is back well within the 15 s in which a
 /// version has to be in force.
@@ -50,6 +54,7 @@
   if (!Allowance.take(Now))
     return Allowance.window();
   ++Reads;
+  NextAttempt = Now + MinReadPeriod;
   // The list comes first after a start: a node that sees the others learns that
   // it need not read the intent at all.
   if (Now >= NextInstances)
--- a/tests/platform/HttpSourceTest.cpp
+++ b/tests/platform/HttpSourceTest.cpp
@@ -163,6 +163,20 @@
   CHECK(ResultCode::PlatformUnreachable == reason());
 }
 
+TEST(HttpSource, ReturnsEarlyOnceCancelled) {
+  const IntentBundle First = next(0);
+  std::future<PlatformRead<IntentBundle>> Watch =
+      std::async(std::launch::async, [&] {
+        return Source.ReadIntent(First.Revision, DurationMs(3600000));
+      });
+
+  Source.Cancel();
+
+  CHECK(std::future_status::ready ==
+        Watch.wait_for(std::chrono::milliseconds(LongestWait.Value)));
+  CHECK(ResultCode::Stopped == Watch.get().Reason);
+}
+
 // The whole duty against the real stand-in.
 TEST(HttpSource, FeedsAReaderThatStopsWhileItWatches) {
   PlatformSettings Settings;
--- a/tests/platform/ReadLoopTest.cpp
+++ b/tests/platform/ReadLoopTest.cpp
@@ -122,6 +122,16 @@
   });
 }
 
+TEST(ReadLoop, AsksAPlatformThatNeverWaitsAtAnEvenPace) {
+  PlatformSettings Alone = settings(2000, 1);
+  Alone.WatchWait = DurationMs(0);
+  ReadLoop Loop = Fake.loop(Alone);
+
+  Fake.run(Loop, DurationMs(10000));
+
+  CHECK(Fake.Reads.size() <= 100);
+}
+
 TEST(ReadLoop, ReadsNothingWhileItIsNoReader) {
   ReadLoop Loop = Fake.loop(settings(2000, 1200));
   Fake.AmReader = false;
