--- a/bench/PolicyBench.cpp
+++ b/bench/PolicyBench.cpp
@@ -379,7 +379,7 @@
 void runAll(std::vector<Task> &Tasks) {
   std::atomic<std::size_t> Next{0};
   std::vector<std::thread> Threads;
-  for (std::uint32_t I = 0; I < FLAGS_threads; ++I)
+  for (std::uint32_t I = 0; I < FLAGS_threads; ++I) {
     Threads.emplace_back([&Tasks, &Next] {
       for (std::size_t At = Next++; At < Tasks.size(); At = Next++) {
         Task &Each = Tasks[At];
@@ -390,6 +390,7 @@
           Each.Text += "\n" + Cell.codes();
       }
     });
+  }
   for (std::thread &Each : Threads)
     Each.join();
 }
@@ -409,13 +410,16 @@
   std::puts("|---|---|---|---|---|---|---|---|---|---|");
   const std::vector<Policy> Policies = policies();
   std::vector<Task> Tasks;
-  for (const Deployment &Size : Deployments)
-    for (const std::string &Scenario : Scenarios)
-      for (const Policy &Under : Policies)
+  for (const Deployment &Size : Deployments) {
+    for (const std::string &Scenario : Scenarios) {
+      for (const Policy &Under : Policies) {
         if (chosen(FLAGS_deployment, Size.Name) &&
             chosen(FLAGS_scenario, Scenario) &&
             chosen(FLAGS_policy, Under.Name))
           Tasks.push_back({&Size, &Under, Scenario, {}});
+      }
+    }
+  }
   runAll(Tasks);
   for (const Task &Each : Tasks)
     std::puts(Each.Text.c_str());
