Explain where a node would send a request

Cause: whoever is on shift must see why a request goes where it goes. Change: explain asks the node's own router through the calls duty and adds the route's treatment, the organisation's rate and why a target is not used.

--- a/src/app/NodePages.cpp
+++ b/src/app/NodePages.cpp
@@ -1,5 +1,7 @@
 #include "app/NodeParts.h"
 
+#include "operators/Explanation.h"
+
 namespace fescuewood {
 
 namespace {
@@ -23,6 +25,11 @@
           Row.AtLeast.value_or(Version()), Row.SinceHeard};
 }
 
+std::string parameter(const PageQuery &Query, std::string_view Name) {
+  const auto It = Query.find(Name);
+  return It == Query.end() ? "" : It->second;
+}
+
 } // namespace
 
 Pages NodeParts::pages() {
@@ -35,6 +42,8 @@
        [this](const PageQuery &) {
          return Page{200, "text/plain; version=0.0.4", metricsText(status())};
        }},
+      {"/explain",
+       [this](const PageQuery &Query) { return explainPage(Query); }},
       {"/timeline",
        [this](const PageQuery &) {
          std::string Lines;
@@ -45,6 +54,20 @@
   };
 }
 
+Page NodeParts::explainPage(const PageQuery &Query) const {
+  const SnapshotPtr Now = InForce.read();
+  if (!Now)
+    return {200, "text/plain", "no configuration is in force yet\n"};
+  const RequestQuestion Asked{parameter(Query, "method"),
+                              parameter(Query, "path"),
+                              parameter(Query, "organisation")};
+  const Route *Found = Now->findRoute(Asked.Method, Asked.Path);
+  std::vector<RouterCandidate> Candidates;
+  if (Found)
+    Candidates = Engine.explain(Found->Service).value_or(Candidates);
+  return {200, "text/plain", explainText(*Now, Asked, Candidates)};
+}
+
 NodeStatus NodeParts::status() const {
   NodeStatus Status;
   Status.Name = Settings.Node.Name;
--- a/src/app/NodeParts.h
+++ b/src/app/NodeParts.h
@@ -45,6 +45,7 @@
   ControlHooks controlHooks();
   PlatformReaderHooks readerHooks();
   Pages pages();
+  Page explainPage(const PageQuery &Query) const;
 
   void putInForce(const SnapshotPtr &Snapshot);
   bool listenToPeers();
--- a/src/calls/CallEngine.cpp
+++ b/src/calls/CallEngine.cpp
@@ -5,6 +5,8 @@
 #include "core/Duty.h"
 
 #include <atomic>
+#include <chrono>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <utility>
@@ -19,6 +21,9 @@
 /// Between two looks at what is due.
 constexpr DurationMs TickPeriod(5);
 
+/// Longest wait of \ref CallEngine::explain for the duty.
+constexpr std::chrono::seconds ExplainPatience(2);
+
 /// Between two copies of the figures.
 constexpr DurationMs StatusPeriod(200);
 
@@ -126,6 +131,19 @@
     return Copied;
   }
 
+  std::optional<std::vector<RouterCandidate>> explain(std::string Service) {
+    // Shared with the task, which may run after the wait has ended.
+    auto Answer =
+        std::make_shared<std::promise<std::vector<RouterCandidate>>>();
+    auto Result = Answer->get_future();
+    change([this, Answer, Service = std::move(Service)] {
+      Answer->set_value(Core.explain(Service));
+    });
+    if (Result.wait_for(ExplainPatience) != std::future_status::ready)
+      return std::nullopt;
+    return Result.get();
+  }
+
 private:
   /// Runs a step on the duty that must not be refused.
   void change(std::function<void()> Step) {
@@ -231,4 +249,9 @@
 
 CallStatus CallEngine::status() const { return State->status(); }
 
+std::optional<std::vector<RouterCandidate>>
+CallEngine::explain(std::string Service) const {
+  return State->explain(std::move(Service));
+}
+
 } // namespace fescuewood
--- a/src/calls/CallEngine.h
+++ b/src/calls/CallEngine.h
@@ -17,6 +17,7 @@
 #include "nodes/PeerTransport.h"
 #include "policy/CallSettings.h"
 #include "policy/Instance.h"
+#include "policy/Router.h"
 
 #include <cstdint>
 #include <functional>
@@ -97,6 +98,11 @@
   /// The figures as of the last tick.
   CallStatus status() const;
 
+  /// The targets of a service as the next call would see them, or nothing when
+  /// the duty does not answer in time. Not from the duty.
+  std::optional<std::vector<RouterCandidate>>
+  explain(std::string Service) const;
+
 private:
   class Impl;
   std::unique_ptr<Impl> State;
