--- a/src/intent/IntentReport.cpp
+++ b/src/intent/IntentReport.cpp
@@ -55,6 +55,16 @@
   return Text + "\n";
 }
 
+/// What operators compare with the version that nodes say is in force.
+std::string digestLine(const IntentBundle &Bundle) {
+  std::size_t Bytes = 0;
+  for (const IntentFile &F : Bundle.Files)
+    Bytes += F.Name.size() + F.Text.size();
+  return fmt::format("# digest {}, {} files, {} of {} bytes\n",
+                     Bundle.version().Content.shortHex(), Bundle.Files.size(),
+                     Bytes, MaxBundleBytes);
+}
+
 } // namespace
 
 IntentReport reportIntent(const IntentBundle &Bundle) {
@@ -64,6 +74,7 @@
   DefaultsByKind Defaults = defaultsByKind();
   for (const auto &[Id, Section] : Merged)
     Report.Merged += sectionText(Id, Section, Defaults[Id.Kind]);
+  Report.Merged += digestLine(Bundle);
   const CompiledIntent Compiled = compileIntent(Bundle);
   Report.Accepted = Compiled.Result != nullptr;
   Report.Errors = problemsText(Compiled.Found);
--- a/tests/intent/IntentReportTest.cpp
+++ b/tests/intent/IntentReportTest.cpp
@@ -16,10 +16,13 @@
   const IntentReport Report = reportIntent(Bundle);
 
   CHECK(Report.Accepted);
-  STRCMP_EQUAL("[service queue]\n"
-               "slots = 4                                         "
-               "# 20-b.ini:3, over 10-a.ini:2\n\n",
-               Report.Merged.c_str());
+  const std::string Expected =
+      "[service queue]\n"
+      "slots = 4                                         "
+      "# 20-b.ini:3, over 10-a.ini:2\n\n"
+      "# digest " +
+      Bundle.version().Content.shortHex() + ", 2 files, 75 of 1048576 bytes\n";
+  STRCMP_EQUAL(Expected.c_str(), Report.Merged.c_str());
 }
 
 TEST(IntentReport, ShowsDefaultsAsSuch) {
@@ -27,10 +30,13 @@
 
   const IntentReport Report = reportIntent(Bundle);
 
-  STRCMP_EQUAL("[service queue]\n"
-               "slots = 1                                         "
-               "# default\n\n",
-               Report.Merged.c_str());
+  const std::string Expected =
+      "[service queue]\n"
+      "slots = 1                                         "
+      "# default\n\n"
+      "# digest " +
+      Bundle.version().Content.shortHex() + ", 1 files, 24 of 1048576 bytes\n";
+  STRCMP_EQUAL(Expected.c_str(), Report.Merged.c_str());
 }
 
 TEST(IntentReport, ShowsTheMergedIntentAlsoWhenThereAreErrors) {
--- a/tests/platform/PlatformCodecTest.cpp
+++ b/tests/platform/PlatformCodecTest.cpp
@@ -1,5 +1,7 @@
 #include "platform/PlatformCodec.h"
 
+#include "ini/IniReader.h"
+
 #include "support/Property.h"
 
 #include <string>
@@ -104,6 +106,25 @@
   });
 }
 
+TEST(PlatformCodec, SurvivesAnyChangeOfAList) {
+  checkProperty("a changed list is refused or holds well-formed rows", [] {
+    const Json Answer{{"revision", 1},
+                      {"instances", {instanceRow("a"), instanceRow("b")}}};
+    std::string Text = Answer.dump();
+    const auto Place = *rc::gen::inRange<std::size_t>(0, Text.size());
+    Text[Place] = *rc::gen::arbitrary<char>();
+
+    const auto Read = decodeInstances(Text);
+
+    RC_ASSERT(Read.Value.has_value() == (Read.Reason == ResultCode::Ok));
+    for (const ListedInstance &I :
+         Read.Value.value_or(InstanceList()).Instances) {
+      RC_ASSERT(isIniName(I.Name));
+      RC_ASSERT(Endpoint::parse(I.PeerAddress).has_value());
+    }
+  });
+}
+
 TEST(PlatformCodec, LeavesOutMalformedAndRepeatedRows) {
   LONGS_EQUAL(0, rowsLeftOut({instanceRow("a"), instanceRow("b")}));
   LONGS_EQUAL(1, rowsLeftOut({instanceRow("a"), instanceRow("a")}));
--- a/tests/settings/NodeSettingsTest.cpp
+++ b/tests/settings/NodeSettingsTest.cpp
@@ -1,5 +1,7 @@
 #include "settings/NodeSettings.h"
 
+#include "support/Property.h"
+
 #include <algorithm>
 #include <string>
 
@@ -140,6 +142,25 @@
            ResultCode::SettingsConflict, 0, "[operators] listen");
 }
 
+TEST(NodeSettings, AcceptsMutatedSettingsWholeOrRefusesThem) {
+  checkProperty("mutations", [] {
+    std::string Text = Complete;
+    for (int Left = *rc::gen::inRange(1, 4); Left > 0; --Left) {
+      const auto Place = *rc::gen::inRange<std::size_t>(0, Text.size());
+      const auto Piece = *rc::gen::element<std::string>(
+          "", "\n", "[log]\n", "=", " ;", "0", "level = warn\n", "\xff", ":");
+      Text.replace(Place, *rc::gen::inRange<std::size_t>(0, 20), Piece);
+    }
+    Problems Listed;
+
+    const auto Settings = parseSettings(Text, "node.ini", Listed);
+
+    RC_ASSERT(Settings.has_value() == Listed.empty());
+    for (const Problem &P : Listed)
+      RC_ASSERT(!P.Detail.empty());
+  });
+}
+
 TEST(NodeSettings, SaysThatAFileCannotBeRead) {
   CHECK_FALSE(loadSettings("/nonexistent/node.ini", Found).has_value());
 
