--- /dev/null
+++ b/src/organisations/OrganisationLimiter.cpp
@@ -0,0 +1,336 @@
+#include "organisations/OrganisationLimiter.h"
+
+#include "core/Duty.h"
+#include "organisations/TokenCodec.h"
+#include "policy/TokenNode.h"
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace fescuewood {
+
+namespace {
+
+/// Length of the duty's ring. It runs only its own tick.
+constexpr std::size_t DutyCapacity = 4;
+
+/// A refusal this recent marks an organisation as near its rate.
+constexpr DurationMs NearRateWindow{60 * 1000};
+
+} // namespace
+
+class OrganisationLimiter::Impl {
+public:
+  Impl(LimiterIdentity Identity, TokenSettings Settings, LimiterHooks Hooks)
+      : Identity(std::move(Identity)), Settings(Settings),
+        Hooks(std::move(Hooks)),
+        Node({this->Identity.Domain, this->Identity.Slot}, Settings,
+             this->Hooks.Now.now()) {}
+
+  void start() {
+    Ticker.start(TokenNode::TickPeriod, [this] { tick(); });
+  }
+
+  void stop() {
+    Ticker.stop();
+    std::map<std::uint64_t, RateDecisionHook> Left;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Stopped = true;
+      Left = std::exchange(Waiting, {});
+    }
+    for (auto &[Ticket, OnDecision] : Left)
+      OnDecision({false, Settings.MaxWait});
+  }
+
+  RateDecision charge(std::string_view Organisation) {
+    std::optional<RateDecision> Decision;
+    Work Due;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Decision = Node.charge(Organisation, Hooks.Now.now(), std::nullopt);
+      Due = collect();
+    }
+    perform(std::move(Due));
+    return *Decision;
+  }
+
+  void charge(std::string_view Organisation, RateDecisionHook OnDecision) {
+    std::optional<RateDecision> Decision;
+    Work Due;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      std::optional<std::uint64_t> Ticket;
+      if (!Stopped)
+        Ticket = ++LastTicket;
+      Decision = Node.charge(Organisation, Hooks.Now.now(), Ticket);
+      if (!Decision)
+        Waiting.emplace(*Ticket, std::move(OnDecision));
+      Due = collect();
+    }
+    perform(std::move(Due));
+    if (Decision)
+      OnDecision(*Decision);
+  }
+
+  void setSnapshot(const Snapshot &Source) {
+    const TokenPlan Plan(Source, Settings);
+    Work Due;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Node.apply(Plan, Hooks.Now.now());
+      Due = collect();
+    }
+    perform(std::move(Due));
+  }
+
+  void setInstances(const std::vector<Instance> &Instances) {
+    bool Conflict = false;
+    bool Changed = false;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Addresses.clear();
+      for (const Instance &I : Instances) {
+        if (I.Name == Identity.Name)
+          continue;
+        Addresses[{I.Domain, I.Slot}] = I.PeerAddress;
+        Conflict |= I.Domain == Identity.Domain && I.Slot == Identity.Slot;
+      }
+      Changed = std::exchange(InConflict, Conflict) != Conflict;
+      // Neither can know which of the two the platform means, so both stop.
+      Node.setMetering(!Conflict, Hooks.Now.now());
+    }
+    if (Changed)
+      report(Conflict ? EventId::SlotConflict : EventId::SlotConflictEnded);
+  }
+
+  void handlePeer(const PeerIdentity &From, std::string_view Body,
+                  const ReplyHook &Reply) {
+    const auto Asks = decodeAsks(Body);
+    if (!Asks) {
+      reportMalformed(From);
+      Reply(encodeGrants({}));
+      return;
+    }
+    std::vector<TokenGrant> Grants;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      for (const TokenAsk &Ask : *Asks) {
+        auto Given =
+            Node.answer({From.Name, From.Incarnation}, Ask, Hooks.Now.now());
+        if (Given)
+          Grants.push_back(std::move(*Given));
+      }
+    }
+    const std::string Answer = encodeGrants(Grants);
+    count(Answer);
+    Reply(Answer);
+  }
+
+  std::optional<ShareMark> mark() const {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return Node.mark();
+  }
+
+  LimiterStatus status() const {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    const TimeMs Now = Hooks.Now.now();
+    LimiterStatus Result;
+    for (const auto &[Name, F] : Node.figures(Now)) {
+      OrganisationStatus S;
+      S.Name = Name;
+      S.RatePerSecond = F.Whole.PerSecond;
+      S.Burst = F.Whole.Burst;
+      S.Demand = F.Demand;
+      S.TokensHeld = F.Level;
+      S.RateHeld = F.RateHeld;
+      S.Admitted = F.Admitted;
+      S.Refused = F.Refused;
+      S.NearRate = F.LastRefused && Now - *F.LastRefused < NearRateWindow;
+      Result.Organisations.push_back(std::move(S));
+    }
+    Result.Metering = Node.metering();
+    Result.MessagesSent = MessagesSent;
+    Result.BytesSent = BytesSent;
+    return Result;
+  }
+
+private:
+  /// What is to be done once the lock is released.
+  struct Work {
+    std::vector<PeerRequest> Requests;
+    std::vector<std::vector<TokenAsk>> Asks; ///< Of each request.
+    std::vector<SlotId> Meters;              ///< Of each request.
+    std::vector<std::pair<RateDecisionHook, RateDecision>> Decisions;
+    bool PauseNoticed = false;
+  };
+
+  void tick() {
+    std::optional<ShareMark> Mark = mark();
+    const bool Agreed =
+        Mark && (!Hooks.AgreedEverywhere || Hooks.AgreedEverywhere(*Mark));
+    Work Due;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      const TimeMs Now = Hooks.Now.now();
+      // A version that came meanwhile is not what was agreed on.
+      const auto Current = Node.mark();
+      if (Agreed && Current && Current->Division == Mark->Division &&
+          Current->Since == Mark->Since)
+        Node.agree(Now);
+      Node.tick(Now);
+      Due = collect();
+    }
+    perform(std::move(Due));
+  }
+
+  /// Called with the lock held.
+  Work collect() {
+    Work Due;
+    Due.PauseNoticed = Node.takePauseNoticed();
+    std::map<SlotId, std::vector<TokenAsk>> ByMeter;
+    for (AddressedAsk &A : Node.takeAsks())
+      ByMeter[A.Meter].push_back(std::move(A.Ask));
+    for (auto &[Meter, Asks] : ByMeter)
+      addRequest(Due, Meter, std::move(Asks));
+    for (const DecidedCharge &D : Node.takeDecided()) {
+      auto Found = Waiting.extract(D.Ticket);
+      if (Found)
+        Due.Decisions.emplace_back(std::move(Found.mapped()), D.Decision);
+    }
+    return Due;
+  }
+
+  void addRequest(Work &Due, const SlotId &Meter, std::vector<TokenAsk> Asks) {
+    PeerRequest Request;
+    const auto It = Addresses.find(Meter);
+    if (It != Addresses.end())
+      Request.Address = It->second;
+    Request.Kind = PeerKind::Tokens;
+    Request.Body = encodeAsks(Asks);
+    Request.Timeout = Settings.AskTimeout;
+    Due.Requests.push_back(std::move(Request));
+    Due.Asks.push_back(std::move(Asks));
+    Due.Meters.push_back(Meter);
+  }
+
+  void perform(Work Due) {
+    if (Due.PauseNoticed)
+      report(EventId::TokensDiscarded);
+    for (auto &[OnDecision, Decision] : Due.Decisions)
+      OnDecision(Decision);
+    for (std::size_t I = 0; I < Due.Requests.size(); ++I)
+      send(std::move(Due.Requests[I]), Due.Meters[I], std::move(Due.Asks[I]));
+  }
+
+  void send(PeerRequest Request, const SlotId &Meter,
+            std::vector<TokenAsk> Asks) {
+    if (Request.Address.empty()) {
+      takeReply(Meter, Asks, PeerReply());
+      return;
+    }
+    count(Request.Body);
+    Hooks.Send(std::move(Request),
+               [this, Meter, Asks = std::move(Asks)](const PeerReply &Reply) {
+                 takeReply(Meter, Asks, Reply);
+               });
+  }
+
+  void takeReply(const SlotId &Meter, const std::vector<TokenAsk> &Asks,
+                 const PeerReply &Reply) {
+    std::optional<std::vector<TokenGrant>> Grants;
+    if (Reply.Body)
+      Grants = decodeGrants(*Reply.Body);
+    if (Reply.Body && !Grants)
+      reportMalformed(Reply.From);
+    Work Due;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      const TimeMs Now = Hooks.Now.now();
+      if (Grants)
+        for (const TokenGrant &G : *Grants)
+          Node.accept(Meter, G, Now);
+      // What was answered is no longer pending and is not lost by this.
+      for (const TokenAsk &Ask : Asks)
+        Node.lose(Meter, Ask, Now);
+      Due = collect();
+    }
+    perform(std::move(Due));
+  }
+
+  void count(const std::string &Body) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    ++MessagesSent;
+    BytesSent += Body.size();
+  }
+
+  void report(EventId Id) const {
+    if (Hooks.OnEvent)
+      Hooks.OnEvent({Id, {{"node", Identity.Name}}});
+  }
+
+  void reportMalformed(const PeerIdentity &From) const {
+    if (Hooks.OnEvent)
+      Hooks.OnEvent({EventId::TokenMessageRefused, {{"node", From.Name}}});
+  }
+
+  const LimiterIdentity Identity;
+  const TokenSettings Settings;
+  const LimiterHooks Hooks;
+  mutable std::mutex Mutex;
+  mutable TokenNode Node; ///< Its figures advance the buckets.
+  std::map<SlotId, std::string> Addresses;
+  std::map<std::uint64_t, RateDecisionHook> Waiting;
+  std::uint64_t LastTicket = 0;
+  bool InConflict = false;
+  bool Stopped = false;
+  std::uint64_t MessagesSent = 0;
+  std::uint64_t BytesSent = 0;
+  Duty Ticker{"organisations", DutyCapacity};
+};
+
+OrganisationLimiter::OrganisationLimiter(LimiterIdentity Identity,
+                                         TokenSettings Settings,
+                                         LimiterHooks Hooks)
+    : State(std::make_unique<Impl>(std::move(Identity), Settings,
+                                   std::move(Hooks))) {}
+
+OrganisationLimiter::~OrganisationLimiter() { State->stop(); }
+
+void OrganisationLimiter::start() { State->start(); }
+
+void OrganisationLimiter::stop() { State->stop(); }
+
+RateDecision OrganisationLimiter::charge(std::string_view Organisation) {
+  return State->charge(Organisation);
+}
+
+void OrganisationLimiter::charge(std::string_view Organisation,
+                                 RateDecisionHook OnDecision) {
+  State->charge(Organisation, std::move(OnDecision));
+}
+
+void OrganisationLimiter::setSnapshot(SnapshotPtr Snapshot) {
+  if (Snapshot)
+    State->setSnapshot(*Snapshot);
+}
+
+void OrganisationLimiter::setInstances(std::vector<Instance> Instances) {
+  State->setInstances(Instances);
+}
+
+void OrganisationLimiter::handlePeer(const PeerIdentity &From,
+                                     std::string_view Body,
+                                     const ReplyHook &Reply) {
+  State->handlePeer(From, Body, Reply);
+}
+
+std::optional<ShareMark> OrganisationLimiter::mark() const {
+  return State->mark();
+}
+
+LimiterStatus OrganisationLimiter::status() const { return State->status(); }
+
+} // namespace fescuewood
--- a/src/organisations/OrganisationLimiter.h
+++ b/src/organisations/OrganisationLimiter.h
@@ -16,6 +16,8 @@
 #include "nodes/PeerTransport.h"
 #include "policy/Instance.h"
 #include "policy/RateDecision.h"
+#include "policy/ShareHistory.h"
+#include "policy/TokenSettings.h"
 
 #include <cstdint>
 #include <functional>
@@ -39,9 +41,12 @@
 struct LimiterHooks {
   PeerSend Send;
   EventHook OnEvent;
-  /// The smallest version that some declared slot may still have in force, or
-  /// nothing while that is not known. Empty where no older version can be.
-  std::function<std::optional<Version>()> VersionFloor;
+  /// Whether the last mark that membership has of every declared slot agrees
+  /// with this one (see \ref ShareMark); a slot without a mark does not, unless
+  /// it is known to be vacant. Called on the duty. Where it is empty, all slots
+  /// are taken to agree at once, which is only true of a fleet that restarts
+  /// with each new version.
+  std::function<bool(const ShareMark &)> AgreedEverywhere;
   Clock Now = Clock::monotonic();
 };
 
@@ -66,10 +71,12 @@
   std::uint64_t BytesSent = 0; ///< Bodies only.
 };
 
-/// Thread-safe. One duty of its own renews leases.
+/// Thread-safe. One duty of its own renews leases. Whoever passes replies on,
+/// the transport, must be stopped before the limiter is destroyed.
 class OrganisationLimiter {
 public:
-  OrganisationLimiter(LimiterIdentity Identity, LimiterHooks Hooks);
+  OrganisationLimiter(LimiterIdentity Identity, TokenSettings Settings,
+                      LimiterHooks Hooks);
   ~OrganisationLimiter();
   OrganisationLimiter(const OrganisationLimiter &) = delete;
   OrganisationLimiter &operator=(const OrganisationLimiter &) = delete;
@@ -99,6 +106,10 @@
   void handlePeer(const PeerIdentity &From, std::string_view Body,
                   const ReplyHook &Reply);
 
+  /// What membership is to spread of this slot; nothing before the first
+  /// snapshot.
+  std::optional<ShareMark> mark() const;
+
   /// The figures as of now.
   LimiterStatus status() const;
 
--- /dev/null
+++ b/src/policy/TokenHolder.cpp
@@ -0,0 +1,266 @@
+#include "policy/TokenHolder.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace fescuewood {
+
+namespace {
+
+constexpr double MsPerSecond = 1000;
+
+/// Tokens for so much time are fetched ahead of need, in seconds of demand.
+constexpr double AheadSeconds = 0.3;
+
+/// A lease is renewed when less than this part of its term is left.
+constexpr double RenewPart = 0.5;
+
+/// Fewest requests expected in a term for which a lease is renewed.
+constexpr double MinRenewRequests = 2;
+
+/// Most asks for tokens at once.
+constexpr std::size_t MaxPendingNeeds = 2;
+
+/// Most tokens asked for at once.
+constexpr double MaxNeed = 100000;
+
+} // namespace
+
+bool TokenHolder::inForce(const Contact &C, TimeMs Now) const {
+  return C.Adopted != 0 && Now < C.End;
+}
+
+TokenHolder::Contact *TokenHolder::find(const SlotId &Meter) {
+  const auto It =
+      std::find_if(Contacts.begin(), Contacts.end(),
+                   [&](const Contact &C) { return C.Meter == Meter; });
+  return It == Contacts.end() ? nullptr : &*It;
+}
+
+void TokenHolder::setMeters(const std::vector<SlotId> &Order) {
+  std::vector<Contact> Next;
+  Active.clear();
+  PendingNeeds = 0;
+  for (const SlotId &Meter : Order) {
+    Contact *Old = find(Meter);
+    Contact C = Old ? *Old : Contact();
+    C.Meter = Meter;
+    if (C.Adopted != 0 || C.Pending)
+      Active.push_back(Next.size());
+    if (C.PendingNeed)
+      ++PendingNeeds;
+    Next.push_back(std::move(C));
+  }
+  Contacts = std::move(Next);
+}
+
+void TokenHolder::settle(Contact &C) {
+  if (C.PendingNeed)
+    --PendingNeeds;
+  C.Pending = false;
+  C.PendingNeed = false;
+}
+
+void TokenHolder::advance(TimeMs Now) {
+  std::erase_if(Active, [&](std::size_t I) {
+    Contact &C = Contacts[I];
+    if (inForce(C, Now)) {
+      if (Now > C.AccruedTo) {
+        const double Seconds =
+            static_cast<double>((Now - C.AccruedTo).Value) / MsPerSecond;
+        C.Level += C.Rate * (1 - Settings.MaxDrift) * Seconds;
+        C.Level = std::min(C.Level, C.Cap);
+        C.AccruedTo = Now;
+      }
+      return false;
+    }
+    C.Adopted = 0;
+    C.Level = 0;
+    C.Rate = 0;
+    return !C.Pending;
+  });
+}
+
+double TokenHolder::level(TimeMs Now) {
+  advance(Now);
+  double Sum = 0;
+  for (std::size_t I : Active)
+    Sum += Contacts[I].Level;
+  return Sum;
+}
+
+double TokenHolder::rate(TimeMs Now) const {
+  double Sum = 0;
+  for (std::size_t I : Active)
+    if (inForce(Contacts[I], Now))
+      Sum += Contacts[I].Rate;
+  return Sum;
+}
+
+double TokenHolder::takeUpTo(double Most, TimeMs Now) {
+  advance(Now);
+  double Taken = 0;
+  while (Taken < Most) {
+    Contact *First = nullptr;
+    for (std::size_t I : Active) {
+      Contact &C = Contacts[I];
+      if (C.Level > 0 && (!First || C.End < First->End))
+        First = &C;
+    }
+    if (!First)
+      break;
+    const double Part = std::min(First->Level, Most - Taken);
+    First->Level -= Part;
+    Taken += Part;
+  }
+  return Taken;
+}
+
+void TokenHolder::expireAsks(TimeMs Now) {
+  for (std::size_t I : Active) {
+    Contact &C = Contacts[I];
+    if (!C.Pending || Now - C.SentAt < Settings.AskTimeout)
+      continue;
+    settle(C);
+    C.Silent = true;
+    C.QuietUntil = Now + Settings.SilentMeterPause;
+  }
+}
+
+TokenHolder::Contact *TokenHolder::dueForRenewal(const TokenDemand &Demand,
+                                                 TimeMs Now) {
+  const double Term =
+      static_cast<double>(Settings.FlowTerm.Value) / MsPerSecond;
+  if (Demand.PerSecond * Term < MinRenewRequests)
+    return nullptr;
+  const auto Before = static_cast<std::int64_t>(
+      static_cast<double>(Settings.FlowTerm.Value) * RenewPart);
+  for (std::size_t I : Active) {
+    Contact &C = Contacts[I];
+    if (C.Pending || C.Rate <= 0 || !inForce(C, Now))
+      continue;
+    if (C.Silent && Now < C.QuietUntil)
+      continue;
+    if (C.End - Now <= DurationMs(Before))
+      return &C;
+  }
+  return nullptr;
+}
+
+std::uint32_t TokenHolder::need(const TokenDemand &Demand, TimeMs Now) {
+  const double Held = level(Now) + Demand.OwnLevel;
+  double Missing = 0;
+  if (Demand.Waiting > 0)
+    Missing = std::ceil(Demand.Waiting - Held);
+  const double Ahead = Demand.PerSecond * AheadSeconds;
+  const bool RunsShort =
+      rate(Now) + Demand.OwnRate < Demand.PerSecond && Ahead >= 1;
+  if (RunsShort && Held < Ahead)
+    Missing = std::max(Missing, std::ceil(2 * Ahead - Held));
+  return static_cast<std::uint32_t>(std::clamp(Missing, 0.0, MaxNeed));
+}
+
+TokenHolder::Contact *TokenHolder::nextForNeed(TimeMs Now) {
+  if (PendingNeeds >= MaxPendingNeeds)
+    return nullptr;
+  for (Contact &C : Contacts)
+    if (!C.Pending && C.QuietUntil <= Now)
+      return &C;
+  return nullptr;
+}
+
+AddressedAsk TokenHolder::ask(Contact &C, std::string_view Organisation,
+                              const TokenDemand &Demand, std::uint32_t Need,
+                              TimeMs Now) {
+  const bool Leased = inForce(C, Now);
+  const double Others = rate(Now) + Demand.OwnRate - (Leased ? C.Rate : 0);
+  C.Pending = true;
+  C.PendingNeed = Need > 0;
+  if (C.PendingNeed)
+    ++PendingNeeds;
+  C.SentAt = Now;
+  const std::size_t Index = static_cast<std::size_t>(&C - Contacts.data());
+  if (std::find(Active.begin(), Active.end(), Index) == Active.end())
+    Active.push_back(Index);
+
+  TokenAsk Message;
+  Message.Organisation = Organisation;
+  // Never below the time, so that a meter which remembers an earlier holder of
+  // this process does not take the ask for a repeated one.
+  const auto Least =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(Now.Value, 0));
+  LastSequence = std::max(LastSequence + 1, Least);
+  C.LastSequence = LastSequence;
+  Message.Sequence = LastSequence;
+  Message.Adopted = C.Adopted;
+  Message.Demand = std::max(0.0, Demand.PerSecond - Others);
+  Message.Held = Leased ? C.Level : 0;
+  Message.Need = Need;
+  return {C.Meter, std::move(Message)};
+}
+
+std::optional<AddressedAsk> TokenHolder::nextAsk(std::string_view Organisation,
+                                                 const TokenDemand &Demand,
+                                                 TimeMs Now) {
+  expireAsks(Now);
+  advance(Now);
+  const std::uint32_t Need = need(Demand, Now);
+  if (Contact *C = dueForRenewal(Demand, Now))
+    return ask(*C, Organisation, Demand, Need, Now);
+  if (Need == 0)
+    return std::nullopt;
+  if (Contact *C = nextForNeed(Now))
+    return ask(*C, Organisation, Demand, Need, Now);
+  return std::nullopt;
+}
+
+void TokenHolder::accept(const SlotId &Meter, const TokenGrant &Given,
+                         TimeMs Now) {
+  Contact *C = find(Meter);
+  if (!C || !C->Pending || Given.Sequence != C->LastSequence)
+    return;
+  advance(Now);
+  settle(*C);
+  C->Silent = false;
+  C->QuietUntil = Now + Given.Quiet;
+  const TimeMs End = C->SentAt + Given.Term;
+  if (Given.Cap <= 0 || End <= Now)
+    return;
+  C->Level = std::min(C->Level + Given.Tokens, Given.Cap);
+  C->Rate = Given.Rate;
+  C->Cap = Given.Cap;
+  C->AccruedTo = Now;
+  C->End = End;
+  C->Adopted = Given.Sequence;
+}
+
+void TokenHolder::lose(const SlotId &Meter, std::uint64_t Sequence,
+                       TimeMs Now) {
+  Contact *C = find(Meter);
+  if (!C || !C->Pending || Sequence != C->LastSequence)
+    return;
+  settle(*C);
+  C->Silent = true;
+  C->QuietUntil = Now + Settings.SilentMeterPause;
+}
+
+TimeMs TokenHolder::nextChance(TimeMs Now) const {
+  TimeMs First = Never;
+  for (const Contact &C : Contacts)
+    if (!C.Silent && C.QuietUntil > Now)
+      First = std::min(First, C.QuietUntil);
+  return First;
+}
+
+void TokenHolder::discard() {
+  for (Contact &C : Contacts) {
+    settle(C);
+    C.Adopted = 0;
+    C.Level = 0;
+    C.Rate = 0;
+  }
+  Active.clear();
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/policy/TokenHolder.h
@@ -0,0 +1,114 @@
+/// \file
+/// The leases that one node holds for one organisation.
+///
+/// Tokens are taken from the leases in force. \ref TokenHolder::nextAsk says
+/// which meter to ask next: ahead of the end of a lease, and when tokens run
+/// short. A lease is never returned; it ends by this node's clock, counted
+/// from before the meter granted it.
+
+#ifndef FESCUEWOOD_POLICY_TOKENHOLDER_H
+#define FESCUEWOOD_POLICY_TOKENHOLDER_H
+
+#include "core/Clock.h"
+#include "policy/ShareTable.h"
+#include "policy/TokenMessages.h"
+#include "policy/TokenSettings.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace fescuewood {
+
+/// An ask with its addressee.
+struct AddressedAsk {
+  SlotId Meter;
+  TokenAsk Ask;
+};
+
+/// What a node lacks when it looks for a meter to ask.
+struct TokenDemand {
+  double PerSecond = 0;      ///< Estimate of arrivals here.
+  double OwnRate = 0;        ///< Of this node's own meter.
+  double OwnLevel = 0;       ///< Of this node's own meter.
+  std::uint32_t Waiting = 0; ///< Requests that wait for a token.
+};
+
+/// Leases from all meters of an organisation.
+class TokenHolder {
+public:
+  explicit TokenHolder(const TokenSettings &Settings) : Settings(Settings) {}
+
+  /// Replaces the meters, the preferred first. Leases of meters that remain
+  /// are kept; others are dropped.
+  void setMeters(const std::vector<SlotId> &Order);
+
+  /// Takes up to \p Most tokens, from the lease that ends first.
+  double takeUpTo(double Most, TimeMs Now);
+
+  /// Tokens in leases in force.
+  double level(TimeMs Now);
+
+  /// Tokens a second that accrue to leases in force.
+  double rate(TimeMs Now) const;
+
+  /// The next ask worth sending, or nothing; marks it as pending.
+  std::optional<AddressedAsk> nextAsk(std::string_view Organisation,
+                                      const TokenDemand &Demand, TimeMs Now);
+
+  /// Takes up a grant. One that was not asked for, or is late, is ignored.
+  void accept(const SlotId &Meter, const TokenGrant &Given, TimeMs Now);
+
+  /// The meter cannot be reached; it is passed over for a while.
+  void lose(const SlotId &Meter, std::uint64_t Sequence, TimeMs Now);
+
+  /// When the first meter will have a token by its own word, or Never.
+  TimeMs nextChance(TimeMs Now) const;
+
+  /// Whether an ask for tokens is on its way.
+  bool asking() const { return PendingNeeds > 0; }
+
+  /// Drops every lease and pending ask, after a pause.
+  void discard();
+
+private:
+  struct Contact {
+    SlotId Meter;
+    std::uint64_t LastSequence = 0;
+    bool Pending = false;
+    bool PendingNeed = false;
+    TimeMs SentAt;
+    TimeMs QuietUntil; ///< Asking earlier for tokens is of no use.
+    bool Silent = false;
+    // The lease in use, if Adopted is not 0 and End has not come.
+    std::uint64_t Adopted = 0;
+    double Rate = 0;
+    double Cap = 0;
+    double Level = 0;
+    TimeMs AccruedTo;
+    TimeMs End;
+  };
+
+  bool inForce(const Contact &C, TimeMs Now) const;
+  void advance(TimeMs Now);
+  void expireAsks(TimeMs Now);
+  void settle(Contact &C);
+  Contact *find(const SlotId &Meter);
+  Contact *dueForRenewal(const TokenDemand &Demand, TimeMs Now);
+  Contact *nextForNeed(TimeMs Now);
+  std::uint32_t need(const TokenDemand &Demand, TimeMs Now);
+  AddressedAsk ask(Contact &C, std::string_view Organisation,
+                   const TokenDemand &Demand, std::uint32_t Need, TimeMs Now);
+
+  TokenSettings Settings;
+  std::vector<Contact> Contacts;
+  std::vector<std::size_t> Active; ///< Contacts with a lease or a pending ask.
+  std::size_t PendingNeeds = 0;
+  std::uint64_t LastSequence = 0; ///< Over all meters.
+};
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_POLICY_TOKENHOLDER_H
--- /dev/null
+++ b/src/policy/TokenNode.cpp
@@ -0,0 +1,313 @@
+#include "policy/TokenNode.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace fescuewood {
+
+namespace {
+
+constexpr double MsPerSecond = 1000;
+
+/// Told to a caller when nothing better is known.
+constexpr DurationMs DefaultRetryAfter{1000};
+
+/// Most asks of one organisation in one poll.
+constexpr int MaxAsksPerPoll = 4;
+
+/// Sums of parts that were divided may miss a whole token by rounding; the
+/// drift margin covers far more than this.
+constexpr double WholeToken = 1 - 1e-9;
+
+} // namespace
+
+TokenPlan::TokenPlan(const Snapshot &Source, const TokenSettings &Settings)
+    : Id(Source.Id), Table(Source, Settings) {
+  for (const auto &[Name, Declared] : Source.Organisations) {
+    const auto It = Source.Rates.find(Declared.Rate);
+    if (It != Source.Rates.end())
+      Rates[Name] = It->second;
+  }
+}
+
+TokenNode::Account::Account(const TokenSettings &Settings, TimeMs MeterStart)
+    : Demand(Settings.DemandWindow), Meter(Settings, MeterStart),
+      Holder(Settings) {}
+
+TokenNode::TokenNode(SlotId Self, const TokenSettings &Settings, TimeMs Now)
+    : Self(std::move(Self)), Settings(Settings), History(Settings.fence()),
+      MeterStart(Now + Settings.fence()), LastSeen(Now),
+      Bytes(Settings.BurstBytes), BytesAt(Now) {}
+
+void TokenNode::apply(const TokenPlan &Plan, TimeMs Now) {
+  notice(Now);
+  const bool FirstPlan = !History.mark().has_value();
+  History.add(Plan.Id, Plan.Table.digest(), Plan.Table.sharesOf(Self));
+  for (auto It = Accounts.begin(); It != Accounts.end();) {
+    Account &A = It->second;
+    if (Plan.Rates.contains(It->first)) {
+      ++It;
+      continue;
+    }
+    for (const Waiter &W : A.Waiters)
+      Decided.push_back({W.Ticket, {false, DefaultRetryAfter}});
+    It = Accounts.erase(It);
+  }
+  for (const auto &[Name, Whole] : Plan.Rates) {
+    // A new account may follow an older one of the same name, whose leases may
+    // still run.
+    const TimeMs Start =
+        FirstPlan ? MeterStart : std::max(MeterStart, Now + Settings.fence());
+    const auto It = Accounts.try_emplace(Name, Settings, Start).first;
+    It->second.Whole = Whole;
+    if (Settings.Leasing) {
+      auto Order = Plan.Table.askingOrder(Name, Self);
+      if (!Settings.AcrossDomains)
+        std::erase_if(Order,
+                      [&](const SlotId &S) { return S.Domain != Self.Domain; });
+      It->second.Holder.setMeters(Order);
+    }
+  }
+  refreshShares(Now);
+}
+
+void TokenNode::agree(TimeMs Now) {
+  History.agree(Now);
+  if (History.update(Now))
+    refreshShares(Now);
+}
+
+void TokenNode::setMetering(bool On, TimeMs Now) {
+  if (On == Metering)
+    return;
+  Metering = On;
+  Started = false;
+  MeterStart = Now + Settings.fence();
+  for (auto &[Name, A] : Accounts)
+    A.Meter.discard(Now);
+  refreshShares(Now);
+}
+
+void TokenNode::startWhenDue(TimeMs Now) {
+  if (Started || Now < MeterStart)
+    return;
+  Started = true;
+  refreshShares(Now);
+}
+
+void TokenNode::refreshShares(TimeMs Now) {
+  for (auto &[Name, A] : Accounts) {
+    const bool InUse = Metering && Started;
+    A.Meter.setShare(InUse ? History.share(Name) : TokenShare(), Now);
+  }
+}
+
+void TokenNode::notice(TimeMs Now) {
+  const bool Paused = Now - LastSeen > Settings.PauseLimit;
+  LastSeen = std::max(LastSeen, Now);
+  if (!Paused)
+    return;
+  PauseNoticed = true;
+  for (auto &[Name, A] : Accounts) {
+    A.Meter.discard(Now);
+    A.Holder.discard();
+  }
+}
+
+bool TokenNode::takeOne(Account &A, TimeMs Now) {
+  const double Leased = A.Holder.level(Now);
+  if (Leased + A.Meter.level(Now) < WholeToken)
+    return false;
+  // Leases end, so they are used up before the node's own share.
+  const double Taken = A.Holder.takeUpTo(1, Now);
+  A.Meter.takeUpTo(1 - Taken, Now);
+  ++A.Admitted;
+  return true;
+}
+
+double TokenNode::supply(const Account &A, TimeMs Now) const {
+  return A.Meter.rate() + A.Holder.rate(Now);
+}
+
+bool TokenNode::worthWaiting(Account &A, TimeMs Now) {
+  if (A.Holder.asking())
+    return true;
+  const double Supply = supply(A, Now) * (1 - Settings.MaxDrift);
+  if (Supply <= 0)
+    return false;
+  const double Held = A.Holder.level(Now) + A.Meter.level(Now);
+  const double Missing = static_cast<double>(A.Waiters.size()) - Held;
+  const double Ms = Missing / Supply * MsPerSecond;
+  return Ms < static_cast<double>(Settings.MaxWait.Value);
+}
+
+DurationMs TokenNode::retryAfter(Account &A, TimeMs Now) {
+  TimeMs At = A.Holder.nextChance(Now);
+  const double Supply = supply(A, Now) * (1 - Settings.MaxDrift);
+  if (Supply > 0) {
+    const double Held = A.Holder.level(Now) + A.Meter.level(Now);
+    const double Ms = std::ceil((1 - Held) / Supply * MsPerSecond);
+    if (Ms < static_cast<double>(Settings.FlowTerm.Value))
+      At = std::min(At, Now + DurationMs(static_cast<std::int64_t>(Ms)));
+  }
+  if (At == Never)
+    return DefaultRetryAfter;
+  return std::max(At - Now, DurationMs(1));
+}
+
+RateDecision TokenNode::refuse(Account &A, TimeMs Now) {
+  ++A.Refused;
+  A.LastRefused = Now;
+  return {false, retryAfter(A, Now)};
+}
+
+std::optional<RateDecision>
+TokenNode::charge(std::string_view Organisation, TimeMs Now,
+                  std::optional<std::uint64_t> Ticket) {
+  notice(Now);
+  const auto It = Accounts.find(Organisation);
+  if (It == Accounts.end())
+    return RateDecision{false, DefaultRetryAfter};
+  Account &A = It->second;
+  A.Demand.add(Now);
+  if (A.Waiters.empty() && takeOne(A, Now)) {
+    poll(It->first, A, Now);
+    return RateDecision{true, DurationMs(0)};
+  }
+  if (!Ticket || A.Waiters.size() >= Settings.MaxWaiting) {
+    A.Waiters.push_back({0, Now});
+    poll(It->first, A, Now);
+    A.Waiters.pop_back();
+    return refuse(A, Now);
+  }
+  A.Waiters.push_back({*Ticket, Now + Settings.MaxWait});
+  poll(It->first, A, Now);
+  if (worthWaiting(A, Now))
+    return std::nullopt;
+  A.Waiters.pop_back();
+  return refuse(A, Now);
+}
+
+void TokenNode::poll(std::string_view Name, Account &A, TimeMs Now) {
+  if (!Settings.Leasing)
+    return;
+  refill(Now);
+  for (int I = 0; I < MaxAsksPerPoll && Bytes >= MessageBytes; ++I) {
+    TokenDemand Demand;
+    Demand.PerSecond = A.Demand.rate(Now);
+    Demand.OwnRate = A.Meter.rate();
+    Demand.OwnLevel = A.Meter.level(Now);
+    Demand.Waiting = static_cast<std::uint32_t>(A.Waiters.size());
+    auto Next = A.Holder.nextAsk(Name, Demand, Now);
+    if (!Next)
+      return;
+    Bytes -= MessageBytes;
+    Asks.push_back(std::move(*Next));
+  }
+}
+
+void TokenNode::refill(TimeMs Now) {
+  if (Now <= BytesAt)
+    return;
+  const double Seconds =
+      static_cast<double>((Now - BytesAt).Value) / MsPerSecond;
+  Bytes =
+      std::min(Bytes + Settings.BytesPerSecond * Seconds, Settings.BurstBytes);
+  BytesAt = Now;
+}
+
+void TokenNode::settleWaiters(Account &A, TimeMs Now) {
+  while (!A.Waiters.empty() && takeOne(A, Now)) {
+    Decided.push_back({A.Waiters.front().Ticket, {true, DurationMs(0)}});
+    A.Waiters.pop_front();
+  }
+  while (!A.Waiters.empty()) {
+    const bool Late = A.Waiters.front().Deadline <= Now;
+    if (!Late && worthWaiting(A, Now))
+      return;
+    // The last to come has the least chance, unless the first is late.
+    const Waiter W = Late ? A.Waiters.front() : A.Waiters.back();
+    if (Late)
+      A.Waiters.pop_front();
+    else
+      A.Waiters.pop_back();
+    Decided.push_back({W.Ticket, refuse(A, Now)});
+  }
+}
+
+std::optional<TokenGrant> TokenNode::answer(const HolderId &From,
+                                            const TokenAsk &Ask, TimeMs Now) {
+  notice(Now);
+  refill(Now);
+  const auto It = Accounts.find(Ask.Organisation);
+  if (It == Accounts.end() || Bytes < -Settings.BurstBytes)
+    return std::nullopt;
+  Bytes -= MessageBytes;
+  Account &A = It->second;
+  return A.Meter.grant(From, Ask, A.Demand.rate(Now), Now);
+}
+
+void TokenNode::accept(const SlotId &Meter, const TokenGrant &Given,
+                       TimeMs Now) {
+  notice(Now);
+  const auto It = Accounts.find(Given.Organisation);
+  if (It == Accounts.end())
+    return;
+  Account &A = It->second;
+  A.Holder.accept(Meter, Given, Now);
+  poll(It->first, A, Now);
+  settleWaiters(A, Now);
+}
+
+void TokenNode::lose(const SlotId &Meter, const TokenAsk &Ask, TimeMs Now) {
+  notice(Now);
+  const auto It = Accounts.find(Ask.Organisation);
+  if (It == Accounts.end())
+    return;
+  Account &A = It->second;
+  A.Holder.lose(Meter, Ask.Sequence, Now);
+  poll(It->first, A, Now);
+  settleWaiters(A, Now);
+}
+
+void TokenNode::tick(TimeMs Now) {
+  notice(Now);
+  startWhenDue(Now);
+  if (History.update(Now))
+    refreshShares(Now);
+  for (auto &[Name, A] : Accounts) {
+    poll(Name, A, Now);
+    settleWaiters(A, Now);
+  }
+}
+
+std::vector<AddressedAsk> TokenNode::takeAsks() {
+  return std::exchange(Asks, {});
+}
+
+std::vector<DecidedCharge> TokenNode::takeDecided() {
+  return std::exchange(Decided, {});
+}
+
+bool TokenNode::takePauseNoticed() {
+  return std::exchange(PauseNoticed, false);
+}
+
+std::map<std::string, TokenFigures, std::less<>>
+TokenNode::figures(TimeMs Now) {
+  std::map<std::string, TokenFigures, std::less<>> Result;
+  for (auto &[Name, A] : Accounts) {
+    TokenFigures &F = Result[Name];
+    F.Whole = A.Whole;
+    F.Demand = A.Demand.rate(Now);
+    F.Level = A.Holder.level(Now) + A.Meter.level(Now);
+    F.RateHeld = supply(A, Now);
+    F.Admitted = A.Admitted;
+    F.Refused = A.Refused;
+    F.LastRefused = A.LastRefused;
+  }
+  return Result;
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/src/policy/TokenNode.h
@@ -0,0 +1,162 @@
+/// \file
+/// All decisions of one node about organisations' rates, without I/O.
+///
+/// A user charges requests, hands in asks and grants as they arrive, ticks, and
+/// after each call takes what is to be sent and which waiting requests are
+/// decided. The same code runs in the limiter's duty and in the model that
+/// measures it. Not thread-safe.
+
+#ifndef FESCUEWOOD_POLICY_TOKENNODE_H
+#define FESCUEWOOD_POLICY_TOKENNODE_H
+
+#include "core/Clock.h"
+#include "intent/Snapshot.h"
+#include "policy/DemandEstimate.h"
+#include "policy/RateDecision.h"
+#include "policy/ShareHistory.h"
+#include "policy/ShareTable.h"
+#include "policy/TokenHolder.h"
+#include "policy/TokenMessages.h"
+#include "policy/TokenMeter.h"
+#include "policy/TokenSettings.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fescuewood {
+
+/// What a snapshot says of rates.
+struct TokenPlan {
+  Version Id;
+  ShareTable Table;
+  std::map<std::string, Rate, std::less<>> Rates; ///< By organisation.
+
+  TokenPlan() = default;
+  TokenPlan(const Snapshot &Source, const TokenSettings &Settings);
+};
+
+/// A waiting request has been decided.
+struct DecidedCharge {
+  std::uint64_t Ticket = 0;
+  RateDecision Decision;
+};
+
+/// One organisation's figures at this node.
+struct TokenFigures {
+  Rate Whole;
+  double Demand = 0;
+  double Level = 0;
+  double RateHeld = 0;
+  std::uint64_t Admitted = 0;
+  std::uint64_t Refused = 0;
+  std::optional<TimeMs> LastRefused;
+};
+
+/// The rates of every organisation at one node.
+class TokenNode {
+public:
+  TokenNode(SlotId Self, const TokenSettings &Settings, TimeMs Now);
+
+  /// Puts the shares of a version in force, subject to \ref ShareHistory.
+  void apply(const TokenPlan &Plan, TimeMs Now);
+
+  /// What this node says of its division; nothing before \ref apply.
+  std::optional<ShareMark> mark() const { return History.mark(); }
+
+  /// Tells that the marks of all declared slots agree with \ref mark.
+  void agree(TimeMs Now);
+
+  /// Starts or stops the use of own shares, as in a conflict over the slot.
+  /// Starting again begins with the fence.
+  void setMetering(bool On, TimeMs Now);
+
+  bool metering() const { return Metering && History.agreed(); }
+
+  /// Charges one request. Returns nothing when the request waits under
+  /// \p Ticket; without a ticket the decision is always immediate.
+  std::optional<RateDecision> charge(std::string_view Organisation, TimeMs Now,
+                                     std::optional<std::uint64_t> Ticket);
+
+  /// Answers an ask, or returns nothing when this node may not send more.
+  std::optional<TokenGrant> answer(const HolderId &From, const TokenAsk &Ask,
+                                   TimeMs Now);
+
+  /// Takes up the reply of a meter.
+  void accept(const SlotId &Meter, const TokenGrant &Given, TimeMs Now);
+
+  /// No reply came.
+  void lose(const SlotId &Meter, const TokenAsk &Ask, TimeMs Now);
+
+  /// Renews leases and ends waits; due every \ref TickPeriod.
+  void tick(TimeMs Now);
+
+  static constexpr DurationMs TickPeriod{50};
+
+  /// The asks to send, each at most once.
+  std::vector<AddressedAsk> takeAsks();
+
+  /// The waiting requests decided since the last call.
+  std::vector<DecidedCharge> takeDecided();
+
+  /// Whether tokens were discarded after a pause since the last call.
+  bool takePauseNoticed();
+
+  /// Figures by organisation.
+  std::map<std::string, TokenFigures, std::less<>> figures(TimeMs Now);
+
+  /// Bytes that one ask or grant counts as, transport included.
+  static constexpr double MessageBytes = 140;
+
+private:
+  struct Waiter {
+    std::uint64_t Ticket = 0;
+    TimeMs Deadline;
+  };
+  struct Account {
+    Account(const TokenSettings &Settings, TimeMs MeterStart);
+
+    Rate Whole;
+    DemandEstimate Demand;
+    TokenMeter Meter;
+    TokenHolder Holder;
+    std::deque<Waiter> Waiters;
+    std::uint64_t Admitted = 0;
+    std::uint64_t Refused = 0;
+    std::optional<TimeMs> LastRefused;
+  };
+
+  void notice(TimeMs Now);
+  void startWhenDue(TimeMs Now);
+  void refreshShares(TimeMs Now);
+  bool takeOne(Account &A, TimeMs Now);
+  double supply(const Account &A, TimeMs Now) const;
+  bool worthWaiting(Account &A, TimeMs Now);
+  RateDecision refuse(Account &A, TimeMs Now);
+  DurationMs retryAfter(Account &A, TimeMs Now);
+  void poll(std::string_view Name, Account &A, TimeMs Now);
+  void settleWaiters(Account &A, TimeMs Now);
+  void refill(TimeMs Now);
+
+  SlotId Self;
+  TokenSettings Settings;
+  ShareHistory History;
+  bool Metering = true;
+  bool Started = false; ///< The fence after a start is over.
+  TimeMs MeterStart;
+  TimeMs LastSeen;
+  bool PauseNoticed = false;
+  double Bytes = 0;
+  TimeMs BytesAt;
+  std::map<std::string, Account, std::less<>> Accounts;
+  std::vector<AddressedAsk> Asks;
+  std::vector<DecidedCharge> Decided;
+};
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_POLICY_TOKENNODE_H
--- /dev/null
+++ b/src/policy/TokenSettings.h
@@ -0,0 +1,65 @@
+/// \file
+/// Constants of the division of organisations' rates over the fleet.
+
+#ifndef FESCUEWOOD_POLICY_TOKENSETTINGS_H
+#define FESCUEWOOD_POLICY_TOKENSETTINGS_H
+
+#include "core/Clock.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace fescuewood {
+
+/// The same on every node of a fleet: shares are worked out from it.
+struct TokenSettings {
+  /// Declared slots that one meter serves; 1 makes every slot a meter.
+  std::uint32_t SlotsPerMeter = 16;
+  /// Least number of meters in a domain that has so many slots.
+  std::uint32_t MetersPerDomain = 2;
+  /// Least burst of one meter, in tokens; smaller organisations get fewer
+  /// meters instead.
+  double MinMeterBurst = 4;
+
+  bool Leasing = true;       ///< False for the plain static split.
+  bool AcrossDomains = true; ///< Whether meters of other domains are asked.
+
+  /// Term of a lease that carries a rate.
+  DurationMs FlowTerm{4000};
+  /// Term of a lease of tokens for requests that already wait.
+  DurationMs SpotTerm{250};
+  /// Added by a meter to the term that it grants.
+  DurationMs TermMargin{50};
+  /// Largest relative error of a clock's rate.
+  double MaxDrift = 0.001;
+
+  /// Longest time that a request waits for tokens.
+  DurationMs MaxWait{40};
+  /// Most requests of one organisation that wait at once on one node.
+  std::size_t MaxWaiting = 64;
+  /// A meter that does not answer within this time is passed over.
+  DurationMs AskTimeout{300};
+  /// How long it is passed over.
+  DurationMs SilentMeterPause{2000};
+  /// A process that did not run for so long discards its tokens.
+  DurationMs PauseLimit{2000};
+
+  /// Time constant of the estimate of demand.
+  DurationMs DemandWindow{2000};
+
+  /// Bytes a second that a node may send about tokens, with the most that it
+  /// may save up.
+  double BytesPerSecond = 1000;
+  double BurstBytes = 4000;
+
+  /// Longest time after which a lease is surely over, by any clock.
+  constexpr DurationMs fence() const {
+    return DurationMs(static_cast<std::int64_t>(
+               static_cast<double>(FlowTerm.Value) * (1 + 4 * MaxDrift))) +
+           TermMargin * 2;
+  }
+};
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_POLICY_TOKENSETTINGS_H
--- /dev/null
+++ b/tests/support/TokenFleet.h
@@ -0,0 +1,346 @@
+/// \file
+/// A fleet of \ref TokenNode in virtual time, for property tests and benches.
+///
+/// A user adds nodes, schedules arrivals and faults, runs, and reads the
+/// record. Everything is decided by the hooks and the order of events, so a
+/// run is the same for the same seed.
+
+#ifndef FESCUEWOOD_TESTS_SUPPORT_TOKENFLEET_H
+#define FESCUEWOOD_TESTS_SUPPORT_TOKENFLEET_H
+
+#include "organisations/TokenCodec.h"
+#include "policy/TokenNode.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fescuewood {
+
+/// One token bucket that sees everything, for comparison. Starts full.
+class IdealBucket {
+public:
+  IdealBucket(double PerSecond, double Burst)
+      : PerSecond(PerSecond), Burst(Burst), Level(Burst) {}
+
+  /// Takes a token if there is one.
+  bool take(double Seconds) {
+    advance(Seconds);
+    if (Level < 1)
+      return false;
+    Level -= 1;
+    return true;
+  }
+
+  /// Takes a token in any case; \ref overshoot tells by how much too many.
+  void record(double Seconds) {
+    advance(Seconds);
+    Level -= 1;
+    Lowest = std::min(Lowest, Level);
+  }
+
+  /// Largest excess over burst + rate x t of any window that was recorded.
+  double overshoot() const { return std::max(0.0, -Lowest); }
+
+private:
+  void advance(double Seconds) {
+    Level = std::min(Burst, Level + PerSecond * std::max(0.0, Seconds - Last));
+    Last = std::max(Last, Seconds);
+  }
+
+  double PerSecond;
+  double Burst;
+  double Level;
+  double Last = 0;
+  double Lowest = 0;
+};
+
+/// What became of one organisation's requests.
+struct FleetRecord {
+  FleetRecord(double PerSecond, double Burst)
+      : Reference(PerSecond, Burst), Admissions(PerSecond, Burst) {}
+
+  IdealBucket Reference;  ///< Fed with every arrival.
+  IdealBucket Admissions; ///< Fed with what the fleet admitted.
+  std::uint64_t Arrived = 0;
+  std::uint64_t Admitted = 0;
+  std::uint64_t IdealAdmitted = 0;
+  std::uint64_t Wrongful = 0; ///< Refused though the reference admitted.
+  std::uint64_t Waited = 0;
+  std::uint64_t WaitedMicros = 0;
+};
+
+/// The model. Times are microseconds of real time; each node's own clock may
+/// drift and start anywhere.
+class TokenFleet {
+public:
+  using Micros = std::int64_t;
+
+  /// Delays of the copies of a message that arrive; none means that it is lost.
+  using DelayHook =
+      std::function<std::vector<Micros>(std::size_t From, std::size_t To)>;
+
+  struct NodeModel {
+    SlotId Slot;
+    double Drift = 0;
+    std::int64_t ClockOffsetMs = 0;
+    bool Alive = true;
+    bool Paused = false;
+    std::uint64_t Incarnation = 1;
+    std::unique_ptr<TokenNode> Core;
+    TokenPlan const *Plan = nullptr;
+    std::uint64_t MessagesSent = 0;
+    std::uint64_t BytesSent = 0;
+    std::vector<std::function<void()>> Held; ///< Arrived during a pause.
+  };
+
+  TokenFleet(const TokenSettings &Settings, DelayHook Delays,
+             Micros TickPeriod = 50'000)
+      : Settings(Settings), Delays(std::move(Delays)), TickPeriod(TickPeriod) {}
+
+  std::size_t addNode(const SlotId &Slot, double Drift = 0,
+                      std::int64_t ClockOffsetMs = 0) {
+    const std::size_t Index = Nodes.size();
+    Nodes.emplace_back();
+    Nodes.back().Slot = Slot;
+    Nodes.back().Drift = Drift;
+    Nodes.back().ClockOffsetMs = ClockOffsetMs;
+    BySlot[Slot] = Index;
+    at(Now + static_cast<Micros>(Index * 37 % 1000) * TickPeriod / 1000,
+       [this, Index] { tick(Index); });
+    return Index;
+  }
+
+  /// Starts or restarts a node with an empty state.
+  void start(std::size_t Index, const TokenPlan &Plan) {
+    NodeModel &N = Nodes[Index];
+    ++N.Incarnation;
+    N.Alive = true;
+    N.Paused = false;
+    N.Held.clear();
+    N.Core = std::make_unique<TokenNode>(N.Slot, Settings, localTime(N));
+    apply(Index, Plan);
+  }
+
+  void apply(std::size_t Index, const TokenPlan &Plan) {
+    NodeModel &N = Nodes[Index];
+    N.Plan = &Plan;
+    if (N.Core)
+      N.Core->apply(Plan, localTime(N));
+  }
+
+  void kill(std::size_t Index) {
+    NodeModel &N = Nodes[Index];
+    N.Alive = false;
+    N.Core.reset();
+    std::erase_if(Open,
+                  [&](const auto &Item) { return Item.second.Node == Index; });
+  }
+
+  void pause(std::size_t Index) { Nodes[Index].Paused = true; }
+
+  void resume(std::size_t Index) {
+    NodeModel &N = Nodes[Index];
+    N.Paused = false;
+    for (auto &Work : std::exchange(N.Held, {}))
+      Work();
+  }
+
+  /// Runs \p Work at a time.
+  void at(Micros When, std::function<void()> Work) {
+    Events.push({std::max(When, Now), NextOrder++, std::move(Work)});
+  }
+
+  void watch(const std::string &Organisation, double PerSecond, double Burst) {
+    Records.emplace(Organisation, FleetRecord(PerSecond, Burst));
+  }
+
+  /// A request arrives now; \p Counted ones enter the figures.
+  void arrive(std::size_t Index, const std::string &Organisation,
+              bool MayWait = true, bool Counted = true) {
+    FleetRecord &R = Records.at(Organisation);
+    const bool Ideal = R.Reference.take(seconds());
+    if (Counted) {
+      ++R.Arrived;
+      R.IdealAdmitted += Ideal ? 1 : 0;
+    }
+    NodeModel &N = Nodes[Index];
+    const std::uint64_t Ticket = ++LastTicket;
+    const Request Arrived{Organisation, Index, Now, Ideal, Counted};
+    if (!N.Alive || N.Paused) {
+      finish(Arrived, false);
+      return;
+    }
+    std::optional<std::uint64_t> Wait;
+    if (MayWait)
+      Wait = Ticket;
+    const auto Decision = N.Core->charge(Organisation, localTime(N), Wait);
+    if (Decision)
+      finish(Arrived, Decision->Admitted);
+    else
+      Open.emplace(Ticket, Arrived);
+    flush(Index);
+  }
+
+  void run(Micros Until) {
+    while (!Events.empty() && Events.top().When <= Until) {
+      Event Next = Events.top();
+      Events.pop();
+      Now = Next.When;
+      Next.Work();
+    }
+    Now = Until;
+  }
+
+  Micros now() const { return Now; }
+  double seconds() const { return static_cast<double>(Now) / 1e6; }
+  std::vector<NodeModel> &nodes() { return Nodes; }
+  std::map<std::string, FleetRecord> &records() { return Records; }
+
+  /// Tells for each tick whether membership knows that all marks agree.
+  std::function<bool(std::size_t Index)> Agreement = [](std::size_t) {
+    return true;
+  };
+
+  /// What the transport adds to a body: envelope, seal, TCP and IP headers.
+  static constexpr std::uint64_t EnvelopeBytes = 100;
+
+private:
+  struct Event {
+    Micros When = 0;
+    std::uint64_t Order = 0;
+    std::function<void()> Work;
+
+    bool operator<(const Event &Other) const {
+      return std::tie(When, Order) > std::tie(Other.When, Other.Order);
+    }
+  };
+  struct Request {
+    std::string Organisation;
+    std::size_t Node = 0;
+    Micros Arrived = 0;
+    bool Ideal = false;
+    bool Counted = true;
+  };
+
+  TimeMs localTime(const NodeModel &N) const {
+    const double Local = static_cast<double>(Now) * (1 + N.Drift) / 1000;
+    return TimeMs(N.ClockOffsetMs + static_cast<std::int64_t>(Local));
+  }
+
+  void finish(const Request &R, bool Admitted) {
+    FleetRecord &Record = Records.at(R.Organisation);
+    if (Admitted)
+      Record.Admissions.record(seconds());
+    if (!R.Counted)
+      return;
+    Record.Admitted += Admitted ? 1 : 0;
+    Record.Wrongful += !Admitted && R.Ideal ? 1 : 0;
+    if (Now > R.Arrived) {
+      ++Record.Waited;
+      Record.WaitedMicros += static_cast<std::uint64_t>(Now - R.Arrived);
+    }
+  }
+
+  void tick(std::size_t Index) {
+    NodeModel &N = Nodes[Index];
+    if (N.Core && N.Alive && !N.Paused) {
+      if (Agreement(Index))
+        N.Core->agree(localTime(N));
+      N.Core->tick(localTime(N));
+      flush(Index);
+    }
+    at(Now + TickPeriod, [this, Index] { tick(Index); });
+  }
+
+  void flush(std::size_t Index) {
+    NodeModel &N = Nodes[Index];
+    for (const DecidedCharge &D : N.Core->takeDecided()) {
+      const auto Found = Open.extract(D.Ticket);
+      if (Found)
+        finish(Found.mapped(), D.Decision.Admitted);
+    }
+    for (AddressedAsk &A : N.Core->takeAsks())
+      sendAsk(Index, std::move(A));
+  }
+
+  void count(NodeModel &N, std::size_t BodyBytes) {
+    ++N.MessagesSent;
+    N.BytesSent += BodyBytes + EnvelopeBytes;
+  }
+
+  void sendAsk(std::size_t From, AddressedAsk A) {
+    NodeModel &N = Nodes[From];
+    count(N, encodeAsks({&A.Ask, 1}).size());
+    const auto It = BySlot.find(A.Meter);
+    if (It == BySlot.end())
+      return;
+    const std::size_t To = It->second;
+    for (Micros Delay : Delays(From, To))
+      at(Now + Delay, [this, From, To, Ask = A.Ask, Sender = N.Incarnation] {
+        deliver(To, [this, From, To, Ask, Sender] {
+          answer(From, To, Ask, Sender);
+        });
+      });
+  }
+
+  void answer(std::size_t From, std::size_t To, const TokenAsk &Ask,
+              std::uint64_t Sender) {
+    NodeModel &Meter = Nodes[To];
+    const HolderId Holder{Nodes[From].Slot.Domain + "/" +
+                              std::to_string(Nodes[From].Slot.Slot),
+                          Sender};
+    auto Given = Meter.Core->answer(Holder, Ask, localTime(Meter));
+    flush(To);
+    if (!Given)
+      return;
+    const std::string Body = encodeGrants({&*Given, 1});
+    count(Meter, Body.size());
+    const TokenGrant Narrow = decodeGrants(Body)->front();
+    for (Micros Delay : Delays(To, From))
+      at(Now + Delay, [this, From, To, Narrow, Sender] {
+        deliver(From, [this, From, To, Narrow, Sender] {
+          // A reply to a process that is gone finds no connection.
+          if (Nodes[From].Incarnation != Sender)
+            return;
+          Nodes[From].Core->accept(Nodes[To].Slot, Narrow,
+                                   localTime(Nodes[From]));
+          flush(From);
+        });
+      });
+  }
+
+  void deliver(std::size_t Index, std::function<void()> Work) {
+    NodeModel &N = Nodes[Index];
+    if (!N.Alive || !N.Core)
+      return;
+    if (N.Paused)
+      N.Held.push_back(std::move(Work));
+    else
+      Work();
+  }
+
+  TokenSettings Settings;
+  DelayHook Delays;
+  Micros TickPeriod;
+  Micros Now = 0;
+  std::uint64_t NextOrder = 0;
+  std::uint64_t LastTicket = 0;
+  std::vector<NodeModel> Nodes;
+  std::map<SlotId, std::size_t> BySlot;
+  std::priority_queue<Event> Events;
+  std::map<std::uint64_t, Request> Open;
+  std::map<std::string, FleetRecord> Records;
+};
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_TESTS_SUPPORT_TOKENFLEET_H
