Test the limiter over direct calls and tell a true time for a retry

A refusal gave the meter's pause, which is not the time of the next token when everything is lent. Meters now also say when they have a token, and leases that end before a token is whole are left out of the forecast.

--- a/src/organisations/OrganisationLimiter.cpp
+++ b/src/organisations/OrganisationLimiter.cpp
@@ -57,7 +57,8 @@
     return *Decision;
   }
 
-  void charge(std::string_view Organisation, RateDecisionHook OnDecision) {
+  void charge(std::string_view Organisation,
+              const RateDecisionHook &OnDecision) {
     std::optional<RateDecision> Decision;
     Work Due;
     {
@@ -67,7 +68,7 @@
         Ticket = ++LastTicket;
       Decision = Node.charge(Organisation, Hooks.Now.now(), Ticket);
       if (!Decision)
-        Waiting.emplace(*Ticket, std::move(OnDecision));
+        Waiting.emplace(*Ticket, OnDecision);
       Due = collect();
     }
     perform(std::move(Due));
@@ -308,16 +309,16 @@
 }
 
 void OrganisationLimiter::charge(std::string_view Organisation,
-                                 RateDecisionHook OnDecision) {
-  State->charge(Organisation, std::move(OnDecision));
+                                 const RateDecisionHook &OnDecision) {
+  State->charge(Organisation, OnDecision);
 }
 
-void OrganisationLimiter::setSnapshot(SnapshotPtr Snapshot) {
+void OrganisationLimiter::setSnapshot(const SnapshotPtr &Snapshot) {
   if (Snapshot)
     State->setSnapshot(*Snapshot);
 }
 
-void OrganisationLimiter::setInstances(std::vector<Instance> Instances) {
+void OrganisationLimiter::setInstances(const std::vector<Instance> &Instances) {
   State->setInstances(Instances);
 }
 
--- a/src/organisations/OrganisationLimiter.h
+++ b/src/organisations/OrganisationLimiter.h
@@ -94,13 +94,14 @@
   /// As above, but lets the request wait up to the settings' longest wait when
   /// another node may have tokens. The hook is called exactly once, at once or
   /// later on another thread. Usable as a \ref DeferredRateHook.
-  void charge(std::string_view Organisation, RateDecisionHook OnDecision);
+  void charge(std::string_view Organisation,
+              const RateDecisionHook &OnDecision);
 
   /// Puts a configuration in force.
-  void setSnapshot(SnapshotPtr Snapshot);
+  void setSnapshot(const SnapshotPtr &Snapshot);
 
   /// Replaces what is known of the instances, the own one included.
-  void setInstances(std::vector<Instance> Instances);
+  void setInstances(const std::vector<Instance> &Instances);
 
   /// Handles PeerKind::Tokens; is a \ref PeerHandler.
   void handlePeer(const PeerIdentity &From, std::string_view Body,
--- a/src/organisations/TokenCodec.cpp
+++ b/src/organisations/TokenCodec.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::uint32_t AskFields = 6;
-constexpr std::uint32_t GrantFields = 7;
+constexpr std::uint32_t GrantFields = 8;
 constexpr std::size_t MaxNameBytes = 256;
 constexpr std::int64_t MaxSpanMs = 24LL * 3600 * 1000;
 
@@ -106,6 +106,7 @@
   Grant.Cap = Fields.amount();
   Grant.Term = Fields.span();
   Grant.Quiet = Fields.span();
+  Grant.Ready = Fields.span();
   return Grant;
 }
 
@@ -172,6 +173,7 @@
     Out.pack(roundedDown(Grant.Cap));
     Out.pack(static_cast<std::uint64_t>(Grant.Term.Value));
     Out.pack(static_cast<std::uint64_t>(Grant.Quiet.Value));
+    Out.pack(static_cast<std::uint64_t>(Grant.Ready.Value));
   }
   return text(Buffer);
 }
--- a/src/policy/ShareTable.cpp
+++ b/src/policy/ShareTable.cpp
@@ -99,6 +99,7 @@
   Candidates.resize(std::min(Count, Candidates.size()));
 
   std::vector<Placement> Result;
+  Result.reserve(Candidates.size());
   for (const Candidate &C : Candidates)
     Result.push_back({C.Group, meterOf(Organisation, Groups[C.Group])});
   return Result;
@@ -173,6 +174,7 @@
         return std::tie(L.Distance, L.Score) < std::tie(R.Distance, R.Score);
       });
   std::vector<SlotId> Result;
+  Result.reserve(Choices.size());
   for (const Choice &C : Choices)
     Result.push_back(*C.Slot);
   return Result;
--- a/src/policy/TokenHolder.cpp
+++ b/src/policy/TokenHolder.cpp
@@ -22,6 +22,9 @@
 /// Most asks for tokens at once.
 constexpr std::size_t MaxPendingNeeds = 2;
 
+/// Longest forecast of the next token.
+constexpr double LongestForecastMs = 3600 * 1000;
+
 /// Most tokens asked for at once.
 constexpr double MaxNeed = 100000;
 
@@ -232,6 +235,7 @@
   settle(*C);
   C->Silent = false;
   C->QuietUntil = Now + Given.Quiet;
+  C->ReadyAt = Now + Given.Ready;
   const TimeMs End = C->SentAt + Given.Term;
   if (Given.Cap <= 0 || End <= Now)
     return;
@@ -254,11 +258,45 @@
   C->QuietUntil = Now + Settings.SilentMeterPause;
 }
 
-TimeMs TokenHolder::nextChance(TimeMs Now) const {
-  TimeMs First = Never;
+TimeMs TokenHolder::ownToken(const TokenDemand &Demand, TimeMs Now) {
+  advance(Now);
+  std::vector<const Contact *> Leases;
+  for (std::size_t I : Active)
+    if (inForce(Contacts[I], Now))
+      Leases.push_back(&Contacts[I]);
+  std::sort(Leases.begin(), Leases.end(),
+            [](const Contact *L, const Contact *R) { return L->End > R->End; });
+  // A lease takes its tokens with it when it ends, so only those count that
+  // last until a token is whole: all of them, else all but the first to end.
+  while (true) {
+    double Level = Demand.OwnLevel - Demand.Waiting;
+    double Rate = Demand.OwnRate;
+    for (const Contact *C : Leases) {
+      Level += C->Level;
+      Rate += C->Rate;
+    }
+    const double Usable = Rate * (1 - Settings.MaxDrift);
+    if (Usable > 0) {
+      const double Ms =
+          std::ceil(std::max(0.0, 1 - Level) / Usable * MsPerSecond);
+      const TimeMs At = Now +
+                        DurationMs(static_cast<std::int64_t>(
+                            std::min(Ms, LongestForecastMs))) +
+                        Settings.ClockStep;
+      if (Leases.empty() || At < Leases.back()->End)
+        return At;
+    }
+    if (Leases.empty())
+      return Never;
+    Leases.pop_back();
+  }
+}
+
+TimeMs TokenHolder::nextToken(const TokenDemand &Demand, TimeMs Now) {
+  TimeMs First = ownToken(Demand, Now);
   for (const Contact &C : Contacts)
-    if (!C.Silent && C.QuietUntil > Now)
-      First = std::min(First, C.QuietUntil);
+    if (!C.Silent && C.ReadyAt > Now)
+      First = std::min(First, C.ReadyAt);
   return First;
 }
 
--- a/src/policy/TokenHolder.h
+++ b/src/policy/TokenHolder.h
@@ -67,8 +67,10 @@
   /// The meter cannot be reached; it is passed over for a while.
   void lose(const SlotId &Meter, std::uint64_t Sequence, TimeMs Now);
 
-  /// When the first meter will have a token by its own word, or Never.
-  TimeMs nextChance(TimeMs Now) const;
+  /// When a token can be had if nobody else spends, after those that wait have
+  /// theirs: from the leases in force and this node's meter, or from another
+  /// meter by its own word. Never when nothing is known.
+  TimeMs nextToken(const TokenDemand &Demand, TimeMs Now);
 
   /// Whether an ask for tokens is on its way.
   bool asking() const { return PendingNeeds > 0; }
@@ -84,6 +86,7 @@
     bool PendingNeed = false;
     TimeMs SentAt;
     TimeMs QuietUntil; ///< Asking earlier for tokens is of no use.
+    TimeMs ReadyAt;    ///< The meter said that it has a token then.
     bool Silent = false;
     // The lease in use, if Adopted is not 0 and End has not come.
     std::uint64_t Adopted = 0;
@@ -101,6 +104,7 @@
   Contact *find(const SlotId &Meter);
   Contact *dueForRenewal(const TokenDemand &Demand, TimeMs Now);
   Contact *nextForNeed(TimeMs Now);
+  TimeMs ownToken(const TokenDemand &Demand, TimeMs Now);
   std::uint32_t need(const TokenDemand &Demand, TimeMs Now);
   AddressedAsk ask(Contact &C, std::string_view Organisation,
                    const TokenDemand &Demand, std::uint32_t Need, TimeMs Now);
--- a/src/policy/TokenMessages.h
+++ b/src/policy/TokenMessages.h
@@ -30,7 +30,8 @@
   double Rate = 0;            ///< Tokens a second that accrue at the asker.
   double Cap = 0;             ///< Most that the asker may hold of the lease.
   DurationMs Term;            ///< Counted from the sending of the ask.
-  DurationMs Quiet;           ///< Asking again earlier is of no use.
+  DurationMs Quiet;           ///< Asking again for tokens earlier is no use.
+  DurationMs Ready; ///< When a token can be had, if nobody else takes it.
 };
 
 } // namespace fescuewood
--- a/src/policy/TokenMeter.cpp
+++ b/src/policy/TokenMeter.cpp
@@ -23,11 +23,11 @@
 /// Fewest requests in a term for which a rate is lent.
 constexpr double MinFlowRequests = 3;
 
-/// Pause asked of a holder when the share is wholly in demand.
-constexpr DurationMs SaturatedQuiet{500};
+/// Longest pause asked of a holder; demand elsewhere may have changed by then.
+constexpr DurationMs LongestQuiet{500};
 
-/// Longest pause asked of a holder.
-constexpr DurationMs LongestQuiet{3600 * 1000};
+/// Longest time told until a token can be had.
+constexpr DurationMs LongestReady{3600 * 1000};
 
 /// Rates below this are left over by rounding, in tokens a second.
 constexpr double LeastRate = 1e-6;
@@ -166,18 +166,20 @@
   return Given;
 }
 
-DurationMs TokenMeter::quietFor(const TokenAsk &Ask, const TokenGrant &Given,
-                                double TotalDemand) const {
-  if (Given.Tokens >= Ask.Need)
+DurationMs TokenMeter::readyIn(TimeMs Now) const {
+  if (Level >= 1)
     return DurationMs(0);
-  if (TotalDemand >= Share.PerSecond)
-    return SaturatedQuiet;
-  const double Accrual = rate() * (1 - Settings.MaxDrift);
+  // With everything lent, tokens come again when the first lease is over.
+  const bool AllLent = rate() <= LeastRate && NextEnd != Never;
+  const DurationMs Wait = AllLent ? NextEnd - Now : DurationMs(0);
+  const double Accrual =
+      (AllLent ? Share.PerSecond : rate()) * (1 - Settings.MaxDrift);
   if (Accrual <= LeastRate)
-    return SaturatedQuiet;
-  const double Ms = std::ceil(std::max(0.0, 1 - Level) / Accrual * MsPerSecond);
-  return DurationMs(static_cast<std::int64_t>(
-      std::min(Ms, static_cast<double>(LongestQuiet.Value))));
+    return LongestReady;
+  const double Ms = std::ceil((1 - Level) / Accrual * MsPerSecond);
+  const DurationMs Rest(static_cast<std::int64_t>(
+      std::min(Ms, static_cast<double>(LongestReady.Value))));
+  return Wait + Rest + Settings.ClockStep;
 }
 
 TokenGrant TokenMeter::grant(const HolderId &Id, const TokenAsk &Ask,
@@ -186,7 +188,8 @@
   TokenGrant Nothing;
   Nothing.Organisation = Ask.Organisation;
   Nothing.Sequence = Ask.Sequence;
-  Nothing.Quiet = SaturatedQuiet;
+  Nothing.Quiet = LongestQuiet;
+  Nothing.Ready = LongestReady;
   const bool Sane = Ask.Demand >= 0 && Ask.Held >= 0 &&
                     std::isfinite(Ask.Demand) && std::isfinite(Ask.Held);
   if (!Sane || Now < AccruedTo)
@@ -211,20 +214,29 @@
   TokenGrant Given = terms(H, Ask, TotalDemand);
   Given.Organisation = Ask.Organisation;
   Given.Sequence = Ask.Sequence;
-  Given.Quiet = quietFor(Ask, Given, TotalDemand);
-  if (Given.Tokens <= 0 && Given.Rate <= 0) {
+  if (Given.Tokens > 0 || Given.Rate > 0)
+    lend(H, Given, Now);
+  else
     Given.Cap = 0;
-    return Given;
+  if (Given.Tokens < Ask.Need) {
+    Given.Ready = readyIn(Now);
+    Given.Quiet = std::min(Given.Ready, LongestQuiet);
+    if (TotalDemand >= Share.PerSecond)
+      Given.Quiet = LongestQuiet;
+    Given.Ready = std::max(Given.Ready, Given.Quiet);
   }
+  return Given;
+}
+
+void TokenMeter::lend(Holder &H, const TokenGrant &Given, TimeMs Now) {
   const auto Term = static_cast<std::int64_t>(std::ceil(
       static_cast<double>(Given.Term.Value) * (1 + 3 * Settings.MaxDrift)));
   const TimeMs End = Now + DurationMs(Term) + Settings.TermMargin;
   Level -= Given.Tokens;
-  H.Granted.push_back({Ask.Sequence, Given.Rate, Given.Cap, End});
+  H.Granted.push_back({Given.Sequence, Given.Rate, Given.Cap, End});
   NextEnd = std::min(NextEnd, End);
   recount(H);
   Level = std::min(Level, cap());
-  return Given;
 }
 
 } // namespace fescuewood
--- a/src/policy/TokenMeter.h
+++ b/src/policy/TokenMeter.h
@@ -90,12 +90,12 @@
   void accrue(TimeMs Until);
   void dropLapsed(TimeMs Now);
   void recount(Holder &H);
+  void lend(Holder &H, const TokenGrant &Given, TimeMs Now);
   void forgetIdle(TimeMs Now);
   double demandOfOthers(const Holder &Asker) const;
   TokenGrant terms(const Holder &H, const TokenAsk &Ask,
                    double TotalDemand) const;
-  DurationMs quietFor(const TokenAsk &Ask, const TokenGrant &Given,
-                      double TotalDemand) const;
+  DurationMs readyIn(TimeMs Now) const;
 
   TokenSettings Settings;
   TokenShare Share;
--- a/src/policy/TokenNode.cpp
+++ b/src/policy/TokenNode.cpp
@@ -146,14 +146,7 @@
 }
 
 DurationMs TokenNode::retryAfter(Account &A, TimeMs Now) {
-  TimeMs At = A.Holder.nextChance(Now);
-  const double Supply = supply(A, Now) * (1 - Settings.MaxDrift);
-  if (Supply > 0) {
-    const double Held = A.Holder.level(Now) + A.Meter.level(Now);
-    const double Ms = std::ceil((1 - Held) / Supply * MsPerSecond);
-    if (Ms < static_cast<double>(Settings.FlowTerm.Value))
-      At = std::min(At, Now + DurationMs(static_cast<std::int64_t>(Ms)));
-  }
+  const TimeMs At = A.Holder.nextToken(A.Meter.level(Now), A.Meter.rate(), Now);
   if (At == Never)
     return DefaultRetryAfter;
   return std::max(At - Now, DurationMs(1));
@@ -192,17 +185,21 @@
   return refuse(A, Now);
 }
 
+TokenDemand TokenNode::demandOf(Account &A, TimeMs Now) {
+  TokenDemand Demand;
+  Demand.PerSecond = A.Demand.rate(Now);
+  Demand.OwnRate = A.Meter.rate();
+  Demand.OwnLevel = A.Meter.level(Now);
+  Demand.Waiting = static_cast<std::uint32_t>(A.Waiters.size());
+  return Demand;
+}
+
 void TokenNode::poll(std::string_view Name, Account &A, TimeMs Now) {
   if (!Settings.Leasing)
     return;
   refill(Now);
   for (int I = 0; I < MaxAsksPerPoll && Bytes >= MessageBytes; ++I) {
-    TokenDemand Demand;
-    Demand.PerSecond = A.Demand.rate(Now);
-    Demand.OwnRate = A.Meter.rate();
-    Demand.OwnLevel = A.Meter.level(Now);
-    Demand.Waiting = static_cast<std::uint32_t>(A.Waiters.size());
-    auto Next = A.Holder.nextAsk(Name, Demand, Now);
+    auto Next = A.Holder.nextAsk(Name, demandOf(A, Now), Now);
     if (!Next)
       return;
     Bytes -= MessageBytes;
--- a/src/policy/TokenNode.h
+++ b/src/policy/TokenNode.h
@@ -139,6 +139,7 @@
   bool worthWaiting(Account &A, TimeMs Now);
   RateDecision refuse(Account &A, TimeMs Now);
   DurationMs retryAfter(Account &A, TimeMs Now);
+  static TokenDemand demandOf(Account &A, TimeMs Now);
   void poll(std::string_view Name, Account &A, TimeMs Now);
   void settleWaiters(Account &A, TimeMs Now);
   void refill(TimeMs Now);
--- /dev/null
+++ b/tests/organisations/OrganisationLimiterTest.cpp
@@ -0,0 +1,180 @@
+#include "organisations/OrganisationLimiter.h"
+
+#include "organisations/TokenCodec.h"
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+namespace {
+
+Snapshot twoDomains(double PerSecond, double Burst) {
+  Snapshot S;
+  S.Id.Revision = 1;
+  for (const char *Name : {"caruaru", "recife"})
+    S.Domains[Name] = {Name, "agreste", DomainStatus::In, 2};
+  S.Rates["rate"] = {"rate", PerSecond, Burst};
+  S.Organisations["registry"] = {"registry", "rate", 1};
+  return S;
+}
+
+/// Four limiters joined by direct calls, under one clock of the test.
+struct FakeFleet {
+  FakeFleet() {
+    for (const char *Domain : {"caruaru", "recife"}) {
+      for (std::uint32_t Slot = 0; Slot < 2; ++Slot)
+        add(Domain, Slot);
+    }
+    for (auto &L : Limiters) {
+      L->setInstances(Instances);
+      L->setSnapshot(std::make_shared<Snapshot>(twoDomains(10, 20)));
+      L->start();
+    }
+  }
+
+  void add(const std::string &Domain, std::uint32_t Slot) {
+    const std::string Name = Domain + "/" + std::to_string(Slot);
+    const std::size_t Index = Limiters.size();
+    Instances.push_back({Name, Domain, "queue", Slot, std::to_string(Index),
+                         TargetState::Ready});
+    LimiterHooks Hooks;
+    Hooks.Now = Clock([this] { return TimeMs(NowMs.load()); });
+    Hooks.Send = [this, Name](const PeerRequest &Request,
+                              const PeerReplyHook &OnReply) {
+      PeerReply Reply;
+      if (!Cut)
+        Limiters[std::stoul(Request.Address)]->handlePeer(
+            {Name, 1}, Request.Body,
+            [&Reply](std::string Body) { Reply.Body = std::move(Body); });
+      OnReply(Reply);
+    };
+    Hooks.OnEvent = [this](const Event &E) {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Seen.push_back(E.Id);
+    };
+    Limiters.push_back(std::make_unique<OrganisationLimiter>(
+        LimiterIdentity{Name, Domain, Slot, 1}, TokenSettings(), Hooks));
+  }
+
+  ~FakeFleet() {
+    for (auto &L : Limiters)
+      L->stop();
+  }
+
+  /// Moves the clock on, in steps that no limiter takes for a pause, until all
+  /// meters are full. The duties tick in real time meanwhile.
+  void untilFull() {
+    constexpr int MostSteps = 6000;
+    for (int I = 0; I < MostSteps && tokensHeld() < FullBurst; ++I) {
+      NowMs += 100;
+      for (auto &L : Limiters)
+        L->charge("nobody");
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    CHECK(tokensHeld() >= FullBurst);
+  }
+
+  double tokensHeld() {
+    double Sum = 0;
+    for (auto &L : Limiters)
+      for (const OrganisationStatus &S : L->status().Organisations)
+        Sum += S.TokensHeld;
+    return Sum;
+  }
+
+  bool saw(EventId Id) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return std::find(Seen.begin(), Seen.end(), Id) != Seen.end();
+  }
+
+  /// What a clock step accrues of the burst cannot be used.
+  static constexpr double FullBurst = 19.98;
+
+  std::atomic<std::int64_t> NowMs{1000};
+  std::atomic<bool> Cut{false};
+  std::vector<Instance> Instances;
+  std::vector<std::unique_ptr<OrganisationLimiter>> Limiters;
+  std::mutex Mutex;
+  std::vector<EventId> Seen;
+};
+
+} // namespace
+
+TEST_GROUP(OrganisationLimiter) { FakeFleet Fleet; };
+
+TEST(OrganisationLimiter, AdmitsNothingBeforeTheFenceAndTheBurstAfterIt) {
+  const RateDecision Early = Fleet.Limiters[0]->charge("registry");
+  Fleet.untilFull();
+
+  std::size_t Admitted = 0;
+  for (int I = 0; I < 60; ++I)
+    Fleet.Limiters[0]->charge(
+        "registry", [&](RateDecision D) { Admitted += D.Admitted ? 1 : 0; });
+
+  CHECK_FALSE(Early.Admitted);
+  // One node gets the burst of all meters, and nothing beyond.
+  CHECK(Admitted >= 19);
+  CHECK(Admitted <= 20);
+}
+
+TEST(OrganisationLimiter, TellsARetryTimeAtWhichARetryIsAdmitted) {
+  Fleet.untilFull();
+  // The form that never waits, so that nobody stands before the retry.
+  RateDecision Last{true, DurationMs(0)};
+  while (Last.Admitted)
+    Last = Fleet.Limiters[1]->charge("registry");
+
+  Fleet.NowMs += Last.RetryAfter.Value;
+  RateDecision Retried;
+  Fleet.Limiters[1]->charge("registry", [&](RateDecision D) { Retried = D; });
+
+  CHECK(Last.RetryAfter > DurationMs(0));
+  CHECK(Retried.Admitted);
+}
+
+TEST(OrganisationLimiter, DiscardsItsTokensAfterAPause) {
+  Fleet.untilFull();
+  Fleet.Cut = true;
+
+  Fleet.NowMs += 60'000;
+
+  std::size_t Admitted = 0;
+  for (auto &L : Fleet.Limiters)
+    Admitted += L->charge("registry").Admitted ? 1 : 0;
+  LONGS_EQUAL(0, Admitted);
+  CHECK(Fleet.saw(EventId::TokensDiscarded));
+}
+
+TEST(OrganisationLimiter, StopsMeteringWhileAnotherInstanceClaimsItsSlot) {
+  Fleet.untilFull();
+  Fleet.Cut = true;
+  std::vector<Instance> Claimed = Fleet.Instances;
+  Claimed.push_back(
+      {"intruder", "caruaru", "queue", 0, "127.50.0.9:1", TargetState::Ready});
+
+  Fleet.Limiters[0]->setInstances(Claimed);
+
+  CHECK_FALSE(Fleet.Limiters[0]->status().Metering);
+  CHECK_FALSE(Fleet.Limiters[0]->charge("registry").Admitted);
+  CHECK(Fleet.saw(EventId::SlotConflict));
+}
+
+TEST(OrganisationLimiter, AnswersMalformedBytesWithNothingAndReportsThem) {
+  std::string Reply;
+
+  Fleet.Limiters[0]->handlePeer({"stranger", 1}, "\xff\x00garbage",
+                                [&](std::string Body) { Reply = Body; });
+
+  CHECK(decodeGrants(Reply).has_value());
+  CHECK(decodeGrants(Reply)->empty());
+  CHECK(Fleet.saw(EventId::TokenMessageRefused));
+}
--- a/tests/organisations/TokenCodecTest.cpp
+++ b/tests/organisations/TokenCodecTest.cpp
@@ -8,9 +8,7 @@
 
 namespace {
 
-double anyAmount() {
-  return *rc::gen::inRange<std::int64_t>(0, 1'000'000'000) / 977.0;
-}
+double anyAmount() { return *rc::gen::inRange(0, 1'000'000'000) / 977.0; }
 
 std::string anyName() {
   return *rc::gen::container<std::string>(*rc::gen::inRange(0, 60),
@@ -26,6 +24,7 @@
   Grant.Cap = anyAmount();
   Grant.Term = DurationMs(*rc::gen::inRange<std::int64_t>(0, 10'000));
   Grant.Quiet = DurationMs(*rc::gen::inRange<std::int64_t>(0, 10'000));
+  Grant.Ready = DurationMs(*rc::gen::inRange<std::int64_t>(0, 10'000));
   return Grant;
 }
 
@@ -44,6 +43,7 @@
     RC_ASSERT(G.Organisation == Sent.Organisation);
     RC_ASSERT(G.Sequence == Sent.Sequence);
     RC_ASSERT(G.Term == Sent.Term && G.Quiet == Sent.Quiet);
+    RC_ASSERT(G.Ready == Sent.Ready);
     RC_ASSERT(G.Tokens <= Sent.Tokens && G.Tokens >= Sent.Tokens * 0.999999);
     RC_ASSERT(G.Rate <= Sent.Rate && G.Rate >= Sent.Rate * 0.999999);
     RC_ASSERT(G.Cap <= Sent.Cap && G.Cap >= Sent.Cap * 0.999999);
