--- a/src/policy/TokenNode.cpp
+++ b/src/policy/TokenNode.cpp
@@ -146,7 +146,7 @@
 }
 
 DurationMs TokenNode::retryAfter(Account &A, TimeMs Now) {
-  const TimeMs At = A.Holder.nextToken(A.Meter.level(Now), A.Meter.rate(), Now);
+  const TimeMs At = A.Holder.nextToken(demandOf(A, Now), Now);
   if (At == Never)
     return DefaultRetryAfter;
   return std::max(At - Now, DurationMs(1));
