--- a/src/policy/TokenSettings.h
+++ b/src/policy/TokenSettings.h
@@ -57,6 +57,8 @@
 
   /// Longest time after which a lease is surely over, by any clock.
   constexpr DurationMs fence() const {
+    if (!Leasing)
+      return TermMargin;
     return DurationMs(static_cast<std::int64_t>(
                static_cast<double>(FlowTerm.Value) * (1 + 4 * MaxDrift))) +
            TermMargin * 2;
--- a/tests/organisations/OrganisationLimiterTest.cpp
+++ b/tests/organisations/OrganisationLimiterTest.cpp
@@ -171,8 +171,9 @@
 TEST(OrganisationLimiter, AnswersMalformedBytesWithNothingAndReportsThem) {
   std::string Reply;
 
-  Fleet.Limiters[0]->handlePeer({"stranger", 1}, "\xff\x00garbage",
-                                [&](std::string Body) { Reply = Body; });
+  Fleet.Limiters[0]->handlePeer(
+      {"stranger", 1}, "\xff\x00garbage",
+      [&](std::string Body) { Reply = std::move(Body); });
 
   CHECK(decodeGrants(Reply).has_value());
   CHECK(decodeGrants(Reply)->empty());
