--- /dev/null
+++ b/src/app/Node.cpp
@@ -0,0 +1,102 @@
+#include "app/Node.h"
+
+#include "app/NodeParts.h"
+
+#include <thread>
+
+namespace fescuewood {
+
+namespace {
+
+constexpr DurationMs DrainPoll{20};
+
+} // namespace
+
+bool NodeParts::fail(ResultCode Reason) {
+  LastReason = Reason;
+  stop();
+  return false;
+}
+
+bool NodeParts::listenToPeers() {
+  for (PeerKind Kind :
+       {PeerKind::CallStart, PeerKind::CallFetch, PeerKind::CallCancel}) {
+    Server.handle(Kind, [this, Kind](const PeerIdentity &From,
+                                     std::string_view Body, ReplyHook Reply) {
+      Engine.handlePeer(Kind, From, Body, std::move(Reply));
+    });
+  }
+  Control.registerWith(Server);
+  return Server.start().has_value();
+}
+
+bool NodeParts::start() {
+  Engine.start();
+  if (!listenToPeers())
+    return fail(Server.lastReason());
+  if (!Operators.start())
+    return fail(Operators.lastReason());
+  if (!Callers.start())
+    return fail(Callers.lastReason());
+  Control.start();
+  Reader.start();
+  Recorder.record({EventId::NodeStarted,
+                   {{"callers", Settings.Callers.Listen.text()},
+                    {"peers", Settings.Peers.Listen.text()},
+                    {"operators", Settings.Operators.Listen.text()},
+                    {"target", Settings.Target.Address.text()}}});
+  return true;
+}
+
+bool NodeParts::waitUntilAnswered(TimeMs Until) const {
+  while (Callers.unanswered() > 0 || !Engine.idle()) {
+    if (Monotonic.now() >= Until)
+      return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(DrainPoll.Value));
+  }
+  return true;
+}
+
+bool NodeParts::drain() {
+  Draining = true;
+  Recorder.record({EventId::NodeDraining, {}});
+  const TimeMs Until = Monotonic.now() + Settings.Callers.DrainTimeout;
+  Control.leave();
+  Callers.stopAccepting();
+  const bool AllAnswered = waitUntilAnswered(Until);
+  Engine.setDraining();
+  const bool AllRun = waitUntilAnswered(Until);
+  Recorder.record({EventId::NodeStopped,
+                   {{"reason", resultName(AllAnswered && AllRun
+                                              ? ResultCode::Ok
+                                              : ResultCode::DeadlineExceeded)
+                                   .data()}}});
+  stop();
+  return AllAnswered && AllRun;
+}
+
+void NodeParts::stop() {
+  Reader.stop();
+  Callers.stop();
+  Operators.stop();
+  Control.stop();
+  Server.stop();
+  Engine.stop();
+  Target.stop();
+  Peers.stop();
+}
+
+Node::Node(NodeSettings Settings)
+    : State(std::make_unique<NodeParts>(std::move(Settings))) {}
+
+Node::~Node() = default;
+
+bool Node::start() { return State->start(); }
+
+bool Node::drain() { return State->drain(); }
+
+NodeStatus Node::status() const { return State->status(); }
+
+ResultCode Node::lastReason() const { return State->lastReason(); }
+
+} // namespace fescuewood
