--- /dev/null
+++ b/tests/integration/MeshFixture.cpp
@@ -0,0 +1,86 @@
+#include "integration/MeshFixture.h"
+
+#include "core/Digest.h"
+
+#include <utility>
+
+namespace fescuewood {
+
+namespace {
+
+std::string keySection(const std::string &Name,
+                       const std::string &Organisation) {
+  return "[key " + Name + "]\norganisation = " + Organisation +
+         "\nsha256 = " + Digest::of(Name).hex() + "\n";
+}
+
+} // namespace
+
+standins::MeshOptions smallMesh() {
+  standins::MeshOptions Options;
+  Options.Binaries = BINARY_DIR;
+  Options.Groups = {{"queue", "harbour", 1, 4},
+                    {"queue", "market", 1, 4},
+                    {"ledger", "harbour", 1, 4}};
+  Options.Intent["10-domains.ini"] =
+      "[domain harbour]\nregion = coast\nnodes = 4\n"
+      "[domain market]\nregion = coast\nnodes = 4\n";
+  Options.Intent["20-services.ini"] =
+      "[service queue]\nslots = 4\n[service ledger]\nslots = 4\n";
+  Options.Intent["30-routes.ini"] =
+      "[route read]\nmethod = GET\npath = /queue*\nservice = queue\n"
+      "idempotent = yes\ntimeout_ms = 8000\n"
+      "[route book]\nmethod = POST\npath = /sittings\nservice = queue\n"
+      "timeout_ms = 8000\n"
+      "[route browse]\nmethod = GET\npath = /ledger*\nservice = ledger\n"
+      "idempotent = yes\nwait = yes\n";
+  Options.Intent["40-organisations.ini"] =
+      "[rate plenty]\nper_second = 100000\nburst = 100000\n"
+      "[organisation first]\nrate = plenty\n"
+      "[organisation second]\nrate = plenty\n";
+  Options.Intent["50-keys.ini"] =
+      keySection("key-first", "first") + keySection("key-second", "second");
+  return Options;
+}
+
+std::string shownKey(const std::string &Key, const std::string &Mark) {
+  return "X-Api-Key: " + Key + "\r\n" + standins::MarkField + ": " + Mark +
+         "\r\n";
+}
+
+standins::LoadStream stream(const std::string &Method, const std::string &Path,
+                            double PerSecond) {
+  standins::LoadStream Stream;
+  Stream.Organisation = "first";
+  Stream.Key = "key-first";
+  Stream.Method = Method;
+  Stream.Path = Path;
+  Stream.PerSecond = PerSecond;
+  Stream.InTimeMs = 8000;
+  return Stream;
+}
+
+BackgroundLoad::BackgroundLoad(standins::LoadOptions Options)
+    : Options(std::move(Options)),
+      Running(std::async(std::launch::async, [Given = this->Options] {
+        return standins::LoadDriver(Given).run();
+      })) {}
+
+standins::LoadSummary BackgroundLoad::finish(const standins::Mesh &Mesh) {
+  Samples = Running.get();
+  return standins::summarise(Options.Streams, Samples, Mesh.runs());
+}
+
+std::string describe(const standins::LoadSummary &Sum) {
+  std::string Text = standins::markdownHead() + standins::markdownRow("", Sum);
+  for (const auto &[Code, Count] : Sum.Codes)
+    Text += fmt::format("code {}: {}\n", Code, Count);
+  return Text + fmt::format("answered without a run: {}\n", Sum.FalseRan);
+}
+
+bool promisesKept(const standins::LoadSummary &Sum) {
+  return Sum.Foreign == 0 && Sum.Doubled == 0 && Sum.FalseNotRun == 0 &&
+         Sum.FalseRan == 0;
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/tests/integration/MeshTest.cpp
@@ -0,0 +1,139 @@
+// The mesh as a whole, in quiet: real processes, nothing broken.
+
+#include "integration/MeshFixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+using standins::Mesh;
+using standins::Message;
+
+TEST_GROUP(Mesh){};
+
+TEST(Mesh, CarriesARequestOverTwoNodesAndHidesTheKey) {
+  Mesh Whole(smallMesh());
+  Whole.start();
+  const auto &Entry = Whole.Instances[2];
+
+  const Message Answer =
+      Whole.request(Entry, "GET", "/queue/today",
+                    shownKey("key-first", "m1") + "X-Test-Echo: 1\r\n");
+
+  LONGS_EQUAL(200, Answer.status());
+  CHECK(Answer.Body.find("key-first") == std::string::npos);
+  LONGS_EQUAL(1, Whole.runs().at("m1"));
+  const Message Large = Whole.request(
+      Entry, "GET", "/queue/large?bytes=1000000", shownKey("key-first", "m2"));
+  LONGS_EQUAL(1'000'000, Large.Body.size());
+}
+
+TEST(Mesh, FollowsAnEditedIntentWithoutARestart) {
+  Mesh Whole(smallMesh());
+  Whole.start();
+  const auto &Entry = Whole.Instances[0];
+  const auto Ask = [&](const std::string &Path) {
+    return Whole.request(Entry, "GET", Path, shownKey("key-first", "m"))
+        .status();
+  };
+  LONGS_EQUAL(404, Ask("/frames"));
+
+  Whole.writeIntent("90-frames.ini", "[route frames]\nmethod = GET\n"
+                                     "path = /frames\nservice = ledger\n"
+                                     "idempotent = yes\n");
+
+  Mesh::await("new route", [&] { return Ask("/frames") == 200; });
+  Whole.removeIntent("90-frames.ini");
+  Mesh::await("route removed", [&] { return Ask("/frames") == 404; });
+}
+
+TEST(Mesh, StopsServingAWithdrawnKeyOnOpenConnections) {
+  Mesh Whole(smallMesh());
+  Whole.start();
+  const auto &Entry = Whole.Instances[2];
+  const auto Ask = [&](const std::string &Key) {
+    return Whole.request(Entry, "GET", "/queue", shownKey(Key, "m")).status();
+  };
+  LONGS_EQUAL(200, Ask("key-second"));
+
+  Whole.writeIntent("90-withdrawn.ini",
+                    "[key key-second]\nstatus = withdrawn\n");
+
+  Mesh::await("key withdrawn", [&] { return Ask("key-second") == 401; });
+  LONGS_EQUAL(200, Ask("key-first"));
+}
+
+TEST(Mesh, GivesADomainTakenOutNoNewWork) {
+  Mesh Whole(smallMesh());
+  Whole.start();
+  const auto &Out = Whole.Instances[1];
+  const auto RunsThere = [&] {
+    return Whole.targetStats(Out)["runs"].get<int>();
+  };
+  const auto Burst = [&](unsigned Seed) {
+    standins::LoadOptions Load;
+    Load.Nodes = Whole.callerAddresses();
+    Load.Streams = {stream("GET", "/queue", 100)};
+    Load.Seconds = 1;
+    Load.Seed = Seed;
+    return BackgroundLoad(Load).finish(Whole);
+  };
+  Burst(1);
+  CHECK(RunsThere() > 0);
+
+  Whole.writeIntent("90-market-out.ini", "[domain market]\nstatus = out\n");
+
+  unsigned Seed = 2;
+  Mesh::await("no new work", [&] {
+    const int Before = RunsThere();
+    const auto Sum = Burst(Seed++);
+    CHECK_TRUE_TEXT(promisesKept(Sum), describe(Sum).c_str());
+    return RunsThere() == Before && Sum.InTime == Sum.Requests;
+  });
+  Whole.removeIntent("90-market-out.ini");
+  Mesh::await("work again", [&] {
+    const int Before = RunsThere();
+    Burst(Seed++);
+    return RunsThere() > Before;
+  });
+}
+
+TEST(Mesh, CutsNoRequestWhenANodeEndsGracefully) {
+  Mesh Whole(smallMesh());
+  Whole.start();
+  standins::LoadOptions Load;
+  Load.Nodes = {Whole.address(Whole.Instances[2], Mesh::Callers)};
+  Load.Streams = {stream("GET", "/queue?latency_ms=100", 30),
+                  stream("POST", "/sittings", 20)};
+  Load.Seconds = 3;
+  BackgroundLoad Running(Load);
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+
+  Whole.Instances[1].Node.signal(SIGTERM);
+  const auto Code = Whole.Instances[1].Node.wait(std::chrono::seconds(30));
+
+  const auto Sum = Running.finish(Whole);
+  CHECK(std::optional(0) == Code);
+  CHECK_TRUE_TEXT(promisesKept(Sum), describe(Sum).c_str());
+  LONGS_EQUAL_TEXT(Sum.Requests, Sum.InTime, describe(Sum).c_str());
+}
+
+TEST(Mesh, AnswersTheCallersOfANodeThatEndsGracefully) {
+  Mesh Whole(smallMesh());
+  Whole.start();
+  auto &Entry = Whole.Instances[2];
+  std::vector<std::future<Message>> Answers;
+  for (int I = 0; I < 6; ++I)
+    Answers.push_back(std::async(std::launch::async, [&, I] {
+      return Whole.request(Entry, I % 2 == 0 ? "GET" : "POST",
+                           I % 2 == 0 ? "/queue?latency_ms=1500"
+                                      : "/sittings?latency_ms=1500",
+                           shownKey("key-first", "d" + std::to_string(I)));
+    }));
+  Mesh::await("runs begun", [&] { return Whole.runs().size() == 6; });
+
+  Entry.Node.signal(SIGTERM);
+
+  for (auto &Answer : Answers)
+    LONGS_EQUAL(200, Answer.get().status());
+  CHECK(std::optional(0) == Entry.Node.wait(std::chrono::seconds(30)));
+}
