--- /dev/null
+++ b/bench/CallOverheadBench.cpp
@@ -0,0 +1,133 @@
+// The time that the mesh adds to a call: the same requests go to a target
+// directly and over two nodes, alternating, in the same run.
+
+#include "core/Digest.h"
+#include "standins/Mesh.h"
+
+#include <cstdio>
+#include <sys/resource.h>
+
+#include <gflags/gflags.h>
+
+DEFINE_string(binaries, "", "build folder; by default that of this program");
+DEFINE_double(seconds, 3, "length of each run");
+DEFINE_int32(rounds, 2, "alternations of direct and mesh at each rate");
+DEFINE_string(rates, "20,100,400", "requests a second, by commas");
+DEFINE_string(method, "GET", "GET or POST");
+DEFINE_bool(proxies, false, "put fault proxies, which do nothing, between");
+DEFINE_int32(latency_ms, 0, "time that a request takes at the target");
+
+namespace {
+
+constexpr int Slots = 64;
+
+standins::MeshOptions options(const std::string &Binaries) {
+  standins::MeshOptions Options;
+  Options.Binaries = Binaries;
+  Options.Groups = {{"work", "harbour", 1, Slots},
+                    {"entry", "harbour", 1, Slots}};
+  Options.LatencyMs = FLAGS_latency_ms;
+  Options.PeerProxies = FLAGS_proxies;
+  Options.TargetProxies = FLAGS_proxies;
+  Options.Intent["10.ini"] =
+      "[domain harbour]\nregion = coast\nnodes = 2\n"
+      "[service work]\nslots = 64\n[service entry]\nslots = 64\n"
+      "[rate plenty]\nper_second = 100000\nburst = 100000\n"
+      "[organisation bench]\nrate = plenty\n"
+      "[key bench]\norganisation = bench\nsha256 = " +
+      fescuewood::Digest::of("bench").hex() +
+      "\n[route read]\nmethod = GET\npath = /work\nservice = work\n"
+      "idempotent = yes\n"
+      "[route book]\nmethod = POST\npath = /work\nservice = work\n";
+  return Options;
+}
+
+std::vector<double> latencies(const std::string &Node, double Rate,
+                              unsigned Seed) {
+  standins::LoadOptions Load;
+  Load.Nodes = {Node};
+  standins::LoadStream Stream;
+  Stream.Organisation = "bench";
+  Stream.Key = "bench";
+  Stream.Method = FLAGS_method;
+  Stream.Path = "/work";
+  Stream.PerSecond = Rate;
+  Load.Streams = {Stream};
+  Load.Seconds = FLAGS_seconds;
+  Load.Seed = Seed;
+  std::vector<double> Values;
+  for (const auto &Sample : standins::LoadDriver(Load).run())
+    if (Sample.Status == 200)
+      Values.push_back(Sample.LatencyMs);
+  return Values;
+}
+
+/// Processor seconds that a process has used.
+double processorSeconds(pid_t Id) {
+  std::ifstream File("/proc/" + std::to_string(Id) + "/stat");
+  std::string Word;
+  double Ticks = 0;
+  constexpr int UserTime = 14;
+  constexpr int SystemTime = 15;
+  for (int I = 1; I <= SystemTime && File >> Word; ++I)
+    if (I == UserTime || I == SystemTime)
+      Ticks += std::stod(Word);
+  return Ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+void measure(const standins::Mesh &Mesh, double Rate) {
+  const auto &Work = Mesh.Instances[0];
+  const auto &Entry = Mesh.Instances[1];
+  const std::string Direct = Mesh.address(Work, standins::Mesh::TargetPort);
+  const std::string Through = Mesh.address(Entry, standins::Mesh::Callers);
+  std::vector<double> Alone;
+  std::vector<double> Meshed;
+  double EntryTime = 0;
+  double WorkTime = 0;
+  for (int Round = 0; Round < FLAGS_rounds; ++Round) {
+    for (double Value : latencies(Direct, Rate, 100 + Round))
+      Alone.push_back(Value);
+    const double EntryBefore = processorSeconds(Entry.Node.id());
+    const double WorkBefore = processorSeconds(Work.Node.id());
+    for (double Value : latencies(Through, Rate, 100 + Round))
+      Meshed.push_back(Value);
+    EntryTime += processorSeconds(Entry.Node.id()) - EntryBefore;
+    WorkTime += processorSeconds(Work.Node.id()) - WorkBefore;
+  }
+  using standins::percentile;
+  const double Calls = static_cast<double>(Meshed.size());
+  std::printf("| %.0f | %zu/%zu | %.2f | %.2f | %.2f | %.2f | %.2f | %.2f | "
+              "%.0f | %.0f |\n",
+              Rate, Meshed.size(), Alone.size(), percentile(Alone, 0.5),
+              percentile(Meshed, 0.5),
+              percentile(Meshed, 0.5) - percentile(Alone, 0.5),
+              percentile(Alone, 0.99), percentile(Meshed, 0.99),
+              percentile(Meshed, 0.99) - percentile(Alone, 0.99),
+              EntryTime > 0 ? Calls / EntryTime : 0,
+              WorkTime > 0 ? Calls / WorkTime : 0);
+  std::fflush(stdout);
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  const std::string Binaries =
+      FLAGS_binaries.empty() ? std::filesystem::canonical("/proc/self/exe")
+                                   .parent_path()
+                                   .parent_path()
+                                   .string()
+                             : FLAGS_binaries;
+  standins::Mesh Mesh(options(Binaries));
+  Mesh.start();
+  latencies(Mesh.address(Mesh.Instances[1], standins::Mesh::Callers), 100, 1);
+  std::printf("| %s/s | Answers mesh/direct | p50 direct ms | p50 mesh ms | "
+              "p50 added | p99 direct ms | p99 mesh ms | p99 added | Calls per "
+              "core-s, entry | Calls per core-s, target's node |\n"
+              "|---|---|---|---|---|---|---|---|---|---|\n",
+              FLAGS_method.c_str());
+  std::istringstream Rates(FLAGS_rates);
+  for (std::string Rate; std::getline(Rates, Rate, ',');)
+    measure(Mesh, std::stod(Rate));
+  return 0;
+}
--- /dev/null
+++ b/tests/integration/MeshFaultTest.cpp
@@ -0,0 +1,196 @@
+// The mesh under faults: real processes behind fault proxies. What callers were
+// told is held against what the targets recorded.
+
+#include "integration/MeshFixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+using standins::Mesh;
+using standins::MeshInstance;
+using standins::Message;
+
+namespace {
+
+/// One mesh behind proxies for the tests that leave it as they found it.
+Mesh &sharedMesh() {
+  static const auto Shared = [] {
+    standins::MeshOptions Options = smallMesh();
+    Options.PeerProxies = true;
+    Options.TargetProxies = true;
+    auto Started = std::make_unique<Mesh>(Options);
+    start(*Started);
+    return Started;
+  }();
+  return *Shared;
+}
+
+/// Load on the ledger's node, so that every request crosses two nodes.
+standins::LoadOptions loadOnEntry(const Mesh &Whole, unsigned Seed) {
+  standins::LoadOptions Load;
+  Load.Nodes = {Whole.address(Whole.Instances[2], Mesh::Callers)};
+  Load.Streams = {stream("GET", "/queue", 40), stream("POST", "/sittings", 40)};
+  Load.Seconds = 3;
+  Load.Seed = Seed;
+  return Load;
+}
+
+void sleepMs(int Milliseconds) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(Milliseconds));
+}
+
+void checkKept(const standins::LoadSummary &Sum) {
+  CHECK_TRUE_TEXT(promisesKept(Sum), describe(Sum).c_str());
+}
+
+void checkAllAnswered(const standins::LoadSummary &Sum) {
+  checkKept(Sum);
+  LONGS_EQUAL_TEXT(Sum.Requests, Sum.InTime, describe(Sum).c_str());
+}
+
+} // namespace
+
+TEST_GROUP(MeshFaults){};
+
+TEST(MeshFaults, LostAnswersBetweenNodesAreFetchedAgain) {
+  Mesh &Whole = sharedMesh();
+  BackgroundLoad Running(loadOnEntry(Whole, 11));
+
+  for (int Round = 0; Round < 3; ++Round) {
+    sleepMs(500);
+    for (int I : {0, 1})
+      Whole.disturbPeers(Whole.Instances[I], "set?lose_answers=1");
+  }
+
+  checkAllAnswered(Running.finish(Whole));
+}
+
+TEST(MeshFaults, LostAnswersOfTheTargetNeverDoubleARun) {
+  Mesh &Whole = sharedMesh();
+  BackgroundLoad Running(loadOnEntry(Whole, 12));
+
+  for (int Round = 0; Round < 4; ++Round) {
+    sleepMs(400);
+    for (int I : {0, 1})
+      Whole.disturbTarget(Whole.Instances[I], "set?lose_answers=1");
+  }
+
+  const auto Sum = Running.finish(Whole);
+  checkKept(Sum);
+  // A lost answer of a request that must not run twice can only be "unknown".
+  constexpr std::size_t AnswersLost = 8;
+  CHECK_TRUE_TEXT(Sum.InTime + AnswersLost >= Sum.Requests,
+                  describe(Sum).c_str());
+}
+
+TEST(MeshFaults, SilentConnectionsDelayButLoseNoAnswer) {
+  Mesh &Whole = sharedMesh();
+  BackgroundLoad Running(loadOnEntry(Whole, 13));
+  sleepMs(1000);
+
+  for (int I : {0, 1})
+    Whole.disturbPeers(Whole.Instances[I], "silence");
+
+  checkAllAnswered(Running.finish(Whole));
+}
+
+TEST(MeshFaults, ConnectionsSilentOneWayLoseNoAnswer) {
+  Mesh &Whole = sharedMesh();
+  BackgroundLoad Running(loadOnEntry(Whole, 14));
+  sleepMs(1000);
+
+  Whole.disturbPeers(Whole.Instances[0], "silence?direction=down");
+  Whole.disturbPeers(Whole.Instances[1], "silence?direction=up");
+
+  checkAllAnswered(Running.finish(Whole));
+}
+
+TEST(MeshFaults, APausedNodeNeitherDoublesNorLies) {
+  Mesh &Whole = sharedMesh();
+  BackgroundLoad Running(loadOnEntry(Whole, 15));
+  sleepMs(500);
+
+  Whole.Instances[0].Node.signal(SIGSTOP);
+  sleepMs(3000);
+  Whole.Instances[0].Node.signal(SIGCONT);
+
+  const auto Sum = Running.finish(Whole);
+  checkKept(Sum);
+  LONGS_EQUAL_TEXT(0, Sum.Broken, describe(Sum).c_str());
+}
+
+TEST(MeshFaults, ARequestThatCrashesTargetsIsStopped) {
+  Mesh &Whole = sharedMesh();
+  const auto Crashes = [&] {
+    int All = 0;
+    for (const MeshInstance &Each : Whole.Instances)
+      All += Whole.targetStats(Each)["crashes"].get<int>();
+    return All;
+  };
+
+  for (int Round = 0; Round < 10; ++Round) {
+    Whole.request(Whole.Instances[2], "GET", "/queue/poison",
+                  shownKey("key-second", "poison") + "X-Test-Crash: 1\r\n");
+    sleepMs(400);
+  }
+
+  constexpr int MostCrashes = 4;
+  CHECK(Crashes() > 0);
+  CHECK_TRUE_TEXT(Crashes() <= MostCrashes, std::to_string(Crashes()).c_str());
+  eventually("others are served", [&] {
+    return Whole
+               .request(Whole.Instances[2], "GET", "/queue/other",
+                        shownKey("key-second", "other"))
+               .status() == 200;
+  });
+}
+
+TEST(MeshFaults, ATargetThatStartsColdIsNotOverloaded) {
+  standins::MeshOptions Options = smallMesh();
+  Options.Groups = {{"queue", "harbour", 1, 6}, {"ledger", "market", 1, 6}};
+  Options.Intent["20-services.ini"] =
+      "[service queue]\nslots = 6\n[service ledger]\nslots = 6\n";
+  Options.ColdMs = 3000;
+  Options.LatencyMs = 20;
+  Mesh Whole(Options);
+  start(Whole);
+  standins::LoadOptions Load;
+  Load.Nodes = {Whole.address(Whole.Instances[1], Mesh::Callers)};
+  Load.Streams = {stream("GET", "/queue", 150)};
+  Load.Seconds = 6;
+  BackgroundLoad Running(Load);
+  sleepMs(2000);
+
+  Whole.targetStats(Whole.Instances[0], "restart");
+
+  const auto Sum = Running.finish(Whole);
+  checkKept(Sum);
+  const auto Stats = Whole.targetStats(Whole.Instances[0]);
+  LONGS_EQUAL_TEXT(0, Stats["slot_overloads"].get<int>(), Stats.dump().c_str());
+  LONGS_EQUAL_TEXT(0, Stats["cold_overloads"].get<int>(), Stats.dump().c_str());
+}
+
+TEST(MeshFaults, AMeshWithoutItsPlatformServesWhatItHolds) {
+  Mesh Whole(smallMesh());
+  for (MeshInstance &Each : Whole.Instances) {
+    Whole.startTarget(Each);
+    Whole.startNode(Each);
+  }
+  const auto Status = [&] {
+    return Whole
+        .request(Whole.Instances[2], "GET", "/queue",
+                 shownKey("key-first", "p"))
+        .status();
+  };
+  eventually("nodes answer", [&] { return Status() != 0; });
+  LONGS_EQUAL(503, Status());
+
+  Whole.startPlatform();
+
+  eventually("every node serves", [&] { return Whole.allServing(); });
+  eventually("service", [&] { return Status() == 200; });
+  Whole.Platform.end();
+  sleepMs(3000);
+  for (int I = 0; I < 20; ++I)
+    LONGS_EQUAL(200, Status());
+}
--- a/tests/integration/MeshFixture.cpp
+++ b/tests/integration/MeshFixture.cpp
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include <CppUTest/TestHarness.h>
+
 namespace fescuewood {
 
 namespace {
@@ -71,6 +73,23 @@
   return standins::summarise(Options.Streams, Samples, Mesh.runs());
 }
 
+void start(standins::Mesh &Mesh) {
+  try {
+    Mesh.start();
+  } catch (const std::exception &Error) {
+    FAIL(Error.what());
+  }
+}
+
+void eventually(const std::string &What,
+                const std::function<bool()> &Condition) {
+  try {
+    standins::Mesh::await(What, Condition);
+  } catch (const std::runtime_error &Error) {
+    FAIL(Error.what());
+  }
+}
+
 std::string describe(const standins::LoadSummary &Sum) {
   std::string Text = standins::markdownHead() + standins::markdownRow("", Sum);
   for (const auto &[Code, Count] : Sum.Codes)
--- a/tests/integration/MeshFixture.h
+++ b/tests/integration/MeshFixture.h
@@ -41,6 +41,13 @@
   std::vector<standins::LoadSample> Samples;
 };
 
+/// Starts a mesh, or fails the present test.
+void start(standins::Mesh &Mesh);
+
+/// Waits for a condition, or fails the present test.
+void eventually(const std::string &What,
+                const std::function<bool()> &Condition);
+
 /// Everything about a run in one line, for the report of a failed check.
 std::string describe(const standins::LoadSummary &Sum);
 
--- a/tests/integration/MeshTest.cpp
+++ b/tests/integration/MeshTest.cpp
@@ -8,11 +8,24 @@
 using standins::Mesh;
 using standins::Message;
 
+namespace {
+
+/// One mesh for the tests that leave it as they found it.
+Mesh &sharedMesh() {
+  static const auto Shared = [] {
+    auto Started = std::make_unique<Mesh>(smallMesh());
+    start(*Started);
+    return Started;
+  }();
+  return *Shared;
+}
+
+} // namespace
+
 TEST_GROUP(Mesh){};
 
 TEST(Mesh, CarriesARequestOverTwoNodesAndHidesTheKey) {
-  Mesh Whole(smallMesh());
-  Whole.start();
+  Mesh &Whole = sharedMesh();
   const auto &Entry = Whole.Instances[2];
 
   const Message Answer =
@@ -28,8 +41,7 @@
 }
 
 TEST(Mesh, FollowsAnEditedIntentWithoutARestart) {
-  Mesh Whole(smallMesh());
-  Whole.start();
+  Mesh &Whole = sharedMesh();
   const auto &Entry = Whole.Instances[0];
   const auto Ask = [&](const std::string &Path) {
     return Whole.request(Entry, "GET", Path, shownKey("key-first", "m"))
@@ -41,14 +53,13 @@
                                      "path = /frames\nservice = ledger\n"
                                      "idempotent = yes\n");
 
-  Mesh::await("new route", [&] { return Ask("/frames") == 200; });
+  eventually("new route", [&] { return Ask("/frames") == 200; });
   Whole.removeIntent("90-frames.ini");
-  Mesh::await("route removed", [&] { return Ask("/frames") == 404; });
+  eventually("route removed", [&] { return Ask("/frames") == 404; });
 }
 
 TEST(Mesh, StopsServingAWithdrawnKeyOnOpenConnections) {
-  Mesh Whole(smallMesh());
-  Whole.start();
+  Mesh &Whole = sharedMesh();
   const auto &Entry = Whole.Instances[2];
   const auto Ask = [&](const std::string &Key) {
     return Whole.request(Entry, "GET", "/queue", shownKey(Key, "m")).status();
@@ -58,13 +69,12 @@
   Whole.writeIntent("90-withdrawn.ini",
                     "[key key-second]\nstatus = withdrawn\n");
 
-  Mesh::await("key withdrawn", [&] { return Ask("key-second") == 401; });
+  eventually("key withdrawn", [&] { return Ask("key-second") == 401; });
   LONGS_EQUAL(200, Ask("key-first"));
 }
 
 TEST(Mesh, GivesADomainTakenOutNoNewWork) {
-  Mesh Whole(smallMesh());
-  Whole.start();
+  Mesh &Whole = sharedMesh();
   const auto &Out = Whole.Instances[1];
   const auto RunsThere = [&] {
     return Whole.targetStats(Out)["runs"].get<int>();
@@ -83,23 +93,50 @@
   Whole.writeIntent("90-market-out.ini", "[domain market]\nstatus = out\n");
 
   unsigned Seed = 2;
-  Mesh::await("no new work", [&] {
+  eventually("no new work", [&] {
     const int Before = RunsThere();
     const auto Sum = Burst(Seed++);
     CHECK_TRUE_TEXT(promisesKept(Sum), describe(Sum).c_str());
     return RunsThere() == Before && Sum.InTime == Sum.Requests;
   });
   Whole.removeIntent("90-market-out.ini");
-  Mesh::await("work again", [&] {
+  eventually("work again", [&] {
     const int Before = RunsThere();
     Burst(Seed++);
     return RunsThere() > Before;
   });
 }
 
+TEST(Mesh, GivesALeavingInstanceNoNewWork) {
+  Mesh Whole(smallMesh());
+  start(Whole);
+  const auto &Leaving = Whole.Instances[1];
+  const auto RunsThere = [&] {
+    return Whole.targetStats(Leaving)["runs"].get<int>();
+  };
+  const auto Ask = [&] {
+    for (int I = 0; I < 20; ++I)
+      LONGS_EQUAL(200, Whole
+                           .request(Whole.Instances[2], "GET", "/queue",
+                                    shownKey("key-first", "leaving"))
+                           .status());
+  };
+
+  Ask();
+  CHECK(RunsThere() > 0);
+
+  Whole.writeInstances({Leaving.Name});
+
+  eventually("no new work", [&] {
+    const int Before = RunsThere();
+    Ask();
+    return RunsThere() == Before;
+  });
+}
+
 TEST(Mesh, CutsNoRequestWhenANodeEndsGracefully) {
   Mesh Whole(smallMesh());
-  Whole.start();
+  start(Whole);
   standins::LoadOptions Load;
   Load.Nodes = {Whole.address(Whole.Instances[2], Mesh::Callers)};
   Load.Streams = {stream("GET", "/queue?latency_ms=100", 30),
@@ -119,7 +156,7 @@
 
 TEST(Mesh, AnswersTheCallersOfANodeThatEndsGracefully) {
   Mesh Whole(smallMesh());
-  Whole.start();
+  start(Whole);
   auto &Entry = Whole.Instances[2];
   std::vector<std::future<Message>> Answers;
   for (int I = 0; I < 6; ++I)
@@ -129,7 +166,7 @@
                                       : "/sittings?latency_ms=1500",
                            shownKey("key-first", "d" + std::to_string(I)));
     }));
-  Mesh::await("runs begun", [&] { return Whole.runs().size() == 6; });
+  eventually("runs begun", [&] { return Whole.runs().size() == 6; });
 
   Entry.Node.signal(SIGTERM);
 
--- a/tests/standins/Mesh.h
+++ b/tests/standins/Mesh.h
@@ -36,6 +36,7 @@
   std::vector<MeshGroup> Groups;
   std::string Region = "coast";
   int ColdMs = 0;
+  int ColdSlots = 2;
   int LatencyMs = 2;
   bool PeerProxies = false;   ///< Nodes reach each other through proxies.
   bool TargetProxies = false; ///< Nodes reach their targets through proxies.
@@ -70,9 +71,11 @@
     Folder = mkdtemp(Pattern.data());
     std::filesystem::create_directory(Folder + "/intent");
     std::filesystem::create_directory(Folder + "/state");
+    // Meshes of one process differ by port, those of two by address as well.
+    static int Meshes = 0;
     const int Id = getpid();
     Net = "127.30." + std::to_string(64 + Id % 190) + ".";
-    BasePort = 10'000 + Id / 190 % 1500 * 10;
+    BasePort = 10'000 + Id / 190 % 200 * 100 + Meshes++ % 10 * 10;
     for (const auto &[Name, Text] : Options.Intent)
       writeIntent(Name, Text);
     for (const MeshGroup &Group : Options.Groups)
@@ -99,7 +102,7 @@
       startTarget(Each);
       startNode(Each);
     }
-    awaitServing();
+    await("every node serves", [this] { return allServing(); });
   }
 
   void startPlatform() {
@@ -115,7 +118,8 @@
                          {"--listen", address(Each, TargetPort), "--control",
                           address(Each, TargetControl), "--slots",
                           std::to_string(Each.Slots), "--cold_ms",
-                          std::to_string(Options.ColdMs), "--latency_ms",
+                          std::to_string(Options.ColdMs), "--cold_slots",
+                          std::to_string(Options.ColdSlots), "--latency_ms",
                           std::to_string(Options.LatencyMs)},
                          "target");
     if (Options.TargetProxies)
@@ -131,11 +135,12 @@
         launch("fescuewood", {"run", "--settings", Each.Settings}, "node");
   }
 
-  /// Waits until every running node has a version and knows every instance.
-  void awaitServing() {
-    for (MeshInstance &Each : Instances)
-      if (Each.Node.running())
-        await("node serves", [&] { return serving(Each); });
+  /// Whether every running node has a version in force.
+  bool allServing() const {
+    return std::all_of(Instances.begin(), Instances.end(),
+                       [this](const MeshInstance &Each) {
+                         return !Each.Node.running() || serving(Each);
+                       });
   }
 
   /// Waits for a condition; throws when it does not come.
@@ -181,6 +186,14 @@
         control(address(Each, TargetControl), "/control/" + Command));
   }
 
+  /// Commands the proxy in front of a node's peer port, or of its target.
+  void disturbPeers(const MeshInstance &Each, const std::string &What) const {
+    control(address(Each, PeersControl), "/control/" + What);
+  }
+  void disturbTarget(const MeshInstance &Each, const std::string &What) const {
+    control(address(Each, ForTargetControl), "/control/" + What);
+  }
+
   /// The targets' records together.
   RunRecord runs() const {
     RunRecord All;
--- a/tests/standins/Target.h
+++ b/tests/standins/Target.h
@@ -22,7 +22,8 @@
 struct TargetOptions {
   Tcp::endpoint Listen;
   int Slots = 6;
-  int ColdMs = 0; ///< Time until a fresh start bears all slots.
+  int ColdMs = 0;    ///< Time until a fresh start bears all slots.
+  int ColdSlots = 2; ///< Slots that it bears right after the start.
   int LatencyMs = 2;
   int RestartMs = 300; ///< Time for which a crash closes the port.
 };
@@ -120,7 +121,7 @@
     Sockets.erase(Place);
   }
 
-  /// Requests that the target bears at once, from one after a start to all
+  /// Requests that the target bears at once, from a few after a start to all
   /// slots when it is warm.
   int bearable() const {
     using std::chrono::duration_cast;
@@ -129,7 +130,9 @@
         duration_cast<milliseconds>(SteadyClock::now() - Started).count();
     if (Age >= Options.ColdMs)
       return Options.Slots;
-    return 1 + static_cast<int>((Options.Slots - 1) * Age / Options.ColdMs);
+    const int First = std::min(Options.ColdSlots, Options.Slots);
+    return First +
+           static_cast<int>((Options.Slots - First) * Age / Options.ColdMs);
   }
 
   asio::awaitable<void> run(Tcp::socket &Socket, const Message &Request) {
--- a/tests/standins/TargetMain.cpp
+++ b/tests/standins/TargetMain.cpp
@@ -8,15 +8,21 @@
 DEFINE_string(control, "127.0.0.1:0", "IP:port of the control port");
 DEFINE_int32(slots, 6, "requests that the warm target bears at once");
 DEFINE_int32(cold_ms, 0, "time until a fresh start bears all slots");
+DEFINE_int32(cold_slots, 2, "requests that a fresh start bears at once");
 DEFINE_int32(latency_ms, 2, "time that a request takes");
 DEFINE_int32(restart_ms, 300, "time for which a crash closes the port");
 
 int main(int Argc, char **Argv) {
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
   asio::io_context Context;
-  standins::Target Server(Context,
-                          {standins::endpointOf(FLAGS_listen), FLAGS_slots,
-                           FLAGS_cold_ms, FLAGS_latency_ms, FLAGS_restart_ms});
+  standins::TargetOptions Options;
+  Options.Listen = standins::endpointOf(FLAGS_listen);
+  Options.Slots = FLAGS_slots;
+  Options.ColdMs = FLAGS_cold_ms;
+  Options.ColdSlots = FLAGS_cold_slots;
+  Options.LatencyMs = FLAGS_latency_ms;
+  Options.RestartMs = FLAGS_restart_ms;
+  standins::Target Server(Context, Options);
   standins::Tcp::acceptor Control(Context, standins::endpointOf(FLAGS_control));
   asio::co_spawn(Context,
                  standins::serveControl(Control,
