--- /dev/null
+++ b/bench/ControlBench.cpp
@@ -0,0 +1,234 @@
+/// \file
+/// Measures how configuration spreads over real node processes on loopback:
+/// time until in force, control bytes, source reads, processor time, memory.
+///
+///   ControlBench --nodes=12,50,100          the exchange between nodes
+///   ControlBench --nodes=100 --baseline     every node polls the source
+///
+/// Prints Markdown tables. One size takes about 70 s.
+
+#include "ControlBenchFleet.h"
+#include "ControlBenchNode.h"
+
+#include <algorithm>
+#include <cmath>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+DEFINE_string(nodes, "100", "numbers of nodes, one run each");
+DEFINE_string(scenario, "all",
+              "all, or any of rest,changes,outage,cut,restart");
+DEFINE_bool(baseline, false, "let every node poll the source instead");
+DEFINE_int32(domains, 5, "failure domains");
+DEFINE_int32(rest_seconds, 10, "length of the measurement at rest");
+DEFINE_int32(changes, 8, "versions published in the measurement of changes");
+DEFINE_bool(node, false, "run as a child; used by the bench itself");
+DEFINE_int32(index, 0, "the child's number");
+DEFINE_string(source, "", "the child's platform");
+
+using namespace fescuewood;
+using namespace fescuewood::bench;
+
+namespace {
+
+constexpr int PatienceMs = 30 * 1000;
+constexpr int ChangePauseMs = 1500;
+constexpr double SecondsPerDay = 86400;
+constexpr double ChangesPerDay = 2100;
+
+std::int64_t percentile(std::vector<std::int64_t> Values, double Share) {
+  if (Values.empty())
+    return -1;
+  std::sort(Values.begin(), Values.end());
+  const auto Rank = static_cast<std::size_t>(
+      std::ceil(Share * static_cast<double>(Values.size())));
+  return Values[std::max<std::size_t>(Rank, 1) - 1];
+}
+
+/// One run with one number of nodes.
+class Run {
+public:
+  Run(std::size_t Count, std::string Self)
+      : Count(Count), Self(std::move(Self)),
+        Source(standIn(), static_cast<std::size_t>(FLAGS_domains), Count),
+        Nodes(Count, [this](std::size_t I) { return command(I); }) {}
+
+  void execute() {
+    row("start", [this] { start(); });
+    if (wanted("rest"))
+      row("rest", [this] { rest(); });
+    if (wanted("changes"))
+      row("changes", [this] { changes(); });
+    if (wanted("outage"))
+      row("outage", [this] { outage(); });
+    if (wanted("cut") && !FLAGS_baseline)
+      row("cut", [this] { cut(); });
+    if (wanted("restart"))
+      row("restart", [this] { restart(); });
+  }
+
+private:
+  std::string standIn() const {
+    return (std::filesystem::path(Self).parent_path().parent_path() /
+            "standins" / "Platform")
+        .string();
+  }
+
+  std::vector<std::string> command(std::size_t Index) const {
+    return {Self,
+            "--node",
+            fmt::format("--index={}", Index),
+            fmt::format("--domains={}", FLAGS_domains),
+            "--source=" + Source.address(),
+            FLAGS_baseline ? "--baseline" : "--nobaseline"};
+  }
+
+  static bool wanted(const std::string &Scenario) {
+    return FLAGS_scenario == "all" ||
+           FLAGS_scenario.find(Scenario) != std::string::npos;
+  }
+
+  /// Runs a scenario and prints its row.
+  template <typename Scenario>
+  void row(const std::string &Name, const Scenario &Body) {
+    Delays.clear();
+    Missing = 0;
+    Source.reads();
+    const bool Fresh = Name == "start" || Name == "restart";
+    const std::uint64_t Bytes = Fresh ? 0 : Nodes.bytes();
+    const std::uint64_t Opened = Fresh ? 0 : Nodes.connections();
+    const double Cpu = Fresh ? 0 : Nodes.usage().CpuSeconds;
+    const TimeMs Began = Time.now();
+    Body();
+    // Nodes report their bytes once a second.
+    Nodes.watch(1000);
+    const double Seconds =
+        static_cast<double>((Time.now() - Began).Value) / 1000;
+    const Usage Used = Nodes.usage();
+    const auto [Reads, Peak] = Source.reads();
+    const double PerNode = static_cast<double>(Count) * Seconds;
+    const double Connections =
+        static_cast<double>((Nodes.connections() - Opened) * ConnectionBytes);
+    const double Rate =
+        (static_cast<double>(Nodes.bytes() - Bytes) + Connections) / PerNode;
+    if (Name == "rest")
+      RestRate = Rate;
+    fmt::print("| {} | {} | {} | {} | {} | {} | {:.0f} | {:.1f} | {} | {:.2f} "
+               "| {:.1f} | {:.1f} |\n",
+               Count, Name, percentile(Delays, 0.5), percentile(Delays, 0.99),
+               percentile(Delays, 1), Missing, Rate,
+               static_cast<double>(Reads) / Seconds, Peak,
+               (Used.CpuSeconds - Cpu) / PerNode * 100, Used.ResidentMb,
+               Used.PrivateMb);
+    if (Name == "changes" && RestRate > 0) {
+      const double Each = (Rate - RestRate) * Seconds / FLAGS_changes;
+      fmt::print(
+          "| {} | a change costs a node {:.0f} B; at {:.0f} a day and at "
+          "rest together {:.0f} B/s ||||||||||\n",
+          Count, Each, ChangesPerDay,
+          RestRate + Each * ChangesPerDay / SecondsPerDay);
+    }
+    std::fflush(stdout);
+  }
+
+  void await(std::uint64_t Revision, TimeMs Since) {
+    Nodes.awaitRevision(Revision, PatienceMs);
+    const auto Came = Nodes.delays(Revision, Since);
+    Missing += Count - Came.size();
+    Delays.insert(Delays.end(), Came.begin(), Came.end());
+  }
+
+  void start() {
+    const TimeMs Since = Time.now();
+    Nodes.startAll();
+    await(Source.revision(), Since);
+    Nodes.watch(5000);
+  }
+
+  void rest() { Nodes.watch(FLAGS_rest_seconds * 1000); }
+
+  void changes() {
+    for (int I = 0; I < FLAGS_changes; ++I) {
+      const TimeMs Since = Time.now();
+      await(Source.publish(), Since);
+      Nodes.watch(ChangePauseMs);
+    }
+  }
+
+  /// The time counts from the source's return.
+  void outage() {
+    Source.control("out=1");
+    Nodes.watch(4000);
+    const std::uint64_t Revision = Source.publish();
+    Nodes.watch(2000);
+    const TimeMs Since = Time.now();
+    Source.control("out=0");
+    await(Revision, Since);
+  }
+
+  /// The time counts from the healing; only the cut-off domain has to learn.
+  void cut() {
+    Nodes.tellAll("cut 1");
+    Nodes.watch(12000);
+    const std::uint64_t Revision = Source.publish();
+    Nodes.watch(4000);
+    const TimeMs Since = Time.now();
+    Nodes.tellAll("heal");
+    Nodes.awaitRevision(Revision, PatienceMs);
+    for (std::int64_t Delay : Nodes.delays(Revision, Since))
+      if (Delay > 0)
+        Delays.push_back(Delay);
+    Missing += Count - Nodes.delays(Revision, Since).size();
+    Nodes.watch(5000);
+  }
+
+  void restart() {
+    Nodes.killAll();
+    const TimeMs Since = Time.now();
+    Nodes.startAll();
+    await(Source.revision(), Since);
+    Nodes.watch(5000);
+  }
+
+  const std::size_t Count;
+  const std::string Self;
+  const Clock Time = Clock::monotonic();
+  Platform Source;
+  Fleet Nodes;
+  std::vector<std::int64_t> Delays;
+  std::size_t Missing = 0;
+  double RestRate = 0;
+};
+
+void measure(const std::string &Self) {
+  fmt::print("| Nodes | Scenario | p50 ms | p99 ms | max ms | not reached | "
+             "B/s per node | source reads/s | peak reads in 1 s | CPU % of a "
+             "core per node | max RSS MB | max private MB |\n"
+             "|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+  std::istringstream Sizes(FLAGS_nodes);
+  std::string Size;
+  while (std::getline(Sizes, Size, ','))
+    Run(std::strtoul(Size.c_str(), nullptr, 10), Self).execute();
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  if (FLAGS_node) {
+    NodeOptions Options;
+    Options.Index = static_cast<std::size_t>(FLAGS_index);
+    Options.Domains = static_cast<std::size_t>(FLAGS_domains);
+    Options.Source = FLAGS_source;
+    Options.Poll = FLAGS_baseline;
+    BenchNode Node(Options);
+    return Node.run();
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  measure(std::filesystem::read_symlink("/proc/self/exe").string());
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/bench/ControlBenchNode.h
@@ -0,0 +1,239 @@
+/// \file
+/// The child process of the control bench: one node's control plane without
+/// callers and target.
+///
+/// It prints "V REVISION MILLISECONDS" when a version is in force and
+/// "B CONTROL SENT RECEIVED CONNECTIONS" each second, and reads the commands
+/// "cut DOMAIN" and "heal" from its standard input; a cut drops all traffic
+/// between that domain and the others and the platform.
+
+#ifndef FESCUEWOOD_BENCH_CONTROLBENCHNODE_H
+#define FESCUEWOOD_BENCH_CONTROLBENCHNODE_H
+
+#include "core/Duty.h"
+#include "intent/CompileIntent.h"
+#include "nodes/ControlDuty.h"
+#include "nodes/PeerClient.h"
+#include "nodes/PeerServer.h"
+#include "platform/PlatformReader.h"
+
+#include <atomic>
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+#include <mutex>
+#include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+
+namespace fescuewood::bench {
+
+constexpr int PeerPort = 7100;
+
+/// "127.20.DOMAIN+1.SLOT+1:PORT".
+inline std::string nodeAddress(std::size_t Domain, std::size_t Slot) {
+  return fmt::format("127.20.{}.{}:{}", Domain + 1, Slot + 1, PeerPort);
+}
+
+/// How the children of one run differ.
+struct NodeOptions {
+  std::size_t Index = 0;
+  std::size_t Domains = 5;
+  std::string Source; ///< "IP:port" of the platform.
+  bool Poll = false;  ///< The baseline: every node reads the source.
+};
+
+/// One node's control plane.
+class BenchNode {
+public:
+  explicit BenchNode(const NodeOptions &Options)
+      : Options(Options), Domain(Options.Index % Options.Domains),
+        Slot(Options.Index / Options.Domains),
+        Server(Link, {nodeAddress(Domain, Slot), 1024, 4096}), Client(Link),
+        Control(settings(), {name(), incarnation()}, hooks()),
+        Reader(source(), platform(), readerHooks(), incarnation()) {
+    Link.Self = {name(), incarnation()};
+    Link.Secret = "bench";
+  }
+
+  int run() {
+    Control.registerWith(Server);
+    if (!Options.Poll && !Server.start())
+      return EXIT_FAILURE;
+    if (!Options.Poll)
+      Control.start();
+    Reader.start();
+    Control.setOwnState(TargetState::Ready);
+    Report.start(DurationMs(1000), [this] { report(); });
+    std::string Line;
+    while (std::getline(std::cin, Line))
+      command(Line);
+    std::_Exit(EXIT_SUCCESS); // The parent has gone or wants a quick end.
+  }
+
+private:
+  std::string name() const { return fmt::format("d{}/n{}", Domain, Slot); }
+
+  std::uint64_t incarnation() const {
+    static const auto Started =
+        static_cast<std::uint64_t>(Clock::wall().now().Value);
+    return Started;
+  }
+
+  ControlSettings settings() const {
+    ControlSettings Settings;
+    Settings.Self = {name(),
+                     fmt::format("d{}", Domain),
+                     "service-0",
+                     static_cast<std::uint32_t>(Slot),
+                     nodeAddress(Domain, Slot),
+                     TargetState::Cold};
+    for (std::size_t D = 0; D < Options.Domains; ++D)
+      for (std::size_t S = 0; S < 2; ++S)
+        Settings.Seeds.push_back(nodeAddress(D, S));
+    Settings.Seed = Options.Index + 1;
+    return Settings;
+  }
+
+  ControlHooks hooks() {
+    ControlHooks Hooks;
+    Hooks.Send = [this](const PeerRequest &Request,
+                        const PeerReplyHook &OnReply) {
+      if (!isCut(Request.Address)) {
+        Client.send(Request, OnReply);
+        return;
+      }
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Swallowed.push_back(
+          {Clock::monotonic().now() + Request.Timeout, OnReply});
+    };
+    Hooks.Compile = [](const IntentBundle &Bundle,
+                       std::string &Why) -> SnapshotPtr {
+      CompiledIntent Compiled = compileIntent(Bundle);
+      if (!Compiled.Result && !Compiled.Found.empty())
+        Why = Compiled.Found.front().text();
+      return Compiled.Result;
+    };
+    Hooks.OnSnapshot = [](const SnapshotPtr &Applied) {
+      printVersion(Applied->Id.Revision);
+    };
+    return Hooks;
+  }
+
+  static void printVersion(std::uint64_t Revision) {
+    std::printf("V %llu %lld\n", static_cast<unsigned long long>(Revision),
+                static_cast<long long>(Clock::monotonic().now().Value));
+    std::fflush(stdout);
+  }
+
+  PlatformSettings platform() const {
+    PlatformSettings Settings;
+    Settings.FleetReadsPerSecond = 2000;
+    Settings.FleetNodes = 1200;
+    Settings.WatchWait = DurationMs(3000);
+    Settings.Timeout = DurationMs(2000);
+    return Settings;
+  }
+
+  PlatformSource source() {
+    PlatformSource Source =
+        httpSource(*Endpoint::parse(Options.Source), DurationMs(2000));
+    auto Read = std::move(Source.ReadIntent);
+    Source.ReadIntent = [this, Read](std::uint64_t After, DurationMs Wait) {
+      if (CutDomain == static_cast<int>(Domain))
+        return PlatformRead<IntentBundle>{std::nullopt,
+                                          ResultCode::PeerUnreachable, "cut"};
+      return Read(After, Wait);
+    };
+    return Source;
+  }
+
+  PlatformReaderHooks readerHooks() {
+    PlatformReaderHooks Hooks;
+    Hooks.AmReader = [this] { return Options.Poll || Control.amReader(); };
+    Hooks.HeldRevision = [this] {
+      return Options.Poll ? Polled.load() : Control.heldRevision();
+    };
+    Hooks.OnBundle = [this](IntentBundle Bundle) {
+      if (!Options.Poll) {
+        Control.offerBundle(std::move(Bundle));
+        return;
+      }
+      const CompiledIntent Compiled = compileIntent(Bundle);
+      if (!Compiled.Result)
+        return;
+      Polled = Bundle.Revision;
+      printVersion(Bundle.Revision);
+    };
+    return Hooks;
+  }
+
+  bool isCut(const std::string &Address) const {
+    const int Off = CutDomain;
+    if (Off < 0)
+      return false;
+    const std::string Prefix = fmt::format("127.20.{}.", Off + 1);
+    const bool There = Address.starts_with(Prefix);
+    const bool Here = Off == static_cast<int>(Domain);
+    return There != Here;
+  }
+
+  void command(const std::string &Line) {
+    std::istringstream Words(Line);
+    std::string Verb;
+    int Off = -1;
+    Words >> Verb >> Off;
+    CutDomain = Verb == "cut" ? Off : -1;
+  }
+
+  void report() {
+    std::uint64_t Sent = 0;
+    std::uint64_t Received = 0;
+    for (const PeerKindTraffic &Kind : Link.Traffic.byKind()) {
+      Sent += Kind.BytesSent;
+      Received += Kind.BytesReceived;
+    }
+    std::printf("B %llu %llu %llu\n", static_cast<unsigned long long>(Sent),
+                static_cast<unsigned long long>(Received),
+                static_cast<unsigned long long>(Link.Traffic.connections()));
+    std::fflush(stdout);
+    failSwallowed();
+  }
+
+  /// Ends the requests that the cut has swallowed, as their timeout would.
+  void failSwallowed() {
+    std::vector<PeerReplyHook> Due;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      std::erase_if(Swallowed, [&](const auto &Item) {
+        if (Item.first > Clock::monotonic().now())
+          return false;
+        Due.push_back(Item.second);
+        return true;
+      });
+    }
+    for (const PeerReplyHook &OnReply : Due)
+      OnReply({std::nullopt, {}, ResultCode::PeerTimeout});
+  }
+
+  const NodeOptions Options;
+  const std::size_t Domain;
+  const std::size_t Slot;
+  std::atomic<int> CutDomain{-1};
+  std::atomic<std::uint64_t> Polled{0};
+  std::mutex Mutex;
+  std::vector<std::pair<TimeMs, PeerReplyHook>> Swallowed;
+  PeerLink Link;
+  PeerServer Server;
+  PeerClient Client;
+  ControlDuty Control;
+  PlatformReader Reader;
+  Duty Report{"report", 16};
+};
+
+} // namespace fescuewood::bench
+
+#endif // FESCUEWOOD_BENCH_CONTROLBENCHNODE_H
