Repair member tables by pulling buckets, and know who asks

Cause: a node that was the only survivor of a herd restart asked the others, but none of them knew it, so none could fetch its newer version; the test for it failed. Bucket digests also went with every reply that differed.

Change: a reply says when its sender does not know the asker, who then announces itself; digests go only with a repair. An answer of a node that has itself just started does not count towards the start. Dead members are no longer pushed at once.

--- a/bench/ControlBench.cpp
+++ b/bench/ControlBench.cpp
@@ -170,7 +170,8 @@
     await(Revision, Since);
   }
 
-  /// The time counts from the healing; only the cut-off domain has to learn.
+  /// The time counts from the healing; only the cut-off domain has to learn,
+  /// and from the other domains, as its way to the platform heals later.
   void cut() {
     Nodes.tellAll("cut 1");
     Nodes.watch(12000);
@@ -184,6 +185,7 @@
         Delays.push_back(Delay);
     Missing += Count - Nodes.delays(Revision, Since).size();
     Nodes.watch(5000);
+    Nodes.tellAll("source");
   }
 
   void restart() {
--- a/bench/ControlBenchFleet.h
+++ b/bench/ControlBenchFleet.h
@@ -50,6 +50,7 @@
       dup2(In[0], STDIN_FILENO);
       dup2(Out[1], STDOUT_FILENO);
       std::vector<char *> Arguments;
+      Arguments.reserve(Command.size() + 1);
       for (const std::string &Word : Command)
         Arguments.push_back(const_cast<char *>(Word.c_str()));
       Arguments.push_back(nullptr);
@@ -188,17 +189,19 @@
 
   void writeIntent(std::size_t Domains, std::size_t Nodes) const {
     std::string Text;
-    for (std::size_t D = 0; D < Domains; ++D)
+    for (std::size_t D = 0; D < Domains; ++D) {
       Text += fmt::format("[domain d{}]\nregion = {}\nnodes = {}\n", D,
                           D < 3 ? "north" : "south",
                           (Nodes + Domains - 1 - D) / Domains);
+    }
     file("10-domains.ini", Text);
     Text.clear();
-    for (int S = 0; S < 88; ++S)
+    for (int S = 0; S < 88; ++S) {
       Text += fmt::format("[service service-{}]\nslots = 9\n"
                           "[route read-{}]\nmethod = GET\npath = /s{}/*\n"
                           "service = service-{}\nidempotent = yes\n",
                           S, S, S, S);
+    }
     file("20-services.ini", Text);
     file("40-rates.ini", "[rate small]\nper_second = 100\nburst = 200\n");
   }
@@ -319,13 +322,16 @@
 private:
   void collect() {
     std::vector<pollfd> Polled;
+    Polled.reserve(Nodes.size());
     for (const NodeReport &N : Nodes)
       Polled.push_back({N.Process->output(), POLLIN, 0});
     poll(Polled.data(), Polled.size(), 50);
-    for (std::size_t I = 0; I < Nodes.size(); ++I)
-      if (Polled[I].revents != 0)
-        for (const std::string &Line : Nodes[I].Process->lines())
-          take(Nodes[I], Line);
+    for (std::size_t I = 0; I < Nodes.size(); ++I) {
+      if (Polled[I].revents == 0)
+        continue;
+      for (const std::string &Line : Nodes[I].Process->lines())
+        take(Nodes[I], Line);
+    }
   }
 
   static void take(NodeReport &Node, const std::string &Line) {
--- a/bench/ControlBenchNode.h
+++ b/bench/ControlBenchNode.h
@@ -3,9 +3,10 @@
 /// callers and target.
 ///
 /// It prints "V REVISION MILLISECONDS" when a version is in force and
-/// "B CONTROL SENT RECEIVED CONNECTIONS" each second, and reads the commands
-/// "cut DOMAIN" and "heal" from its standard input; a cut drops all traffic
-/// between that domain and the others and the platform.
+/// "B SENT RECEIVED CONNECTIONS" each second, and reads the commands
+/// "cut DOMAIN", "heal" and "source" from its standard input. A cut drops all
+/// traffic between that domain and the others and the platform; healing joins
+/// the domains again, and "source" the platform.
 
 #ifndef FESCUEWOOD_BENCH_CONTROLBENCHNODE_H
 #define FESCUEWOOD_BENCH_CONTROLBENCHNODE_H
@@ -143,7 +144,7 @@
         httpSource(*Endpoint::parse(Options.Source), DurationMs(2000));
     auto Read = std::move(Source.ReadIntent);
     Source.ReadIntent = [this, Read](std::uint64_t After, DurationMs Wait) {
-      if (CutDomain == static_cast<int>(Domain))
+      if (SourceCut)
         return PlatformRead<IntentBundle>{std::nullopt,
                                           ResultCode::PeerUnreachable, "cut"};
       return Read(After, Wait);
@@ -187,6 +188,10 @@
     int Off = -1;
     Words >> Verb >> Off;
     CutDomain = Verb == "cut" ? Off : -1;
+    if (Verb == "cut")
+      SourceCut = Off == static_cast<int>(Domain);
+    if (Verb == "source")
+      SourceCut = false;
   }
 
   void report() {
@@ -223,6 +228,7 @@
   const std::size_t Domain;
   const std::size_t Slot;
   std::atomic<int> CutDomain{-1};
+  std::atomic<bool> SourceCut{false};
   std::atomic<std::uint64_t> Polled{0};
   std::mutex Mutex;
   std::vector<std::pair<TimeMs, PeerReplyHook>> Swallowed;
--- a/src/nodes/ControlCore.cpp
+++ b/src/nodes/ControlCore.cpp
@@ -11,6 +11,15 @@
 
 constexpr std::size_t CatchUpFanout = 4;
 
+/// A node that has no one to ask starts at once.
+ControlSettings withoutVainWait(ControlSettings Settings) {
+  const auto Own = std::count(Settings.Seeds.begin(), Settings.Seeds.end(),
+                              Settings.Self.PeerAddress);
+  if (Settings.Seeds.size() == static_cast<std::size_t>(Own))
+    Settings.Versions.StartAnswers = 0;
+  return Settings;
+}
+
 } // namespace
 
 std::string_view controlPhaseName(ControlPhase Phase) {
@@ -27,7 +36,7 @@
 
 ControlCore::ControlCore(ControlSettings Settings, std::uint64_t Incarnation,
                          ControlHooks Hooks, Clock Time, RandomHook Random)
-    : Settings(std::move(Settings)), Hooks(std::move(Hooks)),
+    : Settings(withoutVainWait(std::move(Settings))), Hooks(std::move(Hooks)),
       Time(std::move(Time)),
       Versions(this->Settings, this->Hooks, this->Time, Counts,
                [this](const SnapshotPtr &InForce) { onApplied(InForce); }),
@@ -99,7 +108,7 @@
     if (const Member *Entry = Members.members().find(Peer))
       Spread.mark(Entry->Record.Place.Domain, Entry->Record.Place.Slot);
   }
-  Versions.onPeerAnswer(Peer, Address, Theirs.InForce);
+  Versions.onPeerAnswer(Peer, Address, Theirs.InForce, Theirs.Starting);
 }
 
 void ControlCore::noteMembers() {
@@ -153,6 +162,11 @@
 }
 
 void ControlCore::chooseReader() {
+  const std::uint64_t Digest = Members.members().digest();
+  if (Digest == ReaderDigest && LastPhase == ReaderPhase)
+    return;
+  ReaderDigest = Digest;
+  ReaderPhase = LastPhase;
   const std::vector<std::string> Chosen = readers();
   const bool Now = LastPhase != ControlPhase::Starting &&
                    std::find(Chosen.begin(), Chosen.end(),
--- a/src/nodes/ControlCore.h
+++ b/src/nodes/ControlCore.h
@@ -78,6 +78,8 @@
   VersionSync Versions;
   MemberSync Members;
   bool Reader = false;
+  std::uint64_t ReaderDigest = 0; ///< Of the members the choice rests on.
+  ControlPhase ReaderPhase = ControlPhase::Starting;
   ControlPhase LastPhase = ControlPhase::Starting;
   TimeMs NextInstances;
   bool InstancesDue = false;
--- a/src/nodes/ControlMessages.cpp
+++ b/src/nodes/ControlMessages.cpp
@@ -4,9 +4,8 @@
 #include "intent/CompileIntent.h"
 #include "nodes/PeerCodec.h"
 #include "nodes/PeerEnvelope.h"
-#include "policy/Membership.h"
-
 #include <algorithm>
+#include <array>
 
 namespace fescuewood {
 
@@ -50,17 +49,17 @@
   std::uint32_t SpreadDigest = 0;
   WireMembers Rumours;
   std::uint32_t KnownRumours = 0;
-  std::vector<std::uint32_t> Buckets;
   std::string SlotBits;
+  bool SenderUnknown = false;
   MSGPACK_DEFINE(Type, InForce, Starting, MemberCount, TableDigest,
-                 SpreadDigest, Rumours, KnownRumours, Buckets, SlotBits)
+                 SpreadDigest, Rumours, KnownRumours, SlotBits, SenderUnknown)
 };
 
 struct WireRepair {
   std::uint8_t Type = 0;
-  std::vector<std::uint32_t> Buckets;
-  WireMembers Members;
-  MSGPACK_DEFINE(Type, Buckets, Members)
+  std::array<std::uint32_t, MemberBuckets> Buckets{};
+  bool AllBuckets = false;
+  MSGPACK_DEFINE(Type, Buckets, AllBuckets)
 };
 
 struct WireType {
@@ -180,28 +179,15 @@
 std::optional<ExchangeMessage> fromWire(WireExchange Wire) {
   ExchangeMessage Result;
   if (!readOptional(Wire.InForce, Result.InForce) ||
-      !readMembers(Wire.Rumours, Result.Rumours) ||
-      Wire.Buckets.size() > MemberBuckets)
+      !readMembers(Wire.Rumours, Result.Rumours))
     return std::nullopt;
   Result.Starting = Wire.Starting;
   Result.MemberCount = Wire.MemberCount;
   Result.TableDigest = Wire.TableDigest;
   Result.SpreadDigest = Wire.SpreadDigest;
   Result.KnownRumours = Wire.KnownRumours;
-  Result.Buckets = std::move(Wire.Buckets);
   Result.SlotBits = std::move(Wire.SlotBits);
-  return Result;
-}
-
-std::optional<RepairRequest> fromWire(WireRepair Wire) {
-  RepairRequest Result;
-  const bool InRange =
-      std::all_of(Wire.Buckets.begin(), Wire.Buckets.end(),
-                  [](std::uint32_t Index) { return Index < MemberBuckets; });
-  if (!InRange || Wire.Buckets.size() > MemberBuckets ||
-      !readMembers(Wire.Members, Result.Members))
-    return std::nullopt;
-  Result.Buckets = std::move(Wire.Buckets);
+  Result.SenderUnknown = Wire.SenderUnknown;
   return Result;
 }
 
@@ -233,14 +219,14 @@
   Wire.SpreadDigest = Message.SpreadDigest;
   Wire.Rumours = toWire(Message.Rumours);
   Wire.KnownRumours = Message.KnownRumours;
-  Wire.Buckets = Message.Buckets;
   Wire.SlotBits = Message.SlotBits;
+  Wire.SenderUnknown = Message.SenderUnknown;
   return packBody(Wire);
 }
 
 std::string packRepair(const RepairRequest &Message) {
   return packBody(WireRepair{static_cast<std::uint8_t>(ExchangeType::Repair),
-                             Message.Buckets, toWire(Message.Members)});
+                             Message.Buckets, Message.AllBuckets});
 }
 
 std::string packRepairReply(const RepairReply &Message) {
@@ -271,9 +257,9 @@
     return std::nullopt;
   ExchangeRequest Result;
   if (Type->Type == static_cast<std::uint8_t>(ExchangeType::Repair)) {
-    auto Wire = unpackBody<WireRepair>(Body);
+    const auto Wire = unpackBody<WireRepair>(Body);
     if (Wire)
-      Result.Repair = fromWire(std::move(*Wire));
+      Result.Repair = RepairRequest{Wire->Buckets, Wire->AllBuckets};
   } else {
     Result.Exchange = unpackExchange(Body);
   }
--- a/src/nodes/ControlMessages.h
+++ b/src/nodes/ControlMessages.h
@@ -2,10 +2,10 @@
 /// The bodies of the Exchange and Fetch messages between nodes.
 ///
 /// An exchange carries what each side has in force, a digest of its member
-/// table, a few changed member records, and on difference the bucket digests;
-/// its size does not grow with the fleet, but for the slot bits, one bit for
-/// each declared slot while a version spreads. A repair carries the records of
-/// a few buckets. A fetch carries files.
+/// table and a few changed member records; its size does not grow with the
+/// fleet, but for the slot bits, one bit for each declared slot while a version
+/// spreads. A repair asks with the digests of all buckets and is answered with
+/// the records of a few that differ. A fetch carries files.
 
 #ifndef FESCUEWOOD_NODES_CONTROLMESSAGES_H
 #define FESCUEWOOD_NODES_CONTROLMESSAGES_H
@@ -13,6 +13,7 @@
 #include "intent/BundleDelta.h"
 #include "intent/Snapshot.h"
 #include "policy/MemberRecord.h"
+#include "policy/Membership.h"
 
 #include <cstdint>
 #include <optional>
@@ -36,15 +37,15 @@
   std::vector<MemberRecord> Rumours;
 
   // Only in a reply:
-  std::uint32_t KnownRumours = 0;     ///< Bit i: the request's i-th was known.
-  std::vector<std::uint32_t> Buckets; ///< When the tables differ.
-  std::string SlotBits;               ///< When they differ, for InForce.
+  std::uint32_t KnownRumours = 0; ///< Bit i: the request's i-th was known.
+  std::string SlotBits;           ///< When they differ, for InForce.
+  bool SenderUnknown = false;     ///< The request's sender is not in the table.
 };
 
-/// Asks for what the other side knows better in some buckets.
+/// Asks for the records of some buckets that differ.
 struct RepairRequest {
-  std::vector<std::uint32_t> Buckets;
-  std::vector<MemberRecord> Members; ///< The sender's records in them.
+  BucketDigests Buckets{}; ///< The sender's.
+  bool AllBuckets = false; ///< Its table is far smaller: send all of them.
 };
 
 struct RepairReply {
--- a/src/nodes/MemberSync.cpp
+++ b/src/nodes/MemberSync.cpp
@@ -39,8 +39,10 @@
 
 void MemberSync::setRegions(
     std::map<std::string, std::string, std::less<>> ByDomain) {
+  if (Regions == ByDomain)
+    return;
   Regions = std::move(ByDomain);
-  NextRefresh = Time.now();
+  refreshView();
 }
 
 void MemberSync::tick(bool Eager) {
@@ -48,7 +50,8 @@
   if (Now >= NextRefresh) {
     NextRefresh = Now + RefreshPeriod;
     Members.expire(Now);
-    refreshView();
+    if (Members.digest() != ViewDigest || Now >= NextRotation)
+      refreshView();
   }
   if (Members.takeUrgent())
     push(Settings.PushFanout);
@@ -68,6 +71,8 @@
 }
 
 void MemberSync::refreshView() {
+  ViewDigest = Members.digest();
+  NextRotation = Time.now() + Settings.Peers.RotationPeriod;
   std::vector<PeerCandidate> Candidates;
   for (const auto &[Name, Entry] : Members.members()) {
     if (Name == Settings.Self.Name ||
@@ -235,10 +240,12 @@
   if (Outcomes.size() > RememberedOutcomes)
     Outcomes.pop_front();
   Members.onRumoursKnown(Sent, Theirs.KnownRumours);
+  if (Theirs.SenderUnknown)
+    Members.announce();
   mergeRumours(Theirs.Rumours);
   Members.onHeard(Reply.From.Name, Time.now());
   Own.OnDescribed(Reply.From.Name, Address, Theirs);
-  if (!Theirs.Buckets.empty())
+  if (wantsRepair(Theirs))
     repair(Address, Theirs);
 }
 
@@ -266,29 +273,34 @@
       Entry == nullptr ? std::string() : Entry->Record.Place.PeerAddress;
   ExchangeMessage Reply = describe(From.Name);
   Reply.KnownRumours = Known;
-  if (Theirs.TableDigest != Reply.TableDigest)
-    Reply.Buckets.assign(Members.bucketDigests().begin(),
-                         Members.bucketDigests().end());
+  Reply.SenderUnknown =
+      Entry == nullptr || Entry->Record.Order.Incarnation < From.Incarnation;
   Own.DescribeDifference(Theirs, Reply);
   std::string Packed = packExchange(Reply);
   Own.OnDescribed(From.Name, Address, Theirs);
   return Packed;
 }
 
+bool MemberSync::farSmallerThan(const ExchangeMessage &Theirs) const {
+  return Members.members().size() * 2 < Theirs.MemberCount;
+}
+
+/// Whether to compare tables now: while rumours travel they mostly settle a
+/// difference by themselves.
+bool MemberSync::wantsRepair(const ExchangeMessage &Theirs) {
+  if (Theirs.TableDigest == Members.digest())
+    return false;
+  return farSmallerThan(Theirs) || Theirs.Rumours.empty() ||
+         Random() % RepairShare == 0;
+}
+
 void MemberSync::repair(const std::string &Address,
                         const ExchangeMessage &Theirs) {
-  RepairRequest Request;
-  Request.Buckets = bucketsToRepair(Theirs);
-  if (Request.Buckets.empty())
-    return;
   ++Counts.Repairs;
-  for (std::uint32_t Index : Request.Buckets)
-    for (MemberRecord &Record : Members.bucket(Index))
-      Request.Members.push_back(std::move(Record));
   PeerRequest Message;
   Message.Address = Address;
   Message.Kind = PeerKind::Exchange;
-  Message.Body = packRepair(Request);
+  Message.Body = packRepair({Members.bucketDigests(), farSmallerThan(Theirs)});
   Message.Timeout = Settings.ExchangeTimeout;
   Hooks.Send(std::move(Message), [this](const PeerReply &Reply) {
     const auto Repaired =
@@ -300,44 +312,20 @@
   });
 }
 
-/// A few of the buckets that differ; all of them when this table is far
-/// smaller, as after a start.
-std::vector<std::uint32_t>
-MemberSync::bucketsToRepair(const ExchangeMessage &Theirs) {
-  const bool FarSmaller = Members.members().size() * 2 < Theirs.MemberCount;
-  const bool RumoursTravel = !Theirs.Rumours.empty();
-  if (Theirs.Buckets.size() != MemberBuckets ||
-      (!FarSmaller && RumoursTravel && Random() % RepairShare != 0))
-    return {};
-  std::vector<std::uint32_t> Differing;
-  for (std::uint32_t I = 0; I < MemberBuckets; ++I)
-    if (Theirs.Buckets[I] != Members.bucketDigests()[I])
+/// Sends the records of a few buckets that differ, or of all.
+std::string MemberSync::serveRepair(const RepairRequest &Request) {
+  std::vector<std::size_t> Differing;
+  for (std::size_t I = 0; I < MemberBuckets; ++I)
+    if (Request.Buckets[I] != Members.bucketDigests()[I])
       Differing.push_back(I);
-  while (!FarSmaller && Differing.size() > Settings.MaxRepairBuckets) {
+  while (!Request.AllBuckets && Differing.size() > Settings.MaxRepairBuckets) {
     std::swap(Differing[Random() % Differing.size()], Differing.back());
     Differing.pop_back();
   }
-  return Differing;
-}
-
-/// Merges what the other node sent of some buckets and returns what is newer
-/// here.
-std::string MemberSync::serveRepair(const RepairRequest &Request) {
-  std::map<std::string_view, const MemberRecord *> Sent;
-  for (const MemberRecord &Record : Request.Members)
-    Sent[Record.Place.Name] = &Record;
   RepairReply Reply;
-  for (std::uint32_t Index : Request.Buckets) {
-    for (MemberRecord &Record : Members.bucket(Index)) {
-      const auto Known = Sent.find(Record.Place.Name);
-      MemberRecord Theirs =
-          Known == Sent.end() ? MemberRecord() : *Known->second;
-      if (Known == Sent.end() || mergeRecord(Theirs, Record))
-        Reply.Members.push_back(std::move(Record));
-    }
-  }
-  for (const MemberRecord &Record : Request.Members)
-    Members.merge(Record, Spreading::Keep, Time.now());
+  for (std::size_t Index : Differing)
+    for (MemberRecord &Record : Members.bucket(Index))
+      Reply.Members.push_back(std::move(Record));
   return packRepairReply(Reply);
 }
 
--- a/src/nodes/MemberSync.h
+++ b/src/nodes/MemberSync.h
@@ -86,8 +86,9 @@
   ExchangeMessage describe(std::string_view Receiver);
   void addBelief(std::string_view Receiver, ExchangeMessage &Message) const;
   std::uint32_t mergeRumours(const std::vector<MemberRecord> &Rumours);
+  bool farSmallerThan(const ExchangeMessage &Theirs) const;
+  bool wantsRepair(const ExchangeMessage &Theirs);
   void repair(const std::string &Address, const ExchangeMessage &Theirs);
-  std::vector<std::uint32_t> bucketsToRepair(const ExchangeMessage &Theirs);
   std::string serveRepair(const RepairRequest &Request);
   bool mayPush();
   bool isolated() const;
@@ -105,6 +106,8 @@
   TimeMs NextExchange;
   TimeMs NextEager;
   TimeMs NextRefresh;
+  TimeMs NextRotation;
+  std::uint64_t ViewDigest = 0; ///< Of the members that the view rests on.
   double PushTokens;
   TimeMs PushTokensAt;
   std::deque<bool> Outcomes; ///< Of the last exchanges; true for answered.
--- a/src/nodes/VersionSync.cpp
+++ b/src/nodes/VersionSync.cpp
@@ -46,9 +46,10 @@
 
 void VersionSync::onPeerAnswer(std::string_view Peer,
                                const std::string &Address,
-                               const std::optional<Version> &InForce) {
+                               const std::optional<Version> &InForce,
+                               bool Starting) {
   const TimeMs Now = Time.now();
-  Keeper.onPeerAnswer(Peer, InForce, Now);
+  Keeper.onPeerAnswer(Peer, InForce, Starting, Now);
   if (!InForce)
     return;
   noteConflict(*InForce);
--- a/src/nodes/VersionSync.h
+++ b/src/nodes/VersionSync.h
@@ -43,7 +43,7 @@
   /// A peer has said what it has in force; nothing when it has none.
   /// \param Address where it can be asked for the files; may be empty.
   void onPeerAnswer(std::string_view Peer, const std::string &Address,
-                    const std::optional<Version> &InForce);
+                    const std::optional<Version> &InForce, bool Starting);
 
   /// A version that this node read from the source.
   void offer(IntentBundle Bundle);
--- a/src/policy/Membership.cpp
+++ b/src/policy/Membership.cpp
@@ -12,9 +12,13 @@
   return Record.Order.Health < MemberHealth::Dead;
 }
 
-/// Whether callers must hear at once that a member takes no more work.
+/// Whether callers must hear at once that a member takes no more work. A dead
+/// one is not urgent: callers notice its silence themselves, and many die at
+/// once when a failure domain is cut off.
 bool isUrgent(const MemberRecord &Record) {
-  return Record.Order.Health >= MemberHealth::Dead ||
+  if (Record.Order.Health == MemberHealth::Left)
+    return true;
+  return countsAsPresent(Record) &&
          effectiveState(Record) >= TargetState::Draining;
 }
 
@@ -102,6 +106,8 @@
       Now);
 }
 
+void Membership::announce() { Rumours.add(OwnName, false, Table.size()); }
+
 void Membership::onHeard(std::string_view Name, TimeMs Now) {
   const auto Found = Table.find(Name);
   if (Found != Table.end())
--- a/src/policy/Membership.h
+++ b/src/policy/Membership.h
@@ -67,6 +67,9 @@
   void setOwnState(TargetState State, TimeMs Now);
   void leave(TimeMs Now);
 
+  /// Passes the own record on as news again, for one that does not know it.
+  void announce();
+
   /// A member spoke to this node.
   void onHeard(std::string_view Name, TimeMs Now);
 
--- a/src/policy/VersionKeeper.cpp
+++ b/src/policy/VersionKeeper.cpp
@@ -11,7 +11,8 @@
 } // namespace
 
 VersionKeeper::VersionKeeper(VersionKeeperSettings Settings, TimeMs Now)
-    : Settings(Settings), StartedAt(Now), LastTick(Now) {}
+    : Settings(Settings), StartedAt(Now), LastTick(Now),
+      StartDone(Settings.StartAnswers == 0) {}
 
 bool VersionKeeper::tick(TimeMs Now) {
   const bool Paused = Now - LastTick > Settings.PauseLimit;
@@ -25,7 +26,9 @@
 
 void VersionKeeper::onPeerAnswer(std::string_view Peer,
                                  const std::optional<Version> &Theirs,
-                                 TimeMs Now) {
+                                 bool Starting, TimeMs Now) {
+  if (Starting && !Theirs)
+    return;
   Answered.emplace(Peer);
   if (Theirs && (!NewestAtPeers || *Theirs > *NewestAtPeers))
     NewestAtPeers = Theirs;
--- a/src/policy/VersionKeeper.h
+++ b/src/policy/VersionKeeper.h
@@ -38,7 +38,7 @@
 namespace fescuewood {
 
 struct VersionKeeperSettings {
-  std::size_t StartAnswers = 3;   ///< Peers that must have answered.
+  std::size_t StartAnswers = 3;   ///< Peers that must have answered; 0: none.
   DurationMs StartDeadline{5000}; ///< Then the source is accepted anyway.
   /// How long after the start a newer version that a peer has announced is
   /// waited for before the source's older one is taken instead.
@@ -69,8 +69,11 @@
   bool tick(TimeMs Now);
 
   /// A peer has said what it has in force; nothing when it has none.
+  /// \param Starting it has only just started itself, so that its having none
+  /// means nothing.
   void onPeerAnswer(std::string_view Peer,
-                    const std::optional<Version> &InForce, TimeMs Now);
+                    const std::optional<Version> &InForce, bool Starting,
+                    TimeMs Now);
 
   /// What to do about a version that was seen.
   VersionVerdict consider(const Version &Seen, VersionOrigin Origin,
--- /dev/null
+++ b/tests/policy/MemberRecordTest.cpp
@@ -0,0 +1,58 @@
+#include "policy/MemberRecord.h"
+
+#include "support/Property.h"
+
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+namespace {
+
+/// A record of one member whose parts follow from a small number.
+MemberRecord recordOf(std::uint16_t Number) {
+  MemberRecord Record;
+  Record.Place.Name = "recife/archive-1";
+  Record.Order = {1U + Number % 2, Number / 2U % 3,
+                  static_cast<MemberHealth>(Number / 6 % 4)};
+  // What a member says of itself follows from its incarnation and sequence.
+  Record.Place.State = static_cast<TargetState>(Number / 2 % 3);
+  Record.Listing = {Number / 24U % 3, Number / 24 % 3 == 1, 1};
+  return Record;
+}
+
+MemberRecord mergeAll(const std::vector<std::uint16_t> &Numbers) {
+  MemberRecord Result;
+  Result.Place.Name = "recife/archive-1";
+  for (std::uint16_t Number : Numbers)
+    mergeRecord(Result, recordOf(Number));
+  return Result;
+}
+
+} // namespace
+
+TEST_GROUP(MemberRecord){};
+
+TEST(MemberRecord, MergesToTheSameInAnyOrderAndNumber) {
+  checkProperty("order and doubling do not matter",
+                [](std::vector<std::uint16_t> Numbers) {
+                  const MemberRecord Expected = mergeAll(Numbers);
+                  const auto Half = Numbers;
+
+                  Numbers.insert(Numbers.end(), Half.begin(), Half.end());
+                  std::reverse(Numbers.begin(), Numbers.end());
+
+                  RC_ASSERT(mergeAll(Numbers) == Expected);
+                });
+}
+
+TEST(MemberRecord, LetsThePlatformSpeakOnlyOfTheProcessThatItMeant) {
+  MemberRecord Record = recordOf(0);
+  Record.Listing = {5, true, Record.Order.Incarnation};
+  CHECK_TRUE(Record.platformLeaving());
+
+  Record.Order.Incarnation += 1; // Replaced under the same name.
+
+  CHECK_FALSE(Record.platformLeaving());
+}
--- /dev/null
+++ b/tests/policy/MembershipTest.cpp
@@ -0,0 +1,126 @@
+#include "policy/Membership.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+TEST_GROUP(Membership) {
+  MembershipSettings Settings;
+  Instance Self{"a/1", "a", "s", 1, "10.0.0.1:7000", TargetState::Ready};
+  Instance Other{"b/1", "b", "s", 1, "10.0.0.2:7000", TargetState::Ready};
+  Membership Table{Settings, Self, 10, TimeMs(0)};
+
+  MemberRecord recordOfOther(std::uint64_t Incarnation) const {
+    return {Other, {Incarnation, 0, MemberHealth::Alive}, {}};
+  }
+  MemberHealth healthOfOther() const {
+    return Table.find("b/1")->Record.Order.Health;
+  }
+};
+
+TEST(Membership, DeclaresASilentMemberDeadOnlyAfterTheSuspicionTime) {
+  Table.merge(recordOfOther(1), Spreading::PassOn, TimeMs(0));
+
+  CHECK_TRUE(Table.onUnreachable("b/1", TimeMs(100)));
+  Table.expire(TimeMs(100) + Settings.SuspectTime - DurationMs(1));
+  CHECK(MemberHealth::Suspect == healthOfOther());
+  Table.expire(TimeMs(100) + Settings.SuspectTime);
+
+  CHECK(MemberHealth::Dead == healthOfOther());
+  CHECK(TargetState::Down == Table.instances().back().State);
+}
+
+TEST(Membership, TakesBackASuspicionThatTheMemberRefutes) {
+  Table.merge(recordOfOther(1), Spreading::PassOn, TimeMs(0));
+  Table.onUnreachable("b/1", TimeMs(100));
+  MemberRecord Refuted = recordOfOther(1);
+  Refuted.Order.Sequence = 1;
+
+  Table.merge(Refuted, Spreading::PassOn, TimeMs(200));
+  Table.expire(TimeMs(60000));
+
+  CHECK(MemberHealth::Alive == healthOfOther());
+}
+
+TEST(Membership, RefutesWhatIsWronglySaidOfItself) {
+  MemberRecord Suspected = Table.self();
+  Suspected.Order.Health = MemberHealth::Dead;
+
+  Table.merge(Suspected, Spreading::PassOn, TimeMs(100));
+
+  CHECK(MemberHealth::Alive == Table.self().Order.Health);
+  CHECK_TRUE(Table.self().Order > Suspected.Order);
+  LONGS_EQUAL(1, Table.refutations());
+}
+
+// Two processes under one name must not outbid each other for ever.
+TEST(Membership, YieldsItsNameToAProcessThatStartedLater) {
+  MemberRecord Newer = Table.self();
+  Newer.Order.Incarnation = 11;
+
+  Table.merge(Newer, Spreading::PassOn,
+              TimeMs(0) + Settings.TakeOverTime + DurationMs(1));
+
+  CHECK_TRUE(Table.replaced());
+  LONGS_EQUAL(10, Table.self().Order.Incarnation);
+}
+
+TEST(Membership, TakesOverItsNameAfterAStartWithAClockThatWentBack) {
+  MemberRecord Earlier = Table.self();
+  Earlier.Order.Incarnation = 99;
+
+  Table.merge(Earlier, Spreading::PassOn, TimeMs(1000));
+
+  CHECK_TRUE(Table.self().Order > Earlier.Order);
+}
+
+TEST(Membership, IgnoresAStaleListOfThePlatform) {
+  Table.merge(recordOfOther(1), Spreading::PassOn, TimeMs(0));
+  const std::vector<ListedMember> Leaving{{Other, true}};
+  const std::vector<ListedMember> Live{{Other, false}};
+
+  Table.onListed(Leaving, 7, TimeMs(0));
+  Table.onListed(Live, 6, TimeMs(0));
+  CHECK(TargetState::Draining == Table.instances().back().State);
+
+  Table.onListed(Live, 8, TimeMs(0));
+  CHECK(TargetState::Ready == Table.instances().back().State);
+}
+
+TEST(Membership, PassesEachRecordOnALimitedNumberOfTimes) {
+  Table.merge(recordOfOther(1), Spreading::PassOn, TimeMs(0));
+  std::size_t Sent = 0;
+
+  while (!Table.takeRumours(4).empty())
+    ++Sent;
+
+  CHECK_TRUE(Sent >= 2);
+  CHECK_TRUE(Sent < 20);
+}
+
+TEST(Membership, HoldsNoMoreMembersThanItsLimit) {
+  Settings.MaxMembers = 3;
+  Membership Small(Settings, Self, 1, TimeMs(0));
+  for (int I = 0; I < 10; ++I) {
+    MemberRecord Record = recordOfOther(1);
+    Record.Place.Name += std::to_string(I);
+    Small.merge(Record, Spreading::PassOn, TimeMs(0));
+  }
+
+  LONGS_EQUAL(3, Small.members().size());
+}
+
+TEST(Membership, HasTheSameDigestForTheSameMembersInAnyOrder) {
+  MemberRecord Third = recordOfOther(3);
+  Third.Place.Name = "c/1";
+  Membership Again(Settings, Self, 10, TimeMs(0));
+
+  Table.merge(recordOfOther(1), Spreading::PassOn, TimeMs(0));
+  Table.merge(recordOfOther(2), Spreading::PassOn, TimeMs(0));
+  Table.merge(Third, Spreading::Keep, TimeMs(0));
+  Again.merge(Third, Spreading::PassOn, TimeMs(0));
+  CHECK_FALSE(Table.digest() == Again.digest());
+  Again.merge(recordOfOther(2), Spreading::Keep, TimeMs(0));
+
+  CHECK_TRUE(Table.digest() == Again.digest());
+}
