--- /dev/null
+++ b/bench/ControlSlopeBench.cpp
@@ -0,0 +1,155 @@
+/// \file
+/// Slopes of the control plane in the number of nodes: many control cores over
+/// a network in memory, under virtual time.
+///
+/// Gives what one machine cannot show with processes: bytes per node and second
+/// at rest and per change at 1,100 nodes, the bytes of a herd restart and of a
+/// failure domain that is cut off and healed, rounds until a version is in
+/// force everywhere, and the processor time of a core. Message bytes are those
+/// of the bodies with the envelope, framing, TCP and IP added as the transport
+/// does.
+///
+///   ControlSlopeBench --nodes=100,300,1100
+
+#include "nodes/FakeFleet.h"
+#include "nodes/PeerEnvelope.h"
+#include "nodes/PeerTraffic.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <sstream>
+#include <string>
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+DEFINE_string(nodes, "100,300,1100", "numbers of nodes, one run each");
+DEFINE_int32(rest_seconds, 30, "virtual seconds at rest");
+DEFINE_int32(changes, 5, "versions published");
+
+using namespace fescuewood;
+
+namespace {
+
+constexpr std::size_t Domains = 5;
+constexpr int SettleMs = 60 * 1000;
+constexpr int ChangePeriodMs = 8 * 1000;
+constexpr int CutMs = 60 * 1000;
+constexpr int HealMs = 60 * 1000;
+constexpr double SecondsPerDay = 86400;
+constexpr double ChangesPerDay = 2100;
+
+/// Bytes on the wire beside a message's body.
+double overheadPerMessage() {
+  const std::string Name = "domain-0/node-100";
+  const std::string Sealed = sealEnvelope({PeerKind::Exchange,
+                                           PeerPhase::Request,
+                                           {Name, 1790000000000ULL << 20},
+                                           {1790000000000, 1},
+                                           {}},
+                                          "secret");
+  return static_cast<double>(wireBytes(Sealed.size()));
+}
+
+/// One fleet; every node counts what it sends and what it receives.
+class Run {
+public:
+  explicit Run(std::size_t Count)
+      : Fleet(Domains, Count / Domains, 20261204), Count(Fleet.Nodes.size()) {}
+
+  void execute() {
+    Fleet.publish();
+    phase("start", 10 * 1000, [this] { Fleet.run(10 * 1000); });
+    Fleet.run(SettleMs);
+    const double Rest = phase("rest", FLAGS_rest_seconds * 1000,
+                              [this] { Fleet.run(FLAGS_rest_seconds * 1000); });
+    const int ChangesMs = FLAGS_changes * ChangePeriodMs;
+    const double Busy = phase("changes", ChangesMs, [this] { changes(); });
+    phase("cut of one domain", CutMs, [this] { cut(); });
+    phase("heal", HealMs, [this] { heal(); });
+    phase("herd restart", 20 * 1000, [this] { restart(); });
+    const double Each = (Busy - Rest) * ChangePeriodMs / 1000;
+    fmt::print("| {} | {:.0f} changes a day | {:.0f} | | a change costs a node "
+               "{:.0f} B |\n",
+               Count, ChangesPerDay,
+               Rest + Each * ChangesPerDay / SecondsPerDay, Each);
+    std::fflush(stdout);
+  }
+
+private:
+  template <typename Body>
+  double phase(const std::string &Name, int Milliseconds, const Body &Act) {
+    const std::uint64_t Bytes = Fleet.bodyBytes();
+    const std::uint64_t Messages = Fleet.messages();
+    Longest = 0;
+    const auto Began = std::chrono::steady_clock::now();
+    Act();
+    const std::chrono::duration<double> Took =
+        std::chrono::steady_clock::now() - Began;
+    const double Seconds = Milliseconds / 1000.0;
+    const double PerNode = static_cast<double>(Count) * Seconds;
+    // Each message is sent by one node and received by another.
+    const double Rate = 2 *
+                        (static_cast<double>(Fleet.bodyBytes() - Bytes) +
+                         static_cast<double>(Fleet.messages() - Messages) *
+                             overheadPerMessage()) /
+                        PerNode;
+    fmt::print("| {} | {} | {:.0f} | {:.3f} | {} |\n", Count, Name, Rate,
+               Took.count() / PerNode * 100,
+               Longest == 0 ? std::string()
+                            : fmt::format("in force everywhere after at most "
+                                          "{} ms",
+                                          Longest));
+    std::fflush(stdout);
+    return Rate;
+  }
+
+  void changes() {
+    for (int I = 0; I < FLAGS_changes; ++I) {
+      const Version Next = Fleet.publish();
+      const int Took = Fleet.runUntilInForce(Next, ChangePeriodMs);
+      Longest = std::max(Longest, Took < 0 ? ChangePeriodMs : Took);
+      Fleet.run(std::max(0, ChangePeriodMs - std::max(Took, 0)));
+    }
+  }
+
+  void cut() {
+    Fleet.cut(1, true);
+    Fleet.run(CutMs);
+  }
+
+  void heal() {
+    const Version Next = Fleet.publish();
+    Fleet.cut(1, false);
+    Longest = Fleet.runUntilInForce(Next, HealMs);
+    Fleet.run(HealMs - std::max(Longest, 0));
+  }
+
+  void restart() {
+    for (std::size_t I = 0; I < Count; ++I)
+      Fleet.restart(I);
+    const Version Next = Fleet.publish();
+    Longest = Fleet.runUntilInForce(Next, 20 * 1000);
+    Fleet.run(20 * 1000 - std::max(Longest, 0));
+  }
+
+  FakeFleet Fleet;
+  const std::size_t Count;
+  int Longest = 0;
+};
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  fmt::print("| Nodes | Phase | B/s per node, both directions | CPU % of a "
+             "core per node, the simulation's included | |\n"
+             "|---|---|---|---|---|\n");
+  std::istringstream Sizes(FLAGS_nodes);
+  std::string Size;
+  while (std::getline(Sizes, Size, ','))
+    Run(std::strtoul(Size.c_str(), nullptr, 10)).execute();
+  return EXIT_SUCCESS;
+}
