Test the call policies by property, and set calls in the settings

The [calls] section takes its defaults from policy/CallSettings.h. A target whose answer is too large or malformed was taken for a crashed one, and a request that could not be sent made its target count as down: both have a failure kind of their own now.

--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -84,7 +84,7 @@
       Tokens(Settings.Peers.Secret, Settings.Node.Name),
       Control(controlSettings(Settings), {Settings.Node.Name, Incarnation},
               controlHooks()),
-      Engine(callIdentity(Settings.Node, Incarnation), CallSettings(),
+      Engine(callIdentity(Settings.Node, Incarnation), Settings.Calls,
              callHooks()),
       Bridge(Engine, RateHook(), Tokens, Recorder.hook()),
       Callers(
--- a/src/app/TargetAdapter.cpp
+++ b/src/app/TargetAdapter.cpp
@@ -12,8 +12,13 @@
     return RunFailure::TimedOut;
   case ResultCode::TargetCancelled:
     return RunFailure::Cancelled;
+  case ResultCode::TargetUnreachable:
+    return RunFailure::NotReached;
+  case ResultCode::TargetAnswerTooLarge:
+  case ResultCode::TargetAnswerMalformed:
+    return RunFailure::Unusable;
   default:
-    return Result.Ran == Outcome::NotRun ? RunFailure::NotReached
+    return Result.Ran == Outcome::NotRun ? RunFailure::NotSent
                                          : RunFailure::Broken;
   }
 }
--- a/src/calls/Refusals.cpp
+++ b/src/calls/Refusals.cpp
@@ -4,6 +4,9 @@
 
 int statusOf(ResultCode Reason) {
   switch (Reason) {
+  case ResultCode::RequestMalformed:
+  case ResultCode::TargetRequestInvalid:
+    return 400;
   case ResultCode::CallerUnknown:
   case ResultCode::KeyWithdrawn:
     return 401;
--- a/src/calls/TargetPort.h
+++ b/src/calls/TargetPort.h
@@ -17,7 +17,9 @@
 /// How a run at the target ended without a whole answer.
 enum class RunFailure : std::uint8_t {
   None,       ///< There is an answer.
-  NotReached, ///< The request was not sent, so it did not run.
+  NotReached, ///< No connection to the target, so the request did not run.
+  NotSent,    ///< Not sent for a reason of its own; it did not run.
+  Unusable,   ///< The target answered, but not so that it can be passed on.
   Broken,     ///< The connection ended before the answer was whole.
   TimedOut,   ///< No whole answer in time; the target may still work on it.
   Cancelled,  ///< Ended by \ref TargetPort::Cancel.
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -85,7 +85,7 @@
   void run(const CallId &Id, HeldCall &Call);
   CallRequest outgoing(const HeldCall &Call) const;
   void onResult(const CallId &Id, RunResult Result);
-  void onAnswer(const CallId &Id, const HeldCall &Call, CallAnswer Answer);
+  void onAnswer(const CallId &Id, CallAnswer Answer);
   void onBroken(const HeldCall &Call);
   void learn(const HeldCall &Call, const RunResult &Result, TimeMs Now);
   void end(const CallId &Id, const CallReply &Reply);
--- a/src/nodes/CallMessages.h
+++ b/src/nodes/CallMessages.h
@@ -96,8 +96,8 @@
   std::uint64_t TotalBytes = 0;       ///< Of the encoded answer, when done.
   std::string Piece;
   LoadReport Load;
-  /// Every id seen in this last span is still remembered; a call that was sent
-  /// within it and is NeverSeen has not run.
+  /// Every id seen less than this span ago is still remembered; a call that was
+  /// sent within it and is NeverSeen has not run.
   DurationMs Remembered{0};
   std::string Marks; ///< Crash marks as encoded by policy/CrashGuard.
 
--- a/src/policy/CallLedger.h
+++ b/src/policy/CallLedger.h
@@ -81,7 +81,7 @@
   /// The entry of an id, or null. Valid until the next change.
   const LedgerEntry *find(const CallId &Id) const;
 
-  /// The span up to now within which every id that was seen is remembered.
+  /// A span: every id that was seen less than it ago is remembered.
   DurationMs remembered(TimeMs Now) const;
 
   /// Forgets what is older than the limits allow.
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -3,8 +3,10 @@
 #include "core/ReadFile.h"
 #include "ini/Forms.h"
 #include "ini/IniReader.h"
+#include "settings/CallRows.h"
 
 #include <algorithm>
+#include <initializer_list>
 #include <map>
 #include <utility>
 
@@ -58,12 +60,19 @@
   return within(Outer, Member);
 }
 
+std::vector<Row> joinedRows(std::initializer_list<std::vector<Row>> Parts) {
+  std::vector<Row> All;
+  for (const std::vector<Row> &Part : Parts)
+    All.insert(All.end(), Part.begin(), Part.end());
+  return All;
+}
+
 /// One line per setting: section, name, unit, default, form, member, meaning.
 /// A setting without a default must be given.
 // clang-format off
 const std::vector<Row> &rows() {
   constexpr auto Required = std::nullopt;
-  static const std::vector<Row> Table{
+  static const std::vector<Row> Before{
       keyRow<S>("node", "name", "", Required, nameForm(), in(&S::Node, &NodeIdentity::Name), "Name of this instance, unique in the fleet."),
       keyRow<S>("node", "domain", "", Required, nameForm(), in(&S::Node, &NodeIdentity::Domain), "Failure domain of this instance."),
       keyRow<S>("node", "service", "", Required, nameForm(), in(&S::Node, &NodeIdentity::Service), "Service that the target beside this process belongs to."),
@@ -85,6 +94,8 @@
       keyRow<S>("target", "probe_path", "", "/health", textForm(1, MaxPathBytes), in(&S::Target, &TargetSettings::ProbePath), "Path that is asked for the target's health."),
       keyRow<S>("target", "probe_period_ms", "ms", "1000", milliseconds(50, 60000), in(&S::Target, &TargetSettings::ProbePeriod), "Time between two probes of the target."),
       keyRow<S>("target", "probe_timeout_ms", "ms", "500", milliseconds(10, 60000), in(&S::Target, &TargetSettings::ProbeTimeout), "Longest time that a probe may take."),
+  };
+  static const std::vector<Row> After{
       keyRow<S>("platform", "source", "", Required, locationForm(), in(&S::Platform, &PlatformSettings::Source), "Where intent and instances are read from."),
       keyRow<S>("platform", "reads_per_second", "reads/s", "2000", wholeNumber<std::uint32_t>(1, 1000000), in(&S::Platform, &PlatformSettings::FleetReadsPerSecond), "Reads that the platform bears from the whole fleet."),
       keyRow<S>("platform", "fleet_nodes", "", "1200", wholeNumber<std::uint32_t>(1, 100000), in(&S::Platform, &PlatformSettings::FleetNodes), "Most processes that run at once in the whole fleet."),
@@ -94,6 +105,7 @@
       keyRow<S>("log", "level", "", "info", levelForm(), in(&S::Log, &LogSettings::Level), "Least level of the events that are logged."),
       keyRow<S>("log", "file", "", "", textForm(0, MaxPathBytes), in(&S::Log, &LogSettings::File), "File to log to; empty for the standard error stream."),
   };
+  static const std::vector<Row> Table = joinedRows({Before, callRows(), After});
   return Table;
 }
 // clang-format on
--- a/src/settings/NodeSettings.h
+++ b/src/settings/NodeSettings.h
@@ -13,6 +13,7 @@
 #include "core/Event.h"
 #include "ini/Problem.h"
 #include "ini/Schema.h"
+#include "policy/CallSettings.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -95,6 +96,7 @@
   CallerSettings Callers;
   PeerSettings Peers;
   TargetSettings Target;
+  CallSettings Calls;
   PlatformSettings Platform;
   OperatorSettings Operators;
   LogSettings Log;
--- /dev/null
+++ b/tests/policy/CallLedgerTest.cpp
@@ -0,0 +1,103 @@
+#include "support/Property.h"
+
+#include "policy/CallLedger.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+namespace {
+
+const CallId First{7, 1};
+
+CallLedgerLimits tight() {
+  CallLedgerLimits Limits;
+  Limits.MaxIds = 5;
+  Limits.MaxKeptBytes = 30;
+  Limits.KeepAnswers = DurationMs(20);
+  Limits.KeepIds = DurationMs(50);
+  return Limits;
+}
+
+} // namespace
+
+TEST_GROUP(CallLedger){};
+
+TEST(CallLedger, KeepsTheAnswerForASecondQuestion) {
+  CallLedger Ledger({}, TimeMs(0));
+  Ledger.begin(First, TimeMs(1));
+
+  Ledger.finish(First, "answer", TimeMs(2));
+
+  CHECK(CallLedger::Arrival::Known == Ledger.begin(First, TimeMs(3)));
+  CHECK(LedgerEntry::State::Done == Ledger.find(First)->Progress);
+  STRCMP_EQUAL("answer", Ledger.find(First)->Answer.c_str());
+}
+
+TEST(CallLedger, FencedCallNeverRuns) {
+  CallLedger Ledger({}, TimeMs(0));
+
+  CHECK_TRUE(Ledger.fence(First, TimeMs(1)));
+
+  CHECK(CallLedger::Arrival::Known == Ledger.begin(First, TimeMs(2)));
+  CHECK(LedgerEntry::State::Refused == Ledger.find(First)->Progress);
+}
+
+TEST(CallLedger, DoesNotFenceACallThatRuns) {
+  CallLedger Ledger({}, TimeMs(0));
+  Ledger.begin(First, TimeMs(1));
+
+  CHECK_FALSE(Ledger.fence(First, TimeMs(2)));
+}
+
+// Against a model that forgets nothing: no id runs twice, what is said to be
+// remembered is, and the bounds hold, in whatever order messages come.
+TEST(CallLedger, RunsNoCallTwiceHoweverMuchItForgets) {
+  checkProperty("at most once, within bounds", [] {
+    CallLedger Ledger(tight(), TimeMs(0));
+    TimeMs Now(0);
+    std::map<CallId, TimeMs> Seen;
+    std::set<CallId> Ran;
+    std::set<CallId> Running;
+    const auto Steps = *rc::gen::container<std::vector<std::array<int, 4>>>(
+        rc::gen::container<std::array<int, 4>>(rc::gen::inRange(0, 30)));
+    for (const auto &[What, Sequence, Incarnation, Wait] : Steps) {
+      Now = Now + DurationMs(Wait);
+      const CallId Id{static_cast<std::uint64_t>(1 + Incarnation % 2),
+                      static_cast<std::uint64_t>(Sequence)};
+      const bool Known = Ledger.find(Id) != nullptr;
+      switch (What % 4) {
+      case 0:
+        if (Ledger.begin(Id, Now) == CallLedger::Arrival::New) {
+          RC_ASSERT(Ran.insert(Id).second);
+          Running.insert(Id);
+          Seen[Id] = Now;
+        }
+        break;
+      case 1:
+        if (Running.erase(Id) > 0)
+          Ledger.finish(Id, std::string(10, 'a'), Now);
+        break;
+      case 2:
+        if (Ledger.fence(Id, Now)) {
+          if (!Known)
+            RC_ASSERT(!Ran.contains(Id));
+          Ran.insert(Id); // From now on it must not run.
+          Seen.try_emplace(Id, Now);
+        }
+        break;
+      default:
+        Ledger.expire(Now);
+      }
+      RC_ASSERT(Ledger.size() <= tight().MaxIds + Running.size());
+      RC_ASSERT(Ledger.keptBytes() <= tight().MaxKeptBytes);
+      for (const auto &[SeenId, When] : Seen)
+        if (Now - When < Ledger.remembered(Now))
+          RC_ASSERT(Ledger.find(SeenId) != nullptr);
+    }
+  });
+}
--- /dev/null
+++ b/tests/policy/FairQueueTest.cpp
@@ -0,0 +1,147 @@
+#include "support/Property.h"
+
+#include "policy/FairQueue.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+namespace {
+
+constexpr ServiceRate Rate{1, DurationMs(1)};
+constexpr TimeMs Far(1'000'000);
+
+QueuedCall call(std::uint64_t Sequence, const std::string &Organisation,
+                std::uint32_t Weight = 1, bool CanWait = false) {
+  QueuedCall Call;
+  Call.Id = {1, Sequence};
+  Call.Organisation = Organisation;
+  Call.Weight = Weight;
+  Call.CanWait = CanWait;
+  Call.Deadline = Far;
+  Call.Bytes = 10;
+  return Call;
+}
+
+} // namespace
+
+TEST_GROUP(FairQueue) {
+  std::vector<CallId> Expired;
+  FairQueue Queue{{}, [this](const CallId &Id) { Expired.push_back(Id); }};
+};
+
+// The fairness bound: while two organisations both wait, what each has got,
+// divided by its weight, never differs by more than one request of each.
+TEST(FairQueue, SharesByWeightWhateverIsSent) {
+  checkProperty("normalised service differs by at most one request each", [] {
+    const auto WeightA = *rc::gen::inRange<std::uint32_t>(1, 8);
+    const auto WeightB = *rc::gen::inRange<std::uint32_t>(1, 8);
+    const auto CountA = *rc::gen::inRange(1, 200);
+    const auto CountB = *rc::gen::inRange(1, 200);
+    FairQueue Queue({}, [](const CallId &) {});
+    std::uint64_t Next = 0;
+    for (int I = 0; I < CountA; ++I)
+      Queue.push(call(Next++, "a", WeightA), Rate, TimeMs(0));
+    const std::uint64_t FirstOfB = Next;
+    for (int I = 0; I < CountB; ++I)
+      Queue.push(call(Next++, "b", WeightB), Rate, TimeMs(0));
+    double ServedA = 0;
+    double ServedB = 0;
+    while (ServedA < CountA && ServedB < CountB) {
+      const auto Id = Queue.pop(Rate, TimeMs(0));
+      (Id->Sequence < FirstOfB ? ServedA : ServedB) += 1;
+      RC_ASSERT(std::abs(ServedA / WeightA - ServedB / WeightB) <=
+                1.0 / WeightA + 1.0 / WeightB + 1e-9);
+    }
+  });
+}
+
+// Every request that is taken in leaves exactly once: by pop, by remove or as
+// too late; and memory stays within its bound.
+TEST(FairQueue, LosesAndDoublesNoRequest) {
+  checkProperty("accepted = popped + removed + expired + held", [] {
+    std::set<CallId> Held;
+    FairQueueSettings Settings;
+    Settings.MaxBytes = 200;
+    FairQueue Queue(Settings,
+                    [&](const CallId &Id) { RC_ASSERT(Held.erase(Id) == 1U); });
+    std::uint64_t Next = 0;
+    TimeMs Now(0);
+    const auto Steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 5), rc::gen::inRange(0, 20)));
+    for (const auto &[What, Value] : Steps) {
+      Now = Now + DurationMs(Value);
+      if (What <= 1) {
+        QueuedCall Call = call(Next++, std::to_string(Value % 3), 1, What == 1);
+        Call.Deadline = Now + DurationMs(Value * 3);
+        const CallId Id = Call.Id;
+        if (Queue.push(std::move(Call), Rate, Now))
+          Held.insert(Id);
+      } else if (What == 2) {
+        if (const auto Id = Queue.pop(Rate, Now))
+          RC_ASSERT(Held.erase(*Id) == 1U);
+      } else if (What == 3 && !Held.empty()) {
+        const CallId Id = *Held.begin();
+        RC_ASSERT(Queue.remove(Id));
+        Held.erase(Id);
+      } else {
+        Queue.expire(Now);
+      }
+      RC_ASSERT(Queue.size() == Held.size());
+      RC_ASSERT(Queue.bytes() <= Settings.MaxBytes);
+    }
+  });
+}
+
+TEST(FairQueue, ServesUrgentRequestsFirstButNeverStarvesThoseThatCanWait) {
+  std::uint64_t Next = 0;
+  for (int I = 0; I < 80; ++I)
+    Queue.push(call(Next++, "a"), Rate, TimeMs(0));
+  const std::uint64_t FirstWaiting = Next;
+  for (int I = 0; I < 20; ++I)
+    Queue.push(call(Next++, "b", 1, true), Rate, TimeMs(0));
+
+  int Waiting = 0;
+  for (int I = 0; I < 80; ++I)
+    Waiting += Queue.pop(Rate, TimeMs(0))->Sequence >= FirstWaiting ? 1 : 0;
+
+  LONGS_EQUAL(80 / FairQueueSettings().WaitingShare, Waiting);
+}
+
+TEST(FairQueue, RefusesEarlyWhatCannotBeAnsweredInTime) {
+  const ServiceRate Slow{1, DurationMs(100)};
+  for (std::uint64_t I = 0; I < 5; ++I)
+    Queue.push(call(I, "a"), Slow, TimeMs(0));
+  QueuedCall Late = call(10, "a");
+  Late.Deadline = TimeMs(300);
+  QueuedCall Patient = Late;
+  Patient.Id.Sequence = 11;
+  Patient.CanWait = true;
+  QueuedCall Other = Late;
+  Other.Id.Sequence = 12;
+  Other.Organisation = "b";
+  Other.Deadline = TimeMs(400);
+
+  CHECK_FALSE(Queue.push(Late, Slow, TimeMs(0)));
+  CHECK(ResultCode::DeadlineUnreachable == Queue.lastReason());
+  CHECK_TRUE(Queue.push(Patient, Slow, TimeMs(0)));
+  // Another organisation does not wait behind the first one's backlog.
+  CHECK_TRUE(Queue.push(Other, Slow, TimeMs(0)));
+}
+
+TEST(FairQueue, OneOrganisationAloneNeverFillsTheQueue) {
+  FairQueueSettings Small;
+  Small.MaxBytes = 1000;
+  FairQueue Bounded(Small, [](const CallId &) {});
+  std::uint64_t Next = 0;
+  while (Bounded.push(call(Next++, "a", 1, true), Rate, TimeMs(0))) {
+  }
+
+  CHECK(ResultCode::QueueFull == Bounded.lastReason());
+  LONGS_EQUAL(500, Bounded.bytes());
+  CHECK_TRUE(Bounded.push(call(Next, "b", 1, true), Rate, TimeMs(0)));
+}
--- /dev/null
+++ b/tests/policy/RouterTest.cpp
@@ -0,0 +1,150 @@
+#include "support/Property.h"
+
+#include "policy/Router.h"
+
+#include <map>
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+namespace {
+
+constexpr TimeMs Now(1'000'000);
+
+Snapshot config(const std::string &Out = {}) {
+  Snapshot Config;
+  for (const char *Name : {"east", "north", "far"})
+    Config.Domains[Name] = {Name, std::string(Name) == "far" ? "two" : "one",
+                            Name == Out ? DomainStatus::Out : DomainStatus::In,
+                            8};
+  return Config;
+}
+
+std::vector<Instance> instances() {
+  std::vector<Instance> All;
+  for (const char *Domain : {"east", "north", "far"}) {
+    for (int I = 0; I < 3; ++I) {
+      Instance Place;
+      Place.Name = std::string(Domain) + "/" + std::to_string(I);
+      Place.Domain = Domain;
+      Place.Service = "queue";
+      Place.State = TargetState::Ready;
+      All.push_back(Place);
+    }
+  }
+  return All;
+}
+
+} // namespace
+
+TEST_GROUP(Router) {
+  std::mt19937_64 Engine{1};
+  RandomHook Random = [this] { return Engine(); };
+  Router Targets{{}, "east"};
+
+  void setup() override {
+    Targets.setSnapshot(config(), Now);
+    Targets.setInstances(instances());
+  }
+
+  /// Share of 2000 picks, each of which ends at once, by failure domain.
+  std::map<std::string, double> shares(TimeMs At) {
+    std::map<std::string, double> Counts;
+    for (int I = 0; I < 2000; ++I) {
+      const Instance *Picked = Targets.pick("queue", {}, At, Random);
+      if (Picked)
+        Counts[Picked->Domain] += 1.0 / 2000;
+    }
+    return Counts;
+  }
+};
+
+TEST(Router, PrefersNearTargetsAndLeavesTheOtherRegionAlone) {
+  auto Shares = shares(Now);
+
+  CHECK(Shares["east"] > 0.6);
+  CHECK(Shares["far"] < 0.02);
+}
+
+TEST(Router, GoesElsewhereWhenTheNearTargetsAreFull) {
+  const TargetLoad Full{6, 20, 6, DurationMs(20), TargetState::Ready};
+  const TargetLoad Free{0, 0, 6, DurationMs(20), TargetState::Ready};
+  for (const Instance &Each : instances())
+    Targets.onLoad(Each.Name, Each.Domain == "east" ? Full : Free, Now);
+
+  auto Shares = shares(Now);
+
+  CHECK(Shares["north"] > 0.6);
+}
+
+TEST(Router, BringsADomainBackGradually) {
+  Targets.setSnapshot(config("north"), Now);
+  const double Out = shares(Now)["north"];
+  Targets.setSnapshot(config(), Now);
+
+  const double AtOnce = shares(Now)["north"];
+  const double Halfway = shares(Now + DurationMs(10000))["north"];
+  const double Back = shares(Now + DurationMs(20000))["north"];
+
+  DOUBLES_EQUAL(0, Out, 0);
+  CHECK(AtOnce > 0);
+  CHECK(AtOnce < 0.06);
+  CHECK(Halfway > AtOnce);
+  CHECK(Back > Halfway);
+}
+
+TEST(Router, AvoidsASilentNodeUntilItIsHeardOrTimeHasPassed) {
+  Targets.onSilent("east/0", Now);
+
+  const auto Picks = [this](TimeMs At) {
+    int Count = 0;
+    for (int I = 0; I < 200; ++I)
+      Count += Targets.pick("queue", {}, At, Random)->Name == "east/0" ? 1 : 0;
+    return Count;
+  };
+
+  LONGS_EQUAL(0, Picks(Now));
+  CHECK_TRUE(Targets.doubtful("east/0"));
+  CHECK(Picks(Now + RouterSettings().SuspectTime) > 0);
+  Targets.onLoad("east/0", {0, 0, 6, DurationMs(5), TargetState::Ready}, Now);
+  CHECK(Picks(Now) > 0);
+}
+
+// What is out, leaving, down, undeclared or tried already is never picked; what
+// remains is, if there is any.
+TEST(Router, PicksOnlyWhatMayBePicked) {
+  checkProperty("no forbidden pick, no needless refusal", [] {
+    auto All = instances();
+    for (Instance &Each : All) {
+      Each.State = static_cast<TargetState>(*rc::gen::inRange(0, 4));
+      if (*rc::gen::inRange(0, 10) == 0)
+        Each.Domain = "undeclared";
+    }
+    const auto Out = *rc::gen::element<std::string>("", "east", "north", "far");
+    std::vector<std::string> Tried;
+    for (const Instance &Each : All)
+      if (*rc::gen::inRange(0, 3) == 0)
+        Tried.push_back(Each.Name);
+    Router Any({}, "east");
+    Any.setSnapshot(config(Out), Now);
+    Any.setInstances(All);
+    std::mt19937_64 Draw(*rc::gen::arbitrary<std::uint32_t>());
+    std::set<std::string> Allowed;
+    for (const Instance &Each : All) {
+      if (Each.State != TargetState::Draining &&
+          Each.State != TargetState::Down && Each.Domain != Out &&
+          Each.Domain != "undeclared" &&
+          std::find(Tried.begin(), Tried.end(), Each.Name) == Tried.end())
+        Allowed.insert(Each.Name);
+    }
+
+    const Instance *Picked =
+        Any.pick("queue", Tried, Now, [&Draw] { return Draw(); });
+
+    RC_ASSERT((Picked == nullptr) == Allowed.empty());
+    if (Picked)
+      RC_ASSERT(Allowed.contains(Picked->Name));
+  });
+}
--- a/tests/settings/NodeSettingsTest.cpp
+++ b/tests/settings/NodeSettingsTest.cpp
@@ -166,3 +166,14 @@
 
   CHECK(ResultCode::FileUnreadable == Found[0].Code);
 }
+
+TEST(NodeSettings, CallsHaveTheDefaultsOfTheCode) {
+  const auto Settings = parseSettings(Complete, "node.ini", Found);
+
+  CHECK_TRUE(Settings.has_value());
+  const CallSettings Code;
+  CHECK(Code.Routing == Settings->Calls.Routing);
+  CHECK(Code.HeartbeatInterval == Settings->Calls.HeartbeatInterval);
+  DOUBLES_EQUAL(Code.ColdShare, Settings->Calls.ColdShare, 0);
+  LONGS_EQUAL(Code.MaxKeptBytes, Settings->Calls.MaxKeptBytes);
+}
