Bound what a herd start costs: finer buckets, paced repairs, few rumours

Cause: under virtual time 1,100 nodes that start at once moved 50 kB/s each for 10 s, since every table differed in every bucket and each answer was repaired.

--- a/src/nodes/ControlMessages.cpp
+++ b/src/nodes/ControlMessages.cpp
@@ -5,7 +5,6 @@
 #include "nodes/PeerCodec.h"
 #include "nodes/PeerEnvelope.h"
 #include <algorithm>
-#include <array>
 
 namespace fescuewood {
 
@@ -57,7 +56,7 @@
 
 struct WireRepair {
   std::uint8_t Type = 0;
-  std::array<std::uint32_t, MemberBuckets> Buckets{};
+  std::string Buckets; ///< Two bytes each, the low one first.
   bool AllBuckets = false;
   MSGPACK_DEFINE(Type, Buckets, AllBuckets)
 };
@@ -191,6 +190,19 @@
   return Result;
 }
 
+std::optional<RepairRequest> fromWire(const WireRepair &Wire) {
+  if (Wire.Buckets.size() != 2 * MemberBuckets)
+    return std::nullopt;
+  RepairRequest Result;
+  Result.AllBuckets = Wire.AllBuckets;
+  for (std::size_t I = 0; I < MemberBuckets; ++I) {
+    const auto Low = static_cast<std::uint8_t>(Wire.Buckets[2 * I]);
+    const auto High = static_cast<std::uint8_t>(Wire.Buckets[2 * I + 1]);
+    Result.Buckets[I] = static_cast<std::uint16_t>(High << 8U | Low);
+  }
+  return Result;
+}
+
 std::vector<IntentFile> fromWire(std::vector<WireFile> Wire) {
   std::vector<IntentFile> Files;
   Files.reserve(Wire.size());
@@ -225,8 +237,14 @@
 }
 
 std::string packRepair(const RepairRequest &Message) {
-  return packBody(WireRepair{static_cast<std::uint8_t>(ExchangeType::Repair),
-                             Message.Buckets, Message.AllBuckets});
+  WireRepair Wire;
+  Wire.Type = static_cast<std::uint8_t>(ExchangeType::Repair);
+  for (std::uint16_t Bucket : Message.Buckets) {
+    Wire.Buckets.push_back(static_cast<char>(Bucket & 0xFFU));
+    Wire.Buckets.push_back(static_cast<char>(Bucket >> 8U));
+  }
+  Wire.AllBuckets = Message.AllBuckets;
+  return packBody(Wire);
 }
 
 std::string packRepairReply(const RepairReply &Message) {
@@ -259,7 +277,7 @@
   if (Type->Type == static_cast<std::uint8_t>(ExchangeType::Repair)) {
     const auto Wire = unpackBody<WireRepair>(Body);
     if (Wire)
-      Result.Repair = RepairRequest{Wire->Buckets, Wire->AllBuckets};
+      Result.Repair = fromWire(*Wire);
   } else {
     Result.Exchange = unpackExchange(Body);
   }
--- a/src/nodes/MemberSync.cpp
+++ b/src/nodes/MemberSync.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr DurationMs EagerPeriod{300};
+constexpr DurationMs EagerPeriod{500};
 constexpr std::size_t EagerPeers = 3;
 constexpr DurationMs RefreshPeriod{500};
 
@@ -21,6 +21,16 @@
 /// would mostly settle it.
 constexpr std::uint64_t RepairShare = 4;
 
+/// Least time between two repairs of this node, so that a change of many
+/// members at once, which makes all tables differ for a while, stays cheap.
+constexpr DurationMs RepairPeriod{2000};
+constexpr DurationMs EagerRepairPeriod{1000};
+
+/// With more records than this waiting, many members have changed at once:
+/// repairs then carry them in bulk, and rumours only what matters most.
+constexpr std::size_t ManyRumours = 64;
+constexpr std::size_t FewRumours = 2;
+
 constexpr double MsPerSecond = 1000;
 
 } // namespace
@@ -34,6 +44,7 @@
       Members(Settings.Members, Settings.Self, Incarnation, this->Time.now()),
       View(Settings.Peers, this->Random), NextExchange(this->Time.now()),
       NextEager(NextExchange), NextRefresh(NextExchange),
+      NextRepair(NextExchange),
       PushTokens(static_cast<double>(Settings.MaxPushesPerSecond)),
       PushTokensAt(NextExchange) {}
 
@@ -159,7 +170,9 @@
 ExchangeMessage MemberSync::describe(std::string_view Receiver) {
   ExchangeMessage Message;
   Message.MemberCount = static_cast<std::uint32_t>(Members.members().size());
-  Message.Rumours = Members.takeRumours(Settings.MaxRumours);
+  Message.Rumours = Members.takeRumours(Members.rumoursWaiting() > ManyRumours
+                                            ? FewRumours
+                                            : Settings.MaxRumours);
   Message.TableDigest = Members.digest();
   addBelief(Receiver, Message);
   Own.Describe(Message);
@@ -288,7 +301,7 @@
 /// Whether to compare tables now: while rumours travel they mostly settle a
 /// difference by themselves.
 bool MemberSync::wantsRepair(const ExchangeMessage &Theirs) {
-  if (Theirs.TableDigest == Members.digest())
+  if (Theirs.TableDigest == Members.digest() || Time.now() < NextRepair)
     return false;
   return farSmallerThan(Theirs) || Theirs.Rumours.empty() ||
          Random() % RepairShare == 0;
@@ -297,6 +310,8 @@
 void MemberSync::repair(const std::string &Address,
                         const ExchangeMessage &Theirs) {
   ++Counts.Repairs;
+  NextRepair =
+      Time.now() + (farSmallerThan(Theirs) ? EagerRepairPeriod : RepairPeriod);
   PeerRequest Message;
   Message.Address = Address;
   Message.Kind = PeerKind::Exchange;
@@ -312,20 +327,21 @@
   });
 }
 
-/// Sends the records of a few buckets that differ, or of all.
+/// Sends the records of buckets that differ: some at random, or all.
 std::string MemberSync::serveRepair(const RepairRequest &Request) {
   std::vector<std::size_t> Differing;
   for (std::size_t I = 0; I < MemberBuckets; ++I)
     if (Request.Buckets[I] != Members.bucketDigests()[I])
       Differing.push_back(I);
-  while (!Request.AllBuckets && Differing.size() > Settings.MaxRepairBuckets) {
+  RepairReply Reply;
+  while (!Differing.empty() &&
+         (Request.AllBuckets ||
+          Reply.Members.size() < Settings.MaxRepairRecords)) {
     std::swap(Differing[Random() % Differing.size()], Differing.back());
+    for (MemberRecord &Record : Members.bucket(Differing.back()))
+      Reply.Members.push_back(std::move(Record));
     Differing.pop_back();
   }
-  RepairReply Reply;
-  for (std::size_t Index : Differing)
-    for (MemberRecord &Record : Members.bucket(Index))
-      Reply.Members.push_back(std::move(Record));
   return packRepairReply(Reply);
 }
 
--- a/src/nodes/MemberSync.h
+++ b/src/nodes/MemberSync.h
@@ -107,6 +107,7 @@
   TimeMs NextEager;
   TimeMs NextRefresh;
   TimeMs NextRotation;
+  TimeMs NextRepair;
   std::uint64_t ViewDigest = 0; ///< Of the members that the view rests on.
   double PushTokens;
   TimeMs PushTokensAt;
--- a/src/policy/Membership.cpp
+++ b/src/policy/Membership.cpp
@@ -48,6 +48,7 @@
   Member &Entry = Table[Place.Name];
   Entry.Record.Place = Place;
   Entry.ChangedAt = Now;
+  Entry.Bucket = bucketOf(Place.Name);
   toggle(Entry.Record);
   Changed = true;
   return &Entry;
@@ -57,7 +58,7 @@
 void Membership::toggle(const MemberRecord &Record) {
   if (countsAsPresent(Record))
     Buckets[bucketOf(Record.Place.Name)] ^=
-        static_cast<std::uint32_t>(Record.hash());
+        static_cast<std::uint16_t>(Record.hash());
 }
 
 void Membership::update(Member &Entry, const Change &Apply, TimeMs Now) {
@@ -275,7 +276,7 @@
 
 std::uint64_t Membership::digest() const {
   std::uint64_t Sum = 0;
-  for (std::uint32_t Bucket : Buckets)
+  for (std::uint16_t Bucket : Buckets)
     Sum = Sum * 0x100000001b3ULL + Bucket;
   return Sum;
 }
@@ -283,7 +284,7 @@
 std::vector<MemberRecord> Membership::bucket(std::size_t Index) const {
   std::vector<MemberRecord> Result;
   for (const auto &[Name, Entry] : Table)
-    if (bucketOf(Name) == Index)
+    if (Entry.Bucket == Index)
       Result.push_back(Entry.Record);
   return Result;
 }
--- a/src/policy/Membership.h
+++ b/src/policy/Membership.h
@@ -33,17 +33,19 @@
 
 namespace fescuewood {
 
-/// Buckets that members are hashed into for comparison.
-inline constexpr std::size_t MemberBuckets = 64;
+/// Buckets that members are hashed into for comparison: at 1,100 members the
+/// digests of all and the records of a few take about the same room.
+inline constexpr std::size_t MemberBuckets = 256;
 
 /// One digest for each bucket.
-using BucketDigests = std::array<std::uint32_t, MemberBuckets>;
+using BucketDigests = std::array<std::uint16_t, MemberBuckets>;
 
 /// What a node knows of one member.
 struct Member {
   MemberRecord Record;
   std::optional<TimeMs> HeardAt; ///< It spoke to this very node.
   TimeMs ChangedAt;              ///< Its health changed as seen here.
+  std::size_t Bucket = 0;
 };
 
 /// Whether merged records are passed on to others.
@@ -89,6 +91,9 @@
   /// Records to pass on, urgent ones first; each a limited number of times.
   std::vector<MemberRecord> takeRumours(std::size_t Most);
 
+  /// Number of records that wait to be passed on.
+  std::size_t rumoursWaiting() const { return Rumours.size(); }
+
   /// The receiver of these rumours knew the ones whose bit is set.
   void onRumoursKnown(std::span<const MemberRecord> Sent, std::uint32_t Known);
 
