Notice the silence of a quick target sooner

A call was first asked about after the whole heartbeat interval. The first question now comes after four times the target's typical answer time, between 40 ms and that interval.

--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -247,10 +247,7 @@
   Start.Request.Id = Present.Id;
   Start.Request.Remaining = Call.Deadline - Now;
   Start.Marks = Context.Guard.encode(Now);
-  const bool Plain = Context.Settings.Retry == RetryMode::Plain;
-  const DurationMs Patience =
-      Context.Settings.HeartbeatInterval * (Plain ? MaxHeartbeatFactor : 1);
-  schedule(Handle, Call, Now + Patience);
+  schedule(Handle, Call, Now + patience(Present));
   if (IsLocal) {
     Local.Start(std::move(Start),
                 [this, Handle, Id = Present.Id](const CallReply &Reply) {
@@ -279,6 +276,17 @@
   });
 }
 
+DurationMs EntrySide::patience(const Attempt &Present) const {
+  const DurationMs Interval = Context.Settings.HeartbeatInterval;
+  if (Context.Settings.Retry == RetryMode::Plain)
+    return Interval * MaxHeartbeatFactor;
+  // A quick target's silence is noticed sooner; one question more is cheap.
+  const DurationMs Usual =
+      Targets.typicalAnswerTime(Present.Target, Context.now());
+  return std::clamp(Usual * PatienceFactor, std::min(LeastPatience, Interval),
+                    Interval);
+}
+
 void EntrySide::ask(CallHandle Handle, EntryCall &Call, PeerRoute Route) {
   Attempt &Present = *Call.Present;
   const TimeMs Now = Context.now();
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -40,6 +40,11 @@
 /// Time for which calls to a node whose connection lost one use fresh ones.
 inline constexpr DurationMs FreshConnectionTime{1000};
 
+/// Times its typical answer time after which a call is first asked about, and
+/// the least silence for that; the heartbeat interval is the most.
+inline constexpr std::int64_t PatienceFactor = 4;
+inline constexpr DurationMs LeastPatience{40};
+
 /// Most heartbeat intervals between two questions about one call.
 inline constexpr std::int64_t MaxHeartbeatFactor = 4;
 
@@ -129,6 +134,7 @@
   void dispatch(CallHandle Handle, EntryCall &Call);
   void park(CallHandle Handle, EntryCall &Call);
   void begin(CallHandle Handle, EntryCall &Call, const Instance &Target);
+  DurationMs patience(const Attempt &Present) const;
   void sendStart(CallHandle Handle, EntryCall &Call);
   void greet(CallHandle Handle, EntryCall &Call);
   void sendFetch(CallHandle Handle, const Attempt &Present,
--- a/src/policy/Router.cpp
+++ b/src/policy/Router.cpp
@@ -99,6 +99,18 @@
   return Found != Entries.end() && Found->second.SuspectSpan > DurationMs(0);
 }
 
+DurationMs Router::typicalAnswerTime(std::string_view Name, TimeMs Now) const {
+  const auto Found = Entries.find(Name);
+  if (Found == Entries.end())
+    return DurationMs(0);
+  const Entry &Known = Found->second;
+  const double Latency = Known.Load && Known.Load->Latency > DurationMs(0)
+                             ? static_cast<double>(Known.Load->Latency.Value)
+                             : UnknownLatency;
+  return DurationMs(
+      static_cast<std::int64_t>(Latency + expectedWait(Known, Now)));
+}
+
 const Instance *Router::pick(std::string_view Service,
                              std::span<const std::string> Tried, TimeMs Now,
                              const RandomHook &Random) const {
--- a/src/policy/Router.h
+++ b/src/policy/Router.h
@@ -87,6 +87,10 @@
   /// Whether an instance has been silent and not been heard of since.
   bool doubtful(std::string_view Name) const;
 
+  /// Typical time from sending a call to an instance to its answer, by the
+  /// last report; an assumed one before the first.
+  DurationMs typicalAnswerTime(std::string_view Name, TimeMs Now) const;
+
   /// The instance to send a call to, or null when none may be sent to.
   /// Valid until the next \ref setInstances.
   /// \param Tried names of instances that are not to be tried again.
