--- a/bench/RateBench.cpp
+++ b/bench/RateBench.cpp
@@ -37,6 +37,14 @@
 DEFINE_double(load, 0.8, "arrivals as a part of the rate");
 DEFINE_double(bytes_per_second, fescuewood::TokenSettings().BytesPerSecond,
               "bytes a second that a node may send");
+DEFINE_int64(flow_term_ms, fescuewood::TokenSettings().FlowTerm.Value,
+             "term of a lease that carries a rate");
+DEFINE_uint32(slots_per_meter, fescuewood::TokenSettings().SlotsPerMeter,
+              "declared slots that one meter serves");
+DEFINE_uint32(meters_per_domain, fescuewood::TokenSettings().MetersPerDomain,
+              "least meters in a domain");
+DEFINE_double(min_meter_burst, fescuewood::TokenSettings().MinMeterBurst,
+              "least burst of one meter");
 DEFINE_int32(threads, 4, "runs at once");
 DEFINE_bool(organisations, false, "also print a row for each organisation");
 
@@ -134,6 +142,10 @@
 Design designOf(const std::string &Name) {
   Design D{Name, TokenSettings(), true};
   D.Settings.BytesPerSecond = FLAGS_bytes_per_second;
+  D.Settings.FlowTerm = DurationMs(FLAGS_flow_term_ms);
+  D.Settings.SlotsPerMeter = FLAGS_slots_per_meter;
+  D.Settings.MetersPerDomain = FLAGS_meters_per_domain;
+  D.Settings.MinMeterBurst = FLAGS_min_meter_burst;
   if (Name == "static" || Name == "transfers") {
     D.Settings.SlotsPerMeter = 1;
     D.Settings.MinMeterBurst = 0;
--- a/src/policy/TokenHolder.cpp
+++ b/src/policy/TokenHolder.cpp
@@ -10,17 +10,26 @@
 
 constexpr double MsPerSecond = 1000;
 
-/// Tokens for so much time are fetched ahead of need, in seconds of demand.
-constexpr double AheadSeconds = 0.3;
-
 /// A lease is renewed when less than this part of its term is left.
 constexpr double RenewPart = 0.5;
 
-/// Fewest requests expected in a term for which a lease is renewed.
-constexpr double MinRenewRequests = 2;
+/// Fewest requests expected in a term for which a rate is leased.
+constexpr double MinFlowRequests = 3;
+
+/// Part of the demand for which a rate is leased; the rest comes from filling
+/// leases up, out of the meters' pools.
+constexpr double EnoughRatePart = 0.6;
+
+/// A lease with less than this part of its cap left is filled up.
+constexpr double LowPart = 0.3;
 
-/// Most asks for tokens at once.
-constexpr std::size_t MaxPendingNeeds = 2;
+/// Least time between two asks of one meter that no request waits for.
+constexpr DurationMs FillPause{300};
+
+/// Time until another meter is asked after one that had nothing to give;
+/// doubles with each such meter.
+constexpr DurationMs ShortestPause{100};
+constexpr DurationMs LongestPause{2000};
 
 /// Longest forecast of the next token.
 constexpr double LongestForecastMs = 3600 * 1000;
@@ -44,25 +53,25 @@
 void TokenHolder::setMeters(const std::vector<SlotId> &Order) {
   std::vector<Contact> Next;
   Active.clear();
-  PendingNeeds = 0;
+  PendingTokens = 0;
   for (const SlotId &Meter : Order) {
     Contact *Old = find(Meter);
     Contact C = Old ? *Old : Contact();
     C.Meter = Meter;
     if (C.Adopted != 0 || C.Pending)
       Active.push_back(Next.size());
-    if (C.PendingNeed)
-      ++PendingNeeds;
+    PendingTokens += C.PendingNeed;
     Next.push_back(std::move(C));
   }
   Contacts = std::move(Next);
+  PendingRate = false;
 }
 
 void TokenHolder::settle(Contact &C) {
-  if (C.PendingNeed)
-    --PendingNeeds;
+  PendingTokens -= C.PendingNeed;
   C.Pending = false;
-  C.PendingNeed = false;
+  C.PendingNeed = 0;
+  PendingRate = false;
 }
 
 void TokenHolder::advance(TimeMs Now) {
@@ -139,12 +148,7 @@
   }
 }
 
-TokenHolder::Contact *TokenHolder::dueForRenewal(const TokenDemand &Demand,
-                                                 TimeMs Now) {
-  const double Term =
-      static_cast<double>(Settings.FlowTerm.Value) / MsPerSecond;
-  if (Demand.PerSecond * Term < MinRenewRequests)
-    return nullptr;
+TokenHolder::Contact *TokenHolder::dueForRenewal(TimeMs Now) {
   const auto Before = static_cast<std::int64_t>(
       static_cast<double>(Settings.FlowTerm.Value) * RenewPart);
   for (std::size_t I : Active) {
@@ -159,37 +163,57 @@
   return nullptr;
 }
 
-std::uint32_t TokenHolder::need(const TokenDemand &Demand, TimeMs Now) {
-  const double Held = level(Now) + Demand.OwnLevel;
-  double Missing = 0;
-  if (Demand.Waiting > 0)
-    Missing = std::ceil(Demand.Waiting - Held);
-  const double Ahead = Demand.PerSecond * AheadSeconds;
-  const bool RunsShort =
-      rate(Now) + Demand.OwnRate < Demand.PerSecond && Ahead >= 1;
-  if (RunsShort && Held < Ahead)
-    Missing = std::max(Missing, std::ceil(2 * Ahead - Held));
-  return static_cast<std::uint32_t>(std::clamp(Missing, 0.0, MaxNeed));
+TokenHolder::Contact *TokenHolder::lowLease(TimeMs Now) {
+  for (std::size_t I : Active) {
+    Contact &C = Contacts[I];
+    if (C.Pending || C.Rate <= 0 || !inForce(C, Now))
+      continue;
+    if (C.Level < C.Cap * LowPart && Now - C.SentAt >= FillPause)
+      return &C;
+  }
+  return nullptr;
 }
 
 TokenHolder::Contact *TokenHolder::nextForNeed(TimeMs Now) {
-  if (PendingNeeds >= MaxPendingNeeds)
-    return nullptr;
   for (Contact &C : Contacts)
     if (!C.Pending && C.QuietUntil <= Now)
       return &C;
   return nullptr;
 }
 
+TokenHolder::Contact *TokenHolder::nextForRate(const TokenDemand &Demand,
+                                               TimeMs Now) {
+  const bool Enough =
+      rate(Now) + Demand.OwnRate >= EnoughRatePart * Demand.PerSecond;
+  if (Enough || PendingRate || Now < Rates.Until)
+    return nullptr;
+  for (Contact &C : Contacts) {
+    const bool Silent = C.Silent && Now < C.QuietUntil;
+    const bool Lends = C.Rate > 0 && inForce(C, Now);
+    if (!C.Pending && !Silent && !Lends && Now - C.SentAt >= FillPause)
+      return &C;
+  }
+  return nullptr;
+}
+
+void TokenHolder::Backoff::note(bool Useful, TimeMs Now) {
+  if (Useful) {
+    Pause = ShortestPause;
+    Until = Now;
+    return;
+  }
+  Until = Now + Pause;
+  Pause = std::min(Pause * 2, LongestPause);
+}
+
 AddressedAsk TokenHolder::ask(Contact &C, std::string_view Organisation,
                               const TokenDemand &Demand, std::uint32_t Need,
                               TimeMs Now) {
   const bool Leased = inForce(C, Now);
   const double Others = rate(Now) + Demand.OwnRate - (Leased ? C.Rate : 0);
   C.Pending = true;
-  C.PendingNeed = Need > 0;
-  if (C.PendingNeed)
-    ++PendingNeeds;
+  C.PendingNeed = Need;
+  PendingTokens += Need;
   C.SentAt = Now;
   const std::size_t Index = static_cast<std::size_t>(&C - Contacts.data());
   if (std::find(Active.begin(), Active.end(), Index) == Active.end())
@@ -215,15 +239,29 @@
                                                  const TokenDemand &Demand,
                                                  TimeMs Now) {
   expireAsks(Now);
-  advance(Now);
-  const std::uint32_t Need = need(Demand, Now);
-  if (Contact *C = dueForRenewal(Demand, Now))
-    return ask(*C, Organisation, Demand, Need, Now);
-  if (Need == 0)
+  const double Held = level(Now) + Demand.OwnLevel;
+  // What was asked for already is not asked for twice: it would be wasted.
+  const double Missing =
+      std::ceil(Demand.Waiting - Held - static_cast<double>(PendingTokens));
+  const auto Need =
+      static_cast<std::uint32_t>(std::clamp(Missing, 0.0, MaxNeed));
+  Contact *C = nullptr;
+  if (Need > 0)
+    C = nextForNeed(Now);
+  const double Term =
+      static_cast<double>(Settings.FlowTerm.Value) / MsPerSecond;
+  const bool WantsRate = Demand.PerSecond * Term >= MinFlowRequests;
+  if (!C && WantsRate)
+    C = dueForRenewal(Now);
+  if (!C && WantsRate)
+    C = lowLease(Now);
+  if (!C && WantsRate) {
+    C = nextForRate(Demand, Now);
+    PendingRate |= C != nullptr;
+  }
+  if (!C)
     return std::nullopt;
-  if (Contact *C = nextForNeed(Now))
-    return ask(*C, Organisation, Demand, Need, Now);
-  return std::nullopt;
+  return ask(*C, Organisation, Demand, Need, Now);
 }
 
 void TokenHolder::accept(const SlotId &Meter, const TokenGrant &Given,
@@ -232,6 +270,8 @@
   if (!C || !C->Pending || Given.Sequence != C->LastSequence)
     return;
   advance(Now);
+  if (PendingRate)
+    Rates.note(Given.Rate > 0, Now);
   settle(*C);
   C->Silent = false;
   C->QuietUntil = Now + Given.Quiet;
--- a/src/policy/TokenHolder.h
+++ b/src/policy/TokenHolder.h
@@ -73,7 +73,7 @@
   TimeMs nextToken(const TokenDemand &Demand, TimeMs Now);
 
   /// Whether an ask for tokens is on its way.
-  bool asking() const { return PendingNeeds > 0; }
+  bool asking() const { return PendingTokens > 0; }
 
   /// Drops every lease and pending ask, after a pause.
   void discard();
@@ -83,7 +83,7 @@
     SlotId Meter;
     std::uint64_t LastSequence = 0;
     bool Pending = false;
-    bool PendingNeed = false;
+    std::uint32_t PendingNeed = 0; ///< Tokens asked for at once.
     TimeMs SentAt;
     TimeMs QuietUntil; ///< Asking earlier for tokens is of no use.
     TimeMs ReadyAt;    ///< The meter said that it has a token then.
@@ -97,22 +97,33 @@
     TimeMs End;
   };
 
+  /// Spaces asks out while meters have nothing to give.
+  struct Backoff {
+    DurationMs Pause{100};
+    TimeMs Until;
+
+    void note(bool Useful, TimeMs Now);
+  };
+
   bool inForce(const Contact &C, TimeMs Now) const;
   void advance(TimeMs Now);
   void expireAsks(TimeMs Now);
   void settle(Contact &C);
   Contact *find(const SlotId &Meter);
-  Contact *dueForRenewal(const TokenDemand &Demand, TimeMs Now);
+  Contact *dueForRenewal(TimeMs Now);
+  Contact *lowLease(TimeMs Now);
+  Contact *nextForRate(const TokenDemand &Demand, TimeMs Now);
   Contact *nextForNeed(TimeMs Now);
   TimeMs ownToken(const TokenDemand &Demand, TimeMs Now);
-  std::uint32_t need(const TokenDemand &Demand, TimeMs Now);
   AddressedAsk ask(Contact &C, std::string_view Organisation,
                    const TokenDemand &Demand, std::uint32_t Need, TimeMs Now);
 
   TokenSettings Settings;
   std::vector<Contact> Contacts;
   std::vector<std::size_t> Active; ///< Contacts with a lease or a pending ask.
-  std::size_t PendingNeeds = 0;
+  std::uint64_t PendingTokens = 0; ///< Asked for and not answered yet.
+  bool PendingRate = false; ///< A meter without a lease was asked for a rate.
+  Backoff Rates;
   std::uint64_t LastSequence = 0; ///< Over all meters.
 };
 
--- a/src/policy/TokenMeter.cpp
+++ b/src/policy/TokenMeter.cpp
@@ -9,9 +9,13 @@
 
 constexpr double MsPerSecond = 1000;
 
-/// Part of the share that is lent in proportion to demand; the rest is kept
-/// for holders that are yet to come.
-constexpr double LentPart = 0.9;
+/// Part of the burst that is lent in proportion to demand. The rest is a pool
+/// from which leases that run low are filled up.
+constexpr double LentCapPart = 0.5;
+
+/// Part of its demand for which a holder is lent a rate. What accrues at a
+/// holder is lost when its lease is full; what accrues in the pool is not.
+constexpr double LentRatePart = 0.7;
 
 /// Demand counts at least as this part of the rate, so that a single small
 /// holder does not get the whole share.
@@ -147,7 +151,7 @@
   const double Counted =
       std::max(TotalDemand, Share.PerSecond * LeastDemandPart);
   const double Part = Counted > 0 ? Ask.Demand / Counted : 0;
-  const double FlowCap = LentPart * Share.Burst * Part;
+  const double FlowCap = LentCapPart * Share.Burst * Part;
   const double Wanted = Ask.Held + Ask.Need;
 
   TokenGrant Given;
@@ -157,7 +161,8 @@
                      Ask.Demand * seconds(Settings.FlowTerm) >= MinFlowRequests;
   if (Flows) {
     Given.Term = Settings.FlowTerm;
-    Given.Rate = std::min(Share.PerSecond * Part, FreeRate);
+    Given.Rate = std::min(LentRatePart * Ask.Demand, Share.PerSecond * Part);
+    Given.Rate = std::min(Given.Rate, FreeRate);
     Given.Cap = std::min(std::max(FlowCap, Wanted), FreeCap);
   }
   Given.Tokens = std::clamp(Given.Cap - Ask.Held, 0.0, Level);
--- a/src/policy/TokenNode.h
+++ b/src/policy/TokenNode.h
@@ -111,7 +111,7 @@
   std::map<std::string, TokenFigures, std::less<>> figures(TimeMs Now);
 
   /// Bytes that one ask or grant counts as, transport included.
-  static constexpr double MessageBytes = 140;
+  static constexpr double MessageBytes = 190;
 
 private:
   struct Waiter {
--- a/tests/support/TokenFleet.h
+++ b/tests/support/TokenFleet.h
@@ -228,7 +228,7 @@
   };
 
   /// What the transport adds to a body: envelope, seal, TCP and IP headers.
-  static constexpr std::uint64_t EnvelopeBytes = 100;
+  static constexpr std::uint64_t EnvelopeBytes = 150;
 
 private:
   struct Event {
