--- a/src/policy/TokenHolder.cpp
+++ b/src/policy/TokenHolder.cpp
@@ -24,12 +24,12 @@
 constexpr double LowPart = 0.3;
 
 /// Least time between two asks of one meter that no request waits for.
-constexpr DurationMs FillPause{300};
+constexpr DurationMs FillPause{500};
 
 /// Time until another meter is asked after one that had nothing to give;
 /// doubles with each such meter.
-constexpr DurationMs ShortestPause{100};
-constexpr DurationMs LongestPause{2000};
+constexpr DurationMs ShortestPause{250};
+constexpr DurationMs LongestPause{8000};
 
 /// Longest forecast of the next token.
 constexpr double LongestForecastMs = 3600 * 1000;
@@ -157,7 +157,7 @@
       continue;
     if (C.Silent && Now < C.QuietUntil)
       continue;
-    if (C.End - Now <= DurationMs(Before))
+    if (C.End - Now <= DurationMs(Before) && Now - C.SentAt >= FillPause)
       return &C;
   }
   return nullptr;
