--- a/bench/RateBench.cpp
+++ b/bench/RateBench.cpp
@@ -35,8 +35,10 @@
 DEFINE_double(per_node, 10, "rate of all organisations together, per node");
 DEFINE_double(burst_seconds, 2, "burst of an organisation, in its rate");
 DEFINE_double(load, 0.8, "arrivals as a part of the rate");
-DEFINE_double(bytes_per_second, fescuewood::TokenSettings().BytesPerSecond,
-              "bytes a second that a node may send");
+DEFINE_double(ask_bytes, fescuewood::TokenSettings().AskBytesPerSecond,
+              "bytes a second that a node may send in asks");
+DEFINE_double(grant_bytes, fescuewood::TokenSettings().GrantBytesPerSecond,
+              "bytes a second that a node may send in grants");
 DEFINE_int64(flow_term_ms, fescuewood::TokenSettings().FlowTerm.Value,
              "term of a lease that carries a rate");
 DEFINE_uint32(slots_per_meter, fescuewood::TokenSettings().SlotsPerMeter,
@@ -141,7 +143,8 @@
 
 Design designOf(const std::string &Name) {
   Design D{Name, TokenSettings(), true};
-  D.Settings.BytesPerSecond = FLAGS_bytes_per_second;
+  D.Settings.AskBytesPerSecond = FLAGS_ask_bytes;
+  D.Settings.GrantBytesPerSecond = FLAGS_grant_bytes;
   D.Settings.FlowTerm = DurationMs(FLAGS_flow_term_ms);
   D.Settings.SlotsPerMeter = FLAGS_slots_per_meter;
   D.Settings.MetersPerDomain = FLAGS_meters_per_domain;
--- a/src/policy/TokenHolder.cpp
+++ b/src/policy/TokenHolder.cpp
@@ -16,12 +16,9 @@
 /// Fewest requests expected in a term for which a rate is leased.
 constexpr double MinFlowRequests = 3;
 
-/// Part of the demand for which a rate is leased; the rest comes from filling
-/// leases up, out of the meters' pools.
-constexpr double EnoughRatePart = 0.6;
-
-/// A lease with less than this part of its cap left is filled up.
-constexpr double LowPart = 0.3;
+/// Part of the demand for which a rate is leased; the rest is asked for when
+/// requests wait, and comes out of the meters' pools.
+constexpr double EnoughRatePart = 0.3;
 
 /// Least time between two asks of one meter that no request waits for.
 constexpr DurationMs FillPause{500};
@@ -163,17 +160,6 @@
   return nullptr;
 }
 
-TokenHolder::Contact *TokenHolder::lowLease(TimeMs Now) {
-  for (std::size_t I : Active) {
-    Contact &C = Contacts[I];
-    if (C.Pending || C.Rate <= 0 || !inForce(C, Now))
-      continue;
-    if (C.Level < C.Cap * LowPart && Now - C.SentAt >= FillPause)
-      return &C;
-  }
-  return nullptr;
-}
-
 TokenHolder::Contact *TokenHolder::nextForNeed(TimeMs Now) {
   for (Contact &C : Contacts)
     if (!C.Pending && C.QuietUntil <= Now)
@@ -253,8 +239,6 @@
   const bool WantsRate = Demand.PerSecond * Term >= MinFlowRequests;
   if (!C && WantsRate)
     C = dueForRenewal(Now);
-  if (!C && WantsRate)
-    C = lowLease(Now);
   if (!C && WantsRate) {
     C = nextForRate(Demand, Now);
     PendingRate |= C != nullptr;
--- a/src/policy/TokenHolder.h
+++ b/src/policy/TokenHolder.h
@@ -111,7 +111,6 @@
   void settle(Contact &C);
   Contact *find(const SlotId &Meter);
   Contact *dueForRenewal(TimeMs Now);
-  Contact *lowLease(TimeMs Now);
   Contact *nextForRate(const TokenDemand &Demand, TimeMs Now);
   Contact *nextForNeed(TimeMs Now);
   TimeMs ownToken(const TokenDemand &Demand, TimeMs Now);
--- a/src/policy/TokenMeter.cpp
+++ b/src/policy/TokenMeter.cpp
@@ -15,7 +15,7 @@
 
 /// Part of its demand for which a holder is lent a rate. What accrues at a
 /// holder is lost when its lease is full; what accrues in the pool is not.
-constexpr double LentRatePart = 0.7;
+constexpr double LentRatePart = 0.5;
 
 /// Demand counts at least as this part of the rate, so that a single small
 /// holder does not get the whole share.
--- a/src/policy/TokenNode.cpp
+++ b/src/policy/TokenNode.cpp
@@ -38,7 +38,24 @@
 TokenNode::TokenNode(SlotId Self, const TokenSettings &Settings, TimeMs Now)
     : Self(std::move(Self)), Settings(Settings), History(Settings.fence()),
       MeterStart(Now + Settings.fence()), LastSeen(Now),
-      Bytes(Settings.BurstBytes), BytesAt(Now) {}
+      AskBytes(Settings.AskBytesPerSecond, Settings.BurstBytes, Now),
+      GrantBytes(Settings.GrantBytesPerSecond, Settings.BurstBytes, Now) {}
+
+bool ByteAllowance::has(double Bytes, TimeMs Now) {
+  if (Now > At) {
+    const double Seconds = static_cast<double>((Now - At).Value) / MsPerSecond;
+    Level = std::min(Burst, Level + PerSecond * Seconds);
+    At = Now;
+  }
+  return Level >= Bytes;
+}
+
+bool ByteAllowance::take(double Bytes, TimeMs Now) {
+  if (!has(Bytes, Now))
+    return false;
+  Level -= Bytes;
+  return true;
+}
 
 void TokenNode::apply(const TokenPlan &Plan, TimeMs Now) {
   notice(Now);
@@ -197,26 +214,17 @@
 void TokenNode::poll(std::string_view Name, Account &A, TimeMs Now) {
   if (!Settings.Leasing)
     return;
-  refill(Now);
-  for (int I = 0; I < MaxAsksPerPoll && Bytes >= MessageBytes; ++I) {
+  for (int I = 0; I < MaxAsksPerPoll; ++I) {
+    if (!AskBytes.has(MessageBytes, Now))
+      return;
     auto Next = A.Holder.nextAsk(Name, demandOf(A, Now), Now);
     if (!Next)
       return;
-    Bytes -= MessageBytes;
+    AskBytes.take(MessageBytes, Now);
     Asks.push_back(std::move(*Next));
   }
 }
 
-void TokenNode::refill(TimeMs Now) {
-  if (Now <= BytesAt)
-    return;
-  const double Seconds =
-      static_cast<double>((Now - BytesAt).Value) / MsPerSecond;
-  Bytes =
-      std::min(Bytes + Settings.BytesPerSecond * Seconds, Settings.BurstBytes);
-  BytesAt = Now;
-}
-
 void TokenNode::settleWaiters(Account &A, TimeMs Now) {
   while (!A.Waiters.empty() && takeOne(A, Now)) {
     Decided.push_back({A.Waiters.front().Ticket, {true, DurationMs(0)}});
@@ -239,11 +247,9 @@
 std::optional<TokenGrant> TokenNode::answer(const HolderId &From,
                                             const TokenAsk &Ask, TimeMs Now) {
   notice(Now);
-  refill(Now);
   const auto It = Accounts.find(Ask.Organisation);
-  if (It == Accounts.end() || Bytes < -Settings.BurstBytes)
+  if (It == Accounts.end() || !GrantBytes.take(MessageBytes, Now))
     return std::nullopt;
-  Bytes -= MessageBytes;
   Account &A = It->second;
   return A.Meter.grant(From, Ask, A.Demand.rate(Now), Now);
 }
--- a/src/policy/TokenNode.h
+++ b/src/policy/TokenNode.h
@@ -30,6 +30,25 @@
 
 namespace fescuewood {
 
+/// A token bucket of bytes.
+class ByteAllowance {
+public:
+  ByteAllowance(double PerSecond, double Burst, TimeMs Now)
+      : PerSecond(PerSecond), Burst(Burst), Level(Burst), At(Now) {}
+
+  /// Whether \ref take would succeed.
+  bool has(double Bytes, TimeMs Now);
+
+  /// Takes \p Bytes if there are as many.
+  bool take(double Bytes, TimeMs Now);
+
+private:
+  double PerSecond;
+  double Burst;
+  double Level;
+  TimeMs At;
+};
+
 /// What a snapshot says of rates.
 struct TokenPlan {
   Version Id;
@@ -110,7 +129,7 @@
   /// Figures by organisation.
   std::map<std::string, TokenFigures, std::less<>> figures(TimeMs Now);
 
-  /// Bytes that one ask or grant counts as, transport included.
+  /// Bytes that one ask or grant counts as, with what the transport adds.
   static constexpr double MessageBytes = 190;
 
 private:
@@ -142,7 +161,6 @@
   static TokenDemand demandOf(Account &A, TimeMs Now);
   void poll(std::string_view Name, Account &A, TimeMs Now);
   void settleWaiters(Account &A, TimeMs Now);
-  void refill(TimeMs Now);
 
   SlotId Self;
   TokenSettings Settings;
@@ -152,8 +170,8 @@
   TimeMs MeterStart;
   TimeMs LastSeen;
   bool PauseNoticed = false;
-  double Bytes = 0;
-  TimeMs BytesAt;
+  ByteAllowance AskBytes;
+  ByteAllowance GrantBytes;
   std::map<std::string, Account, std::less<>> Accounts;
   std::vector<AddressedAsk> Asks;
   std::vector<DecidedCharge> Decided;
--- a/src/policy/TokenSettings.h
+++ b/src/policy/TokenSettings.h
@@ -50,9 +50,12 @@
   /// Time constant of the estimate of demand.
   DurationMs DemandWindow{2000};
 
-  /// Bytes a second that a node may send about tokens, with the most that it
-  /// may save up.
-  double BytesPerSecond = 1000;
+  /// Bytes a second that a node may send in asks and in grants. Over the fleet
+  /// there is a grant for each ask, so asks bound the mean of both; a meter
+  /// that is asked by many may send more grants than that.
+  double AskBytesPerSecond = 600;
+  double GrantBytesPerSecond = 1200;
+  /// The most of each that may be saved up.
   double BurstBytes = 4000;
 
   /// Longest time after which a lease is surely over, by any clock.
