Lend between own shares, with the shares of small organisations concentrated

Two asks for one request wasted a token each, refused renewals were repeated at once, and dry meters were asked again and again.

Rates are leased before tokens are asked for, renewals go along with other messages, meters that had nothing are avoided for a growing time, and an organisation far over its rate stops asking after four meters in a row had nothing.

--- a/bench/RateBench.cpp
+++ b/bench/RateBench.cpp
@@ -29,24 +29,21 @@
 DEFINE_string(sizes, "teiknibas,secretaria,200,1100",
               "fleets: teiknibas (3 x 4 nodes), secretaria (4 domains, 17 "
               "nodes), or a number of nodes in 5 domains and 2 regions");
-DEFINE_string(designs, "static,meters,transfers,kept,kept-no-wait",
+DEFINE_string(designs,
+              "static,meters,transfers,meters+transfers,kept,"
+              "kept-no-wait",
               "designs to compare");
 DEFINE_string(scenarios, "", "scenarios by name; all when empty");
 DEFINE_double(per_node, 10, "rate of all organisations together, per node");
 DEFINE_double(burst_seconds, 2, "burst of an organisation, in its rate");
 DEFINE_double(load, 0.8, "arrivals as a part of the rate");
-DEFINE_double(ask_bytes, fescuewood::TokenSettings().AskBytesPerSecond,
-              "bytes a second that a node may send in asks");
-DEFINE_double(grant_bytes, fescuewood::TokenSettings().GrantBytesPerSecond,
-              "bytes a second that a node may send in grants");
+DEFINE_double(
+    ask_bytes, 0,
+    "bytes a second that a node may send in asks; as by default if 0");
 DEFINE_int64(flow_term_ms, fescuewood::TokenSettings().FlowTerm.Value,
              "term of a lease that carries a rate");
-DEFINE_uint32(slots_per_meter, fescuewood::TokenSettings().SlotsPerMeter,
-              "declared slots that one meter serves");
-DEFINE_uint32(meters_per_domain, fescuewood::TokenSettings().MetersPerDomain,
-              "least meters in a domain");
 DEFINE_double(min_meter_burst, fescuewood::TokenSettings().MinMeterBurst,
-              "least burst of one meter");
+              "least burst of one meter in the kept design");
 DEFINE_int32(threads, 4, "runs at once");
 DEFINE_bool(organisations, false, "also print a row for each organisation");
 
@@ -78,6 +75,9 @@
 constexpr double ExcessFactor = 5;
 constexpr std::size_t KilledMeters = 2;
 
+/// Slots that share a meter in the designs with few meters.
+constexpr std::uint32_t MeterGroup = 16;
+
 struct DomainSize {
   std::string Name;
   std::string Region;
@@ -143,18 +143,19 @@
 
 Design designOf(const std::string &Name) {
   Design D{Name, TokenSettings(), true};
-  D.Settings.AskBytesPerSecond = FLAGS_ask_bytes;
-  D.Settings.GrantBytesPerSecond = FLAGS_grant_bytes;
   D.Settings.FlowTerm = DurationMs(FLAGS_flow_term_ms);
-  D.Settings.SlotsPerMeter = FLAGS_slots_per_meter;
-  D.Settings.MetersPerDomain = FLAGS_meters_per_domain;
   D.Settings.MinMeterBurst = FLAGS_min_meter_burst;
-  if (Name == "static" || Name == "transfers") {
-    D.Settings.SlotsPerMeter = 1;
-    D.Settings.MinMeterBurst = 0;
+  if (FLAGS_ask_bytes > 0) {
+    D.Settings.AskBytesPerSecond = FLAGS_ask_bytes;
+    D.Settings.GrantBytesPerSecond = FLAGS_ask_bytes;
+    D.Settings.SmallFleetAskBytesPerSecond = FLAGS_ask_bytes;
   }
+  if (Name == "static" || Name == "transfers")
+    D.Settings.MinMeterBurst = 0;
   if (Name == "static")
     D.Settings.Leasing = false;
+  if (Name == "meters" || Name == "meters+transfers")
+    D.Settings.SlotsPerMeter = MeterGroup;
   if (Name == "meters")
     D.Settings.AcrossDomains = false;
   if (Name == "kept-no-wait")
--- a/src/organisations/OrganisationLimiter.cpp
+++ b/src/organisations/OrganisationLimiter.cpp
@@ -118,12 +118,8 @@
     std::vector<TokenGrant> Grants;
     {
       std::lock_guard<std::mutex> Lock(Mutex);
-      for (const TokenAsk &Ask : *Asks) {
-        auto Given =
-            Node.answer({From.Name, From.Incarnation}, Ask, Hooks.Now.now());
-        if (Given)
-          Grants.push_back(std::move(*Given));
-      }
+      Grants =
+          Node.answer({From.Name, From.Incarnation}, *Asks, Hooks.Now.now());
     }
     const std::string Answer = encodeGrants(Grants);
     count(Answer);
@@ -191,11 +187,8 @@
   Work collect() {
     Work Due;
     Due.PauseNoticed = Node.takePauseNoticed();
-    std::map<SlotId, std::vector<TokenAsk>> ByMeter;
-    for (AddressedAsk &A : Node.takeAsks())
-      ByMeter[A.Meter].push_back(std::move(A.Ask));
-    for (auto &[Meter, Asks] : ByMeter)
-      addRequest(Due, Meter, std::move(Asks));
+    for (AskMessage &Message : Node.takeAsks())
+      addRequest(Due, Message.Meter, std::move(Message.Asks));
     for (const DecidedCharge &D : Node.takeDecided()) {
       auto Found = Waiting.extract(D.Ticket);
       if (Found)
--- a/src/policy/TokenHolder.cpp
+++ b/src/policy/TokenHolder.cpp
@@ -11,26 +11,37 @@
 constexpr double MsPerSecond = 1000;
 
 /// A lease is renewed when less than this part of its term is left.
-constexpr double RenewPart = 0.5;
+constexpr double RenewPart = 0.3;
+
+/// Its renewal goes along with other messages to its meter when less than this
+/// part is left.
+constexpr double CompanionPart = 0.8;
+
+/// With less than this part of the demand supplied, other messages carry an ask
+/// for a rate along.
+constexpr double CompanionRatePart = 0.2;
 
 /// Fewest requests expected in a term for which a rate is leased.
 constexpr double MinFlowRequests = 3;
 
-/// Part of the demand for which a rate is leased; the rest is asked for when
-/// requests wait, and comes out of the meters' pools.
-constexpr double EnoughRatePart = 0.3;
+/// Part of the demand for which rates are leased; the rest is asked for when
+/// requests wait.
+constexpr double EnoughRatePart = 0.8;
 
-/// Least time between two asks of one meter that no request waits for.
-constexpr DurationMs FillPause{500};
+/// Supply above this multiple of demand is more than enough.
+constexpr double AmpleFactor = 1.5;
 
-/// Time until another meter is asked after one that had nothing to give;
-/// doubles with each such meter.
-constexpr DurationMs ShortestPause{250};
+/// Time until a meter that had nothing to give is asked again; doubles with
+/// each such answer. The same holds between meters asked for a rate.
+constexpr DurationMs ShortestPause{100};
 constexpr DurationMs LongestPause{8000};
 
 /// Longest forecast of the next token.
 constexpr double LongestForecastMs = 3600 * 1000;
 
+/// After so many meters in a row without a token, asking pauses.
+constexpr std::uint32_t MaxMisses = 4;
+
 /// Most tokens asked for at once.
 constexpr double MaxNeed = 100000;
 
@@ -134,52 +145,98 @@
   return Taken;
 }
 
+void TokenHolder::passOver(Contact &C, TimeMs Now) {
+  C.Silent = true;
+  C.QuietUntil = Now + Settings.SilentMeterPause;
+  C.AvoidTokens.note(false, Now);
+  C.AvoidRate.note(false, Now);
+}
+
 void TokenHolder::expireAsks(TimeMs Now) {
   for (std::size_t I : Active) {
     Contact &C = Contacts[I];
     if (!C.Pending || Now - C.SentAt < Settings.AskTimeout)
       continue;
     settle(C);
-    C.Silent = true;
-    C.QuietUntil = Now + Settings.SilentMeterPause;
+    passOver(C, Now);
   }
 }
 
-TokenHolder::Contact *TokenHolder::dueForRenewal(TimeMs Now) {
+bool TokenHolder::renewable(const Contact &C, double Part, TimeMs Now) const {
+  if (C.Pending || C.Rate <= 0 || !inForce(C, Now) || C.Renewed == C.Adopted)
+    return false;
+  if (C.Silent && Now < C.QuietUntil)
+    return false;
   const auto Before = static_cast<std::int64_t>(
-      static_cast<double>(Settings.FlowTerm.Value) * RenewPart);
+      static_cast<double>(Settings.FlowTerm.Value) * Part);
+  return C.End - Now <= DurationMs(Before);
+}
+
+bool TokenHolder::wantsRate(const TokenDemand &Demand) const {
+  const double Term =
+      static_cast<double>(Settings.FlowTerm.Value) / MsPerSecond;
+  return Demand.PerSecond * Term >= MinFlowRequests;
+}
+
+TokenHolder::Contact *TokenHolder::dueForRenewal(TimeMs Now) {
+  for (std::size_t I : Active)
+    if (renewable(Contacts[I], RenewPart, Now))
+      return &Contacts[I];
+  return nullptr;
+}
+
+std::optional<TokenAsk> TokenHolder::companionAsk(const SlotId &Meter,
+                                                  std::string_view Organisation,
+                                                  const TokenDemand &Demand,
+                                                  TimeMs Now) {
+  if (!wantsRate(Demand))
+    return std::nullopt;
   for (std::size_t I : Active) {
     Contact &C = Contacts[I];
-    if (C.Pending || C.Rate <= 0 || !inForce(C, Now))
-      continue;
-    if (C.Silent && Now < C.QuietUntil)
-      continue;
-    if (C.End - Now <= DurationMs(Before) && Now - C.SentAt >= FillPause)
-      return &C;
+    if (renewable(C, CompanionPart, Now) && C.Meter == Meter)
+      return ask(C, Organisation, Demand, 0, Now).Ask;
   }
-  return nullptr;
+  if (suppliedFor(CompanionRatePart, Demand, Now))
+    return std::nullopt;
+  Contact *C = find(Meter);
+  if (!C || C->Pending || inForce(*C, Now) || C->AvoidRate.Until > Now)
+    return std::nullopt;
+  return ask(*C, Organisation, Demand, 0, Now).Ask;
+}
+
+bool TokenHolder::suppliedFor(double Part, const TokenDemand &Demand,
+                              TimeMs Now) const {
+  return rate(Now) + Demand.OwnRate >= Part * Demand.PerSecond;
 }
 
 TokenHolder::Contact *TokenHolder::nextForNeed(TimeMs Now) {
-  for (Contact &C : Contacts)
-    if (!C.Pending && C.QuietUntil <= Now)
-      return &C;
-  return nullptr;
+  if (Now < Needs.Until)
+    return nullptr;
+  Contact *Best = nullptr;
+  for (Contact &C : Contacts) {
+    if (C.Pending || C.QuietUntil > Now || C.AvoidTokens.Until > Now)
+      continue;
+    if (!Best || C.AvoidTokens.Pause < Best->AvoidTokens.Pause)
+      Best = &C;
+  }
+  return Best;
 }
 
 TokenHolder::Contact *TokenHolder::nextForRate(const TokenDemand &Demand,
                                                TimeMs Now) {
-  const bool Enough =
-      rate(Now) + Demand.OwnRate >= EnoughRatePart * Demand.PerSecond;
-  if (Enough || PendingRate || Now < Rates.Until)
+  if (suppliedFor(EnoughRatePart, Demand, Now) || PendingRate ||
+      Now < Rates.Until)
     return nullptr;
+  Contact *Best = nullptr;
   for (Contact &C : Contacts) {
     const bool Silent = C.Silent && Now < C.QuietUntil;
     const bool Lends = C.Rate > 0 && inForce(C, Now);
-    if (!C.Pending && !Silent && !Lends && Now - C.SentAt >= FillPause)
-      return &C;
+    if (C.Pending || Silent || Lends || C.AvoidRate.Until > Now)
+      continue;
+    if (!Best || C.AvoidRate.Pause < Best->AvoidRate.Pause)
+      Best = &C;
   }
-  return nullptr;
+  return Best;
 }
 
 void TokenHolder::Backoff::note(bool Useful, TimeMs Now) {
@@ -215,7 +272,12 @@
   C.LastSequence = LastSequence;
   Message.Sequence = LastSequence;
   Message.Adopted = C.Adopted;
+  C.Renewed = C.Adopted;
   Message.Demand = std::max(0.0, Demand.PerSecond - Others);
+  // Unless there is far too much, a lease is renewed as it is: the estimate of
+  // demand swings more than demand does.
+  if (Leased && Others + C.Rate < Demand.PerSecond * AmpleFactor)
+    Message.Demand = std::max(Message.Demand, C.Rate);
   Message.Held = Leased ? C.Level : 0;
   Message.Need = Need;
   return {C.Meter, std::move(Message)};
@@ -232,17 +294,15 @@
   const auto Need =
       static_cast<std::uint32_t>(std::clamp(Missing, 0.0, MaxNeed));
   Contact *C = nullptr;
-  if (Need > 0)
-    C = nextForNeed(Now);
-  const double Term =
-      static_cast<double>(Settings.FlowTerm.Value) / MsPerSecond;
-  const bool WantsRate = Demand.PerSecond * Term >= MinFlowRequests;
-  if (!C && WantsRate)
+  // A rate saves many later asks, so it goes first when bytes are scarce.
+  if (wantsRate(Demand))
     C = dueForRenewal(Now);
-  if (!C && WantsRate) {
+  if (!C && wantsRate(Demand)) {
     C = nextForRate(Demand, Now);
     PendingRate |= C != nullptr;
   }
+  if (!C && Need > 0 && Demand.MayAskForNeed)
+    C = nextForNeed(Now);
   if (!C)
     return std::nullopt;
   return ask(*C, Organisation, Demand, Need, Now);
@@ -256,6 +316,10 @@
   advance(Now);
   if (PendingRate)
     Rates.note(Given.Rate > 0, Now);
+  if (C->PendingNeed > 0)
+    noteNeed(*C, Given.Tokens > 0, Now);
+  else
+    C->AvoidRate.note(Given.Rate > 0, Now);
   settle(*C);
   C->Silent = false;
   C->QuietUntil = Now + Given.Quiet;
@@ -272,14 +336,21 @@
   C->Adopted = Given.Sequence;
 }
 
+void TokenHolder::noteNeed(Contact &C, bool Useful, TimeMs Now) {
+  C.AvoidTokens.note(Useful, Now);
+  Misses = Useful ? 0 : Misses + 1;
+  // An organisation far over its rate must not use up the bytes of others.
+  if (Useful || Misses >= MaxMisses)
+    Needs.note(Useful, Now);
+}
+
 void TokenHolder::lose(const SlotId &Meter, std::uint64_t Sequence,
                        TimeMs Now) {
   Contact *C = find(Meter);
   if (!C || !C->Pending || Sequence != C->LastSequence)
     return;
   settle(*C);
-  C->Silent = true;
-  C->QuietUntil = Now + Settings.SilentMeterPause;
+  passOver(*C, Now);
 }
 
 TimeMs TokenHolder::ownToken(const TokenDemand &Demand, TimeMs Now) {
--- a/src/policy/TokenHolder.h
+++ b/src/policy/TokenHolder.h
@@ -34,6 +34,7 @@
   double OwnRate = 0;        ///< Of this node's own meter.
   double OwnLevel = 0;       ///< Of this node's own meter.
   std::uint32_t Waiting = 0; ///< Requests that wait for a token.
+  bool MayAskForNeed = true; ///< False to save bytes for leases of rates.
 };
 
 /// Leases from all meters of an organisation.
@@ -61,6 +62,12 @@
   std::optional<AddressedAsk> nextAsk(std::string_view Organisation,
                                       const TokenDemand &Demand, TimeMs Now);
 
+  /// The renewal of a lease of \p Meter that may go along with a message that
+  /// is sent there anyway, or nothing; marks it as pending.
+  std::optional<TokenAsk> companionAsk(const SlotId &Meter,
+                                       std::string_view Organisation,
+                                       const TokenDemand &Demand, TimeMs Now);
+
   /// Takes up a grant. One that was not asked for, or is late, is ignored.
   void accept(const SlotId &Meter, const TokenGrant &Given, TimeMs Now);
 
@@ -79,6 +86,14 @@
   void discard();
 
 private:
+  /// Spaces asks out while they bring nothing.
+  struct Backoff {
+    DurationMs Pause{100};
+    TimeMs Until;
+
+    void note(bool Useful, TimeMs Now);
+  };
+
   struct Contact {
     SlotId Meter;
     std::uint64_t LastSequence = 0;
@@ -88,8 +103,11 @@
     TimeMs QuietUntil; ///< Asking earlier for tokens is of no use.
     TimeMs ReadyAt;    ///< The meter said that it has a token then.
     bool Silent = false;
+    Backoff AvoidTokens; ///< After asks that brought no tokens.
+    Backoff AvoidRate;   ///< After asks that brought no rate.
     // The lease in use, if Adopted is not 0 and End has not come.
     std::uint64_t Adopted = 0;
+    std::uint64_t Renewed = 0; ///< The lease for which terms were asked last.
     double Rate = 0;
     double Cap = 0;
     double Level = 0;
@@ -97,19 +115,16 @@
     TimeMs End;
   };
 
-  /// Spaces asks out while meters have nothing to give.
-  struct Backoff {
-    DurationMs Pause{100};
-    TimeMs Until;
-
-    void note(bool Useful, TimeMs Now);
-  };
-
   bool inForce(const Contact &C, TimeMs Now) const;
   void advance(TimeMs Now);
   void expireAsks(TimeMs Now);
   void settle(Contact &C);
+  void noteNeed(Contact &C, bool Useful, TimeMs Now);
+  void passOver(Contact &C, TimeMs Now);
   Contact *find(const SlotId &Meter);
+  bool renewable(const Contact &C, double Part, TimeMs Now) const;
+  bool wantsRate(const TokenDemand &Demand) const;
+  bool suppliedFor(double Part, const TokenDemand &Demand, TimeMs Now) const;
   Contact *dueForRenewal(TimeMs Now);
   Contact *nextForRate(const TokenDemand &Demand, TimeMs Now);
   Contact *nextForNeed(TimeMs Now);
@@ -123,6 +138,8 @@
   std::uint64_t PendingTokens = 0; ///< Asked for and not answered yet.
   bool PendingRate = false; ///< A meter without a lease was asked for a rate.
   Backoff Rates;
+  Backoff Needs;
+  std::uint32_t Misses = 0;       ///< Meters in a row that had no token.
   std::uint64_t LastSequence = 0; ///< Over all meters.
 };
 
--- a/src/policy/TokenMeter.cpp
+++ b/src/policy/TokenMeter.cpp
@@ -9,13 +9,9 @@
 
 constexpr double MsPerSecond = 1000;
 
-/// Part of the burst that is lent in proportion to demand. The rest is a pool
-/// from which leases that run low are filled up.
-constexpr double LentCapPart = 0.5;
-
-/// Part of its demand for which a holder is lent a rate. What accrues at a
-/// holder is lost when its lease is full; what accrues in the pool is not.
-constexpr double LentRatePart = 0.5;
+/// Part of the burst that is lent in proportion to demand; the rest is kept for
+/// asks of requests that wait.
+constexpr double LentCapPart = 0.9;
 
 /// Demand counts at least as this part of the rate, so that a single small
 /// holder does not get the whole share.
@@ -150,8 +146,9 @@
   const double FreeCap = std::max(0.0, Share.Burst - (LentCap - H.Cap));
   const double Counted =
       std::max(TotalDemand, Share.PerSecond * LeastDemandPart);
+  const double LentCapMost = LentCapPart * Share.Burst;
   const double Part = Counted > 0 ? Ask.Demand / Counted : 0;
-  const double FlowCap = LentCapPart * Share.Burst * Part;
+  const double FlowCap = std::min(LentCapMost * Part, FreeCap);
   const double Wanted = Ask.Held + Ask.Need;
 
   TokenGrant Given;
@@ -161,7 +158,7 @@
                      Ask.Demand * seconds(Settings.FlowTerm) >= MinFlowRequests;
   if (Flows) {
     Given.Term = Settings.FlowTerm;
-    Given.Rate = std::min(LentRatePart * Ask.Demand, Share.PerSecond * Part);
+    Given.Rate = std::min(Ask.Demand, Share.PerSecond * Part);
     Given.Rate = std::min(Given.Rate, FreeRate);
     Given.Cap = std::min(std::max(FlowCap, Wanted), FreeCap);
   }
--- a/src/policy/TokenNode.cpp
+++ b/src/policy/TokenNode.cpp
@@ -16,6 +16,12 @@
 /// Most asks of one organisation in one poll.
 constexpr int MaxAsksPerPoll = 4;
 
+/// Most asks in one message.
+constexpr std::size_t MaxAsksPerMessage = 32;
+
+/// Part of the allowance that only leases of rates may use.
+constexpr double ReservedForRates = 0.5;
+
 /// Sums of parts that were divided may miss a whole token by rounding; the
 /// drift margin covers far more than this.
 constexpr double WholeToken = 1 - 1e-9;
@@ -24,6 +30,8 @@
 
 TokenPlan::TokenPlan(const Snapshot &Source, const TokenSettings &Settings)
     : Id(Source.Id), Table(Source, Settings) {
+  for (const auto &[Name, Declared] : Source.Domains)
+    DeclaredSlots += Declared.Nodes;
   for (const auto &[Name, Declared] : Source.Organisations) {
     const auto It = Source.Rates.find(Declared.Rate);
     if (It != Source.Rates.end())
@@ -63,6 +71,9 @@
   const bool FirstPlan = !Mark.has_value();
   if (Mark && Plan.Id <= Mark->Current)
     return;
+  const bool IsSmall = Plan.DeclaredSlots <= Settings.SmallFleetSlots;
+  AskBytes.setRate(IsSmall ? Settings.SmallFleetAskBytesPerSecond
+                           : Settings.AskBytesPerSecond);
   History.add(Plan.Id, Plan.Table.digest(), Plan.Table.sharesOf(Self));
   for (auto It = Accounts.begin(); It != Accounts.end();) {
     Account &A = It->second;
@@ -215,14 +226,33 @@
   if (!Settings.Leasing)
     return;
   for (int I = 0; I < MaxAsksPerPoll; ++I) {
-    if (!AskBytes.has(MessageBytes, Now))
+    if (!AskBytes.has(MessageBytes + ItemBytes, Now))
       return;
-    auto Next = A.Holder.nextAsk(Name, demandOf(A, Now), Now);
+    TokenDemand Demand = demandOf(A, Now);
+    Demand.MayAskForNeed =
+        AskBytes.has(Settings.BurstBytes * ReservedForRates, Now);
+    auto Next = A.Holder.nextAsk(Name, Demand, Now);
     if (!Next)
       return;
-    AskBytes.take(MessageBytes, Now);
-    Asks.push_back(std::move(*Next));
+    queueAsk(std::move(*Next), Now);
+  }
+}
+
+void TokenNode::queueAsk(AddressedAsk Next, TimeMs Now) {
+  AskBytes.take(MessageBytes + ItemBytes, Now);
+  AskMessage Message{Next.Meter, {std::move(Next.Ask)}};
+  for (auto &[Name, A] : Accounts) {
+    if (Message.Asks.size() >= MaxAsksPerMessage ||
+        !AskBytes.has(ItemBytes, Now))
+      break;
+    auto More =
+        A.Holder.companionAsk(Message.Meter, Name, demandOf(A, Now), Now);
+    if (!More)
+      continue;
+    AskBytes.take(ItemBytes, Now);
+    Message.Asks.push_back(std::move(*More));
   }
+  Asks.push_back(std::move(Message));
 }
 
 void TokenNode::settleWaiters(Account &A, TimeMs Now) {
@@ -244,14 +274,23 @@
   }
 }
 
-std::optional<TokenGrant> TokenNode::answer(const HolderId &From,
-                                            const TokenAsk &Ask, TimeMs Now) {
+std::vector<TokenGrant> TokenNode::answer(const HolderId &From,
+                                          std::span<const TokenAsk> Asked,
+                                          TimeMs Now) {
   notice(Now);
-  const auto It = Accounts.find(Ask.Organisation);
-  if (It == Accounts.end() || !GrantBytes.take(MessageBytes, Now))
-    return std::nullopt;
-  Account &A = It->second;
-  return A.Meter.grant(From, Ask, A.Demand.rate(Now), Now);
+  std::vector<TokenGrant> Grants;
+  const double Bytes =
+      MessageBytes + ItemBytes * static_cast<double>(Asked.size());
+  if (!GrantBytes.take(Bytes, Now))
+    return Grants;
+  for (const TokenAsk &Ask : Asked) {
+    const auto It = Accounts.find(Ask.Organisation);
+    if (It == Accounts.end())
+      continue;
+    Account &A = It->second;
+    Grants.push_back(A.Meter.grant(From, Ask, A.Demand.rate(Now), Now));
+  }
+  return Grants;
 }
 
 void TokenNode::accept(const SlotId &Meter, const TokenGrant &Given,
@@ -288,7 +327,7 @@
   }
 }
 
-std::vector<AddressedAsk> TokenNode::takeAsks() {
+std::vector<AskMessage> TokenNode::takeAsks() {
   return std::exchange(Asks, {});
 }
 
--- a/src/policy/TokenNode.h
+++ b/src/policy/TokenNode.h
@@ -24,6 +24,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,6 +40,9 @@
   /// Whether \ref take would succeed.
   bool has(double Bytes, TimeMs Now);
 
+  /// Changes the rate from now on.
+  void setRate(double NewPerSecond) { PerSecond = NewPerSecond; }
+
   /// Takes \p Bytes if there are as many.
   bool take(double Bytes, TimeMs Now);
 
@@ -53,12 +57,19 @@
 struct TokenPlan {
   Version Id;
   ShareTable Table;
+  std::uint32_t DeclaredSlots = 0;                ///< Of all domains.
   std::map<std::string, Rate, std::less<>> Rates; ///< By organisation.
 
   TokenPlan() = default;
   TokenPlan(const Snapshot &Source, const TokenSettings &Settings);
 };
 
+/// What is to be sent to one meter.
+struct AskMessage {
+  SlotId Meter;
+  std::vector<TokenAsk> Asks;
+};
+
 /// A waiting request has been decided.
 struct DecidedCharge {
   std::uint64_t Ticket = 0;
@@ -102,9 +113,10 @@
   std::optional<RateDecision> charge(std::string_view Organisation, TimeMs Now,
                                      std::optional<std::uint64_t> Ticket);
 
-  /// Answers an ask, or returns nothing when this node may not send more.
-  std::optional<TokenGrant> answer(const HolderId &From, const TokenAsk &Ask,
-                                   TimeMs Now);
+  /// Answers the asks of one message; returns nothing when this node may not
+  /// send more.
+  std::vector<TokenGrant> answer(const HolderId &From,
+                                 std::span<const TokenAsk> Asks, TimeMs Now);
 
   /// Takes up the reply of a meter.
   void accept(const SlotId &Meter, const TokenGrant &Given, TimeMs Now);
@@ -117,8 +129,8 @@
 
   static constexpr DurationMs TickPeriod{50};
 
-  /// The asks to send, each at most once.
-  std::vector<AddressedAsk> takeAsks();
+  /// The messages to send, each at most once.
+  std::vector<AskMessage> takeAsks();
 
   /// The waiting requests decided since the last call.
   std::vector<DecidedCharge> takeDecided();
@@ -129,8 +141,10 @@
   /// Figures by organisation.
   std::map<std::string, TokenFigures, std::less<>> figures(TimeMs Now);
 
-  /// Bytes that one ask or grant counts as, with what the transport adds.
-  static constexpr double MessageBytes = 190;
+  /// Bytes that a message counts as, with what the transport adds, and bytes
+  /// of each ask or grant in it.
+  static constexpr double MessageBytes = 150;
+  static constexpr double ItemBytes = 40;
 
 private:
   struct Waiter {
@@ -160,6 +174,7 @@
   DurationMs retryAfter(Account &A, TimeMs Now);
   static TokenDemand demandOf(Account &A, TimeMs Now);
   void poll(std::string_view Name, Account &A, TimeMs Now);
+  void queueAsk(AddressedAsk Next, TimeMs Now);
   void settleWaiters(Account &A, TimeMs Now);
 
   SlotId Self;
@@ -173,7 +188,7 @@
   ByteAllowance AskBytes;
   ByteAllowance GrantBytes;
   std::map<std::string, Account, std::less<>> Accounts;
-  std::vector<AddressedAsk> Asks;
+  std::vector<AskMessage> Asks;
   std::vector<DecidedCharge> Decided;
 };
 
--- a/src/policy/TokenSettings.h
+++ b/src/policy/TokenSettings.h
@@ -13,8 +13,9 @@
 
 /// The same on every node of a fleet: shares are worked out from it.
 struct TokenSettings {
-  /// Declared slots that one meter serves; 1 makes every slot a meter.
-  std::uint32_t SlotsPerMeter = 16;
+  /// Declared slots that one meter serves; 1 makes every slot a meter of each
+  /// organisation that is large enough.
+  std::uint32_t SlotsPerMeter = 1;
   /// Least number of meters in a domain that has so many slots.
   std::uint32_t MetersPerDomain = 2;
   /// Least burst of one meter, in tokens; smaller organisations get fewer
@@ -25,7 +26,7 @@
   bool AcrossDomains = true; ///< Whether meters of other domains are asked.
 
   /// Term of a lease that carries a rate.
-  DurationMs FlowTerm{4000};
+  DurationMs FlowTerm{5000};
   /// Term of a lease of tokens for requests that already wait.
   DurationMs SpotTerm{250};
   /// Added by a meter to the term that it grants.
@@ -53,8 +54,12 @@
   /// Bytes a second that a node may send in asks and in grants. Over the fleet
   /// there is a grant for each ask, so asks bound the mean of both; a meter
   /// that is asked by many may send more grants than that.
-  double AskBytesPerSecond = 600;
-  double GrantBytesPerSecond = 1200;
+  double AskBytesPerSecond = 1000;
+  double GrantBytesPerSecond = 1000;
+  /// In fleets with at most so many declared slots, where other control traffic
+  /// is small, asks may take more.
+  std::uint32_t SmallFleetSlots = 50;
+  double SmallFleetAskBytesPerSecond = 2000;
   /// The most of each that may be saved up.
   double BurstBytes = 4000;
 
--- a/tests/support/TokenFleet.h
+++ b/tests/support/TokenFleet.h
@@ -285,7 +285,7 @@
       if (Found)
         finish(Found.mapped(), D.Decision.Admitted);
     }
-    for (AddressedAsk &A : N.Core->takeAsks())
+    for (AskMessage &A : N.Core->takeAsks())
       sendAsk(Index, std::move(A));
   }
 
@@ -294,43 +294,44 @@
     N.BytesSent += BodyBytes + EnvelopeBytes;
   }
 
-  void sendAsk(std::size_t From, AddressedAsk A) {
+  void sendAsk(std::size_t From, AskMessage A) {
     NodeModel &N = Nodes[From];
-    count(N, encodeAsks({&A.Ask, 1}).size());
+    count(N, encodeAsks(A.Asks).size());
     const auto It = BySlot.find(A.Meter);
     if (It == BySlot.end())
       return;
     const std::size_t To = It->second;
     for (Micros Delay : Delays(From, To)) {
-      at(Now + Delay, [this, From, To, Ask = A.Ask, Sender = N.Incarnation] {
-        deliver(To, [this, From, To, Ask, Sender] {
-          answer(From, To, Ask, Sender);
+      at(Now + Delay, [this, From, To, Asks = A.Asks, Sender = N.Incarnation] {
+        deliver(To, [this, From, To, Asks, Sender] {
+          answer(From, To, Asks, Sender);
         });
       });
     }
   }
 
-  void answer(std::size_t From, std::size_t To, const TokenAsk &Ask,
-              std::uint64_t Sender) {
+  void answer(std::size_t From, std::size_t To,
+              const std::vector<TokenAsk> &Asks, std::uint64_t Sender) {
     NodeModel &Meter = Nodes[To];
     const HolderId Holder{Nodes[From].Slot.Domain + "/" +
                               std::to_string(Nodes[From].Slot.Slot),
                           Sender};
-    auto Given = Meter.Core->answer(Holder, Ask, localTime(Meter));
+    const auto Given = Meter.Core->answer(Holder, Asks, localTime(Meter));
     flush(To);
-    if (!Given)
+    if (Given.empty())
       return;
-    const std::string Body = encodeGrants({&*Given, 1});
+    const std::string Body = encodeGrants(Given);
     count(Meter, Body.size());
-    const TokenGrant Narrow = decodeGrants(Body)->front();
+    const std::vector<TokenGrant> Narrow = *decodeGrants(Body);
     for (Micros Delay : Delays(To, From)) {
       at(Now + Delay, [this, From, To, Narrow, Sender] {
         deliver(From, [this, From, To, Narrow, Sender] {
           // A reply to a process that is gone finds no connection.
           if (Nodes[From].Incarnation != Sender)
             return;
-          Nodes[From].Core->accept(Nodes[To].Slot, Narrow,
-                                   localTime(Nodes[From]));
+          for (const TokenGrant &Grant : Narrow)
+            Nodes[From].Core->accept(Nodes[To].Slot, Grant,
+                                     localTime(Nodes[From]));
           flush(From);
         });
       });
