--- a/src/ini/IniReader.cpp
+++ b/src/ini/IniReader.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <cstring>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -154,8 +153,7 @@
       Text.remove_suffix(1);
     if (!accept(Text, Size))
       Text = {};
-    std::memcpy(Buffer, Text.data(), Text.size());
-    Buffer[Text.size()] = '\0';
+    *std::copy(Text.begin(), Text.end(), Buffer) = '\0';
     return Buffer;
   }
 
