Keep the fleet inside of the read allowance where reads arrive

Cause, found by the new bench/PlatformReadBench with 100 real readers and an allowance of 150 a second: the platform saw up to 265 reads in a second. libcurl repeats a request by itself on a used connection that the platform closes; jitter ended within the wait for the allowance, so that a fleet stayed in step; and two such steps, a second apart, arrived within one second. Change: a connection for each read, jitter on top of the allowance, and a window that is 100 ms longer than the promise.

--- /dev/null
+++ b/bench/PlatformReadBench.cpp
@@ -0,0 +1,155 @@
+/// \file
+/// Reads per second that arrive at the platform while a whole fleet starts at
+/// once, loses its platform, finds it again and restarts again and again.
+/// Every reader is the product's own, with a connection of its own, against
+/// the stand-in of the platform. Prints Markdown.
+
+#include "platform/PlatformReader.h"
+
+#include "../tests/support/ChildProcess.h"
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <curl/curl.h>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+DEFINE_int32(readers, 100, "nodes that all read the platform");
+DEFINE_int32(allowance, 150, "reads a second that the platform bears");
+DEFINE_int32(phase_ms, 6000, "length of each phase");
+
+using namespace fescuewood;
+
+namespace {
+
+constexpr int HerdRestarts = 5;
+
+std::size_t appendBody(char *Data, std::size_t Size, std::size_t Count,
+                       void *Into) {
+  static_cast<std::string *>(Into)->append(Data, Size * Count);
+  return Size * Count;
+}
+
+void sleepFor(int Ms) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(Ms));
+}
+
+/// A folder with one small intent, and the stand-in that serves it.
+class PlatformStandIn {
+public:
+  explicit PlatformStandIn(const std::filesystem::path &Own)
+      : Folder(makeFolder()),
+        Process(
+            {(Own.parent_path().parent_path() / "standins/Platform").string(),
+             "--listen", "127.0.0.1:0", "--folder", Folder, "--instances",
+             Folder + "/instances.json"}) {
+    const std::string &Line = Process.firstLine();
+    const auto Parsed = Endpoint::parse(Line.substr(Line.find(' ') + 1));
+    if (!Parsed) {
+      std::fprintf(stderr, "the stand-in did not start\n");
+      std::exit(EXIT_FAILURE);
+    }
+    Server = *Parsed;
+  }
+  ~PlatformStandIn() { std::filesystem::remove_all(Folder); }
+
+  const Endpoint &server() const { return Server; }
+
+  nlohmann::json get(const std::string &Path) const {
+    std::string Body;
+    const std::string Url = "http://" + Server.text() + Path;
+    CURL *Curl = curl_easy_init();
+    curl_easy_setopt(Curl, CURLOPT_URL, Url.c_str());
+    curl_easy_setopt(Curl, CURLOPT_WRITEFUNCTION, &appendBody);
+    curl_easy_setopt(Curl, CURLOPT_WRITEDATA, &Body);
+    curl_easy_perform(Curl);
+    curl_easy_cleanup(Curl);
+    return nlohmann::json::parse(Body, nullptr, false);
+  }
+
+private:
+  static std::string makeFolder() {
+    std::string Name =
+        (std::filesystem::temp_directory_path() / "fescuewoodXXXXXX").string();
+    const std::string Made = mkdtemp(Name.data());
+    std::ofstream(Made + "/10-a.ini") << "[service a]\n";
+    std::ofstream(Made + "/instances.json") << "{\"instances\": []}\n";
+    return Made;
+  }
+
+  std::string Folder;
+  ChildProcess Process;
+  Endpoint Server;
+};
+
+/// All readers of the fleet; ends with their destruction.
+class Fleet {
+public:
+  Fleet(const Endpoint &Server, bool Limited) {
+    PlatformSettings Settings;
+    Settings.FleetReadsPerSecond =
+        static_cast<std::uint32_t>(Limited ? FLAGS_allowance : 1000000);
+    Settings.FleetNodes = static_cast<std::uint32_t>(FLAGS_readers);
+    Settings.WatchWait = DurationMs(3000);
+    for (int I = 0; I < FLAGS_readers; ++I)
+      Readers.push_back(std::make_unique<PlatformReader>(
+          httpSource(Server, DurationMs(2000)), Settings, PlatformReaderHooks{},
+          static_cast<std::uint64_t>(I)));
+    for (const auto &Reader : Readers)
+      Reader->start();
+  }
+
+private:
+  std::vector<std::unique_ptr<PlatformReader>> Readers;
+};
+
+void printRow(const PlatformStandIn &Platform, const char *Limit,
+              const char *Phase, const std::string &Bound) {
+  const nlohmann::json Stats = Platform.get("/stats?reset=1");
+  fmt::print("| {} | {} | {} | {} | {} |\n", Phase, Limit,
+             Stats["total"].get<int>(), Stats["peak_per_second"].get<int>(),
+             Bound);
+}
+
+void measure(const PlatformStandIn &Platform, bool Limited) {
+  const char *Limit = Limited ? "allowance" : "backoff only";
+  const std::string Bound = Limited ? std::to_string(FLAGS_allowance) : "none";
+  auto Readers = std::make_unique<Fleet>(Platform.server(), Limited);
+  sleepFor(FLAGS_phase_ms);
+  printRow(Platform, Limit, "all start at once", Bound);
+  Platform.get("/control?out=1");
+  sleepFor(FLAGS_phase_ms);
+  printRow(Platform, Limit, "platform out", Bound);
+  Platform.get("/control?out=0");
+  sleepFor(FLAGS_phase_ms);
+  printRow(Platform, Limit, "platform back", Bound);
+  for (int I = 0; I < HerdRestarts; ++I) {
+    Readers.reset();
+    Readers = std::make_unique<Fleet>(Platform.server(), Limited);
+    sleepFor(FLAGS_phase_ms / HerdRestarts);
+  }
+  printRow(Platform, Limit, "all restart, five times", Bound);
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  const PlatformStandIn Platform(std::filesystem::canonical("/proc/self/exe"));
+  fmt::print("{} readers.\n\n| Phase | Limited by | Reads | Most in a second | "
+             "Allowed |\n|---|---|---|---|---|\n",
+             FLAGS_readers);
+  measure(Platform, true);
+  measure(Platform, false);
+  return 0;
+}
--- a/src/platform/HttpSource.cpp
+++ b/src/platform/HttpSource.cpp
@@ -45,7 +45,8 @@
   return Bytes;
 }
 
-/// One connection to the platform. Reads come from one thread.
+/// Asks the platform, each time on a new connection. Reads come from one
+/// thread.
 class HttpClient {
 public:
   HttpClient(Endpoint Server, DurationMs Timeout)
@@ -87,6 +88,11 @@
     curl_easy_setopt(Curl, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(Curl, CURLOPT_PROXY, "");
     curl_easy_setopt(Curl, CURLOPT_PROTOCOLS_STR, "http");
+    // On a connection that was used before, curl sends a request again by
+    // itself when the peer closes without an answer: that read would not be
+    // counted. A new connection also cannot have gone silent unnoticed.
+    curl_easy_setopt(Curl, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(Curl, CURLOPT_FORBID_REUSE, 1L);
     curl_easy_setopt(Curl, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(Timeout.Value));
     curl_easy_setopt(Curl, CURLOPT_TIMEOUT_MS,
--- a/src/platform/ReadLoop.cpp
+++ b/src/platform/ReadLoop.cpp
@@ -40,8 +40,11 @@
       Time(std::move(Time)), Random(Seed),
       Allowance(Settings.FleetReadsPerSecond, Settings.FleetNodes,
                 this->Time.now()) {
-  // A fleet that starts at once spreads its first reads over a window.
-  NextAttempt = this->Time.now() + jitter(Allowance.window());
+  // A fleet that starts at once spreads its first reads over a window. Jitter
+  // is added to the earliest time that the allowance gives; within the wait for
+  // it, it would be lost and all would read together.
+  NextAttempt =
+      Allowance.nextRead(this->Time.now()) + jitter(Allowance.window());
 }
 
 DurationMs ReadLoop::step() {
@@ -142,7 +145,8 @@
     emit(EventId::PlatformReadFailed,
          {{"reason", std::string(resultName(Reason)) + ": " + Detail}});
   LastFailure = Reason;
-  NextAttempt = Time.now() + jitter(backoffBound(FailuresInARow));
+  NextAttempt =
+      Allowance.nextRead(Time.now()) + jitter(backoffBound(FailuresInARow));
   ++FailuresInARow;
   if (!Reachable || FailuresInARow < FailuresUntilOut)
     return;
--- a/src/policy/ReadAllowance.cpp
+++ b/src/policy/ReadAllowance.cpp
@@ -26,7 +26,7 @@
       Taken(ReadsPerWindow, StartedAt) {}
 
 TimeMs ReadAllowance::nextRead(TimeMs Now) const {
-  return std::max(Now, Taken.front() + Window);
+  return std::max(Now, Taken.front() + span());
 }
 
 bool ReadAllowance::take(TimeMs Now) {
--- a/src/policy/ReadAllowance.h
+++ b/src/policy/ReadAllowance.h
@@ -5,6 +5,9 @@
 /// process counts as having used them all just before it started. So the whole
 /// fleet stays inside the allowance in every window, also when every process
 /// starts or restarts at once, without any node knowing of another.
+///
+/// The platform counts reads when they arrive. The promise holds there as long
+/// as some reads travel at most \ref ReadDelayVariation longer than others.
 
 #ifndef FESCUEWOOD_POLICY_READALLOWANCE_H
 #define FESCUEWOOD_POLICY_READALLOWANCE_H
@@ -17,6 +20,10 @@
 
 namespace fescuewood {
 
+/// How much later than another a read may arrive that was made at the same
+/// time.
+inline constexpr DurationMs ReadDelayVariation{100};
+
 /// A sliding window over one node's own reads.
 class ReadAllowance {
 public:
@@ -40,6 +47,9 @@
   std::size_t readsPerWindow() const { return ReadsPerWindow; }
 
 private:
+  /// Time after which a read no longer counts.
+  DurationMs span() const { return Window + ReadDelayVariation; }
+
   DurationMs Window;
   std::size_t ReadsPerWindow;
   std::deque<TimeMs> Taken; ///< The last ReadsPerWindow reads.
--- a/tests/platform/HttpSourceTest.cpp
+++ b/tests/platform/HttpSourceTest.cpp
@@ -37,7 +37,9 @@
   }
 };
 
-std::size_t ignoreBody(char *, std::size_t Size, std::size_t Count, void *) {
+std::size_t appendBody(char *Data, std::size_t Size, std::size_t Count,
+                       void *Into) {
+  static_cast<std::string *>(Into)->append(Data, Size * Count);
   return Size * Count;
 }
 
@@ -59,15 +61,20 @@
     Folder.write("10-a.ini", "[service a]\n");
   }
 
-  void control(const std::string &Query) {
-    const std::string Url = "http://" + Server.text() + "/control?" + Query;
+  std::string get(const std::string &Path) {
+    std::string Body;
+    const std::string Url = "http://" + Server.text() + Path;
     CURL *Curl = curl_easy_init();
     curl_easy_setopt(Curl, CURLOPT_URL, Url.c_str());
-    curl_easy_setopt(Curl, CURLOPT_WRITEFUNCTION, &ignoreBody);
+    curl_easy_setopt(Curl, CURLOPT_WRITEFUNCTION, &appendBody);
+    curl_easy_setopt(Curl, CURLOPT_WRITEDATA, &Body);
     LONGS_EQUAL(CURLE_OK, curl_easy_perform(Curl));
     curl_easy_cleanup(Curl);
+    return Body;
   }
 
+  void control(const std::string &Query) { get("/control?" + Query); }
+
   /// The next version above \p After, waited for.
   IntentBundle next(std::uint64_t After) {
     PlatformRead<IntentBundle> Read = Source.ReadIntent(After, LongestWait);
@@ -129,6 +136,18 @@
   }
 }
 
+// curl repeats a request by itself on a connection that was used before.
+TEST(HttpSource, SendsEachReadOnceAlsoWhenThePlatformHangsUp) {
+  next(0);
+  get("/stats?reset=1");
+  control("out=1");
+
+  reason();
+  reason();
+
+  STRCMP_CONTAINS("\"total\":2", get("/stats").c_str());
+}
+
 TEST(HttpSource, ShowsAStalePlatformAsItIs) {
   const IntentBundle First = next(0);
   Folder.write("20-b.ini", "[service b]\n");
--- a/tests/platform/ReadLoopTest.cpp
+++ b/tests/platform/ReadLoopTest.cpp
@@ -179,6 +179,26 @@
   });
 }
 
+// Jitter that ends within the wait for the allowance would leave a fleet that
+// starts or fails at once in step for good.
+TEST(ReadLoop, SpreadsReadsOfAFleetThatStartsAndFailsAtOnce) {
+  constexpr std::uint32_t Nodes = 200;
+  for (const bool Out : {false, true}) {
+    std::vector<TimeMs> Reads;
+    for (std::uint32_t Node = 0; Node < Nodes; ++Node) {
+      FakePlatform F;
+      F.Out = Out;
+      ReadLoop Loop = F.loop(settings(Nodes, Nodes), Node);
+      F.run(Loop, DurationMs(20000));
+      Reads.insert(Reads.end(), F.Reads.begin(), F.Reads.end());
+    }
+    std::sort(Reads.begin(), Reads.end());
+
+    for (std::size_t First = 0; First + Nodes / 4 < Reads.size(); ++First)
+      CHECK(Reads[First + Nodes / 4] - Reads[First] >= DurationMs(100));
+  }
+}
+
 TEST(ReadLoop, FindsASourceThatIsBackWithinItsGreatestBackoff) {
   ReadLoop Loop = Fake.loop(settings(2000, 1200));
   Fake.Out = true;
--- a/tests/policy/ReadAllowanceTest.cpp
+++ b/tests/policy/ReadAllowanceTest.cpp
@@ -14,7 +14,8 @@
 TEST_GROUP(ReadAllowance){};
 
 // Every node reads as early as it may or a little later, and restarts whenever
-// it likes: no window holds more reads than the platform bears.
+// it likes, and reads travel for different times: no window sees more arrive
+// than the platform bears.
 TEST(ReadAllowance, KeepsTheWholeFleetInsideInEveryWindow) {
   checkProperty("reads in any window <= allowance", [] {
     const auto Reads = *rc::gen::inRange<std::uint32_t>(1, 40);
@@ -32,7 +33,8 @@
           Allowance.emplace(Reads, Nodes, Now);
         Window = Allowance->window();
         while (Allowance->take(Now))
-          Taken.push_back(Now);
+          Taken.push_back(Now + DurationMs(*rc::gen::inRange<std::int64_t>(
+                                    0, ReadDelayVariation.Value)));
         RC_ASSERT(Allowance->nextRead(Now) > Now);
       }
     }
@@ -49,10 +51,10 @@
 TEST(ReadAllowance, GivesAFleetOfTheDeclaredSizeOneReadASecondEach) {
   ReadAllowance Allowance(2000, 1200, TimeMs(0));
 
-  CHECK_FALSE(Allowance.take(TimeMs(999)));
-  CHECK(Allowance.take(TimeMs(1000)));
-  CHECK_FALSE(Allowance.take(TimeMs(1999)));
-  CHECK(TimeMs(2000) == Allowance.nextRead(TimeMs(1500)));
+  CHECK_FALSE(Allowance.take(TimeMs(1099)));
+  CHECK(Allowance.take(TimeMs(1100)));
+  CHECK_FALSE(Allowance.take(TimeMs(2199)));
+  CHECK(TimeMs(2200) == Allowance.nextRead(TimeMs(1500)));
 }
 
 TEST(ReadAllowance, WidensTheWindowForAFleetLargerThanTheAllowance) {
