--- a/bench/PlatformReadBench.cpp
+++ b/bench/PlatformReadBench.cpp
@@ -80,7 +80,7 @@
   static std::string makeFolder() {
     std::string Name =
         (std::filesystem::temp_directory_path() / "fescuewoodXXXXXX").string();
-    const std::string Made = mkdtemp(Name.data());
+    std::string Made = mkdtemp(Name.data());
     std::ofstream(Made + "/10-a.ini") << "[service a]\n";
     std::ofstream(Made + "/instances.json") << "{\"instances\": []}\n";
     return Made;
