--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -85,7 +85,7 @@
   void run(const CallId &Id, HeldCall &Call);
   CallRequest outgoing(const HeldCall &Call) const;
   void onResult(const CallId &Id, RunResult Result);
-  void onAnswer(const CallId &Id, const HeldCall &Call, CallAnswer Answer);
+  void onAnswer(const CallId &Id, CallAnswer Answer);
   void onBroken(const HeldCall &Call);
   void learn(const HeldCall &Call, const RunResult &Result, TimeMs Now);
   void end(const CallId &Id, const CallReply &Reply);
@@ -110,6 +110,7 @@
   std::uint64_t Epoch = 0;      ///< Grows by one with each noticed crash.
   bool Suspended = false;       ///< Nothing starts until a probe says so.
   bool Down = false;
+  bool OutBefore = false; ///< Own domain, in the last configuration.
   bool Probing = false;
   TimeMs NextProbe{0};
   std::optional<TargetState> Told;
