Hold organisations to their rates in the node

Cause: requests were not charged. Change: the node runs the organisation limiter, charges each request at its entry, lets one wait for tokens on their way, and carries token messages. Agreement on a division is taken from the slots that are known to have had the very version in force.

--- a/src/app/CallerBridge.cpp
+++ b/src/app/CallerBridge.cpp
@@ -6,18 +6,18 @@
 
 namespace fescuewood {
 
-CallerBridge::CallerBridge(CallEngine &Engine, RateHook Charge,
+CallerBridge::CallerBridge(CallEngine &Engine, DeferredRateHook Charge,
                            CallTokenSealer Tokens, EventHook OnEvent)
     : Engine(Engine), Tokens(std::move(Tokens)),
       Incoming({[this](std::string_view Text) { return checkToken(Text); },
                 std::move(Charge),
-                [this](CallRequest Request, AnswerHook OnAnswer) {
-                  submit(std::move(Request), std::move(OnAnswer));
+                [this](std::uint64_t Number, CallRequest Request,
+                       AnswerHook OnAnswer) {
+                  submit(Number, std::move(Request), std::move(OnAnswer));
                 },
                 std::move(OnEvent)}) {}
 
 void CallerBridge::take(CallerRequest Request, const AnswerHook &OnAnswer) {
-  Taking = Request.Number;
   Incoming.take(std::move(Request), OnAnswer);
 }
 
@@ -48,8 +48,8 @@
   return Claims;
 }
 
-void CallerBridge::submit(CallRequest Request, AnswerHook OnAnswer) {
-  const std::uint64_t Number = Taking;
+void CallerBridge::submit(std::uint64_t Number, CallRequest Request,
+                          AnswerHook OnAnswer) {
   {
     // There is an entry before the answer can come, which removes it.
     std::lock_guard<std::mutex> Lock(Mutex);
--- a/src/app/CallerBridge.h
+++ b/src/app/CallerBridge.h
@@ -22,10 +22,10 @@
 
 class CallerBridge {
 public:
-  /// \param Charge charges a request to its organisation.
+  /// \param Charge charges a request to its organisation; may be empty.
   /// \param Tokens opens the tokens that this node has sealed.
-  CallerBridge(CallEngine &Engine, RateHook Charge, CallTokenSealer Tokens,
-               EventHook OnEvent);
+  CallerBridge(CallEngine &Engine, DeferredRateHook Charge,
+               CallTokenSealer Tokens, EventHook OnEvent);
 
   /// For \ref CallerServer; on the server's thread.
   void take(CallerRequest Request, const AnswerHook &OnAnswer);
@@ -37,15 +37,12 @@
 
 private:
   std::optional<CallTokenClaims> checkToken(std::string_view Text);
-  void submit(CallRequest Request, AnswerHook OnAnswer);
+  void submit(std::uint64_t Number, CallRequest Request, AnswerHook OnAnswer);
   void forget(std::uint64_t Number);
 
   CallEngine &Engine;
   CallTokenSealer Tokens; ///< Used on the server's thread only.
   Entry Incoming;
-  /// The request that \ref take is handing to the entry; the entry submits it
-  /// before it returns, on the same thread.
-  std::uint64_t Taking = 0;
   std::mutex Mutex;
   std::map<std::uint64_t, CallHandle> Running; ///< By number of the request.
 };
--- a/src/app/Node.cpp
+++ b/src/app/Node.cpp
@@ -26,6 +26,11 @@
       Engine.handlePeer(Kind, From, Body, std::move(Reply));
     });
   }
+  Server.handle(PeerKind::Tokens,
+                [this](const PeerIdentity &From, std::string_view Body,
+                       const ReplyHook &Reply) {
+                  Limiter.handlePeer(From, Body, Reply);
+                });
   Control.registerWith(Server);
   return Server.start().has_value();
 }
@@ -38,6 +43,7 @@
     return fail(Operators.lastReason());
   if (!Callers.start())
     return fail(Callers.lastReason());
+  Limiter.start();
   Control.start();
   Reader.start();
   Recorder.record({EventId::NodeStarted,
@@ -84,6 +90,7 @@
   Engine.stop();
   Target.stop();
   Peers.stop();
+  Limiter.stop();
 }
 
 Node::Node(NodeSettings Settings)
--- a/src/app/NodePages.cpp
+++ b/src/app/NodePages.cpp
@@ -90,6 +90,7 @@
   for (const MemberStatus &Row : Control.status().Members)
     Status.Fleet.push_back(fleetRow(Row));
   Status.Calls = Engine.status();
+  Status.Organisations = Limiter.status();
   Status.Traffic = Link.Traffic.byKind();
   Status.RefusedMessages = Link.Traffic.refusals();
   Status.PeerConnections = Link.Traffic.connections();
--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -84,9 +84,18 @@
       Tokens(Settings.Peers.Secret, Settings.Node.Name),
       Control(controlSettings(Settings), {Settings.Node.Name, Incarnation},
               controlHooks()),
+      Limiter({Settings.Node.Name, Settings.Node.Domain, Settings.Node.Slot,
+               Incarnation},
+              TokenSettings(), limiterHooks()),
       Engine(callIdentity(Settings.Node, Incarnation), CallSettings(),
              callHooks()),
-      Bridge(Engine, RateHook(), Tokens, Recorder.hook()),
+      Bridge(
+          Engine,
+          [this](std::string_view Organisation,
+                 const RateDecisionHook &OnDecision) {
+            Limiter.charge(Organisation, OnDecision);
+          },
+          Tokens, Recorder.hook()),
       Callers(
           callerOptions(Settings.Callers),
           [this](CallerRequest Request, const AnswerHook &OnAnswer) {
@@ -127,11 +136,24 @@
   };
   Hooks.OnInstances = [this](std::span<const Instance> Seen) {
     Engine.setInstances({Seen.begin(), Seen.end()});
+    Limiter.setInstances({Seen.begin(), Seen.end()});
   };
   Hooks.OnEvent = Recorder.hook();
   return Hooks;
 }
 
+LimiterHooks NodeParts::limiterHooks() {
+  LimiterHooks Hooks;
+  Hooks.Send = Peers.hook();
+  Hooks.OnEvent = Recorder.hook();
+  // Every slot having had this very version in force is more than the same
+  // division everywhere asks for.
+  Hooks.AgreedEverywhere = [this](const ShareMark &Mark) {
+    return Control.everySlotAt(Mark.Current);
+  };
+  return Hooks;
+}
+
 PlatformReaderHooks NodeParts::readerHooks() {
   PlatformReaderHooks Hooks;
   Hooks.AmReader = [this] { return Control.amReader(); };
@@ -151,6 +173,7 @@
   InForce.replace(Snapshot);
   Bridge.setSnapshot(Snapshot);
   Engine.setSnapshot(Snapshot);
+  Limiter.setSnapshot(Snapshot);
 }
 
 } // namespace fescuewood
--- a/src/app/NodeParts.h
+++ b/src/app/NodeParts.h
@@ -16,6 +16,7 @@
 #include "operators/LogWriter.h"
 #include "operators/NodeStatus.h"
 #include "operators/OperatorServer.h"
+#include "organisations/OrganisationLimiter.h"
 #include "platform/PlatformReader.h"
 #include "settings/NodeSettings.h"
 
@@ -43,6 +44,7 @@
 private:
   CallHooks callHooks();
   ControlHooks controlHooks();
+  LimiterHooks limiterHooks();
   PlatformReaderHooks readerHooks();
   Pages pages();
   Page explainPage(const PageQuery &Query) const;
@@ -71,6 +73,7 @@
   TargetAdapter Adapter;
   CallTokenSealer Tokens;
   ControlDuty Control;
+  OrganisationLimiter Limiter;
   CallEngine Engine;
   CallerBridge Bridge;
   CallerServer Callers;
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -88,17 +88,27 @@
     return;
   }
   // A call inside the mesh was charged where its chain entered.
-  if (!Inside && !Call.Organisation.empty() && Hooks.Charge) {
-    const RateDecision Decision = Hooks.Charge(Call.Organisation);
-    if (!Decision.Admitted) {
-      CallAnswer Answer = refusal(statusOf(ResultCode::RateExceeded),
-                                  ResultCode::RateExceeded, Outcome::NotRun);
-      Answer.Headers.push_back(retryAfter(Decision.RetryAfter));
-      OnAnswer(std::move(Answer));
+  if (Inside || Call.Organisation.empty() || !Hooks.Charge)
+    Hooks.Submit(Request.Number, std::move(Call), OnAnswer);
+  else
+    chargeAndSubmit(Request.Number, std::move(Call), OnAnswer);
+}
+
+void Entry::chargeAndSubmit(std::uint64_t Number, CallRequest Call,
+                            const AnswerHook &OnAnswer) const {
+  // A decision hook is copyable, so the call is shared with it.
+  const auto Waiting = std::make_shared<CallRequest>(std::move(Call));
+  Hooks.Charge(Waiting->Organisation, [this, Number, Waiting,
+                                       OnAnswer](const RateDecision &Decision) {
+    if (Decision.Admitted) {
+      Hooks.Submit(Number, std::move(*Waiting), OnAnswer);
       return;
     }
-  }
-  Hooks.Submit(std::move(Call), OnAnswer);
+    CallAnswer Answer = refusal(statusOf(ResultCode::RateExceeded),
+                                ResultCode::RateExceeded, Outcome::NotRun);
+    Answer.Headers.push_back(retryAfter(Decision.RetryAfter));
+    OnAnswer(std::move(Answer));
+  });
 }
 
 ResultCode Entry::identify(const InForce &Now, const Route &Matched,
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -58,10 +58,11 @@
   /// The claims of a call token that this fleet issued, or nothing.
   std::function<std::optional<CallTokenClaims>(std::string_view Token)>
       CheckToken;
-  /// Charges one request to an organisation.
-  RateHook Charge;
-  /// Takes the call.
-  std::function<void(CallRequest, AnswerHook)> Submit;
+  /// Charges one request to an organisation; the request may have to wait for
+  /// its decision. Empty where nothing is charged.
+  DeferredRateHook Charge;
+  /// Takes the call of the request with this number; on any thread.
+  std::function<void(std::uint64_t Number, CallRequest, AnswerHook)> Submit;
   EventHook OnEvent;
 };
 
@@ -86,6 +87,8 @@
   using InForcePtr = std::shared_ptr<const InForce>;
 
   InForcePtr inForce() const;
+  void chargeAndSubmit(std::uint64_t Number, CallRequest Call,
+                       const AnswerHook &OnAnswer) const;
   void refuse(const AnswerHook &OnAnswer, ResultCode Reason,
               const CallRequest &Request) const;
   ResultCode identify(const InForce &Present, const Route &Matched,
