--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -87,7 +87,7 @@
       Limiter({Settings.Node.Name, Settings.Node.Domain, Settings.Node.Slot,
                Incarnation},
               TokenSettings(), limiterHooks()),
-      Engine(callIdentity(Settings.Node, Incarnation), CallSettings(),
+      Engine(callIdentity(Settings.Node, Incarnation), Settings.Calls,
              callHooks()),
       Bridge(
           Engine,
