--- a/tests/calls/EntryTest.cpp
+++ b/tests/calls/EntryTest.cpp
@@ -39,16 +39,21 @@
   std::vector<CallAnswer> Refused;
   RateDecision Decision{true, DurationMs(0)};
   int Charged = 0;
+  bool DecideLater = false;
+  std::vector<RateDecisionHook> Undecided;
   Entry Way{{[](std::string_view Token) -> std::optional<CallTokenClaims> {
                if (Token != "valid")
                  return std::nullopt;
                return CallTokenClaims{"clerks", 3, DurationMs(700)};
              },
-             [this](std::string_view) {
+             [this](std::string_view, const RateDecisionHook &OnDecision) {
                ++Charged;
-               return Decision;
+               if (DecideLater)
+                 Undecided.push_back(OnDecision);
+               else
+                 OnDecision(Decision);
              },
-             [this](CallRequest Request, const AnswerHook &) {
+             [this](std::uint64_t, CallRequest Request, const AnswerHook &) {
                Submitted.push_back(std::move(Request));
              },
              {}}};
@@ -193,3 +198,16 @@
   LONGS_EQUAL(1, Submitted.size());
   CHECK(findField(Submitted[0].Headers, "Authorization") != nullptr);
 }
+
+TEST(Entry, SubmitsACallOnceItsTokensHaveCome) {
+  DecideLater = true;
+
+  take(keyed("/order"));
+  const std::size_t SubmittedBefore = Submitted.size();
+  for (const RateDecisionHook &Decide : Undecided)
+    Decide({true, DurationMs(0)});
+
+  LONGS_EQUAL(0, SubmittedBefore);
+  LONGS_EQUAL(1, Undecided.size());
+  LONGS_EQUAL(1, Submitted.size());
+}
