--- a/src/policy/TokenHolder.h
+++ b/src/policy/TokenHolder.h
@@ -34,6 +34,7 @@
   double OwnRate = 0;        ///< Of this node's own meter.
   double OwnLevel = 0;       ///< Of this node's own meter.
   std::uint32_t Waiting = 0; ///< Requests that wait for a token.
+  bool MayAskForNeed = true; ///< False to save bytes for leases of rates.
 };
 
 /// Leases from all meters of an organisation.
@@ -61,6 +62,12 @@
   std::optional<AddressedAsk> nextAsk(std::string_view Organisation,
                                       const TokenDemand &Demand, TimeMs Now);
 
+  /// The renewal of a lease of \p Meter that may go along with a message that
+  /// is sent there anyway, or nothing; marks it as pending.
+  std::optional<TokenAsk> companionAsk(const SlotId &Meter,
+                                       std::string_view Organisation,
+                                       const TokenDemand &Demand, TimeMs Now);
+
   /// Takes up a grant. One that was not asked for, or is late, is ignored.
   void accept(const SlotId &Meter, const TokenGrant &Given, TimeMs Now);
 
@@ -73,23 +80,34 @@
   TimeMs nextToken(const TokenDemand &Demand, TimeMs Now);
 
   /// Whether an ask for tokens is on its way.
-  bool asking() const { return PendingNeeds > 0; }
+  bool asking() const { return PendingTokens > 0; }
 
   /// Drops every lease and pending ask, after a pause.
   void discard();
 
 private:
+  /// Spaces asks out while they bring nothing.
+  struct Backoff {
+    DurationMs Pause{100};
+    TimeMs Until;
+
+    void note(bool Useful, TimeMs Now);
+  };
+
   struct Contact {
     SlotId Meter;
     std::uint64_t LastSequence = 0;
     bool Pending = false;
-    bool PendingNeed = false;
+    std::uint32_t PendingNeed = 0; ///< Tokens asked for at once.
     TimeMs SentAt;
     TimeMs QuietUntil; ///< Asking earlier for tokens is of no use.
     TimeMs ReadyAt;    ///< The meter said that it has a token then.
     bool Silent = false;
+    Backoff AvoidTokens; ///< After asks that brought no tokens.
+    Backoff AvoidRate;   ///< After asks that brought no rate.
     // The lease in use, if Adopted is not 0 and End has not come.
     std::uint64_t Adopted = 0;
+    std::uint64_t Renewed = 0; ///< The lease for which terms were asked last.
     double Rate = 0;
     double Cap = 0;
     double Level = 0;
@@ -101,18 +119,27 @@
   void advance(TimeMs Now);
   void expireAsks(TimeMs Now);
   void settle(Contact &C);
+  void noteNeed(Contact &C, bool Useful, TimeMs Now);
+  void passOver(Contact &C, TimeMs Now);
   Contact *find(const SlotId &Meter);
-  Contact *dueForRenewal(const TokenDemand &Demand, TimeMs Now);
+  bool renewable(const Contact &C, double Part, TimeMs Now) const;
+  bool wantsRate(const TokenDemand &Demand) const;
+  bool suppliedFor(double Part, const TokenDemand &Demand, TimeMs Now) const;
+  Contact *dueForRenewal(TimeMs Now);
+  Contact *nextForRate(const TokenDemand &Demand, TimeMs Now);
   Contact *nextForNeed(TimeMs Now);
   TimeMs ownToken(const TokenDemand &Demand, TimeMs Now);
-  std::uint32_t need(const TokenDemand &Demand, TimeMs Now);
   AddressedAsk ask(Contact &C, std::string_view Organisation,
                    const TokenDemand &Demand, std::uint32_t Need, TimeMs Now);
 
   TokenSettings Settings;
   std::vector<Contact> Contacts;
   std::vector<std::size_t> Active; ///< Contacts with a lease or a pending ask.
-  std::size_t PendingNeeds = 0;
+  std::uint64_t PendingTokens = 0; ///< Asked for and not answered yet.
+  bool PendingRate = false; ///< A meter without a lease was asked for a rate.
+  Backoff Rates;
+  Backoff Needs;
+  std::uint32_t Misses = 0;       ///< Meters in a row that had no token.
   std::uint64_t LastSequence = 0; ///< Over all meters.
 };
 
