--- a/src/policy/TokenNode.cpp
+++ b/src/policy/TokenNode.cpp
@@ -16,6 +16,12 @@
 /// Most asks of one organisation in one poll.
 constexpr int MaxAsksPerPoll = 4;
 
+/// Most asks in one message.
+constexpr std::size_t MaxAsksPerMessage = 32;
+
+/// Part of the allowance that only leases of rates may use.
+constexpr double ReservedForRates = 0.5;
+
 /// Sums of parts that were divided may miss a whole token by rounding; the
 /// drift margin covers far more than this.
 constexpr double WholeToken = 1 - 1e-9;
@@ -24,6 +30,8 @@
 
 TokenPlan::TokenPlan(const Snapshot &Source, const TokenSettings &Settings)
     : Id(Source.Id), Table(Source, Settings) {
+  for (const auto &[Name, Declared] : Source.Domains)
+    DeclaredSlots += Declared.Nodes;
   for (const auto &[Name, Declared] : Source.Organisations) {
     const auto It = Source.Rates.find(Declared.Rate);
     if (It != Source.Rates.end())
@@ -38,7 +46,24 @@
 TokenNode::TokenNode(SlotId Self, const TokenSettings &Settings, TimeMs Now)
     : Self(std::move(Self)), Settings(Settings), History(Settings.fence()),
       MeterStart(Now + Settings.fence()), LastSeen(Now),
-      Bytes(Settings.BurstBytes), BytesAt(Now) {}
+      AskBytes(Settings.AskBytesPerSecond, Settings.BurstBytes, Now),
+      GrantBytes(Settings.GrantBytesPerSecond, Settings.BurstBytes, Now) {}
+
+bool ByteAllowance::has(double Bytes, TimeMs Now) {
+  if (Now > At) {
+    const double Seconds = static_cast<double>((Now - At).Value) / MsPerSecond;
+    Level = std::min(Burst, Level + PerSecond * Seconds);
+    At = Now;
+  }
+  return Level >= Bytes;
+}
+
+bool ByteAllowance::take(double Bytes, TimeMs Now) {
+  if (!has(Bytes, Now))
+    return false;
+  Level -= Bytes;
+  return true;
+}
 
 void TokenNode::apply(const TokenPlan &Plan, TimeMs Now) {
   notice(Now);
@@ -46,6 +71,9 @@
   const bool FirstPlan = !Mark.has_value();
   if (Mark && Plan.Id <= Mark->Current)
     return;
+  const bool IsSmall = Plan.DeclaredSlots <= Settings.SmallFleetSlots;
+  AskBytes.setRate(IsSmall ? Settings.SmallFleetAskBytesPerSecond
+                           : Settings.AskBytesPerSecond);
   History.add(Plan.Id, Plan.Table.digest(), Plan.Table.sharesOf(Self));
   for (auto It = Accounts.begin(); It != Accounts.end();) {
     Account &A = It->second;
@@ -197,24 +225,34 @@
 void TokenNode::poll(std::string_view Name, Account &A, TimeMs Now) {
   if (!Settings.Leasing)
     return;
-  refill(Now);
-  for (int I = 0; I < MaxAsksPerPoll && Bytes >= MessageBytes; ++I) {
-    auto Next = A.Holder.nextAsk(Name, demandOf(A, Now), Now);
+  for (int I = 0; I < MaxAsksPerPoll; ++I) {
+    if (!AskBytes.has(MessageBytes + ItemBytes, Now))
+      return;
+    TokenDemand Demand = demandOf(A, Now);
+    Demand.MayAskForNeed =
+        AskBytes.has(Settings.BurstBytes * ReservedForRates, Now);
+    auto Next = A.Holder.nextAsk(Name, Demand, Now);
     if (!Next)
       return;
-    Bytes -= MessageBytes;
-    Asks.push_back(std::move(*Next));
+    queueAsk(std::move(*Next), Now);
   }
 }
 
-void TokenNode::refill(TimeMs Now) {
-  if (Now <= BytesAt)
-    return;
-  const double Seconds =
-      static_cast<double>((Now - BytesAt).Value) / MsPerSecond;
-  Bytes =
-      std::min(Bytes + Settings.BytesPerSecond * Seconds, Settings.BurstBytes);
-  BytesAt = Now;
+void TokenNode::queueAsk(AddressedAsk Next, TimeMs Now) {
+  AskBytes.take(MessageBytes + ItemBytes, Now);
+  AskMessage Message{Next.Meter, {std::move(Next.Ask)}};
+  for (auto &[Name, A] : Accounts) {
+    if (Message.Asks.size() >= MaxAsksPerMessage ||
+        !AskBytes.has(ItemBytes, Now))
+      break;
+    auto More =
+        A.Holder.companionAsk(Message.Meter, Name, demandOf(A, Now), Now);
+    if (!More)
+      continue;
+    AskBytes.take(ItemBytes, Now);
+    Message.Asks.push_back(std::move(*More));
+  }
+  Asks.push_back(std::move(Message));
 }
 
 void TokenNode::settleWaiters(Account &A, TimeMs Now) {
@@ -236,16 +274,23 @@
   }
 }
 
-std::optional<TokenGrant> TokenNode::answer(const HolderId &From,
-                                            const TokenAsk &Ask, TimeMs Now) {
+std::vector<TokenGrant> TokenNode::answer(const HolderId &From,
+                                          std::span<const TokenAsk> Asked,
+                                          TimeMs Now) {
   notice(Now);
-  refill(Now);
-  const auto It = Accounts.find(Ask.Organisation);
-  if (It == Accounts.end() || Bytes < -Settings.BurstBytes)
-    return std::nullopt;
-  Bytes -= MessageBytes;
-  Account &A = It->second;
-  return A.Meter.grant(From, Ask, A.Demand.rate(Now), Now);
+  std::vector<TokenGrant> Grants;
+  const double Bytes =
+      MessageBytes + ItemBytes * static_cast<double>(Asked.size());
+  if (!GrantBytes.take(Bytes, Now))
+    return Grants;
+  for (const TokenAsk &Ask : Asked) {
+    const auto It = Accounts.find(Ask.Organisation);
+    if (It == Accounts.end())
+      continue;
+    Account &A = It->second;
+    Grants.push_back(A.Meter.grant(From, Ask, A.Demand.rate(Now), Now));
+  }
+  return Grants;
 }
 
 void TokenNode::accept(const SlotId &Meter, const TokenGrant &Given,
@@ -282,7 +327,7 @@
   }
 }
 
-std::vector<AddressedAsk> TokenNode::takeAsks() {
+std::vector<AskMessage> TokenNode::takeAsks() {
   return std::exchange(Asks, {});
 }
 
