--- a/src/nodes/ControlMessages.cpp
+++ b/src/nodes/ControlMessages.cpp
@@ -4,8 +4,6 @@
 #include "intent/CompileIntent.h"
 #include "nodes/PeerCodec.h"
 #include "nodes/PeerEnvelope.h"
-#include "policy/Membership.h"
-
 #include <algorithm>
 
 namespace fescuewood {
@@ -50,17 +48,17 @@
   std::uint32_t SpreadDigest = 0;
   WireMembers Rumours;
   std::uint32_t KnownRumours = 0;
-  std::vector<std::uint32_t> Buckets;
   std::string SlotBits;
+  bool SenderUnknown = false;
   MSGPACK_DEFINE(Type, InForce, Starting, MemberCount, TableDigest,
-                 SpreadDigest, Rumours, KnownRumours, Buckets, SlotBits)
+                 SpreadDigest, Rumours, KnownRumours, SlotBits, SenderUnknown)
 };
 
 struct WireRepair {
   std::uint8_t Type = 0;
-  std::vector<std::uint32_t> Buckets;
-  WireMembers Members;
-  MSGPACK_DEFINE(Type, Buckets, Members)
+  std::string Buckets; ///< Two bytes each, the low one first.
+  bool AllBuckets = false;
+  MSGPACK_DEFINE(Type, Buckets, AllBuckets)
 };
 
 struct WireType {
@@ -180,28 +178,28 @@
 std::optional<ExchangeMessage> fromWire(WireExchange Wire) {
   ExchangeMessage Result;
   if (!readOptional(Wire.InForce, Result.InForce) ||
-      !readMembers(Wire.Rumours, Result.Rumours) ||
-      Wire.Buckets.size() > MemberBuckets)
+      !readMembers(Wire.Rumours, Result.Rumours))
     return std::nullopt;
   Result.Starting = Wire.Starting;
   Result.MemberCount = Wire.MemberCount;
   Result.TableDigest = Wire.TableDigest;
   Result.SpreadDigest = Wire.SpreadDigest;
   Result.KnownRumours = Wire.KnownRumours;
-  Result.Buckets = std::move(Wire.Buckets);
   Result.SlotBits = std::move(Wire.SlotBits);
+  Result.SenderUnknown = Wire.SenderUnknown;
   return Result;
 }
 
-std::optional<RepairRequest> fromWire(WireRepair Wire) {
-  RepairRequest Result;
-  const bool InRange =
-      std::all_of(Wire.Buckets.begin(), Wire.Buckets.end(),
-                  [](std::uint32_t Index) { return Index < MemberBuckets; });
-  if (!InRange || Wire.Buckets.size() > MemberBuckets ||
-      !readMembers(Wire.Members, Result.Members))
+std::optional<RepairRequest> fromWire(const WireRepair &Wire) {
+  if (Wire.Buckets.size() != 2 * MemberBuckets)
     return std::nullopt;
-  Result.Buckets = std::move(Wire.Buckets);
+  RepairRequest Result;
+  Result.AllBuckets = Wire.AllBuckets;
+  for (std::size_t I = 0; I < MemberBuckets; ++I) {
+    const auto Low = static_cast<std::uint8_t>(Wire.Buckets[2 * I]);
+    const auto High = static_cast<std::uint8_t>(Wire.Buckets[2 * I + 1]);
+    Result.Buckets[I] = static_cast<std::uint16_t>(High << 8U | Low);
+  }
   return Result;
 }
 
@@ -233,14 +231,20 @@
   Wire.SpreadDigest = Message.SpreadDigest;
   Wire.Rumours = toWire(Message.Rumours);
   Wire.KnownRumours = Message.KnownRumours;
-  Wire.Buckets = Message.Buckets;
   Wire.SlotBits = Message.SlotBits;
+  Wire.SenderUnknown = Message.SenderUnknown;
   return packBody(Wire);
 }
 
 std::string packRepair(const RepairRequest &Message) {
-  return packBody(WireRepair{static_cast<std::uint8_t>(ExchangeType::Repair),
-                             Message.Buckets, toWire(Message.Members)});
+  WireRepair Wire;
+  Wire.Type = static_cast<std::uint8_t>(ExchangeType::Repair);
+  for (std::uint16_t Bucket : Message.Buckets) {
+    Wire.Buckets.push_back(static_cast<char>(Bucket & 0xFFU));
+    Wire.Buckets.push_back(static_cast<char>(Bucket >> 8U));
+  }
+  Wire.AllBuckets = Message.AllBuckets;
+  return packBody(Wire);
 }
 
 std::string packRepairReply(const RepairReply &Message) {
@@ -271,9 +275,9 @@
     return std::nullopt;
   ExchangeRequest Result;
   if (Type->Type == static_cast<std::uint8_t>(ExchangeType::Repair)) {
-    auto Wire = unpackBody<WireRepair>(Body);
+    const auto Wire = unpackBody<WireRepair>(Body);
     if (Wire)
-      Result.Repair = fromWire(std::move(*Wire));
+      Result.Repair = fromWire(*Wire);
   } else {
     Result.Exchange = unpackExchange(Body);
   }
--- a/src/nodes/MemberSync.cpp
+++ b/src/nodes/MemberSync.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr DurationMs EagerPeriod{300};
+constexpr DurationMs EagerPeriod{500};
 constexpr std::size_t EagerPeers = 3;
 constexpr DurationMs RefreshPeriod{500};
 
@@ -21,6 +21,16 @@
 /// would mostly settle it.
 constexpr std::uint64_t RepairShare = 4;
 
+/// Least time between two repairs of this node, so that a change of many
+/// members at once, which makes all tables differ for a while, stays cheap.
+constexpr DurationMs RepairPeriod{2000};
+constexpr DurationMs EagerRepairPeriod{1000};
+
+/// With more records than this waiting, many members have changed at once:
+/// repairs then carry them in bulk, and rumours only what matters most.
+constexpr std::size_t ManyRumours = 64;
+constexpr std::size_t FewRumours = 2;
+
 constexpr double MsPerSecond = 1000;
 
 } // namespace
@@ -34,13 +44,16 @@
       Members(Settings.Members, Settings.Self, Incarnation, this->Time.now()),
       View(Settings.Peers, this->Random), NextExchange(this->Time.now()),
       NextEager(NextExchange), NextRefresh(NextExchange),
+      NextRepair(NextExchange),
       PushTokens(static_cast<double>(Settings.MaxPushesPerSecond)),
       PushTokensAt(NextExchange) {}
 
 void MemberSync::setRegions(
     std::map<std::string, std::string, std::less<>> ByDomain) {
+  if (Regions == ByDomain)
+    return;
   Regions = std::move(ByDomain);
-  NextRefresh = Time.now();
+  refreshView();
 }
 
 void MemberSync::tick(bool Eager) {
@@ -48,7 +61,8 @@
   if (Now >= NextRefresh) {
     NextRefresh = Now + RefreshPeriod;
     Members.expire(Now);
-    refreshView();
+    if (Members.digest() != ViewDigest || Now >= NextRotation)
+      refreshView();
   }
   if (Members.takeUrgent())
     push(Settings.PushFanout);
@@ -68,6 +82,8 @@
 }
 
 void MemberSync::refreshView() {
+  ViewDigest = Members.digest();
+  NextRotation = Time.now() + Settings.Peers.RotationPeriod;
   std::vector<PeerCandidate> Candidates;
   for (const auto &[Name, Entry] : Members.members()) {
     if (Name == Settings.Self.Name ||
@@ -154,7 +170,9 @@
 ExchangeMessage MemberSync::describe(std::string_view Receiver) {
   ExchangeMessage Message;
   Message.MemberCount = static_cast<std::uint32_t>(Members.members().size());
-  Message.Rumours = Members.takeRumours(Settings.MaxRumours);
+  Message.Rumours = Members.takeRumours(Members.rumoursWaiting() > ManyRumours
+                                            ? FewRumours
+                                            : Settings.MaxRumours);
   Message.TableDigest = Members.digest();
   addBelief(Receiver, Message);
   Own.Describe(Message);
@@ -235,10 +253,12 @@
   if (Outcomes.size() > RememberedOutcomes)
     Outcomes.pop_front();
   Members.onRumoursKnown(Sent, Theirs.KnownRumours);
+  if (Theirs.SenderUnknown)
+    Members.announce();
   mergeRumours(Theirs.Rumours);
   Members.onHeard(Reply.From.Name, Time.now());
   Own.OnDescribed(Reply.From.Name, Address, Theirs);
-  if (!Theirs.Buckets.empty())
+  if (wantsRepair(Theirs))
     repair(Address, Theirs);
 }
 
@@ -266,29 +286,36 @@
       Entry == nullptr ? std::string() : Entry->Record.Place.PeerAddress;
   ExchangeMessage Reply = describe(From.Name);
   Reply.KnownRumours = Known;
-  if (Theirs.TableDigest != Reply.TableDigest)
-    Reply.Buckets.assign(Members.bucketDigests().begin(),
-                         Members.bucketDigests().end());
+  Reply.SenderUnknown =
+      Entry == nullptr || Entry->Record.Order.Incarnation < From.Incarnation;
   Own.DescribeDifference(Theirs, Reply);
   std::string Packed = packExchange(Reply);
   Own.OnDescribed(From.Name, Address, Theirs);
   return Packed;
 }
 
+bool MemberSync::farSmallerThan(const ExchangeMessage &Theirs) const {
+  return Members.members().size() * 2 < Theirs.MemberCount;
+}
+
+/// Whether to compare tables now: while rumours travel they mostly settle a
+/// difference by themselves.
+bool MemberSync::wantsRepair(const ExchangeMessage &Theirs) {
+  if (Theirs.TableDigest == Members.digest() || Time.now() < NextRepair)
+    return false;
+  return farSmallerThan(Theirs) || Theirs.Rumours.empty() ||
+         Random() % RepairShare == 0;
+}
+
 void MemberSync::repair(const std::string &Address,
                         const ExchangeMessage &Theirs) {
-  RepairRequest Request;
-  Request.Buckets = bucketsToRepair(Theirs);
-  if (Request.Buckets.empty())
-    return;
   ++Counts.Repairs;
-  for (std::uint32_t Index : Request.Buckets)
-    for (MemberRecord &Record : Members.bucket(Index))
-      Request.Members.push_back(std::move(Record));
+  NextRepair =
+      Time.now() + (farSmallerThan(Theirs) ? EagerRepairPeriod : RepairPeriod);
   PeerRequest Message;
   Message.Address = Address;
   Message.Kind = PeerKind::Exchange;
-  Message.Body = packRepair(Request);
+  Message.Body = packRepair({Members.bucketDigests(), farSmallerThan(Theirs)});
   Message.Timeout = Settings.ExchangeTimeout;
   Hooks.Send(std::move(Message), [this](const PeerReply &Reply) {
     const auto Repaired =
@@ -300,44 +327,21 @@
   });
 }
 
-/// A few of the buckets that differ; all of them when this table is far
-/// smaller, as after a start.
-std::vector<std::uint32_t>
-MemberSync::bucketsToRepair(const ExchangeMessage &Theirs) {
-  const bool FarSmaller = Members.members().size() * 2 < Theirs.MemberCount;
-  const bool RumoursTravel = !Theirs.Rumours.empty();
-  if (Theirs.Buckets.size() != MemberBuckets ||
-      (!FarSmaller && RumoursTravel && Random() % RepairShare != 0))
-    return {};
-  std::vector<std::uint32_t> Differing;
-  for (std::uint32_t I = 0; I < MemberBuckets; ++I)
-    if (Theirs.Buckets[I] != Members.bucketDigests()[I])
+/// Sends the records of buckets that differ: some at random, or all.
+std::string MemberSync::serveRepair(const RepairRequest &Request) {
+  std::vector<std::size_t> Differing;
+  for (std::size_t I = 0; I < MemberBuckets; ++I)
+    if (Request.Buckets[I] != Members.bucketDigests()[I])
       Differing.push_back(I);
-  while (!FarSmaller && Differing.size() > Settings.MaxRepairBuckets) {
+  RepairReply Reply;
+  while (!Differing.empty() &&
+         (Request.AllBuckets ||
+          Reply.Members.size() < Settings.MaxRepairRecords)) {
     std::swap(Differing[Random() % Differing.size()], Differing.back());
+    for (MemberRecord &Record : Members.bucket(Differing.back()))
+      Reply.Members.push_back(std::move(Record));
     Differing.pop_back();
   }
-  return Differing;
-}
-
-/// Merges what the other node sent of some buckets and returns what is newer
-/// here.
-std::string MemberSync::serveRepair(const RepairRequest &Request) {
-  std::map<std::string_view, const MemberRecord *> Sent;
-  for (const MemberRecord &Record : Request.Members)
-    Sent[Record.Place.Name] = &Record;
-  RepairReply Reply;
-  for (std::uint32_t Index : Request.Buckets) {
-    for (MemberRecord &Record : Members.bucket(Index)) {
-      const auto Known = Sent.find(Record.Place.Name);
-      MemberRecord Theirs =
-          Known == Sent.end() ? MemberRecord() : *Known->second;
-      if (Known == Sent.end() || mergeRecord(Theirs, Record))
-        Reply.Members.push_back(std::move(Record));
-    }
-  }
-  for (const MemberRecord &Record : Request.Members)
-    Members.merge(Record, Spreading::Keep, Time.now());
   return packRepairReply(Reply);
 }
 
--- a/tests/integration/MeshFixture.h
+++ b/tests/integration/MeshFixture.h
@@ -41,9 +41,12 @@
   std::vector<standins::LoadSample> Samples;
 };
 
-/// Starts a mesh, or fails the present test.
+/// Starts a mesh and waits for \ref awaitAdmission, or fails the present test.
 void start(standins::Mesh &Mesh);
 
+/// Waits until each node answers a request of organisation `first`.
+void awaitAdmission(const standins::Mesh &Mesh);
+
 /// Waits for a condition, or fails the present test.
 void eventually(const std::string &What,
                 const std::function<bool()> &Condition);
