Name what the time line's picture shows, and target states in events

Cause: marks without words and states as numbers told a newcomer little. Conclusion: a domain taken out and a refused version can be read off the picture.

--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -265,7 +265,7 @@
   Told = Next;
   Context.report(EventId::TargetStateChanged,
                  {{"target", Context.Self.Name},
-                  {"state", std::to_string(static_cast<int>(Next))}});
+                  {"state", std::string(targetStateName(Next))}});
   if (Context.Hooks.OnTargetState)
     Context.Hooks.OnTargetState(Next);
 }
--- a/src/operators/NodeStatus.h
+++ b/src/operators/NodeStatus.h
@@ -34,9 +34,6 @@
 /// "starting", "serving" or "draining".
 std::string_view phaseName(NodePhase Phase);
 
-/// "cold", "ready", "draining" or "down".
-std::string_view targetStateName(TargetState State);
-
 /// What this node knows of one instance of the fleet, itself included.
 struct FleetRow {
   Instance What;
--- a/src/operators/StatusJson.cpp
+++ b/src/operators/StatusJson.cpp
@@ -93,20 +93,6 @@
   return "starting";
 }
 
-std::string_view targetStateName(TargetState State) {
-  switch (State) {
-  case TargetState::Cold:
-    return "cold";
-  case TargetState::Ready:
-    return "ready";
-  case TargetState::Draining:
-    return "draining";
-  case TargetState::Down:
-    return "down";
-  }
-  return "down";
-}
-
 std::string statusJson(const NodeStatus &Status) {
   Json Page = {
       {"node",
--- a/src/operators/TimelinePicture.cpp
+++ b/src/operators/TimelinePicture.cpp
@@ -21,6 +21,7 @@
 constexpr int RightMargin = 30;
 constexpr int AxisTicks = 5;
 constexpr int LegendWidth = 90;
+constexpr double LabelGap = 160; ///< Least distance of two labels of a lane.
 
 constexpr double MsPerSecond = 1000.0;
 
@@ -115,6 +116,27 @@
                      escaped(toTextLine(Each)));
 }
 
+/// Names the marks that an operator looks for first, sparsely enough to read.
+class Labels {
+public:
+  /// The label of an event, or nothing when it needs none or has no room.
+  std::string draw(const StampedEvent &Each, double X, int Y) {
+    const EventEntry &Entry = eventEntry(Each.What.Id);
+    if (Entry.Level < EventLevel::Warn)
+      return "";
+    const auto [Last, Fresh] = LastX.try_emplace(Each.Domain, X);
+    if (!Fresh && X - Last->second < LabelGap)
+      return "";
+    Last->second = X;
+    return fmt::format("<text x='{:.1f}' y='{}' fill='{}'>{}</text>\n",
+                       X + 2 * MarkRadius, Y + MarkRadius, colour(Entry.Level),
+                       Entry.Name);
+  }
+
+private:
+  std::map<std::string, double> LastX; ///< Of the last label, by domain.
+};
+
 std::string drawLegend() {
   std::string Svg;
   int X = LabelWidth;
@@ -146,11 +168,14 @@
     const Scale Place{First, Ordered.back().Time.WallMs - First};
     Svg += drawAxis(Place, Bottom);
     int Row = 0;
+    Labels Names;
     for (const StampedEvent &Each : Ordered) {
       Row = (Row + 1) % MarkRows;
       const int Y = TopMargin + All.at(Each.Domain) * LaneHeight +
                     (Row + 1) * LaneHeight / (MarkRows + 1);
-      Svg += drawMark(Each, Place.x(Each.Time.WallMs), Y);
+      const double X = Place.x(Each.Time.WallMs);
+      Svg += drawMark(Each, X, Y);
+      Svg += Names.draw(Each, X, Y);
     }
   }
   return Svg + "</svg>\n";
--- a/src/policy/Instance.h
+++ b/src/policy/Instance.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace fescuewood {
 
@@ -17,6 +18,9 @@
   Down = 3,     ///< Does not answer its node.
 };
 
+/// "cold", "ready", "draining" or "down".
+std::string_view targetStateName(TargetState State);
+
 /// The address and place of one instance: a target and the node beside it.
 struct Instance {
   std::string Name;        ///< Unique in the fleet, such as "recife/archive-2".
