--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Between two looks for crash marks that have expired.
+constexpr DurationMs GuardExpiryInterval{1000};
+
 AdmissionSettings admissionOf(const CallSettings &Settings) {
   return {Settings.ColdShare, Settings.LatencyTolerance, Settings.CautionTime,
           Settings.WarmTime, Settings.IdleDecayTime};
@@ -122,7 +125,10 @@
   const TimeMs Now = Context.now();
   Queue.expire(Now);
   Ledger.expire(Now);
-  Context.Guard.expire(Now);
+  if (Now >= NextGuardExpiry) {
+    Context.Guard.expire(Now);
+    NextGuardExpiry = Now + GuardExpiryInterval;
+  }
   releaseAbandoned(Now);
   if ((Down || Suspended) && Now >= NextProbe)
     probe();
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -113,6 +113,7 @@
   bool OutBefore = false; ///< Own domain, in the last configuration.
   bool Probing = false;
   TimeMs NextProbe{0};
+  TimeMs NextGuardExpiry{0};
   std::optional<TargetState> Told;
 };
 
