--- a/src/ini/IniReader.cpp
+++ b/src/ini/IniReader.cpp
@@ -176,16 +176,21 @@
 
   void addEntry(const char *Name, const char *Value) {
     std::vector<IniEntry> &Entries = Sections.back().Entries;
+    const std::string Title = Sections.back().heading() + " " + Name;
+    if (Entries.size() == MaxIniSectionKeys) {
+      problem(ResultCode::IniTooManyKeys, Title,
+              fmt::format("at most {} keys are taken", MaxIniSectionKeys));
+      return;
+    }
     const bool Repeated =
         std::any_of(Entries.begin(), Entries.end(),
                     [&](const IniEntry &E) { return E.Name == Name; });
     if (Repeated) {
-      problem(ResultCode::IniDuplicateKey,
-              Sections.back().heading() + " " + Name,
+      problem(ResultCode::IniDuplicateKey, Title,
               "stands twice in this section");
-    } else {
-      Entries.push_back({Name, Value, Line});
+      return;
     }
+    Entries.push_back({Name, Value, Line});
   }
 
   bool problem(ResultCode Code, std::string Name, std::string Detail) {
--- a/src/ini/IniReader.h
+++ b/src/ini/IniReader.h
@@ -30,6 +30,10 @@
 /// Longest name of a section, of what it describes, or of a key, in bytes.
 inline constexpr std::size_t MaxIniNameBytes = 64;
 
+/// Most keys of one section. No section knows as many; the bound keeps the
+/// search for duplicates short, whatever a file holds.
+inline constexpr std::size_t MaxIniSectionKeys = 256;
+
 /// One "name = value" line.
 struct IniEntry {
   std::string Name;
--- a/tests/ini/IniReaderTest.cpp
+++ b/tests/ini/IniReaderTest.cpp
@@ -111,6 +111,20 @@
   readBad("b = 1\n[a]\n", ResultCode::IniBadLine, 1);
 }
 
+// The search for duplicates compared every key of a section with all others: a
+// megabyte of keys took 42 s.
+TEST(IniReader, TakesABoundedNumberOfKeysInASection) {
+  std::string Text = "[a]\n";
+  for (std::size_t I = 0; I <= MaxIniSectionKeys; ++I)
+    Text += "k" + std::to_string(I) + " = 1\n";
+
+  read(Text);
+
+  LONGS_EQUAL(MaxIniSectionKeys, Sections[0].Entries.size());
+  LONGS_EQUAL(1, Found.size());
+  CHECK(ResultCode::IniTooManyKeys == Found[0].Code);
+}
+
 TEST(IniReader, ListsABoundedNumberOfProblems) {
   std::string Text;
   for (int I = 0; I < 100000; ++I)
