--- a/src/policy/TokenNode.cpp
+++ b/src/policy/TokenNode.cpp
@@ -93,16 +93,26 @@
     const auto It = Accounts.try_emplace(Name, Settings, Start).first;
     It->second.Whole = Whole;
     if (Settings.Leasing) {
-      auto Order = Plan.Table.askingOrder(Name, Self);
-      if (!Settings.AcrossDomains)
-        std::erase_if(Order,
-                      [&](const SlotId &S) { return S.Domain != Self.Domain; });
-      It->second.Holder.setMeters(Order);
+      It->second.Holder.setMeters(metersToAsk(Plan.Table, Name));
     }
   }
   refreshShares(Now);
 }
 
+std::vector<SlotId> TokenNode::metersToAsk(const ShareTable &Table,
+                                           std::string_view Name) const {
+  std::vector<SlotId> Order = Table.askingOrder(Name, Self);
+  std::size_t Near = 0;
+  std::size_t Far = 0;
+  const std::size_t MostFar = Settings.AcrossDomains ? Settings.FarMeters : 0;
+  std::erase_if(Order, [&](const SlotId &Meter) {
+    if (Meter.Domain == Self.Domain)
+      return ++Near > Settings.NearMeters;
+    return ++Far > MostFar;
+  });
+  return Order;
+}
+
 void TokenNode::agree(TimeMs Now) {
   History.agree(Now);
   if (History.update(Now))
--- a/src/policy/TokenNode.h
+++ b/src/policy/TokenNode.h
@@ -164,6 +164,8 @@
     std::optional<TimeMs> LastRefused;
   };
 
+  std::vector<SlotId> metersToAsk(const ShareTable &Table,
+                                  std::string_view Name) const;
   void notice(TimeMs Now);
   void startWhenDue(TimeMs Now);
   void refreshShares(TimeMs Now);
--- a/src/policy/TokenSettings.h
+++ b/src/policy/TokenSettings.h
@@ -37,6 +37,11 @@
   /// Largest relative error of a clock's rate.
   double MaxDrift = 0.001;
 
+  /// Most meters of the own domain, and of all others, that a node asks. Each
+  /// node has its own choice, so together they reach every meter.
+  std::size_t NearMeters = 24;
+  std::size_t FarMeters = 24;
+
   /// Longest time that a request waits for tokens.
   DurationMs MaxWait{40};
   /// Most requests of one organisation that wait at once on one node.
