--- a/tests/platform/HttpSourceTest.cpp
+++ b/tests/platform/HttpSourceTest.cpp
@@ -148,6 +148,16 @@
   STRCMP_CONTAINS("\"total\":2", get("/stats").c_str());
 }
 
+TEST(HttpSource, WaitsForASlowPlatformUntilItsTimeout) {
+  next(0);
+
+  control("slow_ms=50");
+  CHECK(ResultCode::Ok == reason());
+
+  control("slow_ms=60000");
+  CHECK(ResultCode::PlatformUnreachable == reason());
+}
+
 TEST(HttpSource, ShowsAStalePlatformAsItIs) {
   const IntentBundle First = next(0);
   Folder.write("20-b.ini", "[service b]\n");
