--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -1,5 +1,5 @@
 // The replies that an entry node gets about its calls, and what follows from
-// each. The other half of EntrySide sends.
+// each. EntryMessages.cpp sends, EntrySide.cpp holds the rest of the class.
 
 #include "calls/EntrySide.h"
 #include "calls/Refusals.h"
