Declare in the cold-start test only node slots that are filled

With one of harbour's two declared slots empty, the organisation was refused every request (RateExceeded) for 30 s and the test never began. That refusal is a matter of its own for the organisations package.

--- a/tests/integration/MeshFaultTest.cpp
+++ b/tests/integration/MeshFaultTest.cpp
@@ -152,6 +152,9 @@
   Options.Groups = {{"queue", "harbour", 1, 6}, {"ledger", "market", 1, 6}};
   Options.Intent["20-services.ini"] =
       "[service queue]\nslots = 6\n[service ledger]\nslots = 6\n";
+  Options.Intent["10-domains.ini"] =
+      "[domain harbour]\nregion = coast\nnodes = 1\n"
+      "[domain market]\nregion = coast\nnodes = 1\n";
   Options.ColdMs = 3000;
   Options.LatencyMs = 20;
   Mesh Whole(Options);
