Repair member tables with about one bucket a member

Also: benches that run beside each other take ports of their own, and nodes that a starting one finds are no events.

--- a/bench/ControlBench.cpp
+++ b/bench/ControlBench.cpp
@@ -29,6 +29,7 @@
 DEFINE_bool(node, false, "run as a child; used by the bench itself");
 DEFINE_int32(index, 0, "the child's number");
 DEFINE_string(source, "", "the child's platform");
+DEFINE_int32(port, 0, "the child's port");
 
 using namespace fescuewood;
 using namespace fescuewood::bench;
@@ -79,10 +80,10 @@
   }
 
   std::vector<std::string> command(std::size_t Index) const {
-    return {Self,
-            "--node",
-            fmt::format("--index={}", Index),
+    return {Self, "--node", fmt::format("--index={}", Index),
             fmt::format("--domains={}", FLAGS_domains),
+            // Runs beside each other must not meet.
+            fmt::format("--port={}", 10000 + getpid() % 20000),
             "--source=" + Source.address(),
             FLAGS_baseline ? "--baseline" : "--nobaseline"};
   }
@@ -225,6 +226,7 @@
     NodeOptions Options;
     Options.Index = static_cast<std::size_t>(FLAGS_index);
     Options.Domains = static_cast<std::size_t>(FLAGS_domains);
+    Options.Port = FLAGS_port;
     Options.Source = FLAGS_source;
     Options.Poll = FLAGS_baseline;
     BenchNode Node(Options);
--- a/bench/ControlBenchNode.h
+++ b/bench/ControlBenchNode.h
@@ -32,17 +32,16 @@
 
 namespace fescuewood::bench {
 
-constexpr int PeerPort = 7100;
-
 /// "127.20.DOMAIN+1.SLOT+1:PORT".
-inline std::string nodeAddress(std::size_t Domain, std::size_t Slot) {
-  return fmt::format("127.20.{}.{}:{}", Domain + 1, Slot + 1, PeerPort);
+inline std::string nodeAddress(std::size_t Domain, std::size_t Slot, int Port) {
+  return fmt::format("127.20.{}.{}:{}", Domain + 1, Slot + 1, Port);
 }
 
 /// How the children of one run differ.
 struct NodeOptions {
   std::size_t Index = 0;
   std::size_t Domains = 5;
+  int Port = 0;       ///< Of every node of the run.
   std::string Source; ///< "IP:port" of the platform.
   bool Poll = false;  ///< The baseline: every node reads the source.
 };
@@ -53,8 +52,8 @@
   explicit BenchNode(const NodeOptions &Options)
       : Options(Options), Domain(Options.Index % Options.Domains),
         Slot(Options.Index / Options.Domains),
-        Server(Link, {nodeAddress(Domain, Slot), 1024, 4096}), Client(Link),
-        Control(settings(), {name(), incarnation()}, hooks()),
+        Server(Link, {nodeAddress(Domain, Slot, Options.Port), 1024, 4096}),
+        Client(Link), Control(settings(), {name(), incarnation()}, hooks()),
         Reader(source(), platform(), readerHooks(), incarnation()) {
     Link.Self = {name(), incarnation()};
     Link.Secret = "bench";
@@ -90,11 +89,11 @@
                      fmt::format("d{}", Domain),
                      "service-0",
                      static_cast<std::uint32_t>(Slot),
-                     nodeAddress(Domain, Slot),
+                     nodeAddress(Domain, Slot, Options.Port),
                      TargetState::Cold};
     for (std::size_t D = 0; D < Options.Domains; ++D)
       for (std::size_t S = 0; S < 2; ++S)
-        Settings.Seeds.push_back(nodeAddress(D, S));
+        Settings.Seeds.push_back(nodeAddress(D, S, Options.Port));
     Settings.Seed = Options.Index + 1;
     return Settings;
   }
--- a/src/nodes/ControlCore.cpp
+++ b/src/nodes/ControlCore.cpp
@@ -11,6 +11,9 @@
 
 constexpr std::size_t CatchUpFanout = 4;
 
+/// Time after a start in which the other members are found.
+constexpr DurationMs FindingTime{60 * 1000};
+
 /// A node that has no one to ask starts at once.
 ControlSettings withoutVainWait(ControlSettings Settings) {
   const auto Own = std::count(Settings.Seeds.begin(), Settings.Seeds.end(),
@@ -41,7 +44,8 @@
       Versions(this->Settings, this->Hooks, this->Time, Counts,
                [this](const SnapshotPtr &InForce) { onApplied(InForce); }),
       Members(this->Settings, Incarnation, this->Hooks, memberHooks(),
-              this->Time, std::move(Random), Counts) {}
+              this->Time, std::move(Random), Counts),
+      JoinsAreNews(this->Time.now() + FindingTime) {}
 
 MemberSyncHooks ControlCore::memberHooks() {
   MemberSyncHooks Result;
@@ -135,6 +139,9 @@
     Present[Name] = Entry.Record.Order.Health;
   for (const auto &[Name, Health] : Present) {
     const auto Before = LastHealth.find(Name);
+    // Whom a node finds when it starts is no news.
+    if (Before == LastHealth.end() && Time.now() < JoinsAreNews)
+      continue;
     // A suspicion is passing; only what follows from it is told.
     if (Health == MemberHealth::Suspect ||
         (Before != LastHealth.end() &&
--- a/src/nodes/ControlCore.h
+++ b/src/nodes/ControlCore.h
@@ -84,6 +84,7 @@
   TimeMs NextInstances;
   bool InstancesDue = false;
   std::map<std::string, MemberHealth, std::less<>> LastHealth; ///< By name.
+  TimeMs JoinsAreNews;
   bool ReportedReplaced = false;
 };
 
--- a/src/nodes/MemberSync.cpp
+++ b/src/nodes/MemberSync.cpp
@@ -31,6 +31,9 @@
 constexpr std::size_t ManyRumours = 64;
 constexpr std::size_t FewRumours = 2;
 
+/// A table is far smaller when it is less than the other's part by this.
+constexpr std::size_t FarSmallerFactor = 2;
+
 constexpr double MsPerSecond = 1000;
 
 } // namespace
@@ -295,7 +298,7 @@
 }
 
 bool MemberSync::farSmallerThan(const ExchangeMessage &Theirs) const {
-  return Members.members().size() * 2 < Theirs.MemberCount;
+  return Members.members().size() * FarSmallerFactor < Theirs.MemberCount;
 }
 
 /// Whether to compare tables now: while rumours travel they mostly settle a
@@ -327,21 +330,18 @@
   });
 }
 
-/// Sends the records of buckets that differ: some at random, or all.
+/// Sends the records in buckets that differ: some at random, or all.
 std::string MemberSync::serveRepair(const RepairRequest &Request) {
-  std::vector<std::size_t> Differing;
-  for (std::size_t I = 0; I < MemberBuckets; ++I)
-    if (Request.Buckets[I] != Members.bucketDigests()[I])
-      Differing.push_back(I);
-  RepairReply Reply;
-  while (!Differing.empty() &&
-         (Request.AllBuckets ||
-          Reply.Members.size() < Settings.MaxRepairRecords)) {
+  std::vector<const MemberRecord *> Differing =
+      Members.differing(Request.Buckets);
+  while (!Request.AllBuckets && Differing.size() > Settings.MaxRepairRecords) {
     std::swap(Differing[Random() % Differing.size()], Differing.back());
-    for (MemberRecord &Record : Members.bucket(Differing.back()))
-      Reply.Members.push_back(std::move(Record));
     Differing.pop_back();
   }
+  RepairReply Reply;
+  Reply.Members.reserve(Differing.size());
+  for (const MemberRecord *Record : Differing)
+    Reply.Members.push_back(*Record);
   return packRepairReply(Reply);
 }
 
--- a/src/policy/Membership.cpp
+++ b/src/policy/Membership.cpp
@@ -281,11 +281,12 @@
   return Sum;
 }
 
-std::vector<MemberRecord> Membership::bucket(std::size_t Index) const {
-  std::vector<MemberRecord> Result;
+std::vector<const MemberRecord *>
+Membership::differing(const BucketDigests &Theirs) const {
+  std::vector<const MemberRecord *> Result;
   for (const auto &[Name, Entry] : Table)
-    if (Entry.Bucket == Index)
-      Result.push_back(Entry.Record);
+    if (Buckets[Entry.Bucket] != Theirs[Entry.Bucket])
+      Result.push_back(&Entry.Record);
   return Result;
 }
 
--- a/src/policy/Membership.h
+++ b/src/policy/Membership.h
@@ -33,9 +33,9 @@
 
 namespace fescuewood {
 
-/// Buckets that members are hashed into for comparison: at 1,100 members the
-/// digests of all and the records of a few take about the same room.
-inline constexpr std::size_t MemberBuckets = 256;
+/// Buckets that members are hashed into for comparison: at 1,100 members about
+/// one for each, so that a repair carries little that is known already.
+inline constexpr std::size_t MemberBuckets = 1024;
 
 /// One digest for each bucket.
 using BucketDigests = std::array<std::uint16_t, MemberBuckets>;
@@ -122,8 +122,9 @@
   std::uint64_t digest() const;
   const BucketDigests &bucketDigests() const { return Buckets; }
 
-  /// Every record in a bucket, dead ones included.
-  std::vector<MemberRecord> bucket(std::size_t Index) const;
+  /// The records in buckets whose digest differs, dead ones included.
+  std::vector<const MemberRecord *>
+  differing(const BucketDigests &Theirs) const;
 
   /// The bucket of a name.
   static std::size_t bucketOf(std::string_view Name);
--- a/tests/nodes/ControlMessagesTest.cpp
+++ b/tests/nodes/ControlMessagesTest.cpp
@@ -42,7 +42,7 @@
   CHECK_TRUE(Exchange->SenderUnknown);
 
   RepairRequest Repair;
-  Repair.Buckets[63] = 17;
+  Repair.Buckets[MemberBuckets - 1] = 1700;
   const auto Request = unpackExchangeRequest(packRepair(Repair));
   CHECK_TRUE(Request && Request->Repair);
   CHECK_TRUE(Request->Repair->Buckets == Repair.Buckets);
