--- a/src/nodes/MemberSync.cpp
+++ b/src/nodes/MemberSync.cpp
@@ -26,11 +26,6 @@
 constexpr DurationMs RepairPeriod{2000};
 constexpr DurationMs EagerRepairPeriod{1000};
 
-/// With more records than this waiting, many members have changed at once:
-/// repairs then carry them in bulk, and rumours only what matters most.
-constexpr std::size_t ManyRumours = 64;
-constexpr std::size_t FewRumours = 2;
-
 /// A table is far smaller when it is less than the other's part by this.
 constexpr std::size_t FarSmallerFactor = 2;
 
@@ -173,9 +168,7 @@
 ExchangeMessage MemberSync::describe(std::string_view Receiver) {
   ExchangeMessage Message;
   Message.MemberCount = static_cast<std::uint32_t>(Members.members().size());
-  Message.Rumours = Members.takeRumours(Members.rumoursWaiting() > ManyRumours
-                                            ? FewRumours
-                                            : Settings.MaxRumours);
+  Message.Rumours = Members.takeRumours(Settings.MaxRumours);
   Message.TableDigest = Members.digest();
   addBelief(Receiver, Message);
   Own.Describe(Message);
--- a/src/policy/Membership.cpp
+++ b/src/policy/Membership.cpp
@@ -77,7 +77,9 @@
     Changed = true;
   if (StateChanged && isUrgent(Record))
     Urgent = true;
-  Rumours.add(Record.Place.Name, isUrgent(Record), Table.size());
+  // Of all records the own one is least likely to be known elsewhere.
+  const bool First = isUrgent(Record) || Record.Place.Name == OwnName;
+  Rumours.add(Record.Place.Name, First, Table.size());
 }
 
 void Membership::updateSelf(const Change &Apply, TimeMs Now) {
@@ -107,7 +109,7 @@
       Now);
 }
 
-void Membership::announce() { Rumours.add(OwnName, false, Table.size()); }
+void Membership::announce() { Rumours.add(OwnName, true, Table.size()); }
 
 void Membership::onHeard(std::string_view Name, TimeMs Now) {
   const auto Found = Table.find(Name);
--- a/src/policy/Membership.h
+++ b/src/policy/Membership.h
@@ -91,9 +91,6 @@
   /// Records to pass on, urgent ones first; each a limited number of times.
   std::vector<MemberRecord> takeRumours(std::size_t Most);
 
-  /// Number of records that wait to be passed on.
-  std::size_t rumoursWaiting() const { return Rumours.size(); }
-
   /// The receiver of these rumours knew the ones whose bit is set.
   void onRumoursKnown(std::span<const MemberRecord> Sent, std::uint32_t Known);
 
--- a/src/policy/RumourQueue.cpp
+++ b/src/policy/RumourQueue.cpp
@@ -15,6 +15,9 @@
 } // namespace
 
 void RumourQueue::add(std::string_view Name, bool Urgent, std::size_t Fleet) {
+  const bool Known = Waiting.find(Name) != Waiting.end();
+  if (!Urgent && !Known && Waiting.size() >= MaxRumoursWaiting)
+    return;
   const int Times = static_cast<int>(std::bit_width(Fleet));
   Waiting[std::string(Name)] = {Urgent, Times + ExtraTransmissions};
 }
--- a/src/policy/RumourQueue.h
+++ b/src/policy/RumourQueue.h
@@ -18,10 +18,14 @@
 
 namespace fescuewood {
 
+/// Rumours that wait at once; urgent ones may be more. When more members change
+/// together, tables are repaired in bulk, which costs less.
+inline constexpr std::size_t MaxRumoursWaiting = 64;
+
 /// Names of records to pass on. Bounded by the number of members.
 class RumourQueue {
 public:
-  /// Passes a record on from now on, as new.
+  /// Passes a record on from now on, as new, unless too many wait.
   /// \param Fleet number of members.
   void add(std::string_view Name, bool Urgent, std::size_t Fleet);
 
