--- a/bench/RateBench.cpp
+++ b/bench/RateBench.cpp
@@ -9,15 +9,14 @@
 
 #include "policy/TokenNode.h"
 
+#include <algorithm>
+#include <array>
 #include <atomic>
-#include <chrono>
-#include <cmath>
 #include <cstdint>
-#include <cstdio>
 #include <fmt/format.h>
 #include <functional>
 #include <gflags/gflags.h>
-#include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -42,8 +41,6 @@
     "bytes a second that a node may send in asks; as by default if 0");
 DEFINE_int64(flow_term_ms, fescuewood::TokenSettings().FlowTerm.Value,
              "term of a lease that carries a rate");
-DEFINE_double(min_meter_burst, fescuewood::TokenSettings().MinMeterBurst,
-              "least burst of one meter in the kept design");
 DEFINE_int32(threads, 4, "runs at once");
 DEFINE_bool(organisations, false, "also print a row for each organisation");
 
@@ -144,7 +141,6 @@
 Design designOf(const std::string &Name) {
   Design D{Name, TokenSettings(), true};
   D.Settings.FlowTerm = DurationMs(FLAGS_flow_term_ms);
-  D.Settings.MinMeterBurst = FLAGS_min_meter_burst;
   if (FLAGS_ask_bytes > 0) {
     D.Settings.AskBytesPerSecond = FLAGS_ask_bytes;
     D.Settings.GrantBytesPerSecond = FLAGS_ask_bytes;
