--- a/tests/standins/Process.h
+++ b/tests/standins/Process.h
@@ -83,6 +83,7 @@
     dup2(File, STDOUT_FILENO);
     dup2(File, STDERR_FILENO);
     std::vector<char *> Arguments;
+    Arguments.reserve(Command.size() + 1);
     for (const std::string &Word : Command)
       Arguments.push_back(const_cast<char *>(Word.c_str()));
     Arguments.push_back(nullptr);
