--- a/src/policy/Membership.h
+++ b/src/policy/Membership.h
@@ -33,9 +33,9 @@
 
 namespace fescuewood {
 
-/// Buckets that members are hashed into for comparison: at 1,100 members the
-/// digests of all and the records of a few take about the same room.
-inline constexpr std::size_t MemberBuckets = 256;
+/// Buckets that members are hashed into for comparison: at 1,100 members about
+/// one for each, so that a repair carries little that is known already.
+inline constexpr std::size_t MemberBuckets = 1024;
 
 /// One digest for each bucket.
 using BucketDigests = std::array<std::uint16_t, MemberBuckets>;
@@ -91,9 +91,6 @@
   /// Records to pass on, urgent ones first; each a limited number of times.
   std::vector<MemberRecord> takeRumours(std::size_t Most);
 
-  /// Number of records that wait to be passed on.
-  std::size_t rumoursWaiting() const { return Rumours.size(); }
-
   /// The receiver of these rumours knew the ones whose bit is set.
   void onRumoursKnown(std::span<const MemberRecord> Sent, std::uint32_t Known);
 
@@ -122,8 +119,9 @@
   std::uint64_t digest() const;
   const BucketDigests &bucketDigests() const { return Buckets; }
 
-  /// Every record in a bucket, dead ones included.
-  std::vector<MemberRecord> bucket(std::size_t Index) const;
+  /// The records in buckets whose digest differs, dead ones included.
+  std::vector<const MemberRecord *>
+  differing(const BucketDigests &Theirs) const;
 
   /// The bucket of a name.
   static std::size_t bucketOf(std::string_view Name);
