Stop the transport of the control duty's test in the product's order

Cause: with the server stopped first, the test program hung in 2 of about 25 runs; the cause inside nng was not found. The product stops the duty first. Change: the test stops duty, server and client in that order. Measured: 24 runs of nodes_tests, 12 at a time, none hung.

--- a/tests/nodes/ControlDutyTest.cpp
+++ b/tests/nodes/ControlDutyTest.cpp
@@ -40,9 +40,9 @@
   }
 
   ~SocketNode() {
-    // The transport calls the duty until it is stopped.
-    Server.stop();
+    // As in the product: the transport is stopped while the duty still exists.
     Control.stop();
+    Server.stop();
     Client.stop();
   }
   SocketNode(const SocketNode &) = delete;
