--- a/bench/PolicyBench.cpp
+++ b/bench/PolicyBench.cpp
@@ -6,7 +6,7 @@
 /// scenarios against policies. The same flags give the same figures on every
 /// machine: nothing here depends on real time.
 
-#include "support/FakeCallMesh.h"
+#include "model/FakeCallMesh.h"
 
 #include <algorithm>
 #include <atomic>
--- a/tests/support/FakeCallMesh.h
+++ b/bench/model/FakeCallMesh.h
@@ -2,12 +2,12 @@
 /// Many nodes' calls in one thread and in virtual time, with a network that
 /// loses, delays, doubles and reorders messages, and with fake targets.
 
-#ifndef FESCUEWOOD_TESTS_SUPPORT_FAKECALLMESH_H
-#define FESCUEWOOD_TESTS_SUPPORT_FAKECALLMESH_H
+#ifndef FESCUEWOOD_BENCH_MODEL_FAKECALLMESH_H
+#define FESCUEWOOD_BENCH_MODEL_FAKECALLMESH_H
 
 #include "calls/CallCore.h"
-#include "support/FakeTarget.h"
-#include "support/VirtualTime.h"
+#include "model/FakeTarget.h"
+#include "model/VirtualTime.h"
 
 #include <cstdint>
 #include <deque>
@@ -315,4 +315,4 @@
   std::set<std::pair<std::size_t, std::size_t>> Silent;
 };
 
-#endif // FESCUEWOOD_TESTS_SUPPORT_FAKECALLMESH_H
+#endif // FESCUEWOOD_BENCH_MODEL_FAKECALLMESH_H
--- a/tests/support/FakeTarget.h
+++ b/bench/model/FakeTarget.h
@@ -1,11 +1,11 @@
 /// \file
 /// A target in virtual time: slots, a cold start, crashes, a record of runs.
 
-#ifndef FESCUEWOOD_TESTS_SUPPORT_FAKETARGET_H
-#define FESCUEWOOD_TESTS_SUPPORT_FAKETARGET_H
+#ifndef FESCUEWOOD_BENCH_MODEL_FAKETARGET_H
+#define FESCUEWOOD_BENCH_MODEL_FAKETARGET_H
 
 #include "calls/TargetPort.h"
-#include "support/VirtualTime.h"
+#include "model/VirtualTime.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -178,4 +178,4 @@
   std::uint64_t NextRun = 0;
 };
 
-#endif // FESCUEWOOD_TESTS_SUPPORT_FAKETARGET_H
+#endif // FESCUEWOOD_BENCH_MODEL_FAKETARGET_H
--- a/tests/support/VirtualTime.h
+++ b/bench/model/VirtualTime.h
@@ -1,8 +1,8 @@
 /// \file
 /// Time that a test moves: events run in order, and nothing waits.
 
-#ifndef FESCUEWOOD_TESTS_SUPPORT_VIRTUALTIME_H
-#define FESCUEWOOD_TESTS_SUPPORT_VIRTUALTIME_H
+#ifndef FESCUEWOOD_BENCH_MODEL_VIRTUALTIME_H
+#define FESCUEWOOD_BENCH_MODEL_VIRTUALTIME_H
 
 #include "core/Clock.h"
 
@@ -49,4 +49,4 @@
   std::uint64_t Next = 0;
 };
 
-#endif // FESCUEWOOD_TESTS_SUPPORT_VIRTUALTIME_H
+#endif // FESCUEWOOD_BENCH_MODEL_VIRTUALTIME_H
--- a/tests/calls/MeshFixture.h
+++ b/tests/calls/MeshFixture.h
@@ -5,7 +5,7 @@
 #ifndef FESCUEWOOD_TESTS_CALLS_MESHFIXTURE_H
 #define FESCUEWOOD_TESTS_CALLS_MESHFIXTURE_H
 
-#include "support/FakeCallMesh.h"
+#include "model/FakeCallMesh.h"
 
 #include <cstdint>
 #include <string>
