Notice two contents under one revision in a watching reader

A reader asked the platform for what lies above its revision, so a second content under the same revision was never seen by a node that already held the first: no event told of it, and readers that met the platform at different times held different contents until they exchanged.

The watch now names the version that the platform has shown last, and another digest under the same revision is news. It is that version and not the held one, because where the held one wins the platform would answer each watch at once (test GivesEachContentUnderOneRevisionOnce). Ruled out: reading everything again from time to time (17 kB/s for 1 MiB a minute on a reader), and taking the later of the two, on which nodes could not agree.

ReadIntent and HeldVersion take a Version in place of a revision. Tests that passed revisions pass versions now; the property that given revisions rise holds them not to fall and no content to come twice in a row, since a second content under the same revision is to be given.

The slope bench prints its bytes by what they carry.

--- a/bench/ControlBenchNode.h
+++ b/bench/ControlBenchNode.h
@@ -142,11 +142,11 @@
     PlatformSource Source =
         httpSource(*Endpoint::parse(Options.Source), DurationMs(2000));
     auto Read = std::move(Source.ReadIntent);
-    Source.ReadIntent = [this, Read](std::uint64_t After, DurationMs Wait) {
+    Source.ReadIntent = [this, Read](const Version &Known, DurationMs Wait) {
       if (SourceCut)
         return PlatformRead<IntentBundle>{std::nullopt,
                                           ResultCode::PeerUnreachable, "cut"};
-      return Read(After, Wait);
+      return Read(Known, Wait);
     };
     return Source;
   }
@@ -154,8 +154,8 @@
   PlatformReaderHooks readerHooks() {
     PlatformReaderHooks Hooks;
     Hooks.AmReader = [this] { return Options.Poll || Control.amReader(); };
-    Hooks.HeldRevision = [this] {
-      return Options.Poll ? Polled.load() : Control.heldRevision();
+    Hooks.HeldVersion = [this] {
+      return Options.Poll ? Polled : Control.heldVersion();
     };
     Hooks.OnBundle = [this](IntentBundle Bundle) {
       if (!Options.Poll) {
@@ -165,7 +165,7 @@
       const CompiledIntent Compiled = compileIntent(Bundle);
       if (!Compiled.Result)
         return;
-      Polled = Bundle.Revision;
+      Polled = Bundle.version();
       printVersion(Bundle.Revision);
     };
     return Hooks;
@@ -228,7 +228,7 @@
   const std::size_t Slot;
   std::atomic<int> CutDomain{-1};
   std::atomic<bool> SourceCut{false};
-  std::atomic<std::uint64_t> Polled{0};
+  Version Polled; ///< Of the reader's thread.
   std::mutex Mutex;
   std::vector<std::pair<TimeMs, PeerReplyHook>> Swallowed;
   PeerLink Link;
--- a/bench/ControlSlopeBench.cpp
+++ b/bench/ControlSlopeBench.cpp
@@ -11,6 +11,7 @@
 ///
 ///   ControlSlopeBench --nodes=100,300,1100
 
+#include "nodes/ControlMessages.h"
 #include "nodes/FakeFleet.h"
 #include "nodes/PeerEnvelope.h"
 #include "nodes/PeerTraffic.h"
@@ -53,11 +54,50 @@
   return static_cast<double>(wireBytes(Sealed.size()));
 }
 
+/// Bytes of bodies by what they carry.
+struct BodyParts {
+  double Exchanges = 0; ///< Without the records that they pass on.
+  double Rumours = 0;
+  double RepairRequests = 0;
+  double RepairReplies = 0;
+  double Fetches = 0;
+
+  void add(const PeerRequest &Request, std::string_view Reply) {
+    const auto Asked = unpackExchangeRequest(Request.Body);
+    const auto Both = static_cast<double>(Request.Body.size() + Reply.size());
+    if (Request.Kind == PeerKind::Fetch || !Asked) {
+      Fetches += Both;
+    } else if (Asked->Repair) {
+      RepairRequests += static_cast<double>(Request.Body.size());
+      RepairReplies += static_cast<double>(Reply.size());
+    } else {
+      const double Passed =
+          rumourBytes(Asked->Exchange) + rumourBytes(unpackExchange(Reply));
+      Rumours += Passed;
+      Exchanges += Both - Passed;
+    }
+  }
+
+private:
+  static double rumourBytes(std::optional<ExchangeMessage> Message) {
+    if (!Message)
+      return 0;
+    const std::size_t With = packExchange(*Message).size();
+    Message->Rumours.clear();
+    return static_cast<double>(With - packExchange(*Message).size());
+  }
+};
+
 /// One fleet; every node counts what it sends and what it receives.
 class Run {
 public:
   explicit Run(std::size_t Count)
-      : Fleet(Domains, Count / Domains, 20261204), Count(Fleet.Nodes.size()) {}
+      : Fleet(Domains, Count / Domains, 20261204), Count(Fleet.Nodes.size()) {
+    Fleet.OnServed = [this](const PeerRequest &Request,
+                            std::string_view Reply) {
+      Parts.add(Request, Reply);
+    };
+  }
 
   void execute() {
     Fleet.publish();
@@ -71,8 +111,8 @@
     phase("heal", HealMs, [this] { heal(); });
     phase("herd restart", 20 * 1000, [this] { restart(); });
     const double Each = (Busy - Rest) * ChangePeriodMs / 1000;
-    fmt::print("| {} | {:.0f} changes a day | {:.0f} | | a change costs a node "
-               "{:.0f} B |\n",
+    fmt::print("| {} | {:.0f} changes a day | {:.0f} | | | | | | | | a change "
+               "costs a node {:.0f} B |\n",
                Count, ChangesPerDay,
                Rest + Each * ChangesPerDay / SecondsPerDay, Each);
     std::fflush(stdout);
@@ -84,6 +124,7 @@
     const std::uint64_t Bytes = Fleet.bodyBytes();
     const std::uint64_t Messages = Fleet.messages();
     Longest = 0;
+    Parts = BodyParts();
     const auto Began = std::chrono::steady_clock::now();
     Act();
     const std::chrono::duration<double> Took =
@@ -96,7 +137,14 @@
                          static_cast<double>(Fleet.messages() - Messages) *
                              overheadPerMessage()) /
                         PerNode;
-    fmt::print("| {} | {} | {:.0f} | {:.3f} | {} |\n", Count, Name, Rate,
+    const double Heads = 2 * static_cast<double>(Fleet.messages() - Messages) *
+                         overheadPerMessage() / PerNode;
+    const double Both = 2 / PerNode;
+    fmt::print("| {} | {} | {:.0f} | {:.0f} | {:.0f} | {:.0f} | {:.0f} | "
+               "{:.0f} | {:.0f} | {:.3f} | {} |\n",
+               Count, Name, Rate, Heads, Parts.Exchanges * Both,
+               Parts.Rumours * Both, Parts.RepairRequests * Both,
+               Parts.RepairReplies * Both, Parts.Fetches * Both,
                Took.count() / PerNode * 100,
                Longest == 0 ? std::string()
                             : fmt::format("in force everywhere after at most "
@@ -137,6 +185,7 @@
 
   FakeFleet Fleet;
   const std::size_t Count;
+  BodyParts Parts;
   int Longest = 0;
 };
 
@@ -144,9 +193,11 @@
 
 int main(int Argc, char **Argv) {
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
-  fmt::print("| Nodes | Phase | B/s per node, both directions | CPU % of a "
-             "core per node, the simulation's included | |\n"
-             "|---|---|---|---|---|\n");
+  fmt::print(
+      "| Nodes | Phase | B/s per node, both directions | of it envelopes "
+      "| exchanges | rumours | repair requests | repair replies | "
+      "fetches | CPU % of a core per node, the simulation's included | "
+      "|\n|---|---|---|---|---|---|---|---|---|---|---|\n");
   std::istringstream Sizes(FLAGS_nodes);
   std::string Size;
   while (std::getline(Sizes, Size, ','))
--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -157,7 +157,7 @@
 PlatformReaderHooks NodeParts::readerHooks() {
   PlatformReaderHooks Hooks;
   Hooks.AmReader = [this] { return Control.amReader(); };
-  Hooks.HeldRevision = [this] { return Control.heldRevision(); };
+  Hooks.HeldVersion = [this] { return Control.heldVersion(); };
   Hooks.OnBundle = [this](IntentBundle Bundle) {
     Control.offerBundle(std::move(Bundle));
   };
--- a/src/nodes/ControlCore.h
+++ b/src/nodes/ControlCore.h
@@ -49,9 +49,7 @@
   void leave();
 
   bool amReader() const { return Reader; }
-  std::uint64_t heldRevision() const {
-    return Versions.keeper().heldRevision();
-  }
+  const Version &heldVersion() const { return Versions.keeper().heldVersion(); }
   const std::optional<Version> &inForce() const {
     return Versions.keeper().inForce();
   }
--- a/src/nodes/ControlDuty.cpp
+++ b/src/nodes/ControlDuty.cpp
@@ -49,6 +49,7 @@
   std::atomic<std::int64_t> LastTick{Clock::monotonic().now().Value};
   std::atomic<bool> CatchingUp{false};
   std::mutex Mutex;
+  Version Held;
   VersionSpread SpreadCopy;
   std::uint32_t SpreadDigest = 0;
   std::optional<Version> SpreadVersion;
@@ -70,11 +71,11 @@
 
   void publish() {
     Face.Reader = Core.amReader();
-    Face.Held = Core.heldRevision();
     CatchingUp = Core.phase() == ControlPhase::CatchingUp;
     const std::uint32_t Digest = Core.spread().digest();
     const auto InForce = Core.inForce();
     std::lock_guard<std::mutex> Lock(Mutex);
+    Held = Core.heldVersion();
     if (Digest == SpreadDigest && InForce == SpreadVersion)
       return;
     SpreadCopy = Core.spread();
@@ -145,6 +146,11 @@
   return !Own->CatchingUp && SinceTick <= Own->PauseLimit;
 }
 
+Version ControlDuty::heldVersion() const {
+  std::lock_guard<std::mutex> Lock(Own->Mutex);
+  return Own->Held;
+}
+
 std::optional<Version> ControlDuty::slotVersion(std::string_view Domain,
                                                 std::uint32_t Slot) const {
   std::lock_guard<std::mutex> Lock(Own->Mutex);
--- a/src/nodes/ControlDuty.h
+++ b/src/nodes/ControlDuty.h
@@ -56,9 +56,9 @@
   /// Whether this node should read the platform now.
   bool amReader() const { return Reader; }
 
-  /// Revision of the newest version that was seen whole, refused ones
-  /// included; 0 for none. What the source should be asked beyond.
-  std::uint64_t heldRevision() const { return Held; }
+  /// The newest version that was seen whole, refused ones included; revision 0
+  /// for none. What the source should be asked beyond.
+  Version heldVersion() const;
 
   /// Whether decisions may rest on the present view: false from the moment a
   /// pause of the process can be noticed until the node has caught up.
@@ -79,7 +79,6 @@
   class State;
   std::unique_ptr<State> Own;
   std::atomic<bool> Reader{false};
-  std::atomic<std::uint64_t> Held{0};
 };
 
 } // namespace fescuewood
--- a/src/platform/FolderSource.cpp
+++ b/src/platform/FolderSource.cpp
@@ -104,8 +104,9 @@
   // Shared, since hooks are copied and all of them use the one folder.
   const auto Client = std::make_shared<FolderClient>(Folder);
   PlatformSource Source;
-  Source.ReadIntent = [Client](std::uint64_t After, DurationMs Wait) {
-    return Client->readIntent(After, Wait);
+  Source.ReadIntent = [Client](const Version &Known, DurationMs Wait) {
+    // A change of a file changes the revision too.
+    return Client->readIntent(Known.Revision, Wait);
   };
   Source.ReadInstances = [Client](std::uint64_t After) {
     return Client->readInstances(After);
--- a/src/platform/HttpSource.cpp
+++ b/src/platform/HttpSource.cpp
@@ -153,9 +153,10 @@
   // Shared, since hooks are copied and all of them use the one connection.
   const auto Client = std::make_shared<HttpClient>(Server, Timeout);
   PlatformSource Source;
-  Source.ReadIntent = [Client](std::uint64_t After, DurationMs Wait) {
+  Source.ReadIntent = [Client](const Version &Known, DurationMs Wait) {
     const std::string Path =
-        fmt::format("/v1/intent?after={}&wait_ms={}", After, Wait.Value);
+        fmt::format("/v1/intent?after={}&digest={}&wait_ms={}", Known.Revision,
+                    Known.Content.hex(), Wait.Value);
     return decoded(Client->get(Path, Wait), &decodeIntent);
   };
   Source.ReadInstances = [Client](std::uint64_t After) {
--- a/src/platform/PlatformSource.h
+++ b/src/platform/PlatformSource.h
@@ -60,9 +60,11 @@
 /// The hooks of one source. Reads may block for up to Wait and are made from
 /// one thread; they return early once Cancel was called.
 struct PlatformSource {
-  /// Reads the intent if its revision is above \p After; whole and with its
-  /// digests checked, or not at all.
-  std::function<PlatformRead<IntentBundle>(std::uint64_t After,
+  /// Reads the intent if it is news to one who knows \p Known: its revision is
+  /// above, or the same with another content. Whole and with its digests
+  /// checked, or not at all. A source that cannot show two contents under one
+  /// revision may go by the revision alone.
+  std::function<PlatformRead<IntentBundle>(const Version &Known,
                                            DurationMs Wait)>
       ReadIntent;
 
--- a/src/platform/ReadLoop.cpp
+++ b/src/platform/ReadLoop.cpp
@@ -74,16 +74,22 @@
 bool ReadLoop::isReader() const { return !Hooks.AmReader || Hooks.AmReader(); }
 
 void ReadLoop::readIntent() {
-  // A version that was refused is not held, yet must not be read again.
-  const std::uint64_t Held = Hooks.HeldRevision ? Hooks.HeldRevision() : 0;
-  const std::uint64_t After = std::max(SeenIntent, Held);
+  const Version Known = known();
   PlatformRead<IntentBundle> Read =
-      Source.ReadIntent(After, Settings.WatchWait);
+      Source.ReadIntent(Known, Settings.WatchWait);
   if (Read.Reason != ResultCode::Ok)
     return failed(Read.Reason, Read.Detail);
   succeeded();
   if (Read.Value)
-    judge(std::move(*Read.Value), After);
+    judge(std::move(*Read.Value), Known);
+}
+
+/// What the source is asked beyond. Of two contents under one revision it is
+/// the one that the source has shown, whether or not the node keeps it:
+/// otherwise the source would answer every watch at once.
+Version ReadLoop::known() const {
+  const Version Held = Hooks.HeldVersion ? Hooks.HeldVersion() : Version();
+  return Held.Revision > SeenIntent.Revision ? Held : SeenIntent;
 }
 
 void ReadLoop::readInstances() {
@@ -96,15 +102,16 @@
     judge(std::move(*Read.Value));
 }
 
-void ReadLoop::judge(IntentBundle Bundle, std::uint64_t After) {
-  if (Bundle.Revision <= After) {
+void ReadLoop::judge(IntentBundle Bundle, const Version &Known) {
+  const Version Shown = Bundle.version();
+  if (Shown.Revision < Known.Revision || Shown == Known) {
     ++Stale;
-    return emit(
-        EventId::PlatformAnsweredStale,
-        {{"version", std::to_string(Bundle.Revision)},
-         {"reason", "at least " + std::to_string(After) + " is known"}});
+    return emit(EventId::PlatformAnsweredStale,
+                {{"version", std::to_string(Shown.Revision)},
+                 {"reason",
+                  "at least " + std::to_string(Known.Revision) + " is known"}});
   }
-  SeenIntent = Bundle.Revision;
+  SeenIntent = Shown;
   emit(EventId::PlatformVersionRead,
        {{"version", std::to_string(Bundle.Revision)}});
   if (Hooks.OnBundle)
--- a/src/platform/ReadLoop.h
+++ b/src/platform/ReadLoop.h
@@ -26,9 +26,10 @@
 struct PlatformReaderHooks {
   /// Whether this node is one of the readers now; empty for always.
   std::function<bool()> AmReader;
-  /// The revision of the newest version that this node holds, 0 for none.
-  std::function<std::uint64_t()> HeldRevision;
-  /// A whole version that is newer than the one held and than any given before.
+  /// The newest version that this node has seen whole; revision 0 for none.
+  std::function<Version()> HeldVersion;
+  /// A whole version that is news: of a revision that is not below the one held
+  /// or any given before, and of another content where it is the same.
   std::function<void(IntentBundle)> OnBundle;
   /// The platform's list of instances, whenever it has changed.
   std::function<void(InstanceList)> OnInstances;
@@ -61,7 +62,8 @@
   bool isReader() const;
   void readIntent();
   void readInstances();
-  void judge(IntentBundle Bundle, std::uint64_t After);
+  Version known() const;
+  void judge(IntentBundle Bundle, const Version &Known);
   void judge(InstanceList List);
   void succeeded();
   void failed(ResultCode Reason, const std::string &Detail);
@@ -76,7 +78,7 @@
   ReadAllowance Allowance;
   TimeMs NextAttempt;
   TimeMs NextInstances;
-  std::uint64_t SeenIntent = 0;
+  Version SeenIntent; ///< What the source has shown last.
   std::uint64_t SeenInstances = 0;
   unsigned FailuresInARow = 0;
   ResultCode LastFailure = ResultCode::Ok;
--- a/src/policy/VersionKeeper.cpp
+++ b/src/policy/VersionKeeper.cpp
@@ -68,11 +68,11 @@
 
 void VersionKeeper::onApplied(const Version &Applied) {
   InForce = Applied;
-  HeldRevision = std::max(HeldRevision, Applied.Revision);
+  Held = std::max(Held, Applied);
 }
 
 void VersionKeeper::onRefused(const Version &Bad) {
-  HeldRevision = std::max(HeldRevision, Bad.Revision);
+  Held = std::max(Held, Bad);
   if (refusedBefore(Bad))
     return;
   if (Refused.size() >= MaxRefused)
--- a/src/policy/VersionKeeper.h
+++ b/src/policy/VersionKeeper.h
@@ -99,8 +99,9 @@
   /// The largest version that a peer has in force, as far as it has said.
   const std::optional<Version> &newestAtPeers() const { return NewestAtPeers; }
 
-  /// Largest revision that was seen whole, whether applied or refused.
-  std::uint64_t heldRevision() const { return HeldRevision; }
+  /// The largest version that was seen whole, whether applied or refused: a
+  /// refused one is not in force, yet must not be read again.
+  const Version &heldVersion() const { return Held; }
 
 private:
   bool refusedBefore(const Version &Seen) const;
@@ -114,7 +115,7 @@
   bool StartDone = false;
   std::optional<Version> InForce;
   std::optional<Version> NewestAtPeers;
-  std::uint64_t HeldRevision = 0;
+  Version Held;
   std::deque<Version> Refused; ///< The newest few.
 };
 
--- a/tests/nodes/FakeFleet.cpp
+++ b/tests/nodes/FakeFleet.cpp
@@ -57,6 +57,7 @@
   Node.Paused = false;
   Node.Waiting.clear();
   Node.InForce.clear();
+  Node.SeenAtSource = Version();
   // Constructed before the old core goes, whose replies must not reach it.
   Node.Core = std::make_unique<ControlCore>(
       Node.Settings, Node.Life, hooksOf(Index), Clock([this] { return Now; }),
@@ -141,9 +142,14 @@
   ++SourceReads;
   const std::size_t Back = std::min(Behind, Published.size() - 1);
   const IntentBundle &Answer = Published[Published.size() - 1 - Back];
-  if (Answer.Revision > Core.heldRevision() ||
-      (Answer.Revision == Core.heldRevision() && chance(0.5)))
-    Core.offerBundle(Answer);
+  // As ReadLoop asks.
+  Version &Seen = Nodes[Index]->SeenAtSource;
+  if (Core.heldVersion().Revision > Seen.Revision)
+    Seen = Core.heldVersion();
+  if (Answer.Revision < Seen.Revision || Answer.version() == Seen)
+    return;
+  Seen = Answer.version();
+  Core.offerBundle(Answer);
 }
 
 ControlHooks FakeFleet::hooksOf(std::size_t Index) {
@@ -266,6 +272,8 @@
         Nodes[To]->Core->serve(Request.Kind, Sender, Request.Body);
     ++Messages;
     BodyBytes += Body.size();
+    if (OnServed)
+      OnServed(Request, Body);
     if (chance(Faults.Loss) || !reachable(From, To))
       return;
     const PeerIdentity Replier{Nodes[To]->Settings.Self.Name, Receiver};
--- a/tests/nodes/FakeFleet.h
+++ b/tests/nodes/FakeFleet.h
@@ -29,6 +29,7 @@
   bool Paused = false;
   std::vector<std::function<void()>> Waiting; ///< Arrived while paused.
   std::vector<fescuewood::Version> InForce;   ///< Of the present process.
+  fescuewood::Version SeenAtSource;           ///< By the present process.
   std::vector<fescuewood::Instance> Instances;
   std::vector<bool> ViewCurrent;
 };
@@ -53,6 +54,10 @@
   bool SourceOut = false;
   std::uint64_t SourceReads = 0;
 
+  /// Sees each request that was answered, with its reply.
+  std::function<void(const fescuewood::PeerRequest &, std::string_view Reply)>
+      OnServed;
+
   /// Set when a rule was broken: a version that went back or was bad.
   std::string Violation;
 
--- a/tests/platform/FolderSourceTest.cpp
+++ b/tests/platform/FolderSourceTest.cpp
@@ -32,22 +32,23 @@
 };
 
 TEST(FolderSource, GivesTwoReadersTheSameVersion) {
-  const auto First = folderSource(Folder).ReadIntent(0, LongestWait);
-  const auto Second = folderSource(Folder).ReadIntent(0, LongestWait);
+  const auto First = folderSource(Folder).ReadIntent(Version(), LongestWait);
+  const auto Second = folderSource(Folder).ReadIntent(Version(), LongestWait);
 
   CHECK(First.Value->version() == Second.Value->version());
 }
 
 TEST(FolderSource, RaisesTheRevisionForEveryChangeAlsoAnOldFile) {
   const PlatformSource Source = folderSource(Folder);
-  std::uint64_t Revision = Source.ReadIntent(0, LongestWait).Value->Revision;
+  const Version First =
+      Source.ReadIntent(Version(), LongestWait).Value->version();
 
   write("20-b.ini", "[service b]\n");
-  const auto Added = Source.ReadIntent(Revision, LongestWait);
+  const auto Added = Source.ReadIntent(First, LongestWait);
   std::filesystem::last_write_time(Folder + "/20-b.ini", {});
-  const auto Touched = Source.ReadIntent(Added.Value->Revision, LongestWait);
+  const auto Touched = Source.ReadIntent(Added.Value->version(), LongestWait);
   std::filesystem::remove(Folder + "/20-b.ini");
-  const auto Removed = Source.ReadIntent(Touched.Value->Revision, LongestWait);
+  const auto Removed = Source.ReadIntent(Touched.Value->version(), LongestWait);
 
   LONGS_EQUAL(2, Added.Value->Files.size());
   LONGS_EQUAL(2, Touched.Value->Files.size());
@@ -59,23 +60,24 @@
   write(".10-a.ini.swp", "editor");
   write("instances.json", "{}");
 
-  const auto Read = folderSource(Folder).ReadIntent(0, LongestWait);
+  const auto Read = folderSource(Folder).ReadIntent(Version(), LongestWait);
 
   LONGS_EQUAL(1, Read.Value->Files.size());
 }
 
 TEST(FolderSource, SaysThatAFolderCannotBeRead) {
-  const auto Read = folderSource("/nonexistent").ReadIntent(0, DurationMs(0));
+  const auto Read =
+      folderSource("/nonexistent").ReadIntent(Version(), DurationMs(0));
 
   CHECK(ResultCode::PlatformUnreachable == Read.Reason);
 }
 
 TEST(FolderSource, ReturnsEarlyOnceCancelled) {
   const PlatformSource Source = folderSource(Folder);
-  const auto First = Source.ReadIntent(0, LongestWait);
+  const auto First = Source.ReadIntent(Version(), LongestWait);
   std::future<PlatformRead<IntentBundle>> Watch =
       std::async(std::launch::async, [&] {
-        return Source.ReadIntent(First.Value->Revision, DurationMs(3600000));
+        return Source.ReadIntent(First.Value->version(), DurationMs(3600000));
       });
 
   Source.Cancel();
--- a/tests/platform/HttpSourceTest.cpp
+++ b/tests/platform/HttpSourceTest.cpp
@@ -75,21 +75,23 @@
 
   void control(const std::string &Query) { get("/control?" + Query); }
 
-  /// The next version above \p After, waited for.
-  IntentBundle next(std::uint64_t After) {
-    PlatformRead<IntentBundle> Read = Source.ReadIntent(After, LongestWait);
+  /// The next version after \p Known, waited for.
+  IntentBundle next(const Version &Known) {
+    PlatformRead<IntentBundle> Read = Source.ReadIntent(Known, LongestWait);
     STRCMP_EQUAL("", Read.Detail.c_str());
     CHECK(Read.Value.has_value());
     return *Read.Value;
   }
 
-  ResultCode reason() { return Source.ReadIntent(0, DurationMs(0)).Reason; }
+  ResultCode reason() {
+    return Source.ReadIntent(Version(), DurationMs(0)).Reason;
+  }
 };
 
 TEST(HttpSource, WatchesForEachNewVersion) {
-  const IntentBundle First = next(0);
+  const IntentBundle First = next(Version());
   std::future<IntentBundle> Watch =
-      std::async(std::launch::async, [&] { return next(First.Revision); });
+      std::async(std::launch::async, [&] { return next(First.version()); });
 
   Folder.write("20-b.ini", "[service b]\n");
   const IntentBundle Second = Watch.get();
@@ -101,25 +103,36 @@
 
 TEST(HttpSource, ShowsARemovedFileAsANewVersion) {
   Folder.write("20-b.ini", "[service b]\n");
-  const IntentBundle First = next(0);
+  const IntentBundle First = next(Version());
 
   std::filesystem::remove(Folder.Path + "/20-b.ini");
-  const IntentBundle Second = next(First.Revision);
+  const IntentBundle Second = next(First.version());
 
   LONGS_EQUAL(1, Second.Files.size());
 }
 
 TEST(HttpSource, GivesNothingWhenNothingIsNewer) {
-  const IntentBundle First = next(0);
+  const IntentBundle First = next(Version());
 
-  const auto Read = Source.ReadIntent(First.Revision, DurationMs(50));
+  const auto Read = Source.ReadIntent(First.version(), DurationMs(50));
 
   CHECK_FALSE(Read.Value.has_value());
   CHECK(ResultCode::Ok == Read.Reason);
 }
 
+TEST(HttpSource, ShowsAnotherContentUnderTheSameRevision) {
+  const IntentBundle First = next(Version());
+
+  control("twin=1");
+  const IntentBundle Second = next(First.version());
+
+  CHECK(First.Revision == Second.Revision);
+  CHECK_FALSE(
+      Source.ReadIntent(Second.version(), DurationMs(0)).Value.has_value());
+}
+
 TEST(HttpSource, TellsEveryFaultOfThePlatformApart) {
-  next(0);
+  next(Version());
   const std::pair<const char *, ResultCode> Faults[] = {
       {"out", ResultCode::PlatformUnreachable},
       {"silent", ResultCode::PlatformUnreachable},
@@ -138,7 +151,7 @@
 
 // curl repeats a request by itself on a connection that was used before.
 TEST(HttpSource, SendsEachReadOnceAlsoWhenThePlatformHangsUp) {
-  next(0);
+  next(Version());
   get("/stats?reset=1");
   control("out=1");
 
@@ -149,7 +162,7 @@
 }
 
 TEST(HttpSource, WaitsForASlowPlatformUntilItsTimeout) {
-  next(0);
+  next(Version());
 
   control("slow_ms=50");
   CHECK(ResultCode::Ok == reason());
@@ -159,15 +172,15 @@
 }
 
 TEST(HttpSource, ShowsAStalePlatformAsItIs) {
-  const IntentBundle First = next(0);
+  const IntentBundle First = next(Version());
   Folder.write("20-b.ini", "[service b]\n");
-  const IntentBundle Second = next(First.Revision);
+  const IntentBundle Second = next(First.version());
 
   control("stale=" + std::to_string(First.Revision));
 
-  CHECK(First.Revision == next(0).Revision);
+  CHECK(First.Revision == next(Version()).Revision);
   CHECK_FALSE(
-      Source.ReadIntent(Second.Revision, DurationMs(0)).Value.has_value());
+      Source.ReadIntent(Second.version(), DurationMs(0)).Value.has_value());
 }
 
 TEST(HttpSource, ReadsTheListOfInstances) {
@@ -193,10 +206,10 @@
 }
 
 TEST(HttpSource, ReturnsEarlyOnceCancelled) {
-  const IntentBundle First = next(0);
+  const IntentBundle First = next(Version());
   std::future<PlatformRead<IntentBundle>> Watch =
       std::async(std::launch::async, [&] {
-        return Source.ReadIntent(First.Revision, DurationMs(3600000));
+        return Source.ReadIntent(First.version(), DurationMs(3600000));
       });
 
   Source.Cancel();
--- a/tests/platform/ReadLoopTest.cpp
+++ b/tests/platform/ReadLoopTest.cpp
@@ -3,7 +3,6 @@
 #include "support/Property.h"
 
 #include <algorithm>
-#include <set>
 
 #include <CppUTest/TestHarness.h>
 
@@ -15,12 +14,13 @@
 struct FakePlatform {
   TimeMs Now{1000};
   std::uint64_t Revision = 1;
-  std::uint64_t Held = 0;
+  std::string Text; ///< Of the one file under Revision.
+  Version Held;
   bool Out = false;
   bool IgnoresAfter = false; ///< Answers with Revision, whatever was asked.
   bool AmReader = true;
   std::vector<TimeMs> Reads;
-  std::vector<std::uint64_t> Given;
+  std::vector<Version> Given;
   std::vector<bool> States;
   std::vector<EventId> Events;
 
@@ -33,12 +33,14 @@
 
   ReadLoop loop(const PlatformSettings &Settings, std::uint64_t Seed = 1) {
     PlatformSource Source;
-    Source.ReadIntent = [this](std::uint64_t After, DurationMs Wait) {
+    Source.ReadIntent = [this](const Version &Known, DurationMs Wait) {
       if (auto Failure = failure<IntentBundle>())
         return *Failure;
-      if (Revision > After || IgnoresAfter)
-        return PlatformRead<IntentBundle>{IntentBundle{Revision, {}},
-                                          ResultCode::Ok, ""};
+      const IntentBundle Shown{Revision, {{"10-a.ini", Text}}};
+      if (Revision > Known.Revision ||
+          (Revision == Known.Revision && Shown.version() != Known) ||
+          IgnoresAfter)
+        return PlatformRead<IntentBundle>{Shown, ResultCode::Ok, ""};
       Now = Now + Wait;
       return PlatformRead<IntentBundle>{};
     };
@@ -52,9 +54,9 @@
     };
     PlatformReaderHooks Hooks;
     Hooks.AmReader = [this] { return AmReader; };
-    Hooks.HeldRevision = [this] { return Held; };
+    Hooks.HeldVersion = [this] { return Held; };
     Hooks.OnBundle = [this](const IntentBundle &B) {
-      Given.push_back(B.Revision);
+      Given.push_back(B.version());
     };
     Hooks.OnSourceState = [this](bool Reachable) {
       States.push_back(Reachable);
@@ -90,12 +92,14 @@
   Fake.Revision = 4;
   Fake.run(Loop, DurationMs(10000));
 
-  CHECK((std::vector<std::uint64_t>{1, 4}) == Fake.Given);
+  LONGS_EQUAL(2, Fake.Given.size());
+  LONGS_EQUAL(1, Fake.Given[0].Revision);
+  LONGS_EQUAL(4, Fake.Given[1].Revision);
 }
 
 TEST(ReadLoop, GivesNothingOlderThanTheNodeHolds) {
   ReadLoop Loop = Fake.loop(settings(2000, 1200));
-  Fake.Held = 9;
+  Fake.Held.Revision = 9;
   Fake.IgnoresAfter = true;
 
   Fake.run(Loop, DurationMs(10000));
@@ -104,7 +108,7 @@
   CHECK(Loop.counts().Stale > 0);
 }
 
-TEST(ReadLoop, NeverGivesALowerRevisionThanBefore) {
+TEST(ReadLoop, NeverGivesALowerRevisionOrTheSameContentTwiceInARow) {
   checkProperty("given revisions rise", [] {
     FakePlatform F;
     F.IgnoresAfter = *rc::gen::arbitrary<bool>();
@@ -112,16 +116,33 @@
     for (const auto Revision : *rc::gen::container<std::vector<std::uint64_t>>(
              rc::gen::inRange<std::uint64_t>(1, 20))) {
       F.Revision = Revision;
+      F.Text = *rc::gen::element<std::string>("a", "b");
       F.Out = *rc::gen::arbitrary<bool>();
       F.run(Loop, DurationMs(4000));
     }
 
-    RC_ASSERT(std::is_sorted(F.Given.begin(), F.Given.end()));
-    RC_ASSERT(std::set<std::uint64_t>(F.Given.begin(), F.Given.end()).size() ==
-              F.Given.size());
+    for (std::size_t I = 1; I < F.Given.size(); ++I) {
+      RC_ASSERT(F.Given[I].Revision >= F.Given[I - 1].Revision);
+      RC_ASSERT(F.Given[I] != F.Given[I - 1]);
+    }
   });
 }
 
+// Whichever of the two the node keeps, a platform that shows one of them all
+// the time is watched again and not read again.
+TEST(ReadLoop, GivesEachContentUnderOneRevisionOnce) {
+  ReadLoop Loop = Fake.loop(settings(2000, 1200));
+  Fake.run(Loop, DurationMs(10000));
+  Fake.Held = Fake.Given.back();
+
+  Fake.Text = "other";
+  Fake.run(Loop, DurationMs(30000));
+
+  LONGS_EQUAL(2, Fake.Given.size());
+  LONGS_EQUAL(Fake.Given[0].Revision, Fake.Given[1].Revision);
+  LONGS_EQUAL(0, Loop.counts().Stale);
+}
+
 TEST(ReadLoop, AsksAPlatformThatNeverWaitsAtAnEvenPace) {
   PlatformSettings Alone = settings(2000, 1);
   Alone.WatchWait = DurationMs(0);
--- a/tests/policy/VersionKeeperTest.cpp
+++ b/tests/policy/VersionKeeperTest.cpp
@@ -110,6 +110,6 @@
   Keeper.onApplied(versionOf(3));
   Keeper.onRefused(versionOf(4));
 
-  LONGS_EQUAL(4, Keeper.heldRevision());
+  LONGS_EQUAL(4, Keeper.heldVersion().Revision);
   CHECK(versionOf(3) == *Keeper.inForce());
 }
--- a/tests/standins/PlatformMain.cpp
+++ b/tests/standins/PlatformMain.cpp
@@ -54,6 +54,7 @@
   bool Torn = false;              ///< torn: a file that misses its digest.
   bool Refusing = false;          ///< refusing: answers with status 500.
   bool Garbled = false;           ///< garbled: answers with half a JSON text.
+  bool Twin = false; ///< twin: another content under the newest revision.
 };
 
 struct Request {
@@ -193,14 +194,26 @@
     const auto Shown = Present.StaleAt == 0
                            ? Versions.end()
                            : Versions.upper_bound(Present.StaleAt);
-    const bool None = Shown == Versions.begin();
-    if (!None && std::prev(Shown)->first > R.number("after"))
-      return Answer{200, encodeIntent(std::prev(Shown)->second, Present.Torn)};
+    if (Shown != Versions.begin()) {
+      IntentBundle Bundle = std::prev(Shown)->second;
+      if (Present.Twin)
+        Bundle.Files.push_back({"99-twin.ini", "; the other content\n"});
+      if (isNews(Bundle, R))
+        return Answer{200, encodeIntent(Bundle, Present.Torn)};
+    }
     if (!LastTry)
       return std::nullopt;
     return Answer{204, ""};
   }
 
+  static bool isNews(const IntentBundle &Bundle, const Request &R) {
+    const std::uint64_t After = R.number("after");
+    const auto Digest = R.Query.find("digest");
+    return Bundle.Revision > After ||
+           (Bundle.Revision == After && Digest != R.Query.end() &&
+            Digest->second != Bundle.version().Content.hex());
+  }
+
   Answer instances(const Request &R) {
     if (ListRevision > R.number("after"))
       return {200, List};
@@ -217,11 +230,9 @@
 
   Answer control(const Request &R) {
     const std::map<std::string, bool *> Switches{
-        {"out", &Present.Out},
-        {"silent", &Present.Silent},
-        {"torn", &Present.Torn},
-        {"refusing", &Present.Refusing},
-        {"garbled", &Present.Garbled}};
+        {"out", &Present.Out},         {"silent", &Present.Silent},
+        {"torn", &Present.Torn},       {"refusing", &Present.Refusing},
+        {"garbled", &Present.Garbled}, {"twin", &Present.Twin}};
     for (const auto &[Name, Text] : R.Query) {
       const std::uint64_t Value = R.number(Name);
       if (const auto It = Switches.find(Name); It != Switches.end())
