Test versions under failures with real processes, through the proxies

Peer proxies of the test mesh were passed by: a node told its own listening address to the others, which replaced the proxy's address from the platform's list as soon as its first record arrived, so the proxies between nodes had no traffic. [peers] announce now gives the address that others are told (default: listen), which a node behind a forwarded port needs as well. And connections to other nodes come from [node] address, as its page always said; before they came from any address. A proxy can thereby cut off some nodes.

--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -55,9 +55,11 @@
 
 ControlSettings controlSettings(const NodeSettings &Settings) {
   ControlSettings Result;
-  Result.Self = {Settings.Node.Name,           Settings.Node.Domain,
-                 Settings.Node.Service,        Settings.Node.Slot,
-                 Settings.Peers.Listen.text(), TargetState::Cold};
+  const Endpoint Reached =
+      Settings.Peers.Announce.value_or(Settings.Peers.Listen);
+  Result.Self = {Settings.Node.Name,    Settings.Node.Domain,
+                 Settings.Node.Service, Settings.Node.Slot,
+                 Reached.text(),        TargetState::Cold};
   for (const Endpoint &Seed : Settings.Peers.Seeds)
     Result.Seeds.push_back(Seed.text());
   return Result;
@@ -108,6 +110,7 @@
       Operators(Settings.Operators.Listen, pages()) {
   Link.Self = {Settings.Node.Name, Incarnation};
   Link.Secret = Settings.Peers.Secret;
+  Link.ConnectFrom = Settings.Node.Address;
   Link.OnEvent = Recorder.hook();
 }
 
--- a/src/ini/Forms.cpp
+++ b/src/ini/Forms.cpp
@@ -95,6 +95,16 @@
 
 ValueForm<Endpoint> endpointForm() { return {"IP:port", &Endpoint::parse}; }
 
+ValueForm<std::optional<Endpoint>> optionalEndpointForm() {
+  using Found = std::optional<std::optional<Endpoint>>;
+  return {"IP:port or nothing", [](std::string_view Text) -> Found {
+            if (Text.empty())
+              return Found(std::in_place, std::nullopt);
+            const std::optional<Endpoint> Given = Endpoint::parse(Text);
+            return Given ? Found(std::in_place, *Given) : std::nullopt;
+          }};
+}
+
 ValueForm<std::vector<Endpoint>> endpointListForm(std::size_t MaxCount) {
   auto Parse = [MaxCount](std::string_view Text) {
     return parseEndpoints(Text, MaxCount);
--- a/src/ini/Forms.h
+++ b/src/ini/Forms.h
@@ -75,6 +75,9 @@
 /// "IP:port".
 ValueForm<Endpoint> endpointForm();
 
+/// "IP:port", or empty for none.
+ValueForm<std::optional<Endpoint>> optionalEndpointForm();
+
 /// "IP:port, IP:port, ..."; may be empty.
 ValueForm<std::vector<Endpoint>> endpointListForm(std::size_t MaxCount);
 
--- a/src/nodes/PeerConnection.cpp
+++ b/src/nodes/PeerConnection.cpp
@@ -3,6 +3,7 @@
 #include <nng/protocol/reqrep0/req.h>
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <utility>
 
 namespace fescuewood {
@@ -17,6 +18,16 @@
 /// next try, up to tens of seconds away after a network partition.
 constexpr DurationMs GiveUpAfter{3000};
 
+/// The address of an IP number with any port; unspecified when malformed.
+nng_sockaddr toNng(const std::string &Ip) {
+  nng_sockaddr Result{};
+  if (inet_pton(AF_INET, Ip.c_str(), &Result.s_in.sa_addr) == 1)
+    Result.s_in.sa_family = NNG_AF_INET;
+  else if (inet_pton(AF_INET6, Ip.c_str(), &Result.s_in6.sa_addr) == 1)
+    Result.s_in6.sa_family = NNG_AF_INET6;
+  return Result;
+}
+
 nng_duration toNng(DurationMs Span) {
   return static_cast<nng_duration>(std::max<std::int64_t>(Span.Value, 0));
 }
@@ -45,6 +56,10 @@
   if (nng_dialer_create(&Dialer, Socket, Url.c_str()) != 0)
     return false;
   nng_dialer_set_bool(Dialer, NNG_OPT_TCP_KEEPALIVE, true);
+  const nng_sockaddr From = toNng(Link.ConnectFrom);
+  if (From.s_family != NNG_AF_UNSPEC &&
+      nng_dialer_set_addr(Dialer, NNG_OPT_LOCADDR, &From) != 0)
+    return false;
   return nng_dialer_start(Dialer, NNG_FLAG_NONBLOCK) == 0;
 }
 
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -86,6 +86,7 @@
       keyRow<S>("callers", "idle_timeout_ms", "ms", "60000", milliseconds(100, 3600000), in(&S::Callers, &CallerSettings::IdleTimeout), "Time after which an unused connection is closed."),
       keyRow<S>("callers", "drain_timeout_ms", "ms", "30000", milliseconds(0, 600000), in(&S::Callers, &CallerSettings::DrainTimeout), "Longest wait for running requests when the process ends."),
       keyRow<S>("peers", "listen", "", Required, endpointForm(), in(&S::Peers, &PeerSettings::Listen), "Where the other nodes connect."),
+      keyRow<S>("peers", "announce", "", "", optionalEndpointForm(), in(&S::Peers, &PeerSettings::Announce), "Where other nodes are told to connect, when something passes connections on to `listen`; empty for `listen`."),
       keyRow<S>("peers", "seeds", "", "", endpointListForm(MaxSeeds), in(&S::Peers, &PeerSettings::Seeds), "Nodes that are asked first after a start."),
       keyRow<S>("peers", "secret", "", Required, textForm(MinSecretBytes, MaxSecretBytes), in(&S::Peers, &PeerSettings::Secret), "Secret of the fleet, which seals every message between nodes."),
       keyRow<S>("target", "address", "", Required, endpointForm(), in(&S::Target, &TargetSettings::Address), "Where the target beside this process listens."),
--- a/src/settings/NodeSettings.h
+++ b/src/settings/NodeSettings.h
@@ -47,8 +47,9 @@
 /// [peers]: how this process meets the others.
 struct PeerSettings {
   Endpoint Listen;
-  std::vector<Endpoint> Seeds; ///< Asked first; may be empty.
-  std::string Secret;          ///< Shared by the fleet; seals each message.
+  std::optional<Endpoint> Announce; ///< Told to others in place of Listen.
+  std::vector<Endpoint> Seeds;      ///< Asked first; may be empty.
+  std::string Secret; ///< Shared by the fleet; seals each message.
 };
 
 /// [target]: the one target beside this process.
--- a/tests/integration/MeshFixture.cpp
+++ b/tests/integration/MeshFixture.cpp
@@ -92,10 +92,10 @@
   }
 }
 
-void eventually(const std::string &What,
-                const std::function<bool()> &Condition) {
+void eventually(const std::string &What, const std::function<bool()> &Condition,
+                std::chrono::seconds Patience) {
   try {
-    standins::Mesh::await(What, Condition);
+    standins::Mesh::await(What, Condition, Patience);
   } catch (const std::runtime_error &Error) {
     FAIL(Error.what());
   }
--- a/tests/integration/MeshFixture.h
+++ b/tests/integration/MeshFixture.h
@@ -48,8 +48,8 @@
 void awaitAdmission(const standins::Mesh &Mesh);
 
 /// Waits for a condition, or fails the present test.
-void eventually(const std::string &What,
-                const std::function<bool()> &Condition);
+void eventually(const std::string &What, const std::function<bool()> &Condition,
+                std::chrono::seconds Patience = std::chrono::seconds(30));
 
 /// Everything about a run in one line, for the report of a failed check.
 std::string describe(const standins::LoadSummary &Sum);
--- a/tests/standins/FaultProxy.h
+++ b/tests/standins/FaultProxy.h
@@ -3,6 +3,7 @@
 ///
 /// It can delay, refuse or cut connections, lose the next answers, and let open
 /// connections go silent: they stay open and pass nothing, while new ones work.
+/// It can also cut off some addresses for a time, as a partition does.
 
 #ifndef FESCUEWOOD_TESTS_STANDINS_FAULTPROXY_H
 #define FESCUEWOOD_TESTS_STANDINS_FAULTPROXY_H
@@ -12,6 +13,8 @@
 #include <array>
 #include <list>
 #include <memory>
+#include <string>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -42,6 +45,7 @@
       set(Command, "refuse", Refuse);
       set(Command, "silent", SilentFromStart);
       set(Command, "lose_answers", LoseAnswers);
+      cutOff(queryValue(Command, "cut_from"));
     }
     return nlohmann::json{{"connections", Links.size()},
                           {"accepted", Accepted},
@@ -57,8 +61,10 @@
 
     Tcp::socket Near;
     Tcp::socket Far;
+    std::string From; ///< IP number at the near end.
     bool SilentUp = false;
     bool SilentDown = false;
+    bool WasCutOff = false;
   };
   using LinkPtr = std::shared_ptr<Link>;
 
@@ -67,6 +73,24 @@
       Value = std::stoi(*Text);
   }
 
+  /// Lets connections from some addresses, "IP,IP", pass nothing. Those that
+  /// were cut off before and are no more have lost bytes and are closed.
+  void cutOff(const std::optional<std::string> &Addresses) {
+    if (!Addresses)
+      return;
+    CutOff = "," + *Addresses + ",";
+    for (const auto &Open : Links) {
+      if (isCutOff(*Open))
+        Open->SilentUp = Open->SilentDown = Open->WasCutOff = true;
+      else if (Open->WasCutOff)
+        close(*Open);
+    }
+  }
+
+  bool isCutOff(const Link &Of) const {
+    return CutOff.find("," + Of.From + ",") != std::string::npos;
+  }
+
   static void close(Link &Closed) {
     std::error_code Ignored;
     Closed.Near.close(Ignored);
@@ -97,8 +121,11 @@
 
   asio::awaitable<void> open(Tcp::socket Socket) {
     const auto Opened = std::make_shared<Link>(std::move(Socket), Context);
-    Opened->SilentUp = Opened->SilentDown = SilentFromStart != 0;
     try {
+      Opened->From = Opened->Near.remote_endpoint().address().to_string();
+      Opened->WasCutOff = isCutOff(*Opened);
+      Opened->SilentUp = Opened->SilentDown =
+          SilentFromStart != 0 || Opened->WasCutOff;
       co_await Opened->Far.async_connect(To, asio::use_awaitable);
       Opened->Near.set_option(Tcp::no_delay(true));
       Opened->Far.set_option(Tcp::no_delay(true));
@@ -141,6 +168,7 @@
   Tcp::acceptor Acceptor;
   Tcp::endpoint To;
   std::list<LinkPtr> Links;
+  std::string CutOff;
   int DelayMs = 0;
   int Refuse = 0;
   int SilentFromStart = 0;
--- a/tests/standins/Mesh.h
+++ b/tests/standins/Mesh.h
@@ -9,7 +9,7 @@
 #define FESCUEWOOD_TESTS_STANDINS_MESH_H
 
 #include "standins/LoadReport.h"
-#include "standins/Process.h"
+#include "standins/MeshOptions.h"
 
 #include <cstdlib>
 #include <filesystem>
@@ -23,42 +23,6 @@
 
 namespace standins {
 
-/// Instances of one service in one failure domain.
-struct MeshGroup {
-  std::string Service;
-  std::string Domain;
-  int Count = 1;
-  int Slots = 6;
-};
-
-struct MeshOptions {
-  std::string Binaries; ///< The build folder.
-  std::vector<MeshGroup> Groups;
-  std::string Region = "coast";
-  int ColdMs = 0;
-  int ColdSlots = 2;
-  int LatencyMs = 2;
-  bool PeerProxies = false;   ///< Nodes reach each other through proxies.
-  bool TargetProxies = false; ///< Nodes reach their targets through proxies.
-  std::string Settings;       ///< Further lines of each node's settings.
-  std::map<std::string, std::string> Intent; ///< Files by name.
-};
-
-/// One target, the node beside it, and their proxies.
-struct MeshInstance {
-  std::string Name;
-  std::string Domain;
-  std::string Service;
-  int Slot = 0;
-  int Slots = 6;
-  std::string Ip;
-  std::string Settings; ///< Path of the node's settings.
-  Process Node;
-  Process Target;
-  Process PeerProxy;
-  Process TargetProxy;
-};
-
 class Mesh {
 public:
   // Ports of every instance, each on an address of its own.
@@ -111,6 +75,14 @@
                {"--listen", platformAddress(), "--folder", Folder + "/intent",
                 "--instances", Folder + "/state/instances.json"},
                "platform");
+    if (!Options.PlatformProxies)
+      return;
+    for (const auto &[Domain, Number] : DomainNumbers)
+      PlatformProxies[Domain] =
+          launch("standins/FaultProxy",
+                 {"--listen", platformProxy(Number), "--to", platformAddress(),
+                  "--control", platformProxy(Number, 1)},
+                 "proxy");
   }
 
   void startTarget(MeshInstance &Each) {
@@ -163,6 +135,11 @@
     return Net + "250:" + std::to_string(BasePort);
   }
 
+  /// Where other nodes are told to connect.
+  std::string peerAddress(const MeshInstance &Each) const {
+    return address(Each, Options.PeerProxies ? int(ForPeers) : int(Peers));
+  }
+
   std::vector<std::string> callerAddresses() const {
     std::vector<std::string> Addresses;
     for (const MeshInstance &Each : Instances)
@@ -194,6 +171,35 @@
     control(address(Each, ForTargetControl), "/control/" + What);
   }
 
+  /// Commands the platform's stand-in and returns its answer.
+  nlohmann::json platform(const std::string &Command) const {
+    return nlohmann::json::parse(control(platformAddress(), "/" + Command));
+  }
+
+  /// Cuts a domain off from the others and from the platform, or heals that.
+  void cutDomain(const std::string &Domain, bool Off) const {
+    std::string Inside;
+    std::string Outside;
+    for (const MeshInstance &Each : Instances)
+      (Each.Domain == Domain ? Inside : Outside) += Each.Ip + ",";
+    for (const MeshInstance &Each : Instances)
+      disturbPeers(Each,
+                   "set?cut_from=" +
+                       (Off ? Each.Domain == Domain ? Outside : Inside : ""));
+    const std::string Proxy = platformProxy(DomainNumbers.at(Domain), 1);
+    control(Proxy, Off ? "/control/set?silent=1" : "/control/set?silent=0");
+    control(Proxy, Off ? "/control/silence" : "/control/cut");
+  }
+
+  /// A page of a node's operator port; empty when it does not answer.
+  std::string page(const MeshInstance &Of, const std::string &Path) const {
+    try {
+      return control(address(Of, Operators), Path);
+    } catch (const std::exception &) {
+      return {};
+    }
+  }
+
   /// The targets' records together.
   RunRecord runs() const {
     RunRecord All;
@@ -218,14 +224,12 @@
     for (const MeshInstance &Each : Instances) {
       const bool Leaves =
           std::find(Leaving.begin(), Leaving.end(), Each.Name) != Leaving.end();
-      Rows.push_back(
-          {{"name", Each.Name},
-           {"domain", Each.Domain},
-           {"service", Each.Service},
-           {"slot", Each.Slot},
-           {"peer_address",
-            address(Each, Options.PeerProxies ? int(ForPeers) : int(Peers))},
-           {"state", Leaves ? "leaving" : "live"}});
+      Rows.push_back({{"name", Each.Name},
+                      {"domain", Each.Domain},
+                      {"service", Each.Service},
+                      {"slot", Each.Slot},
+                      {"peer_address", peerAddress(Each)},
+                      {"state", Leaves ? "leaving" : "live"}});
     }
     replaceFile(Folder + "/state/instances.json",
                 nlohmann::json{{"instances", Rows}}.dump());
@@ -241,6 +245,7 @@
       Each.Domain = Group.Domain;
       Each.Service = Group.Service;
       Each.Slot = SlotsUsed[Group.Domain]++;
+      DomainNumbers.try_emplace(Group.Domain, int(DomainNumbers.size()));
       Each.Slots = Group.Slots;
       Each.Name = fmt::format("{}-{}-{}", Group.Domain, Group.Service, I);
       Each.Ip = Net + std::to_string(1 + Instances.size());
@@ -253,12 +258,14 @@
     const int Behind = Options.TargetProxies ? int(ForTarget) : int(TargetPort);
     std::string Text = fmt::format(
         "[node]\nname = {}\ndomain = {}\nservice = {}\nslot = {}\naddress = "
-        "{}\n[callers]\nlisten = {}\n[peers]\nlisten = {}\nsecret = "
+        "{}\n[callers]\nlisten = {}\n[peers]\nlisten = {}\nannounce = {}\n"
+        "seeds = {}\nsecret = "
         "a-secret-of-this-test-mesh-only\n[target]\naddress = {}\n"
         "[platform]\nsource = http://{}\n[operators]\nlisten = {}\n",
         Each.Name, Each.Domain, Each.Service, Each.Slot, Each.Ip,
-        address(Each, Callers), address(Each, Peers), address(Each, Behind),
-        platformAddress(), address(Each, Operators));
+        address(Each, Callers), address(Each, Peers), peerAddress(Each),
+        Options.Seeds ? peerAddresses() : "", address(Each, Behind),
+        platformOf(Each), address(Each, Operators));
     replaceFile(Each.Settings, Text + Options.Settings);
   }
 
@@ -283,6 +290,25 @@
                   "proxy");
   }
 
+  /// Where a domain's proxy to the platform listens, or its control port.
+  std::string platformProxy(int Domain, int Offset = 0) const {
+    return Net + std::to_string(240 + Domain) + ":" +
+           std::to_string(BasePort + Offset);
+  }
+
+  std::string platformOf(const MeshInstance &Each) const {
+    return Options.PlatformProxies
+               ? platformProxy(DomainNumbers.at(Each.Domain))
+               : platformAddress();
+  }
+
+  std::string peerAddresses() const {
+    std::string All;
+    for (const MeshInstance &Each : Instances)
+      All += (All.empty() ? "" : ", ") + peerAddress(Each);
+    return All;
+  }
+
   /// A node that serves knows that this route does not exist.
   bool serving(const MeshInstance &Each) const {
     const Message Answer = request(Each, "GET", "/no/such/route", "");
@@ -296,6 +322,8 @@
   std::string Net;
   int BasePort = 0;
   std::map<std::string, int> SlotsUsed;
+  std::map<std::string, int> DomainNumbers;
+  std::map<std::string, Process> PlatformProxies; ///< By domain.
 };
 
 } // namespace standins
