--- /dev/null
+++ b/bench/CallScenarioBench.cpp
@@ -0,0 +1,284 @@
+// The call scenarios on real processes: nodes beside stand-in targets, a
+// stand-in platform, a load driver, and fault proxies between the nodes. Each
+// deployment runs under the product's policy and under baselines; scenarios
+// follow each other on one mesh, so that its targets are warm.
+
+#include "ScenarioFaults.h"
+#include "ScenarioReport.h"
+
+#include <atomic>
+#include <cstdio>
+#include <future>
+#include <mutex>
+
+#include <gflags/gflags.h>
+
+DEFINE_string(binaries, "", "build folder; by default that of this program");
+DEFINE_string(deployment, "both", "stalls (3 domains), agreste (4) or both");
+DEFINE_string(scenario, "all", "names of scenarios, by semicolons, or all");
+DEFINE_string(policy, "usual",
+              "name of one policy, all, or usual: baselines only in the "
+              "scenarios that they are of interest for");
+DEFINE_double(load, 0.6, "share of all slots in use at rest");
+DEFINE_double(rate, 0, "calls a second in place of --load; 0 for --load");
+DEFINE_int32(service_ms, 40, "mean time of a request at a warm target");
+DEFINE_int32(cold_ms, 6000, "time in which a fresh target warms up");
+DEFINE_double(seconds, 18,
+              "length of a scenario; faults last from 2 s to 12 s");
+DEFINE_double(warm_up_seconds, 12, "load before the first scenario of a mesh");
+DEFINE_double(settle_seconds, 10,
+              "load after a scenario that leaves targets cold or a domain "
+              "at part of its load");
+DEFINE_uint32(seed, 1, "seed of the arrivals");
+DEFINE_uint32(at_once, 1, "meshes that run beside each other");
+DEFINE_bool(keep, false, "keep each mesh's folder with its logs");
+DEFINE_string(json, "", "file to append lines of JSON to; else printed last");
+
+using namespace fescuewood::bench;
+
+namespace {
+
+/// The load at which a fivefold share is more than the targets bear.
+constexpr double LoadOfOffence = 0.8;
+
+/// Scenarios after which targets need time to be warm again.
+bool leavesCold(const std::string &Scenario) {
+  return Scenario.starts_with("half") || Scenario.starts_with("domain");
+}
+
+bool listed(const std::string &List, const std::string &Name) {
+  std::istringstream Names(List);
+  for (std::string Each; std::getline(Names, Each, ';');)
+    if (Each == Name || Each == "all" || Each == "both")
+      return true;
+  return false;
+}
+
+/// Results of all meshes, printed as they come.
+class Results {
+public:
+  void add(const ScenarioRun &Run, const ScenarioFigures &Figures) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    std::fputs(scenarioRow(Run, Figures).c_str(), stdout);
+    std::fflush(stdout);
+    Json += scenarioJson(Run, Figures);
+    Kept &= Run.Policy != "product" ||
+            (Figures.All.Doubled == 0 && Figures.All.FalseNotRun == 0 &&
+             Figures.All.Foreign == 0 && Figures.All.FalseRan == 0);
+  }
+
+  void writeJson() const {
+    if (FLAGS_json.empty())
+      std::printf("\n%s", Json.c_str());
+    else
+      std::ofstream(FLAGS_json, std::ios::app) << Json;
+  }
+
+  /// Whether the product broke no promise in any run.
+  bool kept() const { return Kept; }
+
+private:
+  std::mutex Mutex;
+  std::string Json;
+  bool Kept = true;
+};
+
+/// The scenarios of one deployment under one policy, on a mesh of their own.
+class MeshJob {
+public:
+  MeshJob(const Deployment &Size, const Policy &Under,
+          std::vector<std::string> Scenarios, const std::string &Binaries)
+      : Size(Size), Under(Under), Scenarios(std::move(Scenarios)),
+        Mesh(meshOptions(Size, Under, behaviour(), Binaries)) {}
+
+  void go(Results &Into) {
+    Mesh.start();
+    for (const standins::MeshInstance &Each : Mesh.Instances)
+      standins::Mesh::await("requests are admitted",
+                            [&] { return admits(Each); });
+    if (FLAGS_keep)
+      std::fprintf(stderr, "%s, %s: %s\n", Size.Name.c_str(),
+                   Under.Name.c_str(), Mesh.folder().c_str());
+    runLoad(FLAGS_warm_up_seconds);
+    std::vector<ScenarioRun> Runs;
+    for (const std::string &Scenario : Scenarios) {
+      Runs.push_back(run(Scenario));
+      if (leavesCold(Scenario) && &Scenario != &Scenarios.back())
+        runLoad(FLAGS_settle_seconds);
+    }
+    // Judged at the end, so that a late second run is seen too.
+    const standins::RunRecord Record = Mesh.runs();
+    for (const ScenarioRun &Each : Runs)
+      Into.add(Each, figuresOf(Each, Record));
+  }
+
+private:
+  static TargetBehaviour behaviour() {
+    TargetBehaviour Result;
+    Result.ServiceMs = FLAGS_service_ms;
+    Result.ColdMs = FLAGS_cold_ms;
+    return Result;
+  }
+
+  bool admits(const standins::MeshInstance &Each) const {
+    constexpr int Fine = 200;
+    const std::string Path =
+        fmt::format("/{}/read", Size.Services.front().Name);
+    return Mesh.request(Each, "GET", Path, "X-Api-Key: " + keyOf(0) + "\r\n")
+               .status() == Fine;
+  }
+
+  double perSecond(const std::string &Scenario) const {
+    if (FLAGS_rate > 0)
+      return FLAGS_rate;
+    const double Load =
+        Scenario == "5x org" ? std::max(FLAGS_load, LoadOfOffence) : FLAGS_load;
+    return rateFor(Size, Load, FLAGS_service_ms);
+  }
+
+  standins::LoadOptions optionsFor(const ScenarioLoad &Load, double Seconds) {
+    standins::LoadOptions Options;
+    Options.Nodes = Mesh.callerAddresses();
+    Options.Streams = Load.Streams;
+    Options.Seconds = Seconds;
+    Options.Seed = FLAGS_seed;
+    Options.PatienceMs = WaitLimitMs + WriteLimitMs;
+    Options.MarkPrefix = fmt::format("run{}-", ++Loads);
+    Options.Usable = [this](std::size_t Node) { return Callers.uses(Node); };
+    return Options;
+  }
+
+  /// Load that is not measured.
+  void runLoad(double Seconds) {
+    ScenarioTimes Times;
+    Times.End = Seconds;
+    const ScenarioLoad Load = usualLoad(Size, perSecond(""), Times);
+    standins::LoadDriver(optionsFor(Load, Seconds)).run();
+  }
+
+  ScenarioRun run(const std::string &Scenario) {
+    ScenarioRun Run;
+    Run.Deployment = Size.Name;
+    Run.Scenario = Scenario;
+    Run.Policy = Under.Name;
+    Run.Seed = FLAGS_seed;
+    Run.PerSecond = perSecond(Scenario);
+    Run.Times.End = FLAGS_seconds;
+    Run.Load = usualLoad(Size, Run.PerSecond, Run.Times);
+    if (Scenario == "5x org")
+      addOffence(Run.Load, Size, Run.PerSecond, Run.Times);
+    if (Scenario == "crashing request")
+      addCrashes(Run.Load, Size, Run.PerSecond, Run.Times);
+    const int CrashesBefore = crashes();
+    play(Run);
+    Run.TargetCrashes = crashes() - CrashesBefore;
+    return Run;
+  }
+
+  /// Sends the load from the side while the fault begins and ends.
+  void play(ScenarioRun &Run) {
+    using std::chrono::duration;
+    using std::chrono::steady_clock;
+    ScenarioFault Fault(Run.Scenario, Size, Mesh, Callers);
+    const auto Start = steady_clock::now();
+    const auto At = [Start](double Seconds) {
+      return Start + std::chrono::duration_cast<steady_clock::duration>(
+                         duration<double>(Seconds));
+    };
+    auto Running = std::async(std::launch::async,
+                              [Options = optionsFor(Run.Load, Run.Times.End)] {
+                                return standins::LoadDriver(Options).run();
+                              });
+    std::this_thread::sleep_until(At(Run.Times.FaultFrom));
+    Fault.begin();
+    Fault.watch(At(Run.Times.FaultUntil));
+    Fault.end();
+    Run.Samples = Running.get();
+  }
+
+  int crashes() const {
+    int All = 0;
+    for (const standins::MeshInstance &Each : Mesh.Instances)
+      All += Mesh.targetStats(Each)["crashes"].get<int>();
+    return All;
+  }
+
+  const Deployment &Size;
+  const Policy &Under;
+  std::vector<std::string> Scenarios;
+  standins::Mesh Mesh;
+  CallersView Callers;
+  int Loads = 0;
+};
+
+std::vector<std::string> scenariosOf(const Policy &Under) {
+  std::vector<std::string> Chosen;
+  for (const char *Name : ScenarioNames) {
+    const bool Usual = FLAGS_policy != "usual" || Under.Scenarios.empty() ||
+                       std::find(Under.Scenarios.begin(), Under.Scenarios.end(),
+                                 Name) != Under.Scenarios.end();
+    if (Usual && listed(FLAGS_scenario, Name))
+      Chosen.emplace_back(Name);
+  }
+  return Chosen;
+}
+
+std::vector<std::unique_ptr<MeshJob>> chosenJobs(const std::string &Binaries) {
+  std::vector<std::unique_ptr<MeshJob>> Jobs;
+  for (const Policy &Under : policies()) {
+    if (FLAGS_policy != "usual" && !listed(FLAGS_policy, Under.Name))
+      continue;
+    const auto Scenarios = scenariosOf(Under);
+    for (const Deployment &Size : deployments())
+      if (!Scenarios.empty() && listed(FLAGS_deployment, Size.Name))
+        Jobs.push_back(
+            std::make_unique<MeshJob>(Size, Under, Scenarios, Binaries));
+  }
+  return Jobs;
+}
+
+/// Runs every job. Each is started and ended by one thread, since children end
+/// with the thread that started them.
+void runAll(std::vector<std::unique_ptr<MeshJob>> &Jobs, Results &Into) {
+  std::atomic<std::size_t> Next{0};
+  std::vector<std::future<void>> Threads;
+  for (std::uint32_t I = 0; I < FLAGS_at_once; ++I) {
+    Threads.push_back(std::async(std::launch::async, [&] {
+      for (std::size_t At = Next++; At < Jobs.size(); At = Next++) {
+        Jobs[At]->go(Into);
+        Jobs[At].reset();
+      }
+    }));
+  }
+  for (auto &Each : Threads)
+    Each.get();
+}
+
+std::string buildFolder() {
+  if (!FLAGS_binaries.empty())
+    return FLAGS_binaries;
+  return std::filesystem::canonical("/proc/self/exe")
+      .parent_path()
+      .parent_path()
+      .string();
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  gflags::SetUsageMessage("measures the call scenarios on real processes; "
+                          "ends with 1 when the product broke a promise");
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  if (FLAGS_keep)
+    setenv("KEEP_MESH", "1", 1);
+  auto Jobs = chosenJobs(buildFolder());
+  if (Jobs.empty()) {
+    std::fputs("CallScenarioBench: nothing is called so\n", stderr);
+    return 2;
+  }
+  std::fputs(scenarioHead(), stdout);
+  Results All;
+  runAll(Jobs, All);
+  All.writeJson();
+  return All.kept() ? 0 : 1;
+}
--- a/tests/standins/FaultProxy.h
+++ b/tests/standins/FaultProxy.h
@@ -12,6 +12,7 @@
 #include <array>
 #include <list>
 #include <memory>
+#include <random>
 
 #include <nlohmann/json.hpp>
 
@@ -42,6 +43,7 @@
       set(Command, "refuse", Refuse);
       set(Command, "silent", SilentFromStart);
       set(Command, "lose_answers", LoseAnswers);
+      set(Command, "cut_permille", CutPermille);
     }
     return nlohmann::json{{"connections", Links.size()},
                           {"accepted", Accepted},
@@ -111,6 +113,13 @@
     Links.remove(Opened);
   }
 
+  /// Whether a message is lost, together with its connection.
+  bool loses(std::size_t Size) {
+    constexpr unsigned Permille = 1000;
+    return CutPermille > 0 && Size >= LeastAnswerBytes &&
+           Random() % Permille < static_cast<unsigned>(CutPermille);
+  }
+
   asio::awaitable<void> pump(LinkPtr Passed, bool Up) {
     Tcp::socket &From = Up ? Passed->Near : Passed->Far;
     Tcp::socket &Into = Up ? Passed->Far : Passed->Near;
@@ -125,6 +134,8 @@
           --LoseAnswers;
           break;
         }
+        if (loses(Size))
+          break;
         if (DelayMs > 0) {
           co_await sleepFor(std::chrono::milliseconds(DelayMs));
         }
@@ -145,7 +156,9 @@
   int Refuse = 0;
   int SilentFromStart = 0;
   int LoseAnswers = 0;
+  int CutPermille = 0;
   int Accepted = 0;
+  std::mt19937 Random{1};
 };
 
 } // namespace standins
--- a/tests/standins/LoadDriver.h
+++ b/tests/standins/LoadDriver.h
@@ -7,7 +7,10 @@
 
 #include "standins/Http.h"
 
+#include <algorithm>
 #include <chrono>
+#include <functional>
+#include <limits>
 #include <list>
 #include <random>
 #include <vector>
@@ -25,6 +28,10 @@
   double PerSecond = 10;
   int InTimeMs = 500; ///< An answer later than this is late.
   std::string Fields; ///< Whole lines that end in CRLF.
+
+  /// Requests are sent only between these times of the run.
+  double FromSeconds = 0;
+  double UntilSeconds = std::numeric_limits<double>::infinity();
 };
 
 enum class LoadFault {
@@ -58,6 +65,9 @@
   unsigned Seed = 1;
   int PatienceMs = 15'000; ///< Longest wait for one answer.
   std::string MarkPrefix = "m";
+
+  /// Whether callers use a node at present; empty when they use all always.
+  std::function<bool(std::size_t Node)> Usable;
 };
 
 /// One run of load on an io_context of its own.
@@ -96,9 +106,11 @@
     std::mt19937 Random(Options.Seed * 1000 + static_cast<unsigned>(Stream));
     std::exponential_distribution<double> Gap(
         Options.Streams[Stream].PerSecond);
-    double DueSeconds = Gap(Random);
+    const double Until =
+        std::min(Options.Seconds, Options.Streams[Stream].UntilSeconds);
+    double DueSeconds = Options.Streams[Stream].FromSeconds + Gap(Random);
     asio::steady_timer Timer(Context);
-    for (int Number = 0; DueSeconds < Options.Seconds; ++Number) {
+    for (int Number = 0; DueSeconds < Until; ++Number) {
       Timer.expires_at(Start +
                        std::chrono::duration_cast<SteadyClock::duration>(
                            std::chrono::duration<double>(DueSeconds)));
@@ -108,12 +120,24 @@
       Sample.Mark = Options.MarkPrefix + std::to_string(Options.Seed) + "-" +
                     std::to_string(Stream) + "-" + std::to_string(Number);
       Sample.AtMs = DueSeconds * 1000;
-      asio::co_spawn(Context, request(Sample, Random() % Options.Nodes.size()),
+      asio::co_spawn(Context, request(Sample, pickNode(Random)),
                      asio::detached);
       DueSeconds += Gap(Random);
     }
   }
 
+  /// Draws a node that callers use; any node when they use none.
+  std::size_t pickNode(std::mt19937 &Random) {
+    constexpr int Draws = 100;
+    std::size_t Node = Random() % Options.Nodes.size();
+    for (int I = 0; Options.Usable && I < Draws && !Options.Usable(Node); ++I) {
+      // Connections to a node that was left are not used again.
+      Idle[Node].clear();
+      Node = Random() % Options.Nodes.size();
+    }
+    return Node;
+  }
+
   asio::awaitable<void> request(LoadSample Sample, std::size_t Node) {
     const ConnectionPtr Used = take(Node);
     const auto Timer = std::make_shared<asio::steady_timer>(
@@ -138,12 +162,23 @@
     Samples.push_back(std::move(Sample));
   }
 
+  /// A connection to use: an idle one that the node has not closed, or a new.
   ConnectionPtr take(std::size_t Node) {
-    if (Idle[Node].empty())
-      return std::make_shared<Connection>(Context);
-    ConnectionPtr Taken = Idle[Node].back();
-    Idle[Node].pop_back();
-    return Taken;
+    while (!Idle[Node].empty()) {
+      ConnectionPtr Taken = Idle[Node].back();
+      Idle[Node].pop_back();
+      if (stillOpen(Taken->Socket))
+        return Taken;
+    }
+    return std::make_shared<Connection>(Context);
+  }
+
+  static bool stillOpen(Tcp::socket &Socket) {
+    char Byte = 0;
+    std::error_code Error;
+    Socket.non_blocking(true, Error);
+    Socket.receive(asio::buffer(&Byte, 1), Tcp::socket::message_peek, Error);
+    return Error == asio::error::would_block;
   }
 
   asio::awaitable<void> exchange(Connection &Used, std::size_t Node,
--- a/tests/standins/Mesh.h
+++ b/tests/standins/Mesh.h
@@ -41,6 +41,7 @@
   bool PeerProxies = false;   ///< Nodes reach each other through proxies.
   bool TargetProxies = false; ///< Nodes reach their targets through proxies.
   std::string Settings;       ///< Further lines of each node's settings.
+  std::vector<std::string> TargetFlags;      ///< Further flags of each target.
   std::map<std::string, std::string> Intent; ///< Files by name.
 };
 
@@ -114,14 +115,16 @@
   }
 
   void startTarget(MeshInstance &Each) {
-    Each.Target = launch("standins/Target",
-                         {"--listen", address(Each, TargetPort), "--control",
-                          address(Each, TargetControl), "--slots",
-                          std::to_string(Each.Slots), "--cold_ms",
-                          std::to_string(Options.ColdMs), "--cold_slots",
-                          std::to_string(Options.ColdSlots), "--latency_ms",
-                          std::to_string(Options.LatencyMs)},
-                         "target");
+    std::vector<std::string> Flags = {
+        "--listen",     address(Each, TargetPort),
+        "--control",    address(Each, TargetControl),
+        "--slots",      std::to_string(Each.Slots),
+        "--cold_ms",    std::to_string(Options.ColdMs),
+        "--cold_slots", std::to_string(Options.ColdSlots),
+        "--latency_ms", std::to_string(Options.LatencyMs)};
+    Flags.insert(Flags.end(), Options.TargetFlags.begin(),
+                 Options.TargetFlags.end());
+    Each.Target = launch("standins/Target", Flags, "target");
     if (Options.TargetProxies)
       Each.TargetProxy =
           launchProxy(Each, ForTarget, TargetPort, ForTargetControl);
@@ -194,6 +197,9 @@
     control(address(Each, ForTargetControl), "/control/" + What);
   }
 
+  /// Holds the logs, until the mesh ends.
+  const std::string &folder() const { return Folder; }
+
   /// The targets' records together.
   RunRecord runs() const {
     RunRecord All;
--- a/tests/standins/Target.h
+++ b/tests/standins/Target.h
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <chrono>
 #include <list>
+#include <random>
 #include <set>
 
 #include <nlohmann/json.hpp>
@@ -25,7 +26,9 @@
   int ColdMs = 0;    ///< Time until a fresh start bears all slots.
   int ColdSlots = 2; ///< Slots that it bears right after the start.
   int LatencyMs = 2;
-  int RestartMs = 300; ///< Time for which a crash closes the port.
+  int RestartMs = 300;     ///< Time for which a crash closes the port.
+  bool Spread = false;     ///< Half of the latency is fixed, half is random.
+  int FallOverPercent = 0; ///< Of what a cold target bears; more crashes it.
 };
 
 class Target {
@@ -33,7 +36,8 @@
   using SteadyClock = std::chrono::steady_clock;
 
   Target(asio::io_context &Context, const TargetOptions &Options)
-      : Context(Context), Options(Options), Acceptor(Context) {
+      : Context(Context), Options(Options), Acceptor(Context),
+        Random(std::hash<Tcp::endpoint>()(Options.Listen)) {
     listen();
   }
 
@@ -45,6 +49,8 @@
       return nlohmann::json(Runs).dump();
     if (Command.starts_with("/control/restart"))
       crash();
+    if (Command.starts_with("/control/chill"))
+      Started = SteadyClock::now();
     if (Command.starts_with("/control/set")) {
       set(Command, "latency_ms", Options.LatencyMs);
       set(Command, "restart_ms", Options.RestartMs);
@@ -143,11 +149,11 @@
     ++InFlight;
     const int Bearable = bearable();
     record(Bearable);
-    if (Request.field("x-test-crash") == "1") {
+    if (Request.field("x-test-crash") == "1" || fallsOver(Bearable)) {
       crash();
       co_return;
     }
-    int Latency = Options.LatencyMs;
+    int Latency = usualLatency();
     if (const auto Own = queryValue(Request.word(1), "latency_ms"))
       Latency = std::stoi(*Own);
     // Beyond what it bears, the target is slower for everybody.
@@ -167,6 +173,19 @@
     co_await send(Socket, answer(Request, Mark));
   }
 
+  int usualLatency() {
+    if (!Options.Spread)
+      return Options.LatencyMs;
+    std::exponential_distribution<double> Part(1.0);
+    return static_cast<int>(Options.LatencyMs * (0.5 + 0.5 * Part(Random)));
+  }
+
+  bool fallsOver(int Bearable) const {
+    constexpr int Percent = 100;
+    return Options.FallOverPercent > 0 && Bearable < Options.Slots &&
+           InFlight * Percent > Bearable * Options.FallOverPercent;
+  }
+
   void record(int Bearable) {
     MaxInFlight = std::max(MaxInFlight, InFlight);
     if (InFlight > Options.Slots)
@@ -218,6 +237,7 @@
   int Accepted = 0;
   int Stall = 0;
   int CloseNext = 0;
+  std::mt19937 Random; ///< Seeded by the address, so that targets differ.
 };
 
 } // namespace standins
--- a/tests/standins/TargetMain.cpp
+++ b/tests/standins/TargetMain.cpp
@@ -11,6 +11,10 @@
 DEFINE_int32(cold_slots, 2, "requests that a fresh start bears at once");
 DEFINE_int32(latency_ms, 2, "time that a request takes");
 DEFINE_int32(restart_ms, 300, "time for which a crash closes the port");
+DEFINE_bool(spread, false, "half of the latency is fixed, half is random");
+DEFINE_int32(fall_over_percent, 0,
+             "percent of what a cold target bears beyond which it crashes; 0 "
+             "for never");
 
 int main(int Argc, char **Argv) {
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
@@ -22,6 +26,8 @@
   Options.ColdSlots = FLAGS_cold_slots;
   Options.LatencyMs = FLAGS_latency_ms;
   Options.RestartMs = FLAGS_restart_ms;
+  Options.Spread = FLAGS_spread;
+  Options.FallOverPercent = FLAGS_fall_over_percent;
   standins::Target Server(Context, Options);
   standins::Tcp::acceptor Control(Context, standins::endpointOf(FLAGS_control));
   asio::co_spawn(Context,
