Try an idle target however slow it was

Run on real processes, the call scenarios did not start: the first request of each target of a service took 552 ms, and from then on every request with 1 s left was refused with DeadlineUnreachable, for good. A node turns a request away when the target's recent latency leaves too little time, but only a run renews that latency, and nothing ran any more.

An idle target is now tried whatever its latency was. Ageing the latency was weighed instead: while a target stalls with its slots full it would have let the queue grow.

CallCore.SlowAnswersDoNotShutOutShorterCallsForGood fails without the change (0 runs in 5 s).

--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -277,7 +277,10 @@
 }
 
 ServiceRate TargetSide::rate() {
-  return {std::min(allowed(), Limit.slots()), Limit.latency()};
+  // Only a run renews the latency. An idle target is tried whatever that was,
+  // or one slow answer would turn away all shorter calls for good.
+  const DurationMs Expected = InFlight == 0 ? DurationMs(0) : Limit.latency();
+  return {std::min(allowed(), Limit.slots()), Expected};
 }
 
 bool TargetSide::ownDomainOut() const {
--- a/tests/calls/CallCoreTest.cpp
+++ b/tests/calls/CallCoreTest.cpp
@@ -274,6 +274,24 @@
     LONGS_EQUAL(200, Mesh->Calls[I].Answer.Status);
 }
 
+// Only runs renew the latency that is expected of a target, so an expectation
+// that turns every call away must not last.
+TEST(CallCore, SlowAnswersDoNotShutOutShorterCallsForGood) {
+  FakeTargetOptions Slow;
+  Slow.MeanMs = 1200;
+  auto Mesh = smallMesh(9, {}, {}, 1, Slow);
+  for (std::size_t I = 0; I < 9; ++I)
+    Mesh->submit(I % 3, requestOf("slow" + std::to_string(I), true));
+  Mesh->runFor(20 * SecondUs);
+
+  CallRequest Short = requestOf("short", true);
+  Short.Remaining = DurationMs(1000);
+  Mesh->submit(0, Short);
+  Mesh->runFor(5 * SecondUs);
+
+  LONGS_EQUAL(1, Mesh->runsOf("short"));
+}
+
 // With its ledger asked and its fences, the node beside the target can tell;
 // a plain retry cannot, and the model shows it.
 TEST(CallCore, PlainRetryOfTheComparisonRunsACallTwice) {
