--- a/tests/standins/Mesh.h
+++ b/tests/standins/Mesh.h
@@ -86,14 +86,16 @@
   }
 
   void startTarget(MeshInstance &Each) {
-    Each.Target = launch("standins/Target",
-                         {"--listen", address(Each, TargetPort), "--control",
-                          address(Each, TargetControl), "--slots",
-                          std::to_string(Each.Slots), "--cold_ms",
-                          std::to_string(Options.ColdMs), "--cold_slots",
-                          std::to_string(Options.ColdSlots), "--latency_ms",
-                          std::to_string(Options.LatencyMs)},
-                         "target");
+    std::vector<std::string> Flags = {
+        "--listen",     address(Each, TargetPort),
+        "--control",    address(Each, TargetControl),
+        "--slots",      std::to_string(Each.Slots),
+        "--cold_ms",    std::to_string(Options.ColdMs),
+        "--cold_slots", std::to_string(Options.ColdSlots),
+        "--latency_ms", std::to_string(Options.LatencyMs)};
+    Flags.insert(Flags.end(), Options.TargetFlags.begin(),
+                 Options.TargetFlags.end());
+    Each.Target = launch("standins/Target", Flags, "target");
     if (Options.TargetProxies)
       Each.TargetProxy =
           launchProxy(Each, ForTarget, TargetPort, ForTargetControl);
@@ -200,6 +202,9 @@
     }
   }
 
+  /// Holds the logs, until the mesh ends.
+  const std::string &folder() const { return Folder; }
+
   /// The targets' records together.
   RunRecord runs() const {
     RunRecord All;
--- a/tests/standins/MeshOptions.h
+++ b/tests/standins/MeshOptions.h
@@ -32,6 +32,7 @@
   bool PlatformProxies = false; ///< A proxy to the platform for each domain.
   bool Seeds = false;           ///< Every node is everybody's seed.
   std::string Settings;         ///< Further lines of each node's settings.
+  std::vector<std::string> TargetFlags;      ///< Further flags of each target.
   std::map<std::string, std::string> Intent; ///< Files by name.
 };
 
