--- a/tests/nodes/FakeFleet.cpp
+++ b/tests/nodes/FakeFleet.cpp
@@ -274,21 +274,20 @@
   // Of the process that sent it, unless it has been replaced meanwhile.
   const std::uint64_t Incarnation =
       Nodes[From]->Life == Life ? Nodes[From]->Incarnation : 0;
-  onNode(
-      To, Receiver, [this, From, To, Incarnation, Request, Answer, Receiver] {
-        const PeerIdentity Sender{Nodes[From]->Settings.Self.Name, Incarnation};
-        const std::string Body =
-            Nodes[To]->Core->serve(Request.Kind, Sender, Request.Body);
-        ++Messages;
-        BodyBytes += Body.size();
-        if (OnServed)
-          OnServed(Request, Body);
-        if (chance(Faults.Loss) || !reachable(From, To))
-          return;
-        const PeerIdentity Replier{Nodes[To]->Settings.Self.Name,
-                                   Nodes[To]->Incarnation};
-        after(delay(), [Answer, Body, Replier] {
-          Answer({Body, Replier, ResultCode::Ok});
-        });
-      });
+  onNode(To, Receiver, [this, From, To, Incarnation, Request, Answer] {
+    const PeerIdentity Sender{Nodes[From]->Settings.Self.Name, Incarnation};
+    const std::string Body =
+        Nodes[To]->Core->serve(Request.Kind, Sender, Request.Body);
+    ++Messages;
+    BodyBytes += Body.size();
+    if (OnServed)
+      OnServed(Request, Body);
+    if (chance(Faults.Loss) || !reachable(From, To))
+      return;
+    const PeerIdentity Replier{Nodes[To]->Settings.Self.Name,
+                               Nodes[To]->Incarnation};
+    after(delay(), [Answer, Body, Replier] {
+      Answer({Body, Replier, ResultCode::Ok});
+    });
+  });
 }
