--- a/tests/standins/Mesh.h
+++ b/tests/standins/Mesh.h
@@ -77,12 +77,13 @@
                "platform");
     if (!Options.PlatformProxies)
       return;
-    for (const auto &[Domain, Number] : DomainNumbers)
+    for (const auto &[Domain, Number] : DomainNumbers) {
       PlatformProxies[Domain] =
           launch("standins/FaultProxy",
                  {"--listen", platformProxy(Number), "--to", platformAddress(),
                   "--control", platformProxy(Number, 1)},
                  "proxy");
+    }
   }
 
   void startTarget(MeshInstance &Each) {
