Pass over vacant node slots when shares are agreed on

Cause: a division of shares counts once every declared slot had it in force. A slot in which no process runs never has it, so after a start of the whole fleet with one such slot every keyed request got 506.

Change: a node vouches for the vacancy of a slot of its own failure domain when it has run for 15 s without a pause, hears other nodes, and knew of no process there in that time that was not dead. One more bit a slot carries this where holders of a version exchange which slots have it. A process that did not run for 10 s drops its agreement and what it knew of slots before it admits anything; one paused for 2 s drops agreements whose fence is not over. A slot's version counts from the first of the run of equal divisions on, not only the present one.

Ruled out: taking every slot that is unheard of for vacant (a domain that is cut off may meter larger shares by an older version); the platform's list (lags, can be stale); lapsing shares (a domain that is cut off must go on). Carrying the division in each member's record was weighed and left: bits of the present version suffice, and records stay short. docs/DESIGN.md has the argument, its assumptions and what is not promised.

--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -146,10 +146,11 @@
   LimiterHooks Hooks;
   Hooks.Send = Peers.hook();
   Hooks.OnEvent = Recorder.hook();
-  // Every slot having had this very version in force is more than the same
-  // division everywhere asks for.
+  // What control knows of a slot is a version that was in force here as well,
+  // and from Since on all of those have the same division. Knowledge from
+  // before a pause does not count.
   Hooks.AgreedEverywhere = [this](const ShareMark &Mark) {
-    return Control.everySlotAt(Mark.Current);
+    return Control.viewCurrent() && Control.everySlotAt(Mark.Since);
   };
   return Hooks;
 }
--- a/src/nodes/ControlCore.cpp
+++ b/src/nodes/ControlCore.cpp
@@ -14,6 +14,9 @@
 /// Time after a start in which the other members are found.
 constexpr DurationMs FindingTime{60 * 1000};
 
+/// A node that heard from nobody within this time vouches for nothing.
+constexpr DurationMs HeardTime{5 * 1000};
+
 /// A node that has no one to ask starts at once.
 ControlSettings withoutVainWait(ControlSettings Settings) {
   const auto Own = std::count(Settings.Seeds.begin(), Settings.Seeds.end(),
@@ -45,7 +48,8 @@
                [this](const SnapshotPtr &InForce) { onApplied(InForce); }),
       Members(this->Settings, Incarnation, this->Hooks, memberHooks(),
               this->Time, std::move(Random), Counts),
-      JoinsAreNews(this->Time.now() + FindingTime) {}
+      JoinsAreNews(this->Time.now() + FindingTime),
+      RunsSince(this->Time.now()) {}
 
 MemberSyncHooks ControlCore::memberHooks() {
   MemberSyncHooks Result;
@@ -71,6 +75,10 @@
 void ControlCore::tick() {
   if (Versions.tick()) {
     ++Counts.Pauses;
+    // Meanwhile others may have taken this node's slot for vacant.
+    Spread.forget();
+    Spread.mark(Settings.Self.Domain, Settings.Self.Slot);
+    RunsSince = Time.now();
     if (Hooks.OnEvent)
       Hooks.OnEvent({EventId::PauseNoticed, {}});
     Members.push(CatchUpFanout);
@@ -122,6 +130,7 @@
     return;
   NextInstances = Now + Settings.InstancesPeriod;
   chooseReader();
+  vouchForVacancies();
   if (!std::exchange(InstancesDue, false))
     return;
   noteHealth();
@@ -129,6 +138,22 @@
     Hooks.OnInstances(Members.members().instances());
 }
 
+/// A partition separates failure domains, so that a process of this domain
+/// which runs is heard here. docs/DESIGN.md has the argument.
+void ControlCore::vouchForVacancies() {
+  const TimeMs Now = Time.now();
+  const Membership &Table = Members.members();
+  const std::string &Domain = Settings.Self.Domain;
+  const auto Undecided = Spread.undecided(Domain);
+  if (Undecided.empty() || Now - RunsSince < Settings.Members.VacancyTime ||
+      !Table.heardWithin(HeardTime, Now))
+    return;
+  const auto InUse = Table.slotsInUse(Domain, Now);
+  for (std::uint32_t Slot : Undecided)
+    if (!InUse.contains(Slot))
+      Spread.vouchVacant(Domain, Slot);
+}
+
 void ControlCore::noteHealth() {
   const Membership &Table = Members.members();
   if (Table.replaced() && !std::exchange(ReportedReplaced, true) &&
--- a/src/nodes/ControlCore.h
+++ b/src/nodes/ControlCore.h
@@ -66,6 +66,7 @@
                    const ExchangeMessage &Theirs);
   void notePhase();
   void noteMembers();
+  void vouchForVacancies();
   void noteHealth();
   void chooseReader();
   std::vector<std::string> readers() const;
@@ -85,6 +86,7 @@
   bool InstancesDue = false;
   std::map<std::string, MemberHealth, std::less<>> LastHealth; ///< By name.
   TimeMs JoinsAreNews;
+  TimeMs RunsSince; ///< Of this process, without a pause.
   bool ReportedReplaced = false;
 };
 
--- a/src/nodes/ControlDuty.cpp
+++ b/src/nodes/ControlDuty.cpp
@@ -34,9 +34,10 @@
              Clock::monotonic(), Random) {}
 
   void tick() {
-    LastTick = Clock::monotonic().now().Value;
     Core.tick();
     publish();
+    // Only now can others see a pause that this tick has noticed.
+    LastTick = Clock::monotonic().now().Value;
   }
 
   ControlDuty &Face;
--- a/src/organisations/OrganisationLimiter.cpp
+++ b/src/organisations/OrganisationLimiter.cpp
@@ -166,15 +166,18 @@
 
   void tick() {
     std::optional<ShareMark> Mark = mark();
+    const TimeMs Asked = Hooks.Now.now();
     const bool Agreed =
         Mark && (!Hooks.AgreedEverywhere || Hooks.AgreedEverywhere(*Mark));
     Work Due;
     {
       std::lock_guard<std::mutex> Lock(Mutex);
       const TimeMs Now = Hooks.Now.now();
-      // A version that came meanwhile is not what was agreed on.
+      // A version that came meanwhile is not what was agreed on, and what was
+      // known before a pause is out of date.
       const auto Current = Node.mark();
-      if (Agreed && Current && Current->Division == Mark->Division &&
+      const bool InTime = Now - Asked <= Settings.PauseLimit;
+      if (Agreed && InTime && Current && Current->Division == Mark->Division &&
           Current->Since == Mark->Since)
         Node.agree(Now);
       Node.tick(Now);
--- a/src/organisations/OrganisationLimiter.h
+++ b/src/organisations/OrganisationLimiter.h
@@ -41,11 +41,10 @@
 struct LimiterHooks {
   PeerSend Send;
   EventHook OnEvent;
-  /// Whether the last mark that membership has of every declared slot agrees
-  /// with this one (see \ref ShareMark); a slot without a mark does not, unless
-  /// it is known to be vacant. Called on the duty. Where it is empty, all slots
-  /// are taken to agree at once, which is only true of a fleet that restarts
-  /// with each new version.
+  /// Whether every declared slot is known to have had this division in force
+  /// (see \ref ShareMark), or is known to be vacant. Called on the duty. Where
+  /// it is empty, all slots are taken to agree at once, which is only true of a
+  /// fleet that restarts with each new version.
   std::function<bool(const ShareMark &)> AgreedEverywhere;
   Clock Now = Clock::monotonic();
 };
@@ -107,8 +106,7 @@
   void handlePeer(const PeerIdentity &From, std::string_view Body,
                   const ReplyHook &Reply);
 
-  /// What membership is to spread of this slot; nothing before the first
-  /// snapshot.
+  /// The division in force here; nothing before the first snapshot.
   std::optional<ShareMark> mark() const;
 
   /// The figures as of now.
--- a/src/policy/Membership.cpp
+++ b/src/policy/Membership.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Digest.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace fescuewood {
@@ -276,6 +277,27 @@
   return Result;
 }
 
+std::set<std::uint32_t> Membership::slotsInUse(std::string_view Domain,
+                                               TimeMs Now) const {
+  std::set<std::uint32_t> Result;
+  for (const auto &[Name, Entry] : Table) {
+    const MemberRecord &R = Entry.Record;
+    const bool Gone = R.Order.Health == MemberHealth::Dead &&
+                      Now - Entry.ChangedAt >= Settings.VacancyTime;
+    const bool HasRun = R.Order.Incarnation > 0;
+    if (R.Place.Domain == Domain && HasRun && !Gone)
+      Result.insert(R.Place.Slot);
+  }
+  return Result;
+}
+
+bool Membership::heardWithin(DurationMs Span, TimeMs Now) const {
+  return std::any_of(Table.begin(), Table.end(), [&](const auto &Item) {
+    const auto &HeardAt = Item.second.HeardAt;
+    return HeardAt && Now - *HeardAt <= Span;
+  });
+}
+
 std::uint64_t Membership::digest() const {
   std::uint64_t Sum = 0;
   for (std::uint16_t Bucket : Buckets)
--- a/src/policy/Membership.h
+++ b/src/policy/Membership.h
@@ -26,6 +26,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -111,6 +112,13 @@
   const MemberMap &members() const { return Table; }
   const Member *find(std::string_view Name) const;
 
+  /// The slots of a domain that a process is not known to have left for
+  /// MembershipSettings::VacancyTime.
+  std::set<std::uint32_t> slotsInUse(std::string_view Domain, TimeMs Now) const;
+
+  /// Whether another member spoke to this node within \p Span.
+  bool heardWithin(DurationMs Span, TimeMs Now) const;
+
   /// Members as the other duties see them: one that the platform lets leave is
   /// draining, a dead one is down, and one that left is not there.
   std::vector<Instance> instances() const;
--- a/src/policy/MembershipSettings.h
+++ b/src/policy/MembershipSettings.h
@@ -15,6 +15,10 @@
   DurationMs DeadTime{30 * 60 * 1000}; ///< Then a dead one is forgotten.
   DurationMs LeftTime{5 * 60 * 1000};  ///< Then one that left is forgotten.
   DurationMs TakeOverTime{60 * 1000};  ///< Of a name, after the start.
+  /// A node of the same failure domain vouches for the vacancy of a slot of
+  /// which it has not heard for so long. Longer, by some seconds for gossip,
+  /// than TokenSettings::AgreementPause.
+  DurationMs VacancyTime{15000};
   std::size_t MaxMembers = 4096;
 };
 
--- a/src/policy/ShareHistory.cpp
+++ b/src/policy/ShareHistory.cpp
@@ -38,6 +38,16 @@
     Entries.back().AgreedAt = Now;
 }
 
+void ShareHistory::dropPending() {
+  for (Entry &E : Entries)
+    E.AgreedAt.reset();
+}
+
+void ShareHistory::dropAgreement() {
+  dropPending();
+  HasAgreed = false;
+}
+
 bool ShareHistory::update(TimeMs Now) {
   for (std::size_t I = Entries.size(); I-- > 0;) {
     const auto &AgreedAt = Entries[I].AgreedAt;
@@ -80,4 +90,10 @@
   return Entries.back().Mark;
 }
 
+std::optional<ShareMark> ShareHistory::agreedMark() const {
+  if (!HasAgreed)
+    return std::nullopt;
+  return Entries.front().Mark;
+}
+
 } // namespace fescuewood
--- a/src/policy/ShareHistory.h
+++ b/src/policy/ShareHistory.h
@@ -11,7 +11,8 @@
 /// its own agreed version is not newer. So every slot uses at most its share
 /// under V, and those sum to the rate. Agreement counts only after the fence,
 /// when every lease granted before it is over. A restarted slot has no agreed
-/// version and meters nothing until it has one.
+/// version and meters nothing until it has one; nor has a vacant slot, in which
+/// no process runs or only one that will notice that it was paused for long.
 
 #ifndef FESCUEWOOD_POLICY_SHAREHISTORY_H
 #define FESCUEWOOD_POLICY_SHAREHISTORY_H
@@ -27,9 +28,8 @@
 
 namespace fescuewood {
 
-/// What a slot says of the division that it has in force, for membership to
-/// carry. Marks of all declared slots agree with one's own when every slot's
-/// last mark has the same Division and a Version not below Since.
+/// The division that a slot has in force. All declared slots agree with it when
+/// each is known to have had a version of its run in force, or to be vacant.
 struct ShareMark {
   std::uint64_t Division = 0; ///< ShareTable::digest.
   Version Current;            ///< In force at the slot.
@@ -49,9 +49,15 @@
   /// ignored.
   void add(const Version &Id, std::uint64_t Division, SlotShares Shares);
 
-  /// Tells that the marks of all declared slots agree with \ref mark.
+  /// Tells that all declared slots agree with \ref mark.
   void agree(TimeMs Now);
 
+  /// Agreements whose fence is not over do not count, after a pause.
+  void dropPending();
+
+  /// There is no agreed version any more, after a long pause.
+  void dropAgreement();
+
   /// Forgets versions before an agreement older than the fence. Returns true
   /// when shares may have changed.
   bool update(TimeMs Now);
@@ -65,6 +71,9 @@
   /// Own mark, or nothing before the first version.
   std::optional<ShareMark> mark() const;
 
+  /// The mark of the agreed version, if there is one.
+  std::optional<ShareMark> agreedMark() const;
+
   bool agreed() const { return HasAgreed; }
 
 private:
--- a/src/policy/TokenNode.cpp
+++ b/src/policy/TokenNode.cpp
@@ -114,6 +114,7 @@
 }
 
 void TokenNode::agree(TimeMs Now) {
+  notice(Now);
   History.agree(Now);
   if (History.update(Now))
     refreshShares(Now);
@@ -145,11 +146,16 @@
 }
 
 void TokenNode::notice(TimeMs Now) {
-  const bool Paused = Now - LastSeen > Settings.PauseLimit;
+  const DurationMs Pause = Now - LastSeen;
   LastSeen = std::max(LastSeen, Now);
-  if (!Paused)
+  if (Pause <= Settings.PauseLimit)
     return;
   PauseNoticed = true;
+  History.dropPending();
+  if (Pause > Settings.AgreementPause) {
+    History.dropAgreement();
+    refreshShares(Now);
+  }
   for (auto &[Name, A] : Accounts) {
     A.Meter.discard(Now);
     A.Holder.discard();
--- a/src/policy/TokenNode.h
+++ b/src/policy/TokenNode.h
@@ -99,7 +99,10 @@
   /// What this node says of its division; nothing before \ref apply.
   std::optional<ShareMark> mark() const { return History.mark(); }
 
-  /// Tells that the marks of all declared slots agree with \ref mark.
+  /// The versions that may still count here.
+  const ShareHistory &history() const { return History; }
+
+  /// Tells that all declared slots agree with \ref mark.
   void agree(TimeMs Now);
 
   /// Starts or stops the use of own shares, as in a conflict over the slot.
--- a/src/policy/TokenSettings.h
+++ b/src/policy/TokenSettings.h
@@ -52,6 +52,10 @@
   DurationMs SilentMeterPause{2000};
   /// A process that did not run for so long discards its tokens.
   DurationMs PauseLimit{2000};
+  /// A process that did not run for so long meters again only after the next
+  /// agreement, for others may have taken its slot for vacant. Shorter than
+  /// MembershipSettings::VacancyTime.
+  DurationMs AgreementPause{10000};
 
   /// Time constant of the estimate of demand.
   DurationMs DemandWindow{2000};
--- a/src/policy/VersionSpread.cpp
+++ b/src/policy/VersionSpread.cpp
@@ -24,17 +24,36 @@
   for (const auto &[Name, Domain] : InForce.Domains)
     for (std::uint32_t I = 0; I < Domain.Nodes && Slots.size() < MaxSlots; ++I)
       Slots.push_back({Name, I});
-  Bits.assign((Slots.size() + BitsPerByte - 1) / BitsPerByte, '\0');
+  // One half for the versions, one for the vacancies.
+  const std::size_t Half = (Slots.size() + BitsPerByte - 1) / BitsPerByte;
+  Bits.assign(2 * Half, '\0');
   std::erase_if(Earlier, [this](const auto &Item) {
     return !std::binary_search(Slots.begin(), Slots.end(), Item.first);
   });
 }
 
 void VersionSpread::mark(std::string_view Domain, std::uint32_t Slot) {
-  const NodeSlot Wanted{std::string(Domain), Slot};
-  const auto Found = std::lower_bound(Slots.begin(), Slots.end(), Wanted);
-  if (Found != Slots.end() && *Found == Wanted)
-    set(static_cast<std::size_t>(Found - Slots.begin()));
+  if (const auto Index = indexOf(Domain, Slot))
+    set(*Index);
+}
+
+void VersionSpread::vouchVacant(std::string_view Domain, std::uint32_t Slot) {
+  if (const auto Index = indexOf(Domain, Slot))
+    set(vacancyBit(*Index));
+}
+
+std::vector<std::uint32_t>
+VersionSpread::undecided(std::string_view Domain) const {
+  std::vector<std::uint32_t> Result;
+  for (std::size_t I = 0; I < Slots.size(); ++I)
+    if (Slots[I].Domain == Domain && !isSet(I) && !isSet(vacancyBit(I)))
+      Result.push_back(Slots[I].Slot);
+  return Result;
+}
+
+void VersionSpread::forget() {
+  std::fill(Bits.begin(), Bits.end(), '\0');
+  Earlier.clear();
 }
 
 bool VersionSpread::merge(std::string_view Other) {
@@ -51,35 +70,47 @@
 
 std::optional<Version> VersionSpread::slotVersion(std::string_view Domain,
                                                   std::uint32_t Slot) const {
-  const NodeSlot Wanted{std::string(Domain), Slot};
-  const auto Found = std::lower_bound(Slots.begin(), Slots.end(), Wanted);
-  if (Found != Slots.end() && *Found == Wanted &&
-      isSet(static_cast<std::size_t>(Found - Slots.begin())))
+  const auto Index = indexOf(Domain, Slot);
+  if (Index && isSet(*Index))
     return Present;
-  const auto Known = Earlier.find(Wanted);
+  const auto Known = Earlier.find({std::string(Domain), Slot});
   if (Known == Earlier.end())
     return std::nullopt;
   return Known->second;
 }
 
 bool VersionSpread::everySlotAt(const Version &Wanted) const {
-  return !Slots.empty() &&
-         std::all_of(Slots.begin(), Slots.end(), [&](const NodeSlot &S) {
-           const auto Known = slotVersion(S.Domain, S.Slot);
-           return Known && *Known >= Wanted;
-         });
+  for (std::size_t I = 0; I < Slots.size(); ++I) {
+    const auto Known = slotVersion(Slots[I].Domain, Slots[I].Slot);
+    if (!isSet(vacancyBit(I)) && (!Known || *Known < Wanted))
+      return false;
+  }
+  return !Slots.empty();
+}
+
+std::optional<std::size_t> VersionSpread::indexOf(std::string_view Domain,
+                                                  std::uint32_t Slot) const {
+  const NodeSlot Wanted{std::string(Domain), Slot};
+  const auto Found = std::lower_bound(Slots.begin(), Slots.end(), Wanted);
+  if (Found == Slots.end() || *Found != Wanted)
+    return std::nullopt;
+  return static_cast<std::size_t>(Found - Slots.begin());
+}
+
+std::size_t VersionSpread::vacancyBit(std::size_t Index) const {
+  return Bits.size() / 2 * BitsPerByte + Index;
 }
 
-bool VersionSpread::isSet(std::size_t Index) const {
-  return ((static_cast<unsigned char>(Bits[Index / BitsPerByte]) >>
-           (Index % BitsPerByte)) &
+bool VersionSpread::isSet(std::size_t Bit) const {
+  return ((static_cast<unsigned char>(Bits[Bit / BitsPerByte]) >>
+           (Bit % BitsPerByte)) &
           1U) != 0;
 }
 
-void VersionSpread::set(std::size_t Index) {
-  char &Byte = Bits[Index / BitsPerByte];
+void VersionSpread::set(std::size_t Bit) {
+  char &Byte = Bits[Bit / BitsPerByte];
   Byte = static_cast<char>(static_cast<unsigned char>(Byte) |
-                           (1U << (Index % BitsPerByte)));
+                           (1U << (Bit % BitsPerByte)));
 }
 
 } // namespace fescuewood
--- a/src/policy/VersionSpread.h
+++ b/src/policy/VersionSpread.h
@@ -9,6 +9,9 @@
 ///
 /// A set bit speaks of a slot, not of a process: a process that was started
 /// anew in the slot, cut off from all its peers, may hold an older version.
+///
+/// A second bit says of a slot that a node of its own failure domain vouches
+/// for its vacancy (\ref VersionSpread::vouchVacant).
 
 #ifndef FESCUEWOOD_POLICY_VERSIONSPREAD_H
 #define FESCUEWOOD_POLICY_VERSIONSPREAD_H
@@ -42,11 +45,21 @@
   /// The slot has the present version in force. Undeclared slots are ignored.
   void mark(std::string_view Domain, std::uint32_t Slot);
 
+  /// No process that could go on by an older version runs in the slot.
+  void vouchVacant(std::string_view Domain, std::uint32_t Slot);
+
+  /// The declared slots of a domain of which neither is known.
+  std::vector<std::uint32_t> undecided(std::string_view Domain) const;
+
+  /// Drops all that is known of the slots, as after a pause.
+  void forget();
+
   /// Takes the bits that another holder of the present version has sent.
   /// Returns false when they do not fit.
   bool merge(std::string_view Bits);
 
-  /// One bit for each declared slot, in the order of domain and slot.
+  /// One bit for each declared slot, in the order of domain and slot, then
+  /// the bits of vacancy in the same order.
   const std::string &bits() const { return Bits; }
 
   /// Changes with \ref bits; for comparison with another holder.
@@ -56,14 +69,19 @@
   std::optional<Version> slotVersion(std::string_view Domain,
                                      std::uint32_t Slot) const;
 
-  /// Whether every declared slot is known to have had \p Wanted or a newer one.
+  /// Whether every declared slot is known to have had \p Wanted or a newer one,
+  /// or is vouched to be vacant.
   bool everySlotAt(const Version &Wanted) const;
 
   std::size_t declared() const { return Slots.size(); }
 
 private:
-  bool isSet(std::size_t Index) const;
-  void set(std::size_t Index);
+  /// The index of a declared slot, or nothing.
+  std::optional<std::size_t> indexOf(std::string_view Domain,
+                                     std::uint32_t Slot) const;
+  std::size_t vacancyBit(std::size_t Index) const;
+  bool isSet(std::size_t Bit) const;
+  void set(std::size_t Bit);
 
   Version Present;
   std::vector<NodeSlot> Slots; ///< Sorted; a bit's index is the place here.
--- a/tests/nodes/ControlCoreTest.cpp
+++ b/tests/nodes/ControlCoreTest.cpp
@@ -317,3 +317,26 @@
   for (const auto &Node : Fleet.Nodes)
     CHECK_TRUE(Node->Core->spread().everySlotAt(Next));
 }
+
+TEST(ControlCore, CountsAVacantSlotAsAgreedOnlyByTheWordOfItsOwnDomain) {
+  constexpr int EnoughMs = 60 * 1000;
+  FakeFleet Fleet(3, 8, 12);
+  Fleet.publish();
+  Fleet.run(10 * 1000);
+  Fleet.stop(4);
+  Fleet.cut(1, true);
+
+  const Version Next = Fleet.publish();
+  Fleet.run(EnoughMs);
+
+  const VersionSpread &Spread = Fleet.Nodes[20]->Core->spread();
+  const std::vector<std::uint32_t> None;
+  CHECK_TRUE(Spread.undecided("domain-0") == None);
+  CHECK_EQUAL(8U, Spread.undecided("domain-1").size());
+  CHECK_FALSE(Spread.everySlotAt(Next));
+  Fleet.cut(1, false);
+  Fleet.run(EnoughMs);
+  for (std::size_t I = 0; I < Fleet.Nodes.size(); ++I)
+    if (I != 4)
+      CHECK_TRUE(Fleet.Nodes[I]->Core->spread().everySlotAt(Next));
+}
--- a/tests/policy/ShareHistoryTest.cpp
+++ b/tests/policy/ShareHistoryTest.cpp
@@ -100,3 +100,29 @@
 
   DOUBLES_EQUAL(3, rate(), 0);
 }
+
+TEST(ShareHistory, AnAgreementFromBeforeAPauseStartsNoFence) {
+  agreeOn(1, 10, TimeMs(0));
+  History.add(version(2), 2, shareOf(20));
+  History.agree(TimeMs(200));
+
+  History.dropPending();
+  History.update(TimeMs(200) + Fence);
+
+  DOUBLES_EQUAL(10, rate(), 0);
+  History.agree(TimeMs(400));
+  History.update(TimeMs(400) + Fence);
+  DOUBLES_EQUAL(20, rate(), 0);
+}
+
+TEST(ShareHistory, MetersNothingAfterALongPauseUntilTheNextAgreement) {
+  agreeOn(1, 10, TimeMs(0));
+
+  History.dropAgreement();
+  History.update(TimeMs(200));
+
+  DOUBLES_EQUAL(0, rate(), 0);
+  History.agree(TimeMs(200));
+  History.update(TimeMs(200) + Fence);
+  DOUBLES_EQUAL(10, rate(), 0);
+}
