Space out asks for rates beyond the own domain on their own

Cause: a node asked its own domain's meters for a rate first and paused after each vain ask, up to 8 s, before it asked any other. With all arrivals in one domain those meters are dry, and the others' rates were hardly found.

Change: pauses of asks for a rate are kept apart for the own domain and beyond; other domains are asked after two vain asks at home, at least 800 ms apart while they bring nothing; leases are renewed with 15 % of their term left.

TokenHolderTest calls setMeters with its new argument; nothing was eased.

--- a/src/policy/TokenHolder.cpp
+++ b/src/policy/TokenHolder.cpp
@@ -11,7 +11,7 @@
 constexpr double MsPerSecond = 1000;
 
 /// A lease is renewed when less than this part of its term is left.
-constexpr double RenewPart = 0.3;
+constexpr double RenewPart = 0.15;
 
 /// Its renewal goes along with other messages to its meter when less than this
 /// part is left.
@@ -31,11 +31,14 @@
 /// Supply above this multiple of demand is more than enough.
 constexpr double AmpleFactor = 1.5;
 
-/// Time until a meter that had nothing to give is asked again; doubles with
-/// each such answer. The same holds between meters asked for a rate.
-constexpr DurationMs ShortestPause{100};
+/// The time until a meter that had nothing to give is asked again doubles with
+/// each such answer up to this. The same holds between meters asked for a rate.
 constexpr DurationMs LongestPause{8000};
 
+/// With such a pause between vain asks for a rate in the own failure domain,
+/// the others are asked as well.
+constexpr DurationMs DryPause{400};
+
 /// Longest forecast of the next token.
 constexpr double LongestForecastMs = 3600 * 1000;
 
@@ -58,7 +61,8 @@
   return It == Contacts.end() ? nullptr : &*It;
 }
 
-void TokenHolder::setMeters(const std::vector<SlotId> &Order) {
+void TokenHolder::setMeters(const std::vector<SlotId> &Order,
+                            std::string_view OwnDomain) {
   std::vector<Contact> Next;
   Active.clear();
   PendingTokens = 0;
@@ -66,6 +70,7 @@
     Contact *Old = find(Meter);
     Contact C = Old ? *Old : Contact();
     C.Meter = Meter;
+    C.Near = Meter.Domain == OwnDomain;
     if (C.Adopted != 0 || C.Pending)
       Active.push_back(Next.size());
     PendingTokens += C.PendingNeed;
@@ -75,6 +80,10 @@
   PendingRate = false;
 }
 
+TokenHolder::Backoff &TokenHolder::ratesOf(const Contact &C) {
+  return C.Near ? NearRates : FarRates;
+}
+
 void TokenHolder::settle(Contact &C) {
   PendingTokens -= C.PendingNeed;
   C.Pending = false;
@@ -222,16 +231,13 @@
   return Best;
 }
 
-TokenHolder::Contact *TokenHolder::nextForRate(const TokenDemand &Demand,
-                                               TimeMs Now) {
-  if (suppliedFor(EnoughRatePart, Demand, Now) || PendingRate ||
-      Now < Rates.Until)
-    return nullptr;
+TokenHolder::Contact *TokenHolder::bestForRate(bool Near, TimeMs Now) {
   Contact *Best = nullptr;
   for (Contact &C : Contacts) {
     const bool Silent = C.Silent && Now < C.QuietUntil;
     const bool Lends = C.Rate > 0 && inForce(C, Now);
-    if (C.Pending || Silent || Lends || C.AvoidRate.Until > Now)
+    if (C.Near != Near || C.Pending || Silent || Lends ||
+        C.AvoidRate.Until > Now)
       continue;
     if (!Best || C.AvoidRate.Pause < Best->AvoidRate.Pause)
       Best = &C;
@@ -239,9 +245,22 @@
   return Best;
 }
 
+TokenHolder::Contact *TokenHolder::nextForRate(const TokenDemand &Demand,
+                                               TimeMs Now) {
+  if (suppliedFor(EnoughRatePart, Demand, Now) || PendingRate)
+    return nullptr;
+  Contact *Near = bestForRate(true, Now);
+  if (Near && Now >= NearRates.Until)
+    return Near;
+  const bool NearIsDry = !Near || NearRates.Pause >= DryPause;
+  if (!NearIsDry || Now < FarRates.Until)
+    return nullptr;
+  return bestForRate(false, Now);
+}
+
 void TokenHolder::Backoff::note(bool Useful, TimeMs Now) {
   if (Useful) {
-    Pause = ShortestPause;
+    Pause = Shortest;
     Until = Now;
     return;
   }
@@ -315,7 +334,7 @@
     return;
   advance(Now);
   if (PendingRate)
-    Rates.note(Given.Rate > 0, Now);
+    ratesOf(*C).note(Given.Rate > 0, Now);
   if (C->PendingNeed > 0)
     noteNeed(*C, Given.Tokens > 0, Now);
   else
--- a/src/policy/TokenHolder.h
+++ b/src/policy/TokenHolder.h
@@ -42,9 +42,9 @@
 public:
   explicit TokenHolder(const TokenSettings &Settings) : Settings(Settings) {}
 
-  /// Replaces the meters, the preferred first. Leases of meters that remain
-  /// are kept; others are dropped.
-  void setMeters(const std::vector<SlotId> &Order);
+  /// Replaces the meters, the preferred first; those of \p OwnDomain are near.
+  /// Leases of meters that remain are kept; others are dropped.
+  void setMeters(const std::vector<SlotId> &Order, std::string_view OwnDomain);
 
   /// Takes up to \p Most tokens, from the lease that ends first.
   double takeUpTo(double Most, TimeMs Now);
@@ -86,9 +86,17 @@
   void discard();
 
 private:
+  /// Shortest time between vain asks for a rate to other failure domains.
+  static constexpr DurationMs FarPause{800};
+
   /// Spaces asks out while they bring nothing.
   struct Backoff {
-    DurationMs Pause{100};
+    Backoff() : Backoff(DurationMs(100)) {}
+    explicit Backoff(DurationMs Shortest)
+        : Shortest(Shortest), Pause(Shortest) {}
+
+    DurationMs Shortest;
+    DurationMs Pause;
     TimeMs Until;
 
     void note(bool Useful, TimeMs Now);
@@ -96,6 +104,7 @@
 
   struct Contact {
     SlotId Meter;
+    bool Near = false; ///< Of the own failure domain.
     std::uint64_t LastSequence = 0;
     bool Pending = false;
     std::uint32_t PendingNeed = 0; ///< Tokens asked for at once.
@@ -122,10 +131,12 @@
   void noteNeed(Contact &C, bool Useful, TimeMs Now);
   void passOver(Contact &C, TimeMs Now);
   Contact *find(const SlotId &Meter);
+  Backoff &ratesOf(const Contact &C);
   bool renewable(const Contact &C, double Part, TimeMs Now) const;
   bool wantsRate(const TokenDemand &Demand) const;
   bool suppliedFor(double Part, const TokenDemand &Demand, TimeMs Now) const;
   Contact *dueForRenewal(TimeMs Now);
+  Contact *bestForRate(bool Near, TimeMs Now);
   Contact *nextForRate(const TokenDemand &Demand, TimeMs Now);
   Contact *nextForNeed(TimeMs Now);
   TimeMs ownToken(const TokenDemand &Demand, TimeMs Now);
@@ -137,7 +148,10 @@
   std::vector<std::size_t> Active; ///< Contacts with a lease or a pending ask.
   std::uint64_t PendingTokens = 0; ///< Asked for and not answered yet.
   bool PendingRate = false; ///< A meter without a lease was asked for a rate.
-  Backoff Rates;
+  // Asks for a rate are spaced out on their own in the own failure domain and
+  // beyond it: when one domain is dry, others may have plenty.
+  Backoff NearRates;
+  Backoff FarRates{FarPause};
   Backoff Needs;
   std::uint32_t Misses = 0;       ///< Meters in a row that had no token.
   std::uint64_t LastSequence = 0; ///< Over all meters.
--- a/src/policy/TokenNode.cpp
+++ b/src/policy/TokenNode.cpp
@@ -93,7 +93,7 @@
     const auto It = Accounts.try_emplace(Name, Settings, Start).first;
     It->second.Whole = Whole;
     if (Settings.Leasing) {
-      It->second.Holder.setMeters(metersToAsk(Plan.Table, Name));
+      It->second.Holder.setMeters(metersToAsk(Plan.Table, Name), Self.Domain);
     }
   }
   refreshShares(Now);
--- a/tests/policy/TokenHolderTest.cpp
+++ b/tests/policy/TokenHolderTest.cpp
@@ -1,5 +1,8 @@
 #include "policy/TokenHolder.h"
 
+#include <algorithm>
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace fescuewood;
@@ -10,7 +13,7 @@
   const SlotId Near{"recife", 1};
   const SlotId Far{"caruaru", 2};
 
-  void setup() override { Holder.setMeters({Near, Far}); }
+  void setup() override { Holder.setMeters({Near, Far}, "recife"); }
 
   std::optional<AddressedAsk> askFor(std::uint32_t Waiting, TimeMs Now) {
     TokenDemand Demand;
@@ -81,3 +84,22 @@
 
   LONGS_EQUAL(710, Holder.nextToken(TokenDemand(), TimeMs(10)).Value);
 }
+
+TEST(TokenHolder, AsksOtherDomainsForARateWhenTheOwnOneHasNone) {
+  constexpr int EnoughAsks = 8;
+  TokenDemand Demand;
+  Demand.PerSecond = 10;
+  TimeMs Now(0);
+  std::vector<SlotId> Asked;
+
+  for (int Tries = 0; Tries < EnoughAsks; ++Tries) {
+    auto Sent = Holder.nextAsk("registry", Demand, Now);
+    for (; !Sent; Now = Now + DurationMs(50))
+      Sent = Holder.nextAsk("registry", Demand, Now);
+    Asked.push_back(Sent->Meter);
+    Holder.accept(Sent->Meter, grant(Sent->Ask.Sequence, 0), Now);
+  }
+
+  CHECK(Asked.front() == Near);
+  CHECK(std::count(Asked.begin(), Asked.end(), Far) > 0);
+}
