--- a/src/nodes/PeerClient.cpp
+++ b/src/nodes/PeerClient.cpp
@@ -1,14 +1,11 @@
 #include "nodes/PeerClient.h"
 
-#include "core/Duty.h"
 #include "nodes/PeerConnection.h"
+#include "nodes/PeerLoop.h"
 
 #include <atomic>
 #include <chrono>
-#include <iterator>
 #include <map>
-#include <mutex>
-#include <thread>
 #include <utility>
 #include <vector>
 
@@ -16,102 +13,101 @@
 
 namespace {
 
-constexpr DurationMs WatchPeriod{100};
-constexpr std::size_t WatchRingSize = 4096;
-
-using ConnectionPtr = std::unique_ptr<PeerConnection>;
+constexpr std::chrono::milliseconds WatchPeriod{100};
 
 } // namespace
 
-/// The table of connections and the duty that watches them. Connections are
-/// closed and destroyed on that duty only, as both wait for callbacks of nng.
+/// The table of connections, on the thread of its loop.
 class PeerClient::Core {
 public:
   Core(PeerLink &Link, PeerClientOptions Options)
-      : Link(Link), Options(Options), Watch("peer-client", WatchRingSize) {
-    Watch.start(WatchPeriod, [this] { watch(); });
+      : Link(Link), Options(Options), Loop("peer-client"),
+        WatchTimer(Loop.context()) {
+    watchLater();
+    Loop.start();
   }
 
   void send(const PeerRequest &Request, PeerReplyHook OnReply);
-  void stop();
-  std::size_t connections() const;
+  void stop() {
+    Loop.stop([this] { closeAll(); });
+  }
+  std::size_t connections() const { return Count; }
 
 private:
-  struct Retired {
-    ConnectionPtr Connection;
-    ResultCode Why;
-    bool CloseNow; ///< Otherwise only when no request waits any more.
-    bool Closed = false;
-  };
-
-  PeerConnection *reserve(const PeerRequest &Request, ResultCode &Reason);
-  PeerConnection *connectionFor(const PeerRequest &Request, ResultCode &Reason);
+  void sendOnLoop(const std::string &Address, PeerRoute Route,
+                  SealedRequest Request);
+  PeerConnection *connectionFor(const std::string &Address, PeerRoute Route,
+                                ResultCode &Reason);
   bool makeRoom();
-  void retire(const std::string &Address, ResultCode Why, bool CloseNow);
-  void refuse(const PeerReplyHook &OnReply, ResultCode Reason);
-  void watch();
-  void inspect();
+  void retire(const std::string &Address);
   void closeRetired();
+  void closeAll();
+  void watchLater();
+  void watch();
+  bool inspect(PeerConnection &Connection);
+  void countConnections() { Count = Open.size() + Closing.size(); }
 
   PeerLink &Link;
   const PeerClientOptions Options;
   const Clock Monotonic = Clock::monotonic();
 
   std::atomic<std::size_t> InFlight{0};
+  std::atomic<std::size_t> Count{0};
 
-  mutable std::mutex Mutex;
+  PeerLoop Loop;
+  asio::steady_timer WatchTimer;
+  std::map<std::string, PeerConnectionPtr> Open; ///< By address.
+  /// Out of use, closed once no request waits on them any more.
+  std::vector<PeerConnectionPtr> Closing;
   bool Stopped = false;
-  std::map<std::string, ConnectionPtr> Open; ///< By address.
-  std::vector<Retired> Closing;
-
-  Duty Watch;
 };
 
 void PeerClient::Core::send(const PeerRequest &Request, PeerReplyHook OnReply) {
-  ResultCode Reason = ResultCode::PeerMessageTooLarge;
-  PeerConnection *Connection = nullptr;
-  if (Request.Body.size() <= MaxPeerBodyBytes)
-    Connection = reserve(Request, Reason);
-  if (Connection == nullptr) {
-    refuse(OnReply, Reason);
+  ResultCode Reason = ResultCode::Ok;
+  if (Request.Body.size() > MaxPeerBodyBytes)
+    Reason = ResultCode::PeerMessageTooLarge;
+  else if (InFlight >= Options.MaxInFlight)
+    Reason = ResultCode::PeerBusy;
+  if (Reason != ResultCode::Ok) {
+    // On the loop, so that the hook never runs inside send().
+    const PeerReply Refusal{std::nullopt, {}, Reason};
+    if (!Loop.post([OnReply, Refusal] { OnReply(Refusal); }))
+      OnReply(Refusal);
     return;
   }
-  // The reserved place keeps the connection alive without the lock.
-  Connection->send(Request, std::move(OnReply));
-}
-
-/// Reports on the watching duty, so that the hook never runs inside send().
-void PeerClient::Core::refuse(const PeerReplyHook &OnReply, ResultCode Reason) {
-  const PeerReply Reply{std::nullopt, {}, Reason};
-  if (!Watch.post([OnReply, Reply] { OnReply(Reply); }))
-    OnReply(Reply);
+  ++InFlight;
+  SealedRequest Sealed{
+      Request.Kind, Request.Timeout,
+      Link.seal(Request.Kind, PeerPhase::Request, Request.Body), OnReply};
+  const bool Posted =
+      Loop.post([this, Address = Request.Address, Route = Request.Route,
+                 Sealed = std::move(Sealed)]() mutable {
+        sendOnLoop(Address, Route, std::move(Sealed));
+      });
+  if (Posted)
+    return;
+  --InFlight;
+  OnReply({std::nullopt, {}, ResultCode::Stopped});
 }
 
-PeerConnection *PeerClient::Core::reserve(const PeerRequest &Request,
-                                          ResultCode &Reason) {
-  std::lock_guard<std::mutex> Lock(Mutex);
-  if (Stopped) {
-    Reason = ResultCode::Stopped;
-    return nullptr;
+void PeerClient::Core::sendOnLoop(const std::string &Address, PeerRoute Route,
+                                  SealedRequest Request) {
+  ResultCode Reason = ResultCode::Ok;
+  PeerConnection *Connection = connectionFor(Address, Route, Reason);
+  if (Connection != nullptr) {
+    Connection->send(std::move(Request));
+    return;
   }
-  PeerConnection *Connection = connectionFor(Request, Reason);
-  if (Connection == nullptr)
-    return nullptr;
-  if (Connection->reserve())
-    return Connection;
-  Reason = ResultCode::PeerUnreachable;
-  return nullptr;
+  --InFlight;
+  Request.OnReply({std::nullopt, {}, Reason});
 }
 
-PeerConnection *PeerClient::Core::connectionFor(const PeerRequest &Request,
+PeerConnection *PeerClient::Core::connectionFor(const std::string &Address,
+                                                PeerRoute Route,
                                                 ResultCode &Reason) {
-  if (InFlight >= Options.MaxInFlight) {
-    Reason = ResultCode::PeerBusy;
-    return nullptr;
-  }
-  if (Request.Route == PeerRoute::Fresh)
-    retire(Request.Address, ResultCode::PeerConnectionLost, false);
-  const auto Found = Open.find(Request.Address);
+  if (Route == PeerRoute::Fresh)
+    retire(Address);
+  const auto Found = Open.find(Address);
   if (Found != Open.end())
     return Found->second.get();
   if (!makeRoom()) {
@@ -120,13 +116,15 @@
   }
   const PeerConnectionLimits Limits{
       Options.ConnectTimeout, Options.HeartbeatAfter, Options.SilenceLimit};
-  auto Added =
-      std::make_unique<PeerConnection>(Link, Limits, Request.Address, InFlight);
+  auto Added = std::make_shared<PeerConnection>(Loop.context(), Link, Limits,
+                                                Address, InFlight);
   if (!Added->open()) {
     Reason = ResultCode::PeerUnreachable;
     return nullptr;
   }
-  return (Open[Request.Address] = std::move(Added)).get();
+  PeerConnection *Connection = (Open[Address] = std::move(Added)).get();
+  countConnections();
+  return Connection;
 }
 
 /// Retires the idlest connection when the table is full; false when every one
@@ -145,108 +143,80 @@
   }
   if (Idlest == nullptr)
     return false;
-  retire(Idlest->address(), ResultCode::PeerConnectionLost, false);
+  retire(Idlest->address());
   return true;
 }
 
-void PeerClient::Core::retire(const std::string &Address, ResultCode Why,
-                              bool CloseNow) {
+/// Takes a connection out of use; it is closed when its requests have ended.
+void PeerClient::Core::retire(const std::string &Address) {
   auto Node = Open.extract(Address);
   if (!Node.empty())
-    Closing.push_back({std::move(Node.mapped()), Why, CloseNow});
-}
-
-void PeerClient::Core::watch() {
-  inspect();
+    Closing.push_back(std::move(Node.mapped()));
   closeRetired();
 }
 
-void PeerClient::Core::inspect() {
-  std::vector<std::string> Silent;
-  std::vector<PeerConnection *> Quiet;
-  {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    std::vector<std::string> Unused;
-    for (const auto &[Address, Connection] : Open) {
-      const PeerHealth Health = Connection->health();
-      const DurationMs Idle = Monotonic.now() - Connection->lastUsed();
-      if (Health == PeerHealth::Silent)
-        Silent.push_back(Address);
-      else if (Health == PeerHealth::NeedsHeartbeat)
-        Quiet.push_back(Connection.get());
-      else if (Health == PeerHealth::Unconnected || Idle > Options.IdleLimit)
-        Unused.push_back(Address);
-    }
-    for (const std::string &Address : Silent)
-      retire(Address, ResultCode::PeerSilent, true);
-    for (const std::string &Address : Unused)
-      retire(Address, ResultCode::PeerConnectionLost, false);
-    // A retired connection on which requests still wait can go silent too.
-    for (Retired &R : Closing) {
-      const PeerHealth Health = R.Connection->health();
-      if (Health == PeerHealth::NeedsHeartbeat && !R.Closed)
-        Quiet.push_back(R.Connection.get());
-      if (Health != PeerHealth::Silent)
-        continue;
-      R.Why = ResultCode::PeerSilent;
-      R.CloseNow = true;
-    }
-  }
-  // Only this duty destroys connections, so these are still there.
-  for (PeerConnection *Connection : Quiet)
-    Connection->sendHeartbeat();
-  for (const std::string &Address : Silent)
-    if (Link.OnEvent)
-      Link.OnEvent({EventId::PeerConnectionDropped, {{"peer", Address}}});
-}
-
 void PeerClient::Core::closeRetired() {
-  std::vector<Retired> Current;
-  {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    Current.swap(Closing);
-  }
-  std::vector<Retired> Remaining;
-  for (Retired &R : Current) {
-    const bool Idle = R.Connection->inFlight() == 0;
-    if (!R.Closed && (R.CloseNow || Idle)) {
-      R.Connection->close(R.Why);
-      R.Closed = true;
-    }
-    if (!R.Closed || R.Connection->inFlight() > 0)
-      Remaining.push_back(std::move(R));
-  }
-  Current.clear(); // Waits for callbacks, so not under the lock.
-  std::lock_guard<std::mutex> Lock(Mutex);
-  std::move(Remaining.begin(), Remaining.end(), std::back_inserter(Closing));
+  std::erase_if(Closing, [](const PeerConnectionPtr &Connection) {
+    if (Connection->inFlight() > 0)
+      return false;
+    Connection->close(ResultCode::PeerConnectionLost);
+    return true;
+  });
+  countConnections();
 }
 
-void PeerClient::Core::stop() {
-  {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    if (Stopped)
+void PeerClient::Core::watchLater() {
+  WatchTimer.expires_after(WatchPeriod);
+  WatchTimer.async_wait([this](asio::error_code Error) {
+    if (Error || Stopped)
       return;
-    Stopped = true;
-  }
-  Watch.stop();
-  std::vector<std::string> Addresses;
+    watch();
+    watchLater();
+  });
+}
+
+void PeerClient::Core::watch() {
+  std::vector<std::string> Unused;
   for (const auto &[Address, Connection] : Open)
-    Addresses.push_back(Address);
-  for (const std::string &Address : Addresses)
-    retire(Address, ResultCode::Stopped, true);
-  for (Retired &R : Closing) {
-    R.Why = ResultCode::Stopped;
-    R.CloseNow = true;
-  }
-  while (!Closing.empty()) {
-    closeRetired();
-    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    if (!inspect(*Connection))
+      Unused.push_back(Address);
+  for (const std::string &Address : Unused)
+    retire(Address);
+  // A retired connection on which requests still wait can go silent too.
+  for (const PeerConnectionPtr &Connection : Closing)
+    inspect(*Connection);
+  closeRetired();
+}
+
+/// Sends a heartbeat or drops a silent connection where one is due. Returns
+/// whether the connection is still of use.
+bool PeerClient::Core::inspect(PeerConnection &Connection) {
+  switch (Connection.health()) {
+  case PeerHealth::Good:
+    return Monotonic.now() - Connection.lastUsed() <= Options.IdleLimit;
+  case PeerHealth::NeedsHeartbeat:
+    Connection.sendHeartbeat();
+    return true;
+  case PeerHealth::Unconnected:
+    return false;
+  case PeerHealth::Silent:
+    break;
   }
+  Connection.close(ResultCode::PeerSilent);
+  if (Link.OnEvent)
+    Link.OnEvent(
+        {EventId::PeerConnectionDropped, {{"peer", Connection.address()}}});
+  return false;
 }
 
-std::size_t PeerClient::Core::connections() const {
-  std::lock_guard<std::mutex> Lock(Mutex);
-  return Open.size() + Closing.size();
+void PeerClient::Core::closeAll() {
+  Stopped = true;
+  WatchTimer.cancel();
+  for (const auto &[Address, Connection] : std::exchange(Open, {}))
+    Connection->close(ResultCode::Stopped);
+  for (const PeerConnectionPtr &Connection : std::exchange(Closing, {}))
+    Connection->close(ResultCode::Stopped);
+  countConnections();
 }
 
 PeerClient::PeerClient(PeerLink &Link, PeerClientOptions Options)
--- a/src/nodes/PeerConnection.cpp
+++ b/src/nodes/PeerConnection.cpp
@@ -1,173 +1,198 @@
 #include "nodes/PeerConnection.h"
 
-#include <nng/protocol/reqrep0/req.h>
+#include "core/Endpoint.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace fescuewood {
 
 namespace {
 
-constexpr nng_duration ReconnectMinMs = 50;
-constexpr nng_duration ReconnectMaxMs = 1000;
+constexpr DurationMs ReconnectMin{50};
+constexpr DurationMs ReconnectMax{1000};
 
-/// Past this time without a connection the socket is given up. A new one sends
-/// its first packet at once, where the old one would wait for the kernel's
-/// next try, up to tens of seconds away after a network partition.
+/// An attempt to connect is given up after this and made anew: after a network
+/// partition the kernel's own next try can be tens of seconds away.
+constexpr DurationMs AttemptLimit{1000};
+
+/// Past this time without a connection the client gives the address up.
 constexpr DurationMs GiveUpAfter{3000};
 
-nng_duration toNng(DurationMs Span) {
-  return static_cast<nng_duration>(std::max<std::int64_t>(Span.Value, 0));
+std::chrono::milliseconds toChrono(DurationMs Span) {
+  return std::chrono::milliseconds(std::max<std::int64_t>(Span.Value, 0));
 }
 
 } // namespace
 
-PeerConnection::PeerConnection(PeerLink &Link, PeerConnectionLimits Limits,
-                               std::string Address,
-                               std::atomic<std::size_t> &Total)
-    : Link(Link), Limits(Limits), Address(std::move(Address)), Total(Total),
-      DownSince(Monotonic.now()), LastUsed(DownSince) {}
-
-PeerConnection::~PeerConnection() { close(ResultCode::Stopped); }
+PeerConnection::PeerConnection(asio::io_context &Context, PeerLink &Link,
+                               PeerConnectionLimits Limits, std::string Address,
+                               std::atomic<std::size_t> &InFlight)
+    : Link(Link), Limits(Limits), Address(std::move(Address)),
+      InFlight(InFlight), Connecting(Context), ConnectTimer(Context),
+      NextDelay(ReconnectMin), DownSince(Monotonic.now()), LastUsed(DownSince) {
+}
 
 bool PeerConnection::open() {
-  if (nng_req0_open(&Socket) != 0)
+  const auto Where = Endpoint::parse(Address);
+  if (!Where)
     return false;
-  nng_socket_set_ms(Socket, NNG_OPT_REQ_RESENDTIME, NNG_DURATION_INFINITE);
-  nng_socket_set_size(Socket, NNG_OPT_RECVMAXSZ, MaxPeerMessageBytes);
-  nng_socket_set_ms(Socket, NNG_OPT_RECONNMINT, ReconnectMinMs);
-  nng_socket_set_ms(Socket, NNG_OPT_RECONNMAXT, ReconnectMaxMs);
-  nng_pipe_notify(Socket, NNG_PIPE_EV_ADD_POST, &onPipe, this);
-  nng_pipe_notify(Socket, NNG_PIPE_EV_REM_POST, &onPipe, this);
-  nng_dialer Dialer = NNG_DIALER_INITIALIZER;
-  const std::string Url = "tcp://" + Address;
-  if (nng_dialer_create(&Dialer, Socket, Url.c_str()) != 0)
+  asio::error_code Error;
+  const auto Ip = asio::ip::make_address(Where->Ip, Error);
+  if (Error)
     return false;
-  nng_dialer_set_bool(Dialer, NNG_OPT_TCP_KEEPALIVE, true);
-  return nng_dialer_start(Dialer, NNG_FLAG_NONBLOCK) == 0;
+  Remote = {Ip, Where->Port};
+  connect();
+  return true;
+}
+
+void PeerConnection::connect() {
+  Connecting = asio::ip::tcp::socket(ConnectTimer.get_executor());
+  ConnectTimer.expires_after(toChrono(AttemptLimit));
+  ConnectTimer.async_wait([Self = shared_from_this()](asio::error_code Error) {
+    asio::error_code Ignored;
+    if (!Error && !Self->Stream)
+      Self->Connecting.close(Ignored);
+  });
+  Connecting.async_connect(Remote,
+                           [Self = shared_from_this()](asio::error_code Error) {
+                             Self->connected(Error);
+                           });
 }
 
-void PeerConnection::onPipe(nng_pipe /*Pipe*/, nng_pipe_ev Change,
-                            void *Argument) {
-  auto &Self = *static_cast<PeerConnection *>(Argument);
-  std::lock_guard<std::mutex> Lock(Self.Mutex);
-  // The quiet time stays as it is: a request can be sent before the pipe is
-  // announced, and a heartbeat clears it where it is stale.
-  if (Change == NNG_PIPE_EV_ADD_POST) {
-    ++Self.Pipes;
-    Self.Link.Traffic.countConnection();
+void PeerConnection::connected(asio::error_code Error) {
+  if (Closed)
+    return;
+  ConnectTimer.cancel();
+  // The attempt's limit may have closed the socket just after it connected.
+  if (Error || !Connecting.is_open()) {
+    failAll(ResultCode::PeerUnreachable, ResultCode::PeerConnectionLost);
+    connectLater();
     return;
   }
-  --Self.Pipes;
-  Self.DownSince = Self.Monotonic.now();
+  NextDelay = ReconnectMin;
+  Link.Traffic.countConnection();
+  Stream = std::make_shared<PeerStream>(std::move(Connecting), streamHooks());
+  Stream->start();
+  for (auto &[Number, Sealed] : std::exchange(Unsent, {}))
+    Stream->write(Number, std::move(Sealed));
 }
 
-bool PeerConnection::reserve() {
-  std::lock_guard<std::mutex> Lock(Mutex);
-  LastUsed = Monotonic.now();
-  if (Pipes == 0 && LastUsed - DownSince > Limits.ConnectTimeout)
-    return false;
-  ++InFlight;
-  ++Total;
-  return true;
+PeerStreamHooks PeerConnection::streamHooks() {
+  // No shared ownership here: close() ends the hooks before this object goes.
+  PeerStreamHooks Hooks;
+  Hooks.OnFrame = [this](std::uint32_t Number, std::string_view Sealed) {
+    return received(Number, Sealed);
+  };
+  Hooks.OnWriting = [this](std::uint32_t Number) { return markSent(Number); };
+  Hooks.OnClosed = [this](bool /*TooLarge*/) { lost(); };
+  return Hooks;
 }
 
-void PeerConnection::send(const PeerRequest &Request, PeerReplyHook OnReply) {
-  Place *Where = takePlace();
-  MessagePtr Message =
-      makeMessage(Link.seal(Request.Kind, PeerPhase::Request, Request.Body));
-  if (Where == nullptr || !Message) {
-    OnReply({std::nullopt, {}, ResultCode::PeerBusy});
-    giveBack(Where);
+void PeerConnection::connectLater() {
+  ConnectTimer.expires_after(toChrono(NextDelay));
+  NextDelay = std::min(NextDelay * 2, ReconnectMax);
+  ConnectTimer.async_wait([Self = shared_from_this()](asio::error_code Error) {
+    if (!Error && !Self->Closed)
+      Self->connect();
+  });
+}
+
+void PeerConnection::lost() {
+  Stream.reset();
+  DownSince = Monotonic.now();
+  QuietSince.reset();
+  HeartbeatSince.reset();
+  failAll(ResultCode::PeerUnreachable, ResultCode::PeerConnectionLost);
+  if (!Closed)
+    connectLater();
+}
+
+void PeerConnection::send(SealedRequest Request) {
+  LastUsed = Monotonic.now();
+  if (!Stream && LastUsed - DownSince > Limits.ConnectTimeout) {
+    --InFlight;
+    Request.OnReply({std::nullopt, {}, ResultCode::PeerUnreachable});
     return;
   }
-  Where->Sent = false;
-  Where->Kind = Request.Kind;
-  Where->Deadline = Monotonic.now() + Request.Timeout;
-  Where->OnReply = std::move(OnReply);
-  nng_aio *Operation = Where->Operation.get();
-  nng_aio_set_timeout(Operation,
-                      toNng(std::min(Request.Timeout, Limits.ConnectTimeout)));
-  nng_aio_set_msg(Operation, Message.release());
-  nng_ctx_send(Where->Context, Operation);
+  const std::uint32_t Number = ++LastNumber;
+  const auto Added = Waiting.emplace(
+      Number,
+      PeerConnection::Request{Request.Kind, LastUsed + Request.Timeout, false,
+                              std::move(Request.OnReply),
+                              asio::steady_timer(ConnectTimer.get_executor())});
+  armTimer(Number, Added.first->second,
+           std::min(Request.Timeout, Limits.ConnectTimeout));
+  if (Stream)
+    Stream->write(Number, std::move(Request.Bytes));
+  else
+    Unsent.emplace_back(Number, std::move(Request.Bytes));
 }
 
 void PeerConnection::sendHeartbeat() {
-  {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    HeartbeatSince = Monotonic.now();
-    ++InFlight;
-  }
-  ++Total;
-  PeerRequest Request;
-  Request.Address = Address;
+  HeartbeatSince = Monotonic.now();
+  ++InFlight;
+  SealedRequest Request;
   // Ends with the connection at the latest, when that is dropped as silent.
   Request.Timeout = Limits.SilenceLimit * 2;
-  send(Request, [this](const PeerReply &) {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    HeartbeatSince.reset();
-  });
-}
-
-PeerConnection::Place *PeerConnection::takePlace() {
-  {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    if (!IdlePlaces.empty()) {
-      Place *Where = IdlePlaces.back();
-      IdlePlaces.pop_back();
-      return Where;
-    }
-  }
-  auto Added = std::make_unique<Place>();
-  Added->Owner = this;
-  nng_aio *Operation = nullptr;
-  if (nng_ctx_open(&Added->Context, Socket) != 0)
-    return nullptr;
-  if (nng_aio_alloc(&Operation, &onOperation, Added.get()) != 0)
-    return nullptr;
-  Added->Operation.reset(Operation);
-  std::lock_guard<std::mutex> Lock(Mutex);
-  return Places.emplace_back(std::move(Added)).get();
+  Request.Bytes = Link.seal(PeerKind::Heartbeat, PeerPhase::Request, {});
+  Request.OnReply = [this](const PeerReply &) { HeartbeatSince.reset(); };
+  send(std::move(Request));
 }
 
-void PeerConnection::onOperation(void *Argument) {
-  auto &Where = *static_cast<Place *>(Argument);
-  Where.Owner->completed(Where);
+void PeerConnection::armTimer(std::uint32_t Number, Request &Which,
+                              DurationMs After) {
+  Which.Timer.expires_after(toChrono(After));
+  Which.Timer.async_wait(
+      [Self = shared_from_this(), Number](asio::error_code Error) {
+        if (!Error)
+          Self->expired(Number);
+      });
 }
 
-void PeerConnection::completed(Place &Where) {
-  nng_aio *Operation = Where.Operation.get();
-  const int Error = nng_aio_result(Operation);
-  if (!Where.Sent && Error == 0) {
-    receiveReply(Where);
+void PeerConnection::expired(std::uint32_t Number) {
+  const auto Found = Waiting.find(Number);
+  if (Found == Waiting.end())
     return;
-  }
-  const MessagePtr Message(nng_aio_get_msg(Operation));
-  nng_aio_set_msg(Operation, nullptr);
-  if (Error != 0) {
-    finish(Where, {std::nullopt, {}, failure(Error, Where.Sent)});
+  Request &Which = Found->second;
+  if (!Which.Sent) {
+    finish(Number, {std::nullopt, {}, ResultCode::PeerUnreachable});
     return;
   }
-  noteHeard();
-  finish(Where, readReply(Where, Message.get()));
+  const DurationMs Left = Which.Deadline - Monotonic.now();
+  if (Left > DurationMs(0))
+    armTimer(Number, Which, Left);
+  else
+    finish(Number, {std::nullopt, {}, ResultCode::PeerTimeout});
+}
+
+/// False for a request that has ended while it waited to be written.
+bool PeerConnection::markSent(std::uint32_t Number) {
+  const auto Found = Waiting.find(Number);
+  if (Found == Waiting.end())
+    return false;
+  Found->second.Sent = true;
+  if (!QuietSince)
+    QuietSince = Monotonic.now();
+  return true;
 }
 
-void PeerConnection::receiveReply(Place &Where) {
-  Where.Sent = true;
-  noteSent();
-  nng_aio *Operation = Where.Operation.get();
-  nng_aio_set_msg(Operation, nullptr);
-  nng_aio_set_timeout(Operation, toNng(Where.Deadline - Monotonic.now()));
-  nng_ctx_recv(Where.Context, Operation);
+bool PeerConnection::received(std::uint32_t Number, std::string_view Sealed) {
+  const auto Found = Waiting.find(Number);
+  // The reply to a request that has timed out is dropped.
+  if (Found != Waiting.end())
+    finish(Number, readReply(Found->second.Kind, Sealed));
+  noteHeard();
+  return true;
 }
 
-PeerReply PeerConnection::readReply(const Place &Where, nng_msg *Message) {
+PeerReply PeerConnection::readReply(PeerKind Kind, std::string_view Sealed) {
   ResultCode Reason = ResultCode::Ok;
-  const auto Opened = Link.open(messageBody(Message), Address, Reason);
+  const auto Opened = Link.open(Sealed, Address, Reason);
   if (!Opened)
     return {std::nullopt, {}, Reason};
-  if (Opened->Kind != Where.Kind || Opened->Phase == PeerPhase::Request) {
+  if (Opened->Kind != Kind || Opened->Phase == PeerPhase::Request) {
     Link.refuse(ResultCode::PeerMessageMalformed, Address);
     return {std::nullopt, {}, ResultCode::PeerMessageMalformed};
   }
@@ -176,62 +201,46 @@
   return {std::string(Opened->Body), Opened->From, ResultCode::Ok};
 }
 
-ResultCode PeerConnection::failure(int Error, bool Sent) const {
-  {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    if (CloseReason == ResultCode::Stopped)
-      return ResultCode::Stopped;
-    if (!Sent)
-      return ResultCode::PeerUnreachable;
-    if (CloseReason)
-      return *CloseReason;
-  }
-  return Error == NNG_ETIMEDOUT ? ResultCode::PeerTimeout
-                                : ResultCode::PeerConnectionLost;
-}
-
-void PeerConnection::finish(Place &Where, PeerReply Reply) {
-  const PeerReplyHook OnReply = std::move(Where.OnReply);
-  Where.OnReply = nullptr;
-  OnReply(std::move(Reply));
-  giveBack(&Where);
-}
-
-void PeerConnection::giveBack(Place *Where) {
-  std::lock_guard<std::mutex> Lock(Mutex);
-  if (Where != nullptr)
-    IdlePlaces.push_back(Where);
+void PeerConnection::finish(std::uint32_t Number, PeerReply Reply) {
+  const auto Ended = Waiting.extract(Number);
   --InFlight;
-  --Total;
+  Ended.mapped().OnReply(std::move(Reply));
 }
 
-void PeerConnection::noteSent() {
-  std::lock_guard<std::mutex> Lock(Mutex);
-  if (!QuietSince)
-    QuietSince = Monotonic.now();
+void PeerConnection::failAll(ResultCode UnsentReason, ResultCode SentReason) {
+  const auto Ended = std::exchange(Waiting, {});
+  Unsent.clear();
+  for (const auto &[Number, Each] : Ended) {
+    --InFlight;
+    Each.OnReply({std::nullopt, {}, Each.Sent ? SentReason : UnsentReason});
+  }
 }
 
 void PeerConnection::noteHeard() {
-  std::lock_guard<std::mutex> Lock(Mutex);
   // With other requests still waiting the quiet time starts anew.
-  if (InFlight > 1)
-    QuietSince = Monotonic.now();
-  else
+  if (Waiting.empty())
     QuietSince.reset();
+  else
+    QuietSince = Monotonic.now();
 }
 
 void PeerConnection::close(ResultCode Why) {
-  {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    CloseReason = Why;
-  }
-  nng_close(Socket);
+  if (Closed)
+    return;
+  Closed = true;
+  if (Stream)
+    Stream->close();
+  Stream.reset();
+  asio::error_code Ignored;
+  Connecting.close(Ignored);
+  ConnectTimer.cancel();
+  const bool Stopped = Why == ResultCode::Stopped;
+  failAll(Stopped ? Why : ResultCode::PeerUnreachable, Why);
 }
 
 PeerHealth PeerConnection::health() const {
-  std::lock_guard<std::mutex> Lock(Mutex);
   const TimeMs Now = Monotonic.now();
-  if (Pipes == 0)
+  if (!Stream)
     return Now - DownSince > GiveUpAfter ? PeerHealth::Unconnected
                                          : PeerHealth::Good;
   if (!QuietSince)
@@ -247,14 +256,4 @@
                                           : PeerHealth::Good;
 }
 
-TimeMs PeerConnection::lastUsed() const {
-  std::lock_guard<std::mutex> Lock(Mutex);
-  return LastUsed;
-}
-
-std::size_t PeerConnection::inFlight() const {
-  std::lock_guard<std::mutex> Lock(Mutex);
-  return InFlight;
-}
-
 } // namespace fescuewood
--- a/src/nodes/PeerServer.cpp
+++ b/src/nodes/PeerServer.cpp
@@ -1,59 +1,63 @@
 #include "nodes/PeerServer.h"
 
-#include "nodes/PeerMessage.h"
+#include "core/Endpoint.h"
+#include "nodes/PeerLoop.h"
+#include "nodes/PeerStream.h"
 
-#include <arpa/inet.h>
-#include <fmt/format.h>
-#include <nng/protocol/reqrep0/rep.h>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 
-#include <array>
 #include <atomic>
-#include <condition_variable>
+#include <chrono>
+#include <deque>
 #include <map>
-#include <mutex>
 #include <utility>
-#include <vector>
 
 namespace fescuewood {
 
 namespace {
 
-/// Receives posted at once; more would only wait.
-constexpr std::size_t ReceiverCount = 8;
-
-std::string senderAddress(nng_msg *Message) {
-  nng_sockaddr Address{};
-  const nng_pipe Pipe = nng_msg_get_pipe(Message);
-  if (nng_pipe_get_addr(Pipe, NNG_OPT_REMADDR, &Address) != 0 ||
-      Address.s_family != NNG_AF_INET)
-    return "unknown";
-  std::array<char, INET_ADDRSTRLEN> Text{};
-  inet_ntop(AF_INET, &Address.s_in.sa_addr, Text.data(), Text.size());
-  return fmt::format("{}:{}", Text.data(), ntohs(Address.s_in.sa_port));
+using Tcp = asio::ip::tcp;
+
+/// Wait after an accept that failed, for instance for want of descriptors.
+constexpr std::chrono::milliseconds AcceptPause{100};
+
+std::optional<Tcp::endpoint> parseAddress(const std::string &Text) {
+  const auto Where = Endpoint::parse(Text);
+  if (!Where)
+    return std::nullopt;
+  asio::error_code Error;
+  const auto Ip = asio::ip::make_address(Where->Ip, Error);
+  if (Error)
+    return std::nullopt;
+  return Tcp::endpoint(Ip, Where->Port);
+}
+
+std::string textOf(const Tcp::endpoint &Where) {
+  return Endpoint{Where.address().to_string(), Where.port()}.text();
 }
 
 } // namespace
 
-/// The sockets and the places for requests. Every place has a context of nng,
-/// which remembers where the reply goes, and one operation on it.
+/// The listener and its connections, on the thread of its loop.
 class PeerServer::Core : public std::enable_shared_from_this<Core> {
 public:
   Core(PeerLink &Link, PeerServerOptions Options)
-      : Link(Link), Options(std::move(Options)) {}
+      : Link(Link), Options(std::move(Options)), Loop("peer-server"),
+        Acceptor(Loop.context()), AcceptTimer(Loop.context()) {}
 
   std::map<PeerKind, PeerHandler> Handlers;
 
   std::optional<std::string> start();
-  void stop();
+  void stop() {
+    Loop.stop([this] { closeAll(); });
+  }
 
 private:
-  enum class Phase : std::uint8_t { Idle, Receiving, Handling, Replying };
-
-  struct Place {
-    Core *Owner = nullptr;
-    nng_ctx Context = NNG_CTX_INITIALIZER;
-    OperationPtr Operation;
-    Phase State = Phase::Idle;
+  /// Where the reply to a request goes.
+  struct Origin {
+    std::uint64_t Connection = 0;
+    std::uint32_t Number = 0;
     PeerKind Kind = PeerKind::Heartbeat;
   };
 
@@ -61,14 +65,14 @@
   /// place if no reply was sent.
   struct Ticket {
     std::shared_ptr<Core> Owner;
-    Place &Where;
+    const Origin Where;
     std::atomic<bool> Used{false};
 
-    Ticket(std::shared_ptr<Core> Owner, Place &Where)
+    Ticket(std::shared_ptr<Core> Owner, Origin Where)
         : Owner(std::move(Owner)), Where(Where) {}
     ~Ticket() {
       if (!Used.exchange(true))
-        Owner->release(Where);
+        Owner->Loop.post([Owner = Owner] { Owner->release(); });
     }
     Ticket(const Ticket &) = delete;
     Ticket &operator=(const Ticket &) = delete;
@@ -79,202 +83,126 @@
     }
   };
 
-  static void onOperation(void *Argument) {
-    auto &Where = *static_cast<Place *>(Argument);
-    Where.Owner->completed(Where);
-  }
-  static void onPipe(nng_pipe Pipe, nng_pipe_ev Change, void *Argument) {
-    static_cast<Core *>(Argument)->countPipe(Pipe, Change);
-  }
-
-  bool listen();
-  void countPipe(nng_pipe Pipe, nng_pipe_ev Change);
-  Place *addPlace();
-  void completed(Place &Where);
-  void received(Place &Where);
-  void dispatch(Place &Where, const PeerEnvelope &Message);
-  void reply(Place &Where, PeerPhase Phase, std::string_view Body);
-  void release(Place &Where);
-  void receiveMore();
-  bool begin();
-  void end();
+  void accept();
+  void acceptLater();
+  void add(Tcp::socket Socket);
+  bool received(const Origin &Where, const std::string &Sender,
+                std::string_view Sealed);
+  void dispatch(Origin Where, const PeerEnvelope &Message);
+  void reply(const Origin &Where, PeerPhase Phase, std::string_view Body);
+  void write(const Origin &Where, std::string Sealed);
+  void release();
+  void readWaiting();
+  bool full() const { return InFlight >= Options.MaxInFlight; }
+  void closeAll();
 
   PeerLink &Link;
-  PeerServerOptions Options;
-  nng_socket Socket = NNG_SOCKET_INITIALIZER;
-  std::string Bound;
-  std::atomic<std::size_t> Pipes{0};
-
-  std::mutex Mutex;
-  std::condition_variable Ended;
-  bool Closed = true;
-  std::size_t Starting = 0;  ///< Threads that are about to use an operation.
-  std::size_t Receivers = 0; ///< Places in the receiving phase.
-  std::vector<Place *> IdlePlaces;
-  std::vector<std::unique_ptr<Place>> Places;
+  const PeerServerOptions Options;
+
+  PeerLoop Loop;
+  Tcp::acceptor Acceptor;
+  asio::steady_timer AcceptTimer;
+  bool Stopped = false;
+  std::uint64_t LastConnection = 0;
+  std::map<std::uint64_t, PeerStreamPtr> Streams;
+  std::size_t InFlight = 0;          ///< Requests whose reply is still open.
+  std::deque<std::uint64_t> Waiting; ///< Streams not read until a place frees.
 };
 
 std::optional<std::string> PeerServer::Core::start() {
-  if (nng_rep0_open(&Socket) != 0)
+  const auto Address = parseAddress(Options.Address);
+  if (!Address)
     return std::nullopt;
-  if (!listen()) {
-    nng_close(Socket);
+  asio::error_code Error;
+  Acceptor = Tcp::acceptor(Loop.context());
+  Acceptor.open(Address->protocol(), Error);
+  Acceptor.set_option(Tcp::acceptor::reuse_address(true), Error);
+  Acceptor.bind(*Address, Error);
+  if (!Error)
+    Acceptor.listen(Tcp::acceptor::max_listen_connections, Error);
+  if (Error)
     return std::nullopt;
-  }
-  {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    Closed = false;
-  }
-  receiveMore();
-  return Bound;
-}
-
-bool PeerServer::Core::listen() {
-  nng_socket_set_size(Socket, NNG_OPT_RECVMAXSZ, MaxPeerMessageBytes);
-  nng_pipe_notify(Socket, NNG_PIPE_EV_ADD_PRE, &onPipe, this);
-  nng_pipe_notify(Socket, NNG_PIPE_EV_REM_POST, &onPipe, this);
-  nng_listener Listener = NNG_LISTENER_INITIALIZER;
-  const std::string Url = "tcp://" + Options.Address;
-  if (nng_listener_create(&Listener, Socket, Url.c_str()) != 0)
-    return false;
-  nng_listener_set_bool(Listener, NNG_OPT_TCP_KEEPALIVE, true);
-  int Port = 0;
-  if (nng_listener_start(Listener, 0) != 0 ||
-      nng_listener_get_int(Listener, NNG_OPT_TCP_BOUND_PORT, &Port) != 0)
-    return false;
-  const auto Host = Options.Address.substr(0, Options.Address.rfind(':'));
-  Bound = fmt::format("{}:{}", Host, Port);
-  return true;
-}
-
-void PeerServer::Core::countPipe(nng_pipe Pipe, nng_pipe_ev Change) {
-  if (Change == NNG_PIPE_EV_REM_POST) {
-    --Pipes;
-    return;
-  }
-  // A pipe that is closed here never becomes part of the socket, but its
-  // removal is still announced.
-  if (++Pipes > Options.MaxConnections)
-    nng_pipe_close(Pipe);
+  const Tcp::endpoint Bound = Acceptor.local_endpoint(Error);
+  accept();
+  Loop.start();
+  return textOf(Bound);
 }
 
-void PeerServer::Core::stop() {
-  {
-    std::unique_lock<std::mutex> Lock(Mutex);
-    if (Closed)
+void PeerServer::Core::accept() {
+  Acceptor.async_accept([this](asio::error_code Error, Tcp::socket Socket) {
+    if (Stopped)
       return;
-    Closed = true;
-    Ended.wait(Lock, [this] { return Starting == 0; });
-  }
-  nng_close(Socket);
-  // Frees the operations, which waits for their callbacks. Reply hooks that
-  // are still held see Closed and touch no place any more.
-  Places.clear();
-}
-
-/// Guards the use of an operation against \ref stop.
-bool PeerServer::Core::begin() {
-  std::lock_guard<std::mutex> Lock(Mutex);
-  if (Closed)
-    return false;
-  ++Starting;
-  return true;
-}
-
-void PeerServer::Core::end() {
-  // Notifies under the lock: stop() may destroy this object right after it.
-  std::lock_guard<std::mutex> Lock(Mutex);
-  --Starting;
-  Ended.notify_all();
-}
-
-/// Adds a place for the caller to use; null when all are taken.
-PeerServer::Core::Place *PeerServer::Core::addPlace() {
-  if (Places.size() >= Options.MaxInFlight + ReceiverCount)
-    return nullptr;
-  auto Added = std::make_unique<Place>();
-  Added->Owner = this;
-  nng_aio *Operation = nullptr;
-  if (nng_ctx_open(&Added->Context, Socket) != 0)
-    return nullptr;
-  if (nng_aio_alloc(&Operation, &onOperation, Added.get()) != 0)
-    return nullptr;
-  Added->Operation.reset(Operation);
-  return Places.emplace_back(std::move(Added)).get();
+    if (Error) {
+      acceptLater();
+      return;
+    }
+    add(std::move(Socket));
+    accept();
+  });
 }
 
-/// Posts receives until enough wait. With every place taken none is posted, so
-/// that TCP holds the senders back.
-void PeerServer::Core::receiveMore() {
-  if (!begin())
-    return;
-  while (true) {
-    Place *Next = nullptr;
-    {
-      std::lock_guard<std::mutex> Lock(Mutex);
-      if (Closed || Receivers >= ReceiverCount)
-        break;
-      if (IdlePlaces.empty()) {
-        Next = addPlace();
-      } else {
-        Next = IdlePlaces.back();
-        IdlePlaces.pop_back();
-      }
-      if (Next == nullptr)
-        break;
-      Next->State = Phase::Receiving;
-      ++Receivers;
-    }
-    nng_ctx_recv(Next->Context, Next->Operation.get());
-  }
-  end();
+void PeerServer::Core::acceptLater() {
+  AcceptTimer.expires_after(AcceptPause);
+  AcceptTimer.async_wait([this](asio::error_code /*Error*/) {
+    if (!Stopped)
+      accept();
+  });
 }
 
-void PeerServer::Core::completed(Place &Where) {
-  if (Where.State == Phase::Receiving) {
-    received(Where);
-    return;
-  }
-  if (nng_aio_result(Where.Operation.get()) != 0)
-    MessagePtr Unsent(nng_aio_get_msg(Where.Operation.get()));
-  release(Where);
+void PeerServer::Core::add(Tcp::socket Socket) {
+  asio::error_code Error;
+  const Tcp::endpoint Remote = Socket.remote_endpoint(Error);
+  if (Error || Streams.size() >= Options.MaxConnections)
+    return; // Closes the socket.
+  const std::uint64_t Id = ++LastConnection;
+  const std::string Sender = textOf(Remote);
+  PeerStreamHooks Hooks;
+  Hooks.OnFrame = [this, Id, Sender](std::uint32_t Number,
+                                     std::string_view Sealed) {
+    return received({Id, Number}, Sender, Sealed);
+  };
+  // A reply gives its place back when the system takes it, so that a node that
+  // does not read its replies is soon not read any more either.
+  Hooks.OnWriting = [this](std::uint32_t /*Number*/) {
+    release();
+    return true;
+  };
+  Hooks.OnClosed = [this, Id, Sender](bool TooLarge) {
+    if (TooLarge)
+      Link.refuse(ResultCode::PeerMessageTooLarge, Sender);
+    Streams.erase(Id);
+  };
+  const auto Stream =
+      std::make_shared<PeerStream>(std::move(Socket), std::move(Hooks));
+  Streams.emplace(Id, Stream);
+  Stream->start();
 }
 
-void PeerServer::Core::received(Place &Where) {
-  const int Result = nng_aio_result(Where.Operation.get());
-  {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    --Receivers;
-    Where.State = Phase::Handling;
-  }
-  if (Result != 0) {
-    release(Where);
-    return;
-  }
-  MessagePtr Message(nng_aio_get_msg(Where.Operation.get()));
-  receiveMore();
-  const std::string Sender = senderAddress(Message.get());
+bool PeerServer::Core::received(const Origin &Where, const std::string &Sender,
+                                std::string_view Sealed) {
   ResultCode Reason = ResultCode::Ok;
-  const auto Opened = Link.open(messageBody(Message.get()), Sender, Reason);
-  if (Opened && Opened->Phase == PeerPhase::Request) {
+  const auto Opened = Link.open(Sealed, Sender, Reason);
+  if (Opened && Opened->Phase == PeerPhase::Request)
     dispatch(Where, *Opened);
-    return;
-  }
-  if (Opened)
+  else if (Opened)
     Link.refuse(ResultCode::PeerMessageMalformed, Sender);
-  release(Where);
+  if (!full())
+    return true;
+  Waiting.push_back(Where.Connection);
+  return false;
 }
 
-void PeerServer::Core::dispatch(Place &Where, const PeerEnvelope &Message) {
+void PeerServer::Core::dispatch(Origin Where, const PeerEnvelope &Message) {
   Where.Kind = Message.Kind;
+  ++InFlight;
   if (Message.Kind == PeerKind::Heartbeat) {
-    reply(Where, PeerPhase::Reply, {});
+    write(Where, Link.seal(Where.Kind, PeerPhase::Reply, {}));
     return;
   }
   const auto Found = Handlers.find(Message.Kind);
   if (Found == Handlers.end()) {
     Link.refuse(ResultCode::PeerKindUnknown, Message.From.Name);
-    reply(Where, PeerPhase::Refusal, {});
+    write(Where, Link.seal(Where.Kind, PeerPhase::Refusal, {}));
     return;
   }
   auto Held = std::make_shared<Ticket>(shared_from_this(), Where);
@@ -284,37 +212,56 @@
                 });
 }
 
-void PeerServer::Core::reply(Place &Where, PeerPhase Phase,
+/// Seals a reply on the thread that has it and hands it to the loop. After
+/// \ref stop it is dropped.
+void PeerServer::Core::reply(const Origin &Where, PeerPhase Phase,
                              std::string_view Body) {
-  if (!begin())
-    return;
   if (Body.size() > MaxPeerBodyBytes) {
     Link.refuse(ResultCode::PeerMessageTooLarge, Link.Self.Name);
     Phase = PeerPhase::Refusal;
     Body = {};
   }
-  MessagePtr Message = makeMessage(Link.seal(Where.Kind, Phase, Body));
-  if (Message) {
-    Where.State = Core::Phase::Replying;
-    nng_aio_set_msg(Where.Operation.get(), Message.release());
-    nng_ctx_send(Where.Context, Where.Operation.get());
-  } else {
-    release(Where);
-  }
-  end();
+  Loop.post([this, Kept = shared_from_this(), Where,
+             Sealed = Link.seal(Where.Kind, Phase, Body)]() mutable {
+    write(Where, std::move(Sealed));
+  });
 }
 
-/// Makes a place free for the next receive. A receive on its context discards
-/// the request that was not answered.
-void PeerServer::Core::release(Place &Where) {
-  {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    if (Closed)
-      return;
-    Where.State = Phase::Idle;
-    IdlePlaces.push_back(&Where);
+void PeerServer::Core::write(const Origin &Where, std::string Sealed) {
+  const auto Found = Streams.find(Where.Connection);
+  if (Found == Streams.end())
+    release();
+  else
+    Found->second->write(Where.Number, std::move(Sealed));
+}
+
+/// Gives a request's place back.
+void PeerServer::Core::release() {
+  --InFlight;
+  // Not at once: this may run inside the writing or reading of a stream.
+  if (!Waiting.empty())
+    Loop.post([this] { readWaiting(); });
+}
+
+/// Reads on where places were lacking.
+void PeerServer::Core::readWaiting() {
+  while (!full() && !Waiting.empty()) {
+    const auto Found = Streams.find(Waiting.front());
+    Waiting.pop_front();
+    if (Found == Streams.end())
+      continue;
+    const PeerStreamPtr Stream = Found->second;
+    Stream->resume();
   }
-  receiveMore();
+}
+
+void PeerServer::Core::closeAll() {
+  Stopped = true;
+  asio::error_code Ignored;
+  Acceptor.close(Ignored);
+  AcceptTimer.cancel();
+  for (const auto &[Id, Stream] : std::exchange(Streams, {}))
+    Stream->close();
 }
 
 PeerServer::PeerServer(PeerLink &Link, PeerServerOptions Options)
--- a/src/nodes/PeerTraffic.cpp
+++ b/src/nodes/PeerTraffic.cpp
@@ -1,10 +1,11 @@
 #include "nodes/PeerTraffic.h"
 
+#include "nodes/PeerFrame.h"
+
 namespace fescuewood {
 
 namespace {
 
-constexpr std::size_t FramingBytes = 12;
 constexpr std::size_t SegmentPayloadBytes = 1448;
 constexpr std::size_t SegmentHeaderBytes = 52;
 constexpr std::size_t AcknowledgementShareBytes = SegmentHeaderBytes / 2;
@@ -13,7 +14,7 @@
 } // namespace
 
 std::size_t wireBytes(std::size_t SealedBytes) {
-  const std::size_t Payload = SealedBytes + FramingBytes;
+  const std::size_t Payload = SealedBytes + PeerFrameHeaderBytes;
   const std::size_t Segments =
       (Payload + SegmentPayloadBytes - 1) / SegmentPayloadBytes;
   return Payload + Segments * (SegmentHeaderBytes + AcknowledgementShareBytes);
--- a/src/nodes/PeerTraffic.h
+++ b/src/nodes/PeerTraffic.h
@@ -35,7 +35,7 @@
 std::size_t wireBytes(std::size_t SealedBytes);
 
 /// Bytes on the wire to open and close one connection, both directions.
-inline constexpr std::size_t ConnectionBytes = 7 * 60 + 2 * 8;
+inline constexpr std::size_t ConnectionBytes = 7 * 60;
 
 /// Monotonic counters of one process. Thread-safe, without locks.
 class PeerTraffic {
--- a/tests/nodes/FakePeer.cpp
+++ b/tests/nodes/FakePeer.cpp
@@ -1,15 +1,14 @@
 #include "nodes/FakePeer.h"
 
 #include "nodes/PeerEnvelope.h"
+#include "nodes/PeerFrame.h"
 
 #include <arpa/inet.h>
-#include <endian.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <chrono>
-#include <cstring>
 #include <optional>
 #include <utility>
 
@@ -18,8 +17,6 @@
 namespace {
 
 constexpr const char *Host = "127.20.0.99";
-constexpr std::size_t RequestIdBytes = 4;
-const std::string ReplierGreeting("\0SP\0\0\x31\0\0", 8);
 
 sockaddr_in addressOf(const std::string &Ip, int Port) {
   sockaddr_in Address{};
@@ -41,13 +38,30 @@
   send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
 }
 
-std::optional<std::string> readFrame(int Socket) {
-  const auto Header = readBytes(Socket, sizeof(std::uint64_t));
-  if (!Header)
+struct Frame {
+  std::uint32_t Number = 0;
+  std::string Sealed;
+};
+
+std::optional<Frame> readFrame(int Socket) {
+  const auto Bytes = readBytes(Socket, PeerFrameHeaderBytes);
+  if (!Bytes)
+    return std::nullopt;
+  const PeerFrameHeader Header = readFrameHeader(*Bytes);
+  auto Sealed = readBytes(Socket, Header.Size);
+  if (!Sealed)
     return std::nullopt;
-  std::uint64_t Size = 0;
-  std::memcpy(&Size, Header->data(), sizeof(Size));
-  return readBytes(Socket, be64toh(Size));
+  return Frame{Header.Number, std::move(*Sealed)};
+}
+
+void reply(int Socket, const Frame &Asked, const std::string &Secret) {
+  ResultCode Reason = ResultCode::Ok;
+  const auto Request = openEnvelope(Asked.Sealed, Secret, Reason);
+  if (!Request)
+    return;
+  const std::string Sealed = sealEnvelope(
+      {Request->Kind, PeerPhase::Reply, {"fake", 1}, {}, "fake"}, Secret);
+  writeBytes(Socket, packFrameHeader({Sealed.size(), Asked.Number}) + Sealed);
 }
 
 } // namespace
@@ -92,13 +106,10 @@
 }
 
 void FakePeer::serve(int Socket, std::size_t Connection) {
-  writeBytes(Socket, ReplierGreeting);
-  if (!readBytes(Socket, ReplierGreeting.size()))
-    return;
-  while (const auto Frame = readFrame(Socket)) {
+  while (const auto Asked = readFrame(Socket)) {
     const FakeReaction Reaction = React(Connection, ++Requests);
     if (Reaction == FakeReaction::Reply)
-      reply(Socket, *Frame);
+      reply(Socket, *Asked, Secret);
     if (Reaction != FakeReaction::Close)
       continue;
     shutdown(Socket, SHUT_RDWR);
@@ -106,20 +117,6 @@
   }
 }
 
-void FakePeer::reply(int Socket, const std::string &Frame) {
-  ResultCode Reason = ResultCode::Ok;
-  const std::string Id = Frame.substr(0, RequestIdBytes);
-  const auto Request = openEnvelope(
-      std::string_view(Frame).substr(RequestIdBytes), Secret, Reason);
-  if (!Request)
-    return;
-  const std::string Sealed = sealEnvelope(
-      {Request->Kind, PeerPhase::Reply, {"fake", 1}, {}, "fake"}, Secret);
-  const std::uint64_t Size = htobe64(Id.size() + Sealed.size());
-  std::string Bytes(reinterpret_cast<const char *>(&Size), sizeof(Size));
-  writeBytes(Socket, Bytes + Id + Sealed);
-}
-
 void sendRaw(const std::string &Address, const std::string &Bytes) {
   const std::size_t Colon = Address.rfind(':');
   const sockaddr_in To =
--- a/tests/nodes/FakePeer.h
+++ b/tests/nodes/FakePeer.h
@@ -1,6 +1,6 @@
 /// \file
 /// A hand-written node for the tests of the transport: a plain TCP listener
-/// that speaks just enough of nng's framing to misbehave on purpose.
+/// that speaks just enough of the framing to misbehave on purpose.
 
 #ifndef FESCUEWOOD_TESTS_NODES_FAKEPEER_H
 #define FESCUEWOOD_TESTS_NODES_FAKEPEER_H
@@ -33,7 +33,6 @@
 private:
   void acceptLoop();
   void serve(int Socket, std::size_t Connection);
-  void reply(int Socket, const std::string &Frame);
 
   std::string Secret;
   ReactHook React;
--- a/tests/nodes/PeerClientTest.cpp
+++ b/tests/nodes/PeerClientTest.cpp
@@ -237,3 +237,27 @@
   Client.send(request(Peer.address()), After.hook());
   expect(ResultCode::Stopped, After);
 }
+
+// A transport that waits for an operation which never ends would hang here; the
+// closing has to work at any moment of any exchange.
+TEST(PeerClient, StopsWhileRepliesArrive) {
+  constexpr int Rounds = 200;
+  constexpr int Requests = 20;
+  PeerLink ServerLink{{"server", 1}, Secret, {}, HybridClock(), {}, {}};
+  PeerServer Server(ServerLink, {"127.20.0.5:0", 64, 64});
+  Server.handle(PeerKind::Fetch,
+                [](const PeerIdentity &, std::string_view,
+                   const ReplyHook &Reply) { Reply(std::string(300, 'r')); });
+  const auto Address = Server.start();
+  std::atomic<int> Ended{0};
+
+  for (int Round = 0; Round < Rounds; ++Round) {
+    PeerClient Client(Link);
+    for (int I = 0; I < Requests; ++I)
+      Client.send(request(*Address), [&](const PeerReply &) { ++Ended; });
+    std::this_thread::sleep_for(std::chrono::microseconds(50 * (Round % 40)));
+    Client.stop();
+  }
+
+  LONGS_EQUAL(Rounds * Requests, Ended);
+}
--- a/tests/nodes/PeerServerTest.cpp
+++ b/tests/nodes/PeerServerTest.cpp
@@ -2,6 +2,7 @@
 
 #include "nodes/FakePeer.h"
 #include "nodes/PeerClient.h"
+#include "nodes/PeerFrame.h"
 
 #include <atomic>
 #include <mutex>
@@ -95,22 +96,21 @@
                 [](const PeerIdentity &, std::string_view,
                    const ReplyHook &Reply) { Reply("served"); });
   const auto Address = Server.start();
-  const std::string Greeting("\0SP\0\0\x30\0\0", 8);
-  const std::string RequestId("\x80\0\0\1", 4);
-  const std::string Length("\0\0\0\0\0\0\0\x0a", 8);
+  const std::string Header = packFrameHeader({6, 1});
   PeerLink ForeignLink{{"stray", 1}, "guess", {}, HybridClock(), {}, {}};
   PeerClient Stray(ForeignLink);
 
   sendRaw(*Address, "GET / HTTP/1.1\r\n\r\n");
-  sendRaw(*Address, Greeting + Length + RequestId + "short!");
-  sendRaw(*Address, Greeting + std::string("\0\0\0\0\x7f\0\0\0", 8));
-  sendRaw(*Address, Greeting + Length + "cut");
+  sendRaw(*Address, Header + "short!");
+  sendRaw(*Address, packFrameHeader({0x7f000000, 1}));
+  sendRaw(*Address, Header + "cut");
   Stray.send({*Address, PeerKind::Fetch, "", DurationMs(200)},
              [](const PeerReply &) {});
 
   CHECK_TRUE(eventually([&] {
     return refusalsFor(ServerLink, ResultCode::PeerSealInvalid) == 1 &&
-           refusalsFor(ServerLink, ResultCode::PeerMessageMalformed) == 1;
+           refusalsFor(ServerLink, ResultCode::PeerMessageMalformed) == 1 &&
+           refusalsFor(ServerLink, ResultCode::PeerMessageTooLarge) == 2;
   }));
   PeerClient Client(ClientLink);
   Client.send({*Address, PeerKind::Fetch, "", DurationMs(20000)},
