Mend what the linter found in the transport

The hook of a request is taken by reference inside the client, and the loops of a test are written as the linter asks. No change of behaviour.

--- a/src/nodes/PeerClient.cpp
+++ b/src/nodes/PeerClient.cpp
@@ -27,7 +27,7 @@
     Loop.start();
   }
 
-  void send(const PeerRequest &Request, PeerReplyHook OnReply);
+  void send(const PeerRequest &Request, const PeerReplyHook &OnReply);
   void stop() {
     Loop.stop([this] { closeAll(); });
   }
@@ -62,7 +62,8 @@
   bool Stopped = false;
 };
 
-void PeerClient::Core::send(const PeerRequest &Request, PeerReplyHook OnReply) {
+void PeerClient::Core::send(const PeerRequest &Request,
+                            const PeerReplyHook &OnReply) {
   ResultCode Reason = ResultCode::Ok;
   if (Request.Body.size() > MaxPeerBodyBytes)
     Reason = ResultCode::PeerMessageTooLarge;
@@ -225,7 +226,7 @@
 PeerClient::~PeerClient() { stop(); }
 
 void PeerClient::send(const PeerRequest &Request, PeerReplyHook OnReply) {
-  Own->send(Request, std::move(OnReply));
+  Own->send(Request, OnReply);
 }
 
 PeerSend PeerClient::hook() {
--- a/tests/nodes/PeerLoopTest.cpp
+++ b/tests/nodes/PeerLoopTest.cpp
@@ -19,12 +19,14 @@
   int Ran = 0;
   int RanBeforeLast = -1;
   std::vector<std::thread> Posting;
-  for (int T = 0; T < Threads; ++T)
+  Posting.reserve(Threads);
+  for (int T = 0; T < Threads; ++T) {
     Posting.emplace_back([&] {
       for (int I = 0; I < Tasks; ++I)
         if (Loop.post([&Ran] { ++Ran; }))
           ++Taken;
     });
+  }
 
   Loop.stop([&] { RanBeforeLast = Ran; });
   for (std::thread &Thread : Posting)
