--- a/src/nodes/PeerClient.cpp
+++ b/src/nodes/PeerClient.cpp
@@ -225,13 +225,14 @@
 
 PeerClient::~PeerClient() { stop(); }
 
-void PeerClient::send(const PeerRequest &Request, PeerReplyHook OnReply) {
+void PeerClient::send(const PeerRequest &Request,
+                      const PeerReplyHook &OnReply) {
   Own->send(Request, OnReply);
 }
 
 PeerSend PeerClient::hook() {
-  return [this](const PeerRequest &Request, PeerReplyHook OnReply) {
-    send(Request, std::move(OnReply));
+  return [this](const PeerRequest &Request, const PeerReplyHook &OnReply) {
+    send(Request, OnReply);
   };
 }
 
--- a/src/nodes/PeerClient.h
+++ b/src/nodes/PeerClient.h
@@ -38,7 +38,7 @@
   /// Sends a request; see PeerSend. A refusal that needs no network, such as
   /// PeerBusy or PeerMessageTooLarge, also comes through the hook, on a thread
   /// of the client.
-  void send(const PeerRequest &Request, PeerReplyHook OnReply);
+  void send(const PeerRequest &Request, const PeerReplyHook &OnReply);
 
   /// \ref send as a hook; this client must outlive it.
   PeerSend hook();
