Write the fields of each call message once, and share the tests' folders

CallMessages listed the fields of every message twice, once to encode and once to decode, so that the two could drift apart. One list per message now serves a writer and a reader (FieldCodec).

The limiter takes a view of the instances instead of a copy of its own. The alias RateHook had no user.

Left as it is: decoding of tokens (floats, other bounds) and of control messages (MSGPACK_DEFINE) reads other types; one reader for all would have a branch for each.

--- a/bench/ControlBenchFleet.h
+++ b/bench/ControlBenchFleet.h
@@ -8,6 +8,8 @@
 #include "core/Clock.h"
 #include "intent/IntentFolder.h"
 
+#include "support/TemporaryFolder.h"
+
 #include <algorithm>
 #include <csignal>
 #include <cstdint>
@@ -147,32 +149,25 @@
 class Platform {
 public:
   Platform(const std::string &Program, std::size_t Domains, std::size_t Nodes) {
-    std::string Pattern =
-        (std::filesystem::temp_directory_path() / "controlbench-XXXXXX")
-            .string();
-    Folder = mkdtemp(Pattern.data());
     writeIntent(Domains, Nodes);
     Process = std::make_unique<Child>(std::vector<std::string>{
-        Program, "--listen=127.20.0.250:0", "--folder=" + Folder});
+        Program, "--listen=127.20.0.250:0", "--folder=" + Folder.path()});
     std::vector<std::string> Lines;
     while (Lines.empty())
       Lines = Process->lines();
     Address = Lines.front().substr(Lines.front().find(' ') + 1);
   }
-  ~Platform() { std::filesystem::remove_all(Folder); }
-  Platform(const Platform &) = delete;
-  Platform &operator=(const Platform &) = delete;
 
   const std::string &address() const { return Address; }
 
   /// Changes one small file; returns the revision.
   std::uint64_t publish() {
-    file("90-change.ini",
-         fmt::format("[rate small]\nper_second = {}\n", 100 + ++Changes));
-    return intentFolderRevision(Folder);
+    Folder.write("90-change.ini", fmt::format("[rate small]\nper_second = {}\n",
+                                              100 + ++Changes));
+    return intentFolderRevision(Folder.path());
   }
 
-  std::uint64_t revision() const { return intentFolderRevision(Folder); }
+  std::uint64_t revision() const { return intentFolderRevision(Folder.path()); }
 
   void control(const std::string &Query) { get("/control?" + Query); }
 
@@ -183,10 +178,6 @@
   }
 
 private:
-  void file(const std::string &Name, const std::string &Text) const {
-    std::ofstream(Folder + "/" + Name) << Text;
-  }
-
   void writeIntent(std::size_t Domains, std::size_t Nodes) const {
     std::string Text;
     for (std::size_t D = 0; D < Domains; ++D) {
@@ -194,7 +185,7 @@
                           D < 3 ? "north" : "south",
                           (Nodes + Domains - 1 - D) / Domains);
     }
-    file("10-domains.ini", Text);
+    Folder.write("10-domains.ini", Text);
     Text.clear();
     for (int S = 0; S < 88; ++S) {
       Text += fmt::format("[service service-{}]\nslots = 9\n"
@@ -202,8 +193,9 @@
                           "service = service-{}\nidempotent = yes\n",
                           S, S, S, S);
     }
-    file("20-services.ini", Text);
-    file("40-rates.ini", "[rate small]\nper_second = 100\nburst = 200\n");
+    Folder.write("20-services.ini", Text);
+    Folder.write("40-rates.ini",
+                 "[rate small]\nper_second = 100\nburst = 200\n");
   }
 
   std::string get(const std::string &Path) const {
@@ -222,7 +214,7 @@
     return Body;
   }
 
-  std::string Folder;
+  TemporaryFolder Folder;
   std::string Address;
   std::unique_ptr<Child> Process;
   int Changes = 0;
--- a/bench/PlatformReadBench.cpp
+++ b/bench/PlatformReadBench.cpp
@@ -6,7 +6,8 @@
 
 #include "platform/PlatformReader.h"
 
-#include "../tests/support/ChildProcess.h"
+#include "support/ChildProcess.h"
+#include "support/TemporaryFolder.h"
 
 #include <chrono>
 #include <cstdio>
@@ -47,11 +48,12 @@
 class PlatformStandIn {
 public:
   explicit PlatformStandIn(const std::filesystem::path &Own)
-      : Folder(makeFolder()),
-        Process(
+      : Process(
             {(Own.parent_path().parent_path() / "standins/Platform").string(),
-             "--listen", "127.0.0.1:0", "--folder", Folder, "--instances",
-             Folder + "/instances.json"}) {
+             "--listen", "127.0.0.1:0", "--folder", Folder.path(),
+             "--instances", Folder.file("instances.json")}) {
+    Folder.write("10-a.ini", "[service a]\n");
+    Folder.write("instances.json", "{\"instances\": []}\n");
     const std::string &Line = Process.firstLine();
     const auto Parsed = Endpoint::parse(Line.substr(Line.find(' ') + 1));
     if (!Parsed) {
@@ -60,7 +62,6 @@
     }
     Server = *Parsed;
   }
-  ~PlatformStandIn() { std::filesystem::remove_all(Folder); }
 
   const Endpoint &server() const { return Server; }
 
@@ -77,16 +78,7 @@
   }
 
 private:
-  static std::string makeFolder() {
-    std::string Name =
-        (std::filesystem::temp_directory_path() / "fescuewoodXXXXXX").string();
-    std::string Made = mkdtemp(Name.data());
-    std::ofstream(Made + "/10-a.ini") << "[service a]\n";
-    std::ofstream(Made + "/instances.json") << "{\"instances\": []}\n";
-    return Made;
-  }
-
-  std::string Folder;
+  TemporaryFolder Folder;
   ChildProcess Process;
   Endpoint Server;
 };
--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -135,8 +135,8 @@
     putInForce(Snapshot);
   };
   Hooks.OnInstances = [this](std::span<const Instance> Seen) {
+    Limiter.setInstances(Seen);
     Engine.setInstances({Seen.begin(), Seen.end()});
-    Limiter.setInstances({Seen.begin(), Seen.end()});
   };
   Hooks.OnEvent = Recorder.hook();
   return Hooks;
--- a/src/nodes/CallMessages.cpp
+++ b/src/nodes/CallMessages.cpp
@@ -1,144 +1,107 @@
 #include "nodes/CallMessages.h"
 
+#include "nodes/FieldCodec.h"
+
 #include <algorithm>
 #include <msgpack.hpp>
-#include <span>
-#include <utility>
+#include <type_traits>
 
 namespace fescuewood {
 
 namespace {
 
-/// Longest span of time that a message may name.
-constexpr DurationMs MaxSpan{24LL * 60 * 60 * 1000};
-
 /// Fields of the fixed part of each message; another number is malformed.
-constexpr std::size_t StartFields = 16;
-constexpr std::size_t FetchFields = 5;
-constexpr std::size_t CancelFields = 2;
-constexpr std::size_t ReplyFields = 14;
-constexpr std::size_t AnswerFields = 5;
-
-using Packer = msgpack::packer<msgpack::sbuffer>;
-
-std::string text(const msgpack::sbuffer &Buffer) {
-  return {Buffer.data(), Buffer.size()};
-}
-
-void packBytes(Packer &Out, std::string_view Value) {
-  Out.pack_bin(static_cast<std::uint32_t>(Value.size()));
-  Out.pack_bin_body(Value.data(), static_cast<std::uint32_t>(Value.size()));
-}
-
-void packSpan(Packer &Out, DurationMs Value) {
-  Out.pack(std::clamp(Value, DurationMs(0), MaxSpan).Value);
-}
-
-void packId(Packer &Out, const CallId &Id) {
-  Out.pack(Id.Incarnation);
-  Out.pack(Id.Sequence);
-}
-
-void packHeaders(Packer &Out, const std::vector<Header> &Headers) {
-  Out.pack_array(static_cast<std::uint32_t>(Headers.size() * 2));
-  for (const Header &Field : Headers) {
-    packBytes(Out, Field.Name);
-    packBytes(Out, Field.Value);
-  }
-}
-
-/// Reads the elements of one msgpack array in order. The first value that is
-/// missing, of another type or out of bounds makes all later reads fail.
-class Reader {
-public:
-  Reader(const msgpack::object &Array, std::size_t Fields) {
-    if (Array.type == msgpack::type::ARRAY && Array.via.array.size == Fields)
-      Rest = {Array.via.array.ptr, Array.via.array.size};
-    else
-      Valid = false;
-  }
-
-  bool valid() const { return Valid; }
-
-  std::uint64_t number(std::uint64_t Max) {
-    const msgpack::object *Value = next(msgpack::type::POSITIVE_INTEGER);
-    if (!Value || Value->via.u64 > Max)
-      return fail();
-    return Value->via.u64;
-  }
-
-  DurationMs span() {
-    return DurationMs(static_cast<std::int64_t>(
-        number(static_cast<std::uint64_t>(MaxSpan.Value))));
-  }
-
-  CallId id() {
-    const std::uint64_t Incarnation = number(UINT64_MAX);
-    return {Incarnation, number(UINT64_MAX)};
-  }
-
-  bool flag() {
-    const msgpack::object *Value = next(msgpack::type::BOOLEAN);
-    return Value && Value->via.boolean;
-  }
-
-  std::string bytes(std::size_t Max) {
-    const msgpack::object *Value = next(msgpack::type::BIN);
-    if (!Value || Value->via.bin.size > Max) {
-      fail();
-      return {};
-    }
-    return {Value->via.bin.ptr, Value->via.bin.size};
-  }
-
-  std::vector<Header> headers() {
-    const msgpack::object *Value = next(msgpack::type::ARRAY);
-    if (!Value || Value->via.array.size > MaxHeaderFields * 2 ||
-        Value->via.array.size % 2 != 0) {
-      fail();
-      return {};
-    }
-    Reader Names(*Value, Value->via.array.size);
-    std::vector<Header> Fields(Value->via.array.size / 2);
-    for (Header &Field : Fields) {
-      Field.Name = Names.bytes(MaxFieldBytes);
-      Field.Value = Names.bytes(MaxFieldBytes);
-    }
-    Valid = Valid && Names.valid();
-    return Fields;
-  }
-
-  ResultCode reason() {
-    const auto Code =
-        resultFromNumber(static_cast<std::uint16_t>(number(UINT16_MAX)));
-    // A newer node may refuse for a reason that is not known here yet.
-    return Code.value_or(ResultCode::CallMessageMalformed);
-  }
-
-private:
-  const msgpack::object *next(msgpack::type::object_type Type) {
-    if (!Valid || Rest.empty() || Rest.front().type != Type) {
-      Valid = false;
-      return nullptr;
-    }
-    const msgpack::object *Value = &Rest.front();
-    Rest = Rest.subspan(1);
-    return Value;
-  }
-
-  std::uint64_t fail() {
-    Valid = false;
-    return 0;
-  }
-
-  std::span<const msgpack::object> Rest;
-  bool Valid = true;
-};
-
-/// Decodes one array that fills \p Bytes exactly; \p Read takes its elements.
-template <typename Message, typename ReadFunction>
-std::optional<Message> decode(std::string_view Bytes, std::size_t Fields,
-                              ReadFunction Read) {
+template <typename Message> constexpr std::uint32_t FieldCount = 0;
+template <> constexpr std::uint32_t FieldCount<CallStart> = 16;
+template <> constexpr std::uint32_t FieldCount<CallFetch> = 5;
+template <> constexpr std::uint32_t FieldCount<CallCancel> = 2;
+template <> constexpr std::uint32_t FieldCount<CallReply> = 14;
+template <> constexpr std::uint32_t FieldCount<CallAnswer> = 5;
+
+/// Bytes that the fields of a message take beside its body, as a rule.
+constexpr std::size_t LikelyFieldBytes = 1024;
+
+/// A message to be read into, or a constant one to be written.
+template <typename Given, typename Message>
+concept Either = std::same_as<std::remove_const_t<Given>, Message>;
+
+// The fields of each message in their order on the wire.
+
+template <typename Codec, Either<CallStart> Message>
+void eachField(Codec &Fields, Message &Each) {
+  auto &Request = Each.Request;
+  Fields.id(Request.Id);
+  Fields.bytes(Request.Method, MaxNameBytes);
+  Fields.bytes(Request.Target, MaxFieldBytes);
+  Fields.headers(Request.Headers);
+  Fields.bytes(Request.Body, MaxCallBytes);
+  Fields.bytes(Request.Route, MaxNameBytes);
+  Fields.bytes(Request.Service, MaxNameBytes);
+  Fields.bytes(Request.Organisation, MaxNameBytes);
+  Fields.span(Request.Remaining);
+  Fields.number(Request.Depth);
+  Fields.flag(Request.Idempotent);
+  Fields.flag(Request.CanWait);
+  Fields.number(Request.KeyMark);
+  Fields.number(Each.Recipient);
+  Fields.bytes(Each.Marks, MaxMarksBytes);
+}
+
+template <typename Codec, Either<CallFetch> Message>
+void eachField(Codec &Fields, Message &Each) {
+  Fields.id(Each.Id);
+  Fields.number(Each.Offset, MaxCallBytes);
+  Fields.flag(Each.Fence);
+  Fields.span(Each.Wait);
+}
+
+template <typename Codec, Either<CallCancel> Message>
+void eachField(Codec &Fields, Message &Each) {
+  Fields.id(Each.Id);
+}
+
+template <typename Codec, Either<LoadReport> Message>
+void eachField(Codec &Fields, Message &Each) {
+  Fields.number(Each.InFlight);
+  Fields.number(Each.Limit);
+  Fields.number(Each.Queued);
+  Fields.span(Each.Latency);
+  Fields.choice(Each.State, TargetState::Down);
+}
+
+template <typename Codec, Either<CallReply> Message>
+void eachField(Codec &Fields, Message &Each) {
+  Fields.choice(Each.State, CallState::Refused);
+  Fields.reason(Each.Reason);
+  Fields.span(Each.RetryAfter);
+  Fields.flag(Each.Fenced);
+  Fields.number(Each.Offset, MaxCallBytes);
+  Fields.number(Each.TotalBytes, MaxCallBytes);
+  Fields.bytes(Each.Piece, MaxAnswerPieceBytes);
+  eachField(Fields, Each.Load);
+  Fields.span(Each.Remembered);
+  Fields.bytes(Each.Marks, MaxMarksBytes);
+}
+
+template <typename Codec, Either<CallAnswer> Message>
+void eachField(Codec &Fields, Message &Each) {
+  Fields.httpStatus(Each.Status);
+  Fields.headers(Each.Headers);
+  Fields.bytes(Each.Body, MaxCallBytes);
+  Fields.choice(Each.Ran, Outcome::Unknown);
+  Fields.reason(Each.Reason);
+}
+
+template <typename Message>
+std::string encodeFields(const Message &Each, std::size_t BodyBytes = 0) {
+  FieldWriter Out(FieldCount<Message>, BodyBytes + LikelyFieldBytes);
+  eachField(Out, Each);
+  return Out.text();
+}
+
+/// Decodes one array that fills \p Bytes exactly.
+template <typename Message>
+std::optional<Message> decodeFields(std::string_view Bytes) {
   if (Bytes.size() > MaxCallBytes)
     return std::nullopt;
   constexpr std::size_t MaxDepth = 4;
@@ -155,8 +118,9 @@
     const msgpack::object Array =
         msgpack::unpack(Zone, Bytes.data(), Bytes.size(), Offset, Referenced,
                         Refer, nullptr, Limit);
-    Reader In(Array, Fields);
-    Message Result = Read(In);
+    FieldReader In(Array, FieldCount<Message>);
+    Message Result;
+    eachField(In, Result);
     if (!In.valid() || Offset != Bytes.size())
       return std::nullopt;
     return Result;
@@ -168,154 +132,31 @@
 } // namespace
 
 std::string encode(const CallStart &Message) {
-  const CallRequest &Request = Message.Request;
-  msgpack::sbuffer Buffer(Request.Body.size() + 1024);
-  Packer Out(Buffer);
-  Out.pack_array(StartFields);
-  packId(Out, Request.Id);
-  packBytes(Out, Request.Method);
-  packBytes(Out, Request.Target);
-  packHeaders(Out, Request.Headers);
-  packBytes(Out, Request.Body);
-  packBytes(Out, Request.Route);
-  packBytes(Out, Request.Service);
-  packBytes(Out, Request.Organisation);
-  packSpan(Out, Request.Remaining);
-  Out.pack(Request.Depth);
-  Out.pack(Request.Idempotent);
-  Out.pack(Request.CanWait);
-  Out.pack(Request.KeyMark);
-  Out.pack(Message.Recipient);
-  packBytes(Out, Message.Marks);
-  return text(Buffer);
+  return encodeFields(Message, Message.Request.Body.size());
 }
-
-std::optional<CallStart> decodeCallStart(std::string_view Bytes) {
-  return decode<CallStart>(Bytes, StartFields, [](Reader &In) {
-    CallStart Message;
-    CallRequest &Request = Message.Request;
-    Request.Id = In.id();
-    Request.Method = In.bytes(MaxNameBytes);
-    Request.Target = In.bytes(MaxFieldBytes);
-    Request.Headers = In.headers();
-    Request.Body = In.bytes(MaxCallBytes);
-    Request.Route = In.bytes(MaxNameBytes);
-    Request.Service = In.bytes(MaxNameBytes);
-    Request.Organisation = In.bytes(MaxNameBytes);
-    Request.Remaining = In.span();
-    Request.Depth = static_cast<std::uint8_t>(In.number(UINT8_MAX));
-    Request.Idempotent = In.flag();
-    Request.CanWait = In.flag();
-    Request.KeyMark = In.number(UINT64_MAX);
-    Message.Recipient = In.number(UINT64_MAX);
-    Message.Marks = In.bytes(MaxMarksBytes);
-    return Message;
-  });
+std::string encode(const CallFetch &Message) { return encodeFields(Message); }
+std::string encode(const CallCancel &Message) { return encodeFields(Message); }
+std::string encode(const CallReply &Message) {
+  return encodeFields(Message, Message.Piece.size());
 }
-
-std::string encode(const CallFetch &Message) {
-  msgpack::sbuffer Buffer;
-  Packer Out(Buffer);
-  Out.pack_array(FetchFields);
-  packId(Out, Message.Id);
-  Out.pack(Message.Offset);
-  Out.pack(Message.Fence);
-  packSpan(Out, Message.Wait);
-  return text(Buffer);
+std::string encodeAnswer(const CallAnswer &Answer) {
+  return encodeFields(Answer, Answer.Body.size());
 }
 
-std::optional<CallFetch> decodeCallFetch(std::string_view Bytes) {
-  return decode<CallFetch>(Bytes, FetchFields, [](Reader &In) {
-    CallFetch Message;
-    Message.Id = In.id();
-    Message.Offset = In.number(MaxCallBytes);
-    Message.Fence = In.flag();
-    Message.Wait = In.span();
-    return Message;
-  });
+std::optional<CallStart> decodeCallStart(std::string_view Bytes) {
+  return decodeFields<CallStart>(Bytes);
 }
-
-std::string encode(const CallCancel &Message) {
-  msgpack::sbuffer Buffer;
-  Packer Out(Buffer);
-  Out.pack_array(CancelFields);
-  packId(Out, Message.Id);
-  return text(Buffer);
+std::optional<CallFetch> decodeCallFetch(std::string_view Bytes) {
+  return decodeFields<CallFetch>(Bytes);
 }
-
 std::optional<CallCancel> decodeCallCancel(std::string_view Bytes) {
-  return decode<CallCancel>(Bytes, CancelFields,
-                            [](Reader &In) { return CallCancel{In.id()}; });
+  return decodeFields<CallCancel>(Bytes);
 }
-
-std::string encode(const CallReply &Message) {
-  msgpack::sbuffer Buffer(Message.Piece.size() + 256);
-  Packer Out(Buffer);
-  Out.pack_array(ReplyFields);
-  Out.pack(static_cast<std::uint8_t>(Message.State));
-  Out.pack(static_cast<std::uint16_t>(Message.Reason));
-  packSpan(Out, Message.RetryAfter);
-  Out.pack(Message.Fenced);
-  Out.pack(Message.Offset);
-  Out.pack(Message.TotalBytes);
-  packBytes(Out, Message.Piece);
-  Out.pack(Message.Load.InFlight);
-  Out.pack(Message.Load.Limit);
-  Out.pack(Message.Load.Queued);
-  packSpan(Out, Message.Load.Latency);
-  Out.pack(static_cast<std::uint8_t>(Message.Load.State));
-  packSpan(Out, Message.Remembered);
-  packBytes(Out, Message.Marks);
-  return text(Buffer);
-}
-
 std::optional<CallReply> decodeCallReply(std::string_view Bytes) {
-  return decode<CallReply>(Bytes, ReplyFields, [](Reader &In) {
-    CallReply Message;
-    Message.State = static_cast<CallState>(
-        In.number(static_cast<std::uint8_t>(CallState::Refused)));
-    Message.Reason = In.reason();
-    Message.RetryAfter = In.span();
-    Message.Fenced = In.flag();
-    Message.Offset = In.number(MaxCallBytes);
-    Message.TotalBytes = In.number(MaxCallBytes);
-    Message.Piece = In.bytes(MaxAnswerPieceBytes);
-    Message.Load.InFlight = static_cast<std::uint32_t>(In.number(UINT32_MAX));
-    Message.Load.Limit = static_cast<std::uint32_t>(In.number(UINT32_MAX));
-    Message.Load.Queued = static_cast<std::uint32_t>(In.number(UINT32_MAX));
-    Message.Load.Latency = In.span();
-    Message.Load.State = static_cast<TargetState>(
-        In.number(static_cast<std::uint8_t>(TargetState::Down)));
-    Message.Remembered = In.span();
-    Message.Marks = In.bytes(MaxMarksBytes);
-    return Message;
-  });
-}
-
-std::string encodeAnswer(const CallAnswer &Answer) {
-  msgpack::sbuffer Buffer(Answer.Body.size() + 1024);
-  Packer Out(Buffer);
-  Out.pack_array(AnswerFields);
-  Out.pack(static_cast<std::uint16_t>(Answer.Status));
-  packHeaders(Out, Answer.Headers);
-  packBytes(Out, Answer.Body);
-  Out.pack(static_cast<std::uint8_t>(Answer.Ran));
-  Out.pack(static_cast<std::uint16_t>(Answer.Reason));
-  return text(Buffer);
+  return decodeFields<CallReply>(Bytes);
 }
-
 std::optional<CallAnswer> decodeAnswer(std::string_view Bytes) {
-  return decode<CallAnswer>(Bytes, AnswerFields, [](Reader &In) {
-    constexpr std::uint64_t MaxStatus = 999;
-    CallAnswer Answer;
-    Answer.Status = static_cast<int>(In.number(MaxStatus));
-    Answer.Headers = In.headers();
-    Answer.Body = In.bytes(MaxCallBytes);
-    Answer.Ran = static_cast<Outcome>(
-        In.number(static_cast<std::uint8_t>(Outcome::Unknown)));
-    Answer.Reason = In.reason();
-    return Answer;
-  });
+  return decodeFields<CallAnswer>(Bytes);
 }
 
 CallReply answerPiece(std::string_view EncodedAnswer, std::uint64_t Offset,
--- a/src/organisations/OrganisationLimiter.cpp
+++ b/src/organisations/OrganisationLimiter.cpp
@@ -87,7 +87,7 @@
     perform(std::move(Due));
   }
 
-  void setInstances(const std::vector<Instance> &Instances) {
+  void setInstances(std::span<const Instance> Instances) {
     bool Conflict = false;
     bool Changed = false;
     {
@@ -311,7 +311,7 @@
     State->setSnapshot(*Snapshot);
 }
 
-void OrganisationLimiter::setInstances(const std::vector<Instance> &Instances) {
+void OrganisationLimiter::setInstances(std::span<const Instance> Instances) {
   State->setInstances(Instances);
 }
 
--- a/src/organisations/OrganisationLimiter.h
+++ b/src/organisations/OrganisationLimiter.h
@@ -23,6 +23,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -88,7 +89,7 @@
   void stop();
 
   /// Charges one request. Never waits. An organisation that the snapshot does
-  /// not know is refused. Usable as a \ref RateHook.
+  /// not know is refused.
   RateDecision charge(std::string_view Organisation);
 
   /// As above, but lets the request wait up to the settings' longest wait when
@@ -101,7 +102,7 @@
   void setSnapshot(const SnapshotPtr &Snapshot);
 
   /// Replaces what is known of the instances, the own one included.
-  void setInstances(const std::vector<Instance> &Instances);
+  void setInstances(std::span<const Instance> Instances);
 
   /// Handles PeerKind::Tokens; is a \ref PeerHandler.
   void handlePeer(const PeerIdentity &From, std::string_view Body,
--- a/src/policy/RateDecision.h
+++ b/src/policy/RateDecision.h
@@ -17,14 +17,12 @@
   DurationMs RetryAfter{0}; ///< Earliest time at which a retry can succeed.
 };
 
-/// Charges one request to an organisation. Thread-safe and non-blocking.
-using RateHook = std::function<RateDecision(std::string_view Organisation)>;
-
 /// Receives one decision.
 using RateDecisionHook = std::function<void(RateDecision)>;
 
-/// As \ref RateHook, but a request may wait for tokens on their way: the hook
-/// is called exactly once, at once or some milliseconds later, on any thread.
+/// Charges one request to an organisation. Thread-safe and non-blocking; the
+/// request may wait for tokens on their way: the hook is called exactly once,
+/// at once or some milliseconds later, on any thread.
 using DeferredRateHook =
     std::function<void(std::string_view Organisation, RateDecisionHook)>;
 
--- a/tests/platform/FolderSourceTest.cpp
+++ b/tests/platform/FolderSourceTest.cpp
@@ -1,5 +1,7 @@
 #include "platform/PlatformSource.h"
 
+#include "support/TemporaryFolder.h"
+
 #include <filesystem>
 #include <fstream>
 #include <future>
@@ -16,37 +18,27 @@
 } // namespace
 
 TEST_GROUP(FolderSource) {
-  std::string Folder;
-
-  void setup() override {
-    std::string Name =
-        (std::filesystem::temp_directory_path() / "fescuewoodXXXXXX").string();
-    Folder = mkdtemp(Name.data());
-    write("10-a.ini", "[service a]\n");
-  }
-  void teardown() override { std::filesystem::remove_all(Folder); }
-
-  void write(const std::string &Name, const std::string &Text) {
-    std::ofstream(Folder + "/" + Name) << Text;
-  }
+  TemporaryFolder Folder;
+
+  void setup() override { Folder.write("10-a.ini", "[service a]\n"); }
 };
 
 TEST(FolderSource, GivesTwoReadersTheSameVersion) {
-  const auto First = folderSource(Folder).ReadIntent(0, LongestWait);
-  const auto Second = folderSource(Folder).ReadIntent(0, LongestWait);
+  const auto First = folderSource(Folder.path()).ReadIntent(0, LongestWait);
+  const auto Second = folderSource(Folder.path()).ReadIntent(0, LongestWait);
 
   CHECK(First.Value->version() == Second.Value->version());
 }
 
 TEST(FolderSource, RaisesTheRevisionForEveryChangeAlsoAnOldFile) {
-  const PlatformSource Source = folderSource(Folder);
+  const PlatformSource Source = folderSource(Folder.path());
   std::uint64_t Revision = Source.ReadIntent(0, LongestWait).Value->Revision;
 
-  write("20-b.ini", "[service b]\n");
+  Folder.write("20-b.ini", "[service b]\n");
   const auto Added = Source.ReadIntent(Revision, LongestWait);
-  std::filesystem::last_write_time(Folder + "/20-b.ini", {});
+  std::filesystem::last_write_time(Folder.file("20-b.ini"), {});
   const auto Touched = Source.ReadIntent(Added.Value->Revision, LongestWait);
-  std::filesystem::remove(Folder + "/20-b.ini");
+  std::filesystem::remove(Folder.file("20-b.ini"));
   const auto Removed = Source.ReadIntent(Touched.Value->Revision, LongestWait);
 
   LONGS_EQUAL(2, Added.Value->Files.size());
@@ -55,11 +47,11 @@
 }
 
 TEST(FolderSource, LeavesFilesOutThatAreNotIntent) {
-  write("README.md", "notes");
-  write(".10-a.ini.swp", "editor");
-  write("instances.json", "{}");
+  Folder.write("README.md", "notes");
+  Folder.write(".10-a.ini.swp", "editor");
+  Folder.write("instances.json", "{}");
 
-  const auto Read = folderSource(Folder).ReadIntent(0, LongestWait);
+  const auto Read = folderSource(Folder.path()).ReadIntent(0, LongestWait);
 
   LONGS_EQUAL(1, Read.Value->Files.size());
 }
@@ -71,7 +63,7 @@
 }
 
 TEST(FolderSource, ReturnsEarlyOnceCancelled) {
-  const PlatformSource Source = folderSource(Folder);
+  const PlatformSource Source = folderSource(Folder.path());
   const auto First = Source.ReadIntent(0, LongestWait);
   std::future<PlatformRead<IntentBundle>> Watch =
       std::async(std::launch::async, [&] {
--- a/tests/platform/HttpSourceTest.cpp
+++ b/tests/platform/HttpSourceTest.cpp
@@ -2,6 +2,7 @@
 #include "platform/PlatformSource.h"
 
 #include "support/ChildProcess.h"
+#include "support/TemporaryFolder.h"
 
 #include <chrono>
 #include <filesystem>
@@ -21,22 +22,6 @@
 constexpr DurationMs LongestWait{20000};
 constexpr const char *PlatformProgram = BINARY_DIR "/standins/Platform";
 
-/// A folder that the test owns.
-struct TemporaryFolder {
-  std::string Path;
-
-  TemporaryFolder() {
-    std::string Name =
-        (std::filesystem::temp_directory_path() / "fescuewoodXXXXXX").string();
-    Path = mkdtemp(Name.data());
-  }
-  ~TemporaryFolder() { std::filesystem::remove_all(Path); }
-
-  void write(const std::string &Name, const std::string &Text) const {
-    std::ofstream(Path + "/" + Name) << Text;
-  }
-};
-
 std::size_t appendBody(char *Data, std::size_t Size, std::size_t Count,
                        void *Into) {
   static_cast<std::string *>(Into)->append(Data, Size * Count);
@@ -48,8 +33,8 @@
 TEST_GROUP(HttpSource) {
   TemporaryFolder Folder;
   ChildProcess Process{{PlatformProgram, "--listen", "127.10.1.1:0", "--folder",
-                        Folder.Path, "--instances",
-                        Folder.Path + "/instances.json"}};
+                        Folder.path(), "--instances",
+                        Folder.file("instances.json")}};
   Endpoint Server;
   PlatformSource Source;
 
@@ -103,7 +88,7 @@
   Folder.write("20-b.ini", "[service b]\n");
   const IntentBundle First = next(0);
 
-  std::filesystem::remove(Folder.Path + "/20-b.ini");
+  std::filesystem::remove(Folder.file("20-b.ini"));
   const IntentBundle Second = next(First.Revision);
 
   LONGS_EQUAL(1, Second.Files.size());
--- a/tests/standins/Mesh.h
+++ b/tests/standins/Mesh.h
@@ -10,6 +10,7 @@
 
 #include "standins/LoadReport.h"
 #include "standins/Process.h"
+#include "support/TemporaryFolder.h"
 
 #include <cstdlib>
 #include <filesystem>
@@ -66,11 +67,8 @@
   enum ProxyPort { ForPeers = 5, PeersControl, ForTarget, ForTargetControl };
 
   explicit Mesh(MeshOptions Given) : Options(std::move(Given)) {
-    std::string Pattern =
-        (std::filesystem::temp_directory_path() / "mesh-XXXXXX").string();
-    Folder = mkdtemp(Pattern.data());
-    std::filesystem::create_directory(Folder + "/intent");
-    std::filesystem::create_directory(Folder + "/state");
+    std::filesystem::create_directory(Folder.path() + "/intent");
+    std::filesystem::create_directory(Folder.path() + "/state");
     // Meshes of one process differ by port, those of two by address as well.
     static int Meshes = 0;
     const int Id = getpid();
@@ -88,9 +86,6 @@
       Each.Node.end();
     Instances.clear();
     Platform.end();
-    std::error_code Ignored;
-    if (!std::getenv("KEEP_MESH"))
-      std::filesystem::remove_all(Folder, Ignored);
   }
   Mesh(const Mesh &) = delete;
   Mesh &operator=(const Mesh &) = delete;
@@ -106,11 +101,11 @@
   }
 
   void startPlatform() {
-    Platform =
-        launch("standins/Platform",
-               {"--listen", platformAddress(), "--folder", Folder + "/intent",
-                "--instances", Folder + "/state/instances.json"},
-               "platform");
+    Platform = launch("standins/Platform",
+                      {"--listen", platformAddress(), "--folder",
+                       Folder.path() + "/intent", "--instances",
+                       Folder.path() + "/state/instances.json"},
+                      "platform");
   }
 
   void startTarget(MeshInstance &Each) {
@@ -205,11 +200,11 @@
   }
 
   void writeIntent(const std::string &Name, const std::string &Text) const {
-    replaceFile(Folder + "/intent/" + Name, Text);
+    replaceFile(Folder.path() + "/intent/" + Name, Text);
   }
 
   void removeIntent(const std::string &Name) const {
-    std::filesystem::remove(Folder + "/intent/" + Name);
+    std::filesystem::remove(Folder.path() + "/intent/" + Name);
   }
 
   /// Publishes the list of instances; those in \p Leaving are named so.
@@ -227,7 +222,7 @@
             address(Each, Options.PeerProxies ? int(ForPeers) : int(Peers))},
            {"state", Leaves ? "leaving" : "live"}});
     }
-    replaceFile(Folder + "/state/instances.json",
+    replaceFile(Folder.path() + "/state/instances.json",
                 nlohmann::json{{"instances", Rows}}.dump());
   }
 
@@ -244,7 +239,7 @@
       Each.Slots = Group.Slots;
       Each.Name = fmt::format("{}-{}-{}", Group.Domain, Group.Service, I);
       Each.Ip = Net + std::to_string(1 + Instances.size());
-      Each.Settings = Folder + "/state/" + Each.Name + ".ini";
+      Each.Settings = Folder.path() + "/state/" + Each.Name + ".ini";
       Instances.push_back(std::move(Each));
     }
   }
@@ -264,7 +259,7 @@
 
   /// Readers see the old file or the new one, never half of it.
   void replaceFile(const std::string &Path, const std::string &Text) const {
-    const std::string Draft = Folder + "/state/draft";
+    const std::string Draft = Folder.path() + "/state/draft";
     std::ofstream(Draft) << Text;
     std::filesystem::rename(Draft, Path);
   }
@@ -272,7 +267,7 @@
   Process launch(const std::string &Program, std::vector<std::string> Words,
                  const std::string &Log) const {
     Words.insert(Words.begin(), Options.Binaries + "/" + Program);
-    return {Words, Folder + "/state/" + Log + ".log"};
+    return {Words, Folder.path() + "/state/" + Log + ".log"};
   }
 
   Process launchProxy(const MeshInstance &Each, int Listen, int To,
@@ -292,7 +287,7 @@
   }
 
   MeshOptions Options;
-  std::string Folder;
+  TemporaryFolder Folder;
   std::string Net;
   int BasePort = 0;
   std::map<std::string, int> SlotsUsed;
