--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -55,9 +55,13 @@
 
 ControlSettings controlSettings(const NodeSettings &Settings) {
   ControlSettings Result;
-  Result.Self = {Settings.Node.Name,           Settings.Node.Domain,
-                 Settings.Node.Service,        Settings.Node.Slot,
-                 Settings.Peers.Listen.text(), TargetState::Cold};
+  const PeerSettings &Peers = Settings.Peers;
+  Result.Self = {Settings.Node.Name,
+                 Settings.Node.Domain,
+                 Settings.Node.Service,
+                 Settings.Node.Slot,
+                 Peers.Advertise.value_or(Peers.Listen).text(),
+                 TargetState::Cold};
   for (const Endpoint &Seed : Settings.Peers.Seeds)
     Result.Seeds.push_back(Seed.text());
   return Result;
@@ -107,6 +111,7 @@
              Incarnation),
       Operators(Settings.Operators.Listen, pages()) {
   Link.Self = {Settings.Node.Name, Incarnation};
+  Link.SourceIp = Settings.Node.Address;
   Link.Secret = Settings.Peers.Secret;
   Link.OnEvent = Recorder.hook();
 }
--- a/src/nodes/PeerConnection.cpp
+++ b/src/nodes/PeerConnection.cpp
@@ -21,6 +21,15 @@
   return static_cast<nng_duration>(std::max<std::int64_t>(Span.Value, 0));
 }
 
+/// nng takes the source before a semicolon. Its parser finds no source in IPv6
+/// numbers; for those the system chooses.
+std::string urlOf(const std::string &SourceIp, const std::string &Address) {
+  const bool HasSource = !SourceIp.empty() &&
+                         SourceIp.find(':') == std::string::npos &&
+                         !Address.starts_with('[');
+  return "tcp://" + (HasSource ? SourceIp + ";" : std::string()) + Address;
+}
+
 } // namespace
 
 PeerConnection::PeerConnection(PeerLink &Link, PeerConnectionLimits Limits,
@@ -41,7 +50,7 @@
   nng_pipe_notify(Socket, NNG_PIPE_EV_ADD_POST, &onPipe, this);
   nng_pipe_notify(Socket, NNG_PIPE_EV_REM_POST, &onPipe, this);
   nng_dialer Dialer = NNG_DIALER_INITIALIZER;
-  const std::string Url = "tcp://" + Address;
+  const std::string Url = urlOf(Link.SourceIp, Address);
   if (nng_dialer_create(&Dialer, Socket, Url.c_str()) != 0)
     return false;
   nng_dialer_set_bool(Dialer, NNG_OPT_TCP_KEEPALIVE, true);
--- a/src/nodes/PeerLink.h
+++ b/src/nodes/PeerLink.h
@@ -27,6 +27,7 @@
   HybridClock Stamps;
   PeerTraffic Traffic;
   std::atomic<std::int64_t> NextRefusalReport{0};
+  std::string SourceIp = {}; ///< Connections come from here; empty for any.
 
   /// Seals an own message and counts its bytes.
   std::string seal(PeerKind Kind, PeerPhase Phase, std::string_view Body);
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -55,6 +55,18 @@
                             {"error", EventLevel::Error}});
 }
 
+std::optional<std::optional<Endpoint>>
+parseOptionalEndpoint(std::string_view Text) {
+  if (Text.empty())
+    return std::optional<Endpoint>();
+  const auto Parsed = Endpoint::parse(Text);
+  return Parsed ? std::optional(Parsed) : std::nullopt;
+}
+
+ValueForm<std::optional<Endpoint>> optionalEndpointForm() {
+  return {"IP:port or empty", &parseOptionalEndpoint};
+}
+
 template <typename Inner, typename Value>
 auto in(Inner S::*Outer, Value Inner::*Member) {
   return within(Outer, Member);
@@ -77,7 +89,7 @@
       keyRow<S>("node", "domain", "", Required, nameForm(), in(&S::Node, &NodeIdentity::Domain), "Failure domain of this instance."),
       keyRow<S>("node", "service", "", Required, nameForm(), in(&S::Node, &NodeIdentity::Service), "Service that the target beside this process belongs to."),
       keyRow<S>("node", "slot", "", Required, wholeNumber<std::uint32_t>(0, 65535), in(&S::Node, &NodeIdentity::Slot), "Declared node slot of this instance in its failure domain."),
-      keyRow<S>("node", "address", "", Required, ipForm(), in(&S::Node, &NodeIdentity::Address), "IP number of this instance, from which it connects to others."),
+      keyRow<S>("node", "address", "", Required, ipForm(), in(&S::Node, &NodeIdentity::Address), "IP number of this instance, from which it connects to other nodes."),
       keyRow<S>("callers", "listen", "", Required, endpointForm(), in(&S::Callers, &CallerSettings::Listen), "Where callers connect."),
       keyRow<S>("callers", "max_header_bytes", "bytes", "16384", wholeNumber<std::size_t>(1024, 65536), in(&S::Callers, &CallerSettings::MaxHeaderBytes), "Largest request head that is accepted."),
       keyRow<S>("callers", "max_body_bytes", "bytes", "1048576", wholeNumber<std::size_t>(0, 16777216), in(&S::Callers, &CallerSettings::MaxBodyBytes), "Largest request body that is accepted; a route may allow less."),
@@ -85,7 +97,8 @@
       keyRow<S>("callers", "read_timeout_ms", "ms", "10000", milliseconds(100, 600000), in(&S::Callers, &CallerSettings::ReadTimeout), "Longest time to receive one request."),
       keyRow<S>("callers", "idle_timeout_ms", "ms", "60000", milliseconds(100, 3600000), in(&S::Callers, &CallerSettings::IdleTimeout), "Time after which an unused connection is closed."),
       keyRow<S>("callers", "drain_timeout_ms", "ms", "30000", milliseconds(0, 600000), in(&S::Callers, &CallerSettings::DrainTimeout), "Longest wait for running requests when the process ends."),
-      keyRow<S>("peers", "listen", "", Required, endpointForm(), in(&S::Peers, &PeerSettings::Listen), "Where the other nodes connect."),
+      keyRow<S>("peers", "listen", "", Required, endpointForm(), in(&S::Peers, &PeerSettings::Listen), "Where this node hears the other nodes."),
+      keyRow<S>("peers", "advertise", "", "", optionalEndpointForm(), in(&S::Peers, &PeerSettings::Advertise), "Where the other nodes connect, if that is not the same, as behind address translation."),
       keyRow<S>("peers", "seeds", "", "", endpointListForm(MaxSeeds), in(&S::Peers, &PeerSettings::Seeds), "Nodes that are asked first after a start."),
       keyRow<S>("peers", "secret", "", Required, textForm(MinSecretBytes, MaxSecretBytes), in(&S::Peers, &PeerSettings::Secret), "Secret of the fleet, which seals every message between nodes."),
       keyRow<S>("target", "address", "", Required, endpointForm(), in(&S::Target, &TargetSettings::Address), "Where the target beside this process listens."),
--- a/src/settings/NodeSettings.h
+++ b/src/settings/NodeSettings.h
@@ -47,6 +47,8 @@
 /// [peers]: how this process meets the others.
 struct PeerSettings {
   Endpoint Listen;
+  /// What other nodes are told to connect to, where that is not \ref Listen.
+  std::optional<Endpoint> Advertise;
   std::vector<Endpoint> Seeds; ///< Asked first; may be empty.
   std::string Secret;          ///< Shared by the fleet; seals each message.
 };
--- a/tests/standins/FaultProxy.h
+++ b/tests/standins/FaultProxy.h
@@ -1,8 +1,9 @@
 /// \file
 /// A TCP proxy that plays the faults of a network on command.
 ///
-/// It can delay, refuse or cut connections, lose the next answers, and let open
-/// connections go silent: they stay open and pass nothing, while new ones work.
+/// It can delay, refuse or cut connections, lose the next answers, part some
+/// senders off, and let open connections go silent: they stay open and pass
+/// nothing, while new ones work.
 
 #ifndef FESCUEWOOD_TESTS_STANDINS_FAULTPROXY_H
 #define FESCUEWOOD_TESTS_STANDINS_FAULTPROXY_H
@@ -37,6 +38,8 @@
       cutAll();
     if (Command.starts_with("/control/silence"))
       silenceAll(queryValue(Command, "direction").value_or("both"));
+    if (Command.starts_with("/control/partition"))
+      partition(queryValue(Command, "from").value_or(""));
     if (Command.starts_with("/control/set")) {
       set(Command, "delay_ms", DelayMs);
       set(Command, "refuse", Refuse);
@@ -57,6 +60,7 @@
 
     Tcp::socket Near;
     Tcp::socket Far;
+    std::string From; ///< IP number of the near end.
     bool SilentUp = false;
     bool SilentDown = false;
   };
@@ -85,6 +89,22 @@
     }
   }
 
+  /// Passes nothing from these IP numbers, separated by commas, or to them.
+  /// Connections that were so before end: bytes that were lost stay lost.
+  void partition(const std::string &From) {
+    for (const auto &Open : Links)
+      if (partitioned(*Open))
+        close(*Open);
+    Partitioned = "," + From + ",";
+    for (const auto &Open : Links)
+      if (partitioned(*Open))
+        Open->SilentUp = Open->SilentDown = true;
+  }
+
+  bool partitioned(const Link &Open) const {
+    return Partitioned.find("," + Open.From + ",") != std::string::npos;
+  }
+
   asio::awaitable<void> acceptLoop() {
     for (;;) {
       Tcp::socket Socket = co_await Acceptor.async_accept(asio::use_awaitable);
@@ -97,8 +117,10 @@
 
   asio::awaitable<void> open(Tcp::socket Socket) {
     const auto Opened = std::make_shared<Link>(std::move(Socket), Context);
-    Opened->SilentUp = Opened->SilentDown = SilentFromStart != 0;
     try {
+      Opened->From = Opened->Near.remote_endpoint().address().to_string();
+      Opened->SilentUp = Opened->SilentDown =
+          SilentFromStart != 0 || partitioned(*Opened);
       co_await Opened->Far.async_connect(To, asio::use_awaitable);
       Opened->Near.set_option(Tcp::no_delay(true));
       Opened->Far.set_option(Tcp::no_delay(true));
@@ -141,6 +163,7 @@
   Tcp::acceptor Acceptor;
   Tcp::endpoint To;
   std::list<LinkPtr> Links;
+  std::string Partitioned; ///< IP numbers, a comma before and after each.
   int DelayMs = 0;
   int Refuse = 0;
   int SilentFromStart = 0;
--- a/tests/standins/Mesh.h
+++ b/tests/standins/Mesh.h
@@ -189,6 +189,17 @@
     control(address(Each, ForTargetControl), "/control/" + What);
   }
 
+  /// Parts the nodes of a domain from all others; an empty name heals it.
+  void partition(const std::string &Domain) const {
+    for (const MeshInstance &Each : Instances) {
+      std::string From;
+      for (const MeshInstance &Other : Instances)
+        if ((Other.Domain == Domain) != (Each.Domain == Domain))
+          From += Other.Ip + ",";
+      disturbPeers(Each, "partition?from=" + From);
+    }
+  }
+
   /// The targets' records together.
   RunRecord runs() const {
     RunRecord All;
@@ -213,14 +224,12 @@
     for (const MeshInstance &Each : Instances) {
       const bool Leaves =
           std::find(Leaving.begin(), Leaving.end(), Each.Name) != Leaving.end();
-      Rows.push_back(
-          {{"name", Each.Name},
-           {"domain", Each.Domain},
-           {"service", Each.Service},
-           {"slot", Each.Slot},
-           {"peer_address",
-            address(Each, Options.PeerProxies ? int(ForPeers) : int(Peers))},
-           {"state", Leaves ? "leaving" : "live"}});
+      Rows.push_back({{"name", Each.Name},
+                      {"domain", Each.Domain},
+                      {"service", Each.Service},
+                      {"slot", Each.Slot},
+                      {"peer_address", peerAddress(Each)},
+                      {"state", Leaves ? "leaving" : "live"}});
     }
     replaceFile(Folder.path() + "/state/instances.json",
                 nlohmann::json{{"instances", Rows}}.dump());
@@ -244,16 +253,20 @@
     }
   }
 
+  std::string peerAddress(const MeshInstance &Each) const {
+    return address(Each, Options.PeerProxies ? int(ForPeers) : int(Peers));
+  }
+
   void writeSettings(const MeshInstance &Each) const {
     const int Behind = Options.TargetProxies ? int(ForTarget) : int(TargetPort);
     std::string Text = fmt::format(
         "[node]\nname = {}\ndomain = {}\nservice = {}\nslot = {}\naddress = "
-        "{}\n[callers]\nlisten = {}\n[peers]\nlisten = {}\nsecret = "
-        "a-secret-of-this-test-mesh-only\n[target]\naddress = {}\n"
+        "{}\n[callers]\nlisten = {}\n[peers]\nlisten = {}\nadvertise = {}\n"
+        "secret = a-secret-of-this-test-mesh-only\n[target]\naddress = {}\n"
         "[platform]\nsource = http://{}\n[operators]\nlisten = {}\n",
         Each.Name, Each.Domain, Each.Service, Each.Slot, Each.Ip,
-        address(Each, Callers), address(Each, Peers), address(Each, Behind),
-        platformAddress(), address(Each, Operators));
+        address(Each, Callers), address(Each, Peers), peerAddress(Each),
+        address(Each, Behind), platformAddress(), address(Each, Operators));
     replaceFile(Each.Settings, Text + Options.Settings);
   }
 
