--- a/tests/integration/MeshPairsTest.cpp
+++ b/tests/integration/MeshPairsTest.cpp
@@ -42,7 +42,7 @@
           {Which}};
 }
 
-Fault restarted(std::vector<Place> Which) {
+Fault restarted(const std::vector<Place> &Which) {
   return {[=](Mesh &M) {
     for (Place Each : Which)
       M.Instances[Each].Node.end();
