--- a/src/nodes/PeerConnection.cpp
+++ b/src/nodes/PeerConnection.cpp
@@ -47,8 +47,20 @@
   return true;
 }
 
+/// Binds the next socket to the address that connections come from. Where that
+/// fails the system chooses, as the other end may not mind.
+void PeerConnection::bindSource() {
+  asio::error_code Error;
+  const auto Source = asio::ip::make_address(Link.SourceIp, Error);
+  if (Error || Source.is_v4() != Remote.address().is_v4())
+    return;
+  Connecting.open(Remote.protocol(), Error);
+  Connecting.bind({Source, 0}, Error);
+}
+
 void PeerConnection::connect() {
   Connecting = asio::ip::tcp::socket(ConnectTimer.get_executor());
+  bindSource();
   ConnectTimer.expires_after(toChrono(AttemptLimit));
   ConnectTimer.async_wait([Self = shared_from_this()](asio::error_code Error) {
     asio::error_code Ignored;
--- a/src/nodes/PeerConnection.h
+++ b/src/nodes/PeerConnection.h
@@ -90,6 +90,7 @@
   };
 
   void connect();
+  void bindSource();
   void connected(asio::error_code Error);
   void connectLater();
   bool received(std::uint32_t Number, std::string_view Sealed);
