--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -55,11 +55,13 @@
 
 ControlSettings controlSettings(const NodeSettings &Settings) {
   ControlSettings Result;
-  const Endpoint Reached =
-      Settings.Peers.Announce.value_or(Settings.Peers.Listen);
-  Result.Self = {Settings.Node.Name,    Settings.Node.Domain,
-                 Settings.Node.Service, Settings.Node.Slot,
-                 Reached.text(),        TargetState::Cold};
+  const PeerSettings &Peers = Settings.Peers;
+  Result.Self = {Settings.Node.Name,
+                 Settings.Node.Domain,
+                 Settings.Node.Service,
+                 Settings.Node.Slot,
+                 Peers.Advertise.value_or(Peers.Listen).text(),
+                 TargetState::Cold};
   for (const Endpoint &Seed : Settings.Peers.Seeds)
     Result.Seeds.push_back(Seed.text());
   return Result;
@@ -109,8 +111,8 @@
              Incarnation),
       Operators(Settings.Operators.Listen, pages()) {
   Link.Self = {Settings.Node.Name, Incarnation};
+  Link.SourceIp = Settings.Node.Address;
   Link.Secret = Settings.Peers.Secret;
-  Link.ConnectFrom = Settings.Node.Address;
   Link.OnEvent = Recorder.hook();
 }
 
@@ -138,8 +140,8 @@
     putInForce(Snapshot);
   };
   Hooks.OnInstances = [this](std::span<const Instance> Seen) {
+    Limiter.setInstances(Seen);
     Engine.setInstances({Seen.begin(), Seen.end()});
-    Limiter.setInstances({Seen.begin(), Seen.end()});
   };
   Hooks.OnEvent = Recorder.hook();
   return Hooks;
--- a/src/settings/NodeSettings.h
+++ b/src/settings/NodeSettings.h
@@ -47,9 +47,10 @@
 /// [peers]: how this process meets the others.
 struct PeerSettings {
   Endpoint Listen;
-  std::optional<Endpoint> Announce; ///< Told to others in place of Listen.
-  std::vector<Endpoint> Seeds;      ///< Asked first; may be empty.
-  std::string Secret; ///< Shared by the fleet; seals each message.
+  /// What other nodes are told to connect to, where that is not \ref Listen.
+  std::optional<Endpoint> Advertise;
+  std::vector<Endpoint> Seeds; ///< Asked first; may be empty.
+  std::string Secret;          ///< Shared by the fleet; seals each message.
 };
 
 /// [target]: the one target beside this process.
--- a/tests/standins/FaultProxy.h
+++ b/tests/standins/FaultProxy.h
@@ -1,9 +1,9 @@
 /// \file
 /// A TCP proxy that plays the faults of a network on command.
 ///
-/// It can delay, refuse or cut connections, lose the next answers, and let open
-/// connections go silent: they stay open and pass nothing, while new ones work.
-/// It can also cut off some addresses for a time, as a partition does.
+/// It can delay, refuse or cut connections, lose the next answers, part some
+/// senders off, and let open connections go silent: they stay open and pass
+/// nothing, while new ones work.
 
 #ifndef FESCUEWOOD_TESTS_STANDINS_FAULTPROXY_H
 #define FESCUEWOOD_TESTS_STANDINS_FAULTPROXY_H
@@ -14,8 +14,6 @@
 #include <list>
 #include <memory>
 #include <random>
-#include <string>
-#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -41,12 +39,13 @@
       cutAll();
     if (Command.starts_with("/control/silence"))
       silenceAll(queryValue(Command, "direction").value_or("both"));
+    if (Command.starts_with("/control/partition"))
+      partition(queryValue(Command, "from").value_or(""));
     if (Command.starts_with("/control/set")) {
       set(Command, "delay_ms", DelayMs);
       set(Command, "refuse", Refuse);
       set(Command, "silent", SilentFromStart);
       set(Command, "lose_answers", LoseAnswers);
-      cutOff(queryValue(Command, "cut_from"));
       set(Command, "cut_permille", CutPermille);
     }
     return nlohmann::json{{"connections", Links.size()},
@@ -63,10 +62,9 @@
 
     Tcp::socket Near;
     Tcp::socket Far;
-    std::string From; ///< IP number at the near end.
+    std::string From; ///< IP number of the near end.
     bool SilentUp = false;
     bool SilentDown = false;
-    bool WasCutOff = false;
   };
   using LinkPtr = std::shared_ptr<Link>;
 
@@ -75,24 +73,6 @@
       Value = std::stoi(*Text);
   }
 
-  /// Lets connections from some addresses, "IP,IP", pass nothing. Those that
-  /// were cut off before and are no more have lost bytes and are closed.
-  void cutOff(const std::optional<std::string> &Addresses) {
-    if (!Addresses)
-      return;
-    CutOff = "," + *Addresses + ",";
-    for (const auto &Open : Links) {
-      if (isCutOff(*Open))
-        Open->SilentUp = Open->SilentDown = Open->WasCutOff = true;
-      else if (Open->WasCutOff)
-        close(*Open);
-    }
-  }
-
-  bool isCutOff(const Link &Of) const {
-    return CutOff.find("," + Of.From + ",") != std::string::npos;
-  }
-
   static void close(Link &Closed) {
     std::error_code Ignored;
     Closed.Near.close(Ignored);
@@ -111,6 +91,22 @@
     }
   }
 
+  /// Passes nothing from these IP numbers, separated by commas, or to them.
+  /// Connections that were so before end: bytes that were lost stay lost.
+  void partition(const std::string &From) {
+    for (const auto &Open : Links)
+      if (partitioned(*Open))
+        close(*Open);
+    Partitioned = "," + From + ",";
+    for (const auto &Open : Links)
+      if (partitioned(*Open))
+        Open->SilentUp = Open->SilentDown = true;
+  }
+
+  bool partitioned(const Link &Open) const {
+    return Partitioned.find("," + Open.From + ",") != std::string::npos;
+  }
+
   asio::awaitable<void> acceptLoop() {
     for (;;) {
       Tcp::socket Socket = co_await Acceptor.async_accept(asio::use_awaitable);
@@ -125,9 +121,8 @@
     const auto Opened = std::make_shared<Link>(std::move(Socket), Context);
     try {
       Opened->From = Opened->Near.remote_endpoint().address().to_string();
-      Opened->WasCutOff = isCutOff(*Opened);
       Opened->SilentUp = Opened->SilentDown =
-          SilentFromStart != 0 || Opened->WasCutOff;
+          SilentFromStart != 0 || partitioned(*Opened);
       co_await Opened->Far.async_connect(To, asio::use_awaitable);
       Opened->Near.set_option(Tcp::no_delay(true));
       Opened->Far.set_option(Tcp::no_delay(true));
@@ -179,7 +174,7 @@
   Tcp::acceptor Acceptor;
   Tcp::endpoint To;
   std::list<LinkPtr> Links;
-  std::string CutOff;
+  std::string Partitioned; ///< IP numbers, a comma before and after each.
   int DelayMs = 0;
   int Refuse = 0;
   int SilentFromStart = 0;
--- a/tests/standins/Mesh.h
+++ b/tests/standins/Mesh.h
@@ -10,6 +10,7 @@
 
 #include "standins/LoadReport.h"
 #include "standins/MeshOptions.h"
+#include "support/TemporaryFolder.h"
 
 #include <cstdlib>
 #include <filesystem>
@@ -30,11 +31,8 @@
   enum ProxyPort { ForPeers = 5, PeersControl, ForTarget, ForTargetControl };
 
   explicit Mesh(MeshOptions Given) : Options(std::move(Given)) {
-    std::string Pattern =
-        (std::filesystem::temp_directory_path() / "mesh-XXXXXX").string();
-    Folder = mkdtemp(Pattern.data());
-    std::filesystem::create_directory(Folder + "/intent");
-    std::filesystem::create_directory(Folder + "/state");
+    std::filesystem::create_directory(Folder.path() + "/intent");
+    std::filesystem::create_directory(Folder.path() + "/state");
     // Meshes of one process differ by port, those of two by address as well.
     static int Meshes = 0;
     const int Id = getpid();
@@ -52,9 +50,6 @@
       Each.Node.end();
     Instances.clear();
     Platform.end();
-    std::error_code Ignored;
-    if (!std::getenv("KEEP_MESH"))
-      std::filesystem::remove_all(Folder, Ignored);
   }
   Mesh(const Mesh &) = delete;
   Mesh &operator=(const Mesh &) = delete;
@@ -70,11 +65,11 @@
   }
 
   void startPlatform() {
-    Platform =
-        launch("standins/Platform",
-               {"--listen", platformAddress(), "--folder", Folder + "/intent",
-                "--instances", Folder + "/state/instances.json"},
-               "platform");
+    Platform = launch("standins/Platform",
+                      {"--listen", platformAddress(), "--folder",
+                       Folder.path() + "/intent", "--instances",
+                       Folder.path() + "/state/instances.json"},
+                      "platform");
     if (!Options.PlatformProxies)
       return;
     for (const auto &[Domain, Number] : DomainNumbers) {
@@ -174,6 +169,17 @@
     control(address(Each, ForTargetControl), "/control/" + What);
   }
 
+  /// Parts the nodes of a domain from all others; an empty name heals it.
+  void partition(const std::string &Domain) const {
+    for (const MeshInstance &Each : Instances) {
+      std::string From;
+      for (const MeshInstance &Other : Instances)
+        if ((Other.Domain == Domain) != (Each.Domain == Domain))
+          From += Other.Ip + ",";
+      disturbPeers(Each, "partition?from=" + From);
+    }
+  }
+
   /// Commands the platform's stand-in and returns its answer.
   nlohmann::json platform(const std::string &Command) const {
     return nlohmann::json::parse(control(platformAddress(), "/" + Command));
@@ -181,14 +187,7 @@
 
   /// Cuts a domain off from the others and from the platform, or heals that.
   void cutDomain(const std::string &Domain, bool Off) const {
-    std::string Inside;
-    std::string Outside;
-    for (const MeshInstance &Each : Instances)
-      (Each.Domain == Domain ? Inside : Outside) += Each.Ip + ",";
-    for (const MeshInstance &Each : Instances)
-      disturbPeers(Each,
-                   "set?cut_from=" +
-                       (Off ? Each.Domain == Domain ? Outside : Inside : ""));
+    partition(Off ? Domain : "");
     const std::string Proxy = platformProxy(DomainNumbers.at(Domain), 1);
     control(Proxy, Off ? "/control/set?silent=1" : "/control/set?silent=0");
     control(Proxy, Off ? "/control/silence" : "/control/cut");
@@ -204,7 +203,7 @@
   }
 
   /// Holds the logs, until the mesh ends.
-  const std::string &folder() const { return Folder; }
+  const std::string &folder() const { return Folder.path(); }
 
   /// The targets' records together.
   RunRecord runs() const {
@@ -217,11 +216,11 @@
   }
 
   void writeIntent(const std::string &Name, const std::string &Text) const {
-    replaceFile(Folder + "/intent/" + Name, Text);
+    replaceFile(Folder.path() + "/intent/" + Name, Text);
   }
 
   void removeIntent(const std::string &Name) const {
-    std::filesystem::remove(Folder + "/intent/" + Name);
+    std::filesystem::remove(Folder.path() + "/intent/" + Name);
   }
 
   /// Publishes the list of instances; those in \p Leaving are named so.
@@ -237,7 +236,7 @@
                       {"peer_address", peerAddress(Each)},
                       {"state", Leaves ? "leaving" : "live"}});
     }
-    replaceFile(Folder + "/state/instances.json",
+    replaceFile(Folder.path() + "/state/instances.json",
                 nlohmann::json{{"instances", Rows}}.dump());
   }
 
@@ -255,16 +254,20 @@
       Each.Slots = Group.Slots;
       Each.Name = fmt::format("{}-{}-{}", Group.Domain, Group.Service, I);
       Each.Ip = Net + std::to_string(1 + Instances.size());
-      Each.Settings = Folder + "/state/" + Each.Name + ".ini";
+      Each.Settings = Folder.path() + "/state/" + Each.Name + ".ini";
       Instances.push_back(std::move(Each));
     }
   }
 
+  std::string peerAddress(const MeshInstance &Each) const {
+    return address(Each, Options.PeerProxies ? int(ForPeers) : int(Peers));
+  }
+
   void writeSettings(const MeshInstance &Each) const {
     const int Behind = Options.TargetProxies ? int(ForTarget) : int(TargetPort);
     std::string Text = fmt::format(
         "[node]\nname = {}\ndomain = {}\nservice = {}\nslot = {}\naddress = "
-        "{}\n[callers]\nlisten = {}\n[peers]\nlisten = {}\nannounce = {}\n"
+        "{}\n[callers]\nlisten = {}\n[peers]\nlisten = {}\nadvertise = {}\n"
         "seeds = {}\nsecret = "
         "a-secret-of-this-test-mesh-only\n[target]\naddress = {}\n"
         "[platform]\nsource = http://{}\n[operators]\nlisten = {}\n",
@@ -277,7 +280,7 @@
 
   /// Readers see the old file or the new one, never half of it.
   void replaceFile(const std::string &Path, const std::string &Text) const {
-    const std::string Draft = Folder + "/state/draft";
+    const std::string Draft = Folder.path() + "/state/draft";
     std::ofstream(Draft) << Text;
     std::filesystem::rename(Draft, Path);
   }
@@ -285,7 +288,7 @@
   Process launch(const std::string &Program, std::vector<std::string> Words,
                  const std::string &Log) const {
     Words.insert(Words.begin(), Options.Binaries + "/" + Program);
-    return {Words, Folder + "/state/" + Log + ".log"};
+    return {Words, Folder.path() + "/state/" + Log + ".log"};
   }
 
   Process launchProxy(const MeshInstance &Each, int Listen, int To,
@@ -324,7 +327,7 @@
   }
 
   MeshOptions Options;
-  std::string Folder;
+  TemporaryFolder Folder;
   std::string Net;
   int BasePort = 0;
   std::map<std::string, int> SlotsUsed;
