--- a/tests/standins/Mesh.h
+++ b/tests/standins/Mesh.h
@@ -259,10 +259,6 @@
     }
   }
 
-  std::string peerAddress(const MeshInstance &Each) const {
-    return address(Each, Options.PeerProxies ? int(ForPeers) : int(Peers));
-  }
-
   void writeSettings(const MeshInstance &Each) const {
     const int Behind = Options.TargetProxies ? int(ForTarget) : int(TargetPort);
     std::string Text = fmt::format(
