Hold libcurl to one run per attempt of a read

The claim that the hook before a request stops a resend is tested for reads on shared, reused connections: 25 rounds of four reads at once, one of which loses its connection before the answer. Nothing had to be mended.

--- a/tests/targets/TargetClientTest.cpp
+++ b/tests/targets/TargetClientTest.cpp
@@ -5,6 +5,9 @@
 
 #include <future>
 #include <thread>
+#include <vector>
+
+#include <fmt/format.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -120,6 +123,36 @@
   }
 }
 
+// Reads share reused connections. One that closes before its answer must not
+// make libcurl run the read once more unseen.
+TEST(TargetClient, RunsAReadOncePerAttemptWhenReusedConnectionsClose) {
+  constexpr int Rounds = 25;
+  constexpr int AtOnce = 4;
+  constexpr int ClosedEachRound = 1;
+  int Lost = 0;
+
+  for (int Round = 0; Round < Rounds; ++Round) {
+    Target.control("/control/set?close_next=" +
+                   std::to_string(ClosedEachRound));
+    std::vector<std::future<TargetResult>> Results;
+    for (int I = 0; I < AtOnce; ++I)
+      Results.push_back(
+          send(Client, request("GET", fmt::format("read-{}-{}", Round, I))));
+    for (auto &Each : Results)
+      if (await(std::move(Each)).Reason == ResultCode::TargetConnectionLost)
+        ++Lost;
+  }
+
+  for (int Round = 0; Round < Rounds; ++Round)
+    for (int I = 0; I < AtOnce; ++I)
+      LONGS_EQUAL(1, Target.runsOf(fmt::format("read-{}-{}", Round, I)));
+  LONGS_EQUAL(Rounds * ClosedEachRound, Lost);
+  const auto Stats = nlohmann::json::parse(Target.control("/control/stats"));
+  // Connections that did not close were used again.
+  CHECK_TRUE_TEXT(Stats["connections"].get<int>() < Rounds * AtOnce,
+                  Stats.dump().c_str());
+}
+
 TEST(TargetClient, SaysNotRunWhenTheTargetCannotBeReached) {
   Target.control("/control/set?restart_ms=600000");
   Target.control("/control/restart");
