Hold large bodies back instead of refusing requests that can wait

CallEngine::hasRoom had no caller: once the memory for requests was full, requests that can wait were refused with 508 as well. Now a connection whose next body is above 16 KiB is not read while the bodies of unanswered requests take half of max_held_bytes; the entry side refuses only requests that cannot wait. hasRoom is gone: the room is known where the bytes are read.

Weighed: not reading any connection while memory is short also stops urgent requests, whose route is known only after the head; docs/DESIGN.md has more.

The test of calls that can wait now also runs with 64 KiB of memory.

--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -24,12 +24,18 @@
                                    Seed())]() mutable { return Engine(); };
 }
 
-CallerServerOptions callerOptions(const CallerSettings &Settings) {
+/// Share of the memory for requests that large bodies may take; the rest is
+/// left for small requests of callers who stand idle.
+constexpr std::size_t LargeBodiesDivisor = 2;
+
+CallerServerOptions callerOptions(const CallerSettings &Settings,
+                                  const CallSettings &Calls) {
   CallerServerOptions Options;
   Options.Address = Settings.Listen.Ip;
   Options.Port = Settings.Listen.Port;
   Options.MaxHeaderBytes = Settings.MaxHeaderBytes;
   Options.MaxBodyBytes = Settings.MaxBodyBytes;
+  Options.MaxHeldBytes = Calls.MaxHeldBytes / LargeBodiesDivisor;
   Options.MaxConnections = Settings.MaxConnections;
   Options.ReadTimeout = std::min(Settings.ReadTimeout, Settings.IdleTimeout);
   return Options;
@@ -97,7 +103,7 @@
           },
           Tokens, Recorder.hook(), [this] { return Control.viewCurrent(); }),
       Callers(
-          callerOptions(Settings.Callers),
+          callerOptions(Settings.Callers, Settings.Calls),
           [this](CallerRequest Request, const AnswerHook &OnAnswer) {
             Bridge.take(std::move(Request), OnAnswer);
           },
--- a/src/callers/CallerServer.h
+++ b/src/callers/CallerServer.h
@@ -49,6 +49,9 @@
   std::size_t MaxHeaderBytes = 32 * 1024; ///< Request line and all fields.
   std::size_t MaxHeaderFields = 100;
   std::size_t MaxBodyBytes = 4 * 1024 * 1024;
+  /// Bodies of unanswered requests together. A connection whose next body
+  /// would go beyond is not read until there is room.
+  std::size_t MaxHeldBytes = 8 * 1024 * 1024;
   std::size_t MaxConnections = 1024;
   DurationMs ReadTimeout{60'000};  ///< For a whole request, idle time included.
   DurationMs WriteTimeout{60'000}; ///< For an answer that is not taken.
--- a/src/callers/CallerServerCore.cpp
+++ b/src/callers/CallerServerCore.cpp
@@ -99,6 +99,7 @@
   }
   asio::use_service<ConnectionRegistry>(Context).configure(
       {Options.MaxHeaderBytes, Options.MaxHeaderFields, Options.MaxBodyBytes},
+      Options.MaxHeldBytes,
       [this](const asio::ip::tcp::endpoint &Caller) { return busy(Caller); },
       [this](ResultCode Reason) { reportRefusal(Reason); });
   try {
@@ -151,7 +152,9 @@
   const std::uint64_t Number = ++LastNumber;
   CallerRequest Request = convert(Number, Handle);
   Pending[Number] = {Handle, Handle->connection_id(), Handle->remote_endpoint(),
-                     Request.Method};
+                     Request.Method, Request.Body.size()};
+  asio::use_service<ConnectionRegistry>(Context).bodies().add(
+      Request.Body.size());
   ++Unanswered;
   OnRequest(std::move(Request), answerHook(Number));
   return restinio::request_accepted();
@@ -177,6 +180,7 @@
   PendingRequest &Request = Position->second;
   const auto Handle = std::move(Request.Handle);
   Request.Handle = nullptr;
+  releaseBody(Request);
   auto Response = Handle->create_response<restinio::user_controlled_output_t>(
       restinio::http_status_line_t(
           restinio::http_status_code_t(
@@ -232,9 +236,18 @@
   });
 }
 
+void CallerServerCore::releaseBody(PendingRequest &Request) {
+  asio::use_service<ConnectionRegistry>(Context).bodies().release(
+      std::exchange(Request.BodyBytes, 0));
+}
+
 void CallerServerCore::forget(std::uint64_t Number) {
-  if (Pending.erase(Number) != 0)
-    --Unanswered;
+  const auto Position = Pending.find(Number);
+  if (Position == Pending.end())
+    return;
+  releaseBody(Position->second);
+  Pending.erase(Position);
+  --Unanswered;
 }
 
 void CallerServerCore::reportRefusal(ResultCode Reason) {
--- a/src/callers/CallerServerCore.h
+++ b/src/callers/CallerServerCore.h
@@ -86,6 +86,7 @@
     restinio::connection_id_t Connection = 0;
     asio::ip::tcp::endpoint Caller;
     std::string Method;
+    std::size_t BodyBytes = 0; ///< Counted as held; 0 once answered.
   };
 
   restinio::server_settings_t<CallerServerTraits>
@@ -100,6 +101,7 @@
   void connectionOpened(restinio::connection_id_t Connection);
   void connectionClosed(restinio::connection_id_t Connection);
   bool busy(const asio::ip::tcp::endpoint &Caller) const;
+  void releaseBody(PendingRequest &Request);
   void forget(std::uint64_t Number);
   void reportRefusal(ResultCode Reason);
   void closeAcceptor();
--- a/src/callers/GuardedSocket.cpp
+++ b/src/callers/GuardedSocket.cpp
@@ -3,6 +3,7 @@
 #include "calls/Call.h"
 
 #include <string_view>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -14,6 +15,10 @@
 /// reset the connection and could take the refusal away from the caller.
 constexpr std::size_t MaxDiscardedBytes = 16 * 1024 * 1024;
 
+/// Bodies up to this size are read at once, so that a small urgent request is
+/// never behind large ones; they fit in what is read with the head.
+constexpr std::size_t SmallBodyBytes = 16 * 1024;
+
 constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::string refusalText(ResultCode Reason) {
@@ -29,9 +34,11 @@
 
 asio::execution_context::id ConnectionRegistry::id;
 
-void ConnectionRegistry::configure(RequestLimits NewLimits, BusyHook NewBusy,
+void ConnectionRegistry::configure(RequestLimits NewLimits,
+                                   std::size_t MaxHeldBytes, BusyHook NewBusy,
                                    RefusedHook NewRefused) {
   Limits = NewLimits;
+  Bodies = BodyBudget(MaxHeldBytes);
   Busy = std::move(NewBusy);
   Refused = std::move(NewRefused);
 }
@@ -50,6 +57,7 @@
   for (GuardedConnection *Connection : Connections) {
     std::error_code Ignored;
     Connection->Socket.close(Ignored);
+    Connection->stopWaiting();
   }
 }
 
@@ -59,7 +67,11 @@
   Registry.Connections.insert(this);
 }
 
-GuardedConnection::~GuardedConnection() { Registry.Connections.erase(this); }
+GuardedConnection::~GuardedConnection() {
+  Registry.Connections.erase(this);
+  Registry.Bodies.cancel(this);
+  Registry.Bodies.release(Booked);
+}
 
 bool GuardedConnection::busy() const {
   std::error_code Error;
@@ -68,6 +80,50 @@
 }
 
 void GuardedConnection::read(asio::mutable_buffer Buffer, ReadHandler Handler) {
+  if (Wanted == 0)
+    start(Buffer, std::move(Handler));
+  else
+    WaitingRead = [this, Buffer, Handler = std::move(Handler)] {
+      start(Buffer, Handler);
+    };
+}
+
+void GuardedConnection::bookBody() {
+  const std::size_t Needed = Guard.takeBodyNeeded();
+  if (Needed <= SmallBodyBytes)
+    return;
+  if (Registry.Bodies.book(this, Needed, [this] { onRoom(); }))
+    Booked = Needed;
+  else
+    Wanted = Needed;
+}
+
+void GuardedConnection::onRoom() {
+  Booked = std::exchange(Wanted, 0);
+  writeContinue();
+  // The read may end the connection, which owns this object.
+  if (const auto Read = std::exchange(WaitingRead, nullptr))
+    Read();
+}
+
+void GuardedConnection::stopWaiting() {
+  if (!Registry.Bodies.cancel(this))
+    return;
+  Wanted = 0;
+  // Its handler learns that the socket is closed.
+  if (const auto Read = std::exchange(WaitingRead, nullptr))
+    Read();
+}
+
+void GuardedConnection::writeContinue() {
+  if (!Guard.takeContinueWanted() || busy())
+    return;
+  std::error_code Ignored;
+  Socket.write_some(asio::buffer(ContinueAnswer), Ignored);
+}
+
+void GuardedConnection::start(asio::mutable_buffer Buffer,
+                              ReadHandler Handler) {
   // RESTinio's handler keeps the connection alive until it has been called.
   Socket.async_read_some(Buffer,
                          [this, Buffer, Handler = std::move(Handler)](
@@ -88,11 +144,14 @@
     discard(Handler);
     return;
   }
-  if (Guard.takeContinueWanted() && !busy()) {
-    std::error_code Ignored;
-    Socket.write_some(asio::buffer(ContinueAnswer), Ignored);
-  }
+  const std::size_t Ended =
+      Guard.takeCompleted() ? std::exchange(Booked, 0) : 0;
+  bookBody();
+  if (Wanted == 0)
+    writeContinue();
   Handler({}, Size);
+  // The server counts a whole request's body from here on.
+  Registry.Bodies.release(Ended);
 }
 
 void GuardedConnection::refuse(ResultCode Reason) {
--- a/src/callers/GuardedSocket.h
+++ b/src/callers/GuardedSocket.h
@@ -8,6 +8,7 @@
 #ifndef FESCUEWOOD_CALLERS_GUARDEDSOCKET_H
 #define FESCUEWOOD_CALLERS_GUARDEDSOCKET_H
 
+#include "callers/BodyBudget.h"
 #include "callers/RequestGuard.h"
 #include "core/ResultCode.h"
 
@@ -38,8 +39,11 @@
   using RefusedHook = std::function<void(ResultCode)>;
 
   /// Set before the first connection.
-  void configure(RequestLimits NewLimits, BusyHook NewBusy,
-                 RefusedHook NewRefused);
+  void configure(RequestLimits NewLimits, std::size_t MaxHeldBytes,
+                 BusyHook NewBusy, RefusedHook NewRefused);
+
+  /// The room for bodies; whoever answers a request gives its body's back.
+  BodyBudget &bodies() { return Bodies; }
 
   /// Ends the reading side of each connection without a request.
   void closeIdle();
@@ -52,6 +56,7 @@
   void shutdown() override {}
 
   RequestLimits Limits;
+  BodyBudget Bodies{0};
   BusyHook Busy;
   RefusedHook Refused;
   std::set<GuardedConnection *> Connections;
@@ -69,12 +74,19 @@
 
   void read(asio::mutable_buffer Buffer, ReadHandler Handler);
 
+  /// Ends the wait for room, because the socket is closed.
+  void stopWaiting();
+
   asio::ip::tcp::socket Socket;
 
 private:
   friend class ConnectionRegistry;
 
   bool busy() const;
+  void start(asio::mutable_buffer Buffer, ReadHandler Handler);
+  void bookBody();
+  void onRoom();
+  void writeContinue();
   void inspect(asio::mutable_buffer Buffer, std::size_t Size,
                const ReadHandler &Handler);
   void refuse(ResultCode Reason);
@@ -82,6 +94,9 @@
 
   ConnectionRegistry &Registry;
   RequestGuard Guard;
+  std::size_t Booked = 0;            ///< For the body that is being read.
+  std::size_t Wanted = 0;            ///< Waits for so much room.
+  std::function<void()> WaitingRead; ///< Goes on once there is room.
   std::size_t Discarded = 0;
   std::array<char, 4096> Scratch{};
 };
@@ -118,6 +133,7 @@
 
   template <typename... Arguments> void close(Arguments &&...Values) {
     lowest_layer().close(std::forward<Arguments>(Values)...);
+    Connection->stopWaiting();
   }
 
   template <typename Buffers, typename Handler>
--- a/src/callers/RequestGuard.cpp
+++ b/src/callers/RequestGuard.cpp
@@ -122,6 +122,10 @@
   if (Parser.method == HTTP_CONNECT)
     return violate(ResultCode::MethodUnknown);
   ContinueWanted = Expected;
+  if (LengthGiven)
+    BodyNeeded = static_cast<std::size_t>(Parser.content_length);
+  else if ((Parser.flags & F_CHUNKED) != 0)
+    BodyNeeded = Limits.MaxBodyBytes;
   return 0;
 }
 
@@ -134,6 +138,8 @@
 
 int RequestGuard::onComplete() {
   InRequest = false;
+  BodyNeeded = 0;
+  Completed = true;
   return 0;
 }
 
--- a/src/callers/RequestGuard.h
+++ b/src/callers/RequestGuard.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <optional>
 #include <string_view>
+#include <utility>
 
 #include <http_parser.h>
 
@@ -45,6 +46,14 @@
   /// True between the first byte of a request and its last.
   bool inRequest() const { return InRequest; }
 
+  /// Length of the body that the request under way still has to send, as far
+  /// as it is known, and the largest allowed otherwise; told once per request,
+  /// and 0 afterwards or without such a body.
+  std::size_t takeBodyNeeded() { return std::exchange(BodyNeeded, 0); }
+
+  /// Whether a request has ended since this was asked last.
+  bool takeCompleted() { return std::exchange(Completed, false); }
+
   /// True once per request whose caller waits for `100 Continue` before it
   /// sends the body.
   bool takeContinueWanted();
@@ -68,11 +77,13 @@
   std::size_t HeadBytes = 0;
   std::size_t Fields = 0;
   std::size_t BodyBytes = 0;
+  std::size_t BodyNeeded = 0;
   std::size_t ExpectMatched = 0; ///< Length of the field name's match so far.
   bool InName = false;
   bool Expected = false;
   bool ContinueWanted = false;
   bool InRequest = false;
+  bool Completed = false;
 };
 
 } // namespace fescuewood
--- a/src/calls/CallEngine.cpp
+++ b/src/calls/CallEngine.cpp
@@ -122,10 +122,6 @@
 
   bool idle() const { return Idle.load() && Worker.backlog() == 0; }
 
-  bool hasRoom() const {
-    return HasRoom.load() && Worker.backlog() < RingCapacity / 2;
-  }
-
   CallStatus status() const {
     const std::lock_guard<std::mutex> Lock(StatusMutex);
     return Copied;
@@ -192,7 +188,6 @@
       return;
     CopiedAt = Now;
     CallStatus Status = Core.status();
-    HasRoom.store(Status.HeldBytes < Settings.MaxHeldBytes / 2);
     const std::lock_guard<std::mutex> Lock(StatusMutex);
     Copied = std::move(Status);
   }
@@ -205,7 +200,6 @@
   std::atomic<CallHandle> NextHandle{1};
   std::atomic<bool> Stopped{false};
   std::atomic<bool> Idle{true};
-  std::atomic<bool> HasRoom{true};
   TimeMs CopiedAt{0};
   mutable std::mutex StatusMutex;
   CallStatus Copied;
@@ -245,8 +239,6 @@
 
 bool CallEngine::idle() const { return State->idle(); }
 
-bool CallEngine::hasRoom() const { return State->hasRoom(); }
-
 CallStatus CallEngine::status() const { return State->status(); }
 
 std::optional<std::vector<RouterCandidate>>
--- a/src/calls/CallEngine.h
+++ b/src/calls/CallEngine.h
@@ -92,9 +92,6 @@
   /// Whether nothing is left: no call entered here, none queued or running.
   bool idle() const;
 
-  /// Whether \ref submit has room; while not, callers should stop reading.
-  bool hasRoom() const;
-
   /// The figures as of the last tick.
   CallStatus status() const;
 
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -52,7 +52,9 @@
     refuse(Handle, Call, ResultCode::ShuttingDown, Outcome::NotRun);
   else if (!Context.Config)
     refuse(Handle, Call, ResultCode::NotConfigured, Outcome::NotRun);
-  else if (HeldBytes > Context.Settings.MaxHeldBytes)
+  // Those that can wait are bounded by the connections that they came on, each
+  // of which is not read beyond them.
+  else if (!Call.Request.CanWait && HeldBytes > Context.Settings.MaxHeldBytes)
     refuse(Handle, Call, ResultCode::QueueFull, Outcome::NotRun);
   else
     dispatch(Handle, Call);
--- a/tests/callers/CallerServerTest.cpp
+++ b/tests/callers/CallerServerTest.cpp
@@ -3,6 +3,7 @@
 #include "callers/HeaderFields.h"
 #include "standins/Http.h"
 
+#include <deque>
 #include <future>
 #include <mutex>
 #include <thread>
@@ -61,6 +62,12 @@
   Tcp::socket Socket;
 };
 
+std::string post(const std::string &Target, std::size_t Bytes) {
+  return "POST " + Target +
+         " HTTP/1.1\r\nHost: mesh\r\nContent-Length: " + std::to_string(Bytes) +
+         "\r\n\r\n" + std::string(Bytes, 'b');
+}
+
 std::string get(const std::string &Target) {
   return "GET " + Target + " HTTP/1.1\r\nHost: mesh\r\n\r\n";
 }
@@ -226,6 +233,67 @@
   CHECK((std::vector<std::uint64_t>{Held[0].first.Number}) == Gone);
 }
 
+// Room for one of the large bodies: the others stay in their callers' systems,
+// and nobody is turned away.
+TEST(CallerServer, HoldsBackLargeBodiesUntilThereIsRoomForThem) {
+  constexpr std::size_t LargeBytes = 100'000;
+  CallerServerOptions Narrow = options();
+  Narrow.MaxBodyBytes = LargeBytes;
+  Narrow.MaxHeldBytes = LargeBytes * 3 / 2;
+  Hold = true;
+  CallerServer Bounded(Narrow,
+                       [this](CallerRequest Request, const AnswerHook &Answer) {
+                         take(std::move(Request), Answer);
+                       },
+                       {}, {});
+  CHECK(Bounded.start());
+  std::deque<Caller> Large;
+  for (int I = 0; I < 4; ++I)
+    Large.emplace_back(Bounded.port()).send(post("/large", LargeBytes));
+  Caller Small(Bounded.port());
+  Small.send(get("/small"));
+  CHECK(eventually([&] { return held() == 2; }));
+
+  for (std::size_t Answered = 0; Answered < 5; ++Answered) {
+    CHECK(eventually([&] { return held() > Answered; }));
+    std::lock_guard<std::mutex> Lock(Mutex);
+    std::size_t Bytes = 0;
+    for (std::size_t I = Answered; I < Held.size(); ++I)
+      Bytes += Held[I].first.Body.size();
+    CHECK_TRUE_TEXT(Bytes <= Narrow.MaxHeldBytes,
+                    std::to_string(Bytes).c_str());
+    Held[Answered].second(answerWith("done"));
+  }
+
+  for (Caller &Each : Large)
+    STRCMP_EQUAL("done", Each.receive().Body.c_str());
+  STRCMP_EQUAL("done", Small.receive().Body.c_str());
+  Bounded.stop();
+}
+
+TEST(CallerServer, EndsConnectionsThatWaitForRoom) {
+  CallerServerOptions Narrow = options();
+  Narrow.MaxBodyBytes = 100'000;
+  Narrow.MaxHeldBytes = 1;
+  Hold = true;
+  CallerServer Bounded(Narrow,
+                       [this](CallerRequest Request, const AnswerHook &Answer) {
+                         take(std::move(Request), Answer);
+                       },
+                       {}, {});
+  CHECK(Bounded.start());
+  Caller First(Bounded.port());
+  Caller Waiting(Bounded.port());
+  First.send(post("/large", Narrow.MaxBodyBytes));
+  CHECK(eventually([&] { return held() == 1; }));
+  Waiting.send(post("/large", Narrow.MaxBodyBytes));
+
+  Bounded.stop();
+
+  CHECK(Waiting.ended());
+  LONGS_EQUAL(1, held());
+}
+
 TEST(CallerServer, CutsNoRequestInADrain) {
   Hold = true;
   Caller Busy(Server.port());
--- a/tests/calls/CallCoreTest.cpp
+++ b/tests/calls/CallCoreTest.cpp
@@ -256,7 +256,9 @@
 TEST(CallCore, CallsThatCanWaitAreNeverTurnedAwayUnderOverload) {
   FakeTargetOptions Slow;
   Slow.MeanMs = 50;
-  auto Mesh = smallMesh(8, {}, {}, 1, Slow);
+  CallSettings Tight;
+  Tight.MaxHeldBytes = 64 << 10;
+  auto Mesh = smallMesh(8, Tight, {}, 1, Slow);
 
   for (int I = 0; I < 1500; ++I) {
     CallRequest Request = requestOf("tag" + std::to_string(I), false);
