--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -48,12 +48,12 @@
   Call.Bytes = bytesOf(Request);
   Call.Request = std::move(Request);
   HeldBytes += Call.Bytes;
+  // Those that can wait are bounded by the connections that they came on, each
+  // of which is not read beyond them.
   if (Context.Draining)
     refuse(Handle, Call, ResultCode::ShuttingDown, Outcome::NotRun);
   else if (!Context.Config)
     refuse(Handle, Call, ResultCode::NotConfigured, Outcome::NotRun);
-  // Those that can wait are bounded by the connections that they came on, each
-  // of which is not read beyond them.
   else if (!Call.Request.CanWait && HeldBytes > Context.Settings.MaxHeldBytes)
     refuse(Handle, Call, ResultCode::QueueFull, Outcome::NotRun);
   else
--- a/tests/integration/MeshTest.cpp
+++ b/tests/integration/MeshTest.cpp
@@ -121,12 +121,14 @@
   // leaving one is seen only when requests enter beside it as well.
   const auto TakesWork = [&] {
     const int Before = RunsThere();
-    for (const auto &Entry : Whole.Instances)
-      for (int I = 0; I < 10; ++I)
+    for (const auto &Entry : Whole.Instances) {
+      for (int I = 0; I < 10; ++I) {
         LONGS_EQUAL(200, Whole
                              .request(Entry, "GET", "/queue",
                                       shownKey("key-first", "leaving"))
                              .status());
+      }
+    }
     return RunsThere() > Before;
   };
   CHECK(TakesWork());
--- a/tests/targets/TargetClientTest.cpp
+++ b/tests/targets/TargetClientTest.cpp
@@ -135,6 +135,7 @@
     Target.control("/control/set?close_next=" +
                    std::to_string(ClosedEachRound));
     std::vector<std::future<TargetResult>> Results;
+    Results.reserve(AtOnce);
     for (int I = 0; I < AtOnce; ++I)
       Results.push_back(
           send(Client, request("GET", fmt::format("read-{}-{}", Round, I))));
