--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -61,9 +61,13 @@
 
 ControlSettings controlSettings(const NodeSettings &Settings) {
   ControlSettings Result;
-  Result.Self = {Settings.Node.Name,           Settings.Node.Domain,
-                 Settings.Node.Service,        Settings.Node.Slot,
-                 Settings.Peers.Listen.text(), TargetState::Cold};
+  const PeerSettings &Peers = Settings.Peers;
+  Result.Self = {Settings.Node.Name,
+                 Settings.Node.Domain,
+                 Settings.Node.Service,
+                 Settings.Node.Slot,
+                 Peers.Advertise.value_or(Peers.Listen).text(),
+                 TargetState::Cold};
   for (const Endpoint &Seed : Settings.Peers.Seeds)
     Result.Seeds.push_back(Seed.text());
   return Result;
@@ -113,6 +117,7 @@
              Incarnation),
       Operators(Settings.Operators.Listen, pages()) {
   Link.Self = {Settings.Node.Name, Incarnation};
+  Link.SourceIp = Settings.Node.Address;
   Link.Secret = Settings.Peers.Secret;
   Link.OnEvent = Recorder.hook();
 }
@@ -141,8 +146,8 @@
     putInForce(Snapshot);
   };
   Hooks.OnInstances = [this](std::span<const Instance> Seen) {
+    Limiter.setInstances(Seen);
     Engine.setInstances({Seen.begin(), Seen.end()});
-    Limiter.setInstances({Seen.begin(), Seen.end()});
   };
   Hooks.OnEvent = Recorder.hook();
   return Hooks;
@@ -152,10 +157,11 @@
   LimiterHooks Hooks;
   Hooks.Send = Peers.hook();
   Hooks.OnEvent = Recorder.hook();
-  // Every slot having had this very version in force is more than the same
-  // division everywhere asks for.
+  // What control knows of a slot is a version that was in force here as well,
+  // and from Since on all of those have the same division. Knowledge from
+  // before a pause does not count.
   Hooks.AgreedEverywhere = [this](const ShareMark &Mark) {
-    return Control.everySlotAt(Mark.Current);
+    return Control.viewCurrent() && Control.everySlotAt(Mark.Since);
   };
   return Hooks;
 }
--- a/src/organisations/OrganisationLimiter.cpp
+++ b/src/organisations/OrganisationLimiter.cpp
@@ -87,7 +87,7 @@
     perform(std::move(Due));
   }
 
-  void setInstances(const std::vector<Instance> &Instances) {
+  void setInstances(std::span<const Instance> Instances) {
     bool Conflict = false;
     bool Changed = false;
     {
@@ -166,15 +166,18 @@
 
   void tick() {
     std::optional<ShareMark> Mark = mark();
+    const TimeMs Asked = Hooks.Now.now();
     const bool Agreed =
         Mark && (!Hooks.AgreedEverywhere || Hooks.AgreedEverywhere(*Mark));
     Work Due;
     {
       std::lock_guard<std::mutex> Lock(Mutex);
       const TimeMs Now = Hooks.Now.now();
-      // A version that came meanwhile is not what was agreed on.
+      // A version that came meanwhile is not what was agreed on, and what was
+      // known before a pause is out of date.
       const auto Current = Node.mark();
-      if (Agreed && Current && Current->Division == Mark->Division &&
+      const bool InTime = Now - Asked <= Settings.PauseLimit;
+      if (Agreed && InTime && Current && Current->Division == Mark->Division &&
           Current->Since == Mark->Since)
         Node.agree(Now);
       Node.tick(Now);
@@ -311,7 +314,7 @@
     State->setSnapshot(*Snapshot);
 }
 
-void OrganisationLimiter::setInstances(const std::vector<Instance> &Instances) {
+void OrganisationLimiter::setInstances(std::span<const Instance> Instances) {
   State->setInstances(Instances);
 }
 
