--- a/tests/integration/MeshVersionTest.cpp
+++ b/tests/integration/MeshVersionTest.cpp
@@ -75,11 +75,12 @@
 
 void awaitInForce(const Mesh &Whole, std::uint64_t Wanted,
                   const std::string &Domain = "") {
-  for (const MeshInstance &Each : Whole.Instances)
+  for (const MeshInstance &Each : Whole.Instances) {
     if (Domain.empty() || Each.Domain == Domain)
       eventually(
           Each.Name + " has " + std::to_string(Wanted) + " in force",
           [&] { return holds(Whole, Each, Wanted); }, InForceWithin);
+  }
 }
 
 std::uint64_t published(const Mesh &Whole) {
@@ -108,11 +109,14 @@
 double controlBytes(const Mesh &Whole, const MeshInstance &Of) {
   double Sum = 0;
   std::istringstream Lines(Whole.page(Of, "/metrics"));
-  for (std::string Line; std::getline(Lines, Line);)
-    for (const char *Kind : {"kind=\"0\"", "kind=\"1\"", "kind=\"2\""})
-      if (Line.starts_with("fescuewood_peer_bytes_total") &&
-          Line.find(Kind) != std::string::npos)
+  for (std::string Line; std::getline(Lines, Line);) {
+    if (!Line.starts_with("fescuewood_peer_bytes_total"))
+      continue;
+    for (const char *Kind : {"kind=\"0\"", "kind=\"1\"", "kind=\"2\""}) {
+      if (Line.find(Kind) != std::string::npos)
         Sum += std::stod(Line.substr(Line.rfind(' ')));
+    }
+  }
   return Sum;
 }
 
@@ -221,13 +225,13 @@
   const std::uint64_t Torn = publish(Whole, rateOf(2));
   const auto Failed = [&] {
     std::size_t Count = 0;
-    for (const MeshInstance &Each : Whole.Instances)
+    for (const MeshInstance &Each : Whole.Instances) {
       for (const Event &Read :
-           eventsOf(Whole, Each, EventId::PlatformReadFailed))
-        Count +=
-            std::string(fieldValue(Read, "reason")).starts_with("PlatformTorn")
-                ? 1
-                : 0;
+           eventsOf(Whole, Each, EventId::PlatformReadFailed)) {
+        const std::string Reason(fieldValue(Read, "reason"));
+        Count += Reason.starts_with("PlatformTorn") ? 1 : 0;
+      }
+    }
     return Count;
   };
   eventually("torn reads", [&] { return Failed() >= 2; });
