--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -95,7 +95,7 @@
       keyRow<S>("callers", "max_body_bytes", "bytes", "1048576", wholeNumber<std::size_t>(0, 16777216), in(&S::Callers, &CallerSettings::MaxBodyBytes), "Largest request body that is accepted; a route may allow less."),
       keyRow<S>("callers", "max_connections", "", "512", wholeNumber<std::uint32_t>(1, 65535), in(&S::Callers, &CallerSettings::MaxConnections), "Most connections from callers at once."),
       keyRow<S>("callers", "read_timeout_ms", "ms", "10000", milliseconds(100, 600000), in(&S::Callers, &CallerSettings::ReadTimeout), "Longest time to receive one request."),
-      keyRow<S>("callers", "idle_timeout_ms", "ms", "60000", milliseconds(100, 3600000), in(&S::Callers, &CallerSettings::IdleTimeout), "Time after which an unused connection is closed."),
+      keyRow<S>("callers", "idle_timeout_ms", "ms", "60000", milliseconds(100, 3600000), in(&S::Callers, &CallerSettings::IdleTimeout), "Time after which an unused connection is closed; `read_timeout_ms` if that is shorter."),
       keyRow<S>("callers", "drain_timeout_ms", "ms", "30000", milliseconds(0, 600000), in(&S::Callers, &CallerSettings::DrainTimeout), "Longest wait for running requests when the process ends."),
       keyRow<S>("peers", "listen", "", Required, endpointForm(), in(&S::Peers, &PeerSettings::Listen), "Where this node hears the other nodes."),
       keyRow<S>("peers", "advertise", "", "", optionalEndpointForm(), in(&S::Peers, &PeerSettings::Advertise), "Where the other nodes connect, if that is not the same, as behind address translation."),
