--- a/bench/ControlBenchNode.h
+++ b/bench/ControlBenchNode.h
@@ -16,7 +16,7 @@
 #include "nodes/ControlDuty.h"
 #include "nodes/PeerClient.h"
 #include "nodes/PeerServer.h"
-#include "platform/PlatformReader.h"
+#include "sources/PlatformReader.h"
 
 #include <atomic>
 #include <cstdio>
--- a/bench/IntentBench.cpp
+++ b/bench/IntentBench.cpp
@@ -127,7 +127,7 @@
   std::size_t Found = 0;
   const double Us = medianMicroseconds([&] {
     for (int I = 0; I < Calls; ++I)
-      Found += Compiled.Result->findRoute("GET", Path) ? 1U : 0U;
+      Found += Compiled.Result->findRoute("GET", "", Path) ? 1U : 0U;
   });
   std::printf("| %zu | %.0f |\n", Routes, Us * 1000 / Calls);
   if (Found == 0)
--- a/bench/PlatformReadBench.cpp
+++ b/bench/PlatformReadBench.cpp
@@ -4,7 +4,7 @@
 /// Every reader is the product's own, with a connection of its own, against
 /// the stand-in of the platform. Prints Markdown.
 
-#include "platform/PlatformReader.h"
+#include "sources/PlatformReader.h"
 
 #include "support/ChildProcess.h"
 #include "support/TemporaryFolder.h"
--- a/bench/model/FakeCallMesh.h
+++ b/bench/model/FakeCallMesh.h
@@ -239,13 +239,15 @@
     Hooks.Target.Cancel = [this, At](const fescuewood::CallId &Id) {
       Nodes[At]->Target->cancel(Id);
     };
-    Hooks.Target.Probe = [this, At,
-                          Life](const std::function<void(bool)> &OnResult) {
-      Nodes[At]->Target->probe([this, At, Life, OnResult](bool Answers) {
-        onLife(At, Life,
-               [OnResult, Answers](FakeNode &) { OnResult(Answers); });
-      });
-    };
+    Hooks.Target.Probe =
+        [this, At,
+         Life](const std::function<void(const fescuewood::ProbeResult &)>
+                   &OnResult) {
+          Nodes[At]->Target->probe([this, At, Life, OnResult](bool Answers) {
+            onLife(At, Life,
+                   [OnResult, Answers](FakeNode &) { OnResult({Answers}); });
+          });
+        };
     return Hooks;
   }
 
--- a/src/app/CallerBridge.cpp
+++ b/src/app/CallerBridge.cpp
@@ -8,7 +8,8 @@
 
 CallerBridge::CallerBridge(CallEngine &Engine, DeferredRateHook Charge,
                            CallTokenSealer Tokens, EventHook OnEvent,
-                           std::function<bool()> ViewCurrent)
+                           std::function<bool()> ViewCurrent,
+                           std::function<bool()> KeysProven, EntryPlace Place)
     : Engine(Engine), Tokens(std::move(Tokens)),
       Incoming({[this](std::string_view Text) { return checkToken(Text); },
                 std::move(Charge),
@@ -16,7 +17,9 @@
                        AnswerHook OnAnswer) {
                   submit(Number, std::move(Request), std::move(OnAnswer));
                 },
-                std::move(OnEvent), std::move(ViewCurrent)}) {}
+                std::move(OnEvent), std::move(ViewCurrent),
+                std::move(KeysProven)},
+               std::move(Place)) {}
 
 void CallerBridge::take(CallerRequest Request, const AnswerHook &OnAnswer) {
   Incoming.take(std::move(Request), OnAnswer);
--- a/src/app/CallerBridge.h
+++ b/src/app/CallerBridge.h
@@ -25,9 +25,11 @@
   /// \param Charge charges a request to its organisation; may be empty.
   /// \param Tokens opens the tokens that this node has sealed.
   /// \param ViewCurrent as in \ref EntryHooks.
+  /// \param KeysProven as in \ref EntryHooks.
   CallerBridge(CallEngine &Engine, DeferredRateHook Charge,
                CallTokenSealer Tokens, EventHook OnEvent,
-               std::function<bool()> ViewCurrent);
+               std::function<bool()> ViewCurrent,
+               std::function<bool()> KeysProven, EntryPlace Place);
 
   /// For \ref CallerServer; on the server's thread.
   void take(CallerRequest Request, const AnswerHook &OnAnswer);
--- a/src/app/Node.cpp
+++ b/src/app/Node.cpp
@@ -44,11 +44,13 @@
     return fail(Server.lastReason());
   if (!Operators.start())
     return fail(Operators.lastReason());
+  if (Ready && !Ready->start())
+    return fail(Ready->lastReason());
   if (!Callers.start())
     return fail(Callers.lastReason());
   Limiter.start();
   Control.start();
-  Reader.start();
+  Reader->start();
   Recorder.record({EventId::NodeStarted,
                    {{"callers", Settings.Callers.Listen.text()},
                     {"peers", Settings.Peers.Listen.text()},
@@ -86,8 +88,10 @@
 }
 
 void NodeParts::stop() {
-  Reader.stop();
+  Reader->stop();
   Callers.stop();
+  if (Ready)
+    Ready->stop();
   Operators.stop();
   Control.stop();
   Server.stop();
--- a/src/app/NodePages.cpp
+++ b/src/app/NodePages.cpp
@@ -1,6 +1,7 @@
 #include "app/NodeParts.h"
 
 #include "operators/Explanation.h"
+#include "platform/PlatformScheme.h"
 
 namespace fescuewood {
 
@@ -54,14 +55,23 @@
   };
 }
 
+Pages NodeParts::readyPages() {
+  const auto Answer = [this](const PageQuery &) {
+    const bool Takes = !Draining && InForce.read() != nullptr && keysProven();
+    return Page{Takes ? 200 : 503, "text/plain",
+                Takes ? "ready\n" : "not ready\n"};
+  };
+  return {{"/ready", Answer}, {platform::readyPath(), Answer}};
+}
+
 Page NodeParts::explainPage(const PageQuery &Query) const {
   const SnapshotPtr Now = InForce.read();
   if (!Now)
     return {200, "text/plain", "no configuration is in force yet\n"};
-  const RequestQuestion Asked{parameter(Query, "method"),
-                              parameter(Query, "path"),
-                              parameter(Query, "organisation")};
-  const Route *Found = Now->findRoute(Asked.Method, Asked.Path);
+  const RequestQuestion Asked{
+      parameter(Query, "method"), parameter(Query, "path"),
+      parameter(Query, "organisation"), parameter(Query, "host")};
+  const Route *Found = Now->findRoute(Asked.Method, Asked.Host, Asked.Path);
   std::vector<RouterCandidate> Candidates;
   if (Found)
     Candidates = Engine.explain(Found->Service).value_or(Candidates);
@@ -86,7 +96,7 @@
       Status.Domains.push_back({Name, Of.Region, Of.Status, Of.Nodes});
   }
   Status.SourceReachable = SourceReachable;
-  Status.Source = Reader.counts();
+  Status.Source = Store ? Store->counts() : Reads->counts();
   for (const MemberStatus &Row : Control.status().Members)
     Status.Fleet.push_back(fleetRow(Row));
   Status.Calls = Engine.status();
--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -1,8 +1,12 @@
 #include "app/NodeParts.h"
 
 #include "intent/CompileIntent.h"
+#include "platform/ConfigCodec.h"
+#include "platform/PlatformScheme.h"
+#include "platform/StoreClient.h"
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 
 namespace fescuewood {
@@ -28,9 +32,17 @@
 /// left for small requests of callers who stand idle.
 constexpr std::size_t LargeBodiesDivisor = 2;
 
+HeaderScheme schemeOf(const NodeSettings &Settings) {
+  const bool IsPlatforms =
+      Settings.Platform.Source.Form == PlatformLocation::Kind::Store;
+  return IsPlatforms ? platform::headerScheme() : HeaderScheme();
+}
+
 CallerServerOptions callerOptions(const CallerSettings &Settings,
-                                  const CallSettings &Calls) {
+                                  const CallSettings &Calls,
+                                  const HeaderScheme &Scheme) {
   CallerServerOptions Options;
+  Options.Scheme = Scheme;
   Options.Address = Settings.Listen.Ip;
   Options.Port = Settings.Listen.Port;
   Options.MaxHeaderBytes = Settings.MaxHeaderBytes;
@@ -41,8 +53,10 @@
   return Options;
 }
 
-TargetClientOptions targetOptions(const TargetSettings &Settings) {
+TargetClientOptions targetOptions(const TargetSettings &Settings,
+                                  const HeaderScheme &Scheme) {
   TargetClientOptions Options;
+  Options.Scheme = Scheme;
   Options.Address = Settings.Address.text();
   Options.MaxConnections = Settings.MaxConnections;
   Options.ConnectTimeout = Settings.ConnectTimeout;
@@ -55,8 +69,22 @@
   return Options;
 }
 
-CallIdentity callIdentity(const NodeIdentity &Node, std::uint64_t Incarnation) {
-  return {Node.Name, Node.Domain, Node.Service, Incarnation};
+CallIdentity callIdentity(const NodeSettings &Settings,
+                          std::uint64_t Incarnation,
+                          const HeaderScheme &Scheme) {
+  const NodeIdentity &Node = Settings.Node;
+  return {Node.Name,
+          Node.Domain,
+          Node.Service,
+          Incarnation,
+          Scheme,
+          Settings.Platform.Source.Form == PlatformLocation::Kind::Store};
+}
+
+RateBound rateBound(const BoundSettings &Settings) {
+  constexpr double MsPerSecond = 1000;
+  return {DurationMs(std::llround(Settings.RateWindow * MsPerSecond)),
+          Settings.RateOverage, Settings.RateSlack};
 }
 
 ControlSettings controlSettings(const NodeSettings &Settings) {
@@ -70,34 +98,34 @@
                  TargetState::Cold};
   for (const Endpoint &Seed : Settings.Peers.Seeds)
     Result.Seeds.push_back(Seed.text());
+  Result.EveryNodeReads =
+      Settings.Platform.Source.Form == PlatformLocation::Kind::Store;
   return Result;
 }
 
-SnapshotPtr compileOrExplain(const IntentBundle &Bundle, std::string &Why) {
-  CompiledIntent Compiled = compileIntent(Bundle);
-  if (!Compiled.Result)
-    Why = problemsText(Compiled.Found);
-  return Compiled.Result;
-}
+/// Share of the time after which a withdrawn key must be dead for which a proof
+/// counts; the rest is for a request's way from here to the target.
+constexpr double ProofShare = 0.85;
 
 } // namespace
 
 NodeParts::NodeParts(NodeSettings Given)
-    : Settings(std::move(Given)), Incarnation(newIncarnation()),
-      Log(Settings.Log.Level, Settings.Log.File),
+    : Settings(std::move(Given)), Scheme(schemeOf(Settings)),
+      Incarnation(newIncarnation()), Log(Settings.Log.Level, Settings.Log.File),
       Recorder(
           Settings.Node.Name, Settings.Node.Domain, RecordedEvents,
           [this] { return Link.Stamps.stamp(); },
           [this](const StampedEvent &Each) { Log.write(Each); }),
       Server(Link, peerOptions(Settings.Peers)), Peers(Link),
-      Target(targetOptions(Settings.Target)), Adapter(Target, Settings.Target),
+      Target(targetOptions(Settings.Target, Scheme)),
+      Adapter(Target, Settings.Target, Scheme),
       Tokens(Settings.Peers.Secret, Settings.Node.Name),
       Control(controlSettings(Settings), {Settings.Node.Name, Incarnation},
               controlHooks()),
       Limiter({Settings.Node.Name, Settings.Node.Domain, Settings.Node.Slot,
-               Incarnation},
+               Incarnation, rateBound(Settings.Bounds)},
               TokenSettings(), limiterHooks()),
-      Engine(callIdentity(Settings.Node, Incarnation), Settings.Calls,
+      Engine(callIdentity(Settings, Incarnation, Scheme), Settings.Calls,
              callHooks()),
       Bridge(
           Engine,
@@ -105,17 +133,22 @@
                  const RateDecisionHook &OnDecision) {
             Limiter.charge(Organisation, OnDecision);
           },
-          Tokens, Recorder.hook(), [this] { return Control.viewCurrent(); }),
+          Tokens, Recorder.hook(),
+          // What a store tells is proven by its age instead.
+          [this] { return followsStore() || Control.viewCurrent(); },
+          [this] { return keysProven(); },
+          {Scheme, Settings.Node.Service, Incarnation}),
       Callers(
-          callerOptions(Settings.Callers, Settings.Calls),
+          callerOptions(Settings.Callers, Settings.Calls, Scheme),
           [this](CallerRequest Request, const AnswerHook &OnAnswer) {
             Bridge.take(std::move(Request), OnAnswer);
           },
           [this](std::uint64_t Number) { Bridge.gone(Number); },
           Recorder.hook()),
-      Reader(makeSource(Settings.Platform), Settings.Platform, readerHooks(),
-             Incarnation),
-      Operators(Settings.Operators.Listen, pages()) {
+      Reader(makeReader()), Operators(Settings.Operators.Listen, pages()) {
+  if (Settings.Operators.Ready)
+    Ready = std::make_unique<OperatorServer>(*Settings.Operators.Ready,
+                                             readyPages());
   Link.Self = {Settings.Node.Name, Incarnation};
   Link.SourceIp = Settings.Node.Address;
   Link.Secret = Settings.Peers.Secret;
@@ -141,7 +174,9 @@
 ControlHooks NodeParts::controlHooks() {
   ControlHooks Hooks;
   Hooks.Send = Peers.hook();
-  Hooks.Compile = compileOrExplain;
+  Hooks.Compile = [this](const IntentBundle &Bundle, std::string &Why) {
+    return compile(Bundle, Why);
+  };
   Hooks.OnSnapshot = [this](const SnapshotPtr &Snapshot) {
     putInForce(Snapshot);
   };
@@ -181,7 +216,76 @@
   return Hooks;
 }
 
+StoreLoopHooks NodeParts::storeHooks() {
+  StoreLoopHooks Hooks;
+  Hooks.OnBundle = [this](IntentBundle Bundle) {
+    Control.offerBundle(std::move(Bundle));
+  };
+  Hooks.OnInstances = [this](InstanceList List) {
+    Control.offerInstances(std::move(List));
+  };
+  Hooks.OnOwnTarget = [this](std::optional<ListedInstance> Listed) {
+    Engine.setOwnTarget(std::move(Listed));
+  };
+  Hooks.OnProof = [this](TimeMs At, std::uint64_t Revision) {
+    Control.offerProof(At, Revision);
+  };
+  Hooks.OnSourceState = [this](bool Reachable) { SourceReachable = Reachable; };
+  Hooks.OnEvent = Recorder.hook();
+  return Hooks;
+}
+
+std::unique_ptr<PlatformReader> NodeParts::makeReader() {
+  const PlatformSettings &From = Settings.Platform;
+  if (followsStore()) {
+    StoreCalls Calls = platform::storeCalls(From.Source.Server, From.Timeout,
+                                            Settings.Peers.Listen.Port);
+    auto Cancel = Calls.Cancel;
+    Store = std::make_unique<StoreLoop>(
+        std::move(Calls),
+        OwnTarget{Settings.Target.Address.text(), Settings.Node.Service},
+        From.WatchWait, storeHooks(), Clock::monotonic(), Incarnation);
+    return std::make_unique<PlatformReader>([this] { return Store->step(); },
+                                            std::move(Cancel));
+  }
+  PlatformSource Source = makeSource(From);
+  auto Cancel = Source.Cancel;
+  Reads = std::make_unique<ReadLoop>(std::move(Source), From, readerHooks(),
+                                     Clock::monotonic(), Incarnation);
+  return std::make_unique<PlatformReader>([this] { return Reads->step(); },
+                                          std::move(Cancel));
+}
+
+SnapshotPtr NodeParts::compile(const IntentBundle &Bundle,
+                               std::string &Why) const {
+  if (followsStore())
+    return platform::compileConfiguration(Bundle, Settings.Platform.Regions,
+                                          Why);
+  CompiledIntent Compiled = compileIntent(Bundle);
+  if (!Compiled.Result)
+    Why = problemsText(Compiled.Found);
+  return Compiled.Result;
+}
+
+bool NodeParts::followsStore() const {
+  return Settings.Platform.Source.Form == PlatformLocation::Kind::Store;
+}
+
+/// Whether a key that passes here cannot have been withdrawn for too long.
+bool NodeParts::keysProven() const {
+  constexpr double MsPerSecond = 1000;
+  if (!followsStore() || Settings.Bounds.KeyWithdrawal <= 0)
+    return true;
+  const TimeMs ProvenAt = Control.provenAt();
+  const DurationMs Most(
+      std::llround(Settings.Bounds.KeyWithdrawal * MsPerSecond * ProofShare));
+  return ProvenAt != TimeMs(0) && Monotonic.now() - ProvenAt <= Most;
+}
+
 void NodeParts::putInForce(const SnapshotPtr &Snapshot) {
+  const auto Own = Snapshot->Services.find(Settings.Node.Service);
+  if (Own != Snapshot->Services.end())
+    Adapter.setProbePath(Own->second.HealthPath);
   InForce.replace(Snapshot);
   Bridge.setSnapshot(Snapshot);
   Engine.setSnapshot(Snapshot);
--- a/src/app/NodeParts.h
+++ b/src/app/NodeParts.h
@@ -17,11 +17,13 @@
 #include "operators/NodeStatus.h"
 #include "operators/OperatorServer.h"
 #include "organisations/OrganisationLimiter.h"
-#include "platform/PlatformReader.h"
 #include "settings/NodeSettings.h"
+#include "sources/PlatformReader.h"
+#include "sources/StoreLoop.h"
 
 #include <atomic>
 #include <cstdint>
+#include <memory>
 #include <span>
 
 namespace fescuewood {
@@ -49,6 +51,12 @@
   ControlHooks controlHooks();
   LimiterHooks limiterHooks();
   PlatformReaderHooks readerHooks();
+  StoreLoopHooks storeHooks();
+  std::unique_ptr<PlatformReader> makeReader();
+  SnapshotPtr compile(const IntentBundle &Bundle, std::string &Why) const;
+  bool followsStore() const;
+  bool keysProven() const;
+  Pages readyPages();
   Pages pages();
   Page explainPage(const PageQuery &Query) const;
 
@@ -59,6 +67,7 @@
   void stop();
 
   const NodeSettings Settings;
+  const HeaderScheme Scheme;
   const std::uint64_t Incarnation;
   const Clock Monotonic = Clock::monotonic();
   const TimeMs Started = Monotonic.now();
@@ -80,8 +89,11 @@
   CallEngine Engine;
   CallerBridge Bridge;
   CallerServer Callers;
-  PlatformReader Reader;
+  std::unique_ptr<StoreLoop> Store; ///< Where a store is followed.
+  std::unique_ptr<ReadLoop> Reads;  ///< Where another source is read.
+  std::unique_ptr<PlatformReader> Reader;
   OperatorServer Operators;
+  std::unique_ptr<OperatorServer> Ready; ///< Null where nobody asks.
 };
 
 } // namespace fescuewood
--- a/src/app/TargetAdapter.cpp
+++ b/src/app/TargetAdapter.cpp
@@ -1,11 +1,17 @@
 #include "app/TargetAdapter.h"
 
+#include "callers/HeaderFields.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace fescuewood {
 
 namespace {
 
+/// Longest coldness that a target's word is taken for, in milliseconds.
+constexpr std::uint64_t LongestColdMs = 600 * 1000;
+
 RunFailure failureOf(const TargetResult &Result) {
   switch (Result.Reason) {
   case ResultCode::TargetTimeout:
@@ -16,7 +22,11 @@
     return RunFailure::NotReached;
   case ResultCode::TargetAnswerTooLarge:
   case ResultCode::TargetAnswerMalformed:
+  case ResultCode::TargetAnswerForeign:
+  case ResultCode::TargetAnswerUnproven:
     return RunFailure::Unusable;
+  case ResultCode::TargetRefused:
+    return RunFailure::NotSent;
   default:
     return Result.Ran == Outcome::NotRun ? RunFailure::NotSent
                                          : RunFailure::Broken;
@@ -37,8 +47,10 @@
   return Converted;
 }
 
-TargetAdapter::TargetAdapter(TargetClient &Client, TargetSettings Settings)
-    : Client(Client), Settings(std::move(Settings)) {}
+TargetAdapter::TargetAdapter(TargetClient &Client, TargetSettings Settings,
+                             HeaderScheme Scheme)
+    : Client(Client), Settings(std::move(Settings)), Scheme(std::move(Scheme)) {
+}
 
 TargetPort TargetAdapter::port() {
   TargetPort Port;
@@ -47,12 +59,18 @@
     run(Request, Timeout, OnResult);
   };
   Port.Cancel = [this](const CallId &Id) { cancel(Id); };
-  Port.Probe = [this](const std::function<void(bool)> &OnResult) {
-    probe(OnResult);
-  };
+  Port.Probe =
+      [this](const std::function<void(const ProbeResult &)> &OnResult) {
+        probe(OnResult);
+      };
   return Port;
 }
 
+void TargetAdapter::setProbePath(std::string Path) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  ProbePath = std::move(Path);
+}
+
 void TargetAdapter::run(const CallRequest &Request, DurationMs Timeout,
                         const RunHook &OnResult) {
   const CallId Id = Request.Id;
@@ -93,19 +111,34 @@
     Client.cancel(*Number);
 }
 
-void TargetAdapter::probe(const std::function<void(bool)> &OnResult) {
+void TargetAdapter::probe(
+    const std::function<void(const ProbeResult &)> &OnResult) {
   TargetRequest Sent;
   Sent.Method = "GET";
-  Sent.Target = Settings.ProbePath;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Sent.Target = ProbePath.empty() ? Settings.ProbePath : ProbePath;
+  }
   Sent.Timeout = Settings.ProbeTimeout;
   // Health endpoints mislead, so any answer counts as taking connections; how
   // much the target bears is learnt from the calls themselves.
-  const auto Number =
-      Client.start(std::move(Sent), [OnResult](const TargetResult &Result) {
-        OnResult(Result.Answer.has_value());
+  const auto Number = Client.start(
+      std::move(Sent), [this, OnResult](const TargetResult &Result) {
+        OnResult(probeResult(Result));
       });
   if (!Number)
-    OnResult(false);
+    OnResult({});
+}
+
+ProbeResult TargetAdapter::probeResult(const TargetResult &Result) const {
+  ProbeResult Probed;
+  Probed.Answers = Result.Answer || Result.Reason == ResultCode::TargetRefused;
+  if (!Result.Answer || Scheme.ColdFor.empty())
+    return Probed;
+  if (const auto ColdFor = numberField(Result.Answer->Headers, Scheme.ColdFor))
+    Probed.ColdFor = DurationMs(static_cast<std::int64_t>(
+        std::min<std::uint64_t>(*ColdFor, LongestColdMs)));
+  return Probed;
 }
 
 } // namespace fescuewood
--- a/src/app/TargetAdapter.h
+++ b/src/app/TargetAdapter.h
@@ -22,7 +22,11 @@
 class TargetAdapter {
 public:
   /// The client must outlive the adapter and be stopped before it ends.
-  TargetAdapter(TargetClient &Client, TargetSettings Settings);
+  TargetAdapter(TargetClient &Client, TargetSettings Settings,
+                HeaderScheme Scheme = {});
+
+  /// Asks for the target's health there from now on; empty as the settings say.
+  void setProbePath(std::string Path);
 
   TargetPort port();
 
@@ -30,12 +34,15 @@
   void run(const CallRequest &Request, DurationMs Timeout,
            const RunHook &OnResult);
   void cancel(const CallId &Id);
-  void probe(const std::function<void(bool)> &OnResult);
+  void probe(const std::function<void(const ProbeResult &)> &OnResult);
+  ProbeResult probeResult(const TargetResult &Result) const;
   void forget(const CallId &Id);
 
   TargetClient &Client;
   TargetSettings Settings;
+  const HeaderScheme Scheme;
   std::mutex Mutex;
+  std::string ProbePath; ///< Empty as the settings say.
   std::map<CallId, std::uint64_t> Running;
 };
 
--- a/src/callers/CallerServer.h
+++ b/src/callers/CallerServer.h
@@ -9,6 +9,7 @@
 #ifndef FESCUEWOOD_CALLERS_CALLERSERVER_H
 #define FESCUEWOOD_CALLERS_CALLERSERVER_H
 
+#include "callers/HeaderScheme.h"
 #include "calls/Call.h"
 #include "core/Clock.h"
 #include "core/Event.h"
@@ -56,7 +57,8 @@
   DurationMs ReadTimeout{60'000};  ///< For a whole request, idle time included.
   DurationMs WriteTimeout{60'000}; ///< For an answer that is not taken.
   DurationMs DrainGrace{
-      500}; ///< Idle connections stay open as long in a drain.
+      500};                 ///< Idle connections stay open as long in a drain.
+  HeaderScheme Scheme = {}; ///< Names of the fields that the server reads.
 };
 
 /// An HTTP/1.1 server for callers.
--- a/src/callers/CallerServerCore.cpp
+++ b/src/callers/CallerServerCore.cpp
@@ -17,9 +17,9 @@
 /// Bytes read from a connection at once.
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
 
-/// Requests of one connection that are handled at once. Two, so that the
-/// server goes on reading while it handles one, and notices a caller who left.
-constexpr std::size_t MaxPipelinedRequests = 2;
+/// Requests of one connection that are handled at once. The server goes on
+/// reading below that, and notices a caller who left.
+constexpr std::size_t MaxPipelinedRequests = 32;
 
 /// The mesh ends every call at its own deadline; RESTinio's is out of reach.
 constexpr std::chrono::hours HandlingTimeout{24};
@@ -28,7 +28,7 @@
   return std::chrono::milliseconds(Span.Value);
 }
 
-CallerRequest convert(std::uint64_t Number,
+CallerRequest convert(std::uint64_t Number, const HeaderScheme &Scheme,
                       const restinio::request_handle_t &Handle) {
   CallerRequest Request;
   Request.Number = Number;
@@ -39,16 +39,16 @@
     Request.Headers.push_back({Field.name(), Field.value()});
   });
   removeHopFields(Request.Headers);
-  if (const auto Remaining = numberField(Request.Headers, TimeoutField)) {
+  if (const auto Remaining = numberField(Request.Headers, Scheme.TimeLeft)) {
     constexpr std::uint64_t MaxRemainingMs = 24ULL * 60 * 60 * 1000;
     Request.Remaining = DurationMs(
         static_cast<std::int64_t>(std::min(*Remaining, MaxRemainingMs)));
   }
   constexpr std::uint64_t MaxDepth = std::numeric_limits<std::uint8_t>::max();
-  Request.Depth = static_cast<std::uint8_t>(
-      std::min(numberField(Request.Headers, DepthField).value_or(0), MaxDepth));
-  removeField(Request.Headers, TimeoutField);
-  removeField(Request.Headers, DepthField);
+  Request.Depth = static_cast<std::uint8_t>(std::min(
+      numberField(Request.Headers, Scheme.Depth).value_or(0), MaxDepth));
+  removeField(Request.Headers, Scheme.TimeLeft);
+  removeField(Request.Headers, Scheme.Depth);
   return Request;
 }
 
@@ -150,7 +150,7 @@
 restinio::request_handling_status_t
 CallerServerCore::take(const restinio::request_handle_t &Handle) {
   const std::uint64_t Number = ++LastNumber;
-  CallerRequest Request = convert(Number, Handle);
+  CallerRequest Request = convert(Number, Options.Scheme, Handle);
   Pending[Number] = {Handle, Handle->connection_id(), Handle->remote_endpoint(),
                      Request.Method, Request.Body.size()};
   asio::use_service<ConnectionRegistry>(Context).bodies().add(
--- a/src/callers/HeaderFields.h
+++ b/src/callers/HeaderFields.h
@@ -17,12 +17,6 @@
 
 namespace fescuewood {
 
-/// Time left to answer, in whole milliseconds; shrinks at each hop.
-inline constexpr std::string_view TimeoutField = "X-Request-Timeout-Ms";
-
-/// Number of calls above this one; 0 or absent from a caller outside.
-inline constexpr std::string_view DepthField = "X-Request-Depth";
-
 /// Compares field names, which are case-insensitive.
 bool sameFieldName(std::string_view Left, std::string_view Right);
 
--- a/src/calls/Call.cpp
+++ b/src/calls/Call.cpp
@@ -1,5 +1,7 @@
 #include "calls/Call.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -28,6 +30,13 @@
   return Mark;
 }
 
+std::uint16_t callPriority(std::uint32_t Organisation, std::uint32_t Route) {
+  constexpr std::uint32_t Most = 255;
+  constexpr unsigned RouteBits = 8;
+  return static_cast<std::uint16_t>(
+      (std::min(Organisation, Most) << RouteBits) | std::min(Route, Most));
+}
+
 CallAnswer refusal(int Status, ResultCode Reason, Outcome Ran) {
   const nlohmann::json Body = {
       {"code", static_cast<int>(Reason)},
--- a/src/calls/Call.h
+++ b/src/calls/Call.h
@@ -57,12 +57,17 @@
   /// The start of the digest of the key that was shown, see \ref keyMark, so
   /// that a withdrawn key also stops calls that wait; 0 for other calls.
   std::uint64_t KeyMark = 0;
-  DurationMs Remaining{0}; ///< Time left when this copy was sent.
-  std::uint8_t Depth = 0;  ///< Calls above this one, 0 from a caller outside.
+  DurationMs Remaining{0};      ///< Time left when this copy was sent.
+  std::uint16_t Priority = 0;   ///< 0 goes first, see \ref callPriority.
+  std::uint8_t MaxAttempts = 0; ///< Targets tried; 0: as the settings say.
+  std::uint8_t Depth = 0; ///< Calls above this one, 0 from a caller outside.
   bool Idempotent = false;
   bool CanWait = false;
 };
 
+/// Rank of a call: the organisation's goes before the route's.
+std::uint16_t callPriority(std::uint32_t Organisation, std::uint32_t Route);
+
 /// The first 64 bits of a key's digest; tells keys apart, reveals none.
 std::uint64_t keyMark(const Digest &Sha256);
 
--- a/src/calls/CallCore.cpp
+++ b/src/calls/CallCore.cpp
@@ -68,6 +68,10 @@
   Context.run([this, &Instances] { Entries.setInstances(Instances); });
 }
 
+void CallCore::setOwnTarget(const std::optional<ListedInstance> &Listed) {
+  Context.run([this, Listed] { Target.onListed(Listed); });
+}
+
 void CallCore::setDraining() {
   Context.run([this] {
     Context.Draining = true;
--- a/src/calls/CallCore.h
+++ b/src/calls/CallCore.h
@@ -12,6 +12,7 @@
 #include "calls/EntrySide.h"
 #include "calls/TargetSide.h"
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -32,6 +33,7 @@
 
   void setSnapshot(SnapshotPtr Snapshot);
   void setInstances(const std::vector<Instance> &Instances);
+  void setOwnTarget(const std::optional<ListedInstance> &Listed);
   void setDraining();
 
   /// Answers every call that entered here and is not answered yet.
--- a/src/calls/CallEngine.cpp
+++ b/src/calls/CallEngine.cpp
@@ -116,6 +116,10 @@
     });
   }
 
+  void setOwnTarget(std::optional<ListedInstance> Listed) {
+    change([this, Listed = std::move(Listed)] { Core.setOwnTarget(Listed); });
+  }
+
   void setDraining() {
     change([this] { Core.setDraining(); });
   }
@@ -170,9 +174,11 @@
     };
     if (auto Probe = std::move(Hooks.Target.Probe)) {
       Hooks.Target.Probe =
-          [this, Probe = std::move(Probe)](std::function<void(bool)> OnResult) {
-            Probe([this, OnResult = std::move(OnResult)](bool Answers) {
-              change([OnResult, Answers] { OnResult(Answers); });
+          [this, Probe = std::move(Probe)](
+              std::function<void(const ProbeResult &)> OnResult) {
+            Probe([this,
+                   OnResult = std::move(OnResult)](const ProbeResult &Result) {
+              change([OnResult, Result] { OnResult(Result); });
             });
           };
     }
@@ -235,6 +241,10 @@
   State->setInstances(std::move(Instances));
 }
 
+void CallEngine::setOwnTarget(std::optional<ListedInstance> Listed) {
+  State->setOwnTarget(std::move(Listed));
+}
+
 void CallEngine::setDraining() { State->setDraining(); }
 
 bool CallEngine::idle() const { return State->idle(); }
--- a/src/calls/CallEngine.h
+++ b/src/calls/CallEngine.h
@@ -9,6 +9,7 @@
 #ifndef FESCUEWOOD_CALLS_CALLENGINE_H
 #define FESCUEWOOD_CALLS_CALLENGINE_H
 
+#include "callers/HeaderScheme.h"
 #include "calls/Call.h"
 #include "calls/CallStatus.h"
 #include "calls/TargetPort.h"
@@ -17,6 +18,7 @@
 #include "nodes/PeerTransport.h"
 #include "policy/CallSettings.h"
 #include "policy/Instance.h"
+#include "policy/ListedInstance.h"
 #include "policy/Router.h"
 
 #include <cstdint>
@@ -35,6 +37,10 @@
   std::string Domain;            ///< Failure domain.
   std::string Service;           ///< Of the target beside this node.
   std::uint64_t Incarnation = 0; ///< Unique to this process; not 0.
+  HeaderScheme Scheme = {};
+  /// Whether the platform lists the targets: the own one then gets work only
+  /// while it is listed, and under its id.
+  bool TargetListed = false;
 };
 
 /// What the duty calls on others. Each hook must not block.
@@ -86,6 +92,9 @@
   /// Replaces what is known of the instances, the own one included.
   void setInstances(std::vector<Instance> Instances);
 
+  /// What the platform lists of the own target; nothing when it lists none.
+  void setOwnTarget(std::optional<ListedInstance> Listed);
+
   /// Refuses new work of both sides; what is held is finished.
   void setDraining();
 
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -11,29 +11,27 @@
 
 namespace {
 
-constexpr std::int64_t MsPerSecond = 1000;
-
 std::string_view pathOf(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
 }
 
-/// Retry-After in whole seconds, rounded up so that a retry then is not early.
-Header retryAfter(DurationMs Wait) {
-  const std::int64_t Seconds =
-      std::max<std::int64_t>(1, (Wait.Value + MsPerSecond - 1) / MsPerSecond);
-  return {"Retry-After", std::to_string(Seconds)};
+std::string_view hostOf(const CallRequest &Request) {
+  const std::string *Host = findField(Request.Headers, "Host");
+  return Host ? std::string_view(*Host) : std::string_view();
 }
 
 } // namespace
 
-Entry::Entry(EntryHooks Hooks) : Hooks(std::move(Hooks)) {}
+Entry::Entry(EntryHooks Hooks, EntryPlace Place)
+    : Hooks(std::move(Hooks)), Place(std::move(Place)) {}
 
 void Entry::setSnapshot(SnapshotPtr Snapshot) {
   InForcePtr Next;
   if (Snapshot) {
     KeyTable Keys(*Snapshot);
+    SplitTable Splits(*Snapshot, Place.Seed);
     Next = std::make_shared<const InForce>(
-        InForce{std::move(Snapshot), std::move(Keys)});
+        InForce{std::move(Snapshot), std::move(Keys), std::move(Splits)});
   }
   const std::lock_guard<std::mutex> Lock(Mutex);
   Present = std::move(Next);
@@ -62,23 +60,21 @@
     return;
   }
   const Route *Matched =
-      Now->Config->findRoute(Call.Method, pathOf(Call.Target));
+      Now->Config->findRoute(Call.Method, hostOf(Call), pathOf(Call.Target));
   if (!Matched) {
     refuse(OnAnswer, ResultCode::RouteUnknown, Call);
     return;
   }
-  Call.Route = Matched->Name;
-  Call.Service = Matched->Service;
-  Call.Idempotent = Matched->Idempotent;
-  Call.CanWait = Matched->CanWait;
-  Call.Remaining = Matched->Timeout;
+  follow(*Now, *Matched, Call);
   if (Request.Remaining)
     Call.Remaining = std::min(Call.Remaining, *Request.Remaining);
   if (Call.Body.size() > Matched->MaxBodyBytes) {
     refuse(OnAnswer, ResultCode::RequestBodyTooLarge, Call);
     return;
   }
-  const bool Inside = findField(Call.Headers, CallTokenField) != nullptr;
+  const bool Inside =
+      Place.Scheme.CallTokens &&
+      findField(Call.Headers, Place.Scheme.CallToken) != nullptr;
   const ResultCode Refusal = identify(*Now, *Matched, Call);
   if (Refusal != ResultCode::Ok) {
     refuse(OnAnswer, Refusal, Call);
@@ -92,6 +88,7 @@
     refuse(OnAnswer, ResultCode::DeadlineExceeded, Call);
     return;
   }
+  addOrigin(Call);
   // A call inside the mesh was charged where its chain entered.
   if (Inside || Call.Organisation.empty() || !Hooks.Charge)
     Hooks.Submit(Request.Number, std::move(Call), OnAnswer);
@@ -111,47 +108,105 @@
     }
     CallAnswer Answer = refusal(statusOf(ResultCode::RateExceeded),
                                 ResultCode::RateExceeded, Outcome::NotRun);
-    Answer.Headers.push_back(retryAfter(Decision.RetryAfter));
+    Answer.Headers.push_back(
+        {"Retry-After", retryAfterText(Place.Scheme, Decision.RetryAfter)});
     OnAnswer(std::move(Answer));
   });
 }
 
+/// What a route says of its requests.
+void Entry::follow(const InForce &Now, const Route &Matched,
+                   CallRequest &Call) const {
+  Call.Route = Matched.Name;
+  Call.Service = Now.Splits.pick(Matched);
+  Call.Idempotent = Matched.Idempotent;
+  Call.CanWait = Matched.CanWait;
+  Call.Remaining = Matched.Timeout;
+  Call.MaxAttempts =
+      static_cast<std::uint8_t>(std::min(Matched.MaxAttempts, 255U));
+  Call.Priority = callPriority(0, Matched.Priority);
+}
+
 ResultCode Entry::identify(const InForce &Now, const Route &Matched,
                            CallRequest &Request) const {
-  const auto IsKey = [&Now](std::string_view Text) {
-    return Now.Keys.identify(Text).has_value();
-  };
-  const std::string *Token = findField(Request.Headers, CallTokenField);
-  const auto Claims =
-      Token && Hooks.CheckToken ? Hooks.CheckToken(*Token) : std::nullopt;
-  const bool HasToken = Token != nullptr;
-  removeField(Request.Headers, CallTokenField);
-  const auto Shown = shownKey(Request.Headers, Request.Target, IsKey);
+  if (Place.Scheme.CallTokens &&
+      findField(Request.Headers, Place.Scheme.CallToken))
+    return identifyByToken(Now, Matched, Request);
+  std::optional<std::string> Shown;
   // The key goes before anything else is decided, also on open routes.
-  if (!stripKey(Shown.value_or(std::string()), Request.Headers, Request.Target))
-    return ResultCode::RequestMalformed;
-  if (HasToken && !Claims)
-    return ResultCode::CallerUnknown;
-  if (Claims) {
-    Request.Depth = static_cast<std::uint8_t>(
-        std::min<int>(Claims->Depth + 1, MaxCallDepth));
-    Request.Remaining = std::min(Request.Remaining, Claims->Remaining);
+  if (Place.Scheme.KeyAnywhere) {
+    Shown = shownKey(Request.Headers, Request.Target, [&Now](auto Text) {
+      return Now.Keys.identify(Text).has_value();
+    });
+    if (!stripKey(Shown.value_or(std::string()), Request.Headers,
+                  Request.Target))
+      return ResultCode::RequestMalformed;
+  } else {
+    Shown = shownKey(Request.Headers, Place.Scheme);
+    stripKey(Request.Headers, Place.Scheme);
   }
+  return identifyByKey(Now, Matched, Shown, Request);
+}
+
+ResultCode Entry::identifyByKey(const InForce &Now, const Route &Matched,
+                                const std::optional<std::string> &Shown,
+                                CallRequest &Request) const {
   if (Matched.Access == RouteAccess::Open)
     return ResultCode::Ok;
-  if (Claims) {
-    Request.Organisation = Claims->Organisation;
-    return Request.Organisation.empty() ? ResultCode::CallerUnknown
-                                        : ResultCode::Ok;
-  }
+  // Whether the key is unknown or merely not known here yet cannot be told
+  // either without proof.
+  if (Hooks.KeysProven && !Hooks.KeysProven())
+    return ResultCode::KeysUnproven;
   const auto Owner = Shown ? Now.Keys.identify(*Shown) : std::nullopt;
   if (!Owner)
     return ResultCode::CallerUnknown;
   Request.Organisation = std::string(*Owner);
   Request.KeyMark = keyMark(Digest::of(*Shown));
+  const auto Known = Now.Config->Organisations.find(Request.Organisation);
+  if (Known != Now.Config->Organisations.end())
+    Request.Priority = callPriority(Known->second.Priority, Matched.Priority);
   return ResultCode::Ok;
 }
 
+ResultCode Entry::identifyByToken(const InForce &Now, const Route &Matched,
+                                  CallRequest &Request) const {
+  const std::string *Token = findField(Request.Headers, Place.Scheme.CallToken);
+  const auto Claims =
+      Hooks.CheckToken ? Hooks.CheckToken(*Token) : std::nullopt;
+  removeField(Request.Headers, Place.Scheme.CallToken);
+  const auto Shown =
+      shownKey(Request.Headers, Request.Target, [&Now](auto Text) {
+        return Now.Keys.identify(Text).has_value();
+      });
+  if (!stripKey(Shown.value_or(std::string()), Request.Headers, Request.Target))
+    return ResultCode::RequestMalformed;
+  if (!Claims)
+    return ResultCode::CallerUnknown;
+  Request.Depth =
+      static_cast<std::uint8_t>(std::min<int>(Claims->Depth + 1, MaxCallDepth));
+  Request.Remaining = std::min(Request.Remaining, Claims->Remaining);
+  if (Matched.Access == RouteAccess::Open)
+    return ResultCode::Ok;
+  Request.Organisation = Claims->Organisation;
+  return Request.Organisation.empty() ? ResultCode::CallerUnknown
+                                      : ResultCode::Ok;
+}
+
+/// Tells the target where the request comes from, whatever the caller said.
+void Entry::addOrigin(CallRequest &Request) const {
+  const auto Set = [&Request](const std::string &Field,
+                              const std::string &Value) {
+    if (Field.empty())
+      return;
+    removeField(Request.Headers, Field);
+    if (!Value.empty())
+      Request.Headers.push_back({Field, Value});
+  };
+  Set(Place.Scheme.Organisation, Request.Organisation);
+  Set(Place.Scheme.OriginService, Place.Service);
+  Set(Place.Scheme.TargetInstance, "");
+}
+
 void Entry::refuse(const AnswerHook &OnAnswer, ResultCode Reason,
                    const CallRequest &Request) const {
   if (Hooks.OnEvent) {
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -18,6 +18,7 @@
 #include "intent/Snapshot.h"
 #include "policy/KeyTable.h"
 #include "policy/RateDecision.h"
+#include "policy/SplitTable.h"
 
 #include <cstdint>
 #include <functional>
@@ -42,10 +43,6 @@
 /// Query parameter in which a caller may show its key, when no header does.
 inline constexpr std::string_view KeyParameter = "api_key";
 
-/// Header in which a service inside the mesh shows the token of the call that
-/// it is answering.
-inline constexpr std::string_view CallTokenField = "X-Call-Token";
-
 /// What a valid call token says.
 struct CallTokenClaims {
   std::string Organisation; ///< Empty on a chain that began on an open route.
@@ -67,12 +64,22 @@
   /// Whether decisions may rest on what this node knows; false from the end of
   /// a pause until it has caught up. Empty where that is always so.
   std::function<bool()> ViewCurrent = {};
+  /// Whether the keys in force are known to be the newest; a withdrawn key
+  /// could still pass otherwise. Empty where that need not be known.
+  std::function<bool()> KeysProven = {};
+};
+
+/// Where an entry stands.
+struct EntryPlace {
+  HeaderScheme Scheme;
+  std::string Service;    ///< Of the target beside this node.
+  std::uint64_t Seed = 0; ///< Of the order in which split routes begin.
 };
 
 /// Turns requests into calls.
 class Entry {
 public:
-  explicit Entry(EntryHooks Hooks);
+  explicit Entry(EntryHooks Hooks, EntryPlace Place = {});
 
   /// Puts a configuration in force for the requests that follow.
   void setSnapshot(SnapshotPtr Snapshot);
@@ -86,6 +93,7 @@
   struct InForce {
     SnapshotPtr Config;
     KeyTable Keys;
+    SplitTable Splits;
   };
   using InForcePtr = std::shared_ptr<const InForce>;
 
@@ -94,10 +102,19 @@
                        const AnswerHook &OnAnswer) const;
   void refuse(const AnswerHook &OnAnswer, ResultCode Reason,
               const CallRequest &Request) const;
+  void follow(const InForce &Present, const Route &Matched,
+              CallRequest &Call) const;
   ResultCode identify(const InForce &Present, const Route &Matched,
                       CallRequest &Request) const;
+  ResultCode identifyByToken(const InForce &Present, const Route &Matched,
+                             CallRequest &Request) const;
+  ResultCode identifyByKey(const InForce &Present, const Route &Matched,
+                           const std::optional<std::string> &Shown,
+                           CallRequest &Request) const;
+  void addOrigin(CallRequest &Request) const;
 
   EntryHooks Hooks;
+  const EntryPlace Place;
   mutable std::mutex Mutex;
   InForcePtr Present;
 };
--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -34,6 +34,7 @@
   case ResultCode::TargetDown:
   case ResultCode::TargetUnreachable:
   case ResultCode::DomainOut:
+  case ResultCode::TargetUnlisted:
   case ResultCode::NoTargetAvailable:
   case ResultCode::CallFenced:
     return true;
@@ -42,6 +43,28 @@
   }
 }
 
+/// Whether a run ended without an answer that can be passed on, so that another
+/// target may do better.
+bool isBroken(ResultCode Reason) {
+  switch (Reason) {
+  case ResultCode::TargetConnectionLost:
+  case ResultCode::TargetAnswerForeign:
+  case ResultCode::TargetAnswerUnproven:
+  case ResultCode::TargetAnswerMalformed:
+    return true;
+  default:
+    return false;
+  }
+}
+
+/// Whether a target's own answer may be a passing fault of that target.
+bool mayPass(int Status) {
+  constexpr int InternalError = 500;
+  constexpr int BadGateway = 502;
+  return Status == ServiceUnavailable || Status == InternalError ||
+         Status == BadGateway;
+}
+
 /// Whether a refusal holds for every target alike.
 bool isFinal(ResultCode Reason) {
   switch (Reason) {
@@ -145,7 +168,7 @@
     if (Reply.Reason == ResultCode::CallFenced)
       onNeverSeen(Handle, Call, Reply);
     else
-      onRefused(Handle, Call, Reply.Reason);
+      onRefused(Handle, Call, Reply.Reason, Reply.RetryAfter);
     return;
   case CallState::NeverSeen:
     onNeverSeen(Handle, Call, Reply);
@@ -162,6 +185,7 @@
                  {{"call", Present.Id.text()}, {"target", Present.Target}});
   if (Call.Request.Idempotent && mayMove(Call, true)) {
     Call.MayHaveRun = true;
+    ++Call.Offers;
     move(Handle, Call, "its node does not answer", Leaving::Unsettled);
     return;
   }
@@ -190,10 +214,10 @@
 
 void EntrySide::onAnswer(CallHandle Handle, EntryCall &Call,
                          CallAnswer Answer) {
-  const bool Broken = Answer.Reason == ResultCode::TargetConnectionLost;
-  const bool Shed =
-      Answer.Reason == ResultCode::Ok && Answer.Status == ServiceUnavailable;
-  if (Broken)
+  ++Call.Offers;
+  const bool Broken = isBroken(Answer.Reason);
+  const bool Shed = Answer.Reason == ResultCode::Ok && mayPass(Answer.Status);
+  if (Answer.Reason == ResultCode::TargetConnectionLost)
     ++Call.BrokenRuns;
   // Whatever broke its runs off, one call does not take down more targets.
   const bool TooRisky = Call.BrokenRuns >= Context.Settings.CrashLimit;
@@ -210,9 +234,12 @@
   finish(Handle, Call, std::move(Answer));
 }
 
-void EntrySide::onRefused(CallHandle Handle, EntryCall &Call,
-                          ResultCode Reason) {
+void EntrySide::onRefused(CallHandle Handle, EntryCall &Call, ResultCode Reason,
+                          DurationMs RetryAfter) {
   Call.LastRefusal = Reason;
+  Call.RetryAfter = RetryAfter;
+  if (Reason == ResultCode::TargetRefused)
+    ++Call.Offers;
   if (isFinal(Reason)) {
     refuse(Handle, Call, Reason, unrun(Call));
     return;
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -204,7 +204,9 @@
   // A call that can wait is paced by its pauses instead.
   if (Call.Request.CanWait)
     return true;
-  if (Call.Attempts >= Context.Settings.MaxAttempts)
+  const std::uint32_t Most = Call.Request.MaxAttempts;
+  if (Call.Attempts >= Context.Settings.MaxAttempts ||
+      (Most > 0 && Call.Offers >= Most))
     return false;
   return !Costs || Budget.spend();
 }
@@ -252,7 +254,20 @@
                   {"outcome", std::string(outcomeName(Ran))}});
   if (!Call.Request.Organisation.empty())
     ++Context.Figures.RefusedByOrganisation[Call.Request.Organisation];
-  finish(Handle, Call, refusal(statusOf(Reason), Reason, Ran));
+  CallAnswer Answer = refusal(statusOf(Reason, Ran), Reason, Ran);
+  if (Ran == Outcome::NotRun && Answer.Status == ServiceUnavailable)
+    Answer.Headers.push_back(
+        {"Retry-After", retryAfterText(Context.Self.Scheme, comeBack(Call))});
+  finish(Handle, Call, std::move(Answer));
+}
+
+/// When a refused caller may try again: when its last target expects room, and
+/// at different times, so that those refused together do not return together.
+DurationMs EntrySide::comeBack(const EntryCall &Call) {
+  const DurationMs Wait = std::max(Call.RetryAfter, LeastComeBack);
+  const auto Spread = static_cast<std::uint64_t>(Wait.Value);
+  return Wait + DurationMs(static_cast<std::int64_t>(Context.Hooks.Random() %
+                                                     (Spread + 1)));
 }
 
 void EntrySide::finish(CallHandle Handle, EntryCall &Call, CallAnswer Answer) {
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -33,6 +33,9 @@
 /// Time after a call's deadline in which the last word about it may still come.
 inline constexpr DurationMs AnswerGrace{100};
 
+/// Least time after which a refused caller is told to come back.
+inline constexpr DurationMs LeastComeBack{100};
+
 /// First and longest pause before a call that found no target looks again.
 inline constexpr DurationMs FirstRetryPause{20};
 inline constexpr DurationMs LongestRetryPause{1000};
@@ -110,7 +113,9 @@
     std::size_t Bytes = 0;
     std::optional<Attempt> Present; ///< Nothing while it looks for a target.
     std::vector<std::string> Tried;
-    std::uint32_t Attempts = 0;
+    std::uint32_t Attempts = 0;   ///< Nodes that it was sent to.
+    std::uint32_t Offers = 0;     ///< Targets that it may have been given to.
+    DurationMs RetryAfter{0};     ///< As the last refusal said.
     std::uint32_t BrokenRuns = 0; ///< Targets that broke off while running it.
     DurationMs Pause = FirstRetryPause;
     ResultCode LastRefusal = ResultCode::NoTargetAvailable;
@@ -151,7 +156,8 @@
   void onGreeted(CallHandle Handle, EntryCall &Call, bool Answered);
   void onNoReply(CallHandle Handle, EntryCall &Call);
   void onDone(CallHandle Handle, EntryCall &Call, const CallReply &Reply);
-  void onRefused(CallHandle Handle, EntryCall &Call, ResultCode Reason);
+  void onRefused(CallHandle Handle, EntryCall &Call, ResultCode Reason,
+                 DurationMs RetryAfter = DurationMs(0));
   void onNeverSeen(CallHandle Handle, EntryCall &Call, const CallReply &Reply);
   void onAnswer(CallHandle Handle, EntryCall &Call, CallAnswer Answer);
   void hear(const CallReply &Reply, const PeerIdentity &Sender,
@@ -167,6 +173,7 @@
   void giveUp(CallHandle Handle, EntryCall &Call);
   void refuse(CallHandle Handle, EntryCall &Call, ResultCode Reason,
               Outcome Ran);
+  DurationMs comeBack(const EntryCall &Call);
   void finish(CallHandle Handle, EntryCall &Call, CallAnswer Answer);
   Outcome unrun(const EntryCall &Call) const;
 
--- a/src/calls/KeyStrip.cpp
+++ b/src/calls/KeyStrip.cpp
@@ -56,17 +56,18 @@
   return Result;
 }
 
-std::optional<std::string_view> bearerToken(std::string_view Value) {
-  if (Value.size() <= BearerScheme.size())
+/// What follows a scheme's word in a field's value.
+std::optional<std::string_view> credentials(std::string_view Value,
+                                            std::string_view Prefix) {
+  if (Value.size() <= Prefix.size())
     return std::nullopt;
   const bool Matches = std::equal(
-      BearerScheme.begin(), BearerScheme.end(), Value.begin(),
-      [](char Wanted, char Given) {
+      Prefix.begin(), Prefix.end(), Value.begin(), [](char Wanted, char Given) {
         return Wanted == std::tolower(static_cast<unsigned char>(Given));
       });
   if (!Matches)
     return std::nullopt;
-  return Value.substr(BearerScheme.size());
+  return Value.substr(Prefix.size());
 }
 
 bool isKeyParameter(const Parameter &Each) {
@@ -91,7 +92,7 @@
     for (const Header &Field : Headers) {
       if (!sameFieldName(Field.Name, AuthorizationField))
         continue;
-      const auto Token = bearerToken(Field.Value);
+      const auto Token = credentials(Field.Value, BearerScheme);
       if (Token && IsKey(*Token))
         Shown.emplace_back(*Token);
     }
@@ -110,6 +111,27 @@
   return Shown.front();
 }
 
+std::optional<std::string> shownKey(const std::vector<Header> &Headers,
+                                    const HeaderScheme &Scheme) {
+  std::optional<std::string> Shown;
+  for (const Header &Field : Headers) {
+    if (!sameFieldName(Field.Name, Scheme.Key))
+      continue;
+    const auto Key = credentials(Field.Value, Scheme.KeyPrefix);
+    if (!Key || (Shown && *Shown != *Key))
+      return std::nullopt;
+    Shown = std::string(*Key);
+  }
+  return Shown;
+}
+
+void stripKey(std::vector<Header> &Headers, const HeaderScheme &Scheme) {
+  std::erase_if(Headers, [&Scheme](const Header &Field) {
+    return sameFieldName(Field.Name, Scheme.Key) &&
+           credentials(Field.Value, Scheme.KeyPrefix);
+  });
+}
+
 bool stripKey(std::string_view Key, std::vector<Header> &Headers,
               std::string &Target) {
   removeField(Headers, KeyField);
--- a/src/calls/KeyStrip.h
+++ b/src/calls/KeyStrip.h
@@ -4,6 +4,7 @@
 #ifndef FESCUEWOOD_CALLS_KEYSTRIP_H
 #define FESCUEWOOD_CALLS_KEYSTRIP_H
 
+#include "callers/HeaderScheme.h"
 #include "calls/Call.h"
 
 #include <functional>
@@ -24,6 +25,14 @@
                                     std::string_view Target,
                                     const IsKeyHook &IsKey);
 
+/// The key that a request shows in the one field of \p Scheme; nothing when it
+/// shows none, or two different ones.
+std::optional<std::string> shownKey(const std::vector<Header> &Headers,
+                                    const HeaderScheme &Scheme);
+
+/// Removes the field of \p Scheme where it holds a key.
+void stripKey(std::vector<Header> &Headers, const HeaderScheme &Scheme);
+
 /// Removes the key field, the key parameter, and every header field and query
 /// parameter that holds \p Key, also percent-encoded. Returns false when the
 /// path holds it, so that the request cannot be sent on without it.
--- a/src/calls/Refusals.cpp
+++ b/src/calls/Refusals.cpp
@@ -14,8 +14,6 @@
     return 404;
   case ResultCode::RequestBodyTooLarge:
     return 413;
-  case ResultCode::RequestCrashesTargets:
-    return 422;
   case ResultCode::RateExceeded:
     return 429;
   case ResultCode::CallerGone:
@@ -34,4 +32,16 @@
   }
 }
 
+int statusOf(ResultCode Reason, Outcome Ran) {
+  constexpr int FirstClientError = 400;
+  constexpr int BadGateway = 502;
+  constexpr int GatewayTimeout = 504;
+  const int Status = statusOf(Reason);
+  const bool ByTheMesh = Status >= FirstClientError && Status < BadGateway;
+  if (Ran != Outcome::NotRun)
+    return ByTheMesh || Status == ServiceUnavailable ? BadGateway : Status;
+  return Status == BadGateway || Status == GatewayTimeout ? ServiceUnavailable
+                                                          : Status;
+}
+
 } // namespace fescuewood
--- a/src/calls/TargetPort.h
+++ b/src/calls/TargetPort.h
@@ -35,6 +35,13 @@
 
 using RunHook = std::function<void(RunResult)>;
 
+/// What a probe of the target has shown.
+struct ProbeResult {
+  bool Answers = false; ///< It takes connections, whatever it said.
+  /// How long it stays cold; nothing when it did not say.
+  std::optional<DurationMs> ColdFor = std::nullopt;
+};
+
 /// The target beside this node. The hooks must not block; results may come on
 /// any thread.
 struct TargetPort {
@@ -45,7 +52,7 @@
   /// Ends a run early, when the caller has gone. May be empty.
   std::function<void(const CallId &Id)> Cancel;
   /// Asks whether the target takes connections, after it went down.
-  std::function<void(std::function<void(bool Answers)>)> Probe;
+  std::function<void(std::function<void(const ProbeResult &)>)> Probe;
 };
 
 } // namespace fescuewood
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -5,7 +5,6 @@
 #include "calls/TargetSide.h"
 
 #include "callers/HeaderFields.h"
-#include "calls/Entry.h"
 #include "calls/Refusals.h"
 
 #include <algorithm>
@@ -51,6 +50,8 @@
 
 void TargetSide::pump() {
   while (!Down && !Suspended && InFlight < allowed()) {
+    if (Queue.size() == 0 || !Warmup.take(Context.now()))
+      return;
     const auto Next = Queue.pop(rate(), Context.now());
     if (!Next)
       return;
@@ -101,15 +102,19 @@
       if (Each.Name == Request.Route)
         Request.Remaining = std::min(Request.Remaining, Each.Timeout);
   }
-  removeField(Request.Headers, TimeoutField);
-  removeField(Request.Headers, DepthField);
-  Request.Headers.push_back(
-      {std::string(TimeoutField), std::to_string(Request.Remaining.Value)});
-  Request.Headers.push_back(
-      {std::string(DepthField), std::to_string(Request.Depth)});
-  if (Context.Hooks.IssueToken)
-    Request.Headers.push_back(
-        {std::string(CallTokenField), Context.Hooks.IssueToken(Request)});
+  const HeaderScheme &Scheme = Context.Self.Scheme;
+  const auto Set = [&Request](const std::string &Field, std::string Value) {
+    if (Field.empty())
+      return;
+    removeField(Request.Headers, Field);
+    Request.Headers.push_back({Field, std::move(Value)});
+  };
+  Set(Scheme.TimeLeft, std::to_string(Request.Remaining.Value));
+  Set(Scheme.Depth, std::to_string(Request.Depth));
+  if (Scheme.CallTokens && Context.Hooks.IssueToken)
+    Set(Scheme.CallToken, Context.Hooks.IssueToken(Request));
+  if (Listed)
+    Set(Scheme.TargetInstance, Listed->TargetId);
   return Request;
 }
 
@@ -241,24 +246,24 @@
   NextProbe = Context.now() + Context.Settings.ProbeInterval;
   Evidence.probing();
   if (!Context.Hooks.Target.Probe) {
-    onProbe(true);
+    onProbe({true});
     return;
   }
   Probing = true;
-  Context.Hooks.Target.Probe([this](bool Answers) {
-    Context.run([this, Answers] {
+  Context.Hooks.Target.Probe([this](const ProbeResult &Result) {
+    Context.run([this, Result] {
       Probing = false;
-      onProbe(Answers);
+      onProbe(Result);
     });
   });
 }
 
-void TargetSide::onProbe(bool Answers) {
-  if (!Answers) {
+void TargetSide::onProbe(const ProbeResult &Result) {
+  if (!Result.Answers) {
     goDown();
     return;
   }
-  const CrashVerdict Verdict = Evidence.judge(Answers, othersRun());
+  const CrashVerdict Verdict = Evidence.judge(Result.Answers, othersRun());
   if (Verdict == CrashVerdict::ProbeAgain) {
     probe();
     return;
@@ -268,6 +273,10 @@
   // otherwise it has to be taken for cold.
   if (Down || Verdict != CrashVerdict::GoesOn)
     Limit.restartAfterLoss(Context.now());
+  if (Result.ColdFor)
+    setColdFor(*Result.ColdFor);
+  else if (Down || Verdict == CrashVerdict::Crashed)
+    setColdFor(SlowStart);
   Down = false;
   Suspended = false;
   setState();
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -95,15 +95,22 @@
 void TargetSide::onConfig() {
   const Snapshot &Config = *Context.Config;
   const auto Own = Config.Services.find(Context.Self.Service);
-  if (Own != Config.Services.end())
-    Limit.setSlots(Own->second.Slots);
+  if (Own != Config.Services.end()) {
+    if (!Context.Self.TargetListed)
+      Limit.setSlots(Own->second.Slots);
+    Warmup.setRate(Own->second.WarmupPerSecond);
+    SlowStart = Own->second.SlowStart;
+  }
   const bool AnyWithdrawn = Withdrawn.update(Config);
   const bool WasOut = std::exchange(OutBefore, ownDomainOut());
   if (OutBefore)
     refuseAllQueued(ResultCode::DomainOut);
   // While its domain was out the target may have been restarted unnoticed.
-  if (WasOut && !OutBefore)
+  if (WasOut && !OutBefore) {
     Limit.reset(Context.now());
+    setColdFor(SlowStart);
+    probe();
+  }
   if (AnyWithdrawn) {
     std::vector<CallId> Revoked;
     for (const auto &[Id, Call] : Held)
@@ -119,6 +126,47 @@
   pump();
 }
 
+void TargetSide::onListed(const std::optional<ListedInstance> &Entry) {
+  const bool Replaced = Entry && Listed && Entry->TargetId != Listed->TargetId;
+  Listed = Entry;
+  if (Listed) {
+    Limit.setSlots(Listed->Slots);
+    if (Listed->ColdFor > DurationMs(0))
+      setColdFor(Listed->ColdFor);
+  }
+  Context.report(
+      EventId::OwnTargetListed,
+      {{"target", Listed ? Listed->TargetId : ""},
+       {"state", Listed && Listed->State == ListedState::Live ? "live"
+                 : Listed                                     ? "leaving"
+                                                              : "unlisted"},
+       {"cold_ms", std::to_string(Listed ? Listed->ColdFor.Value : 0)}});
+  const ResultCode Refusal = refusalByListing();
+  if (Refusal != ResultCode::Ok)
+    refuseAllQueued(Refusal);
+  // Whatever was known of a target that is down or was replaced is void.
+  if (Replaced || (Listed && Down)) {
+    Down = false;
+    Limit.reset(Context.now());
+  }
+  setState();
+  pump();
+}
+
+ResultCode TargetSide::refusalByListing() const {
+  if (!Context.Self.TargetListed)
+    return ResultCode::Ok;
+  if (!Listed)
+    return ResultCode::TargetUnlisted;
+  return Listed->State == ListedState::Leaving ? ResultCode::TargetDraining
+                                               : ResultCode::Ok;
+}
+
+void TargetSide::setColdFor(DurationMs Span) {
+  const TimeMs Now = Context.now();
+  Warmup.setColdUntil(Now + Span, Now);
+}
+
 void TargetSide::onDraining() { setState(); }
 
 void TargetSide::tick() {
@@ -130,7 +178,8 @@
     NextGuardExpiry = Now + GuardExpiryInterval;
   }
   releaseAbandoned(Now);
-  if ((Down || Suspended) && Now >= NextProbe)
+  const bool Usable = refusalByListing() == ResultCode::Ok;
+  if ((Suspended || (Down && Usable)) && Now >= NextProbe)
     probe();
   setState();
   pump();
@@ -142,6 +191,8 @@
   Load.Limit = Limit.limit(Context.now());
   if (Context.Settings.Admission != AdmissionMode::Adaptive)
     Load.Limit = Limit.slots();
+  if (Warmup.cold(Context.now()))
+    Load.Limit = 1;
   Load.Queued = static_cast<std::uint32_t>(Queue.size());
   Load.Latency = Limit.latency();
   Load.State = Told.value_or(TargetState::Cold);
@@ -178,6 +229,7 @@
   } else if (Entry->Progress == LedgerEntry::State::Refused) {
     Reply.State = CallState::Refused;
     Reply.Reason = Entry->Reason;
+    Reply.RetryAfter = retryAfter(Entry->Reason);
     Reply.Fenced = true;
   } else {
     const CallReply Piece = answerPiece(Entry->Answer, Offset, Reply.Load);
@@ -189,6 +241,18 @@
   return Reply;
 }
 
+/// When a caller may find room: after what waits now has been served.
+DurationMs TargetSide::retryAfter(ResultCode Reason) {
+  const bool Busy = Reason == ResultCode::QueueFull ||
+                    Reason == ResultCode::DeadlineUnreachable;
+  if (!Busy)
+    return DurationMs(0);
+  const ServiceRate Present = rate();
+  const auto Waiting = static_cast<std::int64_t>(Queue.size()) + 1;
+  return DurationMs(Present.Latency.Value * Waiting /
+                    std::max(1U, Present.Limit));
+}
+
 ResultCode TargetSide::refusalOnArrival(const CallRequest &Request) {
   if (Context.Draining)
     return ResultCode::TargetDraining;
@@ -200,6 +264,8 @@
 }
 
 ResultCode TargetSide::refusalOnStart(const CallRequest &Request) {
+  if (const ResultCode Refusal = refusalByListing(); Refusal != ResultCode::Ok)
+    return Refusal;
   if (ownDomainOut())
     return ResultCode::DomainOut;
   if (Request.KeyMark != 0 && Withdrawn.contains(Request.KeyMark))
@@ -216,6 +282,7 @@
   Call.Id = Request.Id;
   Call.Organisation = Request.Organisation;
   Call.CanWait = Request.CanWait;
+  Call.Priority = Request.Priority;
   Call.Deadline = Deadline;
   Call.Cost = std::max(DurationMs(1), Limit.latency());
   Call.Bytes = Request.Target.size() + Request.Body.size();
@@ -262,9 +329,11 @@
   TargetState Next = TargetState::Ready;
   if (Context.Draining)
     Next = TargetState::Draining;
-  else if (Down)
+  else if (refusalByListing() == ResultCode::TargetDraining)
+    Next = TargetState::Draining;
+  else if (Down || refusalByListing() != ResultCode::Ok)
     Next = TargetState::Down;
-  else if (Limit.cold())
+  else if (Limit.cold() || Warmup.cold(Context.now()))
     Next = TargetState::Cold;
   if (Told == Next)
     return;
@@ -280,6 +349,8 @@
   // Only a run renews the latency. An idle target is tried whatever that was,
   // or one slow answer would turn away all shorter calls for good.
   const DurationMs Expected = InFlight == 0 ? DurationMs(0) : Limit.latency();
+  if (Warmup.cold(Context.now()))
+    return {1, std::max(Expected, Warmup.interval())};
   return {std::min(allowed(), Limit.slots()), Expected};
 }
 
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -16,6 +16,8 @@
 #include "policy/CallLedger.h"
 #include "policy/CrashEvidence.h"
 #include "policy/FairQueue.h"
+#include "policy/ListedInstance.h"
+#include "policy/WarmupLimit.h"
 #include "policy/WithdrawnKeys.h"
 
 #include <cstdint>
@@ -48,6 +50,9 @@
   /// Applies the configuration in the context to what waits.
   void onConfig();
 
+  /// Takes what the platform lists of the target; nothing when it lists none.
+  void onListed(const std::optional<ListedInstance> &Entry);
+
   /// Refuses new work from now on.
   void onDraining();
 
@@ -80,6 +85,7 @@
 
   CallReply describe(const CallId &Id, std::uint64_t Offset);
   CallReply frame();
+  DurationMs retryAfter(ResultCode Reason);
   ResultCode refusalOnArrival(const CallRequest &Request);
   ResultCode refusalOnStart(const CallRequest &Request);
   QueuedCall queued(const CallRequest &Request, TimeMs Deadline) const;
@@ -100,7 +106,9 @@
   void refuseAllQueued(ResultCode Reason);
   void goDown();
   void probe();
-  void onProbe(bool Answers);
+  void onProbe(const ProbeResult &Result);
+  ResultCode refusalByListing() const;
+  void setColdFor(DurationMs Span);
   void releaseAbandoned(TimeMs Now);
   void setState();
   ServiceRate rate();
@@ -115,6 +123,9 @@
   std::deque<TimeMs> Abandoned; ///< When each given-up run is let go of.
   std::uint32_t InFlight = 0;   ///< At the target, abandoned ones included.
   CrashEvidence Evidence;
+  std::optional<ListedInstance> Listed; ///< Only where the platform lists it.
+  WarmupLimit Warmup;
+  DurationMs SlowStart{0};
   std::uint64_t Epoch = 0; ///< Grows by one with each noticed crash.
   bool Suspended = false;  ///< Nothing starts until a probe says so.
   bool Down = false;
--- a/src/intent/CompileIntent.cpp
+++ b/src/intent/CompileIntent.cpp
@@ -34,6 +34,7 @@
     S.Rates = byName<Rate>();
     S.Organisations = byName<Organisation>();
     S.Routes = inOrder<Route>();
+    S.Limits = callerLimits();
     closeReferences(S);
     S.Keys = activeKeys(S);
     return S;
@@ -52,7 +53,7 @@
         report(Found,
                {ResultCode::SectionUnknown, Section.Heading, Id.heading(),
                 "no such kind, expected service, domain, rate, "
-                "organisation, key or route"});
+                "organisation, key, route or limits"});
       } else if (Id.Name.empty()) {
         report(Found, {ResultCode::IniBadHeading, Section.Heading, Id.heading(),
                        "expected a name, such as \"[" + Id.Kind + " NAME]\""});
@@ -63,7 +64,8 @@
   static bool isKnown(std::string_view Kind) {
     return Kind == kindName<Service>() || Kind == kindName<Domain>() ||
            Kind == kindName<Rate>() || Kind == kindName<Organisation>() ||
-           Kind == kindName<WrittenKey>() || Kind == kindName<Route>();
+           Kind == kindName<WrittenKey>() || Kind == kindName<Route>() ||
+           Kind == kindName<CallerLimits>();
   }
 
   /// Calls \p Use with each section of a kind, in the order of names.
@@ -129,19 +131,52 @@
     return Active;
   }
 
+  /// One section of limits holds for all callers.
+  std::optional<CallerLimits> callerLimits() {
+    std::vector<CallerLimits> Given = inOrder<CallerLimits>();
+    if (Given.empty())
+      return std::nullopt;
+    for (std::size_t I = 1; I < Given.size(); ++I) {
+      const SectionId Id{"limits", Given[I].Name};
+      report(
+          Found,
+          {ResultCode::LimitsTwice, Merged.at(Id).Heading, Id.heading(),
+           "is not the only one, beside [limits " + Given.front().Name + "]"});
+    }
+    return std::move(Given.front());
+  }
+
+  /// Exactly one of `service` and `split` says where a route leads.
+  void closeDestination(const Snapshot &S, const Route &R) {
+    const SectionId Id{"route", R.Name};
+    if (R.Service.empty() == R.Split.empty()) {
+      report(Found, {ResultCode::RouteDestination, Merged.at(Id).Heading,
+                     Id.heading(), "expected either service or split"});
+    }
+    if (!R.Service.empty())
+      requireKnown(S.Services, Id, "service", R.Service);
+    for (const SplitPart &Part : R.Split)
+      if (!S.Services.contains(Part.Service) && valueOf(Id, "split"))
+        report(Found, {ResultCode::ReferenceUnknown,
+                       valueOf(Id, "split")->Where, Id.heading() + " split",
+                       "there is no [service " + Part.Service + "]"});
+  }
+
   void closeReferences(const Snapshot &S) {
     for (const auto &[Name, O] : S.Organisations)
       requireKnown(S.Rates, {"organisation", Name}, "rate", O.Rate);
-    std::map<std::pair<std::string, std::string>, std::string> Seen;
+    std::map<std::tuple<std::string, std::string, std::string>, std::string>
+        Seen;
     for (const Route &R : S.Routes) {
       const SectionId Id{"route", R.Name};
-      requireKnown(S.Services, Id, "service", R.Service);
-      const auto [First, Added] = Seen.try_emplace({R.Method, R.Path}, R.Name);
+      closeDestination(S, R);
+      const auto [First, Added] =
+          Seen.try_emplace({R.Method, R.Host, R.Path}, R.Name);
       if (!Added && valueOf(Id, "path")) {
         report(Found,
                {ResultCode::RouteAmbiguous, valueOf(Id, "path")->Where,
                 Id.heading() + " path",
-                "same method and path as [route " + First->second + "]"});
+                "same method, host and path as [route " + First->second + "]"});
       }
     }
   }
@@ -210,6 +245,7 @@
   appendKeys<Rate>(Infos);
   appendKeys<Organisation>(Infos);
   appendKeys<WrittenKey>(Infos);
+  appendKeys<CallerLimits>(Infos);
   return Infos;
 }
 
--- a/src/intent/IntentSchema.cpp
+++ b/src/intent/IntentSchema.cpp
@@ -11,6 +11,9 @@
 
 constexpr std::size_t MaxMethodBytes = 16;
 constexpr std::size_t MaxRoutePathBytes = 512;
+constexpr std::size_t MaxHostBytes = 255;
+constexpr std::size_t MaxSplitParts = 64;
+constexpr std::uint32_t MaxSplitWeight = 1000000;
 
 bool isPathByte(char C) {
   return C > ' ' && C < 0x7f && C != '?' && C != '#' && C != '*';
@@ -57,6 +60,72 @@
       {{"key", RouteAccess::Keyed}, {"open", RouteAccess::Open}});
 }
 
+bool isHostByte(char C) {
+  return (C >= 'a' && C <= 'z') || (C >= '0' && C <= '9') || C == '.' ||
+         C == '-' || C == '_';
+}
+
+std::optional<std::string> parseHost(std::string_view Text) {
+  const bool Valid = Text.size() <= MaxHostBytes &&
+                     std::all_of(Text.begin(), Text.end(), isHostByte);
+  return Valid ? std::optional(std::string(Text)) : std::nullopt;
+}
+
+ValueForm<std::string> hostForm() {
+  return {"a host name in lower case, or empty", &parseHost};
+}
+
+std::optional<std::string> parseOptionalName(std::string_view Text) {
+  if (Text.empty())
+    return std::string();
+  return nameForm().Parse(Text);
+}
+
+ValueForm<std::string> optionalNameForm() {
+  return {nameForm().Text + ", or empty", &parseOptionalName};
+}
+
+std::string_view trimmed(std::string_view Text) {
+  const std::size_t First = Text.find_first_not_of(' ');
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(' ') - First + 1);
+}
+
+std::optional<SplitPart> parseSplitPart(std::string_view Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos)
+    return std::nullopt;
+  const auto Name = nameForm().Parse(Text.substr(0, Colon));
+  const auto Weight = wholeNumber<std::uint32_t>(0, MaxSplitWeight)
+                          .Parse(Text.substr(Colon + 1));
+  if (!Name || !Weight)
+    return std::nullopt;
+  return SplitPart{*Name, *Weight};
+}
+
+std::optional<std::vector<SplitPart>> parseSplit(std::string_view Text) {
+  std::vector<SplitPart> Parts;
+  std::uint64_t Total = 0;
+  while (!Text.empty()) {
+    const std::size_t End = std::min(Text.find(','), Text.size());
+    const auto Part = parseSplitPart(trimmed(Text.substr(0, End)));
+    if (!Part || Parts.size() >= MaxSplitParts)
+      return std::nullopt;
+    Total += Part->Weight;
+    Parts.push_back(*Part);
+    Text.remove_prefix(std::min(End + 1, Text.size()));
+  }
+  if (!Parts.empty() && Total == 0)
+    return std::nullopt;
+  return Parts;
+}
+
+ValueForm<std::vector<SplitPart>> splitForm() {
+  return {"SERVICE:WEIGHT, SERVICE:WEIGHT, ... with a weight above 0, or empty",
+          &parseSplit};
+}
+
 ValueForm<bool> withdrawnForm() {
   return oneOf<bool>({{"active", false}, {"withdrawn", true}});
 }
@@ -72,6 +141,8 @@
 template <> std::span<const KeyRow<Service>> intentRows() {
   static const std::vector<KeyRow<Service>> Table{
       keyRow<Service>("service", "slots", "requests", "1", wholeNumber<std::uint32_t>(1, 65535), &Service::Slots, "Requests that one warm target of the service bears at once."),
+      keyRow<Service>("service", "slow_start_ms", "ms", "0", milliseconds(0, 600000), &Service::SlowStart, "Time for which a freshly started target is cold."),
+      keyRow<Service>("service", "warmup_per_second", "requests/s", "0", decimalNumber(0, 1000000), &Service::WarmupPerSecond, "Requests a second that a cold target is given; 0: not bounded."),
   };
   return Table;
 }
@@ -97,6 +168,7 @@
   static const std::vector<KeyRow<Organisation>> Table{
       keyRow<Organisation>("organisation", "rate", "", Required, nameForm(), &Organisation::Rate, "Name of the rate that the organisation is held to."),
       keyRow<Organisation>("organisation", "weight", "", "1", wholeNumber<std::uint32_t>(1, 1000), &Organisation::Weight, "Share of contended slots against other organisations."),
+      keyRow<Organisation>("organisation", "priority", "", "0", wholeNumber<std::uint32_t>(0, 255), &Organisation::Priority, "Rank of its requests, 0 first; outranks the route's."),
   };
   return Table;
 }
@@ -113,17 +185,33 @@
 template <> std::span<const KeyRow<Route>> intentRows() {
   static const std::vector<KeyRow<Route>> Table{
       keyRow<Route>("route", "method", "", "*", methodForm(), &Route::Method, "Method of the requests that the route takes."),
+      keyRow<Route>("route", "host", "", "", hostForm(), &Route::Host, "Host of the requests that the route takes, in lower case and without a port; empty for every host."),
       keyRow<Route>("route", "path", "", Required, pathForm(), &Route::Path, "Path of the requests that the route takes, without the query."),
-      keyRow<Route>("route", "service", "", Required, nameForm(), &Route::Service, "Service that the requests go to."),
+      keyRow<Route>("route", "service", "", "", optionalNameForm(), &Route::Service, "Service that the requests go to; must be given unless `split` is."),
+      keyRow<Route>("route", "split", "", "", splitForm(), &Route::Split, "Services among which the requests are divided, each with its weight, such as `queue:90, till:10`."),
       keyRow<Route>("route", "access", "", "key", accessForm(), &Route::Access, "Whether a request must carry a key."),
       keyRow<Route>("route", "idempotent", "", "no", yesOrNo(), &Route::Idempotent, "Whether a request may run more than once without harm."),
       keyRow<Route>("route", "wait", "", "no", yesOrNo(), &Route::CanWait, "Whether a request is queued rather than refused under load."),
+      keyRow<Route>("route", "large", "", "no", yesOrNo(), &Route::Large, "Whether answers are long, so that they are kept in the caller's failure domain where possible."),
+      keyRow<Route>("route", "objective_ms", "ms", "0", milliseconds(0, 600000), &Route::Objective, "Time within which an answer is worth most; 0 for none."),
+      keyRow<Route>("route", "max_attempts", "", "0", wholeNumber<std::uint32_t>(0, 64), &Route::MaxAttempts, "Targets that a request is sent to at most; 0 as the settings say."),
+      keyRow<Route>("route", "priority", "", "0", wholeNumber<std::uint32_t>(0, 255), &Route::Priority, "Rank of the requests, 0 first."),
       keyRow<Route>("route", "timeout_ms", "ms", "2000", milliseconds(10, 600000), &Route::Timeout, "Longest time from a request's arrival to its answer."),
       keyRow<Route>("route", "max_body_bytes", "bytes", "1048576", wholeNumber<std::size_t>(0, 16777216), &Route::MaxBodyBytes, "Largest request body that the route takes."),
   };
   return Table;
 }
 
+template <> std::span<const KeyRow<CallerLimits>> intentRows() {
+  static const std::vector<KeyRow<CallerLimits>> Table{
+      keyRow<CallerLimits>("limits", "max_header_bytes", "bytes", "16384", wholeNumber<std::size_t>(1024, 65536), &CallerLimits::MaxHeaderBytes, "Largest request head that is accepted."),
+      keyRow<CallerLimits>("limits", "max_body_bytes", "bytes", "1048576", wholeNumber<std::size_t>(0, 1073741824), &CallerLimits::MaxBodyBytes, "Largest request body that is accepted."),
+      keyRow<CallerLimits>("limits", "header_timeout_ms", "ms", "10000", milliseconds(100, 600000), &CallerLimits::HeaderTimeout, "Longest time to receive one request's head."),
+      keyRow<CallerLimits>("limits", "idle_timeout_ms", "ms", "60000", milliseconds(100, 3600000), &CallerLimits::IdleTimeout, "Time after which an unused connection is closed."),
+  };
+  return Table;
+}
+
 // clang-format on
 
 } // namespace fescuewood
--- a/src/intent/IntentSchema.h
+++ b/src/intent/IntentSchema.h
@@ -29,6 +29,7 @@
 template <> std::span<const KeyRow<Organisation>> intentRows();
 template <> std::span<const KeyRow<WrittenKey>> intentRows();
 template <> std::span<const KeyRow<Route>> intentRows();
+template <> std::span<const KeyRow<CallerLimits>> intentRows();
 
 } // namespace fescuewood
 
--- a/src/intent/Snapshot.cpp
+++ b/src/intent/Snapshot.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <tuple>
 
 namespace fescuewood {
@@ -31,16 +32,37 @@
   return isPrefix(R) ? Path.substr(0, Path.size() - 1) : Path;
 }
 
-bool matches(const Route &R, std::string_view Method, std::string_view Path) {
+/// A request's host without its port; an IPv6 number keeps its brackets.
+std::string_view hostWithoutPort(std::string_view Host) {
+  const std::size_t Colon = Host.rfind(':');
+  const bool HasPort = Colon != std::string_view::npos &&
+                       Host.find(']', Colon) == std::string_view::npos;
+  return HasPort ? Host.substr(0, Colon) : Host;
+}
+
+/// \param Declared is in lower case.
+bool sameHost(std::string_view Declared, std::string_view Given) {
+  return std::equal(Declared.begin(), Declared.end(), Given.begin(),
+                    Given.end(), [](char Wanted, unsigned char Each) {
+                      return Wanted == static_cast<char>(std::tolower(Each));
+                    });
+}
+
+/// \param Host without a port.
+bool matches(const Route &R, std::string_view Method, std::string_view Host,
+             std::string_view Path) {
   if (R.Method != "*" && R.Method != Method)
     return false;
+  if (!R.Host.empty() && !sameHost(R.Host, Host))
+    return false;
   const std::string_view Literal = literalPart(R);
   return isPrefix(R) ? Path.starts_with(Literal) : Path == Literal;
 }
 
 /// Greater for the route that wins.
 auto precedence(const Route &R) {
-  return std::tuple(literalPart(R).size(), !isPrefix(R), R.Method != "*");
+  return std::tuple(!R.Host.empty(), literalPart(R).size(), !isPrefix(R),
+                    R.Method != "*");
 }
 
 } // namespace
@@ -68,11 +90,12 @@
   return {Revision, Digest::of(Bytes)};
 }
 
-const Route *Snapshot::findRoute(std::string_view Method,
+const Route *Snapshot::findRoute(std::string_view Method, std::string_view Host,
                                  std::string_view Path) const {
+  const std::string_view Named = hostWithoutPort(Host);
   const Route *Best = nullptr;
   for (const Route &R : Routes) {
-    if (!matches(R, Method, Path))
+    if (!matches(R, Method, Named, Path))
       continue;
     if (!Best || precedence(R) > precedence(*Best))
       Best = &R;
--- a/src/nodes/BundleStore.cpp
+++ b/src/nodes/BundleStore.cpp
@@ -23,6 +23,15 @@
   Versions.push_back({Id, std::move(Bundle)});
 }
 
+void BundleStore::rename(const Version &Old, const Version &Id) {
+  for (Held &Each : Versions) {
+    if (Each.Id != Old)
+      continue;
+    Each.Id = Id;
+    Each.Bundle.Revision = Id.Revision;
+  }
+}
+
 FetchReply BundleStore::serve(const FetchRequest &Request) const {
   FetchReply Reply;
   if (Versions.empty() || Versions.back().Id < Request.Wanted)
--- a/src/nodes/BundleStore.h
+++ b/src/nodes/BundleStore.h
@@ -23,6 +23,9 @@
   /// Adds the version that is in force from now on.
   void add(const Version &Id, IntentBundle Bundle);
 
+  /// The version that is held as \p Old goes by \p Id from now on.
+  void rename(const Version &Old, const Version &Id);
+
   /// Answers a fetch with the version in force when it is at least the one
   /// wanted: as a delta when the base is held and the delta is smaller.
   FetchReply serve(const FetchRequest &Request) const;
--- a/src/nodes/CallMessages.cpp
+++ b/src/nodes/CallMessages.cpp
@@ -12,7 +12,7 @@
 
 /// Fields of the fixed part of each message; another number is malformed.
 template <typename Message> constexpr std::uint32_t FieldCount = 0;
-template <> constexpr std::uint32_t FieldCount<CallStart> = 16;
+template <> constexpr std::uint32_t FieldCount<CallStart> = 17;
 template <> constexpr std::uint32_t FieldCount<CallFetch> = 5;
 template <> constexpr std::uint32_t FieldCount<CallCancel> = 2;
 template <> constexpr std::uint32_t FieldCount<CallReply> = 14;
@@ -40,6 +40,7 @@
   Fields.bytes(Request.Organisation, MaxNameBytes);
   Fields.span(Request.Remaining);
   Fields.number(Request.Depth);
+  Fields.number(Request.Priority);
   Fields.flag(Request.Idempotent);
   Fields.flag(Request.CanWait);
   Fields.number(Request.KeyMark);
--- a/src/nodes/ControlCore.cpp
+++ b/src/nodes/ControlCore.cpp
@@ -21,7 +21,8 @@
 ControlSettings withoutVainWait(ControlSettings Settings) {
   const auto Own = std::count(Settings.Seeds.begin(), Settings.Seeds.end(),
                               Settings.Self.PeerAddress);
-  if (Settings.Seeds.size() == static_cast<std::size_t>(Own))
+  if (Settings.Seeds.size() == static_cast<std::size_t>(Own) ||
+      Settings.EveryNodeReads)
     Settings.Versions.StartAnswers = 0;
   return Settings;
 }
@@ -57,6 +58,7 @@
     Message.InForce = Versions.keeper().inForce();
     Message.Starting = Versions.phase() == ControlPhase::Starting;
     Message.SpreadDigest = Spread.digest();
+    Message.ProofAge = proofAge();
   };
   Result.DescribeDifference = [this](const ExchangeMessage &Theirs,
                                      ExchangeMessage &Reply) {
@@ -69,6 +71,9 @@
                               const ExchangeMessage &Theirs) {
     onDescribed(Peer, Address, Theirs);
   };
+  Result.OnPeerProof = [this](const Version &Theirs, TimeMs At) {
+    onProof(At, Theirs.Revision);
+  };
   return Result;
 }
 
@@ -108,7 +113,8 @@
   for (const auto &[Name, Domain] : InForce->Domains)
     Regions[Name] = Domain.Region;
   Members.setRegions(std::move(Regions));
-  Members.push(Settings.PushFanout);
+  if (!Settings.EveryNodeReads)
+    Members.push(Settings.PushFanout);
 }
 
 void ControlCore::onDescribed(const std::string &Peer,
@@ -201,8 +207,9 @@
   ReaderDigest = Digest;
   ReaderMayRead = MayRead;
   const std::vector<std::string> Chosen = readers();
-  const bool Now = MayRead && std::find(Chosen.begin(), Chosen.end(),
-                                        Settings.Self.Name) != Chosen.end();
+  const bool Now = Settings.EveryNodeReads ||
+                   (MayRead && std::find(Chosen.begin(), Chosen.end(),
+                                         Settings.Self.Name) != Chosen.end());
   if (Now == Reader)
     return;
   Reader = Now;
@@ -221,6 +228,19 @@
   Versions.offer(std::move(Bundle));
 }
 
+void ControlCore::onProof(TimeMs At, std::uint64_t Revision) {
+  const auto &InForce = Versions.keeper().inForce();
+  if (!InForce || InForce->Revision < Revision || At <= ProvenAt)
+    return;
+  ProvenAt = At;
+}
+
+std::optional<DurationMs> ControlCore::proofAge() const {
+  if (ProvenAt == TimeMs(0))
+    return std::nullopt;
+  return std::max(DurationMs(0), Time.now() - ProvenAt);
+}
+
 void ControlCore::offerInstances(const InstanceList &List) {
   std::vector<ListedMember> Rows;
   Rows.reserve(List.Instances.size());
@@ -228,7 +248,7 @@
     Rows.push_back({{L.Name, L.Domain, L.Service, L.Slot, L.PeerAddress,
                      TargetState::Cold},
                     L.State == ListedState::Leaving});
-  Members.members().onListed(Rows, List.Revision, Time.now());
+  Members.members().onListed(Rows, List.Revision, List.Complete, Time.now());
 }
 
 void ControlCore::setOwnState(TargetState State) {
--- a/src/nodes/ControlCore.h
+++ b/src/nodes/ControlCore.h
@@ -14,9 +14,9 @@
 #include "nodes/ControlStatus.h"
 #include "nodes/MemberSync.h"
 #include "nodes/VersionSync.h"
-#include "platform/PlatformSource.h"
 #include "policy/RandomHook.h"
 #include "policy/VersionSpread.h"
+#include "sources/PlatformSource.h"
 
 #include <cstdint>
 #include <map>
@@ -45,6 +45,14 @@
 
   void offerBundle(IntentBundle Bundle);
   void offerInstances(const InstanceList &List);
+
+  /// What the source told up to \p Revision was the newest at \p At.
+  void onProof(TimeMs At, std::uint64_t Revision);
+
+  /// When the version in force was last known to be the newest; the clock's
+  /// origin when it never was.
+  TimeMs provenAt() const { return ProvenAt; }
+
   void setOwnState(TargetState State);
   void leave();
 
@@ -59,6 +67,7 @@
 
 private:
   MemberSyncHooks memberHooks();
+  std::optional<DurationMs> proofAge() const;
   void onApplied(const SnapshotPtr &InForce);
   void onDescribed(const std::string &Peer, const std::string &Address,
                    const ExchangeMessage &Theirs);
@@ -86,6 +95,7 @@
   TimeMs JoinsAreNews;
   TimeMs RunsSince; ///< Of this process, without a pause.
   bool ReportedReplaced = false;
+  TimeMs ProvenAt{0};
 };
 
 } // namespace fescuewood
--- a/src/nodes/ControlDuty.cpp
+++ b/src/nodes/ControlDuty.cpp
@@ -49,6 +49,7 @@
   ControlCore Core;
   std::atomic<std::int64_t> LastTick{Clock::monotonic().now().Value};
   std::atomic<bool> CatchingUp{false};
+  std::atomic<std::int64_t> ProvenAt{0};
   std::mutex Mutex;
   Version Held;
   VersionSpread SpreadCopy;
@@ -73,6 +74,7 @@
   void publish() {
     Face.Reader = Core.amReader();
     CatchingUp = Core.phase() == ControlPhase::CatchingUp;
+    ProvenAt = Core.provenAt().Value;
     const std::uint32_t Digest = Core.spread().digest();
     const auto InForce = Core.inForce();
     std::lock_guard<std::mutex> Lock(Mutex);
@@ -134,6 +136,15 @@
       [this, List = std::move(List)] { Own->Core.offerInstances(List); });
 }
 
+void ControlDuty::offerProof(TimeMs At, std::uint64_t Revision) {
+  Own->Work.post([this, At, Revision] {
+    Own->Core.onProof(At, Revision);
+    Own->ProvenAt = Own->Core.provenAt().Value;
+  });
+}
+
+TimeMs ControlDuty::provenAt() const { return TimeMs(Own->ProvenAt); }
+
 void ControlDuty::setOwnState(TargetState State) {
   Own->Work.post([this, State] { Own->Core.setOwnState(State); });
 }
--- a/src/nodes/ControlDuty.h
+++ b/src/nodes/ControlDuty.h
@@ -14,7 +14,7 @@
 #include "nodes/ControlSettings.h"
 #include "nodes/ControlStatus.h"
 #include "nodes/PeerServer.h"
-#include "platform/PlatformSource.h"
+#include "sources/PlatformSource.h"
 
 #include <atomic>
 #include <cstdint>
@@ -47,6 +47,13 @@
   /// The platform's list of instances, read by this node.
   void offerInstances(InstanceList List);
 
+  /// What the source told up to \p Revision was the newest at \p At; in order
+  /// with the versions that were offered.
+  void offerProof(TimeMs At, std::uint64_t Revision);
+
+  /// When the version in force was last known to be the newest.
+  TimeMs provenAt() const;
+
   /// The state of the target beside this node.
   void setOwnState(TargetState State);
 
--- a/src/nodes/ControlMessages.cpp
+++ b/src/nodes/ControlMessages.cpp
@@ -57,8 +57,10 @@
   std::uint32_t KnownRumours = 0;
   std::string SlotBits;
   bool SenderUnknown = false;
+  std::vector<std::uint64_t> ProofAgeMs; ///< None or one.
   MSGPACK_DEFINE(Type, InForce, Starting, MemberCount, TableDigest,
-                 SpreadDigest, Rumours, KnownRumours, SlotBits, SenderUnknown)
+                 SpreadDigest, Rumours, KnownRumours, SlotBits, SenderUnknown,
+                 ProofAgeMs)
 };
 
 struct WireRepair {
@@ -215,6 +217,11 @@
   Result.KnownRumours = Wire.KnownRumours;
   Result.SlotBits = std::move(Wire.SlotBits);
   Result.SenderUnknown = Wire.SenderUnknown;
+  if (Wire.ProofAgeMs.size() > 1)
+    return std::nullopt;
+  if (!Wire.ProofAgeMs.empty())
+    Result.ProofAge = DurationMs(static_cast<std::int64_t>(std::min(
+        Wire.ProofAgeMs.front(), static_cast<std::uint64_t>(Never.Value / 2))));
   return Result;
 }
 
@@ -261,6 +268,8 @@
   Wire.KnownRumours = Message.KnownRumours;
   Wire.SlotBits = Message.SlotBits;
   Wire.SenderUnknown = Message.SenderUnknown;
+  if (Message.ProofAge)
+    Wire.ProofAgeMs = {static_cast<std::uint64_t>(Message.ProofAge->Value)};
   return packCompact(Wire);
 }
 
--- a/src/nodes/ControlMessages.h
+++ b/src/nodes/ControlMessages.h
@@ -34,6 +34,8 @@
   std::uint32_t MemberCount = 0;
   std::uint64_t TableDigest = 0;
   std::uint32_t SpreadDigest = 0; ///< Of the slot bits for InForce.
+  /// Time since InForce was known to be the source's newest; nothing: never.
+  std::optional<DurationMs> ProofAge;
   std::vector<MemberRecord> Rumours;
 
   // Only in a reply:
--- a/src/nodes/ControlSettings.h
+++ b/src/nodes/ControlSettings.h
@@ -37,6 +37,11 @@
   double RumourBurst = 16;
   std::size_t MaxRepairRecords = 48; ///< Member records in one repair.
   std::size_t ReadersPerDomain = 2;
+  /// Every node follows the source itself, whose answers are never old. Peers
+  /// then only help a node that cannot reach it.
+  bool EveryNodeReads = false;
+  /// Time for which a newer version of a peer is left to the own reading.
+  DurationMs OwnReadingTime{1200};
   std::size_t HeldBundles = 3; ///< Versions kept to make deltas from.
 
   VersionKeeperSettings Versions;
--- a/src/nodes/MemberSync.cpp
+++ b/src/nodes/MemberSync.cpp
@@ -200,21 +200,19 @@
   Request.Timeout = Settings.ExchangeTimeout;
   Request.Route = Route;
   Hooks.Send(std::move(Request),
-             [this, Name, Address, Route,
-              Sent = Message.Rumours](const PeerReply &Reply) {
-               onReply(Name, Address, Route, Sent, Reply);
+             [this, Asked = Exchange{Name, Address, Route, Time.now(),
+                                     Message.Rumours}](const PeerReply &Reply) {
+               onReply(Asked, Reply);
              });
 }
 
-void MemberSync::onReply(const std::string &Name, const std::string &Address,
-                         PeerRoute Route, const std::vector<MemberRecord> &Sent,
-                         const PeerReply &Reply) {
+void MemberSync::onReply(const Exchange &Asked, const PeerReply &Reply) {
   const auto Theirs = Reply.Body ? unpackExchange(*Reply.Body) : std::nullopt;
   if (Theirs) {
-    onAnswer(Reply, Address, Sent, *Theirs);
+    onAnswer(Asked, Reply, *Theirs);
     return;
   }
-  onSilence(Name, Address, Route);
+  onSilence(Asked.Name, Asked.Address, Asked.Route);
 }
 
 void MemberSync::onSilence(const std::string &Name, const std::string &Address,
@@ -242,20 +240,23 @@
   return static_cast<std::size_t>(Failures) >= IsolatedFailures;
 }
 
-void MemberSync::onAnswer(const PeerReply &Reply, const std::string &Address,
-                          const std::vector<MemberRecord> &Sent,
+void MemberSync::onAnswer(const Exchange &Asked, const PeerReply &Reply,
                           const ExchangeMessage &Theirs) {
   Outcomes.push_back(true);
   if (Outcomes.size() > RememberedOutcomes)
     Outcomes.pop_front();
-  Members.onRumoursKnown(Sent, Theirs.KnownRumours);
+  Members.onRumoursKnown(Asked.Sent, Theirs.KnownRumours);
   if (Theirs.SenderUnknown)
     Members.announce();
   mergeRumours(Theirs.Rumours);
   Members.onHeard(Reply.From.Name, Time.now());
-  Own.OnDescribed(Reply.From.Name, Address, Theirs);
+  Own.OnDescribed(Reply.From.Name, Asked.Address, Theirs);
+  // How long the reply was on its way is not known, so the proof counts from
+  // the sending of the request, before which the peer cannot have answered.
+  if (Own.OnPeerProof && Theirs.InForce && Theirs.ProofAge)
+    Own.OnPeerProof(*Theirs.InForce, Asked.SentAt - *Theirs.ProofAge);
   if (wantsRepair(Theirs))
-    repair(Address, Theirs);
+    repair(Asked.Address, Theirs);
 }
 
 /// Merges records; returns the bits of those that were known.
--- a/src/nodes/MemberSync.h
+++ b/src/nodes/MemberSync.h
@@ -44,6 +44,8 @@
   std::function<void(const std::string &Peer, const std::string &Address,
                      const ExchangeMessage &Theirs)>
       OnDescribed;
+  /// A peer's version was known to be the newest at this time.
+  std::function<void(const Version &Theirs, TimeMs At)> OnPeerProof = {};
 };
 
 /// The exchange of one node. Not thread-safe; replies to its requests must come
@@ -76,13 +78,19 @@
   std::string pickOutsider();
   void exchange(const std::string &Name, const std::string &Address,
                 PeerRoute Route);
-  void onReply(const std::string &Name, const std::string &Address,
-               PeerRoute Route, const std::vector<MemberRecord> &Sent,
-               const PeerReply &Reply);
+  /// An exchange that waits for its reply.
+  struct Exchange {
+    std::string Name; ///< Empty when only the address is known.
+    std::string Address;
+    PeerRoute Route = PeerRoute::Reuse;
+    TimeMs SentAt;
+    std::vector<MemberRecord> Sent;
+  };
+
+  void onReply(const Exchange &Asked, const PeerReply &Reply);
   void onSilence(const std::string &Name, const std::string &Address,
                  PeerRoute Route);
-  void onAnswer(const PeerReply &Reply, const std::string &Address,
-                const std::vector<MemberRecord> &Sent,
+  void onAnswer(const Exchange &Asked, const PeerReply &Reply,
                 const ExchangeMessage &Theirs);
   ExchangeMessage describe(std::string_view Receiver);
   void addBelief(std::string_view Receiver, ExchangeMessage &Message) const;
--- a/src/nodes/VersionSync.cpp
+++ b/src/nodes/VersionSync.cpp
@@ -34,6 +34,8 @@
   if (Fetch && Now > Fetch->Deadline)
     fetchFailed(ResultCode::PeerTimeout);
   considerOffered();
+  if (!Holders.empty())
+    fetchNext();
   return Paused;
 }
 
@@ -53,16 +55,33 @@
   if (!InForce)
     return;
   noteConflict(*InForce);
+  if (confirm(*InForce))
+    return;
   if (Address.empty() || Keeper.consider(*InForce, VersionOrigin::Peer, Now) !=
                              VersionVerdict::Accept)
     return;
   std::erase_if(Holders, [&](const Holder &H) { return H.Peer == Peer; });
   if (Holders.size() >= MaxHolders)
     Holders.pop_front();
+  if (Holders.empty())
+    BehindSince = Now;
   Holders.push_back({std::string(Peer), Address, *InForce});
   fetchNext();
 }
 
+/// A later revision under which the content in force stands again, or still,
+/// needs neither files nor a new snapshot.
+bool VersionSync::confirm(const Version &Seen) {
+  const auto &InForce = Keeper.inForce();
+  // Elsewhere the division of rates follows each version, so it is compiled.
+  if (!Settings.EveryNodeReads || !InForce ||
+      Seen.Content != InForce->Content || Seen.Revision <= InForce->Revision)
+    return false;
+  Bundles.rename(*InForce, Seen);
+  Keeper.onApplied(Seen);
+  return true;
+}
+
 /// Asks the holder of the largest version, unless a fetch runs already.
 void VersionSync::fetchNext() {
   std::erase_if(Holders, [this](const Holder &H) {
@@ -71,6 +90,9 @@
   });
   if (Fetch || Holders.empty())
     return;
+  if (Settings.EveryNodeReads &&
+      Time.now() - BehindSince < Settings.OwnReadingTime)
+    return;
   const auto Newest = std::max_element(
       Holders.begin(), Holders.end(),
       [](const Holder &L, const Holder &R) { return L.Id < R.Id; });
@@ -135,6 +157,10 @@
   if (!Offered)
     return;
   noteConflict(OfferedId);
+  if (confirm(OfferedId)) {
+    Offered.reset();
+    return;
+  }
   const VersionVerdict Verdict =
       Keeper.consider(OfferedId, VersionOrigin::Source, Time.now());
   if (Verdict == VersionVerdict::Wait)
--- a/src/nodes/VersionSync.h
+++ b/src/nodes/VersionSync.h
@@ -71,6 +71,7 @@
     TimeMs Deadline;
   };
 
+  bool confirm(const Version &Seen);
   void fetchNext();
   void onFetched(std::uint64_t Number, const PeerReply &Reply);
   std::optional<IntentBundle> openReply(const PeerReply &Reply);
@@ -89,6 +90,7 @@
   VersionKeeper Keeper;
   BundleStore Bundles;
   std::deque<Holder> Holders; ///< The newest last; bounded.
+  TimeMs BehindSince{0};      ///< Of the first in Holders.
   std::optional<Fetching> Fetch;
   std::uint64_t FetchNumber = 0;
   std::optional<IntentBundle> Offered; ///< Of the source, until decided.
--- a/src/operators/Explanation.cpp
+++ b/src/operators/Explanation.cpp
@@ -90,7 +90,7 @@
   std::string Text =
       fmt::format("request      {} {}\nversion      {} ({})\n", Asked.Method,
                   Asked.Path, Config.Id.Revision, Config.Id.Content.shortHex());
-  const Route *Found = Config.findRoute(Asked.Method, Asked.Path);
+  const Route *Found = Config.findRoute(Asked.Method, Asked.Host, Asked.Path);
   if (!Found)
     return Text + fmt::format("no route matches; refused with code {}\n",
                               static_cast<int>(ResultCode::RouteUnknown));
--- a/src/operators/Explanation.h
+++ b/src/operators/Explanation.h
@@ -17,6 +17,7 @@
   std::string Method;
   std::string Path;
   std::string Organisation; ///< Empty when none was named.
+  std::string Host = "";    ///< Empty when none was named.
 };
 
 /// The route, the organisation's rate and every candidate with its chance.
--- a/src/operators/NodeStatus.h
+++ b/src/operators/NodeStatus.h
@@ -14,8 +14,8 @@
 #include "intent/Snapshot.h"
 #include "nodes/PeerTraffic.h"
 #include "organisations/OrganisationLimiter.h"
-#include "platform/PlatformReader.h"
 #include "policy/Instance.h"
+#include "sources/PlatformReader.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/organisations/OrganisationLimiter.cpp
+++ b/src/organisations/OrganisationLimiter.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Duty.h"
 #include "organisations/TokenCodec.h"
+#include "policy/ObservedShare.h"
 #include "policy/TokenNode.h"
 
 #include <algorithm>
@@ -19,6 +20,20 @@
 /// A refusal this recent marks an organisation as near its rate.
 constexpr DurationMs NearRateWindow{60 * 1000};
 
+bool declaresNoSlots(const Snapshot &Source) {
+  return std::all_of(Source.Domains.begin(), Source.Domains.end(),
+                     [](const auto &Item) { return Item.second.Nodes == 0; });
+}
+
+/// Nodes that may admit requests. One that is down may be cut off only; one
+/// that leaves is replaced by another.
+std::size_t admittingNodes(std::span<const Instance> Instances) {
+  const auto Count = std::count_if(
+      Instances.begin(), Instances.end(),
+      [](const Instance &Each) { return Each.State != TargetState::Draining; });
+  return static_cast<std::size_t>(std::max<std::ptrdiff_t>(1, Count));
+}
+
 } // namespace
 
 class OrganisationLimiter::Impl {
@@ -27,7 +42,8 @@
       : Identity(std::move(Identity)), Settings(Settings),
         Hooks(std::move(Hooks)),
         Node({this->Identity.Domain, this->Identity.Slot}, Settings,
-             this->Hooks.Now.now()) {}
+             this->Hooks.Now.now()),
+        Share(this->Identity.Bound) {}
 
   void start() {
     Ticker.start(TokenNode::TickPeriod, [this] { tick(); });
@@ -46,6 +62,8 @@
   }
 
   RateDecision charge(std::string_view Organisation) {
+    if (const auto Decided = chargeShare(Organisation))
+      return *Decided;
     std::optional<RateDecision> Decision;
     Work Due;
     {
@@ -59,6 +77,10 @@
 
   void charge(std::string_view Organisation,
               const RateDecisionHook &OnDecision) {
+    if (const auto Decided = chargeShare(Organisation)) {
+      OnDecision(*Decided);
+      return;
+    }
     std::optional<RateDecision> Decision;
     Work Due;
     {
@@ -77,10 +99,17 @@
   }
 
   void setSnapshot(const Snapshot &Source) {
+    if (declaresNoSlots(Source)) {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      ByShare = true;
+      Share.setRates(Source, Hooks.Now.now());
+      return;
+    }
     const TokenPlan Plan(Source, Settings);
     Work Due;
     {
       std::lock_guard<std::mutex> Lock(Mutex);
+      ByShare = false;
       Node.apply(Plan, Hooks.Now.now());
       Due = collect();
     }
@@ -92,6 +121,9 @@
     bool Changed = false;
     {
       std::lock_guard<std::mutex> Lock(Mutex);
+      Share.setNodes(admittingNodes(Instances), Hooks.Now.now());
+      if (ByShare)
+        return;
       Addresses.clear();
       for (const Instance &I : Instances) {
         if (I.Name == Identity.Name)
@@ -134,6 +166,8 @@
   LimiterStatus status() const {
     std::lock_guard<std::mutex> Lock(Mutex);
     const TimeMs Now = Hooks.Now.now();
+    if (ByShare)
+      return shareStatus(Now);
     LimiterStatus Result;
     for (const auto &[Name, F] : Node.figures(Now)) {
       OrganisationStatus S;
@@ -164,7 +198,40 @@
     bool PauseNoticed = false;
   };
 
+  /// The decision by the share of an observed node; nothing where slots are
+  /// declared.
+  std::optional<RateDecision> chargeShare(std::string_view Organisation) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    if (!ByShare)
+      return std::nullopt;
+    return Share.charge(Organisation, Hooks.Now.now());
+  }
+
+  /// Called with the lock held.
+  LimiterStatus shareStatus(TimeMs Now) const {
+    LimiterStatus Result;
+    Result.Metering = true;
+    for (const auto &[Name, F] : Share.figures()) {
+      OrganisationStatus S;
+      S.Name = Name;
+      S.RatePerSecond = F.Whole.PerSecond;
+      S.Burst = F.Whole.Burst;
+      S.TokensHeld = F.Tokens;
+      S.RateHeld = F.RateHeld;
+      S.Admitted = F.Admitted;
+      S.Refused = F.Refused;
+      S.NearRate = F.LastRefused && Now - *F.LastRefused < NearRateWindow;
+      Result.Organisations.push_back(std::move(S));
+    }
+    return Result;
+  }
+
   void tick() {
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      if (ByShare)
+        return;
+    }
     std::optional<ShareMark> Mark = mark();
     const TimeMs Asked = Hooks.Now.now();
     const bool Agreed =
@@ -278,6 +345,8 @@
   const LimiterHooks Hooks;
   mutable std::mutex Mutex;
   mutable TokenNode Node; ///< Its figures advance the buckets.
+  ObservedShare Share;
+  bool ByShare = false; ///< The configuration declares no node slots.
   std::map<SlotId, std::string> Addresses;
   std::map<std::uint64_t, RateDecisionHook> Waiting;
   std::uint64_t LastTicket = 0;
--- a/src/organisations/OrganisationLimiter.h
+++ b/src/organisations/OrganisationLimiter.h
@@ -15,6 +15,7 @@
 #include "intent/Snapshot.h"
 #include "nodes/PeerTransport.h"
 #include "policy/Instance.h"
+#include "policy/ObservedShare.h"
 #include "policy/RateDecision.h"
 #include "policy/ShareHistory.h"
 #include "policy/TokenSettings.h"
@@ -36,6 +37,7 @@
   std::string Domain;            ///< Failure domain.
   std::uint32_t Slot = 0;        ///< From 0, below the domain's Nodes.
   std::uint64_t Incarnation = 0; ///< Unique to this process; not 0.
+  RateBound Bound = {};          ///< Where no node slots are declared.
 };
 
 /// What the limiter calls on others. The hooks must not block.
--- /dev/null
+++ b/src/platform/PlatformScheme.cpp
@@ -0,0 +1,30 @@
+#include "platform/PlatformScheme.h"
+
+#include "platform/PlatformNames.h"
+
+namespace fescuewood::platform {
+
+HeaderScheme headerScheme() {
+  HeaderScheme Scheme;
+  Scheme.RequestId = "Request-Id";
+  Scheme.TimeLeft = "Deadline-Ms"; // A span, not a point in time.
+  Scheme.Depth = "";
+  Scheme.CallToken = "";
+  Scheme.Organisation = "Tenant-Id";
+  Scheme.OriginService = "Caller-Service";
+  Scheme.TargetInstance = "Target-Instance";
+  Scheme.NotRun = "Not-Executed";
+  Scheme.Signature = "Response-Signature";
+  Scheme.ColdFor = "Slow-Start-Ms";
+  Scheme.Instance = "Instance-Id";
+  Scheme.Key = "Authorization";
+  Scheme.KeyPrefix = "token ";
+  Scheme.KeyAnywhere = false;
+  Scheme.CallTokens = false;
+  Scheme.FractionalRetry = true;
+  return Scheme;
+}
+
+std::string readyPath() { return std::string(ReadyPath); }
+
+} // namespace fescuewood::platform
--- /dev/null
+++ b/src/platform/StoreClient.cpp
@@ -0,0 +1,80 @@
+#include "platform/StoreClient.h"
+
+#include "platform/PlatformNames.h"
+#include "platform/StoreCodec.h"
+#include "sources/HttpReader.h"
+
+#include <memory>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace fescuewood::platform {
+
+namespace {
+
+std::string_view prefixOf(StoreSubject Subject) {
+  switch (Subject) {
+  case StoreSubject::Target:
+    return TargetPrefix;
+  case StoreSubject::Configuration:
+  case StoreSubject::DomainOut:
+    return OperatorPrefix;
+  case StoreSubject::Other:
+    break;
+  }
+  return "";
+}
+
+bool isUnreserved(char C) {
+  return (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') ||
+         (C >= '0' && C <= '9') || C == '-' || C == '.' || C == '_' ||
+         C == '~' || C == '/';
+}
+
+std::string percentEncoded(std::string_view Text) {
+  std::string Result;
+  for (const char C : Text) {
+    if (isUnreserved(C))
+      Result += C;
+    else
+      Result += fmt::format("%{:02X}", static_cast<unsigned char>(C));
+  }
+  return Result;
+}
+
+template <typename T>
+PlatformRead<T> decoded(PlatformRead<std::string> Read,
+                        PlatformRead<T> (*Decode)(std::string_view)) {
+  if (Read.Reason != ResultCode::Ok)
+    return {std::nullopt, Read.Reason, std::move(Read.Detail)};
+  return Decode(Read.Value.value_or(""));
+}
+
+} // namespace
+
+StoreCalls storeCalls(const Endpoint &Server, DurationMs Timeout,
+                      std::uint16_t NodePort) {
+  // Shared, since hooks are copied and all of them use the one reader.
+  const auto Reader = std::make_shared<HttpReader>(Server, Timeout);
+  StoreCalls Calls;
+  Calls.Range = [Reader](StoreSubject Subject, std::string_view After) {
+    std::string Path =
+        fmt::format("{}?prefix={}", RangePath, prefixOf(Subject));
+    if (!After.empty())
+      Path += "&after=" + percentEncoded(After);
+    return decoded(Reader->get(Path, DurationMs(0)), &decodePage);
+  };
+  Calls.Watch = [Reader](std::uint64_t After, DurationMs Wait) {
+    const std::string Path = fmt::format("{}?prefix=&after={}&wait_ms={}",
+                                         WatchPath, After, Wait.Value);
+    return decoded(Reader->get(Path, Wait), &decodeChanges);
+  };
+  Calls.DecodeTarget = [NodePort](std::string_view Id, std::string_view Value) {
+    return decodeTarget(Id, Value, NodePort);
+  };
+  Calls.Cancel = [Reader] { Reader->cancel(); };
+  return Calls;
+}
+
+} // namespace fescuewood::platform
--- a/src/policy/FairQueue.cpp
+++ b/src/policy/FairQueue.cpp
@@ -28,8 +28,8 @@
     return refuse(ResultCode::QueueFull);
   if (!Call.CanWait && comesTooLate(Call, Rate, Now))
     return refuse(ResultCode::DeadlineUnreachable);
-  const Class Which = Call.CanWait ? Class::Waiting : Class::Urgent;
-  Lane &Into = lane(Which);
+  const LaneId Which = laneOf(Call);
+  Lane &Into = Lanes[Which];
   Backlog &Own = Into.Backlogs[Call.Organisation];
   Own.Weight = Call.Weight;
   const double Start = std::max(Into.VirtualTime, Own.LastFinish);
@@ -47,9 +47,9 @@
       LeastLatencyShare * static_cast<double>(Rate.Latency.Value)));
   while (!Index.empty()) {
     const bool WaitingTurn = UrgentInARow + 1 >= Settings.WaitingShare;
-    const bool FromWaiting = lane(Class::Urgent).Size == 0 ||
-                             (WaitingTurn && lane(Class::Waiting).Size > 0);
-    auto Next = popFrom(lane(FromWaiting ? Class::Waiting : Class::Urgent));
+    const bool FromWaiting = sizeOf(Class::Urgent) == 0 ||
+                             (WaitingTurn && sizeOf(Class::Waiting) > 0);
+    auto Next = popClass(FromWaiting ? Class::Waiting : Class::Urgent);
     if (!Next)
       return std::nullopt;
     forget(*Next);
@@ -68,7 +68,7 @@
   const auto Found = Index.find(Id);
   if (Found == Index.end())
     return false;
-  Lane &From = lane(Found->second.Which);
+  Lane &From = Lanes.at(Found->second.Which);
   Backlog &Own = From.Backlogs.at(Found->second.Organisation);
   const auto At =
       std::find_if(Own.Waiters.begin(), Own.Waiters.end(),
@@ -82,7 +82,7 @@
 
 void FairQueue::expire(TimeMs Now) {
   std::vector<CallId> Late;
-  for (Lane &From : Lanes) {
+  for (auto &[Which, From] : Lanes) {
     for (const auto &[Name, Own] : From.Backlogs)
       for (const Waiter &W : Own.Waiters)
         if (W.Call.Deadline <= Now)
@@ -93,6 +93,29 @@
     remove(Id);
     OnExpiry(Id);
   }
+  std::erase_if(Lanes, [](const auto &Item) {
+    return Item.second.Size == 0 && Item.second.Backlogs.empty();
+  });
+}
+
+FairQueue::LaneId FairQueue::laneOf(const QueuedCall &Call) {
+  return {Call.CanWait ? Class::Waiting : Class::Urgent, Call.Priority};
+}
+
+std::size_t FairQueue::sizeOf(Class Which) const {
+  std::size_t Size = 0;
+  for (const auto &[Id, Each] : Lanes)
+    if (Id.Which == Which)
+      Size += Each.Size;
+  return Size;
+}
+
+/// Takes the next request of a class, of the highest rank that waits.
+std::optional<QueuedCall> FairQueue::popClass(Class Which) {
+  for (auto &[Id, Each] : Lanes)
+    if (Id.Which == Which && Each.Size > 0)
+      return popFrom(Each);
+  return std::nullopt;
 }
 
 bool FairQueue::refuse(ResultCode Reason) {
@@ -112,7 +135,13 @@
 
 bool FairQueue::comesTooLate(const QueuedCall &Call, const ServiceRate &Rate,
                              TimeMs Now) {
-  Lane &Into = lane(Class::Urgent);
+  const LaneId Which = laneOf(Call);
+  // Every request of a higher rank goes first.
+  std::size_t Before = 0;
+  for (const auto &[Id, Each] : Lanes)
+    if (Id < Which)
+      Before += Each.Size;
+  Lane &Into = Lanes[Which];
   std::uint64_t Weights = Call.Weight;
   std::size_t Ahead = 0;
   for (const auto &[Name, Own] : Into.Backlogs) {
@@ -123,7 +152,8 @@
   }
   // Its own organisation's requests go before it, each with a turn of every
   // other; what waits in total bounds that from above.
-  const double Turns = std::min(static_cast<double>(Ahead + 1) *
+  const double Turns = static_cast<double>(Before) +
+                       std::min(static_cast<double>(Ahead + 1) *
                                     static_cast<double>(Weights) / Call.Weight,
                                 static_cast<double>(Into.Size + 1));
   const double Rounds = Turns / std::max(1U, Rate.Limit);
--- a/src/policy/FairQueue.h
+++ b/src/policy/FairQueue.h
@@ -7,7 +7,9 @@
 /// organisations share by start-time fair queueing (Goyal, Vin and Cheng,
 /// 1996): over any span in which two of them wait, what they get differs by at
 /// most one request each, in proportion to their weights, whatever they send.
-/// Urgent requests go before those that can wait, but for a fixed share.
+/// Urgent requests go before those that can wait, but for a fixed share; within
+/// either, requests of a higher rank go first, and fairness holds within a
+/// rank.
 ///
 /// Memory is bounded. An organisation may hold at most as much as is still
 /// free (Choudhury and Hahne, 1998), so one alone never fills the queue.
@@ -19,7 +21,7 @@
 #include "core/Clock.h"
 #include "core/ResultCode.h"
 
-#include <array>
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -44,6 +46,7 @@
   std::string Organisation;
   std::uint32_t Weight = 1; ///< Of the organisation.
   bool CanWait = false;
+  std::uint16_t Priority = 0; ///< 0 goes first.
   TimeMs Deadline;
   std::size_t Bytes = 0; ///< Memory that the request holds.
   DurationMs Cost{1};    ///< Expected time at the target.
@@ -104,12 +107,22 @@
     std::size_t Size = 0;
   };
 
-  struct Place {
+  /// Lanes are served in this order: within a class the smaller number first.
+  struct LaneId {
     Class Which = Class::Urgent;
+    std::uint16_t Priority = 0;
+
+    auto operator<=>(const LaneId &) const = default;
+  };
+
+  struct Place {
+    LaneId Which;
     std::string Organisation;
   };
 
-  Lane &lane(Class Which) { return Lanes.at(static_cast<std::size_t>(Which)); }
+  static LaneId laneOf(const QueuedCall &Call);
+  std::size_t sizeOf(Class Which) const;
+  std::optional<QueuedCall> popClass(Class Which);
   bool refuse(ResultCode Reason);
   bool hasRoom(const QueuedCall &Call) const;
   bool comesTooLate(const QueuedCall &Call, const ServiceRate &Rate,
@@ -120,7 +133,7 @@
 
   FairQueueSettings Settings;
   ExpiryHook OnExpiry;
-  std::array<Lane, 2> Lanes;
+  std::map<LaneId, Lane> Lanes;
   std::map<CallId, Place> Index;
   std::map<std::string, std::size_t, std::less<>> BytesByOrganisation;
   std::size_t Bytes = 0;
--- a/src/policy/Membership.cpp
+++ b/src/policy/Membership.cpp
@@ -26,10 +26,12 @@
 } // namespace
 
 TargetState effectiveState(const MemberRecord &Record) {
+  const bool Leaving =
+      Record.Place.State != TargetState::Draining && Record.platformLeaving();
+  if (Leaving && Record.Order.Health != MemberHealth::Left)
+    return TargetState::Draining;
   if (Record.Order.Health >= MemberHealth::Dead)
     return TargetState::Down;
-  if (Record.Place.State < TargetState::Draining && Record.platformLeaving())
-    return TargetState::Draining;
   return Record.Place.State;
 }
 
@@ -180,25 +182,40 @@
 }
 
 void Membership::onListed(std::span<const ListedMember> List,
-                          std::uint64_t Revision, TimeMs Now) {
-  for (const ListedMember &Listed : List) {
-    auto Found = Table.find(Listed.Place.Name);
+                          std::uint64_t Revision, bool Complete, TimeMs Now) {
+  std::set<std::string, std::less<>> Present;
+  for (const ListedMember &Row : List) {
+    Present.insert(Row.Place.Name);
+    auto Found = Table.find(Row.Place.Name);
     if (Found == Table.end()) {
-      if (add(Listed.Place, Now) == nullptr)
+      if (add(Row.Place, Now) == nullptr)
         return;
-      Found = Table.find(Listed.Place.Name);
-      Rumours.add(Listed.Place.Name, false, Table.size());
+      Found = Table.find(Row.Place.Name);
+      Rumours.add(Row.Place.Name, false, Table.size());
     }
-    const MemberListing &Known = Found->second.Record.Listing;
-    if (Known.Leaving == Listed.Leaving || Revision <= Known.ListRevision)
-      continue;
-    update(
-        Found->second,
-        [&](MemberRecord &R) {
-          R.Listing = {Revision, Listed.Leaving, R.Order.Incarnation};
-        },
-        Now);
+    setListing(Found->second, Revision, Row.Leaving, Now);
   }
+  if (!Complete)
+    return;
+  for (const std::string &Name : Listed) {
+    const auto Found = Table.find(Name);
+    if (!Present.contains(Name) && Found != Table.end())
+      setListing(Found->second, Revision, true, Now);
+  }
+  Listed = std::move(Present);
+}
+
+void Membership::setListing(Member &Entry, std::uint64_t Revision, bool Leaving,
+                            TimeMs Now) {
+  const MemberListing &Known = Entry.Record.Listing;
+  if (Known.Leaving == Leaving || Revision <= Known.ListRevision)
+    return;
+  update(
+      Entry,
+      [&](MemberRecord &R) {
+        R.Listing = {Revision, Leaving, R.Order.Incarnation};
+      },
+      Now);
 }
 
 void Membership::expire(TimeMs Now) {
--- a/src/policy/Membership.h
+++ b/src/policy/Membership.h
@@ -83,8 +83,10 @@
   bool merge(const MemberRecord &Record, Spreading Spread, TimeMs Now);
 
   /// Takes the platform's list.
+  /// \param Complete whether a member that was listed and is not any more is to
+  /// get no more work.
   void onListed(std::span<const ListedMember> List, std::uint64_t Revision,
-                TimeMs Now);
+                bool Complete, TimeMs Now);
 
   /// Declares suspects dead and forgets members when their time has come.
   void expire(TimeMs Now);
@@ -141,6 +143,8 @@
 private:
   using Change = std::function<void(MemberRecord &)>;
 
+  void setListing(Member &Entry, std::uint64_t Revision, bool Leaving,
+                  TimeMs Now);
   void update(Member &Entry, const Change &Apply, TimeMs Now);
   void updateSelf(const Change &Apply, TimeMs Now);
   void mergeSelf(const MemberRecord &Record, TimeMs Now);
@@ -158,6 +162,7 @@
   bool Urgent = false;
   bool Changed = true;
   std::uint64_t Refutations = 0;
+  std::set<std::string, std::less<>> Listed; ///< Names of the last whole list.
 };
 
 /// The state that other duties see of a member.
--- /dev/null
+++ b/src/policy/ObservedShare.h
@@ -0,0 +1,91 @@
+/// \file
+/// Holds organisations to their rates by an equal share for each node that is
+/// observed.
+///
+/// For fleets that declare no node slots. Each node has a token bucket with a
+/// share of every organisation's rate. The users' rule bounds what passes in a
+/// sliding window, with an allowance above rate and burst; most of it goes into
+/// the depth of the buckets, for what arrives unevenly at the nodes, and a
+/// reserve is kept for nodes that see different numbers of nodes. A share is
+/// that of the largest number of nodes seen lately: nodes that are cut off go
+/// on serving their callers.
+
+#ifndef FESCUEWOOD_POLICY_OBSERVEDSHARE_H
+#define FESCUEWOOD_POLICY_OBSERVEDSHARE_H
+
+#include "core/Clock.h"
+#include "intent/Snapshot.h"
+#include "policy/RateDecision.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace fescuewood {
+
+/// The bound on an organisation: in any window at most
+/// (rate x window + burst) x (1 + Overage) + Slack requests.
+struct RateBound {
+  DurationMs Window{5000};
+  double Overage = 0;
+  double Slack = 0; ///< Requests.
+};
+
+/// One organisation here, for figures.
+struct ObservedShareFigures {
+  Rate Whole;
+  double Tokens = 0;
+  double RateHeld = 0;
+  std::uint64_t Admitted = 0;
+  std::uint64_t Refused = 0;
+  std::optional<TimeMs> LastRefused;
+};
+
+/// The shares of one node. Not thread-safe.
+class ObservedShare {
+public:
+  explicit ObservedShare(RateBound Bound) : Bound(Bound) {}
+
+  /// Takes the rates of a configuration; tokens are kept.
+  void setRates(const Snapshot &Config, TimeMs Now);
+
+  /// Nodes that may admit requests now, this one included.
+  void setNodes(std::size_t Count, TimeMs Now);
+
+  /// Charges one request; one of an organisation without a rate passes.
+  RateDecision charge(std::string_view Organisation, TimeMs Now);
+
+  /// The organisations with a rate.
+  std::map<std::string, ObservedShareFigures, std::less<>> figures() const;
+
+private:
+  struct Account {
+    Rate Whole;
+    double Tokens = FirstTokens;
+    TimeMs FilledAt{0};
+    std::uint64_t Admitted = 0;
+    std::uint64_t Refused = 0;
+    std::optional<TimeMs> LastRefused;
+  };
+
+  /// A process starts nearly empty: its predecessor may have used its tokens.
+  static constexpr double FirstTokens = 1;
+
+  std::size_t nodes(TimeMs Now);
+  double ratePerMs(const Account &A, TimeMs Now);
+  double depth(const Account &A, TimeMs Now);
+  void fill(Account &A, TimeMs Now);
+
+  RateBound Bound;
+  std::map<std::string, Account, std::less<>> Accounts;
+  /// Counts with their times; a larger one removes the smaller ones before it.
+  std::deque<std::pair<TimeMs, std::size_t>> Counts;
+};
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_POLICY_OBSERVEDSHARE_H
--- /dev/null
+++ b/src/policy/SplitTable.cpp
@@ -0,0 +1,54 @@
+#include "policy/SplitTable.h"
+
+#include "core/Digest.h"
+
+#include <numeric>
+
+namespace fescuewood {
+
+namespace {
+
+/// 2^64 divided by the golden ratio: the most even step around a circle.
+constexpr std::uint64_t GoldenStep = 0x9E3779B97F4A7C15ULL;
+
+/// A point of the circle of 2^64 as a number from 0 to 1.
+double fraction(std::uint64_t Point) {
+  constexpr unsigned MantissaBits = 53;
+  constexpr double Scale = 1.0 / static_cast<double>(1ULL << MantissaBits);
+  return static_cast<double>(Point >> (64 - MantissaBits)) * Scale;
+}
+
+} // namespace
+
+SplitTable::SplitTable(const Snapshot &Config, std::uint64_t Seed) {
+  for (const Route &Each : Config.Routes)
+    if (!Each.Split.empty())
+      Counters.emplace(Each.Name,
+                       std::make_unique<Counter>(Seed ^ stableHash(Each.Name)));
+}
+
+const std::string &SplitTable::pick(const Route &Matched) const {
+  const auto Found = Counters.find(Matched.Name);
+  if (Found == Counters.end())
+    return Matched.Service;
+  return splitAt(Matched, fraction(Found->second->fetch_add(GoldenStep)));
+}
+
+const std::string &splitAt(const Route &Split, double Point) {
+  const double Total = std::accumulate(
+      Split.Split.begin(), Split.Split.end(), 0.0,
+      [](double Sum, const SplitPart &Part) { return Sum + Part.Weight; });
+  double Left = Point * Total;
+  const SplitPart *Last = nullptr;
+  for (const SplitPart &Part : Split.Split) {
+    if (Part.Weight == 0)
+      continue;
+    Last = &Part;
+    if (Left < Part.Weight)
+      break;
+    Left -= Part.Weight;
+  }
+  return Last->Service;
+}
+
+} // namespace fescuewood
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t MaxSecretBytes = 256;
 constexpr std::size_t MaxPathBytes = 1024;
 constexpr std::string_view HttpPrefix = "http://";
+constexpr std::string_view StorePrefix = "store://";
 constexpr std::string_view FolderPrefix = "folder:";
 
 std::optional<PlatformLocation> parseLocation(std::string_view Text) {
@@ -34,18 +35,45 @@
     Location.Folder = std::string(Text.substr(FolderPrefix.size()));
     return Location;
   }
-  if (!Text.starts_with(HttpPrefix))
+  const bool IsStore = Text.starts_with(StorePrefix);
+  if (!IsStore && !Text.starts_with(HttpPrefix))
     return std::nullopt;
-  const auto Server = Endpoint::parse(Text.substr(HttpPrefix.size()));
+  const std::string_view Prefix = IsStore ? StorePrefix : HttpPrefix;
+  const auto Server = Endpoint::parse(Text.substr(Prefix.size()));
   if (!Server)
     return std::nullopt;
-  Location.Form = PlatformLocation::Kind::Http;
+  Location.Form =
+      IsStore ? PlatformLocation::Kind::Store : PlatformLocation::Kind::Http;
   Location.Server = *Server;
   return Location;
 }
 
 ValueForm<PlatformLocation> locationForm() {
-  return {"http://IP:port or folder:PATH", &parseLocation};
+  return {"http://IP:port, store://IP:port or folder:PATH", &parseLocation};
+}
+
+using RegionMap = std::map<std::string, std::string, std::less<>>;
+
+std::optional<RegionMap> parseRegions(std::string_view Text) {
+  RegionMap Regions;
+  while (!Text.empty()) {
+    const std::size_t End = std::min(Text.find(','), Text.size());
+    std::string_view Pair = Text.substr(0, End);
+    Text.remove_prefix(std::min(End + 1, Text.size()));
+    Pair.remove_prefix(std::min(Pair.find_first_not_of(' '), Pair.size()));
+    const std::size_t Colon = Pair.find(':');
+    if (Colon == std::string_view::npos)
+      return std::nullopt;
+    const auto Domain = nameForm().Parse(Pair.substr(0, Colon));
+    const auto Region = nameForm().Parse(Pair.substr(Colon + 1));
+    if (!Domain || !Region || !Regions.emplace(*Domain, *Region).second)
+      return std::nullopt;
+  }
+  return Regions;
+}
+
+ValueForm<RegionMap> regionsForm() {
+  return {"DOMAIN:REGION, DOMAIN:REGION, ... or empty", &parseRegions};
 }
 
 ValueForm<EventLevel> levelForm() {
@@ -114,7 +142,13 @@
       keyRow<S>("platform", "fleet_nodes", "", "1200", wholeNumber<std::uint32_t>(1, 100000), in(&S::Platform, &PlatformSettings::FleetNodes), "Most processes that run at once in the whole fleet."),
       keyRow<S>("platform", "watch_wait_ms", "ms", "3000", milliseconds(0, 60000), in(&S::Platform, &PlatformSettings::WatchWait), "Longest time that one watch waits at the platform."),
       keyRow<S>("platform", "timeout_ms", "ms", "2000", milliseconds(10, 60000), in(&S::Platform, &PlatformSettings::Timeout), "Time that a read may take beyond its wait."),
+      keyRow<S>("platform", "regions", "", "", regionsForm(), in(&S::Platform, &PlatformSettings::Regions), "Region of each failure domain, where the platform does not publish them."),
+      keyRow<S>("bounds", "key_withdrawal_s", "s", "0", decimalNumber(0, 86400), in(&S::Bounds, &BoundSettings::KeyWithdrawal), "Time after which a withdrawn key must not be used anywhere: without proof that it knows the newest configuration a node then refuses keys; 0 where that is not asked."),
+      keyRow<S>("bounds", "rate_window_s", "s", "5", decimalNumber(0.1, 3600), in(&S::Bounds, &BoundSettings::RateWindow), "Span over which an organisation's rate is held, where no node slots are declared."),
+      keyRow<S>("bounds", "rate_overage", "", "0", decimalNumber(0, 10), in(&S::Bounds, &BoundSettings::RateOverage), "Share above rate and burst that may pass in that span."),
+      keyRow<S>("bounds", "rate_slack", "requests", "0", decimalNumber(0, 100000), in(&S::Bounds, &BoundSettings::RateSlack), "Requests above that which may pass in that span."),
       keyRow<S>("operators", "listen", "", Required, endpointForm(), in(&S::Operators, &OperatorSettings::Listen), "Where status and metrics are served."),
+      keyRow<S>("operators", "ready", "", "", optionalEndpointForm(), in(&S::Operators, &OperatorSettings::Ready), "Where the node says whether it takes callers; empty for nowhere."),
       keyRow<S>("log", "level", "", "info", levelForm(), in(&S::Log, &LogSettings::Level), "Least level of the events that are logged."),
       keyRow<S>("log", "file", "", "", textForm(0, MaxPathBytes), in(&S::Log, &LogSettings::File), "File to log to; empty for the standard error stream."),
   };
--- a/src/settings/NodeSettings.h
+++ b/src/settings/NodeSettings.h
@@ -17,6 +17,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -65,10 +66,10 @@
 
 /// How the platform is reached.
 struct PlatformLocation {
-  enum class Kind : std::uint8_t { Http, Folder };
+  enum class Kind : std::uint8_t { Http, Folder, Store };
 
   Kind Form = Kind::Folder;
-  Endpoint Server;    ///< For Http.
+  Endpoint Server;    ///< For Http and Store.
   std::string Folder; ///< For Folder.
 };
 
@@ -79,11 +80,24 @@
   std::uint32_t FleetNodes = 0;          ///< Most processes that may read.
   DurationMs WatchWait;                  ///< Longest wait of one watch.
   DurationMs Timeout;                    ///< Added to the wait.
+  /// Regions by failure domain, where the platform does not publish them.
+  std::map<std::string, std::string, std::less<>> Regions;
+};
+
+/// [bounds]: what the users hold the fleet to.
+struct BoundSettings {
+  /// Seconds after which a withdrawn key must not be used; 0: not bounded.
+  double KeyWithdrawal = 0;
+  double RateWindow = 0;  ///< Seconds over which an organisation's rate holds.
+  double RateOverage = 0; ///< Share above rate and burst that may pass.
+  double RateSlack = 0;   ///< Requests above that.
 };
 
 /// [operators]: where status and metrics are served.
 struct OperatorSettings {
   Endpoint Listen;
+  /// Where a platform asks whether this node takes callers; nothing: nowhere.
+  std::optional<Endpoint> Ready;
 };
 
 /// [log]: what is logged, and where.
@@ -100,6 +114,7 @@
   TargetSettings Target;
   CallSettings Calls;
   PlatformSettings Platform;
+  BoundSettings Bounds;
   OperatorSettings Operators;
   LogSettings Log;
 };
--- a/src/platform/FolderSource.cpp
+++ b/src/sources/FolderSource.cpp
@@ -1,7 +1,7 @@
 #include "core/ReadFile.h"
 #include "intent/IntentFolder.h"
-#include "platform/PlatformCodec.h"
-#include "platform/PlatformSource.h"
+#include "sources/PlatformCodec.h"
+#include "sources/PlatformSource.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/platform/HttpSource.cpp
+++ b/src/sources/HttpReader.cpp
@@ -1,10 +1,9 @@
-#include "platform/PlatformCodec.h"
-#include "platform/PlatformSource.h"
+#include "sources/HttpReader.h"
+
+#include "sources/PlatformCodec.h"
 
 #include <atomic>
-#include <memory>
 #include <mutex>
-#include <string>
 #include <utility>
 
 #include <curl/curl.h>
@@ -16,6 +15,7 @@
 
 constexpr long StatusOk = 200;
 constexpr long StatusNoContent = 204;
+constexpr long StatusGone = 410;
 
 /// Longest sleep between two looks at a transfer; curl wakes earlier.
 constexpr int PollMs = 1000;
@@ -45,11 +45,11 @@
   return Bytes;
 }
 
-/// Asks the platform, each time on a new connection. Reads come from one
-/// thread.
-class HttpClient {
+} // namespace
+
+class HttpReader::Impl {
 public:
-  HttpClient(Endpoint Server, DurationMs Timeout)
+  Impl(Endpoint Server, DurationMs Timeout)
       : Server(std::move(Server)), Timeout(Timeout) {
     static std::once_flag Initialised;
     std::call_once(Initialised, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
@@ -57,7 +57,6 @@
     Transfers.reset(curl_multi_init());
   }
 
-  /// The body of a path, with Value empty when there is nothing newer.
   PlatformRead<std::string> get(const std::string &Path, DurationMs Wait) {
     if (Cancelled)
       return {std::nullopt, ResultCode::Stopped, ""};
@@ -106,6 +105,8 @@
     curl_easy_getinfo(Handle.get(), CURLINFO_RESPONSE_CODE, &Status);
     if (Status == StatusNoContent)
       return {};
+    if (Status == StatusGone)
+      return {std::nullopt, ResultCode::StoreHistoryGone, ""};
     if (Status != StatusOk)
       return {std::nullopt, ResultCode::PlatformRefused,
               fmt::format("status {}", Status)};
@@ -138,39 +139,16 @@
   std::atomic<bool> Cancelled = false;
 };
 
-/// Decodes the body of a read that brought one.
-template <typename T>
-PlatformRead<T> decoded(PlatformRead<std::string> Read,
-                        PlatformRead<T> (*Decode)(std::string_view)) {
-  if (!Read.Value)
-    return {std::nullopt, Read.Reason, std::move(Read.Detail)};
-  return Decode(*Read.Value);
-}
+HttpReader::HttpReader(Endpoint Server, DurationMs Timeout)
+    : State(std::make_unique<Impl>(std::move(Server), Timeout)) {}
 
-} // namespace
+HttpReader::~HttpReader() = default;
 
-PlatformSource httpSource(const Endpoint &Server, DurationMs Timeout) {
-  // Shared, since hooks are copied and all of them use the one connection.
-  const auto Client = std::make_shared<HttpClient>(Server, Timeout);
-  PlatformSource Source;
-  Source.ReadIntent = [Client](const Version &Known, DurationMs Wait) {
-    const std::string Path =
-        fmt::format("/v1/intent?after={}&digest={}&wait_ms={}", Known.Revision,
-                    Known.Content.hex(), Wait.Value);
-    return decoded(Client->get(Path, Wait), &decodeIntent);
-  };
-  Source.ReadInstances = [Client](std::uint64_t After) {
-    const std::string Path = fmt::format("/v1/instances?after={}", After);
-    return decoded(Client->get(Path, DurationMs(0)), &decodeInstances);
-  };
-  Source.Cancel = [Client] { Client->cancel(); };
-  return Source;
+PlatformRead<std::string> HttpReader::get(const std::string &Path,
+                                          DurationMs Wait) {
+  return State->get(Path, Wait);
 }
 
-PlatformSource makeSource(const PlatformSettings &Settings) {
-  if (Settings.Source.Form == PlatformLocation::Kind::Http)
-    return httpSource(Settings.Source.Server, Settings.Timeout);
-  return folderSource(Settings.Source.Folder);
-}
+void HttpReader::cancel() { State->cancel(); }
 
 } // namespace fescuewood
--- /dev/null
+++ b/src/sources/HttpSource.cpp
@@ -0,0 +1,50 @@
+#include "sources/HttpReader.h"
+#include "sources/PlatformCodec.h"
+#include "sources/PlatformSource.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace fescuewood {
+
+namespace {
+
+/// Decodes the body of a read that brought one.
+template <typename T>
+PlatformRead<T> decoded(PlatformRead<std::string> Read,
+                        PlatformRead<T> (*Decode)(std::string_view)) {
+  if (!Read.Value)
+    return {std::nullopt, Read.Reason, std::move(Read.Detail)};
+  return Decode(*Read.Value);
+}
+
+} // namespace
+
+PlatformSource httpSource(const Endpoint &Server, DurationMs Timeout) {
+  // Shared, since hooks are copied and all of them use the one connection.
+  const auto Client = std::make_shared<HttpReader>(Server, Timeout);
+  PlatformSource Source;
+  Source.ReadIntent = [Client](const Version &Known, DurationMs Wait) {
+    const std::string Path =
+        fmt::format("/v1/intent?after={}&digest={}&wait_ms={}", Known.Revision,
+                    Known.Content.hex(), Wait.Value);
+    return decoded(Client->get(Path, Wait), &decodeIntent);
+  };
+  Source.ReadInstances = [Client](std::uint64_t After) {
+    const std::string Path = fmt::format("/v1/instances?after={}", After);
+    return decoded(Client->get(Path, DurationMs(0)), &decodeInstances);
+  };
+  Source.Cancel = [Client] { Client->cancel(); };
+  return Source;
+}
+
+PlatformSource makeSource(const PlatformSettings &Settings) {
+  if (Settings.Source.Form == PlatformLocation::Kind::Http)
+    return httpSource(Settings.Source.Server, Settings.Timeout);
+  return folderSource(Settings.Source.Folder);
+}
+
+} // namespace fescuewood
--- a/src/platform/PlatformCodec.cpp
+++ b/src/sources/PlatformCodec.cpp
@@ -1,4 +1,4 @@
-#include "platform/PlatformCodec.h"
+#include "sources/PlatformCodec.h"
 
 #include "core/Endpoint.h"
 #include "ini/IniReader.h"
--- a/src/platform/PlatformCodec.h
+++ b/src/sources/PlatformCodec.h
@@ -4,10 +4,10 @@
 /// An answer is taken whole or not at all: sizes are bounded, and the digests
 /// in an answer must match its files, so that a torn read is never used.
 
-#ifndef FESCUEWOOD_PLATFORM_PLATFORMCODEC_H
-#define FESCUEWOOD_PLATFORM_PLATFORMCODEC_H
+#ifndef FESCUEWOOD_SOURCES_PLATFORMCODEC_H
+#define FESCUEWOOD_SOURCES_PLATFORMCODEC_H
 
-#include "platform/PlatformSource.h"
+#include "sources/PlatformSource.h"
 
 #include <cstddef>
 #include <string_view>
@@ -28,4 +28,4 @@
 
 } // namespace fescuewood
 
-#endif // FESCUEWOOD_PLATFORM_PLATFORMCODEC_H
+#endif // FESCUEWOOD_SOURCES_PLATFORMCODEC_H
--- a/src/platform/PlatformReader.cpp
+++ b/src/sources/PlatformReader.cpp
@@ -1,17 +1,26 @@
-#include "platform/PlatformReader.h"
+#include "sources/PlatformReader.h"
 
 #include <pthread.h>
 
 #include <chrono>
+#include <memory>
 #include <utility>
 
 namespace fescuewood {
 
+PlatformReader::PlatformReader(std::function<DurationMs()> Step,
+                               std::function<void()> Cancel)
+    : Step(std::move(Step)), Cancel(std::move(Cancel)) {}
+
 PlatformReader::PlatformReader(PlatformSource Source,
                                const PlatformSettings &Settings,
                                PlatformReaderHooks Hooks, std::uint64_t Seed)
-    : Cancel(Source.Cancel), Loop(std::move(Source), Settings, std::move(Hooks),
-                                  Clock::monotonic(), Seed) {}
+    : Cancel(Source.Cancel) {
+  // Shared, since a step is a copyable hook.
+  const auto Loop = std::make_shared<ReadLoop>(
+      std::move(Source), Settings, std::move(Hooks), Clock::monotonic(), Seed);
+  Step = [Loop] { return Loop->step(); };
+}
 
 PlatformReader::~PlatformReader() { stop(); }
 
@@ -36,7 +45,7 @@
 
 void PlatformReader::run() {
   while (true) {
-    const DurationMs Pause = Loop.step();
+    const DurationMs Pause = Step();
     std::unique_lock<std::mutex> Lock(Mutex);
     const bool Stopped =
         Changed.wait_for(Lock, std::chrono::milliseconds(Pause.Value),
--- a/src/platform/PlatformReader.h
+++ b/src/sources/PlatformReader.h
@@ -1,18 +1,19 @@
 /// \file
 /// The duty that reads and watches the platform for this node.
 ///
-/// Whether this node reads at all is asked before every read. Reads stay inside
-/// the node's part of the fleet's read allowance, also after a restart; failed
-/// reads are retried with full jitter.
+/// What is read when is decided by \ref ReadLoop or \ref StoreLoop, whose steps
+/// run on the duty's thread.
 
-#ifndef FESCUEWOOD_PLATFORM_PLATFORMREADER_H
-#define FESCUEWOOD_PLATFORM_PLATFORMREADER_H
+#ifndef FESCUEWOOD_SOURCES_PLATFORMREADER_H
+#define FESCUEWOOD_SOURCES_PLATFORMREADER_H
 
-#include "platform/PlatformSource.h"
-#include "platform/ReadLoop.h"
+#include "core/Clock.h"
+#include "sources/PlatformSource.h"
+#include "sources/ReadLoop.h"
 
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <thread>
 
@@ -21,6 +22,12 @@
 /// Reads the platform on a thread of its own.
 class PlatformReader {
 public:
+  /// \param Step makes at most one read and returns the time until the next;
+  /// \param Cancel makes a blocked read return.
+  PlatformReader(std::function<DurationMs()> Step,
+                 std::function<void()> Cancel);
+
+  /// Runs a \ref ReadLoop over a source.
   PlatformReader(PlatformSource Source, const PlatformSettings &Settings,
                  PlatformReaderHooks Hooks, std::uint64_t Seed);
   ~PlatformReader();
@@ -32,14 +39,11 @@
   /// Cancels a blocked read and joins the thread.
   void stop();
 
-  /// From any thread.
-  PlatformReaderCounts counts() const { return Loop.counts(); }
-
 private:
   void run();
 
+  std::function<DurationMs()> Step;
   std::function<void()> Cancel;
-  ReadLoop Loop;
   std::mutex Mutex;
   std::condition_variable Changed;
   bool Stopping = false;
@@ -48,4 +52,4 @@
 
 } // namespace fescuewood
 
-#endif // FESCUEWOOD_PLATFORM_PLATFORMREADER_H
+#endif // FESCUEWOOD_SOURCES_PLATFORMREADER_H
--- a/src/platform/PlatformSource.h
+++ b/src/sources/PlatformSource.h
@@ -4,12 +4,13 @@
 /// The users' own protocol takes the place of \ref httpSource or
 /// \ref folderSource by filling in the same hooks. Nothing is ever written.
 
-#ifndef FESCUEWOOD_PLATFORM_PLATFORMSOURCE_H
-#define FESCUEWOOD_PLATFORM_PLATFORMSOURCE_H
+#ifndef FESCUEWOOD_SOURCES_PLATFORMSOURCE_H
+#define FESCUEWOOD_SOURCES_PLATFORMSOURCE_H
 
 #include "core/Clock.h"
 #include "core/ResultCode.h"
 #include "intent/Snapshot.h"
+#include "policy/ListedInstance.h"
 #include "settings/NodeSettings.h"
 
 #include <cstddef>
@@ -21,34 +22,9 @@
 
 namespace fescuewood {
 
-/// Most instances that one list may name.
-inline constexpr std::size_t MaxListedInstances = 8192;
-
 /// Time without any change after which a folder counts as whole.
 inline constexpr DurationMs FolderSettleTime{100};
 
-/// What the platform says of an instance; it lags.
-enum class ListedState : std::uint8_t { Live, Leaving };
-
-/// One row of the platform's list of instances.
-struct ListedInstance {
-  std::string Name;
-  std::string Domain;
-  std::string Service;
-  std::uint32_t Slot = 0;
-  std::string PeerAddress; ///< "IP:port".
-  ListedState State = ListedState::Live;
-
-  bool operator==(const ListedInstance &) const = default;
-};
-
-/// The platform's list of instances under its own revision.
-struct InstanceList {
-  std::uint64_t Revision = 0;
-  std::vector<ListedInstance> Instances;
-  std::size_t RowsLeftOut = 0; ///< Malformed rows, and repeated names.
-};
-
 /// The outcome of one read. Value is empty with Reason Ok when the platform
 /// holds nothing newer than was asked for.
 template <typename T> struct PlatformRead {
@@ -89,4 +65,4 @@
 
 } // namespace fescuewood
 
-#endif // FESCUEWOOD_PLATFORM_PLATFORMSOURCE_H
+#endif // FESCUEWOOD_SOURCES_PLATFORMSOURCE_H
--- a/src/platform/ReadLoop.cpp
+++ b/src/sources/ReadLoop.cpp
@@ -1,4 +1,4 @@
-#include "platform/ReadLoop.h"
+#include "sources/ReadLoop.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/platform/ReadLoop.h
+++ b/src/sources/ReadLoop.h
@@ -4,13 +4,13 @@
 /// The owner calls \ref ReadLoop::step and waits for as long as it says. A step
 /// makes at most one read.
 
-#ifndef FESCUEWOOD_PLATFORM_READLOOP_H
-#define FESCUEWOOD_PLATFORM_READLOOP_H
+#ifndef FESCUEWOOD_SOURCES_READLOOP_H
+#define FESCUEWOOD_SOURCES_READLOOP_H
 
 #include "core/Clock.h"
 #include "core/Event.h"
-#include "platform/PlatformSource.h"
 #include "policy/ReadAllowance.h"
+#include "sources/PlatformSource.h"
 
 #include <atomic>
 #include <cstdint>
@@ -90,4 +90,4 @@
 
 } // namespace fescuewood
 
-#endif // FESCUEWOOD_PLATFORM_READLOOP_H
+#endif // FESCUEWOOD_SOURCES_READLOOP_H
--- /dev/null
+++ b/src/sources/StoreLoop.cpp
@@ -0,0 +1,230 @@
+#include "sources/StoreLoop.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fescuewood {
+
+namespace {
+
+/// Least time between the starts of two watches. Changes that come faster are
+/// read together, far within the seconds in which a version must be in force.
+constexpr DurationMs MinWatchPeriod{200};
+
+/// Bounds of the exponential backoff after failed calls. The greater one keeps
+/// a store that is back from being found later than a withdrawn key allows.
+constexpr DurationMs MinBackoff{100};
+constexpr DurationMs MaxBackoff{800};
+constexpr unsigned MaxBackoffDoublings = 3;
+
+/// One failed call may be chance; at two in a row the store counts as out.
+constexpr unsigned FailuresUntilOut = 2;
+
+DurationMs backoffBound(unsigned FailuresInARow) {
+  const unsigned Doublings = std::min(FailuresInARow, MaxBackoffDoublings);
+  return std::min(MinBackoff * (std::int64_t{1} << Doublings), MaxBackoff);
+}
+
+} // namespace
+
+StoreLoop::StoreLoop(StoreCalls Calls, OwnTarget Own, DurationMs WatchWait,
+                     StoreLoopHooks Hooks, Clock Time, std::uint64_t Seed)
+    : Calls(std::move(Calls)), Own(std::move(Own)), WatchWait(WatchWait),
+      Hooks(std::move(Hooks)), Time(std::move(Time)), Random(Seed) {}
+
+DurationMs StoreLoop::step() {
+  const TimeMs Now = Time.now();
+  Targets.expire(Now);
+  publish();
+  if (Now < NextCall)
+    return std::min(NextCall, Targets.nextExpiry()) - Now;
+  ++Reads;
+  switch (Next) {
+  case Phase::ReadIntent:
+    readPage(StoreSubject::Configuration);
+    break;
+  case Phase::ReadTargets:
+    readPage(StoreSubject::Target);
+    break;
+  case Phase::Watch:
+    watch();
+    break;
+  }
+  publish();
+  return std::max(DurationMs(0), NextCall - Time.now());
+}
+
+PlatformReaderCounts StoreLoop::counts() const {
+  return {Reads.load(), Failures.load(), 0};
+}
+
+void StoreLoop::readPage(StoreSubject Subject) {
+  const TimeMs AskedAt = Time.now();
+  const std::string After =
+      Pages && !Pages->Items.empty() ? Pages->Items.back().Key : "";
+  PlatformRead<StorePage> Read = Calls.Range(Subject, After);
+  if (!Read.Value)
+    return failed(Read.Reason, Read.Detail);
+  if (!Pages) {
+    Pages = std::move(*Read.Value);
+  } else {
+    Pages->HasMore = Read.Value->HasMore && !Read.Value->Items.empty();
+    std::move(Read.Value->Items.begin(), Read.Value->Items.end(),
+              std::back_inserter(Pages->Items));
+  }
+  if (!Pages->HasMore)
+    endOfPages(AskedAt);
+}
+
+/// All pages of a range are in. What changed meanwhile follows by the watch,
+/// which starts at the revision of the very first page.
+void StoreLoop::endOfPages(TimeMs AskedAt) {
+  const StorePage Whole = std::move(*std::exchange(Pages, std::nullopt));
+  if (Next == Phase::ReadIntent) {
+    Intent = {};
+    Revision = Whole.Revision;
+    IntentRevision = Whole.Revision;
+    IntentChanged = true;
+    for (const StoreChange &Each : Whole.Items)
+      apply(Each);
+    IntentRevision = Whole.Revision;
+    Next = Phase::ReadTargets;
+    succeeded();
+    publish();
+    prove(AskedAt);
+    return;
+  }
+  std::vector<ListedInstance> Listed;
+  for (const StoreChange &Each : Whole.Items) {
+    if (Each.Subject != StoreSubject::Target)
+      continue;
+    if (auto Row = Calls.DecodeTarget(Each.Name, Each.Value)) {
+      Row->Revision = Each.Revision;
+      Listed.push_back(std::move(*Row));
+    }
+  }
+  succeeded();
+  Targets.replaceAll(std::move(Listed), Time.now());
+  Next = Phase::Watch;
+}
+
+void StoreLoop::watch() {
+  const TimeMs AskedAt = Time.now();
+  PlatformRead<StoreChanges> Read = Calls.Watch(Revision, WatchWait);
+  if (Read.Reason == ResultCode::StoreHistoryGone) {
+    emit(EventId::StoreHistoryLost, {{"version", std::to_string(Revision)}});
+    startOver();
+    return;
+  }
+  if (!Read.Value)
+    return failed(Read.Reason, Read.Detail);
+  for (StoreChange &Each : Read.Value->Changes)
+    apply(std::move(Each));
+  Revision = std::max(Revision, Read.Value->Revision);
+  succeeded();
+  publish();
+  prove(AskedAt);
+  NextCall = AskedAt + MinWatchPeriod;
+}
+
+void StoreLoop::apply(StoreChange Change) {
+  switch (Change.Subject) {
+  case StoreSubject::Configuration:
+    Intent.Configuration = std::move(Change.Value);
+    break;
+  case StoreSubject::DomainOut:
+    if (Change.Removed)
+      Intent.DomainsOut.erase(Change.Name);
+    else
+      Intent.DomainsOut.insert(Change.Name);
+    break;
+  case StoreSubject::Target:
+    return applyTarget(Change);
+  case StoreSubject::Other:
+    return;
+  }
+  IntentRevision = std::max(IntentRevision, Change.Revision);
+  IntentChanged = true;
+}
+
+void StoreLoop::applyTarget(const StoreChange &Change) {
+  const TimeMs Now = Time.now();
+  auto Row = Change.Removed ? std::nullopt
+                            : Calls.DecodeTarget(Change.Name, Change.Value);
+  if (!Row)
+    return Targets.remove(Change.Name, Now);
+  Row->Revision = Change.Revision;
+  Targets.put(std::move(*Row));
+}
+
+/// Tells what has changed, once the targets have been read too.
+void StoreLoop::publish() {
+  if (IntentChanged && !Intent.Configuration.empty()) {
+    IntentChanged = false;
+    if (Hooks.OnBundle)
+      Hooks.OnBundle(makeStoreBundle(Intent, IntentRevision));
+  }
+  if (Next != Phase::Watch)
+    return;
+  if (Targets.takeChanged() && Hooks.OnInstances)
+    Hooks.OnInstances(Targets.list(Revision));
+  auto Present = Targets.find(Own.Address, Own.Service);
+  if (ToldOwn && *ToldOwn == Present)
+    return;
+  ToldOwn = Present;
+  if (Hooks.OnOwnTarget)
+    Hooks.OnOwnTarget(std::move(Present));
+}
+
+void StoreLoop::startOver() {
+  Next = Phase::ReadIntent;
+  Pages.reset();
+  NextCall = TimeMs(0);
+}
+
+/// Told after the intent itself, which was the newest when the call was sent.
+void StoreLoop::prove(TimeMs AskedAt) {
+  if (Hooks.OnProof && !Intent.Configuration.empty())
+    Hooks.OnProof(AskedAt, IntentRevision);
+}
+
+void StoreLoop::succeeded() {
+  FailuresInARow = 0;
+  LastFailure = ResultCode::Ok;
+  if (Reachable)
+    return;
+  Reachable = true;
+  Targets.onStoreBack(Time.now());
+  emit(EventId::PlatformBack);
+  if (Hooks.OnSourceState)
+    Hooks.OnSourceState(true);
+}
+
+void StoreLoop::failed(ResultCode Reason, const std::string &Detail) {
+  if (Reason == ResultCode::Stopped)
+    return;
+  ++Failures;
+  // An outage of hours is one event for each new reason, not one per call.
+  if (Reason != LastFailure)
+    emit(EventId::PlatformReadFailed,
+         {{"reason", std::string(resultName(Reason)) + ": " + Detail}});
+  LastFailure = Reason;
+  std::uniform_int_distribution<std::int64_t> Spread(
+      0, backoffBound(FailuresInARow).Value);
+  NextCall = Time.now() + DurationMs(Spread(Random));
+  ++FailuresInARow;
+  if (!Reachable || FailuresInARow < FailuresUntilOut)
+    return;
+  Reachable = false;
+  Targets.onStoreLost();
+  emit(EventId::PlatformOut);
+  if (Hooks.OnSourceState)
+    Hooks.OnSourceState(false);
+}
+
+void StoreLoop::emit(EventId Id, std::vector<EventField> Fields) const {
+  if (Hooks.OnEvent)
+    Hooks.OnEvent({Id, std::move(Fields)});
+}
+
+} // namespace fescuewood
--- a/src/targets/TargetClient.cpp
+++ b/src/targets/TargetClient.cpp
@@ -117,8 +117,7 @@
 
   void begin(StartCommand Command) {
     auto Transfer = std::make_unique<TargetTransfer>(
-        Base, std::move(Command.Request), Options.MaxAnswerBytes,
-        Options.ConnectTimeout, std::move(Command.OnResult));
+        Base, std::move(Command.Request), Options, std::move(Command.OnResult));
     TargetTransfer &Begun = *Transfer;
     Transfers.emplace(Command.Id, std::move(Transfer));
     if (!Begun.prepare()) {
--- a/src/targets/TargetClient.h
+++ b/src/targets/TargetClient.h
@@ -10,6 +10,7 @@
 #ifndef FESCUEWOOD_TARGETS_TARGETCLIENT_H
 #define FESCUEWOOD_TARGETS_TARGETCLIENT_H
 
+#include "callers/HeaderScheme.h"
 #include "calls/Call.h"
 #include "core/Clock.h"
 #include "core/ResultCode.h"
@@ -30,7 +31,8 @@
   std::string Target; ///< Path and query.
   std::vector<Header> Headers;
   std::string Body;
-  bool Idempotent = false; ///< Otherwise it gets a connection of its own.
+  /// Otherwise it gets a connection of its own, unless answers are proven.
+  bool Idempotent = false;
   DurationMs Timeout{2000};
 };
 
@@ -53,6 +55,9 @@
   std::size_t MaxAnswerBytes = 7 * 1024 * 1024; ///< Head and body together.
   std::size_t MaxRequests = 1024;               ///< Most requests held at once.
   DurationMs ConnectTimeout{1000};
+  /// Names of the fields by which an answer is known to be the target's own and
+  /// to belong to its request.
+  HeaderScheme Scheme = {};
 };
 
 /// Sends requests to one target over HTTP/1.1. Thread-safe.
--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -14,6 +14,12 @@
 
 /// Lower ones are interim answers.
 constexpr int FirstFinalStatus = 200;
+constexpr int FirstRedirect = 300;
+constexpr int MisdirectedRequest = 421;
+
+/// An idle connection is not used again after so long, since targets close
+/// theirs: half of the shortest idle time that is usual, 10 s.
+constexpr long MaxIdleSeconds = 5;
 
 /// True for text that can stand in a request line or a field line.
 bool printable(std::string_view Text) {
@@ -29,11 +35,17 @@
 } // namespace
 
 TargetTransfer::TargetTransfer(const std::string &Base, TargetRequest Request,
-                               std::size_t MaxAnswerBytes,
-                               DurationMs ConnectTimeout, TargetHook OnResult)
-    : Base(Base), Request(std::move(Request)), MaxAnswerBytes(MaxAnswerBytes),
-      ConnectTimeout(ConnectTimeout), OnResult(std::move(OnResult)),
-      Begun(std::chrono::steady_clock::now()), Easy(curl_easy_init()) {}
+                               const TargetClientOptions &Options,
+                               TargetHook OnResult)
+    : Base(Base), Request(std::move(Request)), Options(Options),
+      OnResult(std::move(OnResult)), Begun(std::chrono::steady_clock::now()),
+      Easy(curl_easy_init()) {
+  const std::string *Id =
+      findField(this->Request.Headers, Options.Scheme.RequestId);
+  // Only targets that sign their answers are held to name the request.
+  if (Id && !Options.Scheme.Signature.empty())
+    RequestId = *Id;
+}
 
 bool TargetTransfer::prepare() {
   const bool TargetValid = Request.Target.starts_with('/') &&
@@ -54,11 +66,15 @@
   curl_easy_setopt(Handle, CURLOPT_HTTPHEADER, Fields.get());
   const std::int64_t Timeout = std::max<std::int64_t>(1, Request.Timeout.Value);
   curl_easy_setopt(Handle, CURLOPT_TIMEOUT_MS, static_cast<long>(Timeout));
-  curl_easy_setopt(Handle, CURLOPT_CONNECTTIMEOUT_MS,
-                   static_cast<long>(std::min(Timeout, ConnectTimeout.Value)));
+  curl_easy_setopt(
+      Handle, CURLOPT_CONNECTTIMEOUT_MS,
+      static_cast<long>(std::min(Timeout, Options.ConnectTimeout.Value)));
   // libcurl sends a request again when a reused connection closes before the
-  // first byte of the answer; on a fresh connection it cannot.
-  curl_easy_setopt(Handle, CURLOPT_FRESH_CONNECT, Request.Idempotent ? 0L : 1L);
+  // first byte of the answer; on a fresh connection it cannot. onConnected
+  // forbids that, but what became of the request is unknown then.
+  const bool Fresh = !Request.Idempotent && Options.Scheme.Signature.empty();
+  curl_easy_setopt(Handle, CURLOPT_FRESH_CONNECT, Fresh ? 1L : 0L);
+  curl_easy_setopt(Handle, CURLOPT_MAXAGE_CONN, MaxIdleSeconds);
   curl_easy_setopt(Handle, CURLOPT_PREREQFUNCTION, &onConnected);
   curl_easy_setopt(Handle, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(Handle, CURLOPT_HEADERFUNCTION, &onField);
@@ -117,9 +133,11 @@
 ResultCode TargetTransfer::reasonFor(CURLcode Code) const {
   if (TooLarge)
     return ResultCode::TargetAnswerTooLarge;
+  if (Foreign)
+    return ResultCode::TargetAnswerForeign;
   switch (Code) {
   case CURLE_OK:
-    return framed() ? ResultCode::Ok : ResultCode::TargetAnswerMalformed;
+    return judge();
   case CURLE_OPERATION_TIMEDOUT:
     return Sent ? ResultCode::TargetTimeout : ResultCode::TargetUnreachable;
   case CURLE_UNSUPPORTED_PROTOCOL:
@@ -133,9 +151,41 @@
   }
 }
 
+/// What a whole answer is worth.
+ResultCode TargetTransfer::judge() const {
+  if (!framed())
+    return ResultCode::TargetAnswerMalformed;
+  if (saysNotRun())
+    return ResultCode::TargetRefused;
+  return proven() ? ResultCode::Ok : ResultCode::TargetAnswerUnproven;
+}
+
+bool TargetTransfer::saysNotRun() const {
+  const HeaderScheme &Scheme = Options.Scheme;
+  if (!Scheme.NotRun.empty() && findField(Answer.Headers, Scheme.NotRun))
+    return true;
+  return !Scheme.TargetInstance.empty() && Answer.Status == MisdirectedRequest;
+}
+
+/// Whether a success bears the target's signature and the id of its request. A
+/// coded body is not the one that was signed.
+bool TargetTransfer::proven() const {
+  const HeaderScheme &Scheme = Options.Scheme;
+  const bool Success =
+      Answer.Status >= FirstFinalStatus && Answer.Status < FirstRedirect;
+  if (Scheme.Signature.empty() || RequestId.empty() || !Success)
+    return true;
+  return findField(Answer.Headers, Scheme.Signature) &&
+         findField(Answer.Headers, Scheme.RequestId) &&
+         !findField(Answer.Headers, "Content-Encoding");
+}
+
 Outcome TargetTransfer::outcome(ResultCode Reason) const {
-  if (!Sent)
+  if (!Sent || Reason == ResultCode::TargetRefused)
     return Outcome::NotRun;
+  if (Reason == ResultCode::TargetAnswerForeign ||
+      Reason == ResultCode::TargetAnswerUnproven)
+    return Outcome::Unknown;
   // A final status line shows that the target took the request up.
   if (Reason == ResultCode::Ok || Answer.Status >= FirstFinalStatus)
     return Outcome::Ran;
@@ -144,7 +194,10 @@
 
 bool TargetTransfer::framed() const {
   // The end of an answer that only the end of its connection marks cannot be
-  // told from a cut, so such an answer is not passed on as whole.
+  // told from a cut, so such an answer is not passed on as whole, unless the
+  // target signs: then it resets the connection of an answer that is cut.
+  if (!Options.Scheme.Signature.empty())
+    return true;
   const int Status = Answer.Status;
   if (Request.Method == "HEAD" || Status == 204 || Status == 304)
     return true;
@@ -175,7 +228,7 @@
 
 bool TargetTransfer::takeFieldLine(std::string_view Line) {
   AnswerBytes += Line.size();
-  TooLarge = AnswerBytes > MaxAnswerBytes ||
+  TooLarge = AnswerBytes > Options.MaxAnswerBytes ||
              Answer.Headers.size() >= MaxHeaderFields ||
              Line.size() > MaxFieldBytes;
   if (TooLarge)
@@ -198,12 +251,17 @@
   Value = Value.substr(0, Value.find_last_not_of(" \t\r\n") + 1);
   Answer.Headers.push_back(
       {std::string(Line.substr(0, Colon)), std::string(Value)});
-  return true;
+  const Header &Field = Answer.Headers.back();
+  // Refusing the line ends the transfer and its connection, on which the right
+  // answer may still come and would meet a later request.
+  Foreign = !RequestId.empty() && Field.Value != RequestId &&
+            sameFieldName(Field.Name, Options.Scheme.RequestId);
+  return !Foreign;
 }
 
 bool TargetTransfer::takeBody(std::string_view Bytes) {
   AnswerBytes += Bytes.size();
-  TooLarge = AnswerBytes > MaxAnswerBytes;
+  TooLarge = AnswerBytes > Options.MaxAnswerBytes;
   if (TooLarge)
     return false;
   Answer.Body.append(Bytes);
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -20,9 +20,9 @@
 /// A request, its answer so far, and whether any of it was sent.
 class TargetTransfer {
 public:
+  /// \param Options outlive the transfer.
   TargetTransfer(const std::string &Base, TargetRequest Request,
-                 std::size_t MaxAnswerBytes, DurationMs ConnectTimeout,
-                 TargetHook OnResult);
+                 const TargetClientOptions &Options, TargetHook OnResult);
 
   /// Sets the handle's options. Returns false when the request cannot be
   /// written as HTTP, for example because a field holds a line break.
@@ -49,6 +49,9 @@
   void setBody();
   Outcome outcome(ResultCode Reason) const;
   bool framed() const;
+  ResultCode judge() const;
+  bool saysNotRun() const;
+  bool proven() const;
 
   bool takeFieldLine(std::string_view Line);
   bool takeBody(std::string_view Bytes);
@@ -60,8 +63,7 @@
 
   const std::string &Base;
   TargetRequest Request;
-  const std::size_t MaxAnswerBytes;
-  const DurationMs ConnectTimeout;
+  const TargetClientOptions &Options;
   TargetHook OnResult;
   const std::chrono::steady_clock::time_point Begun;
   std::unique_ptr<CURL, EasyDeleter> Easy;
@@ -70,6 +72,8 @@
   std::size_t AnswerBytes = 0;
   bool Sent = false;     ///< The first byte may have left.
   bool TooLarge = false; ///< The answer went over the limit.
+  bool Foreign = false;  ///< The answer names another request.
+  std::string RequestId; ///< That the answer has to name; empty: none.
 };
 
 } // namespace fescuewood
--- a/tests/app/TargetAdapterTest.cpp
+++ b/tests/app/TargetAdapterTest.cpp
@@ -49,7 +49,7 @@
 
 TEST(TargetAdapter, RefusesARunThatTheClientDoesNotTake) {
   TargetClient Client({.Address = "127.60.0.9:9"});
-  TargetAdapter Adapter(Client, {});
+  TargetAdapter Adapter(Client, TargetSettings());
   Client.stop();
   RunResult Seen;
 
--- a/tests/calls/EntryTest.cpp
+++ b/tests/calls/EntryTest.cpp
@@ -32,6 +32,9 @@
   return Config;
 }
 
+/// The field of the project's own interface.
+const std::string CallTokenField = HeaderScheme().CallToken;
+
 } // namespace
 
 TEST_GROUP(Entry) {
@@ -99,7 +102,7 @@
   CallerRequest Late = keyed("/order");
   Late.Remaining = DurationMs(0);
   CallerRequest Forged = keyed("/order");
-  Forged.Headers.push_back({std::string(CallTokenField), "forged"});
+  Forged.Headers.push_back({CallTokenField, "forged"});
   CallerRequest Two = keyed("/order");
   Two.Headers.push_back({"X-Api-Key", "another"});
 
@@ -128,7 +131,7 @@
 TEST(Entry, CarriesOnACallInsideTheMeshWithoutChargingItAgain) {
   CallerRequest Inner;
   Inner.Target = "/order";
-  Inner.Headers = {{std::string(CallTokenField), "valid"}};
+  Inner.Headers = {{CallTokenField, "valid"}};
 
   take(Inner);
 
--- a/tests/intent/IntentReportTest.cpp
+++ b/tests/intent/IntentReportTest.cpp
@@ -19,7 +19,11 @@
   const std::string Expected =
       "[service queue]\n"
       "slots = 4                                         "
-      "# 20-b.ini:3, over 10-a.ini:2\n\n"
+      "# 20-b.ini:3, over 10-a.ini:2\n"
+      "slow_start_ms = 0                                 "
+      "# default\n"
+      "warmup_per_second = 0                             "
+      "# default\n\n"
       "# digest " +
       Bundle.version().Content.shortHex() + ", 2 files, 75 of 1048576 bytes\n";
   STRCMP_EQUAL(Expected.c_str(), Report.Merged.c_str());
@@ -33,6 +37,10 @@
   const std::string Expected =
       "[service queue]\n"
       "slots = 1                                         "
+      "# default\n"
+      "slow_start_ms = 0                                 "
+      "# default\n"
+      "warmup_per_second = 0                             "
       "# default\n\n"
       "# digest " +
       Bundle.version().Content.shortHex() + ", 1 files, 24 of 1048576 bytes\n";
--- a/tests/intent/SnapshotTest.cpp
+++ b/tests/intent/SnapshotTest.cpp
@@ -21,7 +21,7 @@
   }
 
   const char *find(const char *Method, const char *Path) {
-    const Route *R = S.findRoute(Method, Path);
+    const Route *R = S.findRoute(Method, "", Path);
     return R ? R->Name.c_str() : "none";
   }
 };
--- a/tests/policy/MembershipTest.cpp
+++ b/tests/policy/MembershipTest.cpp
@@ -79,11 +79,11 @@
   const std::vector<ListedMember> Leaving{{Other, true}};
   const std::vector<ListedMember> Live{{Other, false}};
 
-  Table.onListed(Leaving, 7, TimeMs(0));
-  Table.onListed(Live, 6, TimeMs(0));
+  Table.onListed(Leaving, 7, false, TimeMs(0));
+  Table.onListed(Live, 6, false, TimeMs(0));
   CHECK(TargetState::Draining == Table.instances().back().State);
 
-  Table.onListed(Live, 8, TimeMs(0));
+  Table.onListed(Live, 8, false, TimeMs(0));
   CHECK(TargetState::Ready == Table.instances().back().State);
 }
 
--- a/tests/platform/FolderSourceTest.cpp
+++ b/tests/sources/FolderSourceTest.cpp
@@ -1,4 +1,4 @@
-#include "platform/PlatformSource.h"
+#include "sources/PlatformSource.h"
 
 #include "support/TemporaryFolder.h"
 
--- a/tests/platform/HttpSourceTest.cpp
+++ b/tests/sources/HttpSourceTest.cpp
@@ -1,5 +1,5 @@
-#include "platform/PlatformReader.h"
-#include "platform/PlatformSource.h"
+#include "sources/PlatformReader.h"
+#include "sources/PlatformSource.h"
 
 #include "support/ChildProcess.h"
 #include "support/TemporaryFolder.h"
--- a/tests/platform/PlatformCodecTest.cpp
+++ b/tests/sources/PlatformCodecTest.cpp
@@ -1,4 +1,4 @@
-#include "platform/PlatformCodec.h"
+#include "sources/PlatformCodec.h"
 
 #include "ini/IniReader.h"
 
--- a/tests/standins/PlatformMain.cpp
+++ b/tests/standins/PlatformMain.cpp
@@ -13,7 +13,7 @@
 #include "core/Endpoint.h"
 #include "core/ReadFile.h"
 #include "intent/IntentFolder.h"
-#include "platform/PlatformCodec.h"
+#include "sources/PlatformCodec.h"
 
 #include <algorithm>
 #include <cstdio>
