--- a/src/calls/Call.cpp
+++ b/src/calls/Call.cpp
@@ -1,6 +1,7 @@
 #include "calls/Call.h"
 
 #include <algorithm>
+#include <limits>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -33,8 +34,10 @@
 std::uint16_t callPriority(std::uint32_t Organisation, std::uint32_t Route) {
   constexpr std::uint32_t Most = 255;
   constexpr unsigned RouteBits = 8;
+  const std::uint32_t Rank =
+      (std::min(Organisation, Most) << RouteBits) | std::min(Route, Most);
   return static_cast<std::uint16_t>(
-      (std::min(Organisation, Most) << RouteBits) | std::min(Route, Most));
+      std::min(Rank + 1, std::uint32_t{std::numeric_limits<std::uint16_t>::max()}));
 }
 
 CallAnswer refusal(int Status, ResultCode Reason, Outcome Ran) {
--- a/src/calls/Call.h
+++ b/src/calls/Call.h
@@ -65,7 +65,11 @@
   bool CanWait = false;
 };
 
-/// Rank of a call: the organisation's goes before the route's.
+/// Rank of a call that a target makes for a request that it already works on:
+/// without it that work is lost.
+inline constexpr std::uint16_t InnerCallPriority = 0;
+
+/// Rank of a caller's request: the organisation's goes before the route's.
 std::uint16_t callPriority(std::uint32_t Organisation, std::uint32_t Route);
 
 /// The first 64 bits of a key's digest; tells keys apart, reveals none.
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -20,6 +20,15 @@
   return Host ? std::string_view(*Host) : std::string_view();
 }
 
+/// Whether a target makes the call for a request of its own. Where no call
+/// tokens travel, it is one without a key in a mesh whose callers have keys.
+bool isInner(const HeaderScheme &Scheme, const Snapshot &Config,
+             const CallRequest &Call) {
+  if (Scheme.CallTokens)
+    return Call.Depth > 0;
+  return Call.Organisation.empty() && !Config.Organisations.empty();
+}
+
 } // namespace
 
 Entry::Entry(EntryHooks Hooks, EntryPlace Place)
@@ -88,6 +97,8 @@
     refuse(OnAnswer, ResultCode::DeadlineExceeded, Call);
     return;
   }
+  if (isInner(Place.Scheme, *Now->Config, Call))
+    Call.Priority = InnerCallPriority;
   addOrigin(Call);
   // A call inside the mesh was charged where its chain entered.
   if (Inside || Call.Organisation.empty() || !Hooks.Charge)
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -284,7 +284,7 @@
   Call.CanWait = Request.CanWait;
   Call.Priority = Request.Priority;
   Call.Deadline = Deadline;
-  Call.Cost = std::max(DurationMs(1), Limit.latency());
+  Call.Cost = std::max(DurationMs(1), Limit.latency(Request.Route));
   Call.Bytes = Request.Target.size() + Request.Body.size();
   for (const Header &Field : Request.Headers)
     Call.Bytes += Field.Name.size() + Field.Value.size();
--- a/src/policy/AdmissionLimit.cpp
+++ b/src/policy/AdmissionLimit.cpp
@@ -121,6 +121,13 @@
   return DurationMs(std::llround(Recent));
 }
 
+DurationMs AdmissionLimit::latency(std::string_view Route) const {
+  const auto Found = Routes.find(Route);
+  if (Found == Routes.end())
+    return latency();
+  return DurationMs(std::llround(Found->second.Recent));
+}
+
 double AdmissionLimit::startLimit() const {
   return std::max(1.0, std::floor(Settings.ColdShare * Slots));
 }
--- a/src/policy/AdmissionLimit.h
+++ b/src/policy/AdmissionLimit.h
@@ -80,6 +80,10 @@
   /// Recent typical time of a request at the target; 0 before the first.
   DurationMs latency() const;
 
+  /// Recent typical time of a request of this route; of any request while the
+  /// route is not known.
+  DurationMs latency(std::string_view Route) const;
+
 private:
   struct RouteLatency {
     double Recent = 0; ///< Smoothed over a few requests, in milliseconds.
--- a/src/policy/FairQueue.cpp
+++ b/src/policy/FairQueue.cpp
@@ -8,10 +8,19 @@
 
 namespace {
 
-/// Times the typical latency that must be left when a request is started; one
+/// Times a request's own typical latency that must be left when it is started; one
 /// that is started later mostly ends in a timeout and wastes its slot.
 constexpr double LeastLatencyShare = 1.5;
 
+/// Time that must be left when a request is started.
+DurationMs leastTime(const QueuedCall &Call, const ServiceRate &Rate) {
+  // An idle target is tried whatever its last answers took.
+  if (Call.CanWait || Rate.Latency <= DurationMs(0))
+    return DurationMs(0);
+  return DurationMs(static_cast<std::int64_t>(
+      LeastLatencyShare * static_cast<double>(Call.Cost.Value)));
+}
+
 /// Virtual service time of a request, before its weight.
 double cost(const QueuedCall &Call) {
   return static_cast<double>(std::max<std::int64_t>(1, Call.Cost.Value));
@@ -43,8 +52,6 @@
 }
 
 std::optional<CallId> FairQueue::pop(const ServiceRate &Rate, TimeMs Now) {
-  const DurationMs Least(static_cast<std::int64_t>(
-      LeastLatencyShare * static_cast<double>(Rate.Latency.Value)));
   while (!Index.empty()) {
     const bool WaitingTurn = UrgentInARow + 1 >= Settings.WaitingShare;
     const bool FromWaiting = sizeOf(Class::Urgent) == 0 ||
@@ -53,8 +60,7 @@
     if (!Next)
       return std::nullopt;
     forget(*Next);
-    const DurationMs Needed = Next->CanWait ? DurationMs(0) : Least;
-    if (Next->Deadline <= Now + Needed) {
+    if (Next->Deadline <= Now + leastTime(*Next, Rate)) {
       OnExpiry(Next->Id);
       continue;
     }
@@ -159,9 +165,7 @@
   const double Rounds = Turns / std::max(1U, Rate.Limit);
   const double Wait = Rounds * static_cast<double>(Rate.Latency.Value);
   return Now + DurationMs(static_cast<std::int64_t>(Wait)) +
-             DurationMs(static_cast<std::int64_t>(
-                 LeastLatencyShare *
-                 static_cast<double>(Rate.Latency.Value))) >=
+             leastTime(Call, Rate) >=
          Call.Deadline;
 }
 
--- a/src/policy/FairQueue.h
+++ b/src/policy/FairQueue.h
@@ -49,7 +49,7 @@
   std::uint16_t Priority = 0; ///< 0 goes first.
   TimeMs Deadline;
   std::size_t Bytes = 0; ///< Memory that the request holds.
-  DurationMs Cost{1};    ///< Expected time at the target.
+  DurationMs Cost{1};    ///< Expected time of this request at the target.
 };
 
 /// What the target can do at present.
--- a/tests/policy/FairQueueTest.cpp
+++ b/tests/policy/FairQueueTest.cpp
@@ -117,6 +117,7 @@
   for (std::uint64_t I = 0; I < 5; ++I)
     Queue.push(call(I, "a"), Slow, TimeMs(0));
   QueuedCall Late = call(10, "a");
+  Late.Cost = DurationMs(100);
   Late.Deadline = TimeMs(300);
   QueuedCall Patient = Late;
   Patient.Id.Sequence = 11;
@@ -145,3 +146,35 @@
   LONGS_EQUAL(500, Bounded.bytes());
   CHECK_TRUE(Bounded.push(call(Next, "b", 1, true), Rate, TimeMs(0)));
 }
+
+// A quick call within the mesh shares its target with slow requests from
+// outside; the slow ones must not decide whether it can be in time.
+TEST(FairQueue, JudgesEachRequestByItsOwnTimeAtTheTarget) {
+  const ServiceRate Slow{6, DurationMs(640)};
+  QueuedCall Quick = call(1, "");
+  Quick.Deadline = TimeMs(500);
+  Quick.Cost = DurationMs(40);
+  QueuedCall Long = call(2, "a");
+  Long.Deadline = TimeMs(500);
+  Long.Cost = DurationMs(640);
+
+  CHECK_TRUE(Queue.push(Quick, Slow, TimeMs(0)));
+  CHECK_FALSE(Queue.push(Long, Slow, TimeMs(0)));
+  CHECK(CallId({1, 1}) == *Queue.pop(Slow, TimeMs(0)));
+}
+
+TEST(FairQueue, ServesAHigherRankFirstAndIsFairWithinIt) {
+  QueuedCall Low = call(1, "a");
+  Low.Priority = 2;
+  QueuedCall High = call(2, "a");
+  High.Priority = 1;
+  QueuedCall HighOther = call(3, "b");
+  HighOther.Priority = 1;
+  Queue.push(Low, Rate, TimeMs(0));
+  Queue.push(High, Rate, TimeMs(0));
+  Queue.push(HighOther, Rate, TimeMs(0));
+
+  CHECK_FALSE(Queue.pop(Rate, TimeMs(0))->Sequence == 1);
+  CHECK_FALSE(Queue.pop(Rate, TimeMs(0))->Sequence == 1);
+  LONGS_EQUAL(1, Queue.pop(Rate, TimeMs(0))->Sequence);
+}
