Pick targets in the own failure domain first

Cause: on the first site two thirds of the prices were bytes between zones; targets were drawn at random, so that two downloads in three crossed a zone.

--- a/src/calls/Call.h
+++ b/src/calls/Call.h
@@ -63,6 +63,7 @@
   std::uint8_t Depth = 0; ///< Calls above this one, 0 from a caller outside.
   bool Idempotent = false;
   bool CanWait = false;
+  bool Large = false; ///< A long answer is expected; known at the entry only.
 };
 
 /// Rank of a call that a target makes for a request that it already works on:
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -132,6 +132,7 @@
   Call.Service = Now.Splits.pick(Matched);
   Call.Idempotent = Matched.Idempotent;
   Call.CanWait = Matched.CanWait;
+  Call.Large = Matched.Large;
   Call.Remaining = Matched.Timeout;
   Call.MaxAttempts =
       static_cast<std::uint8_t>(std::min(Matched.MaxAttempts, 255U));
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -12,6 +12,7 @@
 RouterSettings routerOf(const CallSettings &Settings) {
   RouterSettings Result;
   Result.PickAtRandom = Settings.Routing == RoutingMode::Random;
+  Result.NearFirst = Settings.Routing == RoutingMode::NearFirst;
   Result.Choices = Settings.Choices;
   Result.RegionCost = Settings.RegionCost;
   Result.RemoteCost = Settings.RemoteCost;
@@ -171,7 +172,8 @@
     return;
   }
   const Instance *Target =
-      Targets.pick(Call.Request.Service, Call.Tried, Now, Context.Hooks.Random);
+      Targets.pick(Call.Request.Service, Call.Tried, Now, Context.Hooks.Random,
+                   Call.Request.Large ? AnswerSize::Large : AnswerSize::Usual);
   if (Target)
     begin(Handle, Call, *Target);
   else
--- a/src/policy/CallSettings.h
+++ b/src/policy/CallSettings.h
@@ -18,6 +18,7 @@
 enum class RoutingMode : std::uint8_t {
   TwoChoices, ///< The better of a few random candidates.
   Random,     ///< Any target of the service.
+  NearFirst,  ///< The own domain's, while others would not gain enough.
 };
 
 /// How many requests a node gives its target at once.
--- a/src/policy/Router.cpp
+++ b/src/policy/Router.cpp
@@ -15,6 +15,9 @@
 /// Longest suspicion, in times of the first.
 constexpr std::int64_t MaxSuspectFactor = 8;
 
+/// How much more distance counts for a long answer than for a usual one.
+constexpr double LargeDistanceFactor = 5;
+
 /// Latency assumed before the first report, in milliseconds.
 constexpr double UnknownLatency = 10.0;
 
@@ -113,12 +116,20 @@
 
 const Instance *Router::pick(std::string_view Service,
                              std::span<const std::string> Tried, TimeMs Now,
-                             const RandomHook &Random) const {
-  std::vector<Choice> Open = choices(Service, Tried, Now);
+                             const RandomHook &Random, AnswerSize Size) const {
+  const std::vector<Choice> Open = choices(Service, Tried, Now);
   if (Open.empty())
     return nullptr;
   if (Settings.PickAtRandom)
     return &Open.at(Random() % Open.size()).Candidate->Place;
+  const Entry *Picked = Settings.NearFirst ? nearFirst(Open, Now, Random, Size)
+                                           : best(Open, Now, Random);
+  return &Picked->Place;
+}
+
+/// The best of a few that are drawn by weight; \p Open holds one at least.
+const Router::Entry *Router::best(std::vector<Choice> Open, TimeMs Now,
+                                  const RandomHook &Random) const {
   double Total = 0;
   for (const Choice &C : Open)
     Total += C.Weight;
@@ -137,7 +148,29 @@
     Total -= Open[At].Weight;
     Open.erase(Open.begin() + static_cast<std::ptrdiff_t>(At));
   }
-  return &Best->Place;
+  return Best;
+}
+
+/// The best of the own domain, unless the best of the others is expected to
+/// answer sooner by more than their distance counts.
+const Router::Entry *Router::nearFirst(const std::vector<Choice> &Open,
+                                       TimeMs Now, const RandomHook &Random,
+                                       AnswerSize Size) const {
+  std::vector<Choice> Near;
+  std::vector<Choice> Others;
+  for (const Choice &Each : Open) {
+    const bool IsNear = nearnessOf(*Each.Candidate) == Nearness::OwnDomain;
+    (IsNear ? Near : Others).push_back(Each);
+  }
+  if (Near.empty() || Others.empty())
+    return best(Open, Now, Random);
+  const Entry *Home = best(std::move(Near), Now, Random);
+  const Entry *Away = best(std::move(Others), Now, Random);
+  const double Factor = Size == AnswerSize::Large ? LargeDistanceFactor : 1;
+  // The distance stands once in the expected wait already.
+  const double AwayCost =
+      expectedWait(*Away, Now) + (Factor - 1) * distanceCost(*Away);
+  return expectedWait(*Home, Now) <= AwayCost ? Home : Away;
 }
 
 std::vector<RouterCandidate> Router::explain(std::string_view Service,
@@ -204,12 +237,20 @@
                                               Candidate.SentSinceLoad));
   const double Queue = std::max(0.0, Held + 1 - Limit) / Limit;
   const double Use = std::min(1.0, Held / Limit);
-  double Cost = 0;
-  if (nearnessOf(Candidate) == Nearness::OwnRegion)
-    Cost = static_cast<double>(Settings.RegionCost.Value);
-  if (nearnessOf(Candidate) == Nearness::Remote)
-    Cost = static_cast<double>(Settings.RemoteCost.Value);
-  return Cost + (Queue + UseCost * Use) * Latency;
+  return distanceCost(Candidate) + (Queue + UseCost * Use) * Latency;
+}
+
+/// What the distance to a target counts as, in milliseconds of waiting.
+double Router::distanceCost(const Entry &Candidate) const {
+  switch (nearnessOf(Candidate)) {
+  case Nearness::OwnDomain:
+    return 0;
+  case Nearness::OwnRegion:
+    return static_cast<double>(Settings.RegionCost.Value);
+  case Nearness::Remote:
+    return static_cast<double>(Settings.RemoteCost.Value);
+  }
+  return 0;
 }
 
 std::vector<Router::Choice> Router::choices(std::string_view Service,
--- a/src/policy/Router.h
+++ b/src/policy/Router.h
@@ -33,6 +33,7 @@
 /// Behaviour of a \ref Router.
 struct RouterSettings {
   bool PickAtRandom = false;   ///< Compare nothing; for measurements.
+  bool NearFirst = false;      ///< Leave the own domain for a gain only.
   std::uint32_t Choices = 2;   ///< Candidates compared.
   DurationMs RegionCost{2};    ///< Added wait of another domain.
   DurationMs RemoteCost{40};   ///< Added wait of another region.
@@ -51,6 +52,9 @@
   TargetState State = TargetState::Cold;
 };
 
+/// What a call's answer is expected to be.
+enum class AnswerSize : std::uint8_t { Usual, Large };
+
 /// Draws one uniform 64-bit number.
 using RandomHook = std::function<std::uint64_t()>;
 
@@ -94,9 +98,12 @@
   /// The instance to send a call to, or null when none may be sent to.
   /// Valid until the next \ref setInstances.
   /// \param Tried names of instances that are not to be tried again.
+  /// \param Size whether a long answer has to travel, which makes another
+  /// domain dearer where the own one goes first.
   const Instance *pick(std::string_view Service,
                        std::span<const std::string> Tried, TimeMs Now,
-                       const RandomHook &Random) const;
+                       const RandomHook &Random,
+                       AnswerSize Size = AnswerSize::Usual) const;
 
   /// Every instance of a service as \ref pick sees it.
   std::vector<RouterCandidate> explain(std::string_view Service,
@@ -125,6 +132,11 @@
   Nearness nearnessOf(const Entry &Candidate) const;
   double weightOf(const Entry &Candidate, TimeMs Now) const;
   double expectedWait(const Entry &Candidate, TimeMs Now) const;
+  double distanceCost(const Entry &Candidate) const;
+  const Entry *best(std::vector<Choice> Open, TimeMs Now,
+                    const RandomHook &Random) const;
+  const Entry *nearFirst(const std::vector<Choice> &Open, TimeMs Now,
+                         const RandomHook &Random, AnswerSize Size) const;
   std::vector<Choice> choices(std::string_view Service,
                               std::span<const std::string> Tried,
                               TimeMs Now) const;
--- a/src/settings/CallRows.cpp
+++ b/src/settings/CallRows.cpp
@@ -32,7 +32,7 @@
   const CallSettings D;
   // clang-format off
   return {
-      row("routing", "", "two-choices", oneOf<RoutingMode>({{"two-choices", RoutingMode::TwoChoices}, {"random", RoutingMode::Random}}), &CallSettings::Routing, "How a target is picked; random is for comparison."),
+      row("routing", "", "two-choices", oneOf<RoutingMode>({{"two-choices", RoutingMode::TwoChoices}, {"random", RoutingMode::Random}, {"near-first", RoutingMode::NearFirst}}), &CallSettings::Routing, "How a target is picked; near-first suits platforms on which bytes between failure domains are dear, random is for comparison."),
       row("admission", "", "adaptive", oneOf<AdmissionMode>({{"adaptive", AdmissionMode::Adaptive}, {"slots", AdmissionMode::Slots}, {"off", AdmissionMode::Off}}), &CallSettings::Admission, "How much the target is given at once; slots and off are for comparison."),
       row("retry", "", "fetch", oneOf<RetryMode>({{"fetch", RetryMode::Fetch}, {"plain", RetryMode::Plain}}), &CallSettings::Retry, "What follows when no answer comes; plain may run a request twice and is for comparison."),
       row("choices", "", text(D.Choices), wholeNumber<std::uint32_t>(1, 16), &CallSettings::Choices, "Targets that are compared for each call."),
--- a/tests/policy/RouterTest.cpp
+++ b/tests/policy/RouterTest.cpp
@@ -112,6 +112,46 @@
   CHECK(Picks(Now) > 0);
 }
 
+TEST(Router, StaysInTheOwnDomainWhileOthersWouldNotGainEnough) {
+  RouterSettings Settings;
+  Settings.NearFirst = true;
+  Settings.RegionCost = DurationMs(100);
+  Settings.RemoteCost = DurationMs(1000);
+  Router Near(Settings, "east");
+  Near.setSnapshot(config(), Now);
+  Near.setInstances(instances());
+  // Waits of about 60 ms in the own domain, and of none elsewhere.
+  const TargetLoad Busy{6, 2, 6, DurationMs(60), TargetState::Ready};
+  const TargetLoad Free{0, 0, 6, DurationMs(60), TargetState::Ready};
+  for (const Instance &Each : instances())
+    Near.onLoad(Each.Name, Each.Domain == "east" ? Busy : Free, Now);
+
+  for (int I = 0; I < 50; ++I)
+    STRCMP_EQUAL("east",
+                 Near.pick("queue", {}, Now, Random)->Domain.c_str());
+}
+
+// Waits of about 200 ms at home: worth the way for a short answer, not for a
+// long one.
+TEST(Router, LeavesTheOwnDomainSoonerForShortAnswersThanForLongOnes) {
+  RouterSettings Settings;
+  Settings.NearFirst = true;
+  Settings.RegionCost = DurationMs(100);
+  Settings.RemoteCost = DurationMs(1000);
+  Router Near(Settings, "east");
+  Near.setSnapshot(config(), Now);
+  Near.setInstances(instances());
+  const TargetLoad Busy{6, 9, 6, DurationMs(100), TargetState::Ready};
+  const TargetLoad Free{0, 0, 6, DurationMs(100), TargetState::Ready};
+  for (const Instance &Each : instances())
+    Near.onLoad(Each.Name, Each.Domain == "east" ? Busy : Free, Now);
+
+  STRCMP_EQUAL("north", Near.pick("queue", {}, Now, Random)->Domain.c_str());
+  STRCMP_EQUAL(
+      "east",
+      Near.pick("queue", {}, Now, Random, AnswerSize::Large)->Domain.c_str());
+}
+
 // What is out, leaving, down, undeclared or tried already is never picked; what
 // remains is, if there is any.
 TEST(Router, PicksOnlyWhatMayBePicked) {
