--- a/src/app/Node.cpp
+++ b/src/app/Node.cpp
@@ -1,6 +1,9 @@
 #include "app/Node.h"
 
 #include "app/NodeParts.h"
+#include "settings/SettingsChange.h"
+
+#include <fmt/format.h>
 
 #include <thread>
 
@@ -101,13 +104,42 @@
   Limiter.stop();
 }
 
-Node::Node(NodeSettings Settings)
-    : State(std::make_unique<NodeParts>(std::move(Settings))) {}
+void NodeParts::reload(std::string_view Text, std::string_view FileName) {
+  if (Text == SettingsText) {
+    Recorder.record({EventId::SettingsUnchanged, {}});
+    return;
+  }
+  Problems Found;
+  const auto Next = parseSettings(Text, FileName, Found);
+  if (!Next) {
+    Recorder.record(
+        {EventId::SettingsRefused, {{"reason", problemsText(Found)}}});
+    return;
+  }
+  const SettingsChange Change = compareSettings(SettingsText, Text);
+  SettingsText = std::string(Text);
+  Log.setLowest(Next->Log.Level);
+  Bounds.replace(Next->Bounds);
+  Limiter.setBound(rateBound(Next->Bounds));
+  Recorder.record(
+      {EventId::SettingsTaken,
+       {{"taken", fmt::format("{}", fmt::join(Change.TakenAtOnce, ", "))},
+        {"needs_restart",
+         fmt::format("{}", fmt::join(Change.NeedRestart, ", "))}}});
+}
+
+Node::Node(NodeSettings Settings, std::string Text)
+    : State(std::make_unique<NodeParts>(std::move(Settings), std::move(Text))) {
+}
 
 Node::~Node() = default;
 
 bool Node::start() { return State->start(); }
 
+void Node::reload(std::string_view Text, std::string_view FileName) {
+  State->reload(Text, FileName);
+}
+
 bool Node::drain() { return State->drain(); }
 
 NodeStatus Node::status() const { return State->status(); }
--- a/src/app/Node.h
+++ b/src/app/Node.h
@@ -13,6 +13,8 @@
 
 #include <memory>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace fescuewood {
 
@@ -20,7 +22,8 @@
 
 class Node {
 public:
-  explicit Node(NodeSettings Settings);
+  /// \param Text that the settings were parsed from, for later comparison.
+  explicit Node(NodeSettings Settings, std::string Text = {});
   ~Node();
   Node(const Node &) = delete;
   Node &operator=(const Node &) = delete;
@@ -33,6 +36,11 @@
   /// of the settings, and stops every duty. Returns whether nothing was cut.
   bool drain();
 
+  /// Takes a changed text of the settings file: whole, or not at all when it is
+  /// bad. What cannot change without a restart stays as it was; events say so.
+  /// \param FileName for problems.
+  void reload(std::string_view Text, std::string_view FileName);
+
   /// Everything the operator port shows.
   NodeStatus status() const;
 
--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -81,12 +81,6 @@
           Settings.Platform.Source.Form == PlatformLocation::Kind::Store};
 }
 
-RateBound rateBound(const BoundSettings &Settings) {
-  constexpr double MsPerSecond = 1000;
-  return {DurationMs(std::llround(Settings.RateWindow * MsPerSecond)),
-          Settings.RateOverage, Settings.RateSlack};
-}
-
 ControlSettings controlSettings(const NodeSettings &Settings) {
   ControlSettings Result;
   const PeerSettings &Peers = Settings.Peers;
@@ -109,8 +103,15 @@
 
 } // namespace
 
-NodeParts::NodeParts(NodeSettings Given)
-    : Settings(std::move(Given)), Scheme(schemeOf(Settings)),
+RateBound rateBound(const BoundSettings &Settings) {
+  constexpr double MsPerSecond = 1000;
+  return {DurationMs(std::llround(Settings.RateWindow * MsPerSecond)),
+          Settings.RateOverage, Settings.RateSlack};
+}
+
+NodeParts::NodeParts(NodeSettings Given, std::string Text)
+    : Settings(std::move(Given)), SettingsText(std::move(Text)),
+      Scheme(schemeOf(Settings)),
       Incarnation(newIncarnation()), Log(Settings.Log.Level, Settings.Log.File),
       Recorder(
           Settings.Node.Name, Settings.Node.Domain, RecordedEvents,
@@ -149,6 +150,7 @@
   if (Settings.Operators.Ready)
     Ready = std::make_unique<OperatorServer>(*Settings.Operators.Ready,
                                              readyPages());
+  Bounds.replace(Settings.Bounds);
   Link.Self = {Settings.Node.Name, Incarnation};
   Link.SourceIp = Settings.Node.Address;
   Link.Secret = Settings.Peers.Secret;
@@ -274,11 +276,12 @@
 /// Whether a key that passes here cannot have been withdrawn for too long.
 bool NodeParts::keysProven() const {
   constexpr double MsPerSecond = 1000;
-  if (!followsStore() || Settings.Bounds.KeyWithdrawal <= 0)
+  const double Withdrawal = Bounds.read().KeyWithdrawal;
+  if (!followsStore() || Withdrawal <= 0)
     return true;
   const TimeMs ProvenAt = Control.provenAt();
   const DurationMs Most(
-      std::llround(Settings.Bounds.KeyWithdrawal * MsPerSecond * ProofShare));
+      std::llround(Withdrawal * MsPerSecond * ProofShare));
   return ProvenAt != TimeMs(0) && Monotonic.now() - ProvenAt <= Most;
 }
 
--- a/src/app/NodeParts.h
+++ b/src/app/NodeParts.h
@@ -31,7 +31,7 @@
 /// Every duty of a node, in the order in which they depend on each other.
 class NodeParts {
 public:
-  explicit NodeParts(NodeSettings Given);
+  NodeParts(NodeSettings Given, std::string Text);
   ~NodeParts() { stop(); }
   NodeParts(const NodeParts &) = delete;
   NodeParts &operator=(const NodeParts &) = delete;
@@ -42,6 +42,9 @@
   /// Finishes what is held; false when some of it had to be cut.
   bool drain();
 
+  /// As \ref Node::reload. From one thread.
+  void reload(std::string_view Text, std::string_view FileName);
+
   NodeStatus status() const;
 
   ResultCode lastReason() const { return LastReason; }
@@ -67,6 +70,8 @@
   void stop();
 
   const NodeSettings Settings;
+  std::string SettingsText;
+  Latest<BoundSettings> Bounds;
   const HeaderScheme Scheme;
   const std::uint64_t Incarnation;
   const Clock Monotonic = Clock::monotonic();
@@ -96,6 +101,9 @@
   std::unique_ptr<OperatorServer> Ready; ///< Null where nobody asks.
 };
 
+/// The bound on organisations where no node slots are declared.
+RateBound rateBound(const BoundSettings &Settings);
+
 } // namespace fescuewood
 
 #endif // FESCUEWOOD_APP_NODEPARTS_H
--- a/src/app/RunCommand.cpp
+++ b/src/app/RunCommand.cpp
@@ -3,6 +3,9 @@
 #include "app/Node.h"
 
 #include <csignal>
+#include <ctime>
+#include <string>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -10,21 +13,37 @@
 
 namespace {
 
-/// Signals that end the process are taken by \ref waitForEnd alone. Blocked
-/// before any thread starts, since threads inherit the mask.
-sigset_t blockEndSignals() {
-  sigset_t Ends;
-  sigemptyset(&Ends);
-  sigaddset(&Ends, SIGTERM);
-  sigaddset(&Ends, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &Ends, nullptr);
+/// How often the settings file is looked at: it may change without any signal.
+constexpr time_t LookPeriodSeconds = 1;
+
+/// Signals that are taken by \ref waitForEnd alone. Blocked before any thread
+/// starts, since threads inherit the mask.
+sigset_t blockSignals() {
+  sigset_t Taken;
+  sigemptyset(&Taken);
+  sigaddset(&Taken, SIGTERM);
+  sigaddset(&Taken, SIGINT);
+  sigaddset(&Taken, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &Taken, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
-  return Ends;
+  return Taken;
 }
 
-void waitForEnd(const sigset_t &Ends) {
-  int Signal = 0;
-  sigwait(&Ends, &Signal);
+/// Waits for a signal to end; meanwhile takes what the settings file says after
+/// a SIGHUP, or once it has changed.
+void waitForEnd(const sigset_t &Taken, Node &Present, std::string Text) {
+  while (true) {
+    const timespec Period{LookPeriodSeconds, 0};
+    const int Signal = sigtimedwait(&Taken, nullptr, &Period);
+    if (Signal == SIGTERM || Signal == SIGINT)
+      return;
+    const auto Now = readSettings(FLAGS_settings);
+    // A file that is being replaced is read the next time.
+    if (!Now || (Signal != SIGHUP && *Now == Text))
+      continue;
+    Text = *Now;
+    Present.reload(Text, FLAGS_settings);
+  }
 }
 
 } // namespace
@@ -36,19 +55,20 @@
   }
   Problems Found;
   const auto Settings = loadSettings(FLAGS_settings, Found);
+  const std::string Text = readSettings(FLAGS_settings).value_or("");
   if (!Settings) {
     fmt::print(stderr, "{}", problemsText(Found));
     return ExitCode::Failure;
   }
-  const sigset_t Ends = blockEndSignals();
-  Node Present(*Settings);
+  const sigset_t Taken = blockSignals();
+  Node Present(*Settings, Text);
   if (!Present.start()) {
     const ResultCode Reason = Present.lastReason();
     fmt::print(stderr, "run: {} (code {})\n", resultText(Reason),
                static_cast<int>(Reason));
     return ExitCode::Failure;
   }
-  waitForEnd(Ends);
+  waitForEnd(Taken, Present, Text);
   return Present.drain() ? ExitCode::Success : ExitCode::Failure;
 }
 
--- a/src/operators/LogWriter.h
+++ b/src/operators/LogWriter.h
@@ -6,6 +6,7 @@
 
 #include "operators/StampedEvent.h"
 
+#include <atomic>
 #include <string>
 
 namespace fescuewood {
@@ -26,11 +27,14 @@
   /// Writes the event's text line, unless its level is below the lowest.
   void write(const StampedEvent &Value);
 
+  /// Changes the lowest level that is written; from any thread.
+  void setLowest(EventLevel Level) { Lowest = Level; }
+
   /// Whether lines reach where they were meant to go.
   bool usable() const { return Usable; }
 
 private:
-  EventLevel Lowest;
+  std::atomic<EventLevel> Lowest;
   bool Usable = true;
 };
 
--- a/src/organisations/OrganisationLimiter.cpp
+++ b/src/organisations/OrganisationLimiter.cpp
@@ -116,6 +116,11 @@
     perform(std::move(Due));
   }
 
+  void setBound(RateBound Bound) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Share.setBound(Bound);
+  }
+
   void setInstances(std::span<const Instance> Instances) {
     bool Conflict = false;
     bool Changed = false;
@@ -383,6 +388,10 @@
     State->setSnapshot(*Snapshot);
 }
 
+void OrganisationLimiter::setBound(RateBound Bound) {
+  State->setBound(Bound);
+}
+
 void OrganisationLimiter::setInstances(std::span<const Instance> Instances) {
   State->setInstances(Instances);
 }
--- a/src/organisations/OrganisationLimiter.h
+++ b/src/organisations/OrganisationLimiter.h
@@ -102,6 +102,9 @@
   /// Puts a configuration in force.
   void setSnapshot(const SnapshotPtr &Snapshot);
 
+  /// Takes another bound, where no node slots are declared.
+  void setBound(RateBound Bound);
+
   /// Replaces what is known of the instances, the own one included.
   void setInstances(std::span<const Instance> Instances);
 
--- a/src/policy/ObservedShare.h
+++ b/src/policy/ObservedShare.h
@@ -50,6 +50,9 @@
 public:
   explicit ObservedShare(RateBound Bound) : Bound(Bound) {}
 
+  /// Takes another bound; tokens above the new depth are lost when next used.
+  void setBound(RateBound NewBound) { Bound = NewBound; }
+
   /// Takes the rates of a configuration; tokens are kept.
   void setRates(const Snapshot &Config, TimeMs Now);
 
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -233,9 +233,13 @@
   return Settings;
 }
 
+std::optional<std::string> readSettings(const std::string &Path) {
+  return readFile(Path, MaxSettingsBytes);
+}
+
 std::optional<NodeSettings> loadSettings(const std::string &Path,
                                          Problems &Found) {
-  const std::optional<std::string> Text = readFile(Path, MaxSettingsBytes);
+  const std::optional<std::string> Text = readSettings(Path);
   if (!Text) {
     report(Found, {ResultCode::FileUnreadable,
                    {Path, 0},
--- a/src/settings/NodeSettings.h
+++ b/src/settings/NodeSettings.h
@@ -125,6 +125,9 @@
                                           std::string_view FileName,
                                           Problems &Found);
 
+/// The text of a file of settings; nothing when it cannot be read.
+std::optional<std::string> readSettings(const std::string &Path);
+
 /// Reads and parses a file of settings.
 std::optional<NodeSettings> loadSettings(const std::string &Path,
                                          Problems &Found);
--- /dev/null
+++ b/src/settings/SettingsChange.cpp
@@ -0,0 +1,47 @@
+#include "settings/SettingsChange.h"
+
+#include "ini/IniReader.h"
+
+#include <map>
+
+namespace fescuewood {
+
+namespace {
+
+using Values = std::map<std::string, std::string>;
+
+Values valuesOf(std::string_view Text) {
+  Problems Ignored; // Both texts have been checked whole before.
+  Values Result;
+  for (const IniSection &Section : readIni(Text, "settings", Ignored))
+    for (const IniEntry &Entry : Section.Entries)
+      Result["[" + Section.Kind + "] " + Entry.Name] = Entry.Value;
+  return Result;
+}
+
+bool takenAtOnce(std::string_view Name) {
+  return Name == "[log] level" || Name.starts_with("[bounds] ");
+}
+
+void add(SettingsChange &Change, const std::string &Name) {
+  (takenAtOnce(Name) ? Change.TakenAtOnce : Change.NeedRestart).push_back(Name);
+}
+
+} // namespace
+
+SettingsChange compareSettings(std::string_view Old, std::string_view New) {
+  const Values Before = valuesOf(Old);
+  const Values After = valuesOf(New);
+  SettingsChange Change;
+  for (const auto &[Name, Value] : After) {
+    const auto Known = Before.find(Name);
+    if (Known == Before.end() || Known->second != Value)
+      add(Change, Name);
+  }
+  for (const auto &[Name, Value] : Before)
+    if (!After.contains(Name))
+      add(Change, Name);
+  return Change;
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/tests/settings/SettingsChangeTest.cpp
@@ -0,0 +1,33 @@
+#include "settings/SettingsChange.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+TEST_GROUP(SettingsChange){};
+
+TEST(SettingsChange, FindsNothingBetweenTextsThatSayTheSame) {
+  const SettingsChange Change = compareSettings(
+      "[log]\nlevel = info\n", "; a comment\n[log]\nlevel = info\n");
+
+  CHECK_TRUE(Change.empty());
+}
+
+TEST(SettingsChange, TellsWhatIsTakenAtOnceFromWhatNeedsARestart) {
+  const SettingsChange Change = compareSettings(
+      "[log]\nlevel = info\n[node]\nname = a\n[bounds]\nrate_slack = 1\n",
+      "[log]\nlevel = warn\n[node]\nname = b\n[bounds]\nrate_slack = 2\n");
+
+  LONGS_EQUAL(2, Change.TakenAtOnce.size());
+  STRCMP_EQUAL("[bounds] rate_slack", Change.TakenAtOnce[0].c_str());
+  STRCMP_EQUAL("[log] level", Change.TakenAtOnce[1].c_str());
+  LONGS_EQUAL(1, Change.NeedRestart.size());
+  STRCMP_EQUAL("[node] name", Change.NeedRestart[0].c_str());
+}
+
+TEST(SettingsChange, CountsASettingThatIsNotGivenAnyMore) {
+  const SettingsChange Change =
+      compareSettings("[callers]\nlisten = 127.0.0.1:1\n", "");
+
+  LONGS_EQUAL(1, Change.NeedRestart.size());
+}
