--- a/src/app/Node.cpp
+++ b/src/app/Node.cpp
@@ -76,6 +76,9 @@
   Recorder.record({EventId::NodeDraining, {}});
   const TimeMs Until = Monotonic.now() + Settings.Callers.DrainTimeout;
   Control.leave();
+  // Whoever sends callers here has to notice first that this node leaves.
+  std::this_thread::sleep_for(
+      std::chrono::milliseconds(Settings.Callers.LeaveNotice.Value));
   Callers.stopAccepting();
   std::this_thread::sleep_for(std::chrono::milliseconds(LeaveSpread.Value));
   const bool AllAnswered = waitUntilAnswered(Until);
--- a/src/calls/Call.cpp
+++ b/src/calls/Call.cpp
@@ -1,5 +1,7 @@
 #include "calls/Call.h"
 
+#include "callers/HeaderFields.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -31,6 +33,12 @@
   return Mark;
 }
 
+std::string requestIdOf(const CallRequest &Request,
+                        const HeaderScheme &Scheme) {
+  const std::string *Id = findField(Request.Headers, Scheme.RequestId);
+  return Id ? *Id : std::string();
+}
+
 std::uint16_t callPriority(std::uint32_t Organisation, std::uint32_t Route) {
   constexpr std::uint32_t Most = 255;
   constexpr unsigned RouteBits = 8;
--- a/src/calls/Call.h
+++ b/src/calls/Call.h
@@ -7,6 +7,7 @@
 #ifndef FESCUEWOOD_CALLS_CALL_H
 #define FESCUEWOOD_CALLS_CALL_H
 
+#include "callers/HeaderScheme.h"
 #include "core/Clock.h"
 #include "core/Digest.h"
 #include "core/ResultCode.h"
@@ -66,6 +67,9 @@
   bool Large = false; ///< A long answer is expected; known at the entry only.
 };
 
+/// The id that the caller gave a request, for logs; empty when it gave none.
+std::string requestIdOf(const CallRequest &Request, const HeaderScheme &Scheme);
+
 /// Rank of a call that a target makes for a request that it already works on:
 /// without it that work is lost.
 inline constexpr std::uint16_t InnerCallPriority = 0;
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -117,6 +117,7 @@
       Hooks.Submit(Number, std::move(*Waiting), OnAnswer);
       return;
     }
+    report(ResultCode::RateExceeded, *Waiting);
     CallAnswer Answer = refusal(statusOf(ResultCode::RateExceeded),
                                 ResultCode::RateExceeded, Outcome::NotRun);
     Answer.Headers.push_back(
@@ -221,14 +222,22 @@
 
 void Entry::refuse(const AnswerHook &OnAnswer, ResultCode Reason,
                    const CallRequest &Request) const {
-  if (Hooks.OnEvent) {
-    Hooks.OnEvent({EventId::CallRefused,
-                   {{"organisation", Request.Organisation},
-                    {"route", Request.Route},
-                    {"reason", std::string(resultName(Reason))},
-                    {"outcome", "not-run"}}});
-  }
-  OnAnswer(refusal(statusOf(Reason), Reason, Outcome::NotRun));
+  report(Reason, Request);
+  OnAnswer(
+      refusal(statusOf(Reason, Outcome::NotRun), Reason, Outcome::NotRun));
+}
+
+void Entry::report(ResultCode Reason, const CallRequest &Request) const {
+  if (!Hooks.OnEvent)
+    return;
+  Hooks.OnEvent({EventId::CallRefused,
+                 {{"request", requestIdOf(Request, Place.Scheme)},
+                  {"organisation", Request.Organisation},
+                  {"route", Request.Route},
+                  {"service", Request.Service},
+                  {"remaining_ms", std::to_string(Request.Remaining.Value)},
+                  {"reason", std::string(resultName(Reason))},
+                  {"outcome", "not-run"}}});
 }
 
 } // namespace fescuewood
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -102,6 +102,7 @@
                        const AnswerHook &OnAnswer) const;
   void refuse(const AnswerHook &OnAnswer, ResultCode Reason,
               const CallRequest &Request) const;
+  void report(ResultCode Reason, const CallRequest &Request) const;
   void follow(const InForce &Present, const Route &Matched,
               CallRequest &Call) const;
   ResultCode identify(const InForce &Present, const Route &Matched,
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -216,7 +216,9 @@
 void EntrySide::move(CallHandle Handle, EntryCall &Call, std::string_view Why,
                      Leaving Left) {
   ++Context.Figures.Retries;
-  Context.report(EventId::CallMoved, {{"call", Call.Present->Id.text()},
+  Context.report(EventId::CallMoved,
+                 {{"request", requestIdOf(Call.Request, Context.Self.Scheme)},
+                  {"call", Call.Present->Id.text()},
                                       {"target", Call.Present->Target},
                                       {"reason", std::string(Why)}});
   Call.Tried.push_back(Call.Present->Target);
@@ -249,11 +251,19 @@
 
 void EntrySide::refuse(CallHandle Handle, EntryCall &Call, ResultCode Reason,
                        Outcome Ran) {
-  Context.report(EventId::CallRefused,
-                 {{"organisation", Call.Request.Organisation},
-                  {"route", Call.Request.Route},
-                  {"reason", std::string(resultName(Reason))},
-                  {"outcome", std::string(outcomeName(Ran))}});
+  Context.report(
+      EventId::CallRefused,
+      {{"request", requestIdOf(Call.Request, Context.Self.Scheme)},
+       {"organisation", Call.Request.Organisation},
+       {"route", Call.Request.Route},
+       {"service", Call.Request.Service},
+       {"target", Call.Present ? Call.Present->Target
+                               : (Call.Tried.empty() ? "" : Call.Tried.back())},
+       {"attempts", std::to_string(Call.Attempts)},
+       {"held_ms", std::to_string((Context.now() - Call.Submitted).Value)},
+       {"remaining_ms", std::to_string((Call.Deadline - Context.now()).Value)},
+       {"reason", std::string(resultName(Reason))},
+       {"outcome", std::string(outcomeName(Ran))}});
   if (!Call.Request.Organisation.empty())
     ++Context.Figures.RefusedByOrganisation[Call.Request.Organisation];
   CallAnswer Answer = refusal(statusOf(Reason, Ran), Reason, Ran);
--- a/src/organisations/OrganisationLimiter.cpp
+++ b/src/organisations/OrganisationLimiter.cpp
@@ -2,7 +2,7 @@
 
 #include "core/Duty.h"
 #include "organisations/TokenCodec.h"
-#include "policy/ObservedShare.h"
+#include "policy/TokenLoans.h"
 #include "policy/TokenNode.h"
 
 #include <algorithm>
@@ -43,7 +43,7 @@
         Hooks(std::move(Hooks)),
         Node({this->Identity.Domain, this->Identity.Slot}, Settings,
              this->Hooks.Now.now()),
-        Share(this->Identity.Bound) {}
+        Loans(this->Identity.Bound) {}
 
   void start() {
     Ticker.start(TokenNode::TickPeriod, [this] { tick(); });
@@ -62,13 +62,13 @@
   }
 
   RateDecision charge(std::string_view Organisation) {
-    if (const auto Decided = chargeShare(Organisation))
-      return *Decided;
     std::optional<RateDecision> Decision;
     Work Due;
     {
       std::lock_guard<std::mutex> Lock(Mutex);
-      Decision = Node.charge(Organisation, Hooks.Now.now(), std::nullopt);
+      const TimeMs Now = Hooks.Now.now();
+      Decision = ByShare ? Loans.charge(Organisation, Now, std::nullopt)
+                         : Node.charge(Organisation, Now, std::nullopt);
       Due = collect();
     }
     perform(std::move(Due));
@@ -77,10 +77,6 @@
 
   void charge(std::string_view Organisation,
               const RateDecisionHook &OnDecision) {
-    if (const auto Decided = chargeShare(Organisation)) {
-      OnDecision(*Decided);
-      return;
-    }
     std::optional<RateDecision> Decision;
     Work Due;
     {
@@ -88,7 +84,9 @@
       std::optional<std::uint64_t> Ticket;
       if (!Stopped)
         Ticket = ++LastTicket;
-      Decision = Node.charge(Organisation, Hooks.Now.now(), Ticket);
+      const TimeMs Now = Hooks.Now.now();
+      Decision = ByShare ? Loans.charge(Organisation, Now, Ticket)
+                         : Node.charge(Organisation, Now, Ticket);
       if (!Decision)
         Waiting.emplace(*Ticket, OnDecision);
       Due = collect();
@@ -102,7 +100,7 @@
     if (declaresNoSlots(Source)) {
       std::lock_guard<std::mutex> Lock(Mutex);
       ByShare = true;
-      Share.setRates(Source, Hooks.Now.now());
+      Loans.setRates(Source, Hooks.Now.now());
       return;
     }
     const TokenPlan Plan(Source, Settings);
@@ -118,7 +116,7 @@
 
   void setBound(RateBound Bound) {
     std::lock_guard<std::mutex> Lock(Mutex);
-    Share.setBound(Bound);
+    Loans.setBound(Bound);
   }
 
   void setInstances(std::span<const Instance> Instances) {
@@ -126,7 +124,8 @@
     bool Changed = false;
     {
       std::lock_guard<std::mutex> Lock(Mutex);
-      Share.setNodes(admittingNodes(Instances), Hooks.Now.now());
+      Loans.setNodes(admittingNodes(Instances), Hooks.Now.now());
+      Loans.setLenders(lenders(Instances));
       if (ByShare)
         return;
       Addresses.clear();
@@ -155,8 +154,10 @@
     std::vector<TokenGrant> Grants;
     {
       std::lock_guard<std::mutex> Lock(Mutex);
-      Grants =
-          Node.answer({From.Name, From.Incarnation}, *Asks, Hooks.Now.now());
+      const TimeMs Now = Hooks.Now.now();
+      Grants = ByShare
+                   ? Loans.answer(*Asks, Now)
+                   : Node.answer({From.Name, From.Incarnation}, *Asks, Now);
     }
     const std::string Answer = encodeGrants(Grants);
     count(Answer);
@@ -200,23 +201,23 @@
     std::vector<std::vector<TokenAsk>> Asks; ///< Of each request.
     std::vector<SlotId> Meters;              ///< Of each request.
     std::vector<std::pair<RateDecisionHook, RateDecision>> Decisions;
+    std::vector<LoanAsk> Loans;
     bool PauseNoticed = false;
   };
 
-  /// The decision by the share of an observed node; nothing where slots are
-  /// declared.
-  std::optional<RateDecision> chargeShare(std::string_view Organisation) {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    if (!ByShare)
-      return std::nullopt;
-    return Share.charge(Organisation, Hooks.Now.now());
+  std::vector<Lender> lenders(std::span<const Instance> Instances) const {
+    std::vector<Lender> Others;
+    for (const Instance &Each : Instances)
+      if (Each.Name != Identity.Name && Each.State < TargetState::Draining)
+        Others.push_back({Each.PeerAddress, Each.Domain == Identity.Domain});
+    return Others;
   }
 
   /// Called with the lock held.
   LimiterStatus shareStatus(TimeMs Now) const {
     LimiterStatus Result;
     Result.Metering = true;
-    for (const auto &[Name, F] : Share.figures()) {
+    for (const auto &[Name, F] : Loans.share().figures()) {
       OrganisationStatus S;
       S.Name = Name;
       S.RatePerSecond = F.Whole.PerSecond;
@@ -232,11 +233,8 @@
   }
 
   void tick() {
-    {
-      std::lock_guard<std::mutex> Lock(Mutex);
-      if (ByShare)
-        return;
-    }
+    if (tickLoans())
+      return;
     std::optional<ShareMark> Mark = mark();
     const TimeMs Asked = Hooks.Now.now();
     const bool Agreed =
@@ -258,20 +256,70 @@
     perform(std::move(Due));
   }
 
+  /// Returns whether rates are held by loans.
+  bool tickLoans() {
+    Work Due;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      if (!ByShare)
+        return false;
+      Loans.tick(Hooks.Now.now());
+      Due = collect();
+    }
+    perform(std::move(Due));
+    return true;
+  }
+
   /// Called with the lock held.
   Work collect() {
     Work Due;
+    Due.Loans = Loans.takeAsks();
+    for (const LoanDecision &D : Loans.takeDecided())
+      decide(Due, D.Ticket, D.Decision);
     Due.PauseNoticed = Node.takePauseNoticed();
     for (AskMessage &Message : Node.takeAsks())
       addRequest(Due, Message.Meter, std::move(Message.Asks));
-    for (const DecidedCharge &D : Node.takeDecided()) {
-      auto Found = Waiting.extract(D.Ticket);
-      if (Found)
-        Due.Decisions.emplace_back(std::move(Found.mapped()), D.Decision);
-    }
+    for (const DecidedCharge &D : Node.takeDecided())
+      decide(Due, D.Ticket, D.Decision);
     return Due;
   }
 
+  void decide(Work &Due, std::uint64_t Ticket, const RateDecision &Decision) {
+    auto Found = Waiting.extract(Ticket);
+    if (Found)
+      Due.Decisions.emplace_back(std::move(Found.mapped()), Decision);
+  }
+
+  void sendLoan(LoanAsk Loan) {
+    PeerRequest Request;
+    Request.Address = Loan.Address;
+    Request.Kind = PeerKind::Tokens;
+    Request.Body = encodeAsks({&Loan.Ask, 1});
+    Request.Timeout = Settings.AskTimeout;
+    count(Request.Body);
+    Hooks.Send(std::move(Request),
+               [this, Loan = std::move(Loan)](const PeerReply &Reply) {
+                 takeLoan(Loan, Reply);
+               });
+  }
+
+  void takeLoan(const LoanAsk &Asked, const PeerReply &Reply) {
+    const auto Grants = Reply.Body ? decodeGrants(*Reply.Body) : std::nullopt;
+    if (Reply.Body && !Grants)
+      reportMalformed(Reply.From);
+    Work Due;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      const TimeMs Now = Hooks.Now.now();
+      if (Grants && !Grants->empty())
+        Loans.accept(Asked, Grants->front(), Now);
+      else
+        Loans.lose(Asked, Now);
+      Due = collect();
+    }
+    perform(std::move(Due));
+  }
+
   void addRequest(Work &Due, const SlotId &Meter, std::vector<TokenAsk> Asks) {
     PeerRequest Request;
     const auto It = Addresses.find(Meter);
@@ -290,6 +338,8 @@
       report(EventId::TokensDiscarded);
     for (auto &[OnDecision, Decision] : Due.Decisions)
       OnDecision(Decision);
+    for (LoanAsk &Loan : Due.Loans)
+      sendLoan(std::move(Loan));
     for (std::size_t I = 0; I < Due.Requests.size(); ++I)
       send(std::move(Due.Requests[I]), Due.Meters[I], std::move(Due.Asks[I]));
   }
@@ -350,7 +400,7 @@
   const LimiterHooks Hooks;
   mutable std::mutex Mutex;
   mutable TokenNode Node; ///< Its figures advance the buckets.
-  ObservedShare Share;
+  TokenLoans Loans;
   bool ByShare = false; ///< The configuration declares no node slots.
   std::map<SlotId, std::string> Addresses;
   std::map<std::uint64_t, RateDecisionHook> Waiting;
--- a/src/policy/ObservedShare.cpp
+++ b/src/policy/ObservedShare.cpp
@@ -14,6 +14,9 @@
 /// the fleet differ.
 constexpr double GivenOut = 0.85;
 
+/// Longest wait that is named.
+constexpr std::int64_t LongestWaitMs = 60 * 1000;
+
 /// A number of nodes counts for so long: longer than a partition usually lasts.
 constexpr DurationMs CountMemory{20 * 1000};
 
@@ -46,21 +49,49 @@
   Counts.emplace_back(Now, Count);
 }
 
-RateDecision ObservedShare::charge(std::string_view Organisation, TimeMs Now) {
-  const auto Found = Accounts.find(Organisation);
-  if (Found == Accounts.end())
-    return {true, DurationMs(0)};
-  Account &A = Found->second;
-  fill(A, Now);
-  if (A.Tokens >= 1) {
-    A.Tokens -= 1;
-    ++A.Admitted;
-    return {true, DurationMs(0)};
-  }
+bool ObservedShare::take(std::string_view Organisation, TimeMs Now) {
+  Account &A = filled(Organisation, Now);
+  if (A.Tokens < 1)
+    return false;
+  A.Tokens -= 1;
+  ++A.Admitted;
+  return true;
+}
+
+RateDecision ObservedShare::refuse(std::string_view Organisation, TimeMs Now) {
+  Account &A = filled(Organisation, Now);
   ++A.Refused;
   A.LastRefused = Now;
-  const double Wait = (1 - A.Tokens) / ratePerMs(A, Now);
-  return {false, DurationMs(static_cast<std::int64_t>(std::ceil(Wait)))};
+  return {false, untilTokens(Organisation, 1, Now)};
+}
+
+double ObservedShare::tokens(std::string_view Organisation, TimeMs Now) {
+  return filled(Organisation, Now).Tokens;
+}
+
+double ObservedShare::depth(std::string_view Organisation, TimeMs Now) {
+  return depth(filled(Organisation, Now), Now);
+}
+
+DurationMs ObservedShare::untilTokens(std::string_view Organisation,
+                                      double Wanted, TimeMs Now) {
+  const Account &A = filled(Organisation, Now);
+  const double Missing = std::max(0.0, Wanted - A.Tokens);
+  const double Wait =
+      std::min(Missing / ratePerMs(A, Now), static_cast<double>(LongestWaitMs));
+  return DurationMs(static_cast<std::int64_t>(std::ceil(Wait)));
+}
+
+void ObservedShare::give(std::string_view Organisation, double Count,
+                         TimeMs Now) {
+  Account &A = filled(Organisation, Now);
+  A.Tokens = std::max(0.0, A.Tokens - Count);
+}
+
+void ObservedShare::add(std::string_view Organisation, double Count,
+                        TimeMs Now) {
+  Account &A = filled(Organisation, Now);
+  A.Tokens = std::min(depth(A, Now), A.Tokens + Count);
 }
 
 std::map<std::string, ObservedShareFigures, std::less<>>
@@ -94,6 +125,13 @@
   return std::max(1.0, All / static_cast<double>(nodes(Now)));
 }
 
+ObservedShare::Account &ObservedShare::filled(std::string_view Organisation,
+                                              TimeMs Now) {
+  Account &A = Accounts.find(Organisation)->second;
+  fill(A, Now);
+  return A;
+}
+
 void ObservedShare::fill(Account &A, TimeMs Now) {
   const double Passed = static_cast<double>((Now - A.FilledAt).Value);
   A.Tokens = std::min(depth(A, Now), A.Tokens + ratePerMs(A, Now) * Passed);
--- a/src/policy/ObservedShare.h
+++ b/src/policy/ObservedShare.h
@@ -59,8 +59,29 @@
   /// Nodes that may admit requests now, this one included.
   void setNodes(std::size_t Count, TimeMs Now);
 
-  /// Charges one request; one of an organisation without a rate passes.
-  RateDecision charge(std::string_view Organisation, TimeMs Now);
+  /// Whether an organisation has a rate; the functions below are for those.
+  bool holds(std::string_view Organisation) const {
+    return Accounts.find(Organisation) != Accounts.end();
+  }
+
+  /// Takes a token for one request; false when there is none.
+  bool take(std::string_view Organisation, TimeMs Now);
+
+  /// Counts a request that is refused, and says when there is a token again.
+  RateDecision refuse(std::string_view Organisation, TimeMs Now);
+
+  double tokens(std::string_view Organisation, TimeMs Now);
+
+  /// Most tokens that are held.
+  double depth(std::string_view Organisation, TimeMs Now);
+
+  /// Time until there are so many tokens, if none is taken.
+  DurationMs untilTokens(std::string_view Organisation, double Wanted,
+                         TimeMs Now);
+
+  /// Takes tokens away for another node, or adds those of another node.
+  void give(std::string_view Organisation, double Count, TimeMs Now);
+  void add(std::string_view Organisation, double Count, TimeMs Now);
 
   /// The organisations with a rate.
   std::map<std::string, ObservedShareFigures, std::less<>> figures() const;
@@ -81,6 +102,7 @@
   std::size_t nodes(TimeMs Now);
   double ratePerMs(const Account &A, TimeMs Now);
   double depth(const Account &A, TimeMs Now);
+  Account &filled(std::string_view Organisation, TimeMs Now);
   void fill(Account &A, TimeMs Now);
 
   RateBound Bound;
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -124,6 +124,7 @@
       keyRow<S>("callers", "max_connections", "", "512", wholeNumber<std::uint32_t>(1, 65535), in(&S::Callers, &CallerSettings::MaxConnections), "Most connections from callers at once."),
       keyRow<S>("callers", "read_timeout_ms", "ms", "10000", milliseconds(100, 600000), in(&S::Callers, &CallerSettings::ReadTimeout), "Longest time to receive one request."),
       keyRow<S>("callers", "idle_timeout_ms", "ms", "60000", milliseconds(100, 3600000), in(&S::Callers, &CallerSettings::IdleTimeout), "Time after which an unused connection is closed; `read_timeout_ms` if that is shorter."),
+      keyRow<S>("callers", "leave_notice_ms", "ms", "0", milliseconds(0, 600000), in(&S::Callers, &CallerSettings::LeaveNotice), "Time for which a process that ends still takes connections while it says that it is not ready; counts towards `drain_timeout_ms`."),
       keyRow<S>("callers", "drain_timeout_ms", "ms", "30000", milliseconds(0, 600000), in(&S::Callers, &CallerSettings::DrainTimeout), "Longest wait for running requests when the process ends."),
       keyRow<S>("peers", "listen", "", Required, endpointForm(), in(&S::Peers, &PeerSettings::Listen), "Where this node hears the other nodes."),
       keyRow<S>("peers", "advertise", "", "", optionalEndpointForm(), in(&S::Peers, &PeerSettings::Advertise), "Where the other nodes connect, if that is not the same, as behind address translation."),
--- a/tests/integration/MeshTest.cpp
+++ b/tests/integration/MeshTest.cpp
@@ -43,6 +43,21 @@
   LONGS_EQUAL(1'000'000, Large.Body.size());
 }
 
+// The usual signal for "the settings file has changed" must not end a node.
+TEST(Mesh, ReadsItsSettingsAgainOnAHangupAndGoesOn) {
+  Mesh &Whole = sharedMesh();
+  const auto &Entry = Whole.Instances[2];
+
+  Entry.Node.signal(SIGHUP);
+
+  eventually("the node says that it read its settings", [&] {
+    return Whole.page(Entry, "/timeline").find("SettingsUnchanged") != std::string::npos;
+  });
+  const Message Answer = Whole.request(Entry, "GET", "/queue/today",
+                                       shownKey("key-first", "hangup"));
+  LONGS_EQUAL(200, Answer.status());
+}
+
 TEST(Mesh, FollowsAnEditedIntentWithoutARestart) {
   Mesh &Whole = sharedMesh();
   const auto &Entry = Whole.Instances[0];
