--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -111,8 +111,8 @@
 
 NodeParts::NodeParts(NodeSettings Given, std::string Text)
     : Settings(std::move(Given)), SettingsText(std::move(Text)),
-      Scheme(schemeOf(Settings)),
-      Incarnation(newIncarnation()), Log(Settings.Log.Level, Settings.Log.File),
+      Scheme(schemeOf(Settings)), Incarnation(newIncarnation()),
+      Log(Settings.Log.Level, Settings.Log.File),
       Recorder(
           Settings.Node.Name, Settings.Node.Domain, RecordedEvents,
           [this] { return Link.Stamps.stamp(); },
@@ -280,8 +280,7 @@
   if (!followsStore() || Withdrawal <= 0)
     return true;
   const TimeMs ProvenAt = Control.provenAt();
-  const DurationMs Most(
-      std::llround(Withdrawal * MsPerSecond * ProofShare));
+  const DurationMs Most(std::llround(Withdrawal * MsPerSecond * ProofShare));
   return ProvenAt != TimeMs(0) && Monotonic.now() - ProvenAt <= Most;
 }
 
--- a/src/calls/Call.cpp
+++ b/src/calls/Call.cpp
@@ -44,8 +44,8 @@
   constexpr unsigned RouteBits = 8;
   const std::uint32_t Rank =
       (std::min(Organisation, Most) << RouteBits) | std::min(Route, Most);
-  return static_cast<std::uint16_t>(
-      std::min(Rank + 1, std::uint32_t{std::numeric_limits<std::uint16_t>::max()}));
+  return static_cast<std::uint16_t>(std::min(
+      Rank + 1, std::uint32_t{std::numeric_limits<std::uint16_t>::max()}));
 }
 
 CallAnswer refusal(int Status, ResultCode Reason, Outcome Ran) {
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -223,8 +223,7 @@
 void Entry::refuse(const AnswerHook &OnAnswer, ResultCode Reason,
                    const CallRequest &Request) const {
   report(Reason, Request);
-  OnAnswer(
-      refusal(statusOf(Reason, Outcome::NotRun), Reason, Outcome::NotRun));
+  OnAnswer(refusal(statusOf(Reason, Outcome::NotRun), Reason, Outcome::NotRun));
 }
 
 void Entry::report(ResultCode Reason, const CallRequest &Request) const {
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -219,8 +219,8 @@
   Context.report(EventId::CallMoved,
                  {{"request", requestIdOf(Call.Request, Context.Self.Scheme)},
                   {"call", Call.Present->Id.text()},
-                                      {"target", Call.Present->Target},
-                                      {"reason", std::string(Why)}});
+                  {"target", Call.Present->Target},
+                  {"reason", std::string(Why)}});
   Call.Tried.push_back(Call.Present->Target);
   leave(Call, Left);
   dispatch(Handle, Call);
--- a/src/organisations/OrganisationLimiter.cpp
+++ b/src/organisations/OrganisationLimiter.cpp
@@ -155,9 +155,8 @@
     {
       std::lock_guard<std::mutex> Lock(Mutex);
       const TimeMs Now = Hooks.Now.now();
-      Grants = ByShare
-                   ? Loans.answer(*Asks, Now)
-                   : Node.answer({From.Name, From.Incarnation}, *Asks, Now);
+      Grants = ByShare ? Loans.answer(*Asks, Now)
+                       : Node.answer({From.Name, From.Incarnation}, *Asks, Now);
     }
     const std::string Answer = encodeGrants(Grants);
     count(Answer);
@@ -438,9 +437,7 @@
     State->setSnapshot(*Snapshot);
 }
 
-void OrganisationLimiter::setBound(RateBound Bound) {
-  State->setBound(Bound);
-}
+void OrganisationLimiter::setBound(RateBound Bound) { State->setBound(Bound); }
 
 void OrganisationLimiter::setInstances(std::span<const Instance> Instances) {
   State->setInstances(Instances);
--- a/src/policy/FairQueue.cpp
+++ b/src/policy/FairQueue.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Times a request's own typical latency that must be left when it is started; one
-/// that is started later mostly ends in a timeout and wastes its slot.
+/// Times a request's own typical latency that must be left when it is started;
+/// one that is started later mostly ends in a timeout and wastes its slot.
 constexpr double LeastLatencyShare = 1.5;
 
 /// Time that must be left when a request is started.
--- a/src/policy/TokenLoans.cpp
+++ b/src/policy/TokenLoans.cpp
@@ -182,9 +182,9 @@
 
 void TokenLoans::pause(Account &A, const std::string &Address, DurationMs Span,
                        TimeMs Now) {
-  const auto Found = std::find_if(
-      Lenders.begin(), Lenders.end(),
-      [&](const Lender &Each) { return Each.Address == Address; });
+  const auto Found =
+      std::find_if(Lenders.begin(), Lenders.end(),
+                   [&](const Lender &Each) { return Each.Address == Address; });
   const bool Near = Found != Lenders.end() && Found->Near;
   A.NextAsk[Address] = Now + std::max(Span, Near ? NearPause : FarPause);
 }
--- a/src/policy/TokenLoans.h
+++ b/src/policy/TokenLoans.h
@@ -1,13 +1,13 @@
 /// \file
 /// Lets nodes lend each other tokens of their shares.
 ///
-/// A share for each node (\ref ObservedShare) refuses callers of an organisation
-/// whose requests enter at a few nodes only. A node that runs dry therefore asks
-/// others for tokens, those of its own failure domain first, while the request
-/// waits for a moment. A loan takes tokens out of the lender's bucket before the
-/// borrower has them, and a bucket is never filled above its depth, so that the
-/// tokens of all buckets never exceed what the shares allow. A message that is
-/// lost loses tokens.
+/// A share for each node (\ref ObservedShare) refuses callers of an
+/// organisation whose requests enter at a few nodes only. A node that runs dry
+/// therefore asks others for tokens, those of its own failure domain first,
+/// while the request waits for a moment. A loan takes tokens out of the
+/// lender's bucket before the borrower has them, and a bucket is never filled
+/// above its depth, so that the tokens of all buckets never exceed what the
+/// shares allow. A message that is lost loses tokens.
 ///
 /// Load that this answers: organisations whose callers sit at few nodes. An
 /// organisation far above its rate finds every bucket dry; vain asks are spaced
@@ -100,7 +100,7 @@
   struct Account {
     DemandEstimate Demand;
     std::deque<Waiter> Waiters;
-    bool Asking = false; ///< One ask at a time.
+    bool Asking = false;                                ///< One ask at a time.
     std::map<std::string, TimeMs, std::less<>> NextAsk; ///< By lender.
   };
 
--- a/src/settings/NodeSettings.h
+++ b/src/settings/NodeSettings.h
@@ -40,9 +40,9 @@
   std::size_t MaxHeaderBytes = 0;
   std::size_t MaxBodyBytes = 0;
   std::uint32_t MaxConnections = 0;
-  DurationMs ReadTimeout;  ///< For one whole request.
-  DurationMs IdleTimeout;  ///< Until an unused connection is closed.
-  DurationMs LeaveNotice;  ///< New connections are taken for so long at the end.
+  DurationMs ReadTimeout; ///< For one whole request.
+  DurationMs IdleTimeout; ///< Until an unused connection is closed.
+  DurationMs LeaveNotice; ///< New connections are taken for so long at the end.
   DurationMs DrainTimeout; ///< Longest wait for running requests at the end.
 };
 
--- a/tests/calls/EntryTest.cpp
+++ b/tests/calls/EntryTest.cpp
@@ -110,7 +110,7 @@
   takeBad(NoKey, ResultCode::CallerUnknown, 401);
   takeBad(Large, ResultCode::RequestBodyTooLarge, 413);
   takeBad(Deep, ResultCode::DepthExceeded, 508);
-  takeBad(Late, ResultCode::DeadlineExceeded, 504);
+  takeBad(Late, ResultCode::DeadlineExceeded, 503);
   takeBad(Forged, ResultCode::CallerUnknown, 401);
   takeBad(Two, ResultCode::CallerUnknown, 401);
   takeBad(keyed(std::string("/order/") + Secret), ResultCode::RequestMalformed,
--- a/tests/integration/MeshTest.cpp
+++ b/tests/integration/MeshTest.cpp
@@ -51,7 +51,8 @@
   Entry.Node.signal(SIGHUP);
 
   eventually("the node says that it read its settings", [&] {
-    return Whole.page(Entry, "/timeline").find("SettingsUnchanged") != std::string::npos;
+    return Whole.page(Entry, "/timeline").find("SettingsUnchanged") !=
+           std::string::npos;
   });
   const Message Answer = Whole.request(Entry, "GET", "/queue/today",
                                        shownKey("key-first", "hangup"));
--- a/tests/policy/RouterTest.cpp
+++ b/tests/policy/RouterTest.cpp
@@ -127,8 +127,7 @@
     Near.onLoad(Each.Name, Each.Domain == "east" ? Busy : Free, Now);
 
   for (int I = 0; I < 50; ++I)
-    STRCMP_EQUAL("east",
-                 Near.pick("queue", {}, Now, Random)->Domain.c_str());
+    STRCMP_EQUAL("east", Near.pick("queue", {}, Now, Random)->Domain.c_str());
 }
 
 // Waits of about 200 ms at home: worth the way for a short answer, not for a
--- /dev/null
+++ b/tests/sources/StoreLoopTest.cpp
@@ -0,0 +1,209 @@
+#include "sources/StoreLoop.h"
+
+#include "sources/StoreBundle.h"
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+namespace {
+
+constexpr DurationMs WatchWait{1000};
+
+StoreChange change(StoreSubject Subject, const std::string &Name,
+                   const std::string &Value, std::uint64_t Revision,
+                   bool Removed = false) {
+  return {Subject, Name, Name, Value, Revision, Removed};
+}
+
+/// A store whose pages and changes the test sets; a watch that has nothing to
+/// tell lets its wait pass.
+struct FakeStore {
+  std::vector<StoreChange> Intent;
+  std::vector<StoreChange> Targets;
+  std::deque<PlatformRead<StoreChanges>> Watches;
+  std::uint64_t Revision = 10;
+  ResultCode Failure = ResultCode::Ok;
+  TimeMs Now{1000};
+
+  StoreCalls calls() {
+    StoreCalls Calls;
+    Calls.Range = [this](StoreSubject Subject,
+                         std::string_view) -> PlatformRead<StorePage> {
+      if (Failure != ResultCode::Ok)
+        return {std::nullopt, Failure, ""};
+      return {StorePage{Subject == StoreSubject::Target ? Targets : Intent,
+                        false, Revision},
+              ResultCode::Ok, ""};
+    };
+    Calls.Watch = [this](std::uint64_t,
+                         DurationMs Wait) -> PlatformRead<StoreChanges> {
+      if (Failure != ResultCode::Ok)
+        return {std::nullopt, Failure, ""};
+      if (Watches.empty()) {
+        Now = Now + Wait;
+        return {StoreChanges{{}, Revision}, ResultCode::Ok, ""};
+      }
+      auto Next = std::move(Watches.front());
+      Watches.pop_front();
+      return Next;
+    };
+    Calls.DecodeTarget =
+        [](std::string_view Id,
+           std::string_view Value) -> std::optional<ListedInstance> {
+      if (Value.empty())
+        return std::nullopt;
+      ListedInstance Row;
+      Row.Name = std::string(Value);
+      Row.Service = "queue";
+      Row.TargetId = std::string(Id);
+      Row.TargetAddress = std::string(Value) + ":80";
+      return Row;
+    };
+    return Calls;
+  }
+};
+
+} // namespace
+
+TEST_GROUP(StoreLoop) {
+  FakeStore Store;
+  std::vector<IntentBundle> Bundles;
+  std::vector<InstanceList> Lists;
+  std::optional<ListedInstance> Own;
+  std::vector<std::pair<TimeMs, std::uint64_t>> Proofs;
+  std::vector<bool> States;
+  std::unique_ptr<StoreLoop> Loop;
+
+  void setup() override {
+    Store.Intent = {change(StoreSubject::Configuration, "config", "first", 4)};
+    Store.Targets = {change(StoreSubject::Target, "i-1", "10.0.0.1", 5)};
+    StoreLoopHooks Hooks;
+    Hooks.OnBundle = [this](IntentBundle B) { Bundles.push_back(B); };
+    Hooks.OnInstances = [this](InstanceList L) { Lists.push_back(L); };
+    Hooks.OnOwnTarget = [this](std::optional<ListedInstance> L) { Own = L; };
+    Hooks.OnProof = [this](TimeMs At, std::uint64_t Revision) {
+      Proofs.emplace_back(At, Revision);
+    };
+    Hooks.OnSourceState = [this](bool Up) { States.push_back(Up); };
+    Loop = std::make_unique<StoreLoop>(
+        Store.calls(), OwnTarget{"10.0.0.1:80", "queue"}, WatchWait,
+        std::move(Hooks), Clock([this] { return Store.Now; }), 1);
+  }
+
+  void step(int Count = 1) {
+    for (int I = 0; I < Count; ++I)
+      Store.Now = Store.Now + Loop->step();
+  }
+
+  void watchBrings(StoreChange Each) {
+    Store.Revision = Each.Revision;
+    const std::uint64_t At = Each.Revision;
+    Store.Watches.push_back(
+        {StoreChanges{{std::move(Each)}, At}, ResultCode::Ok, ""});
+  }
+
+  std::string configuration() const {
+    return openStoreBundle(Bundles.back())->Configuration;
+  }
+};
+
+TEST(StoreLoop, ReadsTheIntentAndTheTargetsOnceAndThenWatches) {
+  step(3);
+
+  LONGS_EQUAL(1, Bundles.size());
+  STRCMP_EQUAL("first", configuration().c_str());
+  LONGS_EQUAL(1, Lists.size());
+  STRCMP_EQUAL("i-1", Own->TargetId.c_str());
+}
+
+TEST(StoreLoop, HandsOnAChangeUnderItsRevision) {
+  step(2);
+  watchBrings(change(StoreSubject::Configuration, "config", "second", 12));
+
+  step();
+
+  STRCMP_EQUAL("second", configuration().c_str());
+  LONGS_EQUAL(12, Bundles.back().Revision);
+}
+
+TEST(StoreLoop, TakesADomainOutAndBack) {
+  step(2);
+  watchBrings(change(StoreSubject::DomainOut, "east", "{}", 12));
+  step();
+  LONGS_EQUAL(1, openStoreBundle(Bundles.back())->DomainsOut.count("east"));
+  watchBrings(change(StoreSubject::DomainOut, "east", "", 13, true));
+
+  step(2);
+
+  LONGS_EQUAL(0, openStoreBundle(Bundles.back())->DomainsOut.size());
+  LONGS_EQUAL(13, Bundles.back().Revision);
+}
+
+// What an answer proves held when the call was sent, not when it came: a watch
+// may have been silent in between.
+TEST(StoreLoop, ProvesTheIntentAsOfTheSendingOfEachCall) {
+  step(2);
+  const TimeMs Sent = Store.Now;
+  Proofs.clear();
+
+  step();
+
+  CHECK(Store.Now >= Sent + WatchWait);
+  LONGS_EQUAL(1, Proofs.size());
+  CHECK(Sent == Proofs[0].first);
+}
+
+TEST(StoreLoop, ProvesNothingWhileTheStoreDoesNotAnswer) {
+  step(2);
+  Proofs.clear();
+  Store.Failure = ResultCode::PlatformUnreachable;
+
+  step(20);
+
+  LONGS_EQUAL(0, Proofs.size());
+  CHECK_TRUE(States == std::vector<bool>{false});
+  Store.Failure = ResultCode::Ok;
+  step(3);
+  CHECK_TRUE((States == std::vector<bool>{false, true}));
+  CHECK(!Proofs.empty());
+}
+
+// The content may have changed and changed back unseen, so what is read anew
+// stands under the store's present revision: never below what was known.
+TEST(StoreLoop, ReadsAllAgainWhenTheHistoryIsGoneAndNeverGoesBack) {
+  step(2);
+  watchBrings(change(StoreSubject::DomainOut, "east", "{}", 12));
+  step();
+  Store.Watches.push_back({std::nullopt, ResultCode::StoreHistoryGone, ""});
+  Store.Revision = 40;
+
+  step(4);
+
+  STRCMP_EQUAL("first", configuration().c_str());
+  LONGS_EQUAL(40, Bundles.back().Revision);
+  LONGS_EQUAL(0, openStoreBundle(Bundles.back())->DomainsOut.size());
+}
+
+TEST(StoreLoop, ForgetsATargetWhoseEntryCannotBeReadAnyMore) {
+  step(2);
+  watchBrings(change(StoreSubject::Target, "i-1", "", 12));
+
+  step();
+
+  CHECK_FALSE(Own.has_value());
+  LONGS_EQUAL(0, Lists.back().Instances.size());
+}
+
+TEST(StoreLoop, DoesNotAskAgainAtOnceAfterAChange) {
+  step(2);
+  watchBrings(change(StoreSubject::Configuration, "config", "second", 12));
+
+  CHECK(Loop->step() >= DurationMs(100));
+}
--- /dev/null
+++ b/tests/targets/FakeCannedTarget.cpp
@@ -0,0 +1,52 @@
+#include "targets/FakeCannedTarget.h"
+
+#include <utility>
+
+namespace fescuewood {
+
+using asio::ip::tcp;
+
+FakeCannedTarget::FakeCannedTarget(std::string Answer, Ending End)
+    : Answer(std::move(Answer)), End(End),
+      Acceptor(Context, tcp::endpoint(asio::ip::make_address("127.30.0.2"), 0)),
+      Thread([this] { serve(); }) {}
+
+FakeCannedTarget::~FakeCannedTarget() {
+  // A connection of its own ends the wait for the next one.
+  asio::io_context Own;
+  tcp::socket Last(Own);
+  std::error_code Ignored;
+  const auto Where = Acceptor.local_endpoint();
+  Acceptor.close(Ignored);
+  Last.connect(Where, Ignored);
+  Thread.join();
+}
+
+std::string FakeCannedTarget::address() const {
+  return "127.30.0.2:" + std::to_string(Acceptor.local_endpoint().port());
+}
+
+void FakeCannedTarget::serve() {
+  while (Acceptor.is_open()) {
+    std::error_code Error;
+    tcp::socket Caller(Context);
+    Acceptor.non_blocking(true, Error);
+    Acceptor.accept(Caller, Error);
+    if (Error) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      continue;
+    }
+    Caller.non_blocking(false, Error);
+    asio::streambuf Request;
+    asio::read_until(Caller, Request, "\r\n\r\n", Error);
+    asio::write(Caller, asio::buffer(Answer), Error);
+    if (End == Ending::Reset) {
+      // Gives the bytes time to arrive before the reset overtakes them.
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      Caller.set_option(asio::socket_base::linger(true, 0), Error);
+    }
+    Caller.close(Error);
+  }
+}
+
+} // namespace fescuewood
--- /dev/null
+++ b/tests/targets/FakeCannedTarget.h
@@ -0,0 +1,38 @@
+/// \file
+/// A target that answers each connection's first request with given bytes.
+
+#ifndef FESCUEWOOD_TESTS_TARGETS_FAKECANNEDTARGET_H
+#define FESCUEWOOD_TESTS_TARGETS_FAKECANNEDTARGET_H
+
+#include <string>
+#include <thread>
+
+#include <asio.hpp>
+
+namespace fescuewood {
+
+/// How the fake ends a connection after its bytes.
+enum class Ending { Close, Reset };
+
+/// Serves on a thread of its own until it is destroyed.
+class FakeCannedTarget {
+public:
+  explicit FakeCannedTarget(std::string Answer, Ending End = Ending::Close);
+  ~FakeCannedTarget();
+
+  /// "IP:port".
+  std::string address() const;
+
+private:
+  void serve();
+
+  std::string Answer;
+  Ending End;
+  asio::io_context Context;
+  asio::ip::tcp::acceptor Acceptor;
+  std::thread Thread;
+};
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_TESTS_TARGETS_FAKECANNEDTARGET_H
