--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -174,6 +174,7 @@
   void refuse(CallHandle Handle, EntryCall &Call, ResultCode Reason,
               Outcome Ran);
   DurationMs comeBack(const EntryCall &Call);
+  void reportAnswer(const EntryCall &Call, const CallAnswer &Answer) const;
   void finish(CallHandle Handle, EntryCall &Call, CallAnswer Answer);
   Outcome unrun(const EntryCall &Call) const;
 
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -126,6 +126,7 @@
   HeldCall &Call = Found->second;
   Context.Figures.TargetLatency.add(Now - Call.Started);
   learn(Call, Result, Now);
+  reportRun(Call, Result, Now);
   const bool GivenUp = Result.Failure == RunFailure::TimedOut ||
                        Result.Failure == RunFailure::Cancelled;
   if (GivenUp)
@@ -151,6 +152,20 @@
   pump();
 }
 
+void TargetSide::reportRun(const HeldCall &Call, const RunResult &Result,
+                           TimeMs Now) const {
+  Context.report(
+      EventId::RunEnded,
+      {{"request", requestIdOf(Call.Request, Context.Self.Scheme)},
+       {"organisation", Call.Request.Organisation},
+       {"route", Call.Request.Route},
+       {"target", Listed ? Listed->TargetId : Context.Self.Name},
+       {"queued_ms", std::to_string((Call.Started - Call.Arrived).Value)},
+       {"ran_ms", std::to_string((Now - Call.Started).Value)},
+       {"status", std::to_string(Result.Answer ? Result.Answer->Status : 0)},
+       {"reason", std::string(resultName(Result.Reason))}});
+}
+
 void TargetSide::learn(const HeldCall &Call, const RunResult &Result,
                        TimeMs Now) {
   const std::uint32_t Before = Limit.limit(Now);
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -100,6 +100,8 @@
   void settleBroken(CrashVerdict Verdict);
   void blame(const HeldCall &Call);
   bool othersRun() const;
+  void reportRun(const HeldCall &Call, const RunResult &Result,
+                 TimeMs Now) const;
   void learn(const HeldCall &Call, const RunResult &Result, TimeMs Now);
   void end(const CallId &Id, const CallReply &Reply);
   void refuse(const CallId &Id, ResultCode Reason);
--- a/src/operators/EventRecorder.h
+++ b/src/operators/EventRecorder.h
@@ -22,7 +22,9 @@
 namespace fescuewood {
 
 /// Events of one kind and reason that one period records, and the period.
-inline constexpr std::uint32_t EventsPerPeriod = 20;
+/// Enough for each request of a node of the design size, 59 calls a second, to
+/// leave its line at rest; what goes beyond is counted.
+inline constexpr std::uint32_t EventsPerPeriod = 600;
 inline constexpr DurationMs EventPeriod{10'000};
 
 /// Events that one process keeps for the time line.
--- a/src/operators/LogWriter.cpp
+++ b/src/operators/LogWriter.cpp
@@ -16,6 +16,13 @@
 constexpr const char *LoggerName = "fescuewood";
 constexpr int KeptFiles = 1;
 
+/// Lines that wait for a slow reader of the log at most; about a minute of a
+/// busy node.
+constexpr std::size_t MaxWaitingLines = 4096;
+
+/// The writing thread has nothing to do between lines.
+constexpr DurationMs WriterTick{1000};
+
 /// log4cplus wants to be set up once per process and before the first logger.
 void initializeLibrary() { static const log4cplus::Initializer Once; }
 
@@ -24,7 +31,7 @@
 }
 
 log4cplus::SharedAppenderPtr makeAppender(const std::string &File) {
-  constexpr bool ToStdErr = true;
+  constexpr bool ToStdErr = false;
   constexpr bool FlushEachLine = true;
   if (File.empty())
     return log4cplus::SharedAppenderPtr(
@@ -60,7 +67,7 @@
 } // namespace
 
 LogWriter::LogWriter(EventLevel Lowest, const std::string &File)
-    : Lowest(Lowest), Usable(canAppend(File)) {
+    : Lowest(Lowest), Usable(canAppend(File)), Writer("log", MaxWaitingLines) {
   initializeLibrary();
   log4cplus::SharedAppenderPtr Appender = makeAppender(Usable ? File : "");
   Appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
@@ -68,15 +75,27 @@
   logger().setAdditivity(false);
   logger().setLogLevel(log4cplus::ALL_LOG_LEVEL);
   logger().addAppender(Appender);
+  Writer.start(WriterTick, {});
 }
 
-LogWriter::~LogWriter() { logger().removeAllAppenders(); }
+LogWriter::~LogWriter() {
+  Writer.stop();
+  logger().removeAllAppenders();
+}
 
 void LogWriter::write(const StampedEvent &Value) {
   const EventLevel Level = eventEntry(Value.What.Id).Level;
   if (Level < Lowest)
     return;
-  logger().log(libraryLevel(Level), toTextLine(Value));
+  const bool Taken = Writer.post([this, Level, Line = toTextLine(Value)] {
+    logger().log(libraryLevel(Level), Line);
+    const std::uint64_t Missing = LeftOut;
+    if (Missing != LeftOutTold.exchange(Missing))
+      logger().log(log4cplus::WARN_LOG_LEVEL,
+                   std::to_string(Missing) + " lines were left out so far");
+  });
+  if (!Taken)
+    ++LeftOut;
 }
 
 } // namespace fescuewood
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -151,7 +151,7 @@
       keyRow<S>("operators", "listen", "", Required, endpointForm(), in(&S::Operators, &OperatorSettings::Listen), "Where status and metrics are served."),
       keyRow<S>("operators", "ready", "", "", optionalEndpointForm(), in(&S::Operators, &OperatorSettings::Ready), "Where the node says whether it takes callers; empty for nowhere."),
       keyRow<S>("log", "level", "", "info", levelForm(), in(&S::Log, &LogSettings::Level), "Least level of the events that are logged."),
-      keyRow<S>("log", "file", "", "", textForm(0, MaxPathBytes), in(&S::Log, &LogSettings::File), "File to log to; empty for the standard error stream."),
+      keyRow<S>("log", "file", "", "", textForm(0, MaxPathBytes), in(&S::Log, &LogSettings::File), "File to log to; empty for the standard output."),
   };
   static const std::vector<Row> Table = joinedRows({Before, callRows(), After});
   return Table;
--- a/src/settings/NodeSettings.h
+++ b/src/settings/NodeSettings.h
@@ -104,7 +104,7 @@
 /// [log]: what is logged, and where.
 struct LogSettings {
   EventLevel Level = EventLevel::Info;
-  std::string File; ///< Empty for the standard error stream.
+  std::string File; ///< Empty for the standard output.
 };
 
 /// Everything that a process is told at its start.
