Live on peers' proof at once where the store turns a node away

Change: only a node that the store has answered lately waits. A target's own failure is also kept for the caller when no other target does better, in place of a 502.

--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -225,6 +225,8 @@
       mayMove(Call, true)) {
     Call.MayHaveRun = true;
     Call.LastRefusal = Answer.Reason;
+    if (Shed)
+      Call.Fallback = std::move(Answer);
     move(Handle, Call, Broken ? "its target broke off" : "its target sheds",
          Leaving::Settled);
     return;
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -266,6 +266,10 @@
        {"outcome", std::string(outcomeName(Ran))}});
   if (!Call.Request.Organisation.empty())
     ++Context.Figures.RefusedByOrganisation[Call.Request.Organisation];
+  if (Call.Fallback && Reason != ResultCode::CallerGone) {
+    finish(Handle, Call, std::move(*Call.Fallback));
+    return;
+  }
   CallAnswer Answer = refusal(statusOf(Reason, Ran), Reason, Ran);
   if (Ran == Outcome::NotRun && Answer.Status == ServiceUnavailable)
     Answer.Headers.push_back(
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -121,6 +121,9 @@
     ResultCode LastRefusal = ResultCode::NoTargetAvailable;
     bool MetSilence = false; ///< Goes by fresh connections from now on.
     bool MayHaveRun = false; ///< An attempt was left without a last word.
+    /// A target's own failure, for the caller unless another target does
+    /// better.
+    std::optional<CallAnswer> Fallback;
   };
 
   /// What is known of the open connection to a node.
--- a/src/nodes/ControlCore.cpp
+++ b/src/nodes/ControlCore.cpp
@@ -72,7 +72,7 @@
     onDescribed(Peer, Address, Theirs);
   };
   Result.OnPeerProof = [this](const Version &Theirs, TimeMs At) {
-    onProof(At, Theirs.Revision);
+    prove(At, Theirs.Revision);
   };
   return Result;
 }
@@ -229,6 +229,11 @@
 }
 
 void ControlCore::onProof(TimeMs At, std::uint64_t Revision) {
+  Versions.onOwnReading();
+  prove(At, Revision);
+}
+
+void ControlCore::prove(TimeMs At, std::uint64_t Revision) {
   const auto &InForce = Versions.keeper().inForce();
   if (!InForce || InForce->Revision < Revision || At <= ProvenAt)
     return;
--- a/src/nodes/ControlCore.h
+++ b/src/nodes/ControlCore.h
@@ -68,6 +68,7 @@
 private:
   MemberSyncHooks memberHooks();
   std::optional<DurationMs> proofAge() const;
+  void prove(TimeMs At, std::uint64_t Revision);
   void onApplied(const SnapshotPtr &InForce);
   void onDescribed(const std::string &Peer, const std::string &Address,
                    const ExchangeMessage &Theirs);
--- a/src/nodes/VersionSync.cpp
+++ b/src/nodes/VersionSync.cpp
@@ -90,8 +90,11 @@
   });
   if (Fetch || Holders.empty())
     return;
-  if (Settings.EveryNodeReads &&
-      Time.now() - BehindSince < Settings.OwnReadingTime)
+  // A node that the source does not answer has only its peers.
+  const TimeMs Now = Time.now();
+  const bool ReadsItself = Settings.EveryNodeReads &&
+                           Now - OwnReadingAt < Settings.OwnReadingSilence;
+  if (ReadsItself && Now - BehindSince < Settings.OwnReadingTime)
     return;
   const auto Newest = std::max_element(
       Holders.begin(), Holders.end(),
--- a/src/nodes/VersionSync.h
+++ b/src/nodes/VersionSync.h
@@ -48,6 +48,9 @@
   /// A version that this node read from the source.
   void offer(IntentBundle Bundle);
 
+  /// The source has answered this node.
+  void onOwnReading() { OwnReadingAt = Time.now(); }
+
   /// Answers another node's fetch; an empty body when it is malformed.
   std::string serve(std::string_view Body);
 
@@ -91,6 +94,7 @@
   BundleStore Bundles;
   std::deque<Holder> Holders; ///< The newest last; bounded.
   TimeMs BehindSince{0};      ///< Of the first in Holders.
+  TimeMs OwnReadingAt{0};     ///< The source's last answer to this node.
   std::optional<Fetching> Fetch;
   std::uint64_t FetchNumber = 0;
   std::optional<IntentBundle> Offered; ///< Of the source, until decided.
--- a/tests/nodes/ControlCoreTest.cpp
+++ b/tests/nodes/ControlCoreTest.cpp
@@ -340,3 +340,27 @@
     if (I != 4)
       CHECK_TRUE(Fleet.Nodes[I]->Core->spread().everySlotAt(Next));
 }
+
+// The store turns one node away. What it knows is proven by the others, also
+// across a version that it can get from them only.
+TEST(ControlCore, ANodeThatTheSourceTurnsAwayLivesOnTheProofOfItsPeers) {
+  FakeFleet Fleet(2, 3, 5, [](ControlSettings &Settings) {
+    Settings.EveryNodeReads = true;
+  });
+  for (std::size_t I = 0; I < Fleet.Nodes.size(); ++I)
+    Fleet.start(I);
+  Fleet.runUntilInForce(Fleet.publish("first"), 20'000);
+  Fleet.SourceOut = true;
+  std::int64_t Oldest = 0;
+  for (int Second = 0; Second < 20; ++Second) {
+    const Version Newest = *Fleet.Nodes[1]->Core->inForce();
+    for (std::size_t I = 1; I < Fleet.Nodes.size(); ++I)
+      Fleet.Nodes[I]->Core->onProof(Fleet.now(), Newest.Revision);
+    Fleet.run(1000);
+    const DurationMs Age = Fleet.now() - Fleet.Nodes[0]->Core->provenAt();
+    if (Second >= 5)
+      Oldest = std::max(Oldest, Age.Value);
+  }
+
+  CHECK(Oldest <= 4250);
+}
