--- a/src/app/Flags.cpp
+++ b/src/app/Flags.cpp
@@ -8,6 +8,8 @@
 DEFINE_bool(json, false, "print JSON instead of text");
 DEFINE_string(svg, "", "write a picture of the time line to this file");
 DEFINE_string(call, "", "only events of this call id");
+DEFINE_string(request, "",
+              "only events of this request and of the calls made for it");
 DEFINE_string(organisation, "", "only what concerns this organisation");
 DEFINE_string(target, "", "only events of this target");
 DEFINE_string(domain, "", "only events of this failure domain");
--- a/src/app/Flags.h
+++ b/src/app/Flags.h
@@ -12,6 +12,7 @@
 DECLARE_bool(json);
 DECLARE_string(svg);
 DECLARE_string(call);
+DECLARE_string(request);
 DECLARE_string(organisation);
 DECLARE_string(target);
 DECLARE_string(domain);
--- a/src/app/Node.cpp
+++ b/src/app/Node.cpp
@@ -75,10 +75,11 @@
   Draining = true;
   Recorder.record({EventId::NodeDraining, {}});
   const TimeMs Until = Monotonic.now() + Settings.Callers.DrainTimeout;
-  Control.leave();
-  // Whoever sends callers here has to notice first that this node leaves.
+  // Whoever sends callers here has to notice first that this node leaves. Its
+  // target gets work of other nodes until then: it may well live on.
   std::this_thread::sleep_for(
       std::chrono::milliseconds(Settings.Callers.LeaveNotice.Value));
+  Control.leave();
   Callers.stopAccepting();
   std::this_thread::sleep_for(std::chrono::milliseconds(LeaveSpread.Value));
   const bool AllAnswered = waitUntilAnswered(Until);
--- a/src/app/TimelineCommand.cpp
+++ b/src/app/TimelineCommand.cpp
@@ -15,6 +15,7 @@
 std::optional<TimelineFilter> filterOfFlags() {
   TimelineFilter Filter;
   Filter.Call = FLAGS_call;
+  Filter.Request = FLAGS_request;
   Filter.Organisation = FLAGS_organisation;
   Filter.Target = FLAGS_target;
   Filter.Domain = FLAGS_domain;
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -327,11 +327,10 @@
 
 void TargetSide::setState() {
   TargetState Next = TargetState::Ready;
-  if (Context.Draining)
-    Next = TargetState::Draining;
-  else if (refusalByListing() == ResultCode::TargetDraining)
+  const ResultCode Listing = refusalByListing();
+  if (Context.Draining || Listing == ResultCode::TargetDraining)
     Next = TargetState::Draining;
-  else if (Down || refusalByListing() != ResultCode::Ok)
+  else if (Down || Listing != ResultCode::Ok)
     Next = TargetState::Down;
   else if (Limit.cold() || Warmup.cold(Context.now()))
     Next = TargetState::Cold;
--- a/src/intent/CompileIntent.cpp
+++ b/src/intent/CompileIntent.cpp
@@ -155,11 +155,12 @@
     }
     if (!R.Service.empty())
       requireKnown(S.Services, Id, "service", R.Service);
-    for (const SplitPart &Part : R.Split)
+    for (const SplitPart &Part : R.Split) {
       if (!S.Services.contains(Part.Service) && valueOf(Id, "split"))
         report(Found, {ResultCode::ReferenceUnknown,
                        valueOf(Id, "split")->Where, Id.heading() + " split",
                        "there is no [service " + Part.Service + "]"});
+    }
   }
 
   void closeReferences(const Snapshot &S) {
--- a/src/operators/Timeline.cpp
+++ b/src/operators/Timeline.cpp
@@ -11,6 +11,15 @@
   return Wanted.empty() || Wanted == Present;
 }
 
+/// Whether an id is the wanted one, or begins with it and a dot: a call that a
+/// target makes for a request is named after it.
+bool belongsTo(const std::string &Wanted, std::string_view Present) {
+  if (Wanted.empty() || Wanted == Present)
+    return true;
+  return Present.size() > Wanted.size() && Present.starts_with(Wanted) &&
+         Present[Wanted.size()] == '.';
+}
+
 auto orderOf(const StampedEvent &Value) {
   return std::tie(Value.Time, Value.Node, Value.Sequence);
 }
@@ -19,6 +28,8 @@
 
 bool passes(const TimelineFilter &Filter, const StampedEvent &Value) {
   const Event &What = Value.What;
+  if (!belongsTo(Filter.Request, fieldValue(What, "request")))
+    return false;
   if (!wants(Filter.Call, fieldValue(What, "call")))
     return false;
   if (!wants(Filter.Organisation, fieldValue(What, "organisation")))
--- a/src/operators/Timeline.h
+++ b/src/operators/Timeline.h
@@ -19,6 +19,7 @@
 
 /// Which events to show; an empty or absent member lets all pass.
 struct TimelineFilter {
+  std::string Request; ///< Calls made for it, named after it, included.
   std::string Call;
   std::string Organisation;
   std::string Target;
--- a/tests/operators/TimelineTest.cpp
+++ b/tests/operators/TimelineTest.cpp
@@ -59,6 +59,21 @@
   LONGS_EQUAL(30, Shown.front().Time.WallMs);
 }
 
+TEST(Timeline, ShowsARequestWithTheCallsMadeForIt) {
+  std::vector<StampedEvent> Events = {at(10, "recife", 1), at(20, "caruaru", 1),
+                                      at(30, "recife", 2)};
+  Events[0].What = {EventId::CallAnswered, {{"request", "9c41"}}};
+  Events[1].What = {EventId::RunEnded, {{"request", "9c41.d956"}}};
+  Events[2].What = {EventId::CallAnswered, {{"request", "9c412"}}};
+  TimelineFilter Filter;
+  Filter.Request = "9c41";
+
+  const auto Shown = mergeTimeline(Events, Filter);
+
+  LONGS_EQUAL(2, Shown.size());
+  LONGS_EQUAL(20, Shown.back().Time.WallMs);
+}
+
 TEST(Timeline, DrawsAMarkPerEventAndALanePerDomain) {
   const auto Svg =
       drawTimeline(std::vector{at(10, "recife", 1), at(20, "caru<aru", 1)});
--- a/tests/sources/StoreLoopTest.cpp
+++ b/tests/sources/StoreLoopTest.cpp
@@ -85,9 +85,11 @@
     Store.Intent = {change(StoreSubject::Configuration, "config", "first", 4)};
     Store.Targets = {change(StoreSubject::Target, "i-1", "10.0.0.1", 5)};
     StoreLoopHooks Hooks;
-    Hooks.OnBundle = [this](IntentBundle B) { Bundles.push_back(B); };
-    Hooks.OnInstances = [this](InstanceList L) { Lists.push_back(L); };
-    Hooks.OnOwnTarget = [this](std::optional<ListedInstance> L) { Own = L; };
+    Hooks.OnBundle = [this](const IntentBundle &B) { Bundles.push_back(B); };
+    Hooks.OnInstances = [this](const InstanceList &L) { Lists.push_back(L); };
+    Hooks.OnOwnTarget = [this](const std::optional<ListedInstance> &L) {
+      Own = L;
+    };
     Hooks.OnProof = [this](TimeMs At, std::uint64_t Revision) {
       Proofs.emplace_back(At, Revision);
     };
