Write ready answers before a leaving node closes their connection

Change: what still runs is answered as unknown, then 400 ms are left for what stands behind it. The new test failed before the change.

--- a/src/app/Node.cpp
+++ b/src/app/Node.cpp
@@ -16,6 +16,9 @@
 /// Time for the news of a leave to reach other nodes before the listener ends.
 constexpr DurationMs LeaveSpread{400};
 
+/// Time for the last answers to be written once all that is left is given up.
+constexpr DurationMs LastAnswers{400};
+
 } // namespace
 
 bool NodeParts::fail(ResultCode Reason) {
@@ -85,6 +88,12 @@
   const bool AllAnswered = waitUntilAnswered(Until);
   Engine.setDraining();
   const bool AllRun = waitUntilAnswered(Until);
+  if (!AllRun) {
+    // What still runs is answered as unknown, so that answers that are ready
+    // behind it on its connection go out before that is closed.
+    Engine.stop();
+    waitUntilAnswered(Monotonic.now() + LastAnswers);
+  }
   Recorder.record({EventId::NodeStopped,
                    {{"reason", resultName(AllAnswered && AllRun
                                               ? ResultCode::Ok
--- a/tests/integration/MeshTest.cpp
+++ b/tests/integration/MeshTest.cpp
@@ -176,6 +176,33 @@
   LONGS_EQUAL_TEXT(Sum.Requests, Sum.InTime, describe(Sum).c_str());
 }
 
+// Answers go out in the order of their requests. One that is ready must not be
+// lost behind one that still runs when the time to end is over.
+TEST(MeshAlone, WritesReadyAnswersBehindARequestThatIsGivenUpAtTheEnd) {
+  standins::MeshOptions Options = smallMesh();
+  Options.CallerSettings = "drain_timeout_ms = 1000\n";
+  Mesh Whole(Options);
+  start(Whole);
+  const auto &Entry = Whole.Instances[2];
+  asio::io_context Context;
+  asio::ip::tcp::socket Caller(Context);
+  Caller.connect(standins::endpointOf(Whole.address(Entry, Mesh::Callers)));
+  const std::string Fields = shownKey("key-first", "behind");
+  asio::write(Caller,
+              asio::buffer(standins::requestText(
+                               "GET", "/queue?latency_ms=1800", Fields, "") +
+                           standins::requestText("GET", "/queue", Fields, "")));
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+
+  Entry.Node.signal(SIGTERM);
+  std::string Received;
+  std::error_code Ended;
+  asio::read(Caller, asio::dynamic_buffer(Received), Ended);
+
+  CHECK_TRUE_TEXT(Received.find("HTTP/1.1 200") != std::string::npos,
+                  Received.c_str());
+}
+
 TEST(MeshAlone, AnswersTheCallersOfANodeThatEndsGracefully) {
   Mesh Whole(smallMesh());
   start(Whole);
--- a/tests/standins/Mesh.h
+++ b/tests/standins/Mesh.h
@@ -263,14 +263,14 @@
     const int Behind = Options.TargetProxies ? int(ForTarget) : int(TargetPort);
     std::string Text = fmt::format(
         "[node]\nname = {}\ndomain = {}\nservice = {}\nslot = {}\naddress = "
-        "{}\n[callers]\nlisten = {}\n[peers]\nlisten = {}\nadvertise = {}\n"
+        "{}\n[callers]\nlisten = {}\n{}[peers]\nlisten = {}\nadvertise = {}\n"
         "seeds = {}\nsecret = "
         "a-secret-of-this-test-mesh-only\n[target]\naddress = {}\n"
         "[platform]\nsource = http://{}\n[operators]\nlisten = {}\n",
         Each.Name, Each.Domain, Each.Service, Each.Slot, Each.Ip,
-        address(Each, Callers), address(Each, Peers), peerAddress(Each),
-        Options.Seeds ? peerAddresses() : "", address(Each, Behind),
-        platformOf(Each), address(Each, Operators));
+        address(Each, Callers), Options.CallerSettings, address(Each, Peers),
+        peerAddress(Each), Options.Seeds ? peerAddresses() : "",
+        address(Each, Behind), platformOf(Each), address(Each, Operators));
     replaceFile(Each.Settings, Text + Options.Settings);
   }
 
--- a/tests/standins/MeshOptions.h
+++ b/tests/standins/MeshOptions.h
@@ -31,6 +31,7 @@
   bool TargetProxies = false;   ///< Nodes reach their targets through proxies.
   bool PlatformProxies = false; ///< A proxy to the platform for each domain.
   bool Seeds = false;           ///< Every node is everybody's seed.
+  std::string CallerSettings;   ///< Lines added to their section.
   std::string Settings;         ///< Further lines of each node's settings.
   std::vector<std::string> TargetFlags;      ///< Further flags of each target.
   std::map<std::string, std::string> Intent; ///< Files by name.
