Keep one copy of the backoff, of setting a field and of what follows a store

Setting a header field stood twice, the bounds of the backoff in both reading loops, the test for a store four times, and the router's tests built the same router twice. The settings file is read once at start, so that later changes are compared with the text that was parsed.

--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -33,9 +33,8 @@
 constexpr std::size_t LargeBodiesDivisor = 2;
 
 HeaderScheme schemeOf(const NodeSettings &Settings) {
-  const bool IsPlatforms =
-      Settings.Platform.Source.Form == PlatformLocation::Kind::Store;
-  return IsPlatforms ? platform::headerScheme() : HeaderScheme();
+  return followsStore(Settings.Platform) ? platform::headerScheme()
+                                         : HeaderScheme();
 }
 
 CallerServerOptions callerOptions(const CallerSettings &Settings,
@@ -73,12 +72,8 @@
                           std::uint64_t Incarnation,
                           const HeaderScheme &Scheme) {
   const NodeIdentity &Node = Settings.Node;
-  return {Node.Name,
-          Node.Domain,
-          Node.Service,
-          Incarnation,
-          Scheme,
-          Settings.Platform.Source.Form == PlatformLocation::Kind::Store};
+  return {Node.Name,   Node.Domain, Node.Service,
+          Incarnation, Scheme,      followsStore(Settings.Platform)};
 }
 
 ControlSettings controlSettings(const NodeSettings &Settings) {
@@ -92,8 +87,7 @@
                  TargetState::Cold};
   for (const Endpoint &Seed : Settings.Peers.Seeds)
     Result.Seeds.push_back(Seed.text());
-  Result.EveryNodeReads =
-      Settings.Platform.Source.Form == PlatformLocation::Kind::Store;
+  Result.EveryNodeReads = followsStore(Settings.Platform);
   return Result;
 }
 
@@ -136,7 +130,9 @@
           },
           Tokens, Recorder.hook(),
           // What a store tells is proven by its age instead.
-          [this] { return followsStore() || Control.viewCurrent(); },
+          [this] {
+            return followsStore(Settings.Platform) || Control.viewCurrent();
+          },
           [this] { return keysProven(); },
           {Scheme, Settings.Node.Service, Incarnation}),
       Callers(
@@ -239,7 +235,7 @@
 
 std::unique_ptr<PlatformReader> NodeParts::makeReader() {
   const PlatformSettings &From = Settings.Platform;
-  if (followsStore()) {
+  if (followsStore(Settings.Platform)) {
     StoreCalls Calls = platform::storeCalls(From.Source.Server, From.Timeout,
                                             Settings.Peers.Listen.Port);
     auto Cancel = Calls.Cancel;
@@ -260,7 +256,7 @@
 
 SnapshotPtr NodeParts::compile(const IntentBundle &Bundle,
                                std::string &Why) const {
-  if (followsStore())
+  if (followsStore(Settings.Platform))
     return platform::compileConfiguration(Bundle, Settings.Platform.Regions,
                                           Why);
   CompiledIntent Compiled = compileIntent(Bundle);
@@ -269,15 +265,11 @@
   return Compiled.Result;
 }
 
-bool NodeParts::followsStore() const {
-  return Settings.Platform.Source.Form == PlatformLocation::Kind::Store;
-}
-
 /// Whether a key that passes here cannot have been withdrawn for too long.
 bool NodeParts::keysProven() const {
   constexpr double MsPerSecond = 1000;
   const double Withdrawal = Bounds.read().KeyWithdrawal;
-  if (!followsStore() || Withdrawal <= 0)
+  if (!followsStore(Settings.Platform) || Withdrawal <= 0)
     return true;
   const TimeMs ProvenAt = Control.provenAt();
   const DurationMs Most(std::llround(Withdrawal * MsPerSecond * ProofShare));
--- a/src/app/NodeParts.h
+++ b/src/app/NodeParts.h
@@ -57,7 +57,6 @@
   StoreLoopHooks storeHooks();
   std::unique_ptr<PlatformReader> makeReader();
   SnapshotPtr compile(const IntentBundle &Bundle, std::string &Why) const;
-  bool followsStore() const;
   bool keysProven() const;
   Pages readyPages();
   Pages pages();
--- a/src/app/RunCommand.cpp
+++ b/src/app/RunCommand.cpp
@@ -54,21 +54,23 @@
     return ExitCode::Usage;
   }
   Problems Found;
-  const auto Settings = loadSettings(FLAGS_settings, Found);
-  const std::string Text = readSettings(FLAGS_settings).value_or("");
+  // Read once: later changes are compared with the very text that was parsed.
+  const auto Text = readSettings(FLAGS_settings);
+  const auto Settings = Text ? parseSettings(*Text, FLAGS_settings, Found)
+                             : loadSettings(FLAGS_settings, Found);
   if (!Settings) {
     fmt::print(stderr, "{}", problemsText(Found));
     return ExitCode::Failure;
   }
   const sigset_t Taken = blockSignals();
-  Node Present(*Settings, Text);
+  Node Present(*Settings, Text.value_or(""));
   if (!Present.start()) {
     const ResultCode Reason = Present.lastReason();
     fmt::print(stderr, "run: {} (code {})\n", resultText(Reason),
                static_cast<int>(Reason));
     return ExitCode::Failure;
   }
-  waitForEnd(Taken, Present, Text);
+  waitForEnd(Taken, Present, Text.value_or(""));
   return Present.drain() ? ExitCode::Success : ExitCode::Failure;
 }
 
--- a/src/callers/HeaderFields.cpp
+++ b/src/callers/HeaderFields.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cctype>
 #include <charconv>
+#include <utility>
 
 namespace fescuewood {
 
@@ -63,6 +64,15 @@
   return Number;
 }
 
+void setField(std::vector<Header> &Fields, const std::string &Name,
+              std::string Value) {
+  if (Name.empty())
+    return;
+  removeField(Fields, Name);
+  if (!Value.empty())
+    Fields.push_back({Name, std::move(Value)});
+}
+
 void removeField(std::vector<Header> &Fields, std::string_view Name) {
   std::erase_if(Fields, [&](const Header &Field) {
     return sameFieldName(Field.Name, Name);
--- a/src/callers/HeaderFields.h
+++ b/src/callers/HeaderFields.h
@@ -28,6 +28,11 @@
 std::optional<std::uint64_t> numberField(const std::vector<Header> &Fields,
                                          std::string_view Name);
 
+/// Sets a field to one value, in place of every one of this name; an empty
+/// value only removes them. Nothing happens for an empty name.
+void setField(std::vector<Header> &Fields, const std::string &Name,
+              std::string Value);
+
 /// Removes every field of this name.
 void removeField(std::vector<Header> &Fields, std::string_view Name);
 
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -207,17 +207,9 @@
 
 /// Tells the target where the request comes from, whatever the caller said.
 void Entry::addOrigin(CallRequest &Request) const {
-  const auto Set = [&Request](const std::string &Field,
-                              const std::string &Value) {
-    if (Field.empty())
-      return;
-    removeField(Request.Headers, Field);
-    if (!Value.empty())
-      Request.Headers.push_back({Field, Value});
-  };
-  Set(Place.Scheme.Organisation, Request.Organisation);
-  Set(Place.Scheme.OriginService, Place.Service);
-  Set(Place.Scheme.TargetInstance, "");
+  setField(Request.Headers, Place.Scheme.Organisation, Request.Organisation);
+  setField(Request.Headers, Place.Scheme.OriginService, Place.Service);
+  setField(Request.Headers, Place.Scheme.TargetInstance, "");
 }
 
 void Entry::refuse(const AnswerHook &OnAnswer, ResultCode Reason,
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -103,18 +103,14 @@
         Request.Remaining = std::min(Request.Remaining, Each.Timeout);
   }
   const HeaderScheme &Scheme = Context.Self.Scheme;
-  const auto Set = [&Request](const std::string &Field, std::string Value) {
-    if (Field.empty())
-      return;
-    removeField(Request.Headers, Field);
-    Request.Headers.push_back({Field, std::move(Value)});
-  };
-  Set(Scheme.TimeLeft, std::to_string(Request.Remaining.Value));
-  Set(Scheme.Depth, std::to_string(Request.Depth));
+  setField(Request.Headers, Scheme.TimeLeft,
+           std::to_string(Request.Remaining.Value));
+  setField(Request.Headers, Scheme.Depth, std::to_string(Request.Depth));
   if (Scheme.CallTokens && Context.Hooks.IssueToken)
-    Set(Scheme.CallToken, Context.Hooks.IssueToken(Request));
+    setField(Request.Headers, Scheme.CallToken,
+             Context.Hooks.IssueToken(Request));
   if (Listed)
-    Set(Scheme.TargetInstance, Listed->TargetId);
+    setField(Request.Headers, Scheme.TargetInstance, Listed->TargetId);
   return Request;
 }
 
--- a/src/settings/NodeSettings.h
+++ b/src/settings/NodeSettings.h
@@ -85,6 +85,11 @@
   std::map<std::string, std::string, std::less<>> Regions;
 };
 
+/// Whether the platform is a store that every node follows.
+inline bool followsStore(const PlatformSettings &Settings) {
+  return Settings.Source.Form == PlatformLocation::Kind::Store;
+}
+
 /// [bounds]: what the users hold the fleet to.
 struct BoundSettings {
   /// Seconds after which a withdrawn key must not be used; 0: not bounded.
--- a/src/sources/ReadLoop.cpp
+++ b/src/sources/ReadLoop.cpp
@@ -1,5 +1,7 @@
 #include "sources/ReadLoop.h"
 
+#include "policy/Backoff.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -20,18 +22,11 @@
 /// Bounds of the exponential backoff after failed reads. The greater one is
 /// short enough to find a source that is back well within the 15 s in which a
 /// version has to be in force.
-constexpr DurationMs MinBackoff{500};
-constexpr DurationMs MaxBackoff{5000};
-constexpr unsigned MaxBackoffDoublings = 4;
+constexpr Backoff Retry{DurationMs(500), DurationMs(5000)};
 
 /// One failed read may be chance; at two in a row the source counts as out.
 constexpr unsigned FailuresUntilOut = 2;
 
-DurationMs backoffBound(unsigned FailuresInARow) {
-  const unsigned Doublings = std::min(FailuresInARow, MaxBackoffDoublings);
-  return std::min(MinBackoff * (std::int64_t{1} << Doublings), MaxBackoff);
-}
-
 } // namespace
 
 ReadLoop::ReadLoop(PlatformSource Source, const PlatformSettings &Settings,
@@ -153,7 +148,7 @@
          {{"reason", std::string(resultName(Reason)) + ": " + Detail}});
   LastFailure = Reason;
   NextAttempt =
-      Allowance.nextRead(Time.now()) + jitter(backoffBound(FailuresInARow));
+      Allowance.nextRead(Time.now()) + jitter(Retry.bound(FailuresInARow));
   ++FailuresInARow;
   if (!Reachable || FailuresInARow < FailuresUntilOut)
     return;
--- a/src/sources/StoreLoop.cpp
+++ b/src/sources/StoreLoop.cpp
@@ -1,5 +1,7 @@
 #include "sources/StoreLoop.h"
 
+#include "policy/Backoff.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -13,18 +15,11 @@
 
 /// Bounds of the exponential backoff after failed calls. The greater one keeps
 /// a store that is back from being found later than a withdrawn key allows.
-constexpr DurationMs MinBackoff{100};
-constexpr DurationMs MaxBackoff{800};
-constexpr unsigned MaxBackoffDoublings = 3;
+constexpr Backoff Retry{DurationMs(100), DurationMs(800)};
 
 /// One failed call may be chance; at two in a row the store counts as out.
 constexpr unsigned FailuresUntilOut = 2;
 
-DurationMs backoffBound(unsigned FailuresInARow) {
-  const unsigned Doublings = std::min(FailuresInARow, MaxBackoffDoublings);
-  return std::min(MinBackoff * (std::int64_t{1} << Doublings), MaxBackoff);
-}
-
 } // namespace
 
 StoreLoop::StoreLoop(StoreCalls Calls, OwnTarget Own, DurationMs WatchWait,
@@ -210,7 +205,7 @@
          {{"reason", std::string(resultName(Reason)) + ": " + Detail}});
   LastFailure = Reason;
   std::uniform_int_distribution<std::int64_t> Spread(
-      0, backoffBound(FailuresInARow).Value);
+      0, Retry.bound(FailuresInARow).Value);
   NextCall = Time.now() + DurationMs(Spread(Random));
   ++FailuresInARow;
   if (!Reachable || FailuresInARow < FailuresUntilOut)
--- a/tests/policy/RouterTest.cpp
+++ b/tests/policy/RouterTest.cpp
@@ -37,6 +37,18 @@
   return All;
 }
 
+/// Stays in "east" unless another domain gains 100 ms.
+Router nearFirst() {
+  RouterSettings Settings;
+  Settings.NearFirst = true;
+  Settings.RegionCost = DurationMs(100);
+  Settings.RemoteCost = DurationMs(1000);
+  Router Near(Settings, "east");
+  Near.setSnapshot(config(), Now);
+  Near.setInstances(instances());
+  return Near;
+}
+
 } // namespace
 
 TEST_GROUP(Router) {
@@ -113,13 +125,7 @@
 }
 
 TEST(Router, StaysInTheOwnDomainWhileOthersWouldNotGainEnough) {
-  RouterSettings Settings;
-  Settings.NearFirst = true;
-  Settings.RegionCost = DurationMs(100);
-  Settings.RemoteCost = DurationMs(1000);
-  Router Near(Settings, "east");
-  Near.setSnapshot(config(), Now);
-  Near.setInstances(instances());
+  Router Near = nearFirst();
   // Waits of about 60 ms in the own domain, and of none elsewhere.
   const TargetLoad Busy{6, 2, 6, DurationMs(60), TargetState::Ready};
   const TargetLoad Free{0, 0, 6, DurationMs(60), TargetState::Ready};
@@ -133,13 +139,7 @@
 // Waits of about 200 ms at home: worth the way for a short answer, not for a
 // long one.
 TEST(Router, LeavesTheOwnDomainSoonerForShortAnswersThanForLongOnes) {
-  RouterSettings Settings;
-  Settings.NearFirst = true;
-  Settings.RegionCost = DurationMs(100);
-  Settings.RemoteCost = DurationMs(1000);
-  Router Near(Settings, "east");
-  Near.setSnapshot(config(), Now);
-  Near.setInstances(instances());
+  Router Near = nearFirst();
   const TargetLoad Busy{6, 9, 6, DurationMs(100), TargetState::Ready};
   const TargetLoad Free{0, 0, 6, DurationMs(100), TargetState::Ready};
   for (const Instance &Each : instances())
