Read requests strictly and hold callers to the operators' limits

Cause: http_parser forgives blanks in field names, folded lines, bare line feeds and bad ends of chunks, so "Transfer-Encoding : chunked" got a 200; the [limits] of the intent were read and documented but never enforced; and a bad request behind good ones in the same bytes was refused in their place.

Change: RequestLines follows each request byte by byte by RFC 9112 before the parser sees it; one Host, one coding "chunked", no coding in HTTP/1.0. Whole requests before a bad one are served, and its refusal follows their answers. Head and body sizes, head and idle times of the intent hold from the next request on (408 for a late head).

Tests: RequestGuardTest (60 refused and 17 allowed forms, each whole and byte by byte; any cut of any bytes is judged alike), CallerServerTest.

--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -284,6 +284,7 @@
   Bridge.setSnapshot(Snapshot);
   Engine.setSnapshot(Snapshot);
   Limiter.setSnapshot(Snapshot);
+  Callers.setLimits(Snapshot->Limits);
 }
 
 } // namespace fescuewood
--- a/src/callers/CallerServer.cpp
+++ b/src/callers/CallerServer.cpp
@@ -29,6 +29,10 @@
 
 void CallerServer::stopAccepting() { State->Core->stopAccepting(); }
 
+void CallerServer::setLimits(const std::optional<CallerLimits> &Declared) {
+  State->Core->setLimits(Declared);
+}
+
 std::size_t CallerServer::unanswered() const {
   return State->Core->unanswered();
 }
--- a/src/callers/CallerServer.h
+++ b/src/callers/CallerServer.h
@@ -14,6 +14,7 @@
 #include "core/Clock.h"
 #include "core/Event.h"
 #include "core/ResultCode.h"
+#include "intent/Snapshot.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -77,6 +78,10 @@
   /// The port that is listened on, once started.
   std::uint16_t port() const;
 
+  /// Holds callers to the limits that the operators declare, if any, as well as
+  /// to the options; from any thread. A time of 0 means no limit.
+  void setLimits(const std::optional<CallerLimits> &Declared);
+
   /// Refuses new connections, closes idle ones after the grace and ends the
   /// others after the answer under way (`Connection: close`). Requests that
   /// arrive until then are still served. From any thread; returns at once.
--- a/src/callers/CallerServerCore.cpp
+++ b/src/callers/CallerServerCore.cpp
@@ -24,10 +24,17 @@
 /// The mesh ends every call at its own deadline; RESTinio's is out of reach.
 constexpr std::chrono::hours HandlingTimeout{24};
 
+/// Connections are looked over so often; their timeouts are some seconds long.
+constexpr DurationMs OverduePeriod{250};
+
 std::chrono::milliseconds chronoSpan(DurationMs Span) {
   return std::chrono::milliseconds(Span.Value);
 }
 
+std::optional<DurationMs> limitOf(DurationMs Span) {
+  return Span > DurationMs(0) ? std::optional(Span) : std::nullopt;
+}
+
 CallerRequest convert(std::uint64_t Number, const HeaderScheme &Scheme,
                       const restinio::request_handle_t &Handle) {
   CallerRequest Request;
@@ -98,8 +105,7 @@
     return false;
   }
   asio::use_service<ConnectionRegistry>(Context).configure(
-      {Options.MaxHeaderBytes, Options.MaxHeaderFields, Options.MaxBodyBytes},
-      Options.MaxHeldBytes,
+      ownLimits(), Options.MaxHeldBytes,
       [this](const asio::ip::tcp::endpoint &Caller) { return busy(Caller); },
       [this](ResultCode Reason) { reportRefusal(Reason); });
   try {
@@ -113,6 +119,7 @@
     return false;
   }
   Work.emplace(Context.get_executor());
+  endOverdueLater();
   Thread = std::thread([this] { runThread(); });
   return true;
 }
@@ -246,8 +253,10 @@
   if (Position == Pending.end())
     return;
   releaseBody(Position->second);
+  const auto Caller = Position->second.Caller;
   Pending.erase(Position);
   --Unanswered;
+  asio::use_service<ConnectionRegistry>(Context).answerWritten(Caller);
 }
 
 void CallerServerCore::reportRefusal(ResultCode Reason) {
@@ -256,6 +265,35 @@
         {EventId::CallRefused, {{"reason", std::string(resultName(Reason))}}});
 }
 
+RequestLimits CallerServerCore::ownLimits() const {
+  return {Options.MaxHeaderBytes, Options.MaxHeaderFields,
+          Options.MaxBodyBytes};
+}
+
+void CallerServerCore::setLimits(const std::optional<CallerLimits> &Declared) {
+  RequestLimits Limits = ownLimits();
+  if (Declared) {
+    Limits.MaxHeaderBytes =
+        std::min(Limits.MaxHeaderBytes, Declared->MaxHeaderBytes);
+    Limits.MaxBodyBytes = std::min(Limits.MaxBodyBytes, Declared->MaxBodyBytes);
+    Limits.HeaderTimeout = limitOf(Declared->HeaderTimeout);
+    Limits.IdleTimeout = limitOf(Declared->IdleTimeout);
+  }
+  asio::post(Context, [this, Limits] {
+    asio::use_service<ConnectionRegistry>(Context).setLimits(Limits);
+  });
+}
+
+void CallerServerCore::endOverdueLater() {
+  OverdueTimer.expires_after(chronoSpan(OverduePeriod));
+  OverdueTimer.async_wait([this](const std::error_code &Error) {
+    if (Error)
+      return;
+    asio::use_service<ConnectionRegistry>(Context).endOverdue();
+    endOverdueLater();
+  });
+}
+
 std::size_t CallerServerCore::unanswered() const {
   if (!Draining)
     return Unanswered;
@@ -298,6 +336,7 @@
   asio::post(Context, [this] {
     closeAcceptor();
     GraceTimer.cancel();
+    OverdueTimer.cancel();
     Pending.clear();
     Open.clear();
     Unanswered = 0;
--- a/src/callers/CallerServerCore.h
+++ b/src/callers/CallerServerCore.h
@@ -74,6 +74,7 @@
   void stopAccepting();
   std::size_t unanswered() const;
   void stop();
+  void setLimits(const std::optional<CallerLimits> &Declared);
   ResultCode lastReason() const { return LastReason; }
 
 private:
@@ -106,6 +107,8 @@
   void reportRefusal(ResultCode Reason);
   void closeAcceptor();
   void closeIdleAfterGrace();
+  RequestLimits ownLimits() const;
+  void endOverdueLater();
 
   const CallerServerOptions Options;
   const CallerHook OnRequest;
@@ -120,6 +123,7 @@
 
   asio::io_context Context{1};
   asio::steady_timer GraceTimer{Context};
+  asio::steady_timer OverdueTimer{Context};
   std::optional<asio::executor_work_guard<asio::io_context::executor_type>>
       Work;
   std::unique_ptr<Server> Http;
--- a/src/callers/GuardedSocket.cpp
+++ b/src/callers/GuardedSocket.cpp
@@ -53,6 +53,16 @@
   }
 }
 
+void ConnectionRegistry::answerWritten(const asio::ip::tcp::endpoint &Caller) {
+  if (const auto Found = ByCaller.find(Caller); Found != ByCaller.end())
+    Found->second->answerWritten();
+}
+
+void ConnectionRegistry::endOverdue() {
+  for (GuardedConnection *Connection : Connections)
+    Connection->endOverdue();
+}
+
 void ConnectionRegistry::closeAll() {
   for (GuardedConnection *Connection : Connections) {
     std::error_code Ignored;
@@ -63,24 +73,35 @@
 
 GuardedConnection::GuardedConnection(asio::io_context &Context)
     : Socket(Context), Registry(asio::use_service<ConnectionRegistry>(Context)),
-      Guard(Registry.Limits) {
+      Guard(Registry.Limits), UsedAt(Registry.Now.now()) {
   Registry.Connections.insert(this);
 }
 
 GuardedConnection::~GuardedConnection() {
   Registry.Connections.erase(this);
+  const auto Known = Registry.ByCaller.find(Caller);
+  if (Known != Registry.ByCaller.end() && Known->second == this)
+    Registry.ByCaller.erase(Known);
   Registry.Bodies.cancel(this);
   Registry.Bodies.release(Booked);
 }
 
-bool GuardedConnection::busy() const {
+void GuardedConnection::takeCaller() {
   std::error_code Error;
-  const auto Caller = Socket.remote_endpoint(Error);
-  return !Error && Registry.Busy(Caller);
+  if (Caller.port() == 0)
+    Caller = Socket.remote_endpoint(Error);
+  if (!Error)
+    Registry.ByCaller[Caller] = this;
+}
+
+bool GuardedConnection::busy() const {
+  return Caller.port() != 0 && Registry.Busy(Caller);
 }
 
 void GuardedConnection::read(asio::mutable_buffer Buffer, ReadHandler Handler) {
-  if (Wanted == 0)
+  if (Refusal)
+    discard(std::move(Handler));
+  else if (Wanted == 0)
     start(Buffer, std::move(Handler));
   else
     WaitingRead = [this, Buffer, Handler = std::move(Handler)] {
@@ -137,11 +158,20 @@
 
 void GuardedConnection::inspect(asio::mutable_buffer Buffer, std::size_t Size,
                                 const ReadHandler &Handler) {
+  takeCaller();
+  UsedAt = Registry.Now.now();
+  const bool WasInHead = Guard.inHead();
   const ResultCode Reason =
       Guard.take({static_cast<const char *>(Buffer.data()), Size});
+  if (!WasInHead || Guard.bytesOfWhole() > 0)
+    HeadSince = UsedAt;
   if (Reason != ResultCode::Ok) {
     refuse(Reason);
-    discard(Handler);
+    // Requests before the bad one are served; the next read discards.
+    if (const std::size_t Whole = Guard.bytesOfWhole(); Whole > 0)
+      Handler({}, Whole);
+    else
+      discard(Handler);
     return;
   }
   const std::size_t Ended =
@@ -156,15 +186,46 @@
 
 void GuardedConnection::refuse(ResultCode Reason) {
   Registry.Refused(Reason);
+  Refusal = Reason;
+}
+
+void GuardedConnection::writeRefusal() {
   // An answer under way must not be mixed with the refusal of a later request.
-  if (busy())
+  if (!Refusal || RefusalWritten || busy())
     return;
+  RefusalWritten = true;
   std::error_code Ignored;
-  Socket.write_some(asio::buffer(refusalText(Reason)), Ignored);
+  Socket.write_some(asio::buffer(refusalText(*Refusal)), Ignored);
   Socket.shutdown(asio::socket_base::shutdown_send, Ignored);
 }
 
+void GuardedConnection::answerWritten() {
+  UsedAt = Registry.Now.now();
+  writeRefusal();
+}
+
+void GuardedConnection::endOverdue() {
+  const TimeMs Now = Registry.Now.now();
+  const RequestLimits &Limits = Registry.Limits;
+  const bool HeadLate = Limits.HeaderTimeout && Guard.inHead() &&
+                        Now - HeadSince > *Limits.HeaderTimeout;
+  const bool Unused = Limits.IdleTimeout && !Guard.inRequest() &&
+                      Now - UsedAt > *Limits.IdleTimeout;
+  if (Refusal || !(HeadLate || Unused) || busy())
+    return;
+  std::error_code Ignored;
+  if (Socket.available(Ignored) > 0)
+    return;
+  if (HeadLate) {
+    refuse(ResultCode::RequestHeadTimeout);
+    writeRefusal();
+  }
+  // The read under way learns that nothing more comes, and closes.
+  Socket.shutdown(asio::socket_base::shutdown_receive, Ignored);
+}
+
 void GuardedConnection::discard(ReadHandler Handler) {
+  writeRefusal();
   Socket.async_read_some(asio::buffer(Scratch),
                          [this, Handler = std::move(Handler)](
                              const std::error_code &Error, std::size_t N) {
--- a/src/callers/GuardedSocket.h
+++ b/src/callers/GuardedSocket.h
@@ -10,11 +10,14 @@
 
 #include "callers/BodyBudget.h"
 #include "callers/RequestGuard.h"
+#include "core/Clock.h"
 #include "core/ResultCode.h"
 
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <system_error>
 #include <utility>
@@ -42,9 +45,20 @@
   void configure(RequestLimits NewLimits, std::size_t MaxHeldBytes,
                  BusyHook NewBusy, RefusedHook NewRefused);
 
+  /// Takes other limits, for requests that begin from now on.
+  void setLimits(const RequestLimits &NewLimits) { Limits = NewLimits; }
+
+  /// Refuses heads that take too long and closes connections that have not
+  /// been used for too long.
+  void endOverdue();
+
   /// The room for bodies; whoever answers a request gives its body's back.
   BodyBudget &bodies() { return Bodies; }
 
+  /// Says that an answer was written to a caller: the refusal of a bad request
+  /// that came behind good ones follows it.
+  void answerWritten(const asio::ip::tcp::endpoint &Caller);
+
   /// Ends the reading side of each connection without a request.
   void closeIdle();
 
@@ -55,11 +69,14 @@
   friend class GuardedConnection;
   void shutdown() override {}
 
+  const Clock Now = Clock::monotonic();
   RequestLimits Limits;
   BodyBudget Bodies{0};
   BusyHook Busy;
   RefusedHook Refused;
   std::set<GuardedConnection *> Connections;
+  /// Those that have sent something.
+  std::map<asio::ip::tcp::endpoint, GuardedConnection *> ByCaller;
 };
 
 /// The parts of a connection that stay in place while its socket object moves.
@@ -77,6 +94,10 @@
   /// Ends the wait for room, because the socket is closed.
   void stopWaiting();
 
+  /// Refuses the head that is being read, or closes the unused connection,
+  /// where its time is over.
+  void endOverdue();
+
   asio::ip::tcp::socket Socket;
 
 private:
@@ -89,7 +110,10 @@
   void writeContinue();
   void inspect(asio::mutable_buffer Buffer, std::size_t Size,
                const ReadHandler &Handler);
+  void takeCaller();
+  void answerWritten();
   void refuse(ResultCode Reason);
+  void writeRefusal();
   void discard(ReadHandler Handler);
 
   ConnectionRegistry &Registry;
@@ -97,6 +121,11 @@
   std::size_t Booked = 0;            ///< For the body that is being read.
   std::size_t Wanted = 0;            ///< Waits for so much room.
   std::function<void()> WaitingRead; ///< Goes on once there is room.
+  asio::ip::tcp::endpoint Caller;
+  TimeMs UsedAt;    ///< Newest byte read or answer written.
+  TimeMs HeadSince; ///< First byte of the head that is being read.
+  std::optional<ResultCode> Refusal; ///< Nothing is read any more.
+  bool RefusalWritten = false;
   std::size_t Discarded = 0;
   std::array<char, 4096> Scratch{};
 };
--- a/src/callers/HeaderFields.cpp
+++ b/src/callers/HeaderFields.cpp
@@ -36,6 +36,12 @@
 
 } // namespace
 
+bool isTokenByte(unsigned char Byte) {
+  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+  return std::isalnum(Byte) != 0 ||
+         Marks.find(static_cast<char>(Byte)) != std::string_view::npos;
+}
+
 bool sameFieldName(std::string_view Left, std::string_view Right) {
   return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
                     [](unsigned char A, unsigned char B) {
--- a/src/callers/HeaderFields.h
+++ b/src/callers/HeaderFields.h
@@ -17,6 +17,9 @@
 
 namespace fescuewood {
 
+/// Whether a byte may stand in a field name (RFC 9110, section 5.6.2).
+bool isTokenByte(unsigned char Byte);
+
 /// Compares field names, which are case-insensitive.
 bool sameFieldName(std::string_view Left, std::string_view Right);
 
--- a/src/callers/RequestGuard.cpp
+++ b/src/callers/RequestGuard.cpp
@@ -2,16 +2,26 @@
 
 #include "callers/HeaderFields.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace fescuewood {
 
 namespace {
 
-constexpr std::string_view ExpectName = "Expect";
+/// Longest name or value of the fields that are noted, and a byte more, by
+/// which a longer one differs from them.
+constexpr std::size_t MaxNotedBytes = 18;
 
-/// A field name that cannot be `Expect` any more.
-constexpr std::size_t Mismatch = std::numeric_limits<std::size_t>::max();
+/// Appends as much as can matter for comparing with the noted fields.
+void appendNoted(std::string &Text, std::string_view Part) {
+  Text.append(
+      Part.substr(0, MaxNotedBytes - std::min(MaxNotedBytes, Text.size())));
+}
+
+bool isHttp10(const http_parser &Parser) {
+  return Parser.http_major == 1 && Parser.http_minor == 0;
+}
 
 ResultCode reasonFor(http_errno Error) {
   switch (Error) {
@@ -34,33 +44,62 @@
     return 413;
   case ResultCode::MethodUnknown:
     return 501;
+  case ResultCode::RequestHeadTimeout:
+    return 408;
   default:
     return 400;
   }
 }
 
-RequestGuard::RequestGuard(RequestLimits Limits) : Limits(Limits) { restart(); }
+RequestGuard::RequestGuard(const RequestLimits &Limits)
+    : Present(Limits), Limits(Limits) {
+  restart();
+}
 
 ResultCode RequestGuard::take(std::string_view Bytes) {
-  while (!Bytes.empty()) {
-    const std::size_t Parsed =
-        http_parser_execute(&Parser, &callbacks(), Bytes.data(), Bytes.size());
-    if (Violation != ResultCode::Ok)
-      return Violation;
-    const auto Error = static_cast<http_errno>(Parser.http_errno);
-    // Bytes after a request that closes the connection are never answered.
-    if (Error == HPE_CLOSED_CONNECTION)
-      return ResultCode::Ok;
-    if (Error != HPE_OK)
-      return reasonFor(Error);
-    Bytes.remove_prefix(Parsed);
-    // The parser stops after a request to upgrade, which is served as HTTP.
-    if (Parser.upgrade)
-      restart();
+  WholeBytes = 0;
+  std::size_t Taken = 0;
+  while (Taken < Bytes.size()) {
+    const std::string_view Part = Lines.takePart(Bytes.substr(Taken));
+    const ResultCode Reason = parse(Part);
+    if (Reason != ResultCode::Ok)
+      return Reason;
+    if (!Lines.valid())
+      return ResultCode::RequestMalformed;
+    Taken += Part.size();
+    if (Lines.headEnded())
+      expectContent();
+    if (!InRequest)
+      WholeBytes = Taken;
   }
   return ResultCode::Ok;
 }
 
+ResultCode RequestGuard::parse(std::string_view Bytes) {
+  const std::size_t Parsed =
+      http_parser_execute(&Parser, &callbacks(), Bytes.data(), Bytes.size());
+  if (Violation != ResultCode::Ok)
+    return Violation;
+  const auto Error = static_cast<http_errno>(Parser.http_errno);
+  // Bytes after a request that closes the connection are never answered.
+  if (Error == HPE_CLOSED_CONNECTION)
+    return ResultCode::Ok;
+  if (Error != HPE_OK)
+    return reasonFor(Error);
+  // The parser stops after a request to upgrade, which is served as HTTP.
+  if (Parser.upgrade)
+    restart();
+  // Both must see the same end of a request.
+  return Parsed == Bytes.size() ? ResultCode::Ok : ResultCode::RequestMalformed;
+}
+
+void RequestGuard::expectContent() {
+  if (Chunked)
+    Lines.expectChunks();
+  else
+    Lines.expectBody(ContentLength);
+}
+
 bool RequestGuard::takeContinueWanted() {
   const bool Wanted = ContinueWanted && InRequest && BodyBytes == 0;
   ContinueWanted = false;
@@ -73,10 +112,19 @@
 }
 
 int RequestGuard::onBegin() {
+  Limits = Present;
+  HeadRead = false;
   HeadBytes = 0;
   Fields = 0;
   BodyBytes = 0;
+  ContentLength = 0;
+  Chunked = false;
   InName = false;
+  Name.clear();
+  Value.clear();
+  Hosts = 0;
+  Codings = 0;
+  CodingKnown = true;
   Expected = false;
   ContinueWanted = false;
   InRequest = true;
@@ -91,41 +139,66 @@
 }
 
 int RequestGuard::onFieldName(std::string_view Part) {
+  // Name and value may come in several parts.
   if (!InName) {
+    noteField();
     InName = true;
-    ExpectMatched = 0;
     if (++Fields > Limits.MaxHeaderFields)
       return violate(ResultCode::RequestHeadTooLarge);
   }
-  // The name may come in several parts.
-  if (ExpectMatched != Mismatch) {
-    const std::string_view Wanted =
-        ExpectName.substr(ExpectMatched).substr(0, Part.size());
-    ExpectMatched =
-        sameFieldName(Part, Wanted) ? ExpectMatched + Part.size() : Mismatch;
-  }
+  appendNoted(Name, Part);
   return onHead(Part.size());
 }
 
 int RequestGuard::onFieldValue(std::string_view Part) {
   InName = false;
-  // `100-continue` is the only expectation that HTTP defines.
-  Expected = Expected || ExpectMatched == ExpectName.size();
+  appendNoted(Value, Part);
   return onHead(Part.size());
 }
 
+/// Notes the field that was read last, if it matters here.
+void RequestGuard::noteField() {
+  if (sameFieldName(Name, "Host")) {
+    ++Hosts;
+  } else if (sameFieldName(Name, "Transfer-Encoding")) {
+    ++Codings;
+    CodingKnown = CodingKnown && sameFieldName(Value, "chunked");
+  } else if (sameFieldName(Name, "Expect")) {
+    // `100-continue` is the only expectation that HTTP defines.
+    Expected = true;
+  }
+  Name.clear();
+  Value.clear();
+}
+
+/// What RFC 9112 says of the fields as a whole (sections 3.2 and 6.1).
+ResultCode RequestGuard::judgeHead() const {
+  const bool Http10 = isHttp10(Parser);
+  if (Hosts > 1 || (Hosts == 0 && !Http10))
+    return ResultCode::RequestMalformed;
+  if (!CodingKnown || Codings > 1 || (Codings == 1 && Http10))
+    return ResultCode::RequestMalformed;
+  return ResultCode::Ok;
+}
+
 int RequestGuard::onHeadComplete() {
-  const bool LengthGiven =
-      Parser.content_length != std::numeric_limits<std::uint64_t>::max();
+  HeadRead = true;
+  noteField();
+  constexpr auto NoLength = std::numeric_limits<std::uint64_t>::max();
+  const bool LengthGiven = Parser.content_length != NoLength;
   if (LengthGiven && Parser.content_length > Limits.MaxBodyBytes)
     return violate(ResultCode::RequestBodyTooLarge);
   if (Parser.method == HTTP_CONNECT)
     return violate(ResultCode::MethodUnknown);
+  if (const ResultCode Reason = judgeHead(); Reason != ResultCode::Ok)
+    return violate(Reason);
   ContinueWanted = Expected;
-  if (LengthGiven)
-    BodyNeeded = static_cast<std::size_t>(Parser.content_length);
-  else if ((Parser.flags & F_CHUNKED) != 0)
+  Chunked = (Parser.flags & F_CHUNKED) != 0;
+  ContentLength = LengthGiven ? Parser.content_length : 0;
+  if (Chunked)
     BodyNeeded = Limits.MaxBodyBytes;
+  else
+    BodyNeeded = static_cast<std::size_t>(ContentLength);
   return 0;
 }
 
--- a/src/callers/RequestGuard.h
+++ b/src/callers/RequestGuard.h
@@ -4,16 +4,21 @@
 ///
 /// RESTinio closes a connection whose request is malformed or too large
 /// without a word. The guard parses the same bytes first, so that such a
-/// request is refused with a status and a numbered reason.
+/// request is refused with a status and a numbered reason. It is also stricter
+/// than RESTinio's parser: what one reader takes for the end of a request and
+/// another does not lets a caller smuggle a second one.
 
 #ifndef FESCUEWOOD_CALLERS_REQUESTGUARD_H
 #define FESCUEWOOD_CALLERS_REQUESTGUARD_H
 
+#include "callers/RequestLines.h"
+#include "core/Clock.h"
 #include "core/ResultCode.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -21,11 +26,15 @@
 
 namespace fescuewood {
 
-/// Limits on one request.
+/// Limits on one request and on the connection that it comes on.
 struct RequestLimits {
   std::size_t MaxHeaderBytes = 0;
   std::size_t MaxHeaderFields = 0;
   std::size_t MaxBodyBytes = 0;
+  /// From a request's first byte to its head's end.
+  std::optional<DurationMs> HeaderTimeout = std::nullopt;
+  /// Until an unused connection is closed.
+  std::optional<DurationMs> IdleTimeout = std::nullopt;
 };
 
 /// HTTP status with which a guard's reason is answered.
@@ -35,7 +44,9 @@
 /// it.
 class RequestGuard {
 public:
-  explicit RequestGuard(RequestLimits Limits);
+  /// \param Limits outlive the guard; each request is held to those that
+  /// stand when it begins.
+  explicit RequestGuard(const RequestLimits &Limits);
   RequestGuard(const RequestGuard &) = delete;
   RequestGuard &operator=(const RequestGuard &) = delete;
 
@@ -43,9 +54,15 @@
   /// after that the guard is not used any more.
   ResultCode take(std::string_view Bytes);
 
+  /// Of the bytes taken last, how many belong to requests that have ended.
+  std::size_t bytesOfWhole() const { return WholeBytes; }
+
   /// True between the first byte of a request and its last.
   bool inRequest() const { return InRequest; }
 
+  /// True from the first byte of a request to the end of its head.
+  bool inHead() const { return InRequest && !HeadRead; }
+
   /// Length of the body that the request under way still has to send, as far
   /// as it is known, and the largest allowed otherwise; told once per request,
   /// and 0 afterwards or without such a body.
@@ -59,6 +76,10 @@
   bool takeContinueWanted();
 
 private:
+  ResultCode parse(std::string_view Bytes);
+  void expectContent();
+  void noteField();
+  ResultCode judgeHead() const;
   int onBegin();
   int onHead(std::size_t Bytes);
   int onFieldName(std::string_view Part);
@@ -71,18 +92,28 @@
 
   static const http_parser_settings &callbacks();
 
-  const RequestLimits Limits;
+  const RequestLimits &Present;
+  RequestLimits Limits; ///< For the request under way.
   http_parser Parser{};
+  RequestLines Lines;
   ResultCode Violation = ResultCode::Ok;
   std::size_t HeadBytes = 0;
   std::size_t Fields = 0;
   std::size_t BodyBytes = 0;
   std::size_t BodyNeeded = 0;
-  std::size_t ExpectMatched = 0; ///< Length of the field name's match so far.
+  std::uint64_t ContentLength = 0; ///< 0 without a body or in chunks.
+  bool Chunked = false;
+  std::size_t WholeBytes = 0;
+  std::string Name;  ///< Of the field being read; no longer than those noted.
+  std::string Value; ///< Of the same field; no longer than those noted.
   bool InName = false;
+  unsigned Hosts = 0;
+  bool CodingKnown = true; ///< Every transfer coding is `chunked`, once.
+  unsigned Codings = 0;
   bool Expected = false;
   bool ContinueWanted = false;
   bool InRequest = false;
+  bool HeadRead = false;
   bool Completed = false;
 };
 
--- /dev/null
+++ b/src/callers/RequestLines.cpp
@@ -0,0 +1,223 @@
+#include "callers/RequestLines.h"
+
+#include "callers/HeaderFields.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fescuewood {
+
+namespace {
+
+constexpr unsigned char Return = '\r';
+constexpr unsigned char Feed = '\n';
+
+/// Blanks of a request line: before and after the target.
+constexpr unsigned RequestLineBlanks = 2;
+
+/// Largest size of a chunk that can grow by another digit, 16 times as much.
+constexpr std::uint64_t LargestChunk = std::uint64_t(1) << 56;
+
+bool isBlank(unsigned char Byte) { return Byte == ' ' || Byte == '\t'; }
+
+/// Text of a field's value or of a chunk's extension; bytes above 0x7f may be
+/// part of any charset.
+bool isText(unsigned char Byte) {
+  return Byte == '\t' || (Byte >= ' ' && Byte != 0x7f);
+}
+
+std::optional<unsigned> hexDigit(unsigned char Byte) {
+  if (Byte >= '0' && Byte <= '9')
+    return Byte - '0';
+  if (Byte >= 'a' && Byte <= 'f')
+    return Byte - 'a' + 10U;
+  if (Byte >= 'A' && Byte <= 'F')
+    return Byte - 'A' + 10U;
+  return std::nullopt;
+}
+
+} // namespace
+
+std::string_view RequestLines::takePart(std::string_view Bytes) {
+  if (At == State::Body || At == State::ChunkData) {
+    const std::string_view Part =
+        Bytes.substr(0, std::min<std::uint64_t>(Left, Bytes.size()));
+    Left -= Part.size();
+    if (Left == 0 && At == State::Body)
+      startRequest();
+    else if (Left == 0)
+      At = State::ChunkDataReturn;
+    return Part;
+  }
+  std::size_t Taken = 0;
+  while (Taken < Bytes.size()) {
+    const bool PartEnds = take(static_cast<unsigned char>(Bytes[Taken]));
+    if (!valid())
+      break;
+    ++Taken;
+    if (PartEnds)
+      break;
+  }
+  return Bytes.substr(0, Taken);
+}
+
+void RequestLines::expectBody(std::uint64_t Length) {
+  if (Length == 0)
+    return startRequest();
+  Left = Length;
+  At = State::Body;
+}
+
+void RequestLines::expectChunks() {
+  Size.reset();
+  At = State::ChunkSize;
+}
+
+void RequestLines::startRequest() {
+  At = State::LineStart;
+  FirstLine = true;
+  InTrailer = false;
+}
+
+bool RequestLines::take(unsigned char Byte) {
+  switch (At) {
+  case State::LineStart:
+    takeLineStart(Byte);
+    return false;
+  case State::RequestLine:
+    takeRequestLine(Byte);
+    return false;
+  case State::FieldName:
+    takeFieldName(Byte);
+    return false;
+  case State::FieldValue:
+    takeText(Byte, State::LineFeed);
+    return false;
+  case State::LineFeed:
+    step(Byte, Feed, State::LineStart);
+    return false;
+  case State::EmptyLineFeed:
+    return takeEmptyLineFeed(Byte);
+  case State::ChunkSize:
+    takeChunkSize(Byte);
+    return false;
+  case State::ChunkBlank:
+    takeChunkBlank(Byte);
+    return false;
+  case State::ChunkExtension:
+    takeText(Byte, State::ChunkLineFeed);
+    return false;
+  case State::ChunkLineFeed:
+    return takeChunkLineFeed(Byte);
+  case State::ChunkDataReturn:
+    step(Byte, Return, State::ChunkDataFeed);
+    return false;
+  case State::ChunkDataFeed:
+    step(Byte, Feed, State::ChunkSize);
+    return false;
+  // The others take no bytes one by one.
+  case State::HeadEnded:
+  case State::Body:
+  case State::ChunkData:
+  case State::Wrong:
+    break;
+  }
+  At = State::Wrong;
+  return false;
+}
+
+void RequestLines::step(unsigned char Byte, unsigned char Wanted, State Next) {
+  At = Byte == Wanted ? Next : State::Wrong;
+}
+
+void RequestLines::takeLineStart(unsigned char Byte) {
+  if (Byte == Return) {
+    At = State::EmptyLineFeed;
+    return;
+  }
+  Blanks = 0;
+  Last = 0;
+  At = FirstLine ? State::RequestLine : State::FieldName;
+  const bool StartsFirst = std::exchange(FirstLine, false);
+  // A blank here would fold the line into the one before. A colon would name a
+  // field of no name.
+  if (StartsFirst)
+    takeRequestLine(Byte);
+  else if (isTokenByte(Byte))
+    takeFieldName(Byte);
+  else
+    At = State::Wrong;
+}
+
+void RequestLines::takeRequestLine(unsigned char Byte) {
+  if (Byte == Return)
+    At = Blanks == RequestLineBlanks && Last != ' ' ? State::LineFeed
+                                                    : State::Wrong;
+  else if (Byte == ' ' && (Last == 0 || Last == ' ' || ++Blanks > 2))
+    At = State::Wrong;
+  else if (Byte < ' ' || Byte == 0x7f)
+    At = State::Wrong;
+  Last = Byte;
+}
+
+void RequestLines::takeFieldName(unsigned char Byte) {
+  if (Byte == ':')
+    At = State::FieldValue;
+  else if (!isTokenByte(Byte))
+    At = State::Wrong;
+}
+
+void RequestLines::takeText(unsigned char Byte, State AfterReturn) {
+  if (Byte == Return)
+    At = AfterReturn;
+  else if (!isText(Byte))
+    At = State::Wrong;
+}
+
+bool RequestLines::takeEmptyLineFeed(unsigned char Byte) {
+  // Empty lines before a request line mean nothing.
+  step(Byte, Feed, FirstLine ? State::LineStart : State::HeadEnded);
+  if (At != State::HeadEnded)
+    return false;
+  if (InTrailer)
+    startRequest();
+  return true;
+}
+
+void RequestLines::takeChunkSize(unsigned char Byte) {
+  if (const auto Digit = hexDigit(Byte)) {
+    if (Size.value_or(0) >= LargestChunk)
+      At = State::Wrong;
+    Size = Size.value_or(0) * 16 + *Digit;
+  } else if (!Size) {
+    At = State::Wrong;
+  } else {
+    takeChunkBlank(Byte);
+  }
+}
+
+void RequestLines::takeChunkBlank(unsigned char Byte) {
+  if (Byte == ';')
+    At = State::ChunkExtension;
+  else if (isBlank(Byte))
+    At = State::ChunkBlank;
+  else if (Byte == Return && At == State::ChunkSize)
+    At = State::ChunkLineFeed;
+  else
+    At = State::Wrong;
+}
+
+bool RequestLines::takeChunkLineFeed(unsigned char Byte) {
+  step(Byte, Feed, State::ChunkData);
+  if (!valid())
+    return false;
+  Left = Size.value_or(0);
+  Size.reset();
+  if (Left == 0) {
+    InTrailer = true;
+    At = State::LineStart;
+  }
+  return true;
+}
+
+} // namespace fescuewood
--- a/src/platform/ConfigCodec.cpp
+++ b/src/platform/ConfigCodec.cpp
@@ -171,8 +171,9 @@
 
 CallerLimits limitsOf(const Json &Object) {
   CallerLimits Result;
-  Result.MaxHeaderBytes = whole(Object, MaxHeaderBytes, 0);
-  Result.MaxBodyBytes = whole(Object, MaxBodyBytes, 0);
+  constexpr auto NoLimit = std::numeric_limits<std::uint32_t>::max();
+  Result.MaxHeaderBytes = whole(Object, MaxHeaderBytes, NoLimit);
+  Result.MaxBodyBytes = whole(Object, MaxBodyBytes, NoLimit);
   Result.HeaderTimeout = span(Object, HeaderTimeout);
   Result.IdleTimeout = span(Object, IdleTimeout);
   return Result;
--- /dev/null
+++ b/tests/callers/RequestGuardTest.cpp
@@ -0,0 +1,181 @@
+#include "callers/RequestGuard.h"
+
+#include "support/Property.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+namespace {
+
+constexpr RequestLimits Limits{2000, 20, 5000};
+
+/// A request with a body whose fields are given.
+std::string post(const std::string &Fields, const std::string &Body) {
+  return "POST /p HTTP/1.1\r\nHost: mesh\r\n" + Fields + "\r\n" + Body;
+}
+
+std::string get(const std::string &Fields) {
+  return "GET /g HTTP/1.1\r\nHost: mesh\r\n" + Fields + "\r\n";
+}
+
+std::string chunked(const std::string &Chunks) {
+  return post("Transfer-Encoding: chunked\r\n", Chunks);
+}
+
+/// What the guard makes of bytes that come in pieces of a size.
+ResultCode taken(const std::string &Text, std::size_t Piece) {
+  RequestGuard Guard(Limits);
+  for (std::size_t At = 0; At < Text.size(); At += Piece) {
+    const ResultCode Reason = Guard.take(Text.substr(At, Piece));
+    if (Reason != ResultCode::Ok)
+      return Reason;
+  }
+  return Guard.inRequest() ? ResultCode::RequestBodyTooLarge : ResultCode::Ok;
+}
+
+} // namespace
+
+TEST_GROUP(RequestGuard){};
+
+// RFC 9112: whatever two readers could understand differently is refused.
+TEST(RequestGuard, RefusesWhatTwoReadersCouldUnderstandDifferently) {
+  const std::string Cases[] = {
+      // Blanks (sections 2.2, 3 and 5.1).
+      post("Transfer-Encoding : chunked\r\n", "0\r\n\r\n"),
+      post("Content-Length : 2\r\n", "ab"),
+      post("Transfer Encoding: chunked\r\n", "0\r\n\r\n"),
+      "GET  /g HTTP/1.1\r\nHost: mesh\r\n\r\n",
+      "GET /g  HTTP/1.1\r\nHost: mesh\r\n\r\n",
+      "GET\t/g\tHTTP/1.1\r\nHost: mesh\r\n\r\n",
+      "GET /g HTTP/1.1 \r\nHost: mesh\r\n\r\n",
+      "GET /g HTTP/1.1\r\n Host: mesh\r\n\r\n",
+      " GET /g HTTP/1.1\r\nHost: mesh\r\n\r\n",
+      // Folded lines (section 5.2).
+      get("X: a\r\n b\r\n"),
+      get("X: a\r\n\tb\r\n"),
+      post("Transfer-Encoding:\r\n chunked\r\n", "0\r\n\r\n"),
+      // A carriage return or line feed alone (section 2.2).
+      "GET /g HTTP/1.1\nHost: mesh\r\n\r\n",
+      "GET /g HTTP/1.1\r\nHost: mesh\n\r\n",
+      "GET /g HTTP/1.1\r\nHost: mesh\r\n\n",
+      get("X: a\rb\r\n"),
+      get("X: a\r\rY: b\r\n"),
+      get(std::string("X: a\0b\r\n", 8)),
+      // No name, no colon.
+      get(": a\r\n"),
+      get("X\r\n"),
+      // Several lengths, or one that is no number (section 6.3).
+      post("Content-Length: 2\r\nContent-Length: 3\r\n", "abc"),
+      post("Content-Length: 2\r\nContent-Length: 2\r\n", "ab"),
+      post("Content-Length: 2, 2\r\n", "ab"),
+      post("Content-Length: +2\r\n", "ab"),
+      post("Content-Length: -2\r\n", "ab"),
+      post("Content-Length: 0x2\r\n", "ab"),
+      post("Content-Length: 2 2\r\n", "ab"),
+      post("Content-Length:\r\n", ""),
+      post("Content-Length: 99999999999999999999999\r\n", "ab"),
+      // Codings beside a length, or others than one `chunked` (section 6.1).
+      post("Content-Length: 2\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"),
+      post("Transfer-Encoding: chunked\r\nContent-Length: 2\r\n", "0\r\n\r\n"),
+      post("Transfer-Encoding: gzip, chunked\r\n", "0\r\n\r\n"),
+      post("Transfer-Encoding: chunked, gzip\r\n", "0\r\n\r\n"),
+      post("Transfer-Encoding: chunked, chunked\r\n", "0\r\n\r\n"),
+      post("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+           "0\r\n\r\n"),
+      post("Transfer-Encoding: identity\r\n", "0\r\n\r\n"),
+      post("Transfer-Encoding: xchunked\r\n", "0\r\n\r\n"),
+      post("Transfer-Encoding: \"chunked\"\r\n", "0\r\n\r\n"),
+      "POST /p HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      // Sizes and ends of chunks (section 7.1).
+      chunked("0x2\r\nab\r\n0\r\n\r\n"),
+      chunked("+2\r\nab\r\n0\r\n\r\n"),
+      chunked("-2\r\nab\r\n0\r\n\r\n"),
+      chunked(" 2\r\nab\r\n0\r\n\r\n"),
+      chunked("2 \r\nab\r\n0\r\n\r\n"),
+      chunked("2\nab\r\n0\r\n\r\n"),
+      chunked("2\rab\r\n0\r\n\r\n"),
+      chunked("2\r\nabX\r\n0\r\n\r\n"),
+      chunked("2\r\nab\n0\r\n\r\n"),
+      chunked("2\r\nab\rX0\r\n\r\n"),
+      chunked("\r\n\r\n"),
+      chunked(";a=b\r\n\r\n"),
+      chunked("2;a\nb\r\nab\r\n0\r\n\r\n"),
+      chunked("ffffffffffffffffff\r\nab\r\n0\r\n\r\n"),
+      chunked("10000000000000002\r\nab\r\n0\r\n\r\n"),
+      // Trailers are lines like any (section 7.1.2).
+      chunked("0\r\nX : a\r\n\r\n"),
+      chunked("0\r\n X: a\r\n\r\n"),
+      chunked("0\r\nX: a\n\r\n"),
+      // The host (section 3.2).
+      "GET /g HTTP/1.1\r\n\r\n",
+      "GET /g HTTP/1.1\r\nHost: mesh\r\nHost: mesh\r\n\r\n",
+      "GET /g HTTP/1.1\r\nHost: mesh\r\nhost: other\r\n\r\n",
+  };
+  for (const std::string &Text : Cases)
+    for (const std::size_t Piece : {std::size_t(1), Text.size()})
+      CHECK_EQUAL_TEXT(static_cast<int>(ResultCode::RequestMalformed),
+                       static_cast<int>(taken(Text, Piece)), Text.c_str());
+}
+
+TEST(RequestGuard, TakesWhatTheGrammarAllows) {
+  const std::string Cases[] = {
+      get(""),
+      get("X:a\r\nY:\r\nZ: \t b \t\r\n"),
+      get("X: caf\xc3\xa9\r\n!#$%&'*+-.^_`|~9: a\r\n"),
+      "\r\n\r\nGET /g HTTP/1.1\r\nHost: mesh\r\n\r\n",
+      "GET /g HTTP/1.0\r\n\r\n",
+      "OPTIONS * HTTP/1.1\r\nHost:\r\n\r\n",
+      post("Content-Length: 2\r\n", "ab"),
+      post("Content-Length: 0\r\n", ""),
+      post("Content-Length: 4\r\n", "\r\n\r\n"),
+      chunked("0\r\n\r\n"),
+      chunked("2\r\nab\r\n0A\r\n0123456789\r\n00\r\n\r\n"),
+      chunked("2;name=\"value\"\r\nab\r\n0;end\r\n\r\n"),
+      chunked("2 ;name\r\nab\r\n0\r\n\r\n"),
+      chunked("2\r\n\r\n\r\n0\r\nX: a\r\nY: b\r\n\r\n"),
+      post("Transfer-Encoding: Chunked\r\n", "0\r\n\r\n"),
+      get("") + get("") + post("Content-Length: 2\r\n", "ab") + get(""),
+      chunked("0\r\n\r\n") + get("Connection: upgrade\r\nUpgrade: x\r\n") +
+          get(""),
+  };
+  for (const std::string &Text : Cases)
+    for (const std::size_t Piece : {std::size_t(1), Text.size()})
+      CHECK_EQUAL_TEXT(static_cast<int>(ResultCode::Ok),
+                       static_cast<int>(taken(Text, Piece)), Text.c_str());
+}
+
+// Whole requests before a bad one are still served.
+TEST(RequestGuard, SaysHowManyBytesBelongToWholeRequests) {
+  RequestGuard Guard(Limits);
+  const std::string Good = get("") + post("Content-Length: 2\r\n", "ab");
+
+  const ResultCode Reason = Guard.take(Good + get("X : a\r\n"));
+
+  CHECK(ResultCode::RequestMalformed == Reason);
+  LONGS_EQUAL(Good.size(), Guard.bytesOfWhole());
+}
+
+// How the network cuts the bytes must not change what they mean.
+TEST(RequestGuard, JudgesTheSameBytesAlikeHoweverTheyAreCut) {
+  checkProperty("any bytes in any pieces", [] {
+    const std::string Pieces[] = {"GET /g HTTP/1.1\r\n",
+                                  "Host: mesh\r\n",
+                                  "Content-Length: 3\r\n",
+                                  "Transfer-Encoding: chunked\r\n",
+                                  "X: a",
+                                  "\r\n",
+                                  "\n",
+                                  " ",
+                                  "3",
+                                  "abc",
+                                  "0\r\n\r\n",
+                                  ":"};
+    std::string Text;
+    const auto Count = *rc::gen::inRange(1, 12);
+    for (int I = 0; I < Count; ++I)
+      Text += Pieces[*rc::gen::inRange<std::size_t>(0, std::size(Pieces))];
+    const auto Piece = *rc::gen::inRange<std::size_t>(1, Text.size() + 1);
+    RC_ASSERT(taken(Text, Piece) == taken(Text, Text.size()));
+  });
+}
