Refuse answers whose end is unclear; let a mistaken address go

Cause 1: an answer with a blank before a colon, a folded line, a bare line feed, several lengths or an odd coding was read as libcurl forgives it, and a trailer field behind an empty body was taken for a field of the head. Cause 2: a target that took another's address answers 421. Each request went there first and spent a retry; with the retry budget used up, callers got 503 (607) although another target was free.

Change: the fields of an answer are held to RFC 9112; 421 has a reason of its own (610 TargetMistaken), after which the node says for 2 s that its target is not the listed one, and requests go elsewhere at once; the flag is taken.

--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::size_t MaxCommandFlags = 12;
+constexpr std::size_t MaxCommandFlags = 13;
 
 /// One row per subcommand: what it is called, takes and does.
 struct CommandRow {
@@ -55,8 +55,8 @@
      0,
      "shows the events of all processes in one order",
      showTimeline,
-     {"node", "log", "json", "svg", "call", "organisation", "target", "domain",
-      "instance", "event", "from_ms", "to_ms"}},
+     {"node", "log", "json", "svg", "call", "request", "organisation", "target",
+      "domain", "instance", "event", "from_ms", "to_ms"}},
     {"explain",
      "",
      0,
--- a/src/app/TargetAdapter.cpp
+++ b/src/app/TargetAdapter.cpp
@@ -26,6 +26,7 @@
   case ResultCode::TargetAnswerUnproven:
     return RunFailure::Unusable;
   case ResultCode::TargetRefused:
+  case ResultCode::TargetMistaken:
     return RunFailure::NotSent;
   default:
     return Result.Ran == Outcome::NotRun ? RunFailure::NotSent
--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -257,7 +257,8 @@
                           DurationMs RetryAfter) {
   Call.LastRefusal = Reason;
   Call.RetryAfter = RetryAfter;
-  if (Reason == ResultCode::TargetRefused)
+  if (Reason == ResultCode::TargetRefused ||
+      Reason == ResultCode::TargetMistaken)
     ++Call.Offers;
   if (isFinal(Reason)) {
     refuse(Handle, Call, Reason, unrun(Call));
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -22,6 +22,10 @@
 constexpr int BadGateway = 502;
 constexpr int GatewayTimeout = 504;
 
+/// A list that is behind has usually caught up by then: targets write their
+/// entries every second or two.
+constexpr DurationMs MistakenTime{2000};
+
 RunVerdict verdictOf(const RunResult &Result) {
   if (Result.Answer) {
     const int Status = Result.Answer->Status;
@@ -144,6 +148,8 @@
   }
   if (Result.Failure == RunFailure::NotReached)
     goDown();
+  if (Result.Reason == ResultCode::TargetMistaken)
+    onMistaken();
   setState();
   pump();
 }
@@ -240,6 +246,14 @@
   });
 }
 
+/// Another target has the address. Until the list says so, what came for the
+/// one that is listed goes elsewhere; now and then a request finds out whether
+/// the word was true.
+void TargetSide::onMistaken() {
+  MistakenUntil = Context.now() + MistakenTime;
+  refuseAllQueued(ResultCode::TargetUnlisted);
+}
+
 void TargetSide::goDown() {
   if (!Down)
     NextProbe = Context.now() + Context.Settings.ProbeInterval;
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -129,6 +129,8 @@
 void TargetSide::onListed(const std::optional<ListedInstance> &Entry) {
   const bool Replaced = Entry && Listed && Entry->TargetId != Listed->TargetId;
   Listed = Entry;
+  if (Replaced)
+    MistakenUntil = Context.now();
   if (Listed) {
     Limit.setSlots(Listed->Slots);
     if (Listed->ColdFor > DurationMs(0))
@@ -156,7 +158,7 @@
 ResultCode TargetSide::refusalByListing() const {
   if (!Context.Self.TargetListed)
     return ResultCode::Ok;
-  if (!Listed)
+  if (!Listed || Context.now() < MistakenUntil)
     return ResultCode::TargetUnlisted;
   return Listed->State == ListedState::Leaving ? ResultCode::TargetDraining
                                                : ResultCode::Ok;
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -106,6 +106,7 @@
   void end(const CallId &Id, const CallReply &Reply);
   void refuse(const CallId &Id, ResultCode Reason);
   void refuseAllQueued(ResultCode Reason);
+  void onMistaken();
   void goDown();
   void probe();
   void onProbe(const ProbeResult &Result);
@@ -131,6 +132,7 @@
   std::uint64_t Epoch = 0; ///< Grows by one with each noticed crash.
   bool Suspended = false;  ///< Nothing starts until a probe says so.
   bool Down = false;
+  TimeMs MistakenUntil;   ///< The target is another than the listed one.
   bool OutBefore = false; ///< Own domain, in the last configuration.
   bool Probing = false;
   TimeMs NextProbe{0};
--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::string_view VersionPrefix = "HTTP/";
+constexpr std::string_view LineEnd = "\r\n";
+constexpr std::string_view Blanks = " \t";
 
 /// Lower ones are interim answers.
 constexpr int FirstFinalStatus = 200;
@@ -28,6 +30,10 @@
   });
 }
 
+bool isFieldName(std::string_view Text) {
+  return !Text.empty() && std::all_of(Text.begin(), Text.end(), isTokenByte);
+}
+
 bool carriesBody(std::string_view Method) {
   return Method == "POST" || Method == "PUT" || Method == "PATCH";
 }
@@ -155,16 +161,21 @@
 ResultCode TargetTransfer::judge() const {
   if (!framed())
     return ResultCode::TargetAnswerMalformed;
+  if (saysMistaken())
+    return ResultCode::TargetMistaken;
   if (saysNotRun())
     return ResultCode::TargetRefused;
   return proven() ? ResultCode::Ok : ResultCode::TargetAnswerUnproven;
 }
 
 bool TargetTransfer::saysNotRun() const {
-  const HeaderScheme &Scheme = Options.Scheme;
-  if (!Scheme.NotRun.empty() && findField(Answer.Headers, Scheme.NotRun))
-    return true;
-  return !Scheme.TargetInstance.empty() && Answer.Status == MisdirectedRequest;
+  const std::string &NotRun = Options.Scheme.NotRun;
+  return !NotRun.empty() && findField(Answer.Headers, NotRun);
+}
+
+bool TargetTransfer::saysMistaken() const {
+  return !Options.Scheme.TargetInstance.empty() &&
+         Answer.Status == MisdirectedRequest;
 }
 
 /// Whether a success bears the target's signature and the id of its request. A
@@ -181,7 +192,8 @@
 }
 
 Outcome TargetTransfer::outcome(ResultCode Reason) const {
-  if (!Sent || Reason == ResultCode::TargetRefused)
+  if (!Sent || Reason == ResultCode::TargetRefused ||
+      Reason == ResultCode::TargetMistaken)
     return Outcome::NotRun;
   if (Reason == ResultCode::TargetAnswerForeign ||
       Reason == ResultCode::TargetAnswerUnproven)
@@ -233,30 +245,62 @@
              Line.size() > MaxFieldBytes;
   if (TooLarge)
     return false;
-  if (Line.starts_with(VersionPrefix)) {
-    // An interim answer (1xx) may come before; only the last one counts.
-    long Status = 0;
-    curl_easy_getinfo(Easy.get(), CURLINFO_RESPONSE_CODE, &Status);
-    Answer.Status = static_cast<int>(Status);
-    Answer.Headers.clear();
+  if (!Line.ends_with(LineEnd))
+    return false;
+  Line.remove_suffix(LineEnd.size());
+  if (Line.empty()) {
+    HeadEnded = true;
     return true;
   }
-  const std::size_t Colon = Line.find(':');
-  // Trailer fields come after the body; none of them is passed on.
-  if (Colon == std::string_view::npos || !Answer.Body.empty())
+  if (Line.starts_with(VersionPrefix) && (HeadEnded || Answer.Status == 0)) {
+    takeStatusLine();
     return true;
+  }
+  // Trailer fields come after the body; none of them is passed on.
+  return HeadEnded || takeField(Line);
+}
+
+void TargetTransfer::takeStatusLine() {
+  // An interim answer (1xx) may come before; only the last one counts.
+  long Status = 0;
+  curl_easy_getinfo(Easy.get(), CURLINFO_RESPONSE_CODE, &Status);
+  Answer.Status = static_cast<int>(Status);
+  Answer.Headers.clear();
+  HeadEnded = false;
+}
+
+/// Refusing a field ends the transfer and its connection, on which more bytes
+/// may come that would meet a later request.
+bool TargetTransfer::takeField(std::string_view Line) {
+  const std::size_t Colon = Line.find(':');
+  const std::string_view Name = Line.substr(0, Colon);
+  if (Colon == std::string_view::npos || !isFieldName(Name))
+    return false;
   std::string_view Value = Line.substr(Colon + 1);
-  const std::size_t First = Value.find_first_not_of(" \t\r\n");
+  const std::size_t First = Value.find_first_not_of(Blanks);
   Value.remove_prefix(std::min(First, Value.size()));
-  Value = Value.substr(0, Value.find_last_not_of(" \t\r\n") + 1);
-  Answer.Headers.push_back(
-      {std::string(Line.substr(0, Colon)), std::string(Value)});
+  Value = Value.substr(0, Value.find_last_not_of(Blanks) + 1);
+  Answer.Headers.push_back({std::string(Name), std::string(Value)});
   const Header &Field = Answer.Headers.back();
-  // Refusing the line ends the transfer and its connection, on which the right
-  // answer may still come and would meet a later request.
   Foreign = !RequestId.empty() && Field.Value != RequestId &&
             sameFieldName(Field.Name, Options.Scheme.RequestId);
-  return !Foreign;
+  return !Foreign && framingClear(Field);
+}
+
+/// Whether the newest field leaves one way only to tell the answer's end.
+bool TargetTransfer::framingClear(const Header &Field) const {
+  const bool Coding = sameFieldName(Field.Name, "Transfer-Encoding");
+  if (!Coding && !sameFieldName(Field.Name, "Content-Length"))
+    return true;
+  if (Coding ? !sameFieldName(Field.Value, "chunked")
+             : !numberField(Answer.Headers, Field.Name))
+    return false;
+  const auto Framing = [](const Header &Each) {
+    return sameFieldName(Each.Name, "Content-Length") ||
+           sameFieldName(Each.Name, "Transfer-Encoding");
+  };
+  return std::count_if(Answer.Headers.begin(), Answer.Headers.end(), Framing) ==
+         1;
 }
 
 bool TargetTransfer::takeBody(std::string_view Bytes) {
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -51,9 +51,13 @@
   bool framed() const;
   ResultCode judge() const;
   bool saysNotRun() const;
+  bool saysMistaken() const;
   bool proven() const;
 
   bool takeFieldLine(std::string_view Line);
+  void takeStatusLine();
+  bool takeField(std::string_view Line);
+  bool framingClear(const Header &Field) const;
   bool takeBody(std::string_view Bytes);
   static std::size_t onField(char *Data, std::size_t Size, std::size_t Count,
                              void *User);
@@ -70,10 +74,11 @@
   std::unique_ptr<curl_slist, ListDeleter> Fields;
   CallAnswer Answer;
   std::size_t AnswerBytes = 0;
-  bool Sent = false;     ///< The first byte may have left.
-  bool TooLarge = false; ///< The answer went over the limit.
-  bool Foreign = false;  ///< The answer names another request.
-  std::string RequestId; ///< That the answer has to name; empty: none.
+  bool HeadEnded = false; ///< Lines from here on are trailer fields.
+  bool Sent = false;      ///< The first byte may have left.
+  bool TooLarge = false;  ///< The answer went over the limit.
+  bool Foreign = false;   ///< The answer names another request.
+  std::string RequestId;  ///< That the answer has to name; empty: none.
 };
 
 } // namespace fescuewood
