--- /dev/null
+++ b/tests/standins/StoreMain.cpp
@@ -0,0 +1,353 @@
+/// \file
+/// Stand-in for the store of the users' platform, by its published protocol,
+/// with the faults that it may have.
+///
+///   GET  /fescuewood/kv-key, kv-range, kv-watch   as published
+///   POST /control/put?key=K       writes the body as the item's value
+///   POST /control/remove?key=K    removes the item
+///   GET  /control/set?NAME=VALUE  sets one of \ref Faults
+///   GET  /control/compact         forgets the history up to now
+///   GET  /control/stats           calls so far, by path and status
+///
+/// Prints "listening PORT" once it accepts connections.
+
+#include "standins/Http.h"
+
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+DEFINE_string(listen, "127.0.0.1:0", "IP:port to listen on; port 0 for any");
+DEFINE_int32(page_items, 500, "most items of one page");
+DEFINE_int32(reads_per_s, 0, "calls a second beyond which 429; 0: no limit");
+
+using Json = nlohmann::json;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::chrono::milliseconds LookPeriod{5};
+constexpr std::int64_t MaxWaitMs = 30'000;
+
+/// What /control/set sets. Each holds for the callers in \ref Only, or for all.
+struct Faults {
+  std::string Only;        ///< only: an IP number.
+  int Status = 0;          ///< status: answers so and does nothing.
+  bool Reset = false;      ///< reset: closes connections unanswered.
+  bool Silent = false;     ///< silent: takes calls and says nothing.
+  bool Lost = false;       ///< lost: does what is asked, loses the answer.
+  std::int64_t SlowMs = 0; ///< slow_ms: delays every answer.
+  std::uint64_t Stale = 0; ///< stale: what reads that allow it see; 0: all.
+};
+
+/// A write or a removal.
+struct Change {
+  std::string Key;
+  std::optional<std::string> Value; ///< Nothing for a removal.
+  std::uint64_t Revision = 0;
+  std::uint64_t Created = 0;
+};
+
+std::string base64(const std::string &Bytes) {
+  std::string Text((Bytes.size() + 2) / 3 * 4 + 1, '\0');
+  const int Size =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Text.data()),
+                      reinterpret_cast<const unsigned char *>(Bytes.data()),
+                      static_cast<int>(Bytes.size()));
+  Text.resize(static_cast<std::size_t>(Size));
+  return Text;
+}
+
+/// Replaces %XX.
+std::string decoded(const std::string &Text) {
+  std::string Result;
+  for (std::size_t I = 0; I < Text.size(); ++I) {
+    if (Text[I] != '%' || I + 2 >= Text.size()) {
+      Result += Text[I];
+      continue;
+    }
+    Result += static_cast<char>(std::stoi(Text.substr(I + 1, 2), nullptr, 16));
+    I += 2;
+  }
+  return Result;
+}
+
+Json itemJson(const Change &Item) {
+  if (!Item.Value)
+    return {{"key", Item.Key}, {"revision", Item.Revision}, {"removed", true}};
+  return {{"key", Item.Key},
+          {"value", base64(*Item.Value)},
+          {"revision", Item.Revision},
+          {"created", Item.Created},
+          {"lease_id", 0}};
+}
+
+struct Answer {
+  int Status = 200;
+  std::string Body = "{}";
+};
+
+/// The items, their history and the faults.
+class Store {
+public:
+  Faults Present;
+
+  /// The answer to a call, or nothing while a watch has to wait.
+  std::optional<Answer> answer(const std::string &Target,
+                               const std::string &Body, bool LastTry) {
+    const std::string Path = Target.substr(0, Target.find('?'));
+    if (Path == "/fescuewood/kv-key")
+      return item(Target);
+    if (Path == "/fescuewood/kv-range")
+      return range(Target);
+    if (Path == "/fescuewood/kv-watch")
+      return watch(Target, LastTry);
+    if (Path.starts_with("/control/"))
+      return control(Path.substr(9), Target, Body);
+    return Answer{404};
+  }
+
+  void count(const std::string &Path, int Status) {
+    ++Counts[Path + " " + std::to_string(Status)];
+  }
+
+  /// Whether one more call is within the rate.
+  bool withinRate() {
+    const auto Now = SteadyClock::now();
+    while (!Calls.empty() && Now - Calls.front() > std::chrono::seconds(1))
+      Calls.pop_front();
+    Calls.push_back(Now);
+    return FLAGS_reads_per_s == 0 ||
+           Calls.size() <= static_cast<std::size_t>(FLAGS_reads_per_s);
+  }
+
+private:
+  static std::string text(const std::string &Target, const std::string &Name) {
+    return decoded(standins::queryValue(Target, Name).value_or(""));
+  }
+
+  static std::uint64_t number(const std::string &Target,
+                              const std::string &Name) {
+    return std::strtoull(text(Target, Name).c_str(), nullptr, 10);
+  }
+
+  /// The newest revision that a read sees.
+  std::uint64_t seen(const std::string &Target) const {
+    const bool MayBeStale = number(Target, "is_stale") == 1;
+    return MayBeStale && Present.Stale > 0 ? Present.Stale : Revision;
+  }
+
+  /// The items as of a revision.
+  std::map<std::string, Change> itemsAt(std::uint64_t At) const {
+    std::map<std::string, Change> Items;
+    for (const Change &Each : All) {
+      if (Each.Revision > At)
+        break;
+      if (Each.Value)
+        Items[Each.Key] = Each;
+      else
+        Items.erase(Each.Key);
+    }
+    return Items;
+  }
+
+  Answer item(const std::string &Target) const {
+    const std::uint64_t At = seen(Target);
+    const auto Items = itemsAt(At);
+    const auto Found = Items.find(text(Target, "key"));
+    if (Found == Items.end())
+      return {404, Json{{"at", At}}.dump()};
+    Json Whole = itemJson(Found->second);
+    Whole["at"] = At;
+    return {200, Whole.dump()};
+  }
+
+  Answer range(const std::string &Target) const {
+    const std::string Prefix = text(Target, "prefix");
+    const std::string After = text(Target, "after");
+    const std::uint64_t At = seen(Target);
+    Json Items = Json::array();
+    bool More = false;
+    for (const auto &[Key, Each] : itemsAt(At)) {
+      if (!Key.starts_with(Prefix) || (!After.empty() && Key <= After))
+        continue;
+      More = Items.size() >= static_cast<std::size_t>(FLAGS_page_items);
+      if (More)
+        break;
+      Items.push_back(itemJson(Each));
+    }
+    return {200, Json{{"items", Items}, {"has_more", More}, {"at", At}}.dump()};
+  }
+
+  std::optional<Answer> watch(const std::string &Target, bool LastTry) const {
+    const std::uint64_t After = number(Target, "after");
+    if (After < Forgotten || After > Revision)
+      return Answer{410};
+    const std::string Prefix = text(Target, "prefix");
+    Json Events = Json::array();
+    for (const Change &Each : All)
+      if (Each.Revision > After && Each.Key.starts_with(Prefix))
+        Events.push_back(itemJson(Each));
+    if (Events.empty() && !LastTry)
+      return std::nullopt;
+    return Answer{200, Json{{"events", Events}, {"at", Revision}}.dump()};
+  }
+
+  Answer control(const std::string &What, const std::string &Target,
+                 const std::string &Body) {
+    if (What == "put")
+      write(text(Target, "key"), Body);
+    else if (What == "remove")
+      write(text(Target, "key"), std::nullopt);
+    else if (What == "compact")
+      Forgotten = Revision;
+    else if (What == "set")
+      set(Target);
+    return {200, Json{{"at", Revision}, {"calls", Counts}}.dump()};
+  }
+
+  void write(const std::string &Key, std::optional<std::string> Value) {
+    const auto Items = itemsAt(Revision);
+    const auto Old = Items.find(Key);
+    if (!Value && Old == Items.end())
+      return;
+    Change Next{Key, std::move(Value), ++Revision, Revision};
+    if (Old != Items.end())
+      Next.Created = Old->second.Created;
+    All.push_back(std::move(Next));
+  }
+
+  void set(const std::string &Target) {
+    Faults Next;
+    Next.Only = text(Target, "only");
+    Next.Status = static_cast<int>(number(Target, "status"));
+    Next.Reset = number(Target, "reset") != 0;
+    Next.Silent = number(Target, "silent") != 0;
+    Next.Lost = number(Target, "lost") != 0;
+    Next.SlowMs = static_cast<std::int64_t>(number(Target, "slow_ms"));
+    Next.Stale = number(Target, "stale");
+    Present = Next;
+  }
+
+  /// Every change; the history that a watch may ask for is what is not
+  /// forgotten.
+  std::vector<Change> All;
+  std::uint64_t Revision = 1;
+  std::uint64_t Forgotten = 0;
+  std::map<std::string, std::uint64_t> Counts;
+  std::deque<SteadyClock::time_point> Calls;
+};
+
+/// One connection, a call at a time.
+class Session {
+public:
+  Session(Store &Served, standins::Tcp::socket Accepted)
+      : Served(Served), Socket(std::move(Accepted)),
+        Caller(Socket.remote_endpoint().address().to_string()) {}
+
+  asio::awaitable<void> serve() {
+    std::string Buffer;
+    for (;;) {
+      const auto Request = co_await standins::readMessage(Socket, Buffer);
+      const std::string Target = Request.word(1);
+      const bool Stays = Target.starts_with("/control/")
+                             ? co_await reply(Target, Request.Body)
+                             : co_await disturbed(Target);
+      if (!Stays)
+        co_return;
+    }
+  }
+
+private:
+  bool hit() const {
+    return Served.Present.Only.empty() || Served.Present.Only == Caller;
+  }
+
+  /// Answers a call under the present faults; false when the connection ends.
+  asio::awaitable<bool> disturbed(const std::string &Target) {
+    const Faults Now = hit() ? Served.Present : Faults();
+    co_await standins::sleepFor(std::chrono::milliseconds(Now.SlowMs));
+    while (hit() && Served.Present.Silent)
+      co_await standins::sleepFor(LookPeriod);
+    if (Now.Reset || Now.Silent)
+      co_return false;
+    if (Now.Status != 0 || !Served.withinRate()) {
+      co_await write(Target, {Now.Status != 0 ? Now.Status : 429});
+      co_return true;
+    }
+    if (Now.Lost) {
+      Served.answer(Target, "", true);
+      co_return false;
+    }
+    co_return co_await reply(Target, "");
+  }
+
+  asio::awaitable<bool> reply(const std::string &Target,
+                              const std::string &Body) {
+    const auto Wait = std::min<std::int64_t>(
+        std::atoll(
+            standins::queryValue(Target, "wait_ms").value_or("0").c_str()),
+        MaxWaitMs);
+    const auto End = SteadyClock::now() + std::chrono::milliseconds(Wait);
+    for (;;) {
+      const bool LastTry = SteadyClock::now() >= End;
+      if (const auto Found = Served.answer(Target, Body, LastTry)) {
+        co_await write(Target, *Found);
+        co_return true;
+      }
+      co_await standins::sleepFor(LookPeriod);
+    }
+  }
+
+  asio::awaitable<void> write(const std::string &Target, const Answer &A) {
+    Served.count(Target.substr(0, Target.find('?')), A.Status);
+    co_await standins::send(
+        Socket, standins::answerText(
+                    A.Status, "Content-Type: application/json\r\n", A.Body));
+  }
+
+  Store &Served;
+  standins::Tcp::socket Socket;
+  const std::string Caller;
+};
+
+asio::awaitable<void> serve(Store &Served, standins::Tcp::socket Socket) {
+  try {
+    Session Each(Served, std::move(Socket));
+    co_await Each.serve();
+  } catch (const std::exception &) {
+    // The connection has ended.
+  }
+}
+
+asio::awaitable<void> acceptLoop(asio::io_context &Context,
+                                 standins::Tcp::acceptor &Acceptor,
+                                 Store &Served) {
+  for (;;) {
+    auto Socket = co_await Acceptor.async_accept(asio::use_awaitable);
+    asio::co_spawn(Context, serve(Served, std::move(Socket)), asio::detached);
+  }
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  asio::io_context Context;
+  Store Served;
+  standins::Tcp::acceptor Acceptor(Context, standins::endpointOf(FLAGS_listen));
+  asio::co_spawn(Context, acceptLoop(Context, Acceptor, Served),
+                 asio::detached);
+  std::printf("listening %d\n", Acceptor.local_endpoint().port());
+  std::fflush(stdout);
+  Context.run();
+}
--- a/tests/standins/Target.h
+++ b/tests/standins/Target.h
@@ -20,6 +20,15 @@
 
 namespace standins {
 
+/// Fields by which a target that signs its answers speaks of a request; empty
+/// names for one that does not.
+struct TargetFields {
+  std::string RequestId; ///< Sent back; also marks the request.
+  std::string Signature;
+  std::string Meant;  ///< Names the target that a request is for.
+  std::string NotRun; ///< In the answer to a request for another target.
+};
+
 struct TargetOptions {
   Tcp::endpoint Listen;
   int Slots = 6;
@@ -29,6 +38,8 @@
   int RestartMs = 300;     ///< Time for which a crash closes the port.
   bool Spread = false;     ///< Half of the latency is fixed, half is random.
   int FallOverPercent = 0; ///< Of what a cold target bears; more crashes it.
+  TargetFields Fields = {};
+  std::string Id = {}; ///< By which a request names it.
 };
 
 class Target {
@@ -69,6 +80,7 @@
             {"cold_overloads", ColdOverloads},
             {"max_cold_excess", MaxColdExcess},
             {"crashes", Crashes},
+            {"misdirected", Misdirected},
             {"connections", Accepted},
             {"doubled", doubled()}};
   }
@@ -141,9 +153,27 @@
            static_cast<int>((Options.Slots - First) * Age / Options.ColdMs);
   }
 
+  /// Whether a request names another target.
+  bool meantForAnother(const Message &Request) const {
+    const std::string Meant = Request.field(Options.Fields.Meant);
+    return !Meant.empty() && Meant != Options.Id;
+  }
+
+  std::string markOf(const Message &Request) const {
+    return Request.field(Options.Fields.RequestId.empty()
+                             ? "x-request-mark"
+                             : Options.Fields.RequestId);
+  }
+
   asio::awaitable<void> run(Tcp::socket &Socket, const Message &Request) {
+    if (meantForAnother(Request)) {
+      ++Misdirected;
+      co_await send(Socket,
+                    answerText(421, Options.Fields.NotRun + ": 1\r\n", ""));
+      co_return;
+    }
     const int Life = Crashes;
-    const std::string Mark = Request.field("x-request-mark");
+    const std::string Mark = markOf(Request);
     ++Runs[Mark];
     ++Total;
     ++InFlight;
@@ -196,13 +226,17 @@
       MaxColdExcess = std::max(MaxColdExcess, InFlight - Bearable);
   }
 
-  static std::string answer(const Message &Request, const std::string &Mark) {
+  std::string answer(const Message &Request, const std::string &Mark) const {
     std::string Body = "mark=" + Mark + "\n";
     if (const auto Bytes = queryValue(Request.word(1), "bytes"))
       Body.resize(std::max<std::size_t>(Body.size(), std::stoull(*Bytes)), '.');
     if (Request.field("x-test-echo") == "1")
       Body = nlohmann::json(Request.Fields).dump();
-    return answerText(200, std::string(MarkField) + ": " + Mark + "\r\n", Body);
+    std::string Fields = std::string(MarkField) + ": " + Mark + "\r\n";
+    if (!Options.Fields.RequestId.empty())
+      Fields += Options.Fields.RequestId + ": " + Mark + "\r\n" +
+                Options.Fields.Signature + ": signed\r\n";
+    return answerText(200, Fields, Body);
   }
 
   void crash() {
@@ -234,6 +268,7 @@
   int ColdOverloads = 0;
   int MaxColdExcess = 0;
   int Crashes = 0;
+  int Misdirected = 0;
   int Accepted = 0;
   int Stall = 0;
   int CloseNext = 0;
--- a/tests/standins/TargetMain.cpp
+++ b/tests/standins/TargetMain.cpp
@@ -15,6 +15,15 @@
 DEFINE_int32(fall_over_percent, 0,
              "percent of what a cold target bears beyond which it crashes; 0 "
              "for never");
+DEFINE_string(id, "", "by which a request may name this target");
+DEFINE_string(id_field, "",
+              "lower-case name of the field that identifies a "
+              "request; makes the target sign its answers");
+DEFINE_string(signature_field, "", "name of the field that holds a signature");
+DEFINE_string(meant_field, "",
+              "lower-case name of the field that names the "
+              "target which is meant");
+DEFINE_string(not_run_field, "", "name of the field that says so");
 
 int main(int Argc, char **Argv) {
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
@@ -28,6 +37,9 @@
   Options.RestartMs = FLAGS_restart_ms;
   Options.Spread = FLAGS_spread;
   Options.FallOverPercent = FLAGS_fall_over_percent;
+  Options.Fields = {FLAGS_id_field, FLAGS_signature_field, FLAGS_meant_field,
+                    FLAGS_not_run_field};
+  Options.Id = FLAGS_id;
   standins::Target Server(Context, Options);
   standins::Tcp::acceptor Control(Context, standins::endpointOf(FLAGS_control));
   asio::co_spawn(Context,
