--- a/tests/platform/StoreMeshTest.cpp
+++ b/tests/platform/StoreMeshTest.cpp
@@ -181,6 +181,17 @@
   }
 }
 
+// The platform kills what has not ended by itself some seconds after it asked.
+TEST(StoreMesh, EndsByItselfWhenItsTargetHasGone) {
+  StoreMeshInstance &Leaving = Mesh->Instances[0];
+  Mesh->store("remove?key=servers/" + Leaving.Id);
+  Leaving.Target.end();
+
+  Leaving.Node.signal(SIGTERM);
+
+  CHECK(std::optional(0) == Leaving.Node.wait(std::chrono::seconds(30)));
+}
+
 // docs/OPERATIONS.md, "because the node had no proof of a fresh configuration".
 TEST(StoreMesh, ShowsInTheLogThatARequestWasRefusedForWantOfProof) {
   Mesh->store("set?silent=1");
