Refuse a low rank at once while higher ones fill the target

Change: FairQueue counts how often each rank is overtaken between two of its requests and judges arrivals by it; what waits is dropped as soon as the time left is too short; with room and nobody waiting all that is forgotten.

--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -54,7 +54,9 @@
 
 void TargetSide::pump() {
   while (!Down && !Suspended && InFlight < allowed()) {
-    if (Queue.size() == 0 || !Warmup.take(Context.now()))
+    if (Queue.size() == 0)
+      return Queue.onRoom();
+    if (!Warmup.take(Context.now()))
       return;
     const auto Next = Queue.pop(rate(), Context.now());
     if (!Next)
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -82,7 +82,7 @@
   const auto Found = Held.find(Cancel.Id);
   if (Found == Held.end())
     return describe(Cancel.Id, 0);
-  if (Queue.remove(Cancel.Id)) {
+  if (Queue.remove(Cancel.Id, Context.now())) {
     refuse(Cancel.Id, ResultCode::CallerGone);
   } else if (!Found->second.Cancelled) {
     Found->second.Cancelled = true;
@@ -117,7 +117,7 @@
       if (!Call.Running && Withdrawn.contains(Call.Request.KeyMark))
         Revoked.push_back(Id);
     for (const CallId &Id : Revoked) {
-      Queue.remove(Id);
+      Queue.remove(Id, Context.now());
       Context.report(EventId::WaitingCallRevoked, {{"call", Id.text()}});
       refuse(Id, ResultCode::KeyWithdrawn);
     }
@@ -173,7 +173,7 @@
 
 void TargetSide::tick() {
   const TimeMs Now = Context.now();
-  Queue.expire(Now);
+  Queue.expire(rate(), Now);
   Ledger.expire(Now);
   if (Now >= NextGuardExpiry) {
     Context.Guard.expire(Now);
@@ -322,7 +322,7 @@
     if (!Call.Running)
       Queued.push_back(Id);
   for (const CallId &Id : Queued) {
-    Queue.remove(Id);
+    Queue.remove(Id, Context.now());
     refuse(Id, Reason);
   }
 }
--- a/src/policy/FairQueue.cpp
+++ b/src/policy/FairQueue.cpp
@@ -1,6 +1,7 @@
 #include "policy/FairQueue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -12,6 +13,17 @@
 /// one that is started later mostly ends in a timeout and wastes its slot.
 constexpr double LeastLatencyShare = 1.5;
 
+/// Span in which what was learnt of a rank's chances loses half of its weight:
+/// a burst is over within a few such spans.
+constexpr double LearntHalfLifeMs = 1000;
+
+/// A request that left unserved counts as overtaken so many times as often as
+/// it saw.
+constexpr double UnservedFactor = 2;
+
+/// Below this, a rank is as good as never overtaken.
+constexpr double FewOvertakes = 0.5;
+
 /// Time that must be left when a request is started.
 DurationMs leastTime(const QueuedCall &Call, const ServiceRate &Rate) {
   // An idle target is tried whatever its last answers took.
@@ -56,7 +68,7 @@
     const bool WaitingTurn = UrgentInARow + 1 >= Settings.WaitingShare;
     const bool FromWaiting = sizeOf(Class::Urgent) == 0 ||
                              (WaitingTurn && sizeOf(Class::Waiting) > 0);
-    auto Next = popClass(FromWaiting ? Class::Waiting : Class::Urgent);
+    auto Next = popClass(FromWaiting ? Class::Waiting : Class::Urgent, Now);
     if (!Next)
       return std::nullopt;
     forget(*Next);
@@ -70,7 +82,7 @@
   return std::nullopt;
 }
 
-bool FairQueue::remove(const CallId &Id) {
+bool FairQueue::remove(const CallId &Id, TimeMs Now) {
   const auto Found = Index.find(Id);
   if (Found == Index.end())
     return false;
@@ -82,28 +94,66 @@
   const QueuedCall Call = std::move(At->Call);
   Own.Waiters.erase(At);
   --From.Size;
+  learnUnserved(From, Now);
   forget(Call);
   return true;
 }
 
-void FairQueue::expire(TimeMs Now) {
+void FairQueue::expire(const ServiceRate &Rate, TimeMs Now) {
   std::vector<CallId> Late;
   for (auto &[Which, From] : Lanes) {
     for (const auto &[Name, Own] : From.Backlogs)
       for (const Waiter &W : Own.Waiters)
-        if (W.Call.Deadline <= Now)
+        if (W.Call.Deadline <= Now + leastTime(W.Call, Rate))
           Late.push_back(W.Call.Id);
     prune(From);
   }
   for (const CallId &Id : Late) {
-    remove(Id);
+    remove(Id, Now);
     OnExpiry(Id);
   }
-  std::erase_if(Lanes, [](const auto &Item) {
-    return Item.second.Size == 0 && Item.second.Backlogs.empty();
+  std::erase_if(Lanes, [Now](const auto &Item) {
+    const Lane &Each = Item.second;
+    return Each.Size == 0 && Each.Backlogs.empty() &&
+           overtakes(Each, Now) < FewOvertakes;
   });
 }
 
+double FairQueue::usuallyOvertaken(const Lane &Of, TimeMs Now) {
+  const double Age = static_cast<double>((Now - Of.LearntAt).Value);
+  return Of.UsuallyOvertaken * std::exp2(-Age / LearntHalfLifeMs);
+}
+
+/// How many of higher ranks go before each request of a lane: what is usual, or
+/// more where the one that waits now has seen more.
+double FairQueue::overtakes(const Lane &Of, TimeMs Now) {
+  const double Usual = usuallyOvertaken(Of, Now);
+  return std::max(Usual, (Usual + Of.Overtaken) / 2);
+}
+
+void FairQueue::learnServed(Lane &Of, TimeMs Now) {
+  Of.UsuallyOvertaken = (usuallyOvertaken(Of, Now) + Of.Overtaken) / 2;
+  Of.Overtaken = 0;
+  Of.LearntAt = Now;
+}
+
+/// A request left a lane without being served: its like would have to wait
+/// longer than it did, nobody knows how much.
+void FairQueue::learnUnserved(Lane &Of, TimeMs Now) {
+  Of.UsuallyOvertaken =
+      std::max(usuallyOvertaken(Of, Now), UnservedFactor * Of.Overtaken);
+  Of.LearntAt = Now;
+  if (Of.Size == 0)
+    Of.Overtaken = 0;
+}
+
+void FairQueue::onRoom() {
+  for (auto &[Id, Each] : Lanes) {
+    Each.Overtaken = 0;
+    Each.UsuallyOvertaken = 0;
+  }
+}
+
 FairQueue::LaneId FairQueue::laneOf(const QueuedCall &Call) {
   return {Call.CanWait ? Class::Waiting : Class::Urgent, Call.Priority};
 }
@@ -117,11 +167,19 @@
 }
 
 /// Takes the next request of a class, of the highest rank that waits.
-std::optional<QueuedCall> FairQueue::popClass(Class Which) {
-  for (auto &[Id, Each] : Lanes)
-    if (Id.Which == Which && Each.Size > 0)
-      return popFrom(Each);
-  return std::nullopt;
+std::optional<QueuedCall> FairQueue::popClass(Class Which, TimeMs Now) {
+  std::optional<QueuedCall> Next;
+  for (auto &[Id, Each] : Lanes) {
+    if (Id.Which != Which || Each.Size == 0)
+      continue;
+    if (Next) {
+      ++Each.Overtaken;
+      continue;
+    }
+    Next = popFrom(Each);
+    learnServed(Each, Now);
+  }
+  return Next;
 }
 
 bool FairQueue::refuse(ResultCode Reason) {
@@ -157,11 +215,14 @@
       Weights += Own.Weight;
   }
   // Its own organisation's requests go before it, each with a turn of every
-  // other; what waits in total bounds that from above.
-  const double Turns = static_cast<double>(Before) +
-                       std::min(static_cast<double>(Ahead + 1) *
-                                    static_cast<double>(Weights) / Call.Weight,
-                                static_cast<double>(Into.Size + 1));
+  // other; what waits in total bounds that from above. Before each of them go
+  // those of higher ranks that will come meanwhile.
+  const double OwnTurns =
+      std::min(static_cast<double>(Ahead + 1) * static_cast<double>(Weights) /
+                   Call.Weight,
+               static_cast<double>(Into.Size + 1));
+  const double Turns =
+      static_cast<double>(Before) + OwnTurns * (1 + overtakes(Into, Now));
   const double Rounds = Turns / std::max(1U, Rate.Limit);
   const double Wait = Rounds * static_cast<double>(Rate.Latency.Value);
   return Now + DurationMs(static_cast<std::int64_t>(Wait)) +
--- a/src/policy/FairQueue.h
+++ b/src/policy/FairQueue.h
@@ -11,6 +11,11 @@
 /// either, requests of a higher rank go first, and fairness holds within a
 /// rank.
 ///
+/// Load that this answers: requests of high ranks that fill the target without
+/// end. A lower rank is then served late or never, whatever the target's rate
+/// promises; how often it is overtaken is counted, and what cannot be in time
+/// so is refused on arrival instead of being held until its deadline.
+///
 /// Memory is bounded. An organisation may hold at most as much as is still
 /// free (Choudhury and Hahne, 1998), so one alone never fills the queue.
 
@@ -75,10 +80,14 @@
   std::optional<CallId> pop(const ServiceRate &Rate, TimeMs Now);
 
   /// Takes a request out. Returns false when it does not wait here.
-  bool remove(const CallId &Id);
+  bool remove(const CallId &Id, TimeMs Now);
+
+  /// Drops what cannot be answered in time any more, through the hook.
+  void expire(const ServiceRate &Rate, TimeMs Now);
 
-  /// Drops what is too late, through the hook.
-  void expire(TimeMs Now);
+  /// Says that the target could take another request and none waits: no rank is
+  /// overtaken any more.
+  void onRoom();
 
   std::size_t size() const { return Index.size(); }
   std::size_t bytes() const { return Bytes; }
@@ -105,6 +114,9 @@
     std::map<std::string, Backlog, std::less<>> Backlogs;
     double VirtualTime = 0;
     std::size_t Size = 0;
+    std::uint32_t Overtaken = 0; ///< Since one here was served, or came first.
+    double UsuallyOvertaken = 0; ///< For each one served here, lately.
+    TimeMs LearntAt;
   };
 
   /// Lanes are served in this order: within a class the smaller number first.
@@ -122,7 +134,11 @@
 
   static LaneId laneOf(const QueuedCall &Call);
   std::size_t sizeOf(Class Which) const;
-  std::optional<QueuedCall> popClass(Class Which);
+  std::optional<QueuedCall> popClass(Class Which, TimeMs Now);
+  static double usuallyOvertaken(const Lane &Of, TimeMs Now);
+  static double overtakes(const Lane &Of, TimeMs Now);
+  static void learnServed(Lane &Of, TimeMs Now);
+  static void learnUnserved(Lane &Of, TimeMs Now);
   bool refuse(ResultCode Reason);
   bool hasRoom(const QueuedCall &Call) const;
   bool comesTooLate(const QueuedCall &Call, const ServiceRate &Rate,
--- a/tests/policy/FairQueueTest.cpp
+++ b/tests/policy/FairQueueTest.cpp
@@ -86,10 +86,10 @@
           RC_ASSERT(Held.erase(*Id) == 1U);
       } else if (What == 3 && !Held.empty()) {
         const CallId Id = *Held.begin();
-        RC_ASSERT(Queue.remove(Id));
+        RC_ASSERT(Queue.remove(Id, Now));
         Held.erase(Id);
       } else {
-        Queue.expire(Now);
+        Queue.expire(Rate, Now);
       }
       RC_ASSERT(Queue.size() == Held.size());
       RC_ASSERT(Queue.bytes() <= Settings.MaxBytes);
@@ -178,3 +178,108 @@
   CHECK_FALSE(Queue.pop(Rate, TimeMs(0))->Sequence == 1);
   LONGS_EQUAL(1, Queue.pop(Rate, TimeMs(0))->Sequence);
 }
+
+// What cannot be answered any more is told so while its caller still listens.
+TEST(FairQueue, DropsWhatWaitsOnceTheTimeLeftIsTooShort) {
+  const ServiceRate Busy{1, DurationMs(100)};
+  QueuedCall Each = call(1, "a");
+  Each.Cost = DurationMs(100);
+  Each.Deadline = TimeMs(1000);
+  Queue.push(Each, Busy, TimeMs(0));
+
+  Queue.expire(Busy, TimeMs(849));
+  LONGS_EQUAL(0, Expired.size());
+  Queue.expire(Busy, TimeMs(850));
+
+  LONGS_EQUAL(1, Expired.size());
+}
+
+namespace {
+
+/// A target that serves one request in 10 ms, and requests of two ranks whose
+/// callers wait 300 ms: the higher rank alone can fill it.
+class TwoRanks {
+public:
+  /// Plays a span, with requests of the higher rank or without.
+  void play(DurationMs Span, bool HighComes) {
+    for (const TimeMs End = Now + Span; Now < End; Now = Now + Step) {
+      Queue.expire(Busy, Now);
+      if (HighComes)
+        add(1);
+      if (Now.Value % 50 == 0)
+        add(2);
+      if (const auto Next = Queue.pop(Busy, Now))
+        served(*Next);
+      else
+        Queue.onRoom();
+    }
+  }
+
+  int LowServed = 0;
+  int LowOffered = 0;
+  std::int64_t LowHeldInVainMs = 0;
+
+private:
+  void add(std::uint16_t Priority) {
+    QueuedCall Each = call(++Last, "a");
+    Each.Priority = Priority;
+    Each.Cost = Step;
+    Each.Deadline = Now + DurationMs(300);
+    if (Priority == 2) {
+      ++LowOffered;
+      Arrived[Each.Id] = Now;
+    }
+    Queue.push(Each, Busy, Now);
+  }
+
+  void served(const CallId &Id) { LowServed += Arrived.count(Id) > 0 ? 1 : 0; }
+
+  void expired(const CallId &Id) {
+    if (const auto Found = Arrived.find(Id); Found != Arrived.end())
+      LowHeldInVainMs += (Now - Found->second).Value;
+  }
+
+  static constexpr DurationMs Step{10};
+  static constexpr ServiceRate Busy{1, Step};
+  TimeMs Now{0};
+  std::uint64_t Last = 0;
+  std::map<CallId, TimeMs> Arrived;
+  FairQueue Queue{{}, [this](const CallId &Id) { expired(Id); }};
+};
+
+} // namespace
+
+// The load of the heaviest days: the callers of a low rank learn at once that
+// there is no room for them, and not when their time is over.
+TEST(FairQueue, RefusesALowRankAtOnceWhileHigherOnesFillTheTarget) {
+  TwoRanks Load;
+
+  Load.play(DurationMs(10'000), true);
+
+  const std::int64_t AllTheirTime = Load.LowOffered * 300;
+  CHECK(Load.LowHeldInVainMs * 10 < AllTheirTime);
+}
+
+// Refusing must not outlive the load that it answers.
+TEST(FairQueue, ServesALowRankAgainAsSoonAsThereIsRoom) {
+  TwoRanks Load;
+  Load.play(DurationMs(10'000), true);
+  Load.LowServed = 0;
+  Load.LowOffered = 0;
+
+  Load.play(DurationMs(1000), false);
+
+  CHECK(Load.LowServed * 10 >= Load.LowOffered * 9);
+}
+
+// Half of the room is enough for all of a low rank, however it is overtaken.
+TEST(FairQueue, ServesALowRankThatHasRoomBetweenHigherOnes) {
+  TwoRanks Load;
+
+  for (int I = 0; I < 200; ++I) {
+    Load.play(DurationMs(100), true);
+    Load.play(DurationMs(100), false);
+  }
+
+  CHECK(Load.LowServed * 10 >= Load.LowOffered * 9);
+}
