--- a/src/callers/RequestLines.cpp
+++ b/src/callers/RequestLines.cpp
@@ -135,29 +135,31 @@
     At = State::EmptyLineFeed;
     return;
   }
-  Blanks = 0;
-  Last = 0;
-  At = FirstLine ? State::RequestLine : State::FieldName;
-  const bool StartsFirst = std::exchange(FirstLine, false);
-  // A blank here would fold the line into the one before. A colon would name a
-  // field of no name.
-  if (StartsFirst)
+  if (std::exchange(FirstLine, false)) {
+    Blanks = 0;
+    Last = ' ';
+    At = State::RequestLine;
     takeRequestLine(Byte);
-  else if (isTokenByte(Byte))
-    takeFieldName(Byte);
-  else
-    At = State::Wrong;
+    return;
+  }
+  // A blank here would fold the line into the one before; a colon would end a
+  // name of no length.
+  At = isTokenByte(Byte) ? State::FieldName : State::Wrong;
 }
 
+/// Words of a request line are parted by one blank each.
 void RequestLines::takeRequestLine(unsigned char Byte) {
-  if (Byte == Return)
-    At = Blanks == RequestLineBlanks && Last != ' ' ? State::LineFeed
-                                                    : State::Wrong;
-  else if (Byte == ' ' && (Last == 0 || Last == ' ' || ++Blanks > 2))
-    At = State::Wrong;
-  else if (Byte < ' ' || Byte == 0x7f)
+  const unsigned char Before = std::exchange(Last, Byte);
+  if (Byte == Return) {
+    const bool Whole = Blanks == RequestLineBlanks && Before != ' ';
+    At = Whole ? State::LineFeed : State::Wrong;
+    return;
+  }
+  const bool Parts =
+      Byte == ' ' && Before != ' ' && ++Blanks <= RequestLineBlanks;
+  const bool InWord = Byte > ' ' && Byte != 0x7f;
+  if (!Parts && !InWord)
     At = State::Wrong;
-  Last = Byte;
 }
 
 void RequestLines::takeFieldName(unsigned char Byte) {
--- a/src/policy/FairQueue.cpp
+++ b/src/policy/FairQueue.cpp
@@ -61,6 +61,13 @@
   return true;
 }
 
+/// Whether a request that waits is not worth a slot any more.
+bool FairQueue::tooLate(const QueuedCall &Call, const ServiceRate &Rate,
+                        TimeMs Now) const {
+  return Call.Deadline <= Now + leastTime(Call, Rate) ||
+         tooLateToBeGood(Call, Now, Now);
+}
+
 bool FairQueue::comesInTime(const QueuedCall &Call, const ServiceRate &Rate,
                             TimeMs Now) {
   const TimeMs Start = Now + expectedWait(Call, Rate, Now);
@@ -96,8 +103,7 @@
       return std::nullopt;
     forget(*Next);
     learnStart(*Next, Now);
-    if (Next->Deadline <= Now + leastTime(*Next, Rate) ||
-        tooLateToBeGood(*Next, Now, Now)) {
+    if (tooLate(*Next, Rate, Now)) {
       OnExpiry(Next->Id);
       continue;
     }
@@ -129,8 +135,7 @@
   for (auto &[Which, From] : Lanes) {
     for (const auto &[Name, Own] : From.Backlogs)
       for (const Waiter &W : Own.Waiters)
-        if (W.Call.Deadline <= Now + leastTime(W.Call, Rate) ||
-            tooLateToBeGood(W.Call, Now, Now))
+        if (tooLate(W.Call, Rate, Now))
           Late.push_back(W.Call.Id);
     prune(From);
   }
--- a/src/policy/FairQueue.h
+++ b/src/policy/FairQueue.h
@@ -150,6 +150,8 @@
   static void learnUnserved(Lane &Of, TimeMs Now);
   bool refuse(ResultCode Reason);
   bool hasRoom(const QueuedCall &Call) const;
+  bool tooLate(const QueuedCall &Call, const ServiceRate &Rate,
+               TimeMs Now) const;
   bool comesInTime(const QueuedCall &Call, const ServiceRate &Rate, TimeMs Now);
   void add(QueuedCall Call);
   DurationMs expectedWait(const QueuedCall &Call, const ServiceRate &Rate,
--- a/tests/platform/StoreMeshTest.cpp
+++ b/tests/platform/StoreMeshTest.cpp
@@ -236,22 +236,20 @@
 TEST(StoreMesh, ShowsInTheLogThatATargetHadNoRoomInTime) {
   Mesh->target(ledger(), "set?latency_ms=400");
   // What the node has measured of its target must be recent.
+  const StoreMeshRequest Before{
+      .Id = "before", .Path = "/book/a", .Key = "key-one", .Method = "POST"};
   for (int I = 0; I < 5; ++I)
-    LONGS_EQUAL(200, Mesh->send(east(), {.Id = "before",
-                                         .Path = "/book/a",
-                                         .Key = "key-one",
-                                         .Method = "POST"})
-                         .status());
+    LONGS_EQUAL(200, Mesh->send(east(), Before).status());
   std::vector<std::thread> Callers;
   std::vector<Message> Answers(24);
-  for (std::size_t I = 0; I < Answers.size(); ++I)
-    Callers.emplace_back([&, I] {
-      Answers[I] = Mesh->send(east(), {.Id = "load-" + std::to_string(I),
-                                       .Path = "/book/a",
-                                       .Key = "key-one",
-                                       .Method = "POST",
-                                       .TimeLeftMs = 700});
+  for (std::size_t I = 0; I < Answers.size(); ++I) {
+    StoreMeshRequest Request = Before;
+    Request.Id = "load-" + std::to_string(I);
+    Request.TimeLeftMs = 700;
+    Callers.emplace_back([this, &Answer = Answers[I], Request] {
+      Answer = Mesh->send(east(), Request);
     });
+  }
   for (std::thread &Each : Callers)
     Each.join();
 
--- a/tests/standins/StoreMain.cpp
+++ b/tests/standins/StoreMain.cpp
@@ -276,8 +276,9 @@
   asio::awaitable<bool> disturbed(const std::string &Target) {
     const Faults Now = hit() ? Served.Present : Faults();
     co_await standins::sleepFor(std::chrono::milliseconds(Now.SlowMs));
-    while (hit() && Served.Present.Silent)
+    while (hit() && Served.Present.Silent) {
       co_await standins::sleepFor(LookPeriod);
+    }
     if (Now.Reset || Now.Silent)
       co_return false;
     if (Now.Status != 0 || !Served.withinRate()) {
