Log an answer that was not written, and one that was kept as the best

Cause: a connection that ended before a ready answer was written left no line, so an engineer could not tell it from an answer that was never made; and a caller that got its first target's failure, kept while others were tried, had a line CallRefused of another reason, although it was answered.

Change: event 1512 AnswerNotWritten with the request's id; a kept answer is logged as CallAnswered with its own status. Test: CallerServerTest.

--- a/src/callers/CallerServerCore.cpp
+++ b/src/callers/CallerServerCore.cpp
@@ -59,6 +59,12 @@
   return Request;
 }
 
+/// What the caller calls its request; empty when it does not say.
+std::string idOf(const CallerRequest &Request, const HeaderScheme &Scheme) {
+  const std::string *Id = findField(Request.Headers, Scheme.RequestId);
+  return Id ? *Id : "";
+}
+
 /// Whether HTTP allows a body after this status line.
 bool hasContent(const std::string &Method, int Status) {
   constexpr int NoContent = 204;
@@ -158,8 +164,9 @@
 CallerServerCore::take(const restinio::request_handle_t &Handle) {
   const std::uint64_t Number = ++LastNumber;
   CallerRequest Request = convert(Number, Options.Scheme, Handle);
-  Pending[Number] = {Handle, Handle->connection_id(), Handle->remote_endpoint(),
-                     Request.Method, Request.Body.size()};
+  Pending[Number] = {
+      Handle,         Handle->connection_id(),       Handle->remote_endpoint(),
+      Request.Method, idOf(Request, Options.Scheme), Request.Body.size()};
   asio::use_service<ConnectionRegistry>(Context).bodies().add(
       Request.Body.size());
   ++Unanswered;
@@ -231,6 +238,8 @@
       Gone.push_back(Number);
   for (std::uint64_t Number : Gone) {
     const bool Answered = !Pending.at(Number).Handle;
+    if (Answered)
+      reportUnwritten(Pending.at(Number));
     forget(Number);
     if (!Answered && OnGone)
       OnGone(Number);
@@ -259,6 +268,11 @@
   asio::use_service<ConnectionRegistry>(Context).answerWritten(Caller);
 }
 
+void CallerServerCore::reportUnwritten(const PendingRequest &Request) {
+  if (OnEvent)
+    OnEvent({EventId::AnswerNotWritten, {{"request", Request.Id}}});
+}
+
 void CallerServerCore::reportRefusal(ResultCode Reason) {
   if (OnEvent)
     OnEvent(
--- a/src/callers/CallerServerCore.h
+++ b/src/callers/CallerServerCore.h
@@ -87,6 +87,7 @@
     restinio::connection_id_t Connection = 0;
     asio::ip::tcp::endpoint Caller;
     std::string Method;
+    std::string Id;            ///< As the caller calls it.
     std::size_t BodyBytes = 0; ///< Counted as held; 0 once answered.
   };
 
@@ -104,6 +105,7 @@
   bool busy(const asio::ip::tcp::endpoint &Caller) const;
   void releaseBody(PendingRequest &Request);
   void forget(std::uint64_t Number);
+  void reportUnwritten(const PendingRequest &Request);
   void reportRefusal(ResultCode Reason);
   void closeAcceptor();
   void closeIdleAfterGrace();
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -251,14 +251,19 @@
 
 void EntrySide::refuse(CallHandle Handle, EntryCall &Call, ResultCode Reason,
                        Outcome Ran) {
+  if (Call.Fallback && Reason != ResultCode::CallerGone) {
+    // No other target did better; the caller gets what the first one said.
+    reportAnswer(Call, *Call.Fallback);
+    finish(Handle, Call, std::move(*Call.Fallback));
+    return;
+  }
   Context.report(
       EventId::CallRefused,
       {{"request", requestIdOf(Call.Request, Context.Self.Scheme)},
        {"organisation", Call.Request.Organisation},
        {"route", Call.Request.Route},
        {"service", Call.Request.Service},
-       {"target", Call.Present ? Call.Present->Target
-                               : (Call.Tried.empty() ? "" : Call.Tried.back())},
+       {"target", lastTarget(Call)},
        {"attempts", std::to_string(Call.Attempts)},
        {"held_ms", std::to_string((Context.now() - Call.Submitted).Value)},
        {"remaining_ms", std::to_string((Call.Deadline - Context.now()).Value)},
@@ -266,10 +271,6 @@
        {"outcome", std::string(outcomeName(Ran))}});
   if (!Call.Request.Organisation.empty())
     ++Context.Figures.RefusedByOrganisation[Call.Request.Organisation];
-  if (Call.Fallback && Reason != ResultCode::CallerGone) {
-    finish(Handle, Call, std::move(*Call.Fallback));
-    return;
-  }
   CallAnswer Answer = refusal(statusOf(Reason, Ran), Reason, Ran);
   if (Ran == Outcome::NotRun && Answer.Status == ServiceUnavailable)
     Answer.Headers.push_back(
@@ -277,6 +278,13 @@
   finish(Handle, Call, std::move(Answer));
 }
 
+/// The target that a call is or was given to; empty when there was none.
+std::string EntrySide::lastTarget(const EntryCall &Call) {
+  if (Call.Present)
+    return Call.Present->Target;
+  return Call.Tried.empty() ? "" : Call.Tried.back();
+}
+
 /// When a refused caller may try again: when its last target expects room, and
 /// at different times, so that those refused together do not return together.
 DurationMs EntrySide::comeBack(const EntryCall &Call) {
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -176,6 +176,7 @@
   void giveUp(CallHandle Handle, EntryCall &Call);
   void refuse(CallHandle Handle, EntryCall &Call, ResultCode Reason,
               Outcome Ran);
+  static std::string lastTarget(const EntryCall &Call);
   DurationMs comeBack(const EntryCall &Call);
   void reportAnswer(const EntryCall &Call, const CallAnswer &Answer) const;
   void finish(CallHandle Handle, EntryCall &Call, CallAnswer Answer);
--- a/tests/callers/CallerServerTest.cpp
+++ b/tests/callers/CallerServerTest.cpp
@@ -95,6 +95,7 @@
   std::mutex Mutex;
   std::vector<std::pair<CallerRequest, AnswerHook>> Held;
   std::vector<std::uint64_t> Gone;
+  std::vector<Event> Events;
   bool Hold = false;
   CallerServer Server{options(),
                       [this](CallerRequest Request, const AnswerHook &Answer) {
@@ -104,7 +105,10 @@
                         std::lock_guard<std::mutex> Lock(Mutex);
                         Gone.push_back(Number);
                       },
-                      {}};
+                      [this](const Event &Value) {
+                        std::lock_guard<std::mutex> Lock(Mutex);
+                        Events.push_back(Value);
+                      }};
 
   static CallerServerOptions options() {
     CallerServerOptions Options;
@@ -311,6 +315,25 @@
   CHECK((std::vector<std::uint64_t>{Held[0].first.Number}) == Gone);
 }
 
+// Whoever asks later why an answer never came finds it in the log.
+TEST(CallerServer, SaysThatAnAnswerWasNotWritten) {
+  Hold = true;
+  Caller Client(Server.port());
+  Client.send("GET /a HTTP/1.1\r\nHost: mesh\r\nX-Request-Id: r1\r\n\r\n");
+  CHECK(eventually([&] { return held() == 1; }));
+
+  // More than the systems between hold, so that some is left to write.
+  Held[0].second(answerWith(std::string(64 << 20, 'a')));
+  Client.receive(true);
+  Client.close();
+
+  CHECK(eventually([&] { return Server.unanswered() == 0; }));
+  std::lock_guard<std::mutex> Lock(Mutex);
+  LONGS_EQUAL(1, Events.size());
+  CHECK(EventId::AnswerNotWritten == Events[0].Id);
+  STRCMP_EQUAL("r1", Events[0].Fields[0].Value.c_str());
+}
+
 // Room for one of the large bodies: the others stay in their callers' systems,
 // and nobody is turned away.
 TEST(CallerServer, HoldsBackLargeBodiesUntilThereIsRoomForThem) {
