Refuse a request soon for which there is no target at all

Change: a call that found no target in a third of its time is refused, not run, with a time to come back. Callers return within a third of what is left, so the rest of their time stays covered. Calls that can wait go on waiting.

Test: CallCoreTest, fails before (no answer in half of the time).

--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+/// A call waits one part in so many of its time for a first target. Callers
+/// come back within a third of what they have left, so the rest is theirs.
+constexpr std::int64_t VainWaitDivisor = 3;
+
 RouterSettings routerOf(const CallSettings &Settings) {
   RouterSettings Result;
   Result.PickAtRandom = Settings.Routing == RoutingMode::Random;
@@ -186,7 +190,7 @@
   // A refusal that another round would only repeat is passed on at once.
   const bool Hopeless = !Call.Request.CanWait &&
                         Call.LastRefusal == ResultCode::DeadlineUnreachable;
-  if (TriedEnough || Hopeless) {
+  if (TriedEnough || Hopeless || waitedInVain(Call)) {
     refuse(Handle, Call, Call.LastRefusal, unrun(Call));
     return;
   }
@@ -202,6 +206,15 @@
   schedule(Handle, Call, Next);
 }
 
+/// Whether a call has found no target at all for so long that its caller does
+/// better to come back in the time that is left.
+bool EntrySide::waitedInVain(const EntryCall &Call) const {
+  const DurationMs Whole = Call.Deadline - Call.Submitted;
+  return !Call.Request.CanWait && Call.Attempts == 0 &&
+         Context.now() - Call.Submitted >=
+             DurationMs(Whole.Value / VainWaitDivisor);
+}
+
 bool EntrySide::mayMove(EntryCall &Call, bool Costs) {
   // A call that can wait is paced by its pauses instead.
   if (Call.Request.CanWait)
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -169,6 +169,7 @@
   /// Whether the node of an attempt that is left may still work on it.
   enum class Leaving : std::uint8_t { Settled, Unsettled };
 
+  bool waitedInVain(const EntryCall &Call) const;
   bool mayMove(EntryCall &Call, bool Costs);
   void move(CallHandle Handle, EntryCall &Call, std::string_view Why,
             Leaving Left);
--- a/tests/calls/CallCoreTest.cpp
+++ b/tests/calls/CallCoreTest.cpp
@@ -179,6 +179,24 @@
   DOUBLES_EQUAL(1.0, shareOk(*Mesh), 0);
 }
 
+// Known not to be served, a request is refused while its caller can still come
+// back: a target may be there by then.
+TEST(CallCore, TellsACallerInTimeThatThereIsNoTarget) {
+  auto Mesh = smallMesh(6, {}, {});
+  CallRequest Request = requestOf("tag", false);
+  Request.Service = "unserved";
+  const std::int64_t TimeUs = Request.Remaining.Value * 1000;
+
+  Mesh->submit(0, Request);
+  Mesh->runFor(TimeUs / 2);
+
+  const FakeCall &Call = Mesh->Calls[0];
+  LONGS_EQUAL(1, Call.Answers);
+  LONGS_EQUAL(503, Call.Answer.Status);
+  CHECK(ResultCode::NoTargetAvailable == Call.Answer.Reason);
+  CHECK(Outcome::NotRun == Call.Answer.Ran);
+}
+
 TEST(CallCore, GracefulShutdownCutsNoRequest) {
   auto Mesh = smallMesh(5, {}, {});
 
