--- a/tests/standins/StoreMain.cpp
+++ b/tests/standins/StoreMain.cpp
@@ -259,9 +259,11 @@
     for (;;) {
       const auto Request = co_await standins::readMessage(Socket, Buffer);
       const std::string Target = Request.word(1);
-      const bool Stays = Target.starts_with("/control/")
-                             ? co_await reply(Target, Request.Body)
-                             : co_await disturbed(Target);
+      if (Target.starts_with("/control/")) {
+        co_await reply(Target, Request.Body);
+        continue;
+      }
+      const bool Stays = co_await disturbed(Target);
       if (!Stays)
         co_return;
     }
@@ -272,6 +274,9 @@
     return Served.Present.Only.empty() || Served.Present.Only == Caller;
   }
 
+  // g++ 12 frees temporaries of a co_await expression wrongly, so what is
+  // passed on has a name.
+
   /// Answers a call under the present faults; false when the connection ends.
   asio::awaitable<bool> disturbed(const std::string &Target) {
     const Faults Now = hit() ? Served.Present : Faults();
@@ -282,17 +287,20 @@
     if (Now.Reset || Now.Silent)
       co_return false;
     if (Now.Status != 0 || !Served.withinRate()) {
-      co_await write(Target, {Now.Status != 0 ? Now.Status : 429});
+      const Answer Refusal{Now.Status != 0 ? Now.Status : 429};
+      co_await write(Target, Refusal);
       co_return true;
     }
     if (Now.Lost) {
       Served.answer(Target, "", true);
       co_return false;
     }
-    co_return co_await reply(Target, "");
+    const std::string NoBody;
+    co_await reply(Target, NoBody);
+    co_return true;
   }
 
-  asio::awaitable<bool> reply(const std::string &Target,
+  asio::awaitable<void> reply(const std::string &Target,
                               const std::string &Body) {
     const auto Wait = std::min<std::int64_t>(
         std::atoll(
@@ -303,7 +311,7 @@
       const bool LastTry = SteadyClock::now() >= End;
       if (const auto Found = Served.answer(Target, Body, LastTry)) {
         co_await write(Target, *Found);
-        co_return true;
+        co_return;
       }
       co_await standins::sleepFor(LookPeriod);
     }
@@ -311,9 +319,9 @@
 
   asio::awaitable<void> write(const std::string &Target, const Answer &A) {
     Served.count(Target.substr(0, Target.find('?')), A.Status);
-    co_await standins::send(
-        Socket, standins::answerText(
-                    A.Status, "Content-Type: application/json\r\n", A.Body));
+    const std::string Text = standins::answerText(
+        A.Status, "Content-Type: application/json\r\n", A.Body);
+    co_await asio::async_write(Socket, asio::buffer(Text), asio::use_awaitable);
   }
 
   Store &Served;
--- a/tests/standins/Target.h
+++ b/tests/standins/Target.h
@@ -168,8 +168,8 @@
   asio::awaitable<void> run(Tcp::socket &Socket, const Message &Request) {
     if (meantForAnother(Request)) {
       ++Misdirected;
-      co_await send(Socket,
-                    answerText(421, Options.Fields.NotRun + ": 1\r\n", ""));
+      std::string Text = answerText(421, Options.Fields.NotRun + ": 1\r\n", "");
+      co_await send(Socket, std::move(Text));
       co_return;
     }
     const int Life = Crashes;
