Wait in tests by one loop, and play load on a target by one

Five tests and fixtures had the same waiting loop, StoreMeshFixture among them; comesTrue in support/Await.h serves all. FairQueueTest's two loads had the same loop over a busy target; BusyTarget plays both. Every assertion is as it was.

--- a/tests/callers/CallerServerTest.cpp
+++ b/tests/callers/CallerServerTest.cpp
@@ -2,6 +2,7 @@
 
 #include "callers/HeaderFields.h"
 #include "standins/Http.h"
+#include "support/Await.h"
 
 #include <deque>
 #include <future>
@@ -80,13 +81,7 @@
 }
 
 bool eventually(const std::function<bool()> &Condition) {
-  const auto End = std::chrono::steady_clock::now() + Patience;
-  while (!Condition()) {
-    if (std::chrono::steady_clock::now() > End)
-      return false;
-    std::this_thread::sleep_for(std::chrono::milliseconds(2));
-  }
-  return true;
+  return comesTrue(Condition, Patience, std::chrono::milliseconds(2));
 }
 
 } // namespace
--- a/tests/calls/CallEngineTest.cpp
+++ b/tests/calls/CallEngineTest.cpp
@@ -1,5 +1,7 @@
 #include "calls/CallEngine.h"
 
+#include "support/Await.h"
+
 #include <atomic>
 #include <chrono>
 #include <deque>
@@ -18,13 +20,7 @@
 constexpr std::chrono::seconds Patience(30);
 
 bool waitFor(const std::function<bool()> &Condition) {
-  const auto End = std::chrono::steady_clock::now() + Patience;
-  while (!Condition()) {
-    if (std::chrono::steady_clock::now() > End)
-      return false;
-    std::this_thread::sleep_for(std::chrono::milliseconds(1));
-  }
-  return true;
+  return comesTrue(Condition, Patience, std::chrono::milliseconds(1));
 }
 
 SnapshotPtr config() {
--- a/tests/nodes/FakePeer.cpp
+++ b/tests/nodes/FakePeer.cpp
@@ -1,5 +1,7 @@
 #include "nodes/FakePeer.h"
 
+#include "support/Await.h"
+
 #include "nodes/PeerEnvelope.h"
 #include "nodes/PeerFrame.h"
 
@@ -133,12 +135,6 @@
 }
 
 bool eventually(const std::function<bool()> &Condition) {
-  const auto Deadline =
-      std::chrono::steady_clock::now() + std::chrono::seconds(20);
-  while (!Condition()) {
-    if (std::chrono::steady_clock::now() > Deadline)
-      return false;
-    std::this_thread::sleep_for(std::chrono::milliseconds(5));
-  }
-  return true;
+  return comesTrue(Condition, std::chrono::seconds(20),
+                   std::chrono::milliseconds(5));
 }
--- a/tests/platform/StoreMeshFixture.cpp
+++ b/tests/platform/StoreMeshFixture.cpp
@@ -1,6 +1,7 @@
 #include "platform/StoreMeshFixture.h"
 
 #include "core/ReadFile.h"
+#include "support/Await.h"
 
 #include <array>
 #include <stdexcept>
@@ -22,6 +23,7 @@
 constexpr int ControlPort = 8549;
 
 constexpr std::chrono::seconds Patience{30};
+constexpr std::chrono::milliseconds LookPause{20};
 constexpr std::size_t MaxTemplateBytes = 64 * 1024;
 
 std::string at(const std::string &Ip, int Port) {
@@ -258,12 +260,8 @@
 
 void awaitThat(const std::string &What,
                const std::function<bool()> &Condition) {
-  const auto End = std::chrono::steady_clock::now() + Patience;
-  while (!Condition()) {
-    if (std::chrono::steady_clock::now() > End)
-      FAIL(("did not come in time: " + What).c_str());
-    std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  }
+  if (!comesTrue(Condition, Patience, LookPause))
+    FAIL(("did not come in time: " + What).c_str());
 }
 
 } // namespace fescuewood
--- a/tests/policy/FairQueueTest.cpp
+++ b/tests/policy/FairQueueTest.cpp
@@ -2,6 +2,7 @@
 
 #include "policy/FairQueue.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -196,25 +197,56 @@
 
 namespace {
 
-/// A target that serves one request in 10 ms, and requests of two ranks whose
-/// callers wait 300 ms: the higher rank alone can fill it.
-class TwoRanks {
+/// A target that serves one request in each step of 10 ms.
+class BusyTarget {
 public:
-  /// Plays a span, with requests of the higher rank or without.
-  void play(DurationMs Span, bool HighComes) {
+  using CallHook = std::function<void(const CallId &)>;
+
+  BusyTarget(CallHook OnServed, CallHook OnExpired)
+      : OnServed(std::move(OnServed)), Queue({}, std::move(OnExpired)) {}
+
+  /// Plays a span; \p OnStep adds what arrives in a step.
+  void play(DurationMs Span, const std::function<void()> &OnStep) {
     for (const TimeMs End = Now + Span; Now < End; Now = Now + Step) {
       Queue.expire(Busy, Now);
-      if (HighComes)
-        add(1);
-      if (Now.Value % 50 == 0)
-        add(2);
+      OnStep();
       if (const auto Next = Queue.pop(Busy, Now))
-        served(*Next);
+        OnServed(*Next);
       else
         Queue.onRoom();
     }
   }
 
+  void add(QueuedCall Call) {
+    Call.Cost = Step;
+    Queue.push(std::move(Call), Busy, Now);
+  }
+
+  TimeMs now() const { return Now; }
+
+  static constexpr DurationMs Step{10};
+
+private:
+  static constexpr ServiceRate Busy{1, Step};
+  TimeMs Now{0};
+  CallHook OnServed;
+  FairQueue Queue;
+};
+
+/// Requests of two ranks whose callers wait 300 ms: the higher rank alone can
+/// fill the target.
+class TwoRanks {
+public:
+  /// Plays a span, with requests of the higher rank or without.
+  void play(DurationMs Span, bool HighComes) {
+    Target.play(Span, [this, HighComes] {
+      if (HighComes)
+        add(1);
+      if (Target.now().Value % 50 == 0)
+        add(2);
+    });
+  }
+
   int LowServed = 0;
   int LowOffered = 0;
   std::int64_t LowHeldInVainMs = 0;
@@ -223,28 +255,25 @@
   void add(std::uint16_t Priority) {
     QueuedCall Each = call(++Last, "a");
     Each.Priority = Priority;
-    Each.Cost = Step;
-    Each.Deadline = Now + DurationMs(300);
+    Each.Deadline = Target.now() + DurationMs(300);
     if (Priority == 2) {
       ++LowOffered;
-      Arrived[Each.Id] = Now;
+      Arrived[Each.Id] = Target.now();
     }
-    Queue.push(Each, Busy, Now);
+    Target.add(std::move(Each));
   }
 
   void served(const CallId &Id) { LowServed += Arrived.count(Id) > 0 ? 1 : 0; }
 
   void expired(const CallId &Id) {
     if (const auto Found = Arrived.find(Id); Found != Arrived.end())
-      LowHeldInVainMs += (Now - Found->second).Value;
+      LowHeldInVainMs += (Target.now() - Found->second).Value;
   }
 
-  static constexpr DurationMs Step{10};
-  static constexpr ServiceRate Busy{1, Step};
-  TimeMs Now{0};
   std::uint64_t Last = 0;
   std::map<CallId, TimeMs> Arrived;
-  FairQueue Queue{{}, [this](const CallId &Id) { expired(Id); }};
+  BusyTarget Target{[this](const CallId &Id) { served(Id); },
+                    [this](const CallId &Id) { expired(Id); }};
 };
 
 } // namespace
@@ -286,22 +315,16 @@
 
 namespace {
 
-/// A target that serves one request in 10 ms; answers are good for 100 ms, and
-/// callers wait 500 ms.
+/// Requests whose answers are good for 100 ms and whose callers wait 500 ms.
 class Crowd {
 public:
   /// Plays a span with so many requests in each 20 ms, of which the target can
   /// serve two.
   void play(DurationMs Span, int Each20Ms) {
-    for (const TimeMs End = Now + Span; Now < End; Now = Now + Step) {
-      Queue.expire(Busy, Now);
-      for (int I = 0; I < Each20Ms && Now.Value % 20 == 0; ++I)
+    Target.play(Span, [this, Each20Ms] {
+      for (int I = 0; I < Each20Ms && Target.now().Value % 20 == 0; ++I)
         add();
-      if (const auto Next = Queue.pop(Busy, Now))
-        served(*Next);
-      else
-        Queue.onRoom();
-    }
+    });
   }
 
   int Offered = 0;
@@ -311,23 +334,21 @@
 private:
   void add() {
     QueuedCall Each = call(++Offered, "a");
-    Each.Cost = Step;
-    Each.Deadline = Now + DurationMs(500);
-    Each.GoodUntil = Now + DurationMs(100);
+    Each.Deadline = Target.now() + DurationMs(500);
+    Each.GoodUntil = Target.now() + DurationMs(100);
     GoodUntil[Each.Id] = Each.GoodUntil;
-    Queue.push(Each, Busy, Now);
+    Target.add(std::move(Each));
   }
 
   void served(const CallId &Id) {
     ++Served;
-    Good += Now + Step <= GoodUntil.at(Id) ? 1 : 0;
+    const TimeMs AnsweredAt = Target.now() + BusyTarget::Step;
+    Good += AnsweredAt <= GoodUntil.at(Id) ? 1 : 0;
   }
 
-  static constexpr DurationMs Step{10};
-  static constexpr ServiceRate Busy{1, Step};
-  TimeMs Now{0};
   std::map<CallId, TimeMs> GoodUntil;
-  FairQueue Queue{{}, [](const CallId &) {}};
+  BusyTarget Target{[this](const CallId &Id) { served(Id); },
+                    [](const CallId &) {}};
 };
 
 } // namespace
--- a/tests/standins/Mesh.h
+++ b/tests/standins/Mesh.h
@@ -10,6 +10,7 @@
 
 #include "standins/LoadReport.h"
 #include "standins/MeshOptions.h"
+#include "support/Await.h"
 #include "support/TemporaryFolder.h"
 
 #include <cstdlib>
@@ -117,12 +118,8 @@
   static void await(const std::string &What,
                     const std::function<bool()> &Condition,
                     std::chrono::seconds Patience = std::chrono::seconds(30)) {
-    const auto End = std::chrono::steady_clock::now() + Patience;
-    while (!Condition()) {
-      if (std::chrono::steady_clock::now() > End)
-        throw std::runtime_error("did not come in time: " + What);
-      std::this_thread::sleep_for(std::chrono::milliseconds(20));
-    }
+    if (!comesTrue(Condition, Patience, std::chrono::milliseconds(20)))
+      throw std::runtime_error("did not come in time: " + What);
   }
 
   std::string address(const MeshInstance &Each, int Offset) const {
