Add a failing test: a call runs on more targets than its route allows

The mesh model gains a node link of bounded rate and answers with padding, for the tests that follow.

--- a/bench/model/FakeCallMesh.h
+++ b/bench/model/FakeCallMesh.h
@@ -31,6 +31,8 @@
   double Duplicate = 0; ///< Fraction of requests that arrive twice.
   double Late = 0;      ///< Fraction of messages delayed by up to \ref LateUs.
   std::int64_t LateUs = 2'000'000;
+  /// Bytes per millisecond that a node can send; 0 if unlimited.
+  std::uint64_t LinkBytesPerMs = 0;
 };
 
 /// A call as seen by its caller.
@@ -54,6 +56,7 @@
   std::uint64_t ProcessGeneration =
       0; ///< Incremented at each start and kill of the process.
   std::int64_t PausedUntilUs = 0;
+  std::int64_t LinkFreeUs = 0; ///< When its link has sent all messages.
   fescuewood::TargetState PublishedState = fescuewood::TargetState::Cold;
 };
 
@@ -168,6 +171,7 @@
 
   VirtualTime Time;
   FakeNetworkOptions Network;
+  std::uint64_t BytesSent = 0; ///< Bodies of all messages between nodes.
   std::vector<std::unique_ptr<FakeNode>> Nodes;
   std::deque<FakeCall> Calls;
   fescuewood::SnapshotPtr Config;
@@ -196,6 +200,19 @@
     return Us;
   }
 
+  /// Time until a message arrives, including its transfer over the sender's
+  /// link, which sends one message after the other.
+  std::int64_t transferDelay(std::size_t From, std::size_t Bytes) {
+    BytesSent += Bytes;
+    if (Network.LinkBytesPerMs == 0)
+      return delay();
+    std::int64_t &FreeUs = Nodes.at(From)->LinkFreeUs;
+    FreeUs = std::max(FreeUs, Time.nowUs());
+    FreeUs += static_cast<std::int64_t>(Bytes * VirtualTime::UsPerMs /
+                                        Network.LinkBytesPerMs);
+    return FreeUs - Time.nowUs() + delay();
+  }
+
   /// Runs work on a node once it is not paused, unless its process was killed
   /// or restarted meanwhile.
   void runOnNode(std::size_t At, std::function<void(FakeNode &)> Work) {
@@ -280,12 +297,13 @@
       return;
     const int Copies = uniform() < Network.Duplicate ? 2 : 1;
     for (int I = 0; I < Copies; ++I) {
-      Time.after(delay(), [this, From, ProcessGeneration, To, Request, Open] {
-        runOnNode(*To, [this, From, ProcessGeneration, To, Request,
-                        Open](FakeNode &Node) {
-          deliver(From, ProcessGeneration, *To, Node, Request, Open);
-        });
-      });
+      Time.after(transferDelay(From, Request.Body.size()),
+                 [this, From, ProcessGeneration, To, Request, Open] {
+                   runOnNode(*To, [this, From, ProcessGeneration, To, Request,
+                                   Open](FakeNode &Node) {
+                     deliver(From, ProcessGeneration, *To, Node, Request, Open);
+                   });
+                 });
     }
   }
 
@@ -301,10 +319,11 @@
          Route](std::string Body) {
           if (isLost(From, To, Route))
             return;
+          const std::int64_t DelayUs = transferDelay(To, Body.size());
           fescuewood::PeerReply Reply;
           Reply.Body = std::move(Body);
           Reply.Sender = Sender;
-          Time.after(delay(), [this, From, ProcessGeneration, Open, Reply] {
+          Time.after(DelayUs, [this, From, ProcessGeneration, Open, Reply] {
             completeExchange(From, ProcessGeneration, Open, Reply);
           });
         });
--- a/bench/model/FakeTarget.h
+++ b/bench/model/FakeTarget.h
@@ -29,8 +29,16 @@
   /// A warm target answers 503 when its requests exceed its slots by this
   /// factor.
   double ShedFactor = 4.0;
+  /// Bytes appended to the body of each answer.
+  std::size_t PaddingBytes = 0;
 };
 
+/// The body of a target's answer to the request with this body.
+inline std::string answerBody(const std::string &RequestBody,
+                              std::size_t PaddingBytes) {
+  return RequestBody + std::string(PaddingBytes, '.');
+}
+
 /// Body of a request that crashes every target that runs it.
 inline constexpr const char *CrashBody = "crash";
 
@@ -71,7 +79,8 @@
     Ms *= std::max(1.0, inFlight() / Capacity);
     if (isCold())
       Ms *= Options.ColdSlowdown;
-    answer(Id, 200, Request.Body, static_cast<std::int64_t>(Ms * 1000));
+    answer(Id, 200, answerBody(Request.Body, Options.PaddingBytes),
+           static_cast<std::int64_t>(Ms * 1000));
     Time.after(Timeout.Value * VirtualTime::UsPerMs,
                [this, Id] { endRun(Id, fescuewood::RunFailure::TimedOut); });
   }
@@ -123,6 +132,8 @@
     return static_cast<std::uint32_t>(Runs.size());
   }
 
+  std::size_t paddingBytes() const { return Options.PaddingBytes; }
+
   std::map<std::string, int> RunsOf; ///< By body.
   std::map<std::string, int> RunsByOrganisation;
   std::uint32_t MaxInFlight = 0;
--- a/tests/calls/CallCoreTest.cpp
+++ b/tests/calls/CallCoreTest.cpp
@@ -310,6 +310,29 @@
   LONGS_EQUAL(1, Mesh->runsOf("short"));
 }
 
+TEST(CallCore, RunsACallOnNoMoreTargetsThanItsRouteAllows) {
+  constexpr std::uint8_t RouteAttempts = 2;
+  CallSettings Settings;
+  Settings.RetryReserve = 10000;
+  FakeNetworkOptions Network;
+  Network.Late = 0.6;
+  auto Mesh = makeMesh(11, Settings, Network, 2);
+  const std::size_t EntryNode = Mesh->addNode("east/entry", "east", "none", {});
+  Mesh->publishInstances();
+
+  for (int I = 0; I < 600; ++I) {
+    CallRequest Request = makeRequest("tag" + std::to_string(I), true);
+    Request.MaxAttempts = RouteAttempts;
+    Mesh->submit(EntryNode, Request);
+    Mesh->runFor(20'000);
+  }
+  Mesh->runFor(5 * SecondUs);
+
+  STRCMP_EQUAL("", invariantViolation(*Mesh, Slots).c_str());
+  for (const FakeCall &Call : Mesh->Calls)
+    CHECK_TRUE_TEXT(Mesh->runsOf(Call.Tag) <= RouteAttempts, Call.Tag.c_str());
+}
+
 // Shows that the model detects duplicate runs: a plain retry, without outcome
 // fetch and fence, runs a call twice when an answer is lost.
 TEST(CallCore, PlainRetryRunsACallTwice) {
--- a/tests/calls/MeshFixture.cpp
+++ b/tests/calls/MeshFixture.cpp
@@ -54,13 +54,14 @@
 }
 
 std::string invariantViolation(const FakeCallMesh &Mesh, std::uint32_t Slots) {
+  const std::size_t Padding = Mesh.Nodes.front()->Target->paddingBytes();
   for (const FakeCall &Call : Mesh.Calls) {
     const std::string CallLabel = " (" + Call.Tag + ")";
     if (Call.Answers != 1)
       return "answered " + std::to_string(Call.Answers) + " times" + CallLabel;
     const int Runs = Mesh.runsOf(Call.Tag);
     if (Call.Answer.Reason == ResultCode::Ok && Call.Answer.Status == 200 &&
-        Call.Answer.Body != Call.Tag)
+        Call.Answer.Body != answerBody(Call.Tag, Padding))
       return "got the answer to another call" + CallLabel;
     if (!Call.Idempotent && Runs > 1)
       return "ran twice" + CallLabel;
