Count a target as possibly reached before a retry is decided, not after

Cause: the number of targets that may have run a call was raised after the decision to try again where the node did not reply, and never where the node had no record of the call, so one target more was allowed on both ways; only the way of an answered call counted first.

An attempt now counts from its sending until a reply proves that its target was not given the request, and one place adds it up (endAttempt, claimRetry), so that no way of ending an attempt can leave it out.

--- a/src/calls/EntryMessages.cpp
+++ b/src/calls/EntryMessages.cpp
@@ -51,6 +51,7 @@
   const TimeMs Now = Context.now();
   Attempt &Current = *Call.Current;
   Current.SentAt = Now;
+  Current.MayBeDelivered = true;
   const bool IsLocal = Current.Address.empty();
   CallStart Start;
   Start.Recipient = IsLocal ? Context.Identity.Incarnation
--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -193,7 +193,6 @@
                  {{"call", Current.Id.text()}, {"target", Current.Target}});
   if (Call.Request.Idempotent && claimRetry(Call, true)) {
     Call.MayHaveRun = true;
-    ++Call.PossibleDeliveries;
     failOver(Handle, Call, "node does not reply", RemoteWork::MayContinue);
     return;
   }
@@ -222,7 +221,6 @@
 
 void EntrySide::onAnswer(CallHandle Handle, EntryCall &Call,
                          CallAnswer Answer) {
-  ++Call.PossibleDeliveries;
   const bool AnswerUnusable = isUnusableAnswer(Answer.Reason);
   const bool TransientFailure =
       Answer.Reason == ResultCode::Ok && isTransientFailure(Answer.Status);
@@ -260,9 +258,8 @@
                           DurationMs RetryAfter) {
   Call.LastRefusal = Reason;
   Call.RetryAfter = RetryAfter;
-  if (Reason == ResultCode::TargetRefused ||
-      Reason == ResultCode::TargetMistaken)
-    ++Call.PossibleDeliveries;
+  Call.Current->MayBeDelivered = Reason == ResultCode::TargetRefused ||
+                                 Reason == ResultCode::TargetMistaken;
   if (isFinal(Reason)) {
     refuse(Handle, Call, Reason, outcomeOfEarlierAttempts(Call));
     return;
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -226,8 +226,11 @@
   if (Call.Request.CanWait)
     return true;
   const std::uint32_t MaxTargets = Call.Request.MaxAttempts;
+  const bool CurrentCounts = Call.Current && Call.Current->MayBeDelivered;
+  const std::uint32_t Deliveries =
+      Call.PossibleDeliveries + (CurrentCounts ? 1 : 0);
   if (Call.Attempts >= Context.Settings.MaxAttempts ||
-      (MaxTargets > 0 && Call.PossibleDeliveries >= MaxTargets))
+      (MaxTargets > 0 && Deliveries >= MaxTargets))
     return false;
   return !UsesBudget || Budget.spend();
 }
@@ -249,6 +252,8 @@
   if (!Call.Current)
     return;
   Targets.onEnded(Call.Current->Target);
+  if (Call.Current->MayBeDelivered)
+    ++Call.PossibleDeliveries;
   if (Remote == RemoteWork::MayContinue &&
       Context.Settings.Retry != RetryMode::Plain)
     sendCancel(*Call.Current);
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -70,6 +70,8 @@
   TimeMs SentAt;
   /// The request is not sent yet: the node's incarnation is being fetched.
   bool AwaitingIncarnation = false;
+  /// The target may have been given the request.
+  bool MayBeDelivered = false;
   /// Heartbeat intervals until the next fetch; grows with each Running reply.
   std::int64_t Heartbeats = 0;
   bool FetchPending = false;           ///< A fetch awaits its reply.
@@ -120,7 +122,7 @@
     std::optional<Attempt> Current; ///< Unset while no target is selected.
     std::vector<std::string> TriedTargets;
     std::uint32_t Attempts = 0; ///< Attempts started.
-    /// Targets that may have received it.
+    /// Targets of ended attempts that may have been given the request.
     std::uint32_t PossibleDeliveries = 0;
     DurationMs RetryAfter{0};     ///< From the most recent refusal.
     std::uint32_t BrokenRuns = 0; ///< Runs that ended with a lost connection.
