--- a/tests/calls/CallCoreTest.cpp
+++ b/tests/calls/CallCoreTest.cpp
@@ -333,6 +333,36 @@
     CHECK_TRUE_TEXT(Mesh->runsOf(Call.Tag) <= RouteAttempts, Call.Tag.c_str());
 }
 
+TEST(CallCore, TransfersALargeAnswerOnceOverABusyLink) {
+  constexpr std::size_t AnswerBytes = 280'000;
+  constexpr int Count = 400;
+  FakeNetworkOptions Network;
+  Network.LinkBytesPerMs = 3000;
+  FakeTargetOptions Target;
+  Target.MeanMs = 60;
+  Target.PaddingBytes = AnswerBytes;
+  auto Mesh = makeMesh(12, {}, Network, 1, Target);
+  const std::size_t EntryNode = Mesh->addNode("east/entry", "east", "none", {});
+  Mesh->publishInstances();
+  Mesh->BytesSent = 0;
+
+  // 70 % of what the three links carry, in bursts of 12.
+  for (int I = 0; I < Count; ++I) {
+    if (I % 12 == 0)
+      Mesh->runFor(528'000);
+    Mesh->submit(EntryNode, makeRequest("tag" + std::to_string(I), true));
+  }
+  Mesh->runFor(5 * SecondUs);
+
+  STRCMP_EQUAL("", invariantViolation(*Mesh, Slots).c_str());
+  DOUBLES_EQUAL(1.0, successRate(*Mesh), 0);
+  const double SentPerAnswer =
+      static_cast<double>(Mesh->BytesSent) / (Count * AnswerBytes);
+  CHECK_TRUE_TEXT(SentPerAnswer < 1.05, std::to_string(SentPerAnswer).c_str());
+  for (const FakeCall &Call : Mesh->Calls)
+    LONGS_EQUAL(1, Mesh->runsOf(Call.Tag));
+}
+
 // Shows that the model detects duplicate runs: a plain retry, without outcome
 // fetch and fence, runs a call twice when an answer is lost.
 TEST(CallCore, PlainRetryRunsACallTwice) {
