Send a large answer over a link once

Cause: a question about a call was answered with the first 256 KiB of its answer although the reply to the start, with the same bytes, was still on its way; a cancelled call's state came with 256 KiB that nobody read; and 500 ms without a piece gave the whole answer up and ran the request on another target, whose answer filled the links further. Every sign of a slow link thus put more bytes on it.

A question now brings at most 8 KiB while the reply to the start may arrive, the assembler takes what is new of an overlapping piece, pieces are 64 KiB, a node that has the answer is asked for the piece again before the call goes elsewhere, a cancelled call's state has no piece, and the entry says when it has a long answer. The field takes the place of the fetch's unused wait, whose 0 means the default.

--- a/src/calls/EntryMessages.cpp
+++ b/src/calls/EntryMessages.cpp
@@ -52,6 +52,7 @@
   Attempt &Current = *Call.Current;
   Current.SentAt = Now;
   Current.MayBeDelivered = true;
+  Current.StartPending = true;
   const bool IsLocal = Current.Address.empty();
   CallStart Start;
   Start.Recipient = IsLocal ? Context.Identity.Incarnation
@@ -66,6 +67,7 @@
                                    Id = Current.Id](const CallReply &Reply) {
       Context.run([this, Handle, Id, Reply] {
         if (EntryCall *Known = find(Handle, Id)) {
+          Known->Current->StartPending = false;
           onReplyMetadata(Reply, {}, *Known->Current, PeerRoute::Fresh);
           onReply(Handle, *Known, Reply);
         }
@@ -106,12 +108,10 @@
   Attempt &Current = *Call.Current;
   const TimeMs Now = Context.now();
   ++Context.Counters.Fetches;
-  CallFetch Fetch;
-  Fetch.Id = Current.Id;
-  Fetch.Offset = Current.Answer.offset();
-  Fetch.Fence = true;
+  const CallFetch Fetch = outcomeFetch(Current);
+  const DurationMs Timeout = fetchTimeout(Current);
   Current.FetchPending = true;
-  schedule(Handle, Call, Now + Context.Settings.FetchTimeout);
+  schedule(Handle, Call, Now + Timeout);
   if (Current.Address.empty()) {
     const CallReply Reply = Local.Fetch(Fetch);
     Current.FetchPending = false;
@@ -124,8 +124,24 @@
       Now - Known.LastReplyAt < Context.Settings.HeartbeatInterval &&
       Known.LastReplyAt >= Current.SentAt && Current.UnansweredFetches == 0;
   sendFetch(Handle, Current, Fetch,
-            IsConnectionProven ? PeerRoute::Reuse : Route,
-            Context.Settings.FetchTimeout);
+            IsConnectionProven ? PeerRoute::Reuse : Route, Timeout);
+}
+
+CallFetch EntrySide::outcomeFetch(const Attempt &Current) const {
+  CallFetch Fetch;
+  Fetch.Id = Current.Id;
+  Fetch.Offset = Current.Answer.offset();
+  Fetch.Fence = true;
+  if (Current.Address.empty())
+    Fetch.MaxPieceBytes = MaxAnswerPieceBytes;
+  else if (Current.StartPending && Fetch.Offset == 0)
+    Fetch.MaxPieceBytes = ProbePieceBytes;
+  return Fetch;
+}
+
+DurationMs EntrySide::fetchTimeout(const Attempt &Current) const {
+  const DurationMs Timeout = Context.Settings.FetchTimeout;
+  return Current.Answer.offset() > 0 ? Timeout * PieceTimeoutFactor : Timeout;
 }
 
 void EntrySide::sendFetch(CallHandle Handle, const Attempt &Current,
--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -88,6 +88,7 @@
   EntryCall *Call = find(Handle, Id);
   if (!Call)
     return;
+  Call->Current->StartPending = false;
   const auto Decoded = Reply.Body ? decodeCallReply(*Reply.Body) : std::nullopt;
   if (Decoded) {
     onReplyMetadata(*Decoded, Reply.Sender, *Call->Current, Route);
@@ -188,6 +189,11 @@
   Attempt &Current = *Call.Current;
   const TimeMs Now = Context.now();
   ++Current.UnansweredFetches;
+  const bool HasAnswer = Current.Answer.offset() > 0;
+  if (HasAnswer && Current.UnansweredFetches < MaxUnansweredPieces) {
+    fetchOutcome(Handle, Call, PeerRoute::Fresh);
+    return;
+  }
   Targets.onSilent(Current.Target, Now);
   Context.report(EventId::CallUnanswered,
                  {{"call", Current.Id.text()}, {"target", Current.Target}});
@@ -208,10 +214,11 @@
   }
   const bool Added = Current.Answer.add(Reply);
   if (Added && !Current.Answer.complete()) {
-    if (!Current.FetchPending)
-      fetchOutcome(Handle, Call, PeerRoute::Reuse);
+    awaitRest(Handle, Call);
     return;
   }
+  if (Added && Reply.TotalBytes > AnswerPieceBytes)
+    sendCancel(Current); // The node need not keep the answer any longer.
   auto Answer = Added ? Current.Answer.answer() : std::nullopt;
   if (Answer)
     onAnswer(Handle, Call, std::move(*Answer));
@@ -219,6 +226,17 @@
     refuse(Handle, Call, ResultCode::AnswerLost, Outcome::Ran);
 }
 
+/// Fetches the next piece of an incomplete answer, unless one is under way.
+void EntrySide::awaitRest(CallHandle Handle, EntryCall &Call) {
+  const Attempt &Current = *Call.Current;
+  if (Current.FetchPending)
+    return;
+  if (Current.StartPending)
+    schedule(Handle, Call, Context.now() + fetchTimeout(Current));
+  else
+    fetchOutcome(Handle, Call, PeerRoute::Reuse);
+}
+
 void EntrySide::onAnswer(CallHandle Handle, EntryCall &Call,
                          CallAnswer Answer) {
   const bool AnswerUnusable = isUnusableAnswer(Answer.Reason);
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -55,6 +55,20 @@
 /// call.
 inline constexpr std::int64_t MaxHeartbeatFactor = 4;
 
+/// Largest piece in the reply to a fetch while the reply to the start may still
+/// arrive: a short answer as a whole, or the beginning of a long one, whose
+/// rest is not sent twice.
+inline constexpr std::uint64_t ProbePieceBytes = 8 * 1024;
+
+/// Timeout of the fetch of a further piece, as a multiple of
+/// CallSettings::FetchTimeout: the piece shares its link with others, and a
+/// lost connection is reported earlier.
+inline constexpr std::int64_t PieceTimeoutFactor = 3;
+
+/// Number of consecutive unanswered fetches after which a node that has the
+/// answer is given up.
+inline constexpr std::uint32_t MaxUnansweredPieces = 2;
+
 /// Direct access to the target side of the same node, without the network.
 struct LocalTarget {
   std::function<void(CallStart, CallReplyHook)> Start;
@@ -72,6 +86,7 @@
   bool AwaitingIncarnation = false;
   /// The target may have been given the request.
   bool MayBeDelivered = false;
+  bool StartPending = false; ///< The reply to the start may still arrive.
   /// Heartbeat intervals until the next fetch; grows with each Running reply.
   std::int64_t Heartbeats = 0;
   bool FetchPending = false;           ///< A fetch awaits its reply.
@@ -158,6 +173,8 @@
   DurationMs firstFetchDelay(const Attempt &Current) const;
   void sendStart(CallHandle Handle, EntryCall &Call);
   void queryIncarnation(CallHandle Handle, EntryCall &Call);
+  CallFetch outcomeFetch(const Attempt &Current) const;
+  DurationMs fetchTimeout(const Attempt &Current) const;
   void sendFetch(CallHandle Handle, const Attempt &Current,
                  const CallFetch &Fetch, PeerRoute Route, DurationMs Timeout);
   void fetchOutcome(CallHandle Handle, EntryCall &Call, PeerRoute Route);
@@ -171,6 +188,7 @@
   void onIncarnationReply(CallHandle Handle, EntryCall &Call, bool Answered);
   void onFetchFailed(CallHandle Handle, EntryCall &Call);
   void onDone(CallHandle Handle, EntryCall &Call, const CallReply &Reply);
+  void awaitRest(CallHandle Handle, EntryCall &Call);
   void onRefused(CallHandle Handle, EntryCall &Call, ResultCode Reason,
                  DurationMs RetryAfter = DurationMs(0));
   void onNeverSeen(CallHandle Handle, EntryCall &Call, const CallReply &Reply);
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -73,7 +73,7 @@
   bool Fenced = false;
   if (Fetch.Fence)
     Fenced = Ledger.fence(Fetch.Id, Context.now());
-  CallReply Reply = ledgerReply(Fetch.Id, Fetch.Offset);
+  CallReply Reply = ledgerReply(Fetch.Id, Fetch.Offset, Fetch.MaxPieceBytes);
   Reply.Fenced = Reply.Fenced || Fenced;
   return Reply;
 }
@@ -82,7 +82,7 @@
   Ledger.fence(Cancel.Id, Context.now());
   const auto Found = HeldCalls.find(Cancel.Id);
   if (Found == HeldCalls.end())
-    return ledgerReply(Cancel.Id, 0);
+    return stateReply(Cancel.Id);
   if (Queue.remove(Cancel.Id, Context.now())) {
     refuse(Cancel.Id, ResultCode::CallerGone);
   } else if (!Found->second.Cancelled) {
@@ -90,7 +90,7 @@
     if (Context.Hooks.Target.Cancel)
       Context.Hooks.Target.Cancel(Cancel.Id);
   }
-  return ledgerReply(Cancel.Id, 0);
+  return stateReply(Cancel.Id);
 }
 
 void TargetSide::onConfig() {
@@ -222,28 +222,37 @@
   return Reply;
 }
 
-CallReply TargetSide::ledgerReply(const CallId &Id, std::uint64_t Offset) {
+CallReply TargetSide::stateReply(const CallId &Id) {
   CallReply Reply = baseReply();
   const LedgerEntry *Entry = Ledger.find(Id);
   if (!Entry)
     return Reply;
-  if (Entry->Progress == LedgerEntry::State::Running) {
+  switch (Entry->Progress) {
+  case LedgerEntry::State::Running:
     Reply.State = CallState::Running;
-  } else if (Entry->Progress == LedgerEntry::State::Refused) {
+    break;
+  case LedgerEntry::State::Refused:
     Reply.State = CallState::Refused;
     Reply.Reason = Entry->Reason;
     Reply.RetryAfter = retryAfter(Entry->Reason);
     Reply.Fenced = true;
-  } else {
-    const CallReply Piece = answerPiece(Entry->Answer, Offset, Reply.Load);
+    break;
+  case LedgerEntry::State::Done:
     Reply.State = CallState::Done;
-    Reply.Offset = Piece.Offset;
-    Reply.TotalBytes = Piece.TotalBytes;
-    Reply.Piece = Piece.Piece;
+    Reply.TotalBytes = Entry->Answer.size();
+    break;
   }
   return Reply;
 }
 
+CallReply TargetSide::ledgerReply(const CallId &Id, std::uint64_t Offset,
+                                  std::uint64_t MaxPieceBytes) {
+  CallReply Reply = stateReply(Id);
+  if (Reply.State == CallState::Done)
+    addAnswerPiece(Reply, Ledger.find(Id)->Answer, Offset, MaxPieceBytes);
+  return Reply;
+}
+
 /// Estimated time until the calls that are queued now have been served.
 DurationMs TargetSide::retryAfter(ResultCode Reason) {
   const bool Busy = Reason == ResultCode::QueueFull ||
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -83,7 +83,10 @@
     ResultCode BrokenReason = ResultCode::Ok;
   };
 
-  CallReply ledgerReply(const CallId &Id, std::uint64_t Offset);
+  /// The state of a call, without a piece of its answer.
+  CallReply stateReply(const CallId &Id);
+  CallReply ledgerReply(const CallId &Id, std::uint64_t Offset,
+                        std::uint64_t MaxPieceBytes = 0);
   CallReply baseReply();
   DurationMs retryAfter(ResultCode Reason);
   ResultCode refusalOnArrival(const CallRequest &Request);
--- a/src/nodes/CallMessages.cpp
+++ b/src/nodes/CallMessages.cpp
@@ -54,7 +54,7 @@
   Fields.id(Value.Id);
   Fields.number(Value.Offset, MaxCallBytes);
   Fields.flag(Value.Fence);
-  Fields.span(Value.Wait);
+  Fields.number(Value.MaxPieceBytes);
 }
 
 template <typename Codec, MessageRef<CallCancel> Message>
@@ -160,26 +160,28 @@
   return decodeFields<CallAnswer>(Bytes);
 }
 
-CallReply answerPiece(std::string_view EncodedAnswer, std::uint64_t Offset,
-                      const LoadReport &Load) {
-  CallReply Reply;
+void addAnswerPiece(CallReply &Reply, std::string_view EncodedAnswer,
+                    std::uint64_t Offset, std::uint64_t MaxPieceBytes) {
+  const std::uint64_t Wanted =
+      MaxPieceBytes == 0 ? AnswerPieceBytes : MaxPieceBytes;
   Reply.State = CallState::Done;
   Reply.Offset = std::min<std::uint64_t>(Offset, EncodedAnswer.size());
   Reply.TotalBytes = EncodedAnswer.size();
-  Reply.Piece = EncodedAnswer.substr(Reply.Offset, MaxAnswerPieceBytes);
-  Reply.Load = Load;
-  return Reply;
+  Reply.Piece = EncodedAnswer.substr(
+      Reply.Offset, std::min<std::uint64_t>(Wanted, MaxAnswerPieceBytes));
 }
 
 bool AnswerAssembler::add(const CallReply &Reply) {
   if (Total.value_or(Reply.TotalBytes) != Reply.TotalBytes)
     return false;
   Total = Reply.TotalBytes;
-  if (Reply.Offset != Received.size())
-    return true;
-  if (Received.size() + Reply.Piece.size() > *Total)
+  if (Reply.Offset + Reply.Piece.size() > *Total)
     return false;
-  Received += Reply.Piece;
+  if (Reply.Offset > Received.size())
+    return true;
+  const std::size_t Known = Received.size() - Reply.Offset;
+  if (Known < Reply.Piece.size())
+    Received.append(Reply.Piece, Known);
   return true;
 }
 
--- a/src/nodes/CallMessages.h
+++ b/src/nodes/CallMessages.h
@@ -26,6 +26,10 @@
 /// Largest piece of an answer in one reply, in bytes.
 inline constexpr std::size_t MaxAnswerPieceBytes = 256 * 1024;
 
+/// Size of the pieces that cross the network, in bytes. A small piece delays
+/// other messages on the same connection only briefly.
+inline constexpr std::size_t AnswerPieceBytes = 64 * 1024;
+
 /// Largest set of crash marks in one message, in bytes.
 inline constexpr std::size_t MaxMarksBytes = 4 * 1024;
 
@@ -55,7 +59,8 @@
   CallId Id;
   std::uint64_t Offset = 0;
   bool Fence = false; ///< If the id was not seen, never run it.
-  DurationMs Wait{0}; ///< Longest time that the node may wait for a change.
+  /// Largest piece that the reply may carry; 0 for \ref AnswerPieceBytes.
+  std::uint64_t MaxPieceBytes = 0;
 
   bool operator==(const CallFetch &) const = default;
 };
@@ -120,16 +125,17 @@
 std::string encodeAnswer(const CallAnswer &Answer);
 std::optional<CallAnswer> decodeAnswer(std::string_view Bytes);
 
-/// Makes the reply with the piece of \p EncodedAnswer that starts at \p Offset;
-/// an offset beyond the end gives an empty piece.
-CallReply answerPiece(std::string_view EncodedAnswer, std::uint64_t Offset,
-                      const LoadReport &Load);
+/// Adds to \p Reply the piece of \p EncodedAnswer that starts at \p Offset and
+/// has at most \p MaxPieceBytes, or \ref AnswerPieceBytes if that is 0. An
+/// offset beyond the end gives an empty piece.
+void addAnswerPiece(CallReply &Reply, std::string_view EncodedAnswer,
+                    std::uint64_t Offset, std::uint64_t MaxPieceBytes);
 
 /// Joins the pieces of one answer. Pieces may be lost, repeated or reordered.
 class AnswerAssembler {
 public:
-  /// Adds the piece of a reply whose state is Done. A piece that does not start
-  /// at \ref offset is ignored. Returns false when the reply contradicts the
+  /// Adds the part of a reply's piece that lies beyond \ref offset. A piece
+  /// that starts later is ignored. Returns false when the reply contradicts the
   /// total size or exceeds it.
   bool add(const CallReply &Reply);
 
--- a/tests/nodes/CallMessagesTest.cpp
+++ b/tests/nodes/CallMessagesTest.cpp
@@ -50,7 +50,7 @@
   checkProperty("decode(encode(x)) = x", [] {
     const CallStart Start = anyStart();
     const CallReply Reply = anyReply();
-    const CallFetch Fetch{Start.Request.Id, Reply.Offset, true, DurationMs(7)};
+    const CallFetch Fetch{Start.Request.Id, Reply.Offset, true, 7};
     const CallCancel Cancel{Start.Request.Id};
 
     const auto Decoded = decodeCallStart(encode(Start));
@@ -125,8 +125,10 @@
       const auto RandomOffset =
           *rc::gen::inRange<std::uint64_t>(0, Encoded.size());
       const bool Next = *rc::gen::inRange(0, 3) != 0;
-      RC_ASSERT(Assembler.add(
-          answerPiece(Encoded, Next ? Assembler.offset() : RandomOffset, {})));
+      CallReply Reply;
+      addAnswerPiece(Reply, Encoded, Next ? Assembler.offset() : RandomOffset,
+                     *rc::gen::inRange<std::uint64_t>(0, 300'000));
+      RC_ASSERT(Assembler.add(Reply));
     }
 
     RC_PRE(Assembler.complete());
