Show what holds the memory of a node

Nothing told whether the memory was answers kept for repeated questions (L1) or copies on their way (L2).

Gauges now give the resident memory, the machine's memory, and the bytes of answers that are received from the target, kept beside it and joined on the entry node. Event 1007 MemoryHigh says once per rise that the process uses more than four fifths of the machine's memory, with these bytes; event 1513 AnswersDropped says that kept answers were dropped for room, which was silent before.

The gauge of bytes being received has no test with a running transfer.

--- a/src/app/NodePages.cpp
+++ b/src/app/NodePages.cpp
@@ -1,5 +1,6 @@
 #include "app/NodeParts.h"
 
+#include "core/ProcessMemory.h"
 #include "operators/Explanation.h"
 #include "platform/PlatformScheme.h"
 
@@ -87,6 +88,9 @@
   Status.Slot = Settings.Node.Slot;
   Status.Incarnation = Incarnation;
   Status.Uptime = Monotonic.now() - Started;
+  Status.ResidentBytes = residentMemory().value_or(0);
+  Status.MachineBytes = MachineBytes;
+  Status.ReceivingBytes = Target.receivingBytes();
   const SnapshotPtr Current = InForce.read();
   Status.Phase = Draining  ? NodePhase::Draining
                  : Current ? NodePhase::Serving
--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -1,5 +1,6 @@
 #include "app/NodeParts.h"
 
+#include "core/ProcessMemory.h"
 #include "intent/CompileIntent.h"
 #include "platform/ConfigCodec.h"
 #include "platform/PlatformScheme.h"
@@ -69,11 +70,12 @@
 }
 
 CallIdentity callIdentity(const NodeSettings &Settings,
-                          std::uint64_t Incarnation,
-                          const HeaderScheme &Scheme) {
+                          std::uint64_t Incarnation, const HeaderScheme &Scheme,
+                          std::size_t MachineBytes) {
   const NodeIdentity &Node = Settings.Node;
   return {Node.Name,   Node.Domain, Node.Service,
-          Incarnation, Scheme,      isStorePlatform(Settings.Platform)};
+          Incarnation, Scheme,      isStorePlatform(Settings.Platform),
+          MachineBytes};
 }
 
 ControlSettings controlSettings(const NodeSettings &Settings) {
@@ -106,6 +108,7 @@
 NodeParts::NodeParts(NodeSettings InitialSettings, std::string Text)
     : Settings(std::move(InitialSettings)), SettingsText(std::move(Text)),
       Scheme(selectScheme(Settings)), Incarnation(newIncarnation()),
+      MachineBytes(machineMemory().value_or(0)),
       Log(Settings.Log.Level, Settings.Log.File),
       Recorder(
           Settings.Node.Name, Settings.Node.Domain, MaxRecentEvents,
@@ -120,8 +123,8 @@
       Limiter({Settings.Node.Name, Settings.Node.Domain, Settings.Node.Slot,
                Incarnation, rateBound(Settings.Bounds)},
               TokenSettings(), limiterHooks()),
-      Engine(callIdentity(Settings, Incarnation, Scheme), Settings.Calls,
-             callHooks()),
+      Engine(callIdentity(Settings, Incarnation, Scheme, MachineBytes),
+             Settings.Calls, callHooks()),
       Bridge(
           Engine,
           [this](std::string_view Organisation,
@@ -162,6 +165,7 @@
     Control.setOwnState(State);
   };
   Hooks.Random = randomNumbers();
+  Hooks.ResidentMemory = &residentMemory;
   Hooks.IssueToken = [this](const CallRequest &Request) {
     return Tokens.issue({Request.Organisation, Request.Depth,
                          Monotonic.now() + Request.Remaining, Request.Id});
--- a/src/app/NodeParts.h
+++ b/src/app/NodeParts.h
@@ -76,6 +76,7 @@
   const std::uint64_t Incarnation;
   const Clock Monotonic = Clock::monotonic();
   const TimeMs Started = Monotonic.now();
+  const std::size_t MachineBytes; ///< Memory of the machine; 0 if unknown.
   std::atomic<bool> Draining = false;
   std::atomic<bool> SourceReachable = true;
   Latest<SnapshotPtr> InForce;
--- a/src/calls/CallEngine.cpp
+++ b/src/calls/CallEngine.cpp
@@ -3,6 +3,7 @@
 #include "calls/CallCore.h"
 #include "calls/Refusals.h"
 #include "core/TaskThread.h"
+#include "policy/MemoryWatch.h"
 
 #include <atomic>
 #include <chrono>
@@ -27,6 +28,9 @@
 /// Interval between two copies of the status.
 constexpr DurationMs StatusPeriod(200);
 
+/// Interval between two measurements of the resident memory.
+constexpr DurationMs MemoryPeriod(1000);
+
 } // namespace
 
 /// Queue without a fixed capacity for steps that must not be dropped, such as
@@ -58,7 +62,8 @@
 public:
   Impl(CallIdentity Identity, const CallSettings &Settings, CallHooks Hooks)
       : Worker("calls", RingCapacity), Settings(Settings),
-        Time(Clock::monotonic()),
+        Time(Clock::monotonic()), Memory{Hooks.ResidentMemory,
+                                         Identity.MachineBytes, Hooks.OnEvent},
         Core(std::move(Identity), Settings, wrapHooks(std::move(Hooks)), Time) {
   }
 
@@ -197,14 +202,49 @@
     if (Now - CopiedAt < StatusPeriod)
       return;
     CopiedAt = Now;
+    copyStatus();
+    if (Now - Memory.MeasuredAt < MemoryPeriod)
+      return;
+    Memory.MeasuredAt = Now;
+    watchMemory();
+  }
+
+  void copyStatus() {
     CallStatus Status = Core.status();
     const std::lock_guard<std::mutex> Lock(StatusMutex);
     StatusCopy = std::move(Status);
   }
 
+  /// Reports when the process uses most of the machine's memory.
+  void watchMemory() {
+    const auto Resident =
+        Memory.ResidentBytes ? Memory.ResidentBytes() : std::nullopt;
+    if (!Resident || Memory.MachineBytes == 0 || !Memory.OnEvent ||
+        !Memory.Watch.update(*Resident, Memory.MachineBytes))
+      return;
+    const CallStatus Status = status();
+    Memory.OnEvent({EventId::MemoryHigh,
+                    {{"resident_bytes", std::to_string(*Resident)},
+                     {"machine_bytes", std::to_string(Memory.MachineBytes)},
+                     {"kept_bytes", std::to_string(Status.KeptBytes)},
+                     {"joining_bytes", std::to_string(Status.JoiningBytes)},
+                     {"queued_bytes", std::to_string(Status.QueuedBytes)},
+                     {"held_bytes", std::to_string(Status.HeldBytes)}}});
+  }
+
+  /// What \ref watchMemory needs.
+  struct MemoryReport {
+    std::function<std::optional<std::size_t>()> ResidentBytes;
+    std::size_t MachineBytes;
+    EventHook OnEvent;
+    MemoryWatch Watch = {};
+    TimeMs MeasuredAt{0};
+  };
+
   TaskThread Worker;
   CallSettings Settings;
   Clock Time;
+  MemoryReport Memory;
   StepQueue PendingSteps;
   CallCore Core;
   std::atomic<CallHandle> NextHandle{1};
--- a/src/calls/CallEngine.h
+++ b/src/calls/CallEngine.h
@@ -22,6 +22,7 @@
 #include "policy/ListedInstance.h"
 #include "policy/Router.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -42,6 +43,7 @@
   /// Whether the platform lists targets. If so, the node's target gets calls
   /// only while it is listed, and they carry its listed id.
   bool TargetListed = false;
+  std::size_t MachineBytes = 0; ///< Memory of the machine; 0 if unknown.
 };
 
 /// Dependencies of the call engine. Hooks must not block.
@@ -57,6 +59,8 @@
   /// the target can make calls inside the mesh for the same organisation. May
   /// be empty.
   std::function<std::string(const CallRequest &)> IssueToken;
+  /// Returns the resident memory of the process, if known. May be empty.
+  std::function<std::optional<std::size_t>()> ResidentMemory;
 };
 
 /// Identifies a submitted call for \ref CallEngine::cancel.
--- a/src/calls/CallStatus.h
+++ b/src/calls/CallStatus.h
@@ -39,8 +39,9 @@
 /// A consistent copy of the engine's counters and gauges.
 struct CallStatus {
   // Entry side.
-  std::size_t Entered = 0;   ///< Unanswered calls that entered at this node.
-  std::size_t HeldBytes = 0; ///< Memory held by their requests.
+  std::size_t Entered = 0;      ///< Unanswered calls that entered at this node.
+  std::size_t HeldBytes = 0;    ///< Memory held by their requests.
+  std::size_t JoiningBytes = 0; ///< Received so far of incomplete answers.
   std::map<ResultCode, OutcomeCounts> Results;
   std::map<std::string, std::uint64_t> RefusedByOrganisation;
   std::uint64_t Retries = 0;
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -117,6 +117,9 @@
 void EntrySide::fill(CallStatus &Status) const {
   Status.Entered = Calls.size();
   Status.HeldBytes = HeldBytes;
+  for (const auto &[Handle, Call] : Calls)
+    if (Call.Current)
+      Status.JoiningBytes += Call.Current->Answer.offset();
 }
 
 EntrySide::EntryCall *EntrySide::find(CallHandle Handle, const CallId &Id) {
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -194,7 +194,12 @@
 void TargetSide::onAnswer(const CallId &Id, CallAnswer Answer) {
   if (Answer.Reason == ResultCode::Ok)
     Answer.RequestOutcome = Outcome::Ran;
-  Ledger.finish(Id, encodeAnswer(Answer), Context.now());
+  const std::size_t Dropped =
+      Ledger.finish(Id, encodeAnswer(Answer), Context.now());
+  if (Dropped > 0)
+    Context.report(EventId::AnswersDropped,
+                   {{"answers", std::to_string(Dropped)},
+                    {"kept_bytes", std::to_string(Ledger.keptBytes())}});
   finish(Id, ledgerReply(Id, 0));
 }
 
--- /dev/null
+++ b/src/core/ProcessMemory.h
@@ -0,0 +1,30 @@
+/// \file
+/// Memory of this process and of its machine, as the kernel reports it.
+
+#ifndef FESCUEWOOD_CORE_PROCESSMEMORY_H
+#define FESCUEWOOD_CORE_PROCESSMEMORY_H
+
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace fescuewood {
+
+/// The machine's memory in bytes, from the text of `/proc/meminfo`;
+/// std::nullopt if it is not stated there.
+std::optional<std::size_t> parseMachineMemory(std::string_view MemInfo);
+
+/// The resident memory in bytes, from the text of `/proc/self/statm`;
+/// std::nullopt if it is malformed.
+std::optional<std::size_t> parseResidentMemory(std::string_view StatM,
+                                               std::size_t PageBytes);
+
+/// The memory of the machine; std::nullopt if it cannot be read.
+std::optional<std::size_t> machineMemory();
+
+/// The resident memory of this process; std::nullopt if it cannot be read.
+std::optional<std::size_t> residentMemory();
+
+} // namespace fescuewood
+
+#endif // FESCUEWOOD_CORE_PROCESSMEMORY_H
--- a/src/operators/Metrics.cpp
+++ b/src/operators/Metrics.cpp
@@ -91,6 +91,8 @@
   Collector.add(MetricId::SourceReachable, Status.SourceReachable ? 1 : 0);
   Collector.add(MetricId::SourceReads, toDouble(Status.Source.Reads));
   Collector.add(MetricId::SourceFailures, toDouble(Status.Source.Failures));
+  Collector.add(MetricId::ResidentMemory, toDouble(Status.ResidentBytes));
+  Collector.add(MetricId::MachineMemory, toDouble(Status.MachineBytes));
   std::map<std::string, double> ByHealth;
   for (const FleetRow &Row : Status.Fleet)
     ++ByHealth[Row.Health];
@@ -140,6 +142,8 @@
   Collector.add(MetricId::TargetCrashes, toDouble(Calls.Crashes));
   Collector.add(MetricId::TargetSeconds, Calls.TargetLatency);
   Collector.add(MetricId::QueueSeconds, Calls.QueueWait);
+  Collector.add(MetricId::AnswerBytesKept, toDouble(Calls.KeptBytes));
+  Collector.add(MetricId::AnswerBytesJoining, toDouble(Calls.JoiningBytes));
 }
 
 void addOrganisations(const LimiterStatus &Status, MetricCollector &Collector) {
@@ -159,6 +163,8 @@
   MetricCollector Collector;
   addNode(Status, Collector);
   addPeers(Status, Collector);
+  Collector.add(MetricId::AnswerBytesReceiving,
+                toDouble(Status.ReceivingBytes));
   addCalls(Status.Calls, Collector);
   addOrganisations(Status.Organisations, Collector);
   return Collector.text();
--- a/src/operators/NodeStatus.h
+++ b/src/operators/NodeStatus.h
@@ -17,6 +17,7 @@
 #include "policy/Instance.h"
 #include "sources/PlatformReader.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -60,6 +61,9 @@
   std::uint64_t Incarnation = 0;
   NodePhase Phase = NodePhase::Starting;
   DurationMs Uptime;
+  std::size_t ResidentBytes = 0;  ///< 0 if unknown.
+  std::size_t MachineBytes = 0;   ///< 0 if unknown.
+  std::size_t ReceivingBytes = 0; ///< Of the answers from the target.
 
   std::optional<Version> InForce;
   std::vector<DomainRow> Domains;
--- a/src/policy/CallLedger.cpp
+++ b/src/policy/CallLedger.cpp
@@ -19,21 +19,24 @@
   return Arrival::New;
 }
 
-void CallLedger::finish(const CallId &Id, std::string Answer, TimeMs Now) {
+std::size_t CallLedger::finish(const CallId &Id, std::string Answer,
+                               TimeMs Now) {
   const auto Found = Entries.find(Id);
   if (Found == Entries.end() ||
       Found->second.Progress != LedgerEntry::State::Running)
-    return;
+    return 0;
   Found->second.Progress = LedgerEntry::State::Done;
   Found->second.FinishedAt = Now;
   Found->second.HasAnswer = true;
   KeptBytes += Answer.size();
   Found->second.Answer = std::move(Answer);
   IdsByAnswer.push_back(Id);
-  while (KeptBytes > Limits.MaxKeptBytes && IdsByAnswer.size() > 1) {
+  std::size_t Dropped = 0;
+  for (; KeptBytes > Limits.MaxKeptBytes && IdsByAnswer.size() > 1; ++Dropped) {
     dropAnswer(Entries.at(IdsByAnswer.front()));
     IdsByAnswer.pop_front();
   }
+  return Dropped;
 }
 
 void CallLedger::refuse(const CallId &Id, ResultCode Reason) {
--- a/src/policy/CallLedger.h
+++ b/src/policy/CallLedger.h
@@ -68,8 +68,9 @@
   /// Records the arrival of a request with this id.
   Arrival begin(const CallId &Id, TimeMs Now);
 
-  /// Records the end of a running call and stores its encoded answer.
-  void finish(const CallId &Id, std::string Answer, TimeMs Now);
+  /// Records the end of a running call and stores its encoded answer. Returns
+  /// the number of answers that were dropped to make room for it.
+  std::size_t finish(const CallId &Id, std::string Answer, TimeMs Now);
 
   /// Records that a call from \ref begin was not executed and never will be.
   void refuse(const CallId &Id, ResultCode Reason);
--- a/src/targets/TargetClient.cpp
+++ b/src/targets/TargetClient.cpp
@@ -69,6 +69,8 @@
 
   std::size_t inFlight() const { return RequestCount; }
 
+  std::size_t receivingBytes() const { return ReceivingBytes; }
+
   void stop() {
     {
       std::lock_guard<std::mutex> Lock(Mutex);
@@ -91,6 +93,7 @@
       int Running = 0;
       curl_multi_perform(Multi.get(), &Running);
       finishCompleted();
+      countReceivingBytes();
       curl_multi_poll(Multi.get(), nullptr, 0, PollTimeoutMs, nullptr);
     }
     while (!Transfers.empty())
@@ -141,6 +144,13 @@
     }
   }
 
+  void countReceivingBytes() {
+    std::size_t Sum = 0;
+    for (const auto &[Id, Transfer] : Transfers)
+      Sum += Transfer->receivedBytes();
+    ReceivingBytes = Sum;
+  }
+
   /// Removes a transfer and calls its hook. Unknown IDs are ignored.
   void finish(std::uint64_t Id, ResultCode Reason) {
     auto Position = Transfers.find(Id);
@@ -161,6 +171,7 @@
   std::map<std::uint64_t, std::unique_ptr<TargetTransfer>> Transfers;
   std::map<CURL *, std::uint64_t> RequestIdByHandle;
   std::atomic<std::size_t> RequestCount = 0;
+  std::atomic<std::size_t> ReceivingBytes = 0;
 
   std::mutex Mutex;
   std::vector<StartCommand> QueuedStarts;
@@ -184,6 +195,10 @@
 
 std::size_t TargetClient::inFlight() const { return State->inFlight(); }
 
+std::size_t TargetClient::receivingBytes() const {
+  return State->receivingBytes();
+}
+
 void TargetClient::stop() { State->stop(); }
 
 } // namespace fescuewood
--- a/src/targets/TargetClient.h
+++ b/src/targets/TargetClient.h
@@ -81,6 +81,9 @@
   /// Number of unfinished requests.
   std::size_t inFlight() const;
 
+  /// Bytes received so far of the answers of unfinished requests.
+  std::size_t receivingBytes() const;
+
   /// Ends all requests with the reason Stopped and joins the thread.
   void stop();
 
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -31,6 +31,9 @@
 
   CURL *handle() const { return Easy.get(); }
 
+  /// Bytes of the answer that have been received.
+  std::size_t receivedBytes() const { return AnswerBytes; }
+
   /// Maps the libcurl code of a finished transfer to a result code; Ok for a
   /// complete and valid answer.
   ResultCode reasonFor(CURLcode Code) const;
