Add a failing test: answers are kept after their callers have them

A node beside a target keeps 5.3 MB of the 8.4 MB of answers 1 s after all callers have them, and goes on up to 24 MiB for 20 s: more than a quarter of a machine with 88 MB, whose end over its memory loses every request there (LOST).

--- a/tests/calls/CallCoreTest.cpp
+++ b/tests/calls/CallCoreTest.cpp
@@ -363,6 +363,24 @@
     LONGS_EQUAL(1, Mesh->runsOf(Call.Tag));
 }
 
+TEST(CallCore, KeepsNoAnswerThatNobodyMayAskFor) {
+  FakeTargetOptions Target;
+  Target.PaddingBytes = 280'000;
+  auto Mesh = makeMesh(13, {}, {}, 1, Target);
+  const std::size_t EntryNode = Mesh->addNode("east/entry", "east", "none", {});
+  Mesh->publishInstances();
+
+  for (int I = 0; I < 30; ++I) {
+    Mesh->submit(EntryNode, makeRequest("tag" + std::to_string(I), true));
+    Mesh->runFor(100'000);
+  }
+  Mesh->runFor(SecondUs);
+
+  DOUBLES_EQUAL(1.0, successRate(*Mesh), 0);
+  for (const auto &Node : Mesh->Nodes)
+    LONGS_EQUAL(0, Node->Core->status().KeptBytes);
+}
+
 // Shows that the model detects duplicate runs: a plain retry, without outcome
 // fetch and fence, runs a call twice when an answer is lost.
 TEST(CallCore, PlainRetryRunsACallTwice) {
