Keep an answer only while its caller may ask for it

Callers on the smallest machines lost every request of a node that ended over its memory (LOST). A node beside a target with large answers keeps each of them for 20 s or until 24 MiB are kept: 9 answers of 280 kB a second fill that within 10 s on a machine with 88 MB, although nobody asks for an answer after its call's deadline, nor once the entry node has it whole.

An answer now stays until the deadline of its call, AnswerGrace and one fetch timeout for a message on its way, 20 s at most; and no longer than until the entry node's CallCancel, which it sends when it has a long answer whole, gives the attempt up or loses its caller. The record of the call stays as it was, so what is known of a run, fences and at-most-once do not change. If answers must be dropped for room, those go first whose callers give up first.

--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -4,6 +4,7 @@
 #include "calls/TargetSide.h"
 
 #include "callers/HeaderFields.h"
+#include "calls/EntrySide.h"
 #include "calls/Refusals.h"
 
 #include <algorithm>
@@ -194,15 +195,24 @@
 void TargetSide::onAnswer(const CallId &Id, CallAnswer Answer) {
   if (Answer.Reason == ResultCode::Ok)
     Answer.RequestOutcome = Outcome::Ran;
-  const std::size_t Dropped =
-      Ledger.finish(Id, encodeAnswer(Answer), Context.now());
+  const HeldCall &Call = HeldCalls.at(Id);
+  const std::size_t Dropped = Ledger.finish(Id, encodeAnswer(Answer),
+                                            answerExpiry(Call), Context.now());
   if (Dropped > 0)
     Context.report(EventId::AnswersDropped,
                    {{"answers", std::to_string(Dropped)},
                     {"kept_bytes", std::to_string(Ledger.keptBytes())}});
+  if (Call.Cancelled)
+    Ledger.release(Id);
   finish(Id, ledgerReply(Id, 0));
 }
 
+/// Time from which the entry node no longer asks for the answer of a call: the
+/// call has then ended there too. The rest is for a message on its way.
+TimeMs TargetSide::answerExpiry(const HeldCall &Call) const {
+  return Call.Deadline + AnswerGrace + Context.Settings.FetchTimeout;
+}
+
 void TargetSide::onBroken(const CallId &Id, HeldCall &Call, ResultCode Reason) {
   if (Call.Epoch == Epoch) {
     Call.BrokenReason = Reason;
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -80,6 +80,7 @@
 
 CallReply TargetSide::cancel(const CallCancel &Cancel) {
   Ledger.fence(Cancel.Id, Context.now());
+  Ledger.release(Cancel.Id);
   const auto Found = HeldCalls.find(Cancel.Id);
   if (Found == HeldCalls.end())
     return stateReply(Cancel.Id);
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -44,7 +44,8 @@
   /// Returns the state of a call; fences its id if the message requests it.
   CallReply fetch(const CallFetch &Fetch);
 
-  /// Ends a call that has no waiting caller and fences its id.
+  /// Ends a call that has no waiting caller and fences its id. The sender does
+  /// not ask for the answer any more, so none is kept.
   CallReply cancel(const CallCancel &Cancel);
 
   /// Applies the configuration in the context, also to queued calls.
@@ -99,6 +100,7 @@
   CallRequest targetRequest(const HeldCall &Call) const;
   void onResult(const CallId &Id, RunResult Result);
   void onAnswer(const CallId &Id, CallAnswer Answer);
+  TimeMs answerExpiry(const HeldCall &Call) const;
   void onBroken(const CallId &Id, HeldCall &Call, ResultCode Reason);
   void resolveBrokenRuns(CrashVerdict Verdict);
   void recordCrashedRun(const HeldCall &Call);
--- a/src/policy/CallLedger.cpp
+++ b/src/policy/CallLedger.cpp
@@ -20,23 +20,25 @@
 }
 
 std::size_t CallLedger::finish(const CallId &Id, std::string Answer,
-                               TimeMs Now) {
+                               TimeMs KeepUntil, TimeMs Now) {
   const auto Found = Entries.find(Id);
   if (Found == Entries.end() ||
       Found->second.Progress != LedgerEntry::State::Running)
     return 0;
-  Found->second.Progress = LedgerEntry::State::Done;
-  Found->second.FinishedAt = Now;
-  Found->second.HasAnswer = true;
+  LedgerEntry &Entry = Found->second;
+  Entry.Progress = LedgerEntry::State::Done;
+  Entry.KeepUntil = std::min(KeepUntil, Now + Limits.KeepAnswers);
+  Entry.HasAnswer = true;
   KeptBytes += Answer.size();
-  Found->second.Answer = std::move(Answer);
-  IdsByAnswer.push_back(Id);
-  std::size_t Dropped = 0;
-  for (; KeptBytes > Limits.MaxKeptBytes && IdsByAnswer.size() > 1; ++Dropped) {
-    dropAnswer(Entries.at(IdsByAnswer.front()));
-    IdsByAnswer.pop_front();
-  }
-  return Dropped;
+  Entry.Answer = std::move(Answer);
+  Answers.emplace(Entry.KeepUntil, Id);
+  return makeRoom(Id);
+}
+
+void CallLedger::release(const CallId &Id) {
+  const auto Found = Entries.find(Id);
+  if (Found != Entries.end() && Found->second.HasAnswer)
+    dropAnswer(Id, Found->second);
 }
 
 void CallLedger::refuse(const CallId &Id, ResultCode Reason) {
@@ -73,12 +75,9 @@
 }
 
 void CallLedger::expire(TimeMs Now) {
-  while (!IdsByAnswer.empty()) {
-    LedgerEntry &Entry = Entries.at(IdsByAnswer.front());
-    if (Now - Entry.FinishedAt < Limits.KeepAnswers)
-      break;
-    dropAnswer(Entry);
-    IdsByAnswer.pop_front();
+  while (!Answers.empty() && Answers.begin()->first <= Now) {
+    const CallId Id = Answers.begin()->second;
+    dropAnswer(Id, Entries.at(Id));
   }
   while (!IdsByFirstSeen.empty()) {
     const LedgerEntry &Oldest = Entries.at(IdsByFirstSeen.front());
@@ -99,12 +98,28 @@
   }
 }
 
-void CallLedger::dropAnswer(LedgerEntry &Entry) {
+void CallLedger::dropAnswer(const CallId &Id, LedgerEntry &Entry) {
+  Answers.erase({Entry.KeepUntil, Id});
   KeptBytes -= Entry.Answer.size();
   Entry.Answer = std::string();
   Entry.HasAnswer = false;
 }
 
+/// Drops the answers that expire first until the rest fit, but not the newest.
+std::size_t CallLedger::makeRoom(const CallId &Newest) {
+  std::size_t Dropped = 0;
+  auto Next = Answers.begin();
+  while (KeptBytes > Limits.MaxKeptBytes && Next != Answers.end()) {
+    const CallId Id = Next->second;
+    ++Next;
+    if (Id == Newest)
+      continue;
+    dropAnswer(Id, Entries.at(Id));
+    ++Dropped;
+  }
+  return Dropped;
+}
+
 bool CallLedger::evictOldest() {
   // Running calls are never evicted; the queue and the slots bound their
   // number.
@@ -117,10 +132,8 @@
   const CallId Id = *Oldest;
   LedgerEntry &Entry = Entries.at(Id);
   CompleteSince = std::max(CompleteSince, Entry.FirstSeen);
-  if (Entry.HasAnswer) {
-    dropAnswer(Entry);
-    IdsByAnswer.remove(Id);
-  }
+  if (Entry.HasAnswer)
+    dropAnswer(Id, Entry);
   raiseWatermark(Id, Entry.FirstSeen);
   IdsByFirstSeen.erase(Oldest);
   Entries.erase(Id);
--- a/src/policy/CallLedger.h
+++ b/src/policy/CallLedger.h
@@ -7,6 +7,9 @@
 /// An entry node that receives no answer looks up the id. If the id was never
 /// seen, it is fenced: the call is refused if it arrives later.
 ///
+/// An answer is stored for as long as its entry node may ask for it: until a
+/// time given to \ref CallLedger::finish or until \ref CallLedger::release.
+///
 /// The ledger is bounded in ids, bytes and age. Eviction preserves the
 /// guarantee: ids are evicted in the order in which they were first seen, \ref
 /// CallLedger::remembered tells how far back the ledger is complete, and an id
@@ -23,7 +26,9 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 
 namespace fescuewood {
 
@@ -31,7 +36,7 @@
 struct CallLedgerLimits {
   std::size_t MaxIds = 100000;
   std::size_t MaxKeptBytes = 24 << 20; ///< Total of all stored answers.
-  DurationMs KeepAnswers{20000};       ///< From the end of the call.
+  DurationMs KeepAnswers{20000};       ///< At most, from the end of the call.
   DurationMs KeepIds{120000};          ///< From the first arrival of the id.
 };
 
@@ -50,7 +55,7 @@
   ResultCode Reason = ResultCode::Ok; ///< Reason of a refusal.
   std::string Answer;     ///< Encoded; empty once it has been dropped.
   TimeMs FirstSeen;       ///< First arrival or fence of the id.
-  TimeMs FinishedAt;      ///< End of the run at the target.
+  TimeMs KeepUntil;       ///< Expiry of \ref Answer.
   bool HasAnswer = false; ///< Whether \ref Answer is stored.
 };
 
@@ -68,9 +73,14 @@
   /// Records the arrival of a request with this id.
   Arrival begin(const CallId &Id, TimeMs Now);
 
-  /// Records the end of a running call and stores its encoded answer. Returns
-  /// the number of answers that were dropped to make room for it.
-  std::size_t finish(const CallId &Id, std::string Answer, TimeMs Now);
+  /// Records the end of a running call and stores its encoded answer until
+  /// \p KeepUntil. Returns the number of answers that were dropped to make room
+  /// for it.
+  std::size_t finish(const CallId &Id, std::string Answer, TimeMs KeepUntil,
+                     TimeMs Now);
+
+  /// Drops the answer of a call that nobody will ask for. The call stays known.
+  void release(const CallId &Id);
 
   /// Records that a call from \ref begin was not executed and never will be.
   void refuse(const CallId &Id, ResultCode Reason);
@@ -104,14 +114,15 @@
 
   bool belowWatermark(const CallId &Id) const;
   void add(const CallId &Id, LedgerEntry Entry);
-  void dropAnswer(LedgerEntry &Entry);
+  void dropAnswer(const CallId &Id, LedgerEntry &Entry);
+  std::size_t makeRoom(const CallId &Newest);
   bool evictOldest();
   void raiseWatermark(const CallId &Id, TimeMs Now);
 
   CallLedgerLimits Limits;
   EntryMap Entries;
-  std::list<CallId> IdsByFirstSeen; ///< Oldest first.
-  std::list<CallId> IdsByAnswer;    ///< Ids with a stored answer, oldest first.
+  std::list<CallId> IdsByFirstSeen;              ///< Oldest first.
+  std::set<std::pair<TimeMs, CallId>> Answers;   ///< Stored ones, by expiry.
   std::map<std::uint64_t, Watermark> Watermarks; ///< By incarnation.
   std::size_t KeptBytes = 0;
   TimeMs CompleteSince; ///< Ids first seen after this have an entry.
--- a/src/settings/CallRows.cpp
+++ b/src/settings/CallRows.cpp
@@ -57,7 +57,7 @@
       row("max_queue_bytes", "bytes", text(Defaults.MaxQueueBytes), wholeNumber<std::size_t>(65536, 1073741824), &CallSettings::MaxQueueBytes, "Memory limit for requests queued for the target."),
       row("waiting_share", "", text(Defaults.WaitingShare), wholeNumber<std::uint32_t>(2, 1000), &CallSettings::WaitingShare, "One in this many slots is assigned to routes that can wait while other requests are queued as well."),
       row("max_kept_bytes", "bytes", text(Defaults.MaxKeptBytes), wholeNumber<std::size_t>(65536, 1073741824), &CallSettings::MaxKeptBytes, "Memory limit for responses kept for repeated fetches."),
-      row("keep_ms", "ms", text(Defaults.KeepTime), milliseconds(1000, 600000), &CallSettings::KeepTime, "Maximum time for which such a response is kept."),
+      row("keep_ms", "ms", text(Defaults.KeepTime), milliseconds(1000, 600000), &CallSettings::KeepTime, "Maximum time for which such a response is kept; it is dropped earlier once nobody can ask for it."),
       row("max_ledger_ids", "", text(Defaults.MaxLedgerIds), wholeNumber<std::size_t>(1000, 10000000), &CallSettings::MaxLedgerIds, "Number of calls that are remembered to prevent duplicate execution."),
       row("crash_limit", "", text(Defaults.CrashLimit), wholeNumber<std::uint32_t>(1, 8), &CallSettings::CrashLimit, "Number of targets that a request may crash before it is rejected."),
       row("crash_memory_ms", "ms", text(Defaults.CrashMemory), milliseconds(1000, 86400000), &CallSettings::CrashMemory, "Time for which a crash is remembered."),
--- a/tests/calls/CallCoreTest.cpp
+++ b/tests/calls/CallCoreTest.cpp
@@ -381,6 +381,17 @@
     LONGS_EQUAL(0, Node->Core->status().KeptBytes);
 }
 
+TEST(CallCore, KeepsNoAnswerBeyondTheDeadlineOfItsCall) {
+  auto Mesh = makeMesh(14, {}, {});
+
+  for (int I = 0; I < 30; ++I)
+    Mesh->submit(0, makeRequest("tag" + std::to_string(I), false));
+  Mesh->runFor(4 * SecondUs);
+
+  for (const auto &Node : Mesh->Nodes)
+    LONGS_EQUAL(0, Node->Core->status().KeptBytes);
+}
+
 // Shows that the model detects duplicate runs: a plain retry, without outcome
 // fetch and fence, runs a call twice when an answer is lost.
 TEST(CallCore, PlainRetryRunsACallTwice) {
--- a/tests/policy/CallLedgerTest.cpp
+++ b/tests/policy/CallLedgerTest.cpp
@@ -31,13 +31,47 @@
   CallLedger Ledger({}, TimeMs(0));
   Ledger.begin(First, TimeMs(1));
 
-  Ledger.finish(First, "answer", TimeMs(2));
+  Ledger.finish(First, "answer", TimeMs(20), TimeMs(2));
 
   CHECK(CallLedger::Arrival::Known == Ledger.begin(First, TimeMs(3)));
   CHECK(LedgerEntry::State::Done == Ledger.find(First)->Progress);
   STRCMP_EQUAL("answer", Ledger.find(First)->Answer.c_str());
 }
 
+TEST(CallLedger, KeepsAnAnswerUntilItsTimeOrItsRelease) {
+  const CallId Second{7, 2};
+  CallLedger Ledger({}, TimeMs(0));
+  Ledger.begin(First, TimeMs(1));
+  Ledger.begin(Second, TimeMs(1));
+  Ledger.finish(First, "first", TimeMs(9), TimeMs(2));
+  Ledger.finish(Second, "second", TimeMs(7), TimeMs(3));
+
+  Ledger.expire(TimeMs(7));
+  CHECK_TRUE(Ledger.find(First)->HasAnswer);
+  CHECK_FALSE(Ledger.find(Second)->HasAnswer);
+
+  Ledger.release(First);
+  LONGS_EQUAL(0, Ledger.keptBytes());
+  CHECK(LedgerEntry::State::Done == Ledger.find(First)->Progress);
+  CHECK_FALSE(Ledger.fence(First, TimeMs(8)));
+  CHECK(CallLedger::Arrival::Known == Ledger.begin(First, TimeMs(8)));
+}
+
+TEST(CallLedger, DropsTheAnswersThatExpireFirstToMakeRoom) {
+  CallLedger Ledger(smallLimits(), TimeMs(0));
+  for (std::uint64_t I = 1; I <= 4; ++I)
+    Ledger.begin({7, I}, TimeMs(1));
+  const std::string Answer(10, 'a');
+  Ledger.finish({7, 1}, Answer, TimeMs(9), TimeMs(2));
+  Ledger.finish({7, 2}, Answer, TimeMs(8), TimeMs(2));
+  Ledger.finish({7, 3}, Answer, TimeMs(9), TimeMs(2));
+
+  LONGS_EQUAL(1, Ledger.finish({7, 4}, Answer, TimeMs(3), TimeMs(2)));
+
+  CHECK_FALSE(Ledger.find({7, 2})->HasAnswer);
+  CHECK_TRUE(Ledger.find({7, 4})->HasAnswer);
+}
+
 TEST(CallLedger, FencedCallNeverRuns) {
   CallLedger Ledger({}, TimeMs(0));
 
@@ -81,9 +115,12 @@
         break;
       case 1:
         if (Running.erase(Id) > 0)
-          Ledger.finish(Id, std::string(10, 'a'), Now);
+          Ledger.finish(Id, std::string(10, 'a'), Now + DurationMs(Incarnation),
+                        Now);
         break;
       case 2:
+        if (Wait % 2 == 0)
+          Ledger.release(Id);
         if (Ledger.fence(Id, Now)) {
           if (!Known)
             RC_ASSERT(!Ran.contains(Id));
