--- a/tests/calls/CallCoreTest.cpp
+++ b/tests/calls/CallCoreTest.cpp
@@ -392,6 +392,35 @@
     LONGS_EQUAL(0, Node->Core->status().KeptBytes);
 }
 
+TEST(CallCore, StartsNoRunWhoseLargeAnswerCannotBeKept) {
+  CallSettings Settings;
+  Settings.MaxKeptBytes = 2 << 20;
+  FakeNetworkOptions Network;
+  Network.LinkBytesPerMs = 500;
+  FakeTargetOptions Target;
+  Target.PaddingBytes = 300'000;
+  auto Mesh = makeMesh(15, Settings, Network, 1, Target);
+  const std::size_t EntryNode = Mesh->addNode("east/entry", "east", "none", {});
+  Mesh->publishInstances();
+
+  // Four times what the three links carry.
+  for (int I = 0; I < 200; ++I) {
+    Mesh->submit(EntryNode, makeRequest("tag" + std::to_string(I), true));
+    Mesh->runFor(50'000);
+    for (const auto &Node : Mesh->Nodes)
+      CHECK_TRUE(Node->Core->status().KeptBytes <= Settings.MaxKeptBytes);
+  }
+  Mesh->runFor(5 * SecondUs);
+
+  STRCMP_EQUAL("", invariantViolation(*Mesh, Slots).c_str());
+  CHECK_TRUE(successRate(*Mesh) > 0);
+  const auto Lost = std::count_if(
+      Mesh->Calls.begin(), Mesh->Calls.end(), [](const FakeCall &Call) {
+        return Call.Answer.Reason == ResultCode::AnswerLost;
+      });
+  LONGS_EQUAL(0, Lost);
+}
+
 // Shows that the model detects duplicate runs: a plain retry, without outcome
 // fetch and fence, runs a call twice when an answer is lost.
 TEST(CallCore, PlainRetryRunsACallTwice) {
