Start no run whose large answer does not fit into the node's memory

Callers whose requests had run got 517 AnswerLost, because a node that had no room dropped finished answers for newer ones; and the room, 24 MiB, was the same on a machine with 88 MB as on one with 512 MB, so nodes ended over their memory and lost all that they held (LOST).

All answers that a node holds now share one limit: answer_memory_share of the machine's memory (0.15), and at most max_kept_bytes. Counted are the answers kept, the pieces that its entry side joins, and for each run in progress the mean size of its route's answers (policy/AnswerMemory, pure). A run whose answer is expected to be large and does not fit is refused before it starts with the new code 522 AnswerMemoryFull and a Retry-After; the entry node may try another target, from its retry budget. Small answers are not refused: the slots bound them. Answers that turn out larger than usual can still exceed the limit by their difference while they are received, and kept ones are then dropped, which event 1513 shows. The limit is a gauge. Not counted: answers on their way to callers and messages queued in connections.

--- a/src/calls/CallCore.cpp
+++ b/src/calls/CallCore.cpp
@@ -7,7 +7,7 @@
 CallCore::CallCore(CallIdentity Identity, const CallSettings &Settings,
                    CallHooks Hooks, Clock Time)
     : Context(std::move(Identity), Settings, std::move(Hooks), std::move(Time)),
-      Target(Context),
+      Target(Context, [this] { return Entries.joiningBytes(); }),
       Entries(Context,
               {[this](CallStart Start, const CallReplyHook &OnReply) {
                  Target.start(std::move(Start), OnReply);
--- a/src/calls/CallStatus.h
+++ b/src/calls/CallStatus.h
@@ -60,6 +60,7 @@
   std::size_t Quarantined = 0; ///< Requests refused for crashing targets.
   std::size_t LedgerIds = 0;
   std::size_t KeptBytes = 0;
+  std::size_t AnswerLimit = 0;    ///< Limit on all bytes of answers.
   LatencyHistogram TargetLatency; ///< From the start of a run to its end.
   LatencyHistogram QueueWait;     ///< From arrival to the start of the run.
 };
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -117,9 +117,15 @@
 void EntrySide::fill(CallStatus &Status) const {
   Status.Entered = Calls.size();
   Status.HeldBytes = HeldBytes;
+  Status.JoiningBytes = joiningBytes();
+}
+
+std::size_t EntrySide::joiningBytes() const {
+  std::size_t Bytes = 0;
   for (const auto &[Handle, Call] : Calls)
     if (Call.Current)
-      Status.JoiningBytes += Call.Current->Answer.offset();
+      Bytes += Call.Current->Answer.offset();
+  return Bytes;
 }
 
 EntrySide::EntryCall *EntrySide::find(CallHandle Handle, const CallId &Id) {
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -122,6 +122,9 @@
   /// Sets the entry-side gauges in \p Status.
   void fill(CallStatus &Status) const;
 
+  /// Bytes received so far of answers that are not complete.
+  std::size_t joiningBytes() const;
+
   const Router &router() const { return Targets; }
 
 private:
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -88,6 +88,7 @@
   Call.Running = true;
   Call.StartedAt = Now;
   Call.Epoch = Epoch;
+  Call.AnswerBytes = Memory.reserve(Call.Request.Route);
   ++InFlight;
   ++Context.Counters.Runs;
   Context.Counters.QueueWait.add(Now - Call.ArrivedAt);
@@ -195,9 +196,13 @@
 void TargetSide::onAnswer(const CallId &Id, CallAnswer Answer) {
   if (Answer.Reason == ResultCode::Ok)
     Answer.RequestOutcome = Outcome::Ran;
-  const HeldCall &Call = HeldCalls.at(Id);
-  const std::size_t Dropped = Ledger.finish(Id, encodeAnswer(Answer),
-                                            answerExpiry(Call), Context.now());
+  HeldCall &Call = HeldCalls.at(Id);
+  std::string Encoded = encodeAnswer(Answer);
+  Memory.release(std::exchange(Call.AnswerBytes, 0));
+  if (Answer.Reason == ResultCode::Ok)
+    Memory.onAnswer(Call.Request.Route, Encoded.size());
+  const std::size_t Dropped =
+      Ledger.finish(Id, std::move(Encoded), answerExpiry(Call), Context.now());
   if (Dropped > 0)
     Context.report(EventId::AnswersDropped,
                    {{"answers", std::to_string(Dropped)},
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -16,10 +16,11 @@
           Settings.WarmTime, Settings.IdleDecayTime};
 }
 
-CallLedgerLimits ledgerLimits(const CallSettings &Settings) {
+CallLedgerLimits ledgerLimits(const CallSettings &Settings,
+                              std::size_t AnswerBytes) {
   CallLedgerLimits Limits;
   Limits.MaxIds = Settings.MaxLedgerIds;
-  Limits.MaxKeptBytes = Settings.MaxKeptBytes;
+  Limits.MaxKeptBytes = AnswerBytes;
   Limits.KeepAnswers = Settings.KeepTime;
   return Limits;
 }
@@ -33,8 +34,13 @@
 
 } // namespace
 
-TargetSide::TargetSide(CallContext &Context)
-    : Context(Context), Ledger(ledgerLimits(Context.Settings), Context.now()),
+TargetSide::TargetSide(CallContext &Context,
+                       std::function<std::size_t()> JoiningBytes)
+    : Context(Context), JoiningBytes(std::move(JoiningBytes)),
+      Memory(answerMemoryLimit(Context.Settings.MaxKeptBytes,
+                               Context.Settings.AnswerMemoryShare,
+                               Context.Identity.MachineBytes)),
+      Ledger(ledgerLimits(Context.Settings, Memory.limit()), Context.now()),
       Queue(queueSettings(Context.Settings),
             [this](const CallId &Id) {
               refuse(Id, ResultCode::DeadlineUnreachable);
@@ -213,6 +219,7 @@
   Status.Quarantined = Context.Guard.quarantined();
   Status.LedgerIds = Ledger.size();
   Status.KeptBytes = Ledger.keptBytes();
+  Status.AnswerLimit = Memory.limit();
 }
 
 CallReply TargetSide::baseReply() {
@@ -257,6 +264,7 @@
 /// Estimated time until the calls that are queued now have been served.
 DurationMs TargetSide::retryAfter(ResultCode Reason) {
   const bool Busy = Reason == ResultCode::QueueFull ||
+                    Reason == ResultCode::AnswerMemoryFull ||
                     Reason == ResultCode::DeadlineUnreachable;
   if (!Busy)
     return DurationMs(0);
@@ -288,6 +296,9 @@
   if (!Context.Guard.empty() &&
       Context.Guard.shouldRefuse(fingerprintOf(Request), Context.now()))
     return ResultCode::RequestCrashesTargets;
+  if (Memory.expectsLarge(Request.Route) &&
+      !Memory.fits(Request.Route, Ledger.keptBytes() + JoiningBytes()))
+    return ResultCode::AnswerMemoryFull;
   return ResultCode::Ok;
 }
 
@@ -330,6 +341,7 @@
 void TargetSide::finish(const CallId &Id, const CallReply &Reply) {
   const auto Found = HeldCalls.find(Id);
   const CallReplyHook OnReply = std::move(Found->second.OnReply);
+  Memory.release(Found->second.AnswerBytes);
   HeldCalls.erase(Found);
   OnReply(Reply);
 }
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -13,6 +13,7 @@
 #include "calls/TargetPort.h"
 #include "nodes/CallMessages.h"
 #include "policy/AdmissionLimit.h"
+#include "policy/AnswerMemory.h"
 #include "policy/CallLedger.h"
 #include "policy/CrashEvidence.h"
 #include "policy/FairQueue.h"
@@ -20,8 +21,10 @@
 #include "policy/WarmupLimit.h"
 #include "policy/WithdrawnKeys.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -35,7 +38,9 @@
 /// Calls of one target. Not thread-safe; used only inside CallContext::run.
 class TargetSide {
 public:
-  explicit TargetSide(CallContext &Context);
+  /// \param JoiningBytes returns the bytes of answers that the entry side of
+  /// this node holds in pieces.
+  TargetSide(CallContext &Context, std::function<std::size_t()> JoiningBytes);
 
   /// Starts a call. \p OnReply is called when the call has ended or is refused;
   /// for a call id that is already in the ledger, immediately with its state.
@@ -78,7 +83,8 @@
     TimeMs Deadline;
     bool Running = false;
     bool Cancelled = false;
-    std::uint64_t Epoch = 0; ///< Target epoch in which its run started.
+    std::uint64_t Epoch = 0;     ///< Target epoch in which its run started.
+    std::size_t AnswerBytes = 0; ///< Reserved for its answer while it runs.
     /// Reason for a broken run, Ok otherwise. A broken run is answered once it
     /// is known whether the target crashed.
     ResultCode BrokenReason = ResultCode::Ok;
@@ -123,6 +129,8 @@
   bool isOwnDomainOut() const;
 
   CallContext &Context;
+  std::function<std::size_t()> JoiningBytes;
+  AnswerMemory Memory;
   CallLedger Ledger;
   FairQueue Queue;
   AdmissionLimit Limit;
--- a/src/operators/Metrics.cpp
+++ b/src/operators/Metrics.cpp
@@ -143,6 +143,7 @@
   Collector.add(MetricId::TargetSeconds, Calls.TargetLatency);
   Collector.add(MetricId::QueueSeconds, Calls.QueueWait);
   Collector.add(MetricId::AnswerBytesKept, toDouble(Calls.KeptBytes));
+  Collector.add(MetricId::AnswerBytesLimit, toDouble(Calls.AnswerLimit));
   Collector.add(MetricId::AnswerBytesJoining, toDouble(Calls.JoiningBytes));
 }
 
--- a/src/policy/CallSettings.h
+++ b/src/policy/CallSettings.h
@@ -69,10 +69,13 @@
   std::size_t MaxQueueBytes = 16 << 20; ///< Total of all queued requests.
   std::uint32_t WaitingShare = 8;       ///< One pop in this many is deferrable.
 
-  // Ledger.
-  std::size_t MaxKeptBytes = 24 << 20; ///< Total of all stored answers.
+  // Answers.
+  std::size_t MaxKeptBytes = 24 << 20; ///< All answers held, at most.
+  double AnswerMemoryShare = 0.15;     ///< Of the machine's memory, for them.
   DurationMs KeepTime{20000};          ///< Lifetime of a stored answer.
-  std::size_t MaxLedgerIds = 200000;   ///< Largest number of call ids stored.
+
+  // Ledger.
+  std::size_t MaxLedgerIds = 200000; ///< Largest number of call ids stored.
 
   // Crashing requests.
   std::uint32_t CrashLimit = 2;   ///< Crashes that quarantine a request.
