--- a/src/calls/CallEngine.cpp
+++ b/src/calls/CallEngine.cpp
@@ -2,6 +2,7 @@
 
 #include "calls/CallCore.h"
 #include "calls/Refusals.h"
+#include "core/ProcessMemory.h"
 #include "core/TaskThread.h"
 #include "policy/MemoryWatch.h"
 
@@ -223,9 +224,12 @@
         !Memory.Watch.update(*Resident, Memory.MachineBytes))
       return;
     const CallStatus Status = status();
+    const HeapUse Heap = heapUse();
     Memory.OnEvent({EventId::MemoryHigh,
                     {{"resident_bytes", std::to_string(*Resident)},
                      {"machine_bytes", std::to_string(Memory.MachineBytes)},
+                     {"heap_used_bytes", std::to_string(Heap.Used)},
+                     {"heap_free_bytes", std::to_string(Heap.Free)},
                      {"kept_bytes", std::to_string(Status.KeptBytes)},
                      {"joining_bytes", std::to_string(Status.JoiningBytes)},
                      {"queued_bytes", std::to_string(Status.QueuedBytes)},
--- a/src/core/ProcessMemory.cpp
+++ b/src/core/ProcessMemory.cpp
@@ -4,6 +4,7 @@
 #include "core/Trim.h"
 
 #include <charconv>
+#include <malloc.h>
 #include <system_error>
 #include <unistd.h>
 
@@ -66,4 +67,9 @@
       static_cast<std::size_t>(PageBytes));
 }
 
+HeapUse heapUse() {
+  const struct mallinfo2 Info = mallinfo2();
+  return {Info.uordblks + Info.hblkhd, Info.fordblks};
+}
+
 } // namespace fescuewood
--- a/src/core/ProcessMemory.h
+++ b/src/core/ProcessMemory.h
@@ -25,6 +25,15 @@
 /// The resident memory of this process; std::nullopt if it cannot be read.
 std::optional<std::size_t> residentMemory();
 
+/// Memory that the allocator holds, in bytes.
+struct HeapUse {
+  std::size_t Used = 0; ///< Allocated.
+  std::size_t Free = 0; ///< Freed, but not returned to the system.
+};
+
+/// The heap of this process, over all of the allocator's arenas.
+HeapUse heapUse();
+
 } // namespace fescuewood
 
 #endif // FESCUEWOOD_CORE_PROCESSMEMORY_H
