Hold a large answer twice at most on its way, not four times

Nodes beside targets with large answers ended over their memory (LOST). On its way an answer was there up to four times: the result of a run was copied from the worker's queue into the step that handles it, while the queue kept its own until all its steps had run; encoding wrote into a buffer that was then copied into a string; and bodies and joined pieces grew by doubling, with both copies alive at each step.

Results and replies are now moved out of the queue, msgpack writes into the string itself, and the body and the joined answer get their memory at once, from Content-Length (within the limit on answers) and the total in the reply.

--- a/src/calls/CallEngine.cpp
+++ b/src/calls/CallEngine.cpp
@@ -166,10 +166,12 @@
     PeerSend Send = std::move(Hooks.Send);
     Hooks.Send = [this, Send = std::move(Send)](PeerRequest Request,
                                                 PeerReplyHook OnReply) {
-      Send(std::move(Request), [this,
-                                OnReply = std::move(OnReply)](PeerReply Reply) {
-        postReliably([OnReply, Reply = std::move(Reply)] { OnReply(Reply); });
-      });
+      Send(std::move(Request),
+           [this, OnReply = std::move(OnReply)](PeerReply Reply) {
+             postReliably([OnReply, Reply = std::move(Reply)]() mutable {
+               OnReply(std::move(Reply));
+             });
+           });
     };
     auto Run = std::move(Hooks.Target.Run);
     Hooks.Target.Run = [this, Run = std::move(Run)](const CallRequest &Request,
@@ -177,8 +179,9 @@
                                                     RunHook OnResult) {
       Run(Request, Timeout,
           [this, OnResult = std::move(OnResult)](RunResult Result) {
-            postReliably(
-                [OnResult, Result = std::move(Result)] { OnResult(Result); });
+            postReliably([OnResult, Result = std::move(Result)]() mutable {
+              OnResult(std::move(Result));
+            });
           });
     };
     if (auto Probe = std::move(Hooks.Target.Probe)) {
--- a/src/nodes/CallMessages.cpp
+++ b/src/nodes/CallMessages.cpp
@@ -98,7 +98,7 @@
 std::string encodeFields(const Message &Value, std::size_t BodyBytes = 0) {
   FieldWriter Writer(FieldCount<Message>, BodyBytes + TypicalFieldBytes);
   visitFields(Writer, Value);
-  return Writer.text();
+  return Writer.take();
 }
 
 /// Decodes one array that fills \p Bytes exactly.
@@ -177,6 +177,8 @@
   Total = Reply.TotalBytes;
   if (Reply.Offset + Reply.Piece.size() > *Total)
     return false;
+  // Growth in steps would copy a large answer several times.
+  Received.reserve(std::min<std::uint64_t>(*Total, MaxCallBytes));
   if (Reply.Offset > Received.size())
     return true;
   const std::size_t Known = Received.size() - Reply.Offset;
--- a/src/nodes/FieldCodec.cpp
+++ b/src/nodes/FieldCodec.cpp
@@ -6,11 +6,25 @@
 
 namespace fescuewood {
 
-FieldWriter::FieldWriter(std::uint32_t Fields, std::size_t TypicalBytes)
-    : Buffer(TypicalBytes) {
+namespace {
+
+/// The part of a message's memory, as a divisor, that may stay unused.
+constexpr std::size_t UnusedShareDivisor = 8;
+
+} // namespace
+
+FieldWriter::FieldWriter(std::uint32_t Fields, std::size_t TypicalBytes) {
+  Output.Bytes.reserve(TypicalBytes);
   Packer.pack_array(Fields);
 }
 
+std::string FieldWriter::take() {
+  std::string &Bytes = Output.Bytes;
+  if (Bytes.capacity() - Bytes.size() > Bytes.size() / UnusedShareDivisor)
+    Bytes.shrink_to_fit();
+  return std::move(Bytes);
+}
+
 void FieldWriter::span(DurationMs Value) {
   Packer.pack(std::clamp(Value, DurationMs(0), MaxFieldSpan).Value);
 }
--- a/src/nodes/FieldCodec.h
+++ b/src/nodes/FieldCodec.h
@@ -27,13 +27,21 @@
 /// refused when read.
 inline constexpr DurationMs MaxFieldSpan{24LL * 60 * 60 * 1000};
 
+/// Output of the msgpack packer that is a string from the start, so that a
+/// large message is not copied into one.
+struct StringOutput {
+  std::string Bytes;
+
+  void write(const char *Data, std::size_t Size) { Bytes.append(Data, Size); }
+};
+
 /// Writes fields in order. Only the reader checks bounds.
 class FieldWriter {
 public:
   FieldWriter(std::uint32_t Fields, std::size_t TypicalBytes);
 
-  /// The encoded bytes.
-  std::string text() const { return {Buffer.data(), Buffer.size()}; }
+  /// The encoded bytes, which the writer gives up.
+  std::string take();
 
   template <std::unsigned_integral Number>
   void number(Number Value, std::uint64_t /*Max*/ = 0) {
@@ -51,8 +59,8 @@
   void httpStatus(int Value);
 
 private:
-  msgpack::sbuffer Buffer;
-  msgpack::packer<msgpack::sbuffer> Packer{Buffer};
+  StringOutput Output;
+  msgpack::packer<StringOutput> Packer{Output};
 };
 
 /// Reads fields in order. The first field that is missing, of the wrong type or
--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -302,11 +302,21 @@
                        IsFramingField) == 1;
 }
 
+/// Reserves the declared length, since growth in steps would copy a large body
+/// several times.
+void TargetTransfer::reserveBody() {
+  const auto Length = parseNumberField(Answer.Headers, "Content-Length");
+  if (Length && *Length <= Options.MaxAnswerBytes)
+    Answer.Body.reserve(*Length);
+}
+
 bool TargetTransfer::appendBody(std::string_view Bytes) {
   AnswerBytes += Bytes.size();
   AnswerTooLarge = AnswerBytes > Options.MaxAnswerBytes;
   if (AnswerTooLarge)
     return false;
+  if (Answer.Body.empty())
+    reserveBody();
   Answer.Body.append(Bytes);
   return true;
 }
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -63,6 +63,7 @@
   void onStatusLine();
   bool addAnswerField(std::string_view Line);
   bool hasUnambiguousFraming(const Header &Field) const;
+  void reserveBody();
   bool appendBody(std::string_view Bytes);
   static std::size_t onFieldData(char *Data, std::size_t Size,
                                  std::size_t Count, void *UserData);
