Add a failing test: a dropped answer keeps its memory

Recorded allocations name one place: the encoded answers of the ledger, 164 of them with 46 MB at 11 s.

--- a/tests/policy/CallLedgerTest.cpp
+++ b/tests/policy/CallLedgerTest.cpp
@@ -57,6 +57,17 @@
   CHECK(CallLedger::Arrival::Known == Ledger.begin(First, TimeMs(8)));
 }
 
+TEST(CallLedger, FreesTheMemoryOfADroppedAnswer) {
+  constexpr std::size_t AnswerBytes = 280'000;
+  CallLedger Ledger({}, TimeMs(0));
+  Ledger.begin(First, TimeMs(1));
+  Ledger.finish(First, std::string(AnswerBytes, 'a'), TimeMs(9), TimeMs(2));
+
+  Ledger.release(First);
+
+  CHECK(Ledger.find(First)->Answer.capacity() < AnswerBytes);
+}
+
 TEST(CallLedger, DropsTheAnswersThatExpireFirstToMakeRoom) {
   CallLedger Ledger(smallLimits(), TimeMs(0));
   for (std::uint64_t I = 1; I <= 4; ++I)
