Free the memory of a dropped answer

Cause: the ledger dropped an answer by assigning an empty string to it. That keeps the buffer, so each answer held its memory until its id was forgotten, 120 s after its arrival, while it no longer counted as kept. Exchanging the string for an empty one frees the buffer.

Class: memory that counts as free but is not. Elsewhere: no other place drops a large value in this way; buffers that are cleared to be used again are bounded by a limit on headers (RequestGuard) or released above 64 KiB (PeerStream).

--- a/src/policy/CallLedger.cpp
+++ b/src/policy/CallLedger.cpp
@@ -100,8 +100,8 @@
 
 void CallLedger::dropAnswer(const CallId &Id, LedgerEntry &Entry) {
   Answers.erase({Entry.KeepUntil, Id});
-  KeptBytes -= Entry.Answer.size();
-  Entry.Answer = std::string();
+  // Assigning an empty string would keep the buffer.
+  KeptBytes -= std::exchange(Entry.Answer, {}).size();
   Entry.HasAnswer = false;
 }
 
