Refuse commands that the fault proxy does not know

The test of a restarted node beside a stale source sent set?cut_from=IP to the proxies, a fault that an earlier rewording had removed. The proxy ignored it, so the node was never apart from its peers and the test asserted less than it says.

The proxy now refuses unknown commands, parameters and values with status 400 and the reason, and changes nothing. A trial with the old command fails the test with "unknown parameter cut_from".

The test partitions the node from all peers in both directions, waits until the node has read the stale version from the platform (in place of 3 s), and checks that connections are partitioned and that the node has no version in force.

--- a/tests/integration/MeshFixture.cpp
+++ b/tests/integration/MeshFixture.cpp
@@ -21,6 +21,9 @@
 standins::MeshOptions smallMesh() {
   standins::MeshOptions Options;
   Options.Binaries = BINARY_DIR;
+  Options.OnProxyFailure = [](const std::string &Reason) {
+    FAIL(Reason.c_str());
+  };
   Options.Groups = {{"queue", "harbour", 1, 4},
                     {"queue", "market", 1, 4},
                     {"ledger", "harbour", 1, 4}};
--- a/tests/integration/MeshVersionTest.cpp
+++ b/tests/integration/MeshVersionTest.cpp
@@ -30,6 +30,9 @@
 /// Time within which a version has to be in force.
 constexpr std::chrono::seconds InForceLimit{15};
 
+/// Time after a start at which a node accepts the source without its peers.
+constexpr std::chrono::seconds StartDeadline{5};
+
 constexpr const char *ChangedFile = "60-change.ini";
 
 standins::MeshOptions versionMesh() {
@@ -55,17 +58,27 @@
   return Found;
 }
 
-/// The revisions that the current process of a node has had in force, in order.
-std::vector<std::uint64_t> history(const Mesh &TestMesh,
-                                   const MeshInstance &Instance) {
+/// The revisions that events of a node's current process name, in order.
+std::vector<std::uint64_t>
+revisionsOf(const Mesh &TestMesh, const MeshInstance &Instance, EventId Kind) {
   std::vector<std::uint64_t> Revisions;
-  for (const Event &InForce :
-       eventsOf(TestMesh, Instance, EventId::VersionInForce))
-    Revisions.push_back(
-        std::stoull(std::string(fieldValue(InForce, "version"))));
+  for (const Event &Found : eventsOf(TestMesh, Instance, Kind))
+    Revisions.push_back(std::stoull(std::string(fieldValue(Found, "version"))));
   return Revisions;
 }
 
+/// The revisions that the current process of a node has had in force.
+std::vector<std::uint64_t> history(const Mesh &TestMesh,
+                                   const MeshInstance &Instance) {
+  return revisionsOf(TestMesh, Instance, EventId::VersionInForce);
+}
+
+/// The revisions that the current process of a node has read from the platform.
+std::vector<std::uint64_t> platformReads(const Mesh &TestMesh,
+                                         const MeshInstance &Instance) {
+  return revisionsOf(TestMesh, Instance, EventId::PlatformVersionRead);
+}
+
 void checkRevisionsNeverDecrease(const Mesh &TestMesh) {
   for (const MeshInstance &Instance : TestMesh.Instances) {
     const auto Revisions = history(TestMesh, Instance);
@@ -177,14 +190,19 @@
   const std::uint64_t Newest = makeStale();
 
   for (const std::size_t I : {0UL, 4UL}) {
-    MeshInstance &Instance = TestMesh.Instances[I];
+    const MeshInstance &Instance = TestMesh.Instances[I];
     // For a while the node is to reach the platform but no peer.
-    for (const MeshInstance &Other : TestMesh.Instances)
-      TestMesh.commandPeerProxy(Other, "set?cut_from=" + Instance.Ip);
+    TestMesh.partitionNodes(
+        [&](const MeshInstance &Other) { return Other.Name == Instance.Name; });
     restart({I});
-    sleepSeconds(3);
-    for (const MeshInstance &Other : TestMesh.Instances)
-      TestMesh.commandPeerProxy(Other, "set?cut_from=");
+    eventually(
+        "the isolated node has read the stale version",
+        [&] { return !platformReads(TestMesh, Instance).empty(); },
+        StartDeadline);
+    LONGS_EQUAL(First, platformReads(TestMesh, Instance).front());
+    CHECK(TestMesh.partitionedConnections() > 0);
+    CHECK(history(TestMesh, Instance).empty());
+    TestMesh.partition("");
     awaitInForce(TestMesh, Newest);
     LONGS_EQUAL(Newest, history(TestMesh, Instance).front());
   }
--- a/tests/standins/FaultProxy.h
+++ b/tests/standins/FaultProxy.h
@@ -10,10 +10,16 @@
 
 #include "standins/Http.h"
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <list>
+#include <map>
 #include <memory>
 #include <random>
+#include <set>
+#include <stdexcept>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -35,24 +41,32 @@
   std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
 
   /// Executes a command of the control port and returns the JSON response.
+  /// Throws std::invalid_argument, without any effect, when it does not know
+  /// the command, a parameter or a value.
+  ///
+  ///   /control/counts                  only returns the response
+  ///   /control/cut                     closes the open connections
+  ///   /control/silence[?direction=D]   silences them: up, down or both
+  ///   /control/partition?from=IP,...   partitions clients; empty: none
+  ///   /control/set?NAME=NUMBER&...     sets one or more of \ref settings
   std::string control(const std::string &Command) {
-    if (Command.starts_with("/control/cut"))
+    const std::string Name = Command.substr(0, Command.find('?'));
+    const QueryParameters Parameters = queryParameters(Command);
+    if (Name == "/control/set")
+      set(Parameters);
+    else if (Name == "/control/partition")
+      partition(addressesOf(onlyValue(Parameters, "from")));
+    else if (Name == "/control/silence" && !Parameters.empty())
+      silenceAll(onlyValue(Parameters, "direction"));
+    else if (!Parameters.empty())
+      throw std::invalid_argument("unknown parameter in " + Command);
+    else if (Name == "/control/silence")
+      silenceAll("both");
+    else if (Name == "/control/cut")
       closeAll();
-    if (Command.starts_with("/control/silence"))
-      silenceAll(queryValue(Command, "direction").value_or("both"));
-    if (Command.starts_with("/control/partition"))
-      partition(queryValue(Command, "from").value_or(""));
-    if (Command.starts_with("/control/set")) {
-      set(Command, "delay_ms", DelayMs);
-      set(Command, "refuse", Refuse);
-      set(Command, "silent", SilentFromStart);
-      set(Command, "lose_answers", LoseAnswers);
-      set(Command, "cut_permille", CutPermille);
-    }
-    return nlohmann::json{{"connections", Connections.size()},
-                          {"accepted", Accepted},
-                          {"lose_answers", LoseAnswers}}
-        .dump();
+    else if (Name != "/control/counts")
+      throw std::invalid_argument("unknown command " + Command);
+    return counts();
   }
 
 private:
@@ -69,9 +83,70 @@
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
-  static void set(const std::string &Command, const char *Name, int &Value) {
-    if (const auto Text = queryValue(Command, Name))
-      Value = std::stoi(*Text);
+  /// Value of the only parameter, which must be \p Name.
+  static std::string onlyValue(const QueryParameters &Parameters,
+                               const std::string &Name) {
+    if (Parameters.size() != 1 || Parameters.front().first != Name)
+      throw std::invalid_argument("expected only the parameter " + Name);
+    return Parameters.front().second;
+  }
+
+  /// Parses a comma-separated list of IP addresses.
+  static std::set<std::string> addressesOf(const std::string &List) {
+    std::set<std::string> Addresses;
+    std::istringstream Items(List);
+    for (std::string Item; std::getline(Items, Item, ',');) {
+      std::error_code Malformed;
+      asio::ip::make_address(Item, Malformed);
+      if (Malformed)
+        throw std::invalid_argument("not an IP address: " + Item);
+      Addresses.insert(Item);
+    }
+    return Addresses;
+  }
+
+  static int numberOf(const std::string &Text) {
+    int Value = 0;
+    const char *End = Text.data() + Text.size();
+    const auto [Rest, Error] = std::from_chars(Text.data(), End, Value);
+    if (Error != std::errc() || Rest != End || Value < 0)
+      throw std::invalid_argument("not a number: " + Text);
+    return Value;
+  }
+
+  /// Variables that /control/set changes, by parameter name.
+  std::map<std::string, int *> settings() {
+    return {{"delay_ms", &DelayMs},
+            {"refuse", &Refuse},
+            {"silent", &SilentFromStart},
+            {"lose_answers", &LoseAnswers},
+            {"cut_permille", &CutPermille}};
+  }
+
+  void set(const QueryParameters &Parameters) {
+    const auto Known = settings();
+    std::vector<std::pair<int *, int>> Changes;
+    for (const auto &[Name, Text] : Parameters) {
+      const auto Found = Known.find(Name);
+      if (Found == Known.end())
+        throw std::invalid_argument("unknown parameter " + Name);
+      Changes.emplace_back(Found->second, numberOf(Text));
+    }
+    if (Changes.empty())
+      throw std::invalid_argument("no parameter to set");
+    for (const auto &[Variable, Value] : Changes)
+      *Variable = Value;
+  }
+
+  std::string counts() const {
+    const auto Partitioned = std::count_if(
+        Connections.begin(), Connections.end(),
+        [this](const auto &Conn) { return isPartitioned(*Conn); });
+    return nlohmann::json{{"connections", Connections.size()},
+                          {"partitioned", Partitioned},
+                          {"accepted", Accepted},
+                          {"lose_answers", LoseAnswers}}
+        .dump();
   }
 
   static void close(Connection &Conn) {
@@ -86,27 +161,29 @@
   }
 
   void silenceAll(const std::string &Direction) {
+    if (Direction != "up" && Direction != "down" && Direction != "both")
+      throw std::invalid_argument("unknown direction " + Direction);
     for (const auto &Conn : Connections) {
       Conn->SilentToServer |= Direction != "down";
       Conn->SilentToClient |= Direction != "up";
     }
   }
 
-  /// Silences the connections of the clients in \p Ips, a comma-separated list
-  /// of IP addresses. Connections of the previous partition are closed, because
-  /// bytes that were discarded on them cannot be sent again.
-  void partition(const std::string &Ips) {
+  /// Silences the connections of the clients with the addresses \p Ips.
+  /// Connections of the previous partition are closed, because bytes that were
+  /// discarded on them cannot be sent again.
+  void partition(std::set<std::string> Ips) {
     for (const auto &Conn : Connections)
       if (isPartitioned(*Conn))
         close(*Conn);
-    PartitionedIps = "," + Ips + ",";
+    PartitionedIps = std::move(Ips);
     for (const auto &Conn : Connections)
       if (isPartitioned(*Conn))
         Conn->SilentToServer = Conn->SilentToClient = true;
   }
 
   bool isPartitioned(const Connection &Conn) const {
-    return PartitionedIps.find("," + Conn.ClientIp + ",") != std::string::npos;
+    return PartitionedIps.contains(Conn.ClientIp);
   }
 
   asio::awaitable<void> acceptLoop() {
@@ -176,7 +253,7 @@
   Tcp::acceptor Acceptor;
   Tcp::endpoint Upstream;
   std::list<ConnectionPtr> Connections;
-  std::string PartitionedIps; ///< IP addresses, a comma before and after each.
+  std::set<std::string> PartitionedIps;
   int DelayMs = 0;
   int Refuse = 0;
   int SilentFromStart = 0;
--- a/tests/standins/FaultProxyTest.cpp
+++ b/tests/standins/FaultProxyTest.cpp
@@ -1,6 +1,7 @@
 #include "standins/FaultProxy.h"
 
 #include <string>
+#include <thread>
 
 #include <CppUTest/TestHarness.h>
 
@@ -47,3 +48,44 @@
   for (const char *Command : UnknownCommands)
     CHECK_TRUE_TEXT(isRefused(Command), Command);
 }
+
+TEST(FaultProxy, ChangesNothingOnARefusedCommand) {
+  CHECK(isRefused("/control/set?lose_answers=2&cut_from=127.0.0.1"));
+
+  const auto Counts = nlohmann::json::parse(Proxy.control("/control/counts"));
+  LONGS_EQUAL(0, Counts["lose_answers"].get<int>());
+}
+
+TEST(FaultProxy, AcceptsTheCommandsThatItKnows) {
+  for (const char *Command :
+       {"/control/counts", "/control/cut", "/control/silence",
+        "/control/silence?direction=down", "/control/partition?from=",
+        "/control/partition?from=127.0.0.1,127.0.0.2,",
+        "/control/set?silent=0&delay_ms=5"})
+    CHECK_FALSE_TEXT(isRefused(Command), Command);
+}
+
+TEST(FaultProxy, ReportsARefusedCommandToItsSender) {
+  standins::Tcp::acceptor Control(Context, standins::endpointOf("127.0.0.1:0"));
+  asio::co_spawn(Context,
+                 standins::serveControl(Control,
+                                        [&](const std::string &Command) {
+                                          return Proxy.control(Command);
+                                        }),
+                 asio::detached);
+  std::thread Serving([&] { Context.run(); });
+  const std::string Address =
+      "127.0.0.1:" + std::to_string(Control.local_endpoint().port());
+  std::string Reason;
+
+  try {
+    standins::control(Address, "/control/set?cut_from=127.0.0.1");
+  } catch (const std::runtime_error &Error) {
+    Reason = Error.what();
+  }
+
+  Context.stop();
+  Serving.join();
+  STRCMP_CONTAINS("400", Reason.c_str());
+  STRCMP_CONTAINS("unknown parameter cut_from", Reason.c_str());
+}
--- a/tests/standins/Http.h
+++ b/tests/standins/Http.h
@@ -11,9 +11,11 @@
 #include <map>
 #include <optional>
 #include <sstream>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include <asio.hpp>
 
@@ -117,17 +119,32 @@
           static_cast<std::uint16_t>(std::stoi(Address.substr(Colon + 1)))};
 }
 
-/// Returns the value of the parameter \p Name in the query of a request target,
-/// such as "?a=1&b=2". The value is not percent-decoded.
-inline std::optional<std::string> queryValue(const std::string &Target,
-                                             const std::string &Name) {
-  const std::size_t Start = Target.find_first_of('?');
+/// Name and value of each parameter in a query, in order.
+using QueryParameters = std::vector<std::pair<std::string, std::string>>;
+
+/// Returns the parameters in the query of a request target, such as
+/// "?a=1&b=2". The values are not percent-decoded.
+inline QueryParameters queryParameters(const std::string &Target) {
+  const std::size_t Start = Target.find('?');
   std::istringstream Pairs(
       Start == std::string::npos ? "" : Target.substr(Start + 1));
+  QueryParameters Parameters;
   std::string Pair;
-  while (std::getline(Pairs, Pair, '&'))
-    if (Pair.starts_with(Name + "="))
-      return Pair.substr(Name.size() + 1);
+  while (std::getline(Pairs, Pair, '&')) {
+    const std::size_t Equals = Pair.find('=');
+    Parameters.emplace_back(
+        Pair.substr(0, Equals),
+        Equals == std::string::npos ? "" : Pair.substr(Equals + 1));
+  }
+  return Parameters;
+}
+
+/// Returns the value of the parameter \p Name in the query of a request target.
+inline std::optional<std::string> queryValue(const std::string &Target,
+                                             const std::string &Name) {
+  for (auto &[Given, Value] : queryParameters(Target))
+    if (Given == Name)
+      return Value;
   return std::nullopt;
 }
 
@@ -137,7 +154,8 @@
 }
 
 /// Serves a control port: calls \p Control with the target of each request and
-/// responds with the returned text.
+/// responds with the returned text, or with status 400 and the reason when
+/// \p Control throws std::invalid_argument.
 inline asio::awaitable<void>
 serveControl(Tcp::acceptor &Acceptor,
              std::function<std::string(const std::string &Target)> Control) {
@@ -146,8 +164,16 @@
     try {
       std::string Buffer;
       const Message Request = co_await readMessage(Socket, Buffer);
-      co_await send(Socket, responseText(200, "Connection: close\r\n",
-                                         Control(Request.word(1))));
+      int Status = 200;
+      std::string Body;
+      try {
+        Body = Control(Request.word(1));
+      } catch (const std::invalid_argument &Error) {
+        Status = 400;
+        Body = Error.what();
+      }
+      co_await send(Socket,
+                    responseText(Status, "Connection: close\r\n", Body));
     } catch (const std::exception &) {
       // An error on one connection does not affect the next one.
     }
@@ -176,10 +202,15 @@
   return *Answer;
 }
 
-/// Sends a command to a control port and returns the body of the response.
+/// Sends a command to a control port and returns the body of the response;
+/// throws on failure and when the status is not 200.
 inline std::string control(const std::string &Address,
                            const std::string &Target) {
-  return ask(Address, requestText("GET", Target, "", "")).Body;
+  const Message Answer = ask(Address, requestText("GET", Target, "", ""));
+  if (Answer.status() != 200)
+    throw std::runtime_error(Target + ": " + Answer.StartLine + ": " +
+                             Answer.Body);
+  return Answer.Body;
 }
 
 } // namespace standins
--- a/tests/standins/Mesh.h
+++ b/tests/standins/Mesh.h
@@ -168,28 +168,44 @@
   }
 
   /// Sends a command to the proxy in front of a node's peer port, or of its
-  /// target.
-  void commandPeerProxy(const MeshInstance &Instance,
-                        const std::string &Command) const {
-    control(address(Instance, PeerProxyControl), "/control/" + Command);
+  /// target, and returns its counts.
+  nlohmann::json commandPeerProxy(const MeshInstance &Instance,
+                                  const std::string &Command) const {
+    return commandProxy(address(Instance, PeerProxyControl), Command);
   }
-  void commandTargetProxy(const MeshInstance &Instance,
-                          const std::string &Command) const {
-    control(address(Instance, TargetProxyControl), "/control/" + Command);
+  nlohmann::json commandTargetProxy(const MeshInstance &Instance,
+                                    const std::string &Command) const {
+    return commandProxy(address(Instance, TargetProxyControl), Command);
   }
 
-  /// Partitions the nodes of a failure domain from all others; an empty name
-  /// ends the partition.
-  void partition(const std::string &Domain) const {
+  /// Partitions the nodes that \p IsInside selects from all others.
+  void partitionNodes(
+      const std::function<bool(const MeshInstance &)> &IsInside) const {
     for (const MeshInstance &Instance : Instances) {
       std::string From;
       for (const MeshInstance &Other : Instances)
-        if ((Other.Domain == Domain) != (Instance.Domain == Domain))
+        if (IsInside(Other) != IsInside(Instance))
           From += Other.Ip + ",";
       commandPeerProxy(Instance, "partition?from=" + From);
     }
   }
 
+  /// Partitions the nodes of a failure domain from all others; an empty name
+  /// ends the partition.
+  void partition(const std::string &Domain) const {
+    partitionNodes([&](const MeshInstance &Instance) {
+      return Instance.Domain == Domain;
+    });
+  }
+
+  /// Connections between nodes that a partition silences now.
+  int partitionedConnections() const {
+    int Sum = 0;
+    for (const MeshInstance &Instance : Instances)
+      Sum += commandPeerProxy(Instance, "counts").value("partitioned", 0);
+    return Sum;
+  }
+
   /// Sends a command to the platform stand-in and returns its response.
   nlohmann::json platform(const std::string &Command) const {
     return nlohmann::json::parse(control(platformAddress(), "/" + Command));
@@ -200,9 +216,8 @@
   void isolateDomain(const std::string &Domain, bool Isolated) const {
     partition(Isolated ? Domain : "");
     const std::string Proxy = platformProxyAddress(DomainNumbers.at(Domain), 1);
-    control(Proxy,
-            Isolated ? "/control/set?silent=1" : "/control/set?silent=0");
-    control(Proxy, Isolated ? "/control/silence" : "/control/cut");
+    commandProxy(Proxy, Isolated ? "set?silent=1" : "set?silent=0");
+    commandProxy(Proxy, Isolated ? "silence" : "cut");
   }
 
   /// Returns a page of a node's operator port; empty on failure.
@@ -258,6 +273,18 @@
   Process Platform;
 
 private:
+  nlohmann::json commandProxy(const std::string &Address,
+                              const std::string &Command) const {
+    std::string Failure;
+    try {
+      return nlohmann::json::parse(control(Address, "/control/" + Command));
+    } catch (const std::exception &Error) {
+      Failure = Error.what();
+    }
+    Options.OnProxyFailure("proxy " + Address + ": " + Failure);
+    return nlohmann::json::object();
+  }
+
   void addGroup(const MeshGroup &Group) {
     for (int I = 0; I < Group.Count; ++I) {
       MeshInstance Instance;
