Try a withdrawn key on a connection that stays open

StopsServingAWithdrawnKeyOnOpenConnections sent each request on a new connection, so it did not assert what its name says. It now uses a connection that is open before the withdrawal and stays in use, with pipelined requests of the withdrawn and of another key, beside new connections; it also checks that the target runs none of the refused requests, and restores the key, since the mesh is shared. The former checks remain.

--- a/tests/integration/MeshFixture.cpp
+++ b/tests/integration/MeshFixture.cpp
@@ -65,6 +65,30 @@
   return Stream;
 }
 
+OpenConnection::OpenConnection(const std::string &Address) {
+  Socket.connect(standins::endpointOf(Address));
+}
+
+std::vector<standins::Message>
+OpenConnection::ask(std::span<const std::string> Requests) {
+  std::vector<standins::Message> Responses;
+  asio::co_spawn(
+      Context,
+      [&]() -> asio::awaitable<void> {
+        std::string Sent;
+        for (const std::string &Request : Requests)
+          Sent += Request;
+        co_await standins::send(Socket, std::move(Sent));
+        while (Responses.size() < Requests.size())
+          Responses.push_back(co_await standins::readMessage(Socket, Received));
+      },
+      // The connection has ended: the responses before its end are returned.
+      [](const std::exception_ptr &) {});
+  Context.restart();
+  Context.run();
+  return Responses;
+}
+
 BackgroundLoad::BackgroundLoad(standins::LoadOptions Options)
     : Options(std::move(Options)),
       Running(std::async(std::launch::async, [LoadConfig = this->Options] {
--- a/tests/integration/MeshFixture.h
+++ b/tests/integration/MeshFixture.h
@@ -9,6 +9,7 @@
 
 #include <future>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,22 @@
 standins::LoadStream makeStream(const std::string &Method,
                                 const std::string &Path, double PerSecond);
 
+/// Connection of a caller that stays open over several requests.
+class OpenConnection {
+public:
+  /// Connects to \p Address; throws on failure.
+  explicit OpenConnection(const std::string &Address);
+
+  /// Sends \p Requests at once and returns their responses in order; fewer when
+  /// the connection ends first.
+  std::vector<standins::Message> ask(std::span<const std::string> Requests);
+
+private:
+  asio::io_context Context;
+  standins::Tcp::socket Socket{Context};
+  std::string Received; ///< Bytes after the last response.
+};
+
 /// Load that runs on another thread while a test injects faults.
 class BackgroundLoad {
 public:
--- a/tests/integration/MeshTest.cpp
+++ b/tests/integration/MeshTest.cpp
@@ -83,18 +83,43 @@
 TEST(Mesh, StopsServingAWithdrawnKeyOnOpenConnections) {
   Mesh &TestMesh = sharedMesh();
   const auto &Entry = TestMesh.Instances[2];
-  const auto StatusOf = [&](const std::string &Key) {
-    return TestMesh.request(Entry, "GET", "/queue", keyHeaders(Key, "m"))
+  OpenConnection Open(TestMesh.address(Entry, Mesh::Callers));
+  const auto StatusOnNew = [&] {
+    return TestMesh
+        .request(Entry, "GET", "/queue", keyHeaders("key-second", "new"))
         .status();
   };
-  LONGS_EQUAL(200, StatusOf("key-second"));
+  const auto StatusesOnOpen = [&](const std::vector<std::string> &Keys) {
+    std::vector<std::string> Requests;
+    Requests.reserve(Keys.size());
+    for (const std::string &Key : Keys)
+      Requests.push_back(standins::requestText(
+          "GET", "/queue", keyHeaders(Key, "open-" + Key), ""));
+    std::vector<int> Statuses;
+    for (const Message &Response : Open.ask(Requests))
+      Statuses.push_back(Response.status());
+    return Statuses;
+  };
+  const auto Runs = [&] { return TestMesh.runs()["open-key-second"]; };
+  CHECK((std::vector<int>{200, 200}) ==
+        StatusesOnOpen({"key-second", "key-second"}));
+  LONGS_EQUAL(200, StatusOnNew());
 
   TestMesh.writeIntent("90-withdrawn.ini",
                        "[key key-second]\nstatus = withdrawn\n");
 
-  eventually("the withdrawn key is refused",
-             [&] { return StatusOf("key-second") == 401; });
-  LONGS_EQUAL(200, StatusOf("key-first"));
+  eventually("the withdrawn key is refused on the open connection", [&] {
+    return StatusesOnOpen({"key-second"}) == std::vector<int>{401};
+  });
+  const int RunsBefore = Runs();
+  LONGS_EQUAL(401, StatusOnNew());
+  CHECK((std::vector<int>{200, 401, 401, 200}) ==
+        StatusesOnOpen({"key-first", "key-second", "key-second", "key-first"}));
+  LONGS_EQUAL(RunsBefore, Runs());
+  TestMesh.removeIntent("90-withdrawn.ini");
+  eventually("the key is served again on the open connection", [&] {
+    return StatusesOnOpen({"key-second"}) == std::vector<int>{200};
+  });
 }
 
 TEST(Mesh, RoutesNoRequestsToADomainThatIsOut) {
