Skip known failures by package and full name, and fail on a wrong name

KNOWN-RED.txt could name one test for all packages: CppUTest combines name filters with "or" and applies them to all groups, so a second entry stopped the configuration, a red test also excluded its namesakes in other packages, and a misspelt name excluded nothing without a word.

--- a/tests/support/Main.cpp
+++ b/tests/support/Main.cpp
@@ -1,3 +1,6 @@
+#include "support/TestSkips.h"
+
+#include <cstdio>
 #include <cstdlib>
 
 #include <CppUTest/CommandLineTestRunner.h>
@@ -10,5 +13,19 @@
   setenv("RC_PARAMS", "seed=20261204 max_success=100", KeepExisting);
   // CppUTest's leak detector reports rapidcheck's static objects as leaks.
   MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
-  return RUN_ALL_TESTS(Argc, Argv);
+
+  std::vector<const char *> Arguments(Argv, Argv + Argc);
+  const auto Skips = fescuewood::takeSkips(Arguments);
+  TestRegistry Kept;
+  const auto Unknown = fescuewood::addTestsExcept(
+      Skips, *TestRegistry::getCurrentRegistry(), Kept);
+  for (const std::string &Name : Unknown)
+    std::fprintf(stderr, "no such test to skip: %s\n", Name.c_str());
+  if (!Unknown.empty())
+    return EXIT_FAILURE;
+  for (const std::string &Name : Skips)
+    std::printf("skipped: %s\n", Name.c_str());
+  std::fflush(stdout);
+  Kept.setCurrentRegistry(&Kept);
+  return RUN_ALL_TESTS(static_cast<int>(Arguments.size()), Arguments.data());
 }
