Read the platform stand-in with the HTTP client of the stand-ins

Two benchmarks and a test each had a GET of their own with libcurl, found by looking for duplicates; two of them ignored failures.

--- a/bench/ControlBenchFleet.h
+++ b/bench/ControlBenchFleet.h
@@ -8,6 +8,7 @@
 #include "core/Clock.h"
 #include "intent/IntentFolder.h"
 
+#include "standins/Http.h"
 #include "support/TemporaryFolder.h"
 
 #include <algorithm>
@@ -32,7 +33,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <curl/curl.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -202,19 +202,7 @@
   }
 
   std::string get(const std::string &Path) const {
-    std::string Body;
-    CURL *Handle = curl_easy_init();
-    curl_easy_setopt(Handle, CURLOPT_URL, ("http://" + Address + Path).c_str());
-    curl_easy_setopt(Handle, CURLOPT_WRITEDATA, &Body);
-    curl_easy_setopt(
-        Handle, CURLOPT_WRITEFUNCTION,
-        +[](char *Data, std::size_t Size, std::size_t Count, void *Out) {
-          static_cast<std::string *>(Out)->append(Data, Size * Count);
-          return Size * Count;
-        });
-    curl_easy_perform(Handle);
-    curl_easy_cleanup(Handle);
-    return Body;
+    return standins::control(Address, Path);
   }
 
   TemporaryFolder Folder;
--- a/bench/PlatformReadBench.cpp
+++ b/bench/PlatformReadBench.cpp
@@ -8,6 +8,7 @@
 
 #include "sources/PlatformReader.h"
 
+#include "standins/Http.h"
 #include "support/ChildProcess.h"
 #include "support/TemporaryFolder.h"
 
@@ -36,12 +37,6 @@
 
 constexpr int HerdRestarts = 5;
 
-std::size_t appendBody(char *Data, std::size_t Size, std::size_t Count,
-                       void *Output) {
-  static_cast<std::string *>(Output)->append(Data, Size * Count);
-  return Size * Count;
-}
-
 void sleepFor(int Ms) {
   std::this_thread::sleep_for(std::chrono::milliseconds(Ms));
 }
@@ -68,15 +63,7 @@
   const Endpoint &server() const { return Server; }
 
   nlohmann::json get(const std::string &Path) const {
-    std::string Body;
-    const std::string Url = "http://" + Server.text() + Path;
-    CURL *Curl = curl_easy_init();
-    curl_easy_setopt(Curl, CURLOPT_URL, Url.c_str());
-    curl_easy_setopt(Curl, CURLOPT_WRITEFUNCTION, &appendBody);
-    curl_easy_setopt(Curl, CURLOPT_WRITEDATA, &Body);
-    curl_easy_perform(Curl);
-    curl_easy_cleanup(Curl);
-    return nlohmann::json::parse(Body, nullptr, false);
+    return nlohmann::json::parse(standins::control(Server.text(), Path));
   }
 
 private:
--- a/tests/sources/HttpSourceTest.cpp
+++ b/tests/sources/HttpSourceTest.cpp
@@ -1,6 +1,7 @@
 #include "sources/PlatformReader.h"
 #include "sources/PlatformSource.h"
 
+#include "standins/Http.h"
 #include "support/ChildProcess.h"
 #include "support/TemporaryFolder.h"
 
@@ -11,8 +12,6 @@
 #include <string>
 #include <thread>
 
-#include <curl/curl.h>
-
 #include <CppUTest/TestHarness.h>
 
 using namespace fescuewood;
@@ -22,12 +21,6 @@
 constexpr DurationMs LongestWait{20000};
 constexpr const char *PlatformProgram = BINARY_DIR "/standins/Platform";
 
-std::size_t appendBody(char *Data, std::size_t Size, std::size_t Count,
-                       void *Destination) {
-  static_cast<std::string *>(Destination)->append(Data, Size * Count);
-  return Size * Count;
-}
-
 } // namespace
 
 TEST_GROUP(HttpSource) {
@@ -47,15 +40,14 @@
   }
 
   std::string get(const std::string &Path) {
-    std::string Body;
-    const std::string Url = "http://" + Server.text() + Path;
-    CURL *Curl = curl_easy_init();
-    curl_easy_setopt(Curl, CURLOPT_URL, Url.c_str());
-    curl_easy_setopt(Curl, CURLOPT_WRITEFUNCTION, &appendBody);
-    curl_easy_setopt(Curl, CURLOPT_WRITEDATA, &Body);
-    LONGS_EQUAL(CURLE_OK, curl_easy_perform(Curl));
-    curl_easy_cleanup(Curl);
-    return Body;
+    std::string Failure;
+    try {
+      return standins::control(Server.text(), Path);
+    } catch (const std::exception &Error) {
+      Failure = Error.what();
+    }
+    FAIL(Failure.c_str());
+    return {};
   }
 
   void control(const std::string &Query) { get("/control?" + Query); }
