Fail a mesh test when the platform or a target refuses a command

All commands to stand-ins of the mesh now report a refusal through the same hook, which fails the current test.

--- a/tests/integration/MeshFixture.cpp
+++ b/tests/integration/MeshFixture.cpp
@@ -21,7 +21,7 @@
 standins::MeshOptions smallMesh() {
   standins::MeshOptions Options;
   Options.Binaries = BINARY_DIR;
-  Options.OnProxyFailure = [](const std::string &Reason) {
+  Options.OnCommandFailure = [](const std::string &Reason) {
     FAIL(Reason.c_str());
   };
   Options.Groups = {{"queue", "harbour", 1, 4},
--- a/tests/standins/Mesh.h
+++ b/tests/standins/Mesh.h
@@ -163,19 +163,19 @@
 
   nlohmann::json targetStats(const MeshInstance &Instance,
                              const std::string &Command = "stats") const {
-    return nlohmann::json::parse(
-        control(address(Instance, TargetControl), "/control/" + Command));
+    return command(address(Instance, TargetControl), "/control/" + Command);
   }
 
   /// Sends a command to the proxy in front of a node's peer port, or of its
   /// target, and returns its counts.
   nlohmann::json commandPeerProxy(const MeshInstance &Instance,
                                   const std::string &Command) const {
-    return commandProxy(address(Instance, PeerProxyControl), Command);
+    return command(address(Instance, PeerProxyControl), "/control/" + Command);
   }
   nlohmann::json commandTargetProxy(const MeshInstance &Instance,
                                     const std::string &Command) const {
-    return commandProxy(address(Instance, TargetProxyControl), Command);
+    return command(address(Instance, TargetProxyControl),
+                   "/control/" + Command);
   }
 
   /// Partitions the nodes that \p IsInside selects from all others.
@@ -208,7 +208,7 @@
 
   /// Sends a command to the platform stand-in and returns its response.
   nlohmann::json platform(const std::string &Command) const {
-    return nlohmann::json::parse(control(platformAddress(), "/" + Command));
+    return command(platformAddress(), "/" + Command);
   }
 
   /// Isolates a failure domain from the others and from the platform, or ends
@@ -216,8 +216,9 @@
   void isolateDomain(const std::string &Domain, bool Isolated) const {
     partition(Isolated ? Domain : "");
     const std::string Proxy = platformProxyAddress(DomainNumbers.at(Domain), 1);
-    commandProxy(Proxy, Isolated ? "set?silent=1" : "set?silent=0");
-    commandProxy(Proxy, Isolated ? "silence" : "cut");
+    command(Proxy,
+            Isolated ? "/control/set?silent=1" : "/control/set?silent=0");
+    command(Proxy, Isolated ? "/control/silence" : "/control/cut");
   }
 
   /// Returns a page of a node's operator port; empty on failure.
@@ -273,15 +274,16 @@
   Process Platform;
 
 private:
-  nlohmann::json commandProxy(const std::string &Address,
-                              const std::string &Command) const {
+  /// Sends a command to a stand-in and returns its response.
+  nlohmann::json command(const std::string &Address,
+                         const std::string &Target) const {
     std::string Failure;
     try {
-      return nlohmann::json::parse(control(Address, "/control/" + Command));
+      return nlohmann::json::parse(control(Address, Target));
     } catch (const std::exception &Error) {
       Failure = Error.what();
     }
-    Options.OnProxyFailure("proxy " + Address + ": " + Failure);
+    Options.OnCommandFailure("command to " + Address + ": " + Failure);
     return nlohmann::json::object();
   }
 
--- a/tests/standins/MeshOptions.h
+++ b/tests/standins/MeshOptions.h
@@ -37,8 +37,9 @@
   std::string Settings;         ///< Lines appended to each node's settings.
   std::vector<std::string> TargetFlags; ///< Additional flags of each target.
   std::map<std::string, std::string> Intent; ///< File texts by name.
-  /// Called with the reason when a proxy refuses a command or does not answer.
-  std::function<void(const std::string &Reason)> OnProxyFailure =
+  /// Called with the reason when a stand-in refuses a command or does not
+  /// answer.
+  std::function<void(const std::string &Reason)> OnCommandFailure =
       [](const std::string &Reason) { throw std::runtime_error(Reason); };
 };
 
