--- a/tests/standins/Mesh.h
+++ b/tests/standins/Mesh.h
@@ -163,36 +163,52 @@
 
   nlohmann::json targetStats(const MeshInstance &Instance,
                              const std::string &Command = "stats") const {
-    return nlohmann::json::parse(
-        control(address(Instance, TargetControl), "/control/" + Command));
+    return command(address(Instance, TargetControl), "/control/" + Command);
   }
 
   /// Sends a command to the proxy in front of a node's peer port, or of its
-  /// target.
-  void commandPeerProxy(const MeshInstance &Instance,
-                        const std::string &Command) const {
-    control(address(Instance, PeerProxyControl), "/control/" + Command);
+  /// target, and returns its counts.
+  nlohmann::json commandPeerProxy(const MeshInstance &Instance,
+                                  const std::string &Command) const {
+    return command(address(Instance, PeerProxyControl), "/control/" + Command);
   }
-  void commandTargetProxy(const MeshInstance &Instance,
-                          const std::string &Command) const {
-    control(address(Instance, TargetProxyControl), "/control/" + Command);
+  nlohmann::json commandTargetProxy(const MeshInstance &Instance,
+                                    const std::string &Command) const {
+    return command(address(Instance, TargetProxyControl),
+                   "/control/" + Command);
   }
 
-  /// Partitions the nodes of a failure domain from all others; an empty name
-  /// ends the partition.
-  void partition(const std::string &Domain) const {
+  /// Partitions the nodes that \p IsInside selects from all others.
+  void partitionNodes(
+      const std::function<bool(const MeshInstance &)> &IsInside) const {
     for (const MeshInstance &Instance : Instances) {
       std::string From;
       for (const MeshInstance &Other : Instances)
-        if ((Other.Domain == Domain) != (Instance.Domain == Domain))
+        if (IsInside(Other) != IsInside(Instance))
           From += Other.Ip + ",";
       commandPeerProxy(Instance, "partition?from=" + From);
     }
   }
 
+  /// Partitions the nodes of a failure domain from all others; an empty name
+  /// ends the partition.
+  void partition(const std::string &Domain) const {
+    partitionNodes([&](const MeshInstance &Instance) {
+      return Instance.Domain == Domain;
+    });
+  }
+
+  /// Connections between nodes that a partition silences now.
+  int partitionedConnections() const {
+    int Sum = 0;
+    for (const MeshInstance &Instance : Instances)
+      Sum += commandPeerProxy(Instance, "counts").value("partitioned", 0);
+    return Sum;
+  }
+
   /// Sends a command to the platform stand-in and returns its response.
   nlohmann::json platform(const std::string &Command) const {
-    return nlohmann::json::parse(control(platformAddress(), "/" + Command));
+    return command(platformAddress(), "/" + Command);
   }
 
   /// Isolates a failure domain from the others and from the platform, or ends
@@ -200,9 +216,9 @@
   void isolateDomain(const std::string &Domain, bool Isolated) const {
     partition(Isolated ? Domain : "");
     const std::string Proxy = platformProxyAddress(DomainNumbers.at(Domain), 1);
-    control(Proxy,
+    command(Proxy,
             Isolated ? "/control/set?silent=1" : "/control/set?silent=0");
-    control(Proxy, Isolated ? "/control/silence" : "/control/cut");
+    command(Proxy, Isolated ? "/control/silence" : "/control/cut");
   }
 
   /// Returns a page of a node's operator port; empty on failure.
@@ -258,6 +274,19 @@
   Process Platform;
 
 private:
+  /// Sends a command to a stand-in and returns its response.
+  nlohmann::json command(const std::string &Address,
+                         const std::string &Target) const {
+    std::string Failure;
+    try {
+      return nlohmann::json::parse(control(Address, Target));
+    } catch (const std::exception &Error) {
+      Failure = Error.what();
+    }
+    Options.OnCommandFailure("command to " + Address + ": " + Failure);
+    return nlohmann::json::object();
+  }
+
   void addGroup(const MeshGroup &Group) {
     for (int I = 0; I < Group.Count; ++I) {
       MeshInstance Instance;
