Hand the list of instances to TokenLoans as it is

TokenLoans gets its own name and failure domain and takes the instances, in place of a count and a list of lenders that the limiter derived from them. The set-up of TokenLoansTest follows, its checks are the same: the five tests pass, and organisations_tests.

--- a/src/organisations/OrganisationLimiter.cpp
+++ b/src/organisations/OrganisationLimiter.cpp
@@ -25,16 +25,6 @@
                      [](const auto &Item) { return Item.second.Nodes == 0; });
 }
 
-/// Number of nodes that may admit requests. Includes nodes that appear down,
-/// since they may be behind a partition. Excludes draining nodes, since each is
-/// replaced by another.
-std::size_t admittingNodes(std::span<const Instance> Instances) {
-  const auto Count = std::count_if(
-      Instances.begin(), Instances.end(),
-      [](const Instance &Each) { return Each.State != TargetState::Draining; });
-  return static_cast<std::size_t>(std::max<std::ptrdiff_t>(1, Count));
-}
-
 /// Converts the fields common to \ref TokenStatistics and
 /// \ref ObservedShareStatistics.
 template <typename Figures>
@@ -60,7 +50,8 @@
         Hooks(std::move(Hooks)),
         Node({this->Identity.Domain, this->Identity.Slot}, Settings,
              this->Hooks.Now.now()),
-        Loans(this->Identity.Bound) {}
+        Loans(this->Identity.Name, this->Identity.Domain,
+              this->Identity.Bound) {}
 
   void start() {
     Ticker.start(TokenNode::TickPeriod, [this] { tick(); });
@@ -141,8 +132,7 @@
     bool Changed = false;
     {
       std::lock_guard<std::mutex> Lock(Mutex);
-      Loans.setNodes(admittingNodes(Instances), Hooks.Now.now());
-      Loans.setLenders(lenders(Instances));
+      Loans.setInstances(Instances, Hooks.Now.now());
       if (UsesLoans)
         return;
       Addresses.clear();
@@ -217,14 +207,6 @@
     bool PauseDetected = false;
   };
 
-  std::vector<Lender> lenders(std::span<const Instance> Instances) const {
-    std::vector<Lender> Others;
-    for (const Instance &Each : Instances)
-      if (Each.Name != Identity.Name && Each.State < TargetState::Draining)
-        Others.push_back({Each.PeerAddress, Each.Domain == Identity.Domain});
-    return Others;
-  }
-
   /// Called with the lock held.
   LimiterStatus loanStatus(TimeMs Now) const {
     LimiterStatus Result;
--- a/src/policy/TokenLoans.cpp
+++ b/src/policy/TokenLoans.cpp
@@ -29,15 +29,28 @@
   return Demand.rate(Now) * ForecastSeconds;
 }
 
+/// Number of nodes that may admit requests. Includes nodes that appear down,
+/// since they may be behind a partition. Excludes draining nodes, since each is
+/// replaced by another.
+std::size_t admittingNodes(std::span<const Instance> Instances) {
+  const auto Count = std::count_if(
+      Instances.begin(), Instances.end(),
+      [](const Instance &Each) { return Each.State != TargetState::Draining; });
+  return static_cast<std::size_t>(std::max<std::ptrdiff_t>(1, Count));
+}
+
 } // namespace
 
 void TokenLoans::setRates(const Snapshot &Config, TimeMs Now) {
   Share.setRates(Config, Now);
 }
 
-void TokenLoans::setLenders(std::vector<Lender> Others) {
-  if (Others == Lenders)
-    return;
+void TokenLoans::setInstances(std::span<const Instance> Instances, TimeMs Now) {
+  Share.setNodes(admittingNodes(Instances), Now);
+  std::vector<Lender> Others;
+  for (const Instance &Each : Instances)
+    if (Each.Name != Self && Each.State < TargetState::Draining)
+      Others.push_back({Each.PeerAddress, Each.Domain == Domain});
   std::stable_partition(Others.begin(), Others.end(),
                         [](const Lender &Candidate) { return Candidate.Near; });
   Lenders = std::move(Others);
--- a/src/policy/TokenLoans.h
+++ b/src/policy/TokenLoans.h
@@ -17,6 +17,7 @@
 
 #include "core/Clock.h"
 #include "policy/DemandEstimate.h"
+#include "policy/Instance.h"
 #include "policy/ObservedShare.h"
 #include "policy/RateDecision.h"
 #include "policy/TokenMessages.h"
@@ -60,12 +61,16 @@
 /// The borrower and lender of one node. Not thread-safe.
 class TokenLoans {
 public:
-  explicit TokenLoans(RateBound Bound) : Share(Bound) {}
+  /// \param Self the node's instance name.
+  /// \param Domain its failure domain.
+  TokenLoans(std::string Self, std::string Domain, RateBound Bound)
+      : Self(std::move(Self)), Domain(std::move(Domain)), Share(Bound) {}
 
   void setBound(RateBound Bound) { Share.setBound(Bound); }
   void setRates(const Snapshot &Config, TimeMs Now);
-  void setNodes(std::size_t Count, TimeMs Now) { Share.setNodes(Count, Now); }
-  void setLenders(std::vector<Lender> Others);
+
+  /// Replaces the list of instances, which includes this one.
+  void setInstances(std::span<const Instance> Instances, TimeMs Now);
 
   /// Charges one request. Returns std::nullopt if it is queued; its decision
   /// then comes from \ref takeDecided with \p Ticket. Without a ticket the
@@ -118,6 +123,8 @@
   void pauseLender(Account &A, const std::string &Address, DurationMs Span,
                    TimeMs Now);
 
+  std::string Self;
+  std::string Domain;
   ObservedShare Share;
   std::vector<Lender> Lenders; ///< Near lenders first.
   std::map<std::string, Account, std::less<>> Accounts;
--- a/tests/policy/TokenLoansTest.cpp
+++ b/tests/policy/TokenLoansTest.cpp
@@ -28,18 +28,32 @@
   return (PerSecond * Seconds + Burst) * (1 + Bound.Overage) + Bound.Slack;
 }
 
+/// \p Count instances in three failure domains; the address is the number.
+std::vector<Instance> instances(std::size_t Count) {
+  std::vector<Instance> Listed;
+  for (std::size_t I = 0; I < Count; ++I) {
+    Instance Each;
+    Each.Name = "node-" + std::to_string(I);
+    Each.Domain = "domain-" + std::to_string(I % 3);
+    Each.PeerAddress = std::to_string(I);
+    Each.State = TargetState::Ready;
+    Listed.push_back(Each);
+  }
+  return Listed;
+}
+
 /// Nodes that lend each other tokens, with messages delivered immediately.
 class Fleet {
 public:
   explicit Fleet(std::size_t Count) {
     for (std::size_t I = 0; I < Count; ++I)
-      Nodes.push_back(start());
+      Nodes.push_back(start(I));
   }
 
   std::size_t size() const { return Nodes.size(); }
 
   /// Replaces a node by a new process.
-  void restart(std::size_t At) { Nodes[At] = start(); }
+  void restart(std::size_t At) { Nodes[At] = start(At); }
 
   /// Charges one request at a node and returns whether it was admitted.
   bool charge(std::size_t At) {
@@ -76,15 +90,12 @@
   TimeMs Now{1'000'000};
 
 private:
-  std::unique_ptr<TokenLoans> start() {
-    auto Node = std::make_unique<TokenLoans>(Bound);
+  std::unique_ptr<TokenLoans> start(std::size_t At) {
+    const auto Listed = instances(std::max<std::size_t>(Nodes.size(), 12));
+    auto Node =
+        std::make_unique<TokenLoans>(Listed[At].Name, Listed[At].Domain, Bound);
     Node->setRates(config(), Now);
-    const std::size_t Count = std::max<std::size_t>(Nodes.size(), 12);
-    Node->setNodes(Count, Now);
-    std::vector<Lender> Others;
-    for (std::size_t I = 0; I < Count; ++I)
-      Others.push_back({std::to_string(I), I % 3 == 0});
-    Node->setLenders(Others);
+    Node->setInstances(Listed, Now);
     return Node;
   }
 
@@ -132,9 +143,9 @@
 }
 
 TEST(TokenLoans, ChargeWithoutTicketIsRefusedWithARetryDelay) {
-  TokenLoans Loans(Bound);
+  TokenLoans Loans("node-0", "domain-0", Bound);
   Loans.setRates(config(), TimeMs(0));
-  Loans.setNodes(12, TimeMs(0));
+  Loans.setInstances(instances(12), TimeMs(0));
   CHECK_TRUE(Loans.charge("large", TimeMs(0), std::nullopt)->Admitted);
 
   const auto Second = Loans.charge("large", TimeMs(0), std::nullopt);
@@ -145,17 +156,16 @@
 }
 
 TEST(TokenLoans, OrganisationWithoutRateIsAdmitted) {
-  TokenLoans Loans(Bound);
+  TokenLoans Loans("node-0", "domain-0", Bound);
   Loans.setRates(Snapshot(), TimeMs(0));
 
   CHECK_TRUE(Loans.charge("unlimited", TimeMs(0), std::nullopt)->Admitted);
 }
 
 TEST(TokenLoans, LenderWithoutTokensIsNotAskedAgainImmediately) {
-  TokenLoans Borrower(Bound);
+  TokenLoans Borrower("node-0", "domain-0", Bound);
   Borrower.setRates(config(), TimeMs(0));
-  Borrower.setNodes(2, TimeMs(0));
-  Borrower.setLenders({{"other", true}});
+  Borrower.setInstances(instances(2), TimeMs(0));
   Borrower.charge("large", TimeMs(0), 1);
   Borrower.charge("large", TimeMs(0), 2);
   const auto First = Borrower.takeRequests();
