--- a/src/organisations/OrganisationLimiter.cpp
+++ b/src/organisations/OrganisationLimiter.cpp
@@ -282,7 +282,7 @@
     Request.Address = Loan.Address;
     Request.Kind = PeerKind::Tokens;
     Request.Body = encodeTokenRequests({&Loan.Request, 1});
-    Request.Timeout = Settings.RequestTimeout;
+    Request.Timeout = LoanRequestTimeout;
     count(Request.Body);
     Hooks.Send(std::move(Request),
                [this, Loan = std::move(Loan)](const PeerReply &Reply) {
--- a/src/policy/TokenLoans.h
+++ b/src/policy/TokenLoans.h
@@ -58,6 +58,9 @@
 /// Maximum time that a request waits for a loan.
 inline constexpr DurationMs MaxLoanWait{80};
 
+/// Time after which a loan request without an answer has failed.
+inline constexpr DurationMs LoanRequestTimeout{300};
+
 /// The borrower and lender of one node. Not thread-safe.
 class TokenLoans {
 public:
