--- a/src/policy/ReaderChoice.cpp
+++ b/src/policy/ReaderChoice.cpp
@@ -1,28 +1,13 @@
 #include "policy/ReaderChoice.h"
 
-#include "core/Digest.h"
-
-#include <algorithm>
-#include <cstdint>
-#include <utility>
+#include "policy/Rendezvous.h"
 
 namespace fescuewood {
 
 std::vector<std::string> chooseReaders(std::string_view Domain,
                                        std::span<const std::string_view> Names,
                                        std::size_t Count) {
-  std::vector<std::pair<std::uint64_t, std::string_view>> Ranked;
-  for (std::string_view Name : Names)
-    Ranked.emplace_back(
-        stableHash(std::string(Domain) + '\n' + std::string(Name)), Name);
-  const std::size_t Chosen = std::min(Count, Ranked.size());
-  std::partial_sort(Ranked.begin(),
-                    Ranked.begin() + static_cast<std::ptrdiff_t>(Chosen),
-                    Ranked.end(), std::greater<>());
-  std::vector<std::string> Result;
-  for (std::size_t I = 0; I < Chosen; ++I)
-    Result.emplace_back(Ranked[I].second);
-  return Result;
+  return chooseByRendezvous(Domain, Names, Count);
 }
 
 } // namespace fescuewood
--- a/src/policy/ReaderChoice.h
+++ b/src/policy/ReaderChoice.h
@@ -12,12 +12,9 @@
 
 namespace fescuewood {
 
-/// Chooses \p Count names by rendezvous hashing (D. Thaler and C. Ravishankar,
-/// "Using Name-Based Mappings to Increase Hit Rates", 1998). Nodes that see
-/// the same names agree without messages, and a member that joins or leaves
-/// changes few choices. While views differ, there may be too many or too few
-/// readers; the read allowance bounds the reads, and gossip makes up for
-/// missing readers.
+/// Chooses \p Count names by rendezvous hashing, see \ref chooseByRendezvous.
+/// While views differ, there may be too many or too few readers; the read
+/// allowance bounds the reads, and gossip makes up for missing readers.
 /// \param Names members of the domain that can read, without duplicates.
 std::vector<std::string> chooseReaders(std::string_view Domain,
                                        std::span<const std::string_view> Names,
