Divide a small organisation's rate among few nodes

Cause: every node owned 1/N of each rate. With 64 nodes and 9 requests a second that is a bucket of one token, refilled in 4 to 20 s, which refuses 0.38 of a Poisson stream at 1/1.6 of its rate. Loans did not help: a node with a part of a token had no room in its bucket to borrow one, and a lender kept its only token back for a forecast of its own. As no bucket is below one token, small organisations also exceeded the bound of their rate.

Now an organisation's rate belongs to as many nodes as its allowance gives four tokens each, chosen by rendezvous hashing; the others own and keep nothing and borrow for each request. The shares stay static, so the bound holds in every partition. A lender that does not answer is left out for all organisations and the request asks another; after five lenders without tokens none is asked for a while; a refusal states when a token is expected anywhere, not only at this node.

--- a/src/organisations/OrganisationLimiter.cpp
+++ b/src/organisations/OrganisationLimiter.cpp
@@ -124,7 +124,7 @@
 
   void setBound(RateBound Bound) {
     std::lock_guard<std::mutex> Lock(Mutex);
-    Loans.setBound(Bound);
+    Loans.setBound(Bound, Hooks.Now.now());
   }
 
   void setInstances(std::span<const Instance> Instances) {
--- a/src/policy/ObservedShare.cpp
+++ b/src/policy/ObservedShare.cpp
@@ -1,5 +1,7 @@
 #include "policy/ObservedShare.h"
 
+#include "policy/Rendezvous.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -15,14 +17,16 @@
 constexpr double AssignedFraction = 0.85;
 
 /// Maximum forecast of the next token.
-constexpr std::int64_t MaxForecastMs = 60 * 1000;
-
-/// Time for which a node count stays in effect after a smaller one is observed;
-/// longer than a partition usually lasts.
-constexpr DurationMs CountMemory{20 * 1000};
+constexpr DurationMs MaxForecast{60 * 1000};
 
 } // namespace
 
+void ObservedShare::setBound(RateBound NewBound, TimeMs Now) {
+  refillAll(Now);
+  Bound = NewBound;
+  chooseAllMeters(Now);
+}
+
 void ObservedShare::setRates(const Snapshot &Config, TimeMs Now) {
   std::map<std::string, Account, std::less<>> Next;
   for (const auto &[Name, Declared] : Config.Organisations) {
@@ -36,18 +40,60 @@
       Entry = Known->second;
     }
     Entry.FleetRate = DeclaredRate->second;
+    chooseMeters(Name, Entry, Now);
     Entry.Tokens = std::min(Entry.Tokens, depth(Entry, Now));
     Next.emplace(Name, Entry);
   }
   Accounts = std::move(Next);
 }
 
-void ObservedShare::setNodes(std::size_t Count, TimeMs Now) {
+void ObservedShare::setInstances(std::span<const Instance> Instances,
+                                 TimeMs Now) {
+  refillAll(Now);
+  const std::size_t CountBefore = Nodes.count(Now);
+  const bool NamesChanged = Nodes.set(Instances, Now);
+  if (NamesChanged || Nodes.count(Now) != CountBefore)
+    chooseAllMeters(Now);
+}
+
+bool ObservedShare::update(TimeMs Now) {
+  if (!Nodes.forgetDeparted(Now))
+    return false;
+  refillAll(Now);
+  chooseAllMeters(Now);
+  return true;
+}
+
+void ObservedShare::refillAll(TimeMs Now) {
   for (auto &[Name, Entry] : Accounts)
     refill(Entry, Now);
-  while (!NodeCounts.empty() && NodeCounts.back().second <= Count)
-    NodeCounts.pop_back();
-  NodeCounts.emplace_back(Now, Count);
+}
+
+void ObservedShare::chooseAllMeters(TimeMs Now) {
+  for (auto &[Name, Entry] : Accounts)
+    chooseMeters(Name, Entry, Now);
+}
+
+void ObservedShare::chooseMeters(std::string_view Organisation, Account &A,
+                                 TimeMs Now) {
+  const std::size_t NodeCount = Nodes.count(Now);
+  const std::size_t Count = meterCount(A, NodeCount);
+  const auto Names = Nodes.names();
+  if (Count >= NodeCount) {
+    A.Meters.assign(Names.begin(), Names.end());
+    return setMeter(A, true, Now);
+  }
+  A.Meters = chooseByRendezvous(Organisation, Names, Count);
+  setMeter(A,
+           std::find(A.Meters.begin(), A.Meters.end(), Self) != A.Meters.end(),
+           Now);
+}
+
+void ObservedShare::setMeter(Account &A, bool IsMeter, TimeMs Now) const {
+  if (std::exchange(A.IsMeter, IsMeter) == IsMeter)
+    return;
+  A.Tokens = 0;
+  A.RefilledAt = Now + MeterHandOver;
 }
 
 bool ObservedShare::take(std::string_view Organisation, TimeMs Now) {
@@ -59,6 +105,10 @@
   return true;
 }
 
+void ObservedShare::countAdmitted(std::string_view Organisation) {
+  ++Accounts.find(Organisation)->second.Admitted;
+}
+
 RateDecision ObservedShare::refuse(std::string_view Organisation, TimeMs Now) {
   Account &A = refilled(Organisation, Now);
   ++A.Refused;
@@ -78,9 +128,13 @@
                                            double Wanted, TimeMs Now) {
   const Account &A = refilled(Organisation, Now);
   const double Missing = std::max(0.0, Wanted - A.Tokens);
-  const double Wait =
-      std::min(Missing / ratePerMs(A, Now), static_cast<double>(MaxForecastMs));
-  return DurationMs(static_cast<std::int64_t>(std::ceil(Wait)));
+  const double PerMs = ratePerMs(A, Now);
+  if (Missing > PerMs * static_cast<double>(MaxForecast.Value))
+    return MaxForecast;
+  const DurationMs Accrual(
+      Missing > 0 ? static_cast<std::int64_t>(std::ceil(Missing / PerMs)) : 0);
+  const DurationMs HandOver = std::max(DurationMs(0), A.RefilledAt - Now);
+  return std::min(MaxForecast, HandOver + Accrual);
 }
 
 void ObservedShare::remove(std::string_view Organisation, double Count,
@@ -98,40 +152,42 @@
 std::map<std::string, ObservedShareStatistics, std::less<>>
 ObservedShare::statistics() const {
   std::map<std::string, ObservedShareStatistics, std::less<>> Result;
-  const std::size_t Nodes = NodeCounts.empty() ? 1 : NodeCounts.front().second;
   for (const auto &[Name, A] : Accounts) {
-    Result[Name] = {A.FleetRate,
-                    A.Tokens,
-                    A.FleetRate.PerSecond / static_cast<double>(Nodes),
-                    A.Admitted,
-                    A.Refused,
-                    A.LastRefused};
+    const auto Meters = static_cast<double>(meterCount(A, Nodes.lastCount()));
+    Result[Name] = {
+        A.FleetRate, A.Tokens,  A.IsMeter ? A.FleetRate.PerSecond / Meters : 0,
+        A.Admitted,  A.Refused, A.LastRefused};
   }
   return Result;
 }
 
-std::size_t ObservedShare::effectiveNodeCount(TimeMs Now) {
-  // The newest count never expires.
-  while (NodeCounts.size() > 1 && NodeCounts[1].first + CountMemory <= Now)
-    NodeCounts.pop_front();
-  return NodeCounts.empty()
-             ? 1
-             : std::max<std::size_t>(1, NodeCounts.front().second);
+/// Tokens that all buckets of an organisation may hold together.
+double ObservedShare::fleetDepth(const Account &A) const {
+  const double Accrued = A.FleetRate.PerSecond *
+                         static_cast<double>(Bound.Window.Value) / MsPerSecond;
+  const double Allowed =
+      (Accrued + A.FleetRate.Burst) * (1 + Bound.Overage) + Bound.Slack;
+  return std::max(1.0, Allowed * AssignedFraction - Accrued);
+}
+
+std::size_t ObservedShare::meterCount(const Account &A,
+                                      std::size_t NodeCount) const {
+  const double Most = std::floor(fleetDepth(A) / MinMeterDepth);
+  const double Count = std::min(Most, static_cast<double>(NodeCount));
+  return static_cast<std::size_t>(std::max(1.0, Count));
 }
 
 double ObservedShare::ratePerMs(const Account &A, TimeMs Now) {
+  if (!A.IsMeter)
+    return 0;
   return A.FleetRate.PerSecond / MsPerSecond /
-         static_cast<double>(effectiveNodeCount(Now));
+         static_cast<double>(meterCount(A, Nodes.count(Now)));
 }
 
 double ObservedShare::depth(const Account &A, TimeMs Now) {
-  const double Accrued = A.FleetRate.PerSecond *
-                         static_cast<double>(Bound.Window.Value) / MsPerSecond;
-  const double Allowed =
-      (Accrued + A.FleetRate.Burst) * (1 + Bound.Overage) + Bound.Slack;
-  const double FleetDepth = std::max(0.0, Allowed * AssignedFraction - Accrued);
-  return std::max(1.0,
-                  FleetDepth / static_cast<double>(effectiveNodeCount(Now)));
+  if (!A.IsMeter)
+    return 0;
+  return fleetDepth(A) / static_cast<double>(meterCount(A, Nodes.count(Now)));
 }
 
 ObservedShare::Account &ObservedShare::refilled(std::string_view Organisation,
@@ -142,9 +198,10 @@
 }
 
 void ObservedShare::refill(Account &A, TimeMs Now) {
-  const double Passed = static_cast<double>((Now - A.RefilledAt).Value);
-  A.Tokens = std::min(depth(A, Now), A.Tokens + ratePerMs(A, Now) * Passed);
-  A.RefilledAt = Now;
+  const DurationMs Passed = std::max(DurationMs(0), Now - A.RefilledAt);
+  A.Tokens += ratePerMs(A, Now) * static_cast<double>(Passed.Value);
+  A.Tokens = std::min(depth(A, Now), A.Tokens);
+  A.RefilledAt = std::max(A.RefilledAt, Now);
 }
 
 } // namespace fescuewood
--- a/src/policy/TokenLoans.cpp
+++ b/src/policy/TokenLoans.cpp
@@ -1,7 +1,11 @@
 #include "policy/TokenLoans.h"
 
+#include "core/Digest.h"
+
 #include <algorithm>
 #include <cmath>
+#include <tuple>
+#include <utility>
 
 namespace fescuewood {
 
@@ -22,6 +26,16 @@
 constexpr DurationMs NearPause{250};
 constexpr DurationMs FarPause{1000};
 
+/// Maximum delay after a lender granted less than requested, since it may
+/// become a meter or get tokens back.
+constexpr DurationMs MaxPause{5000};
+
+/// Consecutive lenders without tokens after which no lender is asked for
+/// `MinBackoff`, which doubles with each further one up to `MaxBackoff`.
+constexpr std::uint32_t MaxMisses = 5;
+constexpr DurationMs MinBackoff{250};
+constexpr DurationMs MaxBackoff{2000};
+
 /// Time for which a lender that did not answer gets no requests.
 constexpr DurationMs SilentPause{2000};
 
@@ -29,31 +43,35 @@
   return Demand.rate(Now) * ForecastSeconds;
 }
 
-/// Number of nodes that may admit requests. Includes nodes that appear down,
-/// since they may be behind a partition. Excludes draining nodes, since each is
-/// replaced by another.
-std::size_t admittingNodes(std::span<const Instance> Instances) {
-  const auto Count = std::count_if(
-      Instances.begin(), Instances.end(),
-      [](const Instance &Each) { return Each.State != TargetState::Draining; });
-  return static_cast<std::size_t>(std::max<std::ptrdiff_t>(1, Count));
-}
+/// Minimum retry delay when only other nodes are expected to have tokens, whose
+/// forecasts other borrowers change.
+constexpr DurationMs MinRetryAfter{250};
 
 } // namespace
 
+void TokenLoans::setBound(RateBound Bound, TimeMs Now) {
+  Share.setBound(Bound, Now);
+  ++Generation;
+}
+
 void TokenLoans::setRates(const Snapshot &Config, TimeMs Now) {
   Share.setRates(Config, Now);
+  ++Generation;
 }
 
 void TokenLoans::setInstances(std::span<const Instance> Instances, TimeMs Now) {
-  Share.setNodes(admittingNodes(Instances), Now);
-  std::vector<Lender> Others;
-  for (const Instance &Each : Instances)
-    if (Each.Name != Self && Each.State < TargetState::Draining)
-      Others.push_back({Each.PeerAddress, Each.Domain == Domain});
-  std::stable_partition(Others.begin(), Others.end(),
-                        [](const Lender &Candidate) { return Candidate.Near; });
-  Lenders = std::move(Others);
+  Share.setInstances(Instances, Now);
+  ++Generation;
+  Lenders.clear();
+  for (const Instance &Each : Instances) {
+    if (Each.Name == Self || Each.State == TargetState::Draining)
+      continue;
+    Lenders[Each.Name] = {Each.Name, Each.PeerAddress, Each.Domain == Domain,
+                          Each.State != TargetState::Down,
+                          stableHash(Self + '\n' + Each.Name)};
+  }
+  std::erase_if(SilentUntil,
+                [Now](const auto &Item) { return Item.second <= Now; });
 }
 
 std::optional<RateDecision>
@@ -66,10 +84,12 @@
   // Queued requests go first.
   if (A.Waiters.empty() && Share.take(Organisation, Now))
     return RateDecision{true, DurationMs(0)};
-  const bool MayWait = Ticket && A.Waiters.size() < MaxWaiters &&
-                       (A.RequestPending || requestLoan(Organisation, A, Now));
+  const bool MayWait =
+      Ticket && A.Waiters.size() < MaxWaiters &&
+      (A.RequestPending ||
+       requestLoan(Organisation, A, A.Waiters.size() + 1, Now));
   if (!MayWait)
-    return Share.refuse(Organisation, Now);
+    return refuse(Organisation, A, Now);
   A.Waiters.push_back({*Ticket, Now + MaxLoanWait});
   return std::nullopt;
 }
@@ -87,7 +107,7 @@
     Grant.Sequence = Request.Sequence;
     if (Share.hasRate(Request.Organisation)) {
       Account &A = account(Request.Organisation);
-      const double Kept = forecastDemand(A.Demand, Now);
+      const double Kept = std::floor(forecastDemand(A.Demand, Now));
       const double Spare = std::floor(
           std::max(0.0, Share.tokens(Request.Organisation, Now) - Kept));
       Grant.Tokens = std::min<double>(Request.Need, Spare);
@@ -107,28 +127,33 @@
     return onRequestFailed(Loan, Now);
   Account &A = account(Organisation);
   A.RequestPending = false;
-  Share.add(Organisation, std::min<double>(Grant.Tokens, Loan.Request.Need),
-            Now);
+  SilentUntil.erase(Loan.Address);
+  if (Grant.Tokens >= 1)
+    A.Misses = 0;
+  else
+    recordMiss(A, Now);
+  useLoan(Organisation, A, std::min<double>(Grant.Tokens, Loan.Request.Need),
+          Now);
   if (Grant.Tokens < Loan.Request.Need)
     pauseLender(A, Loan.Address, Grant.TokenDelay, Now);
   serveOrRequestMore(Organisation, Now);
 }
 
 void TokenLoans::onRequestFailed(const LoanRequest &Loan, TimeMs Now) {
-  Account &A = account(Loan.Request.Organisation);
-  A.RequestPending = false;
-  pauseLender(A, Loan.Address, SilentPause, Now);
-  serveOrRequestMore(Loan.Request.Organisation, Now);
+  SilentUntil[Loan.Address] = Now + SilentPause;
+  const std::string &Organisation = Loan.Request.Organisation;
+  if (!Share.hasRate(Organisation))
+    return;
+  account(Organisation).RequestPending = false;
+  serveOrRequestMore(Organisation, Now);
 }
 
 void TokenLoans::tick(TimeMs Now) {
+  if (Share.update(Now))
+    ++Generation;
   for (auto &[Organisation, A] : Accounts) {
     serveWaiters(Organisation, A, Now);
-    while (!A.Waiters.empty() && A.Waiters.front().Deadline <= Now) {
-      Decided.push_back(
-          {A.Waiters.front().Ticket, Share.refuse(Organisation, Now)});
-      A.Waiters.pop_front();
-    }
+    refuseOverdue(Organisation, A, Now);
   }
 }
 
@@ -141,41 +166,112 @@
   if (Found != Accounts.end())
     return Found->second;
   return Accounts
-      .emplace(std::string(Organisation),
-               Account{DemandEstimate(DemandWindow), {}, false, {}})
+      .emplace(std::string(Organisation), Account(DemandEstimate(DemandWindow)))
       .first->second;
 }
 
+/// Tokens for \p Waiting requests and, at a meter with room for them, for the
+/// forecast demand.
+std::uint32_t TokenLoans::neededTokens(std::string_view Organisation,
+                                       Account &A, std::size_t Waiting,
+                                       TimeMs Now) {
+  const double Room =
+      Share.depth(Organisation, Now) - Share.tokens(Organisation, Now);
+  const double Forecast = std::min(forecastDemand(A.Demand, Now), Room);
+  return static_cast<std::uint32_t>(Waiting) +
+         static_cast<std::uint32_t>(std::max(0.0, Forecast));
+}
+
 /// Queues a loan request to the first lender that is not paused. Returns false
-/// if there is none or the bucket has no room.
+/// if there is none.
 bool TokenLoans::requestLoan(std::string_view Organisation, Account &A,
-                             TimeMs Now) {
+                             std::size_t Waiting, TimeMs Now) {
+  updateLenders(Organisation, A);
   const Lender *From = nextLender(A, Now);
-  if (!From)
-    return false;
-  const double Room =
-      Share.depth(Organisation, Now) - Share.tokens(Organisation, Now);
-  const double Wanted =
-      static_cast<double>(A.Waiters.size() + 1) + forecastDemand(A.Demand, Now);
-  const double Need = std::floor(std::min(Wanted, Room));
-  if (Need < 1)
+  if (!From || Now < A.BackoffUntil)
     return false;
   TokenRequest Request;
   Request.Organisation = std::string(Organisation);
   Request.Sequence = ++LastSequence;
-  Request.Need = static_cast<std::uint32_t>(Need);
+  Request.Need = neededTokens(Organisation, A, Waiting, Now);
   Requests.push_back({From->Address, std::move(Request)});
   A.RequestPending = true;
   return true;
 }
 
+void TokenLoans::updateLenders(std::string_view Organisation,
+                               Account &A) const {
+  if (A.LendersGeneration == Generation)
+    return;
+  A.LendersGeneration = Generation;
+  A.Lenders.clear();
+  for (const std::string &Name : Share.meters(Organisation))
+    if (const auto Found = Lenders.find(Name); Found != Lenders.end())
+      A.Lenders.push_back(Found->second);
+  std::sort(A.Lenders.begin(), A.Lenders.end(),
+            [](const Lender &Left, const Lender &Right) {
+              return std::tuple(!Left.Up, !Left.Near, Left.Order) <
+                     std::tuple(!Right.Up, !Right.Near, Right.Order);
+            });
+  std::erase_if(A.NextRequestAt, [&A](const auto &Item) {
+    return std::none_of(
+        A.Lenders.begin(), A.Lenders.end(),
+        [&](const Lender &Each) { return Each.Address == Item.first; });
+  });
+}
+
+TimeMs TokenLoans::nextRequestAt(const Account &A,
+                                 const Lender &Candidate) const {
+  const auto Paused = A.NextRequestAt.find(Candidate.Address);
+  const auto Silent = SilentUntil.find(Candidate.Address);
+  return std::max(Paused == A.NextRequestAt.end() ? TimeMs() : Paused->second,
+                  Silent == SilentUntil.end() ? TimeMs() : Silent->second);
+}
+
 const Lender *TokenLoans::nextLender(const Account &A, TimeMs Now) const {
-  const auto IsAvailable = [&](const Lender &Candidate) {
-    const auto Next = A.NextRequestAt.find(Candidate.Address);
-    return Next == A.NextRequestAt.end() || Next->second <= Now;
-  };
-  const auto Found = std::find_if(Lenders.begin(), Lenders.end(), IsAvailable);
-  return Found == Lenders.end() ? nullptr : &*Found;
+  const auto Found = std::find_if(A.Lenders.begin(), A.Lenders.end(),
+                                  [&](const Lender &Candidate) {
+                                    return nextRequestAt(A, Candidate) <= Now;
+                                  });
+  return Found == A.Lenders.end() ? nullptr : &*Found;
+}
+
+/// Refuses one request until a token is expected here or a lender may be asked.
+RateDecision TokenLoans::refuse(std::string_view Organisation, Account &A,
+                                TimeMs Now) {
+  RateDecision Refusal = Share.refuse(Organisation, Now);
+  updateLenders(Organisation, A);
+  if (!Share.isMeter(Organisation))
+    Refusal.RetryAfter = MaxPause;
+  for (const Lender &Each : A.Lenders) {
+    const DurationMs Pause =
+        std::max(nextRequestAt(A, Each), A.BackoffUntil) - Now;
+    Refusal.RetryAfter =
+        std::min(Refusal.RetryAfter, std::max(Pause, MinRetryAfter));
+  }
+  return Refusal;
+}
+
+void TokenLoans::refuseOverdue(std::string_view Organisation, Account &A,
+                               TimeMs Now) {
+  while (!A.Waiters.empty() && A.Waiters.front().Deadline <= Now) {
+    Decided.push_back({A.Waiters.front().Ticket, refuse(Organisation, A, Now)});
+    A.Waiters.pop_front();
+  }
+}
+
+/// Serves queued requests with borrowed tokens and keeps the rest, up to the
+/// bucket's depth.
+void TokenLoans::useLoan(std::string_view Organisation, Account &A,
+                         double Tokens, TimeMs Now) {
+  refuseOverdue(Organisation, A, Now);
+  while (!A.Waiters.empty() && Tokens >= 1) {
+    Decided.push_back({A.Waiters.front().Ticket, {true, DurationMs(0)}});
+    A.Waiters.pop_front();
+    Share.countAdmitted(Organisation);
+    Tokens -= 1;
+  }
+  Share.add(Organisation, Tokens, Now);
 }
 
 void TokenLoans::serveWaiters(std::string_view Organisation, Account &A,
@@ -192,22 +288,32 @@
                                     TimeMs Now) {
   Account &A = account(Organisation);
   serveWaiters(Organisation, A, Now);
-  if (A.Waiters.empty() || requestLoan(Organisation, A, Now))
+  refuseOverdue(Organisation, A, Now);
+  if (A.Waiters.empty() || requestLoan(Organisation, A, A.Waiters.size(), Now))
     return;
   while (!A.Waiters.empty()) {
-    Decided.push_back(
-        {A.Waiters.front().Ticket, Share.refuse(Organisation, Now)});
+    Decided.push_back({A.Waiters.front().Ticket, refuse(Organisation, A, Now)});
     A.Waiters.pop_front();
   }
 }
 
+void TokenLoans::recordMiss(Account &A, TimeMs Now) {
+  ++A.Misses;
+  if (A.Misses < MaxMisses)
+    return;
+  const std::uint32_t Doublings = std::min(A.Misses - MaxMisses, 8U);
+  A.BackoffUntil = Now + std::min(MaxBackoff, MinBackoff * (1 << Doublings));
+}
+
 void TokenLoans::pauseLender(Account &A, const std::string &Address,
                              DurationMs Span, TimeMs Now) {
   const auto Found = std::find_if(
-      Lenders.begin(), Lenders.end(),
+      A.Lenders.begin(), A.Lenders.end(),
       [&](const Lender &Candidate) { return Candidate.Address == Address; });
-  const bool Near = Found != Lenders.end() && Found->Near;
-  A.NextRequestAt[Address] = Now + std::max(Span, Near ? NearPause : FarPause);
+  if (Found == A.Lenders.end())
+    return;
+  const DurationMs Least = Found->Near ? NearPause : FarPause;
+  A.NextRequestAt[Address] = Now + std::clamp(Span, Least, MaxPause);
 }
 
 } // namespace fescuewood
--- a/src/policy/TokenLoans.h
+++ b/src/policy/TokenLoans.h
@@ -1,16 +1,17 @@
 /// \file
 /// Token loans between nodes, for fleets without declared node slots.
 ///
-/// With equal shares (\ref ObservedShare) alone, an organisation whose requests
-/// enter at only a few nodes would be refused below its rate. A node without
-/// tokens therefore borrows from other nodes, those of its own failure domain
+/// Tokens of an organisation accrue at its meters only (\ref ObservedShare). A
+/// node without tokens borrows from them, those of its own failure domain
 /// first, while the request waits for up to \ref MaxLoanWait. The lender
-/// removes tokens from its bucket before the borrower adds them, and no bucket
-/// is filled above its depth, so all buckets together never exceed what the
-/// shares allow. Tokens in a lost message are lost.
+/// removes tokens from its bucket before the borrower uses them, no bucket is
+/// filled above its depth, and a node that is not a meter keeps no tokens, so
+/// all buckets together never exceed what the shares allow. Tokens in a lost
+/// message are lost.
 ///
 /// If an organisation is far above its rate, all buckets are empty; requests to
-/// a lender are then delayed by its forecast of the next spare token.
+/// a lender are then delayed by its forecast of the next spare token, and after
+/// several lenders without tokens no lender is asked for a time that grows.
 
 #ifndef FESCUEWOOD_POLICY_TOKENLOANS_H
 #define FESCUEWOOD_POLICY_TOKENLOANS_H
@@ -37,10 +38,12 @@
 
 /// A node that can lend tokens.
 struct Lender {
+  std::string Name;
   std::string Address; ///< "IP:port" for messages between nodes.
   bool Near = false;   ///< In the borrower's failure domain.
-
-  bool operator==(const Lender &) const = default;
+  bool Up = false;     ///< Its target answers, so its machine is up.
+  /// Differs by borrower, so that not all of them ask the same lender first.
+  std::uint64_t Order = 0;
 };
 
 /// A loan request and the lender to send it to.
@@ -56,10 +59,10 @@
 };
 
 /// Maximum time that a request waits for a loan.
-inline constexpr DurationMs MaxLoanWait{80};
+inline constexpr DurationMs MaxLoanWait{300};
 
 /// Time after which a loan request without an answer has failed.
-inline constexpr DurationMs LoanRequestTimeout{300};
+inline constexpr DurationMs LoanRequestTimeout{120};
 
 /// The borrower and lender of one node. Not thread-safe.
 class TokenLoans {
@@ -67,9 +70,10 @@
   /// \param Self the node's instance name.
   /// \param Domain its failure domain.
   TokenLoans(std::string Self, std::string Domain, RateBound Bound)
-      : Self(std::move(Self)), Domain(std::move(Domain)), Share(Bound) {}
+      : Self(std::move(Self)), Domain(std::move(Domain)),
+        Share(this->Self, Bound) {}
 
-  void setBound(RateBound Bound) { Share.setBound(Bound); }
+  void setBound(RateBound Bound, TimeMs Now);
   void setRates(const Snapshot &Config, TimeMs Now);
 
   /// Replaces the list of instances, which includes this one.
@@ -111,25 +115,45 @@
 
   /// Demand, queue and pending loan request of one organisation.
   struct Account {
+    explicit Account(DemandEstimate Demand) : Demand(Demand) {}
+
     DemandEstimate Demand;
     std::deque<Waiter> Waiters;
     bool RequestPending = false; ///< A loan request is pending; at most one is.
+    std::vector<Lender> Lenders; ///< In the order in which they are asked.
+    std::uint64_t LendersGeneration = 0; ///< Of the instances and rates.
     /// Earliest time of the next request, by lender address.
     std::map<std::string, TimeMs, std::less<>> NextRequestAt;
+    std::uint32_t Misses = 0; ///< Consecutive lenders without tokens.
+    TimeMs BackoffUntil;      ///< No lender is asked before.
   };
 
   Account &account(std::string_view Organisation);
-  bool requestLoan(std::string_view Organisation, Account &A, TimeMs Now);
+  std::uint32_t neededTokens(std::string_view Organisation, Account &A,
+                             std::size_t Waiting, TimeMs Now);
+  bool requestLoan(std::string_view Organisation, Account &A,
+                   std::size_t Waiting, TimeMs Now);
+  void updateLenders(std::string_view Organisation, Account &A) const;
+  TimeMs nextRequestAt(const Account &A, const Lender &Candidate) const;
   const Lender *nextLender(const Account &A, TimeMs Now) const;
+  RateDecision refuse(std::string_view Organisation, Account &A, TimeMs Now);
+  void refuseOverdue(std::string_view Organisation, Account &A, TimeMs Now);
+  void useLoan(std::string_view Organisation, Account &A, double Tokens,
+               TimeMs Now);
   void serveWaiters(std::string_view Organisation, Account &A, TimeMs Now);
   void serveOrRequestMore(const std::string &Organisation, TimeMs Now);
+  static void recordMiss(Account &A, TimeMs Now);
   void pauseLender(Account &A, const std::string &Address, DurationMs Span,
                    TimeMs Now);
 
   std::string Self;
   std::string Domain;
   ObservedShare Share;
-  std::vector<Lender> Lenders; ///< Near lenders first.
+  std::map<std::string, Lender, std::less<>> Lenders; ///< By instance name.
+  std::uint64_t Generation = 1; ///< Increases when any lenders may change.
+  /// Earliest time of the next request to a lender that did not answer, by
+  /// address.
+  std::map<std::string, TimeMs, std::less<>> SilentUntil;
   std::map<std::string, Account, std::less<>> Accounts;
   std::vector<LoanRequest> Requests;
   std::vector<LoanDecision> Decided;
--- a/tests/policy/LoanFleetTest.cpp
+++ b/tests/policy/LoanFleetTest.cpp
@@ -33,6 +33,51 @@
   return Fleet.refusedShare();
 }
 
+/// Causes a random fault at one node or at several at once.
+void disturb(LoanFleet &Fleet) {
+  constexpr DurationMs ListLag{2000};
+  const std::size_t Nodes = Fleet.pick(2) == 0 ? 1 : Fleet.size() / 5;
+  const std::size_t Domain = Fleet.pick(Fleet.domains());
+  const DurationMs Span(static_cast<std::int64_t>(500 + Fleet.pick(6000)));
+  switch (Fleet.pick(6)) {
+  case 0:
+    for (std::size_t I = 0; I < Nodes; ++I)
+      Fleet.start(Fleet.pick(Fleet.size()));
+    return;
+  case 1:
+    return Fleet.stop(Fleet.pick(Fleet.size()));
+  case 2:
+    for (std::size_t I = 0; I < Nodes; ++I)
+      Fleet.pause(Fleet.pick(Fleet.size()), Fleet.now() + Span);
+    return;
+  case 3:
+    Fleet.setCut(Domain, true);
+    return Fleet.at(Fleet.now() + Span,
+                    [&Fleet, Domain] { Fleet.setCut(Domain, false); });
+  case 4:
+    Fleet.join(ListLag);
+    return;
+  default:
+    return Fleet.unlist(Fleet.pick(Fleet.size()), ListLag);
+  }
+}
+
+/// Largest use of a bound at three times the rate, with faults of all kinds.
+double useWithFaults(std::size_t Nodes, std::size_t Domains,
+                     std::size_t Organisations, std::uint32_t Seed) {
+  constexpr DurationMs FaultPeriod{700};
+  LoanFleet Fleet(Nodes, Domains, Bound, Seed);
+  addOrganisations(Fleet, Organisations);
+  Fleet.startAll();
+  Fleet.run(DurationMs(10'000));
+  Fleet.ask(DurationMs(14'000), 3 * RateRatio);
+  for (int I = 0; I < 20; ++I) {
+    disturb(Fleet);
+    Fleet.run(FaultPeriod);
+  }
+  return Fleet.largestUse();
+}
+
 } // namespace
 
 TEST_GROUP(LoanFleet){};
@@ -41,3 +86,34 @@
   CHECK_COMPARE(refusedBelowTheRate(64, 5, 74), <, 0.01);
   CHECK_COMPARE(refusedBelowTheRate(85, 3, 85), <, 0.01);
 }
+
+TEST(LoanFleet, ServesOnWhenAFifthOfTheNodesDies) {
+  LoanFleet Fleet(64, 5, Bound, 1);
+  addOrganisations(Fleet, 74);
+  Fleet.startAll();
+  Fleet.run(DurationMs(10'000));
+  for (std::size_t I = 0; I < Fleet.size(); I += 5)
+    Fleet.stop(I);
+  Fleet.ask(DurationMs(20'000));
+  Fleet.run(DurationMs(21'000));
+
+  CHECK_COMPARE(Fleet.refusedShare(), <, 0.03);
+}
+
+TEST(LoanFleet, AsksFewLendersWhenAllAreEmpty) {
+  LoanFleet Fleet(64, 5, Bound, 1);
+  addOrganisations(Fleet, 74);
+  Fleet.startAll();
+  Fleet.run(DurationMs(10'000));
+  Fleet.ask(DurationMs(20'000), 3 * RateRatio);
+  Fleet.run(DurationMs(21'000));
+
+  CHECK_COMPARE(Fleet.messagesPerRequest(), <, 3.0);
+}
+
+TEST(LoanFleet, ExceedsNoBoundInAnyWindowWithFaults) {
+  for (std::uint32_t Seed = 1; Seed <= 2; ++Seed) {
+    CHECK_COMPARE(useWithFaults(64, 5, 74, Seed), <=, 1.0);
+    CHECK_COMPARE(useWithFaults(85, 3, 85, Seed), <=, 1.0);
+  }
+}
--- a/tests/policy/TokenLoansTest.cpp
+++ b/tests/policy/TokenLoansTest.cpp
@@ -180,6 +180,42 @@
   CHECK_TRUE(Borrower.takeRequests().empty());
 }
 
+TEST(TokenLoans, RefusalTellsWhenALenderExpectsAToken) {
+  TokenLoans Borrower("node-0", "domain-0", Bound);
+  Borrower.setRates(config(0.1), TimeMs(0));
+  Borrower.setInstances(instances(2), TimeMs(0));
+  Borrower.charge("large", TimeMs(0), 1);
+  Borrower.charge("large", TimeMs(0), 2);
+  TokenGrant Refusal;
+  Refusal.Organisation = "large";
+  Refusal.TokenDelay = DurationMs(3000);
+  Borrower.onGrant(Borrower.takeRequests().at(0), Refusal, TimeMs(0));
+
+  const auto Decided = Borrower.takeDecided();
+
+  LONGS_EQUAL(1, Decided.size());
+  CHECK_FALSE(Decided[0].Decision.Admitted);
+  LONGS_EQUAL(3000, Decided[0].Decision.RetryAfter.Value);
+}
+
+TEST(TokenLoans, SilentLenderIsNotAskedForAnotherOrganisation) {
+  Snapshot Config = config();
+  Config.Organisations["other"] = {"other", "large", 1};
+  TokenLoans Borrower("node-0", "domain-0", Bound);
+  Borrower.setRates(Config, TimeMs(0));
+  Borrower.setInstances(instances(2), TimeMs(0));
+  Borrower.charge("large", TimeMs(0), 1);
+  Borrower.charge("large", TimeMs(0), 2);
+  Borrower.onRequestFailed(Borrower.takeRequests().at(0), TimeMs(1));
+  Borrower.charge("other", TimeMs(1), 3);
+
+  const auto Next = Borrower.charge("other", TimeMs(1), 4);
+
+  CHECK_TRUE(Next.has_value());
+  CHECK_FALSE(Next->Admitted);
+  CHECK_TRUE(Borrower.takeRequests().empty());
+}
+
 // The fleet's admissions in every window stay within RateBound, for any load,
 // with restarted nodes and lost replies.
 TEST(TokenLoans, FleetNeverExceedsTheBoundInAnyWindow) {
--- a/tests/support/LoanFleet.h
+++ b/tests/support/LoanFleet.h
@@ -140,11 +140,18 @@
   std::size_t domains() const { return Cut.size(); }
   std::size_t pick(std::size_t Count) { return Random() % Count; }
   TimeMs now() const { return Now; }
-  std::uint64_t messages() const { return Messages; }
   const std::vector<Organisation> &organisations() const {
     return Organisations;
   }
 
+  /// Messages sent for each request that arrived.
+  double messagesPerRequest() const {
+    double Asked = 0;
+    for (const Organisation &Each : Organisations)
+      Asked += static_cast<double>(Each.Asked);
+    return Asked > 0 ? static_cast<double>(Messages) / Asked : 0;
+  }
+
   /// Largest time that a request waited for its decision.
   DurationMs longestWait() const { return LongestWait; }
 
