Add a failing test: a node crashes when a rate is removed

A request that waits for a loan when its organisation's rate is taken out of the configuration ends the process: the test ends with a segmentation fault.

--- a/tests/policy/TokenLoansTest.cpp
+++ b/tests/policy/TokenLoansTest.cpp
@@ -216,6 +216,21 @@
   CHECK_TRUE(Borrower.takeRequests().empty());
 }
 
+TEST(TokenLoans, QueuedRequestIsAdmittedWhenItsRateIsRemoved) {
+  TokenLoans Loans("node-0", "domain-0", Bound);
+  Loans.setRates(config(), TimeMs(0));
+  Loans.setInstances(instances(2), TimeMs(0));
+  Loans.charge("large", TimeMs(0), 1);
+  Loans.charge("large", TimeMs(0), 2);
+
+  Loans.setRates(Snapshot(), TimeMs(1));
+  Loans.tick(TimeMs(1000));
+
+  const auto Decided = Loans.takeDecided();
+  LONGS_EQUAL(1, Decided.size());
+  CHECK_TRUE(Decided[0].Decision.Admitted);
+}
+
 // The fleet's admissions in every window stay within RateBound, for any load,
 // with restarted nodes and lost replies.
 TEST(TokenLoans, FleetNeverExceedsTheBoundInAnyWindow) {
