Admit queued requests when their organisation's rate is removed

A node crashed with a segmentation fault when a configuration took the rate of an organisation away of which a request waited for a loan: the queue was kept, and its deadline was decided with the share that was gone. The queue now goes with the rate, and its requests are admitted, as all later ones are.

--- a/src/policy/TokenLoans.cpp
+++ b/src/policy/TokenLoans.cpp
@@ -57,6 +57,14 @@
 void TokenLoans::setRates(const Snapshot &Config, TimeMs Now) {
   Share.setRates(Config, Now);
   ++Generation;
+  // Without a rate, queued requests are admitted.
+  std::erase_if(Accounts, [&](const auto &Item) {
+    if (Share.hasRate(Item.first))
+      return false;
+    for (const Waiter &Each : Item.second.Waiters)
+      Decided.push_back({Each.Ticket, {true, DurationMs(0)}});
+    return true;
+  });
 }
 
 void TokenLoans::setInstances(std::span<const Instance> Instances, TimeMs Now) {
