--- a/tests/policy/LoanFleetTest.cpp
+++ b/tests/policy/LoanFleetTest.cpp
@@ -87,6 +87,18 @@
   CHECK_COMPARE(refusedBelowTheRate(85, 3, 85), <, 0.01);
 }
 
+TEST(LoanFleet, AsksOtherDomainsWhenAllRequestsEnterAtOne) {
+  LoanFleet Fleet(64, 5, Bound, 1);
+  addOrganisations(Fleet, 74);
+  Fleet.startAll();
+  Fleet.run(DurationMs(10'000));
+  Fleet.enterOnlyAt(0);
+  Fleet.ask(DurationMs(20'000));
+  Fleet.run(DurationMs(21'000));
+
+  CHECK_COMPARE(Fleet.refusedShare(), <, 0.01);
+}
+
 TEST(LoanFleet, ServesOnWhenAFifthOfTheNodesDies) {
   LoanFleet Fleet(64, 5, Bound, 1);
   addOrganisations(Fleet, 74);
--- a/tests/support/LoanFleet.h
+++ b/tests/support/LoanFleet.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <string>
@@ -90,6 +91,9 @@
   /// Cuts a failure domain off from all others, or ends the cut.
   void setCut(std::size_t Domain, bool On) { Cut[Domain] = On; }
 
+  /// From now on all requests enter at nodes of one failure domain.
+  void enterOnlyAt(std::size_t Domain) { EntryDomain = Domain; }
+
   /// Requests arrive at all nodes from now until \p Until.
   void ask(DurationMs For, double Factor = 1) {
     for (std::size_t I = 0; I < Organisations.size(); ++I)
@@ -236,8 +240,16 @@
     });
   }
 
+  std::size_t pickEntry() {
+    while (true) {
+      const std::size_t At = pick(Nodes.size());
+      if (!EntryDomain || Listed[At].Domain == std::to_string(*EntryDomain))
+        return At;
+    }
+  }
+
   void arrive(std::size_t Index) {
-    const std::size_t At = pick(Nodes.size());
+    const std::size_t At = pickEntry();
     if (!runs(At))
       return;
     Organisation &Each = Organisations[Index];
@@ -355,6 +367,7 @@
   std::vector<std::string> Unlisted;
   std::vector<Node> Nodes;
   std::vector<bool> Cut; ///< By failure domain.
+  std::optional<std::size_t> EntryDomain;
   std::vector<Organisation> Organisations;
   std::map<std::size_t, double> NextArrival; ///< By organisation, in ms.
   std::map<std::uint64_t, Waiting> Queued;   ///< By ticket.
