Ask lenders of other domains when those of the own one are empty

The domain's lenders were asked first, and five of them without tokens in a row made the node ask nobody for a while, so lenders of other domains with tokens were never reached.

After two lenders without tokens in a row those of other domains are asked first.

--- a/src/policy/TokenLoans.cpp
+++ b/src/policy/TokenLoans.cpp
@@ -36,6 +36,10 @@
 constexpr DurationMs MinBackoff{250};
 constexpr DurationMs MaxBackoff{2000};
 
+/// Consecutive lenders without tokens after which those of other failure
+/// domains are asked first.
+constexpr std::uint32_t MaxNearMisses = 2;
+
 /// Time for which a lender that did not answer gets no requests.
 constexpr DurationMs SilentPause{2000};
 
@@ -236,12 +240,19 @@
                   Silent == SilentUntil.end() ? TimeMs() : Silent->second);
 }
 
+/// The first lender that is not paused, one of another failure domain if those
+/// of this one seem to have no tokens.
 const Lender *TokenLoans::nextLender(const Account &A, TimeMs Now) const {
-  const auto Found = std::find_if(A.Lenders.begin(), A.Lenders.end(),
-                                  [&](const Lender &Candidate) {
-                                    return nextRequestAt(A, Candidate) <= Now;
-                                  });
-  return Found == A.Lenders.end() ? nullptr : &*Found;
+  const Lender *First = nullptr;
+  for (const Lender &Each : A.Lenders) {
+    if (nextRequestAt(A, Each) > Now)
+      continue;
+    if (A.Misses < MaxNearMisses || !Each.Near)
+      return &Each;
+    if (!First)
+      First = &Each;
+  }
+  return First;
 }
 
 /// Refuses one request until a token is expected here or a lender may be asked.
