Count a chunked answer as it was sent, so that endless framing ends

Callers of a target that sends a chunk extension without end, or small chunks with long ones, got no answer before the request's timeout, and the node read all the while: 256 MiB in the test, where the target stops.

Cause: the limit on an answer counted what libcurl handed on. Chunk extensions are discarded before that, and tiny chunks take six bytes for each byte handed on. libcurl's debug function receives the bytes of a body before they are dechunked; it is switched on with the head of a chunked answer and counts instead, and the progress function ends the transfer, since an extension calls no other function. Trailer fields are limited in number like fields of the head.

--- a/src/targets/TargetClient.h
+++ b/src/targets/TargetClient.h
@@ -52,7 +52,8 @@
 struct TargetClientOptions {
   std::string Address; ///< "IP:port" of the target.
   std::size_t MaxConnections = 130;
-  std::size_t MaxAnswerBytes = 7 * 1024 * 1024; ///< Limit on head plus body.
+  std::size_t MaxAnswerBytes =
+      7 * 1024 * 1024; ///< Limit on head plus body, as they are sent.
   std::size_t MaxRequests = 1024; ///< Limit on unfinished requests.
   DurationMs ConnectTimeout{1000};
   /// Names of the fields that authenticate an answer and associate it with its
--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -86,6 +86,10 @@
   curl_easy_setopt(Handle, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, &onBodyData);
   curl_easy_setopt(Handle, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(Handle, CURLOPT_DEBUGFUNCTION, &onRawData);
+  curl_easy_setopt(Handle, CURLOPT_DEBUGDATA, this);
+  curl_easy_setopt(Handle, CURLOPT_XFERINFOFUNCTION, &onProgress);
+  curl_easy_setopt(Handle, CURLOPT_XFERINFODATA, this);
   return true;
 }
 
@@ -239,9 +243,10 @@
 }
 
 bool TargetTransfer::onFieldLine(std::string_view Line) {
-  AnswerBytes += Line.size();
-  AnswerTooLarge = AnswerBytes > Options.MaxAnswerBytes ||
-                   Answer.Headers.size() >= MaxHeaderFields ||
+  if (!CountsRawBody && !countBytes(Line.size()))
+    return false;
+  AnswerTooLarge = AnswerTooLarge || Answer.Headers.size() >= MaxHeaderFields ||
+                   TrailerFields >= MaxHeaderFields ||
                    Line.size() > MaxFieldBytes;
   if (AnswerTooLarge)
     return false;
@@ -250,14 +255,18 @@
   Line.remove_suffix(LineEnd.size());
   if (Line.empty()) {
     HeadComplete = true;
+    countChunkedBody();
     return true;
   }
   if (Line.starts_with(VersionPrefix) && (HeadComplete || Answer.Status == 0)) {
     onStatusLine();
     return true;
   }
+  if (!HeadComplete)
+    return addAnswerField(Line);
   // Trailer fields, which follow the body, are dropped.
-  return HeadComplete || addAnswerField(Line);
+  ++TrailerFields;
+  return true;
 }
 
 void TargetTransfer::onStatusLine() {
@@ -302,10 +311,26 @@
                        IsFramingField) == 1;
 }
 
+bool TargetTransfer::countBytes(std::size_t Bytes) {
+  AnswerBytes += Bytes;
+  AnswerTooLarge = AnswerTooLarge || AnswerBytes > Options.MaxAnswerBytes;
+  return !AnswerTooLarge;
+}
+
+/// Counts a chunked body as it was sent: libcurl discards chunk extensions,
+/// which a target may send without end. Its debug function receives all bytes,
+/// but cannot abort the transfer; the progress function can.
+void TargetTransfer::countChunkedBody() {
+  if (CountsRawBody || Answer.Status < FirstFinalStatus ||
+      !findField(Answer.Headers, "Transfer-Encoding"))
+    return;
+  CountsRawBody = true;
+  curl_easy_setopt(Easy.get(), CURLOPT_VERBOSE, 1L);
+  curl_easy_setopt(Easy.get(), CURLOPT_NOPROGRESS, 0L);
+}
+
 bool TargetTransfer::appendBody(std::string_view Bytes) {
-  AnswerBytes += Bytes.size();
-  AnswerTooLarge = AnswerBytes > Options.MaxAnswerBytes;
-  if (AnswerTooLarge)
+  if (AnswerTooLarge || (!CountsRawBody && !countBytes(Bytes.size())))
     return false;
   Answer.Body.append(Bytes);
   return true;
@@ -323,6 +348,22 @@
   return Transfer->appendBody({Data, Size * Count}) ? Size * Count : 0;
 }
 
+int TargetTransfer::onRawData(CURL *, curl_infotype Type, char *,
+                              std::size_t Size, void *UserData) {
+  auto *Transfer = static_cast<TargetTransfer *>(UserData);
+  if (Type == CURLINFO_DATA_IN)
+    Transfer->countBytes(Size);
+  return 0;
+}
+
+int TargetTransfer::onProgress(void *UserData, curl_off_t, curl_off_t,
+                               curl_off_t, curl_off_t) {
+  const auto *Transfer = static_cast<const TargetTransfer *>(UserData);
+  constexpr int Continue = 0;
+  constexpr int Abort = 1;
+  return Transfer->AnswerTooLarge ? Abort : Continue;
+}
+
 int TargetTransfer::onConnected(void *UserData, char *, char *, int, int) {
   auto *Transfer = static_cast<TargetTransfer *>(UserData);
   // A second call means that libcurl is about to resend the request.
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -60,11 +60,17 @@
   void onStatusLine();
   bool addAnswerField(std::string_view Line);
   bool hasUnambiguousFraming(const Header &Field) const;
+  bool countBytes(std::size_t Bytes);
+  void countChunkedBody();
   bool appendBody(std::string_view Bytes);
   static std::size_t onFieldData(char *Data, std::size_t Size,
                                  std::size_t Count, void *UserData);
   static std::size_t onBodyData(char *Data, std::size_t Size, std::size_t Count,
                                 void *UserData);
+  static int onRawData(CURL *, curl_infotype Type, char *, std::size_t Size,
+                       void *UserData);
+  static int onProgress(void *UserData, curl_off_t, curl_off_t, curl_off_t,
+                        curl_off_t);
   static int onConnected(void *UserData, char *, char *, int, int);
 
   const std::string &BaseUrl;
@@ -76,7 +82,9 @@
   std::unique_ptr<curl_slist, ListDeleter> Fields;
   CallAnswer Answer;
   std::size_t AnswerBytes = 0;
+  std::size_t TrailerFields = 0;
   bool HeadComplete = false;   ///< Further field lines are trailer fields.
+  bool CountsRawBody = false;  ///< The body counts as it was sent, in chunks.
   bool RequestSent = false;    ///< Part of the request may have been sent.
   bool AnswerTooLarge = false; ///< The answer exceeds a limit.
   bool HasForeignId = false;   ///< The answer has another request's ID.
