Add a failing test: an endless head is reported as a lost connection

libcurl ends a head whose line is longer than 100 kB, or that is longer than 300 kB in all, with codes that the client takes for a lost connection (602). The node beside the target then suspends the target and looks for a crash, though the target answered. Endless fields end as they should (603).

--- a/tests/targets/EndlessAnswerTest.cpp
+++ b/tests/targets/EndlessAnswerTest.cpp
@@ -69,6 +69,23 @@
   Outcome Ran;
 };
 
+std::vector<Case> headCases() {
+  return {
+      {"no answer", "", "x", ResultCode::TargetAnswerMalformed,
+       Outcome::Unknown},
+      {"status line", "HTTP/1.1 200 ", "x", ResultCode::TargetAnswerTooLarge,
+       Outcome::Unknown},
+      {"field line", Head + "X: ", "x", ResultCode::TargetAnswerTooLarge,
+       Outcome::Ran},
+      {"fields", Head, "a: b\r\n", ResultCode::TargetAnswerTooLarge,
+       Outcome::Ran},
+      {"interim answers", "", "HTTP/1.1 103 Hints\r\na: b\r\n\r\n",
+       ResultCode::TargetAnswerTooLarge, Outcome::Unknown},
+      {"empty interim answers", "", "HTTP/1.1 100\r\n\r\n",
+       ResultCode::TargetAnswerTooLarge, Outcome::Unknown},
+  };
+}
+
 std::vector<Case> bodyCases() {
   return {
       {"body above the limit", Head + "Content-Length: 999999999\r\n\r\n", "x",
@@ -131,6 +148,11 @@
 
 TEST_GROUP(EndlessAnswers){};
 
+TEST(EndlessAnswers, EndlessHeadsEndPromptly) {
+  for (const Case &Each : headCases())
+    checkEndsPromptly(Each);
+}
+
 TEST(EndlessAnswers, EndlessBodiesEndPromptly) {
   for (const Case &Each : bodyCases())
     checkEndsPromptly(Each);
