Report an endless head as an answer above the limit, not as a lost connection

A target that sent a status line, a field line or interim answers without end counted as one whose connection was lost: its node gave it no other request until a probe had shown that it had not crashed, and the caller's 502 said so (602).

Cause: libcurl ends such a head at limits of its own, with codes that it also uses for other failures. All lines of an answer, of interim answers and of the trailer now have limits of the client below those (512 lines, 256 KiB; libcurl stores them until the answer ends), and the code for a line that is too long is mapped.

--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -18,6 +18,11 @@
 constexpr int FirstRedirect = 300;
 constexpr int MisdirectedRequest = 421;
 
+/// Limits on all lines of an answer's heads and trailer, which libcurl stores
+/// until the answer ends. Above 300 kB it ends a transfer without saying why.
+constexpr std::size_t MaxLines = 4 * MaxHeaderFields;
+constexpr std::size_t MaxLineBytes = 256 * 1024;
+
 /// Idle connections are not reused after this time, because targets close
 /// them: half of 10 s, the shortest common idle timeout.
 constexpr long MaxIdleSeconds = 5;
@@ -147,6 +152,9 @@
   switch (Code) {
   case CURLE_OK:
     return validateAnswer();
+  case CURLE_OUT_OF_MEMORY: // Also libcurl's code for a line above its limit.
+    return RequestSent ? ResultCode::TargetAnswerTooLarge
+                       : ResultCode::TargetUnreachable;
   case CURLE_OPERATION_TIMEDOUT:
     return RequestSent ? ResultCode::TargetTimeout
                        : ResultCode::TargetUnreachable;
@@ -245,9 +253,11 @@
 bool TargetTransfer::onFieldLine(std::string_view Line) {
   if (!CountsRawBody && !countBytes(Line.size()))
     return false;
-  AnswerTooLarge = AnswerTooLarge || Answer.Headers.size() >= MaxHeaderFields ||
-                   TrailerFields >= MaxHeaderFields ||
-                   Line.size() > MaxFieldBytes;
+  ++Lines;
+  LineBytes += Line.size();
+  AnswerTooLarge =
+      AnswerTooLarge || Lines > MaxLines || LineBytes > MaxLineBytes ||
+      Answer.Headers.size() >= MaxHeaderFields || Line.size() > MaxFieldBytes;
   if (AnswerTooLarge)
     return false;
   if (!Line.ends_with(LineEnd))
@@ -262,11 +272,8 @@
     onStatusLine();
     return true;
   }
-  if (!HeadComplete)
-    return addAnswerField(Line);
   // Trailer fields, which follow the body, are dropped.
-  ++TrailerFields;
-  return true;
+  return HeadComplete || addAnswerField(Line);
 }
 
 void TargetTransfer::onStatusLine() {
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -82,7 +82,8 @@
   std::unique_ptr<curl_slist, ListDeleter> Fields;
   CallAnswer Answer;
   std::size_t AnswerBytes = 0;
-  std::size_t TrailerFields = 0;
+  std::size_t Lines = 0;       ///< Of all heads and the trailer.
+  std::size_t LineBytes = 0;   ///< Of all heads and the trailer.
   bool HeadComplete = false;   ///< Further field lines are trailer fields.
   bool CountsRawBody = false;  ///< The body counts as it was sent, in chunks.
   bool RequestSent = false;    ///< Part of the request may have been sent.
