Add a failing test: bytes on an idle connection are never read nor refused

After a complete answer a target goes on sending. libcurl looks at a kept connection only when a request needs one, so without further requests it stays open, with its buffers full, and the target waits for ever. The next request is served rightly on another connection.

--- a/tests/targets/EndlessAnswerTest.cpp
+++ b/tests/targets/EndlessAnswerTest.cpp
@@ -28,6 +28,7 @@
 constexpr std::size_t MaxTakenBytes = AnswerLimit + 16 * 1024 * 1024;
 
 constexpr milliseconds CloseTimeout{3000};
+constexpr milliseconds IdleCloseTimeout{5000};
 
 const std::string Head = "HTTP/1.1 200 OK\r\nId: mine\r\nSigned: s\r\n";
 const std::string ChunkedHead = Head + "Transfer-Encoding: chunked\r\n\r\n";
@@ -212,3 +213,21 @@
   for (auto &Each : Endless)
     CHECK_FALSE(Each.get().Answer.has_value());
 }
+
+TEST(EndlessAnswers, EndlessBytesAfterACompleteAnswerCloseTheConnection) {
+  for (const milliseconds Pause : {milliseconds(0), milliseconds(30)}) {
+    for (const std::string &Start : {Head + "Content-Length: 2\r\n\r\nok",
+                                     ChunkedHead + "2\r\nok\r\n0\r\n\r\n"}) {
+      const FakeEndlessTarget Target({Start, "x", Pause});
+      TargetClient Client(optionsFor(Target));
+
+      const TargetResult Result = send(Client, "/endless");
+
+      CHECK(ResultCode::Ok == Result.Reason);
+      STRCMP_EQUAL("ok", Result.Answer->Body.c_str());
+      CHECK(Target.awaitClosed(IdleCloseTimeout));
+      CHECK(Target.sentBytes() < MaxTakenBytes);
+      CHECK(ResultCode::Ok == send(Client, "/good").Reason);
+    }
+  }
+}
