End an idle connection on which a target sends bytes without a request

A target that goes on sending after a complete answer held a connection of its node, and the buffers of both, for as long as no other request came: still open after 5 s in the test. No caller got any of those bytes.

Cause: libcurl examines a kept connection only when a request could reuse it. The client now examines its idle connections once a second (one poll) and ends those that are readable: bytes that have come are discarded, later ones are answered with a reset, and libcurl drops the connection. Connections of running requests are told apart by their local port, which libcurl tells the client before it sends.

--- a/src/targets/TargetClient.cpp
+++ b/src/targets/TargetClient.cpp
@@ -1,11 +1,14 @@
 #include "targets/TargetClient.h"
 
+#include "targets/IdleConnections.h"
 #include "targets/TargetTransfer.h"
 
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <mutex>
 #include <pthread.h>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -18,6 +21,9 @@
 /// Maximum wait for network events; a new command interrupts it.
 constexpr int PollTimeoutMs = 1000;
 
+/// Time between two examinations of the idle connections.
+constexpr std::chrono::milliseconds IdleCheckInterval{1000};
+
 /// Initialises libcurl, once per process.
 void initialiseCurl() {
   static const CURLcode Result = curl_global_init(CURL_GLOBAL_ALL);
@@ -37,9 +43,9 @@
         BaseUrl("http://" + this->Options.Address + "/") {
     initialiseCurl();
     Multi.reset(curl_multi_init());
-    const long Connections = static_cast<long>(this->Options.MaxConnections);
-    curl_multi_setopt(Multi.get(), CURLMOPT_MAXCONNECTS, Connections);
-    curl_multi_setopt(Multi.get(), CURLMOPT_MAX_TOTAL_CONNECTIONS, Connections);
+    const long Limit = static_cast<long>(this->Options.MaxConnections);
+    curl_multi_setopt(Multi.get(), CURLMOPT_MAXCONNECTS, Limit);
+    curl_multi_setopt(Multi.get(), CURLMOPT_MAX_TOTAL_CONNECTIONS, Limit);
     Thread = std::thread([this] { run(); });
     pthread_setname_np(Thread.native_handle(), "target-client");
   }
@@ -91,6 +97,7 @@
       int Running = 0;
       curl_multi_perform(Multi.get(), &Running);
       finishCompleted();
+      checkIdleConnections();
       curl_multi_poll(Multi.get(), nullptr, 0, PollTimeoutMs, nullptr);
     }
     while (!Transfers.empty())
@@ -125,6 +132,7 @@
       finish(Command.Id, ResultCode::TargetRequestInvalid);
       return;
     }
+    Connections.track(NewTransfer.handle());
     RequestIdByHandle[NewTransfer.handle()] = Command.Id;
     curl_multi_add_handle(Multi.get(), NewTransfer.handle());
   }
@@ -141,6 +149,17 @@
     }
   }
 
+  void checkIdleConnections() {
+    const auto Now = std::chrono::steady_clock::now();
+    if (Now < NextIdleCheck)
+      return;
+    NextIdleCheck = Now + IdleCheckInterval;
+    std::set<int> UsedPorts;
+    for (const auto &[Id, Transfer] : Transfers)
+      UsedPorts.insert(Transfer->localPort());
+    Connections.endReadable(UsedPorts);
+  }
+
   /// Removes a transfer and calls its hook. Unknown IDs are ignored.
   void finish(std::uint64_t Id, ResultCode Reason) {
     auto Position = Transfers.find(Id);
@@ -157,6 +176,8 @@
 
   const TargetClientOptions Options;
   const std::string BaseUrl;
+  IdleConnections Connections; ///< Outlives the connections of Multi.
+  std::chrono::steady_clock::time_point NextIdleCheck;
   std::unique_ptr<CURLM, MultiDeleter> Multi;
   std::map<std::uint64_t, std::unique_ptr<TargetTransfer>> Transfers;
   std::map<CURL *, std::uint64_t> RequestIdByHandle;
--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -371,12 +371,14 @@
   return Transfer->AnswerTooLarge ? Abort : Continue;
 }
 
-int TargetTransfer::onConnected(void *UserData, char *, char *, int, int) {
+int TargetTransfer::onConnected(void *UserData, char *, char *, int,
+                                int LocalPort) {
   auto *Transfer = static_cast<TargetTransfer *>(UserData);
   // A second call means that libcurl is about to resend the request.
   if (Transfer->RequestSent)
     return CURL_PREREQFUNC_ABORT;
   Transfer->RequestSent = true;
+  Transfer->LocalPort = LocalPort;
   return CURL_PREREQFUNC_OK;
 }
 
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -31,6 +31,9 @@
 
   CURL *handle() const { return Easy.get(); }
 
+  /// Local port of the transfer's connection; 0 until it is connected.
+  int localPort() const { return LocalPort; }
+
   /// Maps the libcurl code of a finished transfer to a result code; Ok for a
   /// complete and valid answer.
   ResultCode reasonFor(CURLcode Code) const;
@@ -71,7 +74,7 @@
                        void *UserData);
   static int onProgress(void *UserData, curl_off_t, curl_off_t, curl_off_t,
                         curl_off_t);
-  static int onConnected(void *UserData, char *, char *, int, int);
+  static int onConnected(void *UserData, char *, char *, int, int LocalPort);
 
   const std::string &BaseUrl;
   TargetRequest Request;
@@ -82,6 +85,7 @@
   std::unique_ptr<curl_slist, ListDeleter> Fields;
   CallAnswer Answer;
   std::size_t AnswerBytes = 0;
+  int LocalPort = 0;
   std::size_t Lines = 0;       ///< Of all heads and the trailer.
   std::size_t LineBytes = 0;   ///< Of all heads and the trailer.
   bool HeadComplete = false;   ///< Further field lines are trailer fields.
