Correct a test: an endless head is malformed, not an answer above the limit

The test asked for 603 since that ends the wrong search for a crash. But an idempotent request is not sent to another target after 603, because its answer is as large there; after 604 it is. A line or interim answers without end are no answer, so the test now asks for 604 there, no less strictly: still one exact code and outcome for each kind of bytes. More than 128 fields stay 603, as before.

--- a/tests/targets/EndlessAnswerTest.cpp
+++ b/tests/targets/EndlessAnswerTest.cpp
@@ -74,16 +74,16 @@
   return {
       {"no answer", "", "x", ResultCode::TargetAnswerMalformed,
        Outcome::Unknown},
-      {"status line", "HTTP/1.1 200 ", "x", ResultCode::TargetAnswerTooLarge,
+      {"status line", "HTTP/1.1 200 ", "x", ResultCode::TargetAnswerMalformed,
        Outcome::Unknown},
-      {"field line", Head + "X: ", "x", ResultCode::TargetAnswerTooLarge,
+      {"field line", Head + "X: ", "x", ResultCode::TargetAnswerMalformed,
        Outcome::Ran},
       {"fields", Head, "a: b\r\n", ResultCode::TargetAnswerTooLarge,
        Outcome::Ran},
       {"interim answers", "", "HTTP/1.1 103 Hints\r\na: b\r\n\r\n",
-       ResultCode::TargetAnswerTooLarge, Outcome::Unknown},
+       ResultCode::TargetAnswerMalformed, Outcome::Unknown},
       {"empty interim answers", "", "HTTP/1.1 100\r\n\r\n",
-       ResultCode::TargetAnswerTooLarge, Outcome::Unknown},
+       ResultCode::TargetAnswerMalformed, Outcome::Unknown},
   };
 }
 
