Let an idempotent request move on from a target whose framing does not end

After an endless status line, field line, interim answers or chunk framing the caller of an idempotent request got 502 (603), though another target could have answered. Cause: all of these were reported as an answer above the limit, which is as large on another target. What is mostly framing is now malformed (604), as are heads above the limits on lines, and 604 allows a retry within the route's attempts.

--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -145,6 +145,8 @@
 }
 
 ResultCode TargetTransfer::reasonFor(CURLcode Code) const {
+  if (FramingTooLarge || (AnswerTooLarge && isMostlyFraming()))
+    return ResultCode::TargetAnswerMalformed;
   if (AnswerTooLarge)
     return ResultCode::TargetAnswerTooLarge;
   if (HasForeignId)
@@ -153,7 +155,7 @@
   case CURLE_OK:
     return validateAnswer();
   case CURLE_OUT_OF_MEMORY: // Also libcurl's code for a line above its limit.
-    return RequestSent ? ResultCode::TargetAnswerTooLarge
+    return RequestSent ? ResultCode::TargetAnswerMalformed
                        : ResultCode::TargetUnreachable;
   case CURLE_OPERATION_TIMEDOUT:
     return RequestSent ? ResultCode::TargetTimeout
@@ -169,6 +171,12 @@
   }
 }
 
+/// Whether most of a chunked body is not content. Such an answer is no larger
+/// on another target.
+bool TargetTransfer::isMostlyFraming() const {
+  return CountsRawBody && Answer.Body.size() < AnswerBytes / 2;
+}
+
 /// Validates a complete answer.
 ResultCode TargetTransfer::validateAnswer() const {
   if (!isFramed())
@@ -255,10 +263,10 @@
     return false;
   ++Lines;
   LineBytes += Line.size();
-  AnswerTooLarge =
-      AnswerTooLarge || Lines > MaxLines || LineBytes > MaxLineBytes ||
-      Answer.Headers.size() >= MaxHeaderFields || Line.size() > MaxFieldBytes;
-  if (AnswerTooLarge)
+  FramingTooLarge = Lines > MaxLines || LineBytes > MaxLineBytes;
+  AnswerTooLarge = AnswerTooLarge || Answer.Headers.size() >= MaxHeaderFields ||
+                   Line.size() > MaxFieldBytes;
+  if (FramingTooLarge || AnswerTooLarge)
     return false;
   if (!Line.ends_with(LineEnd))
     return false;
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -54,6 +54,7 @@
   void setBody();
   Outcome outcome(ResultCode Reason) const;
   bool isFramed() const;
+  bool isMostlyFraming() const;
   ResultCode validateAnswer() const;
   bool isNotRunAnswer() const;
   bool isMisdirectedAnswer() const;
@@ -86,14 +87,15 @@
   CallAnswer Answer;
   std::size_t AnswerBytes = 0;
   int LocalPort = 0;
-  std::size_t Lines = 0;       ///< Of all heads and the trailer.
-  std::size_t LineBytes = 0;   ///< Of all heads and the trailer.
-  bool HeadComplete = false;   ///< Further field lines are trailer fields.
-  bool CountsRawBody = false;  ///< The body counts as it was sent, in chunks.
-  bool RequestSent = false;    ///< Part of the request may have been sent.
-  bool AnswerTooLarge = false; ///< The answer exceeds a limit.
-  bool HasForeignId = false;   ///< The answer has another request's ID.
-  std::string RequestId;       ///< ID that the answer must echo; empty: any.
+  std::size_t Lines = 0;        ///< Of all heads and the trailer.
+  std::size_t LineBytes = 0;    ///< Of all heads and the trailer.
+  bool HeadComplete = false;    ///< Further field lines are trailer fields.
+  bool CountsRawBody = false;   ///< The body counts as it was sent, in chunks.
+  bool RequestSent = false;     ///< Part of the request may have been sent.
+  bool AnswerTooLarge = false;  ///< The answer exceeds a limit.
+  bool FramingTooLarge = false; ///< Heads and trailer exceed a limit.
+  bool HasForeignId = false;    ///< The answer has another request's ID.
+  std::string RequestId;        ///< ID that the answer must echo; empty: any.
 };
 
 } // namespace fescuewood
