Add a failing test: endless answers of a target, through a mesh of processes

The stand-in target can answer with eight kinds of endless bytes. A request that must not run twice enters at another node: it is answered with 502 in time and runs once, the next request is served, the target's connections are closed, and no node's memory grows by more than 64 MiB. The test fails on the outcome: for bytes that are no answer at all the caller is told "ran", though no final status came.

--- a/tests/integration/MeshFaultTest.cpp
+++ b/tests/integration/MeshFaultTest.cpp
@@ -5,6 +5,12 @@
 
 #include "policy/CallSettings.h"
 
+#include <algorithm>
+#include <fstream>
+#include <utility>
+
+#include <fmt/format.h>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace fescuewood;
@@ -42,6 +48,21 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(Milliseconds));
 }
 
+/// Highest memory, in bytes, that any node of the mesh has held.
+std::size_t peakMemory(const Mesh &TestMesh) {
+  constexpr std::size_t KiB = 1024;
+  std::size_t Peak = 0;
+  for (const MeshInstance &Instance : TestMesh.Instances) {
+    std::ifstream Status(fmt::format("/proc/{}/status", Instance.Node.id()));
+    const std::string Name = "VmHWM:";
+    for (std::string Line; std::getline(Status, Line);)
+      if (Line.starts_with(Name))
+        Peak = std::max<std::size_t>(
+            Peak, std::stoull(Line.substr(Name.size())) * KiB);
+  }
+  return Peak;
+}
+
 void checkGuarantees(const standins::LoadSummary &Sum) {
   CHECK_TRUE_TEXT(guaranteesHold(Sum), describe(Sum).c_str());
 }
@@ -151,6 +172,45 @@
   });
 }
 
+// Neither the memory of the nodes nor the time of the callers depends on how
+// long a target goes on sending.
+TEST(MeshFaults, EndlessAnswersEndPromptlyAndTrueToTheirOutcome) {
+  Mesh &TestMesh = sharedMesh();
+  constexpr std::size_t MaxGrowthBytes = 64 * 1024 * 1024;
+  constexpr std::chrono::seconds MaxAnswerTime{4};
+  const std::size_t PeakBefore = peakMemory(TestMesh);
+  const std::pair<std::string, std::string> Kinds[] = {
+      {"none", "unknown"}, {"status", "unknown"}, {"interim", "unknown"},
+      {"field", "ran"},    {"body", "ran"},       {"extension", "ran"},
+      {"chunks", "ran"},   {"trailer", "ran"},
+  };
+
+  for (const auto &[Kind, Outcome] : Kinds) {
+    const std::string Mark = "endless-" + Kind;
+    const auto SentAt = std::chrono::steady_clock::now();
+    const auto Answer = TestMesh.request(TestMesh.Instances[2], "POST",
+                                         "/sittings?endless=" + Kind,
+                                         keyHeaders("key-first", Mark));
+
+    LONGS_EQUAL_TEXT(502, Answer.status(), Kind.c_str());
+    STRCMP_CONTAINS_TEXT(Outcome.c_str(), Answer.Body.c_str(), Kind.c_str());
+    CHECK_TRUE_TEXT(std::chrono::steady_clock::now() - SentAt < MaxAnswerTime,
+                    Kind.c_str());
+    LONGS_EQUAL_TEXT(1, TestMesh.runs().at(Mark), Kind.c_str());
+    LONGS_EQUAL(200, TestMesh
+                         .request(TestMesh.Instances[2], "POST", "/sittings",
+                                  keyHeaders("key-first", "after-" + Kind))
+                         .status());
+  }
+
+  eventually("the connections are closed", [&] {
+    return TestMesh.targetStats(TestMesh.Instances[0])["endless_answers"] ==
+               0 &&
+           TestMesh.targetStats(TestMesh.Instances[1])["endless_answers"] == 0;
+  });
+  CHECK(peakMemory(TestMesh) < PeakBefore + MaxGrowthBytes);
+}
+
 TEST(MeshFaultsAlone, ATargetThatStartsColdIsNotOverloaded) {
   standins::MeshOptions Options = smallMesh();
   Options.Groups = {{"queue", "harbour", 1, 6}, {"ledger", "market", 1, 6}};
--- a/tests/standins/Target.h
+++ b/tests/standins/Target.h
@@ -1,7 +1,7 @@
 /// \file
 /// Stand-in for a target: an HTTP service with a limited number of slots that
-/// starts cold, can be slow, stall, crash or close connections, and records
-/// every run of every request.
+/// starts cold, can be slow, stall, crash or close connections, can answer
+/// without end, and records every run of every request.
 ///
 /// A crash is simulated inside the process, so that the run record survives:
 /// all connections are closed, the port is closed for a while, and the target
@@ -17,6 +17,7 @@
 #include <list>
 #include <random>
 #include <set>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -85,6 +86,7 @@
             {"crashes", Crashes},
             {"misdirected", Misdirected},
             {"connections", Accepted},
+            {"endless_answers", EndlessAnswers},
             {"doubled", doubled()}};
   }
 
@@ -204,9 +206,58 @@
       Socket.close();
       co_return;
     }
+    if (const auto Kind = queryValue(Request.word(1), "endless")) {
+      co_await sendEndlessly(Socket, *Kind);
+    }
     co_await send(Socket, answer(Request, Mark));
   }
 
+  /// Sends bytes of an answer that does not end until the connection closes.
+  asio::awaitable<void> sendEndlessly(Tcp::socket &Socket,
+                                      const std::string &Kind) {
+    constexpr std::size_t BlockBytes = 16 * 1024;
+    constexpr std::size_t MaxBytes = 256 * 1024 * 1024;
+    const auto [Start, Repeat] = endlessAnswer(Kind);
+    std::string Block = Repeat;
+    while (Block.size() < BlockBytes)
+      Block += Repeat;
+    ++EndlessAnswers;
+    try {
+      co_await send(Socket, Start);
+      for (std::size_t Sent = 0; Sent < MaxBytes; Sent += Block.size()) {
+        co_await send(Socket, Block);
+      }
+      // Waits for the end of the connection.
+      std::string Buffer;
+      co_await readMessage(Socket, Buffer);
+    } catch (const std::exception &) {
+      --EndlessAnswers;
+      throw;
+    }
+  }
+
+  /// The beginning of an endless answer and what follows it again and again.
+  static std::pair<std::string, std::string>
+  endlessAnswer(const std::string &Kind) {
+    const std::string Head = "HTTP/1.1 200 OK\r\n";
+    const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+    if (Kind == "status")
+      return {"HTTP/1.1 200 ", "x"};
+    if (Kind == "interim")
+      return {"", "HTTP/1.1 103 Hints\r\na: b\r\n\r\n"};
+    if (Kind == "field")
+      return {Head + "X: ", "x"};
+    if (Kind == "body")
+      return {Head + "Content-Length: 999999999999\r\n\r\n", "x"};
+    if (Kind == "extension")
+      return {Chunked + "1;", "x"};
+    if (Kind == "chunks")
+      return {Chunked, "1\r\nx\r\n"};
+    if (Kind == "trailer")
+      return {Chunked + "0\r\n", "a: b\r\n"};
+    return {"", "x"};
+  }
+
   int usualLatency() {
     if (!Options.Spread)
       return Options.LatencyMs;
@@ -275,6 +326,7 @@
   int Crashes = 0;
   int Misdirected = 0;
   int Accepted = 0;
+  int EndlessAnswers = 0; ///< Endless answers whose connection is open.
   int Stall = 0;
   int CloseNext = 0;
   std::mt19937 Random; ///< Seeded by the address, so that targets differ.
