Tell the caller the outcome of a run whose answer is unusable as the client knows it

A caller whose target sent bytes that are no answer was told that its request ran (502, outcome "ran"), though the target had shown no sign of that; the same after an answer to another request or one without its signature. Cause: the outcome that the target client reports was dropped on its way, and "unusable" taken for "ran". It now travels with the result of the run. A timed-out run whose final status was seen is told as "ran" in place of "unknown".

--- a/src/app/TargetAdapter.cpp
+++ b/src/app/TargetAdapter.cpp
@@ -45,6 +45,7 @@
     return Run;
   }
   Run.Failure = runFailure(Result);
+  Run.RunOutcome = Result.RunOutcome;
   return Run;
 }
 
--- a/src/calls/TargetPort.h
+++ b/src/calls/TargetPort.h
@@ -31,6 +31,8 @@
   RunFailure Failure = RunFailure::None;
   ResultCode Reason = ResultCode::Ok; ///< Reason for a missing answer.
   DurationMs Duration{0};             ///< From the start of the run to its end.
+  /// Whether the request ran, if the answer is missing.
+  Outcome RunOutcome = Outcome::Unknown;
 };
 
 using RunHook = std::function<void(RunResult)>;
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -143,10 +143,8 @@
   else if (Result.Failure == RunFailure::Broken)
     onBroken(Id, Call, Result.Reason);
   else {
-    onAnswer(
-        Id, refusal(WasAbandoned ? GatewayTimeout : BadGateway, Result.Reason,
-                    Result.Failure == RunFailure::Unusable ? Outcome::Ran
-                                                           : Outcome::Unknown));
+    onAnswer(Id, refusal(WasAbandoned ? GatewayTimeout : BadGateway,
+                         Result.Reason, Result.RunOutcome));
   }
   if (Result.Failure == RunFailure::NotReached)
     onTargetDown();
--- a/tests/app/TargetAdapterTest.cpp
+++ b/tests/app/TargetAdapterTest.cpp
@@ -41,6 +41,13 @@
             .Failure);
 }
 
+TEST(TargetAdapter, KeepsTheOutcomeOfAnUnusableAnswer) {
+  for (const Outcome Ran : {Outcome::Ran, Outcome::Unknown})
+    CHECK(Ran ==
+          toRunResult(failedResult(ResultCode::TargetAnswerMalformed, Ran))
+              .RunOutcome);
+}
+
 TEST(TargetAdapter, DistinguishesTimeoutsFromCancellations) {
   CHECK(RunFailure::TimedOut ==
         toRunResult(failedResult(ResultCode::TargetTimeout, Outcome::Unknown))
