Add a failing test: a probe that is answered with endless bytes

A probe asks whether a target accepts connections; any answer shows that. A target whose health answer is endless or no answer counts as unreachable, so its node refuses every request until a later probe.

--- a/tests/app/TargetAdapterTest.cpp
+++ b/tests/app/TargetAdapterTest.cpp
@@ -1,5 +1,10 @@
 #include "app/TargetAdapter.h"
 
+#include "standins/Target.h"
+
+#include <future>
+#include <thread>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace fescuewood;
@@ -69,3 +74,30 @@
 
   CHECK(RunFailure::NotReached == Received.Failure);
 }
+
+// A target that answers a probe with endless bytes still accepts connections.
+TEST(TargetAdapter, EndlessProbeAnswersShowAReachableTarget) {
+  for (const std::string Kind : {"none", "status", "body", "extension"}) {
+    asio::io_context Context;
+    const standins::Target Server(Context,
+                                  {standins::endpointOf("127.60.0.8:0")});
+    std::thread Thread([&Context] { Context.run(); });
+    TargetClient Client(
+        {.Address = "127.60.0.8:" + std::to_string(Server.port())});
+    TargetSettings Settings;
+    Settings.ProbePath = "/health?endless=" + Kind;
+    Settings.ProbeTimeout = DurationMs(10'000);
+    TargetAdapter Adapter(Client, Settings);
+    std::promise<ProbeResult> Probe;
+
+    Adapter.port().Probe(
+        [&Probe](const ProbeResult &Result) { Probe.set_value(Result); });
+
+    const bool Reachable = Probe.get_future().get().Reachable;
+    Client.stop();
+    Context.stop();
+    Thread.join();
+
+    CHECK_TRUE_TEXT(Reachable, Kind.c_str());
+  }
+}
