Count a target as reachable whatever bytes it answers a probe with

A node whose target sent bytes that are no answer, or without end, on its health path refused every request to it, and took a lost connection for a crash, until a later probe was answered well. Cause: only complete answers counted, though a probe asks no more than whether the target accepts connections; requests show the rest.

--- a/src/app/TargetAdapter.cpp
+++ b/src/app/TargetAdapter.cpp
@@ -34,6 +34,12 @@
   }
 }
 
+/// Whether the target has sent bytes, even if they are not a valid answer.
+bool hasResponded(const TargetResult &Result) {
+  return Result.Answer || Result.Reason == ResultCode::TargetRefused ||
+         runFailure(Result) == RunFailure::Unusable;
+}
+
 } // namespace
 
 RunResult toRunResult(TargetResult Result) {
@@ -135,7 +141,7 @@
 
 ProbeResult TargetAdapter::probeResult(const TargetResult &Result) const {
   ProbeResult Probe;
-  Probe.Reachable = Result.Answer || Result.Reason == ResultCode::TargetRefused;
+  Probe.Reachable = hasResponded(Result);
   if (!Result.Answer || Scheme.ColdFor.empty())
     return Probe;
   if (const auto ColdFor =
