Count the platform's answers as they are sent, so that endless framing ends

A platform that sends a chunk extension without end held the reader of its node, and the node's processor, until the timeout of the read; the configuration could not change meanwhile.

--- a/src/sources/HttpReader.cpp
+++ b/src/sources/HttpReader.cpp
@@ -29,9 +29,13 @@
   void operator()(CURLM *Transfers) const { curl_multi_cleanup(Transfers); }
 };
 
+/// Limit on one answer as it is sent, with its head and chunk framing.
+constexpr std::size_t MaxReceivedBytes = 2 * MaxAnswerBytes;
+
 /// The body of one answer. Its size is checked as data arrives.
 struct Body {
   std::string Bytes;
+  std::size_t ReceivedBytes = 0; ///< Of the whole answer, as it was sent.
   bool TooLarge = false;
 };
 
@@ -39,13 +43,33 @@
                        void *Destination) {
   Body &Received = *static_cast<Body *>(Destination);
   const std::size_t Bytes = Size * Count;
-  Received.TooLarge = Received.Bytes.size() + Bytes > MaxAnswerBytes;
+  Received.TooLarge =
+      Received.TooLarge || Received.Bytes.size() + Bytes > MaxAnswerBytes;
   if (Received.TooLarge)
     return 0;
   Received.Bytes.append(Data, Bytes);
   return Bytes;
 }
 
+/// Counts all bytes, since libcurl discards chunk extensions. Cannot abort the
+/// transfer; \ref checkProgress can.
+int countReceived(CURL *, curl_infotype Type, char *, std::size_t Size,
+                  void *Destination) {
+  Body &Received = *static_cast<Body *>(Destination);
+  if (Type == CURLINFO_HEADER_IN || Type == CURLINFO_DATA_IN)
+    Received.ReceivedBytes += Size;
+  Received.TooLarge =
+      Received.TooLarge || Received.ReceivedBytes > MaxReceivedBytes;
+  return 0;
+}
+
+int checkProgress(void *Destination, curl_off_t, curl_off_t, curl_off_t,
+                  curl_off_t) {
+  constexpr int Continue = 0;
+  constexpr int Abort = 1;
+  return static_cast<const Body *>(Destination)->TooLarge ? Abort : Continue;
+}
+
 } // namespace
 
 class HttpReader::Impl {
@@ -99,6 +123,12 @@
                      static_cast<long>((Wait + Timeout).Value));
     curl_easy_setopt(Curl, CURLOPT_WRITEFUNCTION, &appendBody);
     curl_easy_setopt(Curl, CURLOPT_WRITEDATA, &Destination);
+    curl_easy_setopt(Curl, CURLOPT_DEBUGFUNCTION, &countReceived);
+    curl_easy_setopt(Curl, CURLOPT_DEBUGDATA, &Destination);
+    curl_easy_setopt(Curl, CURLOPT_VERBOSE, 1L);
+    curl_easy_setopt(Curl, CURLOPT_XFERINFOFUNCTION, &checkProgress);
+    curl_easy_setopt(Curl, CURLOPT_XFERINFODATA, &Destination);
+    curl_easy_setopt(Curl, CURLOPT_NOPROGRESS, 0L);
   }
 
   PlatformRead<std::string> resultForStatus(std::string Bytes) {
