--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -18,6 +18,11 @@
 constexpr int FirstRedirect = 300;
 constexpr int MisdirectedRequest = 421;
 
+/// Limits on all lines of an answer's heads and trailer, which libcurl stores
+/// until the answer ends. Above 300 kB it ends a transfer without saying why.
+constexpr std::size_t MaxLines = 4 * MaxHeaderFields;
+constexpr std::size_t MaxLineBytes = 256 * 1024;
+
 /// Idle connections are not reused after this time, because targets close
 /// them: half of 10 s, the shortest common idle timeout.
 constexpr long MaxIdleSeconds = 5;
@@ -86,6 +91,10 @@
   curl_easy_setopt(Handle, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, &onBodyData);
   curl_easy_setopt(Handle, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(Handle, CURLOPT_DEBUGFUNCTION, &onRawData);
+  curl_easy_setopt(Handle, CURLOPT_DEBUGDATA, this);
+  curl_easy_setopt(Handle, CURLOPT_XFERINFOFUNCTION, &onProgress);
+  curl_easy_setopt(Handle, CURLOPT_XFERINFODATA, this);
   return true;
 }
 
@@ -136,6 +145,8 @@
 }
 
 ResultCode TargetTransfer::reasonFor(CURLcode Code) const {
+  if (FramingTooLarge || (AnswerTooLarge && isMostlyFraming()))
+    return ResultCode::TargetAnswerMalformed;
   if (AnswerTooLarge)
     return ResultCode::TargetAnswerTooLarge;
   if (HasForeignId)
@@ -143,6 +154,9 @@
   switch (Code) {
   case CURLE_OK:
     return validateAnswer();
+  case CURLE_OUT_OF_MEMORY: // Also libcurl's code for a line above its limit.
+    return RequestSent ? ResultCode::TargetAnswerMalformed
+                       : ResultCode::TargetUnreachable;
   case CURLE_OPERATION_TIMEDOUT:
     return RequestSent ? ResultCode::TargetTimeout
                        : ResultCode::TargetUnreachable;
@@ -157,6 +171,12 @@
   }
 }
 
+/// Whether most of a chunked body is not content. Such an answer is no larger
+/// on another target.
+bool TargetTransfer::isMostlyFraming() const {
+  return CountsRawBody && Answer.Body.size() < AnswerBytes / 2;
+}
+
 /// Validates a complete answer.
 ResultCode TargetTransfer::validateAnswer() const {
   if (!isFramed())
@@ -239,17 +259,21 @@
 }
 
 bool TargetTransfer::onFieldLine(std::string_view Line) {
-  AnswerBytes += Line.size();
-  AnswerTooLarge = AnswerBytes > Options.MaxAnswerBytes ||
-                   Answer.Headers.size() >= MaxHeaderFields ||
+  if (!CountsRawBody && !countBytes(Line.size()))
+    return false;
+  ++Lines;
+  LineBytes += Line.size();
+  FramingTooLarge = Lines > MaxLines || LineBytes > MaxLineBytes;
+  AnswerTooLarge = AnswerTooLarge || Answer.Headers.size() >= MaxHeaderFields ||
                    Line.size() > MaxFieldBytes;
-  if (AnswerTooLarge)
+  if (FramingTooLarge || AnswerTooLarge)
     return false;
   if (!Line.ends_with(LineEnd))
     return false;
   Line.remove_suffix(LineEnd.size());
   if (Line.empty()) {
     HeadComplete = true;
+    countChunkedBody();
     return true;
   }
   if (Line.starts_with(VersionPrefix) && (HeadComplete || Answer.Status == 0)) {
@@ -310,10 +334,26 @@
     Answer.Body.reserve(*Length);
 }
 
+bool TargetTransfer::countBytes(std::size_t Bytes) {
+  AnswerBytes += Bytes;
+  AnswerTooLarge = AnswerTooLarge || AnswerBytes > Options.MaxAnswerBytes;
+  return !AnswerTooLarge;
+}
+
+/// Counts a chunked body as it was sent: libcurl discards chunk extensions,
+/// which a target may send without end. Its debug function receives all bytes,
+/// but cannot abort the transfer; the progress function can.
+void TargetTransfer::countChunkedBody() {
+  if (CountsRawBody || Answer.Status < FirstFinalStatus ||
+      !findField(Answer.Headers, "Transfer-Encoding"))
+    return;
+  CountsRawBody = true;
+  curl_easy_setopt(Easy.get(), CURLOPT_VERBOSE, 1L);
+  curl_easy_setopt(Easy.get(), CURLOPT_NOPROGRESS, 0L);
+}
+
 bool TargetTransfer::appendBody(std::string_view Bytes) {
-  AnswerBytes += Bytes.size();
-  AnswerTooLarge = AnswerBytes > Options.MaxAnswerBytes;
-  if (AnswerTooLarge)
+  if (AnswerTooLarge || (!CountsRawBody && !countBytes(Bytes.size())))
     return false;
   if (Answer.Body.empty())
     reserveBody();
@@ -333,12 +373,30 @@
   return Transfer->appendBody({Data, Size * Count}) ? Size * Count : 0;
 }
 
-int TargetTransfer::onConnected(void *UserData, char *, char *, int, int) {
+int TargetTransfer::onRawData(CURL *, curl_infotype Type, char *,
+                              std::size_t Size, void *UserData) {
+  auto *Transfer = static_cast<TargetTransfer *>(UserData);
+  if (Type == CURLINFO_DATA_IN)
+    Transfer->countBytes(Size);
+  return 0;
+}
+
+int TargetTransfer::onProgress(void *UserData, curl_off_t, curl_off_t,
+                               curl_off_t, curl_off_t) {
+  const auto *Transfer = static_cast<const TargetTransfer *>(UserData);
+  constexpr int Continue = 0;
+  constexpr int Abort = 1;
+  return Transfer->AnswerTooLarge ? Abort : Continue;
+}
+
+int TargetTransfer::onConnected(void *UserData, char *, char *, int,
+                                int LocalPort) {
   auto *Transfer = static_cast<TargetTransfer *>(UserData);
   // A second call means that libcurl is about to resend the request.
   if (Transfer->RequestSent)
     return CURL_PREREQFUNC_ABORT;
   Transfer->RequestSent = true;
+  Transfer->LocalPort = LocalPort;
   return CURL_PREREQFUNC_OK;
 }
 
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -34,6 +34,9 @@
   /// Bytes of the answer that have been received.
   std::size_t receivedBytes() const { return AnswerBytes; }
 
+  /// Local port of the transfer's connection; 0 until it is connected.
+  int localPort() const { return LocalPort; }
+
   /// Maps the libcurl code of a finished transfer to a result code; Ok for a
   /// complete and valid answer.
   ResultCode reasonFor(CURLcode Code) const;
@@ -54,6 +57,7 @@
   void setBody();
   Outcome outcome(ResultCode Reason) const;
   bool isFramed() const;
+  bool isMostlyFraming() const;
   ResultCode validateAnswer() const;
   bool isNotRunAnswer() const;
   bool isMisdirectedAnswer() const;
@@ -64,12 +68,18 @@
   bool addAnswerField(std::string_view Line);
   bool hasUnambiguousFraming(const Header &Field) const;
   void reserveBody();
+  bool countBytes(std::size_t Bytes);
+  void countChunkedBody();
   bool appendBody(std::string_view Bytes);
   static std::size_t onFieldData(char *Data, std::size_t Size,
                                  std::size_t Count, void *UserData);
   static std::size_t onBodyData(char *Data, std::size_t Size, std::size_t Count,
                                 void *UserData);
-  static int onConnected(void *UserData, char *, char *, int, int);
+  static int onRawData(CURL *, curl_infotype Type, char *, std::size_t Size,
+                       void *UserData);
+  static int onProgress(void *UserData, curl_off_t, curl_off_t, curl_off_t,
+                        curl_off_t);
+  static int onConnected(void *UserData, char *, char *, int, int LocalPort);
 
   const std::string &BaseUrl;
   TargetRequest Request;
@@ -80,11 +90,16 @@
   std::unique_ptr<curl_slist, ListDeleter> Fields;
   CallAnswer Answer;
   std::size_t AnswerBytes = 0;
-  bool HeadComplete = false;   ///< Further field lines are trailer fields.
-  bool RequestSent = false;    ///< Part of the request may have been sent.
-  bool AnswerTooLarge = false; ///< The answer exceeds a limit.
-  bool HasForeignId = false;   ///< The answer has another request's ID.
-  std::string RequestId;       ///< ID that the answer must echo; empty: any.
+  int LocalPort = 0;
+  std::size_t Lines = 0;        ///< Of all heads and the trailer.
+  std::size_t LineBytes = 0;    ///< Of all heads and the trailer.
+  bool HeadComplete = false;    ///< Further field lines are trailer fields.
+  bool CountsRawBody = false;   ///< The body counts as it was sent, in chunks.
+  bool RequestSent = false;     ///< Part of the request may have been sent.
+  bool AnswerTooLarge = false;  ///< The answer exceeds a limit.
+  bool FramingTooLarge = false; ///< Heads and trailer exceed a limit.
+  bool HasForeignId = false;    ///< The answer has another request's ID.
+  std::string RequestId;        ///< ID that the answer must echo; empty: any.
 };
 
 } // namespace fescuewood
