Say what a dropped connection had received, and count what waits to be written

1401 PeerConnectionDropped named the peer alone, so the causes of a drop could not be told apart: a node or a path that carries nothing, a large frame that is still arriving, or a heartbeat that waits in this node's own writer. It now carries the pending requests, the bytes received since the oldest was sent, the bytes that wait to be written and the times since the last byte and the heartbeat.

Metrics 28 and 29 count the bytes and frames that wait to be written in all connections of the node, until they are handed to the system or discarded.

PeerClient.SaysWhatADroppedConnectionHadReceived; PeerClient group, operators_tests and core_tests passed.

--- a/src/app/NodePages.cpp
+++ b/src/app/NodePages.cpp
@@ -106,6 +106,8 @@
   Status.Traffic = Link.Traffic.byKind();
   Status.RefusedMessages = Link.Traffic.refusals();
   Status.PeerConnections = Link.Traffic.connections();
+  Status.PeerQueuedBytes = Link.Traffic.queuedBytes();
+  Status.PeerQueuedFrames = Link.Traffic.queuedFrames();
   for (const EventEntry &Entry : eventCatalogue()) {
     if (const std::uint64_t Count = Recorder.count(Entry.Id); Count > 0)
       Status.EventCounts.emplace_back(Entry.Id, Count);
--- a/src/nodes/PeerClient.cpp
+++ b/src/nodes/PeerClient.cpp
@@ -203,10 +203,9 @@
   case PeerHealth::Silent:
     break;
   }
-  Connection.close(ResultCode::PeerSilent);
   if (Link.OnEvent)
-    Link.OnEvent(
-        {EventId::PeerConnectionDropped, {{"peer", Connection.address()}}});
+    Link.OnEvent({EventId::PeerConnectionDropped, Connection.eventFields()});
+  Connection.close(ResultCode::PeerSilent);
   return false;
 }
 
--- a/src/nodes/PeerConnection.cpp
+++ b/src/nodes/PeerConnection.cpp
@@ -33,7 +33,7 @@
     : Link(Link), Limits(Limits), Address(std::move(Address)),
       InFlight(InFlight), Connecting(Context), ConnectTimer(Context),
       ReconnectDelay(MinReconnectDelay), DisconnectedSince(Monotonic.now()),
-      LastUsed(DisconnectedSince) {}
+      LastBytesAt(DisconnectedSince), LastUsed(DisconnectedSince) {}
 
 bool PeerConnection::open() {
   const auto Parsed = Endpoint::parse(Address);
@@ -86,7 +86,9 @@
   }
   ReconnectDelay = MinReconnectDelay;
   Link.Traffic.countConnection();
-  Stream = std::make_shared<PeerStream>(std::move(Connecting), streamHooks());
+  Stream = std::make_shared<PeerStream>(std::move(Connecting), Link.Traffic,
+                                        streamHooks());
+  LastBytesAt = Monotonic.now();
   Stream->start();
   for (auto &[Number, Sealed] : std::exchange(Unsent, {}))
     Stream->write(Number, std::move(Sealed));
@@ -96,6 +98,7 @@
   // The hooks do not share ownership: close() disables them before this object
   // is destroyed.
   PeerStreamHooks Hooks;
+  Hooks.OnBytes = [this](std::size_t Bytes) { onBytes(Bytes); };
   Hooks.OnFrame = [this](std::uint32_t Number, std::string_view Sealed) {
     return onFrame(Number, Sealed);
   };
@@ -136,7 +139,7 @@
   const auto Inserted = Pending.emplace(
       Number,
       PeerConnection::Request{Request.Kind, LastUsed + Request.Timeout, false,
-                              std::move(Request.OnReply),
+                              0, std::move(Request.OnReply),
                               asio::steady_timer(ConnectTimer.get_executor())});
   armTimer(Number, Inserted.first->second,
            std::min(Request.Timeout, Limits.ConnectTimeout));
@@ -189,12 +192,19 @@
   const auto It = Pending.find(Number);
   if (It == Pending.end())
     return false;
+  const TimeMs Now = Monotonic.now();
   It->second.Sent = true;
+  It->second.ReceivedBefore = ReceivedBytes;
   if (!SilentSince)
-    SilentSince = Monotonic.now();
+    SilentSince = Now;
   return true;
 }
 
+void PeerConnection::onBytes(std::size_t Bytes) {
+  ReceivedBytes += Bytes;
+  LastBytesAt = Monotonic.now();
+}
+
 bool PeerConnection::onFrame(std::uint32_t Number, std::string_view Sealed) {
   const auto It = Pending.find(Number);
   // Replies to requests that have timed out are discarded.
@@ -255,6 +265,24 @@
   failAll(Stopped ? Reason : ResultCode::PeerUnreachable, Reason);
 }
 
+std::vector<EventField> PeerConnection::eventFields() const {
+  const TimeMs Now = Monotonic.now();
+  const auto Oldest =
+      std::find_if(Pending.begin(), Pending.end(),
+                   [](const auto &Entry) { return Entry.second.Sent; });
+  const std::uint64_t Received =
+      Oldest == Pending.end() ? 0
+                              : ReceivedBytes - Oldest->second.ReceivedBefore;
+  const DurationMs HeartbeatAge =
+      HeartbeatSentAt ? Now - *HeartbeatSentAt : DurationMs(0);
+  return {{"peer", Address},
+          {"pending", std::to_string(Pending.size())},
+          {"received_bytes", std::to_string(Received)},
+          {"queued_bytes", std::to_string(Stream ? Stream->queuedBytes() : 0)},
+          {"silent_ms", std::to_string((Now - LastBytesAt).Value)},
+          {"heartbeat_ms", std::to_string(HeartbeatAge.Value)}};
+}
+
 PeerHealth PeerConnection::health() const {
   const TimeMs Now = Monotonic.now();
   if (!Stream)
--- a/src/nodes/PeerConnection.h
+++ b/src/nodes/PeerConnection.h
@@ -11,6 +11,7 @@
 #define FESCUEWOOD_NODES_PEERCONNECTION_H
 
 #include "core/Clock.h"
+#include "core/Event.h"
 #include "nodes/PeerLink.h"
 #include "nodes/PeerStream.h"
 #include "nodes/PeerTransport.h"
@@ -76,6 +77,11 @@
   void close(ResultCode Reason);
 
   PeerHealth health() const;
+
+  /// Fields of an event about this connection: what is pending and what has
+  /// been received.
+  std::vector<EventField> eventFields() const;
+
   const std::string &address() const { return Address; }
   TimeMs lastUsed() const { return LastUsed; }
 
@@ -87,6 +93,7 @@
     PeerKind Kind = PeerKind::Heartbeat;
     TimeMs Deadline;
     bool Sent = false;
+    std::uint64_t ReceivedBefore = 0; ///< Bytes received when it was sent.
     PeerReplyHook OnReply;
     asio::steady_timer Timer;
   };
@@ -95,6 +102,7 @@
   void bindSourceAddress();
   void onConnected(asio::error_code Error);
   void scheduleReconnect();
+  void onBytes(std::size_t Bytes);
   bool onFrame(std::uint32_t Number, std::string_view Sealed);
   void onDisconnected();
   void armTimer(std::uint32_t Number, Request &Entry, DurationMs Delay);
@@ -122,6 +130,8 @@
   TimeMs DisconnectedSince;              ///< Valid while not connected.
   std::optional<TimeMs> SilentSince;     ///< Sent, nothing received since.
   std::optional<TimeMs> HeartbeatSentAt; ///< Set while one is pending.
+  std::uint64_t ReceivedBytes = 0;
+  TimeMs LastBytesAt; ///< Or when the connection was established.
   TimeMs LastUsed;
 
   std::uint32_t LastNumber = 0;
--- a/src/nodes/PeerServer.cpp
+++ b/src/nodes/PeerServer.cpp
@@ -174,8 +174,8 @@
       Link.refuse(ResultCode::PeerMessageTooLarge, Sender);
     Streams.erase(Id);
   };
-  const auto Stream =
-      std::make_shared<PeerStream>(std::move(Socket), std::move(Hooks));
+  const auto Stream = std::make_shared<PeerStream>(
+      std::move(Socket), Link.Traffic, std::move(Hooks));
   Streams.emplace(Id, Stream);
   Stream->start();
 }
--- a/src/nodes/PeerStream.cpp
+++ b/src/nodes/PeerStream.cpp
@@ -22,8 +22,9 @@
 
 } // namespace
 
-PeerStream::PeerStream(asio::ip::tcp::socket Connected, PeerStreamHooks Hooks)
-    : Socket(std::move(Connected)), Hooks(std::move(Hooks)),
+PeerStream::PeerStream(asio::ip::tcp::socket Connected, PeerTraffic &Traffic,
+                       PeerStreamHooks Hooks)
+    : Socket(std::move(Connected)), Traffic(Traffic), Hooks(std::move(Hooks)),
       Buffer(InitialBufferBytes) {
   asio::error_code Ignored;
   Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
@@ -59,6 +60,8 @@
   if (Closed)
     return;
   End += Count;
+  if (Hooks.OnBytes)
+    Hooks.OnBytes(Count);
   processFrames();
   read();
 }
@@ -105,6 +108,8 @@
     return;
   std::string Header = packFrameHeader({Sealed.size(), Number});
   Queue.push_back({Number, std::move(Header), std::move(Sealed)});
+  QueuedBytes += Queue.back().bytes();
+  Traffic.countQueued(Queue.back().bytes());
   writeNext();
 }
 
@@ -116,6 +121,8 @@
     Queue.pop_front();
     if (Hooks.OnBeforeWrite(Next.Number))
       Writing.push_back(std::move(Next));
+    else
+      release(Next);
   }
   if (Writing.empty())
     return;
@@ -127,7 +134,8 @@
   asio::async_write(
       Socket, Buffers,
       [Self = shared_from_this()](asio::error_code Error, std::size_t) {
-        Self->Writing.clear();
+        for (const Frame &Item : std::exchange(Self->Writing, {}))
+          Self->release(Item);
         if (Error)
           Self->onConnectionLost(false);
         else
@@ -135,6 +143,12 @@
       });
 }
 
+/// Stops counting a frame that was written or discarded.
+void PeerStream::release(const Frame &Item) {
+  QueuedBytes -= Item.bytes();
+  Traffic.countWritten(Item.bytes());
+}
+
 void PeerStream::onConnectionLost(bool TooLarge) {
   if (Closed)
     return;
@@ -150,7 +164,8 @@
   Closed = true;
   asio::error_code Ignored;
   Socket.close(Ignored);
-  Queue.clear();
+  for (const Frame &Item : std::exchange(Queue, {}))
+    release(Item);
 }
 
 } // namespace fescuewood
--- a/src/nodes/PeerStream.h
+++ b/src/nodes/PeerStream.h
@@ -8,6 +8,7 @@
 #define FESCUEWOOD_NODES_PEERSTREAM_H
 
 #include "nodes/PeerFrame.h"
+#include "nodes/PeerTraffic.h"
 
 #include <asio/ip/tcp.hpp>
 
@@ -24,6 +25,9 @@
 
 /// Hooks to the owner of a stream, called on the loop's thread.
 struct PeerStreamHooks {
+  /// Called when bytes have been received, before their frames; optional.
+  std::function<void(std::size_t Bytes)> OnBytes;
+
   /// Called for each received frame. Returning false pauses reading until
   /// \ref PeerStream::resume, so that TCP flow control slows down the sender.
   std::function<bool(std::uint32_t Number, std::string_view Sealed)> OnFrame;
@@ -41,7 +45,9 @@
 /// share its ownership.
 class PeerStream : public std::enable_shared_from_this<PeerStream> {
 public:
-  PeerStream(asio::ip::tcp::socket Socket, PeerStreamHooks Hooks);
+  /// \param Traffic counts the frames that wait to be written.
+  PeerStream(asio::ip::tcp::socket Socket, PeerTraffic &Traffic,
+             PeerStreamHooks Hooks);
 
   /// Starts reading.
   void start();
@@ -52,6 +58,9 @@
   /// Queues a frame for writing.
   void write(std::uint32_t Number, std::string Sealed);
 
+  /// Bytes of the frames that wait to be written.
+  std::size_t queuedBytes() const { return QueuedBytes; }
+
   /// Closes the connection; no hook is called from then on.
   void close();
 
@@ -60,6 +69,8 @@
     std::uint32_t Number = 0;
     std::string Header;
     std::string Sealed;
+
+    std::size_t bytes() const { return Header.size() + Sealed.size(); }
   };
 
   void read();
@@ -67,9 +78,11 @@
   void processFrames();
   void prepareBuffer(std::size_t FrameBytes);
   void writeNext();
+  void release(const Frame &Item);
   void onConnectionLost(bool TooLarge);
 
   asio::ip::tcp::socket Socket;
+  PeerTraffic &Traffic;
   PeerStreamHooks Hooks;
   bool Closed = false;
   bool Paused = false;
@@ -80,7 +93,8 @@
   std::size_t End = 0;
 
   std::deque<Frame> Queue;
-  std::vector<Frame> Writing; ///< Frames of the current write operation.
+  std::size_t QueuedBytes = 0; ///< Of Queue and Writing.
+  std::vector<Frame> Writing;  ///< Frames of the current write operation.
 };
 
 using PeerStreamPtr = std::shared_ptr<PeerStream>;
--- a/src/nodes/PeerTraffic.cpp
+++ b/src/nodes/PeerTraffic.cpp
@@ -38,6 +38,16 @@
     ++Refused[Number - FirstReasonCode];
 }
 
+void PeerTraffic::countQueued(std::size_t Bytes) {
+  QueuedBytes += Bytes;
+  ++QueuedFrames;
+}
+
+void PeerTraffic::countWritten(std::size_t Bytes) {
+  QueuedBytes -= Bytes;
+  --QueuedFrames;
+}
+
 std::vector<PeerKindTraffic> PeerTraffic::byKind() const {
   std::vector<PeerKindTraffic> Result;
   for (std::size_t I = 0; I < KindCount; ++I) {
--- a/src/nodes/PeerTraffic.h
+++ b/src/nodes/PeerTraffic.h
@@ -47,6 +47,12 @@
   void countRefused(ResultCode Reason);
   void countConnection() { ++Connections; }
 
+  /// A frame waits to be written, until \ref countWritten.
+  void countQueued(std::size_t Bytes);
+
+  /// A frame was written or discarded.
+  void countWritten(std::size_t Bytes);
+
   /// Counters of the kinds that have had traffic.
   std::vector<PeerKindTraffic> byKind() const;
 
@@ -56,6 +62,12 @@
   /// Number of connections opened by this process.
   std::uint64_t connections() const { return Connections; }
 
+  /// Bytes of the frames that wait to be written, in all connections.
+  std::size_t queuedBytes() const { return QueuedBytes; }
+
+  /// Number of frames that wait to be written.
+  std::size_t queuedFrames() const { return QueuedFrames; }
+
 private:
   static constexpr std::size_t KindCount = 32;
   static constexpr std::size_t ReasonCount = 100;
@@ -70,6 +82,8 @@
   std::array<KindCounters, KindCount> Kinds;
   std::array<std::atomic<std::uint64_t>, ReasonCount> Refused{};
   std::atomic<std::uint64_t> Connections{0};
+  std::atomic<std::size_t> QueuedBytes{0};
+  std::atomic<std::size_t> QueuedFrames{0};
 };
 
 } // namespace fescuewood
--- a/src/operators/Metrics.cpp
+++ b/src/operators/Metrics.cpp
@@ -113,6 +113,8 @@
     Collector.add(MetricId::PeerRefusedMessages, toDouble(Row.Count),
                   {{"reason", std::string(resultName(Row.Reason))}});
   Collector.add(MetricId::PeerConnections, toDouble(Status.PeerConnections));
+  Collector.add(MetricId::PeerQueuedBytes, toDouble(Status.PeerQueuedBytes));
+  Collector.add(MetricId::PeerQueuedFrames, toDouble(Status.PeerQueuedFrames));
 }
 
 void addCalls(const CallStatus &Calls, MetricCollector &Collector) {
--- a/src/operators/NodeStatus.h
+++ b/src/operators/NodeStatus.h
@@ -73,6 +73,8 @@
   std::vector<PeerKindTraffic> Traffic;
   std::vector<PeerRefusals> RefusedMessages;
   std::uint64_t PeerConnections = 0;
+  std::size_t PeerQueuedBytes = 0;
+  std::size_t PeerQueuedFrames = 0;
   std::vector<std::pair<EventId, std::uint64_t>> EventCounts;
 };
 
--- a/tests/nodes/PeerClientTest.cpp
+++ b/tests/nodes/PeerClientTest.cpp
@@ -5,6 +5,8 @@
 
 #include <atomic>
 #include <chrono>
+#include <map>
+#include <string>
 #include <thread>
 
 #include <CppUTest/TestHarness.h>
@@ -104,6 +106,34 @@
   CHECK_TRUE(eventually([&] { return Dropped == 1; }));
 }
 
+TEST(PeerClient, SaysWhatADroppedConnectionHadReceived) {
+  FakePeer Peer(Secret,
+                [](std::size_t, std::size_t) { return FakeReaction::Silent; });
+  std::map<std::string, std::string> Fields;
+  std::atomic<bool> Dropped{false};
+  Link.OnEvent = [&](const Event &E) {
+    if (E.Id != EventId::PeerConnectionDropped || Dropped)
+      return;
+    for (const EventField &Field : E.Fields)
+      Fields[Field.Key] = Field.Value;
+    Dropped = true;
+  };
+  PeerClient Client(Link);
+  ReplyRecorder Silenced;
+
+  Client.send(request(Peer.address()), Silenced.hook());
+  expect(ResultCode::PeerSilent, Silenced);
+
+  CHECK_TRUE(Dropped);
+  STRCMP_EQUAL(Peer.address().c_str(), Fields["peer"].c_str());
+  STRCMP_EQUAL("2", Fields["pending"].c_str());
+  STRCMP_EQUAL("0", Fields["received_bytes"].c_str());
+  STRCMP_EQUAL("0", Fields["queued_bytes"].c_str());
+  CHECK_TRUE(std::stoi(Fields["silent_ms"]) >=
+             std::stoi(Fields["heartbeat_ms"]));
+  CHECK_TRUE(std::stoi(Fields["heartbeat_ms"]) >= 800);
+}
+
 // Requests that time out before the silence limit must not prevent the
 // detection of a silent connection.
 TEST(PeerClient, DetectsASilentConnectionDespiteShortTimeouts) {
