Add a failing test: a server stops reading after connections were lost

Ten connections that are closed while replies wait to be written leave the server at its limit of requests in flight for good: of a new connection it reads one request, and the next ends as PeerSilent.

--- a/tests/nodes/PeerServerTest.cpp
+++ b/tests/nodes/PeerServerTest.cpp
@@ -2,10 +2,12 @@
 
 #include "nodes/FakePeer.h"
 #include "nodes/PeerClient.h"
+#include "nodes/PeerEnvelope.h"
 #include "nodes/PeerFrame.h"
 
 #include <atomic>
 #include <mutex>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -22,6 +24,12 @@
   return 0;
 }
 
+std::string requestFrame(std::uint32_t Number, PeerKind Kind) {
+  const std::string Sealed = sealEnvelope(
+      {Kind, PeerPhase::Request, {"raw", 1}, {}, "body"}, "secret");
+  return packFrameHeader({Sealed.size(), Number}) + Sealed;
+}
+
 } // namespace
 
 TEST_GROUP(PeerServer) {
@@ -137,6 +145,35 @@
   CHECK_TRUE(eventually([&] { return Handled == 40; }));
 }
 
+TEST(PeerServer, KeepsReadingAfterConnectionsWereLostWithQueuedReplies) {
+  constexpr int Requests = 32;
+  constexpr int LostConnections = 10;
+  PeerServer Server(ServerLink, Options);
+  Server.handle(PeerKind::Fetch, [](const PeerIdentity &, std::string_view,
+                                    const ReplyHook &Reply) {
+    Reply(std::string(1 << 20, 'r'));
+  });
+  Server.handle(PeerKind::Exchange,
+                [](const PeerIdentity &, std::string_view,
+                   const ReplyHook &Reply) { Reply("served"); });
+  const auto Address = Server.start();
+  std::string Frames;
+  for (std::uint32_t Number = 1; Number <= Requests; ++Number)
+    Frames += requestFrame(Number, PeerKind::Fetch);
+
+  for (int I = 0; I < LostConnections; ++I)
+    sendRaw(*Address, Frames);
+
+  CHECK_TRUE(eventually([&] { return ServerLink.Traffic.queuedBytes() == 0; }));
+  PeerClient Client(ClientLink);
+  for (int Served = 1; Served <= 3; ++Served) {
+    Client.send({*Address, PeerKind::Exchange, "", DurationMs(20000)},
+                expectBody("served"));
+    CHECK_TRUE(eventually([&] { return Replies == Served; }));
+  }
+  LONGS_EQUAL(0, Failures);
+}
+
 TEST(PeerServer, ReportsAnAddressInUse) {
   PeerServer First(ServerLink, Options);
   const auto Address = First.start();
