End the requests of a lost connection whose replies were not written yet

Callers saw a node that works and answers nobody: its connections opened, the first request of each was read, and all else on them ended as PeerSilent (1401).

Cause: a request is in flight at the server until its reply is handed to the system. A connection that was lost took its queued replies with it and their requests were never ended, so each such loss used up some of the 4096 requests that the server may have in flight, for the rest of the process's life; at the limit every connection is paused after one frame. Narrow links queue replies, and each dropped connection leaves some behind.

The server now counts the unwritten replies of each connection and ends their requests when the connection is removed, so that each request ends once, in whatever way its reply ends.

--- a/src/nodes/PeerServer.cpp
+++ b/src/nodes/PeerServer.cpp
@@ -62,6 +62,11 @@
     PeerKind Kind = PeerKind::Heartbeat;
   };
 
+  struct Connection {
+    PeerStreamPtr Stream;
+    std::size_t UnwrittenReplies = 0; ///< Their requests are in flight.
+  };
+
   /// Shared by the copies of the reply hook of one request. When the last copy
   /// is destroyed without a reply, the request no longer counts as in flight.
   struct ReplyHandle {
@@ -87,6 +92,7 @@
   void accept();
   void scheduleAccept();
   void addConnection(Tcp::socket Socket);
+  void removeConnection(std::uint64_t Id);
   bool onFrame(const RequestOrigin &Origin, const std::string &Sender,
                std::string_view Sealed);
   void dispatch(RequestOrigin Origin, const PeerEnvelope &Message);
@@ -106,7 +112,7 @@
   asio::steady_timer AcceptTimer;
   bool Stopped = false;
   std::uint64_t LastConnection = 0;
-  std::map<std::uint64_t, PeerStreamPtr> Streams;
+  std::map<std::uint64_t, Connection> Connections;
   std::size_t InFlight = 0;                ///< Requests without a reply yet.
   std::deque<std::uint64_t> PausedStreams; ///< Not read at the limit.
 };
@@ -154,7 +160,7 @@
 void PeerServer::Core::addConnection(Tcp::socket Socket) {
   asio::error_code Error;
   const Tcp::endpoint Remote = Socket.remote_endpoint(Error);
-  if (Error || Streams.size() >= Options.MaxConnections)
+  if (Error || Connections.size() >= Options.MaxConnections)
     return; // Closes the socket.
   const std::uint64_t Id = ++LastConnection;
   const std::string Sender = toText(Remote);
@@ -165,21 +171,29 @@
   };
   // A request stays in flight until its reply is handed to the system, so that
   // the server soon stops reading from a node that does not read its replies.
-  Hooks.OnBeforeWrite = [this](std::uint32_t /*Number*/) {
+  Hooks.OnBeforeWrite = [this, Id](std::uint32_t /*Number*/) {
+    --Connections.at(Id).UnwrittenReplies;
     endRequest();
     return true;
   };
   Hooks.OnClosed = [this, Id, Sender](bool TooLarge) {
     if (TooLarge)
       Link.refuse(ResultCode::PeerMessageTooLarge, Sender);
-    Streams.erase(Id);
+    removeConnection(Id);
   };
   const auto Stream = std::make_shared<PeerStream>(
       std::move(Socket), Link.Traffic, std::move(Hooks));
-  Streams.emplace(Id, Stream);
+  Connections.emplace(Id, Connection{Stream});
   Stream->start();
 }
 
+/// Ends the requests whose replies can no longer be written.
+void PeerServer::Core::removeConnection(std::uint64_t Id) {
+  const auto Removed = Connections.extract(Id);
+  for (std::size_t I = 0; I < Removed.mapped().UnwrittenReplies; ++I)
+    endRequest();
+}
+
 bool PeerServer::Core::onFrame(const RequestOrigin &Origin,
                                const std::string &Sender,
                                std::string_view Sealed) {
@@ -232,11 +246,13 @@
 }
 
 void PeerServer::Core::write(const RequestOrigin &Origin, std::string Sealed) {
-  const auto It = Streams.find(Origin.Connection);
-  if (It == Streams.end())
+  const auto It = Connections.find(Origin.Connection);
+  if (It == Connections.end()) {
     endRequest();
-  else
-    It->second->write(Origin.Number, std::move(Sealed));
+    return;
+  }
+  ++It->second.UnwrittenReplies;
+  It->second.Stream->write(Origin.Number, std::move(Sealed));
 }
 
 /// Ends a request that was in flight.
@@ -250,11 +266,11 @@
 /// Resumes streams that were paused at the limit of requests in flight.
 void PeerServer::Core::resumePausedStreams() {
   while (!isFull() && !PausedStreams.empty()) {
-    const auto It = Streams.find(PausedStreams.front());
+    const auto It = Connections.find(PausedStreams.front());
     PausedStreams.pop_front();
-    if (It == Streams.end())
+    if (It == Connections.end())
       continue;
-    const PeerStreamPtr Stream = It->second;
+    const PeerStreamPtr Stream = It->second.Stream;
     Stream->resume();
   }
 }
@@ -264,8 +280,8 @@
   asio::error_code Ignored;
   Acceptor.close(Ignored);
   AcceptTimer.cancel();
-  for (const auto &[Id, Stream] : std::exchange(Streams, {}))
-    Stream->close();
+  for (const auto &[Id, Entry] : std::exchange(Connections, {}))
+    Entry.Stream->close();
 }
 
 PeerServer::PeerServer(PeerLink &Link, PeerServerOptions Options)
