Add a failing test: a connection is dropped as silent while a reply arrives

A second test, which passes, holds that a connection that stops in the middle of a reply is dropped.

--- a/tests/nodes/FakePeer.cpp
+++ b/tests/nodes/FakePeer.cpp
@@ -56,14 +56,22 @@
   return Frame{Header.Number, std::move(*Sealed)};
 }
 
-void reply(int Socket, const Frame &Request, const std::string &Secret) {
+std::string replyFrame(const Frame &Request, const std::string &Secret) {
   ResultCode Reason = ResultCode::Ok;
   const auto Opened = openEnvelope(Request.Sealed, Secret, Reason);
   if (!Opened)
-    return;
+    return {};
   const std::string Sealed = sealEnvelope(
       {Opened->Kind, PeerPhase::Reply, {"fake", 1}, {}, "fake"}, Secret);
-  writeBytes(Socket, packFrameHeader({Sealed.size(), Request.Number}) + Sealed);
+  return packFrameHeader({Sealed.size(), Request.Number}) + Sealed;
+}
+
+/// Sends bytes one by one, evenly over \ref TrickleTime.
+void trickle(int Socket, const std::string &Bytes) {
+  for (const char Byte : Bytes) {
+    writeBytes(Socket, {Byte});
+    std::this_thread::sleep_for(TrickleTime / Bytes.size());
+  }
 }
 
 } // namespace
@@ -110,8 +118,13 @@
 void FakePeer::serve(int Socket, std::size_t Connection) {
   while (const auto Request = readFrame(Socket)) {
     const FakeReaction Reaction = React(Connection, ++Requests);
+    const std::string Reply = replyFrame(*Request, Secret);
     if (Reaction == FakeReaction::Reply)
-      reply(Socket, *Request, Secret);
+      writeBytes(Socket, Reply);
+    if (Reaction == FakeReaction::Trickle)
+      trickle(Socket, Reply);
+    if (Reaction == FakeReaction::Stall)
+      writeBytes(Socket, Reply.substr(0, Reply.size() / 2));
     if (Reaction != FakeReaction::Close)
       continue;
     shutdown(Socket, SHUT_RDWR);
--- a/tests/nodes/FakePeer.h
+++ b/tests/nodes/FakePeer.h
@@ -6,6 +6,7 @@
 #define FESCUEWOOD_TESTS_NODES_FAKEPEER_H
 
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <mutex>
@@ -14,7 +15,16 @@
 #include <vector>
 
 /// How the fake handles a request.
-enum class FakeReaction { Reply, Close, Silent };
+enum class FakeReaction {
+  Reply,
+  Close,
+  Silent,
+  Trickle, ///< Sends the reply in pieces; reads nothing meanwhile.
+  Stall,   ///< Sends half of the reply.
+};
+
+/// Time over which a reply trickles.
+inline constexpr std::chrono::milliseconds TrickleTime{3500};
 
 /// Accepts connections and serves each on its own thread.
 class FakePeer {
--- a/tests/nodes/PeerClientTest.cpp
+++ b/tests/nodes/PeerClientTest.cpp
@@ -106,6 +106,35 @@
   CHECK_TRUE(eventually([&] { return Dropped == 1; }));
 }
 
+TEST(PeerClient, KeepsAConnectionOnWhichAReplyArrivesSlowly) {
+  FakePeer Peer(Secret, [](std::size_t, std::size_t Request) {
+    return Request == 1 ? FakeReaction::Trickle : FakeReaction::Reply;
+  });
+  PeerClientOptions Options;
+  Options.HeartbeatAfter = DurationMs(10);
+  Options.SilenceLimit = DurationMs(1510);
+  PeerClient Client(Link, Options);
+  ReplyRecorder Slow;
+
+  Client.send(request(Peer.address()), Slow.hook());
+
+  expect(ResultCode::Ok, Slow);
+  LONGS_EQUAL(1, Peer.connections());
+  CHECK_TRUE(eventually([&] { return Peer.requests() >= 2; }));
+}
+
+TEST(PeerClient, DropsAConnectionThatStopsInTheMiddleOfAReply) {
+  FakePeer Peer(Secret, [](std::size_t, std::size_t Request) {
+    return Request == 1 ? FakeReaction::Stall : FakeReaction::Silent;
+  });
+  PeerClient Client(Link);
+  ReplyRecorder Stalled;
+
+  Client.send(request(Peer.address()), Stalled.hook());
+
+  expect(ResultCode::PeerSilent, Stalled);
+}
+
 TEST(PeerClient, SaysWhatADroppedConnectionHadReceived) {
   FakePeer Peer(Secret,
                 [](std::size_t, std::size_t) { return FakeReaction::Silent; });
