Count each received byte as a sign of life of a connection

Callers lost answers that were on their way: the connection was dropped as silent (1401) between two nodes that both work, with every request that waited on it.

Cause: once a heartbeat was sent, only its own reply ended the wait for it; that reply stands behind all that the other node had queued before. A frame that was still arriving counted for nothing, and nor did whole frames of other replies.

Now any received byte moves the start of the silence and ends the wait for the heartbeat. A connection on which nothing arrives is dropped as fast as before; a heartbeat that times out later no longer hides the wait for the next one.

DropsAConnectionThatStopsInTheMiddleOfAReply passes before and after. PeerClient group: 14 passed.

--- a/src/nodes/PeerClient.h
+++ b/src/nodes/PeerClient.h
@@ -3,9 +3,9 @@
 ///
 /// \ref PeerClient::send implements the \ref PeerSend hook: it never blocks,
 /// never sends a request twice, and calls the reply hook exactly once. A
-/// connection with pending requests on which nothing arrives is probed with a
-/// heartbeat and dropped when that is not answered either; later requests use a
-/// new connection.
+/// connection with pending requests on which no byte arrives is probed with a
+/// heartbeat and dropped when none arrives after that either; later requests
+/// use a new connection.
 
 #ifndef FESCUEWOOD_NODES_PEERCLIENT_H
 #define FESCUEWOOD_NODES_PEERCLIENT_H
--- a/src/nodes/PeerConnection.cpp
+++ b/src/nodes/PeerConnection.cpp
@@ -157,7 +157,11 @@
   // before this request times out.
   Request.Timeout = Limits.SilenceLimit * 2;
   Request.Bytes = Link.seal(PeerKind::Heartbeat, PeerPhase::Request, {});
-  Request.OnReply = [this](const PeerReply &) { HeartbeatSentAt.reset(); };
+  // Any received byte ends the wait for a heartbeat that was sent.
+  Request.OnReply = [this](const PeerReply &Reply) {
+    if (neverSent(Reply.Reason))
+      HeartbeatSentAt.reset();
+  };
   send(std::move(Request));
 }
 
@@ -203,6 +207,8 @@
 void PeerConnection::onBytes(std::size_t Bytes) {
   ReceivedBytes += Bytes;
   LastBytesAt = Monotonic.now();
+  HeartbeatSentAt.reset();
+  onActivity();
 }
 
 bool PeerConnection::onFrame(std::uint32_t Number, std::string_view Sealed) {
@@ -210,7 +216,8 @@
   // Replies to requests that have timed out are discarded.
   if (It != Pending.end())
     finish(Number, readReply(It->second.Kind, Sealed));
-  onActivity();
+  if (Pending.empty())
+    SilentSince.reset();
   return true;
 }
 
--- a/src/nodes/PeerConnection.h
+++ b/src/nodes/PeerConnection.h
@@ -128,8 +128,8 @@
   bool Closed = false;
 
   TimeMs DisconnectedSince;              ///< Valid while not connected.
-  std::optional<TimeMs> SilentSince;     ///< Sent, nothing received since.
-  std::optional<TimeMs> HeartbeatSentAt; ///< Set while one is pending.
+  std::optional<TimeMs> SilentSince;     ///< Sent, no byte received since.
+  std::optional<TimeMs> HeartbeatSentAt; ///< No byte received since.
   std::uint64_t ReceivedBytes = 0;
   TimeMs LastBytesAt; ///< Or when the connection was established.
   TimeMs LastUsed;
