Add a failing test: replies pile up without bound for a slow reader

A node that sends 1000 requests and does not read their replies of 64 KiB makes the server queue more than 16 MiB for it; a machine of 88 MB has no room for that.

--- a/tests/nodes/FakePeer.cpp
+++ b/tests/nodes/FakePeer.cpp
@@ -36,6 +36,19 @@
   return Bytes;
 }
 
+/// Returns a socket that waits \p ReadTimeout for bytes.
+int connectTo(const std::string &Address, timeval ReadTimeout) {
+  const std::size_t Colon = Address.rfind(':');
+  const sockaddr_in Peer =
+      addressOf(Address.substr(0, Colon), std::stoi(Address.substr(Colon + 1)));
+  const int Socket = socket(AF_INET, SOCK_STREAM, 0);
+  setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &ReadTimeout,
+             sizeof(ReadTimeout));
+  (void)connect(Socket, reinterpret_cast<const sockaddr *>(&Peer),
+                sizeof(Peer));
+  return Socket;
+}
+
 void writeBytes(int Socket, const std::string &Bytes) {
   send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
 }
@@ -133,20 +146,26 @@
 }
 
 void sendRaw(const std::string &Address, const std::string &Bytes) {
-  const std::size_t Colon = Address.rfind(':');
-  const sockaddr_in Peer =
-      addressOf(Address.substr(0, Colon), std::stoi(Address.substr(Colon + 1)));
-  const int Socket = socket(AF_INET, SOCK_STREAM, 0);
-  timeval Timeout{0, 200 * 1000};
-  setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &Timeout, sizeof(Timeout));
-  if (connect(Socket, reinterpret_cast<const sockaddr *>(&Peer),
-              sizeof(Peer)) == 0) {
-    writeBytes(Socket, Bytes);
-    readBytes(Socket, 64 * 1024);
-  }
+  const int Socket = connectTo(Address, {0, 200 * 1000});
+  writeBytes(Socket, Bytes);
+  readBytes(Socket, 64 * 1024);
   close(Socket);
 }
 
+RawConnection::RawConnection(const std::string &Address)
+    : Socket(connectTo(Address, {20, 0})) {}
+
+RawConnection::~RawConnection() { close(Socket); }
+
+void RawConnection::send(const std::string &Bytes) {
+  writeBytes(Socket, Bytes);
+}
+
+std::size_t RawConnection::readFrameBytes() {
+  const auto Received = readFrame(Socket);
+  return Received ? PeerFrameHeaderBytes + Received->Sealed.size() : 0;
+}
+
 bool eventually(const std::function<bool()> &Condition) {
   return waitUntil(Condition, std::chrono::seconds(20),
                    std::chrono::milliseconds(5));
--- a/tests/nodes/FakePeer.h
+++ b/tests/nodes/FakePeer.h
@@ -61,6 +61,23 @@
 /// connection, and closes it.
 void sendRaw(const std::string &Address, const std::string &Bytes);
 
+/// Client side of a connection that reads only when told to.
+class RawConnection {
+public:
+  explicit RawConnection(const std::string &Address);
+  ~RawConnection();
+  RawConnection(const RawConnection &) = delete;
+  RawConnection &operator=(const RawConnection &) = delete;
+
+  void send(const std::string &Bytes);
+
+  /// Reads a frame, at most 20 s long, and returns its size; 0 for none.
+  std::size_t readFrameBytes();
+
+private:
+  int Socket = -1;
+};
+
 /// Waits up to 20 s for \p Condition to hold and returns whether it did.
 bool eventually(const std::function<bool()> &Condition);
 
--- a/tests/nodes/PeerServerTest.cpp
+++ b/tests/nodes/PeerServerTest.cpp
@@ -5,6 +5,7 @@
 #include "nodes/PeerEnvelope.h"
 #include "nodes/PeerFrame.h"
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 #include <string>
@@ -174,6 +175,43 @@
   LONGS_EQUAL(0, Failures);
 }
 
+TEST(PeerServer, BoundsTheBytesThatWaitForASlowReader) {
+  constexpr std::size_t Requests = 1000;
+  constexpr std::size_t MaxExpectedBytes = 16 << 20;
+  std::atomic<std::size_t> MostBytes{0};
+  PeerServer Server(ServerLink, {"127.20.0.1:0"});
+  Server.handle(PeerKind::Fetch, [&](const PeerIdentity &, std::string_view,
+                                     const ReplyHook &Reply) {
+    MostBytes =
+        std::max<std::size_t>(MostBytes, ServerLink.Traffic.queuedBytes());
+    Reply(std::string(64 << 10, 'r'));
+  });
+  Server.handle(PeerKind::Exchange,
+                [](const PeerIdentity &, std::string_view,
+                   const ReplyHook &Reply) { Reply("served"); });
+  const auto Address = Server.start();
+  RawConnection SlowReader(*Address);
+  for (std::uint32_t Number = 1; Number <= Requests; ++Number)
+    SlowReader.send(requestFrame(Number, PeerKind::Fetch));
+  CHECK_TRUE(eventually([&] { return MostBytes >= MaxExpectedBytes / 4; }));
+
+  // Another node is served while the slow one does not read.
+  PeerClient Client(ClientLink);
+  for (int Served = 1; Served <= 100; ++Served) {
+    Client.send({*Address, PeerKind::Exchange, "", DurationMs(20000)},
+                expectBody("served"));
+    CHECK_TRUE(eventually([&] { return Replies == Served; }));
+  }
+  std::size_t Received = 0;
+  while (Received < Requests && SlowReader.readFrameBytes() > 0)
+    ++Received;
+
+  LONGS_EQUAL(Requests, Received);
+  LONGS_EQUAL(0, Failures);
+  CHECK_TRUE(MostBytes <= MaxExpectedBytes);
+  CHECK_TRUE(eventually([&] { return ServerLink.Traffic.queuedBytes() == 0; }));
+}
+
 TEST(PeerServer, ReportsAnAddressInUse) {
   PeerServer First(ServerLink, Options);
   const auto Address = First.start();
