Bound the bytes that wait to be written to other nodes

Callers can lose a node to its memory: while its link is full, or another node reads slowly, replies wait in its connections without any bound in bytes. The server counted requests alone, at most 4096, and ended a request when its reply was handed to the writer; 4096 replies of 64 KiB are 256 MiB on machines of 88 MB.

While more than 8 MiB wait, the server reads a connection only when nothing waits on it. TCP's flow control then slows the askers down. A connection is resumed when its own frames are written or the sum has fallen, so reading always goes on, and one node that does not read does not stop the others. Requests that were read before can still be answered above the bound.

--- a/src/nodes/PeerServer.cpp
+++ b/src/nodes/PeerServer.cpp
@@ -100,8 +100,9 @@
              std::string_view Body);
   void write(const RequestOrigin &Origin, std::string Sealed);
   void endRequest();
+  void scheduleResume();
   void resumePausedStreams();
-  bool isFull() const { return InFlight >= Options.MaxInFlight; }
+  bool mayRead(const PeerStream &Stream) const;
   void closeAll();
 
   PeerLink &Link;
@@ -113,8 +114,9 @@
   bool Stopped = false;
   std::uint64_t LastConnection = 0;
   std::map<std::uint64_t, Connection> Connections;
+  bool ResumePosted = false;
   std::size_t InFlight = 0;                ///< Requests without a reply yet.
-  std::deque<std::uint64_t> PausedStreams; ///< Not read at the limit.
+  std::deque<std::uint64_t> PausedStreams; ///< Not read at a limit.
 };
 
 std::optional<std::string> PeerServer::Core::start() {
@@ -176,6 +178,7 @@
     endRequest();
     return true;
   };
+  Hooks.OnWritten = [this] { scheduleResume(); };
   Hooks.OnClosed = [this, Id, Sender](bool TooLarge) {
     if (TooLarge)
       Link.refuse(ResultCode::PeerMessageTooLarge, Sender);
@@ -203,7 +206,7 @@
     dispatch(Origin, *Opened);
   else if (Opened)
     Link.refuse(ResultCode::PeerMessageMalformed, Sender);
-  if (!isFull())
+  if (mayRead(*Connections.at(Origin.Connection).Stream))
     return true;
   PausedStreams.push_back(Origin.Connection);
   return false;
@@ -258,20 +261,36 @@
 /// Ends a request that was in flight.
 void PeerServer::Core::endRequest() {
   --InFlight;
-  // Posted, since this may run inside a hook of a stream.
-  if (!PausedStreams.empty())
-    Loop.post([this] { resumePausedStreams(); });
+  scheduleResume();
 }
 
-/// Resumes streams that were paused at the limit of requests in flight.
+/// A stream whose own replies are written is read even when the replies to
+/// others use up the bytes, so that one slow node does not stop the rest.
+bool PeerServer::Core::mayRead(const PeerStream &Stream) const {
+  return InFlight < Options.MaxInFlight &&
+         (Stream.queuedBytes() == 0 ||
+          Link.Traffic.queuedBytes() < Options.MaxQueuedBytes);
+}
+
+/// Posts the resumption, since this may run inside a hook of a stream.
+void PeerServer::Core::scheduleResume() {
+  if (PausedStreams.empty() || ResumePosted)
+    return;
+  ResumePosted = Loop.post([this] { resumePausedStreams(); });
+}
+
+/// Resumes the streams that may be read again.
 void PeerServer::Core::resumePausedStreams() {
-  while (!isFull() && !PausedStreams.empty()) {
-    const auto It = Connections.find(PausedStreams.front());
-    PausedStreams.pop_front();
+  ResumePosted = false;
+  for (const std::uint64_t Id : std::exchange(PausedStreams, {})) {
+    const auto It = Connections.find(Id);
     if (It == Connections.end())
       continue;
     const PeerStreamPtr Stream = It->second.Stream;
-    Stream->resume();
+    if (mayRead(*Stream))
+      Stream->resume();
+    else
+      PausedStreams.push_back(Id);
   }
 }
 
--- a/src/nodes/PeerServer.h
+++ b/src/nodes/PeerServer.h
@@ -24,6 +24,9 @@
   std::string Address;            ///< "IP:port"; port 0 selects a free one.
   std::size_t MaxInFlight = 4096; ///< Requests without a reply yet.
   std::size_t MaxConnections = 4096;
+  /// Bytes that wait to be written to other nodes, in all connections; above it
+  /// a connection is read only while none wait on it.
+  std::size_t MaxQueuedBytes = 8 << 20;
 };
 
 /// The server side of the transport.
--- a/src/nodes/PeerStream.cpp
+++ b/src/nodes/PeerStream.cpp
@@ -136,13 +136,22 @@
       [Self = shared_from_this()](asio::error_code Error, std::size_t) {
         for (const Frame &Item : std::exchange(Self->Writing, {}))
           Self->release(Item);
-        if (Error)
-          Self->onConnectionLost(false);
-        else
-          Self->writeNext();
+        Self->onWritten(Error);
       });
 }
 
+void PeerStream::onWritten(asio::error_code Error) {
+  if (Closed)
+    return;
+  if (Error) {
+    onConnectionLost(false);
+    return;
+  }
+  writeNext();
+  if (Hooks.OnWritten)
+    Hooks.OnWritten();
+}
+
 /// Stops counting a frame that was written or discarded.
 void PeerStream::release(const Frame &Item) {
   QueuedBytes -= Item.bytes();
--- a/src/nodes/PeerStream.h
+++ b/src/nodes/PeerStream.h
@@ -36,6 +36,9 @@
   /// it.
   std::function<bool(std::uint32_t Number)> OnBeforeWrite;
 
+  /// Called after frames were handed to the system; optional.
+  std::function<void()> OnWritten;
+
   /// Called once when the connection ends other than by \ref PeerStream::close.
   /// \p TooLarge is true if a frame exceeded the largest message.
   std::function<void(bool TooLarge)> OnClosed;
@@ -78,6 +81,7 @@
   void processFrames();
   void prepareBuffer(std::size_t FrameBytes);
   void writeNext();
+  void onWritten(asio::error_code Error);
   void release(const Frame &Item);
   void onConnectionLost(bool TooLarge);
 
