--- a/tests/nodes/FakePeer.cpp
+++ b/tests/nodes/FakePeer.cpp
@@ -161,9 +161,9 @@
   writeBytes(Socket, Bytes);
 }
 
-std::size_t RawConnection::readFrameBytes() {
+std::uint32_t RawConnection::readFrameNumber() {
   const auto Received = readFrame(Socket);
-  return Received ? PeerFrameHeaderBytes + Received->Sealed.size() : 0;
+  return Received ? Received->Number : 0;
 }
 
 bool eventually(const std::function<bool()> &Condition) {
--- a/tests/nodes/FakePeer.h
+++ b/tests/nodes/FakePeer.h
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -71,8 +72,8 @@
 
   void send(const std::string &Bytes);
 
-  /// Reads a frame, at most 20 s long, and returns its size; 0 for none.
-  std::size_t readFrameBytes();
+  /// Waits up to 20 s for a frame and returns its number; 0 for none.
+  std::uint32_t readFrameNumber();
 
 private:
   int Socket = -1;
--- a/tests/nodes/PeerServerTest.cpp
+++ b/tests/nodes/PeerServerTest.cpp
@@ -40,6 +40,12 @@
   std::atomic<int> Replies{0};
   std::atomic<int> Failures{0};
 
+  std::uint64_t heartbeatsAnswered() {
+    for (const PeerKindTraffic &Row : ServerLink.Traffic.byKind())
+      if (Row.Kind == PeerKind::Heartbeat)
+        return Row.MessagesSent;
+    return 0;
+  }
   PeerReplyHook expectBody(const std::string &Body) {
     return [this, Body](const PeerReply &Reply) {
       if (Reply.Body != Body)
@@ -203,7 +209,7 @@
     CHECK_TRUE(eventually([&] { return Replies == Served; }));
   }
   std::size_t Received = 0;
-  while (Received < Requests && SlowReader.readFrameBytes() > 0)
+  while (Received < Requests && SlowReader.readFrameNumber() > 0)
     ++Received;
 
   LONGS_EQUAL(Requests, Received);
@@ -212,6 +218,31 @@
   CHECK_TRUE(eventually([&] { return ServerLink.Traffic.queuedBytes() == 0; }));
 }
 
+TEST(PeerServer, AnswersAHeartbeatBeforeLargeRepliesThatWait) {
+  constexpr std::uint32_t Requests = 600;
+  constexpr std::uint32_t HeartbeatNumber = Requests + 1;
+  PeerServerOptions Wide{"127.20.0.1:0"};
+  Wide.MaxQueuedBytes = 1 << 30;
+  PeerServer Server(ServerLink, Wide);
+  Server.handle(PeerKind::Fetch, [](const PeerIdentity &, std::string_view,
+                                    const ReplyHook &Reply) {
+    Reply(std::string(64 << 10, 'r'));
+  });
+  const auto Address = Server.start();
+  RawConnection SlowReader(*Address);
+  for (std::uint32_t Number = 1; Number <= Requests; ++Number)
+    SlowReader.send(requestFrame(Number, PeerKind::Fetch));
+  SlowReader.send(requestFrame(HeartbeatNumber, PeerKind::Heartbeat));
+  CHECK_TRUE(eventually([&] { return heartbeatsAnswered() == 1; }));
+
+  std::uint32_t LargeReplies = 0;
+  while (LargeReplies < Requests &&
+         SlowReader.readFrameNumber() != HeartbeatNumber)
+    ++LargeReplies;
+
+  CHECK_TRUE(LargeReplies < Requests / 2);
+}
+
 TEST(PeerServer, ReportsAnAddressInUse) {
   PeerServer First(ServerLink, Options);
   const auto Address = First.start();
