Write short replies and heartbeats before large frames that wait

Callers waited for refusals, call states and versions behind answers to others: the writer of a connection sent frames strictly in the order in which they were queued, up to 16 of any size in one operation, so a heartbeat's reply stood behind all large replies that waited and could not show that the node works.

The writer keeps short frames in a queue of their own, takes those first, and then at least one of the others for each operation; an operation is full at 64 KiB. Replies carry the number of their request, so only requests have an order to keep: a question or a cancel that overtook the start of its call would fence it. Heartbeats alone leave the order of requests.

--- a/src/nodes/PeerConnection.cpp
+++ b/src/nodes/PeerConnection.cpp
@@ -21,6 +21,13 @@
 /// The client retires an address that it could not connect to for this long.
 constexpr DurationMs MaxDisconnectedTime{3000};
 
+/// A call must not be asked about or cancelled before it is started, so only
+/// heartbeats leave the order.
+PeerFramePlace placeOf(PeerKind Kind) {
+  return Kind == PeerKind::Heartbeat ? PeerFramePlace::Ahead
+                                     : PeerFramePlace::InOrder;
+}
+
 std::chrono::milliseconds toChrono(DurationMs Duration) {
   return std::chrono::milliseconds(std::max<std::int64_t>(Duration.Value, 0));
 }
@@ -91,7 +98,7 @@
   LastBytesAt = Monotonic.now();
   Stream->start();
   for (auto &[Number, Sealed] : std::exchange(Unsent, {}))
-    Stream->write(Number, std::move(Sealed));
+    Stream->write(Number, std::move(Sealed), PeerFramePlace::InOrder);
 }
 
 PeerStreamHooks PeerConnection::streamHooks() {
@@ -144,7 +151,7 @@
   armTimer(Number, Inserted.first->second,
            std::min(Request.Timeout, Limits.ConnectTimeout));
   if (Stream)
-    Stream->write(Number, std::move(Request.Bytes));
+    Stream->write(Number, std::move(Request.Bytes), placeOf(Request.Kind));
   else
     Unsent.emplace_back(Number, std::move(Request.Bytes));
 }
--- a/src/nodes/PeerServer.cpp
+++ b/src/nodes/PeerServer.cpp
@@ -22,6 +22,10 @@
 /// Delay after a failed accept, for example when out of file descriptors.
 constexpr std::chrono::milliseconds AcceptRetryDelay{100};
 
+/// Replies up to this size are written before longer ones that wait. Replies
+/// carry the number of their request, so their order has no meaning.
+constexpr std::size_t MaxShortReplyBytes = 4096;
+
 std::optional<Tcp::endpoint> parseAddress(const std::string &Text) {
   const auto Parsed = Endpoint::parse(Text);
   if (!Parsed)
@@ -255,7 +259,10 @@
     return;
   }
   ++It->second.UnwrittenReplies;
-  It->second.Stream->write(Origin.Number, std::move(Sealed));
+  const PeerFramePlace Place = Sealed.size() <= MaxShortReplyBytes
+                                   ? PeerFramePlace::Ahead
+                                   : PeerFramePlace::InOrder;
+  It->second.Stream->write(Origin.Number, std::move(Sealed), Place);
 }
 
 /// Ends a request that was in flight.
--- a/src/nodes/PeerStream.cpp
+++ b/src/nodes/PeerStream.cpp
@@ -20,6 +20,9 @@
 /// Maximum number of frames in one write operation.
 constexpr std::size_t MaxFramesPerWrite = 16;
 
+/// No frame is added to a write operation of this size.
+constexpr std::size_t FullWriteBytes = 64 * 1024;
+
 } // namespace
 
 PeerStream::PeerStream(asio::ip::tcp::socket Connected, PeerTraffic &Traffic,
@@ -103,10 +106,12 @@
     Buffer.resize(FrameBytes);
 }
 
-void PeerStream::write(std::uint32_t Number, std::string Sealed) {
+void PeerStream::write(std::uint32_t Number, std::string Sealed,
+                       PeerFramePlace Place) {
   if (Closed)
     return;
   std::string Header = packFrameHeader({Sealed.size(), Number});
+  std::deque<Frame> &Queue = Place == PeerFramePlace::Ahead ? Ahead : InOrder;
   Queue.push_back({Number, std::move(Header), std::move(Sealed)});
   QueuedBytes += Queue.back().bytes();
   Traffic.countQueued(Queue.back().bytes());
@@ -116,14 +121,9 @@
 void PeerStream::writeNext() {
   if (Closed || !Writing.empty())
     return;
-  while (!Queue.empty() && Writing.size() < MaxFramesPerWrite) {
-    Frame Next = std::move(Queue.front());
-    Queue.pop_front();
-    if (Hooks.OnBeforeWrite(Next.Number))
-      Writing.push_back(std::move(Next));
-    else
-      release(Next);
-  }
+  // Leaves place for one frame in order, so that those go on too.
+  takeFrames(Ahead, MaxFramesPerWrite - 1);
+  takeFrames(InOrder, MaxFramesPerWrite);
   if (Writing.empty())
     return;
   std::vector<asio::const_buffer> Buffers;
@@ -140,6 +140,24 @@
       });
 }
 
+/// Moves frames from \p Queue to the next write operation.
+void PeerStream::takeFrames(std::deque<Frame> &Queue, std::size_t MaxFrames) {
+  std::size_t Bytes = 0;
+  for (const Frame &Item : Writing)
+    Bytes += Item.bytes();
+  while (!Queue.empty() && Writing.size() < MaxFrames &&
+         Bytes < FullWriteBytes) {
+    Frame Next = std::move(Queue.front());
+    Queue.pop_front();
+    if (Hooks.OnBeforeWrite(Next.Number)) {
+      Bytes += Next.bytes();
+      Writing.push_back(std::move(Next));
+    } else {
+      release(Next);
+    }
+  }
+}
+
 void PeerStream::onWritten(asio::error_code Error) {
   if (Closed)
     return;
@@ -173,8 +191,9 @@
   Closed = true;
   asio::error_code Ignored;
   Socket.close(Ignored);
-  for (const Frame &Item : std::exchange(Queue, {}))
-    release(Item);
+  for (std::deque<Frame> *Queue : {&Ahead, &InOrder})
+    for (const Frame &Item : std::exchange(*Queue, {}))
+      release(Item);
 }
 
 } // namespace fescuewood
--- a/src/nodes/PeerStream.h
+++ b/src/nodes/PeerStream.h
@@ -23,6 +23,12 @@
 
 namespace fescuewood {
 
+/// Place of a frame among those that wait to be written.
+enum class PeerFramePlace : std::uint8_t {
+  InOrder,
+  Ahead, ///< Before those in order; for short frames only.
+};
+
 /// Hooks to the owner of a stream, called on the loop's thread.
 struct PeerStreamHooks {
   /// Called when bytes have been received, before their frames; optional.
@@ -58,8 +64,9 @@
   /// Continues reading after OnFrame returned false.
   void resume();
 
-  /// Queues a frame for writing.
-  void write(std::uint32_t Number, std::string Sealed);
+  /// Queues a frame for writing. Frames ahead delay those in order by less
+  /// than one write operation each time.
+  void write(std::uint32_t Number, std::string Sealed, PeerFramePlace Place);
 
   /// Bytes of the frames that wait to be written.
   std::size_t queuedBytes() const { return QueuedBytes; }
@@ -81,6 +88,7 @@
   void processFrames();
   void prepareBuffer(std::size_t FrameBytes);
   void writeNext();
+  void takeFrames(std::deque<Frame> &Queue, std::size_t MaxFrames);
   void onWritten(asio::error_code Error);
   void release(const Frame &Item);
   void onConnectionLost(bool TooLarge);
@@ -96,8 +104,9 @@
   std::size_t Begin = 0;
   std::size_t End = 0;
 
-  std::deque<Frame> Queue;
-  std::size_t QueuedBytes = 0; ///< Of Queue and Writing.
+  std::deque<Frame> Ahead;
+  std::deque<Frame> InOrder;
+  std::size_t QueuedBytes = 0; ///< Of all frames, Writing included.
   std::vector<Frame> Writing;  ///< Frames of the current write operation.
 };
 
