Add a failing test: a connection is dropped as silent while a request is sent

A request of 2 MiB that the other node reads over 3.5 s ends as PeerSilent, although its bytes move all the time.

--- a/tests/nodes/FakePeer.cpp
+++ b/tests/nodes/FakePeer.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <utility>
@@ -28,11 +29,18 @@
   return Address;
 }
 
-std::optional<std::string> readBytes(int Socket, std::size_t Count) {
+std::optional<std::string> readBytes(int Socket, std::size_t Count,
+                                     PeerPace Pace = {}) {
   std::string Bytes(Count, '\0');
-  if (recv(Socket, Bytes.data(), Count, MSG_WAITALL) !=
-      static_cast<ssize_t>(Count))
-    return std::nullopt;
+  for (std::size_t Done = 0; Done < Count;) {
+    const std::size_t Piece = std::min(Count - Done, Pace.PieceBytes);
+    if (recv(Socket, Bytes.data() + Done, Piece, MSG_WAITALL) !=
+        static_cast<ssize_t>(Piece))
+      return std::nullopt;
+    Done += Piece;
+    if (Done < Count)
+      std::this_thread::sleep_for(Pace.Pause);
+  }
   return Bytes;
 }
 
@@ -58,12 +66,12 @@
   std::string Sealed;
 };
 
-std::optional<Frame> readFrame(int Socket) {
+std::optional<Frame> readFrame(int Socket, PeerPace Pace = {}) {
   const auto Bytes = readBytes(Socket, PeerFrameHeaderBytes);
   if (!Bytes)
     return std::nullopt;
   const PeerFrameHeader Header = readFrameHeader(*Bytes);
-  auto Sealed = readBytes(Socket, Header.Size);
+  auto Sealed = readBytes(Socket, Header.Size, Pace);
   if (!Sealed)
     return std::nullopt;
   return Frame{Header.Number, std::move(*Sealed)};
@@ -89,8 +97,8 @@
 
 } // namespace
 
-FakePeer::FakePeer(std::string Secret, ReactHook React)
-    : Secret(std::move(Secret)), React(std::move(React)) {
+FakePeer::FakePeer(std::string Secret, ReactHook React, PeerPace Pace)
+    : Secret(std::move(Secret)), React(std::move(React)), Pace(Pace) {
   Listener = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in Address = addressOf(Host, 0);
   socklen_t Size = sizeof(Address);
@@ -129,7 +137,7 @@
 }
 
 void FakePeer::serve(int Socket, std::size_t Connection) {
-  while (const auto Request = readFrame(Socket)) {
+  while (const auto Request = readFrame(Socket, Pace)) {
     const FakeReaction Reaction = React(Connection, ++Requests);
     const std::string Reply = replyFrame(*Request, Secret);
     if (Reaction == FakeReaction::Reply)
--- a/tests/nodes/FakePeer.h
+++ b/tests/nodes/FakePeer.h
@@ -27,6 +27,12 @@
 /// Time over which a reply trickles.
 inline constexpr std::chrono::milliseconds TrickleTime{3500};
 
+/// How fast the fake reads: a piece, then a pause.
+struct PeerPace {
+  std::size_t PieceBytes = 4 << 20;
+  std::chrono::milliseconds Pause{0};
+};
+
 /// Accepts connections and serves each on its own thread.
 class FakePeer {
 public:
@@ -35,7 +41,7 @@
   using ReactHook =
       std::function<FakeReaction(std::size_t Connection, std::size_t Request)>;
 
-  FakePeer(std::string Secret, ReactHook React);
+  FakePeer(std::string Secret, ReactHook React, PeerPace Pace = {});
   ~FakePeer();
 
   std::string address() const;
@@ -48,6 +54,7 @@
 
   std::string Secret;
   ReactHook React;
+  const PeerPace Pace;
   int Listener = -1;
   int Port = 0;
   std::atomic<std::size_t> Connections{0};
--- a/tests/nodes/PeerClientTest.cpp
+++ b/tests/nodes/PeerClientTest.cpp
@@ -135,6 +135,25 @@
   expect(ResultCode::PeerSilent, Stalled);
 }
 
+TEST(PeerClient, KeepsAConnectionThatReadsALargeRequestSlowly) {
+  const PeerPace Slow{MaxPeerBodyBytes / 32, TrickleTime / 32};
+  FakePeer Peer(
+      Secret, [](std::size_t, std::size_t) { return FakeReaction::Reply; },
+      Slow);
+  PeerClientOptions Options;
+  Options.HeartbeatAfter = DurationMs(10);
+  Options.SilenceLimit = DurationMs(1510);
+  PeerClient Client(Link, Options);
+  ReplyRecorder Result;
+  PeerRequest Large = request(Peer.address());
+  Large.Body = std::string(MaxPeerBodyBytes, 'b');
+
+  Client.send(Large, Result.hook());
+
+  expect(ResultCode::Ok, Result);
+  LONGS_EQUAL(1, Peer.connections());
+}
+
 TEST(PeerClient, SaysWhatADroppedConnectionHadReceived) {
   FakePeer Peer(Secret,
                 [](std::size_t, std::size_t) { return FakeReaction::Silent; });
