Count sent bytes that are acknowledged before a heartbeat as a sign of life

Callers of requests with a large body lost them on narrow links: the connection was dropped as silent (1401) while the body was on its way. Cause: the wait for the heartbeat began when it was queued, but it reaches the other node only after the bytes that the writer and the system still hold, 2 MiB and more.

The stream now says how many sent bytes the other machine has acknowledged, from what the system took over less what it still holds (SIOCOUTQ). Until they include the heartbeat, each advance moves its time. Later bytes do not count, since the machine of a process that hangs acknowledges too, so a node or a path that carries nothing is dropped as fast as before.

--- a/src/nodes/PeerClient.cpp
+++ b/src/nodes/PeerClient.cpp
@@ -192,6 +192,7 @@
 /// Sends a heartbeat if one is due and drops a silent connection. Returns
 /// whether the connection remains usable.
 bool PeerClient::Core::inspect(PeerConnection &Connection) {
+  Connection.observeDelivery();
   switch (Connection.health()) {
   case PeerHealth::Healthy:
     return Monotonic.now() - Connection.lastUsed() <= Options.IdleLimit;
--- a/src/nodes/PeerConnection.cpp
+++ b/src/nodes/PeerConnection.cpp
@@ -96,6 +96,7 @@
   Stream = std::make_shared<PeerStream>(std::move(Connecting), Link.Traffic,
                                         streamHooks());
   LastBytesAt = Monotonic.now();
+  DeliveredBytes = 0;
   Stream->start();
   for (auto &[Number, Sealed] : std::exchange(Unsent, {}))
     Stream->write(Number, std::move(Sealed), PeerFramePlace::InOrder);
@@ -158,6 +159,7 @@
 
 void PeerConnection::sendHeartbeat() {
   HeartbeatSentAt = Monotonic.now();
+  BytesBeforeHeartbeat.reset();
   ++InFlight;
   SealedRequest Request;
   // Exceeds the silence limit, so that the connection is dropped as silent
@@ -172,6 +174,17 @@
   send(std::move(Request));
 }
 
+void PeerConnection::observeDelivery() {
+  if (!Stream)
+    return;
+  const bool AwaitsDelivery =
+      !BytesBeforeHeartbeat || DeliveredBytes <= *BytesBeforeHeartbeat;
+  const std::uint64_t Delivered = Stream->deliveredBytes();
+  if (HeartbeatSentAt && AwaitsDelivery && Delivered > DeliveredBytes)
+    HeartbeatSentAt = Monotonic.now();
+  DeliveredBytes = std::max(DeliveredBytes, Delivered);
+}
+
 void PeerConnection::armTimer(std::uint32_t Number, Request &Entry,
                               DurationMs Delay) {
   Entry.Timer.expires_after(toChrono(Delay));
@@ -206,6 +219,8 @@
   const TimeMs Now = Monotonic.now();
   It->second.Sent = true;
   It->second.ReceivedBefore = ReceivedBytes;
+  if (It->second.Kind == PeerKind::Heartbeat)
+    BytesBeforeHeartbeat = Stream->takenBytes();
   if (!SilentSince)
     SilentSince = Now;
   return true;
--- a/src/nodes/PeerConnection.h
+++ b/src/nodes/PeerConnection.h
@@ -71,6 +71,10 @@
   /// Sends a heartbeat. Its reply only shows that the connection is alive.
   void sendHeartbeat();
 
+  /// Counts bytes that reach the other machine as a sign of life until they
+  /// include the heartbeat; to be called before \ref health.
+  void observeDelivery();
+
   /// Closes the connection permanently; requests already sent end with
   /// \p Reason. Unsent ones end with PeerUnreachable, or with Stopped if that
   /// is the reason.
@@ -129,7 +133,10 @@
 
   TimeMs DisconnectedSince;              ///< Valid while not connected.
   std::optional<TimeMs> SilentSince;     ///< Sent, no byte received since.
-  std::optional<TimeMs> HeartbeatSentAt; ///< No byte received since.
+  std::optional<TimeMs> HeartbeatSentAt; ///< Or a byte before it delivered.
+  std::uint64_t DeliveredBytes = 0;      ///< Most that was observed.
+  /// Bytes taken for writing before the heartbeat; unset until it is.
+  std::optional<std::uint64_t> BytesBeforeHeartbeat;
   std::uint64_t ReceivedBytes = 0;
   TimeMs LastBytesAt; ///< Or when the connection was established.
   TimeMs LastUsed;
--- a/src/nodes/PeerStream.cpp
+++ b/src/nodes/PeerStream.cpp
@@ -5,6 +5,9 @@
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -132,7 +135,7 @@
     Buffers.push_back(asio::buffer(Item.Sealed));
   }
   asio::async_write(
-      Socket, Buffers,
+      Socket, Buffers, countAccepted(),
       [Self = shared_from_this()](asio::error_code Error, std::size_t) {
         for (const Frame &Item : std::exchange(Self->Writing, {}))
           Self->release(Item);
@@ -149,12 +152,13 @@
          Bytes < FullWriteBytes) {
     Frame Next = std::move(Queue.front());
     Queue.pop_front();
-    if (Hooks.OnBeforeWrite(Next.Number)) {
-      Bytes += Next.bytes();
-      Writing.push_back(std::move(Next));
-    } else {
+    if (!Hooks.OnBeforeWrite(Next.Number)) {
       release(Next);
+      continue;
     }
+    Bytes += Next.bytes();
+    TakenBytes += Next.bytes();
+    Writing.push_back(std::move(Next));
   }
 }
 
@@ -170,6 +174,25 @@
     Hooks.OnWritten();
 }
 
+/// Completion condition of a write operation: goes on until all is written or
+/// an error occurs, and counts what the system takes over.
+PeerStream::WriteCondition PeerStream::countAccepted() {
+  return [Self = shared_from_this(), Before = AcceptedBytes](
+             asio::error_code Error, std::size_t Written) -> std::size_t {
+    Self->AcceptedBytes = Before + Written;
+    return Error ? 0 : FullWriteBytes;
+  };
+}
+
+std::uint64_t PeerStream::deliveredBytes() {
+  int Unacknowledged = 0;
+  if (Closed || ioctl(Socket.native_handle(), SIOCOUTQ, &Unacknowledged) != 0)
+    return 0;
+  // The count of accepted bytes can lag behind the system's.
+  const auto Unacked = static_cast<std::uint64_t>(Unacknowledged);
+  return AcceptedBytes - std::min(AcceptedBytes, Unacked);
+}
+
 /// Stops counting a frame that was written or discarded.
 void PeerStream::release(const Frame &Item) {
   QueuedBytes -= Item.bytes();
--- a/src/nodes/PeerStream.h
+++ b/src/nodes/PeerStream.h
@@ -71,10 +71,19 @@
   /// Bytes of the frames that wait to be written.
   std::size_t queuedBytes() const { return QueuedBytes; }
 
+  /// Bytes taken for writing, in order, since the connection was established.
+  std::uint64_t takenBytes() const { return TakenBytes; }
+
+  /// Bytes whose receipt the other machine has acknowledged, at least.
+  std::uint64_t deliveredBytes();
+
   /// Closes the connection; no hook is called from then on.
   void close();
 
 private:
+  using WriteCondition =
+      std::function<std::size_t(asio::error_code Error, std::size_t Written)>;
+
   struct Frame {
     std::uint32_t Number = 0;
     std::string Header;
@@ -89,6 +98,7 @@
   void prepareBuffer(std::size_t FrameBytes);
   void writeNext();
   void takeFrames(std::deque<Frame> &Queue, std::size_t MaxFrames);
+  WriteCondition countAccepted();
   void onWritten(asio::error_code Error);
   void release(const Frame &Item);
   void onConnectionLost(bool TooLarge);
@@ -106,8 +116,10 @@
 
   std::deque<Frame> Ahead;
   std::deque<Frame> InOrder;
-  std::size_t QueuedBytes = 0; ///< Of all frames, Writing included.
-  std::vector<Frame> Writing;  ///< Frames of the current write operation.
+  std::uint64_t TakenBytes = 0;
+  std::uint64_t AcceptedBytes = 0; ///< Taken over by the system.
+  std::size_t QueuedBytes = 0;     ///< Of all frames, Writing included.
+  std::vector<Frame> Writing;      ///< Frames of the current write operation.
 };
 
 using PeerStreamPtr = std::shared_ptr<PeerStream>;
