Add a failing test: a connection on which nothing can be written is kept

A node that stops reading while 8 MiB of requests wait for it keeps its connection for 20 s and more.

--- a/tests/nodes/FakePeer.cpp
+++ b/tests/nodes/FakePeer.cpp
@@ -139,6 +139,8 @@
 void FakePeer::serve(int Socket, std::size_t Connection) {
   while (const auto Request = readFrame(Socket, Pace)) {
     const FakeReaction Reaction = React(Connection, ++Requests);
+    if (Reaction == FakeReaction::Deaf)
+      return;
     const std::string Reply = replyFrame(*Request, Secret);
     if (Reaction == FakeReaction::Reply)
       writeBytes(Socket, Reply);
--- a/tests/nodes/FakePeer.h
+++ b/tests/nodes/FakePeer.h
@@ -22,6 +22,7 @@
   Silent,
   Trickle, ///< Sends the reply in pieces; reads nothing meanwhile.
   Stall,   ///< Sends half of the reply.
+  Deaf,    ///< Sends nothing and reads nothing more.
 };
 
 /// Time over which a reply trickles.
--- a/tests/nodes/PeerClientTest.cpp
+++ b/tests/nodes/PeerClientTest.cpp
@@ -135,6 +135,26 @@
   expect(ResultCode::PeerSilent, Stalled);
 }
 
+TEST(PeerClient, DropsAConnectionOnWhichNothingCanBeWritten) {
+  FakePeer Peer(Secret,
+                [](std::size_t, std::size_t) { return FakeReaction::Deaf; });
+  PeerClient Client(Link);
+  ReplyRecorder Small;
+  ReplyRecorder Large;
+  PeerRequest LargeRequest = request(Peer.address());
+  LargeRequest.Body = std::string(MaxPeerBodyBytes, 'b');
+  LargeRequest.Timeout = DurationMs(60 * 1000);
+  PeerRequest SmallRequest = request(Peer.address());
+  SmallRequest.Timeout = DurationMs(60 * 1000);
+
+  Client.send(SmallRequest, Small.hook());
+  for (int I = 0; I < 4; ++I)
+    Client.send(LargeRequest, Large.hook());
+
+  expect(ResultCode::PeerSilent, Small);
+  LONGS_EQUAL(4, Large.Count);
+}
+
 TEST(PeerClient, KeepsAConnectionThatReadsALargeRequestSlowly) {
   const PeerPace Slow{MaxPeerBodyBytes / 32, TrickleTime / 32};
   FakePeer Peer(
