Drop a connection on which nothing can be written

Callers whose node keeps a connection on which nothing moves get PeerUnreachable 250 ms after each request, for as long as TCP takes to give up. Cause: a heartbeat that could not be written ended after the connect timeout like a request, and that end also ended the wait for it, so the connection never counted as silent.

--- a/src/nodes/PeerConnection.cpp
+++ b/src/nodes/PeerConnection.cpp
@@ -149,8 +149,11 @@
       PeerConnection::Request{Request.Kind, LastUsed + Request.Timeout, false,
                               0, std::move(Request.OnReply),
                               asio::steady_timer(ConnectTimer.get_executor())});
+  // A heartbeat that cannot be written shows that the connection is stuck.
+  const bool MayWait = Request.Kind == PeerKind::Heartbeat;
   armTimer(Number, Inserted.first->second,
-           std::min(Request.Timeout, Limits.ConnectTimeout));
+           MayWait ? Request.Timeout
+                   : std::min(Request.Timeout, Limits.ConnectTimeout));
   if (Stream)
     Stream->write(Number, std::move(Request.Bytes), placeOf(Request.Kind));
   else
