--- a/tests/nodes/PeerClientTest.cpp
+++ b/tests/nodes/PeerClientTest.cpp
@@ -264,6 +264,46 @@
   CHECK_TRUE(eventually([&] { return Client.connections() == 1; }));
 }
 
+TEST(PeerClient, SharesANewConnectionAmongRequestsForAFreshRoute) {
+  FakePeer Peer(Secret, [](std::size_t Connection, std::size_t) {
+    return Connection == 1 ? FakeReaction::Silent : FakeReaction::Reply;
+  });
+  PeerClientOptions Options;
+  Options.HeartbeatAfter = DurationMs(10 * 1000);
+  PeerClient Client(Link, Options);
+  ReplyRecorder Unanswered;
+  Client.send(request(Peer.address()), Unanswered.hook());
+  CHECK_TRUE(eventually([&] { return Peer.requests() == 1; }));
+
+  ReplyRecorder Answered;
+  PeerRequest Fresh = request(Peer.address());
+  Fresh.Route = PeerRoute::Fresh;
+  for (int I = 0; I < 20; ++I)
+    Client.send(Fresh, Answered.hook());
+
+  CHECK_TRUE(eventually([&] { return Answered.Count == 20; }));
+  LONGS_EQUAL(2, Peer.connections());
+  expect(ResultCode::Ok, Answered);
+}
+
+TEST(PeerClient, OpensANewConnectionForAFreshRouteOnceTheLastIsOld) {
+  FakePeer Peer(Secret,
+                [](std::size_t, std::size_t) { return FakeReaction::Reply; });
+  PeerClientOptions Options;
+  Options.HeartbeatAfter = DurationMs(0);
+  PeerClient Client(Link, Options);
+  PeerRequest Fresh = request(Peer.address());
+  Fresh.Route = PeerRoute::Fresh;
+
+  for (std::size_t Opened = 1; Opened <= 3; ++Opened) {
+    ReplyRecorder Result;
+    Client.send(Fresh, Result.hook());
+    expect(ResultCode::Ok, Result);
+    LONGS_EQUAL(Opened, Peer.connections());
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+}
+
 TEST(PeerClient, ReportsARequestToAnUnreachableNodeAsNeverSent) {
   PeerClient Client(Link);
   ReplyRecorder Result;
