Share a new connection among requests for a fresh route

A node that asks about many slow calls of one target opened a connection for each question and retired the one before, which had been open for moments: 20 questions, 20 connections. On a narrow link each adds a handshake and one more flow that shares the link with the answers waited for, and the retired ones count against the limit of connections until their requests end.

A connection opened for a fresh route now serves such requests for as long as silence on it would not be probed (400 ms); it cannot be half-open from an earlier cut. One that was opened for any other request is still left for a new one.

--- a/src/nodes/PeerClient.cpp
+++ b/src/nodes/PeerClient.cpp
@@ -106,11 +106,12 @@
 PeerConnection *PeerClient::Core::connectionFor(const std::string &Address,
                                                 PeerRoute Route,
                                                 ResultCode &Reason) {
-  if (Route == PeerRoute::Fresh)
-    retire(Address);
   const auto It = Open.find(Address);
-  if (It != Open.end())
-    return It->second.get();
+  if (It != Open.end()) {
+    if (Route == PeerRoute::Reuse || It->second->isFresh())
+      return It->second.get();
+    retire(Address);
+  }
   if (!ensureCapacity()) {
     Reason = ResultCode::PeerBusy;
     return nullptr;
@@ -118,7 +119,7 @@
   const PeerConnectionLimits Limits{
       Options.ConnectTimeout, Options.HeartbeatAfter, Options.SilenceLimit};
   auto NewConnection = std::make_shared<PeerConnection>(
-      Loop.context(), Link, Limits, Address, InFlight);
+      Loop.context(), Link, Limits, Address, Route, InFlight);
   if (!NewConnection->open()) {
     Reason = ResultCode::PeerUnreachable;
     return nullptr;
--- a/src/nodes/PeerConnection.cpp
+++ b/src/nodes/PeerConnection.cpp
@@ -36,10 +36,11 @@
 
 PeerConnection::PeerConnection(asio::io_context &Context, PeerLink &Link,
                                PeerConnectionLimits Limits, std::string Address,
+                               PeerRoute Route,
                                std::atomic<std::size_t> &InFlight)
-    : Link(Link), Limits(Limits), Address(std::move(Address)),
+    : Link(Link), Limits(Limits), Address(std::move(Address)), Route(Route),
       InFlight(InFlight), Connecting(Context), ConnectTimer(Context),
-      ReconnectDelay(MinReconnectDelay), DisconnectedSince(Monotonic.now()),
+      ReconnectDelay(MinReconnectDelay), DisconnectedSince(OpenedAt),
       LastBytesAt(DisconnectedSince), LastUsed(DisconnectedSince) {}
 
 bool PeerConnection::open() {
@@ -297,6 +298,11 @@
   failAll(Stopped ? Reason : ResultCode::PeerUnreachable, Reason);
 }
 
+bool PeerConnection::isFresh() const {
+  return Route == PeerRoute::Fresh &&
+         Monotonic.now() - OpenedAt < Limits.HeartbeatAfter;
+}
+
 std::vector<EventField> PeerConnection::eventFields() const {
   const TimeMs Now = Monotonic.now();
   const auto Oldest =
--- a/src/nodes/PeerConnection.h
+++ b/src/nodes/PeerConnection.h
@@ -55,10 +55,11 @@
 /// A connection to one address. Pending Asio operations share its ownership.
 class PeerConnection : public std::enable_shared_from_this<PeerConnection> {
 public:
+  /// \param Route of the request that the connection is opened for.
   /// \param InFlight number of pending requests of all connections.
   PeerConnection(asio::io_context &Context, PeerLink &Link,
                  PeerConnectionLimits Limits, std::string Address,
-                 std::atomic<std::size_t> &InFlight);
+                 PeerRoute Route, std::atomic<std::size_t> &InFlight);
 
   /// Starts to connect. Returns false when the address is malformed.
   bool open();
@@ -86,6 +87,10 @@
   /// been received.
   std::vector<EventField> eventFields() const;
 
+  /// Whether the connection was opened for a fresh route, too short a time ago
+  /// for a heartbeat.
+  bool isFresh() const;
+
   const std::string &address() const { return Address; }
   TimeMs lastUsed() const { return LastUsed; }
 
@@ -121,8 +126,10 @@
   PeerLink &Link;
   const PeerConnectionLimits Limits;
   const std::string Address;
+  const PeerRoute Route;
   std::atomic<std::size_t> &InFlight;
   const Clock Monotonic = Clock::monotonic();
+  const TimeMs OpenedAt = Monotonic.now();
 
   asio::ip::tcp::endpoint Remote;
   asio::ip::tcp::socket Connecting; ///< Moved to the stream.
--- a/src/nodes/PeerTransport.h
+++ b/src/nodes/PeerTransport.h
@@ -67,7 +67,8 @@
 /// Connection that a request uses.
 enum class PeerRoute : std::uint8_t {
   Reuse, ///< An open connection, if there is one.
-  Fresh, ///< A new connection; an open one may be half-open.
+  Fresh, ///< A new connection, or one that a fresh route has just opened; an
+         ///< open one may be half-open.
 };
 
 /// A request to another node.
