--- a/src/nodes/PeerClient.cpp
+++ b/src/nodes/PeerClient.cpp
@@ -106,11 +106,12 @@
 PeerConnection *PeerClient::Core::connectionFor(const std::string &Address,
                                                 PeerRoute Route,
                                                 ResultCode &Reason) {
-  if (Route == PeerRoute::Fresh)
-    retire(Address);
   const auto It = Open.find(Address);
-  if (It != Open.end())
-    return It->second.get();
+  if (It != Open.end()) {
+    if (Route == PeerRoute::Reuse || It->second->isFresh())
+      return It->second.get();
+    retire(Address);
+  }
   if (!ensureCapacity()) {
     Reason = ResultCode::PeerBusy;
     return nullptr;
@@ -118,7 +119,7 @@
   const PeerConnectionLimits Limits{
       Options.ConnectTimeout, Options.HeartbeatAfter, Options.SilenceLimit};
   auto NewConnection = std::make_shared<PeerConnection>(
-      Loop.context(), Link, Limits, Address, InFlight);
+      Loop.context(), Link, Limits, Address, Route, InFlight);
   if (!NewConnection->open()) {
     Reason = ResultCode::PeerUnreachable;
     return nullptr;
@@ -192,6 +193,7 @@
 /// Sends a heartbeat if one is due and drops a silent connection. Returns
 /// whether the connection remains usable.
 bool PeerClient::Core::inspect(PeerConnection &Connection) {
+  Connection.observeDelivery();
   switch (Connection.health()) {
   case PeerHealth::Healthy:
     return Monotonic.now() - Connection.lastUsed() <= Options.IdleLimit;
@@ -203,10 +205,9 @@
   case PeerHealth::Silent:
     break;
   }
-  Connection.close(ResultCode::PeerSilent);
   if (Link.OnEvent)
-    Link.OnEvent(
-        {EventId::PeerConnectionDropped, {{"peer", Connection.address()}}});
+    Link.OnEvent({EventId::PeerConnectionDropped, Connection.eventFields()});
+  Connection.close(ResultCode::PeerSilent);
   return false;
 }
 
--- a/src/nodes/PeerConnection.cpp
+++ b/src/nodes/PeerConnection.cpp
@@ -21,6 +21,13 @@
 /// The client retires an address that it could not connect to for this long.
 constexpr DurationMs MaxDisconnectedTime{3000};
 
+/// A call must not be asked about or cancelled before it is started, so only
+/// heartbeats leave the order.
+PeerFramePlace placeOf(PeerKind Kind) {
+  return Kind == PeerKind::Heartbeat ? PeerFramePlace::Ahead
+                                     : PeerFramePlace::InOrder;
+}
+
 std::chrono::milliseconds toChrono(DurationMs Duration) {
   return std::chrono::milliseconds(std::max<std::int64_t>(Duration.Value, 0));
 }
@@ -29,11 +36,12 @@
 
 PeerConnection::PeerConnection(asio::io_context &Context, PeerLink &Link,
                                PeerConnectionLimits Limits, std::string Address,
+                               PeerRoute Route,
                                std::atomic<std::size_t> &InFlight)
-    : Link(Link), Limits(Limits), Address(std::move(Address)),
+    : Link(Link), Limits(Limits), Address(std::move(Address)), Route(Route),
       InFlight(InFlight), Connecting(Context), ConnectTimer(Context),
-      ReconnectDelay(MinReconnectDelay), DisconnectedSince(Monotonic.now()),
-      LastUsed(DisconnectedSince) {}
+      ReconnectDelay(MinReconnectDelay), DisconnectedSince(OpenedAt),
+      LastBytesAt(DisconnectedSince), LastUsed(DisconnectedSince) {}
 
 bool PeerConnection::open() {
   const auto Parsed = Endpoint::parse(Address);
@@ -86,16 +94,20 @@
   }
   ReconnectDelay = MinReconnectDelay;
   Link.Traffic.countConnection();
-  Stream = std::make_shared<PeerStream>(std::move(Connecting), streamHooks());
+  Stream = std::make_shared<PeerStream>(std::move(Connecting), Link.Traffic,
+                                        streamHooks());
+  LastBytesAt = Monotonic.now();
+  DeliveredBytes = 0;
   Stream->start();
   for (auto &[Number, Sealed] : std::exchange(Unsent, {}))
-    Stream->write(Number, std::move(Sealed));
+    Stream->write(Number, std::move(Sealed), PeerFramePlace::InOrder);
 }
 
 PeerStreamHooks PeerConnection::streamHooks() {
   // The hooks do not share ownership: close() disables them before this object
   // is destroyed.
   PeerStreamHooks Hooks;
+  Hooks.OnBytes = [this](std::size_t Bytes) { onBytes(Bytes); };
   Hooks.OnFrame = [this](std::uint32_t Number, std::string_view Sealed) {
     return onFrame(Number, Sealed);
   };
@@ -136,28 +148,47 @@
   const auto Inserted = Pending.emplace(
       Number,
       PeerConnection::Request{Request.Kind, LastUsed + Request.Timeout, false,
-                              std::move(Request.OnReply),
+                              0, std::move(Request.OnReply),
                               asio::steady_timer(ConnectTimer.get_executor())});
+  // A heartbeat that cannot be written shows that the connection is stuck.
+  const bool MayWait = Request.Kind == PeerKind::Heartbeat;
   armTimer(Number, Inserted.first->second,
-           std::min(Request.Timeout, Limits.ConnectTimeout));
+           MayWait ? Request.Timeout
+                   : std::min(Request.Timeout, Limits.ConnectTimeout));
   if (Stream)
-    Stream->write(Number, std::move(Request.Bytes));
+    Stream->write(Number, std::move(Request.Bytes), placeOf(Request.Kind));
   else
     Unsent.emplace_back(Number, std::move(Request.Bytes));
 }
 
 void PeerConnection::sendHeartbeat() {
   HeartbeatSentAt = Monotonic.now();
+  BytesBeforeHeartbeat.reset();
   ++InFlight;
   SealedRequest Request;
   // Exceeds the silence limit, so that the connection is dropped as silent
   // before this request times out.
   Request.Timeout = Limits.SilenceLimit * 2;
   Request.Bytes = Link.seal(PeerKind::Heartbeat, PeerPhase::Request, {});
-  Request.OnReply = [this](const PeerReply &) { HeartbeatSentAt.reset(); };
+  // Any received byte ends the wait for a heartbeat that was sent.
+  Request.OnReply = [this](const PeerReply &Reply) {
+    if (neverSent(Reply.Reason))
+      HeartbeatSentAt.reset();
+  };
   send(std::move(Request));
 }
 
+void PeerConnection::observeDelivery() {
+  if (!Stream)
+    return;
+  const bool AwaitsDelivery =
+      !BytesBeforeHeartbeat || DeliveredBytes <= *BytesBeforeHeartbeat;
+  const std::uint64_t Delivered = Stream->deliveredBytes();
+  if (HeartbeatSentAt && AwaitsDelivery && Delivered > DeliveredBytes)
+    HeartbeatSentAt = Monotonic.now();
+  DeliveredBytes = std::max(DeliveredBytes, Delivered);
+}
+
 void PeerConnection::armTimer(std::uint32_t Number, Request &Entry,
                               DurationMs Delay) {
   Entry.Timer.expires_after(toChrono(Delay));
@@ -189,18 +220,30 @@
   const auto It = Pending.find(Number);
   if (It == Pending.end())
     return false;
+  const TimeMs Now = Monotonic.now();
   It->second.Sent = true;
+  It->second.ReceivedBefore = ReceivedBytes;
+  if (It->second.Kind == PeerKind::Heartbeat)
+    BytesBeforeHeartbeat = Stream->takenBytes();
   if (!SilentSince)
-    SilentSince = Monotonic.now();
+    SilentSince = Now;
   return true;
 }
 
+void PeerConnection::onBytes(std::size_t Bytes) {
+  ReceivedBytes += Bytes;
+  LastBytesAt = Monotonic.now();
+  HeartbeatSentAt.reset();
+  onActivity();
+}
+
 bool PeerConnection::onFrame(std::uint32_t Number, std::string_view Sealed) {
   const auto It = Pending.find(Number);
   // Replies to requests that have timed out are discarded.
   if (It != Pending.end())
     finish(Number, readReply(It->second.Kind, Sealed));
-  onActivity();
+  if (Pending.empty())
+    SilentSince.reset();
   return true;
 }
 
@@ -255,6 +298,29 @@
   failAll(Stopped ? Reason : ResultCode::PeerUnreachable, Reason);
 }
 
+bool PeerConnection::isFresh() const {
+  return Route == PeerRoute::Fresh &&
+         Monotonic.now() - OpenedAt < Limits.HeartbeatAfter;
+}
+
+std::vector<EventField> PeerConnection::eventFields() const {
+  const TimeMs Now = Monotonic.now();
+  const auto Oldest =
+      std::find_if(Pending.begin(), Pending.end(),
+                   [](const auto &Entry) { return Entry.second.Sent; });
+  const std::uint64_t Received =
+      Oldest == Pending.end() ? 0
+                              : ReceivedBytes - Oldest->second.ReceivedBefore;
+  const DurationMs HeartbeatAge =
+      HeartbeatSentAt ? Now - *HeartbeatSentAt : DurationMs(0);
+  return {{"peer", Address},
+          {"pending", std::to_string(Pending.size())},
+          {"received_bytes", std::to_string(Received)},
+          {"queued_bytes", std::to_string(Stream ? Stream->queuedBytes() : 0)},
+          {"silent_ms", std::to_string((Now - LastBytesAt).Value)},
+          {"heartbeat_ms", std::to_string(HeartbeatAge.Value)}};
+}
+
 PeerHealth PeerConnection::health() const {
   const TimeMs Now = Monotonic.now();
   if (!Stream)
--- a/src/nodes/PeerConnection.h
+++ b/src/nodes/PeerConnection.h
@@ -11,6 +11,7 @@
 #define FESCUEWOOD_NODES_PEERCONNECTION_H
 
 #include "core/Clock.h"
+#include "core/Event.h"
 #include "nodes/PeerLink.h"
 #include "nodes/PeerStream.h"
 #include "nodes/PeerTransport.h"
@@ -54,10 +55,11 @@
 /// A connection to one address. Pending Asio operations share its ownership.
 class PeerConnection : public std::enable_shared_from_this<PeerConnection> {
 public:
+  /// \param Route of the request that the connection is opened for.
   /// \param InFlight number of pending requests of all connections.
   PeerConnection(asio::io_context &Context, PeerLink &Link,
                  PeerConnectionLimits Limits, std::string Address,
-                 std::atomic<std::size_t> &InFlight);
+                 PeerRoute Route, std::atomic<std::size_t> &InFlight);
 
   /// Starts to connect. Returns false when the address is malformed.
   bool open();
@@ -70,12 +72,25 @@
   /// Sends a heartbeat. Its reply only shows that the connection is alive.
   void sendHeartbeat();
 
+  /// Counts bytes that reach the other machine as a sign of life until they
+  /// include the heartbeat; to be called before \ref health.
+  void observeDelivery();
+
   /// Closes the connection permanently; requests already sent end with
   /// \p Reason. Unsent ones end with PeerUnreachable, or with Stopped if that
   /// is the reason.
   void close(ResultCode Reason);
 
   PeerHealth health() const;
+
+  /// Fields of an event about this connection: what is pending and what has
+  /// been received.
+  std::vector<EventField> eventFields() const;
+
+  /// Whether the connection was opened for a fresh route, too short a time ago
+  /// for a heartbeat.
+  bool isFresh() const;
+
   const std::string &address() const { return Address; }
   TimeMs lastUsed() const { return LastUsed; }
 
@@ -87,6 +102,7 @@
     PeerKind Kind = PeerKind::Heartbeat;
     TimeMs Deadline;
     bool Sent = false;
+    std::uint64_t ReceivedBefore = 0; ///< Bytes received when it was sent.
     PeerReplyHook OnReply;
     asio::steady_timer Timer;
   };
@@ -95,6 +111,7 @@
   void bindSourceAddress();
   void onConnected(asio::error_code Error);
   void scheduleReconnect();
+  void onBytes(std::size_t Bytes);
   bool onFrame(std::uint32_t Number, std::string_view Sealed);
   void onDisconnected();
   void armTimer(std::uint32_t Number, Request &Entry, DurationMs Delay);
@@ -109,8 +126,10 @@
   PeerLink &Link;
   const PeerConnectionLimits Limits;
   const std::string Address;
+  const PeerRoute Route;
   std::atomic<std::size_t> &InFlight;
   const Clock Monotonic = Clock::monotonic();
+  const TimeMs OpenedAt = Monotonic.now();
 
   asio::ip::tcp::endpoint Remote;
   asio::ip::tcp::socket Connecting; ///< Moved to the stream.
@@ -120,8 +139,13 @@
   bool Closed = false;
 
   TimeMs DisconnectedSince;              ///< Valid while not connected.
-  std::optional<TimeMs> SilentSince;     ///< Sent, nothing received since.
-  std::optional<TimeMs> HeartbeatSentAt; ///< Set while one is pending.
+  std::optional<TimeMs> SilentSince;     ///< Sent, no byte received since.
+  std::optional<TimeMs> HeartbeatSentAt; ///< Or a byte before it delivered.
+  std::uint64_t DeliveredBytes = 0;      ///< Most that was observed.
+  /// Bytes taken for writing before the heartbeat; unset until it is.
+  std::optional<std::uint64_t> BytesBeforeHeartbeat;
+  std::uint64_t ReceivedBytes = 0;
+  TimeMs LastBytesAt; ///< Or when the connection was established.
   TimeMs LastUsed;
 
   std::uint32_t LastNumber = 0;
--- a/src/nodes/PeerServer.cpp
+++ b/src/nodes/PeerServer.cpp
@@ -22,6 +22,10 @@
 /// Delay after a failed accept, for example when out of file descriptors.
 constexpr std::chrono::milliseconds AcceptRetryDelay{100};
 
+/// Replies up to this size are written before longer ones that wait. Replies
+/// carry the number of their request, so their order has no meaning.
+constexpr std::size_t MaxShortReplyBytes = 4096;
+
 std::optional<Tcp::endpoint> parseAddress(const std::string &Text) {
   const auto Parsed = Endpoint::parse(Text);
   if (!Parsed)
@@ -62,6 +66,11 @@
     PeerKind Kind = PeerKind::Heartbeat;
   };
 
+  struct Connection {
+    PeerStreamPtr Stream;
+    std::size_t UnwrittenReplies = 0; ///< Their requests are in flight.
+  };
+
   /// Shared by the copies of the reply hook of one request. When the last copy
   /// is destroyed without a reply, the request no longer counts as in flight.
   struct ReplyHandle {
@@ -87,6 +96,7 @@
   void accept();
   void scheduleAccept();
   void addConnection(Tcp::socket Socket);
+  void removeConnection(std::uint64_t Id);
   bool onFrame(const RequestOrigin &Origin, const std::string &Sender,
                std::string_view Sealed);
   void dispatch(RequestOrigin Origin, const PeerEnvelope &Message);
@@ -94,8 +104,9 @@
              std::string_view Body);
   void write(const RequestOrigin &Origin, std::string Sealed);
   void endRequest();
+  void scheduleResume();
   void resumePausedStreams();
-  bool isFull() const { return InFlight >= Options.MaxInFlight; }
+  bool mayRead(const PeerStream &Stream) const;
   void closeAll();
 
   PeerLink &Link;
@@ -106,9 +117,10 @@
   asio::steady_timer AcceptTimer;
   bool Stopped = false;
   std::uint64_t LastConnection = 0;
-  std::map<std::uint64_t, PeerStreamPtr> Streams;
+  std::map<std::uint64_t, Connection> Connections;
+  bool ResumePosted = false;
   std::size_t InFlight = 0;                ///< Requests without a reply yet.
-  std::deque<std::uint64_t> PausedStreams; ///< Not read at the limit.
+  std::deque<std::uint64_t> PausedStreams; ///< Not read at a limit.
 };
 
 std::optional<std::string> PeerServer::Core::start() {
@@ -154,7 +166,7 @@
 void PeerServer::Core::addConnection(Tcp::socket Socket) {
   asio::error_code Error;
   const Tcp::endpoint Remote = Socket.remote_endpoint(Error);
-  if (Error || Streams.size() >= Options.MaxConnections)
+  if (Error || Connections.size() >= Options.MaxConnections)
     return; // Closes the socket.
   const std::uint64_t Id = ++LastConnection;
   const std::string Sender = toText(Remote);
@@ -165,21 +177,30 @@
   };
   // A request stays in flight until its reply is handed to the system, so that
   // the server soon stops reading from a node that does not read its replies.
-  Hooks.OnBeforeWrite = [this](std::uint32_t /*Number*/) {
+  Hooks.OnBeforeWrite = [this, Id](std::uint32_t /*Number*/) {
+    --Connections.at(Id).UnwrittenReplies;
     endRequest();
     return true;
   };
+  Hooks.OnWritten = [this] { scheduleResume(); };
   Hooks.OnClosed = [this, Id, Sender](bool TooLarge) {
     if (TooLarge)
       Link.refuse(ResultCode::PeerMessageTooLarge, Sender);
-    Streams.erase(Id);
+    removeConnection(Id);
   };
-  const auto Stream =
-      std::make_shared<PeerStream>(std::move(Socket), std::move(Hooks));
-  Streams.emplace(Id, Stream);
+  const auto Stream = std::make_shared<PeerStream>(
+      std::move(Socket), Link.Traffic, std::move(Hooks));
+  Connections.emplace(Id, Connection{Stream});
   Stream->start();
 }
 
+/// Ends the requests whose replies can no longer be written.
+void PeerServer::Core::removeConnection(std::uint64_t Id) {
+  const auto Removed = Connections.extract(Id);
+  for (std::size_t I = 0; I < Removed.mapped().UnwrittenReplies; ++I)
+    endRequest();
+}
+
 bool PeerServer::Core::onFrame(const RequestOrigin &Origin,
                                const std::string &Sender,
                                std::string_view Sealed) {
@@ -189,7 +210,7 @@
     dispatch(Origin, *Opened);
   else if (Opened)
     Link.refuse(ResultCode::PeerMessageMalformed, Sender);
-  if (!isFull())
+  if (mayRead(*Connections.at(Origin.Connection).Stream))
     return true;
   PausedStreams.push_back(Origin.Connection);
   return false;
@@ -232,30 +253,51 @@
 }
 
 void PeerServer::Core::write(const RequestOrigin &Origin, std::string Sealed) {
-  const auto It = Streams.find(Origin.Connection);
-  if (It == Streams.end())
+  const auto It = Connections.find(Origin.Connection);
+  if (It == Connections.end()) {
     endRequest();
-  else
-    It->second->write(Origin.Number, std::move(Sealed));
+    return;
+  }
+  ++It->second.UnwrittenReplies;
+  const PeerFramePlace Place = Sealed.size() <= MaxShortReplyBytes
+                                   ? PeerFramePlace::Ahead
+                                   : PeerFramePlace::InOrder;
+  It->second.Stream->write(Origin.Number, std::move(Sealed), Place);
 }
 
 /// Ends a request that was in flight.
 void PeerServer::Core::endRequest() {
   --InFlight;
-  // Posted, since this may run inside a hook of a stream.
-  if (!PausedStreams.empty())
-    Loop.post([this] { resumePausedStreams(); });
+  scheduleResume();
+}
+
+/// A stream whose own replies are written is read even when the replies to
+/// others use up the bytes, so that one slow node does not stop the rest.
+bool PeerServer::Core::mayRead(const PeerStream &Stream) const {
+  return InFlight < Options.MaxInFlight &&
+         (Stream.queuedBytes() == 0 ||
+          Link.Traffic.queuedBytes() < Options.MaxQueuedBytes);
+}
+
+/// Posts the resumption, since this may run inside a hook of a stream.
+void PeerServer::Core::scheduleResume() {
+  if (PausedStreams.empty() || ResumePosted)
+    return;
+  ResumePosted = Loop.post([this] { resumePausedStreams(); });
 }
 
-/// Resumes streams that were paused at the limit of requests in flight.
+/// Resumes the streams that may be read again.
 void PeerServer::Core::resumePausedStreams() {
-  while (!isFull() && !PausedStreams.empty()) {
-    const auto It = Streams.find(PausedStreams.front());
-    PausedStreams.pop_front();
-    if (It == Streams.end())
+  ResumePosted = false;
+  for (const std::uint64_t Id : std::exchange(PausedStreams, {})) {
+    const auto It = Connections.find(Id);
+    if (It == Connections.end())
       continue;
-    const PeerStreamPtr Stream = It->second;
-    Stream->resume();
+    const PeerStreamPtr Stream = It->second.Stream;
+    if (mayRead(*Stream))
+      Stream->resume();
+    else
+      PausedStreams.push_back(Id);
   }
 }
 
@@ -264,8 +306,8 @@
   asio::error_code Ignored;
   Acceptor.close(Ignored);
   AcceptTimer.cancel();
-  for (const auto &[Id, Stream] : std::exchange(Streams, {}))
-    Stream->close();
+  for (const auto &[Id, Entry] : std::exchange(Connections, {}))
+    Entry.Stream->close();
 }
 
 PeerServer::PeerServer(PeerLink &Link, PeerServerOptions Options)
--- a/src/nodes/PeerStream.cpp
+++ b/src/nodes/PeerStream.cpp
@@ -5,6 +5,9 @@
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -20,10 +23,14 @@
 /// Maximum number of frames in one write operation.
 constexpr std::size_t MaxFramesPerWrite = 16;
 
+/// No frame is added to a write operation of this size.
+constexpr std::size_t FullWriteBytes = 64 * 1024;
+
 } // namespace
 
-PeerStream::PeerStream(asio::ip::tcp::socket Connected, PeerStreamHooks Hooks)
-    : Socket(std::move(Connected)), Hooks(std::move(Hooks)),
+PeerStream::PeerStream(asio::ip::tcp::socket Connected, PeerTraffic &Traffic,
+                       PeerStreamHooks Hooks)
+    : Socket(std::move(Connected)), Traffic(Traffic), Hooks(std::move(Hooks)),
       Buffer(InitialBufferBytes) {
   asio::error_code Ignored;
   Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
@@ -59,6 +66,8 @@
   if (Closed)
     return;
   End += Count;
+  if (Hooks.OnBytes)
+    Hooks.OnBytes(Count);
   processFrames();
   read();
 }
@@ -100,23 +109,24 @@
     Buffer.resize(FrameBytes);
 }
 
-void PeerStream::write(std::uint32_t Number, std::string Sealed) {
+void PeerStream::write(std::uint32_t Number, std::string Sealed,
+                       PeerFramePlace Place) {
   if (Closed)
     return;
   std::string Header = packFrameHeader({Sealed.size(), Number});
+  std::deque<Frame> &Queue = Place == PeerFramePlace::Ahead ? Ahead : InOrder;
   Queue.push_back({Number, std::move(Header), std::move(Sealed)});
+  QueuedBytes += Queue.back().bytes();
+  Traffic.countQueued(Queue.back().bytes());
   writeNext();
 }
 
 void PeerStream::writeNext() {
   if (Closed || !Writing.empty())
     return;
-  while (!Queue.empty() && Writing.size() < MaxFramesPerWrite) {
-    Frame Next = std::move(Queue.front());
-    Queue.pop_front();
-    if (Hooks.OnBeforeWrite(Next.Number))
-      Writing.push_back(std::move(Next));
-  }
+  // Leaves place for one frame in order, so that those go on too.
+  takeFrames(Ahead, MaxFramesPerWrite - 1);
+  takeFrames(InOrder, MaxFramesPerWrite);
   if (Writing.empty())
     return;
   std::vector<asio::const_buffer> Buffers;
@@ -125,16 +135,70 @@
     Buffers.push_back(asio::buffer(Item.Sealed));
   }
   asio::async_write(
-      Socket, Buffers,
+      Socket, Buffers, countAccepted(),
       [Self = shared_from_this()](asio::error_code Error, std::size_t) {
-        Self->Writing.clear();
-        if (Error)
-          Self->onConnectionLost(false);
-        else
-          Self->writeNext();
+        for (const Frame &Item : std::exchange(Self->Writing, {}))
+          Self->release(Item);
+        Self->onWritten(Error);
       });
 }
 
+/// Moves frames from \p Queue to the next write operation.
+void PeerStream::takeFrames(std::deque<Frame> &Queue, std::size_t MaxFrames) {
+  std::size_t Bytes = 0;
+  for (const Frame &Item : Writing)
+    Bytes += Item.bytes();
+  while (!Queue.empty() && Writing.size() < MaxFrames &&
+         Bytes < FullWriteBytes) {
+    Frame Next = std::move(Queue.front());
+    Queue.pop_front();
+    if (!Hooks.OnBeforeWrite(Next.Number)) {
+      release(Next);
+      continue;
+    }
+    Bytes += Next.bytes();
+    TakenBytes += Next.bytes();
+    Writing.push_back(std::move(Next));
+  }
+}
+
+void PeerStream::onWritten(asio::error_code Error) {
+  if (Closed)
+    return;
+  if (Error) {
+    onConnectionLost(false);
+    return;
+  }
+  writeNext();
+  if (Hooks.OnWritten)
+    Hooks.OnWritten();
+}
+
+/// Completion condition of a write operation: goes on until all is written or
+/// an error occurs, and counts what the system takes over.
+PeerStream::WriteCondition PeerStream::countAccepted() {
+  return [Self = shared_from_this(), Before = AcceptedBytes](
+             asio::error_code Error, std::size_t Written) -> std::size_t {
+    Self->AcceptedBytes = Before + Written;
+    return Error ? 0 : FullWriteBytes;
+  };
+}
+
+std::uint64_t PeerStream::deliveredBytes() {
+  int Unacknowledged = 0;
+  if (Closed || ioctl(Socket.native_handle(), SIOCOUTQ, &Unacknowledged) != 0)
+    return 0;
+  // The count of accepted bytes can lag behind the system's.
+  const auto Unacked = static_cast<std::uint64_t>(Unacknowledged);
+  return AcceptedBytes - std::min(AcceptedBytes, Unacked);
+}
+
+/// Stops counting a frame that was written or discarded.
+void PeerStream::release(const Frame &Item) {
+  QueuedBytes -= Item.bytes();
+  Traffic.countWritten(Item.bytes());
+}
+
 void PeerStream::onConnectionLost(bool TooLarge) {
   if (Closed)
     return;
@@ -150,7 +214,9 @@
   Closed = true;
   asio::error_code Ignored;
   Socket.close(Ignored);
-  Queue.clear();
+  for (std::deque<Frame> *Queue : {&Ahead, &InOrder})
+    for (const Frame &Item : std::exchange(*Queue, {}))
+      release(Item);
 }
 
 } // namespace fescuewood
--- a/src/nodes/PeerStream.h
+++ b/src/nodes/PeerStream.h
@@ -8,6 +8,7 @@
 #define FESCUEWOOD_NODES_PEERSTREAM_H
 
 #include "nodes/PeerFrame.h"
+#include "nodes/PeerTraffic.h"
 
 #include <asio/ip/tcp.hpp>
 
@@ -22,8 +23,17 @@
 
 namespace fescuewood {
 
+/// Place of a frame among those that wait to be written.
+enum class PeerFramePlace : std::uint8_t {
+  InOrder,
+  Ahead, ///< Before those in order; for short frames only.
+};
+
 /// Hooks to the owner of a stream, called on the loop's thread.
 struct PeerStreamHooks {
+  /// Called when bytes have been received, before their frames; optional.
+  std::function<void(std::size_t Bytes)> OnBytes;
+
   /// Called for each received frame. Returning false pauses reading until
   /// \ref PeerStream::resume, so that TCP flow control slows down the sender.
   std::function<bool(std::uint32_t Number, std::string_view Sealed)> OnFrame;
@@ -32,6 +42,9 @@
   /// it.
   std::function<bool(std::uint32_t Number)> OnBeforeWrite;
 
+  /// Called after frames were handed to the system; optional.
+  std::function<void()> OnWritten;
+
   /// Called once when the connection ends other than by \ref PeerStream::close.
   /// \p TooLarge is true if a frame exceeded the largest message.
   std::function<void(bool TooLarge)> OnClosed;
@@ -41,7 +54,9 @@
 /// share its ownership.
 class PeerStream : public std::enable_shared_from_this<PeerStream> {
 public:
-  PeerStream(asio::ip::tcp::socket Socket, PeerStreamHooks Hooks);
+  /// \param Traffic counts the frames that wait to be written.
+  PeerStream(asio::ip::tcp::socket Socket, PeerTraffic &Traffic,
+             PeerStreamHooks Hooks);
 
   /// Starts reading.
   void start();
@@ -49,17 +64,32 @@
   /// Continues reading after OnFrame returned false.
   void resume();
 
-  /// Queues a frame for writing.
-  void write(std::uint32_t Number, std::string Sealed);
+  /// Queues a frame for writing. Frames ahead delay those in order by less
+  /// than one write operation each time.
+  void write(std::uint32_t Number, std::string Sealed, PeerFramePlace Place);
+
+  /// Bytes of the frames that wait to be written.
+  std::size_t queuedBytes() const { return QueuedBytes; }
+
+  /// Bytes taken for writing, in order, since the connection was established.
+  std::uint64_t takenBytes() const { return TakenBytes; }
+
+  /// Bytes whose receipt the other machine has acknowledged, at least.
+  std::uint64_t deliveredBytes();
 
   /// Closes the connection; no hook is called from then on.
   void close();
 
 private:
+  using WriteCondition =
+      std::function<std::size_t(asio::error_code Error, std::size_t Written)>;
+
   struct Frame {
     std::uint32_t Number = 0;
     std::string Header;
     std::string Sealed;
+
+    std::size_t bytes() const { return Header.size() + Sealed.size(); }
   };
 
   void read();
@@ -67,9 +97,14 @@
   void processFrames();
   void prepareBuffer(std::size_t FrameBytes);
   void writeNext();
+  void takeFrames(std::deque<Frame> &Queue, std::size_t MaxFrames);
+  WriteCondition countAccepted();
+  void onWritten(asio::error_code Error);
+  void release(const Frame &Item);
   void onConnectionLost(bool TooLarge);
 
   asio::ip::tcp::socket Socket;
+  PeerTraffic &Traffic;
   PeerStreamHooks Hooks;
   bool Closed = false;
   bool Paused = false;
@@ -79,8 +114,12 @@
   std::size_t Begin = 0;
   std::size_t End = 0;
 
-  std::deque<Frame> Queue;
-  std::vector<Frame> Writing; ///< Frames of the current write operation.
+  std::deque<Frame> Ahead;
+  std::deque<Frame> InOrder;
+  std::uint64_t TakenBytes = 0;
+  std::uint64_t AcceptedBytes = 0; ///< Taken over by the system.
+  std::size_t QueuedBytes = 0;     ///< Of all frames, Writing included.
+  std::vector<Frame> Writing;      ///< Frames of the current write operation.
 };
 
 using PeerStreamPtr = std::shared_ptr<PeerStream>;
--- a/tests/nodes/FakePeer.cpp
+++ b/tests/nodes/FakePeer.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <utility>
@@ -28,14 +29,34 @@
   return Address;
 }
 
-std::optional<std::string> readBytes(int Socket, std::size_t Count) {
+std::optional<std::string> readBytes(int Socket, std::size_t Count,
+                                     PeerPace Pace = {}) {
   std::string Bytes(Count, '\0');
-  if (recv(Socket, Bytes.data(), Count, MSG_WAITALL) !=
-      static_cast<ssize_t>(Count))
-    return std::nullopt;
+  for (std::size_t Done = 0; Done < Count;) {
+    const std::size_t Piece = std::min(Count - Done, Pace.PieceBytes);
+    if (recv(Socket, Bytes.data() + Done, Piece, MSG_WAITALL) !=
+        static_cast<ssize_t>(Piece))
+      return std::nullopt;
+    Done += Piece;
+    if (Done < Count)
+      std::this_thread::sleep_for(Pace.Pause);
+  }
   return Bytes;
 }
 
+/// Returns a socket that waits \p ReadTimeout for bytes.
+int connectTo(const std::string &Address, timeval ReadTimeout) {
+  const std::size_t Colon = Address.rfind(':');
+  const sockaddr_in Peer =
+      addressOf(Address.substr(0, Colon), std::stoi(Address.substr(Colon + 1)));
+  const int Socket = socket(AF_INET, SOCK_STREAM, 0);
+  setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &ReadTimeout,
+             sizeof(ReadTimeout));
+  (void)connect(Socket, reinterpret_cast<const sockaddr *>(&Peer),
+                sizeof(Peer));
+  return Socket;
+}
+
 void writeBytes(int Socket, const std::string &Bytes) {
   send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
 }
@@ -45,31 +66,39 @@
   std::string Sealed;
 };
 
-std::optional<Frame> readFrame(int Socket) {
+std::optional<Frame> readFrame(int Socket, PeerPace Pace = {}) {
   const auto Bytes = readBytes(Socket, PeerFrameHeaderBytes);
   if (!Bytes)
     return std::nullopt;
   const PeerFrameHeader Header = readFrameHeader(*Bytes);
-  auto Sealed = readBytes(Socket, Header.Size);
+  auto Sealed = readBytes(Socket, Header.Size, Pace);
   if (!Sealed)
     return std::nullopt;
   return Frame{Header.Number, std::move(*Sealed)};
 }
 
-void reply(int Socket, const Frame &Request, const std::string &Secret) {
+std::string replyFrame(const Frame &Request, const std::string &Secret) {
   ResultCode Reason = ResultCode::Ok;
   const auto Opened = openEnvelope(Request.Sealed, Secret, Reason);
   if (!Opened)
-    return;
+    return {};
   const std::string Sealed = sealEnvelope(
       {Opened->Kind, PeerPhase::Reply, {"fake", 1}, {}, "fake"}, Secret);
-  writeBytes(Socket, packFrameHeader({Sealed.size(), Request.Number}) + Sealed);
+  return packFrameHeader({Sealed.size(), Request.Number}) + Sealed;
+}
+
+/// Sends bytes one by one, evenly over \ref TrickleTime.
+void trickle(int Socket, const std::string &Bytes) {
+  for (const char Byte : Bytes) {
+    writeBytes(Socket, {Byte});
+    std::this_thread::sleep_for(TrickleTime / Bytes.size());
+  }
 }
 
 } // namespace
 
-FakePeer::FakePeer(std::string Secret, ReactHook React)
-    : Secret(std::move(Secret)), React(std::move(React)) {
+FakePeer::FakePeer(std::string Secret, ReactHook React, PeerPace Pace)
+    : Secret(std::move(Secret)), React(std::move(React)), Pace(Pace) {
   Listener = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in Address = addressOf(Host, 0);
   socklen_t Size = sizeof(Address);
@@ -108,10 +137,17 @@
 }
 
 void FakePeer::serve(int Socket, std::size_t Connection) {
-  while (const auto Request = readFrame(Socket)) {
+  while (const auto Request = readFrame(Socket, Pace)) {
     const FakeReaction Reaction = React(Connection, ++Requests);
+    if (Reaction == FakeReaction::Deaf)
+      return;
+    const std::string Reply = replyFrame(*Request, Secret);
     if (Reaction == FakeReaction::Reply)
-      reply(Socket, *Request, Secret);
+      writeBytes(Socket, Reply);
+    if (Reaction == FakeReaction::Trickle)
+      trickle(Socket, Reply);
+    if (Reaction == FakeReaction::Stall)
+      writeBytes(Socket, Reply.substr(0, Reply.size() / 2));
     if (Reaction != FakeReaction::Close)
       continue;
     shutdown(Socket, SHUT_RDWR);
@@ -120,20 +156,26 @@
 }
 
 void sendRaw(const std::string &Address, const std::string &Bytes) {
-  const std::size_t Colon = Address.rfind(':');
-  const sockaddr_in Peer =
-      addressOf(Address.substr(0, Colon), std::stoi(Address.substr(Colon + 1)));
-  const int Socket = socket(AF_INET, SOCK_STREAM, 0);
-  timeval Timeout{0, 200 * 1000};
-  setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &Timeout, sizeof(Timeout));
-  if (connect(Socket, reinterpret_cast<const sockaddr *>(&Peer),
-              sizeof(Peer)) == 0) {
-    writeBytes(Socket, Bytes);
-    readBytes(Socket, 64 * 1024);
-  }
+  const int Socket = connectTo(Address, {0, 200 * 1000});
+  writeBytes(Socket, Bytes);
+  readBytes(Socket, 64 * 1024);
   close(Socket);
 }
 
+RawConnection::RawConnection(const std::string &Address)
+    : Socket(connectTo(Address, {20, 0})) {}
+
+RawConnection::~RawConnection() { close(Socket); }
+
+void RawConnection::send(const std::string &Bytes) {
+  writeBytes(Socket, Bytes);
+}
+
+std::uint32_t RawConnection::readFrameNumber() {
+  const auto Received = readFrame(Socket);
+  return Received ? Received->Number : 0;
+}
+
 bool eventually(const std::function<bool()> &Condition) {
   return waitUntil(Condition, std::chrono::seconds(20),
                    std::chrono::milliseconds(5));
--- a/tests/nodes/PeerClientTest.cpp
+++ b/tests/nodes/PeerClientTest.cpp
@@ -5,6 +5,8 @@
 
 #include <atomic>
 #include <chrono>
+#include <map>
+#include <string>
 #include <thread>
 
 #include <CppUTest/TestHarness.h>
@@ -104,6 +106,102 @@
   CHECK_TRUE(eventually([&] { return Dropped == 1; }));
 }
 
+TEST(PeerClient, KeepsAConnectionOnWhichAReplyArrivesSlowly) {
+  FakePeer Peer(Secret, [](std::size_t, std::size_t Request) {
+    return Request == 1 ? FakeReaction::Trickle : FakeReaction::Reply;
+  });
+  PeerClientOptions Options;
+  Options.HeartbeatAfter = DurationMs(10);
+  Options.SilenceLimit = DurationMs(1510);
+  PeerClient Client(Link, Options);
+  ReplyRecorder Slow;
+
+  Client.send(request(Peer.address()), Slow.hook());
+
+  expect(ResultCode::Ok, Slow);
+  LONGS_EQUAL(1, Peer.connections());
+  CHECK_TRUE(eventually([&] { return Peer.requests() >= 2; }));
+}
+
+TEST(PeerClient, DropsAConnectionThatStopsInTheMiddleOfAReply) {
+  FakePeer Peer(Secret, [](std::size_t, std::size_t Request) {
+    return Request == 1 ? FakeReaction::Stall : FakeReaction::Silent;
+  });
+  PeerClient Client(Link);
+  ReplyRecorder Stalled;
+
+  Client.send(request(Peer.address()), Stalled.hook());
+
+  expect(ResultCode::PeerSilent, Stalled);
+}
+
+TEST(PeerClient, DropsAConnectionOnWhichNothingCanBeWritten) {
+  FakePeer Peer(Secret,
+                [](std::size_t, std::size_t) { return FakeReaction::Deaf; });
+  PeerClient Client(Link);
+  ReplyRecorder Small;
+  ReplyRecorder Large;
+  PeerRequest LargeRequest = request(Peer.address());
+  LargeRequest.Body = std::string(MaxPeerBodyBytes, 'b');
+  LargeRequest.Timeout = DurationMs(60 * 1000);
+  PeerRequest SmallRequest = request(Peer.address());
+  SmallRequest.Timeout = DurationMs(60 * 1000);
+
+  Client.send(SmallRequest, Small.hook());
+  for (int I = 0; I < 4; ++I)
+    Client.send(LargeRequest, Large.hook());
+
+  expect(ResultCode::PeerSilent, Small);
+  LONGS_EQUAL(4, Large.Count);
+}
+
+TEST(PeerClient, KeepsAConnectionThatReadsALargeRequestSlowly) {
+  const PeerPace Slow{MaxPeerBodyBytes / 32, TrickleTime / 32};
+  FakePeer Peer(
+      Secret, [](std::size_t, std::size_t) { return FakeReaction::Reply; },
+      Slow);
+  PeerClientOptions Options;
+  Options.HeartbeatAfter = DurationMs(10);
+  Options.SilenceLimit = DurationMs(1510);
+  PeerClient Client(Link, Options);
+  ReplyRecorder Result;
+  PeerRequest Large = request(Peer.address());
+  Large.Body = std::string(MaxPeerBodyBytes, 'b');
+
+  Client.send(Large, Result.hook());
+
+  expect(ResultCode::Ok, Result);
+  LONGS_EQUAL(1, Peer.connections());
+}
+
+TEST(PeerClient, SaysWhatADroppedConnectionHadReceived) {
+  FakePeer Peer(Secret,
+                [](std::size_t, std::size_t) { return FakeReaction::Silent; });
+  std::map<std::string, std::string> Fields;
+  std::atomic<bool> Dropped{false};
+  Link.OnEvent = [&](const Event &E) {
+    if (E.Id != EventId::PeerConnectionDropped || Dropped)
+      return;
+    for (const EventField &Field : E.Fields)
+      Fields[Field.Key] = Field.Value;
+    Dropped = true;
+  };
+  PeerClient Client(Link);
+  ReplyRecorder Silenced;
+
+  Client.send(request(Peer.address()), Silenced.hook());
+  expect(ResultCode::PeerSilent, Silenced);
+
+  CHECK_TRUE(Dropped);
+  STRCMP_EQUAL(Peer.address().c_str(), Fields["peer"].c_str());
+  STRCMP_EQUAL("2", Fields["pending"].c_str());
+  STRCMP_EQUAL("0", Fields["received_bytes"].c_str());
+  STRCMP_EQUAL("0", Fields["queued_bytes"].c_str());
+  CHECK_TRUE(std::stoi(Fields["silent_ms"]) >=
+             std::stoi(Fields["heartbeat_ms"]));
+  CHECK_TRUE(std::stoi(Fields["heartbeat_ms"]) >= 800);
+}
+
 // Requests that time out before the silence limit must not prevent the
 // detection of a silent connection.
 TEST(PeerClient, DetectsASilentConnectionDespiteShortTimeouts) {
@@ -166,6 +264,46 @@
   CHECK_TRUE(eventually([&] { return Client.connections() == 1; }));
 }
 
+TEST(PeerClient, SharesANewConnectionAmongRequestsForAFreshRoute) {
+  FakePeer Peer(Secret, [](std::size_t Connection, std::size_t) {
+    return Connection == 1 ? FakeReaction::Silent : FakeReaction::Reply;
+  });
+  PeerClientOptions Options;
+  Options.HeartbeatAfter = DurationMs(10 * 1000);
+  PeerClient Client(Link, Options);
+  ReplyRecorder Unanswered;
+  Client.send(request(Peer.address()), Unanswered.hook());
+  CHECK_TRUE(eventually([&] { return Peer.requests() == 1; }));
+
+  ReplyRecorder Answered;
+  PeerRequest Fresh = request(Peer.address());
+  Fresh.Route = PeerRoute::Fresh;
+  for (int I = 0; I < 20; ++I)
+    Client.send(Fresh, Answered.hook());
+
+  CHECK_TRUE(eventually([&] { return Answered.Count == 20; }));
+  LONGS_EQUAL(2, Peer.connections());
+  expect(ResultCode::Ok, Answered);
+}
+
+TEST(PeerClient, OpensANewConnectionForAFreshRouteOnceTheLastIsOld) {
+  FakePeer Peer(Secret,
+                [](std::size_t, std::size_t) { return FakeReaction::Reply; });
+  PeerClientOptions Options;
+  Options.HeartbeatAfter = DurationMs(0);
+  PeerClient Client(Link, Options);
+  PeerRequest Fresh = request(Peer.address());
+  Fresh.Route = PeerRoute::Fresh;
+
+  for (std::size_t Opened = 1; Opened <= 3; ++Opened) {
+    ReplyRecorder Result;
+    Client.send(Fresh, Result.hook());
+    expect(ResultCode::Ok, Result);
+    LONGS_EQUAL(Opened, Peer.connections());
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+}
+
 TEST(PeerClient, ReportsARequestToAnUnreachableNodeAsNeverSent) {
   PeerClient Client(Link);
   ReplyRecorder Result;
--- a/tests/nodes/PeerServerTest.cpp
+++ b/tests/nodes/PeerServerTest.cpp
@@ -2,10 +2,13 @@
 
 #include "nodes/FakePeer.h"
 #include "nodes/PeerClient.h"
+#include "nodes/PeerEnvelope.h"
 #include "nodes/PeerFrame.h"
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -22,6 +25,12 @@
   return 0;
 }
 
+std::string requestFrame(std::uint32_t Number, PeerKind Kind) {
+  const std::string Sealed = sealEnvelope(
+      {Kind, PeerPhase::Request, {"raw", 1}, {}, "body"}, "secret");
+  return packFrameHeader({Sealed.size(), Number}) + Sealed;
+}
+
 } // namespace
 
 TEST_GROUP(PeerServer) {
@@ -31,6 +40,12 @@
   std::atomic<int> Replies{0};
   std::atomic<int> Failures{0};
 
+  std::uint64_t heartbeatsAnswered() {
+    for (const PeerKindTraffic &Row : ServerLink.Traffic.byKind())
+      if (Row.Kind == PeerKind::Heartbeat)
+        return Row.MessagesSent;
+    return 0;
+  }
   PeerReplyHook expectBody(const std::string &Body) {
     return [this, Body](const PeerReply &Reply) {
       if (Reply.Body != Body)
@@ -137,6 +152,97 @@
   CHECK_TRUE(eventually([&] { return Handled == 40; }));
 }
 
+TEST(PeerServer, KeepsReadingAfterConnectionsWereLostWithQueuedReplies) {
+  constexpr int Requests = 32;
+  constexpr int LostConnections = 10;
+  PeerServer Server(ServerLink, Options);
+  Server.handle(PeerKind::Fetch, [](const PeerIdentity &, std::string_view,
+                                    const ReplyHook &Reply) {
+    Reply(std::string(1 << 20, 'r'));
+  });
+  Server.handle(PeerKind::Exchange,
+                [](const PeerIdentity &, std::string_view,
+                   const ReplyHook &Reply) { Reply("served"); });
+  const auto Address = Server.start();
+  std::string Frames;
+  for (std::uint32_t Number = 1; Number <= Requests; ++Number)
+    Frames += requestFrame(Number, PeerKind::Fetch);
+
+  for (int I = 0; I < LostConnections; ++I)
+    sendRaw(*Address, Frames);
+
+  CHECK_TRUE(eventually([&] { return ServerLink.Traffic.queuedBytes() == 0; }));
+  PeerClient Client(ClientLink);
+  for (int Served = 1; Served <= 3; ++Served) {
+    Client.send({*Address, PeerKind::Exchange, "", DurationMs(20000)},
+                expectBody("served"));
+    CHECK_TRUE(eventually([&] { return Replies == Served; }));
+  }
+  LONGS_EQUAL(0, Failures);
+}
+
+TEST(PeerServer, BoundsTheBytesThatWaitForASlowReader) {
+  constexpr std::size_t Requests = 1000;
+  constexpr std::size_t MaxExpectedBytes = 16 << 20;
+  std::atomic<std::size_t> MostBytes{0};
+  PeerServer Server(ServerLink, {"127.20.0.1:0"});
+  Server.handle(PeerKind::Fetch, [&](const PeerIdentity &, std::string_view,
+                                     const ReplyHook &Reply) {
+    MostBytes =
+        std::max<std::size_t>(MostBytes, ServerLink.Traffic.queuedBytes());
+    Reply(std::string(64 << 10, 'r'));
+  });
+  Server.handle(PeerKind::Exchange,
+                [](const PeerIdentity &, std::string_view,
+                   const ReplyHook &Reply) { Reply("served"); });
+  const auto Address = Server.start();
+  RawConnection SlowReader(*Address);
+  for (std::uint32_t Number = 1; Number <= Requests; ++Number)
+    SlowReader.send(requestFrame(Number, PeerKind::Fetch));
+  CHECK_TRUE(eventually([&] { return MostBytes >= MaxExpectedBytes / 4; }));
+
+  // Another node is served while the slow one does not read.
+  PeerClient Client(ClientLink);
+  for (int Served = 1; Served <= 100; ++Served) {
+    Client.send({*Address, PeerKind::Exchange, "", DurationMs(20000)},
+                expectBody("served"));
+    CHECK_TRUE(eventually([&] { return Replies == Served; }));
+  }
+  std::size_t Received = 0;
+  while (Received < Requests && SlowReader.readFrameNumber() > 0)
+    ++Received;
+
+  LONGS_EQUAL(Requests, Received);
+  LONGS_EQUAL(0, Failures);
+  CHECK_TRUE(MostBytes <= MaxExpectedBytes);
+  CHECK_TRUE(eventually([&] { return ServerLink.Traffic.queuedBytes() == 0; }));
+}
+
+TEST(PeerServer, AnswersAHeartbeatBeforeLargeRepliesThatWait) {
+  constexpr std::uint32_t Requests = 600;
+  constexpr std::uint32_t HeartbeatNumber = Requests + 1;
+  PeerServerOptions Wide{"127.20.0.1:0"};
+  Wide.MaxQueuedBytes = 1 << 30;
+  PeerServer Server(ServerLink, Wide);
+  Server.handle(PeerKind::Fetch, [](const PeerIdentity &, std::string_view,
+                                    const ReplyHook &Reply) {
+    Reply(std::string(64 << 10, 'r'));
+  });
+  const auto Address = Server.start();
+  RawConnection SlowReader(*Address);
+  for (std::uint32_t Number = 1; Number <= Requests; ++Number)
+    SlowReader.send(requestFrame(Number, PeerKind::Fetch));
+  SlowReader.send(requestFrame(HeartbeatNumber, PeerKind::Heartbeat));
+  CHECK_TRUE(eventually([&] { return heartbeatsAnswered() == 1; }));
+
+  std::uint32_t LargeReplies = 0;
+  while (LargeReplies < Requests &&
+         SlowReader.readFrameNumber() != HeartbeatNumber)
+    ++LargeReplies;
+
+  CHECK_TRUE(LargeReplies < Requests / 2);
+}
+
 TEST(PeerServer, ReportsAnAddressInUse) {
   PeerServer First(ServerLink, Options);
   const auto Address = First.start();
