--- a/tests/integration/MeshTest.cpp
+++ b/tests/integration/MeshTest.cpp
@@ -84,9 +84,8 @@
   Mesh &TestMesh = sharedMesh();
   const auto &Entry = TestMesh.Instances[2];
   OpenConnection Open(TestMesh.address(Entry, Mesh::Callers));
-  const auto StatusOnNew = [&] {
-    return TestMesh
-        .request(Entry, "GET", "/queue", keyHeaders("key-second", "new"))
+  const auto StatusOnNew = [&](const std::string &Key) {
+    return TestMesh.request(Entry, "GET", "/queue", keyHeaders(Key, "new"))
         .status();
   };
   const auto StatusesOnOpen = [&](const std::vector<std::string> &Keys) {
@@ -103,7 +102,7 @@
   const auto Runs = [&] { return TestMesh.runs()["open-key-second"]; };
   CHECK((std::vector<int>{200, 200}) ==
         StatusesOnOpen({"key-second", "key-second"}));
-  LONGS_EQUAL(200, StatusOnNew());
+  LONGS_EQUAL(200, StatusOnNew("key-second"));
 
   TestMesh.writeIntent("90-withdrawn.ini",
                        "[key key-second]\nstatus = withdrawn\n");
@@ -112,7 +111,8 @@
     return StatusesOnOpen({"key-second"}) == std::vector<int>{401};
   });
   const int RunsBefore = Runs();
-  LONGS_EQUAL(401, StatusOnNew());
+  LONGS_EQUAL(401, StatusOnNew("key-second"));
+  LONGS_EQUAL(200, StatusOnNew("key-first"));
   CHECK((std::vector<int>{200, 401, 401, 200}) ==
         StatusesOnOpen({"key-first", "key-second", "key-second", "key-first"}));
   LONGS_EQUAL(RunsBefore, Runs());
