Expect the size of successful answers only, and forget small ones when full

The failures of a target are short: after a dozen of them its large answers were expected small, and their runs started without room. After 256 routes none was added, although versions bring new ones. Both found by reading; tests for both.

--- a/src/calls/CallContext.h
+++ b/src/calls/CallContext.h
@@ -20,6 +20,9 @@
 
 namespace fescuewood {
 
+/// Time after a call's deadline during which its final reply is still accepted.
+inline constexpr DurationMs AnswerGrace{100};
+
 /// Receives the reply to a CallStart message; called at most once.
 using CallReplyHook = std::function<void(const CallReply &)>;
 
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -30,9 +30,6 @@
 
 namespace fescuewood {
 
-/// Time after a call's deadline during which its final reply is still accepted.
-inline constexpr DurationMs AnswerGrace{100};
-
 /// Minimum `Retry-After` delay of a refused call.
 inline constexpr DurationMs MinRetryAfter{100};
 
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -4,7 +4,6 @@
 #include "calls/TargetSide.h"
 
 #include "callers/HeaderFields.h"
-#include "calls/EntrySide.h"
 #include "calls/Refusals.h"
 
 #include <algorithm>
@@ -198,7 +197,7 @@
   std::string Encoded = encodeAnswer(Answer);
   Memory.release(std::exchange(Call.AnswerBytes, 0));
   if (Answer.Reason == ResultCode::Ok)
-    Memory.onAnswer(Call.Request.Route, Encoded.size());
+    Memory.onAnswer(Call.Request.Route, Answer.Status, Encoded.size());
   const std::size_t Dropped =
       Ledger.finish(Id, std::move(Encoded), answerExpiry(Call), Context.now());
   if (Dropped > 0)
--- a/src/policy/AnswerMemory.cpp
+++ b/src/policy/AnswerMemory.cpp
@@ -9,6 +9,8 @@
 /// Weight of a new answer in the mean of its route.
 constexpr double NewestWeight = 0.125;
 
+constexpr int FirstFailureStatus = 400;
+
 } // namespace
 
 std::size_t answerMemoryLimit(std::size_t MaxBytes, double Share,
@@ -31,13 +33,26 @@
   return Expected;
 }
 
-void AnswerMemory::onAnswer(std::string_view Route, std::size_t Bytes) {
+void AnswerMemory::onAnswer(std::string_view Route, int Status,
+                            std::size_t Bytes) {
+  if (Status >= FirstFailureStatus)
+    return;
   const auto Size = static_cast<double>(Bytes);
   const auto Found = MeanBytes.find(Route);
-  if (Found != MeanBytes.end())
+  if (Found != MeanBytes.end()) {
     Found->second += NewestWeight * (Size - Found->second);
-  else if (MeanBytes.size() < MaxSizedRoutes)
-    MeanBytes.emplace(Route, Size);
+    return;
+  }
+  if (MeanBytes.size() >= MaxSizedRoutes)
+    forgetSmallest();
+  MeanBytes.emplace(Route, Size);
+}
+
+void AnswerMemory::forgetSmallest() {
+  MeanBytes.erase(std::min_element(MeanBytes.begin(), MeanBytes.end(),
+                                   [](const auto &Left, const auto &Right) {
+                                     return Left.second < Right.second;
+                                   }));
 }
 
 std::size_t AnswerMemory::expectedBytes(std::string_view Route) const {
--- a/src/policy/AnswerMemory.h
+++ b/src/policy/AnswerMemory.h
@@ -21,7 +21,8 @@
 /// of small answers, so their runs always start.
 inline constexpr std::size_t LargeAnswerBytes = 64 * 1024;
 
-/// Maximum number of routes whose answer size is known.
+/// Maximum number of routes whose answer size is known; beyond it the route
+/// with the smallest answers is forgotten.
 inline constexpr std::size_t MaxSizedRoutes = 256;
 
 /// The limit for all answers of a node: \p Share of the machine's memory, and
@@ -50,8 +51,8 @@
 
   void release(std::size_t Bytes) { Reserved -= Bytes; }
 
-  /// Takes the size of an answer into account.
-  void onAnswer(std::string_view Route, std::size_t Bytes);
+  /// Takes the size of an answer into account, unless it is a failure.
+  void onAnswer(std::string_view Route, int Status, std::size_t Bytes);
 
   /// Smoothed size of the answers on a route; 0 before the first one.
   std::size_t expectedBytes(std::string_view Route) const;
@@ -60,6 +61,8 @@
   std::size_t limit() const { return Limit; }
 
 private:
+  void forgetSmallest();
+
   std::size_t Limit;
   std::size_t Reserved = 0;
   std::map<std::string, double, std::less<>> MeanBytes; ///< By route.
--- a/tests/policy/AnswerMemoryTest.cpp
+++ b/tests/policy/AnswerMemoryTest.cpp
@@ -2,6 +2,7 @@
 
 #include "policy/AnswerMemory.h"
 
+#include <string>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -26,7 +27,7 @@
 
 TEST(AnswerMemory, LargeAnswerThatDoesNotFitIsRefused) {
   AnswerMemory Memory(Megabyte);
-  Memory.onAnswer("download", 400'000);
+  Memory.onAnswer("download", 200, 400'000);
 
   const std::size_t First = Memory.reserve("download");
   CHECK_TRUE(Memory.fits("download", 0));
@@ -40,8 +41,8 @@
 
 TEST(AnswerMemory, SmallAnswersAndASingleLargeOneAlwaysFit) {
   AnswerMemory Memory(Megabyte);
-  Memory.onAnswer("read", 1'000);
-  Memory.onAnswer("archive", 3 * Megabyte);
+  Memory.onAnswer("read", 200, 1'000);
+  Memory.onAnswer("archive", 200, 3 * Megabyte);
 
   CHECK_TRUE(Memory.fits("read", 2 * Megabyte));
   CHECK_TRUE(Memory.fits("unknown", 2 * Megabyte));
@@ -49,13 +50,35 @@
   CHECK_FALSE(Memory.fits("archive", 1));
 }
 
+TEST(AnswerMemory, FailuresDoNotLowerTheExpectedSize) {
+  AnswerMemory Memory(Megabyte);
+  Memory.onAnswer("download", 200, 400'000);
+
+  for (int I = 0; I < 100; ++I)
+    Memory.onAnswer("download", 500, 200);
+
+  LONGS_EQUAL(400'000, Memory.expectedBytes("download"));
+}
+
+TEST(AnswerMemory, ForgetsTheRouteWithTheSmallestAnswersWhenFull) {
+  AnswerMemory Memory(Megabyte);
+  for (std::size_t I = 0; I < MaxSizedRoutes; ++I)
+    Memory.onAnswer("route" + std::to_string(I), 200, 1000 + I);
+
+  Memory.onAnswer("download", 200, 400'000);
+
+  LONGS_EQUAL(400'000, Memory.expectedBytes("download"));
+  LONGS_EQUAL(0, Memory.expectedBytes("route0"));
+  LONGS_EQUAL(1001, Memory.expectedBytes("route1"));
+}
+
 TEST(AnswerMemory, ExpectedSizeFollowsTheAnswersOfARoute) {
   AnswerMemory Memory(Megabyte);
 
   for (int I = 0; I < 100; ++I)
-    Memory.onAnswer("download", 100'000);
+    Memory.onAnswer("download", 200, 100'000);
   for (int I = 0; I < 100; ++I)
-    Memory.onAnswer("download", 200'000);
+    Memory.onAnswer("download", 200, 200'000);
 
   CHECK_TRUE(Memory.expectedBytes("download") > 199'000);
   CHECK_TRUE(Memory.expectedBytes("download") <= 200'000);
@@ -67,7 +90,7 @@
     AnswerMemory Memory(10 * LargeAnswerBytes);
     const auto Size =
         *rc::gen::inRange<std::size_t>(LargeAnswerBytes, 3 * LargeAnswerBytes);
-    Memory.onAnswer("download", Size);
+    Memory.onAnswer("download", 200, Size);
     std::vector<std::size_t> Running;
     std::size_t Held = 0;
     for (const int Operation :
@@ -77,7 +100,7 @@
       } else if (Operation == 2 && !Running.empty()) {
         Memory.release(Running.back());
         Running.pop_back();
-        Memory.onAnswer("download", Size);
+        Memory.onAnswer("download", 200, Size);
         Held += Size;
       } else if (Operation == 3 && Held > 0) {
         Held -= Size;
