--- a/src/sources/HttpReader.cpp
+++ b/src/sources/HttpReader.cpp
@@ -55,9 +55,10 @@
 /// transfer; \ref checkProgress can.
 int countReceived(CURL *, curl_infotype Type, char *, std::size_t Size,
                   void *Destination) {
+  if (Type != CURLINFO_HEADER_IN && Type != CURLINFO_DATA_IN)
+    return 0;
   Body &Received = *static_cast<Body *>(Destination);
-  if (Type == CURLINFO_HEADER_IN || Type == CURLINFO_DATA_IN)
-    Received.ReceivedBytes += Size;
+  Received.ReceivedBytes += Size;
   Received.TooLarge =
       Received.TooLarge || Received.ReceivedBytes > MaxReceivedBytes;
   return 0;
