Watch a store a little more often than the time to apply a change allows

With 0.4 of config_apply_s a lost answer on a quiet store brings the age of the proof to 4.3 s (1.0 s period, 2.0 s until the call is given up, 0.1 s pause, 1.2 s wait), above the 4.25 s after which keys are refused. With 0.3 it is 4.05 s.

--- a/src/sources/StoreLoop.cpp
+++ b/src/sources/StoreLoop.cpp
@@ -11,8 +11,9 @@
 namespace {
 
 /// Share of the time within which a change must be in force that may pass
-/// before it is read; the rest is for a slow answer and for applying it.
-constexpr double WatchPeriodShare = 0.4;
+/// before it is read; the rest is for a slow or lost answer and for applying
+/// it.
+constexpr double WatchPeriodShare = 0.3;
 
 /// Bounds of the exponential backoff after failed calls. The upper bound lets a
 /// recovered store be found within the time that the withdrawal of a key may
