--- a/src/nodes/FieldCodec.h
+++ b/src/nodes/FieldCodec.h
@@ -8,6 +8,7 @@
 #define FESCUEWOOD_NODES_FIELDCODEC_H
 
 #include "calls/Call.h"
+#include "nodes/StringOutput.h"
 
 #include <msgpack.hpp>
 
@@ -27,14 +28,6 @@
 /// refused when read.
 inline constexpr DurationMs MaxFieldSpan{24LL * 60 * 60 * 1000};
 
-/// Output of the msgpack packer that is a string from the start, so that a
-/// large message is not copied into one.
-struct StringOutput {
-  std::string Bytes;
-
-  void write(const char *Data, std::size_t Size) { Bytes.append(Data, Size); }
-};
-
 /// Writes fields in order. Only the reader checks bounds.
 class FieldWriter {
 public:
--- a/src/nodes/PeerEnvelope.cpp
+++ b/src/nodes/PeerEnvelope.cpp
@@ -1,10 +1,12 @@
 #include "nodes/PeerEnvelope.h"
 
 #include "core/Digest.h"
+#include "nodes/StringOutput.h"
 
 #include <msgpack.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace fescuewood {
 
@@ -14,13 +16,6 @@
 constexpr std::size_t FieldCount = 6;
 constexpr std::size_t MaxDepth = 1;
 
-/// Output stream for msgpack that appends to a string.
-struct StringSink {
-  std::string &Buffer;
-
-  void write(const char *Data, std::size_t Size) { Buffer.append(Data, Size); }
-};
-
 Digest truncatedSeal(std::string_view Sealed, std::string_view Secret) {
   Digest Full = Digest::hmacSha256(Secret, Sealed);
   std::fill(Full.Bytes.begin() + PeerSealBytes, Full.Bytes.end(), 0);
@@ -96,11 +91,11 @@
 } // namespace
 
 std::string sealEnvelope(const PeerEnvelope &Message, std::string_view Secret) {
-  std::string Bytes;
+  StringOutput Output;
+  std::string &Bytes = Output.Bytes;
   Bytes.reserve(Message.Body.size() + MaxPeerMessageBytes - MaxPeerBodyBytes);
   Bytes.push_back(static_cast<char>(PeerWireVersion));
-  StringSink Sink{Bytes};
-  msgpack::packer<StringSink> Packer(Sink);
+  msgpack::packer<StringOutput> Packer(Output);
   Packer.pack(static_cast<std::uint8_t>(Message.Kind));
   Packer.pack(static_cast<std::uint8_t>(Message.Phase));
   Packer.pack(Message.Sender.Name);
@@ -112,7 +107,7 @@
   const Digest Seal = truncatedSeal(Bytes, Secret);
   Bytes.append(reinterpret_cast<const char *>(Seal.Bytes.data()),
                PeerSealBytes);
-  return Bytes;
+  return std::move(Bytes);
 }
 
 std::optional<PeerEnvelope> openEnvelope(std::string_view Bytes,
