--- a/tests/policy/LoanFleetTest.cpp
+++ b/tests/policy/LoanFleetTest.cpp
@@ -78,6 +78,12 @@
   return Fleet.largestUse();
 }
 
+void startWithOrganisations(LoanFleet &Fleet, std::size_t Count) {
+  addOrganisations(Fleet, Count);
+  Fleet.startAll();
+  Fleet.run(DurationMs(10'000));
+}
+
 } // namespace
 
 TEST_GROUP(LoanFleet){};
@@ -89,9 +95,7 @@
 
 TEST(LoanFleet, AsksOtherDomainsWhenAllRequestsEnterAtOne) {
   LoanFleet Fleet(64, 5, Bound, 1);
-  addOrganisations(Fleet, 74);
-  Fleet.startAll();
-  Fleet.run(DurationMs(10'000));
+  startWithOrganisations(Fleet, 74);
   Fleet.enterOnlyAt(0);
   Fleet.ask(DurationMs(20'000));
   Fleet.run(DurationMs(21'000));
@@ -101,9 +105,7 @@
 
 TEST(LoanFleet, ServesOnWhenAFifthOfTheNodesDies) {
   LoanFleet Fleet(64, 5, Bound, 1);
-  addOrganisations(Fleet, 74);
-  Fleet.startAll();
-  Fleet.run(DurationMs(10'000));
+  startWithOrganisations(Fleet, 74);
   for (std::size_t I = 0; I < Fleet.size(); I += 5)
     Fleet.stop(I);
   Fleet.ask(DurationMs(20'000));
@@ -114,9 +116,7 @@
 
 TEST(LoanFleet, AsksFewLendersWhenAllAreEmpty) {
   LoanFleet Fleet(64, 5, Bound, 1);
-  addOrganisations(Fleet, 74);
-  Fleet.startAll();
-  Fleet.run(DurationMs(10'000));
+  startWithOrganisations(Fleet, 74);
   Fleet.ask(DurationMs(20'000), 3 * RateRatio);
   Fleet.run(DurationMs(21'000));
 
