--- a/src/sources/HttpReader.cpp
+++ b/src/sources/HttpReader.cpp
@@ -88,6 +88,7 @@
       return {std::nullopt, ResultCode::Stopped, ""};
     Body Received;
     prepare("http://" + Server.text() + Path, Wait, Received);
+    const TimeMs SentAt = Time.now();
     const CURLcode Result = perform();
     if (Cancelled)
       return {std::nullopt, ResultCode::Stopped, ""};
@@ -96,7 +97,8 @@
               fmt::format("more than {} bytes", MaxAnswerBytes)};
     if (Result != CURLE_OK)
       return {std::nullopt, ResultCode::PlatformUnreachable,
-              curl_easy_strerror(Result)};
+              fmt::format("{}; {} bytes in {} ms", curl_easy_strerror(Result),
+                          Received.ReceivedBytes, (Time.now() - SentAt).Value)};
     return resultForStatus(std::move(Received.Bytes));
   }
 
@@ -167,6 +169,7 @@
 
   Endpoint Server;
   DurationMs Timeout;
+  const Clock Time = Clock::monotonic();
   std::unique_ptr<CURLM, CurlMultiDeleter> Transfers;
   std::unique_ptr<CURL, CurlDeleter> Handle; ///< Destroyed before Transfers.
   std::atomic<bool> Cancelled = false;
--- a/src/sources/StoreLoop.cpp
+++ b/src/sources/StoreLoop.cpp
@@ -122,6 +122,7 @@
   }
   if (!Read.Value)
     return onFailure(Read.Reason, Read.Detail);
+  reportConfigurations(*Read.Value, SentAt);
   for (StoreChange &Change : Read.Value->Changes)
     apply(std::move(Change));
   Revision = std::max(Revision, Read.Value->Revision);
@@ -131,6 +132,28 @@
   NextCall = SentAt + Timing.Period;
 }
 
+/// Reports how long the watch took that returned a new configuration, and how
+/// many it returned of which only the last is used.
+void StoreLoop::reportConfigurations(const StoreChanges &Read, TimeMs SentAt) {
+  std::size_t Configurations = 0;
+  std::size_t Bytes = 0;
+  std::uint64_t Last = 0;
+  for (const StoreChange &Change : Read.Changes) {
+    Bytes += Change.Value.size();
+    if (Change.Subject != StoreSubject::Configuration)
+      continue;
+    ++Configurations;
+    Last = Change.Revision;
+  }
+  if (Configurations == 0)
+    return;
+  emit(EventId::PlatformVersionRead,
+       {{"version", std::to_string(Last)},
+        {"configurations", std::to_string(Configurations)},
+        {"bytes", std::to_string(Bytes)},
+        {"took_ms", std::to_string((Time.now() - SentAt).Value)}});
+}
+
 void StoreLoop::apply(StoreChange Change) {
   switch (Change.Subject) {
   case StoreSubject::Configuration:
--- a/src/sources/StoreLoop.h
+++ b/src/sources/StoreLoop.h
@@ -88,6 +88,7 @@
   void readPage(StoreSubject Subject);
   void onRangeRead(TimeMs SentAt);
   void watch();
+  void reportConfigurations(const StoreChanges &Read, TimeMs SentAt);
   void apply(StoreChange Change);
   void applyTarget(const StoreChange &Change);
   void publish();
--- a/tests/sources/StoreLoopTest.cpp
+++ b/tests/sources/StoreLoopTest.cpp
@@ -80,6 +80,7 @@
   std::optional<ListedInstance> LocalTarget;
   std::vector<std::pair<TimeMs, std::uint64_t>> Proofs;
   std::vector<bool> States;
+  std::vector<Event> Events;
   std::unique_ptr<StoreLoop> Loop;
 
   void setup() override {
@@ -97,6 +98,9 @@
     Hooks.OnSourceState = [this](bool Reachable) {
       States.push_back(Reachable);
     };
+    Hooks.OnEvent = [this](const Event &Occurred) {
+      Events.push_back(Occurred);
+    };
     Loop = std::make_unique<StoreLoop>(
         Store.calls(), OwnTarget{"10.0.0.1:80", "queue"},
         WatchTiming{WatchWait, WatchPeriod}, std::move(Hooks),
@@ -139,6 +143,25 @@
   LONGS_EQUAL(12, Bundles.back().Revision);
 }
 
+TEST(StoreLoop, ReportsHowManyConfigurationsOneAnswerHeld) {
+  step(3);
+  Events.clear();
+  Store.Watches.push_back(
+      {StoreChanges{
+           {change(StoreSubject::Configuration, "config", "second", 12),
+            change(StoreSubject::Configuration, "config", "third", 13)},
+           13},
+       ResultCode::Ok, ""});
+
+  step();
+
+  LONGS_EQUAL(1, Events.size());
+  CHECK(EventId::PlatformVersionRead == Events[0].Id);
+  STRCMP_EQUAL("13", Events[0].Fields[0].Value.c_str());
+  STRCMP_EQUAL("2", Events[0].Fields[1].Value.c_str());
+  STRCMP_EQUAL("third", configuration().c_str());
+}
+
 TEST(StoreLoop, AppliesTheWithdrawalAndReturnOfADomain) {
   step(2);
   queueChange(change(StoreSubject::DomainOut, "east", "{}", 12));
