Start the split of a route at another point on each node

What callers saw: of the requests of a split route one part got far more or less than its weight over some hundred requests, on fleets of many nodes, for a while after each change of the configuration (CONFIG).

Cause: the sequence of a route starts at a point made from the process number, and that number is the wall clock in ms above 20 random bits. Nodes that start within a second differ in bits that move the point by less than 2^-33, so all of them picked the same service for their n-th request, and again from the first one with each version. 12 nodes that share 200 requests are past the first picks; 85 are not.

SplitTable.NodesThatStartTogetherDoNotPickInStep failed before.

Fix: the start is a hash of the whole: process number, revision and route.

--- a/src/policy/SplitTable.cpp
+++ b/src/policy/SplitTable.cpp
@@ -4,6 +4,8 @@
 
 #include <numeric>
 
+#include <fmt/format.h>
+
 namespace fescuewood {
 
 namespace {
@@ -18,13 +20,20 @@
   return static_cast<double>(Point >> (64 - MantissaBits)) * Scale;
 }
 
+/// Where the sequence of a route starts. Hashed as a whole: seeds of nodes that
+/// start together differ in their low bits only.
+std::uint64_t startOf(const Route &Split, std::uint64_t Revision,
+                      std::uint64_t Seed) {
+  return stableHash(fmt::format("{}/{}/{}", Seed, Revision, Split.Name));
+}
+
 } // namespace
 
 SplitTable::SplitTable(const Snapshot &Config, std::uint64_t Seed) {
   for (const Route &Each : Config.Routes)
     if (!Each.Split.empty())
-      Counters.emplace(Each.Name,
-                       std::make_unique<Counter>(Seed ^ stableHash(Each.Name)));
+      Counters.emplace(Each.Name, std::make_unique<Counter>(
+                                      startOf(Each, Config.Id.Revision, Seed)));
 }
 
 const std::string &SplitTable::pick(const Route &Matched) const {
--- a/src/policy/SplitTable.h
+++ b/src/policy/SplitTable.h
@@ -3,7 +3,9 @@
 ///
 /// The n-th request of a route uses the n-th element of a low-discrepancy
 /// sequence in [0, 1) (multiples of the golden ratio), so that the shares are
-/// accurate even over few requests. Each node starts at a different point.
+/// accurate even over few requests. Each node starts at a different point for
+/// each version, so that the shares of a fleet are accurate even when each of
+/// its nodes gets only a few requests.
 
 #ifndef FESCUEWOOD_POLICY_SPLITTABLE_H
 #define FESCUEWOOD_POLICY_SPLITTABLE_H
--- a/tests/policy/SplitTableTest.cpp
+++ b/tests/policy/SplitTableTest.cpp
@@ -1,6 +1,11 @@
 #include "policy/SplitTable.h"
 
+#include <cmath>
+#include <cstdint>
 #include <map>
+#include <random>
+#include <string>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -8,6 +13,18 @@
 
 namespace {
 
+/// Process numbers of nodes that start within 0.3 s: the wall clock in ms above
+/// 20 random bits.
+std::vector<std::uint64_t> numbersOfTogetherStarted(std::size_t Nodes) {
+  constexpr std::uint64_t FirstMs = 1'796'428'800'000;
+  std::mt19937_64 Random(1);
+  std::vector<std::uint64_t> Numbers;
+  for (std::size_t Node = 0; Node < Nodes; ++Node)
+    Numbers.push_back(((FirstMs + Random() % 300) << 20U) |
+                      (Random() % (1U << 20U)));
+  return Numbers;
+}
+
 Snapshot config() {
   Snapshot Config;
   Route Split;
@@ -38,6 +55,21 @@
   LONGS_EQUAL(0, Counts["never"]);
 }
 
+TEST(SplitTable, NodesThatStartTogetherDoNotPickInStep) {
+  constexpr std::size_t Nodes = 85;
+  constexpr double MaxDeviation = 0.1;
+  for (int Name = 0; Name < 50; ++Name) {
+    Config.Routes[0].Name = "split-" + std::to_string(Name);
+    double Picked = 0;
+    for (const std::uint64_t Number : numbersOfTogetherStarted(Nodes)) {
+      const SplitTable Own(Config, Number);
+      for (int Request = 0; Request < 2; ++Request)
+        Picked += Own.pick(Config.Routes[0]) == "b" ? 1 : 0;
+    }
+    CHECK(std::abs(Picked / (2 * Nodes) - 0.1) <= MaxDeviation);
+  }
+}
+
 TEST(SplitTable, PicksTheSingleServiceOfAnUnsplitRoute) {
   STRCMP_EQUAL("c", Table.pick(Config.Routes[1]).c_str());
 }
