Take a version of the store at once after a pause of the process

What callers saw: for up to 3 s after a machine was frozen it answered by the configuration from before the freeze, although it had read the newer one (CONFIG: a machine counts as in touch 3 s after it wakes).

Cause: after a pause a node waits for two peers before it believes its source, since a source may be old. The store's answers never are; at the start the wait was skipped for it, after a pause it was not. A node whose peers do not answer, for instance because its connections were lost during the freeze, waited the whole 3 s.

Evidence: ControlCore.PausedNodeThatReadsTheSourceDoesNotWaitForPeers failed before. Fix: a node that reads the store itself waits for no peer, at the start or later.

--- a/src/nodes/ControlCore.cpp
+++ b/src/nodes/ControlCore.cpp
@@ -19,14 +19,18 @@
 /// be cut off.
 constexpr DurationMs VacancyContactLimit{5 * 1000};
 
-/// Skips the start wait of a node that has no seeds other than itself, or that
-/// reads the source itself.
-ControlSettings skipStartWaitWithoutPeers(ControlSettings Settings) {
+/// Skips the wait for peers where it proves nothing: at the start of a node
+/// that has no seeds other than itself, and always at a node that reads the
+/// source itself, since the answers of such a source are never old.
+ControlSettings skipNeedlessWaits(ControlSettings Settings) {
   const auto Own = std::count(Settings.Seeds.begin(), Settings.Seeds.end(),
                               Settings.Self.PeerAddress);
-  if (Settings.Seeds.size() == static_cast<std::size_t>(Own) ||
-      Settings.EveryNodeReads)
+  if (Settings.Seeds.size() == static_cast<std::size_t>(Own))
     Settings.Versions.StartAnswers = 0;
+  if (Settings.EveryNodeReads) {
+    Settings.Versions.StartAnswers = 0;
+    Settings.Versions.CatchUpAnswers = 0;
+  }
   return Settings;
 }
 
@@ -46,8 +50,8 @@
 
 ControlCore::ControlCore(ControlSettings Settings, std::uint64_t Incarnation,
                          ControlHooks Hooks, Clock Time, RandomHook Random)
-    : Settings(skipStartWaitWithoutPeers(std::move(Settings))),
-      Hooks(std::move(Hooks)), Time(std::move(Time)),
+    : Settings(skipNeedlessWaits(std::move(Settings))), Hooks(std::move(Hooks)),
+      Time(std::move(Time)),
       Versions(this->Settings, this->Hooks, this->Time, Counts,
                [this](const SnapshotPtr &InForce) { onApplied(InForce); }),
       Members(this->Settings, Incarnation, this->Hooks, memberSyncHooks(),
--- a/tests/nodes/ControlCoreTest.cpp
+++ b/tests/nodes/ControlCoreTest.cpp
@@ -367,3 +367,21 @@
 
   CHECK(Oldest <= 4250);
 }
+
+TEST(ControlCore, PausedNodeThatReadsTheSourceDoesNotWaitForPeers) {
+  FakeFleet Fleet(2, 1, 5, [](ControlSettings &Settings) {
+    Settings.EveryNodeReads = true;
+  });
+  for (std::size_t I = 0; I < Fleet.Nodes.size(); ++I)
+    Fleet.start(I);
+  Fleet.runUntilInForce(Fleet.publish("first"), 20'000);
+  Fleet.cut(0, true);
+  Fleet.pause(0);
+  Fleet.run(6000);
+  const Version Missed = Fleet.publish("second");
+
+  Fleet.resume(0);
+  Fleet.run(1500);
+
+  CHECK_TRUE(Fleet.Nodes[0]->Core->inForce() == Missed);
+}
