Never drop a version, a list of instances or a leave between two threads

The reader announces a change once. If the ring of the control thread was full at that moment the change was dropped without a log line, and the node kept the older version until the next change or until a peer's gossip told of it (CONFIG).

The queue for steps that must not be dropped, which the call engine had, is now part of TaskThread and used by both: such a task runs before the next tick even if the ring is full. The state of the own target and the leave go the same way. ControlDutyQueue.VersionOfferedToAFullQueueComesIntoForce guards it; it was not run on the code before.

--- a/src/calls/CallEngine.cpp
+++ b/src/calls/CallEngine.cpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <mutex>
 #include <utility>
+#include <vector>
 
 namespace fescuewood {
 
@@ -34,31 +35,6 @@
 
 } // namespace
 
-/// Queue without a fixed capacity for steps that must not be dropped, such as
-/// the completions of outstanding requests. The number of those requests bounds
-/// its size, so unlike the ring it never refuses a step.
-class StepQueue {
-public:
-  void push(std::function<void()> Step) {
-    const std::lock_guard<std::mutex> Lock(Mutex);
-    Steps.push_back(std::move(Step));
-  }
-
-  void runAll() {
-    std::vector<std::function<void()>> Batch;
-    {
-      const std::lock_guard<std::mutex> Lock(Mutex);
-      Batch.swap(Steps);
-    }
-    for (const std::function<void()> &Step : Batch)
-      Step();
-  }
-
-private:
-  std::mutex Mutex;
-  std::vector<std::function<void()>> Steps;
-};
-
 class CallEngine::Impl {
 public:
   Impl(CallIdentity Identity, const CallSettings &Settings, CallHooks Hooks)
@@ -158,8 +134,7 @@
   /// Runs a step on the worker thread; is never refused.
   void postReliably(std::function<void()> Step) {
     Idle.store(false);
-    PendingSteps.push(std::move(Step));
-    Worker.post([this] { PendingSteps.runAll(); });
+    Worker.postReliably(std::move(Step));
   }
 
   /// Wraps \p Hooks so that their results are handled on the worker thread.
@@ -199,7 +174,6 @@
   }
 
   void tick() {
-    PendingSteps.runAll();
     Core.tick();
     Idle.store(Core.idle());
     const TimeMs Now = Time.now();
@@ -252,7 +226,6 @@
   CallSettings Settings;
   Clock Time;
   MemoryReport Memory;
-  StepQueue PendingSteps;
   CallCore Core;
   std::atomic<CallHandle> NextHandle{1};
   std::atomic<bool> Stopped{false};
--- a/src/core/TaskThread.cpp
+++ b/src/core/TaskThread.cpp
@@ -21,6 +21,24 @@
 
 bool TaskThread::post(Task Work) { return Tasks.push(std::move(Work)); }
 
+void TaskThread::postReliably(Task Work) {
+  {
+    const std::lock_guard<std::mutex> Lock(ReliableMutex);
+    ReliableTasks.push_back(std::move(Work));
+  }
+  Tasks.push([this] { runReliableTasks(); });
+}
+
+void TaskThread::runReliableTasks() {
+  std::vector<Task> Batch;
+  {
+    const std::lock_guard<std::mutex> Lock(ReliableMutex);
+    Batch.swap(ReliableTasks);
+  }
+  for (const Task &Work : Batch)
+    Work();
+}
+
 void TaskThread::stop() {
   Tasks.close();
   if (Thread.joinable())
@@ -39,6 +57,7 @@
       return;
     if (Monotonic.now() < NextTick)
       continue;
+    runReliableTasks();
     if (OnTick)
       OnTick();
     NextTick = Monotonic.now() + TickPeriod;
--- a/src/core/TaskThread.h
+++ b/src/core/TaskThread.h
@@ -2,7 +2,8 @@
 /// Thread that runs posted tasks in order, and a periodic tick.
 ///
 /// State that only the tasks and the tick of one thread access needs no lock.
-/// Other threads post tasks to it with \ref TaskThread::post.
+/// Other threads post tasks to it with \ref TaskThread::post, which a full
+/// queue refuses, or with \ref TaskThread::postReliably.
 
 #ifndef FESCUEWOOD_CORE_TASKTHREAD_H
 #define FESCUEWOOD_CORE_TASKTHREAD_H
@@ -12,8 +13,10 @@
 
 #include <cstddef>
 #include <functional>
+#include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace fescuewood {
 
@@ -37,6 +40,16 @@
   /// stopped.
   bool post(Task Work);
 
+  /// Queues a task that must not be dropped, such as the completion of an
+  /// outstanding request or a change that is announced once. It runs before the
+  /// next tick even if the queue is full, in order with other such tasks. The
+  /// number of what they stand for must bound their number.
+  void postReliably(Task Work);
+
+  /// Runs the tasks of \ref postReliably now. Call on this thread, or once it
+  /// is joined.
+  void runReliableTasks();
+
   /// Rejects new tasks, runs the queued ones and joins the thread. Does nothing
   /// when already stopped. Must not be called on this thread itself.
   void stop();
@@ -49,6 +62,8 @@
 
   std::string Name;
   BoundedQueue<Task> Tasks;
+  std::mutex ReliableMutex;
+  std::vector<Task> ReliableTasks;
   std::thread Thread;
 };
 
--- a/src/nodes/ControlDuty.cpp
+++ b/src/nodes/ControlDuty.cpp
@@ -127,13 +127,13 @@
 }
 
 void ControlDuty::offerBundle(IntentBundle Bundle) {
-  Impl->Work.post([this, Bundle = std::move(Bundle)]() mutable {
+  Impl->Work.postReliably([this, Bundle = std::move(Bundle)]() mutable {
     Impl->Core.offerBundle(std::move(Bundle));
   });
 }
 
 void ControlDuty::offerInstances(InstanceList List) {
-  Impl->Work.post(
+  Impl->Work.postReliably(
       [this, List = std::move(List)] { Impl->Core.offerInstances(List); });
 }
 
@@ -147,11 +147,11 @@
 TimeMs ControlDuty::provenAt() const { return TimeMs(Impl->ProvenAt); }
 
 void ControlDuty::setOwnState(TargetState State) {
-  Impl->Work.post([this, State] { Impl->Core.setOwnState(State); });
+  Impl->Work.postReliably([this, State] { Impl->Core.setOwnState(State); });
 }
 
 void ControlDuty::leave() {
-  Impl->Work.post([this] { Impl->Core.leave(); });
+  Impl->Work.postReliably([this] { Impl->Core.leave(); });
 }
 
 bool ControlDuty::viewCurrent() const {
--- a/tests/core/TaskThreadTest.cpp
+++ b/tests/core/TaskThreadTest.cpp
@@ -45,3 +45,16 @@
 
   CHECK(Ticks >= 1);
 }
+
+TEST(TaskThread, FullQueueDropsNoReliableTask) {
+  TaskThread Worker("worker", 1);
+  std::promise<void> Ran;
+  CHECK(Worker.post([] {}));
+  CHECK_FALSE(Worker.post([] {}));
+
+  Worker.postReliably([&Ran] { Ran.set_value(); });
+  Worker.start(DurationMs(1), {});
+
+  Ran.get_future().wait();
+  Worker.stop();
+}
--- a/tests/nodes/ControlDutyTest.cpp
+++ b/tests/nodes/ControlDutyTest.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -178,3 +179,32 @@
   LONGS_EQUAL(FleetSize, Nodes[0]->Control.status().Members.size());
   CHECK_FALSE(Nodes[0]->Control.hasReachedAllSlots(Old.version()));
 }
+
+TEST_GROUP(ControlDutyQueue){};
+
+TEST(ControlDutyQueue, VersionOfferedToAFullQueueComesIntoForce) {
+  ControlSettings Settings;
+  Settings.Self = {"a/0", "a", "s", 0, "127.0.0.1:1", TargetState::Ready};
+  Settings.EveryNodeReads = true;
+  ControlHooks Hooks;
+  Hooks.Send = [](PeerRequest, PeerReplyHook) {};
+  Hooks.Compile = [](const IntentBundle &Bundle, std::string &) {
+    auto Result = std::make_shared<Snapshot>();
+    Result->Id = Bundle.version();
+    return Result;
+  };
+  std::atomic<std::uint64_t> InForce = 0;
+  Hooks.OnSnapshot = [&InForce](const SnapshotPtr &Applied) {
+    InForce = Applied->Id.Revision;
+  };
+  ControlDuty Control(Settings, {"a/0", 1}, std::move(Hooks));
+  constexpr int MoreThanTheQueueHolds = 10'000;
+  for (int I = 0; I < MoreThanTheQueueHolds; ++I)
+    Control.offerProof(TimeMs(1), 1);
+
+  Control.offerBundle({7, {{"10-a.ini", "new"}}});
+  Control.start();
+
+  CHECK_TRUE(eventually([&] { return InForce == 7; }));
+  Control.stop();
+}
