Count the wait for a rate and for the engine as part of a call's time

A request that waited up to 300 ms for tokens of its organisation got the whole time of its route from then on, and so did one that waited in the ring of the call engine on a busy processor: it was answered later than its route's timeout by that much, and its target was handed more time than was left.

Entry.WaitForARateDecisionIsPartOfTheTimeOfACall shows the first part.

--- a/src/calls/CallEngine.cpp
+++ b/src/calls/CallEngine.cpp
@@ -65,9 +65,12 @@
     const CallHandle Handle = NextHandle.fetch_add(1);
     // Shared with the task, so that it can be called if the task is refused.
     auto Hook = std::make_shared<AnswerHook>(std::move(OnAnswer));
+    const TimeMs SubmittedAt = Time.now();
     const bool Accepted =
-        Worker.post([this, Handle, Request = std::move(Request), Hook] {
-          Core.submit(Handle, Request, std::move(*Hook));
+        Worker.post([this, Handle, SubmittedAt, Request = std::move(Request),
+                     Hook]() mutable {
+          Request.Remaining = Request.Remaining - (Time.now() - SubmittedAt);
+          Core.submit(Handle, std::move(Request), std::move(*Hook));
         });
     if (!Accepted) {
       const ResultCode Reason =
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -112,9 +112,13 @@
                             const AnswerHook &OnAnswer) const {
   // The decision hook must be copyable, so it shares ownership of the call.
   const auto SharedCall = std::make_shared<CallRequest>(std::move(Call));
-  Hooks.Charge(SharedCall->Organisation, [this, Number, SharedCall, OnAnswer](
+  const TimeMs ArrivedAt = Options.Time.now();
+  Hooks.Charge(SharedCall->Organisation, [this, Number, SharedCall, ArrivedAt,
+                                          OnAnswer](
                                              const RateDecision &Decision) {
     if (Decision.Admitted) {
+      SharedCall->Remaining =
+          SharedCall->Remaining - (Options.Time.now() - ArrivedAt);
       Hooks.Submit(Number, std::move(*SharedCall), OnAnswer);
       return;
     }
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -74,6 +74,7 @@
   HeaderScheme Scheme;
   std::string Service;    ///< Service of the node's target.
   std::uint64_t Seed = 0; ///< Sets the initial order of split routes.
+  Clock Time = Clock::monotonic();
 };
 
 /// Converts requests of callers into calls, or refuses them. Thread-safe.
--- a/tests/calls/EntryTest.cpp
+++ b/tests/calls/EntryTest.cpp
@@ -44,6 +44,7 @@
   int Charged = 0;
   bool DeferDecisions = false;
   bool ViewCurrent = true;
+  TimeMs Now{1000};
   std::vector<RateDecisionHook> DeferredDecisions;
   Entry RequestEntry{
       {[](std::string_view Token) -> std::optional<CallTokenClaims> {
@@ -62,7 +63,8 @@
          Submitted.push_back(std::move(Request));
        },
        {},
-       [this] { return ViewCurrent; }}};
+       [this] { return ViewCurrent; }},
+      {{}, "", 0, Clock([this] { return Now; })}};
 
   void setup() override { RequestEntry.setSnapshot(config()); }
 
@@ -206,6 +208,18 @@
   CHECK(findField(Submitted[0].Headers, "Authorization") != nullptr);
 }
 
+TEST(Entry, WaitForARateDecisionIsPartOfTheTimeOfACall) {
+  DeferDecisions = true;
+  CallerRequest Request = keyed("/order/1");
+  Request.Remaining = DurationMs(1000);
+  take(std::move(Request));
+
+  Now = Now + DurationMs(300);
+  DeferredDecisions.at(0)({true, DurationMs(0)});
+
+  LONGS_EQUAL(700, Submitted.at(0).Remaining.Value);
+}
+
 TEST(Entry, SubmitsACallAfterADeferredRateDecision) {
   DeferDecisions = true;
 
