Refuse a configuration whose route has no host or a prefix without its slashes

The store takes valid configurations only, so such a version should never be read; the node took it as it stood, and a prefix without its last slash then matched paths of other routes. Now the version is refused as a whole and the one in force stays. The three new cases of ConfigCodec.RejectsAnInvalidConfigurationWithAReason were accepted before. A key of two organisations needed no change: it identifies neither.

--- a/src/platform/ConfigCodec.cpp
+++ b/src/platform/ConfigCodec.cpp
@@ -119,12 +119,23 @@
     throw ConfigurationError("every weight of a traffic split is 0");
 }
 
+/// Sets which requests a route matches.
+void setMatch(const Json &Object, Route &Result) {
+  Result.Method = "*";
+  Result.Host = lowerCase(stringMember(Object, RouteHost));
+  if (Result.Host.empty())
+    throw ConfigurationError(fmt::format("\"{}\" is empty", RouteHost));
+  const std::string Prefix = stringMember(Object, RoutePrefix);
+  if (!Prefix.starts_with('/') || !Prefix.ends_with('/'))
+    throw ConfigurationError(
+        fmt::format("\"{}\" does not begin and end with a slash", RoutePrefix));
+  Result.Path = Prefix + "*";
+}
+
 Route decodeRoute(const Json &Object, const Snapshot &Config) {
   Route Result;
   Result.Name = stringMember(Object, Name);
-  Result.Method = "*";
-  Result.Host = lowerCase(stringMember(Object, RouteHost));
-  Result.Path = stringMember(Object, RoutePrefix) + "*";
+  setMatch(Object, Result);
   setDestination(Object, Config, Result);
   const std::string Kind = stringMember(Object, RouteKind);
   Result.Large = Kind == KindDownload;
--- a/tests/platform/ConfigCodecTest.cpp
+++ b/tests/platform/ConfigCodecTest.cpp
@@ -90,6 +90,9 @@
   const std::pair<std::string, std::string> Replacements[] = {
       {"\"service\":\"till\",", "\"service\":\"nowhere\","},
       {"\"kind\":\"download\"", "\"kind\":3"},
+      {"\"prefix\":\"/file/\"", "\"prefix\":\"/file\""},
+      {"\"prefix\":\"/file/\"", "\"prefix\":\"file/\""},
+      {"\"host\":\"Shop.Example\"", "\"host\":\"\""},
       {"\"weight\":90", "\"weight\":-1"},
       {"[\"k1\",\"k2\"]", "[1]"},
       {"{\"version\"", "[\"version\""}};
