Let the entry use a version last, once the other parts know it

Between the entry and the call engine a request could be accepted by the new version and judged by the old one: a key that a version adds again was refused as withdrawn, an organisation that it adds had no rate. The window was a few microseconds; found by reading, no test.

--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -291,10 +291,11 @@
   if (OwnService != Snapshot->Services.end())
     Adapter.setProbePath(OwnService->second.HealthPath);
   InForce.replace(Snapshot);
-  Bridge.setSnapshot(Snapshot);
   Engine.setSnapshot(Snapshot);
   Limiter.setSnapshot(Snapshot);
   Callers.setLimits(Snapshot->Limits);
+  // Last: what the entry accepts under a version must be known to the others.
+  Bridge.setSnapshot(Snapshot);
 }
 
 } // namespace fescuewood
