Read the newest configuration alone when a watch returns too many

What callers saw: a machine on a slow link, or one that had been without the store for a while, kept an older configuration for longer than a change may take (CONFIG).

Cause: an answer to a watch holds every version since the last one, each whole. With more than 4 MiB of them the read was refused as too large, and the next one asked from the same revision for the same versions and later ones: the node could not know a change again before the store forgot its history. An answer that was still arriving 0.8 s after the wait of the watch was thrown away in the same way, whether bytes came or not, and a range of one page had 0.8 s in all.

Fix: a read that began and did not end in time is told from one that never began (PlatformSlow), and after it or PlatformTooLarge the node reads everything anew, as after a lost history: the newest configuration once. The time of an answer counts from its first byte, and a page of a range has four times that of a watch.

Evidence: StoreLoop.KnowsTheNewestIntentWhenItsHistoryIsTooMuchForOneAnswer failed before with PlatformTooLarge.

--- a/src/platform/StoreClient.cpp
+++ b/src/platform/StoreClient.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+/// Time for a page of a range, as a multiple of that for the changes of a
+/// watch: a page cannot be replaced by a smaller read, the changes can.
+constexpr std::int64_t RangeTransferFactor = 4;
+
 std::string_view prefixOf(StoreSubject Subject) {
   switch (Subject) {
   case StoreSubject::Target:
@@ -58,17 +62,20 @@
   // Shared because the calls are copyable and must all use the same reader.
   const auto Reader = std::make_shared<HttpReader>(Server, Timeout);
   StoreCalls Calls;
-  Calls.Range = [Reader](StoreSubject Subject, std::string_view After) {
+  Calls.Range = [Reader, Timeout](StoreSubject Subject,
+                                  std::string_view After) {
     std::string Path =
         fmt::format("{}?prefix={}", RangePath, prefixOf(Subject));
     if (!After.empty())
       Path += "&after=" + percentEncoded(After);
-    return decodeAnswer(Reader->get(Path, DurationMs(0)), &decodePage);
+    return decodeAnswer(
+        Reader->get(Path, DurationMs(0), Timeout * RangeTransferFactor),
+        &decodePage);
   };
-  Calls.Watch = [Reader](std::uint64_t After, DurationMs Wait) {
+  Calls.Watch = [Reader, Timeout](std::uint64_t After, DurationMs Wait) {
     const std::string Path = fmt::format("{}?prefix=&after={}&wait_ms={}",
                                          WatchPath, After, Wait.Value);
-    return decodeAnswer(Reader->get(Path, Wait), &decodeChanges);
+    return decodeAnswer(Reader->get(Path, Wait, Timeout), &decodeChanges);
   };
   Calls.DecodeTarget = [NodePort](std::string_view Id, std::string_view Value) {
     return decodeTarget(Id, Value, NodePort);
--- a/src/sources/HttpReader.cpp
+++ b/src/sources/HttpReader.cpp
@@ -2,6 +2,7 @@
 
 #include "sources/PlatformCodec.h"
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 #include <utility>
@@ -83,20 +84,25 @@
     Transfers.reset(curl_multi_init());
   }
 
-  PlatformRead<std::string> get(const std::string &Path, DurationMs Wait) {
+  PlatformRead<std::string> get(const std::string &Path, DurationMs Wait,
+                                DurationMs Transfer) {
     if (Cancelled)
       return {std::nullopt, ResultCode::Stopped, ""};
     Body Received;
-    prepare("http://" + Server.text() + Path, Wait, Received);
+    prepare("http://" + Server.text() + Path, Received);
     const TimeMs SentAt = Time.now();
-    const CURLcode Result = perform();
+    const CURLcode Result =
+        perform(Received, SentAt + Wait + Timeout, Transfer);
     if (Cancelled)
       return {std::nullopt, ResultCode::Stopped, ""};
     if (Received.TooLarge)
       return {std::nullopt, ResultCode::PlatformTooLarge,
               fmt::format("more than {} bytes", MaxAnswerBytes)};
     if (Result != CURLE_OK)
-      return {std::nullopt, ResultCode::PlatformUnreachable,
+      return {std::nullopt,
+              Result == CURLE_OPERATION_TIMEDOUT && Received.ReceivedBytes > 0
+                  ? ResultCode::PlatformSlow
+                  : ResultCode::PlatformUnreachable,
               fmt::format("{}; {} bytes in {} ms", curl_easy_strerror(Result),
                           Received.ReceivedBytes, (Time.now() - SentAt).Value)};
     return resultForStatus(std::move(Received.Bytes));
@@ -108,7 +114,7 @@
   }
 
 private:
-  void prepare(const std::string &Url, DurationMs Wait, Body &Destination) {
+  void prepare(const std::string &Url, Body &Destination) {
     CURL *Curl = Handle.get();
     curl_easy_reset(Curl);
     curl_easy_setopt(Curl, CURLOPT_URL, Url.c_str());
@@ -122,8 +128,6 @@
     curl_easy_setopt(Curl, CURLOPT_FORBID_REUSE, 1L);
     curl_easy_setopt(Curl, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(Timeout.Value));
-    curl_easy_setopt(Curl, CURLOPT_TIMEOUT_MS,
-                     static_cast<long>((Wait + Timeout).Value));
     curl_easy_setopt(Curl, CURLOPT_WRITEFUNCTION, &appendBody);
     curl_easy_setopt(Curl, CURLOPT_WRITEDATA, &Destination);
     curl_easy_setopt(Curl, CURLOPT_DEBUGFUNCTION, &countReceived);
@@ -147,17 +151,30 @@
     return {std::move(Bytes), ResultCode::Ok, ""};
   }
 
-  /// Runs the transfer until it completes or is cancelled.
-  CURLcode perform() {
+  /// Runs the transfer until it completes, is cancelled or is late: the answer
+  /// must begin by \p Deadline and end \p Transfer after it began.
+  CURLcode perform(const Body &Received, TimeMs Deadline, DurationMs Transfer) {
     CURLM *Multi = Transfers.get();
     curl_multi_add_handle(Multi, Handle.get());
+    bool Begun = false;
     int Running = 1;
-    while (Running > 0 && !Cancelled) {
+    CURLcode Result = CURLE_ABORTED_BY_CALLBACK;
+    while (!Cancelled) {
       curl_multi_perform(Multi, &Running);
-      if (Running > 0)
-        curl_multi_poll(Multi, nullptr, 0, MaxPollMs, nullptr);
+      if (Running == 0)
+        break;
+      const TimeMs Now = Time.now();
+      if (!Begun && Received.ReceivedBytes > 0) {
+        Begun = true;
+        Deadline = Now + Transfer;
+      }
+      if (Now >= Deadline) {
+        Result = CURLE_OPERATION_TIMEDOUT;
+        break;
+      }
+      const auto Left = static_cast<int>((Deadline - Now).Value);
+      curl_multi_poll(Multi, nullptr, 0, std::min(Left, MaxPollMs), nullptr);
     }
-    CURLcode Result = CURLE_ABORTED_BY_CALLBACK;
     int QueuedMessages = 0;
     while (const CURLMsg *Message =
                curl_multi_info_read(Multi, &QueuedMessages))
@@ -180,9 +197,9 @@
 
 HttpReader::~HttpReader() = default;
 
-PlatformRead<std::string> HttpReader::get(const std::string &Path,
-                                          DurationMs Wait) {
-  return State->get(Path, Wait);
+PlatformRead<std::string>
+HttpReader::get(const std::string &Path, DurationMs Wait, DurationMs Transfer) {
+  return State->get(Path, Wait, Transfer);
 }
 
 void HttpReader::cancel() { State->cancel(); }
--- a/src/sources/HttpReader.h
+++ b/src/sources/HttpReader.h
@@ -19,7 +19,7 @@
 /// HTTP client for one server.
 class HttpReader {
 public:
-  /// \param Timeout longest time that a read may take beyond its wait.
+  /// \param Timeout longest time until an answer begins, beyond its wait.
   HttpReader(Endpoint Server, DurationMs Timeout);
   ~HttpReader();
   HttpReader(const HttpReader &) = delete;
@@ -27,11 +27,13 @@
 
   /// Fetches a path and returns its body. Value is empty with reason Ok when
   /// the server has nothing newer (204). Without a usable answer the reason is
-  /// PlatformUnreachable, PlatformRefused, PlatformTooLarge, StoreHistoryGone
-  /// (410) or Stopped.
+  /// PlatformUnreachable, PlatformRefused, PlatformSlow, PlatformTooLarge,
+  /// StoreHistoryGone (410) or Stopped.
   ///
   /// \param Wait how long the server may hold the request for a change.
-  PlatformRead<std::string> get(const std::string &Path, DurationMs Wait);
+  /// \param Transfer longest time from the first byte of the answer to its end.
+  PlatformRead<std::string> get(const std::string &Path, DurationMs Wait,
+                                DurationMs Transfer);
 
   /// Makes a blocked read and all later ones return. Callable from any thread.
   void cancel();
--- a/src/sources/HttpSource.cpp
+++ b/src/sources/HttpSource.cpp
@@ -27,16 +27,18 @@
   // Hooks are copyable, so all copies share one client.
   const auto Client = std::make_shared<HttpReader>(Server, Timeout);
   PlatformSource Source;
-  Source.ReadIntent = [Client](const Version &KnownVersion, DurationMs Wait) {
+  Source.ReadIntent = [Client, Timeout](const Version &KnownVersion,
+                                        DurationMs Wait) {
     const std::string Path = fmt::format(
         "/v1/intent?after={}&digest={}&wait_ms={}", KnownVersion.Revision,
         KnownVersion.Content.hex(), Wait.Value);
-    return decodeBody(Client->get(Path, Wait), &decodeIntent);
+    return decodeBody(Client->get(Path, Wait, Timeout), &decodeIntent);
   };
-  Source.ReadInstances = [Client](std::uint64_t AfterRevision) {
+  Source.ReadInstances = [Client, Timeout](std::uint64_t AfterRevision) {
     const std::string Path =
         fmt::format("/v1/instances?after={}", AfterRevision);
-    return decodeBody(Client->get(Path, DurationMs(0)), &decodeInstances);
+    return decodeBody(Client->get(Path, DurationMs(0), Timeout),
+                      &decodeInstances);
   };
   Source.Cancel = [Client] { Client->cancel(); };
   return Source;
--- a/src/sources/StoreLoop.cpp
+++ b/src/sources/StoreLoop.cpp
@@ -20,6 +20,15 @@
 /// take.
 constexpr Backoff Retry{DurationMs(100), DurationMs(800)};
 
+/// Whether a watch that failed for \p Reason would fail again from the same
+/// revision. An answer holds every change since then, each configuration whole;
+/// a full read returns only the newest one.
+bool needsFullRead(ResultCode Reason) {
+  return Reason == ResultCode::StoreHistoryGone ||
+         Reason == ResultCode::PlatformTooLarge ||
+         Reason == ResultCode::PlatformSlow;
+}
+
 } // namespace
 
 DurationMs watchPeriod(DurationMs ApplyBound) {
@@ -115,8 +124,11 @@
 void StoreLoop::watch() {
   const TimeMs SentAt = Time.now();
   PlatformRead<StoreChanges> Read = Calls.Watch(Revision, Timing.Wait);
-  if (Read.Reason == ResultCode::StoreHistoryGone) {
-    emit(EventId::StoreHistoryLost, {{"version", std::to_string(Revision)}});
+  if (needsFullRead(Read.Reason)) {
+    emit(EventId::StoreHistoryLost,
+         {{"version", std::to_string(Revision)},
+          {"reason",
+           std::string(resultName(Read.Reason)) + ": " + Read.Detail}});
     restart();
     return;
   }
--- a/tests/sources/StoreLoopTest.cpp
+++ b/tests/sources/StoreLoopTest.cpp
@@ -31,6 +31,8 @@
   std::deque<PlatformRead<StoreChanges>> Watches;
   std::uint64_t Revision = 10;
   ResultCode Failure = ResultCode::Ok;
+  /// Result of a watch from a revision that is followed by changes.
+  ResultCode HistoryFailure = ResultCode::Ok;
   TimeMs Now{1000};
 
   StoreCalls calls() {
@@ -43,10 +45,12 @@
                         false, Revision},
               ResultCode::Ok, ""};
     };
-    Calls.Watch = [this](std::uint64_t,
+    Calls.Watch = [this](std::uint64_t After,
                          DurationMs Wait) -> PlatformRead<StoreChanges> {
       if (Failure != ResultCode::Ok)
         return {std::nullopt, Failure, ""};
+      if (HistoryFailure != ResultCode::Ok && After < Revision)
+        return {std::nullopt, HistoryFailure, ""};
       if (Watches.empty()) {
         Now = Now + Wait;
         return {StoreChanges{{}, Revision}, ResultCode::Ok, ""};
@@ -257,3 +261,21 @@
 
   CHECK(Loop->step() >= DurationMs(100));
 }
+
+TEST(StoreLoop, KnowsTheNewestIntentWhenItsHistoryIsTooMuchForOneAnswer) {
+  step(3);
+  for (const ResultCode Reason :
+       {ResultCode::PlatformTooLarge, ResultCode::PlatformSlow}) {
+    const TimeMs ChangedAt = Store.Now;
+    Store.HistoryFailure = Reason;
+    ++Store.Revision;
+    const std::string Newest = "newest-" + std::to_string(Store.Revision);
+    Store.Intent = {
+        change(StoreSubject::Configuration, "config", Newest, Store.Revision)};
+
+    step(4);
+
+    STRCMP_EQUAL(Newest.c_str(), configuration().c_str());
+    CHECK(Proofs.back().first >= ChangedAt);
+  }
+}
