Keep to the rate that a target in need names in its answers

Cause: the field was not known, so it was passed on to the caller and nothing else.

Fix: the adapter names the field, the client of the target decodes it from each whole answer of the listed target to its own request, refusals included, and the node beside the target keeps to it: all requests to the target pass there, its own calls too, so one limiter binds the whole mesh (policy/NamedLimit, GCRA with a tolerance of a quarter of a second; policy/AnnouncedState for one start of a target). A request that would wait more than 150 ms for its turn is refused unrun and goes elsewhere within the retry budget, or back to its caller at once with the time of its turn. The load that the node reports is bounded by the rate, so routing sends less.

A limit binds when it is named and when it falls; it ends with an answer without it to a request that was sent after the last answer that named it. A value that is no number changes nothing. A node that has seen no answer of its target asks it first (one probe a start) and runs two requests at once until it has one, since its predecessor may have known a limit. A limit of 0 lets one request in 4 s try.

--- a/bench/model/FakeCallMesh.h
+++ b/bench/model/FakeCallMesh.h
@@ -100,6 +100,17 @@
       runOnNode(I, [All](FakeNode &Node) { Node.Core->setInstances(All); });
   }
 
+  /// Lists the target of a node under an id, like the platform.
+  void listTarget(std::size_t At, const std::string &Id) {
+    fescuewood::ListedInstance Listed;
+    Listed.Name = Nodes.at(At)->Place.Name;
+    Listed.Service = Nodes[At]->Place.Service;
+    Listed.TargetId = Id;
+    Listed.Slots = 6;
+    runOnNode(At,
+              [Listed](FakeNode &Node) { Node.Core->setOwnTarget(Listed); });
+  }
+
   /// Starts the process of a node, or restarts it without its state.
   void startNode(std::size_t At) {
     FakeNode &Node = *Nodes.at(At);
@@ -109,6 +120,7 @@
     Self.Domain = Node.Place.Domain;
     Self.Service = Node.Place.Service;
     Self.Incarnation = Random() | 1U;
+    Self.Scheme = Scheme;
     Node.Incarnation = Self.Incarnation;
     Node.Core = std::make_unique<fescuewood::CallCore>(Self, Settings,
                                                        hooks(At), Time.clock());
@@ -171,7 +183,8 @@
 
   VirtualTime Time;
   FakeNetworkOptions Network;
-  std::uint64_t BytesSent = 0; ///< Bodies of all messages between nodes.
+  fescuewood::HeaderScheme Scheme; ///< Of nodes that start from now on.
+  std::uint64_t BytesSent = 0;     ///< Bodies of all messages between nodes.
   std::vector<std::unique_ptr<FakeNode>> Nodes;
   std::deque<FakeCall> Calls;
   fescuewood::SnapshotPtr Config;
@@ -271,15 +284,16 @@
     Hooks.Target.Cancel = [this, At](const fescuewood::CallId &Id) {
       Nodes[At]->Target->cancel(Id);
     };
-    Hooks.Target.Probe = [this, At, ProcessGeneration](
-                             const std::function<void(
-                                 const fescuewood::ProbeResult &)> &OnResult) {
-      Nodes[At]->Target->probe([this, At, ProcessGeneration,
-                                OnResult](bool Answers) {
-        runInProcess(At, ProcessGeneration,
-                     [OnResult, Answers](FakeNode &) { OnResult({Answers}); });
-      });
-    };
+    Hooks.Target.Probe =
+        [this, At, ProcessGeneration](
+            const std::function<void(const fescuewood::ProbeResult &)>
+                &OnResult) {
+          Nodes[At]->Target->probe([this, At, ProcessGeneration, OnResult](
+                                       const fescuewood::ProbeResult &Result) {
+            runInProcess(At, ProcessGeneration,
+                         [OnResult, Result](FakeNode &) { OnResult(Result); });
+          });
+        };
     return Hooks;
   }
 
--- a/bench/model/FakeTarget.h
+++ b/bench/model/FakeTarget.h
@@ -14,6 +14,7 @@
 #include <random>
 #include <string>
 #include <utility>
+#include <vector>
 
 /// Behaviour of a \ref FakeTarget.
 struct FakeTargetOptions {
@@ -59,6 +60,7 @@
     Runs[Id] = {Request.Id, std::move(OnResult)};
     MaxInFlight = std::max(MaxInFlight, inFlight());
     ++RunsOf[Request.Body];
+    RunStartsUs.push_back(Time.nowUs());
     ++RunsByOrganisation[Request.Organisation];
     const double Capacity = capacity();
     if (Request.Body == CrashBody ||
@@ -94,8 +96,15 @@
     }
   }
 
-  void probe(const std::function<void(bool)> &OnResult) {
-    Time.after(VirtualTime::UsPerMs, [this, OnResult] { OnResult(Up); });
+  void
+  probe(const std::function<void(const fescuewood::ProbeResult &)> &OnResult) {
+    Time.after(VirtualTime::UsPerMs, [this, OnResult] {
+      fescuewood::ProbeResult Result;
+      Result.Reachable = Up;
+      if (Up)
+        Result.Notice = Notice;
+      OnResult(Result);
+    });
   }
 
   /// Breaks the connection of the oldest run; the target itself keeps running.
@@ -134,7 +143,10 @@
 
   std::size_t paddingBytes() const { return Options.PaddingBytes; }
 
+  /// What it says about itself in its answers.
+  fescuewood::TargetNotice Notice;
   std::map<std::string, int> RunsOf; ///< By body.
+  std::vector<std::int64_t> RunStartsUs;
   std::map<std::string, int> RunsByOrganisation;
   std::uint32_t MaxInFlight = 0;
   int Crashes = 0;
@@ -170,6 +182,7 @@
       Result.Answer->Status = Status;
       Result.Answer->Body = Body;
       Result.Answer->RequestOutcome = fescuewood::Outcome::Ran;
+      Result.Notice = Notice;
       OnResult(std::move(Result));
     });
   }
--- a/src/app/TargetAdapter.cpp
+++ b/src/app/TargetAdapter.cpp
@@ -46,6 +46,7 @@
   RunResult Run;
   Run.Duration = Result.Duration;
   Run.Reason = Result.Reason;
+  Run.Notice = Result.Notice;
   if (Result.Answer) {
     Run.Answer = std::move(Result.Answer);
     return Run;
@@ -142,12 +143,16 @@
 ProbeResult TargetAdapter::probeResult(const TargetResult &Result) const {
   ProbeResult Probe;
   Probe.Reachable = hasResponded(Result);
+  Probe.Notice = Result.Notice;
   if (!Result.Answer || Scheme.ColdFor.empty())
     return Probe;
   if (const auto ColdFor =
           parseNumberField(Result.Answer->Headers, Scheme.ColdFor))
     Probe.ColdFor = DurationMs(static_cast<std::int64_t>(
         std::min<std::uint64_t>(*ColdFor, MaxSlowStartMs)));
+  if (const std::string *Id =
+          findField(Result.Answer->Headers, Scheme.Instance))
+    Probe.TargetId = *Id;
   return Probe;
 }
 
--- a/src/callers/HeaderFields.cpp
+++ b/src/callers/HeaderFields.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cctype>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace fescuewood {
@@ -76,6 +77,21 @@
   return Number;
 }
 
+std::optional<double> parseDecimalField(const std::vector<Header> &Fields,
+                                        std::string_view Name) {
+  const std::string *Field = findField(Fields, Name);
+  if (!Field)
+    return std::nullopt;
+  const std::string_view Text = trimmedFieldValue(*Field);
+  double Value = 0;
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Error != std::errc() || End != Text.data() + Text.size() ||
+      !std::isfinite(Value) || Value < 0)
+    return std::nullopt;
+  return Value;
+}
+
 void setField(std::vector<Header> &Fields, const std::string &Name,
               std::string Value) {
   if (Name.empty())
--- a/src/callers/HeaderFields.h
+++ b/src/callers/HeaderFields.h
@@ -38,6 +38,11 @@
 std::optional<std::uint64_t> parseNumberField(const std::vector<Header> &Fields,
                                               std::string_view Name);
 
+/// A field's value as a non-negative number that may have a fraction;
+/// std::nullopt if absent or malformed.
+std::optional<double> parseDecimalField(const std::vector<Header> &Fields,
+                                        std::string_view Name);
+
 /// Replaces all fields with this name by a single one. An empty value only
 /// removes them; an empty name has no effect.
 void setField(std::vector<Header> &Fields, const std::string &Name,
--- a/src/callers/HeaderScheme.h
+++ b/src/callers/HeaderScheme.h
@@ -39,6 +39,11 @@
   std::string ColdFor;
   /// In a health answer: identity of the target.
   std::string Instance;
+  /// In an answer: the requests per second that the target takes from all nodes
+  /// together, a decimal number.
+  std::string RateLimit;
+  /// In an answer: present if the target leaves.
+  std::string Leaving;
   /// Field for the caller's API key. With \ref KeyPrefix set, it is used for
   /// nothing else.
   std::string Key = "Authorization";
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -202,7 +202,8 @@
   // A retry would only repeat this refusal, so it is returned immediately.
   const bool RetryIsFutile =
       !Call.Request.CanWait &&
-      Call.LastRefusal == ResultCode::DeadlineUnreachable;
+      (Call.LastRefusal == ResultCode::DeadlineUnreachable ||
+       Call.LastRefusal == ResultCode::TargetRateUsed);
   if (AttemptsExhausted || RetryIsFutile || hasWaitedTooLong(Call)) {
     refuse(Handle, Call, Call.LastRefusal, outcomeOfEarlierAttempts(Call));
     return;
--- /dev/null
+++ b/src/calls/TargetNotices.cpp
@@ -0,0 +1,79 @@
+// What the target announces in its answers: keeping to it, and asking for it.
+// TargetSide.cpp has the rest of the class.
+
+#include "calls/TargetSide.h"
+
+#include <cstdint>
+#include <fmt/format.h>
+
+namespace fescuewood {
+
+namespace {
+
+/// Longest wait of a request for the rate that the target has named; beyond it
+/// another target or a later try serves its caller better.
+constexpr DurationMs MaxNamedRateWait{150};
+
+} // namespace
+
+/// Whether the target takes the request too late, by the rate that it named.
+bool TargetSide::exceedsNamedRate(const CallRequest &Request) const {
+  return !Request.CanWait &&
+         Announced.limit().wait(Queue.size(), Context.now()) > MaxNamedRateWait;
+}
+
+/// The slower of \p BySlots and the rate that the target has named.
+ServiceRate TargetSide::boundByNamedRate(const ServiceRate &BySlots) const {
+  if (!Announced.limit().rate())
+    return BySlots;
+  const ServiceRate Named{1, Announced.limit().interval()};
+  const bool SlotsAreScarcer =
+      BySlots.Latency > Named.Latency * std::int64_t{BySlots.Limit};
+  return SlotsAreScarcer ? BySlots : Named;
+}
+
+/// Asks a target of which this process has seen no answer for its state. A
+/// restarted node does not know what the target told its predecessor.
+void TargetSide::askForNotice() {
+  if (!announcesState() || Announced.known() || AwaitingNotice || !Listed ||
+      !Context.Config || !Context.Hooks.Target.Probe)
+    return;
+  AwaitingNotice = true;
+  const TimeMs SentAt = Context.now();
+  Context.Hooks.Target.Probe([this, SentAt](const ProbeResult &Result) {
+    Context.run([this, SentAt, Result] {
+      AwaitingNotice = false;
+      if (Result.Notice && isOwnAnswer(Result))
+        onNotice(*Result.Notice, SentAt);
+      updateState();
+      startQueued();
+    });
+  });
+}
+
+bool TargetSide::announcesState() const {
+  return !Context.Identity.Scheme.RateLimit.empty();
+}
+
+/// Whether the listed target answered, not another one at its address.
+bool TargetSide::isOwnAnswer(const ProbeResult &Result) const {
+  return Result.TargetId.empty() || !Listed ||
+         Result.TargetId == Listed->TargetId;
+}
+
+void TargetSide::onNotice(const TargetNotice &Notice, TimeMs SentAt) {
+  const AnnouncedState::Change Change =
+      Announced.onAnswer(Notice, SentAt, Context.now());
+  if (Notice.LimitUnreadable)
+    Context.report(EventId::TargetLimitChanged,
+                   {{"target", Context.Identity.Name},
+                    {"reason", "the limit cannot be read"}});
+  if (Change.Limit) {
+    const auto Rate = Announced.limit().rate();
+    Context.report(EventId::TargetLimitChanged,
+                   {{"target", Context.Identity.Name},
+                    {"limit", Rate ? fmt::format("{}", *Rate) : "none"}});
+  }
+}
+
+} // namespace fescuewood
--- a/src/calls/TargetPort.h
+++ b/src/calls/TargetPort.h
@@ -7,10 +7,12 @@
 #include "calls/Call.h"
 #include "core/Clock.h"
 #include "core/ResultCode.h"
+#include "policy/TargetNotice.h"
 
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
 
 namespace fescuewood {
 
@@ -33,6 +35,8 @@
   DurationMs Duration{0};             ///< From the start of the run to its end.
   /// Whether the request ran, if the answer is missing.
   Outcome RunOutcome = Outcome::Unknown;
+  /// What the target says about itself, if it answered.
+  std::optional<TargetNotice> Notice = std::nullopt;
 };
 
 using RunHook = std::function<void(RunResult)>;
@@ -43,6 +47,9 @@
   bool Reachable = false;
   /// Remaining time for which the target is cold, if it reported one.
   std::optional<DurationMs> ColdFor = std::nullopt;
+  /// What the target says about itself, if it answered.
+  std::optional<TargetNotice> Notice = std::nullopt;
+  std::string TargetId = {}; ///< Identity of the target, if it reported one.
 };
 
 /// Hooks of the node's target. They must not block; their result hooks may be
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -26,6 +26,9 @@
 /// stale list has usually caught up by then.
 constexpr DurationMs MistakenPeriod{2000};
 
+/// Concurrent runs until the first answer of a target shows what it takes.
+constexpr std::uint32_t FirstRuns = 2;
+
 RunOutcome runVerdict(const RunResult &Result) {
   if (Result.Answer) {
     const int Status = Result.Answer->Status;
@@ -53,10 +56,12 @@
 } // namespace
 
 void TargetSide::startQueued() {
-  while (!Down && !Suspended && InFlight < concurrencyLimit()) {
+  while (!Down && !Suspended && !AwaitingNotice &&
+         InFlight < concurrencyLimit()) {
     if (Queue.size() == 0)
       return Queue.onSpareCapacity();
-    if (!Warmup.take(Context.now()))
+    if (!Announced.limit().mayStart(Context.now()) ||
+        !Warmup.take(Context.now()))
       return;
     const auto Next = Queue.pop(serviceRate(), Context.now());
     if (!Next)
@@ -71,6 +76,8 @@
 }
 
 std::uint32_t TargetSide::concurrencyLimit() {
+  if (announcesState() && !Announced.known())
+    return FirstRuns;
   switch (Context.Settings.Admission) {
   case AdmissionMode::Adaptive:
     return Limit.limit(Context.now());
@@ -89,6 +96,7 @@
   Call.Epoch = Epoch;
   Call.AnswerBytes = Memory.reserve(Call.Request.Route);
   ++InFlight;
+  Announced.onRequestSent(Now);
   ++Context.Counters.Runs;
   Context.Counters.QueueWait.add(Now - Call.ArrivedAt);
   CallRequest Request = targetRequest(Call);
@@ -130,6 +138,8 @@
   Context.Counters.TargetLatency.add(Now - Call.StartedAt);
   recordResult(Call, Result, Now);
   reportRun(Call, Result, Now);
+  const std::optional<TargetNotice> Notice = Result.Notice;
+  const TimeMs SentAt = Call.StartedAt;
   const bool WasAbandoned = Result.Failure == RunFailure::TimedOut ||
                             Result.Failure == RunFailure::Cancelled;
   if (WasAbandoned)
@@ -151,6 +161,8 @@
     onTargetDown();
   if (Result.Reason == ResultCode::TargetMistaken)
     onMistaken();
+  if (Notice)
+    onNotice(*Notice, SentAt);
   updateState();
   startQueued();
 }
@@ -290,7 +302,8 @@
 void TargetSide::probe() {
   if (Probing)
     return;
-  NextProbe = Context.now() + Context.Settings.ProbeInterval;
+  ProbeSentAt = Context.now();
+  NextProbe = ProbeSentAt + Context.Settings.ProbeInterval;
   Evidence.onProbeSent();
   if (!Context.Hooks.Target.Probe) {
     onProbe({true});
@@ -306,6 +319,8 @@
 }
 
 void TargetSide::onProbe(const ProbeResult &Result) {
+  if (Result.Notice && isOwnAnswer(Result))
+    onNotice(*Result.Notice, ProbeSentAt);
   if (!Result.Reachable) {
     onTargetDown();
     return;
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -130,6 +130,7 @@
       refuse(Id, ResultCode::KeyWithdrawn);
     }
   }
+  askForNotice();
   updateState();
   startQueued();
 }
@@ -137,6 +138,8 @@
 void TargetSide::onListed(const std::optional<ListedInstance> &Entry) {
   const bool Replaced = Entry && Listed && Entry->TargetId != Listed->TargetId;
   Listed = Entry;
+  if (Listed)
+    Announced.setTarget(Listed->TargetId, Listed->StartedAtMs, Context.now());
   if (Replaced)
     MistakenUntil = Context.now();
   if (Listed) {
@@ -159,6 +162,7 @@
     Down = false;
     Limit.reset(Context.now());
   }
+  askForNotice();
   updateState();
   startQueued();
 }
@@ -203,6 +207,7 @@
     Load.Limit = Limit.slots();
   if (Warmup.cold(Context.now()))
     Load.Limit = 1;
+  Load.Limit = std::min(Load.Limit, Announced.concurrency(Limit.latency()));
   Load.Queued = static_cast<std::uint32_t>(Queue.size());
   Load.Latency = Limit.latency();
   Load.State = ReportedState.value_or(TargetState::Cold);
@@ -263,6 +268,8 @@
 
 /// Estimated time until the calls that are queued now have been served.
 DurationMs TargetSide::retryAfter(ResultCode Reason) {
+  if (Reason == ResultCode::TargetRateUsed)
+    return Announced.limit().wait(Queue.size(), Context.now());
   const bool Busy = Reason == ResultCode::QueueFull ||
                     Reason == ResultCode::AnswerMemoryFull ||
                     Reason == ResultCode::DeadlineUnreachable;
@@ -282,7 +289,11 @@
     return ResultCode::NoTargetAvailable;
   if (Down)
     return ResultCode::TargetDown;
-  return refusalOnStart(Request);
+  if (const ResultCode Refusal = refusalOnStart(Request);
+      Refusal != ResultCode::Ok)
+    return Refusal;
+  return exceedsNamedRate(Request) ? ResultCode::TargetRateUsed
+                                   : ResultCode::Ok;
 }
 
 ResultCode TargetSide::refusalOnStart(const CallRequest &Request) {
@@ -387,7 +398,8 @@
   const DurationMs Expected = InFlight == 0 ? DurationMs(0) : Limit.latency();
   if (Warmup.cold(Context.now()))
     return {1, std::max(Expected, Warmup.interval())};
-  return {std::min(concurrencyLimit(), Limit.slots()), Expected};
+  return boundByNamedRate(
+      {std::min(concurrencyLimit(), Limit.slots()), Expected});
 }
 
 bool TargetSide::isOwnDomainOut() const {
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -13,6 +13,7 @@
 #include "calls/TargetPort.h"
 #include "nodes/CallMessages.h"
 #include "policy/AdmissionLimit.h"
+#include "policy/AnnouncedState.h"
 #include "policy/AnswerMemory.h"
 #include "policy/CallLedger.h"
 #include "policy/CrashEvidence.h"
@@ -121,6 +122,12 @@
   void onTargetDown();
   void probe();
   void onProbe(const ProbeResult &Result);
+  void askForNotice();
+  bool announcesState() const;
+  void onNotice(const TargetNotice &Notice, TimeMs SentAt);
+  bool isOwnAnswer(const ProbeResult &Result) const;
+  bool exceedsNamedRate(const CallRequest &Request) const;
+  ServiceRate boundByNamedRate(const ServiceRate &BySlots) const;
   ResultCode refusalByListing() const;
   void setColdFor(DurationMs Span);
   void releaseAbandoned(TimeMs Now);
@@ -148,7 +155,10 @@
   /// Until then the target counts as unlisted: another one has its address.
   TimeMs MistakenUntil;
   bool OwnDomainOut = false; ///< As of the last applied configuration.
+  AnnouncedState Announced;
+  bool AwaitingNotice = false; ///< No run starts until the target has answered.
   bool Probing = false;
+  TimeMs ProbeSentAt{0};
   TimeMs NextProbe{0};
   TimeMs NextGuardExpiry{0};
   std::optional<TargetState> ReportedState;
--- a/src/platform/PlatformScheme.cpp
+++ b/src/platform/PlatformScheme.cpp
@@ -17,6 +17,8 @@
   Scheme.Signature = "Response-Signature";
   Scheme.ColdFor = "Slow-Start-Ms";
   Scheme.Instance = "Instance-Id";
+  Scheme.RateLimit = "Server-Limit";
+  Scheme.Leaving = "Server-Leaving";
   Scheme.Key = "Authorization";
   Scheme.KeyPrefix = "token ";
   Scheme.KeyInFieldOrQuery = false;
--- a/src/platform/StoreCodec.cpp
+++ b/src/platform/StoreCodec.cpp
@@ -189,6 +189,7 @@
   Listed.TargetAddress = *Address;
   Listed.Slots = static_cast<std::uint32_t>(*Slots);
   Listed.ColdFor = *ColdFor;
+  Listed.StartedAtMs = unsignedMember(Entry, TargetStartedAt).value_or(0);
   return Listed;
 }
 
--- a/src/policy/ListedInstance.h
+++ b/src/policy/ListedInstance.h
@@ -37,6 +37,9 @@
   std::uint32_t Slots = 0;        ///< Concurrent requests that it accepts.
   DurationMs ColdFor{0};          ///< Remaining cold time when reported.
   std::uint64_t Revision = 0;     ///< Revision at which it was reported.
+  /// Start of the target in ms since the epoch; 0 if not reported. Another one
+  /// under the same id is another start.
+  std::uint64_t StartedAtMs = 0;
 
   bool operator==(const ListedInstance &) const = default;
 };
--- /dev/null
+++ b/src/policy/NamedLimit.cpp
@@ -0,0 +1,74 @@
+#include "policy/NamedLimit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fescuewood {
+
+namespace {
+
+constexpr double MsPerSecond = 1000;
+
+/// Time by which requests may start before their turn, so that arrivals at
+/// irregular intervals use the whole rate.
+constexpr double ToleranceMs = 250;
+
+/// Least rate that is kept to, in requests per second. The answer to a rare
+/// request shows when a target that takes nothing takes requests again.
+constexpr double MinRate = 0.25;
+
+double milliseconds(TimeMs Time) { return static_cast<double>(Time.Value); }
+
+} // namespace
+
+bool NamedLimit::update(const TargetNotice &Notice, TimeMs SentAt, TimeMs Now) {
+  if (Notice.LimitUnreadable)
+    return false;
+  if (!Notice.RequestsPerSecond) {
+    if (!Rate || SentAt < NamedAt)
+      return false;
+    clear();
+    return true;
+  }
+  NamedAt = Now;
+  if (Rate == Notice.RequestsPerSecond)
+    return false;
+  Rate = Notice.RequestsPerSecond;
+  // Intervals of another rate do not delay the first request by more than one
+  // of this rate.
+  UsedUntilMs = std::min(UsedUntilMs, milliseconds(Now) + intervalMs());
+  return true;
+}
+
+void NamedLimit::clear() {
+  Rate.reset();
+  UsedUntilMs = 0;
+}
+
+bool NamedLimit::mayStart(TimeMs Now) const {
+  return !Rate || milliseconds(Now) >= UsedUntilMs - ToleranceMs;
+}
+
+void NamedLimit::onStart(TimeMs Now) {
+  if (Rate)
+    UsedUntilMs = std::max(UsedUntilMs, milliseconds(Now)) + intervalMs();
+}
+
+DurationMs NamedLimit::wait(std::size_t Ahead, TimeMs Now) const {
+  if (!Rate)
+    return DurationMs(0);
+  const double Start = std::max(UsedUntilMs, milliseconds(Now)) +
+                       static_cast<double>(Ahead) * intervalMs() - ToleranceMs;
+  return DurationMs(
+      std::llround(std::max(0.0, std::ceil(Start - milliseconds(Now)))));
+}
+
+DurationMs NamedLimit::interval() const {
+  return DurationMs(std::llround(intervalMs()));
+}
+
+double NamedLimit::intervalMs() const {
+  return MsPerSecond / std::max(*Rate, MinRate);
+}
+
+} // namespace fescuewood
--- a/src/targets/TargetClient.h
+++ b/src/targets/TargetClient.h
@@ -14,6 +14,7 @@
 #include "calls/Call.h"
 #include "core/Clock.h"
 #include "core/ResultCode.h"
+#include "policy/TargetNotice.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -43,6 +44,9 @@
   ResultCode Reason = ResultCode::Ok;    ///< Reason for a missing answer.
   Outcome RunOutcome = Outcome::Unknown; ///< Whether the request ran.
   DurationMs Duration{0};                ///< Time from start to result.
+  /// What the target says about itself; set for each complete answer of the
+  /// intended target to this request, also for one that refuses it.
+  std::optional<TargetNotice> Notice = std::nullopt;
 };
 
 /// Receives the result of a request, on the client's thread; must not block.
--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -224,6 +224,24 @@
   return Outcome::Unknown;
 }
 
+std::optional<TargetNotice> TargetTransfer::notice(ResultCode Reason) const {
+  const HeaderScheme &Scheme = Options.Scheme;
+  const bool IsOwnAnswer =
+      Reason == ResultCode::Ok || Reason == ResultCode::TargetRefused;
+  // An answer that does not name its request may belong to another one.
+  const bool IsToThisRequest =
+      RequestId.empty() || findField(Answer.Headers, Scheme.RequestId);
+  if (Scheme.RateLimit.empty() || !IsOwnAnswer || !IsToThisRequest)
+    return std::nullopt;
+  TargetNotice Notice;
+  Notice.RequestsPerSecond =
+      parseDecimalField(Answer.Headers, Scheme.RateLimit);
+  Notice.LimitUnreadable =
+      !Notice.RequestsPerSecond && findField(Answer.Headers, Scheme.RateLimit);
+  Notice.Leaving = findField(Answer.Headers, Scheme.Leaving) != nullptr;
+  return Notice;
+}
+
 bool TargetTransfer::isFramed() const {
   // If an answer is delimited only by the end of the connection, truncation
   // cannot be detected, so the answer is rejected. Targets that sign their
@@ -243,6 +261,7 @@
   TargetResult Result;
   Result.Reason = Reason;
   Result.RunOutcome = outcome(Reason);
+  Result.Notice = notice(Reason);
   const auto Elapsed = std::chrono::steady_clock::now() - StartTime;
   Result.Duration = DurationMs(duration_cast<milliseconds>(Elapsed).count());
   if (Reason == ResultCode::Ok) {
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -56,6 +56,7 @@
   bool addFields();
   void setBody();
   Outcome outcome(ResultCode Reason) const;
+  std::optional<TargetNotice> notice(ResultCode Reason) const;
   bool isFramed() const;
   bool isMostlyFraming() const;
   ResultCode validateAnswer() const;
--- a/tests/platform/StoreCodecTest.cpp
+++ b/tests/platform/StoreCodecTest.cpp
@@ -68,6 +68,7 @@
   STRCMP_EQUAL("i-1", Read->TargetId.c_str());
   LONGS_EQUAL(6, Read->Slots);
   LONGS_EQUAL(1500, Read->ColdFor.Value);
+  CHECK(Read->StartedAtMs == 1'700'000'000'000);
   CHECK(ListedState::Live == Read->State);
 }
 
--- a/tests/targets/TargetTransferTest.cpp
+++ b/tests/targets/TargetTransferTest.cpp
@@ -3,6 +3,9 @@
 #include "targets/FakeCannedTarget.h"
 
 #include <future>
+#include <optional>
+#include <string>
+#include <utility>
 
 #include <CppUTest/TestHarness.h>
 
@@ -17,6 +20,8 @@
   Scheme.Signature = "Signed";
   Scheme.NotRun = "Unrun";
   Scheme.TargetInstance = "Meant";
+  Scheme.RateLimit = "Limit";
+  Scheme.Leaving = "Leaves";
   return Scheme;
 }
 
@@ -87,6 +92,38 @@
   }
 }
 
+TEST(TargetTransfer, DecodesWhatTheTargetSaysAboutItself) {
+  const std::string Served = "HTTP/1.1 200 OK\r\nId: mine\r\nSigned: s\r\n";
+  const std::string Refused = "HTTP/1.1 503 Busy\r\nId: mine\r\nUnrun: 1\r\n";
+  const std::string End = "Content-Length: 0\r\n\r\n";
+  const std::pair<std::string, TargetNotice> Cases[] = {
+      {Served + End, {}},
+      {Served + "Limit: 24.3\r\n" + End, {24.3, false, false}},
+      {Refused + "Limit: 0\r\n" + End, {0.0, false, false}},
+      {Refused + "Leaves: 1\r\n" + End, {std::nullopt, false, true}},
+      {Served + "Limit: soon\r\n" + End, {std::nullopt, true, false}},
+      {Served + "Limit: -1\r\n" + End, {std::nullopt, true, false}},
+      {Served + "Limit: nan\r\n" + End, {std::nullopt, true, false}},
+      {Served + "Limit: 5/s\r\n" + End, {std::nullopt, true, false}},
+      {Served + "Limit:\r\n" + End, {std::nullopt, true, false}},
+  };
+  for (const auto &[Bytes, Expected] : Cases)
+    CHECK_TRUE_TEXT(resultFor(Bytes).Notice == Expected, Bytes.c_str());
+}
+
+TEST(TargetTransfer, AnswersOfOthersSayNothingAboutTheTarget) {
+  for (const char *Bytes :
+       {"HTTP/1.1 503 Busy\r\nUnrun: 1\r\nLimit: 3\r\nContent-Length: "
+        "0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: other\r\nSigned: s\r\nLimit: "
+        "3\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 421 Other\r\nId: mine\r\nLimit: 3\r\nContent-Length: "
+        "0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: mine\r\nSigned: s\r\nLimit: "
+        "3\r\nContent-Length: 9\r\n\r\nok"})
+    CHECK_FALSE_TEXT(resultFor(Bytes).Notice.has_value(), Bytes);
+}
+
 // Guards against response smuggling: an answer whose end two parsers of RFC
 // 9112 could determine differently is rejected, even if it is signed.
 TEST(TargetTransfer, RejectsAnswersWithAmbiguousFraming) {
