Send nothing more to a target that announces its leaving in an answer

A target that leaves says so in all its answers, at times long before its entry in the store changes or without such a change; only the entry was heeded (DRAIN).

The node beside the target sees every answer, so it takes the target as draining from the first one on: queued calls go elsewhere unrun, other nodes hear it with each reply and by gossip. It stays so until the store names another target, or another start under the same id. A node that restarts asks its target before it runs anything, so its successor knows too.

AnnouncedStateMesh.LeavingTargetGetsNoMoreRequests failed without the two lines in TargetSide and TargetNotices (the target got requests to the end).

--- a/src/calls/TargetNotices.cpp
+++ b/src/calls/TargetNotices.cpp
@@ -74,6 +74,10 @@
                    {{"target", Context.Identity.Name},
                     {"limit", Rate ? fmt::format("{}", *Rate) : "none"}});
   }
+  if (!Change.Leaving)
+    return;
+  Context.report(EventId::TargetLeaving, {{"target", Context.Identity.Name}});
+  refuseAllQueued(ResultCode::TargetDraining);
 }
 
 } // namespace fescuewood
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -168,6 +168,8 @@
 }
 
 ResultCode TargetSide::refusalByListing() const {
+  if (Announced.leaving())
+    return ResultCode::TargetDraining;
   if (!Context.Identity.TargetListed)
     return ResultCode::Ok;
   if (!Listed || Context.now() < MistakenUntil)
--- a/tests/calls/AnnouncedStateMeshTest.cpp
+++ b/tests/calls/AnnouncedStateMeshTest.cpp
@@ -173,3 +173,31 @@
   }
   CHECK(Refused > 300);
 }
+
+TEST(AnnouncedStateMesh, LeavingTargetGetsNoMoreRequests) {
+  offer(100, 2 * SecondUs);
+  target().Notice.Leaving = true;
+  offer(100, SecondUs);
+  const std::int64_t Announced = Mesh->Time.nowUs();
+
+  offer(100, 3 * SecondUs);
+  restartNode(Limited, "first");
+  offer(100, 3 * SecondUs);
+
+  LONGS_EQUAL(0, runsSince(Announced));
+  CHECK(shareServedSince(0) > 0.97);
+}
+
+TEST(AnnouncedStateMesh, TargetAfterALeavingOneIsUsed) {
+  target().Notice.Leaving = true;
+  offer(100, 2 * SecondUs);
+  target().Notice.Leaving = false;
+  Mesh->listTarget(Limited, "second");
+  Mesh->publishInstances();
+  offer(100, SecondUs);
+  const std::int64_t From = Mesh->Time.nowUs();
+
+  offer(100, 3 * SecondUs);
+
+  CHECK(runsSince(From) > 50);
+}
