Believe a refusal on a used connection only if it is the answer to this request

Reported by other operators: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told "not run, try again" for a request that was running (REFUSED), or it ran at a second target (TWICE).

A refusal that names another request was taken as foreign already.

--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -98,6 +98,10 @@
   return true;
 }
 
+void TargetTransfer::useNewConnection() {
+  curl_easy_setopt(Easy.get(), CURLOPT_FRESH_CONNECT, 1L);
+}
+
 bool TargetTransfer::addField(std::string_view Name, std::string_view Value) {
   if (Name.empty() || !isValidText(Name) || !isValidText(Value))
     return false;
@@ -181,13 +185,29 @@
 ResultCode TargetTransfer::validateAnswer() const {
   if (!isFramed())
     return ResultCode::TargetAnswerMalformed;
-  if (isMisdirectedAnswer())
-    return ResultCode::TargetMistaken;
-  if (isNotRunAnswer())
-    return ResultCode::TargetRefused;
+  if (isMisdirectedAnswer() || isNotRunAnswer())
+    return validateRefusal();
   return isProven() ? ResultCode::Ok : ResultCode::TargetAnswerUnproven;
 }
 
+/// Validates an answer that promises that the request has not run. On a
+/// connection that was used before it may be an earlier refusal, repeated, so
+/// it must name its request there.
+ResultCode TargetTransfer::validateRefusal() const {
+  if (!RequestId.empty() && isReused() &&
+      !findField(Answer.Headers, Options.Scheme.RequestId))
+    return ResultCode::TargetAnswerUnproven;
+  return isMisdirectedAnswer() ? ResultCode::TargetMistaken
+                               : ResultCode::TargetRefused;
+}
+
+/// Whether the request was sent on a connection that had been used before.
+bool TargetTransfer::isReused() const {
+  long NewConnections = 0;
+  curl_easy_getinfo(Easy.get(), CURLINFO_NUM_CONNECTS, &NewConnections);
+  return NewConnections == 0;
+}
+
 bool TargetTransfer::isNotRunAnswer() const {
   const std::string &NotRun = Options.Scheme.NotRun;
   return !NotRun.empty() && findField(Answer.Headers, NotRun);
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -29,6 +29,12 @@
   /// expressed in HTTP, for example because a field contains a line break.
   bool prepare();
 
+  /// Sends the request on a new connection. Call after \ref prepare.
+  void useNewConnection();
+
+  /// ID that the answer must name; empty if the scheme asks for none.
+  const std::string &requestId() const { return RequestId; }
+
   CURL *handle() const { return Easy.get(); }
 
   /// Bytes of the answer that have been received.
@@ -60,6 +66,8 @@
   bool isFramed() const;
   bool isMostlyFraming() const;
   ResultCode validateAnswer() const;
+  ResultCode validateRefusal() const;
+  bool isReused() const;
   bool isNotRunAnswer() const;
   bool isMisdirectedAnswer() const;
   bool isProven() const;
--- /dev/null
+++ b/tests/targets/RepeatedRefusalTest.cpp
@@ -0,0 +1,152 @@
+#include "targets/TargetClient.h"
+
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <asio.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+namespace {
+
+HeaderScheme signingScheme() {
+  HeaderScheme Scheme;
+  Scheme.RequestId = "Id";
+  Scheme.Signature = "Signed";
+  Scheme.NotRun = "Unrun";
+  return Scheme;
+}
+
+std::string refusal(const std::string &IdField) {
+  return "HTTP/1.1 503 Busy\r\n" + IdField +
+         "Unrun: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// A target that answers the n-th request with the n-th answer, whatever its
+/// connection, and runs each request but the first.
+class RepeatingTarget {
+public:
+  explicit RepeatingTarget(std::vector<std::string> Answers)
+      : Answers(std::move(Answers)),
+        Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0}),
+        Thread([this] {
+          accept();
+          Context.run();
+        }) {}
+
+  ~RepeatingTarget() {
+    Context.stop();
+    Thread.join();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+
+  /// Number of the connection of each request, in order of arrival.
+  std::vector<int> ConnectionOf;
+
+private:
+  struct Connection {
+    asio::ip::tcp::socket Socket;
+    int Number;
+    std::string Received = {};
+  };
+
+  void accept() {
+    Acceptor.async_accept(
+        [this](std::error_code Error, asio::ip::tcp::socket Socket) {
+          if (Error)
+            return;
+          read(std::make_shared<Connection>(
+              Connection{std::move(Socket), Connections++}));
+          accept();
+        });
+  }
+
+  void read(const std::shared_ptr<Connection> &Peer) {
+    asio::async_read_until(
+        Peer->Socket, asio::dynamic_buffer(Peer->Received), "\r\n\r\n",
+        [this, Peer](std::error_code Error, std::size_t Length) {
+          if (Error)
+            return;
+          Peer->Received.erase(0, Length);
+          const std::size_t Request = ConnectionOf.size();
+          ConnectionOf.push_back(Peer->Number);
+          asio::write(Peer->Socket, asio::buffer(Answers.at(Request)), Error);
+          read(Peer);
+        });
+  }
+
+  std::vector<std::string> Answers;
+  int Connections = 0;
+  asio::io_context Context;
+  asio::ip::tcp::acceptor Acceptor;
+  std::thread Thread;
+};
+
+TargetResult send(TargetClient &Client, const std::string &Id) {
+  TargetRequest Request;
+  Request.Method = "GET";
+  Request.Target = "/";
+  Request.Headers = {{"Id", Id}};
+  std::promise<TargetResult> Result;
+  Client.start(std::move(Request), [&Result](TargetResult Value) {
+    Result.set_value(std::move(Value));
+  });
+  return Result.get_future().get();
+}
+
+TargetClientOptions optionsFor(const RepeatingTarget &Target) {
+  TargetClientOptions Options;
+  Options.Address = Target.address();
+  Options.Scheme = signingScheme();
+  return Options;
+}
+
+} // namespace
+
+TEST_GROUP(RepeatedRefusal){};
+
+TEST(RepeatedRefusal, RefusalOfAnEarlierRequestPromisesNothing) {
+  const RepeatingTarget Target(
+      {refusal("Id: first\r\n"), refusal("Id: first\r\n")});
+  TargetClient Client(optionsFor(Target));
+  CHECK(Outcome::NotRun == send(Client, "first").RunOutcome);
+
+  const TargetResult Result = send(Client, "second");
+
+  CHECK(ResultCode::TargetAnswerForeign == Result.Reason);
+  CHECK(Outcome::Unknown == Result.RunOutcome);
+}
+
+TEST(RepeatedRefusal,
+     RefusalThatNamesNoRequestPromisesNothingOnAUsedConnection) {
+  const RepeatingTarget Target({refusal(""), refusal("")});
+  TargetClient Client(optionsFor(Target));
+  CHECK(Outcome::NotRun == send(Client, "first").RunOutcome);
+
+  const TargetResult Result = send(Client, "second");
+
+  CHECK(ResultCode::TargetAnswerUnproven == Result.Reason);
+  CHECK(Outcome::Unknown == Result.RunOutcome);
+}
+
+TEST(RepeatedRefusal, RefusedRequestIsSentAgainOnAnotherConnection) {
+  const RepeatingTarget Target({refusal("Id: first\r\n"),
+                                refusal("Id: first\r\n"),
+                                refusal("Id: other\r\n")});
+  TargetClient Client(optionsFor(Target));
+  send(Client, "first");
+
+  send(Client, "first");
+  send(Client, "other");
+
+  LONGS_EQUAL(0, Target.ConnectionOf.at(0));
+  LONGS_EQUAL(1, Target.ConnectionOf.at(1));
+  CHECK(Target.ConnectionOf.at(2) <= 1);
+}
