Take no answer as whole whose connection ended within its head

Reported by other operators, and it happened here too: a target that stopped in the middle of an answer's head and closed gave its caller a 200 with an empty body, framed as whole (MIXED, ORDER). libcurl ends such a transfer with success, and when the id and the signature had arrived nothing else was asked for.

A transfer whose head did not end, or that had interim heads only, is a lost connection. TargetTransfer.AnswerThatEndsWithinItsHeadIsNotComplete cuts three heads at each byte; it failed before from the line after the signature on.

--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -183,6 +183,9 @@
 
 /// Validates a complete answer.
 ResultCode TargetTransfer::validateAnswer() const {
+  // libcurl reports success when the connection ends within a head.
+  if (!HeadComplete || Answer.Status < FirstFinalStatus)
+    return ResultCode::TargetConnectionLost;
   if (!isFramed())
     return ResultCode::TargetAnswerMalformed;
   if (isMisdirectedAnswer() || isNotRunAnswer())
--- a/tests/targets/TargetTransferTest.cpp
+++ b/tests/targets/TargetTransferTest.cpp
@@ -124,6 +124,24 @@
     CHECK_FALSE_TEXT(resultFor(Bytes).Notice.has_value(), Bytes);
 }
 
+TEST(TargetTransfer, AnswerThatEndsWithinItsHeadIsNotComplete) {
+  const std::string Heads[] = {
+      "HTTP/1.1 200 OK\r\nId: mine\r\nSigned: s\r\nContent-Length: 2\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: mine\r\nSigned: "
+      "s\r\n\r\n",
+      "HTTP/1.1 503 Busy\r\nId: mine\r\nUnrun: 1\r\nContent-Length: "
+      "0\r\n\r\n"};
+  for (const std::string &Head : Heads) {
+    for (std::size_t Length = 0; Length < Head.size(); ++Length) {
+      const std::string Bytes = Head.substr(0, Length);
+      const TargetResult Result = resultFor(Bytes);
+
+      CHECK_TRUE_TEXT(Result.Reason != ResultCode::Ok, Bytes.c_str());
+      CHECK_TRUE_TEXT(Outcome::NotRun != Result.RunOutcome, Bytes.c_str());
+    }
+  }
+}
+
 // Guards against response smuggling: an answer whose end two parsers of RFC
 // 9112 could determine differently is rejected, even if it is signed.
 TEST(TargetTransfer, RejectsAnswersWithAmbiguousFraming) {
