Take no call in a drain that may outlast it

Reported by other operators: in a planned stop of one machine, requests that came late in the grace were taken and passed on, and cut at its end with no answer, among them requests that may not be repeated (LOST).

Here callers cannot come that late: half a second after the listener closes, idle connections are closed and others close with their answer. Other nodes can: until nothing ran any more, or the drain ended, a node that had announced its leave started runs for every node that had not heard it, so a steady flow kept it from becoming idle and the last runs were cut at the end. No play or process test showed it; found by reading.

From the announced leave on, a call is taken only if its time ends before the drain does, from callers (503, not run) and from other nodes (they move on). Calls of the own target, which last half a second, go on, so requests that run can end. CallCore.DrainingNodeTakesOnlyCallsThatEndInTime and CallCore.DrainingNodeStartsNoRunThatItWouldCut guard it.

--- a/src/app/Node.cpp
+++ b/src/app/Node.cpp
@@ -17,6 +17,10 @@
 /// stops.
 constexpr DurationMs LeavePropagation{400};
 
+/// Time between the latest deadline of a call that is taken during a drain and
+/// the end of the drain, for its answer.
+constexpr DurationMs DrainMargin{200};
+
 /// Time to write the final answers after the remaining calls are cancelled.
 constexpr DurationMs FinalAnswerTime{400};
 
@@ -89,8 +93,10 @@
   Callers.stopAccepting();
   std::this_thread::sleep_for(
       std::chrono::milliseconds(LeavePropagation.Value));
+  // Calls that arrive from now on must end in time, since they would be cut.
+  Engine.setDraining(Deadline - DrainMargin);
   const bool AllAnswered = waitUntilAnswered(Deadline);
-  Engine.setDraining();
+  Engine.setDraining(Monotonic.now());
   const bool AllRunsEnded = waitUntilAnswered(Deadline);
   if (!AllRunsEnded) {
     // Answers the remaining calls with outcome `unknown`, so that finished
--- a/src/calls/CallContext.h
+++ b/src/calls/CallContext.h
@@ -15,6 +15,7 @@
 
 #include <deque>
 #include <functional>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -41,10 +42,16 @@
   SnapshotPtr Config; ///< Null until a configuration is in force.
   CrashGuard Guard;
   CallStatus Counters;
-  bool Draining = false;
+  /// Set while the node drains: a call that may end later is not taken.
+  std::optional<TimeMs> DrainEnd;
 
   TimeMs now() const { return Time.now(); }
 
+  /// Whether a call with this deadline may outlast the drain of the node.
+  bool outlastsDrain(TimeMs Deadline) const {
+    return DrainEnd && Deadline > *DrainEnd;
+  }
+
   void report(EventId Id, std::vector<EventField> Fields) const {
     if (Hooks.OnEvent)
       Hooks.OnEvent({Id, std::move(Fields)});
--- a/src/calls/CallCore.cpp
+++ b/src/calls/CallCore.cpp
@@ -72,9 +72,9 @@
   Context.run([this, Listed] { Target.onListed(Listed); });
 }
 
-void CallCore::setDraining() {
-  Context.run([this] {
-    Context.Draining = true;
+void CallCore::setDraining(TimeMs End) {
+  Context.run([this, End] {
+    Context.DrainEnd = End;
     Target.onDraining();
   });
 }
--- a/src/calls/CallEngine.cpp
+++ b/src/calls/CallEngine.cpp
@@ -109,8 +109,8 @@
         [this, Listed = std::move(Listed)] { Core.setOwnTarget(Listed); });
   }
 
-  void setDraining() {
-    postReliably([this] { Core.setDraining(); });
+  void setDraining(TimeMs End) {
+    postReliably([this, End] { Core.setDraining(End); });
   }
 
   bool idle() const { return Idle.load() && Worker.backlog() == 0; }
@@ -272,7 +272,7 @@
   State->setOwnTarget(std::move(Listed));
 }
 
-void CallEngine::setDraining() { State->setDraining(); }
+void CallEngine::setDraining(TimeMs End) { State->setDraining(End); }
 
 bool CallEngine::idle() const { return State->idle(); }
 
--- a/src/calls/CallEngine.h
+++ b/src/calls/CallEngine.h
@@ -103,8 +103,9 @@
   /// Sets the platform's entry for this node's target; std::nullopt if none.
   void setOwnTarget(std::optional<ListedInstance> Listed);
 
-  /// Refuses new calls on both sides; calls in progress are completed.
-  void setDraining();
+  /// Refuses new calls on both sides that may last longer than \p End; calls in
+  /// progress are completed. Callable again with another end.
+  void setDraining(TimeMs End);
 
   /// Whether no call is unanswered, queued or running.
   bool idle() const;
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -55,7 +55,7 @@
   HeldBytes += Call.Bytes;
   // Calls that can wait need no byte limit: a caller's connection is not read
   // further while its call waits, so the number of connections bounds them.
-  if (Context.Draining)
+  if (Context.outlastsDrain(Call.Deadline))
     refuse(Handle, Call, ResultCode::ShuttingDown, Outcome::NotRun);
   else if (!Context.Config)
     refuse(Handle, Call, ResultCode::NotConfigured, Outcome::NotRun);
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -284,7 +284,7 @@
 }
 
 ResultCode TargetSide::refusalOnArrival(const CallRequest &Request) {
-  if (Context.Draining)
+  if (Context.outlastsDrain(Context.now() + Request.Remaining))
     return ResultCode::TargetDraining;
   if (!Context.Identity.Service.empty() &&
       Request.Service != Context.Identity.Service)
@@ -378,7 +378,7 @@
 void TargetSide::updateState() {
   TargetState Next = TargetState::Ready;
   const ResultCode Listing = refusalByListing();
-  if (Context.Draining || Listing == ResultCode::TargetDraining)
+  if (Context.DrainEnd || Listing == ResultCode::TargetDraining)
     Next = TargetState::Draining;
   else if (Down || Listing != ResultCode::Ok)
     Next = TargetState::Down;
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -60,7 +60,8 @@
   /// Applies the platform's entry for the target; std::nullopt if it has none.
   void onListed(const std::optional<ListedInstance> &Entry);
 
-  /// Reports the Draining state; new calls are refused from now on.
+  /// Reports the Draining state; calls that may outlast the drain are refused
+  /// from now on.
   void onDraining();
 
   /// Expires queued calls and ledger entries, and probes a target that is down.
--- a/tests/calls/CallCoreTest.cpp
+++ b/tests/calls/CallCoreTest.cpp
@@ -205,7 +205,7 @@
     Mesh->submit(static_cast<std::size_t>(I) % 3,
                  makeRequest("tag" + std::to_string(I), false));
     if (I == 150)
-      Mesh->Nodes[1]->Core->setDraining();
+      Mesh->Nodes[1]->Core->setDraining(Mesh->Time.clock().now());
     Mesh->runFor(5000);
   }
   Mesh->runFor(5 * SecondUs);
@@ -220,6 +220,42 @@
   }
 }
 
+TEST(CallCore, DrainingNodeTakesOnlyCallsThatEndInTime) {
+  auto Mesh = makeMesh(5, {}, {});
+  constexpr DurationMs Left{1000};
+  Mesh->Nodes[1]->Core->setDraining(Mesh->Time.clock().now() + Left);
+  CallRequest Long = makeRequest("long", false);
+  Long.Remaining = Left * 2;
+  CallRequest Short = makeRequest("short", false);
+  Short.Remaining = DurationMs(Left.Value / 2);
+
+  Mesh->submit(1, Long);
+  Mesh->submit(1, Short);
+  Mesh->runFor(2 * SecondUs);
+
+  CHECK(ResultCode::ShuttingDown == Mesh->Calls[0].Answer.Reason);
+  CHECK(Outcome::NotRun == Mesh->Calls[0].Answer.RequestOutcome);
+  LONGS_EQUAL(0, Mesh->runsOf("long"));
+  LONGS_EQUAL(200, Mesh->Calls[1].Answer.Status);
+}
+
+TEST(CallCore, DrainingNodeStartsNoRunThatItWouldCut) {
+  auto Mesh = makeMesh(5, {}, {});
+  constexpr DurationMs Left{1000};
+  const int Before = Mesh->Nodes[1]->Target->RunsByOrganisation["large"];
+  Mesh->Nodes[1]->Core->setDraining(Mesh->Time.clock().now() + Left);
+
+  for (int I = 0; I < 100; ++I) {
+    Mesh->submit(0, makeRequest("tag" + std::to_string(I), false));
+    Mesh->runFor(5000);
+  }
+  Mesh->runFor(3 * SecondUs);
+
+  LONGS_EQUAL(Before, Mesh->Nodes[1]->Target->RunsByOrganisation["large"]);
+  for (const FakeCall &Call : Mesh->Calls)
+    LONGS_EQUAL(200, Call.Answer.Status);
+}
+
 TEST(CallCore, QuarantinesARequestThatCrashesTargetsAndServesOthers) {
   auto Mesh = makeMesh(6, {}, {});
 
