--- a/src/platform/StoreClient.cpp
+++ b/src/platform/StoreClient.cpp
@@ -13,9 +13,10 @@
 
 namespace {
 
-/// Time for a page of a range, as a multiple of that for the changes of a
-/// watch: a page cannot be replaced by a smaller read, the changes can.
-constexpr std::int64_t RangeTransferFactor = 4;
+/// Time from the first byte of an answer to its end, as a multiple of the time
+/// until its first byte: a whole configuration may cross a slow link, and what
+/// has arrived of it is lost when it is given up.
+constexpr std::int64_t TransferFactor = 4;
 
 std::string_view prefixOf(StoreSubject Subject) {
   switch (Subject) {
@@ -69,13 +70,14 @@
     if (!After.empty())
       Path += "&after=" + percentEncoded(After);
     return decodeAnswer(
-        Reader->get(Path, DurationMs(0), Timeout * RangeTransferFactor),
+        Reader->get(Path, DurationMs(0), Timeout * TransferFactor),
         &decodePage);
   };
   Calls.Watch = [Reader, Timeout](std::uint64_t After, DurationMs Wait) {
     const std::string Path = fmt::format("{}?prefix=&after={}&wait_ms={}",
                                          WatchPath, After, Wait.Value);
-    return decodeAnswer(Reader->get(Path, Wait, Timeout), &decodeChanges);
+    return decodeAnswer(Reader->get(Path, Wait, Timeout * TransferFactor),
+                        &decodeChanges);
   };
   Calls.DecodeTarget = [NodePort](std::string_view Id, std::string_view Value) {
     return decodeTarget(Id, Value, NodePort);
