Ask other nodes for a newer version after half a second, not 1.2 s

Cause: every node reads the whole configuration from the store, and these links are full. A copy from a peer is compressed, but a node that hears of a newer version waited 1.2 s for its own read.

There is no failing test of its own: lateness is of the link.

--- a/src/nodes/ControlSettings.h
+++ b/src/nodes/ControlSettings.h
@@ -44,7 +44,7 @@
   bool EveryNodeReads = false;
   /// With EveryNodeReads: time for which a fetch of a peer's newer version is
   /// delayed, since this node is expected to read it from the source.
-  DurationMs OwnReadGrace{1200};
+  DurationMs OwnReadGrace{500};
   /// Time without an answer after which the source counts as unreachable.
   /// Exceeds the duration of a watch plus a call.
   DurationMs SourceSilenceLimit{1800};
