--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -3,6 +3,7 @@
 
 #include "calls/EntrySide.h"
 #include "calls/Refusals.h"
+#include "policy/RetryRules.h"
 
 #include <utility>
 
@@ -28,59 +29,6 @@
           Report.State};
 }
 
-/// Whether a refusal is unrelated to load, so that a retry costs no retry
-/// budget.
-bool isFreeToRetry(ResultCode Reason) {
-  switch (Reason) {
-  case ResultCode::TargetDraining:
-  case ResultCode::TargetDown:
-  case ResultCode::TargetUnreachable:
-  case ResultCode::DomainOut:
-  case ResultCode::TargetUnlisted:
-  case ResultCode::NoTargetAvailable:
-  case ResultCode::CallFenced:
-    return true;
-  default:
-    return false;
-  }
-}
-
-/// Whether a run ended without a usable answer, so that a retry on another
-/// target may succeed.
-bool isUnusableAnswer(ResultCode Reason) {
-  switch (Reason) {
-  case ResultCode::TargetConnectionLost:
-  case ResultCode::TargetAnswerForeign:
-  case ResultCode::TargetAnswerUnproven:
-  case ResultCode::TargetAnswerMalformed:
-    return true;
-  default:
-    return false;
-  }
-}
-
-/// Whether an HTTP status from a target may indicate a transient failure of
-/// that target.
-bool isTransientFailure(int Status) {
-  constexpr int InternalError = 500;
-  constexpr int BadGateway = 502;
-  return Status == ServiceUnavailable || Status == InternalError ||
-         Status == BadGateway;
-}
-
-/// Whether every target would refuse the call for the same reason.
-bool isFinal(ResultCode Reason) {
-  switch (Reason) {
-  case ResultCode::RequestCrashesTargets:
-  case ResultCode::KeyWithdrawn:
-  case ResultCode::CallerGone:
-  case ResultCode::TargetRequestInvalid:
-    return true;
-  default:
-    return false;
-  }
-}
-
 } // namespace
 
 void EntrySide::onStartReply(CallHandle Handle, const CallId &Id,
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -1,6 +1,7 @@
 #include "calls/EntrySide.h"
 
 #include "calls/Refusals.h"
+#include "policy/RetryRules.h"
 
 #include <algorithm>
 #include <utility>
@@ -201,9 +202,7 @@
       !Call.Request.CanWait && Call.Attempts >= Context.Settings.MaxAttempts;
   // A retry would only repeat this refusal, so it is returned immediately.
   const bool RetryIsFutile =
-      !Call.Request.CanWait &&
-      (Call.LastRefusal == ResultCode::DeadlineUnreachable ||
-       Call.LastRefusal == ResultCode::TargetRateUsed);
+      !Call.Request.CanWait && isRepeatFutile(Call.LastRefusal);
   if (AttemptsExhausted || RetryIsFutile || hasWaitedTooLong(Call)) {
     refuse(Handle, Call, Call.LastRefusal, outcomeOfEarlierAttempts(Call));
     return;
--- a/tests/targets/RepeatedRefusalTest.cpp
+++ b/tests/targets/RepeatedRefusalTest.cpp
@@ -1,5 +1,7 @@
 #include "targets/TargetClient.h"
 
+#include "targets/SigningScheme.h"
+
 #include <future>
 #include <string>
 #include <thread>
@@ -13,14 +15,6 @@
 
 namespace {
 
-HeaderScheme signingScheme() {
-  HeaderScheme Scheme;
-  Scheme.RequestId = "Id";
-  Scheme.Signature = "Signed";
-  Scheme.NotRun = "Unrun";
-  return Scheme;
-}
-
 std::string refusal(const std::string &IdField) {
   return "HTTP/1.1 503 Busy\r\n" + IdField +
          "Unrun: 1\r\nContent-Length: 0\r\n\r\n";
--- a/tests/targets/TargetTransferTest.cpp
+++ b/tests/targets/TargetTransferTest.cpp
@@ -1,6 +1,7 @@
 #include "targets/TargetTransfer.h"
 
 #include "targets/FakeCannedTarget.h"
+#include "targets/SigningScheme.h"
 
 #include <future>
 #include <optional>
@@ -13,18 +14,6 @@
 
 namespace {
 
-/// Header scheme of targets that sign their answers.
-HeaderScheme signingScheme() {
-  HeaderScheme Scheme;
-  Scheme.RequestId = "Id";
-  Scheme.Signature = "Signed";
-  Scheme.NotRun = "Unrun";
-  Scheme.TargetInstance = "Meant";
-  Scheme.RateLimit = "Limit";
-  Scheme.Leaving = "Leaves";
-  return Scheme;
-}
-
 TargetResult resultFor(const std::string &Bytes,
                        CloseMode Mode = CloseMode::Close) {
   const FakeCannedTarget Target(Bytes, Mode);
