Let the stand-in of the target name the request in a refusal too

The users' protocol has targets echo the request's id in their answers; the stand-in left it out of 421. StoreMesh.RunsNoRequestAtAReusedAddress failed once refusals on used connections had to name their request: 502 in place of 200, since the stand-in changes its identity without closing its connections. The test is as it was.

--- a/tests/standins/Target.h
+++ b/tests/standins/Target.h
@@ -173,8 +173,11 @@
   asio::awaitable<void> run(Tcp::socket &Socket, const Message &Request) {
     if (isMisdirected(Request)) {
       ++Misdirected;
-      std::string Text =
-          responseText(421, Options.Fields.NotRun + ": 1\r\n", "");
+      // Like all its answers, a refusal names the request.
+      std::string Fields = Options.Fields.NotRun + ": 1\r\n";
+      if (!Options.Fields.RequestId.empty())
+        Fields += Options.Fields.RequestId + ": " + markOf(Request) + "\r\n";
+      std::string Text = responseText(421, Fields, "");
       co_await send(Socket, std::move(Text));
       co_return;
     }
