--- a/src/sources/HttpReader.cpp
+++ b/src/sources/HttpReader.cpp
@@ -72,6 +72,14 @@
   return static_cast<const Body *>(Destination)->TooLarge ? Abort : Continue;
 }
 
+/// Why a transfer that failed with \p Code brought no answer.
+ResultCode failureReason(CURLcode Code, const Body &Received) {
+  const bool Begun = Received.ReceivedBytes > 0;
+  return Code == CURLE_OPERATION_TIMEDOUT && Begun
+             ? ResultCode::PlatformSlow
+             : ResultCode::PlatformUnreachable;
+}
+
 } // namespace
 
 class HttpReader::Impl {
@@ -98,13 +106,11 @@
     if (Received.TooLarge)
       return {std::nullopt, ResultCode::PlatformTooLarge,
               fmt::format("more than {} bytes", MaxAnswerBytes)};
-    if (Result != CURLE_OK)
-      return {std::nullopt,
-              Result == CURLE_OPERATION_TIMEDOUT && Received.ReceivedBytes > 0
-                  ? ResultCode::PlatformSlow
-                  : ResultCode::PlatformUnreachable,
+    if (Result != CURLE_OK) {
+      return {std::nullopt, failureReason(Result, Received),
               fmt::format("{}; {} bytes in {} ms", curl_easy_strerror(Result),
                           Received.ReceivedBytes, (Time.now() - SentAt).Value)};
+    }
     return resultForStatus(std::move(Received.Bytes));
   }
 
--- a/tests/calls/AnnouncedStateMeshTest.cpp
+++ b/tests/calls/AnnouncedStateMeshTest.cpp
@@ -76,11 +76,12 @@
     const auto &Starts = target().RunStartsUs;
     std::size_t Most = 0;
     for (auto First = std::lower_bound(Starts.begin(), Starts.end(), FromUs);
-         First != Starts.end(); ++First)
+         First != Starts.end(); ++First) {
       Most = std::max(Most, static_cast<std::size_t>(
                                 std::upper_bound(First, Starts.end(),
                                                  *First + 4 * SecondUs) -
                                 First));
+    }
     return Most;
   }
 
--- a/tests/nodes/ControlDutyTest.cpp
+++ b/tests/nodes/ControlDutyTest.cpp
@@ -187,7 +187,7 @@
   Settings.Self = {"a/0", "a", "s", 0, "127.0.0.1:1", TargetState::Ready};
   Settings.EveryNodeReads = true;
   ControlHooks Hooks;
-  Hooks.Send = [](PeerRequest, PeerReplyHook) {};
+  Hooks.Send = [](const PeerRequest &, const PeerReplyHook &) {};
   Hooks.Compile = [](const IntentBundle &Bundle, std::string &) {
     auto Result = std::make_shared<Snapshot>();
     Result->Id = Bundle.version();
--- a/tests/policy/NamedLimitTest.cpp
+++ b/tests/policy/NamedLimitTest.cpp
@@ -30,14 +30,12 @@
   return Started;
 }
 
-/// Largest number of times within any 4 s.
+/// Largest number of times within any 4 s; \p Times are in order.
 std::size_t mostInWindow(const std::vector<TimeMs> &Times) {
-  constexpr DurationMs Window{4000};
   std::size_t Most = 0;
   for (auto First = Times.begin(); First != Times.end(); ++First) {
-    const auto Last = std::find_if(First, Times.end(), [First](TimeMs Time) {
-      return Time > *First + Window;
-    });
+    const auto Last =
+        std::upper_bound(First, Times.end(), *First + DurationMs(4000));
     Most = std::max(Most, static_cast<std::size_t>(Last - First));
   }
   return Most;
