Report an unreadable limit once, and read the number in the announcement of leaving

A target that names an unreadable limit left a line for each answer; now one until it names another. A leaving field with the value 0 is no announcement.

--- a/src/callers/HeaderScheme.h
+++ b/src/callers/HeaderScheme.h
@@ -42,7 +42,7 @@
   /// In an answer: the requests per second that the target takes from all nodes
   /// together, a decimal number.
   std::string RateLimit;
-  /// In an answer: present if the target leaves.
+  /// In an answer: a whole number, above 0 if the target leaves.
   std::string Leaving;
   /// Field for the caller's API key. With \ref KeyPrefix set, it is used for
   /// nothing else.
--- a/src/calls/TargetNotices.cpp
+++ b/src/calls/TargetNotices.cpp
@@ -64,10 +64,11 @@
 void TargetSide::onNotice(const TargetNotice &Notice, TimeMs SentAt) {
   const AnnouncedState::Change Change =
       Announced.onAnswer(Notice, SentAt, Context.now());
-  if (Notice.LimitUnreadable)
+  if (Change.LimitUnreadable) {
     Context.report(EventId::TargetLimitChanged,
                    {{"target", Context.Identity.Name},
                     {"reason", "the limit cannot be read"}});
+  }
   if (Change.Limit) {
     const auto Rate = Announced.limit().rate();
     Context.report(EventId::TargetLimitChanged,
--- a/src/core/TaskThread.h
+++ b/src/core/TaskThread.h
@@ -46,10 +46,6 @@
   /// number of what they stand for must bound their number.
   void postReliably(Task Work);
 
-  /// Runs the tasks of \ref postReliably now. Call on this thread, or once it
-  /// is joined.
-  void runReliableTasks();
-
   /// Rejects new tasks, runs the queued ones and joins the thread. Does nothing
   /// when already stopped. Must not be called on this thread itself.
   void stop();
@@ -58,6 +54,7 @@
   std::size_t backlog() const { return Tasks.size(); }
 
 private:
+  void runReliableTasks();
   void run(DurationMs TickPeriod, const Task &OnTick);
 
   std::string Name;
--- a/src/policy/AnnouncedState.cpp
+++ b/src/policy/AnnouncedState.cpp
@@ -25,6 +25,8 @@
     return Result;
   Known = true;
   Result.Limit = Limit.update(Notice, SentAt, Now);
+  Result.LimitUnreadable = Notice.LimitUnreadable && !LimitUnreadable;
+  LimitUnreadable = Notice.LimitUnreadable;
   Result.Leaving = Notice.Leaving && !Leaving;
   Leaving = Leaving || Notice.Leaving;
   return Result;
--- a/src/policy/AnnouncedState.h
+++ b/src/policy/AnnouncedState.h
@@ -20,7 +20,8 @@
   /// What an answer changed.
   struct Change {
     bool Limit = false;
-    bool Leaving = false; ///< The target has begun to leave.
+    bool LimitUnreadable = false; ///< The named limit cannot be read any more.
+    bool Leaving = false;         ///< The target has begun to leave.
   };
 
   /// Names the target beside the node. Another one, or another start of the
@@ -52,6 +53,7 @@
   std::uint64_t StartedAtMs = 0;
   TimeMs NamedAt{0}; ///< When this target was named.
   bool Known = false;
+  bool LimitUnreadable = false; ///< In the latest answer.
   bool Leaving = false;
   NamedLimit Limit;
 };
--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -261,7 +261,8 @@
       parseDecimalField(Answer.Headers, Scheme.RateLimit);
   Notice.LimitUnreadable =
       !Notice.RequestsPerSecond && findField(Answer.Headers, Scheme.RateLimit);
-  Notice.Leaving = findField(Answer.Headers, Scheme.Leaving) != nullptr;
+  Notice.Leaving =
+      parseNumberField(Answer.Headers, Scheme.Leaving).value_or(0) > 0;
   return Notice;
 }
 
--- a/tests/policy/AnnouncedStateTest.cpp
+++ b/tests/policy/AnnouncedStateTest.cpp
@@ -1,6 +1,7 @@
 #include "policy/AnnouncedState.h"
 
 #include <limits>
+#include <optional>
 
 #include <CppUTest/TestHarness.h>
 
@@ -37,6 +38,15 @@
   CHECK_TRUE(State.leaving());
 }
 
+TEST(AnnouncedState, UnreadableLimitIsReportedOnce) {
+  const TargetNotice Unreadable = {std::nullopt, true, false};
+
+  CHECK_TRUE(State.onAnswer(Unreadable, Now, Now).LimitUnreadable);
+  CHECK_FALSE(State.onAnswer(Unreadable, Now, Now).LimitUnreadable);
+  State.onAnswer({}, Now, Now);
+  CHECK_TRUE(State.onAnswer(Unreadable, Now, Now).LimitUnreadable);
+}
+
 TEST(AnnouncedState, AnotherTargetHasAnnouncedNothing) {
   State.onAnswer({.RequestsPerSecond = 3, .Leaving = true}, Now, Now);
 
--- a/tests/targets/TargetTransferTest.cpp
+++ b/tests/targets/TargetTransferTest.cpp
@@ -90,6 +90,7 @@
       {Served + "Limit: 24.3\r\n" + End, {24.3, false, false}},
       {Refused + "Limit: 0\r\n" + End, {0.0, false, false}},
       {Refused + "Leaves: 1\r\n" + End, {std::nullopt, false, true}},
+      {Served + "Leaves: 0\r\n" + End, {}},
       {Served + "Limit: soon\r\n" + End, {std::nullopt, true, false}},
       {Served + "Limit: -1\r\n" + End, {std::nullopt, true, false}},
       {Served + "Limit: nan\r\n" + End, {std::nullopt, true, false}},
