Apply the answers to a target's probes in one place

Two probe hooks applied what the target announces with the same check, and the time at which the probe was sent was kept as state; it now travels with the hook, as it did in one of the two. No change of behaviour.

--- a/src/calls/TargetNotices.cpp
+++ b/src/calls/TargetNotices.cpp
@@ -43,8 +43,7 @@
   Context.Hooks.Target.Probe([this, SentAt](const ProbeResult &Result) {
     Context.run([this, SentAt, Result] {
       AwaitingNotice = false;
-      if (Result.Notice && isOwnAnswer(Result))
-        onNotice(*Result.Notice, SentAt);
+      onProbeNotice(Result, SentAt);
       updateState();
       startQueued();
     });
@@ -55,10 +54,13 @@
   return !Context.Identity.Scheme.RateLimit.empty();
 }
 
-/// Whether the listed target answered, not another one at its address.
-bool TargetSide::isOwnAnswer(const ProbeResult &Result) const {
-  return Result.TargetId.empty() || !Listed ||
-         Result.TargetId == Listed->TargetId;
+/// Applies the answer to a probe, unless another target at the address of the
+/// listed one gave it.
+void TargetSide::onProbeNotice(const ProbeResult &Result, TimeMs SentAt) {
+  const bool IsOwn =
+      Result.TargetId.empty() || !Listed || Result.TargetId == Listed->TargetId;
+  if (Result.Notice && IsOwn)
+    onNotice(*Result.Notice, SentAt);
 }
 
 void TargetSide::onNotice(const TargetNotice &Notice, TimeMs SentAt) {
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -302,25 +302,24 @@
 void TargetSide::probe() {
   if (Probing)
     return;
-  ProbeSentAt = Context.now();
-  NextProbe = ProbeSentAt + Context.Settings.ProbeInterval;
+  const TimeMs SentAt = Context.now();
+  NextProbe = SentAt + Context.Settings.ProbeInterval;
   Evidence.onProbeSent();
   if (!Context.Hooks.Target.Probe) {
     onProbe({true});
     return;
   }
   Probing = true;
-  Context.Hooks.Target.Probe([this](const ProbeResult &Result) {
-    Context.run([this, Result] {
+  Context.Hooks.Target.Probe([this, SentAt](const ProbeResult &Result) {
+    Context.run([this, SentAt, Result] {
       Probing = false;
+      onProbeNotice(Result, SentAt);
       onProbe(Result);
     });
   });
 }
 
 void TargetSide::onProbe(const ProbeResult &Result) {
-  if (Result.Notice && isOwnAnswer(Result))
-    onNotice(*Result.Notice, ProbeSentAt);
   if (!Result.Reachable) {
     onTargetDown();
     return;
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -138,11 +138,10 @@
 void TargetSide::onListed(const std::optional<ListedInstance> &Entry) {
   const bool Replaced = Entry && Listed && Entry->TargetId != Listed->TargetId;
   Listed = Entry;
-  if (Listed)
-    Announced.setTarget(Listed->TargetId, Listed->StartedAtMs, Context.now());
   if (Replaced)
     MistakenUntil = Context.now();
   if (Listed) {
+    Announced.setTarget(Listed->TargetId, Listed->StartedAtMs, Context.now());
     Limit.setSlots(Listed->Slots);
     if (Listed->ColdFor > DurationMs(0))
       setColdFor(Listed->ColdFor);
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -126,7 +126,7 @@
   void askForNotice();
   bool announcesState() const;
   void onNotice(const TargetNotice &Notice, TimeMs SentAt);
-  bool isOwnAnswer(const ProbeResult &Result) const;
+  void onProbeNotice(const ProbeResult &Result, TimeMs SentAt);
   bool exceedsNamedRate(const CallRequest &Request) const;
   ServiceRate boundByNamedRate(const ServiceRate &BySlots) const;
   ResultCode refusalByListing() const;
@@ -159,7 +159,6 @@
   AnnouncedState Announced;
   bool AwaitingNotice = false; ///< No run starts until the target has answered.
   bool Probing = false;
-  TimeMs ProbeSentAt{0};
   TimeMs NextProbe{0};
   TimeMs NextGuardExpiry{0};
   std::optional<TargetState> ReportedState;
