--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -197,13 +197,19 @@
 /// connection that was used before it may be an earlier refusal, repeated, so
 /// it must name its request there.
 ResultCode TargetTransfer::validateRefusal() const {
-  if (!RequestId.empty() && isReused() &&
-      !findField(Answer.Headers, Options.Scheme.RequestId))
+  if (isReused() && !namesRequest())
     return ResultCode::TargetAnswerUnproven;
   return isMisdirectedAnswer() ? ResultCode::TargetMistaken
                                : ResultCode::TargetRefused;
 }
 
+/// Whether the answer names its request, if it must: one that does not may
+/// belong to another request. One that names another is rejected on arrival.
+bool TargetTransfer::namesRequest() const {
+  return RequestId.empty() ||
+         findField(Answer.Headers, Options.Scheme.RequestId);
+}
+
 /// Whether the request was sent on a connection that had been used before.
 bool TargetTransfer::isReused() const {
   long NewConnections = 0;
@@ -229,8 +235,7 @@
       Answer.Status >= FirstFinalStatus && Answer.Status < FirstRedirect;
   if (Scheme.Signature.empty() || RequestId.empty() || !Success)
     return true;
-  return findField(Answer.Headers, Scheme.Signature) &&
-         findField(Answer.Headers, Scheme.RequestId) &&
+  return findField(Answer.Headers, Scheme.Signature) && namesRequest() &&
          !findField(Answer.Headers, "Content-Encoding");
 }
 
@@ -251,10 +256,7 @@
   const HeaderScheme &Scheme = Options.Scheme;
   const bool IsOwnAnswer =
       Reason == ResultCode::Ok || Reason == ResultCode::TargetRefused;
-  // An answer that does not name its request may belong to another one.
-  const bool IsToThisRequest =
-      RequestId.empty() || findField(Answer.Headers, Scheme.RequestId);
-  if (Scheme.RateLimit.empty() || !IsOwnAnswer || !IsToThisRequest)
+  if (Scheme.RateLimit.empty() || !IsOwnAnswer || !namesRequest())
     return std::nullopt;
   TargetNotice Notice;
   Notice.RequestsPerSecond =
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -67,6 +67,7 @@
   bool isMostlyFraming() const;
   ResultCode validateAnswer() const;
   ResultCode validateRefusal() const;
+  bool namesRequest() const;
   bool isReused() const;
   bool isNotRunAnswer() const;
   bool isMisdirectedAnswer() const;
