--- a/tests/standins/Target.h
+++ b/tests/standins/Target.h
@@ -173,12 +173,9 @@
   asio::awaitable<void> run(Tcp::socket &Socket, const Message &Request) {
     if (isMisdirected(Request)) {
       ++Misdirected;
-      // Like all its answers, a refusal names the request.
-      std::string Fields = Options.Fields.NotRun + ": 1\r\n";
-      if (!Options.Fields.RequestId.empty())
-        Fields += Options.Fields.RequestId + ": " + markOf(Request) + "\r\n";
-      std::string Text = responseText(421, Fields, "");
-      co_await send(Socket, std::move(Text));
+      const std::string Fields =
+          Options.Fields.NotRun + ": 1\r\n" + requestIdField(markOf(Request));
+      co_await send(Socket, responseText(421, Fields, ""));
       co_return;
     }
     const int Incarnation = Crashes;
@@ -285,16 +282,23 @@
       MaxColdExcess = std::max(MaxColdExcess, InFlight - Capacity);
   }
 
+  /// The field by which every answer names its request, if the scheme has one.
+  std::string requestIdField(const std::string &Mark) const {
+    if (Options.Fields.RequestId.empty())
+      return "";
+    return Options.Fields.RequestId + ": " + Mark + "\r\n";
+  }
+
   std::string answer(const Message &Request, const std::string &Mark) const {
     std::string Body = "mark=" + Mark + "\n";
     if (const auto Bytes = queryValue(Request.word(1), "bytes"))
       Body.resize(std::max<std::size_t>(Body.size(), std::stoull(*Bytes)), '.');
     if (Request.field("x-test-echo") == "1")
       Body = nlohmann::json(Request.Fields).dump();
-    std::string Fields = std::string(MarkField) + ": " + Mark + "\r\n";
+    std::string Fields =
+        std::string(MarkField) + ": " + Mark + "\r\n" + requestIdField(Mark);
     if (!Options.Fields.RequestId.empty())
-      Fields += Options.Fields.RequestId + ": " + Mark + "\r\n" +
-                Options.Fields.Signature + ": signed\r\n";
+      Fields += Options.Fields.Signature + ": signed\r\n";
     return responseText(200, Fields, Body);
   }
 
