--- a/tests/calls/AnnouncedStateMeshTest.cpp
+++ b/tests/calls/AnnouncedStateMeshTest.cpp
@@ -1,5 +1,7 @@
 #include "calls/MeshFixture.h"
 
+#include "support/WindowCount.h"
+
 #include <algorithm>
 #include <cstdint>
 #include <memory>
@@ -74,15 +76,8 @@
   /// Largest number of runs that the target began in any 4 s from \p FromUs.
   std::size_t mostRunsInWindow(std::int64_t FromUs) {
     const auto &Starts = target().RunStartsUs;
-    std::size_t Most = 0;
-    for (auto First = std::lower_bound(Starts.begin(), Starts.end(), FromUs);
-         First != Starts.end(); ++First) {
-      Most = std::max(Most, static_cast<std::size_t>(
-                                std::upper_bound(First, Starts.end(),
-                                                 *First + 4 * SecondUs) -
-                                First));
-    }
-    return Most;
+    return mostInWindow(std::lower_bound(Starts.begin(), Starts.end(), FromUs),
+                        Starts.end(), 4 * SecondUs);
   }
 
   std::size_t runsSince(std::int64_t FromUs) {
--- a/tests/nodes/ControlCoreTest.cpp
+++ b/tests/nodes/ControlCoreTest.cpp
@@ -5,6 +5,7 @@
 #include "nodes/FakeFleet.h"
 
 #include <algorithm>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -95,6 +96,18 @@
   }
 }
 
+/// A fleet in which every node reads the source and has a version in force.
+std::unique_ptr<FakeFleet> makeReadingFleet(std::size_t Domains,
+                                            std::size_t NodesPerDomain) {
+  auto Fleet = std::make_unique<FakeFleet>(
+      Domains, NodesPerDomain, 5,
+      [](ControlSettings &Settings) { Settings.EveryNodeReads = true; });
+  for (std::size_t I = 0; I < Fleet->Nodes.size(); ++I)
+    Fleet->start(I);
+  Fleet->runUntilInForce(Fleet->publish("first"), 20'000);
+  return Fleet;
+}
+
 } // namespace
 
 TEST_GROUP(ControlCore){};
@@ -347,12 +360,8 @@
 // The source does not answer one node. Guards against that node losing its
 // proof of freshness although its peers can pass theirs on to it.
 TEST(ControlCore, NodeWithoutSourceUsesProofsOfItsPeers) {
-  FakeFleet Fleet(2, 3, 5, [](ControlSettings &Settings) {
-    Settings.EveryNodeReads = true;
-  });
-  for (std::size_t I = 0; I < Fleet.Nodes.size(); ++I)
-    Fleet.start(I);
-  Fleet.runUntilInForce(Fleet.publish("first"), 20'000);
+  const auto ReadingFleet = makeReadingFleet(2, 3);
+  FakeFleet &Fleet = *ReadingFleet;
   Fleet.SourceDown = true;
   std::int64_t Oldest = 0;
   for (int Second = 0; Second < 20; ++Second) {
@@ -369,12 +378,8 @@
 }
 
 TEST(ControlCore, PausedNodeThatReadsTheSourceDoesNotWaitForPeers) {
-  FakeFleet Fleet(2, 1, 5, [](ControlSettings &Settings) {
-    Settings.EveryNodeReads = true;
-  });
-  for (std::size_t I = 0; I < Fleet.Nodes.size(); ++I)
-    Fleet.start(I);
-  Fleet.runUntilInForce(Fleet.publish("first"), 20'000);
+  const auto ReadingFleet = makeReadingFleet(2, 1);
+  FakeFleet &Fleet = *ReadingFleet;
   Fleet.cut(0, true);
   Fleet.pause(0);
   Fleet.run(6000);
--- a/tests/policy/NamedLimitTest.cpp
+++ b/tests/policy/NamedLimitTest.cpp
@@ -1,6 +1,7 @@
 #include "policy/NamedLimit.h"
 
 #include "support/Property.h"
+#include "support/WindowCount.h"
 
 #include <algorithm>
 #include <limits>
@@ -31,14 +32,8 @@
 }
 
 /// Largest number of times within any 4 s; \p Times are in order.
-std::size_t mostInWindow(const std::vector<TimeMs> &Times) {
-  std::size_t Most = 0;
-  for (auto First = Times.begin(); First != Times.end(); ++First) {
-    const auto Last =
-        std::upper_bound(First, Times.end(), *First + DurationMs(4000));
-    Most = std::max(Most, static_cast<std::size_t>(Last - First));
-  }
-  return Most;
+std::size_t mostIn4Seconds(const std::vector<TimeMs> &Times) {
+  return mostInWindow(Times.begin(), Times.end(), DurationMs(4000));
 }
 
 } // namespace
@@ -59,7 +54,7 @@
     const auto Started = offer(Limit, Start, DurationMs(20'000), DurationMs(1));
 
     CHECK(static_cast<double>(Started.size()) >= 20 * Rate - 1);
-    CHECK(static_cast<double>(mostInWindow(Started)) <= 4 * 1.5 * Rate + 5);
+    CHECK(static_cast<double>(mostIn4Seconds(Started)) <= 4 * 1.5 * Rate + 5);
   }
 }
 
@@ -80,7 +75,7 @@
                     Started.insert(Started.end(), More.begin(), More.end());
                     Now = Now + DurationMs(700);
                   }
-                  RC_ASSERT(static_cast<double>(mostInWindow(Started)) <=
+                  RC_ASSERT(static_cast<double>(mostIn4Seconds(Started)) <=
                             4 * 1.5 * Highest + 5);
                 });
 }
@@ -123,7 +118,7 @@
   const auto Started = offer(Limit, Start, DurationMs(12'000), DurationMs(1));
 
   CHECK(Started.size() >= 2);
-  CHECK(mostInWindow(Started) <= 3);
+  CHECK(mostIn4Seconds(Started) <= 3);
 }
 
 TEST(NamedLimit, WaitIsTheTimeUntilARequestCanStart) {
