--- a/tests/calls/CallCoreTest.cpp
+++ b/tests/calls/CallCoreTest.cpp
@@ -220,7 +220,7 @@
   }
 }
 
-TEST(CallCore, DrainingNodeTakesOnlyCallsThatEndInTime) {
+TEST(CallCore, RequestLateInTheGraceOfADrainIsRefusedNotCut) {
   auto Mesh = makeMesh(5, {}, {});
   constexpr DurationMs Left{1000};
   Mesh->Nodes[1]->Core->setDraining(Mesh->Time.clock().now() + Left);
@@ -239,7 +239,7 @@
   LONGS_EQUAL(200, Mesh->Calls[1].Answer.Status);
 }
 
-TEST(CallCore, DrainingNodeStartsNoRunThatItWouldCut) {
+TEST(CallCore, RunLateInTheGraceOfADrainIsMovedNotCut) {
   auto Mesh = makeMesh(5, {}, {});
   constexpr DurationMs Left{1000};
   const int Before = Mesh->Nodes[1]->Target->RunsByOrganisation["large"];
