Let the stand-in of the store reject a single node

The fault 'only' compared the caller's address, and on loopback all callers have 127.0.0.1, so it never struck: ServesKeyedRequestsWhileTheStoreRejectsOneNode passed without its fault. The store now listens at an address for each node and compares the one that is used.

With the fault in place that test failed, since the fixture gave keys 3 s to be withdrawn, of which a proof by peers takes up to 2.6. The users' platform gives 5 s everywhere; the fixture does now. LogsARefusalWithoutProofOfKeys sent one request id until it was refused, which in 5 s is more log than it reads; it now waits with other ids and checks the status as well.

--- a/tests/platform/StoreMeshFixture.cpp
+++ b/tests/platform/StoreMeshFixture.cpp
@@ -89,13 +89,18 @@
   Instances.push_back(std::move(Instance));
 }
 
-std::string StoreMesh::storeAddress() const {
-  return endpoint(Instances.front().Ip, 8545);
+/// The address at which a node calls the store. Each node has its own, so that
+/// the store can reject a single one.
+std::string StoreMesh::storeAddress(const StoreMeshInstance &Instance) {
+  return endpoint(Instance.Ip, 8545);
 }
 
 void StoreMesh::start() {
+  std::string Addresses;
+  for (const StoreMeshInstance &Instance : Instances)
+    Addresses += (Addresses.empty() ? "" : ",") + storeAddress(Instance);
   Store = standins::Process(
-      {std::string(BINARY_DIR) + "/standins/Store", "--listen", storeAddress()},
+      {std::string(BINARY_DIR) + "/standins/Store", "--listen", Addresses},
       Folder.file("store.log"));
   awaitCondition("the control port of the store answers", [this] {
     try {
@@ -125,7 +130,8 @@
                                        const std::string &Body) const {
   const std::string Text = standins::requestText(
       Body.empty() ? "GET" : "POST", "/control/" + Command, "", Body);
-  return nlohmann::json::parse(standins::ask(storeAddress(), Text).Body);
+  return nlohmann::json::parse(
+      standins::ask(storeAddress(Instances.front()), Text).Body);
 }
 
 void StoreMesh::putItem(const std::string &Key,
@@ -185,10 +191,10 @@
       {"{{listen_addresses.inbound}}", endpoint(Instance.Ip, PeersPort)},
       {"{{listen_addresses.ready}}", endpoint(Instance.Ip, ReadyPort)},
       {"{{app_address}}", endpoint(Instance.Ip, TargetPort)},
-      {"{{provider.address}}", storeAddress()},
+      {"{{provider.address}}", storeAddress(Instance)},
       {"{{#zones}}{{@}}:{{.}}{{,}}{{/zones}}", "east:coast,west:coast"},
       {"{{bounds.config_apply_s}}", "2"},
-      {"{{bounds.revoke_s}}", "3"},
+      {"{{bounds.revoke_s}}", "5"},
       {"{{bounds.quota_window_s}}", "5"},
       {"{{bounds.quota_overage}}", "0.25"},
   }};
--- a/tests/platform/StoreMeshFixture.h
+++ b/tests/platform/StoreMeshFixture.h
@@ -94,7 +94,7 @@
   bool isTargetUp(const StoreMeshInstance &Instance) const;
   std::string settings(const StoreMeshInstance &Instance) const;
   std::string logFile(const StoreMeshInstance &Instance) const;
-  std::string storeAddress() const;
+  static std::string storeAddress(const StoreMeshInstance &Instance);
 
   TemporaryFolder Folder;
   std::string AddressPrefix;
--- a/tests/platform/StoreMeshTest.cpp
+++ b/tests/platform/StoreMeshTest.cpp
@@ -63,13 +63,18 @@
     return nlohmann::json::parse(Mesh->send(ledger(), Request).Body);
   }
 
-  /// Whether the nodes route `/open/` to `ledger`, which has one target.
-  bool isOpenRoutedToLedger() const {
+  /// Whether a request to `/open/` that enters at \p Entry runs at the target
+  /// of \p At.
+  bool runsAt(const StoreMeshInstance &Entry, const StoreMeshInstance &At)
+      const {
     static int RequestCount = 0;
-    const std::string Id = "to-ledger-" + std::to_string(++RequestCount);
-    Mesh->send(east(), {.Id = Id});
-    return Mesh->commandTarget(ledger(), "runs").contains(Id);
+    const std::string Id = "runs-at-" + std::to_string(++RequestCount);
+    Mesh->send(Entry, {.Id = Id});
+    return Mesh->commandTarget(At, "runs").contains(Id);
   }
+
+  /// Whether the nodes route `/open/` to `ledger`, which has one target.
+  bool isOpenRoutedToLedger() const { return runsAt(east(), ledger()); }
 };
 
 TEST(StoreMesh, AppliesTheConfigurationOfTheStore) {
@@ -204,12 +209,11 @@
 // docs/OPERATIONS.md, "because the node had no proof of a fresh configuration".
 TEST(StoreMesh, LogsARefusalWithoutProofOfKeys) {
   Mesh->commandStore("set?silent=1");
-  Message Answer;
-  awaitCondition("keyed requests are refused", [&] {
-    Answer = Mesh->send(
-        east(), {.Id = "unproven", .Path = "/read/a", .Key = "key-one"});
-    return Answer.status() == 503;
-  });
+  awaitCondition("keyed requests are refused",
+                 [this] { return requestStatus("/read/a", "key-one") == 503; });
+  const Message Answer = Mesh->send(
+      east(), {.Id = "unproven", .Path = "/read/a", .Key = "key-one"});
+  LONGS_EQUAL(503, Answer.status());
   LONGS_EQUAL(KeysUnproven, resultCode(Answer));
 
   const std::string Lines = Mesh->timeline("unproven");
--- a/tests/standins/StoreMain.cpp
+++ b/tests/standins/StoreMain.cpp
@@ -19,6 +19,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -27,7 +28,8 @@
 #include <openssl/evp.h>
 
 DEFINE_string(listen, "127.0.0.1:0",
-              "IP:port to listen on; port 0 selects a free one");
+              "addresses (IP:port) to listen on, separated by commas; port 0 "
+              "selects a free one");
 DEFINE_int32(page_items, 500, "maximum number of items per page");
 DEFINE_int32(reads_per_s, 0,
              "calls per second beyond which the status is 429; 0: no limit");
@@ -40,10 +42,11 @@
 constexpr std::chrono::milliseconds PollPeriod{5};
 constexpr std::int64_t MaxWaitMs = 30'000;
 
-/// Faults set by /control/set. They affect the caller \ref Only, or all callers
-/// when that is empty.
+/// Faults set by /control/set. They affect the callers that use the address
+/// \ref Only of the store, or all callers when that is empty. On loopback all
+/// callers have the same address of their own.
 struct Faults {
-  std::string Only;        ///< only: an IP address.
+  std::string Only;        ///< only: an IP address that the store listens on.
   int Status = 0;          ///< status: responds with it, does nothing.
   bool Reset = false;      ///< reset: closes connections on calls.
   bool Silent = false;     ///< silent: accepts calls, never responds.
@@ -256,7 +259,7 @@
 public:
   Session(Store &ServedStore, standins::Tcp::socket Accepted)
       : ServedStore(ServedStore), Socket(std::move(Accepted)),
-        Caller(Socket.remote_endpoint().address().to_string()) {}
+        UsedAddress(Socket.local_endpoint().address().to_string()) {}
 
   asio::awaitable<void> serve() {
     std::string Buffer;
@@ -276,7 +279,7 @@
 private:
   bool isAffected() const {
     return ServedStore.ActiveFaults.Only.empty() ||
-           ServedStore.ActiveFaults.Only == Caller;
+           ServedStore.ActiveFaults.Only == UsedAddress;
   }
 
   // g++ 12 destroys temporaries in co_await expressions incorrectly, so the
@@ -332,7 +335,7 @@
 
   Store &ServedStore;
   standins::Tcp::socket Socket;
-  const std::string Caller;
+  const std::string UsedAddress; ///< Address at which the caller connected.
 };
 
 asio::awaitable<void> serve(Store &ServedStore, standins::Tcp::socket Socket) {
@@ -360,10 +363,14 @@
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
   asio::io_context Context;
   Store ServedStore;
-  standins::Tcp::acceptor Acceptor(Context, standins::endpointOf(FLAGS_listen));
-  asio::co_spawn(Context, acceptLoop(Context, Acceptor, ServedStore),
-                 asio::detached);
-  std::printf("listening %d\n", Acceptor.local_endpoint().port());
+  std::deque<standins::Tcp::acceptor> Acceptors;
+  std::istringstream Addresses(FLAGS_listen);
+  for (std::string Address; std::getline(Addresses, Address, ',');) {
+    Acceptors.emplace_back(Context, standins::endpointOf(Address));
+    asio::co_spawn(Context, acceptLoop(Context, Acceptors.back(), ServedStore),
+                   asio::detached);
+  }
+  std::printf("listening %d\n", Acceptors.front().local_endpoint().port());
   std::fflush(stdout);
   Context.run();
 }
