--- a/tests/platform/StoreMeshTest.cpp
+++ b/tests/platform/StoreMeshTest.cpp
@@ -194,6 +194,34 @@
   }
 }
 
+// The other nodes have read that the target is gone.
+TEST(StoreMesh, TargetThatLeftWhileTheStoreRejectedItsNodeGetsNoMoreRequests) {
+  Mesh->commandStore("set?status=503&only=" + east().Ip);
+  awaitCondition("the store has rejected the node several times", [this] {
+    const auto Calls = Mesh->commandStore("stats")["calls"];
+    int Rejected = 0;
+    for (const auto &[Call, Count] : Calls.items())
+      if (Call.ends_with(" 503"))
+        Rejected += Count.get<int>();
+    return Rejected >= 4;
+  });
+
+  Mesh->commandStore("remove?key=servers/" + east().Id);
+
+  awaitCondition("ten requests in a row run elsewhere", [this] {
+    for (int I = 0; I < 10; ++I)
+      if (runsAt(east(), east()))
+        return false;
+    return true;
+  });
+  Mesh->registerTarget(ledger());
+  Mesh->commandStore("set?");
+  for (int I = 0; I < 120; ++I) {
+    CHECK_FALSE(runsAt(east(), east()));
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+  }
+}
+
 // The platform kills a process that is still running some seconds after
 // SIGTERM, so a node must not wait for a target that no longer exists.
 TEST(StoreMesh, ExitsOnSigtermAfterItsTargetHasEnded) {
