Let a guess about a target replace nothing that a node has read

The store had rejected the node beside the target, which could not tell that from an outage in which entries lapse, and retained the removed entry. It published the row as live under the newest revision, so that it replaced the removal that all other nodes had read, at every node; and it kept the row until 2.5 s after it had noticed that the store was back, plus the rest of a watch.

A retained row now says that it is assumed and until when. It is published under the revision at which it was read, so that any later reading counts for more, and it ends 2.9 s after the last failed call was sent, that is before the node counts as reliable again. An entry that exists is preferred to a retained one.

--- a/src/nodes/ControlCore.cpp
+++ b/src/nodes/ControlCore.cpp
@@ -261,10 +261,14 @@
 void ControlCore::offerInstances(const InstanceList &List) {
   std::vector<ListedMember> Rows;
   Rows.reserve(List.Instances.size());
-  for (const ListedInstance &L : List.Instances)
-    Rows.push_back({{L.Name, L.Domain, L.Service, L.Slot, L.PeerAddress,
-                     TargetState::Cold},
-                    L.State == ListedState::Leaving});
+  for (const ListedInstance &L : List.Instances) {
+    ListedMember &Row = Rows.emplace_back();
+    Row.Place = {L.Name, L.Domain,      L.Service,
+                 L.Slot, L.PeerAddress, TargetState::Cold};
+    Row.Leaving = L.State == ListedState::Leaving;
+    if (L.AssumedUntil)
+      Row.ReadAt = L.Revision;
+  }
   Members.members().onListed(Rows, List.Revision, List.Complete, Time.now());
 }
 
--- a/src/policy/ListedInstance.h
+++ b/src/policy/ListedInstance.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,10 @@
   std::uint32_t Slots = 0;        ///< Concurrent requests that it accepts.
   DurationMs ColdFor{0};          ///< Remaining cold time when reported.
   std::uint64_t Revision = 0;     ///< Revision at which it was reported.
+  /// Set if the entry was removed while this node could not read the platform,
+  /// so that its target may still be alive: the row then stands on its revision
+  /// alone, and only until this time.
+  std::optional<TimeMs> AssumedUntil = {};
   /// Start of the target in ms since the epoch; 0 if not reported. Another one
   /// under the same id is another start.
   std::uint64_t StartedAtMs = 0;
--- a/src/policy/Membership.cpp
+++ b/src/policy/Membership.cpp
@@ -192,7 +192,7 @@
       Found = Table.find(Row.Place.Name);
       Rumours.add(Row.Place.Name, false, Table.size());
     }
-    setListing(Found->second, Revision, Row.Leaving, Now);
+    setListing(Found->second, Row.ReadAt.value_or(Revision), Row.Leaving, Now);
   }
   if (!Complete)
     return;
--- a/src/policy/Membership.h
+++ b/src/policy/Membership.h
@@ -57,6 +57,9 @@
 struct ListedMember {
   Instance Place;
   bool Leaving = false;
+  /// Revision of the platform up to which the row was read, if older than that
+  /// of the list.
+  std::optional<std::uint64_t> ReadAt = {};
 };
 
 /// Membership table of one node. Not thread-safe.
@@ -88,6 +91,7 @@
   bool merge(const MemberRecord &Record, Propagation Mode, TimeMs Now);
 
   /// Merges the platform's instance list.
+  /// \param Revision revision of the platform at which this list was read.
   /// \param Complete whether a member missing from this list, but present in
   /// the previous complete one, is treated as leaving.
   void onListed(std::span<const ListedMember> List, std::uint64_t Revision,
--- a/src/policy/TargetList.cpp
+++ b/src/policy/TargetList.cpp
@@ -1,6 +1,7 @@
 #include "policy/TargetList.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace fescuewood {
@@ -10,6 +11,8 @@
 /// Whether \p Candidate represents an instance rather than \p Current.
 bool hasPrecedence(const ListedInstance &Candidate,
                    const ListedInstance &Current) {
+  if (Candidate.AssumedUntil.has_value() != Current.AssumedUntil.has_value())
+    return !Candidate.AssumedUntil;
   if (Candidate.State != Current.State)
     return Candidate.State == ListedState::Live;
   return Candidate.Revision > Current.Revision;
@@ -18,9 +21,7 @@
 } // namespace
 
 void TargetList::put(ListedInstance Entry) {
-  const std::string Id = Entry.TargetId;
-  Retained.erase(Id);
-  ListedInstance &Stored = Entries[Id];
+  ListedInstance &Stored = Entries[Entry.TargetId];
   if (Stored == Entry)
     return;
   Stored = std::move(Entry);
@@ -47,28 +48,36 @@
     removeOrRetain(Id, Now);
 }
 
-void TargetList::onStoreLost() {
-  StoreLost = true;
-  RetainUntil.reset();
+void TargetList::onStoreLost() { setRetention(Never); }
+
+void TargetList::onStoreRecovered() {
+  setRetention(LastFailedAt + RetentionTime);
 }
 
-void TargetList::onStoreRecovered(TimeMs Now) {
-  if (!std::exchange(StoreLost, false))
-    return;
-  RetainUntil = Now + RelistTime;
+/// Sets the end of the retention, also for the entries that are retained now.
+void TargetList::setRetention(TimeMs End) {
+  RetainUntil = End;
+  for (auto &[Id, Entry] : Entries) {
+    if (!Entry.AssumedUntil)
+      continue;
+    Entry.AssumedUntil = End;
+    Changed = true;
+  }
 }
 
 void TargetList::expire(TimeMs Now) {
-  if (isRetaining(Now))
-    return;
-  for (const std::string &Id : Retained)
-    Entries.erase(Id);
-  Changed = Changed || !Retained.empty();
-  Retained.clear();
+  const std::size_t Expired = std::erase_if(Entries, [Now](const auto &Item) {
+    const std::optional<TimeMs> &Until = Item.second.AssumedUntil;
+    return Until && *Until <= Now;
+  });
+  Changed = Changed || Expired > 0;
 }
 
 TimeMs TargetList::nextExpiry() const {
-  return Retained.empty() || !RetainUntil ? Never : *RetainUntil;
+  TimeMs Next = Never;
+  for (const auto &[Id, Entry] : Entries)
+    Next = std::min(Next, Entry.AssumedUntil.value_or(Never));
+  return Next;
 }
 
 InstanceList TargetList::list(std::uint64_t Revision) const {
@@ -100,18 +109,14 @@
 
 bool TargetList::takeChanged() { return std::exchange(Changed, false); }
 
-bool TargetList::isRetaining(TimeMs Now) const {
-  return StoreLost || (RetainUntil && Now < *RetainUntil);
-}
-
 void TargetList::removeOrRetain(const std::string &Id, TimeMs Now) {
-  if (isRetaining(Now)) {
-    Retained.insert(Id);
+  if (Now >= RetainUntil) {
+    Changed = Entries.erase(Id) > 0 || Changed;
     return;
   }
-  Retained.erase(Id);
-  if (Entries.erase(Id) > 0)
-    Changed = true;
+  ListedInstance &Entry = Entries[Id];
+  Changed = Changed || Entry.AssumedUntil != RetainUntil;
+  Entry.AssumedUntil = RetainUntil;
 }
 
 } // namespace fescuewood
--- a/src/policy/TargetList.h
+++ b/src/policy/TargetList.h
@@ -1,12 +1,14 @@
 /// \file
 /// List of the targets in a store, which survives outages of the store.
 ///
-/// The owner reports each entry that it reads, and when the store becomes
-/// unreachable or reachable. Entries expire in the store during an outage
-/// although their targets are alive, and targets write them again soon after
-/// it. An entry that is removed during an outage is therefore retained until
-/// the targets have had time to do so; at any other time, a removed entry means
-/// that the target is gone.
+/// The owner reports each entry that it reads, each failed call, and when the
+/// store becomes unreachable or reachable. Entries expire in the store during
+/// an outage although their targets are alive, and targets write them again
+/// soon after it. An entry that is removed during an outage is therefore
+/// retained until the targets have had time to do so; at any other time, a
+/// removed entry means that the target is gone. A node cannot tell whether the
+/// store was out or only rejected this node, so a retained row is an assumption
+/// and bears its end (ListedInstance::AssumedUntil).
 
 #ifndef FESCUEWOOD_POLICY_TARGETLIST_H
 #define FESCUEWOOD_POLICY_TARGETLIST_H
@@ -17,15 +19,16 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 
 namespace fescuewood {
 
-/// Time after the end of an outage in which live targets write their entries
-/// again: about 2 s according to the platform, plus propagation.
-inline constexpr DurationMs RelistTime{2500};
+/// Time from the last failed call of an outage for which a removed entry is
+/// retained. Targets write their entries again within about 2 s of the store's
+/// return, which may come after that call. 3 s after its return, a node must
+/// know which targets are gone.
+inline constexpr DurationMs RetentionTime{2900};
 
 /// Listed targets by id. Not thread-safe.
 class TargetList {
@@ -40,9 +43,12 @@
   /// Applies a full listing; entries that are missing from it are removed.
   void replaceAll(std::vector<ListedInstance> Entries, TimeMs Now);
 
+  /// A call that was sent at \p SentAt has failed.
+  void onCallFailed(TimeMs SentAt) { LastFailedAt = SentAt; }
+
   /// The store has become unreachable, or reachable again.
   void onStoreLost();
-  void onStoreRecovered(TimeMs Now);
+  void onStoreRecovered();
 
   /// Drops retained entries once the retention time has passed.
   void expire(TimeMs Now);
@@ -50,8 +56,9 @@
   /// Time of the next expiry; Never if there is none.
   TimeMs nextExpiry() const;
 
-  /// One row per instance. A live target takes precedence over one that is
-  /// leaving, and otherwise the greater revision over the smaller.
+  /// One row per instance. An entry that exists takes precedence over a
+  /// retained one, then a live target over one that is leaving, and otherwise
+  /// the greater revision over the smaller.
   InstanceList list(std::uint64_t Revision) const;
 
   /// Returns the target of \p Service at an address, if any.
@@ -62,13 +69,12 @@
   bool takeChanged();
 
 private:
-  bool isRetaining(TimeMs Now) const;
+  void setRetention(TimeMs End);
   void removeOrRetain(const std::string &Id, TimeMs Now);
 
   std::map<std::string, ListedInstance, std::less<>> Entries;
-  std::set<std::string, std::less<>> Retained; ///< Removed but still listed.
-  bool StoreLost = false;
-  std::optional<TimeMs> RetainUntil; ///< Set at the end of an outage.
+  TimeMs LastFailedAt{0};
+  TimeMs RetainUntil{0}; ///< Never during an outage.
   bool Changed = false;
 };
 
--- a/src/sources/StoreLoop.cpp
+++ b/src/sources/StoreLoop.cpp
@@ -48,7 +48,7 @@
   Targets.expire(Now);
   publish();
   if (Now < NextCall)
-    return std::min(NextCall, Targets.nextExpiry()) - Now;
+    return untilNextStep(Now);
   ++Reads;
   switch (NextPhase) {
   case Phase::ReadIntent:
@@ -62,7 +62,12 @@
     break;
   }
   publish();
-  return std::max(DurationMs(0), NextCall - Time.now());
+  return untilNextStep(Time.now());
+}
+
+DurationMs StoreLoop::untilNextStep(TimeMs Now) const {
+  return std::max(DurationMs(0),
+                  std::min(NextCall, Targets.nextExpiry()) - Now);
 }
 
 PlatformReaderCounts StoreLoop::counts() const {
@@ -76,7 +81,7 @@
                                    : "";
   PlatformRead<StorePage> Read = Calls.Range(Subject, AfterKey);
   if (!Read.Value)
-    return onFailure(Read.Reason, Read.Detail);
+    return onFailure(SentAt, Read.Reason, Read.Detail);
   if (!PartialRange) {
     PartialRange = std::move(*Read.Value);
   } else {
@@ -123,7 +128,10 @@
 
 void StoreLoop::watch() {
   const TimeMs SentAt = Time.now();
-  PlatformRead<StoreChanges> Read = Calls.Watch(Revision, Timing.Wait);
+  // Ends in time to report entries whose retention ends.
+  const DurationMs Wait = std::max(
+      DurationMs(0), std::min(Timing.Wait, Targets.nextExpiry() - SentAt));
+  PlatformRead<StoreChanges> Read = Calls.Watch(Revision, Wait);
   if (needsFullRead(Read.Reason)) {
     emit(EventId::StoreHistoryLost,
          {{"version", std::to_string(Revision)},
@@ -133,7 +141,8 @@
     return;
   }
   if (!Read.Value)
-    return onFailure(Read.Reason, Read.Detail);
+    return onFailure(SentAt, Read.Reason, Read.Detail);
+  onSuccess();
   reportConfigurations(*Read.Value, SentAt);
   for (StoreChange &Change : Read.Value->Changes)
     apply(std::move(Change));
@@ -231,10 +240,11 @@
 
 void StoreLoop::onSuccess() {
   if (Health.onSuccess())
-    Targets.onStoreRecovered(Time.now());
+    Targets.onStoreRecovered();
 }
 
-void StoreLoop::onFailure(ResultCode Reason, const std::string &Detail) {
+void StoreLoop::onFailure(TimeMs SentAt, ResultCode Reason,
+                          const std::string &Detail) {
   if (Reason == ResultCode::Stopped)
     return;
   NextCall =
@@ -249,3 +259,4 @@
 }
 
 } // namespace fescuewood
+  Targets.onCallFailed(SentAt);
--- a/src/sources/StoreLoop.h
+++ b/src/sources/StoreLoop.h
@@ -88,6 +88,7 @@
   void readPage(StoreSubject Subject);
   void onRangeRead(TimeMs SentAt);
   void watch();
+  DurationMs untilNextStep(TimeMs Now) const;
   void reportConfigurations(const StoreChanges &Read, TimeMs SentAt);
   void apply(StoreChange Change);
   void applyTarget(const StoreChange &Change);
@@ -95,7 +96,7 @@
   void restart();
   void onSuccess();
   void reportProof(TimeMs SentAt);
-  void onFailure(ResultCode Reason, const std::string &Detail);
+  void onFailure(TimeMs SentAt, ResultCode Reason, const std::string &Detail);
   void emit(EventId Id, std::vector<EventField> Fields = {}) const;
 
   StoreCalls Calls;
--- a/tests/policy/TargetListTest.cpp
+++ b/tests/policy/TargetListTest.cpp
@@ -34,21 +34,68 @@
 
 // Entries expire in the store during an outage although their targets are
 // alive.
-TEST(TargetList, RetainsEntriesRemovedAroundAnOutageForTheRelistTime) {
+TEST(TargetList, RetainsEntriesRemovedAroundAnOutageForTheRetentionTime) {
   List.put(row("alive", "10.0.0.1"));
   List.put(row("dead", "10.0.0.2"));
+  List.onCallFailed(TimeMs(10'000));
   List.onStoreLost();
-  List.onStoreRecovered(TimeMs(10'000));
+  List.onStoreRecovered();
   List.replaceAll({}, TimeMs(10'050));
   LONGS_EQUAL(2, List.list(1).Instances.size());
 
   List.put(row("alive", "10.0.0.1"));
-  List.expire(TimeMs(10'000) + RelistTime);
+  List.expire(TimeMs(10'000) + RetentionTime);
 
   LONGS_EQUAL(1, List.list(2).Instances.size());
   STRCMP_EQUAL("alive", List.list(2).Instances[0].TargetId.c_str());
 }
 
+// The store may have rejected this node only: what others have read since must
+// count for more.
+TEST(TargetList, MarksARetainedEntryAsAssumedUntilTheRetentionEnds) {
+  List.put(row("i-1", "10.0.0.1"));
+  List.onCallFailed(TimeMs(10'000));
+  List.onStoreLost();
+  List.onStoreRecovered();
+  CHECK_FALSE(List.list(1).Instances[0].AssumedUntil.has_value());
+
+  List.remove("i-1", TimeMs(10'100));
+
+  CHECK(TimeMs(10'000) + RetentionTime ==
+        *List.list(2).Instances[0].AssumedUntil);
+  CHECK(TimeMs(10'000) + RetentionTime == List.nextExpiry());
+  List.put(row("i-1", "10.0.0.1"));
+  CHECK_FALSE(List.list(3).Instances[0].AssumedUntil.has_value());
+}
+
+// Targets cannot write their entries while the store is out again.
+TEST(TargetList, ExtendsTheRetentionWhenTheStoreIsLostAgain) {
+  List.put(row("i-1", "10.0.0.1"));
+  List.onCallFailed(TimeMs(10'000));
+  List.onStoreLost();
+  List.onStoreRecovered();
+  List.remove("i-1", TimeMs(10'100));
+
+  List.onStoreLost();
+
+  List.expire(TimeMs(10'000) + RetentionTime);
+  LONGS_EQUAL(1, List.list(1).Instances.size());
+  List.onCallFailed(TimeMs(20'000));
+  List.onStoreRecovered();
+  List.expire(TimeMs(20'000) + RetentionTime);
+  LONGS_EQUAL(0, List.list(2).Instances.size());
+}
+
+TEST(TargetList, PrefersAnEntryThatExistsToARetainedOneOnTheSameInstance) {
+  List.put(row("old", "10.0.0.1", "queue", ListedState::Live, 9));
+  List.put(row("new", "10.0.0.1", "queue", ListedState::Leaving, 7));
+  List.onStoreLost();
+
+  List.remove("old", TimeMs(100));
+
+  STRCMP_EQUAL("new", List.list(1).Instances[0].TargetId.c_str());
+}
+
 TEST(TargetList, PrefersTheLiveTargetToALeavingOneOnTheSameInstance) {
   List.put(row("old", "10.0.0.1", "queue", ListedState::Leaving, 9));
   List.put(row("new", "10.0.0.1", "queue", ListedState::Live, 7));
