Let the node beside a target heed what other nodes read about it

The node beside a target is the last that can stop a request, and it went by its own reading alone: while the store rejected it, or while a configuration crossed its slow link in front of the change, it accepted requests for a target that every other node had read as leaving.

TargetListing now decides from the node's own entry and from the newest listing that any node has gossiped; the greater revision counts. An assumed entry ends by the clock where it is used, not when the next watch returns. OwnTargetListed says the revision, the evidence (own reading, report or assumption) and how long an assumption still holds.

--- a/bench/model/FakeCallMesh.h
+++ b/bench/model/FakeCallMesh.h
@@ -102,13 +102,28 @@
 
   /// Lists the target of a node under an id, like the platform.
   void listTarget(std::size_t At, const std::string &Id) {
+    listTarget(At, listing(At, Id));
+  }
+
+  void listTarget(std::size_t At, const fescuewood::ListedInstance &Listed) {
+    runOnNode(At,
+              [Listed](FakeNode &Node) { Node.Core->setOwnTarget(Listed); });
+  }
+
+  /// The platform's entry for the target of a node.
+  fescuewood::ListedInstance listing(std::size_t At, const std::string &Id) {
     fescuewood::ListedInstance Listed;
     Listed.Name = Nodes.at(At)->Place.Name;
     Listed.Service = Nodes[At]->Place.Service;
     Listed.TargetId = Id;
     Listed.Slots = 6;
+    return Listed;
+  }
+
+  /// Passes a node what others have read about its target, like membership.
+  void reportListing(std::size_t At, const fescuewood::MemberListing &Report) {
     runOnNode(At,
-              [Listed](FakeNode &Node) { Node.Core->setOwnTarget(Listed); });
+              [Report](FakeNode &Node) { Node.Core->setOwnReport(Report); });
   }
 
   /// Starts the process of a node, or restarts it without its state.
@@ -121,6 +136,7 @@
     Self.Service = Node.Place.Service;
     Self.Incarnation = Random() | 1U;
     Self.Scheme = Scheme;
+    Self.TargetListed = TargetsListed;
     Node.Incarnation = Self.Incarnation;
     Node.Core = std::make_unique<fescuewood::CallCore>(Self, Settings,
                                                        hooks(At), Time.clock());
@@ -184,7 +200,9 @@
   VirtualTime Time;
   FakeNetworkOptions Network;
   fescuewood::HeaderScheme Scheme; ///< Of nodes that start from now on.
-  std::uint64_t BytesSent = 0;     ///< Bodies of all messages between nodes.
+  /// Whether the platform lists targets; for nodes that start from now on.
+  bool TargetsListed = false;
+  std::uint64_t BytesSent = 0; ///< Bodies of all messages between nodes.
   std::vector<std::unique_ptr<FakeNode>> Nodes;
   std::deque<FakeCall> Calls;
   fescuewood::SnapshotPtr Config;
--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -187,6 +187,9 @@
     Limiter.setInstances(Instances);
     Engine.setInstances({Instances.begin(), Instances.end()});
   };
+  Hooks.OnOwnListing = [this](const MemberListing &Newest) {
+    Engine.setOwnReport(Newest);
+  };
   Hooks.OnEvent = Recorder.hook();
   return Hooks;
 }
--- a/src/calls/CallCore.cpp
+++ b/src/calls/CallCore.cpp
@@ -72,6 +72,10 @@
   Context.run([this, Listed] { Target.onListed(Listed); });
 }
 
+void CallCore::setOwnReport(const MemberListing &Report) {
+  Context.run([this, Report] { Target.onReport(Report); });
+}
+
 void CallCore::setDraining(TimeMs End) {
   Context.run([this, End] {
     Context.DrainEnd = End;
--- a/src/calls/CallCore.h
+++ b/src/calls/CallCore.h
@@ -35,6 +35,7 @@
   void setSnapshot(SnapshotPtr Snapshot);
   void setInstances(const std::vector<Instance> &Instances);
   void setOwnTarget(const std::optional<ListedInstance> &Listed);
+  void setOwnReport(const MemberListing &Report);
   void setDraining(TimeMs End);
 
   /// Refuses all unanswered calls that entered at this node with
--- a/src/calls/CallEngine.cpp
+++ b/src/calls/CallEngine.cpp
@@ -109,6 +109,10 @@
         [this, Listed = std::move(Listed)] { Core.setOwnTarget(Listed); });
   }
 
+  void setOwnReport(const MemberListing &Report) {
+    postReliably([this, Report] { Core.setOwnReport(Report); });
+  }
+
   void setDraining(TimeMs End) {
     postReliably([this, End] { Core.setDraining(End); });
   }
@@ -272,6 +276,10 @@
   State->setOwnTarget(std::move(Listed));
 }
 
+void CallEngine::setOwnReport(const MemberListing &Report) {
+  State->setOwnReport(Report);
+}
+
 void CallEngine::setDraining(TimeMs End) { State->setDraining(End); }
 
 bool CallEngine::idle() const { return State->idle(); }
--- a/src/calls/CallEngine.h
+++ b/src/calls/CallEngine.h
@@ -20,6 +20,7 @@
 #include "policy/CallSettings.h"
 #include "policy/Instance.h"
 #include "policy/ListedInstance.h"
+#include "policy/MemberRecord.h"
 #include "policy/Router.h"
 
 #include <cstddef>
@@ -103,6 +104,9 @@
   /// Sets the platform's entry for this node's target; std::nullopt if none.
   void setOwnTarget(std::optional<ListedInstance> Listed);
 
+  /// Sets what other nodes have read about this node's target.
+  void setOwnReport(const MemberListing &Report);
+
   /// Refuses new calls on both sides that may last longer than \p End; calls in
   /// progress are completed. Callable again with another end.
   void setDraining(TimeMs End);
--- a/src/calls/TargetNotices.cpp
+++ b/src/calls/TargetNotices.cpp
@@ -35,8 +35,8 @@
 /// Asks a target of which this process has seen no answer for its state. A
 /// restarted node does not know what the target told its predecessor.
 void TargetSide::askForNotice() {
-  if (!announcesState() || Announced.known() || AwaitingNotice || !Listed ||
-      !Context.Config || !Context.Hooks.Target.Probe)
+  if (!announcesState() || Announced.known() || AwaitingNotice ||
+      !Listing.entry() || !Context.Config || !Context.Hooks.Target.Probe)
     return;
   AwaitingNotice = true;
   const TimeMs SentAt = Context.now();
@@ -57,8 +57,9 @@
 /// Applies the answer to a probe, unless another target at the address of the
 /// listed one gave it.
 void TargetSide::onProbeNotice(const ProbeResult &Result, TimeMs SentAt) {
+  const auto &Entry = Listing.entry();
   const bool IsOwn =
-      Result.TargetId.empty() || !Listed || Result.TargetId == Listed->TargetId;
+      Result.TargetId.empty() || !Entry || Result.TargetId == Entry->TargetId;
   if (Result.Notice && IsOwn)
     onNotice(*Result.Notice, SentAt);
 }
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -124,8 +124,8 @@
   if (Scheme.UseCallTokens && Context.Hooks.IssueToken)
     setField(Request.Headers, Scheme.CallToken,
              Context.Hooks.IssueToken(Request));
-  if (Listed)
-    setField(Request.Headers, Scheme.TargetInstance, Listed->TargetId);
+  if (Listing.entry())
+    setField(Request.Headers, Scheme.TargetInstance, Listing.entry()->TargetId);
   return Request;
 }
 
@@ -174,7 +174,8 @@
       {{"request", requestId(Call.Request, Context.Identity.Scheme)},
        {"organisation", Call.Request.Organisation},
        {"route", Call.Request.Route},
-       {"target", Listed ? Listed->TargetId : Context.Identity.Name},
+       {"target",
+        Listing.entry() ? Listing.entry()->TargetId : Context.Identity.Name},
        {"queued_ms", std::to_string((Call.StartedAt - Call.ArrivedAt).Value)},
        {"ran_ms", std::to_string((Now - Call.StartedAt).Value)},
        {"status", std::to_string(Result.Answer ? Result.Answer->Status : 0)},
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -136,32 +136,62 @@
 }
 
 void TargetSide::onListed(const std::optional<ListedInstance> &Entry) {
-  const bool Replaced = Entry && Listed && Entry->TargetId != Listed->TargetId;
-  Listed = Entry;
+  const auto Before = Listing.entry();
+  const bool Replaced = Entry && Before && Entry->TargetId != Before->TargetId;
+  Listing.setEntry(Entry);
   if (Replaced)
     MistakenUntil = Context.now();
-  if (Listed) {
-    Announced.setTarget(Listed->TargetId, Listed->StartedAtMs, Context.now());
-    Limit.setSlots(Listed->Slots);
-    if (Listed->ColdFor > DurationMs(0))
-      setColdFor(Listed->ColdFor);
+  const bool IsWritten = Entry && !Entry->AssumedUntil;
+  if (IsWritten) {
+    Announced.setTarget(Entry->TargetId, Entry->StartedAtMs, Context.now());
+    Limit.setSlots(Entry->Slots);
+    if (Entry->ColdFor > DurationMs(0))
+      setColdFor(Entry->ColdFor);
   }
-  Context.report(
-      EventId::OwnTargetListed,
-      {{"target", Listed ? Listed->TargetId : ""},
-       {"state", Listed && Listed->State == ListedState::Live ? "live"
-                 : Listed                                     ? "leaving"
-                                                              : "unlisted"},
-       {"cold_ms", std::to_string(Listed ? Listed->ColdFor.Value : 0)}});
-  const ResultCode Refusal = refusalByListing();
-  if (Refusal != ResultCode::Ok)
-    refuseAllQueued(Refusal);
+  reportListing();
   // The limit and state of a down or replaced target no longer apply.
-  if (Replaced || (Listed && Down)) {
+  if (Replaced || (IsWritten && Down)) {
     Down = false;
     Limit.reset(Context.now());
   }
   askForNotice();
+  applyListing();
+}
+
+void TargetSide::onReport(const MemberListing &Report) {
+  const ResultCode Before = Listing.refusal(Context.now());
+  Listing.setReport(Report);
+  if (Listing.refusal(Context.now()) == Before)
+    return;
+  reportListing();
+  applyListing();
+}
+
+void TargetSide::reportListing() const {
+  const auto &Entry = Listing.entry();
+  const ResultCode Refusal = Listing.refusal(Context.now());
+  const std::string Left =
+      Entry && Entry->AssumedUntil && *Entry->AssumedUntil != Never
+          ? std::to_string((*Entry->AssumedUntil - Context.now()).Value)
+          : "";
+  Context.report(
+      EventId::OwnTargetListed,
+      {{"target", Entry ? Entry->TargetId : ""},
+       {"state", Refusal == ResultCode::Ok               ? "live"
+                 : Refusal == ResultCode::TargetDraining ? "leaving"
+                                                         : "unlisted"},
+       {"cold_ms", std::to_string(Entry ? Entry->ColdFor.Value : 0)},
+       {"version", std::to_string(Entry ? Entry->Revision : 0)},
+       {"evidence", std::string(Listing.evidence())},
+       {"assumed_ms", Left}});
+}
+
+/// Refuses queued calls that the target may not get any more, and starts those
+/// that it may get now.
+void TargetSide::applyListing() {
+  const ResultCode Refusal = refusalByListing();
+  if (Refusal != ResultCode::Ok)
+    refuseAllQueued(Refusal);
   updateState();
   startQueued();
 }
@@ -171,10 +201,9 @@
     return ResultCode::TargetDraining;
   if (!Context.Identity.TargetListed)
     return ResultCode::Ok;
-  if (!Listed || Context.now() < MistakenUntil)
+  if (Context.now() < MistakenUntil)
     return ResultCode::TargetUnlisted;
-  return Listed->State == ListedState::Leaving ? ResultCode::TargetDraining
-                                               : ResultCode::Ok;
+  return Listing.refusal(Context.now());
 }
 
 void TargetSide::setColdFor(DurationMs Span) {
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -18,7 +18,7 @@
 #include "policy/CallLedger.h"
 #include "policy/CrashEvidence.h"
 #include "policy/FairQueue.h"
-#include "policy/ListedInstance.h"
+#include "policy/TargetListing.h"
 #include "policy/WarmupLimit.h"
 #include "policy/WithdrawnKeys.h"
 
@@ -60,6 +60,9 @@
   /// Applies the platform's entry for the target; std::nullopt if it has none.
   void onListed(const std::optional<ListedInstance> &Entry);
 
+  /// Applies what other nodes have read about the target.
+  void onReport(const MemberListing &Report);
+
   /// Reports the Draining state; calls that may outlast the drain are refused
   /// from now on.
   void onDraining();
@@ -130,6 +133,8 @@
   bool exceedsNamedRate(const CallRequest &Request) const;
   ServiceRate boundByNamedRate(const ServiceRate &BySlots) const;
   ResultCode refusalByListing() const;
+  void reportListing() const;
+  void applyListing();
   void setColdFor(DurationMs Span);
   void releaseAbandoned(TimeMs Now);
   void updateState();
@@ -147,7 +152,7 @@
   std::deque<TimeMs> AbandonedRuns; ///< Release time of each abandoned run.
   std::uint32_t InFlight = 0;       ///< Runs, including abandoned ones.
   CrashEvidence Evidence;
-  std::optional<ListedInstance> Listed; ///< Unset if not listed.
+  TargetListing Listing;
   WarmupLimit Warmup;
   DurationMs SlowStart{0};
   std::uint64_t Epoch = 0; ///< Incremented for each detected crash.
--- a/src/nodes/ControlCore.cpp
+++ b/src/nodes/ControlCore.cpp
@@ -97,6 +97,7 @@
   }
   updatePhase();
   Members.tick(LastPhase != ControlPhase::Current);
+  publishOwnListing();
   publishMembers();
 }
 
@@ -154,6 +155,15 @@
     Hooks.OnInstances(Members.members().instances());
 }
 
+void ControlCore::publishOwnListing() {
+  const MemberListing &Newest = Members.members().self().Listing;
+  if (Newest == LastOwnListing)
+    return;
+  LastOwnListing = Newest;
+  if (Hooks.OnOwnListing)
+    Hooks.OnOwnListing(Newest);
+}
+
 /// Reports empty slots of the local domain as vacant. A partition separates
 /// whole failure domains, so every running process of this domain has contact
 /// with this node. docs/DESIGN.md explains why this is sufficient.
--- a/src/nodes/ControlCore.h
+++ b/src/nodes/ControlCore.h
@@ -84,6 +84,7 @@
                    const ExchangeMessage &PeerMessage);
   void updatePhase();
   void publishMembers();
+  void publishOwnListing();
   void markVacantSlots();
   void reportHealthChanges();
   void updateReaderRole();
@@ -102,6 +103,7 @@
   ControlPhase LastPhase = ControlPhase::Starting;
   TimeMs NextInstancesAt;
   bool InstancesPending = false;
+  MemberListing LastOwnListing;
   std::map<std::string, MemberHealth, std::less<>> LastHealth; ///< By name.
   TimeMs JoinEventsFrom; ///< Members found earlier cause no events.
   TimeMs RunningSince;   ///< Process start, or end of the last pause.
--- a/src/nodes/ControlHooks.h
+++ b/src/nodes/ControlHooks.h
@@ -9,6 +9,7 @@
 #include "intent/Snapshot.h"
 #include "nodes/PeerTransport.h"
 #include "policy/Instance.h"
+#include "policy/MemberRecord.h"
 
 #include <functional>
 #include <span>
@@ -30,6 +31,9 @@
   /// Called after changes with all known instances including this one, at most
   /// a few times per second.
   std::function<void(std::span<const Instance>)> OnInstances;
+  /// Called when the newest listing of this instance that any node has read has
+  /// changed. May be empty.
+  std::function<void(const MemberListing &)> OnOwnListing;
   /// Called with false when the view is stale because the process was paused,
   /// so that no new work is decided on it, and with true once the node has
   /// caught up. May be empty.
