Repeat a listing to a receiver that knew an older one

A receiver says which of the sent records it knew. The sender compared only what the member says of itself with what it had sent, so a record whose listing had changed since counted as known, and its rumour could end before anyone had it.

--- a/src/policy/Membership.cpp
+++ b/src/policy/Membership.cpp
@@ -266,7 +266,8 @@
     const Member *Entry = find(Sent[I].Place.Name);
     // A record that changed after it was sent is new to the receiver.
     if (((Known >> I) & 1U) != 0 && Entry != nullptr &&
-        Entry->Record.Order == Sent[I].Order)
+        Entry->Record.Order == Sent[I].Order &&
+        Entry->Record.Listing == Sent[I].Listing)
       Rumours.onKnown(Sent[I].Place.Name);
   }
 }
--- a/tests/policy/MembershipTest.cpp
+++ b/tests/policy/MembershipTest.cpp
@@ -88,6 +88,33 @@
   CHECK(TargetState::Ready == Table.instances().back().State);
 }
 
+// A node that could not read keeps a row that others have seen removed.
+TEST(Membership, RowThatWasReadEarlierReplacesNoLeavingThatWasReadLater) {
+  Table.merge(recordOfOther(1), Propagation::Forward, TimeMs(0));
+  Table.onListed(std::vector<ListedMember>{{Other, true}}, 7, false, TimeMs(0));
+
+  Table.onListed(std::vector<ListedMember>{{Other, false, 6}}, 9, true,
+                 TimeMs(0));
+
+  CHECK(TargetState::Draining == Table.instances().back().State);
+}
+
+// The receiver knew the record as it was before the platform listed the member
+// as leaving.
+TEST(Membership, SendsAgainThatAMemberLeavesIfTheReceiverKnewAnOlderListing) {
+  Table.merge(recordOfOther(1), Propagation::Forward, TimeMs(0));
+  const std::vector<MemberRecord> Sent = Table.takeRumours(4);
+  while (!Table.takeRumours(4).empty())
+    continue;
+  Table.onListed(std::vector<ListedMember>{{Other, true}}, 7, false, TimeMs(0));
+  const std::size_t Pending = Table.pendingRumours();
+
+  for (int I = 0; I < 100; ++I)
+    Table.onRumoursKnown(Sent, ~0U);
+
+  LONGS_EQUAL(Pending, Table.pendingRumours());
+}
+
 TEST(Membership, SendsEachRecordALimitedNumberOfTimes) {
   Table.merge(recordOfOther(1), Propagation::Forward, TimeMs(0));
   std::size_t Sent = 0;
