Read the targets before configurations after an outage

It now reads the entries of all targets first, some 25 kB, which is also the smaller call to find the store with. After a start and a lost history the targets come first as well, and are published at once. Changes that a reading includes are not applied again from the watch.

--- a/src/sources/StoreLoop.cpp
+++ b/src/sources/StoreLoop.cpp
@@ -93,25 +93,30 @@
     onRangeRead(SentAt);
 }
 
-/// Applies a range once all its pages have been read. The watch starts at the
-/// revision of the first page of the intent, so changes made in the meantime
-/// follow.
+/// Applies a range once all its pages have been read. Its revision is that of
+/// the first page; changes made in the meantime follow from the watch.
 void StoreLoop::onRangeRead(TimeMs SentAt) {
   const StorePage Range = std::move(*std::exchange(PartialRange, std::nullopt));
-  if (NextPhase == Phase::ReadIntent) {
-    Intent = {};
-    Revision = Range.Revision;
-    IntentRevision = Range.Revision;
-    IntentChanged = true;
-    for (const StoreChange &Item : Range.Items)
-      apply(Item);
-    IntentRevision = Range.Revision;
-    NextPhase = Phase::ReadTargets;
-    onSuccess();
-    publish();
-    reportProof(SentAt);
-    return;
-  }
+  onSuccess();
+  if (NextPhase == Phase::ReadTargets)
+    onTargetsRead(Range);
+  else
+    onIntentRead(Range, SentAt);
+}
+
+void StoreLoop::onIntentRead(const StorePage &Range, TimeMs SentAt) {
+  Intent = {};
+  IntentChanged = true;
+  for (const StoreChange &Item : Range.Items)
+    apply(Item);
+  IntentRevision = Range.Revision;
+  IntentReadAt = Range.Revision;
+  NextPhase = Phase::Watch;
+  publish();
+  reportProof(SentAt);
+}
+
+void StoreLoop::onTargetsRead(const StorePage &Range) {
   std::vector<ListedInstance> Listed;
   for (const StoreChange &Item : Range.Items) {
     if (Item.Subject != StoreSubject::Target)
@@ -121,9 +126,12 @@
       Listed.push_back(std::move(*Row));
     }
   }
-  onSuccess();
   Targets.replaceAll(std::move(Listed), Time.now());
-  NextPhase = Phase::Watch;
+  TargetsReadAt = Range.Revision;
+  const bool HasIntent = IntentReadAt > 0;
+  if (!HasIntent)
+    Revision = Range.Revision;
+  NextPhase = HasIntent ? Phase::Watch : Phase::ReadIntent;
 }
 
 void StoreLoop::watch() {
@@ -145,14 +153,21 @@
   onSuccess();
   reportConfigurations(*Read.Value, SentAt);
   for (StoreChange &Change : Read.Value->Changes)
-    apply(std::move(Change));
+    if (isNew(Change))
+      apply(std::move(Change));
   Revision = std::max(Revision, Read.Value->Revision);
-  onSuccess();
   publish();
   reportProof(SentAt);
   NextCall = SentAt + Timing.Period;
 }
 
+/// Whether a change was made after its kind was last read as a whole.
+bool StoreLoop::isNew(const StoreChange &Change) const {
+  return Change.Revision > (Change.Subject == StoreSubject::Target
+                                ? TargetsReadAt
+                                : IntentReadAt);
+}
+
 /// Reports how long the watch took that returned a new configuration, and how
 /// many it returned of which only the last is used.
 void StoreLoop::reportConfigurations(const StoreChanges &Read, TimeMs SentAt) {
@@ -213,10 +228,10 @@
     if (Hooks.OnBundle)
       Hooks.OnBundle(encodeStoreBundle(Intent, IntentRevision));
   }
-  if (NextPhase != Phase::Watch)
+  if (TargetsReadAt == 0)
     return;
   if (Targets.takeChanged() && Hooks.OnInstances)
-    Hooks.OnInstances(Targets.list(Revision));
+    Hooks.OnInstances(Targets.list(std::max(Revision, TargetsReadAt)));
   auto ListedTarget = Targets.find(LocalTarget.Address, LocalTarget.Service);
   if (ReportedTarget && *ReportedTarget == ListedTarget)
     return;
@@ -226,7 +241,8 @@
 }
 
 void StoreLoop::restart() {
-  NextPhase = Phase::ReadIntent;
+  NextPhase = Phase::ReadTargets;
+  IntentReadAt = 0;
   PartialRange.reset();
   NextCall = TimeMs(0);
 }
@@ -247,10 +263,14 @@
                           const std::string &Detail) {
   if (Reason == ResultCode::Stopped)
     return;
+  Targets.onCallFailed(SentAt);
   NextCall =
       Time.now() + jitter(Retry.bound(Health.consecutiveFailures()), Random);
-  if (Health.onFailure(Reason, Detail))
-    Targets.onStoreLost();
+  if (!Health.onFailure(Reason, Detail))
+    return;
+  Targets.onStoreLost();
+  PartialRange.reset();
+  NextPhase = Phase::ReadTargets;
 }
 
 void StoreLoop::emit(EventId Id, std::vector<EventField> Fields) const {
@@ -259,4 +279,3 @@
 }
 
 } // namespace fescuewood
-  Targets.onCallFailed(SentAt);
--- a/src/sources/StoreLoop.h
+++ b/src/sources/StoreLoop.h
@@ -82,13 +82,19 @@
   PlatformReaderCounts counts() const;
 
 private:
-  /// The phases after a start or a lost history, in this order.
-  enum class Phase : std::uint8_t { ReadIntent, ReadTargets, Watch };
+  /// The phases after a start or a lost history, in this order. Targets come
+  /// first: their entries are small, and a target that leaves must get no more
+  /// requests. After an outage they are read again before the watch, which may
+  /// return several large configurations.
+  enum class Phase : std::uint8_t { ReadTargets, ReadIntent, Watch };
 
+  DurationMs untilNextStep(TimeMs Now) const;
   void readPage(StoreSubject Subject);
   void onRangeRead(TimeMs SentAt);
+  void onTargetsRead(const StorePage &Range);
+  void onIntentRead(const StorePage &Range, TimeMs SentAt);
   void watch();
-  DurationMs untilNextStep(TimeMs Now) const;
+  bool isNew(const StoreChange &Change) const;
   void reportConfigurations(const StoreChanges &Read, TimeMs SentAt);
   void apply(StoreChange Change);
   void applyTarget(const StoreChange &Change);
@@ -105,9 +111,12 @@
   StoreLoopHooks Hooks;
   Clock Time;
   std::mt19937_64 Random;
-  Phase NextPhase = Phase::ReadIntent;
+  Phase NextPhase = Phase::ReadTargets;
   std::optional<StorePage> PartialRange; ///< Pages of the current range.
-  std::uint64_t Revision = 0; ///< All changes up to this one are applied.
+  std::uint64_t Revision = 0; ///< The watch returns the changes after it.
+  /// Revisions at which the targets and the intent were last read as a whole.
+  std::uint64_t TargetsReadAt = 0;
+  std::uint64_t IntentReadAt = 0; ///< 0 until the intent has been read.
   StoreBundle Intent;
   bool IntentChanged = false;
   std::uint64_t IntentRevision = 0;
--- a/tests/sources/StoreLoopTest.cpp
+++ b/tests/sources/StoreLoopTest.cpp
@@ -82,6 +82,7 @@
   std::vector<IntentBundle> Bundles;
   std::vector<InstanceList> Lists;
   std::optional<ListedInstance> LocalTarget;
+  TimeMs LocalTargetAt; ///< Time at which it was last reported.
   std::vector<std::pair<TimeMs, std::uint64_t>> Proofs;
   std::vector<bool> States;
   std::vector<Event> Events;
@@ -95,6 +96,7 @@
     Hooks.OnInstances = [this](const InstanceList &L) { Lists.push_back(L); };
     Hooks.OnOwnTarget = [this](const std::optional<ListedInstance> &L) {
       LocalTarget = L;
+      LocalTargetAt = Store.Now;
     };
     Hooks.OnProof = [this](TimeMs At, std::uint64_t Revision) {
       Proofs.emplace_back(At, Revision);
@@ -123,6 +125,14 @@
         {StoreChanges{{std::move(Change)}, At}, ResultCode::Ok, ""});
   }
 
+  /// Lets the store fail until it counts as unreachable, then answer again.
+  void loseStore() {
+    Store.Failure = ResultCode::PlatformRefused;
+    while (States.empty() || States.back())
+      step();
+    Store.Failure = ResultCode::Ok;
+  }
+
   std::string configuration() const {
     return decodeStoreBundle(Bundles.back())->Configuration;
   }
@@ -255,6 +265,50 @@
   LONGS_EQUAL(0, Lists.back().Instances.size());
 }
 
+// Configurations of the outage may take seconds to arrive.
+TEST(StoreLoop, KnowsItsTargetBeforeItWatchesAgainAfterAnOutage) {
+  step(3);
+  loseStore();
+  const std::size_t Reported = Bundles.size();
+  Store.Targets.clear();
+  queueChange(change(StoreSubject::Configuration, "config", "second", 20));
+
+  step();
+
+  CHECK_TRUE(LocalTarget->AssumedUntil.has_value());
+  LONGS_EQUAL(Reported, Bundles.size());
+  step(2);
+  STRCMP_EQUAL("second", configuration().c_str());
+}
+
+// The watch after an outage returns changes that are older than the targets
+// that were read.
+TEST(StoreLoop, TakesNoChangeOfATargetThatItsReadingOfAllTargetsIncludes) {
+  step(3);
+  loseStore();
+  Store.Targets = {change(StoreSubject::Target, "i-2", "10.0.0.2", 18)};
+  queueChange(change(StoreSubject::Target, "i-2", "10.0.0.9", 17));
+
+  step(3);
+
+  STRCMP_EQUAL("10.0.0.2", Lists.back().Instances.back().Name.c_str());
+}
+
+// Guards against requests to a target that left while the store rejected its
+// node, long after the store had answered again.
+TEST(StoreLoop, RetentionOfALeftTargetEndsByTheClockNotByTheNextAnswer) {
+  step(3);
+  loseStore();
+  Store.Targets.clear();
+  step();
+  const TimeMs End = *LocalTarget->AssumedUntil;
+
+  while (LocalTarget)
+    step();
+
+  LONGS_EQUAL(End.Value, LocalTargetAt.Value);
+}
+
 TEST(StoreLoop, DelaysTheNextWatchAfterAChange) {
   step(2);
   queueChange(change(StoreSubject::Configuration, "config", "second", 12));
