Tell a leaving target's node at once

A node that reads a slow answer of the store is told of its target's leaving by chance only: by a random push or exchange. Four nodes, chosen by rendezvous hashing, now tell it directly, and every exchange with it carries the listing.

NodeOfALeavingTargetIsToldAtOnceByThoseThatReadIt gives 200 ms for it.

--- a/src/nodes/MemberSync.cpp
+++ b/src/nodes/MemberSync.cpp
@@ -1,5 +1,7 @@
 #include "nodes/MemberSync.h"
 
+#include "core/Digest.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -11,6 +13,9 @@
 constexpr std::size_t EagerPeers = 3;
 constexpr DurationMs RefreshPeriod{500};
 
+/// Nodes that tell a member that its target is listed as leaving.
+constexpr std::size_t Informants = 4;
+
 /// One in this many exchanges goes to a dead member or a seed.
 constexpr std::uint64_t ExchangesPerRejoin = 10;
 
@@ -68,6 +73,7 @@
   }
   if (Members.takeUrgentChange())
     push(Settings.PushFanout);
+  tellLeavingMembers();
   if (Eager && Now >= NextEager) {
     NextEager = Now + EagerPeriod;
     exchangeEagerly();
@@ -156,6 +162,35 @@
   }
 }
 
+/// Tells members that are newly listed as leaving, whose own reading may be
+/// behind. They are the last that can refuse a request to their targets.
+void MemberSync::tellLeavingMembers() {
+  for (const std::string &Name : Members.takeNewlyLeaving()) {
+    const Member *Entry = Members.find(Name);
+    if (Entry == nullptr || !isInformant(Name) || !takePushToken())
+      continue;
+    ++Counts.Pushes;
+    exchange(Name, Entry->Record.Place.PeerAddress, PeerRoute::Reuse);
+  }
+}
+
+/// Whether this node is among the few that tell \p Leaving about its listing;
+/// chosen by rendezvous hashing.
+bool MemberSync::isInformant(std::string_view Leaving) const {
+  if (Leaving == Settings.Self.Name)
+    return false;
+  const auto Rank = [Leaving](std::string_view Name) {
+    return stableHash(std::string(Leaving) + "/" + std::string(Name));
+  };
+  const std::uint64_t Own = Rank(Settings.Self.Name);
+  std::size_t Before = 0;
+  for (const auto &[Name, Entry] : Members.members())
+    if (Name != Leaving && Entry.Record.Order.Health == MemberHealth::Alive &&
+        Rank(Name) < Own)
+      ++Before;
+  return Before < Informants;
+}
+
 /// Takes one token of the push rate limit; returns whether one was available.
 bool MemberSync::takePushToken() { return PushBudget.take(Time.now()); }
 
@@ -181,11 +216,12 @@
 }
 
 /// Adds the receiver's own record if it is not alive here, so that the receiver
-/// can refute it.
+/// can refute it, or if its target is listed as leaving.
 void MemberSync::addReceiverRecord(std::string_view Receiver,
                                    ExchangeMessage &Message) const {
   const Member *Entry = Members.find(Receiver);
-  if (Entry == nullptr || Entry->Record.Order.Health == MemberHealth::Alive)
+  if (Entry == nullptr || (Entry->Record.Order.Health == MemberHealth::Alive &&
+                           !Entry->Record.Listing.Leaving))
     return;
   Message.Rumours.push_back(Entry->Record);
 }
--- a/src/nodes/MemberSync.h
+++ b/src/nodes/MemberSync.h
@@ -103,6 +103,8 @@
   bool shouldRepair(const ExchangeMessage &PeerMessage);
   void repair(const std::string &Address, const ExchangeMessage &PeerMessage);
   std::string serveRepair(const RepairRequest &Request);
+  void tellLeavingMembers();
+  bool isInformant(std::string_view Leaving) const;
   bool takePushToken();
   std::vector<MemberRecord> takeRumours();
   bool isIsolated() const;
--- a/src/policy/Membership.cpp
+++ b/src/policy/Membership.cpp
@@ -68,6 +68,7 @@
   const MemberHealth OldHealth = Record.Order.Health;
   const Instance OldPlace = Record.Place;
   const TargetState OldState = effectiveState(Record);
+  const bool WasLeaving = Record.Listing.Leaving;
   toggleDigest(Record);
   Apply(Record);
   toggleDigest(Record);
@@ -79,6 +80,8 @@
     InstancesChanged = true;
   if (StateChanged && isUrgent(Record))
     UrgentChangePending = true;
+  if (Record.Listing.Leaving && !WasLeaving)
+    NewlyLeaving.push_back(Record.Place.Name);
   // The local record is the one least likely to be known elsewhere.
   const bool Prioritised = isUrgent(Record) || Record.Place.Name == OwnName;
   Rumours.add(Record.Place.Name, Prioritised, Table.size());
@@ -276,6 +279,10 @@
   return std::exchange(UrgentChangePending, false);
 }
 
+std::vector<std::string> Membership::takeNewlyLeaving() {
+  return std::exchange(NewlyLeaving, {});
+}
+
 bool Membership::takeInstancesChanged() {
   return std::exchange(InstancesChanged, false);
 }
--- a/src/policy/Membership.h
+++ b/src/policy/Membership.h
@@ -117,6 +117,10 @@
   /// depend on this, so it is sent at once.
   bool takeUrgentChange();
 
+  /// Returns the members that the platform's list or a peer has reported as
+  /// leaving since the last call.
+  std::vector<std::string> takeNewlyLeaving();
+
   /// Whether \ref instances has changed since the last call.
   bool takeInstancesChanged();
 
@@ -172,6 +176,7 @@
   BucketDigests Buckets{};
   RumourQueue Rumours;
   bool UrgentChangePending = false;
+  std::vector<std::string> NewlyLeaving;
   bool InstancesChanged = true;
   std::uint64_t Refutations = 0;
   /// Names in the last complete list.
--- a/tests/nodes/ControlCoreTest.cpp
+++ b/tests/nodes/ControlCoreTest.cpp
@@ -108,6 +108,23 @@
   return Fleet;
 }
 
+/// The platform's complete list of all nodes, live, at a revision.
+InstanceList listOf(const FakeFleet &Fleet, std::uint64_t Revision) {
+  InstanceList List;
+  List.Revision = Revision;
+  List.Complete = true;
+  for (const auto &Node : Fleet.Nodes) {
+    const Instance &Self = Node->Settings.Self;
+    ListedInstance &Row = List.Instances.emplace_back();
+    Row.Name = Self.Name;
+    Row.Domain = Self.Domain;
+    Row.Service = Self.Service;
+    Row.Slot = Self.Slot;
+    Row.PeerAddress = Self.PeerAddress;
+  }
+  return List;
+}
+
 } // namespace
 
 TEST_GROUP(ControlCore){};
@@ -283,6 +300,50 @@
   }
 }
 
+// The platform rejects the node beside the target that leaves; the others read
+// that it does.
+TEST(ControlCore, NodeOfALeavingTargetIsToldAtOnceByThoseThatReadIt) {
+  const auto ReadingFleet = makeReadingFleet(3, 20);
+  FakeFleet &Fleet = *ReadingFleet;
+  const InstanceList Before = listOf(Fleet, 5);
+  for (auto &Node : Fleet.Nodes)
+    Node->Core->offerInstances(Before);
+  Fleet.run(2000);
+  InstanceList Leaving = listOf(Fleet, 6);
+  Leaving.Instances[7].State = ListedState::Leaving;
+
+  for (std::size_t I = 0; I < Fleet.Nodes.size(); ++I)
+    if (I != 7)
+      Fleet.Nodes[I]->Core->offerInstances(Leaving);
+  Fleet.run(200);
+
+  CHECK_TRUE(Fleet.Nodes[7]->OwnListing.Leaving);
+  LONGS_EQUAL(6, Fleet.Nodes[7]->OwnListing.ListRevision);
+}
+
+// A node that could not read retains a row that the others have seen removed.
+TEST(ControlCore, AssumedRowReplacesNothingThatOthersHaveRead) {
+  const auto ReadingFleet = makeReadingFleet(2, 4);
+  FakeFleet &Fleet = *ReadingFleet;
+  const InstanceList Before = listOf(Fleet, 5);
+  for (auto &Node : Fleet.Nodes)
+    Node->Core->offerInstances(Before);
+  InstanceList Without = listOf(Fleet, 6);
+  Without.Instances.erase(Without.Instances.begin() + 3);
+  for (std::size_t I = 1; I < Fleet.Nodes.size(); ++I)
+    Fleet.Nodes[I]->Core->offerInstances(Without);
+  Fleet.run(5000);
+
+  InstanceList Retained = listOf(Fleet, 9);
+  Retained.Instances[3].Revision = 5;
+  Retained.Instances[3].AssumedUntil = Never;
+  Fleet.Nodes[0]->Core->offerInstances(Retained);
+  Fleet.run(10 * 1000);
+
+  for (std::size_t I = 0; I < Fleet.Nodes.size(); ++I)
+    CHECK_TRUE(TargetState::Draining == stateSeenBy(Fleet, I, 3));
+}
+
 TEST(ControlCore, MarksViewStaleAfterPauseUntilCaughtUp) {
   FakeFleet Fleet(3, 4, 9);
   Fleet.publish();
--- a/tests/nodes/FakeFleet.cpp
+++ b/tests/nodes/FakeFleet.cpp
@@ -184,6 +184,9 @@
   Hooks.OnInstances = [this, Index](std::span<const Instance> Seen) {
     Nodes[Index]->Instances.assign(Seen.begin(), Seen.end());
   };
+  Hooks.OnOwnListing = [this, Index](const MemberListing &Newest) {
+    Nodes[Index]->OwnListing = Newest;
+  };
   Hooks.OnViewCurrent = [this, Index](bool Current) {
     Nodes[Index]->ViewCurrent.push_back(Current);
   };
--- a/tests/nodes/FakeFleet.h
+++ b/tests/nodes/FakeFleet.h
@@ -36,6 +36,7 @@
   std::vector<fescuewood::Version> InForce;
   fescuewood::Version SeenAtSource; ///< Last one read by the current process.
   std::vector<fescuewood::Instance> Instances;
+  fescuewood::MemberListing OwnListing; ///< The newest that it knows.
   std::vector<bool> ViewCurrent;
 };
 
