--- a/tests/calls/AnnouncedStateMeshTest.cpp
+++ b/tests/calls/AnnouncedStateMeshTest.cpp
@@ -27,7 +27,6 @@
 
 TEST_GROUP(AnnouncedStateMesh) {
   std::unique_ptr<FakeCallMesh> Mesh;
-  int Submitted = 0;
 
   void setup() override { Mesh = meshOf(3); }
 
@@ -55,15 +54,8 @@
     return *Mesh->Nodes[At]->Target;
   }
 
-  /// Offers requests at all nodes in turn.
   void offer(int PerSecond, std::int64_t SpanUs) {
-    const std::int64_t Until = Mesh->Time.nowUs() + SpanUs;
-    while (Mesh->Time.nowUs() < Until) {
-      const auto Number = static_cast<std::size_t>(Submitted++);
-      Mesh->submit(Number % Mesh->Nodes.size(),
-                   makeRequest("tag" + std::to_string(Number), true));
-      Mesh->runFor(SecondUs / PerSecond);
-    }
+    offerRequests(*Mesh, PerSecond, SpanUs);
   }
 
   void restartNode(std::size_t At, const std::string &TargetId) {
@@ -80,10 +72,8 @@
                         Starts.end(), 4 * SecondUs);
   }
 
-  std::size_t runsSince(std::int64_t FromUs) {
-    const auto &Starts = target().RunStartsUs;
-    return static_cast<std::size_t>(
-        Starts.end() - std::lower_bound(Starts.begin(), Starts.end(), FromUs));
+  std::size_t runsSince(std::int64_t FromUs) const {
+    return ::runsSince(*Mesh, Limited, FromUs);
   }
 
   double shareServedSince(std::size_t First) const {
--- a/tests/calls/MeshFixture.cpp
+++ b/tests/calls/MeshFixture.cpp
@@ -1,5 +1,7 @@
 #include "calls/MeshFixture.h"
 
+#include <algorithm>
+
 #include <utility>
 
 using namespace fescuewood;
@@ -46,6 +48,23 @@
   return Request;
 }
 
+void offerRequests(FakeCallMesh &Mesh, int PerSecond, std::int64_t SpanUs) {
+  const std::int64_t Until = Mesh.Time.nowUs() + SpanUs;
+  while (Mesh.Time.nowUs() < Until) {
+    const std::size_t Number = Mesh.Calls.size();
+    Mesh.submit(Number % Mesh.Nodes.size(),
+                makeRequest("tag" + std::to_string(Number), true));
+    Mesh.runFor(SecondUs / PerSecond);
+  }
+}
+
+std::size_t runsSince(const FakeCallMesh &Mesh, std::size_t At,
+                      std::int64_t FromUs) {
+  const auto &Starts = Mesh.Nodes.at(At)->Target->RunStartsUs;
+  return static_cast<std::size_t>(
+      Starts.end() - std::lower_bound(Starts.begin(), Starts.end(), FromUs));
+}
+
 int crashCount(const FakeCallMesh &Mesh) {
   int Crashes = 0;
   for (const auto &Node : Mesh.Nodes)
--- a/tests/calls/MeshFixture.h
+++ b/tests/calls/MeshFixture.h
@@ -7,6 +7,7 @@
 
 #include "model/FakeCallMesh.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -27,6 +28,14 @@
 /// A request of organisation "large" for service "queue"; its body is \p Tag.
 fescuewood::CallRequest makeRequest(const std::string &Tag, bool Idempotent);
 
+/// Submits requests at a steady rate, at all nodes in turn. Their tags continue
+/// from the number of calls so far.
+void offerRequests(FakeCallMesh &Mesh, int PerSecond, std::int64_t SpanUs);
+
+/// Number of runs that the target of a node began at \p FromUs or later.
+std::size_t runsSince(const FakeCallMesh &Mesh, std::size_t At,
+                      std::int64_t FromUs);
+
 /// Total number of crashes of all targets.
 int crashCount(const FakeCallMesh &Mesh);
 
--- a/tests/calls/TargetListingMeshTest.cpp
+++ b/tests/calls/TargetListingMeshTest.cpp
@@ -19,7 +19,6 @@
 
 TEST_GROUP(TargetListingMesh) {
   std::unique_ptr<FakeCallMesh> Mesh;
-  int Submitted = 0;
 
   void setup() override {
     FakeTargetOptions Target;
@@ -43,21 +42,12 @@
     return Entry;
   }
 
-  /// Offers requests at all nodes in turn.
   void offer(int PerSecond, std::int64_t SpanUs) {
-    const std::int64_t Until = Mesh->Time.nowUs() + SpanUs;
-    while (Mesh->Time.nowUs() < Until) {
-      const auto Number = static_cast<std::size_t>(Submitted++);
-      Mesh->submit(Number % Mesh->Nodes.size(),
-                   makeRequest("tag" + std::to_string(Number), true));
-      Mesh->runFor(SecondUs / PerSecond);
-    }
+    offerRequests(*Mesh, PerSecond, SpanUs);
   }
 
-  std::size_t runsSince(std::int64_t FromUs) {
-    const auto &Starts = Mesh->Nodes[Leaving]->Target->RunStartsUs;
-    return static_cast<std::size_t>(
-        Starts.end() - std::lower_bound(Starts.begin(), Starts.end(), FromUs));
+  std::size_t runsSince(std::int64_t FromUs) const {
+    return ::runsSince(*Mesh, Leaving, FromUs);
   }
 };
 
--- a/tests/nodes/ControlCoreTest.cpp
+++ b/tests/nodes/ControlCoreTest.cpp
@@ -125,6 +125,17 @@
   return List;
 }
 
+/// A fleet in which every node has read \ref listOf at revision 5.
+std::unique_ptr<FakeFleet> makeListedFleet(std::size_t Domains,
+                                           std::size_t NodesPerDomain) {
+  auto Fleet = makeReadingFleet(Domains, NodesPerDomain);
+  const InstanceList List = listOf(*Fleet, 5);
+  for (auto &Node : Fleet->Nodes)
+    Node->Core->offerInstances(List);
+  Fleet->run(2000);
+  return Fleet;
+}
+
 } // namespace
 
 TEST_GROUP(ControlCore){};
@@ -303,12 +314,8 @@
 // The platform rejects the node beside the target that leaves; the others read
 // that it does.
 TEST(ControlCore, NodeOfALeavingTargetIsToldAtOnceByThoseThatReadIt) {
-  const auto ReadingFleet = makeReadingFleet(3, 20);
-  FakeFleet &Fleet = *ReadingFleet;
-  const InstanceList Before = listOf(Fleet, 5);
-  for (auto &Node : Fleet.Nodes)
-    Node->Core->offerInstances(Before);
-  Fleet.run(2000);
+  const auto ListedFleet = makeListedFleet(3, 20);
+  FakeFleet &Fleet = *ListedFleet;
   InstanceList Leaving = listOf(Fleet, 6);
   Leaving.Instances[7].State = ListedState::Leaving;
 
@@ -323,11 +330,8 @@
 
 // A node that could not read retains a row that the others have seen removed.
 TEST(ControlCore, AssumedRowReplacesNothingThatOthersHaveRead) {
-  const auto ReadingFleet = makeReadingFleet(2, 4);
-  FakeFleet &Fleet = *ReadingFleet;
-  const InstanceList Before = listOf(Fleet, 5);
-  for (auto &Node : Fleet.Nodes)
-    Node->Core->offerInstances(Before);
+  const auto ListedFleet = makeListedFleet(2, 4);
+  FakeFleet &Fleet = *ListedFleet;
   InstanceList Without = listOf(Fleet, 6);
   Without.Instances.erase(Without.Instances.begin() + 3);
   for (std::size_t I = 1; I < Fleet.Nodes.size(); ++I)
@@ -344,6 +348,42 @@
     CHECK_TRUE(TargetState::Draining == stateSeenBy(Fleet, I, 3));
 }
 
+// An entry lapses while its target is alive, and is written again.
+TEST(ControlCore, TargetWhoseEntryIsBackIsUsedByNodesThatHaveReadIt) {
+  const auto ListedFleet = makeListedFleet(3, 20);
+  FakeFleet &Fleet = *ListedFleet;
+  Fleet.Nodes[7]->Core->setOwnState(TargetState::Ready);
+  Fleet.run(10'000);
+  InstanceList Without = listOf(Fleet, 6);
+  Without.Instances.erase(Without.Instances.begin() + 7);
+  for (std::size_t I = 0; I < Fleet.Nodes.size(); ++I)
+    if (I != 7)
+      Fleet.Nodes[I]->Core->offerInstances(Without);
+  Fleet.run(1500);
+  CHECK(TargetState::Draining == stateSeenBy(Fleet, 0, 7));
+
+  for (auto &Node : Fleet.Nodes)
+    Node->Core->offerInstances(listOf(Fleet, 8));
+  int Waited = 0;
+  const auto unused = [&Fleet] {
+    int Count = 0;
+    for (std::size_t I = 0; I < Fleet.Nodes.size(); ++I)
+      Count += stateSeenBy(Fleet, I, 7) >= TargetState::Draining ? 1 : 0;
+    return Count;
+  };
+  std::string Course;
+  for (; Waited < 20'000 && unused() > 0; Waited += 10) {
+    if (Waited % 500 == 0)
+      Course += " " + std::to_string(unused()) + " at " +
+                std::to_string(Waited) + " ms,";
+    Fleet.run(10);
+  }
+
+  CHECK_TEXT(Waited <= 1000, ("nodes that do not use it:" + Course +
+                              " none at " + std::to_string(Waited) + " ms")
+                                 .c_str());
+}
+
 TEST(ControlCore, MarksViewStaleAfterPauseUntilCaughtUp) {
   FakeFleet Fleet(3, 4, 9);
   Fleet.publish();
