Stop a target for a misdirected answer only if the answer was meant for it

A successor that was listed after its predecessor's entry had gone stayed stopped for the rest of that time, and an answer to a run that had named the predecessor stopped the successor: callers were refused by a target that could take them. The run now remembers which target it named, and any newly named target ends the stop.

Both tests in TargetRunsTest failed before (1 run where 2 were due).

--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -94,6 +94,7 @@
   Call.Running = true;
   Call.StartedAt = Now;
   Call.Epoch = Epoch;
+  Call.TargetId = NamedTarget;
   Call.AnswerBytes = Memory.reserve(Call.Request.Route);
   ++InFlight;
   Announced.onRequestSent(Now);
@@ -140,6 +141,7 @@
   reportRun(Call, Result, Now);
   const std::optional<TargetNotice> Notice = Result.Notice;
   const TimeMs SentAt = Call.StartedAt;
+  const bool WasMeantForThis = Call.TargetId == NamedTarget;
   const bool WasAbandoned = Result.Failure == RunFailure::TimedOut ||
                             Result.Failure == RunFailure::Cancelled;
   if (WasAbandoned)
@@ -159,7 +161,7 @@
   }
   if (Result.Failure == RunFailure::NotReached)
     onTargetDown();
-  if (Result.Reason == ResultCode::TargetMistaken)
+  if (Result.Reason == ResultCode::TargetMistaken && WasMeantForThis)
     onMistaken();
   if (Notice)
     onNotice(*Notice, SentAt);
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -136,10 +136,11 @@
 }
 
 void TargetSide::onListed(const std::optional<ListedInstance> &Entry) {
-  const auto Before = Listing.entry();
-  const bool Replaced = Entry && Before && Entry->TargetId != Before->TargetId;
+  const bool Renamed = Entry && Entry->TargetId != NamedTarget;
+  const bool Replaced = Renamed && !NamedTarget.empty();
   Listing.setEntry(Entry);
-  if (Replaced)
+  if (Renamed) {
+    NamedTarget = Entry->TargetId;
     MistakenUntil = Context.now();
   const bool IsWritten = Entry && !Entry->AssumedUntil;
   if (IsWritten) {
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -89,6 +89,7 @@
     bool Running = false;
     bool Cancelled = false;
     std::uint64_t Epoch = 0;     ///< Target epoch in which its run started.
+    std::string TargetId;        ///< That its run was meant for.
     std::size_t AnswerBytes = 0; ///< Reserved for its answer while it runs.
     /// Reason for a broken run, Ok otherwise. A broken run is answered once it
     /// is known whether the target crashed.
@@ -154,6 +155,7 @@
   CrashEvidence Evidence;
   TargetListing Listing;
   WarmupLimit Warmup;
+  std::string NamedTarget; ///< Id of the target that was last listed.
   DurationMs SlowStart{0};
   std::uint64_t Epoch = 0; ///< Incremented for each detected crash.
   bool Suspended = false;  ///< No run starts until a probe succeeds.
--- a/tests/calls/TargetRunsTest.cpp
+++ b/tests/calls/TargetRunsTest.cpp
@@ -1,11 +1,91 @@
 #include "support/Property.h"
 
 #include "calls/MeshFixture.h"
+#include "calls/TargetSide.h"
+
+#include <string>
+#include <utility>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace fescuewood;
 
+namespace {
+
+constexpr std::uint64_t OwnIncarnation = 7;
+
+/// The target side of one node, whose runs the test ends.
+struct OneTarget {
+  TimeMs Now{10'000};
+  std::vector<RunHook> Runs;
+  std::vector<CallReply> Replies;
+  CallContext Context;
+  TargetSide Side;
+
+  OneTarget()
+      : Context(identity(), settings(), hooks(), Clock([this] { return Now; })),
+        Side(Context, [] { return std::size_t{0}; }) {
+    Context.Config = std::make_shared<const Snapshot>(makeConfig());
+    Side.onConfig();
+  }
+
+  static CallIdentity identity() {
+    CallIdentity Self;
+    Self.Name = "east/queue-0";
+    Self.Domain = "east";
+    Self.Service = "queue";
+    Self.Incarnation = OwnIncarnation;
+    Self.TargetListed = true;
+    return Self;
+  }
+
+  static CallSettings settings() {
+    CallSettings Settings;
+    Settings.Admission = AdmissionMode::Slots;
+    return Settings;
+  }
+
+  CallHooks hooks() {
+    CallHooks Hooks;
+    Hooks.Target.Run = [this](const CallRequest &, DurationMs,
+                              const RunHook &OnResult) {
+      Runs.push_back(OnResult);
+    };
+    return Hooks;
+  }
+
+  void list(const std::string &Id, std::uint64_t Revision) {
+    ListedInstance Entry;
+    Entry.TargetId = Id;
+    Entry.Service = "queue";
+    Entry.Slots = 6;
+    Entry.Revision = Revision;
+    Side.onListed(Entry);
+  }
+
+  void start(std::uint64_t Sequence) {
+    CallStart Start;
+    Start.Recipient = OwnIncarnation;
+    Start.Request = makeRequest("tag", true);
+    Start.Request.Id = {1, Sequence};
+    Start.Request.Remaining = DurationMs(2000);
+    Side.start(std::move(Start),
+               [this](const CallReply &Reply) { Replies.push_back(Reply); });
+  }
+
+  /// Another target than the one that the request named has answered.
+  void endAsMistaken(std::size_t Run) {
+    RunResult Result;
+    Result.Failure = RunFailure::NotSent;
+    Result.Reason = ResultCode::TargetMistaken;
+    Result.RunOutcome = Outcome::NotRun;
+    Runs.at(Run)(std::move(Result));
+  }
+};
+
+} // namespace
+
 TEST_GROUP(TargetRuns){};
 
 // A target that restarts before the probe reaches it looks healthy. Its crash
@@ -27,6 +107,36 @@
   LONGS_EQUAL(CallSettings().CrashLimit, crashCount(*Mesh));
 }
 
+// The entry of the target that is gone may be removed before the one of its
+// successor is written.
+TEST(TargetRuns, UsesASuccessorOnceItIsListedThoughThereWasNoEntryBefore) {
+  OneTarget Node;
+  Node.list("first", 4);
+  Node.start(1);
+  Node.endAsMistaken(0);
+  Node.Now = Node.Now + DurationMs(100);
+  Node.Side.onListed(std::nullopt);
+
+  Node.Now = Node.Now + DurationMs(100);
+  Node.list("second", 6);
+  Node.start(2);
+
+  LONGS_EQUAL(2, Node.Runs.size());
+}
+
+// The answer concerns the target that the request named.
+TEST(TargetRuns, LateAnswerOfAMistakenRunDoesNotStopTheSuccessor) {
+  OneTarget Node;
+  Node.list("first", 4);
+  Node.start(1);
+  Node.list("second", 6);
+
+  Node.endAsMistaken(0);
+  Node.start(2);
+
+  LONGS_EQUAL(2, Node.Runs.size());
+}
+
 TEST(TargetRuns, LostConnectionsToHealthyTargetsQuarantineNoRequest) {
   checkProperty("a lost connection is not a crash", [] {
     const auto Seed = *rc::gen::arbitrary<std::uint64_t>();
