Keep the listing out of the state that a node publishes of its target

A target that others had reported as leaving was published as draining by its own node, under the node's own sequence. When its entry was back, that word of the node outlasted the listing until the next one had reached everyone: on a fleet of 60 nodes 54 did not use the target after 2 s and the last used it after 7.6 s. All nodes know the listing from the platform and from gossip, so the node now publishes only what it alone knows: whether it drains, and what its target announced or does.

TargetWhoseEntryIsBackIsUsedByNodesThatHaveReadIt fails within its second if the node publishes the listing; NodePublishesNoStateOfItsOwnForALeavingByReport guards the target's side.

--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -142,6 +142,7 @@
   if (Renamed) {
     NamedTarget = Entry->TargetId;
     MistakenUntil = Context.now();
+  }
   const bool IsWritten = Entry && !Entry->AssumedUntil;
   if (IsWritten) {
     Announced.setTarget(Entry->TargetId, Entry->StartedAtMs, Context.now());
@@ -405,22 +406,39 @@
 }
 
 void TargetSide::updateState() {
-  TargetState Next = TargetState::Ready;
-  const ResultCode Listing = refusalByListing();
-  if (Context.DrainEnd || Listing == ResultCode::TargetDraining)
-    Next = TargetState::Draining;
-  else if (Down || Listing != ResultCode::Ok)
-    Next = TargetState::Down;
-  else if (Limit.cold() || Warmup.cold(Context.now()))
-    Next = TargetState::Cold;
+  const TargetState Own = ownState();
+  if (PublishedState != Own) {
+    PublishedState = Own;
+    if (Context.Hooks.OnTargetState)
+      Context.Hooks.OnTargetState(Own);
+  }
+  TargetState Next = Own;
+  if (Own < TargetState::Draining) {
+    const ResultCode Refusal = refusalByListing();
+    if (Refusal == ResultCode::TargetDraining)
+      Next = TargetState::Draining;
+    else if (Refusal != ResultCode::Ok)
+      Next = TargetState::Down;
+  }
   if (ReportedState == Next)
     return;
   ReportedState = Next;
   Context.report(EventId::TargetStateChanged,
                  {{"target", Context.Identity.Name},
                   {"state", std::string(targetStateName(Next))}});
-  if (Context.Hooks.OnTargetState)
-    Context.Hooks.OnTargetState(Next);
+}
+
+/// The state of the target apart from its listing, which other nodes know from
+/// the platform and from gossip. If this node published it as its target's own
+/// state, it would hold until the next state has reached everyone.
+TargetState TargetSide::ownState() {
+  if (Context.DrainEnd || Announced.leaving())
+    return TargetState::Draining;
+  const bool NeverListed = Context.Identity.TargetListed && NamedTarget.empty();
+  if (Down || NeverListed || Context.now() < MistakenUntil)
+    return TargetState::Down;
+  return Limit.cold() || Warmup.cold(Context.now()) ? TargetState::Cold
+                                                    : TargetState::Ready;
 }
 
 ServiceRate TargetSide::serviceRate() {
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -139,6 +139,7 @@
   void setColdFor(DurationMs Span);
   void releaseAbandoned(TimeMs Now);
   void updateState();
+  TargetState ownState();
   ServiceRate serviceRate();
   bool isOwnDomainOut() const;
 
@@ -154,8 +155,8 @@
   std::uint32_t InFlight = 0;       ///< Runs, including abandoned ones.
   CrashEvidence Evidence;
   TargetListing Listing;
-  WarmupLimit Warmup;
   std::string NamedTarget; ///< Id of the target that was last listed.
+  WarmupLimit Warmup;
   DurationMs SlowStart{0};
   std::uint64_t Epoch = 0; ///< Incremented for each detected crash.
   bool Suspended = false;  ///< No run starts until a probe succeeds.
@@ -168,7 +169,8 @@
   bool Probing = false;
   TimeMs NextProbe{0};
   TimeMs NextGuardExpiry{0};
-  std::optional<TargetState> ReportedState;
+  std::optional<TargetState> ReportedState;  ///< To callers and in the log.
+  std::optional<TargetState> PublishedState; ///< To all nodes.
 };
 
 } // namespace fescuewood
--- a/tests/calls/TargetListingMeshTest.cpp
+++ b/tests/calls/TargetListingMeshTest.cpp
@@ -63,6 +63,17 @@
   LONGS_EQUAL(0, runsSince(Reported));
 }
 
+// All nodes know the listing; a state of its own would outlast the next one.
+TEST(TargetListingMesh, NodePublishesNoStateOfItsOwnForALeavingByReport) {
+  const TargetState &Published = Mesh->Nodes[Leaving]->PublishedState;
+  CHECK(Published < TargetState::Draining);
+
+  Mesh->reportListing(Leaving, {ListedAt + 1, true, 0});
+  Mesh->runFor(SecondUs);
+
+  CHECK(Published < TargetState::Draining);
+}
+
 // More requests than the target runs at once, so that some wait.
 TEST(TargetListingMesh, QueuedRequestsDoNotReachATargetThatHasBegunToLeave) {
   offer(400, SecondUs);
