Prefer the later start of a target at one address

The store may carry out a write seconds late, so that the entry of an earlier start has the greater revision and stood for the later one: requests named a target that is gone and were refused until its entry lapsed, and the leaving of the later start was hidden in the list. PrefersTheLaterStartOnTheSameInstance failed before.

--- a/src/policy/TargetList.cpp
+++ b/src/policy/TargetList.cpp
@@ -13,6 +13,9 @@
                    const ListedInstance &Current) {
   if (Candidate.AssumedUntil.has_value() != Current.AssumedUntil.has_value())
     return !Candidate.AssumedUntil;
+  const bool StartsKnown = Candidate.StartedAtMs > 0 && Current.StartedAtMs > 0;
+  if (StartsKnown && Candidate.StartedAtMs != Current.StartedAtMs)
+    return Candidate.StartedAtMs > Current.StartedAtMs;
   if (Candidate.State != Current.State)
     return Candidate.State == ListedState::Live;
   return Candidate.Revision > Current.Revision;
--- a/src/policy/TargetList.h
+++ b/src/policy/TargetList.h
@@ -57,8 +57,9 @@
   TimeMs nextExpiry() const;
 
   /// One row per instance. An entry that exists takes precedence over a
-  /// retained one, then a live target over one that is leaving, and otherwise
-  /// the greater revision over the smaller.
+  /// retained one, then the later start of a target over the earlier, a live
+  /// target over one that is leaving, and otherwise the greater revision over
+  /// the smaller.
   InstanceList list(std::uint64_t Revision) const;
 
   /// Returns the target of \p Service at an address, if any.
--- a/tests/policy/TargetListTest.cpp
+++ b/tests/policy/TargetListTest.cpp
@@ -121,3 +121,20 @@
 
   CHECK_FALSE(List.takeChanged());
 }
+// The store may carry out a write seconds late, so that the entry of an earlier
+// start has the greater revision.
+TEST(TargetList, PrefersTheLaterStartOnTheSameInstance) {
+  ListedInstance Old = row("old", "10.0.0.1", "queue", ListedState::Live, 9);
+  Old.StartedAtMs = 1000;
+  ListedInstance New = row("new", "10.0.0.1", "queue", ListedState::Live, 7);
+  New.StartedAtMs = 2000;
+  List.put(New);
+  List.put(Old);
+
+  STRCMP_EQUAL("new", List.find("10.0.0.1:80", "queue")->TargetId.c_str());
+
+  New.State = ListedState::Leaving;
+  List.put(New);
+  CHECK(ListedState::Leaving == List.list(1).Instances[0].State);
+}
+
