Read the targets anew when configurations come faster than a link carries them

Changes of targets arrive in the same answers as configurations. With 373 kB every 260 ms over 10 Mbit/s each watch returns more than the one before, and a removal was known up to 2076 ms after it (with 504 kB 5134 ms), later than the 2 s for which a target may get requests. A node that sees this now reads the targets and the newest configuration alone, and watches from there.

KnowsARemovedTargetInTimeBehindManyConfigurations plays the storm with a removal at each tenth of a second and failed before.

--- a/src/sources/StoreLoop.cpp
+++ b/src/sources/StoreLoop.cpp
@@ -20,6 +20,14 @@
 /// take.
 constexpr Backoff Retry{DurationMs(100), DurationMs(800)};
 
+/// Time from which a watch that returned several configurations was slow: it
+/// did not wait for the first of them, so the time went into their transfer.
+constexpr DurationMs SlowAnswer{500};
+
+/// Longest time between the starts of two calls while the store is
+/// unreachable: how precisely the time of its return is known.
+constexpr DurationMs MaxRetryPeriod{950};
+
 /// Whether a watch that failed for \p Reason would fail again from the same
 /// revision. An answer holds every change since then, each configuration whole;
 /// a full read returns only the newest one.
@@ -159,6 +167,18 @@
   publish();
   reportProof(SentAt);
   NextCall = SentAt + Timing.Period;
+  if (isBehind(*Read.Value, Time.now() - SentAt))
+    restart();
+}
+
+/// Whether configurations are made faster than this node can receive them. A
+/// full read returns the targets at once and only the newest configuration.
+bool StoreLoop::isBehind(const StoreChanges &Read, DurationMs Took) {
+  const auto Configurations = std::count_if(
+      Read.Changes.begin(), Read.Changes.end(), [](const StoreChange &Change) {
+        return Change.Subject == StoreSubject::Configuration;
+      });
+  return Configurations >= 2 && Took >= SlowAnswer;
 }
 
 /// Whether a change was made after its kind was last read as a whole.
--- a/src/sources/StoreLoop.h
+++ b/src/sources/StoreLoop.h
@@ -95,6 +95,7 @@
   void onIntentRead(const StorePage &Range, TimeMs SentAt);
   void watch();
   bool isNew(const StoreChange &Change) const;
+  static bool isBehind(const StoreChanges &Read, DurationMs Took);
   void reportConfigurations(const StoreChanges &Read, TimeMs SentAt);
   void apply(StoreChange Change);
   void applyTarget(const StoreChange &Change);
