Retain a removed entry only if it can have lapsed, and for 2 s after the return

Whether a removal may be a lapse followed from two failed calls. A store that answered some calls of a node with 429 thereby prolonged the retention again and again, and one call to a silent store, which may last as long as an entry needs to lapse, counted for nothing. It follows now from the time since the last answer: below 2 s no entry lapses, and a removal means that the target is gone.

The end of the retention follows from the last failed call, which was up to 1.6 s before the store's return, so live targets were given up 1.4 s after it, 0.6 s before they had to be back. Calls to an unreachable store now start 0.95 s apart at most; the retention ends between 2 and 2.95 s after the return, before the node has to know which targets are gone.

RetainsALapsedEntryUntilItsTargetHasHadTimeToWriteItAgain and TargetThatIsMissingFromSeveralReadingsIsGone failed before.

--- a/src/policy/TargetList.cpp
+++ b/src/policy/TargetList.cpp
@@ -51,17 +51,25 @@
     removeOrRetain(Id, Now);
 }
 
-void TargetList::onStoreLost() { setRetention(Never); }
+void TargetList::onStoreLost() {
+  if (RetainUntil != Never)
+    EndBeforeLoss = RetainUntil;
+  setRetention(Never);
+}
 
-void TargetList::onStoreRecovered() {
-  setRetention(LastFailedAt + RetentionTime);
+void TargetList::onCallAnswered(TimeMs SentAt, TimeMs Now) {
+  if (SentAt - LastAnswerAt >= MinLapseTime)
+    setRetention(LastFailedAt + RetentionTime);
+  else if (RetainUntil == Never)
+    setRetention(EndBeforeLoss);
+  LastAnswerAt = Now;
 }
 
 /// Sets the end of the retention, also for the entries that are retained now.
 void TargetList::setRetention(TimeMs End) {
   RetainUntil = End;
   for (auto &[Id, Entry] : Entries) {
-    if (!Entry.AssumedUntil)
+    if (!Entry.AssumedUntil || Entry.AssumedUntil == End)
       continue;
     Entry.AssumedUntil = End;
     Changed = true;
--- a/src/policy/TargetList.h
+++ b/src/policy/TargetList.h
@@ -1,14 +1,14 @@
 /// \file
 /// List of the targets in a store, which survives outages of the store.
 ///
-/// The owner reports each entry that it reads, each failed call, and when the
-/// store becomes unreachable or reachable. Entries expire in the store during
-/// an outage although their targets are alive, and targets write them again
-/// soon after it. An entry that is removed during an outage is therefore
-/// retained until the targets have had time to do so; at any other time, a
-/// removed entry means that the target is gone. A node cannot tell whether the
-/// store was out or only rejected this node, so a retained row is an assumption
-/// and bears its end (ListedInstance::AssumedUntil).
+/// The owner reports each entry that it reads, each call that failed or was
+/// answered, and when the store becomes unreachable. Entries expire in the
+/// store during an outage although their targets are alive, and targets write
+/// them again soon after it. An entry that is removed during an outage is
+/// therefore retained until the targets have had time to do so; at any other
+/// time, a removed entry means that the target is gone. A node cannot tell
+/// whether the store was out or only rejected this node, so a retained row is
+/// an assumption and bears its end (ListedInstance::AssumedUntil).
 
 #ifndef FESCUEWOOD_POLICY_TARGETLIST_H
 #define FESCUEWOOD_POLICY_TARGETLIST_H
@@ -28,7 +28,11 @@
 /// retained. Targets write their entries again within about 2 s of the store's
 /// return, which may come after that call. 3 s after its return, a node must
 /// know which targets are gone.
-inline constexpr DurationMs RetentionTime{2900};
+inline constexpr DurationMs RetentionTime{2950};
+
+/// Time without an answer of the store from which entries of live targets may
+/// have expired: that takes several missed writes.
+inline constexpr DurationMs MinLapseTime{2000};
 
 /// Listed targets by id. Not thread-safe.
 class TargetList {
@@ -46,9 +50,11 @@
   /// A call that was sent at \p SentAt has failed.
   void onCallFailed(TimeMs SentAt) { LastFailedAt = SentAt; }
 
-  /// The store has become unreachable, or reachable again.
+  /// The store has answered a call that was sent at \p SentAt.
+  void onCallAnswered(TimeMs SentAt, TimeMs Now);
+
+  /// The store has become unreachable; it is until the next answer.
   void onStoreLost();
-  void onStoreRecovered();
 
   /// Drops retained entries once the retention time has passed.
   void expire(TimeMs Now);
@@ -75,7 +81,9 @@
 
   std::map<std::string, ListedInstance, std::less<>> Entries;
   TimeMs LastFailedAt{0};
-  TimeMs RetainUntil{0}; ///< Never during an outage.
+  TimeMs LastAnswerAt{0};
+  TimeMs RetainUntil{0};   ///< Never during an outage.
+  TimeMs EndBeforeLoss{0}; ///< RetainUntil before the current outage.
   bool Changed = false;
 };
 
--- a/src/sources/StoreLoop.cpp
+++ b/src/sources/StoreLoop.cpp
@@ -105,7 +105,7 @@
 /// the first page; changes made in the meantime follow from the watch.
 void StoreLoop::onRangeRead(TimeMs SentAt) {
   const StorePage Range = std::move(*std::exchange(PartialRange, std::nullopt));
-  onSuccess();
+  onSuccess(SentAt);
   if (NextPhase == Phase::ReadTargets)
     onTargetsRead(Range);
   else
@@ -158,7 +158,7 @@
   }
   if (!Read.Value)
     return onFailure(SentAt, Read.Reason, Read.Detail);
-  onSuccess();
+  onSuccess(SentAt);
   reportConfigurations(*Read.Value, SentAt);
   for (StoreChange &Change : Read.Value->Changes)
     if (isNew(Change))
@@ -274,9 +274,9 @@
     Hooks.OnProof(SentAt, IntentRevision);
 }
 
-void StoreLoop::onSuccess() {
-  if (Health.onSuccess())
-    Targets.onStoreRecovered();
+void StoreLoop::onSuccess(TimeMs SentAt) {
+  Health.onSuccess();
+  Targets.onCallAnswered(SentAt, Time.now());
 }
 
 void StoreLoop::onFailure(TimeMs SentAt, ResultCode Reason,
@@ -284,8 +284,10 @@
   if (Reason == ResultCode::Stopped)
     return;
   Targets.onCallFailed(SentAt);
-  NextCall =
-      Time.now() + jitter(Retry.bound(Health.consecutiveFailures()), Random);
+  const TimeMs Now = Time.now();
+  const DurationMs Delay =
+      jitter(Retry.bound(Health.consecutiveFailures()), Random);
+  NextCall = std::max(Now, std::min(Now + Delay, SentAt + MaxRetryPeriod));
   if (!Health.onFailure(Reason, Detail))
     return;
   Targets.onStoreLost();
--- a/src/sources/StoreLoop.h
+++ b/src/sources/StoreLoop.h
@@ -101,7 +101,7 @@
   void applyTarget(const StoreChange &Change);
   void publish();
   void restart();
-  void onSuccess();
+  void onSuccess(TimeMs SentAt);
   void reportProof(TimeMs SentAt);
   void onFailure(TimeMs SentAt, ResultCode Reason, const std::string &Detail);
   void emit(EventId Id, std::vector<EventField> Fields = {}) const;
--- a/tests/policy/TargetListTest.cpp
+++ b/tests/policy/TargetListTest.cpp
@@ -22,7 +22,15 @@
 
 } // namespace
 
-TEST_GROUP(TargetList) { TargetList List; };
+TEST_GROUP(TargetList) {
+  TargetList List;
+
+  /// The store does not answer for seconds; the last call fails.
+  void loseStore(TimeMs LastSentAt) {
+    List.onStoreLost();
+    List.onCallFailed(LastSentAt);
+  }
+};
 
 TEST(TargetList, DropsARemovedEntry) {
   List.put(row("i-1", "10.0.0.1"));
@@ -37,9 +45,8 @@
 TEST(TargetList, RetainsEntriesRemovedAroundAnOutageForTheRetentionTime) {
   List.put(row("alive", "10.0.0.1"));
   List.put(row("dead", "10.0.0.2"));
-  List.onCallFailed(TimeMs(10'000));
-  List.onStoreLost();
-  List.onStoreRecovered();
+  loseStore(TimeMs(10'000));
+  List.onCallAnswered(TimeMs(10'040), TimeMs(10'050));
   List.replaceAll({}, TimeMs(10'050));
   LONGS_EQUAL(2, List.list(1).Instances.size());
 
@@ -54,9 +61,8 @@
 // count for more.
 TEST(TargetList, MarksARetainedEntryAsAssumedUntilTheRetentionEnds) {
   List.put(row("i-1", "10.0.0.1"));
-  List.onCallFailed(TimeMs(10'000));
-  List.onStoreLost();
-  List.onStoreRecovered();
+  loseStore(TimeMs(10'000));
+  List.onCallAnswered(TimeMs(10'040), TimeMs(10'050));
   CHECK_FALSE(List.list(1).Instances[0].AssumedUntil.has_value());
 
   List.remove("i-1", TimeMs(10'100));
@@ -71,21 +77,47 @@
 // Targets cannot write their entries while the store is out again.
 TEST(TargetList, ExtendsTheRetentionWhenTheStoreIsLostAgain) {
   List.put(row("i-1", "10.0.0.1"));
-  List.onCallFailed(TimeMs(10'000));
-  List.onStoreLost();
-  List.onStoreRecovered();
+  loseStore(TimeMs(10'000));
+  List.onCallAnswered(TimeMs(10'040), TimeMs(10'050));
   List.remove("i-1", TimeMs(10'100));
 
   List.onStoreLost();
 
   List.expire(TimeMs(10'000) + RetentionTime);
   LONGS_EQUAL(1, List.list(1).Instances.size());
-  List.onCallFailed(TimeMs(20'000));
-  List.onStoreRecovered();
+  loseStore(TimeMs(20'000));
+  List.onCallAnswered(TimeMs(20'040), TimeMs(20'050));
   List.expire(TimeMs(20'000) + RetentionTime);
   LONGS_EQUAL(0, List.list(2).Instances.size());
 }
 
+// The store answers some calls with 429, so that it counts as lost again and
+// again, but too shortly for an entry to expire.
+TEST(TargetList, RemovalAroundAShortOutageMeansThatTheTargetIsGone) {
+  List.put(row("i-1", "10.0.0.1"));
+  List.onCallAnswered(TimeMs(9'990), TimeMs(10'000));
+  List.onCallFailed(TimeMs(10'100));
+  List.onStoreLost();
+
+  List.onCallAnswered(TimeMs(10'000) + MinLapseTime - DurationMs(1),
+                      TimeMs(12'000));
+  List.remove("i-1", TimeMs(12'000));
+
+  LONGS_EQUAL(0, List.list(1).Instances.size());
+}
+
+// One failed call of a silent store may take as long as entries need to expire.
+TEST(TargetList, RetainsAnEntryThatIsRemovedAfterOneLongFailure) {
+  List.put(row("i-1", "10.0.0.1"));
+  List.onCallAnswered(TimeMs(9'990), TimeMs(10'000));
+  List.onCallFailed(TimeMs(10'000));
+
+  List.onCallAnswered(TimeMs(10'000) + MinLapseTime, TimeMs(12'010));
+  List.remove("i-1", TimeMs(12'020));
+
+  LONGS_EQUAL(1, List.list(1).Instances.size());
+}
+
 TEST(TargetList, PrefersAnEntryThatExistsToARetainedOneOnTheSameInstance) {
   List.put(row("old", "10.0.0.1", "queue", ListedState::Live, 9));
   List.put(row("new", "10.0.0.1", "queue", ListedState::Leaving, 7));
@@ -107,20 +139,6 @@
   STRCMP_EQUAL("new", List.find("10.0.0.1:80", "queue")->TargetId.c_str());
 }
 
-// The address of a target that is gone may be reused by another service.
-TEST(TargetList, FindsNoTargetOfAnotherServiceAtAReusedAddress) {
-  List.put(row("i-2", "10.0.0.1", "till"));
-
-  CHECK_FALSE(List.find("10.0.0.1:80", "queue").has_value());
-}
-
-TEST(TargetList, ReportsEachChangeOnce) {
-  List.put(row("i-1", "10.0.0.1"));
-  CHECK_TRUE(List.takeChanged());
-  List.put(row("i-1", "10.0.0.1"));
-
-  CHECK_FALSE(List.takeChanged());
-}
 // The store may carry out a write seconds late, so that the entry of an earlier
 // start has the greater revision.
 TEST(TargetList, PrefersTheLaterStartOnTheSameInstance) {
@@ -138,3 +156,17 @@
   CHECK(ListedState::Leaving == List.list(1).Instances[0].State);
 }
 
+// The address of a target that is gone may be reused by another service.
+TEST(TargetList, FindsNoTargetOfAnotherServiceAtAReusedAddress) {
+  List.put(row("i-2", "10.0.0.1", "till"));
+
+  CHECK_FALSE(List.find("10.0.0.1:80", "queue").has_value());
+}
+
+TEST(TargetList, ReportsEachChangeOnce) {
+  List.put(row("i-1", "10.0.0.1"));
+  CHECK_TRUE(List.takeChanged());
+  List.put(row("i-1", "10.0.0.1"));
+
+  CHECK_FALSE(List.takeChanged());
+}
--- a/tests/sources/StoreLoopTest.cpp
+++ b/tests/sources/StoreLoopTest.cpp
@@ -36,21 +36,26 @@
   /// Result of a watch from a revision that is followed by changes.
   ResultCode HistoryFailure = ResultCode::Ok;
   TimeMs Now{1000};
+  DurationMs FailureTakes{0}; ///< Time until a call fails.
 
   StoreCalls calls() {
     StoreCalls Calls;
     Calls.Range = [this](StoreSubject Subject,
                          std::string_view) -> PlatformRead<StorePage> {
-      if (Failure != ResultCode::Ok)
+      if (Failure != ResultCode::Ok) {
+        Now = Now + FailureTakes;
         return {std::nullopt, Failure, ""};
+      }
       return {StorePage{Subject == StoreSubject::Target ? Targets : Intent,
                         false, Revision},
               ResultCode::Ok, ""};
     };
     Calls.Watch = [this](std::uint64_t After,
                          DurationMs Wait) -> PlatformRead<StoreChanges> {
-      if (Failure != ResultCode::Ok)
+      if (Failure != ResultCode::Ok) {
+        Now = Now + FailureTakes;
         return {std::nullopt, Failure, ""};
+      }
       if (HistoryFailure != ResultCode::Ok && After < Revision)
         return {std::nullopt, HistoryFailure, ""};
       if (Watches.empty()) {
@@ -127,10 +132,12 @@
         {StoreChanges{{std::move(Change)}, At}, ResultCode::Ok, ""});
   }
 
-  /// Lets the store fail until it counts as unreachable, then answer again.
-  void loseStore() {
+  /// Lets the store fail until it counts as unreachable and for \p AtLeast,
+  /// then answer again.
+  void loseStore(DurationMs AtLeast = MinLapseTime) {
+    const TimeMs LostAt = Store.Now;
     Store.Failure = ResultCode::PlatformRefused;
-    while (States.empty() || States.back())
+    while (States.empty() || States.back() || Store.Now - LostAt < AtLeast)
       step();
     Store.Failure = ResultCode::Ok;
   }
@@ -296,6 +303,26 @@
   STRCMP_EQUAL("10.0.0.2", Lists.back().Instances.back().Name.c_str());
 }
 
+// After an outage the store answers some of this node's calls with 429. Each
+// full reading shows that the target's entry is gone.
+TEST(StoreLoop, TargetThatIsMissingFromSeveralReadingsIsGone) {
+  constexpr DurationMs Contact{3000};
+  step(3);
+  loseStore();
+  Store.Targets.clear();
+  step();
+  const TimeMs FirstReadAt = Store.Now;
+  int Readings = 1;
+  while (LocalTarget && Store.Now - FirstReadAt < DurationMs(9000)) {
+    loseStore(DurationMs(0));
+    step();
+    ++Readings;
+  }
+
+  CHECK(Readings > 1);
+  CHECK_COMPARE((Store.Now - FirstReadAt).Value, <=, Contact.Value);
+}
+
 // Guards against requests to a target that left while the store rejected its
 // node, long after the store had answered again.
 TEST(StoreLoop, RetentionOfALeftTargetEndsByTheClockNotByTheNextAnswer) {
@@ -311,30 +338,6 @@
   LONGS_EQUAL(End.Value, LocalTargetAt.Value);
 }
 
-TEST(StoreLoop, DelaysTheNextWatchAfterAChange) {
-  step(2);
-  queueChange(change(StoreSubject::Configuration, "config", "second", 12));
-
-  CHECK(Loop->step() >= DurationMs(100));
-}
-
-TEST(StoreLoop, KnowsTheNewestIntentWhenItsHistoryIsTooMuchForOneAnswer) {
-  step(3);
-  for (const ResultCode Reason :
-       {ResultCode::PlatformTooLarge, ResultCode::PlatformSlow}) {
-    const TimeMs ChangedAt = Store.Now;
-    Store.HistoryFailure = Reason;
-    ++Store.Revision;
-    const std::string Newest = "newest-" + std::to_string(Store.Revision);
-    Store.Intent = {
-        change(StoreSubject::Configuration, "config", Newest, Store.Revision)};
-
-    step(4);
-
-    STRCMP_EQUAL(Newest.c_str(), configuration().c_str());
-    CHECK(Proofs.back().first >= ChangedAt);
-  }
-}
 // The last failed call to a silent store was sent nearly a second before its
 // return; entries that lapsed are back within about two seconds of it.
 TEST(StoreLoop, RetainsALapsedEntryUntilItsTargetHasHadTimeToWriteItAgain) {
@@ -457,3 +460,27 @@
                  .c_str());
 }
 
+TEST(StoreLoop, DelaysTheNextWatchAfterAChange) {
+  step(2);
+  queueChange(change(StoreSubject::Configuration, "config", "second", 12));
+
+  CHECK(Loop->step() >= DurationMs(100));
+}
+
+TEST(StoreLoop, KnowsTheNewestIntentWhenItsHistoryIsTooMuchForOneAnswer) {
+  step(3);
+  for (const ResultCode Reason :
+       {ResultCode::PlatformTooLarge, ResultCode::PlatformSlow}) {
+    const TimeMs ChangedAt = Store.Now;
+    Store.HistoryFailure = Reason;
+    ++Store.Revision;
+    const std::string Newest = "newest-" + std::to_string(Store.Revision);
+    Store.Intent = {
+        change(StoreSubject::Configuration, "config", Newest, Store.Revision)};
+
+    step(4);
+
+    STRCMP_EQUAL(Newest.c_str(), configuration().c_str());
+    CHECK(Proofs.back().first >= ChangedAt);
+  }
+}
