Date the proof of an intent from its first page

A configuration that changed in between was unknown to the node and proved as the newest, for as long as the pages took, which includes failed calls and their waits. A key withdrawn in that time would be served later than the withdrawal allows. A configuration whose text nears the limit of a page, with a domain that is out, is such a range.

The proof now bears the time at which the first page was requested.

--- a/src/sources/StoreLoop.cpp
+++ b/src/sources/StoreLoop.cpp
@@ -92,27 +92,29 @@
     return onFailure(SentAt, Read.Reason, Read.Detail);
   if (!PartialRange) {
     PartialRange = std::move(*Read.Value);
+    RangeSentAt = SentAt;
   } else {
     PartialRange->HasMore = Read.Value->HasMore && !Read.Value->Items.empty();
     std::move(Read.Value->Items.begin(), Read.Value->Items.end(),
               std::back_inserter(PartialRange->Items));
   }
   if (!PartialRange->HasMore)
-    onRangeRead(SentAt);
+    onRangeRead();
 }
 
-/// Applies a range once all its pages have been read. Its revision is that of
-/// the first page; changes made in the meantime follow from the watch.
-void StoreLoop::onRangeRead(TimeMs SentAt) {
+/// Applies a range once all its pages have been read. Its revision and its time
+/// are those of the first page; changes made in the meantime follow from the
+/// watch.
+void StoreLoop::onRangeRead() {
   const StorePage Range = std::move(*std::exchange(PartialRange, std::nullopt));
   onSuccess(SentAt);
   if (NextPhase == Phase::ReadTargets)
     onTargetsRead(Range);
   else
-    onIntentRead(Range, SentAt);
+    onIntentRead(Range);
 }
 
-void StoreLoop::onIntentRead(const StorePage &Range, TimeMs SentAt) {
+void StoreLoop::onIntentRead(const StorePage &Range) {
   Intent = {};
   IntentChanged = true;
   for (const StoreChange &Item : Range.Items)
@@ -121,7 +123,7 @@
   IntentReadAt = Range.Revision;
   NextPhase = Phase::Watch;
   publish();
-  reportProof(SentAt);
+  reportProof(RangeSentAt);
 }
 
 void StoreLoop::onTargetsRead(const StorePage &Range) {
--- a/src/sources/StoreLoop.h
+++ b/src/sources/StoreLoop.h
@@ -90,9 +90,9 @@
 
   DurationMs untilNextStep(TimeMs Now) const;
   void readPage(StoreSubject Subject);
-  void onRangeRead(TimeMs SentAt);
+  void onRangeRead();
   void onTargetsRead(const StorePage &Range);
-  void onIntentRead(const StorePage &Range, TimeMs SentAt);
+  void onIntentRead(const StorePage &Range);
   void watch();
   bool isNew(const StoreChange &Change) const;
   static bool isBehind(const StoreChanges &Read, DurationMs Took);
@@ -114,6 +114,7 @@
   std::mt19937_64 Random;
   Phase NextPhase = Phase::ReadTargets;
   std::optional<StorePage> PartialRange; ///< Pages of the current range.
+  TimeMs RangeSentAt;         ///< When the first of these pages was requested.
   std::uint64_t Revision = 0; ///< The watch returns the changes after it.
   /// Revisions at which the targets and the intent were last read as a whole.
   std::uint64_t TargetsReadAt = 0;
--- a/tests/sources/StoreLoopTest.cpp
+++ b/tests/sources/StoreLoopTest.cpp
@@ -35,19 +35,21 @@
   ResultCode Failure = ResultCode::Ok;
   /// Result of a watch from a revision that is followed by changes.
   ResultCode HistoryFailure = ResultCode::Ok;
+  std::size_t PageSize = 100;
+  unsigned RangeCalls = 0;
   TimeMs Now{1000};
   DurationMs FailureTakes{0}; ///< Time until a call fails.
 
   StoreCalls calls() {
     StoreCalls Calls;
     Calls.Range = [this](StoreSubject Subject,
-                         std::string_view) -> PlatformRead<StorePage> {
+                         std::string_view After) -> PlatformRead<StorePage> {
+      ++RangeCalls;
       if (Failure != ResultCode::Ok) {
         Now = Now + FailureTakes;
         return {std::nullopt, Failure, ""};
       }
-      return {StorePage{Subject == StoreSubject::Target ? Targets : Intent,
-                        false, Revision},
+      return {page(Subject == StoreSubject::Target ? Targets : Intent, After),
               ResultCode::Ok, ""};
     };
     Calls.Watch = [this](std::uint64_t After,
@@ -80,6 +82,21 @@
     };
     return Calls;
   }
+
+private:
+  StorePage page(const std::vector<StoreChange> &Items,
+                 std::string_view After) const {
+    StorePage Page{{}, false, Revision};
+    for (const StoreChange &Item : Items) {
+      if (Item.Key <= After)
+        continue;
+      Page.HasMore = Page.Items.size() == PageSize;
+      if (Page.HasMore)
+        break;
+      Page.Items.push_back(Item);
+    }
+    return Page;
+  }
 };
 
 } // namespace
@@ -232,6 +249,25 @@
   CHECK(Sent == Proofs[0].first);
 }
 
+// Pages are no snapshot: what the first page held may have changed before the
+// last one was requested, and a key may have been withdrawn.
+TEST(StoreLoop, ProvesAnIntentOfSeveralPagesAsOfItsFirstPage) {
+  Store.Intent.push_back(change(StoreSubject::DomainOut, "east", "{}", 6));
+  step();
+  Store.PageSize = 1;
+  const TimeMs FirstPageSent = Store.Now;
+  step();
+  Store.Now = Store.Now + DurationMs(700);
+  Store.Revision = 11;
+  Store.Intent[0] = change(StoreSubject::Configuration, "config", "second", 11);
+
+  step();
+
+  STRCMP_EQUAL("first", configuration().c_str());
+  LONGS_EQUAL(1, Proofs.size());
+  CHECK(FirstPageSent == Proofs[0].first);
+}
+
 TEST(StoreLoop, ProvesNothingWhileTheStoreDoesNotAnswer) {
   step(2);
   Proofs.clear();
