Judge a key by no older version than the proven one

A request took the version in force first and asked for the proof of freshness after that. When a newer version came into force in between, its proof vouched for the keys of the older one: a withdrawn key was accepted, and a new one refused with 401, however long ago the change had been acknowledged. It takes a node that learns of a version late, as after a freeze or an outage, and a request that is being decided at that moment.

The proof is now asked for before the version is read, so the version is at least as new as what was proven. JudgesAKeyByNoOlderVersionThanTheProvenOne fails without it.

--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -59,6 +59,9 @@
   Call.Headers = std::move(Request.Headers);
   Call.Body = std::move(Request.Body);
   Call.Depth = Request.Depth;
+  // Asked before the version is read: a newer one may come into force while the
+  // request is decided, and its proof says nothing about the keys of this one.
+  const bool KeysProven = !Hooks.KeysProven || Hooks.KeysProven();
   const ActiveConfigPtr Current = activeConfig();
   if (!Current) {
     refuse(OnAnswer, ResultCode::NotConfigured, Call);
@@ -85,7 +88,8 @@
   const bool HasCallToken =
       Options.Scheme.UseCallTokens &&
       findField(Call.Headers, Options.Scheme.CallToken) != nullptr;
-  const ResultCode Refusal = identify(*Current, *MatchedRoute, Call);
+  const ResultCode Refusal =
+      identify(*Current, *MatchedRoute, KeysProven, Call);
   if (Refusal != ResultCode::Ok) {
     refuse(OnAnswer, Refusal, Call);
     return;
@@ -146,7 +150,7 @@
 }
 
 ResultCode Entry::identify(const ActiveConfig &Current,
-                           const Route &MatchedRoute,
+                           const Route &MatchedRoute, bool KeysProven,
                            CallRequest &Request) const {
   if (Options.Scheme.UseCallTokens &&
       findField(Request.Headers, Options.Scheme.CallToken))
@@ -160,7 +164,8 @@
     PresentedKey = presentedKey(Request.Headers, Options.Scheme);
     stripKey(Request.Headers, Options.Scheme);
   }
-  return identifyByKey(Current, MatchedRoute, PresentedKey, Request);
+  return identifyByKey(Current, MatchedRoute, KeysProven, PresentedKey,
+                       Request);
 }
 
 /// Removes the key from all parts of a request and returns it in \p
@@ -177,13 +182,13 @@
 }
 
 ResultCode Entry::identifyByKey(const ActiveConfig &Current,
-                                const Route &MatchedRoute,
+                                const Route &MatchedRoute, bool KeysProven,
                                 const std::optional<std::string> &PresentedKey,
-                                CallRequest &Request) const {
+                                CallRequest &Request) {
   if (MatchedRoute.Access == RouteAccess::Open)
     return ResultCode::Ok;
   // Without proof, a key that this node does not know may also be a new one.
-  if (Hooks.KeysProven && !Hooks.KeysProven())
+  if (!KeysProven)
     return ResultCode::KeysUnproven;
   const auto Owner =
       PresentedKey ? Current.Keys.identify(*PresentedKey) : std::nullopt;
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -107,16 +107,16 @@
   void applyRoute(const ActiveConfig &Current, const Route &MatchedRoute,
                   CallRequest &Call) const;
   ResultCode identify(const ActiveConfig &Current, const Route &MatchedRoute,
-                      CallRequest &Request) const;
+                      bool KeysProven, CallRequest &Request) const;
   ResultCode identifyByToken(const ActiveConfig &Current,
                              const Route &MatchedRoute,
                              CallRequest &Request) const;
   static bool extractKey(const ActiveConfig &Current, CallRequest &Request,
                          std::optional<std::string> &PresentedKey);
-  ResultCode identifyByKey(const ActiveConfig &Current,
-                           const Route &MatchedRoute,
-                           const std::optional<std::string> &PresentedKey,
-                           CallRequest &Request) const;
+  static ResultCode
+  identifyByKey(const ActiveConfig &Current, const Route &MatchedRoute,
+                bool KeysProven, const std::optional<std::string> &PresentedKey,
+                CallRequest &Request);
   void setOriginHeaders(CallRequest &Request) const;
 
   EntryHooks Hooks;
--- a/tests/calls/EntryTest.cpp
+++ b/tests/calls/EntryTest.cpp
@@ -3,6 +3,9 @@
 #include "callers/HeaderFields.h"
 #include "calls/Entry.h"
 
+#include <functional>
+#include <memory>
+#include <utility>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -44,6 +47,7 @@
   int Charged = 0;
   bool DeferDecisions = false;
   bool ViewCurrent = true;
+  std::function<bool()> KeysProven;
   TimeMs Now{1000};
   std::vector<RateDecisionHook> DeferredDecisions;
   Entry RequestEntry{
@@ -63,7 +67,8 @@
          Submitted.push_back(std::move(Request));
        },
        {},
-       [this] { return ViewCurrent; }},
+       [this] { return ViewCurrent; },
+       [this] { return !KeysProven || KeysProven(); }},
       {{}, "", 0, Clock([this] { return Now; })}};
 
   void setup() override { RequestEntry.setSnapshot(config()); }
@@ -233,6 +238,19 @@
   LONGS_EQUAL(1, Submitted.size());
 }
 
+// The proof of a newer version must not vouch for the keys of an older one: the
+// version may change while a request is decided.
+TEST(Entry, JudgesAKeyByNoOlderVersionThanTheProvenOne) {
+  KeysProven = [this] {
+    auto Newest = std::make_shared<Snapshot>(*config());
+    Newest->Keys.clear();
+    RequestEntry.setSnapshot(std::move(Newest));
+    return true;
+  };
+
+  checkRefused(keyed("/order"), ResultCode::CallerUnknown, 401);
+}
+
 TEST(Entry, RefusesRequestsWhileItsViewIsOutdated) {
   ViewCurrent = false;
   checkRefused(keyed("/order"), ResultCode::ViewOutdated, 503);
