Test the intent through outages, lost histories and changes between readings

Four cases of the order in which targets and intent are read, and failures with an answer that is given up in the property test.

--- a/src/sources/StoreLoop.cpp
+++ b/src/sources/StoreLoop.cpp
@@ -107,7 +107,7 @@
 /// watch.
 void StoreLoop::onRangeRead() {
   const StorePage Range = std::move(*std::exchange(PartialRange, std::nullopt));
-  onSuccess(SentAt);
+  onSuccess(RangeSentAt);
   if (NextPhase == Phase::ReadTargets)
     onTargetsRead(Range);
   else
--- a/tests/sources/StoreLoopPropertyTest.cpp
+++ b/tests/sources/StoreLoopPropertyTest.cpp
@@ -87,10 +87,11 @@
       return Event.Which % 3 == 0 ? toggle(Key, Value) : write(Key, Value);
     }
     case Happening::FailOneCall:
-      FailingCalls = 1;
-      return;
     case Happening::FailManyCalls:
-      FailingCalls = 2 + Event.Which % 4;
+      FailingCalls =
+          Event.Kind == Happening::FailOneCall ? 1 : 2 + Event.Which % 4;
+      Failure = Event.Which % 2 == 0 ? ResultCode::PlatformRefused
+                                     : ResultCode::PlatformSlow;
       return;
     case Happening::LoseHistory:
       HistoryFrom = Revision;
@@ -196,7 +197,7 @@
 
   PlatformRead<StorePage> range(StoreSubject Subject, std::string_view After) {
     if (fails())
-      return {std::nullopt, ResultCode::PlatformRefused, ""};
+      return {std::nullopt, Failure, ""};
     StorePage Page;
     Page.Revision = Revision;
     for (const auto &[Key, States] : Keys) {
@@ -216,7 +217,7 @@
 
   PlatformRead<StoreChanges> watch(std::uint64_t After, DurationMs Wait) {
     if (fails())
-      return {std::nullopt, ResultCode::PlatformRefused, ""};
+      return {std::nullopt, Failure, ""};
     if (After < HistoryFrom)
       return {std::nullopt, ResultCode::StoreHistoryGone, ""};
     if (After >= Revision) {
@@ -235,6 +236,7 @@
 
   std::size_t NextEvent = 0;
   unsigned FailingCalls = 0;
+  ResultCode Failure = ResultCode::PlatformRefused;
   std::uint64_t HistoryFrom = 0;
   std::vector<StoreChange> Log;
 };
--- a/tests/sources/StoreLoopTest.cpp
+++ b/tests/sources/StoreLoopTest.cpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -496,6 +497,81 @@
                  .c_str());
 }
 
+TEST(StoreLoop, ReadingTheTargetsAgainProvesNothingOfTheIntent) {
+  step(3);
+  loseStore();
+  Proofs.clear();
+  queueChange(change(StoreSubject::Configuration, "config", "second", 20));
+
+  step();
+
+  LONGS_EQUAL(0, Proofs.size());
+  step();
+  STRCMP_EQUAL("second", configuration().c_str());
+  LONGS_EQUAL(20, Proofs.at(0).second);
+}
+
+TEST(StoreLoop, KnowsTheDomainsThatWereWithdrawnAndReturnedDuringAnOutage) {
+  Store.Intent.push_back(change(StoreSubject::DomainOut, "east", "{}", 6));
+  step(3);
+  loseStore();
+  Store.Watches.push_back(
+      {StoreChanges{{change(StoreSubject::DomainOut, "west", "{}", 18),
+                     change(StoreSubject::DomainOut, "east", "", 19, true)},
+                    21},
+       ResultCode::Ok, ""});
+  Store.Revision = 21;
+
+  step(2);
+
+  CHECK_TRUE((decodeStoreBundle(Bundles.back())->DomainsOut ==
+              std::set<std::string, std::less<>>{"west"}));
+  LONGS_EQUAL(19, Bundles.back().Revision);
+}
+
+// A lost history while the outage lasted, and again while all is read anew.
+TEST(StoreLoop, KnowsTheNewestIntentWhenItsHistoryIsLostRepeatedly) {
+  step(3);
+  loseStore();
+  Store.Revision = 30;
+  Store.Intent = {change(StoreSubject::Configuration, "config", "second", 25)};
+  Store.Watches = {{std::nullopt, ResultCode::StoreHistoryGone, ""},
+                   {std::nullopt, ResultCode::StoreHistoryGone, ""}};
+  const std::uint64_t Before = Bundles.back().Revision;
+
+  step(4);
+  Store.Revision = 31;
+  Store.Intent = {change(StoreSubject::Configuration, "config", "third", 31)};
+  Store.Targets = {change(StoreSubject::Target, "i-2", "10.0.0.2", 29)};
+  step(4);
+
+  CHECK(Before <= Bundles.back().Revision);
+  STRCMP_EQUAL("third", configuration().c_str());
+  LONGS_EQUAL(31, Proofs.back().second);
+  CHECK_TRUE(Lists.back().Revision >= 30);
+}
+
+// The watch starts at the reading of the targets, which is the older one.
+TEST(StoreLoop, AppliesWhatChangedBetweenItsReadingsOnceAndInOrder) {
+  step();
+  Store.Revision = 12;
+  Store.Intent = {change(StoreSubject::Configuration, "config", "second", 12)};
+  step();
+  const std::size_t Reported = Bundles.size();
+  Store.Watches.push_back(
+      {StoreChanges{
+           {change(StoreSubject::Target, "i-1", "", 11, true),
+            change(StoreSubject::Configuration, "config", "second", 12)},
+           12},
+       ResultCode::Ok, ""});
+
+  step();
+
+  CHECK_FALSE(LocalTarget.has_value());
+  LONGS_EQUAL(Reported, Bundles.size());
+  LONGS_EQUAL(12, Proofs.back().second);
+}
+
 TEST(StoreLoop, DelaysTheNextWatchAfterAChange) {
   step(2);
   queueChange(change(StoreSubject::Configuration, "config", "second", 12));
