--- a/bench/model/FakeCallMesh.h
+++ b/bench/model/FakeCallMesh.h
@@ -2,7 +2,8 @@
 /// A simulated mesh: the call cores of many nodes with fake targets, in one
 /// thread and in virtual time.
 ///
-/// The simulated network loses, delays, duplicates and reorders messages.
+/// The simulated network loses, delays, duplicates and reorders messages. As in
+/// the transport, a request ends when its connection is lost or silent.
 
 #ifndef FESCUEWOOD_BENCH_MODEL_FAKECALLMESH_H
 #define FESCUEWOOD_BENCH_MODEL_FAKECALLMESH_H
@@ -10,6 +11,7 @@
 #include "calls/CallCore.h"
 #include "model/FakeTarget.h"
 #include "model/VirtualTime.h"
+#include "nodes/PeerClient.h"
 
 #include <cstdint>
 #include <deque>
@@ -156,6 +158,11 @@
     Nodes.at(At)->PausedUntilUs = Time.nowUs() + ForUs;
   }
 
+  /// Keeps the link of a node busy, so that what it sends leaves it later.
+  void occupyLink(std::size_t At, std::int64_t ForUs) {
+    Nodes.at(At)->LinkFreeUs = Time.nowUs() + ForUs;
+  }
+
   /// Drops all messages on the open connection between two nodes. Messages on
   /// new connections are delivered.
   void silenceConnection(std::size_t From, std::size_t To) {
@@ -209,11 +216,14 @@
 
 private:
   static constexpr std::int64_t TickUs = 5'000;
+  static constexpr std::int64_t InspectionUs = 100'000; ///< Of connections.
 
   /// A request between nodes that is completed at most once.
   struct Exchange {
     fescuewood::PeerReplyHook OnReply;
     bool Completed = false;
+    std::uint64_t PeerGeneration = 0; ///< Of the process that it was sent to.
+    std::int64_t HeardUs = 0;         ///< When its connection last showed life.
   };
 
   double uniform() {
@@ -325,7 +335,12 @@
                  completeExchange(From, ProcessGeneration, Open, {});
                });
     const auto To = find(Request.Address);
-    if (!To || isLost(From, *To, Request.Route))
+    if (!To)
+      return;
+    Open->PeerGeneration = Nodes[*To]->ProcessGeneration;
+    Open->HeardUs = Time.nowUs();
+    inspectLater(From, ProcessGeneration, *To, Request.Route, Open);
+    if (isLost(From, *To, Request.Route))
       return;
     const int Copies = uniform() < Network.Duplicate ? 2 : 1;
     for (int I = 0; I < Copies; ++I) {
@@ -339,6 +354,50 @@
     }
   }
 
+  /// Ends an exchange when its connection is lost or silent for too long.
+  void inspectLater(std::size_t From, std::uint64_t ProcessGeneration,
+                    std::size_t To, fescuewood::PeerRoute Route,
+                    const std::shared_ptr<Exchange> &Open) {
+    Time.after(InspectionUs, [this, From, ProcessGeneration, To, Route, Open] {
+      if (Open->Completed)
+        return;
+      if (answersHeartbeats(From, To, Route))
+        Open->HeardUs = Time.nowUs();
+      const fescuewood::ResultCode Reason = connectionState(To, *Open);
+      if (Reason == fescuewood::ResultCode::Ok)
+        inspectLater(From, ProcessGeneration, To, Route, Open);
+      else
+        completeExchange(From, ProcessGeneration, Open,
+                         {std::nullopt, {}, Reason});
+    });
+  }
+
+  /// Ok while the connection of an exchange is in use.
+  fescuewood::ResultCode connectionState(std::size_t To,
+                                         const Exchange &Open) const {
+    const std::int64_t SilenceLimitUs =
+        fescuewood::PeerClientOptions().SilenceLimit.Value *
+        VirtualTime::UsPerMs;
+    const FakeNode &Peer = *Nodes[To];
+    if (Peer.Core && Peer.ProcessGeneration != Open.PeerGeneration)
+      return fescuewood::ResultCode::PeerConnectionLost;
+    return Time.nowUs() - Open.HeardUs > SilenceLimitUs
+               ? fescuewood::ResultCode::PeerSilent
+               : fescuewood::ResultCode::Ok;
+  }
+
+  /// Whether a heartbeat on a connection is answered now. A node that is paused
+  /// itself does not count the silence.
+  bool answersHeartbeats(std::size_t From, std::size_t To,
+                         fescuewood::PeerRoute Route) const {
+    if (Nodes[From]->PausedUntilUs > Time.nowUs())
+      return true;
+    const bool Silent = Route == fescuewood::PeerRoute::Reuse &&
+                        SilentConnections.contains({From, To});
+    return Nodes[To]->Core && Nodes[To]->PausedUntilUs <= Time.nowUs() &&
+           !Silent;
+  }
+
   void deliver(std::size_t From, std::uint64_t ProcessGeneration,
                std::size_t To, FakeNode &Node,
                const fescuewood::PeerRequest &Request,
