Leave out the items of the store that cannot be read

A single malformed item made a node refuse a whole page or watch of the store. It then read the same bytes again without end: no new target, no configuration and no withdrawn domain reached it any more.

Cause: an answer was parsed as a whole.

The members of an answer and its items are now read one by one (core/JsonText), without memory per level of nesting. If its key can be read, it is not used: a target is dropped, a configuration leaves the one in force, proves nothing, and lets changes of domains apply. The decoder of lists of instances uses the same functions, so a row that cannot be parsed is skipped there too.

--- a/src/platform/StoreCodec.cpp
+++ b/src/platform/StoreCodec.cpp
@@ -1,8 +1,11 @@
 #include "platform/StoreCodec.h"
 
 #include "core/Endpoint.h"
+#include "core/JsonText.h"
+#include "nodes/PeerEnvelope.h"
 #include "platform/PlatformNames.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include <fmt/format.h>
@@ -20,13 +23,22 @@
 /// Base64 encodes each group of three bytes as four characters.
 constexpr std::size_t GroupBytes = 3;
 constexpr std::size_t GroupChars = 4;
+constexpr std::string_view Base64Digits =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+/// Longest key of an item, in bytes.
+constexpr std::size_t MaxKeyBytes = 200;
 
 /// Longest remaining slow start accepted from an entry, in seconds.
 constexpr double MaxSlowStartSeconds = 3600;
 
 /// Decodes padded base64; returns std::nullopt for any other text.
 std::optional<std::string> decodeBase64(std::string_view Text) {
-  if (Text.size() % GroupChars != 0)
+  const std::size_t Padding =
+      Text.ends_with("==") ? 2 : (Text.ends_with("=") ? 1 : 0);
+  const std::string_view Digits = Text.substr(0, Text.size() - Padding);
+  if (Text.size() % GroupChars != 0 ||
+      Digits.find_first_not_of(Base64Digits) != std::string_view::npos)
     return std::nullopt;
   std::string Bytes(Text.size() / GroupChars * GroupBytes, '\0');
   const int Size =
@@ -35,8 +47,6 @@
                       static_cast<int>(Text.size()));
   if (Size < 0)
     return std::nullopt;
-  const std::size_t Padding =
-      Text.ends_with("==") ? 2 : (Text.ends_with("=") ? 1 : 0);
   Bytes.resize(static_cast<std::size_t>(Size) - Padding);
   return Bytes;
 }
@@ -57,9 +67,27 @@
   return It->get<std::uint64_t>();
 }
 
-bool boolMember(const Json &Object, std::string_view Name) {
-  const auto It = Object.find(Name);
-  return It != Object.end() && It->is_boolean() && It->get<bool>();
+std::optional<std::string> stringValue(std::string_view Text) {
+  const Json Value = parseJson(Text, 0);
+  return Value.is_string() ? std::optional(Value.get<std::string>())
+                           : std::nullopt;
+}
+
+std::optional<std::uint64_t> unsignedValue(std::string_view Text) {
+  const Json Value = parseJson(Text, 0);
+  return Value.is_number_unsigned() ? std::optional(Value.get<std::uint64_t>())
+                                    : std::nullopt;
+}
+
+bool isTrue(std::string_view Text) { return Text == "true"; }
+
+/// Whether \p Text can name a target, a service or a domain in messages between
+/// nodes, in header fields and in lines.
+bool isName(std::string_view Text) {
+  constexpr unsigned char Delete = 0x7f;
+  const auto IsControl = [](unsigned char C) { return C < ' ' || C == Delete; };
+  return !Text.empty() && Text.size() <= MaxPeerNameBytes &&
+         std::none_of(Text.begin(), Text.end(), IsControl);
 }
 
 void setSubject(StoreChange &Change) {
@@ -75,25 +103,51 @@
   }
 }
 
-std::optional<StoreChange> decodeItem(const Json &Item) {
-  if (!Item.is_object())
-    return std::nullopt;
-  const std::string *Key = stringMember(Item, ItemKey);
-  const auto Revision = unsignedMember(Item, ItemRevision);
-  if (!Key || !Revision)
-    return std::nullopt;
-  StoreChange Change;
-  Change.Key = *Key;
+/// Sets the members of an item other than its key; false when one of them is
+/// missing or malformed.
+bool setContent(const JsonMembers &Item, StoreChange &Change) {
+  const auto Revision = unsignedValue(memberText(Item, ItemRevision));
+  if (!Revision)
+    return false;
   Change.Revision = *Revision;
-  Change.Removed = boolMember(Item, ItemRemoved);
-  setSubject(Change);
+  const std::string_view Removed = memberText(Item, ItemRemoved);
+  Change.Removed = isTrue(Removed);
   if (Change.Removed)
-    return Change;
-  const std::string *Value = stringMember(Item, ItemValue);
+    return true;
+  const auto Value = stringValue(memberText(Item, ItemValue));
   auto Bytes = Value ? decodeBase64(*Value) : std::nullopt;
   if (!Bytes)
-    return std::nullopt;
+    return false;
   Change.Value = std::move(*Bytes);
+  return true;
+}
+
+/// Decodes an item of an answer at revision \p At. An item of which only the
+/// key can be read becomes an unreadable one, written not after the answer;
+/// std::nullopt when not even the key can be read.
+std::optional<StoreChange> decodeItem(std::string_view Text, std::uint64_t At) {
+  const auto Item =
+      jsonMembers(Text, {ItemKey, ItemValue, ItemRevision, ItemRemoved});
+  auto Key = Item ? stringValue(memberText(*Item, ItemKey)) : std::nullopt;
+  if (!Key)
+    return std::nullopt;
+  StoreChange Change;
+  Change.Key = std::move(*Key);
+  setSubject(Change);
+  const bool HasName = Change.Subject == StoreSubject::Target ||
+                       Change.Subject == StoreSubject::DomainOut;
+  const bool IsUsableKey =
+      Change.Key.size() <= MaxKeyBytes && (!HasName || isName(Change.Name));
+  if (!IsUsableKey)
+    Change.Subject = StoreSubject::Other;
+  if (!IsUsableKey || !setContent(*Item, Change)) {
+    Change.Unreadable = true;
+    Change.Removed = false;
+    Change.Value.clear();
+    Change.Revision = At;
+  }
+  // No item is newer than the answer that holds it.
+  Change.Revision = std::min(Change.Revision, At);
   return Change;
 }
 
@@ -101,21 +155,35 @@
   return {std::nullopt, ResultCode::PlatformMalformed, std::string(Detail)};
 }
 
-/// Decodes the array of items under \p Name; std::nullopt when one of them is
-/// malformed.
-std::optional<std::vector<StoreChange>> decodeItems(const Json &Answer,
-                                                    std::string_view Name) {
-  const auto List = Answer.find(Name);
-  if (List == Answer.end() || !List->is_array())
-    return std::nullopt;
+/// The parts that every answer with items has.
+struct ItemAnswer {
   std::vector<StoreChange> Items;
-  for (const Json &Entry : *List) {
-    auto Item = decodeItem(Entry);
-    if (!Item)
-      return std::nullopt;
-    Items.push_back(std::move(*Item));
-  }
-  return Items;
+  std::size_t Unreadable = 0; ///< Items of which something was left out.
+  std::uint64_t Revision = 0;
+  bool HasMore = false;
+};
+
+/// Decodes an answer with an array of items under \p Name. Items that cannot
+/// be read do not harm the others.
+std::optional<ItemAnswer> decodeAnswer(std::string_view Text,
+                                       std::string_view Name) {
+  const auto Answer = jsonMembers(Text, {Name, StoreRevision, HasMore});
+  if (!Answer)
+    return std::nullopt;
+  const auto Revision = unsignedValue(memberText(*Answer, StoreRevision));
+  if (!Revision)
+    return std::nullopt;
+  ItemAnswer Result;
+  Result.Revision = *Revision;
+  Result.HasMore = isTrue(memberText(*Answer, HasMore));
+  const bool IsArray = forEachJsonElement(
+      memberText(*Answer, Name), [&Result](std::string_view Element) {
+        auto Item = decodeItem(Element, Result.Revision);
+        Result.Unreadable += !Item || Item->Unreadable ? 1 : 0;
+        if (Item)
+          Result.Items.push_back(std::move(*Item));
+      });
+  return IsArray ? std::optional(std::move(Result)) : std::nullopt;
 }
 
 std::optional<DurationMs> durationMember(const Json &Object,
@@ -132,30 +200,23 @@
 } // namespace
 
 PlatformRead<StorePage> decodePage(std::string_view Text) {
-  const Json Answer = Json::parse(Text, nullptr, false);
-  if (!Answer.is_object())
-    return malformedAnswer<StorePage>("the answer is not a JSON object");
-  auto DecodedItems = decodeItems(Answer, Items);
-  const auto Revision = unsignedMember(Answer, StoreRevision);
-  if (!DecodedItems || !Revision)
+  auto Answer = decodeAnswer(Text, Items);
+  if (!Answer)
     return malformedAnswer<StorePage>(
         "\"items\" or \"at\" is missing or malformed");
-  return {StorePage{std::move(*DecodedItems), boolMember(Answer, HasMore),
-                    *Revision},
+  return {StorePage{std::move(Answer->Items), Answer->HasMore, Answer->Revision,
+                    Answer->Unreadable},
           ResultCode::Ok, ""};
 }
 
 PlatformRead<StoreChanges> decodeChanges(std::string_view Text) {
-  const Json Answer = Json::parse(Text, nullptr, false);
-  if (!Answer.is_object())
-    return malformedAnswer<StoreChanges>("the answer is not a JSON object");
-  auto DecodedItems = decodeItems(Answer, Events);
-  const auto Revision = unsignedMember(Answer, StoreRevision);
-  if (!DecodedItems || !Revision)
+  auto Answer = decodeAnswer(Text, Events);
+  if (!Answer)
     return malformedAnswer<StoreChanges>(
         "\"events\" or \"at\" is missing or malformed");
-  return {StoreChanges{std::move(*DecodedItems), *Revision}, ResultCode::Ok,
-          ""};
+  return {StoreChanges{std::move(Answer->Items), Answer->Revision,
+                       Answer->Unreadable},
+          ResultCode::Ok, ""};
 }
 
 std::optional<ListedInstance> decodeTarget(std::string_view Id,
@@ -170,6 +231,7 @@
   const std::string *State = stringMember(Entry, TargetState);
   const auto Slots = unsignedMember(Entry, TargetSlots);
   const auto ColdFor = durationMember(Entry, TargetColdFor);
+  const auto StartedAt = unsignedMember(Entry, TargetStartedAt);
   const auto ParsedAddress = Address ? Endpoint::parse(*Address) : std::nullopt;
   const bool IsKnownState =
       State && (*State == StateReady || *State == StateLeaving);
@@ -189,7 +251,7 @@
   Listed.TargetAddress = *Address;
   Listed.Slots = static_cast<std::uint32_t>(*Slots);
   Listed.ColdFor = *ColdFor;
-  Listed.StartedAtMs = unsignedMember(Entry, TargetStartedAt).value_or(0);
+  Listed.StartedAtMs = StartedAt.value_or(0);
   return Listed;
 }
 
--- a/src/sources/PlatformCodec.cpp
+++ b/src/sources/PlatformCodec.cpp
@@ -1,6 +1,7 @@
 #include "sources/PlatformCodec.h"
 
 #include "core/Endpoint.h"
+#include "core/JsonText.h"
 #include "ini/IniReader.h"
 #include "intent/CompileIntent.h"
 
@@ -15,9 +16,14 @@
 
 using Json = nlohmann::json;
 
-constexpr int MaxNesting = 4;
+/// Deepest nesting of an answer of the intent, or of a row.
+constexpr std::size_t MaxNesting = 4;
 constexpr std::uint32_t MaxSlot = 65535;
 
+// Members of a list of instances.
+constexpr std::string_view RevisionName = "revision";
+constexpr std::string_view RowsName = "instances";
+
 template <typename T>
 PlatformRead<T> failure(ResultCode Code, std::string Detail) {
   return {std::nullopt, Code, std::move(Detail)};
@@ -27,15 +33,6 @@
   return failure<T>(ResultCode::PlatformMalformed, std::move(Detail));
 }
 
-/// Parses without exceptions. Values nested more than \ref MaxNesting deep are
-/// dropped while parsing, which bounds the memory that malformed input can use.
-Json parse(std::string_view Text) {
-  const auto IsWithinDepth = [](int Depth, Json::parse_event_t, const Json &) {
-    return Depth <= MaxNesting;
-  };
-  return Json::parse(Text, IsWithinDepth, /*allow_exceptions=*/false);
-}
-
 /// Returns a member of an object, or null when it is absent.
 const Json *member(const Json &Object, const char *Name) {
   if (!Object.is_object())
@@ -94,7 +91,7 @@
 } // namespace
 
 PlatformRead<IntentBundle> decodeIntent(std::string_view Text) {
-  const Json Answer = parse(Text);
+  const Json Answer = parseJson(Text, MaxNesting);
   const auto Revision = numberMember(Answer, "revision");
   const auto Content = digestMember(Answer, "digest");
   const Json *Files = member(Answer, "files");
@@ -125,24 +122,29 @@
 }
 
 PlatformRead<InstanceList> decodeInstances(std::string_view Text) {
-  const Json Answer = parse(Text);
-  const auto Revision = numberMember(Answer, "revision");
-  const Json *Rows = member(Answer, "instances");
-  if (!Revision || !Rows || !Rows->is_array())
-    return malformedFailure<InstanceList>(
-        "revision or instances is missing or has the wrong type");
-  if (Rows->size() > MaxListedInstances)
-    return failure<InstanceList>(ResultCode::PlatformTooLarge,
-                                 "too many instances");
-  InstanceList List{*Revision, {}, 0};
+  const auto Answer = jsonMembers(Text, {RevisionName, RowsName});
+  const Json Revision =
+      parseJson(Answer ? memberText(*Answer, RevisionName) : "", 0);
+  InstanceList List;
   std::set<std::string> InstanceNames;
-  for (const Json &Row : *Rows) {
-    std::optional<ListedInstance> Instance = decodeInstance(Row);
+  std::size_t RowCount = 0;
+  const auto AddRow = [&](std::string_view Row) {
+    if (++RowCount > MaxListedInstances)
+      return;
+    auto Instance = decodeInstance(parseJson(Row, MaxNesting));
     if (Instance && InstanceNames.insert(Instance->Name).second)
       List.Instances.push_back(std::move(*Instance));
     else
       ++List.SkippedRows;
-  }
+  };
+  if (!Revision.is_number_unsigned() ||
+      !forEachJsonElement(memberText(*Answer, RowsName), AddRow))
+    return malformedFailure<InstanceList>(
+        "revision or instances is missing or has the wrong type");
+  if (RowCount > MaxListedInstances)
+    return failure<InstanceList>(ResultCode::PlatformTooLarge,
+                                 "too many instances");
+  List.Revision = Revision.get<std::uint64_t>();
   return {std::move(List), ResultCode::Ok, ""};
 }
 
--- a/src/sources/StoreChange.h
+++ b/src/sources/StoreChange.h
@@ -32,20 +32,26 @@
   std::string Value; ///< Empty when removed.
   std::uint64_t Revision = 0;
   bool Removed = false;
+  /// Whether only the key could be read: nothing is known of the value, nor
+  /// whether the item was removed. The revision is that of the answer.
+  bool Unreadable = false;
 };
 
-/// A page of the items under a prefix, in key order. Not a snapshot: a later
+/// A page of the items under a prefix, in key order. Items whose key cannot be
+/// read are only counted. Not a snapshot: a later
 /// page may contain later revisions.
 struct StorePage {
   std::vector<StoreChange> Items;
   bool HasMore = false;
   std::uint64_t Revision = 0; ///< Revision of the store when it answered.
+  std::size_t Unreadable = 0; ///< Items that could not be read.
 };
 
 /// The changes after a revision.
 struct StoreChanges {
   std::vector<StoreChange> Changes;
   std::uint64_t Revision = 0; ///< Where the next watch starts.
+  std::size_t Unreadable = 0; ///< Items that could not be read.
 };
 
 /// The operations of a store. They are made from a single thread, may block and
--- a/src/sources/StoreLoop.cpp
+++ b/src/sources/StoreLoop.cpp
@@ -90,6 +90,7 @@
   PlatformRead<StorePage> Read = Calls.Range(Subject, AfterKey);
   if (!Read.Value)
     return onFailure(SentAt, Read.Reason, Read.Detail);
+  LeftOut += Read.Value->Unreadable;
   if (!PartialRange) {
     PartialRange = std::move(*Read.Value);
     RangeSentAt = SentAt;
@@ -116,6 +117,7 @@
 
 void StoreLoop::onIntentRead(const StorePage &Range) {
   Intent = {};
+  ConfigurationUnread = false;
   IntentChanged = true;
   for (const StoreChange &Item : Range.Items)
     apply(Item);
@@ -131,10 +133,8 @@
   for (const StoreChange &Item : Range.Items) {
     if (Item.Subject != StoreSubject::Target)
       continue;
-    if (auto Row = Calls.DecodeTarget(Item.Name, Item.Value)) {
-      Row->Revision = Item.Revision;
+    if (auto Row = decodeTarget(Item))
       Listed.push_back(std::move(*Row));
-    }
   }
   Targets.replaceAll(std::move(Listed), Time.now());
   TargetsReadAt = Range.Revision;
@@ -161,6 +161,7 @@
   if (!Read.Value)
     return onFailure(SentAt, Read.Reason, Read.Detail);
   onSuccess(SentAt);
+  LeftOut += Read.Value->Unreadable;
   reportConfigurations(*Read.Value, SentAt);
   for (StoreChange &Change : Read.Value->Changes)
     if (isNew(Change))
@@ -215,6 +216,10 @@
 void StoreLoop::apply(StoreChange Change) {
   switch (Change.Subject) {
   case StoreSubject::Configuration:
+    // Changes of domains still apply to the configuration before.
+    ConfigurationUnread = Change.Unreadable;
+    if (Change.Unreadable)
+      return;
     Intent.Configuration = std::move(Change.Value);
     break;
   case StoreSubject::DomainOut:
@@ -234,17 +239,39 @@
 
 void StoreLoop::applyTarget(const StoreChange &Change) {
   const TimeMs Now = Time.now();
-  auto Row = Change.Removed ? std::nullopt
-                            : Calls.DecodeTarget(Change.Name, Change.Value);
+  auto Row = Change.Removed ? std::nullopt : decodeTarget(Change);
   if (!Row)
     return Targets.remove(Change.Name, Now);
-  Row->Revision = Change.Revision;
   Targets.put(std::move(*Row));
 }
 
+/// Decodes the entry of a target, and counts one that names no usable target.
+std::optional<ListedInstance>
+StoreLoop::decodeTarget(const StoreChange &Entry) {
+  if (Entry.Unreadable)
+    return std::nullopt;
+  auto Row = Calls.DecodeTarget(Entry.Name, Entry.Value);
+  if (Row)
+    Row->Revision = Entry.Revision;
+  else
+    ++LeftOut;
+  return Row;
+}
+
+/// Reports the items that were left out since the last report.
+void StoreLoop::reportLeftOut() {
+  const std::size_t Count = std::exchange(LeftOut, 0);
+  if (Count == 0)
+    return;
+  emit(EventId::PlatformRowsLeftOut,
+       {{"reason", std::to_string(Count) + " items of the store that cannot be "
+                                           "read or name no usable target"}});
+}
+
 /// Reports changes to the hooks; changes of targets only once all targets have
 /// been read.
 void StoreLoop::publish() {
+  reportLeftOut();
   if (IntentChanged && !Intent.Configuration.empty()) {
     IntentChanged = false;
     if (Hooks.OnBundle)
@@ -272,7 +299,8 @@
 /// Reports that the intent was current when the call was sent. The intent
 /// itself must have been reported before.
 void StoreLoop::reportProof(TimeMs SentAt) {
-  if (Hooks.OnProof && !Intent.Configuration.empty())
+  const bool IsKnown = !Intent.Configuration.empty() && !ConfigurationUnread;
+  if (Hooks.OnProof && IsKnown)
     Hooks.OnProof(SentAt, IntentRevision);
 }
 
--- a/src/sources/StoreLoop.h
+++ b/src/sources/StoreLoop.h
@@ -99,6 +99,8 @@
   void reportConfigurations(const StoreChanges &Read, TimeMs SentAt);
   void apply(StoreChange Change);
   void applyTarget(const StoreChange &Change);
+  std::optional<ListedInstance> decodeTarget(const StoreChange &Entry);
+  void reportLeftOut();
   void publish();
   void restart();
   void onSuccess(TimeMs SentAt);
@@ -120,6 +122,9 @@
   std::uint64_t TargetsReadAt = 0;
   std::uint64_t IntentReadAt = 0; ///< 0 until the intent has been read.
   StoreBundle Intent;
+  /// Whether the newest configuration could not be read; an older one is used.
+  bool ConfigurationUnread = false;
+  std::size_t LeftOut = 0; ///< Items left out and not yet reported.
   bool IntentChanged = false;
   std::uint64_t IntentRevision = 0;
   TargetList Targets;
--- a/tests/sources/PlatformCodecTest.cpp
+++ b/tests/sources/PlatformCodecTest.cpp
@@ -135,3 +135,15 @@
     LONGS_EQUAL(1, rowsLeftOut({instanceRow("b"), Row}));
   }
 }
+
+TEST(PlatformCodec, SkipsANestedRowAndOneWithANumberThatIsTooLarge) {
+  for (const std::string Odd : {"[[[[[[]]]]]]", R"({"slot":1e999})", "\"\xff\"",
+                                R"({"name":{"a":[[[[[]]]]]}})"}) {
+    const auto Read = decodeInstances(R"({"revision":1,"instances":[)" +
+                                      instanceRow("a").dump() + "," + Odd +
+                                      "," + instanceRow("b").dump() + "]}");
+    CHECK_TEXT(Read.Value.has_value(), Odd.c_str());
+    LONGS_EQUAL(2, Read.Value->Instances.size());
+    LONGS_EQUAL(1, Read.Value->SkippedRows);
+  }
+}
--- a/tests/sources/StoreLoopTest.cpp
+++ b/tests/sources/StoreLoopTest.cpp
@@ -596,3 +596,69 @@
     CHECK(Proofs.back().first >= ChangedAt);
   }
 }
+
+// Nothing is known of the newest configuration: it may have withdrawn keys, so
+// it proves nothing, while changes of domains still apply.
+TEST(StoreLoop, KeepsTheConfigurationInForceBesideAnUnreadableOne) {
+  step(3);
+  const std::size_t Reported = Bundles.size();
+  Proofs.clear();
+  StoreChange Odd = change(StoreSubject::Configuration, "config", "", 12);
+  Odd.Unreadable = true;
+  queueChange(Odd);
+  step(3);
+  LONGS_EQUAL(Reported, Bundles.size());
+  LONGS_EQUAL(0, Proofs.size());
+
+  queueChange(change(StoreSubject::DomainOut, "east", "{}", 13));
+  step();
+  STRCMP_EQUAL("first", configuration().c_str());
+  LONGS_EQUAL(1, decodeStoreBundle(Bundles.back())->DomainsOut.count("east"));
+  LONGS_EQUAL(0, Proofs.size());
+
+  queueChange(change(StoreSubject::Configuration, "config", "second", 14));
+  step();
+  STRCMP_EQUAL("second", configuration().c_str());
+  CHECK_FALSE(Proofs.empty());
+}
+
+TEST(StoreLoop, ReportsNoConfigurationWhenAFullReadFindsAnUnreadableOne) {
+  Store.Intent[0].Unreadable = true;
+  Store.Intent[0].Value.clear();
+  step(4);
+  LONGS_EQUAL(0, Bundles.size());
+  LONGS_EQUAL(1, Lists.back().Instances.size());
+
+  queueChange(change(StoreSubject::Configuration, "config", "second", 12));
+  step();
+
+  STRCMP_EQUAL("second", configuration().c_str());
+}
+
+TEST(StoreLoop, RemovesATargetWhoseItemIsUnreadableAndKeepsTheOthers) {
+  Store.Targets.push_back(change(StoreSubject::Target, "i-2", "10.0.0.2", 6));
+  step(3);
+  StoreChange Odd = change(StoreSubject::Target, "i-2", "10.0.0.2", 12);
+  Odd.Unreadable = true;
+  queueChange(Odd);
+
+  step();
+
+  LONGS_EQUAL(1, Lists.back().Instances.size());
+  STRCMP_EQUAL("i-1", Lists.back().Instances[0].TargetId.c_str());
+}
+
+TEST(StoreLoop, ReportsHowManyUnreadableItemsItLeftOut) {
+  step(3);
+  Events.clear();
+  StoreChanges Read{{change(StoreSubject::Target, "i-odd", "", 12)}, 12};
+  Read.Unreadable = 2;
+  Store.Revision = 12;
+  Store.Watches.push_back({Read, ResultCode::Ok, ""});
+
+  step();
+
+  LONGS_EQUAL(1, Events.size());
+  CHECK(EventId::PlatformRowsLeftOut == Events[0].Id);
+  CHECK_TRUE(Events[0].Fields[0].Value.starts_with("3 items"));
+}
