Read the store again after a watch that cannot be decoded

After an answer to a watch that is no JSON, a node repeated the watch from the same revision and got the same answer. Its configuration stayed as it was, until the store's history no longer held that revision.

Cause: only a lost history and answers that are too large or too slow led to a full read. A malformed one now does, after the pause that a failed call needs and not before the next watch would start, so that a store whose every watch is malformed is not read without a pause.

Before: ReadsEverythingAgainAfterAnUnreadableAnswerToAWatch found the first configuration in place of the newest.

--- a/src/sources/StoreLoop.cpp
+++ b/src/sources/StoreLoop.cpp
@@ -156,10 +156,19 @@
           {"reason",
            std::string(resultName(Read.Reason)) + ": " + Read.Detail}});
     restart();
+    NextCall = TimeMs(0);
+    return;
+  }
+  if (!Read.Value) {
+    onFailure(SentAt, Read.Reason, Read.Detail);
+    // The same watch would return the same bytes. The store may answer every
+    // watch like this, so the full read is no sooner than a watch.
+    if (Read.Reason == ResultCode::PlatformMalformed) {
+      restart();
+      NextCall = std::max(NextCall, SentAt + Timing.Period);
+    }
     return;
   }
-  if (!Read.Value)
-    return onFailure(SentAt, Read.Reason, Read.Detail);
   onSuccess(SentAt);
   LeftOut += Read.Value->Unreadable;
   reportConfigurations(*Read.Value, SentAt);
@@ -170,8 +179,10 @@
   publish();
   reportProof(SentAt);
   NextCall = SentAt + Timing.Period;
-  if (isBehind(*Read.Value, Time.now() - SentAt))
+  if (isBehind(*Read.Value, Time.now() - SentAt)) {
     restart();
+    NextCall = TimeMs(0);
+  }
 }
 
 /// Whether configurations are made faster than this node can receive them. A
@@ -293,7 +304,6 @@
   NextPhase = Phase::ReadTargets;
   IntentReadAt = 0;
   PartialRange.reset();
-  NextCall = TimeMs(0);
 }
 
 /// Reports that the intent was current when the call was sent. The intent
--- a/tests/sources/StoreLoopTest.cpp
+++ b/tests/sources/StoreLoopTest.cpp
@@ -662,3 +662,25 @@
   CHECK(EventId::PlatformRowsLeftOut == Events[0].Id);
   CHECK_TRUE(Events[0].Fields[0].Value.starts_with("3 items"));
 }
+
+// The same watch would return the same bytes for ever. A store that answers
+// every watch with such bytes must not be read without a pause.
+TEST(StoreLoop, ReadsEverythingAgainAfterAnUnreadableAnswerToAWatch) {
+  step(3);
+  Store.HistoryFailure = ResultCode::PlatformMalformed;
+  ++Store.Revision;
+  Store.Intent = {
+      change(StoreSubject::Configuration, "config", "newest", Store.Revision)};
+  const TimeMs ChangedAt = Store.Now;
+
+  step(4);
+
+  STRCMP_EQUAL("newest", configuration().c_str());
+  CHECK(Proofs.back().first >= ChangedAt);
+  for (int I = 0; I < 10; ++I) {
+    const TimeMs Before = Store.Now;
+    Store.Watches.push_back({std::nullopt, ResultCode::PlatformMalformed, ""});
+    step(4);
+    CHECK(Store.Now >= Before + WatchPeriod);
+  }
+}
