Bound the nesting of entries and configurations

An entry of a target, or a configuration, that is nested very deeply took so much memory that the node's process ended; after its restart it read the entry again.

Cause: the parser allocates for each level. An entry of 1 MiB of brackets took 76,896 KiB, a configuration of half as many levels 43,180 KiB; the smallest machines have 88 MB. Entries are now read up to 64 KiB and 8 levels, configurations up to 16 levels, and the depth is counted before parsing.

Before: RejectsANestedEntryWithinBoundedMemory and RejectsANestedConfigurationWithinBoundedMemory failed with these figures.

--- a/src/platform/ConfigCodec.cpp
+++ b/src/platform/ConfigCodec.cpp
@@ -1,5 +1,6 @@
 #include "platform/ConfigCodec.h"
 
+#include "core/JsonText.h"
 #include "platform/PlatformNames.h"
 #include "sources/StoreBundle.h"
 
@@ -20,6 +21,9 @@
 
 constexpr double MsPerSecond = 1000;
 
+/// Deepest nesting of a configuration document; the known members need 5.
+constexpr std::size_t MaxNesting = 16;
+
 /// An invalid configuration document; the text names the invalid member.
 struct ConfigurationError : std::runtime_error {
   using std::runtime_error::runtime_error;
@@ -191,6 +195,12 @@
 }
 
 void decodeDocument(const Json &Object, Snapshot &Config) {
+  if (Object.is_discarded()) {
+    throw ConfigurationError(
+        fmt::format("the configuration is not JSON, holds a number "
+                    "that is too large or is nested more than {} deep",
+                    MaxNesting));
+  }
   for (const Json &Entry : arrayMember(Object, Services)) {
     Service NewService = decodeService(Entry);
     Config.Services.emplace(NewService.Name, std::move(NewService));
@@ -235,7 +245,7 @@
   }
   Snapshot Config;
   try {
-    decodeDocument(Json::parse(Contents->Configuration), Config);
+    decodeDocument(parseJson(Contents->Configuration, MaxNesting), Config);
   } catch (const std::exception &Exception) {
     Error = Exception.what();
     return nullptr;
--- a/src/platform/StoreCodec.cpp
+++ b/src/platform/StoreCodec.cpp
@@ -29,6 +29,13 @@
 /// Longest key of an item, in bytes.
 constexpr std::size_t MaxKeyBytes = 200;
 
+/// Largest entry of a target that is read, in bytes; targets write a few
+/// hundred.
+constexpr std::size_t MaxEntryBytes = 64 * 1024;
+
+/// Deepest nesting of a target's entry. Its known members are not nested.
+constexpr std::size_t MaxEntryNesting = 8;
+
 /// Longest remaining slow start accepted from an entry, in seconds.
 constexpr double MaxSlowStartSeconds = 3600;
 
@@ -222,7 +229,8 @@
 std::optional<ListedInstance> decodeTarget(std::string_view Id,
                                            std::string_view Text,
                                            std::uint16_t NodePort) {
-  const Json Entry = Json::parse(Text, nullptr, false);
+  const Json Entry =
+      Text.size() > MaxEntryBytes ? Json() : parseJson(Text, MaxEntryNesting);
   if (!Entry.is_object())
     return std::nullopt;
   const std::string *Service = stringMember(Entry, TargetService);
--- a/tests/platform/ConfigCodecTest.cpp
+++ b/tests/platform/ConfigCodecTest.cpp
@@ -1,6 +1,10 @@
 #include "platform/ConfigCodec.h"
 
 #include "sources/StoreBundle.h"
+#include "support/PeakMemory.h"
+
+#include <cmath>
+#include <string>
 
 #include <CppUTest/TestHarness.h>
 
@@ -30,6 +34,15 @@
              "rate_per_s":41,"burst":40},
             {"name":"guests","api_keys":["k3"],"priority":2,"rate_per_s":0}]})";
 
+/// Memory that reading an odd document may take at its peak, in KiB. The
+/// smallest machine of a node has 88 MB.
+constexpr long MaxReadingKiB = 12 * 1024;
+
+std::string replaced(std::string Text, std::string_view Old,
+                     std::string_view New) {
+  return Text.replace(Text.find(Old), Old.size(), New);
+}
+
 SnapshotPtr compile(const std::string &Configuration, std::string &Error) {
   return compileConfiguration(encodeStoreBundle({Configuration, {"east"}}, 12),
                               {{"east", "south"}, {"north", "south"}}, Error);
@@ -112,3 +125,24 @@
 
   CHECK_TRUE(compileConfiguration(Files, {}, Error) == nullptr);
 }
+
+TEST(ConfigCodec, RejectsANestedConfigurationWithinBoundedMemory) {
+  constexpr std::size_t MaxValueBytes = 1024 * 1024;
+  const std::string Nested =
+      std::string(MaxValueBytes / 2, '[') + std::string(MaxValueBytes / 2, ']');
+  for (const std::string &Document :
+       {Nested, std::string(MaxValueBytes, '['),
+        replaced(ValidDocument, "\"version\":7", "\"version\":" + Nested),
+        replaced(ValidDocument, "\"weight\":90", "\"weight\":" + Nested)}) {
+    const auto Growth = peakGrowthKiB([&Document] {
+      std::string Reason;
+      compile(Document, Reason);
+    });
+    CHECK_TRUE(Growth.has_value());
+    CHECK_TRUE_TEXT(*Growth <= MaxReadingKiB, std::to_string(*Growth).c_str());
+
+    Error.clear();
+    CHECK_TRUE(compile(Document, Error) == nullptr);
+    CHECK_FALSE(Error.empty());
+  }
+}
--- a/tests/platform/StoreCodecTest.cpp
+++ b/tests/platform/StoreCodecTest.cpp
@@ -26,6 +26,17 @@
 
 constexpr std::size_t MaxValueBytes = 1024 * 1024;
 
+/// A value of the largest size whose nesting never ends, and one that is well
+/// formed.
+std::vector<std::string> nestedTexts() {
+  std::string Objects;
+  while (Objects.size() < MaxValueBytes)
+    Objects += R"({"a":)";
+  return {std::string(MaxValueBytes, '['), Objects,
+          std::string(MaxValueBytes / 2, '[') +
+              std::string(MaxValueBytes / 2, ']')};
+}
+
 std::string replaced(std::string Text, std::string_view Old,
                      std::string_view New) {
   return Text.replace(Text.find(Old), Old.size(), New);
@@ -198,6 +209,22 @@
   }
 }
 
+TEST(StoreCodec, RejectsANestedEntryWithinBoundedMemory) {
+  for (const std::string &Nested : nestedTexts()) {
+    for (const std::string &Entry :
+         {Nested, replaced(ValidTargetEntry, "\"v1\"", Nested),
+          replaced(ValidTargetEntry, "\"queue\"", Nested)}) {
+      const auto Growth =
+          peakGrowthKiB([&Entry] { decodeTarget("i-1", Entry, 7001); });
+
+      CHECK_TRUE(Growth.has_value());
+      CHECK_TRUE_TEXT(*Growth <= MaxReadingKiB,
+                      std::to_string(*Growth).c_str());
+      CHECK_FALSE(decodeTarget("i-1", Entry, 7001).has_value());
+    }
+  }
+}
+
 TEST(StoreCodec, NoUnreadableValueChangesTheOtherItems) {
   checkProperty("an odd member of one item leaves the others as they are", [] {
     const auto Name =
