Use no entry whose names do not fit into messages between nodes

An entry with an empty zone, or with a zone or service of more than 128 bytes, became a member of the mesh. Nodes refuse a whole message for one record that is out of bounds, so messages that carried it were lost with all other records.

Cause: the decoder of entries accepted any service of at least a byte and any zone. Zone, service and id now have to be 1 to 128 bytes without control characters; an id also stands in a header field.

Before: RejectsAnEntryWithAnUnreadableName failed at an empty zone, with an exchange message that could not be unpacked.

--- a/src/platform/StoreCodec.cpp
+++ b/src/platform/StoreCodec.cpp
@@ -243,9 +243,9 @@
   const auto ParsedAddress = Address ? Endpoint::parse(*Address) : std::nullopt;
   const bool IsKnownState =
       State && (*State == StateReady || *State == StateLeaving);
-  if (!Service || Service->empty() || !ParsedAddress || !Domain ||
-      !IsKnownState || !Slots || *Slots == 0 || *Slots > MaxTargetSlots ||
-      !ColdFor)
+  if (!Service || !isName(*Service) || !ParsedAddress || !Domain ||
+      !isName(*Domain) || !isName(Id) || !IsKnownState || !Slots ||
+      *Slots == 0 || *Slots > MaxTargetSlots || !ColdFor)
     return std::nullopt;
   ListedInstance Listed;
   // The store has no entries for nodes, so the IP address names the instance.
--- a/tests/platform/StoreCodecTest.cpp
+++ b/tests/platform/StoreCodecTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/StoreCodec.h"
 
+#include "nodes/ControlMessages.h"
 #include "support/PeakMemory.h"
 #include "support/Property.h"
 
@@ -89,6 +90,16 @@
          item("servers/i-2", 6) + R"(],"has_more":false,"at":9})";
 }
 
+/// Whether the record of a listed target may stand in a message between nodes.
+bool fitsIntoGossip(const ListedInstance &Listed) {
+  MemberRecord Record;
+  Record.Place = {Listed.Name, Listed.Domain,      Listed.Service,
+                  Listed.Slot, Listed.PeerAddress, TargetState::Cold};
+  ExchangeMessage Message;
+  Message.Rumours = {Record};
+  return unpackExchange(packExchange(Message)).has_value();
+}
+
 } // namespace
 
 TEST_GROUP(StoreCodec){};
@@ -225,6 +236,37 @@
   }
 }
 
+// A node refuses a whole message of gossip for one record that is out of
+// bounds, so no entry may lead to such a record.
+TEST(StoreCodec, RejectsAnEntryWithAnUnreadableName) {
+  for (const std::string &Name :
+       {std::string(), std::string(129, 'n'), std::string(200, 'n'),
+        std::string("a\\r\\nb"), std::string("a\\u0000")}) {
+    for (const char *Field : {"queue", "east"}) {
+      const std::string Entry = replaced(ValidTargetEntry, Field, Name);
+      const auto Read = decodeTarget("i-1", Entry, 7001);
+      CHECK_TEXT(!Read || fitsIntoGossip(*Read), Entry.c_str());
+      CHECK_TEXT(!Read, Entry.c_str());
+    }
+  }
+  for (const std::string &Id :
+       {std::string(), std::string(129, 'i'), std::string("i\r\nX: y")})
+    CHECK_TEXT(!decodeTarget(Id, ValidTargetEntry, 7001), Id.c_str());
+}
+
+TEST(StoreCodec, AnyEntryIsUnreadableOrFitsIntoGossip) {
+  checkProperty("a changed entry is refused or may be passed on", [] {
+    std::string Entry = ValidTargetEntry;
+    const auto Offset = *rc::gen::inRange<std::size_t>(0, Entry.size());
+    const auto Length =
+        *rc::gen::inRange<std::size_t>(0, Entry.size() - Offset);
+    Entry.replace(Offset, Length, *rc::gen::arbitrary<std::string>());
+    const auto Read = decodeTarget("i-1", Entry, 7001);
+    const bool IsHarmless = !Read || fitsIntoGossip(*Read);
+    RC_ASSERT(IsHarmless);
+  });
+}
+
 TEST(StoreCodec, NoUnreadableValueChangesTheOtherItems) {
   checkProperty("an odd member of one item leaves the others as they are", [] {
     const auto Name =
