Use no target at port 0, and spell its address in one way

An entry with port 0 became a target that no connection can reach. One with a port such as 08080 was not recognised as the node's own target, since nodes compare addresses as texts.

The decoder refuses port 0 and writes the address as it understood it. Ports out of range, signs, names and addresses without a port were refused before and stay so.

Before: RejectsAnEntryWithAPortThatCannotBeUsed failed at 10.0.0.9:0, SpellsThePortOfATargetInOneWay with 10.0.0.9:08080.

--- a/src/platform/StoreCodec.cpp
+++ b/src/platform/StoreCodec.cpp
@@ -243,9 +243,10 @@
   const auto ParsedAddress = Address ? Endpoint::parse(*Address) : std::nullopt;
   const bool IsKnownState =
       State && (*State == StateReady || *State == StateLeaving);
-  if (!Service || !isName(*Service) || !ParsedAddress || !Domain ||
-      !isName(*Domain) || !isName(Id) || !IsKnownState || !Slots ||
-      *Slots == 0 || *Slots > MaxTargetSlots || !ColdFor)
+  if (!Service || !isName(*Service) || !ParsedAddress ||
+      ParsedAddress->Port == 0 || !Domain || !isName(*Domain) || !isName(Id) ||
+      !IsKnownState || !Slots || *Slots == 0 || *Slots > MaxTargetSlots ||
+      !ColdFor)
     return std::nullopt;
   ListedInstance Listed;
   // The store has no entries for nodes, so the IP address names the instance.
@@ -256,7 +257,7 @@
   Listed.State =
       *State == StateReady ? ListedState::Live : ListedState::Leaving;
   Listed.TargetId = std::string(Id);
-  Listed.TargetAddress = *Address;
+  Listed.TargetAddress = ParsedAddress->text();
   Listed.Slots = static_cast<std::uint32_t>(*Slots);
   Listed.ColdFor = *ColdFor;
   Listed.StartedAtMs = StartedAt.value_or(0);
--- a/tests/platform/StoreCodecTest.cpp
+++ b/tests/platform/StoreCodecTest.cpp
@@ -236,6 +236,49 @@
   }
 }
 
+TEST(StoreCodec, RejectsAnEntryWithAPortThatCannotBeUsed) {
+  for (const char *Address : {"10.0.0.9:99999",
+                              "10.0.0.9:65536",
+                              "10.0.0.9:0",
+                              "10.0.0.9:00",
+                              "10.0.0.9:-1",
+                              "10.0.0.9:+80",
+                              "10.0.0.9:",
+                              "10.0.0.9",
+                              ":8080",
+                              "10.0.0.9:80x",
+                              "10.0.0.9: 80",
+                              "10.0.0.9:8e1",
+                              "host:8080",
+                              "10.0.0.256:8080",
+                              "::1:8080",
+                              "[::1]",
+                              "[::1]:0",
+                              "[::1]:70000",
+                              "10.0.0.9:8080\\u0000",
+                              "10.0.0.9:99999999999999999999"}) {
+    const std::string Entry =
+        replaced(ValidTargetEntry, "10.0.0.9:8080", Address);
+    CHECK_TEXT(!decodeTarget("i-1", Entry, 7001), Address);
+  }
+}
+
+// Nodes compare addresses as texts.
+TEST(StoreCodec, SpellsThePortOfATargetInOneWay) {
+  const auto Read =
+      decodeTarget("i-1", replaced(ValidTargetEntry, ":8080", ":08080"), 7001);
+
+  STRCMP_EQUAL("10.0.0.9:8080", Read->TargetAddress.c_str());
+}
+
+TEST(StoreCodec, DecodesAnAddressOfIpVersion6) {
+  const auto Read = decodeTarget(
+      "i-1", replaced(ValidTargetEntry, "10.0.0.9:8080", "[::1]:8080"), 7001);
+
+  STRCMP_EQUAL("[::1]:7001", Read->PeerAddress.c_str());
+  STRCMP_EQUAL("[::1]:8080", Read->TargetAddress.c_str());
+}
+
 // A node refuses a whole message of gossip for one record that is out of
 // bounds, so no entry may lead to such a record.
 TEST(StoreCodec, RejectsAnEntryWithAnUnreadableName) {
