Use no entry whose sequence or start is no whole number

An entry with a sequence or a start of another type, or too large for a whole number, was used as if the member were missing. Such an entry comes from another writer and names no target to use. Slots and the remaining slow start were bounded before and stay so.

Before: RejectsAnEntryWithANumberThatIsTooLarge failed at "sequence":1e308.

--- a/src/platform/PlatformNames.h
+++ b/src/platform/PlatformNames.h
@@ -40,6 +40,7 @@
 inline constexpr std::string_view TargetState = "state";
 inline constexpr std::string_view StateReady = "ready";
 inline constexpr std::string_view StateLeaving = "draining";
+inline constexpr std::string_view TargetSequence = "sequence";
 /// Start of the target, in Unix milliseconds.
 inline constexpr std::string_view TargetStartedAt = "born";
 /// Remaining slow start of the target, in seconds.
--- a/src/platform/StoreCodec.cpp
+++ b/src/platform/StoreCodec.cpp
@@ -97,6 +97,11 @@
          std::none_of(Text.begin(), Text.end(), IsControl);
 }
 
+/// Whether a member is absent or was found readable.
+bool isAbsentOr(const Json &Object, std::string_view Name, bool Readable) {
+  return Readable || !Object.contains(Name);
+}
+
 void setSubject(StoreChange &Change) {
   const std::string_view Key = Change.Key;
   if (Key == ConfigurationKey) {
@@ -240,11 +245,14 @@
   const auto Slots = unsignedMember(Entry, TargetSlots);
   const auto ColdFor = durationMember(Entry, TargetColdFor);
   const auto StartedAt = unsignedMember(Entry, TargetStartedAt);
+  const auto Sequence = unsignedMember(Entry, TargetSequence);
   const auto ParsedAddress = Address ? Endpoint::parse(*Address) : std::nullopt;
   const bool IsKnownState =
       State && (*State == StateReady || *State == StateLeaving);
   if (!Service || !isName(*Service) || !ParsedAddress ||
       ParsedAddress->Port == 0 || !Domain || !isName(*Domain) || !isName(Id) ||
+      !isAbsentOr(Entry, TargetStartedAt, StartedAt.has_value()) ||
+      !isAbsentOr(Entry, TargetSequence, Sequence.has_value()) ||
       !IsKnownState || !Slots || *Slots == 0 || *Slots > MaxTargetSlots ||
       !ColdFor)
     return std::nullopt;
--- a/tests/platform/StoreCodecTest.cpp
+++ b/tests/platform/StoreCodecTest.cpp
@@ -236,6 +236,28 @@
   }
 }
 
+TEST(StoreCodec, RejectsAnEntryWithANumberThatIsTooLarge) {
+  const auto WithNumber = [](std::string_view Member, std::string_view Number) {
+    const auto Name = Member.substr(0, Member.find(':') + 1);
+    return replaced(ValidTargetEntry, Member, std::string(Name).append(Number));
+  };
+  for (const char *Member : {R"("slots":6)", R"("warmup_left_s":1.5)",
+                             R"("sequence":4)", R"("born":1700000000000)"}) {
+    for (const char *Number : {"1e999", "-1e999", "1e308", "-1",
+                               "99999999999999999999", "\"4\"", "null"}) {
+      const std::string Entry = WithNumber(Member, Number);
+      CHECK_TEXT(!decodeTarget("i-1", Entry, 7001), Entry.c_str());
+    }
+  }
+  for (const char *Slots : {"1.5", "65536", "18446744073709551615"}) {
+    const std::string Entry = WithNumber(R"("slots":6)", Slots);
+    CHECK_TEXT(!decodeTarget("i-1", Entry, 7001), Slots);
+  }
+  const std::string LateStart =
+      WithNumber(R"("born":1700000000000)", "18446744073709551615");
+  CHECK_TRUE(decodeTarget("i-1", LateStart, 7001).has_value());
+}
+
 TEST(StoreCodec, RejectsAnEntryWithAPortThatCannotBeUsed) {
   for (const char *Address : {"10.0.0.9:99999",
                               "10.0.0.9:65536",
