Bound the rates and bursts of a configuration

Rates and bursts other than 0 now lie between 0.001 and 1e9. Other numbers of a configuration were bounded before.

Before: BoundsANumberThatIsTooLargeOrTooSmall failed at 1e308.

--- a/src/platform/ConfigCodec.cpp
+++ b/src/platform/ConfigCodec.cpp
@@ -78,6 +78,16 @@
   return DurationMs(std::llround(Seconds * MsPerSecond));
 }
 
+/// A rate per second or a burst. Other values than 0 are bounded, so that
+/// intervals in milliseconds and numbers of tokens that are calculated from
+/// them can be represented.
+double rateMember(const Json &Object, std::string_view Name) {
+  constexpr double MinRate = 1e-3;
+  constexpr double MaxRate = 1e9;
+  const double Value = numberMember(Object, Name, 0);
+  return Value > 0 ? std::clamp(Value, MinRate, MaxRate) : 0;
+}
+
 bool boolMember(const Json &Object, std::string_view Name) {
   const auto It = Object.find(Name);
   return It != Object.end() && It->is_boolean() && It->get<bool>();
@@ -97,7 +107,7 @@
     Result.HealthPath = Path->get<std::string>();
   Result.MaxConnections = uint32Member(Object, MaxConnections, 0);
   Result.SlowStart = durationMember(Object, SlowStart);
-  Result.WarmupPerSecond = numberMember(Object, WarmupRate, 0);
+  Result.WarmupPerSecond = rateMember(Object, WarmupRate);
   return Result;
 }
 
@@ -165,8 +175,8 @@
   Result.Priority = uint32Member(Object, Priority, 0);
   Rate OrganisationRate;
   OrganisationRate.Name = Result.Name;
-  OrganisationRate.PerSecond = numberMember(Object, RatePerSecond, 0);
-  OrganisationRate.Burst = numberMember(Object, RateBurst, 0);
+  OrganisationRate.PerSecond = rateMember(Object, RatePerSecond);
+  OrganisationRate.Burst = rateMember(Object, RateBurst);
   if (OrganisationRate.PerSecond > 0) {
     Result.Rate = OrganisationRate.Name;
     Config.Rates.emplace(OrganisationRate.Name, OrganisationRate);
--- a/tests/platform/ConfigCodecTest.cpp
+++ b/tests/platform/ConfigCodecTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/ConfigCodec.h"
 
+#include "policy/WarmupLimit.h"
 #include "sources/StoreBundle.h"
 #include "support/PeakMemory.h"
 
@@ -43,6 +44,12 @@
   return Text.replace(Text.find(Old), Old.size(), New);
 }
 
+/// Whether a rate can be used in calculations with whole milliseconds and whole
+/// tokens.
+bool isUsableRate(double PerSecond) {
+  return PerSecond == 0 || (PerSecond >= 1e-6 && PerSecond <= 1e12);
+}
+
 SnapshotPtr compile(const std::string &Configuration, std::string &Error) {
   return compileConfiguration(encodeStoreBundle({Configuration, {"east"}}, 12),
                               {{"east", "south"}, {"north", "south"}}, Error);
@@ -146,3 +153,45 @@
     CHECK_FALSE(Error.empty());
   }
 }
+
+TEST(ConfigCodec, RejectsANumberThatNoDoubleHolds) {
+  for (const char *Member :
+       {"\"timeout_s\":1.5", "\"weight\":90", "\"warmup_per_s\":6.1",
+        "\"rate_per_s\":41", "\"max_header_bytes\":16384"}) {
+    const std::string Text = Member;
+    const std::string Document = replaced(
+        ValidDocument, Text, Text.substr(0, Text.find(':')) + ":1e999");
+    CHECK_TEXT(compile(Document, Error) == nullptr, Member);
+  }
+}
+
+TEST(ConfigCodec, BoundsANumberThatIsTooLargeOrTooSmall) {
+  for (const std::string Number :
+       {"1e308", "99999999999999999999", "1e-300", "5e-324", "1e18"}) {
+    std::string Document = ValidDocument;
+    for (const char *Member :
+         {"\"timeout_s\":1.5", "\"target_latency_s\":0.5", "\"priority\":2",
+          "\"max_attempts\":2", "\"weight\":90", "\"max_connections\":120",
+          "\"slow_start_s\":3.0", "\"warmup_per_s\":6.1",
+          "\"max_header_bytes\":16384", "\"max_body_bytes\":1000",
+          "\"header_timeout_s\":3", "\"idle_timeout_s\":15",
+          "\"rate_per_s\":41", "\"burst\":40"}) {
+      const std::string Text = Member;
+      const std::string Odd = Text.substr(0, Text.find(':') + 1).append(Number);
+      Document = replaced(std::move(Document), Text, Odd);
+    }
+    const SnapshotPtr Config = compile(Document, Error);
+
+    CHECK_TEXT(Config != nullptr, Error.c_str());
+    CHECK_TRUE(Config->Routes[0].Timeout <= DurationMs(86'400'000));
+    CHECK_TRUE(Config->Limits->IdleTimeout <= DurationMs(86'400'000));
+    CHECK_TEXT(isUsableRate(Config->Rates.at("clerks").PerSecond),
+               Number.c_str());
+    CHECK_TEXT(isUsableRate(Config->Rates.at("clerks").Burst), Number.c_str());
+    const double Warmup = Config->Services.at("queue").WarmupPerSecond;
+    CHECK_TEXT(isUsableRate(Warmup), Number.c_str());
+    WarmupLimit Limit;
+    Limit.setRate(Warmup);
+    CHECK_TEXT(Limit.interval() >= DurationMs(0), Number.c_str());
+  }
+}
