Refuse a configuration without routes or services

A configuration that is null or a number, or an object with neither routes nor services, compiled to one without routes: every request got 404.

Cause: absent members count as empty, and a value that is no object has none. The document now has to be an object with both members, which may be null or empty. The version in force stays otherwise.

Before: RejectsAnUnreadableConfiguration failed at null.

--- a/src/platform/ConfigCodec.cpp
+++ b/src/platform/ConfigCodec.cpp
@@ -205,12 +205,14 @@
 }
 
 void decodeDocument(const Json &Object, Snapshot &Config) {
-  if (Object.is_discarded()) {
+  if (!Object.is_object()) {
     throw ConfigurationError(
-        fmt::format("the configuration is not JSON, holds a number "
+        fmt::format("the configuration is not a JSON object, holds a number "
                     "that is too large or is nested more than {} deep",
                     MaxNesting));
   }
+  requiredMember(Object, Routes);
+  requiredMember(Object, Services);
   for (const Json &Entry : arrayMember(Object, Services)) {
     Service NewService = decodeService(Entry);
     Config.Services.emplace(NewService.Name, std::move(NewService));
--- a/tests/platform/ConfigCodecTest.cpp
+++ b/tests/platform/ConfigCodecTest.cpp
@@ -3,6 +3,7 @@
 #include "policy/WarmupLimit.h"
 #include "sources/StoreBundle.h"
 #include "support/PeakMemory.h"
+#include "support/Property.h"
 
 #include <cmath>
 #include <string>
@@ -195,3 +196,32 @@
     CHECK_TEXT(Limit.interval() >= DurationMs(0), Number.c_str());
   }
 }
+
+TEST(ConfigCodec, RejectsAnUnreadableConfiguration) {
+  for (const std::string &Document :
+       {std::string(), std::string("\xff\xfe"), std::string("null"),
+        std::string("7"), std::string("{\"routes\":7}"),
+        std::string("{\"routes\":[7]}"), std::string("{\"services\":[null]}"),
+        std::string("{\"tenants\":[[]]}"),
+        std::string("{\"limits\":{\"max_header_bytes\":\"\"}}"),
+        replaced(ValidDocument, "\"name\":\"read\"", "\"name\":\"\xff\""),
+        replaced(ValidDocument, "\"weight\":90", "\"weight\":{}"),
+        replaced(ValidDocument, "{\"service\":\"queue\",\"weight\":90}", "[]"),
+        std::string(ValidDocument).substr(0, 400)}) {
+    Error.clear();
+    CHECK_TEXT(compile(Document, Error) == nullptr, Document.c_str());
+    CHECK_TEXT(!Error.empty(), Document.c_str());
+  }
+}
+
+TEST(ConfigCodec, NoUnreadableConfigurationThrows) {
+  checkProperty("a changed document is refused with a reason or compiled", [] {
+    std::string Document = ValidDocument;
+    const auto Offset = *rc::gen::inRange<std::size_t>(0, Document.size());
+    Document.replace(Offset, 1, *rc::gen::arbitrary<std::string>());
+    std::string Reason;
+    const SnapshotPtr Config = compile(Document, Reason);
+    const bool IsReported = Config != nullptr || !Reason.empty();
+    RC_ASSERT(IsReported);
+  });
+}
