Test real nodes beside nested and unreadable entries

The nodes serve requests, take the next configuration and use a target that is registered afterwards, and none needs more memory than the smallest machine has.

--- a/tests/platform/StoreMeshTest.cpp
+++ b/tests/platform/StoreMeshTest.cpp
@@ -3,6 +3,7 @@
 
 #include "platform/StoreMeshFixture.h"
 
+#include <fstream>
 #include <memory>
 
 #include <CppUTest/TestHarness.h>
@@ -19,6 +20,19 @@
   return Body.is_object() ? Body.value("code", 0) : 0;
 }
 
+/// Memory of the smallest machine on which a node runs.
+constexpr long SmallestMachineKiB = 88 * 1024;
+
+/// Largest resident memory that a process has had; 0 when it is not known.
+long peakMemoryKiB(pid_t Process) {
+  std::ifstream Status("/proc/" + std::to_string(Process) + "/status");
+  constexpr std::string_view Name = "VmHWM:";
+  for (std::string Line; std::getline(Status, Line);)
+    if (Line.starts_with(Name))
+      return std::stol(Line.substr(Name.size()));
+  return 0;
+}
+
 /// Whether a text contains all parts in the given order.
 bool containsInOrder(const std::string &Text,
                      const std::vector<std::string> &Parts) {
@@ -157,6 +171,57 @@
     LONGS_EQUAL(200, requestStatus("/read/a", "key-one"));
 }
 
+// Entries and configurations of another writer end no node and hide nothing
+// else in the store.
+TEST(StoreMesh, FollowsTheStoreBesideNestedAndUnreadableEntries) {
+  constexpr std::size_t MaxValueBytes = 1024 * 1024;
+  const std::string Nested(MaxValueBytes, '[');
+  StoreMeshInstance &Joining = Mesh->Instances[0];
+  Mesh->commandStore("remove?key=servers/" + Joining.Id);
+  awaitCondition("a target is gone", [&] { return !runsAt(Joining, Joining); });
+  const auto Entry = [&](const std::string &Name, const std::string &Value) {
+    nlohmann::json Json = nlohmann::json::parse(
+        R"({"service":"queue","address":"127.31.0.1:80","zone":"east",)"
+        R"("version":"1","slots":6,"state":"ready","warmup_left_s":0,)"
+        R"("sequence":1,"born":1700000000000})");
+    Json.erase(Name);
+    const std::string Rest = Json.dump();
+    return "{\"" + Name + "\":" + Value + "," + Rest.substr(1);
+  };
+
+  Mesh->putItem("servers/i-nested", Nested);
+  Mesh->putItem("servers/i-member", Entry("version", Nested));
+  Mesh->putItem("servers/i-slots", Entry("slots", "1e999"));
+  Mesh->putItem("servers/i-cold", Entry("warmup_left_s", "1e308"));
+  Mesh->putItem("servers/i-port", Entry("address", "\"127.31.0.1:99999\""));
+  Mesh->putItem("servers/i-zero", Entry("address", "\"127.31.0.1:0\""));
+  Mesh->putItem("servers/i-zone", Entry("zone", "\"\""));
+  Mesh->putItem("servers/i-long",
+                Entry("zone", "\"" + std::string(200, 'z') + "\""));
+  Mesh->putItem("servers/" + std::string(192, 'i'), Entry("zone", "7"));
+  Mesh->putItem("servers/i-bytes-2", "\xff\xfe");
+  Mesh->putItem("servers/i-%0d%0aX:%20y", Entry("service", "\"queue\""));
+  Mesh->putItem("op/config", Nested);
+  Mesh->putItem("op/config", "{\"version\":1e999}");
+  for (int I = 0; I < 20; ++I)
+    LONGS_EQUAL(200, requestStatus("/open/a"));
+
+  Mesh->configure("ledger");
+  awaitCondition("the next configuration is in force",
+                 [this] { return isOpenRoutedToLedger(); });
+  Mesh->configure("queue");
+  Mesh->registerTarget(Joining);
+  awaitCondition("a target that is registered afterwards is used",
+                 [&] { return runsAt(Joining, Joining); });
+  for (StoreMeshInstance &Each : Mesh->Instances) {
+    CHECK_TRUE(Mesh->isReady(Each));
+    CHECK_FALSE(Each.Node.wait(std::chrono::seconds(0)).has_value());
+    const long PeakKiB = peakMemoryKiB(Each.Node.id());
+    CHECK_TRUE_TEXT(PeakKiB > 0 && PeakKiB <= SmallestMachineKiB,
+                    std::to_string(PeakKiB).c_str());
+  }
+}
+
 // A target that has taken over another one's address answers 421 to requests
 // for the former target and must not run them.
 TEST(StoreMesh, RunsNoRequestAtAReusedAddress) {
