Do not retain again what ended before the store was lost

A retention that ended while a call to the store was pending was still listed when that call failed, and losing the store then prolonged it: the target would get requests again after its gate had closed.

--- a/src/policy/TargetList.cpp
+++ b/src/policy/TargetList.cpp
@@ -51,7 +51,8 @@
     removeOrRetain(Id, Now);
 }
 
-void TargetList::onStoreLost() {
+void TargetList::onStoreLost(TimeMs Now) {
+  expire(Now);
   if (RetainUntil != Never)
     EndBeforeLoss = RetainUntil;
   setRetention(Never);
--- a/src/policy/TargetList.h
+++ b/src/policy/TargetList.h
@@ -54,7 +54,7 @@
   void onCallAnswered(TimeMs SentAt, TimeMs Now);
 
   /// The store has become unreachable; it is until the next answer.
-  void onStoreLost();
+  void onStoreLost(TimeMs Now);
 
   /// Drops retained entries once the retention time has passed.
   void expire(TimeMs Now);
--- a/src/sources/StoreLoop.cpp
+++ b/src/sources/StoreLoop.cpp
@@ -330,7 +330,7 @@
   NextCall = std::max(Now, std::min(Now + Delay, SentAt + MaxRetryPeriod));
   if (!Health.onFailure(Reason, Detail))
     return;
-  Targets.onStoreLost();
+  Targets.onStoreLost(Now);
   PartialRange.reset();
   NextPhase = Phase::ReadTargets;
 }
--- a/tests/policy/TargetListTest.cpp
+++ b/tests/policy/TargetListTest.cpp
@@ -27,7 +27,7 @@
 
   /// The store does not answer for seconds; the last call fails.
   void loseStore(TimeMs LastSentAt) {
-    List.onStoreLost();
+    List.onStoreLost(LastSentAt);
     List.onCallFailed(LastSentAt);
   }
 };
@@ -81,7 +81,7 @@
   List.onCallAnswered(TimeMs(10'040), TimeMs(10'050));
   List.remove("i-1", TimeMs(10'100));
 
-  List.onStoreLost();
+  List.onStoreLost(TimeMs(10'200));
 
   List.expire(TimeMs(10'000) + RetentionTime);
   LONGS_EQUAL(1, List.list(1).Instances.size());
@@ -97,7 +97,7 @@
   List.put(row("i-1", "10.0.0.1"));
   List.onCallAnswered(TimeMs(9'990), TimeMs(10'000));
   List.onCallFailed(TimeMs(10'100));
-  List.onStoreLost();
+  List.onStoreLost(TimeMs(10'150));
 
   List.onCallAnswered(TimeMs(10'000) + MinLapseTime - DurationMs(1),
                       TimeMs(12'000));
@@ -106,6 +106,18 @@
   LONGS_EQUAL(0, List.list(1).Instances.size());
 }
 
+// The call during which the retention ended is the one that failed.
+TEST(TargetList, DoesNotRetainAgainWhatEndedBeforeTheStoreWasLost) {
+  List.put(row("i-1", "10.0.0.1"));
+  loseStore(TimeMs(10'000));
+  List.onCallAnswered(TimeMs(10'040), TimeMs(10'050));
+  List.remove("i-1", TimeMs(10'100));
+
+  List.onStoreLost(TimeMs(10'000) + RetentionTime);
+
+  LONGS_EQUAL(0, List.list(1).Instances.size());
+}
+
 // One failed call of a silent store may take as long as entries need to expire.
 TEST(TargetList, RetainsAnEntryThatIsRemovedAfterOneLongFailure) {
   List.put(row("i-1", "10.0.0.1"));
@@ -121,7 +133,7 @@
 TEST(TargetList, PrefersAnEntryThatExistsToARetainedOneOnTheSameInstance) {
   List.put(row("old", "10.0.0.1", "queue", ListedState::Live, 9));
   List.put(row("new", "10.0.0.1", "queue", ListedState::Leaving, 7));
-  List.onStoreLost();
+  List.onStoreLost(TimeMs(50));
 
   List.remove("old", TimeMs(100));
 
