Give test processes that run at once different addresses

The prefix came from the process number modulo 250, so that of some hundred runs at once a few shared their addresses and failed at each other's processes.

--- a/tests/platform/StoreMeshFixture.cpp
+++ b/tests/platform/StoreMeshFixture.cpp
@@ -71,8 +71,10 @@
 
 StoreMesh::StoreMesh() {
   // Instances of one test process differ in the last octet; test processes that
-  // run in parallel differ in the third.
-  AddressPrefix = "127.31." + std::to_string(1 + getpid() % 250) + ".";
+  // run in parallel differ in the two before.
+  constexpr int Octets = 250;
+  AddressPrefix = fmt::format("127.{}.{}.", 1 + getpid() / Octets % Octets,
+                              1 + getpid() % Octets);
   addInstance("east", "queue", "i-east");
   addInstance("west", "queue", "i-west");
   addInstance("east", "ledger", "i-ledger");
