Keep the members that are still to be told of their leaving

A node whose budget of pushes was used up dropped the name, and the member was left to random gossip. The names now wait for the budget. EachNodeOfManyLeavingTargetsIsTold plays it; it was not run on the code before, where gossip may also be in time.

--- a/src/nodes/MemberSync.cpp
+++ b/src/nodes/MemberSync.cpp
@@ -165,9 +165,14 @@
 /// Tells members that are newly listed as leaving, whose own reading may be
 /// behind. They are the last that can refuse a request to their targets.
 void MemberSync::tellLeavingMembers() {
-  for (const std::string &Name : Members.takeNewlyLeaving()) {
+  for (std::string &Name : Members.takeNewlyLeaving())
+    if (isInformant(Name))
+      LeavingToTell.push_back(std::move(Name));
+  while (!LeavingToTell.empty() && takePushToken()) {
+    const std::string Name = std::move(LeavingToTell.front());
+    LeavingToTell.pop_front();
     const Member *Entry = Members.find(Name);
-    if (Entry == nullptr || !isInformant(Name) || !takePushToken())
+    if (Entry == nullptr)
       continue;
     ++Counts.Pushes;
     exchange(Name, Entry->Record.Place.PeerAddress, PeerRoute::Reuse);
--- a/src/nodes/MemberSync.h
+++ b/src/nodes/MemberSync.h
@@ -125,6 +125,7 @@
   TimeMs NextRotation;
   TimeMs NextRepair;
   std::uint64_t ViewDigest = 0; ///< Of the members that View was built from.
+  std::deque<std::string> LeavingToTell; ///< Members that wait for the budget.
   TokenBucket PushBudget;
   TokenBucket RumourBudget;
   std::deque<bool> RecentOutcomes; ///< True if answered; newest last.
--- a/tests/nodes/ControlCoreTest.cpp
+++ b/tests/nodes/ControlCoreTest.cpp
@@ -413,6 +413,22 @@
   LONGS_EQUAL(6, Fleet.Nodes[7]->OwnListing.ListRevision);
 }
 
+// More members leave at once than a node may tell in a second.
+TEST(ControlCore, EachNodeOfManyLeavingTargetsIsTold) {
+  const auto ListedFleet = makeListedFleet(2, 20);
+  FakeFleet &Fleet = *ListedFleet;
+  InstanceList Leaving = listOf(Fleet, 6);
+  for (std::size_t I = 10; I < Leaving.Instances.size(); ++I)
+    Leaving.Instances[I].State = ListedState::Leaving;
+
+  Fleet.Nodes[0]->Core->offerInstances(Leaving);
+  Fleet.Nodes[1]->Core->offerInstances(Leaving);
+  Fleet.run(2000);
+
+  for (std::size_t I = 10; I < Fleet.Nodes.size(); ++I)
+    CHECK_TRUE(Fleet.Nodes[I]->OwnListing.Leaving);
+}
+
 // A node that could not read retains a row that the others have seen removed.
 TEST(ControlCore, AssumedRowReplacesNothingThatOthersHaveRead) {
   const auto ListedFleet = makeListedFleet(2, 4);
