--- a/tests/nodes/FakeFleet.cpp
+++ b/tests/nodes/FakeFleet.cpp
@@ -296,3 +296,23 @@
     });
   });
 }
+
+TargetState stateSeenBy(const FakeFleet &Fleet, std::size_t Observer,
+                        std::size_t Of) {
+  const std::string &Name = Fleet.Nodes[Of]->Settings.Self.Name;
+  for (const Instance &I : Fleet.Nodes[Observer]->Instances)
+    if (I.Name == Name)
+      return I.State;
+  return TargetState::Down;
+}
+
+std::unique_ptr<FakeFleet> makeReadingFleet(std::size_t Domains,
+                                            std::size_t NodesPerDomain) {
+  auto Fleet = std::make_unique<FakeFleet>(
+      Domains, NodesPerDomain, 5,
+      [](ControlSettings &Settings) { Settings.EveryNodeReads = true; });
+  for (std::size_t I = 0; I < Fleet->Nodes.size(); ++I)
+    Fleet->start(I);
+  Fleet->runUntilInForce(Fleet->publish("first"), 20'000);
+  return Fleet;
+}
--- a/tests/nodes/FakeFleet.h
+++ b/tests/nodes/FakeFleet.h
@@ -142,4 +142,12 @@
   std::uint64_t Messages = 0;
 };
 
+/// The state of a node's target in the view of another; Down if it has none.
+fescuewood::TargetState stateSeenBy(const FakeFleet &Fleet,
+                                    std::size_t Observer, std::size_t Of);
+
+/// A fleet in which every node reads the source and has a version in force.
+std::unique_ptr<FakeFleet> makeReadingFleet(std::size_t Domains,
+                                            std::size_t NodesPerDomain);
+
 #endif // FESCUEWOOD_TESTS_NODES_FAKEFLEET_H
--- a/tests/platform/StoreMeshTest.cpp
+++ b/tests/platform/StoreMeshTest.cpp
@@ -138,7 +138,10 @@
 // A watch from a compacted revision is answered 410; the node must then read
 // the whole store again.
 TEST(StoreMesh, ReadsTheWholeStoreAfterACompaction) {
+  // Longer than a watch that waits already and would still return the changes.
+  constexpr std::chrono::milliseconds WatchEnd{1500};
   Mesh->commandStore("set?reset=1");
+  std::this_thread::sleep_for(WatchEnd);
   Mesh->configure("ledger");
   Mesh->registerTarget(west(), "draining");
   Mesh->commandStore("compact");
