--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -43,14 +43,9 @@
     onReply(Handle, *Call, *Decoded);
     return;
   }
-  if (Context.Settings.Retry != RetryMode::Fetch)
-    return;
-  // The request may or may not have arrived; fetch its outcome, unless the node
-  // has not answered that over another connection either.
-  if (Reply.Reason == ResultCode::PeerSilent &&
-      Call->Current->UnansweredFetches > 0)
-    onNodeSilent(Handle, *Call);
-  else if (!Call->Current->FetchPending)
+  // The request may or may not have arrived; fetch its outcome.
+  if (Context.Settings.Retry == RetryMode::Fetch &&
+      !Call->Current->FetchPending)
     fetchOutcome(Handle, *Call, PeerRoute::Fresh);
 }
 
@@ -150,23 +145,12 @@
   Targets.onSilent(Current.Target, Now);
   Context.report(EventId::CallUnanswered,
                  {{"call", Current.Id.text()}, {"target", Current.Target}});
-  // The transport watches the connection of a pending start and ends it when
-  // the node is silent. Until then the node is slow, and the run goes on.
-  if (Current.StartPending)
-    schedule(Handle, Call, Now + Context.Settings.HeartbeatInterval);
-  else
-    onNodeSilent(Handle, Call);
-}
-
-/// Moves the call of a node that has no connection left and does not answer, or
-/// asks again later if the call may not run elsewhere.
-void EntrySide::onNodeSilent(CallHandle Handle, EntryCall &Call) {
   if (Call.Request.Idempotent && claimRetry(Call, true)) {
     Call.MayHaveRun = true;
     failOver(Handle, Call, "node does not reply", RemoteWork::MayContinue);
     return;
   }
-  schedule(Handle, Call, Context.now() + Context.Settings.HeartbeatInterval);
+  schedule(Handle, Call, Now + Context.Settings.HeartbeatInterval);
 }
 
 void EntrySide::onDone(CallHandle Handle, EntryCall &Call,
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -4,10 +4,8 @@
 /// \ref EntrySide::submit picks a target, sends the request to that target's
 /// node and tracks the call until it is answered. When no reply arrives in
 /// time, it fetches the outcome of the call from that node over a fresh
-/// connection. An unanswered fetch does not end a run as long as the connection
-/// of its start is alive. The call fails over to another target if it is known
-/// not to have run, or if it is idempotent; otherwise the caller gets the known
-/// outcome.
+/// connection. The call fails over to another target if it is known not to have
+/// run, or if it is idempotent; otherwise the caller gets the known outcome.
 /// The target of this node is reached by the same messages without the network.
 
 #ifndef FESCUEWOOD_CALLS_ENTRYSIDE_H
@@ -85,8 +83,7 @@
   bool AwaitingIncarnation = false;
   /// The target may have been given the request.
   bool MayBeDelivered = false;
-  /// The reply to the start may still arrive: its connection is alive.
-  bool StartPending = false;
+  bool StartPending = false; ///< The reply to the start may still arrive.
   /// Heartbeat intervals until the next fetch; grows with each Running reply.
   std::int64_t Heartbeats = 0;
   bool FetchPending = false;           ///< A fetch awaits its reply.
@@ -190,7 +187,6 @@
   void onReply(CallHandle Handle, EntryCall &Call, const CallReply &Reply);
   void onIncarnationReply(CallHandle Handle, EntryCall &Call, bool Answered);
   void onFetchFailed(CallHandle Handle, EntryCall &Call);
-  void onNodeSilent(CallHandle Handle, EntryCall &Call);
   void onDone(CallHandle Handle, EntryCall &Call, const CallReply &Reply);
   void awaitRest(CallHandle Handle, EntryCall &Call);
   void onRefused(CallHandle Handle, EntryCall &Call, ResultCode Reason,
