--- a/src/core/JsonText.cpp
+++ b/src/core/JsonText.cpp
@@ -62,10 +62,11 @@
 
   bool skipString() {
     for (++Position; !atEnd(); ++Position) {
-      if (Text[Position] == '\\')
-        ++Position;
-      else if (Text[Position] == '"')
+      const char Next = Text[Position];
+      if (Next == '"')
         return ++Position, true;
+      if (Next == '\\')
+        ++Position;
     }
     return false;
   }
--- a/src/platform/StoreCodec.cpp
+++ b/src/platform/StoreCodec.cpp
@@ -6,6 +6,7 @@
 #include "platform/PlatformNames.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 #include <fmt/format.h>
@@ -23,8 +24,15 @@
 /// Base64 encodes each group of three bytes as four characters.
 constexpr std::size_t GroupBytes = 3;
 constexpr std::size_t GroupChars = 4;
-constexpr std::string_view Base64Digits =
-    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+/// Whether each byte is a digit of base64; a configuration has several 100,000.
+constexpr std::array<bool, 256> IsBase64Digit = [] {
+  std::array<bool, 256> Result{};
+  for (const unsigned char Digit : std::string_view(
+           "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/"))
+    Result[Digit] = true;
+  return Result;
+}();
 
 /// Longest key of an item, in bytes.
 constexpr std::size_t MaxKeyBytes = 200;
@@ -44,8 +52,10 @@
   const std::size_t Padding =
       Text.ends_with("==") ? 2 : (Text.ends_with("=") ? 1 : 0);
   const std::string_view Digits = Text.substr(0, Text.size() - Padding);
-  if (Text.size() % GroupChars != 0 ||
-      Digits.find_first_not_of(Base64Digits) != std::string_view::npos)
+  const bool OnlyDigits =
+      std::all_of(Digits.begin(), Digits.end(),
+                  [](unsigned char C) { return IsBase64Digit[C]; });
+  if (Text.size() % GroupChars != 0 || !OnlyDigits)
     return std::nullopt;
   std::string Bytes(Text.size() / GroupChars * GroupBytes, '\0');
   const int Size =
@@ -80,6 +90,17 @@
                            : std::nullopt;
 }
 
+/// Decodes a JSON string of base64. One without escapes is not parsed first,
+/// since it may be a whole configuration.
+std::optional<std::string> decodeBase64String(std::string_view Text) {
+  const bool IsPlain = Text.size() >= 2 && Text.front() == '"' &&
+                       Text.find('\\') == std::string_view::npos;
+  if (IsPlain)
+    return decodeBase64(Text.substr(1, Text.size() - 2));
+  const auto Value = stringValue(Text);
+  return Value ? decodeBase64(*Value) : std::nullopt;
+}
+
 std::optional<std::uint64_t> unsignedValue(std::string_view Text) {
   const Json Value = parseJson(Text, 0);
   return Value.is_number_unsigned() ? std::optional(Value.get<std::uint64_t>())
@@ -126,8 +147,7 @@
   Change.Removed = isTrue(Removed);
   if (Change.Removed)
     return true;
-  const auto Value = stringValue(memberText(Item, ItemValue));
-  auto Bytes = Value ? decodeBase64(*Value) : std::nullopt;
+  auto Bytes = decodeBase64String(memberText(Item, ItemValue));
   if (!Bytes)
     return false;
   Change.Value = std::move(*Bytes);
