Keep the run of a silent node while another run could still begin in time

An entry node took one unanswered question of 500 ms for the end of a run: the request ran again elsewhere though its node was only paused or behind a busy link, or the caller got 502 for a run that went on while the next target had too little time left.

Silence does not say whether a run has ended; the time that is left says what waiting costs. policy/SilentAttempt decides: ask again while two runs still fit before the deadline, at most for the 1.2 s after which a silent connection is dropped; move then; keep the run for good if another one would end too late.

--- a/src/calls/EntryMessages.cpp
+++ b/src/calls/EntryMessages.cpp
@@ -16,6 +16,7 @@
   Current.Id = {Context.Identity.Incarnation, NextSequence++};
   Current.Target = Target.Name;
   Current.SentAt = Now;
+  Current.HeardAt = Now;
   const bool IsLocal = Target.Name == Context.Identity.Name;
   if (!IsLocal)
     Current.Address = Target.PeerAddress;
@@ -51,6 +52,7 @@
   const TimeMs Now = Context.now();
   Attempt &Current = *Call.Current;
   Current.SentAt = Now;
+  Current.HeardAt = Now;
   Current.MayBeDelivered = true;
   Current.StartPending = true;
   const bool IsLocal = Current.Address.empty();
@@ -109,7 +111,7 @@
   const TimeMs Now = Context.now();
   ++Context.Counters.Fetches;
   const CallFetch Fetch = outcomeFetch(Current);
-  const DurationMs Timeout = fetchTimeout(Current);
+  const DurationMs Timeout = fetchTimeout(Call);
   Current.FetchPending = true;
   schedule(Handle, Call, Now + Timeout);
   if (Current.Address.empty()) {
@@ -139,9 +141,19 @@
   return Fetch;
 }
 
-DurationMs EntrySide::fetchTimeout(const Attempt &Current) const {
+DurationMs EntrySide::fetchTimeout(const EntryCall &Call) const {
+  const Attempt &Current = *Call.Current;
   const DurationMs Timeout = Context.Settings.FetchTimeout;
-  return Current.Answer.offset() > 0 ? Timeout * PieceTimeoutFactor : Timeout;
+  if (Current.Answer.offset() > 0)
+    return Timeout * PieceTimeoutFactor;
+  if (Current.UnansweredFetches == 0 || !Call.Request.Idempotent)
+    return Timeout;
+  // The last fetch before the call moves ends when it has to.
+  const auto Silent = silentAttempt(Call);
+  const TimeMs Now = Context.now();
+  if (!Silent || moveTime(*Silent) <= Now)
+    return Timeout;
+  return std::min(Timeout, moveTime(*Silent) - Now);
 }
 
 void EntrySide::sendFetch(CallHandle Handle, const Attempt &Current,
--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -67,6 +67,7 @@
     return;
   }
   Call->Current->UnansweredFetches = 0;
+  Call->Current->HeardAt = Context.now();
   onReply(Handle, *Call, *Decoded);
 }
 
@@ -145,7 +146,37 @@
   Targets.onSilent(Current.Target, Now);
   Context.report(EventId::CallUnanswered,
                  {{"call", Current.Id.text()}, {"target", Current.Target}});
-  if (Call.Request.Idempotent && claimRetry(Call, true)) {
+  moveOrWait(Handle, Call);
+}
+
+/// What decides on a silent attempt; std::nullopt if the call has no other
+/// target.
+std::optional<SilentAttempt>
+EntrySide::silentAttempt(const EntryCall &Call) const {
+  std::vector<std::string> Tried = Call.TriedTargets;
+  Tried.push_back(Call.Current->Target);
+  const TimeMs Now = Context.now();
+  const Instance *Next =
+      Targets.pick(Call.Request.Service, Tried, Now, Context.Hooks.Random);
+  if (!Next)
+    return std::nullopt;
+  return SilentAttempt{Call.Current->HeardAt, Call.Deadline,
+                       Targets.typicalAnswerTime(Next->Name, Now)};
+}
+
+/// Moves the call of a node that answers nothing, or keeps its run and fetches
+/// the outcome again.
+void EntrySide::moveOrWait(CallHandle Handle, EntryCall &Call) {
+  const TimeMs Now = Context.now();
+  const auto Silent = silentAttempt(Call);
+  const SilenceVerdict Verdict = Silent && Call.Request.Idempotent
+                                     ? judgeSilence(*Silent, Now)
+                                     : SilenceVerdict::Keep;
+  if (Verdict == SilenceVerdict::Wait) {
+    fetchOutcome(Handle, Call, PeerRoute::Fresh);
+    return;
+  }
+  if (Verdict == SilenceVerdict::Move && claimRetry(Call, true)) {
     Call.MayHaveRun = true;
     failOver(Handle, Call, "node does not reply", RemoteWork::MayContinue);
     return;
@@ -180,7 +211,7 @@
   if (Current.FetchPending)
     return;
   if (Current.StartPending)
-    schedule(Handle, Call, Context.now() + fetchTimeout(Current));
+    schedule(Handle, Call, Context.now() + fetchTimeout(Call));
   else
     fetchOutcome(Handle, Call, PeerRoute::Reuse);
 }
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -4,7 +4,9 @@
 /// \ref EntrySide::submit picks a target, sends the request to that target's
 /// node and tracks the call until it is answered. When no reply arrives in
 /// time, it fetches the outcome of the call from that node over a fresh
-/// connection. The call fails over to another target if it is known not to have
+/// connection. A node that answers nothing may only be slow, so its run is kept
+/// as long as another run would still be in time (policy/SilentAttempt.h). The
+/// call fails over to another target if it is known not to have
 /// run, or if it is idempotent; otherwise the caller gets the known outcome.
 /// The target of this node is reached by the same messages without the network.
 
@@ -15,6 +17,7 @@
 #include "nodes/CallMessages.h"
 #include "policy/RetryBudget.h"
 #include "policy/Router.h"
+#include "policy/SilentAttempt.h"
 #include "policy/WithdrawnKeys.h"
 
 #include <cstddef>
@@ -88,6 +91,7 @@
   std::int64_t Heartbeats = 0;
   bool FetchPending = false;           ///< A fetch awaits its reply.
   std::uint32_t UnansweredFetches = 0; ///< Consecutive fetches without a reply.
+  TimeMs HeardAt; ///< Last reply of the node, or the start of the attempt.
   AnswerAssembler Answer;
 };
 
@@ -174,7 +178,7 @@
   void sendStart(CallHandle Handle, EntryCall &Call);
   void queryIncarnation(CallHandle Handle, EntryCall &Call);
   CallFetch outcomeFetch(const Attempt &Current) const;
-  DurationMs fetchTimeout(const Attempt &Current) const;
+  DurationMs fetchTimeout(const EntryCall &Call) const;
   void sendFetch(CallHandle Handle, const Attempt &Current,
                  const CallFetch &Fetch, PeerRoute Route, DurationMs Timeout);
   void fetchOutcome(CallHandle Handle, EntryCall &Call, PeerRoute Route);
@@ -187,6 +191,8 @@
   void onReply(CallHandle Handle, EntryCall &Call, const CallReply &Reply);
   void onIncarnationReply(CallHandle Handle, EntryCall &Call, bool Answered);
   void onFetchFailed(CallHandle Handle, EntryCall &Call);
+  std::optional<SilentAttempt> silentAttempt(const EntryCall &Call) const;
+  void moveOrWait(CallHandle Handle, EntryCall &Call);
   void onDone(CallHandle Handle, EntryCall &Call, const CallReply &Reply);
   void awaitRest(CallHandle Handle, EntryCall &Call);
   void onRefused(CallHandle Handle, EntryCall &Call, ResultCode Reason,
