Read the platform's store through a few nodes of each failure domain

Every node watched the store: a call a node and second on large sites, where entries change all the time.

Two nodes of a domain and one more for each 20 of its nodes now watch the store and keep a copy of its items. The others ask them in turn for the changes after the revision that they know, over the connections that carry the calls. A reply states how old its proof is; one that is late, unproven or behind is not used, its node is avoided for a while, and after two of them, or without readers, the node reads the store itself. A node that the store refuses asks a relay at once, where it depended on gossip before.

What a node knows of the store (StoreView) is split from when it reads what (StoreLoop); the configurations of an answer are counted once, not twice.

--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -146,7 +146,8 @@
           },
           [this](std::uint64_t Number) { Bridge.onDisconnect(Number); },
           Recorder.hook()),
-      Reader(makeReader()), Operators(Settings.Operators.Listen, pages()) {
+      Relays(Peers.sendHook()), Reader(makeReader()),
+      Operators(Settings.Operators.Listen, pages()) {
   if (Settings.Operators.Ready)
     Ready = std::make_unique<OperatorServer>(*Settings.Operators.Ready,
                                              readyPages());
@@ -236,11 +237,29 @@
   Hooks.OnProof = [this](TimeMs At, std::uint64_t Revision) {
     Control.offerProof(At, Revision);
   };
-  Hooks.OnSourceState = [this](bool Reachable) { SourceReachable = Reachable; };
+  Hooks.OnSourceState = [this](bool Reachable) {
+    SourceReachable = Reachable;
+    if (!Reachable)
+      Control.onSourceLost();
+  };
+  Hooks.OnReplicated = [this](ReplicaUpdate Update) {
+    Control.offerReplica(std::move(Update));
+  };
   Hooks.OnEvent = Recorder.hook();
   return Hooks;
 }
 
+RelayCalls NodeParts::relayCalls() {
+  RelayCalls Result;
+  Result.IsReader = [this] { return Control.isReader(); };
+  Result.Addresses = [this] { return Control.relays(); };
+  Result.Read = [this](const std::string &Address, std::uint64_t After,
+                       DurationMs Wait) {
+    return Relays.read(Address, After, Wait);
+  };
+  return Result;
+}
+
 std::unique_ptr<PlatformReader> NodeParts::makeReader() {
   const PlatformSettings &Platform = Settings.Platform;
   if (isStorePlatform(Settings.Platform)) {
@@ -253,9 +272,12 @@
         std::move(Calls),
         OwnTarget{Settings.Target.Address.text(), Settings.Node.Service},
         WatchTiming{Platform.WatchWait, watchPeriod(ApplyBound)}, storeHooks(),
-        Clock::monotonic(), Incarnation);
+        Clock::monotonic(), Incarnation, relayCalls());
     return std::make_unique<PlatformReader>([this] { return Store->step(); },
-                                            std::move(Cancel));
+                                            [this, Cancel = std::move(Cancel)] {
+                                              Relays.cancel();
+                                              Cancel();
+                                            });
   }
   PlatformSource Source = makeSource(Platform);
   auto Cancel = Source.Cancel;
--- a/src/app/NodeParts.h
+++ b/src/app/NodeParts.h
@@ -12,6 +12,7 @@
 #include "nodes/ControlDuty.h"
 #include "nodes/PeerClient.h"
 #include "nodes/PeerServer.h"
+#include "nodes/RelayClient.h"
 #include "operators/EventRecorder.h"
 #include "operators/LogWriter.h"
 #include "operators/NodeStatus.h"
@@ -56,6 +57,7 @@
   LimiterHooks limiterHooks();
   PlatformReaderHooks readerHooks();
   StoreLoopHooks storeHooks();
+  RelayCalls relayCalls();
   std::unique_ptr<PlatformReader> makeReader();
   SnapshotPtr compile(const IntentBundle &Bundle, std::string &Why) const;
   bool keysProven() const;
@@ -95,6 +97,7 @@
   CallEngine Engine;
   CallerBridge Bridge;
   CallerServer Callers;
+  RelayClient Relays;
   std::unique_ptr<StoreLoop> Store;      ///< Set if the platform is a store.
   std::unique_ptr<ReadLoop> SourceReads; ///< Set for all other sources.
   std::unique_ptr<PlatformReader> Reader;
--- a/src/nodes/ControlCore.cpp
+++ b/src/nodes/ControlCore.cpp
@@ -217,7 +217,11 @@
     if (Runs && Record.Place.Domain == Settings.Self.Domain)
       Names.push_back(Name);
   }
-  return chooseReaders(Settings.Self.Domain, Names, Settings.ReadersPerDomain);
+  const std::size_t Count =
+      Settings.EveryNodeReads
+          ? readerCount(Names.size(), Settings.ReadersPerDomain)
+          : Settings.ReadersPerDomain;
+  return chooseReaders(Settings.Self.Domain, Names, Count);
 }
 
 void ControlCore::updateReaderRole() {
@@ -228,10 +232,11 @@
   ReaderDigest = Digest;
   ReaderCouldRead = CanRead;
   const std::vector<std::string> Chosen = readers();
-  const bool Selected =
-      Settings.EveryNodeReads ||
-      (CanRead && std::find(Chosen.begin(), Chosen.end(), Settings.Self.Name) !=
-                      Chosen.end());
+  Relays.clear();
+  for (const std::string &Name : Chosen)
+    if (Name != Settings.Self.Name)
+      Relays.push_back(Members.members().find(Name)->Record.Place.PeerAddress);
+  const bool Selected = CanRead && Relays.size() < Chosen.size();
   if (Selected == Reader)
     return;
   Reader = Selected;
--- a/src/nodes/ControlCore.h
+++ b/src/nodes/ControlCore.h
@@ -65,6 +65,9 @@
 
   /// Whether this node should read the platform now.
   bool isReader() const { return Reader; }
+
+  /// Addresses of the other nodes of this failure domain that should.
+  const std::vector<std::string> &relays() const { return Relays; }
   const Version &newestSeenVersion() const {
     return Versions.keeper().newestSeenVersion();
   }
@@ -98,6 +101,7 @@
   VersionSync Versions;
   MemberSync Members;
   bool Reader = false;
+  std::vector<std::string> Relays;
   std::uint64_t ReaderDigest = 0; ///< Of the members last evaluated.
   bool ReaderCouldRead = false;
   ControlPhase LastPhase = ControlPhase::Starting;
--- a/src/nodes/ControlDuty.cpp
+++ b/src/nodes/ControlDuty.cpp
@@ -2,6 +2,7 @@
 
 #include "core/TaskThread.h"
 #include "nodes/ControlCore.h"
+#include "nodes/StoreRelay.h"
 
 #include <future>
 #include <mutex>
@@ -35,6 +36,7 @@
 
   void tick() {
     Core.tick();
+    Relay.tick();
     publish();
     // Set after publish(), so that viewCurrent() cannot miss a pause detected
     // by this tick.
@@ -48,11 +50,13 @@
   PeerSend TransportSend;
   RandomHook Random;
   ControlCore Core;
+  StoreRelay Relay{Clock::monotonic()};
   std::atomic<std::int64_t> LastTick{Clock::monotonic().now().Value};
   std::atomic<bool> CatchingUp{false};
   std::atomic<std::int64_t> ProvenAt{0};
   std::mutex Mutex;
   Version NewestSeen;
+  std::vector<std::string> Relays;
   VersionSpread SpreadCopy;
   std::uint32_t SpreadDigest = 0;
   std::optional<Version> SpreadVersion;
@@ -80,6 +84,8 @@
     const auto InForce = Core.inForce();
     std::lock_guard<std::mutex> Lock(Mutex);
     NewestSeen = Core.newestSeenVersion();
+    if (Relays != Core.relays())
+      Relays = Core.relays();
     if (Digest == SpreadDigest && InForce == SpreadVersion)
       return;
     SpreadCopy = Core.spread();
@@ -106,6 +112,14 @@
       });
     });
   }
+  Server.handle(
+      PeerKind::StoreWatch,
+      [this](const PeerIdentity &, std::string_view Body, ReplyHook Reply) {
+        Impl->Work.post([this, Body = std::string(Body),
+                         Reply = std::move(Reply)]() mutable {
+          Impl->Relay.serve(Body, std::move(Reply));
+        });
+      });
 }
 
 void ControlDuty::start() {
@@ -144,6 +158,20 @@
   });
 }
 
+void ControlDuty::offerReplica(ReplicaUpdate Update) {
+  Impl->Work.postReliably(
+      [this, Update = std::move(Update)] { Impl->Relay.update(Update); });
+}
+
+void ControlDuty::onSourceLost() {
+  Impl->Work.postReliably([this] { Impl->Relay.onSourceLost(); });
+}
+
+std::vector<std::string> ControlDuty::relays() const {
+  std::lock_guard<std::mutex> Lock(Impl->Mutex);
+  return Impl->Relays;
+}
+
 TimeMs ControlDuty::provenAt() const { return TimeMs(Impl->ProvenAt); }
 
 void ControlDuty::setOwnState(TargetState State) {
--- a/src/nodes/ControlDuty.h
+++ b/src/nodes/ControlDuty.h
@@ -16,12 +16,15 @@
 #include "nodes/ControlStatus.h"
 #include "nodes/PeerServer.h"
 #include "sources/PlatformSource.h"
+#include "sources/StoreChange.h"
 
 #include <atomic>
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace fescuewood {
 
@@ -36,8 +39,8 @@
   ControlDuty(const ControlDuty &) = delete;
   ControlDuty &operator=(const ControlDuty &) = delete;
 
-  /// Registers the handlers of Exchange and Fetch. Call before the server
-  /// starts.
+  /// Registers the handlers of Exchange, Fetch and StoreWatch. Call before the
+  /// server starts.
   void registerWith(PeerServer &Server);
 
   void start();
@@ -53,6 +56,16 @@
   /// at time \p At. Processed in order with the offered versions.
   void offerProof(TimeMs At, std::uint64_t Revision);
 
+  /// Handles what this node has read from the store, for other nodes that read
+  /// it through this one.
+  void offerReplica(ReplicaUpdate Update);
+
+  /// The store has become unreachable from this node.
+  void onSourceLost();
+
+  /// Addresses of the other nodes of this failure domain that read the store.
+  std::vector<std::string> relays() const;
+
   /// Time at which the version in force was last known to be the newest; 0 if
   /// never.
   TimeMs provenAt() const;
--- a/src/nodes/ControlMessages.cpp
+++ b/src/nodes/ControlMessages.cpp
@@ -1,10 +1,10 @@
 #include "nodes/ControlMessages.h"
 
-#include "core/Compress.h"
 #include "core/Endpoint.h"
 #include "intent/CompileIntent.h"
-#include "nodes/PeerCodec.h"
+#include "nodes/CompressedBody.h"
 #include "nodes/PeerEnvelope.h"
+
 #include <algorithm>
 
 namespace fescuewood {
@@ -14,12 +14,6 @@
 /// First field of a message of kind Exchange.
 enum class ExchangeType : std::uint8_t { Exchange = 0, Repair = 1 };
 
-/// Smallest body that is compressed, in bytes; compressing less saves little.
-constexpr std::size_t MinCompressedBytes = 256;
-
-/// First byte of a compressed body; no msgpack value starts with it.
-constexpr char CompressedMarker = '\xC1';
-
 // The wire structs mirror the public ones with types that msgpack can pack.
 // Digests are sent as raw bytes.
 
@@ -100,27 +94,6 @@
   MSGPACK_DEFINE(WholeRevision, DeltaVersions, Files, Removed)
 };
 
-template <typename T> std::string packCompressed(const T &Wire) {
-  std::string Plain = packBody(Wire);
-  if (Plain.size() < MinCompressedBytes)
-    return Plain;
-  std::string Compact = CompressedMarker + compress(Plain);
-  return Compact.size() < Plain.size() ? Compact : Plain;
-}
-
-/// Decompresses a body if it is compressed; std::nullopt when the result is out
-/// of bounds.
-std::optional<std::string> decompressBody(std::string_view Body) {
-  if (Body.empty() || Body.front() != CompressedMarker)
-    return std::string(Body);
-  return decompress(Body.substr(1), MaxPeerBodyBytes);
-}
-
-template <typename T> std::optional<T> unpackCompressed(std::string_view Body) {
-  const std::optional<std::string> Plain = decompressBody(Body);
-  return Plain ? unpackBody<T>(*Plain) : std::nullopt;
-}
-
 WireVersion toWire(const Version &V) {
   return {V.Revision,
           std::string(V.Content.Bytes.begin(), V.Content.Bytes.end())};
--- a/src/nodes/ControlSettings.h
+++ b/src/nodes/ControlSettings.h
@@ -37,10 +37,12 @@
   double RumoursPerSecond = 2;
   double RumourBurst = 16;
   std::size_t MaxRepairRecords = 48; ///< Member records per repair reply.
+  /// Nodes of a failure domain that read the source; with EveryNodeReads, a
+  /// large domain has more.
   std::size_t ReadersPerDomain = 2;
-  /// Whether every node reads the source itself, which requires a source that
-  /// never returns stale answers. Peers then only serve nodes that cannot reach
-  /// the source.
+  /// Whether every node may read the source itself, which requires a source
+  /// that never returns stale answers. No start or pause then waits for peers,
+  /// and the nodes that are no readers read through those that are.
   bool EveryNodeReads = false;
   /// With EveryNodeReads: time for which a fetch of a peer's newer version is
   /// delayed, since this node is expected to read it from the source.
--- a/src/nodes/PeerTransport.h
+++ b/src/nodes/PeerTransport.h
@@ -26,6 +26,7 @@
   Heartbeat = 0,  ///< Checks the connection; answered by the server.
   Exchange = 1,   ///< Exchanges versions and membership.
   Fetch = 2,      ///< Fetches the files of a version.
+  StoreWatch = 3, ///< Reads the platform's store through the receiver.
   CallStart = 10, ///< Starts a call.
   CallFetch = 11, ///< Fetches the state of a call and its answer.
   CallCancel = 12,
--- a/src/operators/Metrics.cpp
+++ b/src/operators/Metrics.cpp
@@ -91,6 +91,8 @@
   Collector.add(MetricId::SourceReachable, Status.SourceReachable ? 1 : 0);
   Collector.add(MetricId::SourceReads, toDouble(Status.Source.Reads));
   Collector.add(MetricId::SourceFailures, toDouble(Status.Source.Failures));
+  Collector.add(MetricId::RelayedReads, toDouble(Status.Source.Relayed));
+  Collector.add(MetricId::RelayFailures, toDouble(Status.Source.RelayFailures));
   Collector.add(MetricId::ResidentMemory, toDouble(Status.ResidentBytes));
   Collector.add(MetricId::MachineMemory, toDouble(Status.MachineBytes));
   std::map<std::string, double> ByHealth;
--- a/src/policy/ReaderChoice.cpp
+++ b/src/policy/ReaderChoice.cpp
@@ -10,4 +10,8 @@
   return chooseByRendezvous(Domain, Names, Count);
 }
 
+std::size_t readerCount(std::size_t Nodes, std::size_t Least) {
+  return Least + Nodes / NodesPerReader;
+}
+
 } // namespace fescuewood
--- a/src/policy/ReaderChoice.h
+++ b/src/policy/ReaderChoice.h
@@ -20,6 +20,14 @@
                                        std::span<const std::string_view> Names,
                                        std::size_t Count);
 
+/// Nodes of a domain that each further reader serves.
+inline constexpr std::size_t NodesPerReader = 20;
+
+/// Number of readers of a domain with \p Nodes nodes, at least \p Least:
+/// several so that the loss of one costs nothing, and more in a large domain,
+/// which they relay to.
+std::size_t readerCount(std::size_t Nodes, std::size_t Least);
+
 } // namespace fescuewood
 
 #endif // FESCUEWOOD_POLICY_READERCHOICE_H
--- a/src/policy/TargetList.cpp
+++ b/src/policy/TargetList.cpp
@@ -66,6 +66,13 @@
   LastAnswerAt = Now;
 }
 
+void TargetList::onRelayed(TimeMs ProvenAt, TimeMs Now) {
+  // The other node called as often as this one would have, in vain.
+  if (ProvenAt - LastAnswerAt >= MinLapseTime)
+    LastFailedAt = std::max(LastFailedAt, ProvenAt - MaxRetryPeriod);
+  onCallAnswered(ProvenAt, Now);
+}
+
 /// Sets the end of the retention, also for the entries that are retained now.
 void TargetList::setRetention(TimeMs End) {
   RetainUntil = End;
--- a/src/policy/TargetList.h
+++ b/src/policy/TargetList.h
@@ -34,6 +34,10 @@
 /// have expired: that takes several missed writes.
 inline constexpr DurationMs MinLapseTime{2000};
 
+/// Longest time between the starts of two calls while the store is
+/// unreachable: how precisely the time of its return is known.
+inline constexpr DurationMs MaxRetryPeriod{950};
+
 /// Listed targets by id. Not thread-safe.
 class TargetList {
 public:
@@ -53,6 +57,9 @@
   /// The store has answered a call that was sent at \p SentAt.
   void onCallAnswered(TimeMs SentAt, TimeMs Now);
 
+  /// Another node has relayed what the store answered to a call of \p ProvenAt.
+  void onRelayed(TimeMs ProvenAt, TimeMs Now);
+
   /// The store has become unreachable; it is until the next answer.
   void onStoreLost(TimeMs Now);
 
--- a/src/sources/ReadLoop.cpp
+++ b/src/sources/ReadLoop.cpp
@@ -63,7 +63,7 @@
 }
 
 PlatformReaderCounts ReadLoop::counts() const {
-  return {Reads.load(), Health.totalFailures(), Stale.load()};
+  return {Reads.load(), Health.totalFailures(), Stale.load(), 0, 0};
 }
 
 bool ReadLoop::isReader() const { return !Hooks.IsReader || Hooks.IsReader(); }
--- a/src/sources/ReadLoop.h
+++ b/src/sources/ReadLoop.h
@@ -45,7 +45,9 @@
 struct PlatformReaderCounts {
   std::uint64_t Reads = 0;
   std::uint64_t Failures = 0;
-  std::uint64_t Stale = 0; ///< Answers not newer than a previous one.
+  std::uint64_t Stale = 0;         ///< Answers not newer than a previous one.
+  std::uint64_t Relayed = 0;       ///< Reads through another node.
+  std::uint64_t RelayFailures = 0; ///< Those without a fresh answer.
 };
 
 /// Schedules reads and discards stale answers. Not thread-safe, except for
--- a/src/sources/StoreChange.h
+++ b/src/sources/StoreChange.h
@@ -77,6 +77,39 @@
   std::function<void()> Cancel;
 };
 
+/// State of a store as another node has read it.
+struct RelayedChanges {
+  bool Whole = false; ///< All items, not only those changed since a revision.
+  StoreChanges Read;  ///< Each item once, in its newest state.
+  TimeMs ProvenAt;    ///< Nothing newer than \ref Read existed at this time.
+};
+
+/// Reads of the store through other nodes of the failure domain. All hooks are
+/// empty on a node that always reads the store itself.
+struct RelayCalls {
+  /// Whether this node is one of those that read the store for the others.
+  std::function<bool()> IsReader;
+  /// Addresses of the other nodes that read the store.
+  std::function<std::vector<std::string>()> Addresses;
+  /// Waits up to \p Wait until a node knows of a change after a revision, or
+  /// has a new proof that there is none. May block a little longer.
+  std::function<PlatformRead<RelayedChanges>(
+      const std::string &Address, std::uint64_t AfterRevision, DurationMs Wait)>
+      Read;
+};
+
+/// How a read has changed what a node knows of the store.
+struct ReplicaUpdate {
+  enum class Extent : std::uint8_t {
+    Changes,    ///< Items that have changed.
+    AllTargets, ///< The items of all targets.
+    AllItems,
+  };
+  Extent Kind = Extent::Changes;
+  StoreChanges Read;
+  std::optional<TimeMs> ProvenAt; ///< As in \ref RelayedChanges.
+};
+
 } // namespace fescuewood
 
 #endif // FESCUEWOOD_SOURCES_STORECHANGE_H
--- a/src/sources/StoreLoop.cpp
+++ b/src/sources/StoreLoop.cpp
@@ -24,10 +24,6 @@
 /// did not wait for the first of them, so the time went into their transfer.
 constexpr DurationMs SlowAnswer{500};
 
-/// Longest time between the starts of two calls while the store is
-/// unreachable: how precisely the time of its return is known.
-constexpr DurationMs MaxRetryPeriod{950};
-
 /// Whether a watch that failed for \p Reason would fail again from the same
 /// revision. An answer holds every change since then, each configuration whole;
 /// a full read returns only the newest one.
@@ -46,40 +42,60 @@
 
 StoreLoop::StoreLoop(StoreCalls Calls, OwnTarget LocalTarget,
                      WatchTiming Timing, StoreLoopHooks Hooks, Clock Time,
-                     std::uint64_t Seed)
-    : Calls(std::move(Calls)), LocalTarget(std::move(LocalTarget)),
-      Timing(Timing), Hooks(std::move(Hooks)), Time(std::move(Time)),
-      Random(Seed), Health(this->Hooks.OnSourceState, this->Hooks.OnEvent) {}
+                     std::uint64_t Seed, RelayCalls Relays)
+    : Calls(std::move(Calls)), Relays(std::move(Relays)), Timing(Timing),
+      Hooks(std::move(Hooks)), Time(std::move(Time)), Random(Seed),
+      View(std::move(LocalTarget), this->Hooks, this->Calls.DecodeTarget),
+      Health(this->Hooks.OnSourceState, this->Hooks.OnEvent) {}
 
 DurationMs StoreLoop::step() {
   const TimeMs Now = Time.now();
-  Targets.expire(Now);
-  publish();
+  View.targets().expire(Now);
+  View.publish();
   if (Now < NextCall)
     return untilNextStep(Now);
-  ++Reads;
-  switch (NextPhase) {
-  case Phase::ReadIntent:
-    readPage(StoreSubject::Configuration);
-    break;
-  case Phase::ReadTargets:
-    readPage(StoreSubject::Target);
-    break;
-  case Phase::Watch:
-    watch();
-    break;
+  if (const auto Relay = nextRelay(Now)) {
+    if (readRelay(*Relay, RelayWait))
+      NextCall = Time.now() + MinRelayPeriod;
+  } else {
+    readStore();
   }
-  publish();
+  View.publish();
   return untilNextStep(Time.now());
 }
 
 DurationMs StoreLoop::untilNextStep(TimeMs Now) const {
   return std::max(DurationMs(0),
-                  std::min(NextCall, Targets.nextExpiry()) - Now);
+                  std::min(NextCall, View.targets().nextExpiry()) - Now);
 }
 
 PlatformReaderCounts StoreLoop::counts() const {
-  return {Reads.load(), Health.totalFailures(), 0};
+  PlatformReaderCounts Result;
+  Result.Reads = Reads.load();
+  Result.Failures = Health.totalFailures();
+  Result.Relayed = RelayedReads.load();
+  Result.RelayFailures = RelayFailures.load();
+  return Result;
+}
+
+/// The relay to read through; std::nullopt to read the store.
+std::optional<std::string> StoreLoop::nextRelay(TimeMs Now) {
+  if (!Relays.Read)
+    return std::nullopt;
+  Paths.update(Relays.IsReader(), Relays.Addresses());
+  return Paths.next(Now);
+}
+
+void StoreLoop::readStore() {
+  ++Reads;
+  switch (NextPhase) {
+  case Phase::ReadIntent:
+    return readPage(StoreSubject::Configuration);
+  case Phase::ReadTargets:
+    return readPage(StoreSubject::Target);
+  case Phase::Watch:
+    return watch();
+  }
 }
 
 void StoreLoop::readPage(StoreSubject Subject) {
@@ -90,7 +106,7 @@
   PlatformRead<StorePage> Read = Calls.Range(Subject, AfterKey);
   if (!Read.Value)
     return onFailure(SentAt, Read.Reason, Read.Detail);
-  LeftOut += Read.Value->Unreadable;
+  View.countLeftOut(Read.Value->Unreadable);
   if (!PartialRange) {
     PartialRange = std::move(*Read.Value);
     RangeSentAt = SentAt;
@@ -107,232 +123,209 @@
 /// are those of the first page; changes made in the meantime follow from the
 /// watch.
 void StoreLoop::onRangeRead() {
-  const StorePage Range = std::move(*std::exchange(PartialRange, std::nullopt));
+  StorePage Range = std::move(*std::exchange(PartialRange, std::nullopt));
   onSuccess(RangeSentAt);
   if (NextPhase == Phase::ReadTargets)
-    onTargetsRead(Range);
+    onTargetsRead(std::move(Range));
   else
-    onIntentRead(Range);
+    onIntentRead(std::move(Range));
 }
 
-void StoreLoop::onIntentRead(const StorePage &Range) {
-  Intent = {};
-  ConfigurationUnread = false;
-  IntentChanged = true;
-  for (const StoreChange &Item : Range.Items)
-    apply(Item);
-  IntentRevision = Range.Revision;
-  IntentReadAt = Range.Revision;
+void StoreLoop::onTargetsRead(StorePage Range) {
+  View.onTargetsRead(Range, Time.now());
+  if (!View.hasIntent()) {
+    TargetItems = std::move(Range.Items);
+    NextPhase = Phase::ReadIntent;
+    return;
+  }
   NextPhase = Phase::Watch;
-  publish();
-  reportProof(RangeSentAt);
+  replicate(ReplicaUpdate::Extent::AllTargets,
+            {std::move(Range.Items), Range.Revision}, std::nullopt);
 }
 
-void StoreLoop::onTargetsRead(const StorePage &Range) {
-  std::vector<ListedInstance> Listed;
-  for (const StoreChange &Item : Range.Items) {
-    if (Item.Subject != StoreSubject::Target)
-      continue;
-    if (auto Row = decodeTarget(Item))
-      Listed.push_back(std::move(*Row));
-  }
-  Targets.replaceAll(std::move(Listed), Time.now());
-  TargetsReadAt = Range.Revision;
-  const bool HasIntent = IntentReadAt > 0;
-  if (!HasIntent)
-    Revision = Range.Revision;
-  NextPhase = HasIntent ? Phase::Watch : Phase::ReadIntent;
+void StoreLoop::onIntentRead(StorePage Range) {
+  View.onIntentRead(Range);
+  NextPhase = Phase::Watch;
+  View.publish();
+  reportProof(RangeSentAt);
+  std::vector<StoreChange> Items = std::exchange(TargetItems, {});
+  std::move(Range.Items.begin(), Range.Items.end(), std::back_inserter(Items));
+  replicate(ReplicaUpdate::Extent::AllItems,
+            {std::move(Items), View.revision()}, RangeSentAt);
 }
 
 void StoreLoop::watch() {
   const TimeMs SentAt = Time.now();
-  // Ends in time to report entries whose retention ends.
-  const DurationMs Wait = std::max(
-      DurationMs(0), std::min(Timing.Wait, Targets.nextExpiry() - SentAt));
-  PlatformRead<StoreChanges> Read = Calls.Watch(Revision, Wait);
+  PlatformRead<StoreChanges> Read =
+      Calls.Watch(View.revision(), watchWait(SentAt));
+  if (Read.Value)
+    onWatched(SentAt, std::move(*Read.Value));
+  else
+    onWatchFailed(SentAt, Read);
+}
+
+/// A watch ends in time to report entries whose retention ends, and at once if
+/// the proof is old.
+DurationMs StoreLoop::watchWait(TimeMs Now) const {
+  if (Now - ProvenAt > Timing.maxRelayedAge())
+    return DurationMs(0);
+  return std::max(DurationMs(0),
+                  std::min(Timing.Wait, View.targets().nextExpiry() - Now));
+}
+
+void StoreLoop::onWatchFailed(TimeMs SentAt,
+                              const PlatformRead<StoreChanges> &Read) {
   if (needsFullRead(Read.Reason)) {
     emit(EventId::StoreHistoryLost,
-         {{"version", std::to_string(Revision)},
+         {{"version", std::to_string(View.revision())},
           {"reason",
            std::string(resultName(Read.Reason)) + ": " + Read.Detail}});
     restart();
     NextCall = TimeMs(0);
     return;
   }
-  if (!Read.Value) {
-    onFailure(SentAt, Read.Reason, Read.Detail);
-    // The same watch would return the same bytes. The store may answer every
-    // watch like this, so the full read is no sooner than a watch.
-    if (Read.Reason == ResultCode::PlatformMalformed) {
-      restart();
-      NextCall = std::max(NextCall, SentAt + Timing.Period);
-    }
-    return;
+  onFailure(SentAt, Read.Reason, Read.Detail);
+  // The same watch would return the same bytes. The store may answer every
+  // watch like this, so the full read is no sooner than a watch.
+  if (Read.Reason == ResultCode::PlatformMalformed) {
+    restart();
+    NextCall = std::max(NextCall, SentAt + Timing.Period);
   }
+}
+
+void StoreLoop::onWatched(TimeMs SentAt, StoreChanges Read) {
   onSuccess(SentAt);
-  LeftOut += Read.Value->Unreadable;
-  reportConfigurations(*Read.Value, SentAt);
-  for (StoreChange &Change : Read.Value->Changes)
-    if (isNew(Change))
-      apply(std::move(Change));
-  Revision = std::max(Revision, Read.Value->Revision);
-  publish();
+  const TimeMs Now = Time.now();
+  const ConfigurationCount Found = countConfigurations(Read);
+  reportConfigurations(Found, Now - SentAt);
+  StoreChanges New = View.apply(std::move(Read), Now);
+  View.publish();
   reportProof(SentAt);
+  replicate(ReplicaUpdate::Extent::Changes, std::move(New), SentAt);
   NextCall = SentAt + Timing.Period;
-  if (isBehind(*Read.Value, Time.now() - SentAt)) {
+  // Configurations are made faster than this node can receive them. A full read
+  // returns the targets at once and only the newest configuration.
+  if (Found.Count >= 2 && Now - SentAt >= SlowAnswer) {
     restart();
     NextCall = TimeMs(0);
   }
 }
 
-/// Whether configurations are made faster than this node can receive them. A
-/// full read returns the targets at once and only the newest configuration.
-bool StoreLoop::isBehind(const StoreChanges &Read, DurationMs Took) {
-  const auto Configurations = std::count_if(
-      Read.Changes.begin(), Read.Changes.end(), [](const StoreChange &Change) {
-        return Change.Subject == StoreSubject::Configuration;
-      });
-  return Configurations >= 2 && Took >= SlowAnswer;
-}
-
-/// Whether a change was made after its kind was last read as a whole.
-bool StoreLoop::isNew(const StoreChange &Change) const {
-  return Change.Revision > (Change.Subject == StoreSubject::Target
-                                ? TargetsReadAt
-                                : IntentReadAt);
-}
-
-/// Reports how long the watch took that returned a new configuration, and how
-/// many it returned of which only the last is used.
-void StoreLoop::reportConfigurations(const StoreChanges &Read, TimeMs SentAt) {
-  std::size_t Configurations = 0;
-  std::size_t Bytes = 0;
-  std::uint64_t Last = 0;
+StoreLoop::ConfigurationCount
+StoreLoop::countConfigurations(const StoreChanges &Read) {
+  ConfigurationCount Result;
   for (const StoreChange &Change : Read.Changes) {
-    Bytes += Change.Value.size();
+    Result.Bytes += Change.Value.size();
     if (Change.Subject != StoreSubject::Configuration)
       continue;
-    ++Configurations;
-    Last = Change.Revision;
+    ++Result.Count;
+    Result.Last = Change.Revision;
   }
-  if (Configurations == 0)
-    return;
-  emit(EventId::PlatformVersionRead,
-       {{"version", std::to_string(Last)},
-        {"configurations", std::to_string(Configurations)},
-        {"bytes", std::to_string(Bytes)},
-        {"took_ms", std::to_string((Time.now() - SentAt).Value)}});
+  return Result;
 }
 
-void StoreLoop::apply(StoreChange Change) {
-  switch (Change.Subject) {
-  case StoreSubject::Configuration:
-    // Changes of domains still apply to the configuration before.
-    ConfigurationUnread = Change.Unreadable;
-    if (Change.Unreadable)
-      return;
-    Intent.Configuration = std::move(Change.Value);
-    break;
-  case StoreSubject::DomainOut:
-    if (Change.Removed)
-      Intent.DomainsOut.erase(Change.Name);
-    else
-      Intent.DomainsOut.insert(Change.Name);
-    break;
-  case StoreSubject::Target:
-    return applyTarget(Change);
-  case StoreSubject::Other:
+/// Reports how long the watch took that returned a new configuration, and how
+/// many it returned of which only the last is used.
+void StoreLoop::reportConfigurations(const ConfigurationCount &Found,
+                                     DurationMs Took) const {
+  if (Found.Count == 0)
     return;
-  }
-  IntentRevision = std::max(IntentRevision, Change.Revision);
-  IntentChanged = true;
+  emit(EventId::PlatformVersionRead,
+       {{"version", std::to_string(Found.Last)},
+        {"configurations", std::to_string(Found.Count)},
+        {"bytes", std::to_string(Found.Bytes)},
+        {"took_ms", std::to_string(Took.Value)}});
 }
 
-void StoreLoop::applyTarget(const StoreChange &Change) {
+/// Returns whether the relay had an answer with a fresh proof.
+bool StoreLoop::readRelay(const std::string &Address, DurationMs Wait) {
+  const std::uint64_t After = View.hasIntent() ? View.revision() : 0;
+  PlatformRead<RelayedChanges> Read = Relays.Read(Address, After, Wait);
+  if (Read.Reason == ResultCode::Stopped)
+    return false;
   const TimeMs Now = Time.now();
-  auto Row = Change.Removed ? std::nullopt : decodeTarget(Change);
-  if (!Row)
-    return Targets.remove(Change.Name, Now);
-  Targets.put(std::move(*Row));
-}
-
-/// Decodes the entry of a target, and counts one that names no usable target.
-std::optional<ListedInstance>
-StoreLoop::decodeTarget(const StoreChange &Entry) {
-  if (Entry.Unreadable)
-    return std::nullopt;
-  auto Row = Calls.DecodeTarget(Entry.Name, Entry.Value);
-  if (Row)
-    Row->Revision = Entry.Revision;
-  else
-    ++LeftOut;
-  return Row;
+  if (Read.Value && !isUsable(*Read.Value, Now))
+    Read = {std::nullopt, ResultCode::PlatformStale, "relay is behind"};
+  if (!Read.Value) {
+    ++RelayFailures;
+    Paths.onFailed(Address, Now);
+    emit(EventId::RelayAvoided,
+         {{"address", Address},
+          {"reason",
+           std::string(resultName(Read.Reason)) + ": " + Read.Detail}});
+    return false;
+  }
+  ++RelayedReads;
+  Paths.onAnswered(Address);
+  onRelayed(std::move(*Read.Value));
+  return true;
 }
 
-/// Reports the items that were left out since the last report.
-void StoreLoop::reportLeftOut() {
-  const std::size_t Count = std::exchange(LeftOut, 0);
-  if (Count == 0)
-    return;
-  emit(EventId::PlatformRowsLeftOut,
-       {{"reason", std::to_string(Count) + " items of the store that cannot be "
-                                           "read or name no usable target"}});
+/// Whether an answer is fresh and goes on from what this node knows.
+bool StoreLoop::isUsable(const RelayedChanges &Relayed, TimeMs Now) const {
+  if (Now - Relayed.ProvenAt > Timing.maxRelayedAge())
+    return false;
+  return Relayed.Whole ? Relayed.Read.Revision >= View.revision()
+                       : View.hasIntent();
 }
 
-/// Reports changes to the hooks; changes of targets only once all targets have
-/// been read.
-void StoreLoop::publish() {
-  reportLeftOut();
-  if (IntentChanged && !Intent.Configuration.empty()) {
-    IntentChanged = false;
-    if (Hooks.OnBundle)
-      Hooks.OnBundle(encodeStoreBundle(Intent, IntentRevision));
+void StoreLoop::onRelayed(RelayedChanges Relayed) {
+  const TimeMs Now = Time.now();
+  View.targets().onRelayed(Relayed.ProvenAt, Now);
+  PartialRange.reset();
+  NextPhase = Phase::Watch;
+  auto Kind = ReplicaUpdate::Extent::Changes;
+  if (Relayed.Whole) {
+    Kind = ReplicaUpdate::Extent::AllItems;
+    View.replaceAll(Relayed.Read, Now);
+  } else {
+    Relayed.Read = View.apply(std::move(Relayed.Read), Now);
   }
-  if (TargetsReadAt == 0)
-    return;
-  if (Targets.takeChanged() && Hooks.OnInstances)
-    Hooks.OnInstances(Targets.list(std::max(Revision, TargetsReadAt)));
-  auto ListedTarget = Targets.find(LocalTarget.Address, LocalTarget.Service);
-  if (ReportedTarget && *ReportedTarget == ListedTarget)
-    return;
-  ReportedTarget = ListedTarget;
-  if (Hooks.OnOwnTarget)
-    Hooks.OnOwnTarget(std::move(ListedTarget));
+  View.publish();
+  reportProof(Relayed.ProvenAt);
+  replicate(Kind, std::move(Relayed.Read), Relayed.ProvenAt);
 }
 
 void StoreLoop::restart() {
   NextPhase = Phase::ReadTargets;
-  IntentReadAt = 0;
+  View.forgetIntent();
   PartialRange.reset();
 }
 
-/// Reports that the intent was current when the call was sent. The intent
-/// itself must have been reported before.
-void StoreLoop::reportProof(TimeMs SentAt) {
-  const bool IsKnown = !Intent.Configuration.empty() && !ConfigurationUnread;
-  if (Hooks.OnProof && IsKnown)
-    Hooks.OnProof(SentAt, IntentRevision);
+void StoreLoop::reportProof(TimeMs At) {
+  ProvenAt = std::max(ProvenAt, At);
+  View.reportProof(At);
 }
 
 void StoreLoop::onSuccess(TimeMs SentAt) {
   Health.onSuccess();
-  Targets.onCallAnswered(SentAt, Time.now());
+  View.targets().onCallAnswered(SentAt, Time.now());
 }
 
 void StoreLoop::onFailure(TimeMs SentAt, ResultCode Reason,
                           const std::string &Detail) {
   if (Reason == ResultCode::Stopped)
     return;
-  Targets.onCallFailed(SentAt);
+  View.targets().onCallFailed(SentAt);
   const TimeMs Now = Time.now();
   const DurationMs Delay =
       jitter(Retry.bound(Health.consecutiveFailures()), Random);
   NextCall = std::max(Now, std::min(Now + Delay, SentAt + MaxRetryPeriod));
-  if (!Health.onFailure(Reason, Detail))
-    return;
-  Targets.onStoreLost(Now);
-  PartialRange.reset();
-  NextPhase = Phase::ReadTargets;
+  if (Health.onFailure(Reason, Detail)) {
+    View.targets().onStoreLost(Now);
+    PartialRange.reset();
+    NextPhase = Phase::ReadTargets;
+  }
+  // The store may reject this node only.
+  const auto Relay = Relays.Read ? Paths.alternative(Now) : std::nullopt;
+  if (Relay)
+    readRelay(*Relay, DurationMs(0));
+}
+
+void StoreLoop::replicate(ReplicaUpdate::Extent Kind, StoreChanges Read,
+                          std::optional<TimeMs> At) const {
+  if (Hooks.OnReplicated)
+    Hooks.OnReplicated({Kind, std::move(Read), At});
 }
 
 void StoreLoop::emit(EventId Id, std::vector<EventField> Fields) const {
--- a/src/sources/StoreLoop.h
+++ b/src/sources/StoreLoop.h
@@ -1,23 +1,23 @@
 /// \file
-/// Scheduler that replicates a key-value store: reads it once, then watches it.
+/// Scheduler that replicates a key-value store: reads it once, then watches it,
+/// itself or through another node that does.
 ///
-/// Every node watches the store itself. The owner calls \ref StoreLoop::step
-/// repeatedly and waits between two steps for the duration that it returns; a
-/// step makes at most one call. Each answer of the store also proves that the
-/// intent of this node was current when the call was sent.
+/// The owner calls \ref StoreLoop::step repeatedly and waits between two steps
+/// for the duration that it returns. Each answer of the store also proves that
+/// the intent of this node was current when the call was sent, and that proof
+/// is relayed with its age.
 
 #ifndef FESCUEWOOD_SOURCES_STORELOOP_H
 #define FESCUEWOOD_SOURCES_STORELOOP_H
 
 #include "core/Event.h"
-#include "policy/TargetList.h"
+#include "policy/ReadPaths.h"
 #include "sources/ReadLoop.h"
 #include "sources/SourceHealth.h"
-#include "sources/StoreBundle.h"
 #include "sources/StoreChange.h"
+#include "sources/StoreView.h"
 
 #include <atomic>
-#include <functional>
 #include <optional>
 #include <random>
 #include <string>
@@ -25,31 +25,6 @@
 
 namespace fescuewood {
 
-/// Hooks that report to the rest of the process, called on the reader's thread.
-/// Any may be empty.
-struct StoreLoopHooks {
-  /// Called when the operators' intent has changed.
-  std::function<void(IntentBundle)> OnBundle;
-  /// Called when the list of instances has changed.
-  std::function<void(InstanceList)> OnInstances;
-  /// Called when the entry of this node's own target has changed; std::nullopt
-  /// when the store has none.
-  std::function<void(std::optional<ListedInstance>)> OnOwnTarget;
-  /// Called when the store has proved that the intent of this revision was
-  /// current at time \p At.
-  std::function<void(TimeMs At, std::uint64_t Revision)> OnProof;
-  /// Called when the store becomes unreachable (false) or reachable again
-  /// (true).
-  std::function<void(bool Reachable)> OnSourceState;
-  EventHook OnEvent;
-};
-
-/// The target that this node serves.
-struct OwnTarget {
-  std::string Address; ///< "IP:port".
-  std::string Service;
-};
-
 /// Minimum time between the starts of two watches that applies without a bound
 /// on the age of changes.
 inline constexpr DurationMs MinWatchPeriod{200};
@@ -62,8 +37,20 @@
   /// Time between the starts of two watches, at least. Changes that arrive
   /// faster are read together.
   DurationMs Period = MinWatchPeriod;
+
+  /// Age from which the proof of a relay is too old, so that this node reads
+  /// the store itself: a proof is as old as a watch when it arrives, and the
+  /// next one takes as long again.
+  DurationMs maxRelayedAge() const { return Wait * 2 + DurationMs(400); }
 };
 
+/// Longest wait of a read through a relay. Shorter than the silence after which
+/// a connection between nodes is checked with a message of its own.
+inline constexpr DurationMs RelayWait{350};
+
+/// Minimum time between two reads through relays.
+inline constexpr DurationMs MinRelayPeriod{50};
+
 /// The longest period between two watches with which a change is known early
 /// enough to be in force within \p ApplyBound; \ref MinWatchPeriod without a
 /// bound.
@@ -73,9 +60,13 @@
 class StoreLoop {
 public:
   StoreLoop(StoreCalls Calls, OwnTarget LocalTarget, WatchTiming Timing,
-            StoreLoopHooks Hooks, Clock Time, std::uint64_t Seed);
+            StoreLoopHooks Hooks, Clock Time, std::uint64_t Seed,
+            RelayCalls Relays = {});
+  StoreLoop(const StoreLoop &) = delete;
+  StoreLoop &operator=(const StoreLoop &) = delete;
 
-  /// Makes at most one call and returns the time until the next step.
+  /// Makes at most one call to the store and one to another node, and returns
+  /// the time until the next step.
   DurationMs step();
 
   /// Callable from any thread.
@@ -88,50 +79,57 @@
   /// return several large configurations.
   enum class Phase : std::uint8_t { ReadTargets, ReadIntent, Watch };
 
+  /// The configurations in one answer.
+  struct ConfigurationCount {
+    std::size_t Count = 0;
+    std::size_t Bytes = 0;  ///< Of the whole answer.
+    std::uint64_t Last = 0; ///< Revision of the last one.
+  };
+
   DurationMs untilNextStep(TimeMs Now) const;
+  std::optional<std::string> nextRelay(TimeMs Now);
+  void readStore();
   void readPage(StoreSubject Subject);
   void onRangeRead();
-  void onTargetsRead(const StorePage &Range);
-  void onIntentRead(const StorePage &Range);
+  void onTargetsRead(StorePage Range);
+  void onIntentRead(StorePage Range);
   void watch();
-  bool isNew(const StoreChange &Change) const;
-  static bool isBehind(const StoreChanges &Read, DurationMs Took);
-  void reportConfigurations(const StoreChanges &Read, TimeMs SentAt);
-  void apply(StoreChange Change);
-  void applyTarget(const StoreChange &Change);
-  std::optional<ListedInstance> decodeTarget(const StoreChange &Entry);
-  void reportLeftOut();
-  void publish();
+  DurationMs watchWait(TimeMs Now) const;
+  void onWatchFailed(TimeMs SentAt, const PlatformRead<StoreChanges> &Read);
+  void onWatched(TimeMs SentAt, StoreChanges Read);
+  static ConfigurationCount countConfigurations(const StoreChanges &Read);
+  void reportConfigurations(const ConfigurationCount &Found,
+                            DurationMs Took) const;
+  bool readRelay(const std::string &Address, DurationMs Wait);
+  bool isUsable(const RelayedChanges &Relayed, TimeMs Now) const;
+  void onRelayed(RelayedChanges Relayed);
   void restart();
   void onSuccess(TimeMs SentAt);
-  void reportProof(TimeMs SentAt);
   void onFailure(TimeMs SentAt, ResultCode Reason, const std::string &Detail);
+  void reportProof(TimeMs ProvenAt);
+  void replicate(ReplicaUpdate::Extent Kind, StoreChanges Read,
+                 std::optional<TimeMs> ProvenAt) const;
   void emit(EventId Id, std::vector<EventField> Fields = {}) const;
 
   StoreCalls Calls;
-  OwnTarget LocalTarget;
+  RelayCalls Relays;
   WatchTiming Timing;
-  StoreLoopHooks Hooks;
+  const StoreLoopHooks Hooks;
   Clock Time;
   std::mt19937_64 Random;
+  StoreView View;
+  ReadPaths Paths;
   Phase NextPhase = Phase::ReadTargets;
   std::optional<StorePage> PartialRange; ///< Pages of the current range.
-  TimeMs RangeSentAt;         ///< When the first of these pages was requested.
-  std::uint64_t Revision = 0; ///< The watch returns the changes after it.
-  /// Revisions at which the targets and the intent were last read as a whole.
-  std::uint64_t TargetsReadAt = 0;
-  std::uint64_t IntentReadAt = 0; ///< 0 until the intent has been read.
-  StoreBundle Intent;
-  /// Whether the newest configuration could not be read; an older one is used.
-  bool ConfigurationUnread = false;
-  std::size_t LeftOut = 0; ///< Items left out and not yet reported.
-  bool IntentChanged = false;
-  std::uint64_t IntentRevision = 0;
-  TargetList Targets;
-  std::optional<std::optional<ListedInstance>> ReportedTarget;
+  TimeMs RangeSentAt; ///< When the first of these pages was requested.
+  /// Targets that were read before the intent of the same full reading.
+  std::vector<StoreChange> TargetItems;
+  TimeMs ProvenAt{0}; ///< Of the newest proof.
   TimeMs NextCall;
   SourceHealth Health;
   std::atomic<std::uint64_t> Reads = 0;
+  std::atomic<std::uint64_t> RelayedReads = 0;
+  std::atomic<std::uint64_t> RelayFailures = 0;
 };
 
 } // namespace fescuewood
--- a/tests/platform/StoreMeshFixture.cpp
+++ b/tests/platform/StoreMeshFixture.cpp
@@ -21,6 +21,7 @@
 constexpr int ReadyPort = 8546;
 constexpr int TargetPort = 8547;
 constexpr int ControlPort = 8549;
+constexpr int OperatorsPort = 7000;
 
 constexpr std::chrono::seconds ConditionTimeout{30};
 constexpr std::chrono::milliseconds PollInterval{20};
@@ -240,6 +241,22 @@
   }
 }
 
+double StoreMesh::metric(const StoreMeshInstance &Instance,
+                         const std::string &Name) const {
+  try {
+    const std::string Page =
+        standins::ask(endpoint(Instance.Ip, OperatorsPort),
+                      standins::requestText("GET", "/metrics", "", ""))
+            .Body;
+    const std::size_t Line = Page.find("\n" + Name + " ");
+    return Line == std::string::npos
+               ? 0
+               : std::stod(Page.substr(Line + Name.size() + 2));
+  } catch (const std::exception &) {
+    return 0;
+  }
+}
+
 bool StoreMesh::isTargetUp(const StoreMeshInstance &Instance) const {
   try {
     commandTarget(Instance, "stats");
--- a/tests/platform/StoreMeshFixture.h
+++ b/tests/platform/StoreMeshFixture.h
@@ -47,6 +47,10 @@
   StoreMesh(const StoreMesh &) = delete;
   StoreMesh &operator=(const StoreMesh &) = delete;
 
+  /// Adds an instance; call before \ref start.
+  void addInstance(const std::string &Domain, const std::string &Service,
+                   const std::string &Id);
+
   /// Starts all processes and waits until each node is ready and serves a
   /// request.
   void start();
@@ -86,11 +90,16 @@
 
   std::vector<StoreMeshInstance> Instances;
 
+  /// Starts the node of an instance; its previous process must have ended.
+  void startNode(StoreMeshInstance &Instance) const;
+
+  /// Value of a metric of a node without labels; 0 when the node does not
+  /// answer.
+  double metric(const StoreMeshInstance &Instance,
+                const std::string &Name) const;
+
 private:
-  void addInstance(const std::string &Domain, const std::string &Service,
-                   const std::string &Id);
   void startTarget(StoreMeshInstance &Instance) const;
-  void startNode(StoreMeshInstance &Instance) const;
   bool isTargetUp(const StoreMeshInstance &Instance) const;
   std::string settings(const StoreMeshInstance &Instance) const;
   std::string logFile(const StoreMeshInstance &Instance) const;
--- a/tests/policy/ReaderChoiceTest.cpp
+++ b/tests/policy/ReaderChoiceTest.cpp
@@ -35,3 +35,9 @@
                                                     Reader) != After.end());
       });
 }
+
+TEST(ReaderChoice, LargeDomainsHaveMoreReaders) {
+  LONGS_EQUAL(2, readerCount(3, 2));
+  LONGS_EQUAL(3, readerCount(39, 2));
+  LONGS_EQUAL(13, readerCount(220, 2));
+}
