Wake the calls duty when something is due, not every 5 ms

The duty's thread woke up 200 times a second, whether or not a call, a probe or a queue needed it; processor time is what the small deployments pay most for. It now ticks when the next step of a call, an abandoned run or a probe is due, every 5 ms while calls are queued, and otherwise every 50 ms.

--- a/src/calls/CallCore.cpp
+++ b/src/calls/CallCore.cpp
@@ -1,5 +1,6 @@
 #include "calls/CallCore.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace fescuewood {
@@ -94,6 +95,10 @@
   });
 }
 
+TimeMs CallCore::nextDue() const {
+  return std::min(Entries.nextDue(), Target.nextDue());
+}
+
 CallStatus CallCore::status() {
   CallStatus Status = Context.Counters;
   Entries.fill(Status);
--- a/src/calls/CallCore.h
+++ b/src/calls/CallCore.h
@@ -45,6 +45,9 @@
   /// Runs due steps; must be called every few milliseconds.
   void tick();
 
+  /// Time from which \ref tick has something to do; Never if there is nothing.
+  TimeMs nextDue() const;
+
   bool idle() const { return Entries.idle() && Target.idle(); }
 
   CallStatus status();
--- a/src/calls/CallEngine.cpp
+++ b/src/calls/CallEngine.cpp
@@ -6,6 +6,7 @@
 #include "core/TaskThread.h"
 #include "policy/MemoryWatch.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <future>
@@ -21,8 +22,10 @@
 /// Maximum number of queued submissions and messages.
 constexpr std::size_t RingCapacity = 4096;
 
-/// Interval between two runs of due steps.
+/// Interval between two runs of due steps, and the longest one while nothing is
+/// due.
 constexpr DurationMs TickPeriod(5);
+constexpr DurationMs IdleTickPeriod(50);
 
 /// Maximum time that \ref CallEngine::explain waits for the worker thread.
 constexpr std::chrono::seconds ExplainTimeout(2);
@@ -47,7 +50,8 @@
   ~Impl() { stop(); }
 
   void start() {
-    Worker.start(TickPeriod, [this] { tick(); });
+    Worker.start({TickPeriod, IdleTickPeriod, [this] { return untilDue(); }},
+                 [this] { tick(); });
   }
 
   void stop() {
@@ -180,6 +184,11 @@
     return Hooks;
   }
 
+  DurationMs untilDue() {
+    return std::clamp(Core.nextDue() - Time.now(), DurationMs(0),
+                      IdleTickPeriod);
+  }
+
   void tick() {
     Core.tick();
     Idle.store(Core.idle());
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -115,6 +115,11 @@
   /// Runs the due steps: outcome fetches, retries and deadlines.
   void tick();
 
+  /// Time of the next due step; Never if there is none.
+  TimeMs nextDue() const {
+    return Timers.empty() ? Never : Timers.begin()->first;
+  }
+
   /// Refuses all unanswered calls with ResultCode::ShuttingDown.
   void refuseAll();
 
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -158,6 +158,15 @@
   startQueued();
 }
 
+TimeMs TargetSide::nextDue() const {
+  if (Queue.size() > 0)
+    return Context.now();
+  TimeMs Next = AbandonedRuns.empty() ? Never : AbandonedRuns.front();
+  if (Suspended || Down)
+    Next = std::min(Next, NextProbe);
+  return Next;
+}
+
 LoadReport TargetSide::load() {
   LoadReport Load;
   Load.InFlight = InFlight;
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -70,6 +70,10 @@
   /// Expires queued calls and ledger entries, and probes a target that is down.
   void tick();
 
+  /// Time from which \ref tick has something to do for a call; Never if there
+  /// is nothing.
+  TimeMs nextDue() const;
+
   /// Whether no call is queued or running.
   bool idle() const { return HeldCalls.empty() && InFlight == 0; }
 
--- a/src/core/TaskThread.cpp
+++ b/src/core/TaskThread.cpp
@@ -7,16 +7,34 @@
 
 namespace fescuewood {
 
+namespace {
+
+TimeMs nextTick(const TaskThread::TickTiming &Timing, TimeMs LastTick,
+                TimeMs Now) {
+  const TimeMs Earliest = LastTick + Timing.Shortest;
+  if (!Timing.UntilDue)
+    return Earliest;
+  return std::clamp(Now + Timing.UntilDue(), Earliest,
+                    LastTick + Timing.Longest);
+}
+
+} // namespace
+
 TaskThread::TaskThread(std::string Name, std::size_t Capacity)
     : Name(std::move(Name)), Tasks(Capacity) {}
 
 TaskThread::~TaskThread() { stop(); }
 
 void TaskThread::start(DurationMs TickPeriod, Task OnTick) {
-  Thread = std::thread([this, TickPeriod, OnTick = std::move(OnTick)] {
-    pthread_setname_np(pthread_self(), Name.c_str());
-    run(TickPeriod, OnTick);
-  });
+  start(TickTiming{TickPeriod, TickPeriod}, std::move(OnTick));
+}
+
+void TaskThread::start(TickTiming Timing, Task OnTick) {
+  Thread = std::thread(
+      [this, Timing = std::move(Timing), OnTick = std::move(OnTick)] {
+        pthread_setname_np(pthread_self(), Name.c_str());
+        run(Timing, OnTick);
+      });
 }
 
 bool TaskThread::post(Task Work) { return Tasks.push(std::move(Work)); }
@@ -45,9 +63,10 @@
     Thread.join();
 }
 
-void TaskThread::run(DurationMs TickPeriod, const Task &OnTick) {
+void TaskThread::run(const TickTiming &Timing, const Task &OnTick) {
   const Clock Monotonic = Clock::monotonic();
-  TimeMs NextTick = Monotonic.now() + TickPeriod;
+  TimeMs LastTick = Monotonic.now();
+  TimeMs NextTick = LastTick + Timing.Shortest;
   while (true) {
     const DurationMs TimeToTick = NextTick - Monotonic.now();
     std::optional<Task> Work = Tasks.pop(std::max(TimeToTick, DurationMs(0)));
@@ -55,12 +74,13 @@
       (*Work)();
     else if (Tasks.closed())
       return;
-    if (Monotonic.now() < NextTick)
-      continue;
-    runReliableTasks();
-    if (OnTick)
-      OnTick();
-    NextTick = Monotonic.now() + TickPeriod;
+    if (Monotonic.now() >= NextTick) {
+      runReliableTasks();
+      if (OnTick)
+        OnTick();
+      LastTick = Monotonic.now();
+    }
+    NextTick = nextTick(Timing, LastTick, Monotonic.now());
   }
 }
 
--- a/src/core/TaskThread.h
+++ b/src/core/TaskThread.h
@@ -25,6 +25,15 @@
 public:
   using Task = std::function<void()>;
 
+  /// Time from one tick to the next.
+  struct TickTiming {
+    DurationMs Shortest;
+    DurationMs Longest;
+    /// Time until the owner has something due, asked after each task and tick.
+    /// Empty if that is not known: the shortest time then applies.
+    std::function<DurationMs()> UntilDue = {};
+  };
+
   /// \param Name at most 15 characters; shown by debuggers and `top -H`.
   /// \param Capacity maximum number of queued tasks.
   TaskThread(std::string Name, std::size_t Capacity);
@@ -36,6 +45,10 @@
   /// the previous tick or as soon as the running task ends; it may be empty.
   void start(DurationMs TickPeriod, Task OnTick);
 
+  /// As above, with ticks only as often as something is due, so that an idle
+  /// thread rarely wakes up.
+  void start(TickTiming Timing, Task OnTick);
+
   /// Queues a task. Returns false when the queue is full or the thread is
   /// stopped.
   bool post(Task Work);
@@ -55,7 +68,7 @@
 
 private:
   void runReliableTasks();
-  void run(DurationMs TickPeriod, const Task &OnTick);
+  void run(const TickTiming &Timing, const Task &OnTick);
 
   std::string Name;
   BoundedQueue<Task> Tasks;
--- a/tests/core/TaskThreadTest.cpp
+++ b/tests/core/TaskThreadTest.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <future>
+#include <utility>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -46,6 +47,24 @@
   CHECK(Ticks >= 1);
 }
 
+// A task may cause something that is due earlier than the next tick.
+TEST(TaskThread, TicksWhenATaskHasMadeSomethingDue) {
+  TaskThread Worker("worker", 16);
+  std::promise<void> Ticked;
+  bool Due = false;
+  Worker.start({DurationMs(1), DurationMs(3'600'000),
+                [&Due] { return Due ? DurationMs(0) : DurationMs(3'600'000); }},
+               [&] {
+                 if (std::exchange(Due, false))
+                   Ticked.set_value();
+               });
+
+  Worker.post([&Due] { Due = true; });
+
+  Ticked.get_future().wait();
+  Worker.stop();
+}
+
 TEST(TaskThread, FullQueueDropsNoReliableTask) {
   TaskThread Worker("worker", 1);
   std::promise<void> Ran;
