Accept new connections beside busy ones, and drop requests whose caller has left

The log of the node: from 18.3 to 20.5 s it served its open connections and read no new one; then 281 requests at once, each from a connection that was already closed (CallerGone, held 0 to 1 ms), some of which had reached the target by then. The same at 10 s, when one organisation sends eight times its usual.

RESTinio accepts one connection per pass over what is ready. When open connections keep the thread busy, a pass is long and new connections, on which callers come back, wait for seconds. 32 are now accepted a pass. And a request behind which the end of its connection has arrived is not handed on, whatever the thread waited for.

--- a/src/callers/CallerServerCore.cpp
+++ b/src/callers/CallerServerCore.cpp
@@ -27,6 +27,10 @@
 /// Interval of the timeout check; the timeouts last several seconds.
 constexpr DurationMs OverdueCheckInterval{250};
 
+/// Connections accepted in one pass over what is ready. With one a pass, new
+/// connections wait for seconds behind open ones that keep the thread busy.
+constexpr std::size_t ConcurrentAccepts = 32;
+
 std::chrono::milliseconds toMilliseconds(DurationMs Duration) {
   return std::chrono::milliseconds(Duration.Value);
 }
@@ -145,6 +149,7 @@
       .buffer_size(ReadBufferBytes)
       .max_pipelined_requests(MaxPipelinedRequests)
       .max_parallel_connections(Options.MaxConnections)
+      .concurrent_accepts_count(ConcurrentAccepts)
       .read_next_http_message_timelimit(toMilliseconds(Options.ReadTimeout))
       .write_http_response_timelimit(toMilliseconds(Options.WriteTimeout))
       .handle_request_timeout(HandlingTimeout)
--- a/src/callers/GuardedSocket.cpp
+++ b/src/callers/GuardedSocket.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 namespace fescuewood {
 
@@ -181,8 +182,14 @@
       discard(Handler);
     return;
   }
+  const bool IsComplete = Guard.takeRequestCompleted();
   const std::size_t CompletedBytes =
-      Guard.takeRequestCompleted() ? std::exchange(ReservedBytes, 0) : 0;
+      IsComplete ? std::exchange(ReservedBytes, 0) : 0;
+  if (IsComplete && hasPeerClosed()) {
+    Handler(asio::error::eof, 0);
+    Registry.Budget.release(CompletedBytes);
+    return;
+  }
   reserveBody();
   if (QueuedBytes == 0)
     writeContinue();
@@ -191,6 +198,13 @@
   Registry.Budget.release(CompletedBytes);
 }
 
+/// Whether the end of the connection has already arrived behind what was read.
+/// A request that waited for this thread until its caller left must not run.
+bool GuardedConnection::hasPeerClosed() {
+  char Next = 0;
+  return ::recv(Socket.native_handle(), &Next, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void GuardedConnection::refuse(ResultCode Reason) {
   Registry.OnRefusal(Reason);
   Refusal = Reason;
--- a/src/callers/GuardedSocket.h
+++ b/src/callers/GuardedSocket.h
@@ -112,6 +112,7 @@
   void writeContinue();
   void inspect(asio::mutable_buffer Buffer, std::size_t Size,
                const ReadHandler &Handler);
+  bool hasPeerClosed();
   void registerEndpoint();
   void onAnswerWritten();
   void refuse(ResultCode Reason);
