Do not take a full target for a crashed one

Targets of some deployments never answer what they cannot queue, probes included. One lost connection made the node probe; a full target left that unanswered for 500 ms, in which no run began, and then counted as crashed: its queue was refused and the requests whose connections were lost were marked as crashing it. A connection that could not be opened while others ran took the target down in the same way.

Answers to other runs are now evidence: one that arrives 50 ms after an abort, or after a connection was tried, proves that the target lives, whatever the probe says. A refused connection beside runs is probed before calls are refused. The property of CrashEvidence states the time of an answer; one at the time of the abort still proves nothing.

--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -160,7 +160,9 @@
                          Result.Reason, Result.RunOutcome));
   }
   if (Result.Failure == RunFailure::NotReached)
-    onTargetDown();
+    onUnreached(SentAt);
+  else if (Evidence.survivalProven())
+    resumeAfterAbort();
   if (Result.Reason == ResultCode::TargetMistaken && WasMeantForThis)
     onMistaken();
   if (Notice)
@@ -187,8 +189,10 @@
 void TargetSide::recordResult(const HeldCall &Call, const RunResult &Result,
                               TimeMs Now) {
   const std::uint32_t Before = Limit.limit(Now);
-  if (Result.Answer && Call.Epoch == Epoch)
-    Evidence.onAnsweredRun();
+  if (Result.Answer && Call.Epoch == Epoch) {
+    Evidence.onAnsweredRun(Now);
+    AnsweredAt = Now;
+  }
   const bool IsLimitEvidence = Result.Failure != RunFailure::Cancelled &&
                                Result.Failure != RunFailure::NotSent;
   if (Result.Answer || IsLimitEvidence)
@@ -233,7 +237,7 @@
 void TargetSide::onBroken(const CallId &Id, HeldCall &Call, ResultCode Reason) {
   if (Call.Epoch == Epoch) {
     Call.BrokenReason = Reason;
-    Evidence.onAbortedRun(Id);
+    Evidence.onAbortedRun(Id, Context.now());
   } else {
     // The run was lost in an earlier, already detected crash.
     recordCrashedRun(Call);
@@ -252,6 +256,7 @@
     for (const CallId &Id : Broken)
       recordCrashedRun(HeldCalls.at(Id));
     ++Epoch;
+    AnsweredAt = TimeMs(0);
   }
   // Replies are sent after all crashes are recorded, so that each one carries
   // all crash marks.
@@ -291,6 +296,31 @@
   refuseAllQueued(ResultCode::TargetUnlisted);
 }
 
+/// Handles a run that could not connect. A target that has answered others
+/// since is full, not down; one that still runs others may be either.
+void TargetSide::onUnreached(TimeMs SentAt) {
+  if (isAlive(SentAt))
+    return;
+  if (!hasOtherRuns()) {
+    onTargetDown();
+    return;
+  }
+  Suspended = true;
+  probe();
+}
+
+/// Whether the target has answered a run well after \p Since.
+bool TargetSide::isAlive(TimeMs Since) const {
+  return AnsweredAt - Since >= MinSurvivalTime;
+}
+
+/// Goes on without the probe, which a full target may leave unanswered.
+void TargetSide::resumeAfterAbort() {
+  resolveBrokenRuns(CrashVerdict::StillRunning);
+  Suspended = false;
+  Down = false;
+}
+
 void TargetSide::onTargetDown() {
   if (!Down)
     NextProbe = Context.now() + Context.Settings.ProbeInterval;
@@ -317,7 +347,13 @@
     Context.run([this, SentAt, Result] {
       Probing = false;
       onProbeNotice(Result, SentAt);
-      onProbe(Result);
+      if (Result.Reachable || !isAlive(SentAt)) {
+        onProbe(Result);
+        return;
+      }
+      resumeAfterAbort();
+      updateState();
+      startQueued();
     });
   });
 }
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -128,6 +128,9 @@
   void refuse(const CallId &Id, ResultCode Reason);
   void refuseAllQueued(ResultCode Reason);
   void onMistaken();
+  void onUnreached(TimeMs SentAt);
+  bool isAlive(TimeMs Since) const;
+  void resumeAfterAbort();
   void onTargetDown();
   void probe();
   void onProbe(const ProbeResult &Result);
@@ -158,6 +161,7 @@
   std::deque<TimeMs> AbandonedRuns; ///< Release time of each abandoned run.
   std::uint32_t InFlight = 0;       ///< Runs, including abandoned ones.
   CrashEvidence Evidence;
+  TimeMs AnsweredAt{0}; ///< Last answer of the target in this epoch.
   TargetListing Listing;
   std::string NamedTarget; ///< Id of the target that was last listed.
   WarmupLimit Warmup;
--- a/src/policy/CrashEvidence.cpp
+++ b/src/policy/CrashEvidence.cpp
@@ -11,7 +11,22 @@
 
 } // namespace
 
+void CrashEvidence::onAbortedRun(const CallId &Id, TimeMs Now) {
+  AbortedRuns.push_back(Id);
+  LastAbortAt = Now;
+  SurvivalProven = false;
+}
+
+void CrashEvidence::onAnsweredRun(TimeMs Now) {
+  if (AbortedRuns.empty())
+    return;
+  AnsweredSince = true;
+  SurvivalProven = Now - LastAbortAt >= MinSurvivalTime;
+}
+
 CrashVerdict CrashEvidence::judge(bool Answers, bool OthersRun) const {
+  if (SurvivalProven)
+    return CrashVerdict::StillRunning;
   if (!Answers)
     return CrashVerdict::Crashed;
   if (AbortedRuns.size() > AbortedBeforeProbe)
@@ -25,6 +40,7 @@
 std::vector<CallId> CrashEvidence::take() {
   AbortedBeforeProbe = 0;
   AnsweredSince = false;
+  SurvivalProven = false;
   return std::exchange(AbortedRuns, {});
 }
 
--- a/src/policy/CrashEvidence.h
+++ b/src/policy/CrashEvidence.h
@@ -5,12 +5,14 @@
 /// with \ref CrashEvidence::onAbortedRun, probes the target over a new
 /// connection, and passes the result to \ref CrashEvidence::judge. Until then
 /// the aborted runs have no final result, so that no call is retried on another
-/// target before the crash is recorded.
+/// target before the crash is recorded. A target that is full may leave a probe
+/// unanswered, so its answers to other runs count for more.
 
 #ifndef FESCUEWOOD_POLICY_CRASHEVIDENCE_H
 #define FESCUEWOOD_POLICY_CRASHEVIDENCE_H
 
 #include "calls/Call.h"
+#include "core/Clock.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -26,22 +28,31 @@
   ProbeAgain,   ///< More runs were aborted after the probe was sent.
 };
 
+/// Time after an abort from which an answer proves that the target survived: an
+/// earlier one may have been on its way when the target crashed.
+inline constexpr DurationMs MinSurvivalTime{50};
+
 /// Aborted runs of one target whose cause is not yet known.
 class CrashEvidence {
 public:
   /// Records an aborted run.
-  void onAbortedRun(const CallId &Id) { AbortedRuns.push_back(Id); }
+  void onAbortedRun(const CallId &Id, TimeMs Now);
 
   /// Records the answer to a run that began before the first abort. Has no
   /// effect if none has been aborted.
-  void onAnsweredRun() { AnsweredSince = !AbortedRuns.empty(); }
+  void onAnsweredRun(TimeMs Now);
+
+  /// Whether an answer has proved that the target survived, so that no probe
+  /// need be awaited.
+  bool survivalProven() const { return SurvivalProven; }
 
   /// Records that a probe is sent.
   void onProbeSent() { AbortedBeforeProbe = AbortedRuns.size(); }
 
   /// Determines from the probe why the runs were aborted.
   ///
-  /// A target that does not answer has crashed. One that answers may have
+  /// A target that does not answer has crashed, unless \ref survivalProven. One
+  /// that answers may have
   /// restarted: it is considered crashed if several runs were aborted and none
   /// survived, and running if at least one survived. A single aborted run is
   /// inconclusive, and its request is not blamed.
@@ -58,7 +69,9 @@
 private:
   std::vector<CallId> AbortedRuns;
   std::size_t AbortedBeforeProbe = 0;
+  TimeMs LastAbortAt{0};
   bool AnsweredSince = false;
+  bool SurvivalProven = false; ///< Of all aborts so far.
 };
 
 } // namespace fescuewood
--- a/tests/calls/TargetRunsTest.cpp
+++ b/tests/calls/TargetRunsTest.cpp
@@ -19,6 +19,7 @@
 struct OneTarget {
   TimeMs Now{10'000};
   std::vector<RunHook> Runs;
+  std::vector<std::function<void(const ProbeResult &)>> Probes;
   std::vector<CallReply> Replies;
   CallContext Context;
   TargetSide Side;
@@ -46,8 +47,29 @@
     return Settings;
   }
 
+  /// Ends a run with an answer.
+  void answer(std::size_t Run) {
+    RunResult Result;
+    Result.Answer = CallAnswer{200, {}, "body", Outcome::Ran, ResultCode::Ok};
+    Runs.at(Run)(std::move(Result));
+  }
+
+  /// Ends a run without an answer.
+  void fail(std::size_t Run, RunFailure Failure, ResultCode Reason) {
+    RunResult Result;
+    Result.Failure = Failure;
+    Result.Reason = Reason;
+    Result.RunOutcome =
+        Failure == RunFailure::NotReached ? Outcome::NotRun : Outcome::Unknown;
+    Runs.at(Run)(std::move(Result));
+  }
+
   CallHooks hooks() {
     CallHooks Hooks;
+    Hooks.Target.Probe =
+        [this](const std::function<void(const ProbeResult &)> &OnResult) {
+          Probes.push_back(OnResult);
+        };
     Hooks.Target.Run = [this](const CallRequest &, DurationMs,
                               const RunHook &OnResult) {
       Runs.push_back(OnResult);
@@ -137,6 +159,67 @@
   LONGS_EQUAL(2, Node.Runs.size());
 }
 
+// A target that is full answers no probe, and some reset new connections.
+TEST(TargetRuns, FullTargetThatAnswersItsRunsIsNotDown) {
+  OneTarget Node;
+  Node.list("first", 4);
+  for (std::uint64_t I = 1; I <= 3; ++I)
+    Node.start(I);
+  Node.fail(0, RunFailure::Broken, ResultCode::TargetConnectionLost);
+  LONGS_EQUAL(1, Node.Probes.size());
+
+  Node.Now = Node.Now + DurationMs(100);
+  Node.answer(1);
+  Node.start(4);
+  Node.Now = Node.Now + DurationMs(400);
+  Node.Probes[0]({});
+  Node.start(5);
+
+  LONGS_EQUAL(5, Node.Runs.size());
+  LONGS_EQUAL(0, Node.Context.Counters.Crashes);
+}
+
+TEST(TargetRuns, ConnectionThatTimesOutBesideAnswersDoesNotTakeTheTargetDown) {
+  OneTarget Node;
+  Node.list("first", 4);
+  Node.start(1);
+  Node.start(2);
+  Node.Now = Node.Now + DurationMs(100);
+  Node.answer(0);
+
+  Node.fail(1, RunFailure::NotReached, ResultCode::TargetUnreachable);
+  Node.start(3);
+
+  LONGS_EQUAL(3, Node.Runs.size());
+}
+
+TEST(TargetRuns, RefusedConnectionBesideRunsIsProbedBeforeCallsAreRefused) {
+  OneTarget Node;
+  Node.list("first", 4);
+  Node.start(1);
+  Node.start(2);
+
+  Node.fail(1, RunFailure::NotReached, ResultCode::TargetUnreachable);
+  Node.start(3);
+
+  LONGS_EQUAL(1, Node.Probes.size());
+  LONGS_EQUAL(1, Node.Replies.size());
+  Node.Probes[0]({true});
+  LONGS_EQUAL(3, Node.Runs.size());
+}
+
+TEST(TargetRuns, TargetThatRefusesConnectionsAndHasNoRunsIsDown) {
+  OneTarget Node;
+  Node.list("first", 4);
+  Node.start(1);
+
+  Node.fail(0, RunFailure::NotReached, ResultCode::TargetUnreachable);
+  Node.start(2);
+
+  LONGS_EQUAL(1, Node.Runs.size());
+  CHECK(ResultCode::TargetDown == Node.Replies.back().Reason);
+}
+
 TEST(TargetRuns, LostConnectionsToHealthyTargetsQuarantineNoRequest) {
   checkProperty("a lost connection is not a crash", [] {
     const auto Seed = *rc::gen::arbitrary<std::uint64_t>();
--- a/tests/policy/CrashEvidenceTest.cpp
+++ b/tests/policy/CrashEvidenceTest.cpp
@@ -8,11 +8,13 @@
 
 namespace {
 
+constexpr TimeMs AbortedAt{1000};
+
 /// Evidence of \p Runs runs that were aborted before the probe.
 CrashEvidence abortedBeforeProbe(int Runs) {
   CrashEvidence Evidence;
   for (int I = 0; I < Runs; ++I)
-    Evidence.onAbortedRun({1, static_cast<std::uint64_t>(I)});
+    Evidence.onAbortedRun({1, static_cast<std::uint64_t>(I)}, AbortedAt);
   Evidence.onProbeSent();
   return Evidence;
 }
@@ -21,8 +23,9 @@
 
 TEST_GROUP(CrashEvidence){};
 
-// A target that does not answer has crashed, whatever other evidence there is;
-// one that answers has crashed exactly if it lost all of several runs.
+// Answers that may have been on their way do not count: a target that does not
+// answer the probe has crashed, whatever other evidence there is; one that
+// answers it has crashed exactly if it lost all of several runs.
 TEST(CrashEvidence, DetectsCrashByProbeOrByLossOfAllRuns) {
   checkProperty("verdict follows from the evidence", [] {
     const int Runs = *rc::gen::inRange(1, 8);
@@ -31,7 +34,7 @@
     const bool OneAnswered = *rc::gen::arbitrary<bool>();
     CrashEvidence Evidence = abortedBeforeProbe(Runs);
     if (OneAnswered)
-      Evidence.onAnsweredRun();
+      Evidence.onAnsweredRun(AbortedAt);
 
     const CrashVerdict Verdict = Evidence.judge(Answers, OthersRun);
 
@@ -48,7 +51,7 @@
 TEST(CrashEvidence, ProbesAgainAfterAnAbortDuringTheProbe) {
   CrashEvidence Evidence = abortedBeforeProbe(1);
 
-  Evidence.onAbortedRun({1, 2});
+  Evidence.onAbortedRun({1, 2}, AbortedAt);
 
   CHECK(CrashVerdict::ProbeAgain == Evidence.judge(true, false));
   CHECK(CrashVerdict::Crashed == Evidence.judge(false, false));
@@ -57,9 +60,32 @@
 TEST(CrashEvidence, IgnoresAnswersBeforeTheFirstAbort) {
   CrashEvidence Evidence;
 
-  Evidence.onAnsweredRun();
-  Evidence.onAbortedRun({1, 1});
+  Evidence.onAnsweredRun(AbortedAt - DurationMs(1));
+  Evidence.onAbortedRun({1, 1}, AbortedAt);
   Evidence.onProbeSent();
 
   CHECK(CrashVerdict::Inconclusive == Evidence.judge(true, false));
 }
+
+// A full target may not answer a probe at all.
+TEST(CrashEvidence, AnAnswerWellAfterTheAbortProvesThatTheTargetSurvived) {
+  CrashEvidence Evidence = abortedBeforeProbe(3);
+  Evidence.onAnsweredRun(AbortedAt + MinSurvivalTime - DurationMs(1));
+  CHECK_FALSE(Evidence.survivalProven());
+
+  Evidence.onAnsweredRun(AbortedAt + MinSurvivalTime);
+
+  CHECK(Evidence.survivalProven());
+  CHECK(CrashVerdict::StillRunning == Evidence.judge(false, false));
+}
+
+TEST(CrashEvidence, AFurtherAbortNeedsAFurtherAnswer) {
+  CrashEvidence Evidence = abortedBeforeProbe(1);
+  const TimeMs Later = AbortedAt + MinSurvivalTime;
+  Evidence.onAnsweredRun(Later);
+
+  Evidence.onAbortedRun({1, 2}, Later);
+
+  CHECK_FALSE(Evidence.survivalProven());
+  CHECK(CrashVerdict::Crashed == Evidence.judge(false, true));
+}
