--- a/tests/callers/BusyCallerServerTest.cpp
+++ b/tests/callers/BusyCallerServerTest.cpp
@@ -139,13 +139,15 @@
   block(Blocker);
   std::atomic<bool> Stop = false;
   std::vector<std::thread> Threads;
-  for (auto &Each : Open)
+  Threads.reserve(OpenCount);
+  for (auto &Each : Open) {
     Threads.emplace_back([&Each, &Stop] {
       while (!Stop) {
         Each->send("/open");
         Each->receive();
       }
     });
+  }
   std::vector<std::unique_ptr<BlockingCaller>> New;
   for (std::size_t I = 0; I < NewCount; ++I) {
     New.push_back(std::make_unique<BlockingCaller>(Server.port()));
