--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -255,6 +255,10 @@
                           DurationMs RetryAfter) {
   Call.LastRefusal = Reason;
   Call.RetryAfter = RetryAfter;
+  if (Reason == ResultCode::DeadlineUnreachable)
+    RefusedLately.add(
+        profileOf(Call, Call.Current->Target, Call.Current->SentAt), RetryAfter,
+        Context.now());
   Call.Current->MayBeDelivered = Reason == ResultCode::TargetRefused ||
                                  Reason == ResultCode::TargetMistaken;
   if (isFinal(Reason)) {
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -188,15 +188,38 @@
            outcomeOfEarlierAttempts(Call));
     return;
   }
-  const Instance *Target = Targets.pick(
-      Call.Request.Service, Call.TriedTargets, Now, Context.Hooks.Random,
-      Call.Request.ExpectsLargeAnswer ? AnswerSize::Large : AnswerSize::Usual);
-  if (Target)
+  if (const Instance *Target = pickTarget(Call))
     startAttempt(Handle, Call, *Target);
   else
     waitOrRefuse(Handle, Call);
 }
 
+/// Picks the next target; null if there is none. Targets that would refuse the
+/// call, as they have lately refused like ones, count as tried.
+const Instance *EntrySide::pickTarget(EntryCall &Call) {
+  const TimeMs Now = Context.now();
+  const AnswerSize Size =
+      Call.Request.ExpectsLargeAnswer ? AnswerSize::Large : AnswerSize::Usual;
+  while (const Instance *Target =
+             Targets.pick(Call.Request.Service, Call.TriedTargets, Now,
+                          Context.Hooks.Random, Size)) {
+    const auto RoomIn =
+        RefusedLately.roomIn(profileOf(Call, Target->Name, Now), Now);
+    if (Call.Request.CanWait || !RoomIn)
+      return Target;
+    Call.LastRefusal = ResultCode::DeadlineUnreachable;
+    Call.RetryAfter = *RoomIn;
+    Call.TriedTargets.push_back(Target->Name);
+  }
+  return nullptr;
+}
+
+CallProfile EntrySide::profileOf(const EntryCall &Call, std::string_view Target,
+                                 TimeMs Now) {
+  return {Target, Call.Request.Route, Call.Request.Organisation,
+          Call.Deadline - Now};
+}
+
 void EntrySide::waitOrRefuse(CallHandle Handle, EntryCall &Call) {
   const bool AttemptsExhausted =
       !Call.Request.CanWait && Call.Attempts >= Context.Settings.MaxAttempts;
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -15,6 +15,7 @@
 
 #include "calls/CallContext.h"
 #include "nodes/CallMessages.h"
+#include "policy/RecentRefusals.h"
 #include "policy/RetryBudget.h"
 #include "policy/Router.h"
 #include "policy/SilentAttempt.h"
@@ -177,6 +178,9 @@
   void step(CallHandle Handle);
 
   void dispatch(CallHandle Handle, EntryCall &Call);
+  const Instance *pickTarget(EntryCall &Call);
+  static CallProfile profileOf(const EntryCall &Call, std::string_view Target,
+                               TimeMs Now);
   void waitOrRefuse(CallHandle Handle, EntryCall &Call);
   void startAttempt(CallHandle Handle, EntryCall &Call, const Instance &Target);
   DurationMs firstFetchDelay(const Attempt &Current) const;
@@ -231,6 +235,7 @@
   Router Targets;
   RetryBudget Budget;
   WithdrawnKeys Withdrawn;
+  RecentRefusals RefusedLately;
   CallMap Calls;
   std::set<std::pair<TimeMs, CallHandle>> Timers;
   std::map<std::string, Link, std::less<>> Links; ///< By address.
