--- a/review/standins/meshlib.py
+++ b/review/standins/meshlib.py
@@ -518,6 +518,11 @@
     record = Record(os.path.join(os.path.dirname(os.path.abspath(case_file)), "record.txt"))
     record.add("case", "with the disruption" if TROUBLE else "without the disruption")
     mesh = None
+
+    def interrupted(_number, _frame):
+        raise CannotRun("interrupted")
+    signal.signal(signal.SIGTERM, interrupted)
+    signal.signal(signal.SIGINT, interrupted)
     try:
         if not os.access(os.path.join(ROOT, "target/fescuewood"), os.X_OK):
             raise CannotRun("target/fescuewood is not built")
