Decide which answer closes a connection when it is written, not before

Cause: while the node drains, the answer to the last request of its connection closes it. That was decided when the target answered. The answer may wait for earlier ones; requests that were read meanwhile were passed on, and RESTinio drops answers behind a closing one.

An answer is now given to RESTinio when all earlier ones of its connection are written, and the decision is taken then: only if no further request has begun to arrive, and with nothing read behind it. A connection that is closed with an answer discards its input until the caller closes, for at most a second; with unread input the close resets it and cuts the answer. The same cause acted on a request half read behind the last answer, on requests behind one with `Connection: close`, and on a refusal behind the last valid request.

--- a/src/callers/CallerServerCore.cpp
+++ b/src/callers/CallerServerCore.cpp
@@ -106,7 +106,8 @@
                                    DisconnectHook OnDisconnect,
                                    EventHook OnEvent)
     : Options(std::move(Options)), OnRequest(std::move(OnRequest)),
-      OnDisconnect(std::move(OnDisconnect)), OnEvent(std::move(OnEvent)) {}
+      OnDisconnect(std::move(OnDisconnect)), OnEvent(std::move(OnEvent)),
+      Registry(asio::use_service<ConnectionRegistry>(Context)) {}
 
 CallerServerCore::~CallerServerCore() { stop(); }
 
@@ -117,7 +118,7 @@
     LastReason = ResultCode::AddressInvalid;
     return false;
   }
-  asio::use_service<ConnectionRegistry>(Context).configure(
+  Registry.configure(
       configuredLimits(), Options.MaxHeldBytes,
       [this](const asio::ip::tcp::endpoint &Endpoint) {
         return hasUnansweredRequest(Endpoint);
@@ -181,8 +182,8 @@
                              Request.Method,
                              requestId(Request, Options.Scheme),
                              Request.Body.size()};
-  asio::use_service<ConnectionRegistry>(Context).bodyBudget().add(
-      Request.Body.size());
+  OpenRequests[Handle->connection_id()].insert(Number);
+  Registry.bodyBudget().add(Request.Body.size());
   ++Unanswered;
   OnRequest(std::move(Request), answerHook(Number));
   return restinio::request_accepted();
@@ -202,12 +203,31 @@
 }
 
 void CallerServerCore::answer(std::uint64_t Number, CallAnswer Answer) {
-  auto Position = PendingRequests.find(Number);
-  if (Position == PendingRequests.end() || !Position->second.Handle)
+  const auto Position = PendingRequests.find(Number);
+  if (Position == PendingRequests.end() || Position->second.isAnswered())
     return;
   PendingRequest &Request = Position->second;
-  const auto Handle = std::move(Request.Handle);
-  Request.Handle = nullptr;
+  Request.Answer = std::move(Answer);
+  writeNext(Request.Connection);
+}
+
+/// Writes the answer to the oldest request of a connection, if it is there.
+/// RESTinio would accept answers in any order, but whether an answer closes the
+/// connection can only be decided when all others are written.
+void CallerServerCore::writeNext(restinio::connection_id_t Connection) {
+  const auto Open = OpenRequests.find(Connection);
+  if (Open == OpenRequests.end() || Open->second.empty())
+    return;
+  const std::uint64_t Oldest = *Open->second.begin();
+  PendingRequest &Request = PendingRequests.at(Oldest);
+  if (Request.Answer)
+    write(Oldest, Request);
+}
+
+void CallerServerCore::write(std::uint64_t Number, PendingRequest &Request) {
+  CallAnswer Answer = std::move(*Request.Answer);
+  Request.Answer.reset();
+  const auto Handle = std::exchange(Request.Handle, nullptr);
   releaseBody(Request);
   auto Response = Handle->create_response<restinio::user_controlled_output_t>(
       restinio::http_status_line_t(
@@ -225,33 +245,44 @@
   } else {
     Response.set_content_length(Length);
   }
-  if (Draining && isLastOnConnection(Number))
+  if (closesConnection(Request))
     Response.connection_close();
-  Response.done([this, Number](const auto &) { removePending(Number); });
+  Response.done([this, Number](const auto &) { onWritten(Number); });
+}
+
+/// Whether a drain ends the connection with the answer that is written now. If
+/// so, no request is read behind it, since its answer could not be written.
+bool CallerServerCore::closesConnection(const PendingRequest &Request) {
+  const bool IsLast = OpenRequests.at(Request.Connection).size() == 1;
+  return Draining && IsLast && Registry.endInput(Request.Endpoint);
 }
 
-bool CallerServerCore::isLastOnConnection(std::uint64_t Number) const {
-  const auto Connection = PendingRequests.at(Number).Connection;
-  return std::none_of(
-      PendingRequests.upper_bound(Number), PendingRequests.end(),
-      [&](const auto &Entry) { return Entry.second.Connection == Connection; });
+void CallerServerCore::onWritten(std::uint64_t Number) {
+  const auto Position = PendingRequests.find(Number);
+  if (Position == PendingRequests.end())
+    return;
+  const auto Connection = Position->second.Connection;
+  removePending(Number);
+  // RESTinio is still finishing this answer.
+  asio::post(Context, [WeakCore = weak_from_this(), Connection] {
+    if (const auto Core = WeakCore.lock())
+      Core->writeNext(Connection);
+  });
 }
 
 void CallerServerCore::connectionOpened(restinio::connection_id_t Connection) {
-  OpenConnectionIds.insert(Connection);
-  OpenConnections = OpenConnectionIds.size();
+  OpenRequests[Connection];
+  OpenConnections = OpenRequests.size();
 }
 
 void CallerServerCore::connectionClosed(restinio::connection_id_t Connection) {
   // RESTinio may report the closing of a connection twice.
-  OpenConnectionIds.erase(Connection);
-  OpenConnections = OpenConnectionIds.size();
-  std::vector<std::uint64_t> AffectedRequests;
-  for (const auto &[Number, Request] : PendingRequests)
-    if (Request.Connection == Connection)
-      AffectedRequests.push_back(Number);
-  for (std::uint64_t Number : AffectedRequests) {
-    const bool Answered = !PendingRequests.at(Number).Handle;
+  const auto Closed = OpenRequests.extract(Connection);
+  OpenConnections = OpenRequests.size();
+  if (Closed.empty())
+    return;
+  for (std::uint64_t Number : Closed.mapped()) {
+    const bool Answered = PendingRequests.at(Number).isAnswered();
     if (Answered)
       reportUnwrittenAnswer(PendingRequests.at(Number));
     removePending(Number);
@@ -268,8 +299,7 @@
 }
 
 void CallerServerCore::releaseBody(PendingRequest &Request) {
-  asio::use_service<ConnectionRegistry>(Context).bodyBudget().release(
-      std::exchange(Request.BodyBytes, 0));
+  Registry.bodyBudget().release(std::exchange(Request.BodyBytes, 0));
 }
 
 void CallerServerCore::removePending(std::uint64_t Number) {
@@ -278,9 +308,12 @@
     return;
   releaseBody(Position->second);
   const auto Endpoint = Position->second.Endpoint;
+  if (const auto Open = OpenRequests.find(Position->second.Connection);
+      Open != OpenRequests.end())
+    Open->second.erase(Number);
   PendingRequests.erase(Position);
   --Unanswered;
-  asio::use_service<ConnectionRegistry>(Context).onAnswerWritten(Endpoint);
+  Registry.onAnswerWritten(Endpoint);
 }
 
 void CallerServerCore::reportUnwrittenAnswer(const PendingRequest &Request) {
@@ -310,9 +343,7 @@
     Limits.HeaderTimeout = optionalLimit(DeclaredLimits->HeaderTimeout);
     Limits.IdleTimeout = optionalLimit(DeclaredLimits->IdleTimeout);
   }
-  asio::post(Context, [this, Limits] {
-    asio::use_service<ConnectionRegistry>(Context).setLimits(Limits);
-  });
+  asio::post(Context, [this, Limits] { Registry.setLimits(Limits); });
 }
 
 void CallerServerCore::scheduleOverdueCheck() {
@@ -320,7 +351,7 @@
   OverdueTimer.async_wait([this](const std::error_code &Error) {
     if (Error)
       return;
-    asio::use_service<ConnectionRegistry>(Context).closeOverdue();
+    Registry.closeOverdue();
     scheduleOverdueCheck();
   });
 }
@@ -329,7 +360,7 @@
   if (!Draining)
     return Unanswered;
   return std::max(Unanswered.load(), OpenConnections.load()) +
-         (InGracePeriod ? 1 : 0);
+         Registry.lingeringCount() + (InGracePeriod ? 1 : 0);
 }
 
 void CallerServerCore::stopAccepting() {
@@ -353,7 +384,7 @@
   GraceTimer.async_wait([this](const std::error_code &Error) {
     if (Error)
       return;
-    asio::use_service<ConnectionRegistry>(Context).closeIdle();
+    Registry.closeIdle();
     InGracePeriod = false;
     // A connection that is in use now may be idle at the next check.
     if (OpenConnections > 0)
@@ -369,11 +400,11 @@
     GraceTimer.cancel();
     OverdueTimer.cancel();
     PendingRequests.clear();
-    OpenConnectionIds.clear();
+    OpenRequests.clear();
     Unanswered = 0;
     OpenConnections = 0;
     InGracePeriod = false;
-    asio::use_service<ConnectionRegistry>(Context).closeAll();
+    Registry.closeAll();
     WorkGuard.reset();
   });
   // The thread exits after the last handler of a closed connection has run.
--- a/src/callers/CallerServerCore.h
+++ b/src/callers/CallerServerCore.h
@@ -83,12 +83,16 @@
 
   /// A request whose answer is not completely written.
   struct PendingRequest {
-    restinio::request_handle_t Handle; ///< Null once answered.
+    restinio::request_handle_t Handle; ///< Null once its answer is written.
     restinio::connection_id_t Connection = 0;
     asio::ip::tcp::endpoint Endpoint;
     std::string Method;
     std::string Id;            ///< Request ID given by the caller.
     std::size_t BodyBytes = 0; ///< Charged to the budget; 0 once answered.
+    /// Waits for the answers to earlier requests of the connection.
+    std::optional<CallAnswer> Answer = std::nullopt;
+
+    bool isAnswered() const { return Answer || !Handle; }
   };
 
   restinio::server_settings_t<CallerServerTraits>
@@ -99,7 +103,10 @@
   handleRequest(const restinio::request_handle_t &Handle);
   AnswerHook answerHook(std::uint64_t Number);
   void answer(std::uint64_t Number, CallAnswer Answer);
-  bool isLastOnConnection(std::uint64_t Number) const;
+  void writeNext(restinio::connection_id_t Connection);
+  void write(std::uint64_t Number, PendingRequest &Request);
+  void onWritten(std::uint64_t Number);
+  bool closesConnection(const PendingRequest &Request);
   void connectionOpened(restinio::connection_id_t Connection);
   void connectionClosed(restinio::connection_id_t Connection);
   bool hasUnansweredRequest(const asio::ip::tcp::endpoint &Endpoint) const;
@@ -124,13 +131,15 @@
   std::atomic<bool> InGracePeriod = false;
 
   asio::io_context Context{1};
+  ConnectionRegistry &Registry;
   asio::steady_timer GraceTimer{Context};
   asio::steady_timer OverdueTimer{Context};
   std::optional<asio::executor_work_guard<asio::io_context::executor_type>>
       WorkGuard;
   std::unique_ptr<Server> Http;
   std::map<std::uint64_t, PendingRequest> PendingRequests;
-  std::set<restinio::connection_id_t> OpenConnectionIds;
+  /// The pending requests of each open connection, in order of arrival.
+  std::map<restinio::connection_id_t, std::set<std::uint64_t>> OpenRequests;
   std::uint64_t LastRequestNumber = 0;
   std::thread Thread;
 };
--- a/src/callers/GuardedSocket.cpp
+++ b/src/callers/GuardedSocket.cpp
@@ -12,10 +12,6 @@
 
 namespace {
 
-/// Maximum number of bytes discarded after a refusal. Closing earlier would
-/// reset the connection, and the caller could lose the refusal.
-constexpr std::size_t MaxDiscardedBytes = 16 * 1024 * 1024;
-
 /// Bodies up to this size need no reservation, so that a small urgent request
 /// never waits behind large ones. They fit in the read buffer of the head.
 constexpr std::size_t SmallBodyBytes = 16 * 1024;
@@ -46,15 +42,18 @@
 
 void ConnectionRegistry::closeIdle() {
   for (GuardedConnection *Connection : Connections) {
-    std::error_code Ignored;
-    const bool HasInput = Connection->Socket.available(Ignored) > 0;
-    if (Connection->Guard.isInRequest() || Connection->hasUnansweredRequest() ||
-        HasInput)
+    if (Connection->hasInput() || Connection->hasUnansweredRequest())
       continue;
+    std::error_code Ignored;
     Connection->Socket.shutdown(asio::socket_base::shutdown_receive, Ignored);
   }
 }
 
+bool ConnectionRegistry::endInput(const asio::ip::tcp::endpoint &Endpoint) {
+  const auto Found = ConnectionByEndpoint.find(Endpoint);
+  return Found != ConnectionByEndpoint.end() && Found->second->endInput();
+}
+
 void ConnectionRegistry::onAnswerWritten(
     const asio::ip::tcp::endpoint &Endpoint) {
   if (const auto Found = ConnectionByEndpoint.find(Endpoint);
@@ -73,6 +72,7 @@
     Connection->Socket.close(Ignored);
     Connection->cancelReservation();
   }
+  Lingering.closeAll();
 }
 
 GuardedConnection::GuardedConnection(asio::io_context &Context)
@@ -104,8 +104,41 @@
   return Endpoint.port() != 0 && Registry.HasUnansweredRequest(Endpoint);
 }
 
+/// Whether a request, or its refusal, may follow those that are complete.
+bool GuardedConnection::hasInput() const {
+  std::error_code Ignored;
+  return Guard.isInRequest() || Refusal || Socket.available(Ignored) > 0;
+}
+
+bool GuardedConnection::endInput() {
+  InputEnded = InputEnded || !hasInput();
+  return InputEnded;
+}
+
+void GuardedConnection::cancelReads() {
+  ReadsCancelled = true;
+  std::error_code Ignored;
+  Socket.cancel(Ignored);
+}
+
+void GuardedConnection::shutdown(asio::socket_base::shutdown_type What,
+                                 std::error_code &Error) {
+  if (!InputEnded)
+    Socket.shutdown(What, Error);
+}
+
+void GuardedConnection::close() {
+  if (InputEnded && Socket.is_open()) {
+    Registry.Lingering.add(std::move(Socket));
+    return;
+  }
+  std::error_code Ignored;
+  Socket.close(Ignored);
+  cancelReservation();
+}
+
 void GuardedConnection::read(asio::mutable_buffer Buffer, ReadHandler Handler) {
-  if (Refusal)
+  if (Refusal || InputEnded)
     discard(std::move(Handler));
   else if (QueuedBytes == 0)
     startRead(Buffer, std::move(Handler));
@@ -164,6 +197,10 @@
 
 void GuardedConnection::inspect(asio::mutable_buffer Buffer, std::size_t Size,
                                 const ReadHandler &Handler) {
+  if (InputEnded) {
+    discard(Handler);
+    return;
+  }
   registerEndpoint();
   LastActivity = Registry.MonotonicClock.now();
   const bool WasInHead = Guard.isInHead();
@@ -182,6 +219,10 @@
       discard(Handler);
     return;
   }
+  if (Guard.isClosed()) {
+    InputEnded = true;
+    Size = Guard.completeRequestBytes();
+  }
   const bool IsComplete = Guard.takeRequestCompleted();
   const std::size_t CompletedBytes =
       IsComplete ? std::exchange(ReservedBytes, 0) : 0;
@@ -246,12 +287,18 @@
 }
 
 void GuardedConnection::discard(ReadHandler Handler) {
+  if (ReadsCancelled) {
+    Handler(asio::error::operation_aborted, 0);
+    return;
+  }
   writeRefusal();
   Socket.async_read_some(asio::buffer(DiscardBuffer),
                          [this, Handler = std::move(Handler)](
                              const std::error_code &Error, std::size_t Size) {
                            DiscardedBytes += Size;
-                           if (Error || DiscardedBytes > MaxDiscardedBytes)
+                           if (Error == asio::error::operation_aborted)
+                             Handler(Error, 0);
+                           else if (Error || DiscardedBytes > MaxDiscardedBytes)
                              Handler(asio::error::connection_reset, 0);
                            else
                              discard(Handler);
--- a/src/callers/GuardedSocket.h
+++ b/src/callers/GuardedSocket.h
@@ -9,6 +9,7 @@
 #define FESCUEWOOD_CALLERS_GUARDEDSOCKET_H
 
 #include "callers/BodyBudget.h"
+#include "callers/LingeringSockets.h"
 #include "callers/RequestGuard.h"
 #include "core/Clock.h"
 #include "core/ResultCode.h"
@@ -65,6 +66,15 @@
   /// Shuts down the receiving side of each connection without a request.
   void closeIdle();
 
+  /// Stops reading from a connection, so that its next answer can close it.
+  /// Returns false and goes on reading if a further request has begun to
+  /// arrive.
+  bool endInput(const asio::ip::tcp::endpoint &Endpoint);
+
+  /// Number of connections whose last answer is written and that wait for the
+  /// caller to close; thread-safe.
+  std::size_t lingeringCount() const { return Lingering.count(); }
+
   void closeAll();
 
 private:
@@ -76,6 +86,7 @@
   BodyBudget Budget{0};
   UnansweredRequestHook HasUnansweredRequest;
   RefusalHook OnRefusal;
+  LingeringSockets Lingering;
   std::set<GuardedConnection *> Connections;
   /// Connections that have received data, by the caller's endpoint.
   std::map<asio::ip::tcp::endpoint, GuardedConnection *> ConnectionByEndpoint;
@@ -100,12 +111,25 @@
   /// closes the connection if it exceeds the idle timeout.
   void closeOverdue();
 
+  /// As \ref ConnectionRegistry::endInput.
+  bool endInput();
+
+  /// Cancels the current read and all later ones.
+  void cancelReads();
+
+  /// Shuts down the socket, unless it lingers after the end of its input.
+  void shutdown(asio::socket_base::shutdown_type What, std::error_code &Error);
+
+  /// Closes the socket, at once or when its caller has closed.
+  void close();
+
   asio::ip::tcp::socket Socket;
 
 private:
   friend class ConnectionRegistry;
 
   bool hasUnansweredRequest() const;
+  bool hasInput() const;
   void startRead(asio::mutable_buffer Buffer, ReadHandler Handler);
   void reserveBody();
   void onBodyReserved();
@@ -128,6 +152,8 @@
   TimeMs LastActivity; ///< Time of the last read or written answer.
   TimeMs HeadStart;    ///< Arrival of the current head's first byte.
   std::optional<ResultCode> Refusal; ///< If set, input is discarded.
+  bool InputEnded = false; ///< No request follows; input is discarded.
+  bool ReadsCancelled = false;
   bool RefusalWritten = false;
   std::size_t DiscardedBytes = 0;
   std::array<char, 4096> DiscardBuffer{};
@@ -156,17 +182,19 @@
 
   bool is_open() { return lowest_layer().is_open(); }
 
-  template <typename... Arguments> void cancel(Arguments &&...Values) {
-    lowest_layer().cancel(std::forward<Arguments>(Values)...);
+  void cancel(std::error_code & /*Error*/) {
+    lowest_layer();
+    Connection->cancelReads();
   }
 
-  template <typename... Arguments> void shutdown(Arguments &&...Values) {
-    lowest_layer().shutdown(std::forward<Arguments>(Values)...);
+  void shutdown(asio::socket_base::shutdown_type What, std::error_code &Error) {
+    lowest_layer();
+    Connection->shutdown(What, Error);
   }
 
-  template <typename... Arguments> void close(Arguments &&...Values) {
-    lowest_layer().close(std::forward<Arguments>(Values)...);
-    Connection->cancelReservation();
+  void close() {
+    lowest_layer();
+    Connection->close();
   }
 
   template <typename Buffers, typename Handler>
--- a/src/callers/RequestGuard.cpp
+++ b/src/callers/RequestGuard.cpp
@@ -59,7 +59,7 @@
 ResultCode RequestGuard::consume(std::string_view Bytes) {
   CompleteRequestBytes = 0;
   std::size_t Consumed = 0;
-  while (Consumed < Bytes.size()) {
+  while (Consumed < Bytes.size() && !Closed) {
     const std::string_view Part = Lines.consumePart(Bytes.substr(Consumed));
     const ResultCode Reason = parse(Part);
     if (Reason != ResultCode::Ok)
@@ -81,9 +81,6 @@
   if (Violation != ResultCode::Ok)
     return Violation;
   const auto Error = static_cast<http_errno>(Parser.http_errno);
-  // Bytes after a request that closes the connection are ignored.
-  if (Error == HPE_CLOSED_CONNECTION)
-    return ResultCode::Ok;
   if (Error != HPE_OK)
     return reasonFor(Error);
   // The parser stops after an upgrade request, which is served as plain HTTP.
@@ -214,6 +211,7 @@
   InRequest = false;
   RequiredBodyBytes = 0;
   RequestCompleted = true;
+  Closed = http_should_keep_alive(&Parser) == 0;
   return 0;
 }
 
--- a/src/callers/RequestGuard.h
+++ b/src/callers/RequestGuard.h
@@ -63,6 +63,10 @@
   /// True from the first byte of a request to the end of its head.
   bool isInHead() const { return InRequest && !HeadComplete; }
 
+  /// Whether the last request has ended that the connection carries, since it
+  /// asked to close it. Bytes behind it are no request (RFC 9112, section 9.6).
+  bool isClosed() const { return Closed; }
+
   /// Length of the current request's body, or the maximum body size if it is
   /// chunked. Returned once per request; otherwise 0, as for a request without
   /// a body.
@@ -117,6 +121,7 @@
   bool InRequest = false;
   bool HeadComplete = false;
   bool RequestCompleted = false;
+  bool Closed = false;
 };
 
 } // namespace fescuewood
