Reserve memory for a body as it arrives, not for the largest one allowed

Cause: a request in chunks reserved max_body_bytes, 16 MiB, of a budget of 8 MiB; more than the budget was granted only while no body at all was held, and small bodies counted. A body with a length above 8 MiB waited in the same way, and bodies above 16 KiB behind it.

A body now takes memory in steps of 64 KiB. The oldest one that holds memory may exceed the limit, so that bodies cannot wait for each other, and those that have begun leave half of the budget to new ones. The memory is an object that passes from the connection to the request and is released with it.

Without the change three new tests of CallerServerTest fail: ReadsRequestsInChunksBesideUnansweredBodies, ReadsABodyAboveTheBudgetBesideUnanswered- SmallOnes, ReadsShortBodiesBesideALargeOneThatWaits.

--- a/src/callers/CallerServer.h
+++ b/src/callers/CallerServer.h
@@ -53,8 +53,9 @@
   std::size_t MaxHeaderBytes = 32 * 1024; ///< Request line and fields.
   std::size_t MaxHeaderFields = 100;
   std::size_t MaxBodyBytes = 4 * 1024 * 1024;
-  /// Limit on the bodies of all unanswered requests. A connection whose next
-  /// body would exceed it is not read until enough memory is released.
+  /// Limit on the large bodies of all unanswered requests, beside the oldest
+  /// one. A connection whose body would exceed it is not read until enough
+  /// memory is released.
   std::size_t MaxHeldBytes = 8 * 1024 * 1024;
   std::size_t MaxConnections = 1024;
   DurationMs ReadTimeout{60'000};  ///< Per request, including idle time.
--- a/src/callers/CallerServerCore.cpp
+++ b/src/callers/CallerServerCore.cpp
@@ -181,9 +181,8 @@
                              Handle->remote_endpoint(),
                              Request.Method,
                              requestId(Request, Options.Scheme),
-                             Request.Body.size()};
+                             Registry.takeCompletedBody()};
   OpenRequests[Handle->connection_id()].insert(Number);
-  Registry.bodyBudget().add(Request.Body.size());
   ++Unanswered;
   OnRequest(std::move(Request), answerHook(Number));
   return restinio::request_accepted();
@@ -228,7 +227,7 @@
   CallAnswer Answer = std::move(*Request.Answer);
   Request.Answer.reset();
   const auto Handle = std::exchange(Request.Handle, nullptr);
-  releaseBody(Request);
+  Request.Body.release();
   auto Response = Handle->create_response<restinio::user_controlled_output_t>(
       restinio::http_status_line_t(
           restinio::http_status_code_t(
@@ -298,15 +297,10 @@
       [&](const auto &Entry) { return Entry.second.Endpoint == Endpoint; });
 }
 
-void CallerServerCore::releaseBody(PendingRequest &Request) {
-  Registry.bodyBudget().release(std::exchange(Request.BodyBytes, 0));
-}
-
 void CallerServerCore::removePending(std::uint64_t Number) {
   const auto Position = PendingRequests.find(Number);
   if (Position == PendingRequests.end())
     return;
-  releaseBody(Position->second);
   const auto Endpoint = Position->second.Endpoint;
   if (const auto Open = OpenRequests.find(Position->second.Connection);
       Open != OpenRequests.end())
@@ -399,12 +393,13 @@
     closeAcceptor();
     GraceTimer.cancel();
     OverdueTimer.cancel();
+    // First, so that no connection waits for the memory of the requests.
+    Registry.closeAll();
     PendingRequests.clear();
     OpenRequests.clear();
     Unanswered = 0;
     OpenConnections = 0;
     InGracePeriod = false;
-    Registry.closeAll();
     WorkGuard.reset();
   });
   // The thread exits after the last handler of a closed connection has run.
--- a/src/callers/CallerServerCore.h
+++ b/src/callers/CallerServerCore.h
@@ -87,8 +87,8 @@
     restinio::connection_id_t Connection = 0;
     asio::ip::tcp::endpoint Endpoint;
     std::string Method;
-    std::string Id;            ///< Request ID given by the caller.
-    std::size_t BodyBytes = 0; ///< Charged to the budget; 0 once answered.
+    std::string Id;      ///< Request ID given by the caller.
+    BodyShare Body = {}; ///< Memory of its body until it is answered.
     /// Waits for the answers to earlier requests of the connection.
     std::optional<CallAnswer> Answer = std::nullopt;
 
@@ -110,7 +110,6 @@
   void connectionOpened(restinio::connection_id_t Connection);
   void connectionClosed(restinio::connection_id_t Connection);
   bool hasUnansweredRequest(const asio::ip::tcp::endpoint &Endpoint) const;
-  void releaseBody(PendingRequest &Request);
   void removePending(std::uint64_t Number);
   void reportUnwrittenAnswer(const PendingRequest &Request);
   void reportRefusal(ResultCode Reason);
--- a/src/callers/GuardedSocket.cpp
+++ b/src/callers/GuardedSocket.cpp
@@ -2,6 +2,7 @@
 
 #include "calls/Call.h"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -16,6 +17,9 @@
 /// never waits behind large ones. They fit in the read buffer of the head.
 constexpr std::size_t SmallBodyBytes = 16 * 1024;
 
+/// Memory that is reserved at a time: as much as most bodies need.
+constexpr std::size_t ReservationBytes = 64 * 1024;
+
 constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::string refusalText(ResultCode Reason) {
@@ -70,7 +74,7 @@
   for (GuardedConnection *Connection : Connections) {
     std::error_code Ignored;
     Connection->Socket.close(Ignored);
-    Connection->cancelReservation();
+    Connection->cancelBody();
   }
   Lingering.closeAll();
 }
@@ -87,8 +91,6 @@
   if (Position != Registry.ConnectionByEndpoint.end() &&
       Position->second == this)
     Registry.ConnectionByEndpoint.erase(Position);
-  Registry.Budget.cancel(this);
-  Registry.Budget.release(ReservedBytes);
 }
 
 void GuardedConnection::registerEndpoint() {
@@ -134,42 +136,53 @@
   }
   std::error_code Ignored;
   Socket.close(Ignored);
-  cancelReservation();
+  cancelBody();
 }
 
 void GuardedConnection::read(asio::mutable_buffer Buffer, ReadHandler Handler) {
-  if (Refusal || InputEnded)
+  if (Refusal || InputEnded) {
     discard(std::move(Handler));
-  else if (QueuedBytes == 0)
-    startRead(Buffer, std::move(Handler));
-  else
+    return;
+  }
+  if (!reserveBody(Buffer.size())) {
     DeferredRead = [this, Buffer, Handler = std::move(Handler)] {
       startRead(Buffer, Handler);
     };
+    return;
+  }
+  writeContinue();
+  startRead(Buffer, std::move(Handler));
 }
 
-void GuardedConnection::reserveBody() {
-  const std::size_t Needed = Guard.takeRequiredBodyBytes();
-  if (Needed <= SmallBodyBytes)
-    return;
-  if (Registry.Budget.reserve(this, Needed, [this] { onBodyReserved(); }))
-    ReservedBytes = Needed;
-  else
-    QueuedBytes = Needed;
+/// Reserves memory for what the next read may add to the body. Returns false if
+/// the read has to wait for it.
+bool GuardedConnection::reserveBody(std::size_t NextBytes) {
+  const auto Body = Guard.body();
+  if (!Body)
+    return true;
+  const std::size_t KnownBytes =
+      Body->LengthKnown ? Body->MaxBytes : Body->ReadBytes;
+  const std::size_t Needed =
+      std::min(Body->MaxBytes, Body->ReadBytes + NextBytes);
+  const std::size_t Reserved = Share.bytes();
+  if (KnownBytes <= SmallBodyBytes || Needed <= Reserved)
+    return true;
+  if (!Share.isValid())
+    Share = BodyShare(Registry.Budget);
+  const std::size_t Step = std::max(
+      Needed - Reserved, std::min(ReservationBytes, Body->MaxBytes - Reserved));
+  return Share.reserve(Step, [this] { onBodyReserved(); });
 }
 
 void GuardedConnection::onBodyReserved() {
-  ReservedBytes = std::exchange(QueuedBytes, 0);
   writeContinue();
   // The read may close the connection, which owns this object.
   if (const auto Read = std::exchange(DeferredRead, nullptr))
     Read();
 }
 
-void GuardedConnection::cancelReservation() {
-  if (!Registry.Budget.cancel(this))
-    return;
-  QueuedBytes = 0;
+void GuardedConnection::cancelBody() {
+  Share.release();
   // Completes the read with an error, since the socket is closed.
   if (const auto Read = std::exchange(DeferredRead, nullptr))
     Read();
@@ -224,19 +237,15 @@
     Size = Guard.completeRequestBytes();
   }
   const bool IsComplete = Guard.takeRequestCompleted();
-  const std::size_t CompletedBytes =
-      IsComplete ? std::exchange(ReservedBytes, 0) : 0;
   if (IsComplete && hasPeerClosed()) {
     Handler(asio::error::eof, 0);
-    Registry.Budget.release(CompletedBytes);
     return;
   }
-  reserveBody();
-  if (QueuedBytes == 0)
-    writeContinue();
+  if (IsComplete)
+    Registry.CompletedBody = std::move(Share);
   Handler({}, Size);
-  // From here on the server accounts for the body of a complete request.
-  Registry.Budget.release(CompletedBytes);
+  // The server has taken the share if it got the request.
+  Registry.CompletedBody.release();
 }
 
 /// Whether the end of the connection has already arrived behind what was read.
--- a/src/callers/GuardedSocket.h
+++ b/src/callers/GuardedSocket.h
@@ -55,9 +55,9 @@
   /// connections that exceed the idle timeout.
   void closeOverdue();
 
-  /// The memory budget for bodies. A request's share is released when it is
-  /// answered.
-  BodyBudget &bodyBudget() { return Budget; }
+  /// Takes over the memory of the body of the request that is being handed to
+  /// the server. Invalid for a small body.
+  BodyShare takeCompletedBody() { return std::move(CompletedBody); }
 
   /// Notifies a connection that an answer was written to it. The refusal of an
   /// invalid request that follows valid ones is written after their answers.
@@ -84,6 +84,7 @@
   const Clock MonotonicClock = Clock::monotonic();
   RequestLimits Limits;
   BodyBudget Budget{0};
+  BodyShare CompletedBody;
   UnansweredRequestHook HasUnansweredRequest;
   RefusalHook OnRefusal;
   LingeringSockets Lingering;
@@ -104,8 +105,8 @@
 
   void read(asio::mutable_buffer Buffer, ReadHandler Handler);
 
-  /// Cancels the wait for body memory after the socket is closed.
-  void cancelReservation();
+  /// Gives up the body that is being read, after the socket is closed.
+  void cancelBody();
 
   /// Refuses the current request if its head exceeds the header timeout, or
   /// closes the connection if it exceeds the idle timeout.
@@ -131,7 +132,7 @@
   bool hasUnansweredRequest() const;
   bool hasInput() const;
   void startRead(asio::mutable_buffer Buffer, ReadHandler Handler);
-  void reserveBody();
+  bool reserveBody(std::size_t NextBytes);
   void onBodyReserved();
   void writeContinue();
   void inspect(asio::mutable_buffer Buffer, std::size_t Size,
@@ -145,8 +146,7 @@
 
   ConnectionRegistry &Registry;
   RequestGuard Guard;
-  std::size_t ReservedBytes = 0;      ///< Reserved for the body being read.
-  std::size_t QueuedBytes = 0;        ///< Size of the queued reservation, or 0.
+  BodyShare Share;                    ///< Memory of the body being read.
   std::function<void()> DeferredRead; ///< Read deferred until memory is free.
   asio::ip::tcp::endpoint Endpoint;
   TimeMs LastActivity; ///< Time of the last read or written answer.
--- a/src/callers/RequestGuard.cpp
+++ b/src/callers/RequestGuard.cpp
@@ -97,6 +97,14 @@
     Lines.expectBody(ContentLength);
 }
 
+std::optional<BodyProgress> RequestGuard::body() const {
+  if (!InRequest || !HeadComplete)
+    return std::nullopt;
+  const std::size_t MaxBytes =
+      Chunked ? Limits.MaxBodyBytes : static_cast<std::size_t>(ContentLength);
+  return BodyProgress{BodyBytes, MaxBytes, !Chunked};
+}
+
 bool RequestGuard::takeContinueRequested() {
   const bool Requested = ContinueRequested && InRequest && BodyBytes == 0;
   ContinueRequested = false;
@@ -193,10 +201,6 @@
   ContinueRequested = HasExpectField;
   Chunked = (Parser.flags & F_CHUNKED) != 0;
   ContentLength = HasLength ? Parser.content_length : 0;
-  if (Chunked)
-    RequiredBodyBytes = Limits.MaxBodyBytes;
-  else
-    RequiredBodyBytes = static_cast<std::size_t>(ContentLength);
   return 0;
 }
 
@@ -209,7 +213,6 @@
 
 int RequestGuard::onMessageComplete() {
   InRequest = false;
-  RequiredBodyBytes = 0;
   RequestCompleted = true;
   Closed = http_should_keep_alive(&Parser) == 0;
   return 0;
--- a/src/callers/RequestGuard.h
+++ b/src/callers/RequestGuard.h
@@ -37,6 +37,13 @@
   std::optional<DurationMs> IdleTimeout = std::nullopt;
 };
 
+/// How far the body of a request has been read.
+struct BodyProgress {
+  std::size_t ReadBytes = 0;
+  std::size_t MaxBytes = 0; ///< Its length, or the limit if it is in chunks.
+  bool LengthKnown = false;
+};
+
 /// The HTTP status for a refusal by \ref RequestGuard.
 int refusalStatus(ResultCode Reason);
 
@@ -67,12 +74,8 @@
   /// asked to close it. Bytes behind it are no request (RFC 9112, section 9.6).
   bool isClosed() const { return Closed; }
 
-  /// Length of the current request's body, or the maximum body size if it is
-  /// chunked. Returned once per request; otherwise 0, as for a request without
-  /// a body.
-  std::size_t takeRequiredBodyBytes() {
-    return std::exchange(RequiredBodyBytes, 0);
-  }
+  /// The body that is being read; empty between and before bodies.
+  std::optional<BodyProgress> body() const;
 
   /// Whether a request was completed since the last call.
   bool takeRequestCompleted() { return std::exchange(RequestCompleted, false); }
@@ -106,7 +109,6 @@
   std::size_t HeadBytes = 0;
   std::size_t FieldCount = 0;
   std::size_t BodyBytes = 0;
-  std::size_t RequiredBodyBytes = 0;
   std::uint64_t ContentLength = 0; ///< 0 if there is no body or it is chunked.
   bool Chunked = false;
   std::size_t CompleteRequestBytes = 0;
--- a/tests/callers/CallerServerTest.cpp
+++ b/tests/callers/CallerServerTest.cpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <future>
 #include <mutex>
+#include <sstream>
 #include <thread>
 
 #include <nlohmann/json.hpp>
@@ -85,6 +86,19 @@
   return "GET " + Target + " HTTP/1.1\r\nHost: mesh\r\n\r\n";
 }
 
+std::string chunkedHead(const std::string &Target) {
+  return "POST " + Target +
+         " HTTP/1.1\r\nHost: mesh\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string chunk(std::size_t Bytes) {
+  std::ostringstream Text;
+  Text << std::hex << Bytes << "\r\n" << std::string(Bytes, 'b') << "\r\n";
+  return Text.str();
+}
+
+const std::string LastChunk = "0\r\n\r\n";
+
 CallAnswer okAnswer(std::string Body) {
   CallAnswer Answer;
   Answer.Status = 200;
@@ -126,6 +140,20 @@
     return Options;
   }
 
+  static CallerServerOptions smallBudget(std::size_t MaxBodyBytes,
+                                         std::size_t MaxHeldBytes) {
+    CallerServerOptions Options = options();
+    Options.MaxBodyBytes = MaxBodyBytes;
+    Options.MaxHeldBytes = MaxHeldBytes;
+    return Options;
+  }
+
+  RequestHook requestHook() {
+    return [this](CallerRequest Request, const AnswerHook &Answer) {
+      onRequest(std::move(Request), Answer);
+    };
+  }
+
   void onRequest(CallerRequest Request, const AnswerHook &Answer) {
     std::lock_guard<std::mutex> Lock(Mutex);
     const std::string Body = Request.Target + Request.Body;
@@ -348,15 +376,10 @@
 // send buffers, and no request is refused.
 TEST(CallerServer, DefersLargeBodiesUntilMemoryIsReleased) {
   constexpr std::size_t LargeBytes = 100'000;
-  CallerServerOptions SmallBudget = options();
-  SmallBudget.MaxBodyBytes = LargeBytes;
-  SmallBudget.MaxHeldBytes = LargeBytes * 3 / 2;
+  constexpr std::size_t BudgetBytes = LargeBytes * 3 / 2;
   DeferAnswers = true;
-  CallerServer Bounded(SmallBudget,
-                       [this](CallerRequest Request, const AnswerHook &Answer) {
-                         onRequest(std::move(Request), Answer);
-                       },
-                       {}, {});
+  CallerServer Bounded(smallBudget(LargeBytes, BudgetBytes), requestHook(), {},
+                       {});
   CHECK(Bounded.start());
   std::deque<Caller> Large;
   for (int I = 0; I < 4; ++I)
@@ -371,8 +394,7 @@
     std::size_t Bytes = 0;
     for (std::size_t I = Answered; I < Received.size(); ++I)
       Bytes += Received[I].first.Body.size();
-    CHECK_TRUE_TEXT(Bytes <= SmallBudget.MaxHeldBytes,
-                    std::to_string(Bytes).c_str());
+    CHECK_TRUE_TEXT(Bytes <= BudgetBytes, std::to_string(Bytes).c_str());
     Received[Answered].second(okAnswer("done"));
   }
 
@@ -382,22 +404,81 @@
   Bounded.stop();
 }
 
+// Guards against requests in chunks that wait until no request with a body is
+// unanswered, whatever their own size.
+TEST(CallerServer, ReadsRequestsInChunksBesideUnansweredBodies) {
+  DeferAnswers = true;
+  CallerServer Bounded(smallBudget(100'000, 50'000), requestHook(), {}, {});
+  CHECK(Bounded.start());
+  Caller Other(Bounded.port());
+  Other.send(post("/other", 300));
+  CHECK(eventually([&] { return receivedCount() == 1; }));
+
+  std::deque<Caller> Clients;
+  for (int I = 0; I < 3; ++I)
+    Clients.emplace_back(Bounded.port()).send(chunkedHead("/chunks"));
+  // The chunks arrive in another read than their heads.
+  std::this_thread::sleep_for(std::chrono::milliseconds(30));
+  for (Caller &Client : Clients)
+    Client.send(chunk(300) + LastChunk);
+
+  CHECK(eventually([&] { return receivedCount() == 4; }));
+}
+
+// Guards against a body that is larger than the budget and waits until no
+// request with a body is unanswered.
+TEST(CallerServer, ReadsABodyAboveTheBudgetBesideUnansweredSmallOnes) {
+  DeferAnswers = true;
+  CallerServer Bounded(smallBudget(300'000, 100'000), requestHook(), {}, {});
+  CHECK(Bounded.start());
+  Caller Other(Bounded.port());
+  Other.send(post("/other", 300));
+  CHECK(eventually([&] { return receivedCount() == 1; }));
+
+  Caller WithLength(Bounded.port());
+  WithLength.send(post("/length", 300'000));
+  CHECK(eventually([&] { return receivedCount() == 2; }));
+  Received[1].second(okAnswer("length"));
+  STRCMP_EQUAL("length", WithLength.receive().Body.c_str());
+  Caller InChunks(Bounded.port());
+  InChunks.send(chunkedHead("/chunks") + chunk(200'000) + chunk(50'000) +
+                LastChunk);
+
+  CHECK(eventually([&] { return receivedCount() == 3; }));
+  LONGS_EQUAL(250'000, Received[2].first.Body.size());
+}
+
+// Guards against a large upload that keeps all shorter ones waiting.
+TEST(CallerServer, ReadsShortBodiesBesideALargeOneThatWaits) {
+  DeferAnswers = true;
+  CallerServer Bounded(smallBudget(2'000'000, 400'000), requestHook(), {}, {});
+  CHECK(Bounded.start());
+  Caller Oldest(Bounded.port());
+  Oldest.send(post("/oldest", 150'000));
+  CHECK(eventually([&] { return receivedCount() == 1; }));
+  Caller Large(Bounded.port());
+  Large.send(chunkedHead("/large") + chunk(600'000));
+
+  Caller Short(Bounded.port());
+  Short.send(chunkedHead("/short") + chunk(20'000) + LastChunk);
+
+  CHECK(eventually([&] { return receivedCount() == 2; }));
+  Large.send(LastChunk);
+  Received[0].second(okAnswer("oldest"));
+  CHECK(eventually([&] { return receivedCount() == 3; }));
+  LONGS_EQUAL(600'000, Received[2].first.Body.size());
+}
+
 TEST(CallerServer, ClosesConnectionsThatWaitForBodyMemory) {
-  CallerServerOptions SmallBudget = options();
-  SmallBudget.MaxBodyBytes = 100'000;
-  SmallBudget.MaxHeldBytes = 1;
+  constexpr std::size_t LargeBytes = 100'000;
   DeferAnswers = true;
-  CallerServer Bounded(SmallBudget,
-                       [this](CallerRequest Request, const AnswerHook &Answer) {
-                         onRequest(std::move(Request), Answer);
-                       },
-                       {}, {});
+  CallerServer Bounded(smallBudget(LargeBytes, 1), requestHook(), {}, {});
   CHECK(Bounded.start());
   Caller First(Bounded.port());
   Caller Waiting(Bounded.port());
-  First.send(post("/large", SmallBudget.MaxBodyBytes));
+  First.send(post("/large", LargeBytes));
   CHECK(eventually([&] { return receivedCount() == 1; }));
-  Waiting.send(post("/large", SmallBudget.MaxBodyBytes));
+  Waiting.send(post("/large", LargeBytes));
 
   Bounded.stop();
 
