Send a request again on a new connection after any failure, also a 421

Cause: the id of the request tells its answer from copies of others, but not from a copy of its own earlier answer. A request that was refused with the field for it was therefore sent again on a new connection, one that was refused with 421 was not; the copy was taken for a second refusal while the payment ran. The same holds for a request that failed with a 5xx of the target and is sent to it again.

The ids of all requests that end without success are kept now, and such a request goes out on a new connection.

--- a/src/targets/RefusedRequests.h
+++ b/src/targets/FailedRequests.h
@@ -1,8 +1,8 @@
 /// \file
-/// Bounded memory of the requests that a target has refused.
+/// Bounded memory of the requests that a target has not served.
 
-#ifndef FESCUEWOOD_TARGETS_REFUSEDREQUESTS_H
-#define FESCUEWOOD_TARGETS_REFUSEDREQUESTS_H
+#ifndef FESCUEWOOD_TARGETS_FAILEDREQUESTS_H
+#define FESCUEWOOD_TARGETS_FAILEDREQUESTS_H
 
 #include <cstddef>
 #include <deque>
@@ -11,10 +11,11 @@
 
 namespace fescuewood {
 
-/// IDs of the latest refused requests. A faulty target may write a refusal once
-/// more on the same connection, and the ID does not tell it from the answer to
-/// the same request that is sent again.
-class RefusedRequests {
+/// IDs of the latest requests that ended without success and may be sent again.
+/// A faulty target may write an answer once more on the same connection, and
+/// the ID does not tell it from the answer to the same request that is sent
+/// again.
+class FailedRequests {
 public:
   void add(const std::string &Id) {
     if (Id.empty() || !Ids.insert(Id).second)
@@ -29,7 +30,7 @@
   bool contains(const std::string &Id) const { return Ids.contains(Id); }
 
 private:
-  /// More than are refused while a connection stays open and idle.
+  /// More than fail while a connection stays open and idle.
   static constexpr std::size_t MaxIds = 4096;
 
   std::set<std::string> Ids;
@@ -38,4 +39,4 @@
 
 } // namespace fescuewood
 
-#endif // FESCUEWOOD_TARGETS_REFUSEDREQUESTS_H
+#endif // FESCUEWOOD_TARGETS_FAILEDREQUESTS_H
--- a/src/targets/TargetClient.cpp
+++ b/src/targets/TargetClient.cpp
@@ -1,7 +1,7 @@
 #include "targets/TargetClient.h"
 
+#include "targets/FailedRequests.h"
 #include "targets/IdleConnections.h"
-#include "targets/RefusedRequests.h"
 #include "targets/TargetTransfer.h"
 
 #include <atomic>
@@ -136,7 +136,7 @@
       finish(Command.Id, ResultCode::TargetRequestInvalid);
       return;
     }
-    if (Refused.contains(NewTransfer.requestId()))
+    if (Failed.contains(NewTransfer.requestId()))
       NewTransfer.useNewConnection();
     Connections.track(NewTransfer.handle());
     RequestIdByHandle[NewTransfer.handle()] = Command.Id;
@@ -184,8 +184,8 @@
     curl_multi_remove_handle(Multi.get(), Transfer->handle());
     // Decremented before the hook runs, so that the hook can start a request.
     --RequestCount;
-    if (Reason == ResultCode::TargetRefused)
-      Refused.add(Transfer->requestId());
+    if (!Transfer->hasSucceeded(Reason))
+      Failed.add(Transfer->requestId());
     Transfer->complete(Reason);
   }
 
@@ -196,7 +196,7 @@
   std::unique_ptr<CURLM, MultiDeleter> Multi;
   std::map<std::uint64_t, std::unique_ptr<TargetTransfer>> Transfers;
   std::map<CURL *, std::uint64_t> RequestIdByHandle;
-  RefusedRequests Refused;
+  FailedRequests Failed;
   std::atomic<std::size_t> RequestCount = 0;
   std::atomic<std::size_t> ReceivingBytes = 0;
 
--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -16,6 +16,7 @@
 /// Lower status codes denote interim answers.
 constexpr int FirstFinalStatus = 200;
 constexpr int FirstRedirect = 300;
+constexpr int FirstServerError = 500;
 constexpr int MisdirectedRequest = 421;
 
 /// Limits on all lines of an answer's heads and trailer, which libcurl stores
@@ -281,6 +282,10 @@
          findField(Answer.Headers, "Transfer-Encoding");
 }
 
+bool TargetTransfer::hasSucceeded(ResultCode Reason) const {
+  return Reason == ResultCode::Ok && Answer.Status < FirstServerError;
+}
+
 void TargetTransfer::complete(ResultCode Reason) {
   using std::chrono::duration_cast;
   using std::chrono::milliseconds;
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -47,6 +47,10 @@
   /// complete and valid answer.
   ResultCode reasonFor(CURLcode Code) const;
 
+  /// Whether the target has served the request, so that it is not sent again.
+  /// Call before \ref complete.
+  bool hasSucceeded(ResultCode Reason) const;
+
   /// Calls the hook, passing the answer if \p Reason is Ok.
   void complete(ResultCode Reason);
 
--- a/tests/targets/RepeatedRefusalTest.cpp
+++ b/tests/targets/RepeatedRefusalTest.cpp
@@ -20,6 +20,11 @@
          "Unrun: 1\r\nContent-Length: 0\r\n\r\n";
 }
 
+std::string success(const std::string &Id) {
+  return "HTTP/1.1 200 OK\r\nId: " + Id +
+         "\r\nSigned: s\r\nContent-Length: 0\r\n\r\n";
+}
+
 /// A target that answers the n-th request with the n-th answer, whatever its
 /// connection, and runs each request but the first.
 class RepeatingTarget {
@@ -144,3 +149,33 @@
   LONGS_EQUAL(1, Target.ConnectionOf.at(1));
   CHECK(Target.ConnectionOf.at(2) <= 1);
 }
+
+// Guards against a late copy of a 421 answer, which was taken for the answer to
+// the same request that is sent again and runs.
+TEST(RepeatedRefusal, MisdirectedRequestIsSentAgainOnAnotherConnection) {
+  const std::string Misdirected = "HTTP/1.1 421 Misdirected Request\r\n"
+                                  "Id: first\r\nContent-Length: 0\r\n\r\n";
+  const RepeatingTarget Target({Misdirected, success("first")});
+  TargetClient Client(optionsFor(Target));
+  CHECK(ResultCode::TargetMistaken == send(Client, "first").Reason);
+
+  const TargetResult Result = send(Client, "first");
+
+  CHECK(ResultCode::Ok == Result.Reason);
+  LONGS_EQUAL(1, Target.ConnectionOf.at(1));
+}
+
+// Guards against a late copy of a failure in place of the answer to a retry.
+TEST(RepeatedRefusal, FailedRequestIsSentAgainOnAnotherConnection) {
+  const RepeatingTarget Target(
+      {"HTTP/1.1 500 Error\r\nId: first\r\nContent-Length: 0\r\n\r\n",
+       success("first"), success("other")});
+  TargetClient Client(optionsFor(Target));
+  LONGS_EQUAL(500, send(Client, "first").Answer->Status);
+
+  LONGS_EQUAL(200, send(Client, "first").Answer->Status);
+  send(Client, "other");
+
+  LONGS_EQUAL(1, Target.ConnectionOf.at(1));
+  CHECK(Target.ConnectionOf.at(2) <= 1);
+}
