Move the budget for bodies to policy, for other streams

It decides without a network and names nothing of requests: the answers of targets and the messages of peers need the same. Renamed to StreamBudget and StreamShare, with its tests; no change in behaviour.

--- a/src/callers/CallerServerCore.h
+++ b/src/callers/CallerServerCore.h
@@ -87,8 +87,8 @@
     restinio::connection_id_t Connection = 0;
     asio::ip::tcp::endpoint Endpoint;
     std::string Method;
-    std::string Id;      ///< Request ID given by the caller.
-    BodyShare Body = {}; ///< Memory of its body until it is answered.
+    std::string Id;        ///< Request ID given by the caller.
+    StreamShare Body = {}; ///< Memory of its body until it is answered.
     /// Waits for the answers to earlier requests of the connection.
     std::optional<CallAnswer> Answer = std::nullopt;
 
--- a/src/callers/GuardedSocket.cpp
+++ b/src/callers/GuardedSocket.cpp
@@ -39,7 +39,7 @@
     RequestLimits NewLimits, std::size_t MaxHeldBytes,
     UnansweredRequestHook NewHasUnansweredRequest, RefusalHook NewOnRefusal) {
   Limits = NewLimits;
-  Budget = BodyBudget(MaxHeldBytes);
+  Budget = StreamBudget(MaxHeldBytes);
   HasUnansweredRequest = std::move(NewHasUnansweredRequest);
   OnRefusal = std::move(NewOnRefusal);
 }
@@ -168,7 +168,7 @@
   if (KnownBytes <= SmallBodyBytes || Needed <= Reserved)
     return true;
   if (!Share.isValid())
-    Share = BodyShare(Registry.Budget);
+    Share = StreamShare(Registry.Budget);
   const std::size_t Step = std::max(
       Needed - Reserved, std::min(ReservationBytes, Body->MaxBytes - Reserved));
   return Share.reserve(Step, [this] { onBodyReserved(); });
--- a/src/callers/GuardedSocket.h
+++ b/src/callers/GuardedSocket.h
@@ -8,11 +8,11 @@
 #ifndef FESCUEWOOD_CALLERS_GUARDEDSOCKET_H
 #define FESCUEWOOD_CALLERS_GUARDEDSOCKET_H
 
-#include "callers/BodyBudget.h"
 #include "callers/LingeringSockets.h"
 #include "callers/RequestGuard.h"
 #include "core/Clock.h"
 #include "core/ResultCode.h"
+#include "policy/StreamBudget.h"
 
 #include <array>
 #include <functional>
@@ -57,7 +57,7 @@
 
   /// Takes over the memory of the body of the request that is being handed to
   /// the server. Invalid for a small body.
-  BodyShare takeCompletedBody() { return std::move(CompletedBody); }
+  StreamShare takeCompletedBody() { return std::move(CompletedBody); }
 
   /// Notifies a connection that an answer was written to it. The refusal of an
   /// invalid request that follows valid ones is written after their answers.
@@ -83,8 +83,8 @@
 
   const Clock MonotonicClock = Clock::monotonic();
   RequestLimits Limits;
-  BodyBudget Budget{0};
-  BodyShare CompletedBody;
+  StreamBudget Budget{0};
+  StreamShare CompletedBody;
   UnansweredRequestHook HasUnansweredRequest;
   RefusalHook OnRefusal;
   LingeringSockets Lingering;
@@ -146,7 +146,7 @@
 
   ConnectionRegistry &Registry;
   RequestGuard Guard;
-  BodyShare Share;                    ///< Memory of the body being read.
+  StreamShare Share;                  ///< Memory of the body being read.
   std::function<void()> DeferredRead; ///< Read deferred until memory is free.
   asio::ip::tcp::endpoint Endpoint;
   TimeMs LastActivity; ///< Time of the last read or written answer.
