Bound the large messages of peers in sum, and the time of each

What could happen: a header of 8 bytes, whose seal nobody has checked, made a node take a buffer of up to 2 MiB. 60 connections that send messages without an end took a node to 144 MB; the smallest machine has 160 MB.

A message above 72 KiB now takes memory in steps as it arrives, within 8 MiB for the server and 8 MiB for the client; the oldest one goes on beyond it. A large message that is not complete after 10 s ends its connection, so that a peer that stops in the middle does not keep others out.

--- a/src/nodes/PeerClient.cpp
+++ b/src/nodes/PeerClient.cpp
@@ -54,6 +54,7 @@
   std::atomic<std::size_t> InFlight{0};
   std::atomic<std::size_t> Count{0};
 
+  PeerReceiving Receiving;
   PeerLoop Loop;
   asio::steady_timer InspectionTimer;
   std::map<std::string, PeerConnectionPtr> Open; ///< By address.
@@ -119,7 +120,7 @@
   const PeerConnectionLimits Limits{
       Options.ConnectTimeout, Options.HeartbeatAfter, Options.SilenceLimit};
   auto NewConnection = std::make_shared<PeerConnection>(
-      Loop.context(), Link, Limits, Address, Route, InFlight);
+      Loop.context(), Link, Limits, Address, Route, InFlight, Receiving);
   if (!NewConnection->open()) {
     Reason = ResultCode::PeerUnreachable;
     return nullptr;
--- a/src/nodes/PeerConnection.cpp
+++ b/src/nodes/PeerConnection.cpp
@@ -37,11 +37,13 @@
 PeerConnection::PeerConnection(asio::io_context &Context, PeerLink &Link,
                                PeerConnectionLimits Limits, std::string Address,
                                PeerRoute Route,
-                               std::atomic<std::size_t> &InFlight)
+                               std::atomic<std::size_t> &InFlight,
+                               PeerReceiving &Receiving)
     : Link(Link), Limits(Limits), Address(std::move(Address)), Route(Route),
-      InFlight(InFlight), Connecting(Context), ConnectTimer(Context),
-      ReconnectDelay(MinReconnectDelay), DisconnectedSince(OpenedAt),
-      LastBytesAt(DisconnectedSince), LastUsed(DisconnectedSince) {}
+      InFlight(InFlight), Receiving(Receiving), Connecting(Context),
+      ConnectTimer(Context), ReconnectDelay(MinReconnectDelay),
+      DisconnectedSince(OpenedAt), LastBytesAt(DisconnectedSince),
+      LastUsed(DisconnectedSince) {}
 
 bool PeerConnection::open() {
   const auto Parsed = Endpoint::parse(Address);
@@ -95,7 +97,7 @@
   ReconnectDelay = MinReconnectDelay;
   Link.Traffic.countConnection();
   Stream = std::make_shared<PeerStream>(std::move(Connecting), Link.Traffic,
-                                        streamHooks());
+                                        Receiving, streamHooks());
   LastBytesAt = Monotonic.now();
   DeliveredBytes = 0;
   Stream->start();
--- a/src/nodes/PeerConnection.h
+++ b/src/nodes/PeerConnection.h
@@ -57,9 +57,11 @@
 public:
   /// \param Route of the request that the connection is opened for.
   /// \param InFlight number of pending requests of all connections.
+  /// \param Receiving memory for large replies of all connections.
   PeerConnection(asio::io_context &Context, PeerLink &Link,
                  PeerConnectionLimits Limits, std::string Address,
-                 PeerRoute Route, std::atomic<std::size_t> &InFlight);
+                 PeerRoute Route, std::atomic<std::size_t> &InFlight,
+                 PeerReceiving &Receiving);
 
   /// Starts to connect. Returns false when the address is malformed.
   bool open();
@@ -128,6 +130,7 @@
   const std::string Address;
   const PeerRoute Route;
   std::atomic<std::size_t> &InFlight;
+  PeerReceiving &Receiving;
   const Clock Monotonic = Clock::monotonic();
   const TimeMs OpenedAt = Monotonic.now();
 
--- a/src/nodes/PeerServer.cpp
+++ b/src/nodes/PeerServer.cpp
@@ -48,8 +48,11 @@
 class PeerServer::Core : public std::enable_shared_from_this<Core> {
 public:
   Core(PeerLink &Link, PeerServerOptions Options)
-      : Link(Link), Options(std::move(Options)), Loop("peer-server"),
-        Acceptor(Loop.context()), AcceptTimer(Loop.context()) {}
+      : Link(Link), Options(std::move(Options)),
+        Receiving{StreamBudget(this->Options.MaxReceivingBytes),
+                  this->Options.LargeMessageTime},
+        Loop("peer-server"), Acceptor(Loop.context()),
+        AcceptTimer(Loop.context()) {}
 
   std::map<PeerKind, PeerHandler> Handlers;
 
@@ -112,6 +115,7 @@
   PeerLink &Link;
   const PeerServerOptions Options;
 
+  PeerReceiving Receiving;
   PeerLoop Loop;
   Tcp::acceptor Acceptor;
   asio::steady_timer AcceptTimer;
@@ -189,7 +193,7 @@
     removeConnection(Id);
   };
   const auto Stream = std::make_shared<PeerStream>(
-      std::move(Socket), Link.Traffic, std::move(Hooks));
+      std::move(Socket), Link.Traffic, Receiving, std::move(Hooks));
   Connections.emplace(Id, Connection{Stream});
   Stream->start();
 }
--- a/src/nodes/PeerServer.h
+++ b/src/nodes/PeerServer.h
@@ -27,6 +27,10 @@
   /// Bytes that wait to be written to other nodes, in all connections; above it
   /// a connection is read only while none wait on it.
   std::size_t MaxQueuedBytes = 8 << 20;
+  /// Limit on the large messages that are being received, beside the oldest
+  /// one.
+  std::size_t MaxReceivingBytes = 8 << 20;
+  DurationMs LargeMessageTime{10'000}; ///< As in PeerReceiving.
 };
 
 /// The server side of the transport.
--- a/src/nodes/PeerStream.cpp
+++ b/src/nodes/PeerStream.cpp
@@ -9,6 +9,7 @@
 #include <sys/ioctl.h>
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace fescuewood {
@@ -20,6 +21,9 @@
 /// A receive buffer that has grown beyond this size is released once empty.
 constexpr std::size_t MaxRetainedBufferBytes = 64 * 1024;
 
+/// A message up to this size needs no reservation: a piece of an answer.
+constexpr std::size_t SmallMessageBytes = 72 * 1024;
+
 /// Maximum number of frames in one write operation.
 constexpr std::size_t MaxFramesPerWrite = 16;
 
@@ -29,8 +33,9 @@
 } // namespace
 
 PeerStream::PeerStream(asio::ip::tcp::socket Connected, PeerTraffic &Traffic,
-                       PeerStreamHooks Hooks)
+                       PeerReceiving &Receiving, PeerStreamHooks Hooks)
     : Socket(std::move(Connected)), Traffic(Traffic), Hooks(std::move(Hooks)),
+      Receiving(Receiving), MessageTimer(Socket.get_executor()),
       Buffer(InitialBufferBytes) {
   asio::error_code Ignored;
   Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
@@ -48,7 +53,7 @@
 }
 
 void PeerStream::read() {
-  if (Closed || Paused || Reading)
+  if (Closed || Paused || Reading || AwaitsMemory)
     return;
   Reading = true;
   Socket.async_read_some(
@@ -95,18 +100,82 @@
 /// Moves the received bytes to the front of the buffer and sizes it for a frame
 /// of \p FrameBytes bytes, so that at least one more byte can be read.
 void PeerStream::prepareBuffer(std::size_t FrameBytes) {
-  if (Paused)
+  if (Closed || Paused)
     return; // Nothing is read until the buffered frames have been processed.
+  const bool IsLarge = FrameBytes > SmallMessageBytes;
   if (Begin > 0) {
     std::copy(Buffer.data() + Begin, Buffer.data() + End, Buffer.data());
     End -= Begin;
     Begin = 0;
+    if (Share.isValid() && IsLarge)
+      limitTime();
   }
   const bool TooLarge = Buffer.size() > MaxRetainedBufferBytes;
-  if (End == 0 && TooLarge && FrameBytes <= InitialBufferBytes)
-    std::vector<char>(InitialBufferBytes).swap(Buffer);
+  if (!IsLarge && Share.isValid())
+    releaseShare();
+  else if (End == 0 && TooLarge && FrameBytes <= InitialBufferBytes)
+    shrinkBuffer();
   if (Buffer.size() < FrameBytes)
+    growBuffer(FrameBytes);
+}
+
+/// Grows the buffer at once for a small message, and in steps as a large one
+/// arrives, since its size is only what the peer claims.
+void PeerStream::growBuffer(std::size_t FrameBytes) {
+  if (FrameBytes <= SmallMessageBytes) {
     Buffer.resize(FrameBytes);
+    return;
+  }
+  if (End < Buffer.size())
+    return;
+  const std::size_t Size =
+      std::min(FrameBytes, std::max(SmallMessageBytes, Buffer.size() * 2));
+  AwaitsMemory = Size > SmallMessageBytes && !reserve(Size);
+  if (!AwaitsMemory)
+    Buffer.resize(Size);
+}
+
+/// Reserves memory for a buffer of \p Bytes. Returns false if the stream has to
+/// wait for it.
+bool PeerStream::reserve(std::size_t Bytes) {
+  if (!Share.isValid()) {
+    Share = StreamShare(Receiving.Memory);
+    limitTime();
+  }
+  return Share.reserve(Bytes - Share.bytes(), [this, Bytes] {
+    AwaitsMemory = false;
+    Buffer.resize(Bytes);
+    read();
+  });
+}
+
+/// Ends the connection if a large message that holds memory does not end in
+/// time.
+void PeerStream::limitTime() {
+  MessageTimer.expires_after(
+      std::chrono::milliseconds(Receiving.MessageTime.Value));
+  MessageTimer.async_wait([Self = shared_from_this()](asio::error_code Error) {
+    if (Error || Self->Closed || !Self->Share.isValid())
+      return;
+    if (Self->Paused || Self->Share.bytes() == 0)
+      Self->limitTime();
+    else
+      Self->onConnectionLost(false);
+  });
+}
+
+/// Gives back the memory of a large message that has been processed.
+void PeerStream::releaseShare() {
+  shrinkBuffer();
+  MessageTimer.cancel();
+  Share.release();
+}
+
+/// Leaves room for the bytes that the buffer holds.
+void PeerStream::shrinkBuffer() {
+  std::vector<char> Smaller(std::max(InitialBufferBytes, End));
+  std::copy(Buffer.data(), Buffer.data() + End, Smaller.data());
+  Buffer.swap(Smaller);
 }
 
 void PeerStream::write(std::uint32_t Number, std::string Sealed,
@@ -214,6 +283,8 @@
   Closed = true;
   asio::error_code Ignored;
   Socket.close(Ignored);
+  MessageTimer.cancel();
+  Share.release();
   for (std::deque<Frame> *Queue : {&Ahead, &InOrder})
     for (const Frame &Item : std::exchange(*Queue, {}))
       release(Item);
--- a/src/nodes/PeerStream.h
+++ b/src/nodes/PeerStream.h
@@ -7,10 +7,13 @@
 #ifndef FESCUEWOOD_NODES_PEERSTREAM_H
 #define FESCUEWOOD_NODES_PEERSTREAM_H
 
+#include "core/Clock.h"
 #include "nodes/PeerFrame.h"
 #include "nodes/PeerTraffic.h"
+#include "policy/StreamBudget.h"
 
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -50,13 +53,23 @@
   std::function<void(bool TooLarge)> OnClosed;
 };
 
+/// What the streams of one server or client share to receive large messages.
+/// Outlives them.
+struct PeerReceiving {
+  /// Memory of large messages; a stream without room is not read.
+  StreamBudget Memory{8 << 20};
+  /// Time for a large message, from its first reservation to its end. A peer
+  /// that stops in the middle must not hold the memory of others.
+  DurationMs MessageTime{10'000};
+};
+
 /// A connected stream, for the loop's thread only. Pending Asio operations
 /// share its ownership.
 class PeerStream : public std::enable_shared_from_this<PeerStream> {
 public:
   /// \param Traffic counts the frames that wait to be written.
   PeerStream(asio::ip::tcp::socket Socket, PeerTraffic &Traffic,
-             PeerStreamHooks Hooks);
+             PeerReceiving &Receiving, PeerStreamHooks Hooks);
 
   /// Starts reading.
   void start();
@@ -96,6 +109,11 @@
   void onRead(std::size_t Count);
   void processFrames();
   void prepareBuffer(std::size_t FrameBytes);
+  void growBuffer(std::size_t FrameBytes);
+  void releaseShare();
+  void shrinkBuffer();
+  bool reserve(std::size_t Bytes);
+  void limitTime();
   void writeNext();
   void takeFrames(std::deque<Frame> &Queue, std::size_t MaxFrames);
   WriteCondition countAccepted();
@@ -109,8 +127,12 @@
   bool Closed = false;
   bool Paused = false;
   bool Reading = false;
+  bool AwaitsMemory = false; ///< Not read until there is room for its message.
 
-  std::vector<char> Buffer; ///< Received bytes from Begin to End.
+  PeerReceiving &Receiving;
+  StreamShare Share; ///< Memory of a large message; may be invalid.
+  asio::steady_timer MessageTimer; ///< Limits the time of a large message.
+  std::vector<char> Buffer;        ///< Received bytes from Begin to End.
   std::size_t Begin = 0;
   std::size_t End = 0;
 
--- a/tests/nodes/PeerServerTest.cpp
+++ b/tests/nodes/PeerServerTest.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <deque>
 #include <mutex>
 #include <string>
 #include <utility>
@@ -243,6 +244,35 @@
   CHECK_TRUE(LargeReplies < Requests / 2);
 }
 
+// Guards against messages that never end: each holds memory of its own, and a
+// message of another node must still arrive.
+TEST(PeerServer, ReceivesALargeMessageBesideOnesThatNeverEnd) {
+  constexpr std::size_t LargeBytes = 1'000'000;
+  Options.MaxReceivingBytes = LargeBytes;
+  Options.LargeMessageTime = DurationMs(300);
+  PeerServer Server(ServerLink, Options);
+  Server.handle(PeerKind::CallStart,
+                [&](const PeerIdentity &, std::string_view Body,
+                    const ReplyHook &Reply) { Reply(std::string(Body)); });
+  const auto Address = Server.start();
+  std::deque<RawConnection> Endless;
+  for (std::uint32_t I = 1; I <= 20; ++I)
+    Endless.emplace_back(*Address).send(packFrameHeader({LargeBytes, I}) +
+                                        std::string(300'000, 'x'));
+  PeerClient Client(ClientLink);
+
+  const std::string Body(LargeBytes, 'a');
+  for (int I = 0; I < 3; ++I)
+    Client.send({*Address, PeerKind::CallStart, Body, DurationMs(20000)},
+                expectBody(Body));
+
+  CHECK_TRUE(eventually([&] { return Replies == 3; }));
+  LONGS_EQUAL(0, Failures);
+  // The connections that stopped in the middle have been closed.
+  for (RawConnection &Each : Endless)
+    LONGS_EQUAL(0, Each.readFrameNumber());
+}
+
 TEST(PeerServer, ReportsAnAddressInUse) {
   PeerServer First(ServerLink, Options);
   const auto Address = First.start();
