Bound the answers that a target sends in sum, and return large blocks

What could happen: bodies that do not end are cut at 7 MiB each, but a target has 12 slots and more. 60 callers of three such targets took a node to 144 MB here, peers and store with them to 316 MB; on the smallest machine of 160 MB it would have ended, with the requests of all other callers. The limit on answers counted what a route usually brings.

An answer above 64 KiB now takes memory in steps of 256 KiB as it is received, within the limit on answers; without room its transfer pauses, and the oldest goes on until it ends. A declared length above the limit on one answer is rejected at the head. Blocks of 1 MiB and more are mapped one by one, so that freed answers do not stay with each thread.

--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -5,6 +5,7 @@
 #include "platform/ConfigCodec.h"
 #include "platform/PlatformScheme.h"
 #include "platform/StoreClient.h"
+#include "policy/AnswerMemory.h"
 
 #include <algorithm>
 #include <cmath>
@@ -54,12 +55,16 @@
 }
 
 TargetClientOptions targetOptions(const TargetSettings &Settings,
-                                  const HeaderScheme &Scheme) {
+                                  const CallSettings &Calls,
+                                  const HeaderScheme &Scheme,
+                                  std::size_t MachineBytes) {
   TargetClientOptions Options;
   Options.Scheme = Scheme;
   Options.Address = Settings.Address.text();
   Options.MaxConnections = Settings.MaxConnections;
   Options.ConnectTimeout = Settings.ConnectTimeout;
+  Options.MaxReceivingBytes = answerMemoryLimit(
+      Calls.MaxKeptBytes, Calls.AnswerMemoryShare, MachineBytes);
   return Options;
 }
 
@@ -116,7 +121,8 @@
           [this] { return Link.StampClock.stamp(); },
           [this](const StampedEvent &Event) { Log.write(Event); }),
       Server(Link, peerOptions(Settings.Peers)), Peers(Link),
-      Target(targetOptions(Settings.Target, Scheme)),
+      Target(
+          targetOptions(Settings.Target, Settings.Calls, Scheme, MachineBytes)),
       Adapter(Target, Settings.Target, Scheme),
       Tokens(Settings.Peers.Secret, Settings.Node.Name),
       Control(controlSettings(Settings), {Settings.Node.Name, Incarnation},
--- a/src/app/RunCommand.cpp
+++ b/src/app/RunCommand.cpp
@@ -1,6 +1,7 @@
 #include "app/Commands.h"
 #include "app/Flags.h"
 #include "app/Node.h"
+#include "core/ProcessMemory.h"
 
 #include <csignal>
 #include <ctime>
@@ -66,6 +67,7 @@
     return ExitCode::Failure;
   }
   const sigset_t HandledSignals = blockSignals();
+  returnLargeBlocks();
   Node RunningNode(*Settings, Text.value_or(""));
   if (!RunningNode.start()) {
     const ResultCode Reason = RunningNode.lastReason();
--- a/src/core/ProcessMemory.cpp
+++ b/src/core/ProcessMemory.cpp
@@ -17,6 +17,14 @@
 constexpr std::size_t BytesPerKilobyte = 1024;
 constexpr std::size_t MaxProcFileBytes = 64 * 1024;
 
+/// Blocks from this size on are mapped one by one; below it, mapping costs more
+/// time than it saves memory.
+constexpr int MappedBlockBytes = 1024 * 1024;
+
+/// Free bytes at the end of a heap that are kept, as the allocator relates them
+/// to the size of mapped blocks.
+constexpr int KeptFreeBytes = 2 * MappedBlockBytes;
+
 /// The number at the start of \p Text, after blanks.
 std::optional<std::size_t> leadingNumber(std::string_view Text) {
   const std::string_view Digits = trimmed(Text, Blanks);
@@ -72,4 +80,9 @@
   return {Info.uordblks + Info.hblkhd, Info.fordblks};
 }
 
+void returnLargeBlocks() {
+  mallopt(M_MMAP_THRESHOLD, MappedBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, KeptFreeBytes);
+}
+
 } // namespace fescuewood
--- a/src/core/ProcessMemory.h
+++ b/src/core/ProcessMemory.h
@@ -34,6 +34,11 @@
 /// The heap of this process, over all of the allocator's arenas.
 HeapUse heapUse();
 
+/// Makes the allocator return large blocks to the system when they are freed.
+/// By default it keeps room for the largest ones in the heap of each thread.
+/// Call before other threads start.
+void returnLargeBlocks();
+
 } // namespace fescuewood
 
 #endif // FESCUEWOOD_CORE_PROCESSMEMORY_H
--- a/src/targets/TargetClient.cpp
+++ b/src/targets/TargetClient.cpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <pthread.h>
@@ -41,7 +42,8 @@
 public:
   explicit Impl(TargetClientOptions Options)
       : Options(std::move(Options)),
-        BaseUrl("http://" + this->Options.Address + "/") {
+        BaseUrl("http://" + this->Options.Address + "/"),
+        Receiving(this->Options.MaxReceivingBytes) {
     initialiseCurl();
     Multi.reset(curl_multi_init());
     const long Limit = static_cast<long>(this->Options.MaxConnections);
@@ -100,6 +102,7 @@
       int Running = 0;
       curl_multi_perform(Multi.get(), &Running);
       finishCompleted();
+      resumePaused();
       countReceivingBytes();
       checkIdleConnections();
       curl_multi_poll(Multi.get(), nullptr, 0, PollTimeoutMs, nullptr);
@@ -127,10 +130,12 @@
   }
 
   void startTransfer(StartCommand Command) {
-    auto Transfer =
-        std::make_unique<TargetTransfer>(BaseUrl, std::move(Command.Request),
-                                         Options, std::move(Command.OnResult));
+    auto Transfer = std::make_unique<TargetTransfer>(
+        BaseUrl, std::move(Command.Request), Options, StreamShare(Receiving),
+        std::move(Command.OnResult));
     TargetTransfer &NewTransfer = *Transfer;
+    NewTransfer.setMemoryHook(
+        [this, Id = Command.Id] { Resumable.push_back(Id); });
     Transfers.emplace(Command.Id, std::move(Transfer));
     if (!NewTransfer.prepare()) {
       finish(Command.Id, ResultCode::TargetRequestInvalid);
@@ -155,6 +160,21 @@
     }
   }
 
+  /// Resumes the transfers that have got memory for their answers.
+  void resumePaused() {
+    while (!Resumable.empty()) {
+      const std::uint64_t Id = Resumable.front();
+      Resumable.pop_front();
+      const auto Position = Transfers.find(Id);
+      if (Position == Transfers.end())
+        continue;
+      // An error here ends no transfer inside libcurl.
+      const CURLcode Code = Position->second->resume();
+      if (Code != CURLE_OK)
+        finish(Id, Position->second->reasonFor(Code));
+    }
+  }
+
   void countReceivingBytes() {
     std::size_t Sum = 0;
     for (const auto &[Id, Transfer] : Transfers)
@@ -191,7 +211,9 @@
 
   const TargetClientOptions Options;
   const std::string BaseUrl;
-  IdleConnections Connections; ///< Outlives the connections of Multi.
+  StreamBudget Receiving; ///< Memory of the answers; outlives the transfers.
+  std::deque<std::uint64_t> Resumable; ///< Transfers that have got memory.
+  IdleConnections Connections;         ///< Outlives the connections of Multi.
   std::chrono::steady_clock::time_point NextIdleCheck;
   std::unique_ptr<CURLM, MultiDeleter> Multi;
   std::map<std::uint64_t, std::unique_ptr<TargetTransfer>> Transfers;
--- a/src/targets/TargetClient.h
+++ b/src/targets/TargetClient.h
@@ -63,6 +63,9 @@
   /// Names of the fields that authenticate an answer and associate it with its
   /// request.
   HeaderScheme Scheme = {};
+  /// Limit on the large answers that are being received, beside the oldest
+  /// one. An answer that would exceed it is not read on until there is room.
+  std::size_t MaxReceivingBytes = 24 << 20;
 };
 
 /// Sends requests to one target over HTTP/1.1. Thread-safe.
--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -2,6 +2,7 @@
 
 #include "callers/HeaderFields.h"
 #include "nodes/CallMessages.h"
+#include "policy/AnswerMemory.h"
 
 #include <algorithm>
 #include <utility>
@@ -24,6 +25,9 @@
 constexpr std::size_t MaxLines = 4 * MaxHeaderFields;
 constexpr std::size_t MaxLineBytes = 256 * 1024;
 
+/// Bytes of a large answer that memory is reserved for at a time.
+constexpr std::size_t ReservationBytes = 256 * 1024;
+
 /// Idle connections are not reused after this time, because targets close
 /// them: half of 10 s, the shortest common idle timeout.
 constexpr long MaxIdleSeconds = 5;
@@ -46,10 +50,11 @@
 TargetTransfer::TargetTransfer(const std::string &BaseUrl,
                                TargetRequest Request,
                                const TargetClientOptions &Options,
-                               TargetHook OnResult)
+                               StreamShare Share, TargetHook OnResult)
     : BaseUrl(BaseUrl), Request(std::move(Request)), Options(Options),
       OnResult(std::move(OnResult)),
-      StartTime(std::chrono::steady_clock::now()), Easy(curl_easy_init()) {
+      StartTime(std::chrono::steady_clock::now()), Easy(curl_easy_init()),
+      Share(std::move(Share)) {
   const std::string *Id =
       findField(this->Request.Headers, Options.Scheme.RequestId);
   // Only targets that sign their answers must echo the request ID.
@@ -324,7 +329,8 @@
   if (Line.empty()) {
     HeadComplete = true;
     countChunkedBody();
-    return true;
+    AnswerTooLarge = exceedsLimit();
+    return !AnswerTooLarge;
   }
   if (Line.starts_with(VersionPrefix) && (HeadComplete || Answer.Status == 0)) {
     onStatusLine();
@@ -376,6 +382,13 @@
                        IsFramingField) == 1;
 }
 
+/// Whether the declared length of a final answer's body exceeds the limit.
+bool TargetTransfer::exceedsLimit() const {
+  const auto Length = parseNumberField(Answer.Headers, "Content-Length");
+  return Answer.Status >= FirstFinalStatus && Request.Method != "HEAD" &&
+         Length && *Length > Options.MaxAnswerBytes;
+}
+
 /// Reserves the declared length, since growth in steps would copy a large body
 /// several times.
 void TargetTransfer::reserveBody() {
@@ -402,13 +415,34 @@
   curl_easy_setopt(Easy.get(), CURLOPT_NOPROGRESS, 0L);
 }
 
-bool TargetTransfer::appendBody(std::string_view Bytes) {
-  if (AnswerTooLarge || (!CountsRawBody && !countBytes(Bytes.size())))
-    return false;
+/// Returns the number of bytes taken, as libcurl expects it: all, none to end
+/// the transfer, or CURL_WRITEFUNC_PAUSE to get the same bytes later.
+std::size_t TargetTransfer::appendBody(std::string_view Bytes) {
+  constexpr std::size_t End = 0;
+  if (AnswerTooLarge)
+    return End;
+  if (!hasMemoryFor(Bytes.size()))
+    return CURL_WRITEFUNC_PAUSE;
+  if (!CountsRawBody && !countBytes(Bytes.size()))
+    return End;
   if (Answer.Body.empty())
     reserveBody();
   Answer.Body.append(Bytes);
-  return true;
+  return Bytes.size();
+}
+
+/// Reserves memory for a large answer in steps. Returns false if the transfer
+/// has to wait for it.
+bool TargetTransfer::hasMemoryFor(std::size_t Bytes) {
+  const std::size_t Needed = Answer.Body.size() + Bytes;
+  if (Needed <= LargeAnswerBytes || Needed <= Share.bytes())
+    return true;
+  const std::size_t Step = std::max(Needed - Share.bytes(), ReservationBytes);
+  return Share.reserve(Step, [this] { OnMemory(); });
+}
+
+CURLcode TargetTransfer::resume() {
+  return curl_easy_pause(Easy.get(), CURLPAUSE_CONT);
 }
 
 std::size_t TargetTransfer::onFieldData(char *Data, std::size_t Size,
@@ -420,7 +454,7 @@
 std::size_t TargetTransfer::onBodyData(char *Data, std::size_t Size,
                                        std::size_t Count, void *UserData) {
   auto *Transfer = static_cast<TargetTransfer *>(UserData);
-  return Transfer->appendBody({Data, Size * Count}) ? Size * Count : 0;
+  return Transfer->appendBody({Data, Size * Count});
 }
 
 int TargetTransfer::onRawData(CURL *, curl_infotype Type, char *,
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -7,11 +7,14 @@
 #ifndef FESCUEWOOD_TARGETS_TARGETTRANSFER_H
 #define FESCUEWOOD_TARGETS_TARGETTRANSFER_H
 
+#include "policy/StreamBudget.h"
 #include "targets/TargetClient.h"
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string_view>
+#include <utility>
 
 #include <curl/curl.h>
 
@@ -22,8 +25,18 @@
 public:
   /// \param BaseUrl URL of the target; must outlive the transfer.
   /// \param Options must outlive the transfer.
+  /// \param Share memory for the answer, if it is large.
   TargetTransfer(const std::string &BaseUrl, TargetRequest Request,
-                 const TargetClientOptions &Options, TargetHook OnResult);
+                 const TargetClientOptions &Options, StreamShare Share,
+                 TargetHook OnResult);
+
+  /// Sets the hook that is called when a paused transfer may be resumed. It may
+  /// be called within the callbacks of other transfers.
+  void setMemoryHook(std::function<void()> Hook) { OnMemory = std::move(Hook); }
+
+  /// Continues to receive the answer. Not to be called within a callback of
+  /// libcurl. Returns what ended the transfer, or CURLE_OK.
+  CURLcode resume();
 
   /// Configures the libcurl handle. Returns false when the request cannot be
   /// expressed in HTTP, for example because a field contains a line break.
@@ -84,7 +97,9 @@
   void reserveBody();
   bool countBytes(std::size_t Bytes);
   void countChunkedBody();
-  bool appendBody(std::string_view Bytes);
+  std::size_t appendBody(std::string_view Bytes);
+  bool hasMemoryFor(std::size_t Bytes);
+  bool exceedsLimit() const;
   static std::size_t onFieldData(char *Data, std::size_t Size,
                                  std::size_t Count, void *UserData);
   static std::size_t onBodyData(char *Data, std::size_t Size, std::size_t Count,
@@ -102,6 +117,8 @@
   const std::chrono::steady_clock::time_point StartTime;
   std::unique_ptr<CURL, EasyDeleter> Easy;
   std::unique_ptr<curl_slist, ListDeleter> Fields;
+  StreamShare Share;
+  std::function<void()> OnMemory;
   CallAnswer Answer;
   std::size_t AnswerBytes = 0;
   int LocalPort = 0;
--- a/tests/integration/MeshFaultTest.cpp
+++ b/tests/integration/MeshFaultTest.cpp
@@ -4,13 +4,11 @@
 #include "integration/MeshFixture.h"
 
 #include "policy/CallSettings.h"
+#include "support/ProcessPeak.h"
 
 #include <algorithm>
-#include <fstream>
 #include <utility>
 
-#include <fmt/format.h>
-
 #include <CppUTest/TestHarness.h>
 
 using namespace fescuewood;
@@ -50,16 +48,9 @@
 
 /// Highest memory, in bytes, that any node of the mesh has held.
 std::size_t peakMemory(const Mesh &TestMesh) {
-  constexpr std::size_t KiB = 1024;
   std::size_t Peak = 0;
-  for (const MeshInstance &Instance : TestMesh.Instances) {
-    std::ifstream Status(fmt::format("/proc/{}/status", Instance.Node.id()));
-    const std::string Name = "VmHWM:";
-    for (std::string Line; std::getline(Status, Line);)
-      if (Line.starts_with(Name))
-        Peak = std::max<std::size_t>(
-            Peak, std::stoull(Line.substr(Name.size())) * KiB);
-  }
+  for (const MeshInstance &Instance : TestMesh.Instances)
+    Peak = std::max(Peak, processPeak(Instance.Node.id()));
   return Peak;
 }
 
--- a/tests/platform/StoreMeshFixture.cpp
+++ b/tests/platform/StoreMeshFixture.cpp
@@ -33,12 +33,12 @@
 
 /// The entry that a target writes to the store.
 std::string targetEntry(const StoreMeshInstance &Instance,
-                        const std::string &State) {
+                        const std::string &State, int Slots) {
   return nlohmann::json{{"service", Instance.Service},
                         {"address", endpoint(Instance.Ip, TargetPort)},
                         {"zone", Instance.Domain},
                         {"version", "1"},
-                        {"slots", 6},
+                        {"slots", Slots},
                         {"state", State},
                         {"warmup_left_s", 0},
                         {"sequence", 1},
@@ -98,6 +98,10 @@
   return endpoint(Instance.Ip, 8545);
 }
 
+std::string StoreMesh::peerAddress(const StoreMeshInstance &Instance) {
+  return endpoint(Instance.Ip, PeersPort);
+}
+
 void StoreMesh::start() {
   std::string Addresses;
   for (const StoreMeshInstance &Instance : Instances)
@@ -160,7 +164,7 @@
 
 void StoreMesh::registerTarget(const StoreMeshInstance &Instance,
                                const std::string &State) const {
-  putItem("servers/" + Instance.Id, targetEntry(Instance, State));
+  putItem("servers/" + Instance.Id, targetEntry(Instance, State, Slots));
 }
 
 void StoreMesh::startTarget(StoreMeshInstance &Instance) const {
--- a/tests/platform/StoreMeshFixture.h
+++ b/tests/platform/StoreMeshFixture.h
@@ -89,10 +89,14 @@
   std::string timeline(const std::string &RequestId) const;
 
   std::vector<StoreMeshInstance> Instances;
+  int Slots = 6; ///< Of each target.
 
   /// Starts the node of an instance; its previous process must have ended.
   void startNode(StoreMeshInstance &Instance) const;
 
+  /// Address at which other nodes reach the node.
+  static std::string peerAddress(const StoreMeshInstance &Instance);
+
   /// Value of a metric of a node without labels; 0 when the node does not
   /// answer.
   double metric(const StoreMeshInstance &Instance,
--- a/tests/standins/StoreMain.cpp
+++ b/tests/standins/StoreMain.cpp
@@ -50,6 +50,7 @@
   int Status = 0;          ///< status: responds with it, does nothing.
   bool Reset = false;      ///< reset: closes connections on calls.
   bool Silent = false;     ///< silent: accepts calls, never responds.
+  bool Endless = false;    ///< endless: responds with a body that never ends.
   bool Lost = false;       ///< lost: executes the call, drops the response.
   std::int64_t SlowMs = 0; ///< slow_ms: delays every response.
   std::uint64_t Stale = 0; ///< stale: newest revision of stale reads; 0: all.
@@ -239,6 +240,7 @@
     Next.Status = static_cast<int>(number(Target, "status"));
     Next.Reset = number(Target, "reset") != 0;
     Next.Silent = number(Target, "silent") != 0;
+    Next.Endless = number(Target, "endless") != 0;
     Next.Lost = number(Target, "lost") != 0;
     Next.SlowMs = static_cast<std::int64_t>(number(Target, "slow_ms"));
     Next.Stale = number(Target, "stale");
@@ -295,6 +297,8 @@
     }
     if (Active.Reset || Active.Silent)
       co_return false;
+    if (Active.Endless)
+      co_await sendEndlessly();
     if (Active.Status != 0 || !ServedStore.withinRate()) {
       const Response Refusal{Active.Status != 0 ? Active.Status : 429};
       co_await write(Target, Refusal);
@@ -309,6 +313,16 @@
     co_return true;
   }
 
+  /// Sends a body until the caller closes the connection.
+  asio::awaitable<void> sendEndlessly() {
+    const std::string Head =
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n";
+    const std::string Block(64 * 1024, ' ');
+    co_await standins::send(Socket, Head);
+    for (;;)
+      co_await standins::send(Socket, Block);
+  }
+
   asio::awaitable<void> reply(const std::string &Target,
                               const std::string &Body) {
     const auto Wait = std::min<std::int64_t>(
--- a/tests/standins/Target.h
+++ b/tests/standins/Target.h
@@ -249,6 +249,10 @@
       return {Head + "X: ", "x"};
     if (Kind == "body")
       return {Head + "Content-Length: 999999999999\r\n\r\n", "x"};
+    if (Kind == "until-close")
+      return {Head + "\r\n", "x"};
+    if (Kind == "large-chunks")
+      return {Chunked, "1000\r\n" + std::string(0x1000, 'x') + "\r\n"};
     if (Kind == "extension")
       return {Chunked + "1;", "x"};
     if (Kind == "chunks")
--- a/tests/targets/EndlessAnswerTest.cpp
+++ b/tests/targets/EndlessAnswerTest.cpp
@@ -3,8 +3,10 @@
 #include "targets/FakeEndlessTarget.h"
 #include "targets/TargetClient.h"
 
+#include <algorithm>
 #include <future>
 #include <memory>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -214,6 +216,34 @@
     CHECK_FALSE(Each.get().Answer.has_value());
 }
 
+// Guards against endless answers that are bounded one by one, but not in sum.
+TEST(EndlessAnswers, SumOfEndlessAnswersIsBounded) {
+  constexpr std::size_t SumLimit = 2 * AnswerLimit;
+  constexpr std::size_t EndlessRequests = 24;
+  constexpr std::size_t UncountedBytes = 128 * 1024; // Of each answer.
+  for (const Case &Each : bodyCases()) {
+    const FakeEndlessTarget Target({Each.Start, Each.Repeat});
+    TargetClientOptions Options = optionsFor(Target);
+    Options.MaxReceivingBytes = SumLimit;
+    TargetClient Client(Options);
+    std::vector<std::future<TargetResult>> Endless;
+    for (std::size_t I = 0; I < EndlessRequests; ++I)
+      Endless.push_back(start(Client, "/endless"));
+
+    std::size_t Highest = 0;
+    for (auto &Answer : Endless) {
+      while (Answer.wait_for(milliseconds(0)) != std::future_status::ready)
+        Highest = std::max(Highest, Client.receivingBytes());
+      CHECK_EQUAL_TEXT(static_cast<int>(Each.Reason),
+                       static_cast<int>(Answer.get().Reason), Each.Name);
+    }
+    CHECK_TRUE_TEXT(Highest <= SumLimit + AnswerLimit +
+                                   EndlessRequests * UncountedBytes,
+                    std::to_string(Highest).c_str());
+    CHECK(ResultCode::Ok == send(Client, "/good").Reason);
+  }
+}
+
 TEST(EndlessAnswers, EndlessBytesAfterACompleteAnswerCloseTheConnection) {
   for (const milliseconds Pause : {milliseconds(0), milliseconds(30)}) {
     for (const std::string &Start : {Head + "Content-Length: 2\r\n\r\nok",
--- a/tests/targets/TargetClientTest.cpp
+++ b/tests/targets/TargetClientTest.cpp
@@ -106,6 +106,30 @@
   CHECK(findField(Result.Answer->Headers, "Content-Length") == nullptr);
 }
 
+// Answers beyond the memory for them wait, and none is lost or cut.
+TEST(TargetClient, ReceivesMoreLargeAnswersThanFitIntoItsMemory) {
+  constexpr std::size_t LargeBytes = 900'000;
+  TargetClientOptions Options{Target.address()};
+  Options.MaxReceivingBytes = LargeBytes / 2;
+  TargetClient Small{Options};
+  std::vector<std::future<TargetResult>> Answers;
+  for (int I = 0; I < 12; ++I) {
+    TargetRequest Request = request("GET", "large-" + std::to_string(I));
+    Request.Target = "/work?bytes=" + std::to_string(LargeBytes);
+    Answers.push_back(send(Small, Request));
+  }
+
+  for (std::size_t I = 0; I < Answers.size(); ++I) {
+    const TargetResult Result = await(std::move(Answers[I]));
+    CHECK(ResultCode::Ok == Result.Reason);
+    const std::string Start = "mark=large-" + std::to_string(I) + "\n";
+    LONGS_EQUAL(LargeBytes, Result.Answer->Body.size());
+    CHECK(Result.Answer->Body.starts_with(Start));
+    CHECK(Result.Answer->Body.find_first_not_of('.', Start.size()) ==
+          std::string::npos);
+  }
+}
+
 // Guards against libcurl resending a request, including POST, when a reused
 // connection closes before the answer. Each iteration first opens a connection
 // that can be reused.
