Ask every answer on a used connection for the id of its request

Cause: only successes and refusals had to name their request; any other answer without an id counted as the target's own, also on a connection on which another answer may be written again. A probe in turn took the answer of any request.

On a used connection a final answer without an id is now rejected at its head, and an answer with an id is foreign to a probe; both close the connection, so that what follows meets no later request.

--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -161,6 +161,8 @@
     return ResultCode::TargetAnswerTooLarge;
   if (HasForeignId)
     return ResultCode::TargetAnswerForeign;
+  if (LacksId)
+    return ResultCode::TargetAnswerUnproven;
   switch (Code) {
   case CURLE_OK:
     return validateAnswer();
@@ -194,21 +196,13 @@
     return ResultCode::TargetConnectionLost;
   if (!isFramed())
     return ResultCode::TargetAnswerMalformed;
-  if (isMisdirectedAnswer() || isNotRunAnswer())
-    return validateRefusal();
+  if (isMisdirectedAnswer())
+    return ResultCode::TargetMistaken;
+  if (isNotRunAnswer())
+    return ResultCode::TargetRefused;
   return isProven() ? ResultCode::Ok : ResultCode::TargetAnswerUnproven;
 }
 
-/// Validates an answer that promises that the request has not run. On a
-/// connection that was used before it may be an earlier refusal, repeated, so
-/// it must name its request there.
-ResultCode TargetTransfer::validateRefusal() const {
-  if (isReused() && !namesRequest())
-    return ResultCode::TargetAnswerUnproven;
-  return isMisdirectedAnswer() ? ResultCode::TargetMistaken
-                               : ResultCode::TargetRefused;
-}
-
 /// Whether the answer names its request, if it must: one that does not may
 /// belong to another request. One that names another is rejected on arrival.
 bool TargetTransfer::namesRequest() const {
@@ -328,9 +322,7 @@
   Line.remove_suffix(LineEnd.size());
   if (Line.empty()) {
     HeadComplete = true;
-    countChunkedBody();
-    AnswerTooLarge = exceedsLimit();
-    return !AnswerTooLarge;
+    return acceptsHead();
   }
   if (Line.starts_with(VersionPrefix) && (HeadComplete || Answer.Status == 0)) {
     onStatusLine();
@@ -340,6 +332,19 @@
   return HeadComplete || addAnswerField(Line);
 }
 
+/// Whether the head that has ended may begin the answer. On a connection that
+/// was used before, a final answer that names no request may be a late copy of
+/// an earlier one, such as that to a probe. Rejecting it closes the connection,
+/// so that the answer behind it is not read as that to a later request.
+bool TargetTransfer::acceptsHead() {
+  if (Answer.Status < FirstFinalStatus)
+    return true;
+  LacksId = isReused() && !namesRequest();
+  AnswerTooLarge = exceedsLimit();
+  countChunkedBody();
+  return !LacksId && !AnswerTooLarge;
+}
+
 void TargetTransfer::onStatusLine() {
   // Discards the head of a preceding interim answer (1xx).
   long Status = 0;
@@ -360,7 +365,9 @@
   const std::string_view Value = trimmedFieldValue(Line.substr(Colon + 1));
   Answer.Headers.push_back({std::string(Name), std::string(Value)});
   const Header &Field = Answer.Headers.back();
-  HasForeignId = !RequestId.empty() && Field.Value != RequestId &&
+  // The answer to a probe has no ID: one that has is foreign to it.
+  HasForeignId = !Options.Scheme.Signature.empty() &&
+                 Field.Value != RequestId &&
                  isSameFieldName(Field.Name, Options.Scheme.RequestId);
   return !HasForeignId && hasUnambiguousFraming(Field);
 }
@@ -382,11 +389,10 @@
                        IsFramingField) == 1;
 }
 
-/// Whether the declared length of a final answer's body exceeds the limit.
+/// Whether the declared length of the body exceeds the limit.
 bool TargetTransfer::exceedsLimit() const {
   const auto Length = parseNumberField(Answer.Headers, "Content-Length");
-  return Answer.Status >= FirstFinalStatus && Request.Method != "HEAD" &&
-         Length && *Length > Options.MaxAnswerBytes;
+  return Request.Method != "HEAD" && Length && *Length > Options.MaxAnswerBytes;
 }
 
 /// Reserves the declared length, since growth in steps would copy a large body
@@ -407,8 +413,7 @@
 /// which a target may send without end. Its debug function receives all bytes,
 /// but cannot abort the transfer; the progress function can.
 void TargetTransfer::countChunkedBody() {
-  if (CountsRawBody || Answer.Status < FirstFinalStatus ||
-      !findField(Answer.Headers, "Transfer-Encoding"))
+  if (CountsRawBody || !findField(Answer.Headers, "Transfer-Encoding"))
     return;
   CountsRawBody = true;
   curl_easy_setopt(Easy.get(), CURLOPT_VERBOSE, 1L);
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -83,7 +83,6 @@
   bool isFramed() const;
   bool isMostlyFraming() const;
   ResultCode validateAnswer() const;
-  ResultCode validateRefusal() const;
   bool namesRequest() const;
   bool isReused() const;
   bool isNotRunAnswer() const;
@@ -91,6 +90,7 @@
   bool isProven() const;
 
   bool onFieldLine(std::string_view Line);
+  bool acceptsHead();
   void onStatusLine();
   bool addAnswerField(std::string_view Line);
   bool hasUnambiguousFraming(const Header &Field) const;
@@ -130,7 +130,8 @@
   bool AnswerTooLarge = false;  ///< The answer exceeds a limit.
   bool FramingTooLarge = false; ///< Heads and trailer exceed a limit.
   bool HasForeignId = false;    ///< The answer has another request's ID.
-  std::string RequestId;        ///< ID that the answer must echo; empty: any.
+  bool LacksId = false;  ///< It must have its request's ID, but has none.
+  std::string RequestId; ///< ID that the answer must echo; empty: any.
 };
 
 } // namespace fescuewood
--- a/tests/standins/StoreMain.cpp
+++ b/tests/standins/StoreMain.cpp
@@ -297,8 +297,9 @@
     }
     if (Active.Reset || Active.Silent)
       co_return false;
-    if (Active.Endless)
+    if (Active.Endless) {
       co_await sendEndlessly();
+    }
     if (Active.Status != 0 || !ServedStore.withinRate()) {
       const Response Refusal{Active.Status != 0 ? Active.Status : 429};
       co_await write(Target, Refusal);
@@ -319,8 +320,9 @@
         "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n";
     const std::string Block(64 * 1024, ' ');
     co_await standins::send(Socket, Head);
-    for (;;)
+    for (;;) {
       co_await standins::send(Socket, Block);
+    }
   }
 
   asio::awaitable<void> reply(const std::string &Target,
--- a/tests/targets/RepeatedRefusalTest.cpp
+++ b/tests/targets/RepeatedRefusalTest.cpp
@@ -88,11 +88,7 @@
   std::thread Thread;
 };
 
-TargetResult send(TargetClient &Client, const std::string &Id) {
-  TargetRequest Request;
-  Request.Method = "GET";
-  Request.Target = "/";
-  Request.Headers = {{"Id", Id}};
+TargetResult send(TargetClient &Client, TargetRequest Request) {
   std::promise<TargetResult> Result;
   Client.start(std::move(Request), [&Result](TargetResult Value) {
     Result.set_value(std::move(Value));
@@ -100,6 +96,14 @@
   return Result.get_future().get();
 }
 
+TargetResult send(TargetClient &Client, const std::string &Id) {
+  TargetRequest Request;
+  Request.Method = "GET";
+  Request.Target = "/";
+  Request.Headers = {{"Id", Id}};
+  return send(Client, std::move(Request));
+}
+
 TargetClientOptions optionsFor(const RepeatingTarget &Target) {
   TargetClientOptions Options;
   Options.Address = Target.address();
@@ -179,3 +183,39 @@
   LONGS_EQUAL(1, Target.ConnectionOf.at(1));
   CHECK(Target.ConnectionOf.at(2) <= 1);
 }
+
+// Guards against a late copy of an answer without an ID, which was taken for
+// the answer to the next request, whatever its status.
+TEST(RepeatedRefusal, AnswerThatNamesNoRequestIsNotUsedOnAUsedConnection) {
+  const std::string Nameless =
+      "HTTP/1.1 503 Busy\r\nInstance: i\r\nContent-Length: 0\r\n\r\n";
+  const RepeatingTarget Target({success("first"), Nameless, success("third")});
+  TargetClient Client(optionsFor(Target));
+  send(Client, "first");
+
+  const TargetResult Result = send(Client, "second");
+  const TargetResult Next = send(Client, "third");
+
+  CHECK(ResultCode::TargetAnswerUnproven == Result.Reason);
+  CHECK(Outcome::Unknown == Result.RunOutcome);
+  CHECK(ResultCode::Ok == Next.Reason);
+  LONGS_EQUAL(1, Target.ConnectionOf.at(2));
+}
+
+// Guards against a late copy of a request's answer that is taken for the answer
+// to a probe, so that the next request gets the answer to the probe.
+TEST(RepeatedRefusal, AnswerThatNamesARequestIsForeignToAProbe) {
+  const RepeatingTarget Target(
+      {success("first"), success("first"), success("second")});
+  TargetClient Client(optionsFor(Target));
+  send(Client, "first");
+
+  TargetRequest Probe;
+  Probe.Method = "GET";
+  Probe.Target = "/health";
+  const TargetResult Result = send(Client, std::move(Probe));
+  send(Client, "second");
+
+  CHECK(ResultCode::TargetAnswerForeign == Result.Reason);
+  LONGS_EQUAL(1, Target.ConnectionOf.at(2));
+}
