Begin no long run in a shutdown that could not be repeated

Cause: the node knows from its SIGTERM on when it will cut what still runs, but compared deadlines with that only after 2.6 s, when it had closed its listener.

From the SIGTERM on its target begins no call that may outlast the drain and must not be repeated. Such a call is refused as by a draining target and goes to another one. Calls that may be repeated are taken as before.

--- a/src/app/Node.cpp
+++ b/src/app/Node.cpp
@@ -17,8 +17,8 @@
 /// stops.
 constexpr DurationMs LeavePropagation{400};
 
-/// Time between the latest deadline of a call that is taken during a drain and
-/// the end of the drain, for its answer.
+/// Time between the latest deadline of a call that is taken during a shutdown
+/// and the end of the drain, for its answer.
 constexpr DurationMs DrainMargin{200};
 
 /// Time to write the final answers after the remaining calls are cancelled.
@@ -84,6 +84,7 @@
   Draining = true;
   Recorder.record({EventId::NodeDraining, {}});
   const TimeMs Deadline = Monotonic.now() + Settings.Callers.DrainTimeout;
+  Engine.setLeaving(Deadline - DrainMargin);
   // Load balancers must first notice that this node is no longer ready. Until
   // then other nodes keep sending work to its target, which may go on running
   // without this node.
--- a/src/calls/CallContext.h
+++ b/src/calls/CallContext.h
@@ -44,6 +44,9 @@
   CallStatus Counters;
   /// Set while the node drains: a call that may end later is not taken.
   std::optional<TimeMs> DrainEnd;
+  /// Set from the beginning of a shutdown, before the drain: a call that may
+  /// end later is not run on the target, unless it can be repeated elsewhere.
+  std::optional<TimeMs> LeaveEnd;
 
   TimeMs now() const { return Time.now(); }
 
@@ -52,6 +55,12 @@
     return DrainEnd && Deadline > *DrainEnd;
   }
 
+  /// Whether a run with this deadline may be cut although it must not be
+  /// repeated.
+  bool mayCutForGood(const CallRequest &Request, TimeMs Deadline) const {
+    return LeaveEnd && !Request.Idempotent && Deadline > *LeaveEnd;
+  }
+
   void report(EventId Id, std::vector<EventField> Fields) const {
     if (Hooks.OnEvent)
       Hooks.OnEvent({Id, std::move(Fields)});
--- a/src/calls/CallCore.cpp
+++ b/src/calls/CallCore.cpp
@@ -77,6 +77,10 @@
   Context.run([this, Report] { Target.onReport(Report); });
 }
 
+void CallCore::setLeaving(TimeMs End) {
+  Context.run([this, End] { Context.LeaveEnd = End; });
+}
+
 void CallCore::setDraining(TimeMs End) {
   Context.run([this, End] {
     Context.DrainEnd = End;
--- a/src/calls/CallCore.h
+++ b/src/calls/CallCore.h
@@ -36,6 +36,7 @@
   void setInstances(const std::vector<Instance> &Instances);
   void setOwnTarget(const std::optional<ListedInstance> &Listed);
   void setOwnReport(const MemberListing &Report);
+  void setLeaving(TimeMs End);
   void setDraining(TimeMs End);
 
   /// Refuses all unanswered calls that entered at this node with
--- a/src/calls/CallEngine.cpp
+++ b/src/calls/CallEngine.cpp
@@ -117,6 +117,10 @@
     postReliably([this, Report] { Core.setOwnReport(Report); });
   }
 
+  void setLeaving(TimeMs End) {
+    postReliably([this, End] { Core.setLeaving(End); });
+  }
+
   void setDraining(TimeMs End) {
     postReliably([this, End] { Core.setDraining(End); });
   }
@@ -289,6 +293,8 @@
   State->setOwnReport(Report);
 }
 
+void CallEngine::setLeaving(TimeMs End) { State->setLeaving(End); }
+
 void CallEngine::setDraining(TimeMs End) { State->setDraining(End); }
 
 bool CallEngine::idle() const { return State->idle(); }
--- a/src/calls/CallEngine.h
+++ b/src/calls/CallEngine.h
@@ -107,6 +107,10 @@
   /// Sets what other nodes have read about this node's target.
   void setOwnReport(const MemberListing &Report);
 
+  /// Announces a shutdown that cuts calls at \p End: the target runs no new
+  /// call that may last longer and must not be repeated.
+  void setLeaving(TimeMs End);
+
   /// Refuses new calls on both sides that may last longer than \p End; calls in
   /// progress are completed. Callable again with another end.
   void setDraining(TimeMs End);
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -250,7 +250,9 @@
 }
 
 ResultCode TargetSide::refusalOnArrival(const CallRequest &Request) {
-  if (Context.outlastsDrain(Context.now() + Request.Remaining))
+  const TimeMs Deadline = Context.now() + Request.Remaining;
+  if (Context.outlastsDrain(Deadline) ||
+      Context.mayCutForGood(Request, Deadline))
     return ResultCode::TargetDraining;
   if (!Context.Identity.Service.empty() &&
       Request.Service != Context.Identity.Service)
--- a/tests/calls/CallCoreTest.cpp
+++ b/tests/calls/CallCoreTest.cpp
@@ -256,6 +256,34 @@
     LONGS_EQUAL(200, Call.Answer.Status);
 }
 
+// Guards against a run that is cut at the end of a shutdown and cannot be
+// repeated: it began before the drain, when calls of any length were taken.
+TEST(CallCore, LongRunThatMustNotBeRepeatedIsNotBegunInAShutdown) {
+  auto Mesh = makeMesh(5, {}, {});
+  constexpr DurationMs Left{1000};
+  Mesh->Nodes[1]->Core->setLeaving(Mesh->Time.clock().now() + Left);
+
+  for (int I = 0; I < 30; ++I) {
+    CallRequest Once = makeRequest("once", false);
+    Once.Remaining = Left * 2;
+    CallRequest Short = makeRequest("short", false);
+    Short.Remaining = DurationMs(Left.Value / 2);
+    CallRequest Repeatable = makeRequest("repeatable", true);
+    Repeatable.Remaining = Left * 2;
+    for (const CallRequest &Request : {Once, Short, Repeatable})
+      Mesh->submit(1, Request);
+    Mesh->runFor(5000);
+  }
+  Mesh->runFor(3 * SecondUs);
+
+  for (const FakeCall &Call : Mesh->Calls)
+    LONGS_EQUAL(200, Call.Answer.Status);
+  auto &RunsOf = Mesh->Nodes[1]->Target->RunsOf;
+  LONGS_EQUAL(0, RunsOf["once"]);
+  CHECK(RunsOf["short"] > 0);
+  CHECK(RunsOf["repeatable"] > 0);
+}
+
 TEST(CallCore, QuarantinesARequestThatCrashesTargetsAndServesOthers) {
   auto Mesh = makeMesh(6, {}, {});
 
