Log on which connection a request was sent to its target

Cause: the log of a run did not show whether two runs shared a connection, so it could not tell a repeated answer from a misread one.

Change: RunEnded has the local port of the connection and the place of the request on it. The client's supervision of idle connections keeps one record for each open connection; the address may also be an IPv6 one.

Evidence: TargetClient.TellsOnWhichConnectionARequestWasSent.

--- a/src/app/TargetAdapter.cpp
+++ b/src/app/TargetAdapter.cpp
@@ -47,6 +47,7 @@
   Run.Duration = Result.Duration;
   Run.Reason = Result.Reason;
   Run.Notice = Result.Notice;
+  Run.Use = Result.Use;
   if (Result.Answer) {
     Run.Answer = std::move(Result.Answer);
     return Run;
--- a/src/calls/TargetPort.h
+++ b/src/calls/TargetPort.h
@@ -27,6 +27,13 @@
   Cancelled, ///< Ended by \ref TargetPort::Cancel.
 };
 
+/// The connection on which a request was sent, for the log: two answers can
+/// only be mistaken for each other on the same one.
+struct ConnectionUse {
+  int LocalPort = 0;       ///< 0: the request was not sent.
+  std::uint32_t Place = 0; ///< Among the requests of the connection, from 1.
+};
+
 /// Result of one run.
 struct RunResult {
   std::optional<CallAnswer> Answer; ///< Set only if complete.
@@ -37,6 +44,7 @@
   Outcome RunOutcome = Outcome::Unknown;
   /// What the target says about itself, if it answered.
   std::optional<TargetNotice> Notice = std::nullopt;
+  ConnectionUse Use = {};
 };
 
 using RunHook = std::function<void(RunResult)>;
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -182,6 +182,8 @@
         Listing.entry() ? Listing.entry()->TargetId : Context.Identity.Name},
        {"queued_ms", std::to_string((Call.StartedAt - Call.ArrivedAt).Value)},
        {"ran_ms", std::to_string((Now - Call.StartedAt).Value)},
+       {"connection", std::to_string(Result.Use.LocalPort)},
+       {"place", std::to_string(Result.Use.Place)},
        {"status", std::to_string(Result.Answer ? Result.Answer->Status : 0)},
        {"reason", std::string(resultName(Result.Reason))}});
 }
--- a/src/targets/TargetClient.cpp
+++ b/src/targets/TargetClient.cpp
@@ -1,7 +1,7 @@
 #include "targets/TargetClient.h"
 
 #include "targets/FailedRequests.h"
-#include "targets/IdleConnections.h"
+#include "targets/TargetConnections.h"
 #include "targets/TargetTransfer.h"
 
 #include <atomic>
@@ -144,6 +144,8 @@
     if (Failed.contains(NewTransfer.requestId()))
       NewTransfer.useNewConnection();
     Connections.track(NewTransfer.handle());
+    NewTransfer.setConnectionHook(
+        [this](int LocalPort) { return Connections.onRequest(LocalPort); });
     RequestIdByHandle[NewTransfer.handle()] = Command.Id;
     curl_multi_add_handle(Multi.get(), NewTransfer.handle());
   }
@@ -213,7 +215,7 @@
   const std::string BaseUrl;
   StreamBudget Receiving; ///< Memory of the answers; outlives the transfers.
   std::deque<std::uint64_t> Resumable; ///< Transfers that have got memory.
-  IdleConnections Connections;         ///< Outlives the connections of Multi.
+  TargetConnections Connections;       ///< Outlives the connections of Multi.
   std::chrono::steady_clock::time_point NextIdleCheck;
   std::unique_ptr<CURLM, MultiDeleter> Multi;
   std::map<std::uint64_t, std::unique_ptr<TargetTransfer>> Transfers;
--- a/src/targets/TargetClient.h
+++ b/src/targets/TargetClient.h
@@ -12,6 +12,7 @@
 
 #include "callers/HeaderScheme.h"
 #include "calls/Call.h"
+#include "calls/TargetPort.h"
 #include "core/Clock.h"
 #include "core/ResultCode.h"
 #include "policy/TargetNotice.h"
@@ -50,6 +51,7 @@
   /// What the target says about itself; set for each complete answer of the
   /// intended target to this request, also for one that refuses it.
   std::optional<TargetNotice> Notice = std::nullopt;
+  ConnectionUse Use = {};
 };
 
 /// Receives the result of a request, on the client's thread; must not block.
--- a/src/targets/IdleConnections.cpp
+++ b/src/targets/TargetConnections.cpp
@@ -1,4 +1,4 @@
-#include "targets/IdleConnections.h"
+#include "targets/TargetConnections.h"
 
 #include <arpa/inet.h>
 #include <cstddef>
@@ -14,12 +14,15 @@
 
 /// Returns the local port of a socket, or -1 if it is not connected.
 int localPort(curl_socket_t Socket) {
-  sockaddr_in Address{};
+  sockaddr_storage Address{};
   socklen_t Size = sizeof(Address);
-  if (getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size) != 0 ||
-      Address.sin_family != AF_INET)
+  if (getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size) != 0)
     return -1;
-  return ntohs(Address.sin_port);
+  if (Address.ss_family == AF_INET)
+    return ntohs(reinterpret_cast<const sockaddr_in &>(Address).sin_port);
+  if (Address.ss_family == AF_INET6)
+    return ntohs(reinterpret_cast<const sockaddr_in6 &>(Address).sin6_port);
+  return -1;
 }
 
 /// Ends a connection. The bytes that have arrived are discarded, since a target
@@ -37,18 +40,38 @@
 
 } // namespace
 
-void IdleConnections::track(CURL *Handle) {
+void TargetConnections::track(CURL *Handle) {
   curl_easy_setopt(Handle, CURLOPT_SOCKOPTFUNCTION, &onOpened);
   curl_easy_setopt(Handle, CURLOPT_SOCKOPTDATA, this);
   curl_easy_setopt(Handle, CURLOPT_CLOSESOCKETFUNCTION, &onClosed);
   curl_easy_setopt(Handle, CURLOPT_CLOSESOCKETDATA, this);
 }
 
-void IdleConnections::endReadable(const std::set<int> &UsedPorts) {
+std::uint32_t TargetConnections::onRequest(int LocalPort) {
+  Connection *Known = find(LocalPort);
+  return Known ? ++Known->Requests : 0;
+}
+
+/// The connection with a local port, which it gets with its first request.
+TargetConnections::Connection *TargetConnections::find(int LocalPort) {
+  for (auto &[Socket, Each] : Connections)
+    if (Each.LocalPort == LocalPort && !Each.Ended)
+      return &Each;
+  for (auto &[Socket, Each] : Connections) {
+    if (Each.LocalPort != 0 || localPort(Socket) != LocalPort)
+      continue;
+    Each.LocalPort = LocalPort;
+    return &Each;
+  }
+  return nullptr;
+}
+
+void TargetConnections::endReadable(const std::set<int> &UsedPorts) {
   std::vector<pollfd> Polled;
-  Polled.reserve(Sockets.size());
-  for (const curl_socket_t Socket : Sockets)
-    Polled.push_back({Socket, POLLIN, 0});
+  Polled.reserve(Connections.size());
+  for (const auto &[Socket, Each] : Connections)
+    if (!Each.Ended)
+      Polled.push_back({Socket, POLLIN, 0});
   constexpr int NoWait = 0;
   if (Polled.empty() || poll(Polled.data(), Polled.size(), NoWait) <= 0)
     return;
@@ -60,18 +83,18 @@
     if (Port < 0 || UsedPorts.contains(Port))
       continue;
     end(Each.fd);
-    Sockets.erase(Each.fd);
+    Connections[Each.fd].Ended = true;
   }
 }
 
-int IdleConnections::onOpened(void *UserData, curl_socket_t Socket,
-                              curlsocktype) {
-  static_cast<IdleConnections *>(UserData)->Sockets.insert(Socket);
+int TargetConnections::onOpened(void *UserData, curl_socket_t Socket,
+                                curlsocktype) {
+  static_cast<TargetConnections *>(UserData)->Connections[Socket] = {};
   return CURL_SOCKOPT_OK;
 }
 
-int IdleConnections::onClosed(void *UserData, curl_socket_t Socket) {
-  static_cast<IdleConnections *>(UserData)->Sockets.erase(Socket);
+int TargetConnections::onClosed(void *UserData, curl_socket_t Socket) {
+  static_cast<TargetConnections *>(UserData)->Connections.erase(Socket);
   return close(Socket);
 }
 
--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -292,6 +292,7 @@
   Result.Reason = Reason;
   Result.RunOutcome = outcome(Reason);
   Result.Notice = notice(Reason);
+  Result.Use = Use;
   const auto Elapsed = std::chrono::steady_clock::now() - StartTime;
   Result.Duration = DurationMs(duration_cast<milliseconds>(Elapsed).count());
   if (Reason == ResultCode::Ok) {
@@ -485,7 +486,9 @@
   if (Transfer->RequestSent)
     return CURL_PREREQFUNC_ABORT;
   Transfer->RequestSent = true;
-  Transfer->LocalPort = LocalPort;
+  Transfer->Use.LocalPort = LocalPort;
+  if (Transfer->OnConnection)
+    Transfer->Use.Place = Transfer->OnConnection(LocalPort);
   return CURL_PREREQFUNC_OK;
 }
 
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -34,6 +34,13 @@
   /// be called within the callbacks of other transfers.
   void setMemoryHook(std::function<void()> Hook) { OnMemory = std::move(Hook); }
 
+  /// Sets the hook that is called with the local port of the connection on
+  /// which the request is about to be sent. It returns the request's place
+  /// there.
+  void setConnectionHook(std::function<std::uint32_t(int)> Hook) {
+    OnConnection = std::move(Hook);
+  }
+
   /// Continues to receive the answer. Not to be called within a callback of
   /// libcurl. Returns what ended the transfer, or CURLE_OK.
   CURLcode resume();
@@ -54,7 +61,7 @@
   std::size_t receivedBytes() const { return AnswerBytes; }
 
   /// Local port of the transfer's connection; 0 until it is connected.
-  int localPort() const { return LocalPort; }
+  int localPort() const { return Use.LocalPort; }
 
   /// Maps the libcurl code of a finished transfer to a result code; Ok for a
   /// complete and valid answer.
@@ -119,9 +126,10 @@
   std::unique_ptr<curl_slist, ListDeleter> Fields;
   StreamShare Share;
   std::function<void()> OnMemory;
+  std::function<std::uint32_t(int)> OnConnection;
   CallAnswer Answer;
   std::size_t AnswerBytes = 0;
-  int LocalPort = 0;
+  ConnectionUse Use;
   std::size_t Lines = 0;        ///< Of all heads and the trailer.
   std::size_t LineBytes = 0;    ///< Of all heads and the trailer.
   bool HeadComplete = false;    ///< Further field lines are trailer fields.
--- a/tests/targets/TargetClientTest.cpp
+++ b/tests/targets/TargetClientTest.cpp
@@ -106,6 +106,19 @@
   CHECK(findField(Result.Answer->Headers, "Content-Length") == nullptr);
 }
 
+TEST(TargetClient, TellsOnWhichConnectionARequestWasSent) {
+  const ConnectionUse First = await(send(Client, request("GET", "m1"))).Use;
+  const ConnectionUse Second = await(send(Client, request("GET", "m2"))).Use;
+  const ConnectionUse New = await(send(Client, request("POST", "m3"))).Use;
+
+  CHECK(First.LocalPort != 0);
+  LONGS_EQUAL(1, First.Place);
+  LONGS_EQUAL(First.LocalPort, Second.LocalPort);
+  LONGS_EQUAL(2, Second.Place);
+  CHECK(New.LocalPort != First.LocalPort);
+  LONGS_EQUAL(1, New.Place);
+}
+
 // Answers beyond the memory for them wait, and none is lost or cut.
 TEST(TargetClient, ReceivesMoreLargeAnswersThanFitIntoItsMemory) {
   constexpr std::size_t LargeBytes = 900'000;
