Send a request ID at most once on each connection to a target

What callers saw: a success where the target had answered with a failure (MIXED).

Cause: a faulty target may write an answer once more, where the next one on its connection is due. The ID tells it from the answers to other requests, not from that to another sending of the same request. The class: identity by the request where it takes the sending.

Change: the client keeps for each open connection the IDs that it has carried, and rejects a connection for an ID that is among them before a byte is sent; the transfer then starts anew on a new one. FailedRequests goes. A connection is closed after 4,096 requests, which bounds the memory.

Why it works: an answer belongs to a sending exactly if it names the request and comes on the connection of that sending, since no other sending of the ID ever used that connection.

--- a/src/targets/TargetClient.cpp
+++ b/src/targets/TargetClient.cpp
@@ -1,6 +1,5 @@
 #include "targets/TargetClient.h"
 
-#include "targets/FailedRequests.h"
 #include "targets/TargetConnections.h"
 #include "targets/TargetTransfer.h"
 
@@ -141,11 +140,10 @@
       finish(Command.Id, ResultCode::TargetRequestInvalid);
       return;
     }
-    if (Failed.contains(NewTransfer.requestId()))
-      NewTransfer.useNewConnection();
     Connections.track(NewTransfer.handle());
-    NewTransfer.setConnectionHook(
-        [this](int LocalPort) { return Connections.onRequest(LocalPort); });
+    NewTransfer.setConnectionHook([this](int LocalPort, std::string_view Id) {
+      return Connections.onRequest(LocalPort, Id);
+    });
     RequestIdByHandle[NewTransfer.handle()] = Command.Id;
     curl_multi_add_handle(Multi.get(), NewTransfer.handle());
   }
@@ -158,10 +156,21 @@
         continue;
       const CURLcode Code = Message->data.result;
       const std::uint64_t Id = RequestIdByHandle.at(Message->easy_handle);
-      finish(Id, Transfers.at(Id)->reasonFor(Code));
+      TargetTransfer &Transfer = *Transfers.at(Id);
+      if (Transfer.needsNewConnection())
+        restartOnNewConnection(Transfer);
+      else
+        finish(Id, Transfer.reasonFor(Code));
     }
   }
 
+  /// Starts a transfer anew whose request has not been sent.
+  void restartOnNewConnection(TargetTransfer &Transfer) {
+    curl_multi_remove_handle(Multi.get(), Transfer.handle());
+    Transfer.useNewConnection();
+    curl_multi_add_handle(Multi.get(), Transfer.handle());
+  }
+
   /// Resumes the transfers that have got memory for their answers.
   void resumePaused() {
     while (!Resumable.empty()) {
@@ -206,8 +215,6 @@
     curl_multi_remove_handle(Multi.get(), Transfer->handle());
     // Decremented before the hook runs, so that the hook can start a request.
     --RequestCount;
-    if (!Transfer->hasSucceeded(Reason))
-      Failed.add(Transfer->requestId());
     Transfer->complete(Reason);
   }
 
@@ -220,7 +227,6 @@
   std::unique_ptr<CURLM, MultiDeleter> Multi;
   std::map<std::uint64_t, std::unique_ptr<TargetTransfer>> Transfers;
   std::map<CURL *, std::uint64_t> RequestIdByHandle;
-  FailedRequests Failed;
   std::atomic<std::size_t> RequestCount = 0;
   std::atomic<std::size_t> ReceivingBytes = 0;
 
--- a/src/targets/TargetClient.h
+++ b/src/targets/TargetClient.h
@@ -64,6 +64,9 @@
   std::size_t MaxAnswerBytes =
       7 * 1024 * 1024; ///< Limit on head plus body, as they are sent.
   std::size_t MaxRequests = 1024; ///< Limit on unfinished requests.
+  /// A connection is closed after so many requests, which bounds the IDs that
+  /// are kept of them.
+  std::uint32_t MaxConnectionRequests = 4096;
   DurationMs ConnectTimeout{1000};
   /// Names of the fields that authenticate an answer and associate it with its
   /// request.
--- a/src/targets/TargetConnections.cpp
+++ b/src/targets/TargetConnections.cpp
@@ -1,5 +1,7 @@
 #include "targets/TargetConnections.h"
 
+#include "core/Digest.h"
+
 #include <arpa/inet.h>
 #include <cstddef>
 #include <netinet/in.h>
@@ -47,9 +49,12 @@
   curl_easy_setopt(Handle, CURLOPT_CLOSESOCKETDATA, this);
 }
 
-std::uint32_t TargetConnections::onRequest(int LocalPort) {
+std::optional<std::uint32_t> TargetConnections::onRequest(int LocalPort,
+                                                          std::string_view Id) {
   Connection *Known = find(LocalPort);
-  return Known ? ++Known->Requests : 0;
+  if (!Known || (!Id.empty() && !Known->SentIds.insert(stableHash(Id)).second))
+    return std::nullopt;
+  return ++Known->Requests;
 }
 
 /// The connection with a local port, which it gets with its first request.
--- a/src/targets/TargetConnections.h
+++ b/src/targets/TargetConnections.h
@@ -10,7 +10,10 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
+#include <string_view>
+#include <unordered_set>
 
 #include <curl/curl.h>
 
@@ -24,9 +27,15 @@
   void track(CURL *Handle);
 
   /// Records that a request is about to be sent on the connection with a local
-  /// port. Returns its place among the requests of that connection, from 1; 0
-  /// if the connection is not known.
-  std::uint32_t onRequest(int LocalPort);
+  /// port. Returns its place among the requests of that connection, from 1.
+  /// Returns std::nullopt and records nothing if the request must not be sent
+  /// there: the connection has carried its ID before, or is not known.
+  ///
+  /// A faulty target may write an answer once more, late. The ID tells it from
+  /// the answers to other requests, not from that to another sending.
+  ///
+  /// \param Id empty if answers need not name their request.
+  std::optional<std::uint32_t> onRequest(int LocalPort, std::string_view Id);
 
   /// Ends each connection that has unread bytes or was closed by the target,
   /// and whose local port is not in \p UsedPorts. libcurl then drops it.
@@ -36,6 +45,7 @@
   struct Connection {
     int LocalPort = 0; ///< 0 until its first request.
     std::uint32_t Requests = 0;
+    std::unordered_set<std::uint64_t> SentIds; ///< Hashes.
     bool Ended = false; ///< By \ref endReadable; libcurl still holds it.
   };
 
--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -17,7 +17,6 @@
 /// Lower status codes denote interim answers.
 constexpr int FirstFinalStatus = 200;
 constexpr int FirstRedirect = 300;
-constexpr int FirstServerError = 500;
 constexpr int MisdirectedRequest = 421;
 
 /// Limits on all lines of an answer's heads and trailer, which libcurl stores
@@ -79,11 +78,7 @@
   curl_easy_setopt(Handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   setBody();
   curl_easy_setopt(Handle, CURLOPT_HTTPHEADER, Fields.get());
-  const std::int64_t Timeout = std::max<std::int64_t>(1, Request.Timeout.Value);
-  curl_easy_setopt(Handle, CURLOPT_TIMEOUT_MS, static_cast<long>(Timeout));
-  curl_easy_setopt(
-      Handle, CURLOPT_CONNECTTIMEOUT_MS,
-      static_cast<long>(std::min(Timeout, Options.ConnectTimeout.Value)));
+  setTimeouts();
   // libcurl resends a request when a reused connection closes before the first
   // byte of the answer, but never on a new connection. onConnected prevents the
   // resend, but then it is unknown whether the request ran.
@@ -104,8 +99,27 @@
   return true;
 }
 
+void TargetTransfer::setTimeouts() {
+  const std::int64_t Timeout =
+      std::max<std::int64_t>(1, (Request.Timeout - elapsed()).Value);
+  curl_easy_setopt(Easy.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(Timeout));
+  curl_easy_setopt(
+      Easy.get(), CURLOPT_CONNECTTIMEOUT_MS,
+      static_cast<long>(std::min(Timeout, Options.ConnectTimeout.Value)));
+}
+
+/// Time since the request was started.
+DurationMs TargetTransfer::elapsed() const {
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  const auto Elapsed = std::chrono::steady_clock::now() - StartTime;
+  return DurationMs(duration_cast<milliseconds>(Elapsed).count());
+}
+
 void TargetTransfer::useNewConnection() {
+  UsesNewConnection = true;
   curl_easy_setopt(Easy.get(), CURLOPT_FRESH_CONNECT, 1L);
+  setTimeouts();
 }
 
 bool TargetTransfer::addField(std::string_view Name, std::string_view Value) {
@@ -281,20 +295,13 @@
          findField(Answer.Headers, "Transfer-Encoding");
 }
 
-bool TargetTransfer::hasSucceeded(ResultCode Reason) const {
-  return Reason == ResultCode::Ok && Answer.Status < FirstServerError;
-}
-
 void TargetTransfer::complete(ResultCode Reason) {
-  using std::chrono::duration_cast;
-  using std::chrono::milliseconds;
   TargetResult Result;
   Result.Reason = Reason;
   Result.RunOutcome = outcome(Reason);
   Result.Notice = notice(Reason);
   Result.Use = Use;
-  const auto Elapsed = std::chrono::steady_clock::now() - StartTime;
-  Result.Duration = DurationMs(duration_cast<milliseconds>(Elapsed).count());
+  Result.Duration = elapsed();
   if (Reason == ResultCode::Ok) {
     const std::string *Length = findField(Answer.Headers, "Content-Length");
     const std::string DeclaredLength = Length ? *Length : "";
@@ -479,17 +486,28 @@
   return Transfer->AnswerTooLarge ? Abort : Continue;
 }
 
+/// Whether the request may be sent on a connection. From here on it counts as
+/// sent there.
+bool TargetTransfer::acceptsConnection(int LocalPort) {
+  const auto Place = OnConnection(LocalPort, RequestId);
+  ConnectionRejected = !Place;
+  if (ConnectionRejected)
+    return false;
+  Use = {LocalPort, *Place};
+  RequestSent = true;
+  if (*Place >= Options.MaxConnectionRequests)
+    curl_easy_setopt(Easy.get(), CURLOPT_FORBID_REUSE, 1L);
+  return true;
+}
+
 int TargetTransfer::onConnected(void *UserData, char *, char *, int,
                                 int LocalPort) {
   auto *Transfer = static_cast<TargetTransfer *>(UserData);
   // A second call means that libcurl is about to resend the request.
   if (Transfer->RequestSent)
     return CURL_PREREQFUNC_ABORT;
-  Transfer->RequestSent = true;
-  Transfer->Use.LocalPort = LocalPort;
-  if (Transfer->OnConnection)
-    Transfer->Use.Place = Transfer->OnConnection(LocalPort);
-  return CURL_PREREQFUNC_OK;
+  return Transfer->acceptsConnection(LocalPort) ? CURL_PREREQFUNC_OK
+                                                : CURL_PREREQFUNC_ABORT;
 }
 
 } // namespace fescuewood
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -20,6 +21,11 @@
 
 namespace fescuewood {
 
+/// Receives the local port of a connection and the ID of a request. Returns the
+/// request's place on the connection, or std::nullopt to reject the connection.
+using ConnectionHook =
+    std::function<std::optional<std::uint32_t>(int, std::string_view)>;
+
 /// A request with its partial answer and transmission state.
 class TargetTransfer {
 public:
@@ -34,10 +40,8 @@
   /// be called within the callbacks of other transfers.
   void setMemoryHook(std::function<void()> Hook) { OnMemory = std::move(Hook); }
 
-  /// Sets the hook that is called with the local port of the connection on
-  /// which the request is about to be sent. It returns the request's place
-  /// there.
-  void setConnectionHook(std::function<std::uint32_t(int)> Hook) {
+  /// Sets the hook that is called before the request is sent.
+  void setConnectionHook(ConnectionHook Hook) {
     OnConnection = std::move(Hook);
   }
 
@@ -49,11 +53,14 @@
   /// expressed in HTTP, for example because a field contains a line break.
   bool prepare();
 
-  /// Sends the request on a new connection. Call after \ref prepare.
-  void useNewConnection();
+  /// Whether the transfer ended before its request was sent, because its
+  /// connection must not carry it.
+  bool needsNewConnection() const {
+    return ConnectionRejected && !UsesNewConnection;
+  }
 
-  /// ID that the answer must name; empty if the scheme asks for none.
-  const std::string &requestId() const { return RequestId; }
+  /// Prepares such a transfer for another start, on a new connection.
+  void useNewConnection();
 
   CURL *handle() const { return Easy.get(); }
 
@@ -67,10 +74,6 @@
   /// complete and valid answer.
   ResultCode reasonFor(CURLcode Code) const;
 
-  /// Whether the target has served the request, so that it is not sent again.
-  /// Call before \ref complete.
-  bool hasSucceeded(ResultCode Reason) const;
-
   /// Calls the hook, passing the answer if \p Reason is Ok.
   void complete(ResultCode Reason);
 
@@ -82,6 +85,8 @@
     void operator()(curl_slist *List) const { curl_slist_free_all(List); }
   };
 
+  void setTimeouts();
+  DurationMs elapsed() const;
   bool addField(std::string_view Name, std::string_view Value);
   bool addFields();
   void setBody();
@@ -96,6 +101,7 @@
   bool isMisdirectedAnswer() const;
   bool isProven() const;
 
+  bool acceptsConnection(int LocalPort);
   bool onFieldLine(std::string_view Line);
   bool acceptsHead();
   void onStatusLine();
@@ -126,18 +132,20 @@
   std::unique_ptr<curl_slist, ListDeleter> Fields;
   StreamShare Share;
   std::function<void()> OnMemory;
-  std::function<std::uint32_t(int)> OnConnection;
+  ConnectionHook OnConnection;
   CallAnswer Answer;
   std::size_t AnswerBytes = 0;
   ConnectionUse Use;
-  std::size_t Lines = 0;        ///< Of all heads and the trailer.
-  std::size_t LineBytes = 0;    ///< Of all heads and the trailer.
-  bool HeadComplete = false;    ///< Further field lines are trailer fields.
-  bool CountsRawBody = false;   ///< The body counts as it was sent, in chunks.
-  bool RequestSent = false;     ///< Part of the request may have been sent.
-  bool AnswerTooLarge = false;  ///< The answer exceeds a limit.
-  bool FramingTooLarge = false; ///< Heads and trailer exceed a limit.
-  bool HasForeignId = false;    ///< The answer has another request's ID.
+  std::size_t Lines = 0;      ///< Of all heads and the trailer.
+  std::size_t LineBytes = 0;  ///< Of all heads and the trailer.
+  bool HeadComplete = false;  ///< Further field lines are trailer fields.
+  bool CountsRawBody = false; ///< The body counts as it was sent, in chunks.
+  bool ConnectionRejected = false; ///< By the hook, for this request.
+  bool UsesNewConnection = false;  ///< See \ref useNewConnection.
+  bool RequestSent = false;        ///< Part of the request may have been sent.
+  bool AnswerTooLarge = false;     ///< The answer exceeds a limit.
+  bool FramingTooLarge = false;    ///< Heads and trailer exceed a limit.
+  bool HasForeignId = false;       ///< The answer has another request's ID.
   bool LacksId = false;  ///< It must have its request's ID, but has none.
   std::string RequestId; ///< ID that the answer must echo; empty: any.
 };
--- a/tests/targets/TargetClientTest.cpp
+++ b/tests/targets/TargetClientTest.cpp
@@ -119,6 +119,18 @@
   LONGS_EQUAL(1, New.Place);
 }
 
+TEST(TargetClient, ClosesAConnectionThatHasCarriedManyRequests) {
+  TargetClientOptions Options;
+  Options.Address = Target.address();
+  Options.MaxConnectionRequests = 3;
+  TargetClient Limited(Options);
+  std::vector<std::uint32_t> Places;
+  for (const std::string Mark : {"m1", "m2", "m3", "m4"})
+    Places.push_back(await(send(Limited, request("GET", Mark))).Use.Place);
+
+  CHECK((Places == std::vector<std::uint32_t>{1, 2, 3, 1}));
+}
+
 // Answers beyond the memory for them wait, and none is lost or cut.
 TEST(TargetClient, ReceivesMoreLargeAnswersThanFitIntoItsMemory) {
   constexpr std::size_t LargeBytes = 900'000;
