Read a target's status from the bytes of its status line

Cause: the status that is passed on was libcurl's reading. It takes any line that begins with "HTTP/" for an answer of status 200 unless it can read more, and accepts "HTTP/2 500", "500Odd" and several spaces. An answer that was cut within its status line or a field, with the due answer behind it, has the due answer's ID and signature under the status of the one that was cut.

Change: StatusLine parses the line as RFC 9112 defines it and accepts the statuses 100 to 599 only. A reason or field value in which a status line begins, or with a control character, makes the answer malformed.

Evidence: TargetTransfer.RejectsAFailureWhoseStatusLineIsSpoiled failed before, with 200, at its first case.

--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -3,6 +3,7 @@
 #include "callers/HeaderFields.h"
 #include "nodes/CallMessages.h"
 #include "policy/AnswerMemory.h"
+#include "targets/StatusLine.h"
 
 #include <algorithm>
 #include <utility>
@@ -332,10 +333,8 @@
     HeadComplete = true;
     return acceptsHead();
   }
-  if (Line.starts_with(VersionPrefix) && (HeadComplete || Answer.Status == 0)) {
-    onStatusLine();
-    return true;
-  }
+  if (Line.starts_with(VersionPrefix) && (HeadComplete || Answer.Status == 0))
+    return onStatusLine(Line);
   // Trailer fields, which follow the body, are dropped.
   return HeadComplete || addAnswerField(Line);
 }
@@ -353,13 +352,15 @@
   return !LacksId && !AnswerTooLarge;
 }
 
-void TargetTransfer::onStatusLine() {
-  // Discards the head of a preceding interim answer (1xx).
-  long Status = 0;
-  curl_easy_getinfo(Easy.get(), CURLINFO_RESPONSE_CODE, &Status);
-  Answer.Status = static_cast<int>(Status);
+/// Begins a head; that of a preceding interim answer (1xx) is discarded.
+bool TargetTransfer::onStatusLine(std::string_view Line) {
+  const std::optional<int> Status = parseStatusLine(Line);
+  if (!Status)
+    return false;
+  Answer.Status = *Status;
   Answer.Headers.clear();
   HeadComplete = false;
+  return true;
 }
 
 /// Adds a field to the answer. Rejecting a field aborts the transfer and closes
@@ -371,6 +372,8 @@
   if (Colon == std::string_view::npos || !isFieldName(Name))
     return false;
   const std::string_view Value = trimmedFieldValue(Line.substr(Colon + 1));
+  if (!isValidText(Value) || containsStatusLine(Value))
+    return false;
   Answer.Headers.push_back({std::string(Name), std::string(Value)});
   const Header &Field = Answer.Headers.back();
   // The answer to a probe has no ID: one that has is foreign to it.
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -104,7 +104,7 @@
   bool acceptsConnection(int LocalPort);
   bool onFieldLine(std::string_view Line);
   bool acceptsHead();
-  void onStatusLine();
+  bool onStatusLine(std::string_view Line);
   bool addAnswerField(std::string_view Line);
   bool hasUnambiguousFraming(const Header &Field) const;
   void reserveBody();
--- a/tests/targets/TargetTransferTest.cpp
+++ b/tests/targets/TargetTransferTest.cpp
@@ -160,6 +160,23 @@
                      static_cast<int>(resultFor(Bytes).Reason), Bytes.c_str());
 }
 
+// Guards against a failure that becomes a success because its status line is
+// spoiled, or is joined to an earlier answer that was cut.
+TEST(TargetTransfer, RejectsAFailureWhoseStatusLineIsSpoiled) {
+  const std::string Rest = "Id: mine\r\nSigned: s\r\nContent-Length: 0\r\n\r\n";
+  for (const std::string Start :
+       {"HTTP/x 500 Failed\r\n", "HTTP/ 500 Failed\r\n",
+        "HTTP/2 500 Failed\r\n", "HTTP/1.1 200 OHTTP/1.1 500 Failed\r\n",
+        "HTTP/1.1 200 OK\rHTTP/1.1 500 Failed\r\n",
+        "HTTP/1.1 200 OK\r\nX: HTTP/1.1 500 Failed\r\n",
+        "HTTP/1.1 200 OK\r\nSigned: oldHTTP/1.1 500 Failed\r\n",
+        "HTTP/1.1 200 OK\r\nX: a\rb\r\n", "HTTP/1.1  500 Failed\r\n",
+        "HTTP/1.1 500Failed\r\n"})
+    CHECK_EQUAL_TEXT(static_cast<int>(ResultCode::TargetAnswerMalformed),
+                     static_cast<int>(resultFor(Start + Rest).Reason),
+                     Start.c_str());
+}
+
 // libcurl does not distinguish a malformed chunk from a lost connection.
 TEST(TargetTransfer, RejectsAnswersWithMalformedChunks) {
   const std::string Head = "HTTP/1.1 200 OK\r\nId: mine\r\nSigned: s\r\n"
