Take no trailer field of a target for the head of another answer

What callers could see: a success whose signature and ID came from the trailer of a chunked body, which authenticates nothing.

Cause: a line that begins with "HTTP/" started a new head also after a final one, so that the trailer fields behind it replaced the fields of the answer.

Change: a head begins only at the first line and after an interim answer; there the line must be a status line.

Evidence: TargetTransfer.TrailerIsNotTheHeadOfAnotherAnswer failed before.

--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr std::string_view VersionPrefix = "HTTP/";
 constexpr std::string_view LineEnd = "\r\n";
 
 /// Lower status codes denote interim answers.
@@ -333,7 +332,9 @@
     HeadComplete = true;
     return acceptsHead();
   }
-  if (Line.starts_with(VersionPrefix) && (HeadComplete || Answer.Status == 0))
+  const bool HeadExpected =
+      Answer.Status == 0 || (HeadComplete && Answer.Status < FirstFinalStatus);
+  if (HeadExpected)
     return onStatusLine(Line);
   // Trailer fields, which follow the body, are dropped.
   return HeadComplete || addAnswerField(Line);
--- a/tests/targets/TargetTransferTest.cpp
+++ b/tests/targets/TargetTransferTest.cpp
@@ -177,6 +177,15 @@
                      Start.c_str());
 }
 
+// Guards against an unsigned answer that gets its signature from its trailer.
+TEST(TargetTransfer, TrailerIsNotTheHeadOfAnotherAnswer) {
+  const TargetResult Result = resultFor(
+      "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "0\r\nHTTP/1.1 200 OK: x\r\nId: mine\r\nSigned: s\r\n\r\n");
+
+  CHECK(ResultCode::TargetAnswerUnproven == Result.Reason);
+}
+
 // libcurl does not distinguish a malformed chunk from a lost connection.
 TEST(TargetTransfer, RejectsAnswersWithMalformedChunks) {
   const std::string Head = "HTTP/1.1 200 OK\r\nId: mine\r\nSigned: s\r\n"
