Take no copy of an answer without an ID for that to a later probe

What it could do: a target that writes the answer to a probe once more, late, had its old answer taken for that to the next probe: ready for full, cold for warm, not leaving for leaving. The next request then met the probe's own answer and got 502.

A probe has no ID, so two probes on one connection were told apart by nothing.

Change: at most one request without an ID goes out on a connection, if targets sign their answers. OwnConnection, which nobody read, goes.

Evidence: RepeatedAnswer.CopyOfAnAnswerWithoutAnIdIsNotTheAnswerToALaterProbe failed before, with the 503 of the first probe.

--- a/src/targets/TargetClient.cpp
+++ b/src/targets/TargetClient.cpp
@@ -141,9 +141,10 @@
       return;
     }
     Connections.track(NewTransfer.handle());
-    NewTransfer.setConnectionHook([this](int LocalPort, std::string_view Id) {
-      return Connections.onRequest(LocalPort, Id);
-    });
+    NewTransfer.setConnectionHook(
+        [this](int LocalPort, std::optional<std::string_view> Id) {
+          return Connections.onRequest(LocalPort, Id);
+        });
     RequestIdByHandle[NewTransfer.handle()] = Command.Id;
     curl_multi_add_handle(Multi.get(), NewTransfer.handle());
   }
--- a/src/targets/TargetClient.h
+++ b/src/targets/TargetClient.h
@@ -37,9 +37,6 @@
   /// answers.
   bool Idempotent = false;
   DurationMs Timeout{2000};
-  /// Uses a connection of its own, so that a late copy of its answer cannot
-  /// meet another request.
-  bool OwnConnection = false;
 };
 
 /// The result of one request.
--- a/src/targets/TargetConnections.cpp
+++ b/src/targets/TargetConnections.cpp
@@ -49,10 +49,11 @@
   curl_easy_setopt(Handle, CURLOPT_CLOSESOCKETDATA, this);
 }
 
-std::optional<std::uint32_t> TargetConnections::onRequest(int LocalPort,
-                                                          std::string_view Id) {
+std::optional<std::uint32_t>
+TargetConnections::onRequest(int LocalPort,
+                             std::optional<std::string_view> Id) {
   Connection *Known = find(LocalPort);
-  if (!Known || (!Id.empty() && !Known->SentIds.insert(stableHash(Id)).second))
+  if (!Known || (Id && !Known->SentIds.insert(stableHash(*Id)).second))
     return std::nullopt;
   return ++Known->Requests;
 }
--- a/src/targets/TargetConnections.h
+++ b/src/targets/TargetConnections.h
@@ -34,8 +34,10 @@
   /// A faulty target may write an answer once more, late. The ID tells it from
   /// the answers to other requests, not from that to another sending.
   ///
-  /// \param Id empty if answers need not name their request.
-  std::optional<std::uint32_t> onRequest(int LocalPort, std::string_view Id);
+  /// \param Id empty if the request has none; std::nullopt if answers need not
+  /// name their requests.
+  std::optional<std::uint32_t> onRequest(int LocalPort,
+                                         std::optional<std::string_view> Id);
 
   /// Ends each connection that has unread bytes or was closed by the target,
   /// and whose local port is not in \p UsedPorts. libcurl then drops it.
--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -493,7 +493,10 @@
 /// Whether the request may be sent on a connection. From here on it counts as
 /// sent there.
 bool TargetTransfer::acceptsConnection(int LocalPort) {
-  const auto Place = OnConnection(LocalPort, RequestId);
+  std::optional<std::string_view> Id;
+  if (!Options.Scheme.Signature.empty())
+    Id = RequestId;
+  const auto Place = OnConnection(LocalPort, Id);
   ConnectionRejected = !Place;
   if (ConnectionRejected)
     return false;
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -21,10 +21,10 @@
 
 namespace fescuewood {
 
-/// Receives the local port of a connection and the ID of a request. Returns the
-/// request's place on the connection, or std::nullopt to reject the connection.
-using ConnectionHook =
-    std::function<std::optional<std::uint32_t>(int, std::string_view)>;
+/// Returns the place of a request on a connection, or std::nullopt to reject
+/// the connection; see TargetConnections::onRequest.
+using ConnectionHook = std::function<std::optional<std::uint32_t>(
+    int LocalPort, std::optional<std::string_view> Id)>;
 
 /// A request with its partial answer and transmission state.
 class TargetTransfer {
--- a/tests/targets/FakeStutteringTarget.cpp
+++ b/tests/targets/FakeStutteringTarget.cpp
@@ -14,10 +14,14 @@
 
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 
-std::string idOf(const std::string &Request) {
-  constexpr std::string_view Name = "\r\nId: ";
-  const std::size_t Start = Request.find(Name) + Name.size();
-  return Request.substr(Start, Request.find("\r\n", Start) - Start);
+/// The line with the ID of a request; empty if it has none.
+std::string idLineOf(const std::string &Request) {
+  constexpr std::string_view LineEnd = "\r\n";
+  const std::size_t Start = Request.find("Id: ");
+  if (Start == std::string::npos)
+    return "";
+  const std::size_t End = Request.find(LineEnd, Start) + LineEnd.size();
+  return Request.substr(Start, End - Start);
 }
 
 } // namespace
@@ -74,8 +78,8 @@
                                   const std::string &Request) {
   const std::string Copy = std::exchange(
       Peer->LastAnswer, "HTTP/1.1 " + std::to_string(Statuses.at(Answered)) +
-                            " Status\r\nId: " + idOf(Request) +
-                            "\r\nSigned: s\r\nContent-Length: 0\r\n\r\n");
+                            " Status\r\n" + idLineOf(Request) +
+                            "Signed: s\r\nContent-Length: 0\r\n\r\n");
   ++Answered;
   std::error_code Ignored;
   asio::write(Peer->Socket, asio::buffer(Copy + Peer->LastAnswer), Ignored);
--- a/tests/targets/FakeStutteringTarget.h
+++ b/tests/targets/FakeStutteringTarget.h
@@ -14,9 +14,9 @@
 namespace fescuewood {
 
 /// Answers the n-th request with the n-th status, whatever its connection, with
-/// the ID of the request and a signature. On each connection it writes an
-/// answer once more in front of the next one. Serves on a dedicated thread
-/// until it is destroyed.
+/// the ID of the request, if it has one, and a signature. On each connection it
+/// writes an answer once more in front of the next one. Serves on a dedicated
+/// thread until it is destroyed.
 class FakeStutteringTarget {
 public:
   explicit FakeStutteringTarget(std::vector<int> Statuses);
--- a/tests/targets/RepeatedAnswerTest.cpp
+++ b/tests/targets/RepeatedAnswerTest.cpp
@@ -29,7 +29,8 @@
   TargetRequest Request;
   Request.Method = "GET";
   Request.Target = "/";
-  Request.Headers = {{"Id", Id}};
+  if (!Id.empty())
+    Request.Headers = {{"Id", Id}};
   Request.Idempotent = true;
   const auto Result = std::make_shared<std::promise<TargetResult>>();
   Client.start(std::move(Request), [Result](TargetResult Value) {
@@ -69,3 +70,13 @@
   LONGS_EQUAL(200, First.get().Answer->Status);
   LONGS_EQUAL(500, Second.get().Answer->Status);
 }
+
+// Guards against the copy of a health answer that hides what the target says of
+// itself later.
+TEST(RepeatedAnswer, CopyOfAnAnswerWithoutAnIdIsNotTheAnswerToALaterProbe) {
+  const FakeStutteringTarget Target({503, 200});
+  TargetClient Client(optionsFor(Target));
+  LONGS_EQUAL(503, statusOf(Client, ""));
+
+  LONGS_EQUAL(200, statusOf(Client, ""));
+}
