--- a/tests/targets/TargetTransferTest.cpp
+++ b/tests/targets/TargetTransferTest.cpp
@@ -177,6 +177,20 @@
                      Start.c_str());
 }
 
+// Guards against an answer of status 000 that a caller gets as an answer.
+TEST(TargetTransfer, RejectsAnAnswerOfAStatusThatDoesNotExist) {
+  const std::string Rest =
+      " Odd\r\nId: mine\r\nSigned: s\r\nContent-Length: 2\r\n\r\nok";
+  for (const std::string Status : {"000", "0", "099", "600", "999"}) {
+    const TargetResult Result = resultFor("HTTP/1.1 " + Status + Rest);
+
+    CHECK_FALSE_TEXT(Result.Answer.has_value(), Status.c_str());
+    CHECK_TRUE_TEXT(ResultCode::TargetAnswerMalformed == Result.Reason,
+                    Status.c_str());
+    CHECK_TRUE_TEXT(Outcome::Unknown == Result.RunOutcome, Status.c_str());
+  }
+}
+
 // Guards against an unsigned answer that gets its signature from its trailer.
 TEST(TargetTransfer, TrailerIsNotTheHeadOfAnotherAnswer) {
   const TargetResult Result = resultFor(
