Keep a target's limit also while each answer names another one

What could happen: a target whose limit differs a little from answer to answer (20, 20.1, 20, ... requests a second) got several times as many requests as it had named (LIMIT).

Cause: each change of the rate cut the time that the started requests still use to one interval of the new rate, so each answer let the tolerance start anew.

Change: the started requests keep their number of intervals when the rate changes, at most one interval and the tolerance, as after any start.

Evidence: NamedLimit.StaysBelowTheBoundWhileEachAnswerNamesAnotherLimit failed before. The property test changed the rate every 700 ms, too seldom to show it.

--- a/src/policy/NamedLimit.cpp
+++ b/src/policy/NamedLimit.cpp
@@ -33,13 +33,20 @@
   NamedAt = Now;
   if (Rate == Notice.RequestsPerSecond)
     return false;
+  const double UsedIntervals = Rate ? usedIntervals(Now) : 0;
   Rate = Notice.RequestsPerSecond;
-  // Intervals of another rate do not delay the first request by more than one
-  // of this rate.
-  UsedUntilMs = std::min(UsedUntilMs, milliseconds(Now) + intervalMs());
+  // Started requests use up as many intervals of this rate as of the one
+  // before, but none delays the next request beyond its turn.
+  UsedUntilMs = milliseconds(Now) + std::min(UsedIntervals * intervalMs(),
+                                             intervalMs() + ToleranceMs);
   return true;
 }
 
+/// Number of intervals of the present rate that started requests still use.
+double NamedLimit::usedIntervals(TimeMs Now) const {
+  return std::max(0.0, UsedUntilMs - milliseconds(Now)) / intervalMs();
+}
+
 void NamedLimit::clear() {
   Rate.reset();
   UsedUntilMs = 0;
--- a/src/policy/NamedLimit.h
+++ b/src/policy/NamedLimit.h
@@ -47,6 +47,7 @@
 
 private:
   double intervalMs() const;
+  double usedIntervals(TimeMs Now) const;
 
   std::optional<double> Rate;
   TimeMs NamedAt{0}; ///< When an answer last named a limit.
--- a/tests/policy/NamedLimitTest.cpp
+++ b/tests/policy/NamedLimitTest.cpp
@@ -80,6 +80,21 @@
                 });
 }
 
+// Guards against a limit that never binds because each answer names another.
+TEST(NamedLimit, StaysBelowTheBoundWhileEachAnswerNamesAnotherLimit) {
+  std::vector<TimeMs> Started;
+  TimeMs Now = Start;
+  for (int Answer = 0; Answer < 800; ++Answer) {
+    Limit.update(named(Answer % 2 == 0 ? 20 : 20.1), Now, Now);
+    const auto More = offer(Limit, Now, DurationMs(10), DurationMs(1));
+    Started.insert(Started.end(), More.begin(), More.end());
+    Now = Now + DurationMs(10);
+  }
+
+  CHECK(static_cast<double>(mostIn4Seconds(Started)) <= 4 * 1.5 * 20.1 + 5);
+  CHECK(static_cast<double>(Started.size()) >= 8 * 20 - 1);
+}
+
 TEST(NamedLimit, LowerLimitHoldsAtOnce) {
   Limit.update(named(100), Start, Start);
   offer(Limit, Start, DurationMs(1000), DurationMs(1));
