Ask a target for its state again when a probe brings no answer

What could happen: a node restarts beside a target that leaves, the answer to its one probe is lost, and the target gets two requests that came from machines which had passed on its leaving (DRAIN).

Cause: after one lost probe the node used the target, two requests at a time, until an answer told its state. A limit bears that; leaving does not.

Change: up to three probes, one after the other, before a target is used whose state is not known.

Evidence: AnnouncedStateMesh.LeavingTargetWhoseFirstProbeIsLostGetsNoRequests failed before with two requests; TargetThatAnswersNoProbeIsUsed passed before and after. The simulated target can leave probes unanswered. It stays possible when three probes in a row are lost.

--- a/bench/model/FakeTarget.h
+++ b/bench/model/FakeTarget.h
@@ -98,6 +98,12 @@
 
   void
   probe(const std::function<void(const fescuewood::ProbeResult &)> &OnResult) {
+    if (LostProbes > 0) {
+      --LostProbes;
+      Time.after(ProbeTimeoutUs,
+                 [OnResult] { OnResult(fescuewood::ProbeResult()); });
+      return;
+    }
     Time.after(VirtualTime::UsPerMs, [this, OnResult] {
       fescuewood::ProbeResult Result;
       Result.Reachable = Up;
@@ -150,9 +156,12 @@
   std::map<std::string, int> RunsByOrganisation;
   std::uint32_t MaxInFlight = 0;
   int Crashes = 0;
+  int LostProbes = 0; ///< Number of next probes that it leaves unanswered.
   bool Up = true;
 
 private:
+  static constexpr std::int64_t ProbeTimeoutUs = 500'000;
+
   struct Run {
     fescuewood::CallId Call;
     fescuewood::RunHook OnResult;
--- a/src/calls/TargetNotices.cpp
+++ b/src/calls/TargetNotices.cpp
@@ -14,6 +14,9 @@
 /// another target or a later try serves its caller better.
 constexpr DurationMs MaxNamedRateWait{150};
 
+/// Probes that may be lost before a target is used whose state is not known.
+constexpr int MaxNoticeProbes = 3;
+
 } // namespace
 
 /// Whether the target takes the request too late, by the rate that it named.
@@ -39,15 +42,25 @@
       !Listing.entry() || !Context.Config || !Context.Hooks.Target.Probe)
     return;
   AwaitingNotice = true;
+  probeForNotice(MaxNoticeProbes);
+}
+
+/// Probes the target until it has told its state, \p ProbesLeft times at most.
+void TargetSide::probeForNotice(int ProbesLeft) {
   const TimeMs SentAt = Context.now();
-  Context.Hooks.Target.Probe([this, SentAt](const ProbeResult &Result) {
-    Context.run([this, SentAt, Result] {
-      AwaitingNotice = false;
-      onProbeNotice(Result, SentAt);
-      updateState();
-      startQueued();
-    });
-  });
+  Context.Hooks.Target.Probe(
+      [this, SentAt, ProbesLeft](const ProbeResult &Result) {
+        Context.run([this, SentAt, ProbesLeft, Result] {
+          onProbeNotice(Result, SentAt);
+          if (!Announced.known() && ProbesLeft > 1) {
+            probeForNotice(ProbesLeft - 1);
+            return;
+          }
+          AwaitingNotice = false;
+          updateState();
+          startQueued();
+        });
+      });
 }
 
 bool TargetSide::announcesState() const {
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -135,6 +135,7 @@
   void probe();
   void onProbe(const ProbeResult &Result);
   void askForNotice();
+  void probeForNotice(int ProbesLeft);
   bool announcesState() const;
   void onNotice(const TargetNotice &Notice, TimeMs SentAt);
   void onProbeNotice(const ProbeResult &Result, TimeMs SentAt);
--- a/tests/calls/AnnouncedStateMeshTest.cpp
+++ b/tests/calls/AnnouncedStateMeshTest.cpp
@@ -174,6 +174,31 @@
   CHECK(shareServedSince(0) > 0.97);
 }
 
+// Guards against a lost probe that lets a restarted node use a leaving target.
+TEST(AnnouncedStateMesh, LeavingTargetWhoseFirstProbeIsLostGetsNoRequests) {
+  target().Notice.Leaving = true;
+  offer(100, 2 * SecondUs);
+  const std::int64_t Announced = Mesh->Time.nowUs();
+
+  target().LostProbes = 1;
+  restartNode(Limited, "first");
+  offer(100, 3 * SecondUs);
+
+  LONGS_EQUAL(0, runsSince(Announced));
+}
+
+TEST(AnnouncedStateMesh, TargetThatAnswersNoProbeIsUsed) {
+  constexpr int AllProbes = 1000;
+  target().LostProbes = AllProbes;
+  restartNode(Limited, "first");
+  offer(100, 3 * SecondUs);
+  const std::int64_t From = Mesh->Time.nowUs();
+
+  offer(100, 3 * SecondUs);
+
+  CHECK(runsSince(From) > 50);
+}
+
 TEST(AnnouncedStateMesh, TargetAfterALeavingOneIsUsed) {
   target().Notice.Leaving = true;
   offer(100, 2 * SecondUs);
