Work out the time to move a call once per silence of its node

The last fetch before a call moves ends when the call has to move. The time was worked out for that fetch and again for the decision after it, each time with a random pick of the next target. If the picks differed and the second target was faster, the call did not move when the fetch that was cut short ended, but fetched once more, for up to 500 ms.

The attempt now holds what decides on the silence, from its first unanswered fetch to the next reply. Whether there still is another target is asked at each decision, as before.

--- a/src/calls/EntryMessages.cpp
+++ b/src/calls/EntryMessages.cpp
@@ -141,7 +141,7 @@
   return Fetch;
 }
 
-DurationMs EntrySide::fetchTimeout(const EntryCall &Call) const {
+DurationMs EntrySide::fetchTimeout(EntryCall &Call) const {
   const Attempt &Current = *Call.Current;
   const DurationMs Timeout = Context.Settings.FetchTimeout;
   if (Current.Answer.offset() > 0)
@@ -149,7 +149,7 @@
   if (Current.UnansweredFetches == 0 || !Call.Request.Idempotent)
     return Timeout;
   // The last fetch before the call moves ends when it has to.
-  const auto Silent = silentAttempt(Call);
+  const std::optional<SilentAttempt> &Silent = silence(Call);
   const TimeMs Now = Context.now();
   if (!Silent || moveTime(*Silent) <= Now)
     return Timeout;
--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -68,6 +68,7 @@
   }
   Call->Current->UnansweredFetches = 0;
   Call->Current->HeardAt = Context.now();
+  Call->Current->Silence.reset();
   onReply(Handle, *Call, *Decoded);
 }
 
@@ -149,29 +150,40 @@
   moveOrWait(Handle, Call);
 }
 
-/// What decides on a silent attempt; std::nullopt if the call has no other
-/// target.
-std::optional<SilentAttempt>
-EntrySide::silentAttempt(const EntryCall &Call) const {
+/// Another target that the call could run on; null if there is none.
+const Instance *EntrySide::otherTarget(const EntryCall &Call) const {
   std::vector<std::string> Tried = Call.TriedTargets;
   Tried.push_back(Call.Current->Target);
-  const TimeMs Now = Context.now();
-  const Instance *Next =
-      Targets.pick(Call.Request.Service, Tried, Now, Context.Hooks.Random);
-  if (!Next)
-    return std::nullopt;
-  return SilentAttempt{Call.Current->HeardAt, Call.Deadline,
-                       Targets.typicalAnswerTime(Next->Name, Now)};
+  return Targets.pick(Call.Request.Service, Tried, Context.now(),
+                      Context.Hooks.Random);
+}
+
+/// What decides on the silence of the call's node. Set once per silence, since
+/// the pick of another target differs from time to time; std::nullopt as long
+/// as there is no other target.
+const std::optional<SilentAttempt> &EntrySide::silence(EntryCall &Call) const {
+  Attempt &Current = *Call.Current;
+  if (Current.Silence)
+    return Current.Silence;
+  if (const Instance *Next = otherTarget(Call))
+    Current.Silence = {Current.HeardAt, Call.Deadline,
+                       Targets.typicalAnswerTime(Next->Name, Context.now())};
+  return Current.Silence;
+}
+
+/// Decides on the silence of the call's node. The other targets may have left
+/// since it began.
+SilenceVerdict EntrySide::judge(EntryCall &Call) const {
+  const std::optional<SilentAttempt> &Silent = silence(Call);
+  if (!Silent || !Call.Request.Idempotent || !otherTarget(Call))
+    return SilenceVerdict::Keep;
+  return judgeSilence(*Silent, Context.now());
 }
 
 /// Moves the call of a node that answers nothing, or keeps its run and fetches
 /// the outcome again.
 void EntrySide::moveOrWait(CallHandle Handle, EntryCall &Call) {
-  const TimeMs Now = Context.now();
-  const auto Silent = silentAttempt(Call);
-  const SilenceVerdict Verdict = Silent && Call.Request.Idempotent
-                                     ? judgeSilence(*Silent, Now)
-                                     : SilenceVerdict::Keep;
+  const SilenceVerdict Verdict = judge(Call);
   if (Verdict == SilenceVerdict::Wait) {
     fetchOutcome(Handle, Call, PeerRoute::Fresh);
     return;
@@ -181,7 +193,7 @@
     failOver(Handle, Call, "node does not reply", RemoteWork::MayContinue);
     return;
   }
-  schedule(Handle, Call, Now + Context.Settings.HeartbeatInterval);
+  schedule(Handle, Call, Context.now() + Context.Settings.HeartbeatInterval);
 }
 
 void EntrySide::onDone(CallHandle Handle, EntryCall &Call,
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -93,6 +93,9 @@
   bool FetchPending = false;           ///< A fetch awaits its reply.
   std::uint32_t UnansweredFetches = 0; ///< Consecutive fetches without a reply.
   TimeMs HeardAt; ///< Last reply of the node, or the start of the attempt.
+  /// What decides on the node's silence, from its first unanswered fetch to its
+  /// next reply.
+  std::optional<SilentAttempt> Silence;
   AnswerAssembler Answer;
 };
 
@@ -187,7 +190,7 @@
   void sendStart(CallHandle Handle, EntryCall &Call);
   void queryIncarnation(CallHandle Handle, EntryCall &Call);
   CallFetch outcomeFetch(const Attempt &Current) const;
-  DurationMs fetchTimeout(const EntryCall &Call) const;
+  DurationMs fetchTimeout(EntryCall &Call) const;
   void sendFetch(CallHandle Handle, const Attempt &Current,
                  const CallFetch &Fetch, PeerRoute Route, DurationMs Timeout);
   void fetchOutcome(CallHandle Handle, EntryCall &Call, PeerRoute Route);
@@ -200,7 +203,9 @@
   void onReply(CallHandle Handle, EntryCall &Call, const CallReply &Reply);
   void onIncarnationReply(CallHandle Handle, EntryCall &Call, bool Answered);
   void onFetchFailed(CallHandle Handle, EntryCall &Call);
-  std::optional<SilentAttempt> silentAttempt(const EntryCall &Call) const;
+  const Instance *otherTarget(const EntryCall &Call) const;
+  const std::optional<SilentAttempt> &silence(EntryCall &Call) const;
+  SilenceVerdict judge(EntryCall &Call) const;
   void moveOrWait(CallHandle Handle, EntryCall &Call);
   void onDone(CallHandle Handle, EntryCall &Call, const CallReply &Reply);
   void awaitRest(CallHandle Handle, EntryCall &Call);
