Take the longest span of relay messages from the field codec

RelayMessages.cpp repeated MaxFieldSpan as a number of its own. Spans that are too long are clamped on both sides of a relay, as before. nodes_tests: 80 tests passed.

--- a/src/nodes/FieldCodec.h
+++ b/src/nodes/FieldCodec.h
@@ -24,8 +24,8 @@
 
 namespace fescuewood {
 
-/// Longest time span in a message. Longer ones are clamped when written and
-/// refused when read.
+/// Longest time span in a message. Longer ones are clamped when written;
+/// \ref FieldReader refuses them.
 inline constexpr DurationMs MaxFieldSpan{24LL * 60 * 60 * 1000};
 
 /// Writes fields in order. Only the reader checks bounds.
--- a/src/nodes/RelayMessages.cpp
+++ b/src/nodes/RelayMessages.cpp
@@ -1,6 +1,7 @@
 #include "nodes/RelayMessages.h"
 
 #include "nodes/CompressedBody.h"
+#include "nodes/FieldCodec.h"
 
 #include <algorithm>
 
@@ -8,9 +9,6 @@
 
 namespace {
 
-/// Longest span in a message; longer ones are sent as this.
-constexpr std::uint64_t MaxSpanMs = 24ULL * 60 * 60 * 1000;
-
 struct WireItem {
   std::uint8_t Subject = 0;
   std::string Key, Name, Value;
@@ -41,13 +39,14 @@
 };
 
 std::uint64_t toWire(DurationMs Span) {
-  const auto Ms =
-      static_cast<std::uint64_t>(std::max<std::int64_t>(0, Span.Value));
-  return std::min(Ms, MaxSpanMs);
+  return static_cast<std::uint64_t>(
+      std::clamp(Span, DurationMs(0), MaxFieldSpan).Value);
 }
 
+/// A span that is too long is clamped here too.
 DurationMs spanFromWire(std::uint64_t Ms) {
-  return DurationMs(static_cast<std::int64_t>(std::min(Ms, MaxSpanMs)));
+  constexpr auto MaxMs = static_cast<std::uint64_t>(MaxFieldSpan.Value);
+  return DurationMs(static_cast<std::int64_t>(std::min(Ms, MaxMs)));
 }
 
 bool isValid(const WireItem &Item) {
