Forget ended refusals in time and look them up without building strings

RecentRefusals forgot ended refusals only when it was full. After the first refusal each dispatch of a call therefore built a key of three strings.

--- a/src/policy/RecentRefusals.cpp
+++ b/src/policy/RecentRefusals.cpp
@@ -16,20 +16,20 @@
                          TimeMs Now) {
   if (RoomIn <= DurationMs(0))
     return;
-  if (Refusals.size() >= MaxRecentRefusals) {
-    std::erase_if(Refusals,
-                  [Now](const auto &Item) { return Item.second.Until <= Now; });
-    if (Refusals.size() >= MaxRecentRefusals)
-      return;
-  }
-  Refusals[keyOf(Refused)] = {Now + std::min(RoomIn, MaxRefusalTime),
-                              Refused.Remaining};
+  if (Now >= NextForgetAt || Refusals.size() >= MaxRecentRefusals)
+    forgetEnded(Now);
+  if (Refusals.size() >= MaxRecentRefusals)
+    return;
+  Refusals[Key(keyOf(Refused))] = {Now + std::min(RoomIn, MaxRefusalTime),
+                                   Refused.Remaining};
 }
 
 std::optional<DurationMs> RecentRefusals::roomIn(const CallProfile &Call,
-                                                 TimeMs Now) const {
+                                                 TimeMs Now) {
   if (Refusals.empty())
     return std::nullopt;
+  if (Now >= NextForgetAt)
+    forgetEnded(Now);
   const auto Found = Refusals.find(keyOf(Call));
   if (Found == Refusals.end() || Found->second.Until <= Now)
     return std::nullopt;
@@ -40,9 +40,14 @@
   return Found->second.Until - Now;
 }
 
-RecentRefusals::Key RecentRefusals::keyOf(const CallProfile &Call) {
-  return {std::string(Call.Target), std::string(Call.Route),
-          std::string(Call.Organisation)};
+RecentRefusals::KeyView RecentRefusals::keyOf(const CallProfile &Call) {
+  return {Call.Target, Call.Route, Call.Organisation};
+}
+
+void RecentRefusals::forgetEnded(TimeMs Now) {
+  std::erase_if(Refusals,
+                [Now](const auto &Item) { return Item.second.Until <= Now; });
+  NextForgetAt = Now + MaxRefusalTime;
 }
 
 } // namespace fescuewood
--- a/src/policy/RecentRefusals.h
+++ b/src/policy/RecentRefusals.h
@@ -12,6 +12,7 @@
 #include "core/Clock.h"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -43,18 +44,26 @@
 
   /// Time until the target has room for a call that it would refuse now;
   /// std::nullopt if it may accept the call.
-  std::optional<DurationMs> roomIn(const CallProfile &Call, TimeMs Now) const;
+  std::optional<DurationMs> roomIn(const CallProfile &Call, TimeMs Now);
+
+  /// Number of refusals that are stored, ended ones among them for a short
+  /// time.
+  std::size_t size() const { return Refusals.size(); }
 
 private:
   using Key = std::tuple<std::string, std::string, std::string>;
+  using KeyView =
+      std::tuple<std::string_view, std::string_view, std::string_view>;
   struct Refusal {
     TimeMs Until;
     DurationMs Remaining{0};
   };
 
-  static Key keyOf(const CallProfile &Call);
+  static KeyView keyOf(const CallProfile &Call);
+  void forgetEnded(TimeMs Now);
 
-  std::map<Key, Refusal> Refusals;
+  std::map<Key, Refusal, std::less<>> Refusals;
+  TimeMs NextForgetAt; ///< Ended refusals are forgotten then.
 };
 
 } // namespace fescuewood
--- a/tests/policy/RecentRefusalsTest.cpp
+++ b/tests/policy/RecentRefusalsTest.cpp
@@ -66,3 +66,15 @@
   Refusals.add(call(300), RoomIn, Now + RoomIn);
   CHECK(Refusals.roomIn(call(300), Now + RoomIn).has_value());
 }
+
+TEST(RecentRefusals, ForgetsEndedOnesThoughItIsNotFull) {
+  CallProfile Later = call(400);
+  Later.Route = "write";
+  Refusals.add(Later, MaxRefusalTime, Now + RoomIn);
+  LONGS_EQUAL(2, Refusals.size());
+
+  CHECK(Refusals.roomIn(Later, Now + MaxRefusalTime).has_value());
+  LONGS_EQUAL(1, Refusals.size());
+  CHECK_FALSE(Refusals.roomIn(Later, Now + MaxRefusalTime * 2).has_value());
+  LONGS_EQUAL(0, Refusals.size());
+}
