Tell the calls of two nodes apart that drew the same incarnation

What could happen: a caller gets the answer to another node's call, with the other request's ID, or a call is not run and answered with the other's outcome (MIXED).

Cause: a call's ID was the incarnation of its entry node and a sequence. The incarnation is the start time in ms with 20 random bits: unique for one node, not in the fleet, whose nodes start at the same time.

Change: the ID has a hash of the node's name and incarnation (processId). The format of the messages stays as it was.

Evidence: CallCore.NodesOfEqualIncarnationGetTheirOwnAnswers failed before with "got the answer to another call". No run of real processes showed it.

--- a/bench/model/FakeCallMesh.h
+++ b/bench/model/FakeCallMesh.h
@@ -136,7 +136,7 @@
     Self.Name = Node.Place.Name;
     Self.Domain = Node.Place.Domain;
     Self.Service = Node.Place.Service;
-    Self.Incarnation = Random() | 1U;
+    Self.Incarnation = SharedIncarnation.value_or(Random() | 1U);
     Self.Scheme = Scheme;
     Self.TargetListed = TargetsListed;
     Node.Incarnation = Self.Incarnation;
@@ -207,6 +207,8 @@
   VirtualTime Time;
   FakeNetworkOptions Network;
   fescuewood::HeaderScheme Scheme; ///< Of nodes that start from now on.
+  /// Incarnation of all nodes that start from now on; random ones if not set.
+  std::optional<std::uint64_t> SharedIncarnation;
   /// Whether the platform lists targets; for nodes that start from now on.
   bool TargetsListed = false;
   std::uint64_t BytesSent = 0; ///< Bodies of all messages between nodes.
--- a/src/calls/Call.cpp
+++ b/src/calls/Call.cpp
@@ -11,7 +11,11 @@
 namespace fescuewood {
 
 std::string CallId::text() const {
-  return fmt::format("{:x}-{:x}", Incarnation, Sequence);
+  return fmt::format("{:x}-{:x}", Process, Sequence);
+}
+
+std::uint64_t processId(std::string_view NodeName, std::uint64_t Incarnation) {
+  return stableHash(fmt::format("{}/{:x}", NodeName, Incarnation));
 }
 
 std::string_view outcomeName(Outcome Value) {
--- a/src/calls/Call.h
+++ b/src/calls/Call.h
@@ -22,15 +22,19 @@
 
 /// Identifies a call between nodes for the lifetime of its entry node.
 struct CallId {
-  std::uint64_t Incarnation = 0; ///< Of the entry node's process.
+  std::uint64_t Process = 0; ///< The entry node's, see \ref processId.
   std::uint64_t Sequence = 0;
 
   auto operator<=>(const CallId &) const = default;
 
-  /// "incarnation-sequence" in hexadecimal, as in logs and the timeline.
+  /// "process-sequence" in hexadecimal, as in logs and the timeline.
   std::string text() const;
 };
 
+/// Identifies a process in the fleet. Its incarnation alone does not, since two
+/// nodes that start at the same time may draw the same one.
+std::uint64_t processId(std::string_view NodeName, std::uint64_t Incarnation);
+
 /// An HTTP header field. The name keeps its original case.
 struct Header {
   std::string Name;
--- a/src/calls/CallToken.cpp
+++ b/src/calls/CallToken.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// Token format: 1.depth.deadline.incarnation.sequence.organisation.signature,
+/// Token format: 1.depth.deadline.process.sequence.organisation.signature,
 /// where 1 is the format version; all other fields are lower-case hexadecimal.
 constexpr std::string_view FormatVersion = "1";
 constexpr char Separator = '.';
@@ -64,10 +64,10 @@
 std::optional<CallToken> parse(const std::vector<std::string_view> &Fields) {
   const auto Depth = parseHex(Fields[1]);
   const auto Deadline = parseHex(Fields[2]);
-  const auto Incarnation = parseHex(Fields[3]);
+  const auto Process = parseHex(Fields[3]);
   const auto Sequence = parseHex(Fields[4]);
   auto Organisation = fromHex(Fields[5]);
-  if (!Depth || !Deadline || !Incarnation || !Sequence || !Organisation)
+  if (!Depth || !Deadline || !Process || !Sequence || !Organisation)
     return std::nullopt;
   if (*Depth > std::numeric_limits<std::uint8_t>::max())
     return std::nullopt;
@@ -75,7 +75,7 @@
   Token.Organisation = std::move(*Organisation);
   Token.Depth = static_cast<std::uint8_t>(*Depth);
   Token.Deadline = TimeMs(static_cast<std::int64_t>(*Deadline));
-  Token.Call = {*Incarnation, *Sequence};
+  Token.Call = {*Process, *Sequence};
   return Token;
 }
 
@@ -87,7 +87,7 @@
 std::string CallTokenSigner::issue(const CallToken &Token) const {
   const std::string Payload = fmt::format(
       "{}.{:x}.{:x}.{:x}.{:x}.{}", FormatVersion, Token.Depth,
-      static_cast<std::uint64_t>(Token.Deadline.Value), Token.Call.Incarnation,
+      static_cast<std::uint64_t>(Token.Deadline.Value), Token.Call.Process,
       Token.Call.Sequence, toHex(Token.Organisation));
   return Payload + Separator + signature(Payload).hex();
 }
--- a/src/nodes/FieldCodec.cpp
+++ b/src/nodes/FieldCodec.cpp
@@ -30,7 +30,7 @@
 }
 
 void FieldWriter::id(const CallId &Value) {
-  Packer.pack(Value.Incarnation);
+  Packer.pack(Value.Process);
   Packer.pack(Value.Sequence);
 }
 
@@ -75,7 +75,7 @@
 }
 
 void FieldReader::id(CallId &Value) {
-  number(Value.Incarnation);
+  number(Value.Process);
   number(Value.Sequence);
 }
 
--- a/src/policy/CallLedger.cpp
+++ b/src/policy/CallLedger.cpp
@@ -87,7 +87,7 @@
 }
 
 bool CallLedger::belowWatermark(const CallId &Id) const {
-  const auto Found = Watermarks.find(Id.Incarnation);
+  const auto Found = Watermarks.find(Id.Process);
   return Found != Watermarks.end() && Id.Sequence <= Found->second.Sequence;
 }
 
@@ -141,7 +141,7 @@
 }
 
 void CallLedger::raiseWatermark(const CallId &Id, TimeMs Now) {
-  Watermark &Mark = Watermarks[Id.Incarnation];
+  Watermark &Mark = Watermarks[Id.Process];
   Mark.Sequence = std::max(Mark.Sequence, Id.Sequence);
   Mark.RaisedAt = Now;
   if (Watermarks.size() <= MaxLedgerIncarnations)
--- a/tests/calls/CallCoreTest.cpp
+++ b/tests/calls/CallCoreTest.cpp
@@ -123,6 +123,25 @@
   DOUBLES_EQUAL(1.0, successRate(*Mesh), 0);
 }
 
+// Guards against answers to another node's calls: nodes that start at the same
+// time may draw the same incarnation.
+TEST(CallCore, NodesOfEqualIncarnationGetTheirOwnAnswers) {
+  auto Mesh = makeMesh(1, {}, FakeNetworkOptions());
+  Mesh->SharedIncarnation = 1;
+  for (std::size_t At = 0; At < Mesh->Nodes.size(); ++At) {
+    Mesh->killNode(At);
+    Mesh->startNode(At);
+  }
+  Mesh->publishInstances();
+  Mesh->runFor(10 * SecondUs);
+
+  offerRequests(*Mesh, 50, 3 * SecondUs);
+  Mesh->runFor(3 * SecondUs);
+
+  STRCMP_EQUAL("", invariantViolation(*Mesh, Slots).c_str());
+  CHECK(successRate(*Mesh) > 0.99);
+}
+
 // The entry node can distinguish a lost request from a lost answer only by
 // fetching the outcome. A non-idempotent call must be answered in both cases.
 TEST(CallCore, DistinguishesALostRequestFromALostAnswer) {
