Count the crashes beside two nodes of equal incarnation as two

Change: the ID of a crash has the hash of the node's name and incarnation, which the context holds for both sides.

The loop of QuarantinesARequestThatCrashesTargetsAndServesOthers is now a function that both tests call; what it offers and asks is the same.

--- a/src/calls/CallContext.h
+++ b/src/calls/CallContext.h
@@ -13,6 +13,7 @@
 #include "policy/CallSettings.h"
 #include "policy/CrashGuard.h"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <optional>
@@ -33,7 +34,8 @@
               CallHooks Hooks, Clock Time)
       : Identity(std::move(Identity)), Settings(Settings),
         Hooks(std::move(Hooks)), Time(std::move(Time)),
-        Guard({Settings.CrashLimit, Settings.CrashMemory}) {}
+        Guard({Settings.CrashLimit, Settings.CrashMemory}),
+        Process(processId(this->Identity.Name, this->Identity.Incarnation)) {}
 
   CallIdentity Identity;
   CallSettings Settings;
@@ -41,6 +43,7 @@
   Clock Time;
   SnapshotPtr Config; ///< Null until a configuration is in force.
   CrashGuard Guard;
+  const std::uint64_t Process; ///< Of this node, see \ref processId.
   CallStatus Counters;
   /// Set while the node drains: a call that may end later is not taken.
   std::optional<TimeMs> DrainEnd;
--- a/src/calls/EntryMessages.cpp
+++ b/src/calls/EntryMessages.cpp
@@ -13,7 +13,7 @@
   const TimeMs Now = Context.now();
   ++Call.Attempts;
   Attempt &Current = Call.Current.emplace();
-  Current.Id = {Process, NextSequence++};
+  Current.Id = {Context.Process, NextSequence++};
   Current.Target = Target.Name;
   Current.SentAt = Now;
   Current.HeardAt = Now;
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -40,8 +40,7 @@
 EntrySide::EntrySide(CallContext &Context, LocalTarget Local)
     : Context(Context), Local(std::move(Local)),
       Targets(routerSettings(Context.Settings), Context.Identity.Domain),
-      Budget(Context.Settings.RetryShare, Context.Settings.RetryReserve),
-      Process(processId(Context.Identity.Name, Context.Identity.Incarnation)) {}
+      Budget(Context.Settings.RetryShare, Context.Settings.RetryReserve) {}
 
 void EntrySide::submit(CallHandle Handle, CallRequest Request,
                        AnswerHook OnAnswer) {
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -239,7 +239,6 @@
   CallMap Calls;
   std::set<std::pair<TimeMs, CallHandle>> Timers;
   std::map<std::string, Link, std::less<>> Links; ///< By address.
-  const std::uint64_t Process; ///< Of this node, for the ids of its calls.
   std::uint64_t NextSequence = 1;
   std::size_t HeldBytes = 0;
 };
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -269,8 +269,8 @@
 
 void TargetSide::recordCrashedRun(const HeldCall &Call) {
   // All runs lost in the same crash share its id.
-  const CrashId Crash = stableHash(
-      fmt::format("{:x}/{}", Context.Identity.Incarnation, Call.Epoch));
+  const CrashId Crash =
+      stableHash(fmt::format("{:x}/{}", Context.Process, Call.Epoch));
   const RequestFingerprint Request = fingerprintOf(Call.Request);
   if (Context.Guard.onCrash(Request, Crash, Context.now())) {
     Context.report(EventId::RequestQuarantined,
--- a/tests/calls/CallCoreTest.cpp
+++ b/tests/calls/CallCoreTest.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::int64_t NodePauseUs = 3 * SecondUs;
 
+constexpr std::size_t CrashInterval = 20;
+
 /// Injects one fault of the given kind at a node.
 void injectFault(FakeCallMesh &Mesh, int Kind, std::size_t At) {
   const std::size_t Other = (At + 1) % Mesh.Nodes.size();
@@ -63,6 +65,28 @@
          static_cast<double>(Mesh.Calls.size() - From);
 }
 
+/// Offers 600 requests, of which each CrashInterval-th crashes its target.
+void offerRequestsOfWhichSomeCrash(FakeCallMesh &Mesh) {
+  for (std::size_t I = 0; I < 600; ++I) {
+    const bool Crashing = I % CrashInterval == 0;
+    Mesh.submit(
+        I % 3,
+        makeRequest(Crashing ? CrashBody : "tag" + std::to_string(I), true));
+    Mesh.runFor(20'000);
+  }
+  Mesh.runFor(5 * SecondUs);
+}
+
+void restartAllWithOneIncarnation(FakeCallMesh &Mesh) {
+  Mesh.SharedIncarnation = 1;
+  for (std::size_t At = 0; At < Mesh.Nodes.size(); ++At) {
+    Mesh.killNode(At);
+    Mesh.startNode(At);
+  }
+  Mesh.publishInstances();
+  Mesh.runFor(10 * SecondUs);
+}
+
 } // namespace
 
 TEST_GROUP(CallCore){};
@@ -127,13 +151,7 @@
 // time may draw the same incarnation.
 TEST(CallCore, NodesOfEqualIncarnationGetTheirOwnAnswers) {
   auto Mesh = makeMesh(1, {}, FakeNetworkOptions());
-  Mesh->SharedIncarnation = 1;
-  for (std::size_t At = 0; At < Mesh->Nodes.size(); ++At) {
-    Mesh->killNode(At);
-    Mesh->startNode(At);
-  }
-  Mesh->publishInstances();
-  Mesh->runFor(10 * SecondUs);
+  restartAllWithOneIncarnation(*Mesh);
 
   offerRequests(*Mesh, 50, 3 * SecondUs);
   Mesh->runFor(3 * SecondUs);
@@ -220,23 +238,26 @@
 TEST(CallCore, QuarantinesARequestThatCrashesTargetsAndServesOthers) {
   auto Mesh = makeMesh(6, {}, {});
 
-  for (int I = 0; I < 600; ++I) {
-    const bool Crashing = I % 20 == 0;
-    Mesh->submit(
-        static_cast<std::size_t>(I) % 3,
-        makeRequest(Crashing ? CrashBody : "tag" + std::to_string(I), true));
-    Mesh->runFor(20'000);
-  }
-  Mesh->runFor(5 * SecondUs);
+  offerRequestsOfWhichSomeCrash(*Mesh);
 
   LONGS_EQUAL(CallSettings().CrashLimit, crashCount(*Mesh));
   std::size_t Served = 0;
   for (std::size_t I = 0; I < Mesh->Calls.size(); ++I)
-    if (I % 20 != 0 && Mesh->Calls[I].Answer.Status == 200)
+    if (I % CrashInterval != 0 && Mesh->Calls[I].Answer.Status == 200)
       ++Served;
   CHECK_TRUE_TEXT(Served > 560, std::to_string(Served).c_str());
 }
 
+// Guards against crashes beside two nodes that count as one.
+TEST(CallCore, CrashesBesideNodesOfEqualIncarnationAreTwo) {
+  auto Mesh = makeMesh(6, {}, {});
+  restartAllWithOneIncarnation(*Mesh);
+
+  offerRequestsOfWhichSomeCrash(*Mesh);
+
+  LONGS_EQUAL(CallSettings().CrashLimit, crashCount(*Mesh));
+}
+
 TEST(CallCore, OrganisationAtFiveTimesItsShareDoesNotStarveAnother) {
   FakeTargetOptions Slow;
   Slow.MeanMs = 50;
