--- a/tests/targets/RejectedConnectionTest.cpp
+++ b/tests/targets/RejectedConnectionTest.cpp
@@ -213,15 +213,17 @@
   TargetClientOptions Options = optionsFor(Target);
   Options.MaxConnections = 2;
   TargetClient Client(Options);
+  constexpr std::size_t Requests = 60;
   std::vector<std::future<TargetResult>> Results;
-  for (int Number = 0; Number < 60; ++Number)
+  Results.reserve(Requests);
+  for (std::size_t Number = 0; Number < Requests; ++Number)
     Results.push_back(
         start(Client, requestWith("id-" + std::to_string(Number % 3))));
 
   for (auto &Result : Results)
     CHECK(ResultCode::Ok == Result.get().Reason);
   CHECK(Target.mostOpen() <= 3); // A closed one may be seen as open for long.
-  LONGS_EQUAL(60, Target.requests().size());
+  LONGS_EQUAL(Requests, Target.requests().size());
 }
 
 TEST(RejectedConnection, BodyIsSentOnceAndWhole) {
