Give the hooks of the store loop their own header; rename EveryNodeReads

StoreLoopHooks stood in StoreView.h, where a reader of StoreLoop does not look for it. ControlSettings::EveryNodeReads has meant for some time that each node may read the source, while only readers do in a large domain: it is EachNodeMayRead now, and the comments say the same.

--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -94,7 +94,7 @@
                  TargetState::Cold};
   for (const Endpoint &Seed : Settings.Peers.Seeds)
     Result.Seeds.push_back(Seed.text());
-  Result.EveryNodeReads = isStorePlatform(Settings.Platform);
+  Result.EachNodeMayRead = isStorePlatform(Settings.Platform);
   return Result;
 }
 
--- a/src/nodes/ControlCore.cpp
+++ b/src/nodes/ControlCore.cpp
@@ -20,14 +20,14 @@
 constexpr DurationMs VacancyContactLimit{5 * 1000};
 
 /// Skips the wait for peers where it proves nothing: at the start of a node
-/// that has no seeds other than itself, and always at a node that reads the
+/// that has no seeds other than itself, and always at a node that may read the
 /// source itself, since the answers of such a source are never old.
 ControlSettings skipNeedlessWaits(ControlSettings Settings) {
   const auto Own = std::count(Settings.Seeds.begin(), Settings.Seeds.end(),
                               Settings.Self.PeerAddress);
   if (Settings.Seeds.size() == static_cast<std::size_t>(Own))
     Settings.Versions.StartAnswers = 0;
-  if (Settings.EveryNodeReads) {
+  if (Settings.EachNodeMayRead) {
     Settings.Versions.StartAnswers = 0;
     Settings.Versions.CatchUpAnswers = 0;
   }
@@ -121,7 +121,7 @@
   for (const auto &[Name, Domain] : InForce->Domains)
     Regions[Name] = Domain.Region;
   Members.setRegions(std::move(Regions));
-  if (!Settings.EveryNodeReads)
+  if (!Settings.EachNodeMayRead)
     Members.push(Settings.PushFanout);
 }
 
@@ -218,7 +218,7 @@
       Names.push_back(Name);
   }
   const std::size_t Count =
-      Settings.EveryNodeReads
+      Settings.EachNodeMayRead
           ? readerCount(Names.size(), Settings.ReadersPerDomain)
           : Settings.ReadersPerDomain;
   return chooseReaders(Settings.Self.Domain, Names, Count);
--- a/src/nodes/ControlSettings.h
+++ b/src/nodes/ControlSettings.h
@@ -37,14 +37,14 @@
   double RumoursPerSecond = 2;
   double RumourBurst = 16;
   std::size_t MaxRepairRecords = 48; ///< Member records per repair reply.
-  /// Nodes of a failure domain that read the source; with EveryNodeReads, a
+  /// Nodes of a failure domain that read the source; with EachNodeMayRead, a
   /// large domain has more.
   std::size_t ReadersPerDomain = 2;
-  /// Whether every node may read the source itself, which requires a source
+  /// Whether each node may read the source itself, which requires a source
   /// that never returns stale answers. No start or pause then waits for peers,
   /// and the nodes that are no readers read through those that are.
-  bool EveryNodeReads = false;
-  /// With EveryNodeReads: time for which a fetch of a peer's newer version is
+  bool EachNodeMayRead = false;
+  /// With EachNodeMayRead: time for which a fetch of a peer's newer version is
   /// delayed, since this node is expected to read it from the source.
   DurationMs OwnReadGrace{500};
   /// Time without an answer after which the source counts as unreachable.
--- a/src/nodes/VersionSync.cpp
+++ b/src/nodes/VersionSync.cpp
@@ -74,9 +74,9 @@
 /// needs neither files nor a new snapshot. Returns whether it did.
 bool VersionSync::adoptRevision(const Version &Seen) {
   const auto &InForce = Keeper.inForce();
-  // Without EveryNodeReads the division of rates is derived from each version,
+  // Without EachNodeMayRead the division of rates is derived from each version,
   // so every version is compiled.
-  if (!Settings.EveryNodeReads || !InForce ||
+  if (!Settings.EachNodeMayRead || !InForce ||
       Seen.Content != InForce->Content || Seen.Revision <= InForce->Revision)
     return false;
   Bundles.rename(*InForce, Seen);
@@ -95,7 +95,7 @@
   // A node that the source does not answer depends on its peers.
   const TimeMs Now = Time.now();
   const bool ReadsItself =
-      Settings.EveryNodeReads &&
+      Settings.EachNodeMayRead &&
       Now - LastSourceAnswerAt < Settings.SourceSilenceLimit;
   if (ReadsItself && Now - BehindSince < Settings.OwnReadGrace)
     return;
--- a/src/sources/StoreLoop.h
+++ b/src/sources/StoreLoop.h
@@ -15,6 +15,7 @@
 #include "sources/ReadLoop.h"
 #include "sources/SourceHealth.h"
 #include "sources/StoreChange.h"
+#include "sources/StoreLoopHooks.h"
 #include "sources/StoreView.h"
 
 #include <atomic>
--- a/src/sources/StoreView.h
+++ b/src/sources/StoreView.h
@@ -7,10 +7,10 @@
 #ifndef FESCUEWOOD_SOURCES_STOREVIEW_H
 #define FESCUEWOOD_SOURCES_STOREVIEW_H
 
-#include "core/Event.h"
 #include "policy/TargetList.h"
 #include "sources/StoreBundle.h"
 #include "sources/StoreChange.h"
+#include "sources/StoreLoopHooks.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -21,27 +21,6 @@
 
 namespace fescuewood {
 
-/// Hooks that report to the rest of the process, called on the reader's thread.
-/// Any may be empty.
-struct StoreLoopHooks {
-  /// Called when the operators' intent has changed.
-  std::function<void(IntentBundle)> OnBundle;
-  /// Called when the list of instances has changed.
-  std::function<void(InstanceList)> OnInstances;
-  /// Called when the entry of this node's own target has changed; std::nullopt
-  /// when the store has none.
-  std::function<void(std::optional<ListedInstance>)> OnOwnTarget;
-  /// Called when the store has proved that the intent of this revision was
-  /// current at time \p At.
-  std::function<void(TimeMs At, std::uint64_t Revision)> OnProof;
-  /// Called when the store becomes unreachable (false) or reachable again
-  /// (true).
-  std::function<void(bool Reachable)> OnSourceState;
-  /// Called with all that was read, to be relayed to other nodes.
-  std::function<void(ReplicaUpdate)> OnReplicated = {};
-  EventHook OnEvent;
-};
-
 /// The target that this node serves.
 struct OwnTarget {
   std::string Address; ///< "IP:port".
--- a/tests/nodes/ControlCoreTest.cpp
+++ b/tests/nodes/ControlCoreTest.cpp
@@ -460,7 +460,7 @@
 TEST(ControlCore, ProvesNoVersionThatWasNotTheNewestAtThatTime) {
   checkProperty("the version in force is at least the proven one", [] {
     FakeFleet Fleet(2, 3, 5, [](ControlSettings &Settings) {
-      Settings.EveryNodeReads = true;
+      Settings.EachNodeMayRead = true;
     });
     for (std::size_t I = 0; I < Fleet.Nodes.size(); ++I)
       Fleet.start(I);
--- a/tests/nodes/ControlDutyTest.cpp
+++ b/tests/nodes/ControlDutyTest.cpp
@@ -185,7 +185,7 @@
 TEST(ControlDutyQueue, VersionOfferedToAFullQueueComesIntoForce) {
   ControlSettings Settings;
   Settings.Self = {"a/0", "a", "s", 0, "127.0.0.1:1", TargetState::Ready};
-  Settings.EveryNodeReads = true;
+  Settings.EachNodeMayRead = true;
   ControlHooks Hooks;
   Hooks.Send = [](const PeerRequest &, const PeerReplyHook &) {};
   Hooks.Compile = [](const IntentBundle &Bundle, std::string &) {
--- a/tests/nodes/FakeFleet.cpp
+++ b/tests/nodes/FakeFleet.cpp
@@ -310,7 +310,7 @@
                                             std::size_t NodesPerDomain) {
   auto Fleet = std::make_unique<FakeFleet>(
       Domains, NodesPerDomain, 5,
-      [](ControlSettings &Settings) { Settings.EveryNodeReads = true; });
+      [](ControlSettings &Settings) { Settings.EachNodeMayRead = true; });
   for (std::size_t I = 0; I < Fleet->Nodes.size(); ++I)
     Fleet->start(I);
   Fleet->runUntilInForce(Fleet->publish("first"), 20'000);
--- a/tests/nodes/FakeFleet.h
+++ b/tests/nodes/FakeFleet.h
@@ -146,7 +146,7 @@
 fescuewood::TargetState stateSeenBy(const FakeFleet &Fleet,
                                     std::size_t Observer, std::size_t Of);
 
-/// A fleet in which every node reads the source and has a version in force.
+/// A fleet in which each node may read the source and has a version in force.
 std::unique_ptr<FakeFleet> makeReadingFleet(std::size_t Domains,
                                             std::size_t NodesPerDomain);
 
