Look up refusals with a comparator of views

clang-tidy 14's reading of the standard library compares no tuple of strings with a tuple of views; g++ does. The map now compares views of both keys. policy_tests: 205 tests passed; calls_tests: 65.

--- a/src/policy/RecentRefusals.h
+++ b/src/policy/RecentRefusals.h
@@ -12,7 +12,6 @@
 #include "core/Clock.h"
 
 #include <cstddef>
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -54,6 +53,10 @@
   using Key = std::tuple<std::string, std::string, std::string>;
   using KeyView =
       std::tuple<std::string_view, std::string_view, std::string_view>;
+  struct KeyLess {
+    using is_transparent = void; // NOLINT(readability-identifier-naming)
+    bool operator()(const KeyView &L, const KeyView &R) const { return L < R; }
+  };
   struct Refusal {
     TimeMs Until;
     DurationMs Remaining{0};
@@ -62,7 +65,7 @@
   static KeyView keyOf(const CallProfile &Call);
   void forgetEnded(TimeMs Now);
 
-  std::map<Key, Refusal, std::less<>> Refusals;
+  std::map<Key, Refusal, KeyLess> Refusals;
   TimeMs NextForgetAt; ///< Ended refusals are forgotten then.
 };
 
