--- a/src/policy/TokenHolder.cpp
+++ b/src/policy/TokenHolder.cpp
@@ -119,18 +119,18 @@
 }
 
 double TokenHolder::rate(TimeMs Now) const {
-  double Sum = 0;
-  for (std::size_t I : Active)
-    if (isActive(Meters[I], Now))
-      Sum += Meters[I].Rate;
-  return Sum;
+  return sumOfActive(&MeterState::Rate, Now);
 }
 
 double TokenHolder::cap(TimeMs Now) const {
+  return sumOfActive(&MeterState::Cap, Now);
+}
+
+double TokenHolder::sumOfActive(double MeterState::*Amount, TimeMs Now) const {
   double Sum = 0;
   for (std::size_t I : Active)
     if (isActive(Meters[I], Now))
-      Sum += Meters[I].Cap;
+      Sum += Meters[I].*Amount;
   return Sum;
 }
 
--- a/src/policy/TokenHolder.h
+++ b/src/policy/TokenHolder.h
@@ -136,6 +136,7 @@
   };
 
   bool isActive(const MeterState &C, TimeMs Now) const;
+  double sumOfActive(double MeterState::*Amount, TimeMs Now) const;
   void advance(TimeMs Now);
   void expireRequests(TimeMs Now);
   void clearPending(MeterState &C);
