Log which attempt an answer is from, beside the target and at the entry

A request may be sent to one target more than once, under one id. The line of a run (1511 RunEnded) had only that id, and so had the answer of the entry (1510 CallAnswered): nobody could tell from the log which run the caller's answer was taken from. Both lines have the attempt in `call` now, as 1501 and 1502 do. A caller that gets the failure of an earlier attempt gets that attempt's line.

--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -242,8 +242,10 @@
       !CrashLimitReached && claimRetry(Call, true)) {
     Call.MayHaveRun = true;
     Call.LastRefusal = Answer.Reason;
-    if (TransientFailure)
+    if (TransientFailure) {
       Call.Fallback = std::move(Answer);
+      Call.FallbackId = Call.Current->Id;
+    }
     failOver(Handle, Call,
              AnswerUnusable ? "target returned no usable answer"
                             : "target answered with a transient failure",
@@ -252,15 +254,16 @@
   }
   if (Answer.Reason == ResultCode::Ok)
     Budget.onSuccess();
-  reportAnswer(Call, Answer);
+  reportAnswer(Call, Call.Current->Id, Answer);
   finish(Handle, Call, std::move(Answer));
 }
 
-void EntrySide::reportAnswer(const EntryCall &Call,
+void EntrySide::reportAnswer(const EntryCall &Call, const CallId &Source,
                              const CallAnswer &Answer) const {
-  reportEnd(EventId::CallAnswered, Call,
-            {"status", std::to_string(Answer.Status)}, Answer.Reason,
-            Answer.RequestOutcome);
+  reportEnd(
+      EventId::CallAnswered, Call,
+      {{"call", Source.text()}, {"status", std::to_string(Answer.Status)}},
+      Answer.Reason, Answer.RequestOutcome);
 }
 
 void EntrySide::onRefused(CallHandle Handle, EntryCall &Call, ResultCode Reason,
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -4,6 +4,7 @@
 #include "policy/RetryRules.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace fescuewood {
@@ -312,13 +313,13 @@
                        Outcome RunOutcome) {
   if (Call.Fallback && Reason != ResultCode::CallerGone) {
     // No retry succeeded: the caller gets an earlier target's failure answer.
-    reportAnswer(Call, *Call.Fallback);
+    reportAnswer(Call, Call.FallbackId, *Call.Fallback);
     finish(Handle, Call, std::move(*Call.Fallback));
     return;
   }
   reportEnd(
       EventId::CallRefused, Call,
-      {"remaining_ms", std::to_string((Call.Deadline - Context.now()).Value)},
+      {{"remaining_ms", std::to_string((Call.Deadline - Context.now()).Value)}},
       Reason, RunOutcome);
   if (!Call.Request.Organisation.empty())
     ++Context.Counters.RefusedByOrganisation[Call.Request.Organisation];
@@ -331,22 +332,23 @@
   finish(Handle, Call, std::move(Answer));
 }
 
-/// Reports the event of a call that ends; \p Detail is the field that is
+/// Reports the event of a call that ends; \p Details are the fields that are
 /// specific to \p Id.
-void EntrySide::reportEnd(EventId Id, const EntryCall &Call, EventField Detail,
-                          ResultCode Reason, Outcome RunOutcome) const {
-  Context.report(
-      Id,
-      {{"request", requestId(Call.Request, Context.Identity.Scheme)},
-       {"organisation", Call.Request.Organisation},
-       {"route", Call.Request.Route},
-       {"service", Call.Request.Service},
-       {"target", lastTarget(Call)},
-       {"attempts", std::to_string(Call.Attempts)},
-       {"held_ms", std::to_string((Context.now() - Call.SubmittedAt).Value)},
-       std::move(Detail),
-       {"reason", std::string(resultName(Reason))},
-       {"outcome", std::string(outcomeName(RunOutcome))}});
+void EntrySide::reportEnd(EventId Id, const EntryCall &Call,
+                          std::vector<EventField> Details, ResultCode Reason,
+                          Outcome RunOutcome) const {
+  std::vector<EventField> Fields = {
+      {"request", requestId(Call.Request, Context.Identity.Scheme)},
+      {"organisation", Call.Request.Organisation},
+      {"route", Call.Request.Route},
+      {"service", Call.Request.Service},
+      {"target", lastTarget(Call)},
+      {"attempts", std::to_string(Call.Attempts)},
+      {"held_ms", std::to_string((Context.now() - Call.SubmittedAt).Value)}};
+  std::move(Details.begin(), Details.end(), std::back_inserter(Fields));
+  Fields.push_back({"reason", std::string(resultName(Reason))});
+  Fields.push_back({"outcome", std::string(outcomeName(RunOutcome))});
+  Context.report(Id, std::move(Fields));
 }
 
 /// The target of the current or most recent attempt; empty if there is none.
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -162,6 +162,7 @@
     /// A target's failure answer, returned to the caller unless a retry
     /// succeeds.
     std::optional<CallAnswer> Fallback;
+    CallId FallbackId; ///< The attempt that Fallback is from.
   };
 
   /// State of the connection to a node.
@@ -227,11 +228,13 @@
   void expire(CallHandle Handle, EntryCall &Call);
   void refuse(CallHandle Handle, EntryCall &Call, ResultCode Reason,
               Outcome RunOutcome);
-  void reportEnd(EventId Id, const EntryCall &Call, EventField Detail,
-                 ResultCode Reason, Outcome RunOutcome) const;
+  void reportEnd(EventId Id, const EntryCall &Call,
+                 std::vector<EventField> Details, ResultCode Reason,
+                 Outcome RunOutcome) const;
   static std::string lastTarget(const EntryCall &Call);
   DurationMs retryAfter(const EntryCall &Call);
-  void reportAnswer(const EntryCall &Call, const CallAnswer &Answer) const;
+  void reportAnswer(const EntryCall &Call, const CallId &Source,
+                    const CallAnswer &Answer) const;
   void finish(CallHandle Handle, EntryCall &Call, CallAnswer Answer);
   Outcome outcomeOfEarlierAttempts(const EntryCall &Call) const;
 
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -176,6 +176,7 @@
   Context.report(
       EventId::RunEnded,
       {{"request", requestId(Call.Request, Context.Identity.Scheme)},
+       {"call", Call.Request.Id.text()},
        {"organisation", Call.Request.Organisation},
        {"route", Call.Request.Route},
        {"target",
