End a request at its timeout also while it waits for a connection

What could happen: with all connections to a target in use, a request that waited for one ended only when one was free, also long after its timeout, and held a place among the unfinished ones until then.

Cause: libcurl 7.88 applies a transfer's timeout only once it has a connection.

Change: the client ends transfers whose request has not been sent by their timeout, and wakes up for the next one.

--- a/src/targets/TargetClient.cpp
+++ b/src/targets/TargetClient.cpp
@@ -3,6 +3,7 @@
 #include "targets/TargetConnections.h"
 #include "targets/TargetTransfer.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <deque>
@@ -101,15 +102,37 @@
       int Running = 0;
       curl_multi_perform(Multi.get(), &Running);
       finishCompleted();
+      endOverdue();
       resumePaused();
       countReceivingBytes();
       checkIdleConnections();
-      curl_multi_poll(Multi.get(), nullptr, 0, PollTimeoutMs, nullptr);
+      curl_multi_poll(Multi.get(), nullptr, 0, pollTimeoutMs(), nullptr);
     }
     while (!Transfers.empty())
       finish(Transfers.begin()->first, ResultCode::Stopped);
   }
 
+  /// Ends the transfers that got no connection in time. libcurl applies their
+  /// timeouts only once they have one.
+  void endOverdue() {
+    std::vector<std::uint64_t> Overdue;
+    for (const auto &[Id, Transfer] : Transfers)
+      if (Transfer->waitsForConnection() &&
+          Transfer->timeLeft() <= DurationMs(0))
+        Overdue.push_back(Id);
+    for (const std::uint64_t Id : Overdue)
+      finish(Id, ResultCode::TargetUnreachable);
+  }
+
+  /// Longest wait for network events: until the next transfer is overdue.
+  int pollTimeoutMs() const {
+    DurationMs Wait(PollTimeoutMs);
+    for (const auto &[Id, Transfer] : Transfers)
+      if (Transfer->waitsForConnection())
+        Wait = std::clamp(Transfer->timeLeft(), DurationMs(0), Wait);
+    return static_cast<int>(Wait.Value);
+  }
+
   /// Executes the commands of other threads. Returns true to stop the loop.
   bool takeCommands() {
     std::vector<StartCommand> Starts;
--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -100,8 +100,7 @@
 }
 
 void TargetTransfer::setTimeouts() {
-  const std::int64_t Timeout =
-      std::max<std::int64_t>(1, (Request.Timeout - elapsed()).Value);
+  const std::int64_t Timeout = std::max<std::int64_t>(1, timeLeft().Value);
   curl_easy_setopt(Easy.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(Timeout));
   curl_easy_setopt(
       Easy.get(), CURLOPT_CONNECTTIMEOUT_MS,
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -59,6 +59,12 @@
     return ConnectionRejected && !UsesNewConnection;
   }
 
+  /// Whether the request has not been sent.
+  bool waitsForConnection() const { return !RequestSent; }
+
+  /// Time until the request's timeout; negative after it.
+  DurationMs timeLeft() const { return Request.Timeout - elapsed(); }
+
   /// Prepares such a transfer for another start, on a new connection.
   void useNewConnection();
 
