--- a/bench/RateBench.cpp
+++ b/bench/RateBench.cpp
@@ -7,6 +7,8 @@
 /// burst + rate x t, and control traffic. The results depend only on the flags,
 /// not on the machine.
 
+#include "RateFigures.h"
+#include "RateFleetSizes.h"
 #include "policy/TokenNode.h"
 
 #include <algorithm>
@@ -46,6 +48,7 @@
 DEFINE_bool(organisations, false, "also print one row per organisation");
 
 using namespace fescuewood;
+using namespace fescuewood::bench;
 
 namespace {
 
@@ -76,45 +79,6 @@
 /// Slots that share a meter in the designs with few meters.
 constexpr std::uint32_t MeterGroup = 16;
 
-struct DomainSize {
-  std::string Name;
-  std::string Region;
-  std::uint32_t Nodes = 0;
-};
-
-struct FleetSize {
-  std::string Name;
-  std::vector<DomainSize> Domains;
-
-  std::uint32_t nodes() const {
-    std::uint32_t Sum = 0;
-    for (const DomainSize &D : Domains)
-      Sum += D.Nodes;
-    return Sum;
-  }
-};
-
-FleetSize sizeOf(const std::string &Name) {
-  if (Name == "teiknibas")
-    return {Name, {{"market", "r", 4}, {"harbour", "r", 4}, {"quay", "r", 4}}};
-  if (Name == "secretaria") {
-    return {Name,
-            {{"caruaru", "r", 5},
-             {"garanhuns", "r", 4},
-             {"arcoverde", "r", 4},
-             {"recife", "r", 4}}};
-  }
-  const auto Nodes = static_cast<std::uint32_t>(std::stoul(Name));
-  FleetSize Size{Name, {}};
-  constexpr std::uint32_t Domains = 5;
-  for (std::uint32_t D = 0; D < Domains; ++D) {
-    const std::uint32_t Part = Nodes * (D + 1) / Domains - Nodes * D / Domains;
-    Size.Domains.push_back(
-        {fmt::format("domain-{}", D), D < 3 ? "east" : "west", Part});
-  }
-  return Size;
-}
-
 std::string organisationName(std::size_t Index) {
   return fmt::format("org-{}", Index);
 }
@@ -337,43 +301,6 @@
   };
 }
 
-struct Figures {
-  std::uint64_t Arrived = 0;
-  std::uint64_t IdealAdmitted = 0;
-  std::uint64_t Admitted = 0;
-  std::uint64_t WrongRefusals = 0;
-  std::uint64_t Waited = 0;
-  std::uint64_t WaitedMicros = 0;
-  double Overshoot = 0;
-  double Bytes = 0;
-  double MaxBytes = 0;
-  double Messages = 0;
-  std::vector<std::string> Rows;
-
-  void add(const FleetRecord &R) {
-    Arrived += R.Arrived;
-    IdealAdmitted += R.IdealAdmitted;
-    Admitted += R.Admitted;
-    WrongRefusals += R.WrongRefusals;
-    Waited += R.Waited;
-    WaitedMicros += R.WaitedMicros;
-    Overshoot = std::max(Overshoot, R.Admissions.overshoot());
-  }
-};
-
-double percent(std::uint64_t Part, std::uint64_t Whole) {
-  return Whole == 0
-             ? 0
-             : 100 * static_cast<double>(Part) / static_cast<double>(Whole);
-}
-
-/// Requests that the ideal bucket admits beyond those that the fleet admitted,
-/// in percent of all.
-double shortfall(std::uint64_t Ideal, std::uint64_t Admitted,
-                 std::uint64_t Arrived) {
-  return Ideal > Admitted ? percent(Ideal - Admitted, Arrived) : 0;
-}
-
 Figures measure(const FleetSize &Size, const Design &D, const Scenario &S) {
   Run R(Size, D);
   S.Configure(R);
