Give back the token of a request that has not run

Callers of an organisation got 429 for services that had free targets: its requests to a service without a target, refused with 503 and never run, had used up its rate.

The cause: a request is charged before its target is sought, and nothing returned the token when the request ended as not run. The rate and the users' bound count what runs.

Entry now gives the token back when the answer says not-run; answers with outcome ran or unknown keep it. It returns to the bucket of the node that charged it, up to its depth, so that the bucket holds no more than if the request had never been charged. A bucket that was dropped and begun again has another number and takes no token of the one before. A node that is not a meter still loses the token unless a request waits there. With declared slots nothing is given back, as before.

--- a/src/app/CallerBridge.cpp
+++ b/src/app/CallerBridge.cpp
@@ -7,20 +7,21 @@
 namespace fescuewood {
 
 CallerBridge::CallerBridge(CallEngine &Engine, DeferredRateHook Charge,
-                           CallTokenSigner Tokens, EventHook OnEvent,
-                           std::function<bool()> ViewCurrent,
+                           TokenReturnHook GiveBack, CallTokenSigner Tokens,
+                           EventHook OnEvent, std::function<bool()> ViewCurrent,
                            std::function<bool()> KeysProven,
                            EntryOptions Options)
     : Engine(Engine), Tokens(std::move(Tokens)),
-      CallerEntry(
-          {[this](std::string_view Text) { return checkToken(Text); },
-           std::move(Charge),
-           [this](std::uint64_t RequestNumber, CallRequest Request,
-                  AnswerHook OnAnswer) {
-             submit(RequestNumber, std::move(Request), std::move(OnAnswer));
-           },
-           std::move(OnEvent), std::move(ViewCurrent), std::move(KeysProven)},
-          std::move(Options)) {}
+      CallerEntry({[this](std::string_view Text) { return checkToken(Text); },
+                   std::move(Charge),
+                   [this](std::uint64_t RequestNumber, CallRequest Request,
+                          AnswerHook OnAnswer) {
+                     submit(RequestNumber, std::move(Request),
+                            std::move(OnAnswer));
+                   },
+                   std::move(OnEvent), std::move(ViewCurrent),
+                   std::move(KeysProven), std::move(GiveBack)},
+                  std::move(Options)) {}
 
 void CallerBridge::onRequest(CallerRequest Request,
                              const AnswerHook &OnAnswer) {
--- a/src/app/CallerBridge.h
+++ b/src/app/CallerBridge.h
@@ -25,12 +25,13 @@
 class CallerBridge {
 public:
   /// \param Charge charges a request to its organisation; may be empty.
+  /// \param GiveBack returns the token of a charged request; may be empty.
   /// \param Tokens verifies the call tokens that this node has issued.
   /// \param ViewCurrent as in \ref EntryHooks.
   /// \param KeysProven as in \ref EntryHooks.
   CallerBridge(CallEngine &Engine, DeferredRateHook Charge,
-               CallTokenSigner Tokens, EventHook OnEvent,
-               std::function<bool()> ViewCurrent,
+               TokenReturnHook GiveBack, CallTokenSigner Tokens,
+               EventHook OnEvent, std::function<bool()> ViewCurrent,
                std::function<bool()> KeysProven, EntryOptions Options);
 
   /// Handles a request of \ref CallerServer. Runs on the server's thread.
--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -138,6 +138,9 @@
                  const RateDecisionHook &OnDecision) {
             Limiter.charge(Organisation, OnDecision);
           },
+          [this](std::string_view Organisation, const RateDecision &Decision) {
+            Limiter.giveBack(Organisation, Decision);
+          },
           Tokens, Recorder.hook(),
           // With a store, the age of the proof is checked instead (keysProven).
           [this] {
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -123,7 +123,8 @@
     if (Decision.Admitted) {
       SharedCall->Remaining =
           SharedCall->Remaining - (Options.Time.now() - ArrivedAt);
-      Hooks.Submit(Number, std::move(*SharedCall), OnAnswer);
+      const AnswerHook OnEnd = returningToken(*SharedCall, Decision, OnAnswer);
+      Hooks.Submit(Number, std::move(*SharedCall), OnEnd);
       return;
     }
     report(ResultCode::RateExceeded, *SharedCall);
@@ -135,6 +136,21 @@
   });
 }
 
+/// Returns \p OnAnswer, preceded by the return of the request's token if the
+/// request has not run: a rate counts what runs.
+AnswerHook Entry::returningToken(const CallRequest &Call,
+                                 const RateDecision &Decision,
+                                 const AnswerHook &OnAnswer) const {
+  if (!Hooks.GiveBack)
+    return OnAnswer;
+  return [this, Organisation = Call.Organisation, Decision,
+          OnAnswer](CallAnswer Answer) {
+    if (Answer.RequestOutcome == Outcome::NotRun)
+      Hooks.GiveBack(Organisation, Decision);
+    OnAnswer(std::move(Answer));
+  };
+}
+
 /// Sets the request's fields that its route determines.
 void Entry::applyRoute(const ActiveConfig &Current, const Route &MatchedRoute,
                        CallRequest &Call) const {
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -67,6 +67,9 @@
   /// Whether the active keys are proven to be the newest; otherwise a withdrawn
   /// key could be accepted. Empty if no proof is required.
   std::function<bool()> KeysProven = {};
+  /// Returns the token of a charged request that has not run. Empty if tokens
+  /// are not returned.
+  TokenReturnHook GiveBack = {};
 };
 
 /// The entry's node-specific options.
@@ -101,6 +104,9 @@
   ActiveConfigPtr activeConfig() const;
   void chargeAndSubmit(std::uint64_t Number, CallRequest Call,
                        const AnswerHook &OnAnswer) const;
+  AnswerHook returningToken(const CallRequest &Call,
+                            const RateDecision &Decision,
+                            const AnswerHook &OnAnswer) const;
   void refuse(const AnswerHook &OnAnswer, ResultCode Reason,
               const CallRequest &Request) const;
   void report(ResultCode Reason, const CallRequest &Request) const;
--- a/src/organisations/OrganisationLimiter.cpp
+++ b/src/organisations/OrganisationLimiter.cpp
@@ -104,6 +104,14 @@
       OnDecision(*Decision);
   }
 
+  void giveBack(std::string_view Organisation, const RateDecision &Decision) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    // Requests that the token admits are decided at the next tick, since the
+    // caller may hold a lock of its own.
+    if (UsesLoans)
+      Loans.giveBack(Organisation, Decision, Hooks.Now.now());
+  }
+
   void setSnapshot(const Snapshot &Source) {
     if (declaresNoSlots(Source)) {
       std::lock_guard<std::mutex> Lock(Mutex);
@@ -423,6 +431,11 @@
   State->charge(Organisation, OnDecision);
 }
 
+void OrganisationLimiter::giveBack(std::string_view Organisation,
+                                   const RateDecision &Decision) {
+  State->giveBack(Organisation, Decision);
+}
+
 void OrganisationLimiter::setSnapshot(const SnapshotPtr &Snapshot) {
   if (Snapshot)
     State->setSnapshot(*Snapshot);
--- a/src/organisations/OrganisationLimiter.h
+++ b/src/organisations/OrganisationLimiter.h
@@ -102,6 +102,11 @@
   void charge(std::string_view Organisation,
               const RateDecisionHook &OnDecision);
 
+  /// Takes back the token of an admitted request that has not run and never
+  /// will, as far as that is safe. With declared node slots it is lost. Usable
+  /// as a \ref TokenReturnHook.
+  void giveBack(std::string_view Organisation, const RateDecision &Decision);
+
   /// Activates a configuration.
   void setSnapshot(const SnapshotPtr &Snapshot);
 
--- a/src/policy/ObservedShare.cpp
+++ b/src/policy/ObservedShare.cpp
@@ -34,6 +34,7 @@
     if (DeclaredRate == Config.Rates.end())
       continue;
     Account Entry;
+    Entry.Bucket = ++LastBucket;
     Entry.RefilledAt = Now;
     if (const auto Known = Accounts.find(Name); Known != Accounts.end()) {
       refill(Known->second, Now);
@@ -89,9 +90,10 @@
            Now);
 }
 
-void ObservedShare::setMeter(Account &A, bool IsMeter, TimeMs Now) const {
+void ObservedShare::setMeter(Account &A, bool IsMeter, TimeMs Now) {
   if (std::exchange(A.IsMeter, IsMeter) == IsMeter)
     return;
+  A.Bucket = ++LastBucket;
   A.Tokens = 0;
   A.RefilledAt = Now + MeterHandOver;
 }
--- a/src/policy/ObservedShare.h
+++ b/src/policy/ObservedShare.h
@@ -121,6 +121,12 @@
   /// Adds tokens borrowed from another node, up to the bucket's depth.
   void add(std::string_view Organisation, double Count, TimeMs Now);
 
+  /// Identifies the present bucket of this node; never 0. A bucket that was
+  /// dropped and begun again is a different one.
+  std::uint64_t bucket(std::string_view Organisation) const {
+    return Accounts.find(Organisation)->second.Bucket;
+  }
+
   /// Statistics of the organisations with a rate, as of their last refill.
   std::map<std::string, ObservedShareStatistics, std::less<>>
   statistics() const;
@@ -130,6 +136,7 @@
     Rate FleetRate;
     std::vector<std::string> Meters;
     bool IsMeter = true;
+    std::uint64_t Bucket = 0;
     double Tokens = InitialTokens;
     TimeMs RefilledAt{0}; ///< Later than the present during a hand-over.
     std::uint64_t Admitted = 0;
@@ -144,7 +151,7 @@
   void refillAll(TimeMs Now);
   void chooseAllMeters(TimeMs Now);
   void chooseMeters(std::string_view Organisation, Account &A, TimeMs Now);
-  void setMeter(Account &A, bool IsMeter, TimeMs Now) const;
+  void setMeter(Account &A, bool IsMeter, TimeMs Now);
   double fleetDepth(const Account &A) const;
   std::size_t meterCount(const Account &A, std::size_t NodeCount) const;
   double ratePerMs(const Account &A, TimeMs Now);
@@ -156,6 +163,7 @@
   RateBound Bound;
   ObservedNodes Nodes;
   std::map<std::string, Account, std::less<>> Accounts;
+  std::uint64_t LastBucket = 0;
 };
 
 } // namespace fescuewood
--- a/src/policy/RateDecision.h
+++ b/src/policy/RateDecision.h
@@ -7,6 +7,7 @@
 
 #include "core/Clock.h"
 
+#include <cstdint>
 #include <functional>
 #include <string_view>
 
@@ -16,6 +17,9 @@
 struct RateDecision {
   bool Admitted = false;
   DurationMs RetryAfter{0}; ///< Delay after which a retry can succeed.
+  /// Bucket to which the token of an admitted request may be returned; 0 for
+  /// none.
+  std::uint64_t Bucket = 0;
 };
 
 /// Receives one decision.
@@ -27,6 +31,11 @@
 using DeferredRateHook =
     std::function<void(std::string_view Organisation, RateDecisionHook)>;
 
+/// Returns the token of an admitted request that has not run and never will.
+/// Thread-safe and non-blocking; calls no other hook.
+using TokenReturnHook = std::function<void(std::string_view Organisation,
+                                           const RateDecision &Decision)>;
+
 } // namespace fescuewood
 
 #endif // FESCUEWOOD_POLICY_RATEDECISION_H
--- a/src/policy/TokenLoans.cpp
+++ b/src/policy/TokenLoans.cpp
@@ -96,7 +96,7 @@
   A.Demand.add(Now);
   // Queued requests go first.
   if (A.Waiters.empty() && Share.take(Organisation, Now))
-    return RateDecision{true, DurationMs(0)};
+    return admitted(Organisation);
   const bool MayWait =
       Ticket && A.Waiters.size() < MaxWaiters &&
       (A.RequestPending ||
@@ -107,6 +107,14 @@
   return std::nullopt;
 }
 
+void TokenLoans::giveBack(std::string_view Organisation,
+                          const RateDecision &Decision, TimeMs Now) {
+  if (!Decision.Admitted || !Share.hasRate(Organisation) ||
+      Share.bucket(Organisation) != Decision.Bucket)
+    return;
+  useLoan(Organisation, account(Organisation), 1, Now);
+}
+
 std::vector<LoanRequest> TokenLoans::takeRequests() {
   return std::exchange(Requests, {});
 }
@@ -256,6 +264,10 @@
   return First;
 }
 
+RateDecision TokenLoans::admitted(std::string_view Organisation) const {
+  return {true, DurationMs(0), Share.bucket(Organisation)};
+}
+
 /// Refuses one request until a token is expected here or a lender may be asked.
 RateDecision TokenLoans::refuse(std::string_view Organisation, Account &A,
                                 TimeMs Now) {
@@ -286,7 +298,7 @@
                          double Tokens, TimeMs Now) {
   refuseOverdue(Organisation, A, Now);
   while (!A.Waiters.empty() && Tokens >= 1) {
-    Decided.push_back({A.Waiters.front().Ticket, {true, DurationMs(0)}});
+    Decided.push_back({A.Waiters.front().Ticket, admitted(Organisation)});
     A.Waiters.pop_front();
     Share.countAdmitted(Organisation);
     Tokens -= 1;
@@ -298,7 +310,7 @@
                               TimeMs Now) {
   while (!A.Waiters.empty() && Share.hasRate(Organisation) &&
          Share.take(Organisation, Now)) {
-    Decided.push_back({A.Waiters.front().Ticket, {true, DurationMs(0)}});
+    Decided.push_back({A.Waiters.front().Ticket, admitted(Organisation)});
     A.Waiters.pop_front();
   }
 }
--- a/src/policy/TokenLoans.h
+++ b/src/policy/TokenLoans.h
@@ -12,6 +12,9 @@
 /// If an organisation is far above its rate, all buckets are empty; requests to
 /// a lender are then delayed by its forecast of the next spare token, and after
 /// several lenders without tokens no lender is asked for a time that grows.
+///
+/// A request that is refused further on and has not run gives its token back:
+/// the bucket then holds no more than if the request had never been charged.
 
 #ifndef FESCUEWOOD_POLICY_TOKENLOANS_H
 #define FESCUEWOOD_POLICY_TOKENLOANS_H
@@ -85,6 +88,12 @@
   std::optional<RateDecision> charge(std::string_view Organisation, TimeMs Now,
                                      std::optional<std::uint64_t> Ticket);
 
+  /// Takes back the token of an admitted request that has not run, up to the
+  /// bucket's depth. It is lost if the bucket has been dropped meanwhile, or if
+  /// this node is not a meter and no request waits.
+  void giveBack(std::string_view Organisation, const RateDecision &Decision,
+                TimeMs Now);
+
   /// Removes and returns the requests to send.
   std::vector<LoanRequest> takeRequests();
 
@@ -136,6 +145,7 @@
   void updateLenders(std::string_view Organisation, Account &A) const;
   TimeMs nextRequestAt(const Account &A, const Lender &Candidate) const;
   const Lender *nextLender(const Account &A, TimeMs Now) const;
+  RateDecision admitted(std::string_view Organisation) const;
   RateDecision refuse(std::string_view Organisation, Account &A, TimeMs Now);
   void refuseOverdue(std::string_view Organisation, Account &A, TimeMs Now);
   void useLoan(std::string_view Organisation, Account &A, double Tokens,
--- a/tests/calls/EntryTest.cpp
+++ b/tests/calls/EntryTest.cpp
@@ -42,7 +42,9 @@
 
 TEST_GROUP(Entry) {
   std::vector<CallRequest> Submitted;
+  std::vector<AnswerHook> Pending; ///< Of the submitted calls.
   std::vector<CallAnswer> Refused;
+  std::vector<std::uint64_t> GivenBack; ///< Buckets.
   RateDecision Decision{true, DurationMs(0)};
   int Charged = 0;
   bool DeferDecisions = false;
@@ -63,12 +65,17 @@
          else
            OnDecision(Decision);
        },
-       [this](std::uint64_t, CallRequest Request, const AnswerHook &) {
+       [this](std::uint64_t, CallRequest Request, AnswerHook OnAnswer) {
          Submitted.push_back(std::move(Request));
+         Pending.push_back(std::move(OnAnswer));
        },
        {},
        [this] { return ViewCurrent; },
-       [this] { return !KeysProven || KeysProven(); }},
+       [this] { return !KeysProven || KeysProven(); },
+       [this](std::string_view Organisation, const RateDecision &Charged) {
+         STRCMP_EQUAL("clerks", std::string(Organisation).c_str());
+         GivenBack.push_back(Charged.Bucket);
+       }},
       {{}, "", 0, Clock([this] { return Now; })}};
 
   void setup() override { RequestEntry.setSnapshot(config()); }
@@ -261,3 +268,46 @@
   LONGS_EQUAL(1, Submitted.size());
   LONGS_EQUAL(1, Charged);
 }
+
+// A rate counts what runs: a request that found no target used up the rate of
+// its organisation's other requests.
+TEST(Entry, GivesBackTheTokenOfARequestThatHasNotRun) {
+  Decision.Bucket = 7;
+  CallAnswer NotRun;
+  NotRun.RequestOutcome = Outcome::NotRun;
+
+  take(keyed("/order"));
+  Pending.at(0)(NotRun);
+
+  LONGS_EQUAL(1, GivenBack.size());
+  LONGS_EQUAL(7, GivenBack.at(0));
+  LONGS_EQUAL(1, Refused.size());
+}
+
+TEST(Entry, KeepsTheTokenOfARequestThatMayHaveRun) {
+  CallAnswer Ran;
+  Ran.RequestOutcome = Outcome::Ran;
+  CallAnswer Unknown;
+  Unknown.RequestOutcome = Outcome::Unknown;
+
+  take(keyed("/order"));
+  take(keyed("/order"));
+  Pending.at(0)(Ran);
+  Pending.at(1)(Unknown);
+
+  LONGS_EQUAL(2, Refused.size());
+  CHECK(GivenBack.empty());
+}
+
+TEST(Entry, GivesBackNoTokenOfARequestThatWasNotCharged) {
+  CallerRequest Request = keyed("/order");
+  Request.Headers.push_back({CallTokenField, "valid"});
+  CallAnswer NotRun;
+  NotRun.RequestOutcome = Outcome::NotRun;
+
+  take(std::move(Request));
+  Pending.at(0)(NotRun);
+
+  LONGS_EQUAL(0, Charged);
+  CHECK(GivenBack.empty());
+}
--- a/tests/policy/LoanFleetTest.cpp
+++ b/tests/policy/LoanFleetTest.cpp
@@ -64,12 +64,14 @@
 
 /// Largest use of a bound at three times the rate, with faults of all kinds.
 double useWithFaults(std::size_t Nodes, std::size_t Domains,
-                     std::size_t Organisations, std::uint32_t Seed) {
+                     std::size_t Organisations, std::uint32_t Seed,
+                     double NotRun = 0) {
   constexpr DurationMs FaultPeriod{700};
   LoanFleet Fleet(Nodes, Domains, Bound, Seed);
   addOrganisations(Fleet, Organisations);
   Fleet.startAll();
   Fleet.run(DurationMs(10'000));
+  Fleet.setNotRun(NotRun);
   Fleet.ask(DurationMs(14'000), 3 * RateRatio);
   for (int I = 0; I < 20; ++I) {
     disturb(Fleet);
@@ -129,3 +131,21 @@
     CHECK_COMPARE(useWithFaults(85, 3, 85, Seed), <=, 1.0);
   }
 }
+
+TEST(LoanFleet, ExceedsNoBoundWithFaultsWhenHalfOfTheTokensAreGivenBack) {
+  for (std::uint32_t Seed = 1; Seed <= 2; ++Seed) {
+    CHECK_COMPARE(useWithFaults(64, 5, 74, Seed, 0.5), <=, 1.0);
+    CHECK_COMPARE(useWithFaults(13, 3, 8, Seed, 0.5), <=, 1.0);
+  }
+}
+
+// Four requests in five find no target; what is left is half of the rate.
+TEST(LoanFleet, RequestsThatDoNotRunLeaveTheRateToOthers) {
+  LoanFleet Fleet(13, 3, Bound, 1);
+  startWithOrganisations(Fleet, 8);
+  Fleet.setNotRun(0.8);
+  Fleet.ask(DurationMs(20'000), 2.5 * RateRatio);
+  Fleet.run(DurationMs(21'000));
+
+  CHECK_COMPARE(Fleet.refusedShare(), <, 0.15);
+}
--- a/tests/policy/TokenLoansTest.cpp
+++ b/tests/policy/TokenLoansTest.cpp
@@ -233,6 +233,50 @@
 
 // The fleet's admissions in every window stay within RateBound, for any load,
 // with restarted nodes and lost replies.
+TEST(TokenLoans, TokenThatIsGivenBackAdmitsAnotherRequest) {
+  const TimeMs Now{0};
+  TokenLoans Loans("node-0", "domain-0", Bound);
+  Loans.setRates(config(), Now);
+  Loans.setInstances(instances(12), Now);
+  const auto First = Loans.charge("large", Now, std::nullopt);
+
+  Loans.giveBack("large", *First, Now);
+
+  CHECK_TRUE(First->Admitted);
+  CHECK_TRUE(Loans.charge("large", Now, std::nullopt)->Admitted);
+  CHECK_FALSE(Loans.charge("large", Now, std::nullopt)->Admitted);
+}
+
+TEST(TokenLoans, RefusedRequestHasNoTokenToGiveBack) {
+  const TimeMs Now{0};
+  TokenLoans Loans("node-0", "domain-0", Bound);
+  Loans.setRates(config(), Now);
+  Loans.setInstances(instances(12), Now);
+  Loans.charge("large", Now, std::nullopt);
+  const auto Second = Loans.charge("large", Now, std::nullopt);
+
+  Loans.giveBack("large", *Second, Now);
+
+  CHECK_FALSE(Second->Admitted);
+  CHECK_FALSE(Loans.charge("large", Now, std::nullopt)->Admitted);
+}
+
+// A node that becomes a meter again begins with an empty bucket.
+TEST(TokenLoans, TokenOfADroppedBucketIsNotTakenBack) {
+  const TimeMs Now{0};
+  TokenLoans Loans("node-0", "domain-0", Bound);
+  Loans.setRates(config(), Now);
+  Loans.setInstances(instances(12), Now);
+  const auto First = Loans.charge("large", Now, std::nullopt);
+  Loans.setRates(Snapshot(), Now);
+  Loans.setRates(config(), Now);
+  Loans.charge("large", Now, std::nullopt);
+
+  Loans.giveBack("large", *First, Now);
+
+  CHECK_FALSE(Loans.charge("large", Now, std::nullopt)->Admitted);
+}
+
 TEST(TokenLoans, FleetNeverExceedsTheBoundInAnyWindow) {
   checkProperty("no window admits more than rate, burst and allowance", [] {
     Fleet TwelveNodes(12);
--- a/tests/support/LoanFleet.h
+++ b/tests/support/LoanFleet.h
@@ -91,6 +91,10 @@
   /// Cuts a failure domain off from all others, or ends the cut.
   void setCut(std::size_t Domain, bool On) { Cut[Domain] = On; }
 
+  /// From now on this share of the admitted requests does not run; each gives
+  /// its token back up to 2 s later.
+  void setNotRun(double Share) { NotRun = Share; }
+
   /// From now on all requests enter at nodes of one failure domain.
   void enterOnlyAt(std::size_t Domain) { EntryDomain = Domain; }
 
@@ -257,17 +261,31 @@
     const std::uint64_t Ticket = ++LastTicket;
     const auto Decided = Nodes[At].Core->charge(Each.Name, Now, Ticket);
     if (Decided)
-      count(Each, Decided->Admitted);
+      count(At, Each, *Decided);
     else
       Queued[Ticket] = {Index, Now};
     flush(At);
   }
 
-  void count(Organisation &Each, bool Admitted) {
-    if (Admitted)
-      Each.Admitted.push_back(Now);
-    else
+  void count(std::size_t At, Organisation &Each, const RateDecision &Decision) {
+    if (!Decision.Admitted)
       ++Each.Refused;
+    else if (NotRun > 0 && std::bernoulli_distribution(NotRun)(Random))
+      giveBackLater(At, Each.Name, Decision);
+    else
+      Each.Admitted.push_back(Now);
+  }
+
+  void giveBackLater(std::size_t At, const std::string &Name,
+                     const RateDecision &Decision) {
+    const DurationMs Later(static_cast<std::int64_t>(pick(2000)));
+    const std::uint64_t Holder = Nodes[At].Incarnation;
+    at(Now + Later, [this, At, Name, Decision, Holder] {
+      deliver(At, Holder, [this, At, Name, Decision] {
+        Nodes[At].Core->giveBack(Name, Decision, Now);
+        flush(At);
+      });
+    });
   }
 
   void flush(std::size_t Index) {
@@ -276,7 +294,7 @@
       if (!Found)
         continue;
       LongestWait = std::max(LongestWait, Now - Found.mapped().Since);
-      count(Organisations[Found.mapped().Organisation], Each.Decision.Admitted);
+      count(Index, Organisations[Found.mapped().Organisation], Each.Decision);
     }
     for (const LoanRequest &Loan : Nodes[Index].Core->takeRequests())
       send(Index, Loan);
@@ -368,6 +386,7 @@
   std::vector<Node> Nodes;
   std::vector<bool> Cut; ///< By failure domain.
   std::optional<std::size_t> EntryDomain;
+  double NotRun = 0; ///< Share of the admitted requests.
   std::vector<Organisation> Organisations;
   std::map<std::size_t, double> NextArrival; ///< By organisation, in ms.
   std::map<std::uint64_t, Waiting> Queued;   ///< By ticket.
