Go back to the run of a silent node when no other target takes the call

A caller got 502 although its target was running the request: the target's node did not answer for a while, the call moved to another target in time, that one refused it for lack of time, and the first run was cancelled.

A run that a call moves away from for silence is now kept instead of cancelled. If no other target takes the call, its outcome is asked for again; once the call ends it is cancelled as before. Only calls that may be repeated move for silence, so no request runs more often than it could before.

Evidence: SlowNode.KeepsTheRunOfACallWhoseEntryNodeDrains failed on the code before with 502 (DeadlineUnreachable, unknown), with the drain and, in a trial, without it; it passes now, as do the 67 tests of calls.

--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -178,7 +178,7 @@
   }
   if (Verdict == SilenceVerdict::Move && claimRetry(Call, true)) {
     Call.MayHaveRun = true;
-    failOver(Handle, Call, "node does not reply", RemoteWork::MayContinue);
+    failOver(Handle, Call, "node does not reply", RemoteWork::Kept);
     return;
   }
   schedule(Handle, Call, Now + Context.Settings.HeartbeatInterval);
@@ -269,6 +269,8 @@
     failOver(Handle, Call, resultName(Reason), RemoteWork::Ended);
     return;
   }
+  if (resumeKept(Handle, Call))
+    return;
   refuse(Handle, Call, Reason, outcomeOfEarlierAttempts(Call));
 }
 
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -221,6 +221,8 @@
 }
 
 void EntrySide::waitOrRefuse(CallHandle Handle, EntryCall &Call) {
+  if (resumeKept(Handle, Call))
+    return;
   const bool AttemptsExhausted =
       !Call.Request.CanWait && Call.Attempts >= Context.Settings.MaxAttempts;
   // A retry would only repeat this refusal, so it is returned immediately.
@@ -289,9 +291,40 @@
   if (Remote == RemoteWork::MayContinue &&
       Context.Settings.Retry != RetryMode::Plain)
     sendCancel(*Call.Current);
+  if (Remote == RemoteWork::Kept) {
+    cancelKept(Call);
+    Call.Kept = std::move(Call.Current);
+  }
   Call.Current.reset();
 }
 
+void EntrySide::cancelKept(EntryCall &Call) {
+  if (Call.Kept)
+    sendCancel(*Call.Kept);
+  Call.Kept.reset();
+}
+
+/// Waits again for the kept run of a call that no other target takes. Returns
+/// false if there is none.
+bool EntrySide::resumeKept(CallHandle Handle, EntryCall &Call) {
+  if (!Call.Kept)
+    return false;
+  endAttempt(Call, RemoteWork::Ended);
+  Call.Current = std::exchange(Call.Kept, std::nullopt);
+  Attempt &Current = *Call.Current;
+  if (Current.MayBeDelivered)
+    --Call.PossibleDeliveries;
+  Current.StartPending = false; // A reply meanwhile was ignored.
+  Targets.onSent(Current.Target);
+  Context.report(EventId::CallMoved,
+                 {{"request", requestId(Call.Request, Context.Identity.Scheme)},
+                  {"call", Current.Id.text()},
+                  {"target", Current.Target},
+                  {"reason", "back to the first run, no other target"}});
+  fetchOutcome(Handle, Call, PeerRoute::Fresh);
+  return true;
+}
+
 void EntrySide::expire(CallHandle Handle, EntryCall &Call) {
   if (!Call.Current) {
     const bool NeverSent = Call.Attempts == 0;
@@ -377,6 +410,7 @@
   Context.Counters.EntryLatency.add(Context.now() - Call.SubmittedAt);
   if (Call.Current)
     Targets.onEnded(Call.Current->Target);
+  cancelKept(Call);
   HeldBytes -= Call.Bytes;
   Timers.erase({Call.NextStepAt, Handle});
   const AnswerHook OnAnswer = std::move(Call.OnAnswer);
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -5,7 +5,8 @@
 /// node and tracks the call until it is answered. When no reply arrives in
 /// time, it fetches the outcome of the call from that node over a fresh
 /// connection. A node that answers nothing may only be slow, so its run is kept
-/// as long as another run would still be in time (policy/SilentAttempt.h). The
+/// as long as another run would still be in time (policy/SilentAttempt.h), and
+/// taken up again if no other target takes the call. The
 /// call fails over to another target if it is known not to have
 /// run, or if it is idempotent; otherwise the caller gets the known outcome.
 /// The target of this node is reached by the same messages without the network.
@@ -145,6 +146,9 @@
     TimeMs NextStepAt; ///< Time of the next step; its key in \ref Timers.
     std::size_t Bytes = 0;
     std::optional<Attempt> Current; ///< Unset while no target is selected.
+    /// The run of a silent node, from which the call has moved. It is resumed
+    /// if no other target takes the call, and cancelled once the call ends.
+    std::optional<Attempt> Kept;
     std::vector<std::string> TriedTargets;
     std::uint32_t Attempts = 0; ///< Attempts started.
     /// Targets of ended attempts that may have been given the request.
@@ -212,13 +216,19 @@
                        const Attempt &Source, PeerRoute Route);
 
   /// Whether the remote node may still work on an attempt that has ended here.
-  enum class RemoteWork : std::uint8_t { Ended, MayContinue };
+  enum class RemoteWork : std::uint8_t {
+    Ended,
+    MayContinue, ///< It does and is cancelled.
+    Kept,        ///< It does and is kept as EntryCall::Kept.
+  };
 
   bool hasWaitedTooLong(const EntryCall &Call) const;
   bool claimRetry(EntryCall &Call, bool UsesBudget);
   void failOver(CallHandle Handle, EntryCall &Call, std::string_view Reason,
                 RemoteWork Remote);
   void endAttempt(EntryCall &Call, RemoteWork Remote);
+  void cancelKept(EntryCall &Call);
+  bool resumeKept(CallHandle Handle, EntryCall &Call);
   void expire(CallHandle Handle, EntryCall &Call);
   void refuse(CallHandle Handle, EntryCall &Call, ResultCode Reason,
               Outcome RunOutcome);
--- a/tests/calls/SlowNodeTest.cpp
+++ b/tests/calls/SlowNodeTest.cpp
@@ -93,6 +93,27 @@
   checkAnsweredByItsOnlyRun();
 }
 
+// Guards against a download that a draining node answers 502 while its target
+// runs it: the silent run was given up, and the next target refused the call.
+TEST(SlowNode, KeepsTheRunOfACallWhoseEntryNodeDrains) {
+  constexpr DurationMs Grace{6000};
+  start(25, 300, {});
+  submitOthers(15);
+  Mesh->runFor(2 * SecondUs);
+  submitOthers(9);
+  const std::size_t RunsAt = startRun("tag", DurationMs(980));
+  FakeNode &Entry = *Mesh->Nodes[EntryNode];
+  Entry.Core->setDraining(Mesh->Time.clock().now() + Grace);
+
+  Mesh->pauseNode(RunsAt, SlowUs);
+  Mesh->runFor(SlowUs / 2);
+  for (int I = 0; I < 9; ++I)
+    Mesh->submit((RunsAt + 1) % EntryNode, makeRequest("other", false));
+
+  checkAnsweredByItsOnlyRun();
+  CHECK_TRUE(Entry.Core->idle());
+}
+
 TEST(SlowNode, MovesTheCallOfALostNodeInTime) {
   start(23, 300, {});
 
