Refuse at once while a service lastingly has no target

A call waits for a target since nodes learn late of replaced ones. That takes less than 2 s. policy/MissingServices remembers since when no call to a service has found a target; after 2 s calls are refused at once, unrun, with a Retry-After of 1 to 2 s instead of 0.1 to 0.2 s. The first target that is found ends it, and so do 2 s without a call, in which nobody looked.

--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -188,10 +188,12 @@
            outcomeOfEarlierAttempts(Call));
     return;
   }
-  if (const Instance *Target = pickTarget(Call))
+  if (const Instance *Target = pickTarget(Call)) {
+    Missing.find(Call.Request.Service);
     startAttempt(Handle, Call, *Target);
-  else
+  } else {
     waitOrRefuse(Handle, Call);
+  }
 }
 
 /// Picks the next target; null if there is none. Targets that would refuse the
@@ -228,7 +230,8 @@
   // A retry would only repeat this refusal, so it is returned immediately.
   const bool RetryIsFutile =
       !Call.Request.CanWait && isRepeatFutile(Call.LastRefusal);
-  if (AttemptsExhausted || RetryIsFutile || hasWaitedTooLong(Call)) {
+  if (AttemptsExhausted || RetryIsFutile || isLastingMiss(Call) ||
+      hasWaitedTooLong(Call)) {
     refuse(Handle, Call, Call.LastRefusal, outcomeOfEarlierAttempts(Call));
     return;
   }
@@ -244,6 +247,18 @@
   schedule(Handle, Call, Next);
 }
 
+/// Whether no call to the service has found a target for so long that waiting
+/// for one is futile; sets the time after which the caller may retry.
+bool EntrySide::isLastingMiss(EntryCall &Call) {
+  const bool SawNone =
+      Call.Attempts == 0 && Call.LastRefusal == ResultCode::NoTargetAvailable;
+  if (!SawNone || !Missing.miss(Call.Request.Service, Context.now()) ||
+      Call.Request.CanWait)
+    return false;
+  Call.RetryAfter = LastingMissRetryAfter;
+  return true;
+}
+
 /// Whether a call without a first target should be refused now, while its
 /// caller still has time for a retry of its own.
 bool EntrySide::hasWaitedTooLong(const EntryCall &Call) const {
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -16,6 +16,7 @@
 
 #include "calls/CallContext.h"
 #include "nodes/CallMessages.h"
+#include "policy/MissingServices.h"
 #include "policy/RecentRefusals.h"
 #include "policy/RetryBudget.h"
 #include "policy/Router.h"
@@ -43,6 +44,9 @@
 inline constexpr DurationMs InitialRetryDelay{20};
 inline constexpr DurationMs MaxRetryDelay{1000};
 
+/// Minimum `Retry-After` delay of a call whose service has lastingly no target.
+inline constexpr DurationMs LastingMissRetryAfter{1000};
+
 /// Time for which calls to a node use fresh connections after its open
 /// connection lost a message.
 inline constexpr DurationMs FreshConnectionTime{1000};
@@ -223,6 +227,7 @@
   };
 
   bool hasWaitedTooLong(const EntryCall &Call) const;
+  bool isLastingMiss(EntryCall &Call);
   bool claimRetry(EntryCall &Call, bool UsesBudget);
   void failOver(CallHandle Handle, EntryCall &Call, std::string_view Reason,
                 RemoteWork Remote);
@@ -246,6 +251,7 @@
   RetryBudget Budget;
   WithdrawnKeys Withdrawn;
   RecentRefusals RefusedLately;
+  MissingServices Missing;
   CallMap Calls;
   std::set<std::pair<TimeMs, CallHandle>> Timers;
   std::map<std::string, Link, std::less<>> Links; ///< By address.
