--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -189,10 +189,12 @@
            outcomeOfEarlierAttempts(Call));
     return;
   }
-  if (const Instance *Target = pickTarget(Call))
+  if (const Instance *Target = pickTarget(Call)) {
+    Missing.find(Call.Request.Service);
     startAttempt(Handle, Call, *Target);
-  else
+  } else {
     waitOrRefuse(Handle, Call);
+  }
 }
 
 /// Picks the next target; null if there is none. Targets that would refuse the
@@ -222,12 +224,15 @@
 }
 
 void EntrySide::waitOrRefuse(CallHandle Handle, EntryCall &Call) {
+  if (resumeKept(Handle, Call))
+    return;
   const bool AttemptsExhausted =
       !Call.Request.CanWait && Call.Attempts >= Context.Settings.MaxAttempts;
   // A retry would only repeat this refusal, so it is returned immediately.
   const bool RetryIsFutile =
       !Call.Request.CanWait && isRepeatFutile(Call.LastRefusal);
-  if (AttemptsExhausted || RetryIsFutile || hasWaitedTooLong(Call)) {
+  if (AttemptsExhausted || RetryIsFutile || isLastingMiss(Call) ||
+      hasWaitedTooLong(Call)) {
     refuse(Handle, Call, Call.LastRefusal, outcomeOfEarlierAttempts(Call));
     return;
   }
@@ -243,6 +248,18 @@
   schedule(Handle, Call, Next);
 }
 
+/// Whether no call to the service has found a target for so long that waiting
+/// for one is futile; sets the time after which the caller may retry.
+bool EntrySide::isLastingMiss(EntryCall &Call) {
+  const bool SawNone =
+      Call.Attempts == 0 && Call.LastRefusal == ResultCode::NoTargetAvailable;
+  if (!SawNone || !Missing.miss(Call.Request.Service, Context.now()) ||
+      Call.Request.CanWait)
+    return false;
+  Call.RetryAfter = LastingMissRetryAfter;
+  return true;
+}
+
 /// Whether a call without a first target should be refused now, while its
 /// caller still has time for a retry of its own.
 bool EntrySide::hasWaitedTooLong(const EntryCall &Call) const {
@@ -290,9 +307,40 @@
   if (Remote == RemoteWork::MayContinue &&
       Context.Settings.Retry != RetryMode::Plain)
     sendCancel(*Call.Current);
+  if (Remote == RemoteWork::Kept) {
+    cancelKept(Call);
+    Call.Kept = std::move(Call.Current);
+  }
   Call.Current.reset();
 }
 
+void EntrySide::cancelKept(EntryCall &Call) {
+  if (Call.Kept)
+    sendCancel(*Call.Kept);
+  Call.Kept.reset();
+}
+
+/// Waits again for the kept run of a call that no other target takes. Returns
+/// false if there is none.
+bool EntrySide::resumeKept(CallHandle Handle, EntryCall &Call) {
+  if (!Call.Kept)
+    return false;
+  endAttempt(Call, RemoteWork::Ended);
+  Call.Current = std::exchange(Call.Kept, std::nullopt);
+  Attempt &Current = *Call.Current;
+  if (Current.MayBeDelivered)
+    --Call.PossibleDeliveries;
+  Current.StartPending = false; // A reply meanwhile was ignored.
+  Targets.onSent(Current.Target);
+  Context.report(EventId::CallMoved,
+                 {{"request", requestId(Call.Request, Context.Identity.Scheme)},
+                  {"call", Current.Id.text()},
+                  {"target", Current.Target},
+                  {"reason", "back to the first run, no other target"}});
+  fetchOutcome(Handle, Call, PeerRoute::Fresh);
+  return true;
+}
+
 void EntrySide::expire(CallHandle Handle, EntryCall &Call) {
   if (!Call.Current) {
     const bool NeverSent = Call.Attempts == 0;
@@ -379,6 +427,7 @@
   Context.Counters.EntryLatency.add(Context.now() - Call.SubmittedAt);
   if (Call.Current)
     Targets.onEnded(Call.Current->Target);
+  cancelKept(Call);
   HeldBytes -= Call.Bytes;
   Timers.erase({Call.NextStepAt, Handle});
   const AnswerHook OnAnswer = std::move(Call.OnAnswer);
