--- /dev/null
+++ b/soak/FaultPlan.cpp
@@ -0,0 +1,68 @@
+#include "soak/FaultPlan.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <utility>
+
+namespace fescuewood::soak {
+
+namespace {
+
+/// What a fault occupies.
+enum class Part { Node, Target, Store, Configuration };
+
+Part partOf(FaultKind Kind) {
+  if (Kind <= FaultKind::NodeHup)
+    return Part::Node;
+  if (Kind <= FaultKind::TargetRefuse)
+    return Part::Target;
+  return Kind == FaultKind::Configuration ? Part::Configuration : Part::Store;
+}
+
+bool isPerNode(Part P) { return P == Part::Node || P == Part::Target; }
+
+/// Time beyond its duration that a fault may occupy its part.
+DurationMs extraTime(const Scenario &Plan, FaultKind Kind) {
+  constexpr DurationMs Restart{1000};
+  if (Kind == FaultKind::NodeTerm)
+    return Plan.Limits.Grace + Restart;
+  if (Kind == FaultKind::TargetLeave)
+    return Plan.Limits.Departure * 2 + Restart;
+  return Restart;
+}
+
+} // namespace
+
+std::vector<PlannedFault> planFaults(const Scenario &Plan, std::uint64_t Seed) {
+  // The standard's distributions differ between libraries, its engines do not.
+  std::mt19937_64 Random(Seed);
+  const auto Below = [&](std::int64_t Limit) {
+    return static_cast<std::int64_t>(Random() %
+                                     static_cast<std::uint64_t>(Limit));
+  };
+  std::map<std::pair<Part, std::size_t>, DurationMs> BusyUntil;
+  std::vector<PlannedFault> Faults;
+  DurationMs Now{0};
+  for (;;) {
+    Now = Now + DurationMs(1 + Below(2 * Plan.MeanGap.Value));
+    if (Now > Plan.FaultTime)
+      return Faults;
+    PlannedFault Next;
+    Next.Kind = Plan.Faults[static_cast<std::size_t>(
+        Below(static_cast<std::int64_t>(Plan.Faults.size())))];
+    Next.Node =
+        static_cast<std::size_t>(Below(static_cast<std::int64_t>(Plan.Nodes)));
+    Next.Start = Now;
+    const std::int64_t Spread = Plan.MaxDuration.Value - Plan.MinDuration.Value;
+    Next.Duration = Plan.MinDuration + DurationMs(Below(Spread + 1));
+    const Part P = partOf(Next.Kind);
+    DurationMs &Busy = BusyUntil[{P, isPerNode(P) ? Next.Node : 0}];
+    if (Busy > Now)
+      continue;
+    Busy = Now + Next.Duration + extraTime(Plan, Next.Kind);
+    Faults.push_back(Next);
+  }
+}
+
+} // namespace fescuewood::soak
