--- a/tests/standins/Process.h
+++ b/tests/standins/Process.h
@@ -61,6 +61,15 @@
     return WIFEXITED(Status) ? WEXITSTATUS(Status) : 128 + WTERMSIG(Status);
   }
 
+  /// Like \ref wait, but returns std::nullopt at once while the process runs.
+  std::optional<int> poll() {
+    int Status = 0;
+    if (Id <= 0 || waitpid(Id, &Status, WNOHANG) == 0)
+      return std::nullopt;
+    Id = 0;
+    return WIFEXITED(Status) ? WEXITSTATUS(Status) : 128 + WTERMSIG(Status);
+  }
+
   /// Kills the process if it is running, and reaps it.
   void end() {
     if (Id <= 0)
