--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -7,17 +7,22 @@
 #include "soak/TargetProcess.h"
 
 #include <cstdio>
+#include <cstdlib>
 #include <cstring>
 #include <filesystem>
 #include <fstream>
+#include <optional>
+#include <unistd.h>
 
 #include <gflags/gflags.h>
 
 DEFINE_string(scenario, SOURCE_DIR "/soak/scenarios/mixed.ini",
               "file that describes the soak");
 DEFINE_uint64(seed, 1, "selects the faults and the requests");
-DEFINE_string(report, "soak-report",
-              "new or empty folder for the report, logs and records");
+DEFINE_string(report, "",
+              "new or empty folder for the report, logs and records; without "
+              "one they are kept only if a promise is broken");
+DEFINE_string(program, BINARY_DIR "/fescuewood", "the node's program");
 DEFINE_string(listen, "", "target: IP:port");
 DEFINE_string(id, "", "target: its ID");
 DEFINE_uint64(node, 0, "target: index of the node beside it");
@@ -37,11 +42,21 @@
   return BadInput;
 }
 
-/// Creates the folder; returns false if it exists and is not empty.
-bool prepareFolder(const std::string &Path) {
+/// The folder of the report, created if need be; nothing if it is not empty.
+std::optional<std::string> prepareFolder() {
+  if (FLAGS_report.empty()) {
+    std::string Path =
+        (std::filesystem::temp_directory_path() / "fescuewood-soak-XXXXXX")
+            .string();
+    if (!mkdtemp(Path.data()))
+      return std::nullopt;
+    return Path;
+  }
   std::error_code Error;
-  std::filesystem::create_directories(Path, Error);
-  return !Error && std::filesystem::is_empty(Path, Error) && !Error;
+  std::filesystem::create_directories(FLAGS_report, Error);
+  if (Error || !std::filesystem::is_empty(FLAGS_report, Error) || Error)
+    return std::nullopt;
+  return std::filesystem::absolute(FLAGS_report).string();
 }
 
 int runSoak() {
@@ -53,24 +68,29 @@
   const auto Plan = readScenario(*Text, FLAGS_scenario, ProblemList);
   if (!Plan)
     return badInput(problemsText(ProblemList));
-  if (!prepareFolder(FLAGS_report))
-    return badInput(FLAGS_report + " is not a new or empty folder");
-  const std::string Folder = std::filesystem::absolute(FLAGS_report).string();
-  const std::string Build = BINARY_DIR;
+  if (access(FLAGS_program.c_str(), X_OK) != 0)
+    return badInput("cannot run " + FLAGS_program);
+  const auto Folder = prepareFolder();
+  if (!Folder)
+    return badInput("not a new or empty folder: " + FLAGS_report);
   const SoakPaths Paths{
-      Build + "/fescuewood", Build + "/standins/Store",
+      FLAGS_program, std::string(BINARY_DIR) + "/standins/Store",
       std::filesystem::read_symlink("/proc/self/exe").string(),
-      std::string(SOURCE_DIR) + "/deploy/settings.ini", Folder};
+      std::string(SOURCE_DIR) + "/deploy/settings.ini", *Folder};
   const SoakResult Result = Soak(*Plan, Paths, FLAGS_seed).run();
-  const SoakInput Input{FLAGS_seed, FLAGS_scenario, *Text, Folder,
+  const SoakInput Input{FLAGS_seed, FLAGS_scenario, *Text, *Folder,
                         Paths.NodeProgram};
   const std::string Summary = reportText(Input, Result);
-  std::ofstream(Folder + "/report.json") << reportJson(Input, Result);
-  std::ofstream(Folder + "/report.txt") << Summary;
-  std::printf("%s", Summary.c_str());
+  std::ofstream(*Folder + "/report.json") << reportJson(Input, Result);
+  std::ofstream(*Folder + "/report.txt") << Summary;
+  std::printf("%sreport: %s\n", Summary.c_str(), Folder->c_str());
   if (!Result.Failure.empty())
     return CouldNotRun;
-  return Result.Violations.empty() ? Held : Broken;
+  if (!Result.Violations.empty())
+    return Broken;
+  if (FLAGS_report.empty())
+    std::filesystem::remove_all(*Folder);
+  return Held;
 }
 
 } // namespace
