Judge a drain that runs out of time by what held it up

The check was wrong: a node gives code 3 and NodeStopped reason=DeadlineExceeded when its drain time is over, about 5.6 s after SIGTERM in both logs, and calls to processes that other faults had stopped were still open. It had not ended by itself.

The check now takes code 3 only after the drain time and only if another fault overlapped the drain or ended within the time of contact before it; any other code but 0, an early 3 and a 3 without another fault stay violations. The decision moved from the injector, where no test reached it, into the checker, with a test for each case.

--- a/soak/Checker.cpp
+++ b/soak/Checker.cpp
@@ -49,6 +49,8 @@
       checkDeparture(D);
     for (const UnexpectedEnd &E : Seen.Ends)
       add("process", E.Process, E.Detail);
+    for (const Drain &D : Seen.Drains)
+      checkDrain(D);
     for (std::size_t Node = 0; Node < Seen.NodeCount; ++Node)
       checkRecovery(Node);
     return std::move(Found);
@@ -193,6 +195,26 @@
                         });
   }
 
+  void checkDrain(const Drain &D) {
+    const std::int64_t LastedMs = D.ToMs - D.FromMs;
+    const bool TimedOut = D.Code == DrainTimedOutCode &&
+                          LastedMs >= Limits.DrainTime.Value && isHeldUp(D);
+    if (D.Code != DrainedCode && !TimedOut)
+      add("process", fmt::format("node {}", D.Node),
+          fmt::format("code {} {} ms after SIGTERM", D.Code, LastedMs));
+  }
+
+  /// Whether another fault may have kept a call of the node from ending.
+  bool isHeldUp(const Drain &D) const {
+    for (std::size_t I = 0; I < Seen.FaultTimes.size(); ++I) {
+      const FaultTime &F = Seen.FaultTimes[I];
+      if (I != D.OwnFault && F.FromMs <= D.ToMs &&
+          F.ToMs + Limits.Contact.Value >= D.FromMs)
+        return true;
+    }
+    return false;
+  }
+
   void checkRecovery(std::size_t Node) {
     const std::int64_t From = Seen.LastFaultEndMs + Limits.Recovery.Value;
     std::size_t Sent = 0;
--- a/soak/Checker.h
+++ b/soak/Checker.h
@@ -27,7 +27,8 @@
 ///   refusal      a 408, 421, 429 or 503 for a request that ran
 ///   withdrawn    a request with a key that was withdrawn ran after the bound
 ///   departed     a request reached a target after the bound of its leaving
-///   process      a process ended by itself
+///   process      a process ended by itself, or badly after SIGTERM: a drain
+///                may run out of time only if another fault held it up
 ///   recovery     a node does not serve after the bound of the last fault
 std::vector<Violation> check(const History &Seen, const Bounds &Limits);
 
--- a/soak/History.h
+++ b/soak/History.h
@@ -77,7 +77,26 @@
   std::int64_t ToMs = 0;
 };
 
-/// A process that ended although nobody stopped it, or stopped badly.
+/// The time of any fault.
+struct FaultTime {
+  std::int64_t FromMs = 0;
+  std::int64_t ToMs = 0;
+};
+
+/// Exit codes of a node after SIGTERM.
+inline constexpr int DrainedCode = 0;
+inline constexpr int DrainTimedOutCode = 3;
+
+/// How a node ended after SIGTERM.
+struct Drain {
+  std::size_t Node = 0;
+  std::int64_t FromMs = 0;
+  std::int64_t ToMs = 0;
+  int Code = 0;
+  std::size_t OwnFault = 0; ///< Index of the SIGTERM in \ref FaultTimes.
+};
+
+/// A process that ended although nobody stopped it.
 struct UnexpectedEnd {
   std::string Process;
   std::int64_t AtMs = 0;
@@ -91,6 +110,8 @@
   std::vector<Withdrawal> Withdrawals;
   std::vector<Departure> Departures;
   std::vector<Disturbance> Disturbances;
+  std::vector<FaultTime> FaultTimes;
+  std::vector<Drain> Drains;
   std::vector<UnexpectedEnd> Ends;
   std::size_t NodeCount = 0;
   std::int64_t LastFaultEndMs = 0;
--- a/soak/Injector.cpp
+++ b/soak/Injector.cpp
@@ -35,16 +35,18 @@
   const std::int64_t Start = nowMs();
   for (const PlannedFault &Fault : Faults) {
     const std::int64_t Left = Start + Fault.Start.Value - nowMs();
-    if (Left > 0)
+    if (Left > 0) {
       co_await pause(DurationMs(Left));
+    }
     ++Active;
     asio::co_spawn(Context, apply(Fault), [](const std::exception_ptr &Error) {
       if (Error)
         std::rethrow_exception(Error);
     });
   }
-  while (Active > 0)
+  while (Active > 0) {
     co_await pause(PollPeriod);
+  }
   Seen.LastFaultEndMs = nowMs();
 }
 
@@ -58,19 +60,23 @@
     Seen.Disturbances.push_back(
         {IsStore ? std::nullopt : std::optional(Fault.Node), From,
          Never.Value});
-  co_await run(Fault);
+  const std::size_t Number = Seen.FaultTimes.size();
+  Seen.FaultTimes.push_back({From, Never.Value - Plan.Limits.Contact.Value});
+  co_await run(Fault, Number);
+  Seen.FaultTimes[Number].ToMs = nowMs();
   if (IsNode || IsStore)
     Seen.Disturbances[Index].ToMs = nowMs();
   Injected.push_back({Fault, From, nowMs()});
   --Active;
 }
 
-asio::awaitable<void> Injector::run(const PlannedFault &Fault) {
+asio::awaitable<void> Injector::run(const PlannedFault &Fault,
+                                    std::size_t Number) {
   const standins::Process &Node = Processes.Nodes[Fault.Node].Node;
   switch (Fault.Kind) {
   case FaultKind::NodeTerm:
   case FaultKind::NodeKill:
-    co_return co_await restartNode(Fault);
+    co_return co_await restartNode(Fault, Number);
   case FaultKind::NodeStop:
     Node.signal(SIGSTOP);
     co_await pause(Fault.Duration);
@@ -107,27 +113,28 @@
   }
 }
 
-asio::awaitable<void> Injector::restartNode(const PlannedFault &Fault) {
+asio::awaitable<void> Injector::restartNode(const PlannedFault &Fault,
+                                            std::size_t Number) {
   MeshNode &N = Processes.Nodes[Fault.Node];
   noteOwnEnd(N, Fault.Node, Seen);
   N.StoppedByDriver = true;
-  if (Fault.Kind == FaultKind::NodeTerm)
-    co_await terminateNode(Fault.Node);
+  if (Fault.Kind == FaultKind::NodeTerm) {
+    co_await terminateNode(Fault.Node, Number);
+  }
   N.Node.end();
   co_await pause(Fault.Duration);
   Processes.startNode(Fault.Node);
 }
 
 /// Sends SIGTERM and waits until the process has ended or its time is over.
-asio::awaitable<void> Injector::terminateNode(std::size_t Index) {
+asio::awaitable<void> Injector::terminateNode(std::size_t Index,
+                                              std::size_t Number) {
   MeshNode &N = Processes.Nodes[Index];
   N.Node.signal(SIGTERM);
-  const std::int64_t Limit = nowMs() + Plan.Limits.Grace.Value;
-  while (nowMs() < Limit) {
+  const std::int64_t From = nowMs();
+  while (nowMs() < From + Plan.Limits.Grace.Value) {
     if (const auto Code = N.Node.poll()) {
-      if (*Code != 0)
-        Seen.Ends.push_back({fmt::format("node {}", Index), nowMs(),
-                             fmt::format("code {} after SIGTERM", *Code)});
+      Seen.Drains.push_back({Index, From, nowMs(), *Code, Number});
       co_return;
     }
     co_await pause(PollPeriod);
--- a/soak/Injector.h
+++ b/soak/Injector.h
@@ -37,9 +37,11 @@
 
 private:
   asio::awaitable<void> apply(PlannedFault Fault);
-  asio::awaitable<void> run(const PlannedFault &Fault);
-  asio::awaitable<void> restartNode(const PlannedFault &Fault);
-  asio::awaitable<void> terminateNode(std::size_t Index);
+  /// \p Number is the fault's index in the history.
+  asio::awaitable<void> run(const PlannedFault &Fault, std::size_t Number);
+  asio::awaitable<void> restartNode(const PlannedFault &Fault,
+                                    std::size_t Number);
+  asio::awaitable<void> terminateNode(std::size_t Index, std::size_t Number);
   asio::awaitable<void> crashTarget(const PlannedFault &Fault);
   asio::awaitable<void> leaveTarget(const PlannedFault &Fault);
   asio::awaitable<void> misbehave(const PlannedFault &Fault,
--- a/soak/Report.cpp
+++ b/soak/Report.cpp
@@ -25,11 +25,12 @@
 Json faultsJson(const SoakResult &Result) {
   const std::int64_t Start = startMs(Result.Seen);
   Json Faults = Json::array();
-  for (const InjectedFault &F : Result.Faults)
+  for (const InjectedFault &F : Result.Faults) {
     Faults.push_back({{"fault", faultName(F.Plan.Kind)},
                       {"node", F.Plan.Node},
                       {"from_ms", F.FromMs - Start},
                       {"to_ms", F.ToMs - Start}});
+  }
   return Faults;
 }
 
@@ -78,11 +79,12 @@
   if (Result.Violations.size() > MaxListed)
     Text += fmt::format("and {} more in report.json\n",
                         Result.Violations.size() - MaxListed);
-  if (!Result.Violations.empty())
+  if (!Result.Violations.empty()) {
     Text +=
         fmt::format("explain a request: {} timeline --log $(ls {}/node-*.log"
                     " | paste -sd,) --request ID\n",
                     Input.NodeProgram, Input.Folder);
+  }
   return Text;
 }
 
--- a/soak/Scenario.cpp
+++ b/soak/Scenario.cpp
@@ -115,6 +115,8 @@
                "Time after a disturbance until bounds hold."),
       boundRow("recovery_ms", "15000", &Bounds::Recovery,
                "Bound for serving after the last fault."),
+      boundRow("drain_time_ms", "5000", &Bounds::DrainTime,
+               "Least time of a drain that ends because its time is over."),
       boundRow("grace_ms", "6000", &Bounds::Grace, "From SIGTERM to SIGKILL."),
       keyRow<Scenario>("bounds", "served_share", "", "0.9",
                        decimalNumber(0.01, 1),
@@ -136,6 +138,7 @@
 const std::vector<FaultKind> &allFaults() {
   static const std::vector<FaultKind> Kinds = [] {
     std::vector<FaultKind> All;
+    All.reserve(FaultNames.size());
     for (const auto &[Kind, Name] : FaultNames)
       All.push_back(Kind);
     return All;
@@ -152,11 +155,12 @@
     const bool IsKnown = Section.Name.empty() &&
                          std::find(SectionNames.begin(), SectionNames.end(),
                                    Section.Kind) != SectionNames.end();
-    if (!IsKnown)
+    if (!IsKnown) {
       report(ProblemList, {ResultCode::SectionUnknown,
                            {File, Section.Line},
                            Section.heading(),
                            "unknown section, expected mesh, faults or bounds"});
+    }
     Sections.try_emplace(Section.Kind, std::move(Section));
   }
   Scenario Result;
@@ -168,12 +172,13 @@
     fillSection<Scenario>(scenarioRows(), Name, "[" + std::string(Name) + "]",
                           {File, Section.Line}, Values, Result, ProblemList);
   }
-  if (Result.MinDuration > Result.MaxDuration)
+  if (Result.MinDuration > Result.MaxDuration) {
     report(ProblemList,
            {ResultCode::SettingsConflict,
             {File, Sections["faults"].Line},
             "[faults] min_duration_ms",
             "longer than max_duration_ms, expected at most as long"});
+  }
   if (!ProblemList.empty())
     return std::nullopt;
   return Result;
--- a/soak/Scenario.h
+++ b/soak/Scenario.h
@@ -49,6 +49,7 @@
                             ///< a leaving target.
   DurationMs Contact;       ///< After a disturbance until bounds hold again.
   DurationMs Recovery;      ///< From the last fault until all is served.
+  DurationMs DrainTime;     ///< A drain with time over lasts at least this.
   DurationMs Grace;         ///< From SIGTERM until the process is killed.
   double ServedShare = 0;   ///< Least share served after the recovery.
 };
--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -62,8 +62,9 @@
   const DurationMs Rest = Plan.Limits.Recovery + Plan.ServedTime;
   co_await standins::sleepFor(std::chrono::milliseconds(Rest.Value));
   Traffic.stop();
-  while (Traffic.active() > 0)
+  while (Traffic.active() > 0) {
     co_await standins::sleepFor(PollPeriod);
+  }
   // A run that a refusal denied may still come.
   constexpr std::chrono::milliseconds LateRuns{1500};
   co_await standins::sleepFor(LateRuns);
@@ -85,8 +86,9 @@
   }
   spawn(renewEntries());
   spawn(watchProcesses());
-  for (std::size_t I = 0; I < Plan.Nodes; ++I)
+  for (std::size_t I = 0; I < Plan.Nodes; ++I) {
     co_await awaitServing(I);
+  }
 }
 
 asio::awaitable<void> Soak::awaitServing(std::size_t Node) {
--- a/soak/TargetProcess.cpp
+++ b/soak/TargetProcess.cpp
@@ -64,8 +64,9 @@
       for (;;) {
         const Message Request = co_await standins::readMessage(Socket, Buffer);
         const std::string Mode = mode();
-        if (Mode == ModeRepeat && !Previous.empty() && Random() % 2 == 0)
+        if (Mode == ModeRepeat && !Previous.empty() && Random() % 2 == 0) {
           co_await standins::send(Socket, Previous);
+        }
         Previous = co_await answer(Socket, Request, Mode);
       }
     } catch (const std::exception &) {
--- a/tests/soak/CheckerTest.cpp
+++ b/tests/soak/CheckerTest.cpp
@@ -18,6 +18,7 @@
     Limits.KeyWithdrawal = DurationMs(5000);
     Limits.Departure = DurationMs(2000);
     Limits.Contact = DurationMs(3000);
+    Limits.DrainTime = DurationMs(5000);
     Limits.Recovery = DurationMs(15000);
     Limits.ServedShare = 0.9;
     Seen.NodeCount = 1;
@@ -265,6 +266,36 @@
   checkBroken("process", "node 1");
 }
 
+TEST(SoakChecker, AcceptsANodeThatDrained) {
+  Seen.FaultTimes = {{1000, 6000}};
+  Seen.Drains = {{0, 1000, 2000, DrainedCode, 0}};
+  checkHeld();
+}
+
+TEST(SoakChecker, FindsABadEndAfterSigterm) {
+  Seen.FaultTimes = {{1000, 6000}, {1000, 6000}};
+  Seen.Drains = {{0, 1000, 6000, 134, 0}};
+  checkBroken("process", "node 0");
+}
+
+TEST(SoakChecker, AcceptsADrainThatAnotherFaultHeldUp) {
+  Seen.FaultTimes = {{10'000, 15'000}, {6000, 7000}};
+  Seen.Drains = {{0, 10'000, 15'000, DrainTimedOutCode, 0}};
+  checkHeld();
+}
+
+TEST(SoakChecker, FindsADrainThatGivesUpEarly) {
+  Seen.FaultTimes = {{10'000, 15'000}, {6000, 7000}};
+  Seen.Drains = {{0, 10'000, 14'999, DrainTimedOutCode, 0}};
+  checkBroken("process", "node 0");
+}
+
+TEST(SoakChecker, FindsADrainThatRunsOutOfTimeWithoutAnotherFault) {
+  Seen.FaultTimes = {{10'000, 15'000}, {6000, 6999}, {15'001, 16'000}};
+  Seen.Drains = {{0, 10'000, 15'000, DrainTimedOutCode, 0}};
+  checkBroken("process", "node 0");
+}
+
 TEST(SoakChecker, FindsANodeThatDoesNotServeAgain) {
   Seen.Sends.front().Status = 504;
   Seen.Sends.front().Signature.clear();
