Draw each fault of a soak once before one again

A soak of planned.ini with seed 1 injected 29 faults and no target-leave, so the check of departures had nothing to judge; a mutant that ignores a leaving target's report was not caught there.

--- a/soak/FaultPlan.cpp
+++ b/soak/FaultPlan.cpp
@@ -43,14 +43,19 @@
   };
   std::map<std::pair<Part, std::size_t>, DurationMs> BusyUntil;
   std::vector<PlannedFault> Faults;
+  std::vector<FaultKind> Waiting;
   DurationMs Now{0};
   for (;;) {
     Now = Now + DurationMs(1 + Below(2 * Plan.MeanGap.Value));
     if (Now > Plan.FaultTime)
       return Faults;
     PlannedFault Next;
-    Next.Kind = Plan.Faults[static_cast<std::size_t>(
-        Below(static_cast<std::int64_t>(Plan.Faults.size())))];
+    // Each fault comes before one comes again, so that short soaks play all.
+    if (Waiting.empty())
+      Waiting = Plan.Faults;
+    const auto Drawn =
+        Waiting.begin() + Below(static_cast<std::int64_t>(Waiting.size()));
+    Next.Kind = *Drawn;
     Next.Node =
         static_cast<std::size_t>(Below(static_cast<std::int64_t>(Plan.Nodes)));
     Next.Start = Now;
@@ -60,6 +65,7 @@
     DurationMs &Busy = BusyUntil[{P, isPerNode(P) ? Next.Node : 0}];
     if (Busy > Now)
       continue;
+    Waiting.erase(Drawn);
     Busy = Now + Next.Duration + extraTime(Plan, Next.Kind);
     Faults.push_back(Next);
   }
--- a/tests/soak/ScenarioTest.cpp
+++ b/tests/soak/ScenarioTest.cpp
@@ -89,6 +89,16 @@
   UNSIGNED_LONGS_EQUAL(Plan.Nodes, Nodes.size());
 }
 
+TEST(SoakFaultPlan, DrawsEachFaultOnceBeforeItDrawsOneAgain) {
+  for (const std::uint64_t Seed : {1, 2, 3}) {
+    const auto Faults = planFaults(Plan, Seed);
+    std::set<FaultKind> Kinds;
+    for (std::size_t I = 0; I < allFaults().size(); ++I)
+      Kinds.insert(Faults.at(I).Kind);
+    UNSIGNED_LONGS_EQUAL(allFaults().size(), Kinds.size());
+  }
+}
+
 TEST(SoakFaultPlan, KeepsItsTimesAndOverlapsFaults) {
   const auto Faults = planFaults(Plan, 1);
   std::size_t Overlaps = 0;
