Give each part of a soak's mesh one fault at a time, however late the driver

On a busy machine faults lasted seconds longer than planned, so that the next fault of the same part began before the last one had ended, and both started the process again; the second start found its address in use (code 410 in the node's log; bind in the targets' log).

A fault now waits until the one before it on its part has ended. The report has the longest delay of the driver's timers.

--- a/soak/FaultPlan.cpp
+++ b/soak/FaultPlan.cpp
@@ -9,19 +9,6 @@
 
 namespace {
 
-/// What a fault occupies.
-enum class Part { Node, Target, Store, Configuration };
-
-Part partOf(FaultKind Kind) {
-  if (Kind <= FaultKind::NodeHup)
-    return Part::Node;
-  if (Kind <= FaultKind::TargetRefuse)
-    return Part::Target;
-  return Kind == FaultKind::Configuration ? Part::Configuration : Part::Store;
-}
-
-bool isPerNode(Part P) { return P == Part::Node || P == Part::Target; }
-
 /// Time beyond its duration that a fault may occupy its part.
 DurationMs extraTime(const Scenario &Plan, FaultKind Kind) {
   constexpr DurationMs Restart{1000};
@@ -34,6 +21,15 @@
 
 } // namespace
 
+FaultPart partOf(const PlannedFault &Fault) {
+  using enum FaultPart::Kind;
+  if (Fault.Kind <= FaultKind::NodeHup)
+    return {Node, Fault.Node};
+  if (Fault.Kind <= FaultKind::TargetRefuse)
+    return {Target, Fault.Node};
+  return {Fault.Kind == FaultKind::Configuration ? Configuration : Store, 0};
+}
+
 std::vector<PlannedFault> planFaults(const Scenario &Plan, std::uint64_t Seed) {
   // The standard's distributions differ between libraries, its engines do not.
   std::mt19937_64 Random(Seed);
@@ -41,7 +37,7 @@
     return static_cast<std::int64_t>(Random() %
                                      static_cast<std::uint64_t>(Limit));
   };
-  std::map<std::pair<Part, std::size_t>, DurationMs> BusyUntil;
+  std::map<FaultPart, DurationMs> BusyUntil;
   std::vector<PlannedFault> Faults;
   std::vector<FaultKind> Waiting;
   DurationMs Now{0};
@@ -61,8 +57,7 @@
     Next.Start = Now;
     const std::int64_t Spread = Plan.MaxDuration.Value - Plan.MinDuration.Value;
     Next.Duration = Plan.MinDuration + DurationMs(Below(Spread + 1));
-    const Part P = partOf(Next.Kind);
-    DurationMs &Busy = BusyUntil[{P, isPerNode(P) ? Next.Node : 0}];
+    DurationMs &Busy = BusyUntil[partOf(Next)];
     if (Busy > Now)
       continue;
     Waiting.erase(Drawn);
--- a/soak/FaultPlan.h
+++ b/soak/FaultPlan.h
@@ -20,6 +20,15 @@
   bool operator==(const PlannedFault &) const = default;
 };
 
+/// What a fault occupies: a part of the mesh, and which node's it is.
+struct FaultPart {
+  enum class Kind { Node, Target, Store, Configuration } Type = Kind::Node;
+  std::size_t Node = 0; ///< 0 for the store and the configuration.
+
+  auto operator<=>(const FaultPart &) const = default;
+};
+FaultPart partOf(const PlannedFault &Fault);
+
 /// Returns the faults in the order of their start. The same scenario and seed
 /// give the same faults. Faults of different parts overlap; one process, one
 /// target's behaviour, the store and the configuration have one at a time.
--- a/soak/Injector.cpp
+++ b/soak/Injector.cpp
@@ -51,6 +51,10 @@
 }
 
 asio::awaitable<void> Injector::apply(PlannedFault Fault) {
+  // A fault that lasts longer than planned puts off the next one of its part.
+  while (!Occupied.insert(partOf(Fault)).second) {
+    co_await pause(PollPeriod);
+  }
   const std::int64_t From = nowMs();
   const bool IsNode =
       Fault.Kind <= FaultKind::NodeStop; // SIGHUP disturbs nothing.
@@ -67,6 +71,7 @@
   if (IsNode || IsStore)
     Seen.Disturbances[Index].ToMs = nowMs();
   Injected.push_back({Fault, From, nowMs()});
+  Occupied.erase(partOf(Fault));
   --Active;
 }
 
--- a/soak/Injector.h
+++ b/soak/Injector.h
@@ -9,6 +9,7 @@
 #include "soak/Mesh.h"
 #include "standins/Http.h"
 
+#include <set>
 #include <vector>
 
 namespace fescuewood::soak {
@@ -57,6 +58,7 @@
   History &Seen;
   std::vector<InjectedFault> Injected;
   std::size_t Active = 0;
+  std::set<FaultPart> Occupied;
 };
 
 } // namespace fescuewood::soak
--- a/soak/Report.cpp
+++ b/soak/Report.cpp
@@ -55,6 +55,7 @@
               {"requests", Result.Seen.Sends.size()},
               {"runs", Result.Seen.Runs.size()},
               {"answers", statusCounts(Result.Seen)},
+              {"longest_delay_ms", Result.LongestDelay.Value},
               {"last_fault_end_ms",
                Result.Seen.LastFaultEndMs - startMs(Result.Seen)},
               {"faults", faultsJson(Result)},
--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -2,6 +2,7 @@
 
 #include "soak/TargetProcess.h"
 
+#include <algorithm>
 #include <csignal>
 #include <stdexcept>
 #include <utility>
@@ -120,7 +121,10 @@
         throw std::runtime_error(
             fmt::format("the target of node {} ended by itself", I));
     }
+    const std::int64_t Due = nowMs() + PollPeriod.count();
     co_await standins::sleepFor(PollPeriod);
+    Result.LongestDelay =
+        std::max(Result.LongestDelay, DurationMs(nowMs() - Due));
   }
 }
 
--- a/soak/Soak.h
+++ b/soak/Soak.h
@@ -18,6 +18,7 @@
 struct SoakResult {
   std::string Failure; ///< Why the soak could not be run; empty if it was.
   std::vector<InjectedFault> Faults;
+  DurationMs LongestDelay; ///< Of the driver's own timers.
   std::vector<Violation> Violations;
   History Seen;
 };
