--- a/soak/Report.cpp
+++ b/soak/Report.cpp
@@ -72,6 +72,8 @@
       "seed {} of {}: {}\n{} faults, {} requests, {} runs; answers{}\n",
       Input.Seed, Input.ScenarioFile, verdict(Result), Result.Faults.size(),
       Result.Seen.Sends.size(), Result.Seen.Runs.size(), Answers);
+  Text += fmt::format("the driver was late by {} ms at most\n",
+                      Result.LongestDelay.Value);
   constexpr std::size_t MaxListed = 20;
   for (std::size_t I = 0; I < Result.Violations.size() && I < MaxListed; ++I) {
     const Violation &V = Result.Violations[I];
