Let the list of targets outlast a store that goes back to a copy

A store that comes back from an older copy lists as live what was read as leaving or removed since the copy was taken, and lacks what registered since. The list is told of the restore. It holds entries of the copy back whose targets left (same start), until they are written again or for 6 s, in which the store removes the entry of a target that is gone; and it retains what the copy lacks for 2.5 s, since targets write again within about 2 s.

Tests: TargetListRestore, 7 tests.

--- a/src/policy/TargetList.cpp
+++ b/src/policy/TargetList.cpp
@@ -24,6 +24,12 @@
 } // namespace
 
 void TargetList::put(ListedInstance Entry) {
+  if (isHeldBack(Entry)) {
+    HeldBack[Entry.TargetId] = std::move(Entry);
+    return;
+  }
+  HeldBack.erase(Entry.TargetId);
+  Removed.erase(Entry.TargetId);
   ListedInstance &Stored = Entries[Entry.TargetId];
   if (Stored == Entry)
     return;
@@ -31,7 +37,30 @@
   Changed = true;
 }
 
+/// Whether an entry is that of the copy although its target has left since.
+bool TargetList::isHeldBack(const ListedInstance &Entry) const {
+  const bool IsOfCopy = HoldUntil > TimeMs(0) && Entry.Revision <= CopyRevision;
+  if (!IsOfCopy || Entry.State != ListedState::Live)
+    return false;
+  const auto Gone = Removed.find(Entry.TargetId);
+  if (Gone != Removed.end())
+    return Gone->second.StartedAtMs == Entry.StartedAtMs;
+  const auto Known = Entries.find(Entry.TargetId);
+  return Known != Entries.end() &&
+         Known->second.State == ListedState::Leaving &&
+         Known->second.StartedAtMs == Entry.StartedAtMs;
+}
+
+void TargetList::onRemoved(const ListedInstance &Entry, TimeMs Now) {
+  std::erase_if(Removed, [Now](const auto &Item) {
+    return Now - Item.second.At >= RemovalMemory;
+  });
+  Removed[Entry.TargetId] = {Entry.StartedAtMs, Now};
+}
+
 void TargetList::remove(std::string_view Id, TimeMs Now) {
+  if (const auto Held = HeldBack.find(Id); Held != HeldBack.end())
+    HeldBack.erase(Held);
   const auto Found = Entries.find(Id);
   if (Found != Entries.end())
     removeOrRetain(Found->first, Now);
@@ -43,6 +72,9 @@
     ListedIds.insert(Each.TargetId);
     put(std::move(Each));
   }
+  std::erase_if(HeldBack, [&ListedIds](const auto &Item) {
+    return !ListedIds.contains(Item.first);
+  });
   std::vector<std::string> Missing;
   for (const auto &[Id, Entry] : Entries)
     if (!ListedIds.contains(Id))
@@ -51,6 +83,14 @@
     removeOrRetain(Id, Now);
 }
 
+void TargetList::onStoreRestored(std::uint64_t Revision, TimeMs Now) {
+  RestoredUntil = Now + RewriteTime;
+  if (RetainUntil != Never)
+    setRetention(RetainUntil);
+  CopyRevision = Revision;
+  HoldUntil = Now + CopyHoldTime;
+}
+
 void TargetList::onStoreLost(TimeMs Now) {
   expire(Now);
   if (RetainUntil != Never)
@@ -75,6 +115,7 @@
 
 /// Sets the end of the retention, also for the entries that are retained now.
 void TargetList::setRetention(TimeMs End) {
+  End = std::max(End, RestoredUntil);
   RetainUntil = End;
   for (auto &[Id, Entry] : Entries) {
     if (!Entry.AssumedUntil || Entry.AssumedUntil == End)
@@ -85,15 +126,27 @@
 }
 
 void TargetList::expire(TimeMs Now) {
-  const std::size_t Expired = std::erase_if(Entries, [Now](const auto &Item) {
+  const std::size_t Expired = std::erase_if(Entries, [&](const auto &Item) {
     const std::optional<TimeMs> &Until = Item.second.AssumedUntil;
-    return Until && *Until <= Now;
+    const bool IsOver = Until && *Until <= Now;
+    if (IsOver)
+      onRemoved(Item.second, Now);
+    return IsOver;
   });
   Changed = Changed || Expired > 0;
+  if (Now >= HoldUntil)
+    releaseHeldBack();
+}
+
+/// Takes the entries of the copy that the store still has.
+void TargetList::releaseHeldBack() {
+  HoldUntil = TimeMs(0);
+  for (auto &[Id, Entry] : std::exchange(HeldBack, {}))
+    put(Entry);
 }
 
 TimeMs TargetList::nextExpiry() const {
-  TimeMs Next = Never;
+  TimeMs Next = HeldBack.empty() ? Never : HoldUntil;
   for (const auto &[Id, Entry] : Entries)
     Next = std::min(Next, Entry.AssumedUntil.value_or(Never));
   return Next;
@@ -130,7 +183,9 @@
 
 void TargetList::removeOrRetain(const std::string &Id, TimeMs Now) {
   if (Now >= RetainUntil) {
-    Changed = Entries.erase(Id) > 0 || Changed;
+    onRemoved(Entries[Id], Now);
+    Entries.erase(Id);
+    Changed = true;
     return;
   }
   ListedInstance &Entry = Entries[Id];
--- a/src/policy/TargetList.h
+++ b/src/policy/TargetList.h
@@ -34,6 +34,18 @@
 /// have expired: that takes several missed writes.
 inline constexpr DurationMs MinLapseTime{2000};
 
+/// Retention after the first answer of a restored store: targets write their
+/// entries again within about 2 s.
+inline constexpr DurationMs RewriteTime{2500};
+
+/// Time for which an entry of the copy is not used if its target left after the
+/// copy was taken. The store removes the entry of a target that is gone after
+/// three missed writes.
+inline constexpr DurationMs CopyHoldTime{6000};
+
+/// Time for which removed targets are remembered; a copy is some seconds old.
+inline constexpr DurationMs RemovalMemory{60 * 1000};
+
 /// Longest time between the starts of two calls while the store is
 /// unreachable: how precisely the time of its return is known.
 inline constexpr DurationMs MaxRetryPeriod{950};
@@ -60,10 +72,16 @@
   /// Another node has relayed what the store answered to a call of \p ProvenAt.
   void onRelayed(TimeMs ProvenAt, TimeMs Now);
 
+  /// The store has come back from an older copy, with the answer of \p Revision
+  /// that is applied next. What it lacks may be written again, and what it
+  /// lists as live may have left since.
+  void onStoreRestored(std::uint64_t Revision, TimeMs Now);
+
   /// The store has become unreachable; it is until the next answer.
   void onStoreLost(TimeMs Now);
 
-  /// Drops retained entries once the retention time has passed.
+  /// Drops retained entries once the retention time has passed, and takes the
+  /// entries of a copy that were held back.
   void expire(TimeMs Now);
 
   /// Time of the next expiry; Never if there is none.
@@ -83,6 +101,15 @@
   bool takeChanged();
 
 private:
+  /// A target whose entry was removed.
+  struct RemovedTarget {
+    std::uint64_t StartedAtMs = 0;
+    TimeMs At;
+  };
+
+  bool isHeldBack(const ListedInstance &Entry) const;
+  void onRemoved(const ListedInstance &Entry, TimeMs Now);
+  void releaseHeldBack();
   void setRetention(TimeMs End);
   void removeOrRetain(const std::string &Id, TimeMs Now);
 
@@ -91,6 +118,13 @@
   TimeMs LastAnswerAt{0};
   TimeMs RetainUntil{0};   ///< Never during an outage.
   TimeMs EndBeforeLoss{0}; ///< RetainUntil before the current outage.
+  TimeMs RestoredUntil{0}; ///< Retention after the last restore, at least.
+  /// Entries up to this revision are those of the copy, until \ref HoldUntil.
+  std::uint64_t CopyRevision = 0;
+  TimeMs HoldUntil{0};
+  /// Entries of the copy that name targets which left after it was taken.
+  std::map<std::string, ListedInstance, std::less<>> HeldBack;
+  std::map<std::string, RemovedTarget, std::less<>> Removed; ///< By id.
   bool Changed = false;
 };
 
--- a/tests/policy/TargetListTest.cpp
+++ b/tests/policy/TargetListTest.cpp
@@ -1,5 +1,7 @@
 #include "policy/TargetList.h"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace fescuewood;
@@ -182,3 +184,106 @@
 
   CHECK_FALSE(List.takeChanged());
 }
+
+// A store that was restored lists targets as they were when the copy was taken.
+TEST_GROUP(TargetListRestore) {
+  static constexpr TimeMs RestoredAt{50'000};
+  static constexpr std::uint64_t CopyRevision = 1000;
+
+  TargetList List;
+
+  void setup() override {
+    List.put(row("i-1", "10.0.0.1"));
+    List.put(row("i-2", "10.0.0.2"));
+    List.onCallAnswered(RestoredAt - DurationMs(200),
+                        RestoredAt - DurationMs(100));
+  }
+
+  /// Applies the listing of a copy with both targets as live.
+  void restore() {
+    List.onStoreRestored(CopyRevision, RestoredAt);
+    List.replaceAll({copied("i-1", "10.0.0.1"), copied("i-2", "10.0.0.2")},
+                    RestoredAt);
+  }
+
+  static ListedInstance copied(const std::string &Id, const std::string &Ip) {
+    return row(Id, Ip, "queue", ListedState::Live, CopyRevision - 10);
+  }
+
+  std::size_t liveCount() const {
+    const InstanceList Listed = List.list(1);
+    return static_cast<std::size_t>(std::count_if(
+        Listed.Instances.begin(), Listed.Instances.end(),
+        [](const auto &Row) { return Row.State == ListedState::Live; }));
+  }
+};
+
+TEST(TargetListRestore, LeavingTargetStaysLeavingAlthoughTheCopyListsItAsLive) {
+  List.put(row("i-1", "10.0.0.1", "queue", ListedState::Leaving, 9));
+
+  restore();
+
+  LONGS_EQUAL(1, liveCount());
+  LONGS_EQUAL(2, List.list(1).Instances.size());
+}
+
+TEST(TargetListRestore, RemovedTargetStaysGoneAlthoughTheCopyListsIt) {
+  List.remove("i-1", RestoredAt - DurationMs(1000));
+
+  restore();
+
+  LONGS_EQUAL(1, List.list(1).Instances.size());
+}
+
+TEST(TargetListRestore, TargetThatWritesItsEntryAgainIsLiveAtOnce) {
+  List.put(row("i-1", "10.0.0.1", "queue", ListedState::Leaving, 9));
+  restore();
+
+  List.put(
+      row("i-1", "10.0.0.1", "queue", ListedState::Live, CopyRevision + 1));
+
+  LONGS_EQUAL(2, liveCount());
+}
+
+TEST(TargetListRestore, NewStartOfATargetIsLiveAtOnce) {
+  List.remove("i-1", RestoredAt - DurationMs(1000));
+  List.onStoreRestored(CopyRevision, RestoredAt);
+  ListedInstance NewStart = copied("i-1", "10.0.0.1");
+  NewStart.StartedAtMs = 1;
+
+  List.put(NewStart);
+
+  LONGS_EQUAL(2, liveCount());
+}
+
+TEST(TargetListRestore, EntryThatTheStoreStillHasAfterTheHoldTimeIsUsed) {
+  List.remove("i-1", RestoredAt - DurationMs(1000));
+  restore();
+  CHECK(List.nextExpiry() == RestoredAt + CopyHoldTime);
+
+  List.expire(RestoredAt + CopyHoldTime);
+
+  LONGS_EQUAL(2, liveCount());
+}
+
+TEST(TargetListRestore, EntryThatTheStoreDropsInTheHoldTimeIsNotUsed) {
+  List.remove("i-1", RestoredAt - DurationMs(1000));
+  restore();
+  List.remove("i-1", RestoredAt + DurationMs(4000));
+
+  List.expire(RestoredAt + CopyHoldTime);
+
+  LONGS_EQUAL(1, liveCount());
+}
+
+TEST(TargetListRestore, TargetThatTheCopyLacksIsRetainedUntilItMayHaveWritten) {
+  List.onStoreRestored(CopyRevision, RestoredAt);
+  List.replaceAll({copied("i-1", "10.0.0.1")}, RestoredAt);
+  List.onCallAnswered(RestoredAt + DurationMs(100),
+                      RestoredAt + DurationMs(110));
+  LONGS_EQUAL(2, List.list(1).Instances.size());
+
+  List.expire(RestoredAt + RewriteTime);
+
+  LONGS_EQUAL(1, List.list(1).Instances.size());
+}
