Order versions by the number that operators give them

A store that was restored gives an older configuration a later revision. Ordered by revision, a node that started on the copy would have made its peers go back to it, withdrawn keys included, and its proofs would have vouched for theirs. Version and bundle carry the configuration's number, which orders before the revision; sources without one have 0, so nothing changes for them. A proof counts only for the number in force, none counts while a peer has a greater one, and the proof of a copy is dropped when a peer shows what the copy lost.

The number is a further field at the end of the messages between nodes. A fleet of mixed versions was not run.

--- a/src/intent/BundleDelta.cpp
+++ b/src/intent/BundleDelta.cpp
@@ -52,7 +52,7 @@
     Texts.erase(Name);
   for (const IntentFile &F : Delta.Changed)
     Texts.insert_or_assign(F.Name, F.Text);
-  IntentBundle Target{Delta.Target.Revision, {}};
+  IntentBundle Target{Delta.Target.Revision, {}, Delta.Target.Number};
   for (const auto &[Name, Text] : Texts)
     Target.Files.push_back({std::string(Name), std::string(Text)});
   // The digest check rejects a delta that was corrupted in transit.
--- a/src/intent/Snapshot.cpp
+++ b/src/intent/Snapshot.cpp
@@ -90,7 +90,7 @@
     appendText(Bytes, F->Name);
     appendText(Bytes, F->Text);
   }
-  return {Revision, Digest::sha256(Bytes)};
+  return {Revision, Digest::sha256(Bytes), Number};
 }
 
 const Route *Snapshot::findRouteByName(std::string_view Name) const {
--- a/src/intent/Snapshot.h
+++ b/src/intent/Snapshot.h
@@ -20,18 +20,26 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace fescuewood {
 
-/// Identifies a configuration. Versions are ordered by the revision of the
-/// source, then by digest, so that all nodes choose the same one of two
-/// contents with the same revision.
+/// Identifies a configuration. Versions are ordered by the number that the
+/// operators gave them, since a source may return to an older state of itself
+/// under a later revision; then by the revision of the source, then by digest,
+/// so that all nodes choose the same one of two contents with the same
+/// revision.
 struct Version {
   std::uint64_t Revision = 0;
-  Digest Content; ///< Digest of the intent files' names and texts.
-
-  auto operator<=>(const Version &) const = default;
+  Digest Content;           ///< Digest of the intent files' names and texts.
+  std::uint64_t Number = 0; ///< 0 if the source has no such number.
+
+  bool operator==(const Version &) const = default;
+  std::strong_ordering operator<=>(const Version &Other) const {
+    return std::tie(Number, Revision, Content) <=>
+           std::tie(Other.Number, Other.Revision, Other.Content);
+  }
 };
 
 /// An intent file as published, unparsed. Each node parses it on its own.
@@ -46,6 +54,7 @@
 struct IntentBundle {
   std::uint64_t Revision = 0;
   std::vector<IntentFile> Files;
+  std::uint64_t Number = 0; ///< As in \ref fescuewood::Version.
 
   /// Returns the version of the bundle. Computes a digest of all files.
   Version version() const;
--- a/src/nodes/BundleStore.cpp
+++ b/src/nodes/BundleStore.cpp
@@ -29,6 +29,7 @@
       continue;
     Stored.Id = Id;
     Stored.Bundle.Revision = Id.Revision;
+    Stored.Bundle.Number = Id.Number;
   }
 }
 
--- a/src/nodes/ControlCore.cpp
+++ b/src/nodes/ControlCore.cpp
@@ -79,7 +79,7 @@
     onPeerState(Peer, Address, PeerMessage);
   };
   Result.OnPeerProof = [this](const Version &PeerVersion, TimeMs At) {
-    prove(At, PeerVersion.Revision);
+    prove(At, PeerVersion.Revision, PeerVersion.Number);
   };
   return Result;
 }
@@ -135,10 +135,22 @@
     if (const Member *Entry = Members.members().find(Peer))
       Spread.markApplied(Entry->Record.Place.Domain, Entry->Record.Place.Slot);
   }
+  if (PeerMessage.InForce)
+    dropProofOfCopy(*PeerMessage.InForce);
   Versions.onPeerAnswer(Peer, Address, PeerMessage.InForce,
                         PeerMessage.Starting);
 }
 
+/// A configuration that is newer but has no later revision than the one in force
+/// was lost by the source, so what the source has proved since counts for
+/// nothing.
+void ControlCore::dropProofOfCopy(const Version &OfPeer) {
+  const auto &InForce = Versions.keeper().inForce();
+  if (InForce && OfPeer.Number > InForce->Number &&
+      OfPeer.Revision <= InForce->Revision)
+    ProvenAt = TimeMs(0);
+}
+
 void ControlCore::publishMembers() {
   InstancesPending =
       Members.members().takeInstancesChanged() || InstancesPending;
@@ -255,14 +267,22 @@
   Versions.offer(std::move(Bundle));
 }
 
-void ControlCore::onProof(TimeMs At, std::uint64_t Revision) {
+void ControlCore::onProof(TimeMs At, std::uint64_t Revision,
+                          std::uint64_t Number) {
   Versions.onSourceAnswer();
-  prove(At, Revision);
+  prove(At, Revision, Number);
 }
 
-void ControlCore::prove(TimeMs At, std::uint64_t Revision) {
+/// A proof of the older configuration that a restored store holds is none of
+/// the one in force, whatever their revisions.
+void ControlCore::prove(TimeMs At, std::uint64_t Revision,
+                        std::uint64_t Number) {
   const auto &InForce = Versions.keeper().inForce();
-  if (!InForce || InForce->Revision < Revision || At <= ProvenAt)
+  const auto &OfPeers = Versions.keeper().newestPeerVersion();
+  const bool PeersKnowNewer =
+      InForce && OfPeers && OfPeers->Number > InForce->Number;
+  if (!InForce || InForce->Number != Number || PeersKnowNewer ||
+      InForce->Revision < Revision || At <= ProvenAt)
     return;
   ProvenAt = At;
 }
--- a/src/nodes/ControlCore.h
+++ b/src/nodes/ControlCore.h
@@ -50,8 +50,8 @@
   void offerInstances(const InstanceList &List);
 
   /// Handles a proof of freshness from the source: \p Revision was its newest
-  /// at time \p At.
-  void onProof(TimeMs At, std::uint64_t Revision);
+  /// at time \p At, with the number \p Number if it has numbers.
+  void onProof(TimeMs At, std::uint64_t Revision, std::uint64_t Number = 0);
 
   /// Time at which the version in force was last known to be the newest; 0 if
   /// never.
@@ -81,10 +81,11 @@
 private:
   MemberSyncHooks memberSyncHooks();
   std::optional<DurationMs> proofAge() const;
-  void prove(TimeMs At, std::uint64_t Revision);
+  void prove(TimeMs At, std::uint64_t Revision, std::uint64_t Number);
   void onApplied(const SnapshotPtr &InForce);
   void onPeerState(const std::string &Peer, const std::string &Address,
                    const ExchangeMessage &PeerMessage);
+  void dropProofOfCopy(const Version &OfPeer);
   void updatePhase();
   void publishMembers();
   void publishOwnListing();
--- a/src/nodes/ControlDuty.cpp
+++ b/src/nodes/ControlDuty.cpp
@@ -151,9 +151,10 @@
       [this, List = std::move(List)] { Impl->Core.offerInstances(List); });
 }
 
-void ControlDuty::offerProof(TimeMs At, std::uint64_t Revision) {
-  Impl->Work.post([this, At, Revision] {
-    Impl->Core.onProof(At, Revision);
+void ControlDuty::offerProof(TimeMs At, std::uint64_t Revision,
+                             std::uint64_t Number) {
+  Impl->Work.post([this, At, Revision, Number] {
+    Impl->Core.onProof(At, Revision, Number);
     Impl->ProvenAt = Impl->Core.provenAt().Value;
   });
 }
--- a/src/nodes/ControlDuty.h
+++ b/src/nodes/ControlDuty.h
@@ -54,7 +54,7 @@
 
   /// Handles a proof of freshness from the source: \p Revision was its newest
   /// at time \p At. Processed in order with the offered versions.
-  void offerProof(TimeMs At, std::uint64_t Revision);
+  void offerProof(TimeMs At, std::uint64_t Revision, std::uint64_t Number = 0);
 
   /// Handles what this node has read from the store, for other nodes that read
   /// it through this one.
--- a/src/nodes/ControlMessages.cpp
+++ b/src/nodes/ControlMessages.cpp
@@ -20,7 +20,8 @@
 struct WireVersion {
   std::uint64_t Revision = 0;
   std::string Content;
-  MSGPACK_DEFINE(Revision, Content)
+  std::uint64_t Number = 0;
+  MSGPACK_DEFINE(Revision, Content, Number)
 };
 
 struct WireMember {
@@ -88,15 +89,17 @@
 
 struct WireFetchReply {
   std::vector<std::uint64_t> WholeRevision; ///< At most one.
-  WireVersions DeltaVersions;               ///< Empty, or base and target.
+  std::uint64_t WholeNumber = 0;
+  WireVersions DeltaVersions; ///< Empty, or base and target.
   std::vector<WireFile> Files;
   std::vector<std::string> Removed;
-  MSGPACK_DEFINE(WholeRevision, DeltaVersions, Files, Removed)
+  MSGPACK_DEFINE(WholeRevision, DeltaVersions, Files, Removed, WholeNumber)
 };
 
 WireVersion toWire(const Version &V) {
   return {V.Revision,
-          std::string(V.Content.Bytes.begin(), V.Content.Bytes.end())};
+          std::string(V.Content.Bytes.begin(), V.Content.Bytes.end()),
+          V.Number};
 }
 
 WireVersions toWire(const std::optional<Version> &V) {
@@ -106,6 +109,7 @@
 std::optional<Version> fromWire(const WireVersion &Wire) {
   Version Result;
   Result.Revision = Wire.Revision;
+  Result.Number = Wire.Number;
   if (Wire.Content.size() != Digest::SizeBytes)
     return std::nullopt;
   std::copy(Wire.Content.begin(), Wire.Content.end(),
@@ -270,6 +274,7 @@
   WireFetchReply Wire;
   if (Message.Whole) {
     Wire.WholeRevision.push_back(Message.Whole->Revision);
+    Wire.WholeNumber = Message.Whole->Number;
     Wire.Files = toWire(Message.Whole->Files);
   } else if (Message.Delta) {
     Wire.DeltaVersions = {toWire(Message.Delta->Base),
@@ -331,8 +336,9 @@
     return std::nullopt;
   FetchReply Result;
   if (Wire->WholeRevision.size() == 1) {
-    Result.Whole = IntentBundle{Wire->WholeRevision.front(),
-                                fromWire(std::move(Wire->Files))};
+    Result.Whole =
+        IntentBundle{Wire->WholeRevision.front(),
+                     fromWire(std::move(Wire->Files)), Wire->WholeNumber};
     return Result;
   }
   if (Wire->DeltaVersions.size() != 2)
--- a/src/nodes/VersionSync.cpp
+++ b/src/nodes/VersionSync.cpp
@@ -77,7 +77,7 @@
   // Without EveryNodeReads the division of rates is derived from each version,
   // so every version is compiled.
   if (!Settings.EveryNodeReads || !InForce ||
-      Seen.Content != InForce->Content || Seen.Revision <= InForce->Revision)
+      Seen.Content != InForce->Content || Seen <= *InForce)
     return false;
   Bundles.rename(*InForce, Seen);
   Keeper.onApplied(Seen);
--- a/src/policy/VersionKeeper.cpp
+++ b/src/policy/VersionKeeper.cpp
@@ -60,8 +60,8 @@
 
 bool VersionKeeper::hasConflict(const Version &Seen) const {
   const auto HasOtherContent = [&Seen](const std::optional<Version> &Known) {
-    return Known && Known->Revision == Seen.Revision &&
-           Known->Content != Seen.Content;
+    return Known && Known->Number == Seen.Number &&
+           Known->Revision == Seen.Revision && Known->Content != Seen.Content;
   };
   return HasOtherContent(InForce) || HasOtherContent(NewestPeerVersion);
 }
--- a/src/policy/VersionKeeper.h
+++ b/src/policy/VersionKeeper.h
@@ -6,8 +6,8 @@
 /// regularly. The rules:
 ///
 /// - No rollback: a version is accepted only if it is larger than the one in
-///   force, ordered by revision and then by digest. If a revision has two
-///   contents, all nodes therefore settle on the same one.
+///   force, ordered by number, by revision and then by digest. If a revision
+///   has two contents, all nodes therefore settle on the same one.
 /// - After a start, a version from the source is accepted only when enough
 ///   peers have reported their version in force, or a deadline has passed. A
 ///   newer version of a peer takes precedence.
--- a/src/sources/StoreBundle.cpp
+++ b/src/sources/StoreBundle.cpp
@@ -11,13 +11,14 @@
 
 } // namespace
 
-IntentBundle encodeStoreBundle(const StoreBundle &Parts,
-                               std::uint64_t Revision) {
+IntentBundle encodeStoreBundle(const StoreBundle &Parts, std::uint64_t Revision,
+                               std::uint64_t Number) {
   std::string Names;
   for (const std::string &Name : Parts.DomainsOut)
     Names += Name + "\n";
   IntentBundle Bundle;
   Bundle.Revision = Revision;
+  Bundle.Number = Number;
   Bundle.Files = {{std::string(ConfigurationFile), Parts.Configuration},
                   {std::string(DomainsOutFile), std::move(Names)}};
   return Bundle;
--- a/src/sources/StoreBundle.h
+++ b/src/sources/StoreBundle.h
@@ -19,8 +19,9 @@
 };
 
 /// Encodes the intent as the files of a version.
-IntentBundle encodeStoreBundle(const StoreBundle &Parts,
-                               std::uint64_t Revision);
+/// \param Number that of the configuration, as in \ref Version.
+IntentBundle encodeStoreBundle(const StoreBundle &Parts, std::uint64_t Revision,
+                               std::uint64_t Number = 0);
 
 /// Decodes a bundle that \ref encodeStoreBundle made; std::nullopt for a bundle
 /// of another source.
--- a/tests/policy/VersionKeeperTest.cpp
+++ b/tests/policy/VersionKeeperTest.cpp
@@ -120,3 +120,18 @@
   LONGS_EQUAL(4, Keeper.newestSeenVersion().Revision);
   CHECK(versionOf(3) == *Keeper.inForce());
 }
+
+// A source that was restored gives an older configuration a later revision.
+TEST(VersionKeeper, OlderNumberUnderALaterRevisionIsOlder) {
+  Version InForce = versionOf(5, 1);
+  InForce.Number = 7;
+  Keeper.onApplied(InForce);
+  Version Copy = versionOf(9, 2);
+  Copy.Number = 6;
+
+  CHECK(VersionVerdict::Older ==
+        Keeper.evaluate(Copy, VersionOrigin::Peer, TimeMs(100)));
+  Copy.Number = 8;
+  CHECK(VersionVerdict::Accept ==
+        Keeper.evaluate(Copy, VersionOrigin::Peer, TimeMs(100)));
+}
