Follow a store that comes back from an older copy

Callers saw: after the store of the users' platform had come back from a copy some seconds old, no change came into force until its revisions had passed the old ones: new configurations, withdrawn keys and evacuations were taken for older ones. A watch whose revision the store had given out again would have gone on without what differs before it.

The adapter reads Store-Era and makes one number of epoch and revision, so all that is ordered by a revision, on one node, over relays and between nodes, stays ordered by one. An answer of another epoch than the one asked for, and pages of two epochs, count as a lost history.

Evidence: StoreRestoreMesh runs six real nodes, some reading through others.

--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -240,8 +240,9 @@
   Hooks.OnOwnTarget = [this](std::optional<ListedInstance> Listed) {
     Engine.setOwnTarget(std::move(Listed));
   };
-  Hooks.OnProof = [this](TimeMs At, std::uint64_t Revision) {
-    Control.offerProof(At, Revision);
+  Hooks.OnProof = [this](TimeMs At, std::uint64_t Revision,
+                         std::uint64_t Number) {
+    Control.offerProof(At, Revision, Number);
   };
   Hooks.OnSourceState = [this](bool Reachable) {
     SourceReachable = Reachable;
@@ -269,8 +270,9 @@
 std::unique_ptr<PlatformReader> NodeParts::makeReader() {
   const PlatformSettings &Platform = Settings.Platform;
   if (isStorePlatform(Settings.Platform)) {
-    StoreCalls Calls = platform::storeCalls(
-        Platform.Source.Server, Platform.Timeout, Settings.Peers.Listen.Port);
+    StoreCalls Calls =
+        platform::storeCalls(Platform.Source.Server, Platform.Timeout,
+                             Settings.Peers.Listen.Port, Recorder.hook());
     auto Cancel = Calls.Cancel;
     const DurationMs ApplyBound(
         std::llround(Settings.Bounds.ChangeApply * MsPerSecond));
--- a/src/platform/PlatformNames.h
+++ b/src/platform/PlatformNames.h
@@ -16,6 +16,10 @@
 inline constexpr std::string_view RangePath = "/fescuewood/kv-range";
 inline constexpr std::string_view WatchPath = "/fescuewood/kv-watch";
 
+// Header fields of the store's answers.
+/// Rises by one each time the store comes back from an older copy.
+inline constexpr std::string_view StoreEpochField = "Store-Era";
+
 // Keys and key prefixes in the store.
 inline constexpr std::string_view OperatorPrefix = "op/";
 inline constexpr std::string_view ConfigurationKey = "op/config";
@@ -47,6 +51,8 @@
 inline constexpr std::string_view TargetColdFor = "warmup_left_s";
 
 // JSON fields and values of the configuration document.
+/// Number of the configuration, greater in each one.
+inline constexpr std::string_view ConfigurationNumber = "version";
 inline constexpr std::string_view Routes = "routes";
 inline constexpr std::string_view Name = "name";
 inline constexpr std::string_view RouteHost = "host";
--- a/src/platform/StoreClient.cpp
+++ b/src/platform/StoreClient.cpp
@@ -3,9 +3,11 @@
 #include "platform/PlatformNames.h"
 #include "platform/StoreCodec.h"
 #include "sources/HttpReader.h"
+#include "sources/StoreRevision.h"
 
 #include <memory>
 #include <utility>
+#include <vector>
 
 #include <fmt/format.h>
 
@@ -56,33 +58,109 @@
   return Decode(Answer.Value.value_or(""));
 }
 
-} // namespace
+template <typename T> PlatformRead<T> historyGone(std::string_view Detail) {
+  return {std::nullopt, ResultCode::StoreHistoryGone, std::string(Detail)};
+}
 
-StoreCalls storeCalls(const Endpoint &Server, DurationMs Timeout,
-                      std::uint16_t NodePort) {
-  // Shared because the calls are copyable and must all use the same reader.
-  const auto Reader = std::make_shared<HttpReader>(Server, Timeout);
-  StoreCalls Calls;
-  Calls.Range = [Reader, Timeout](StoreSubject Subject,
-                                  std::string_view After) {
+/// Calls to one store, with the epoch that its answers name. Revisions are
+/// numbered as in \ref storeNumber.
+class StoreConnection {
+public:
+  StoreConnection(const Endpoint &Server, DurationMs Timeout, EventHook OnEvent)
+      : Reader(Server, Timeout), Transfer(Timeout * TransferFactor),
+        OnEvent(std::move(OnEvent)) {}
+
+  PlatformRead<StorePage> range(StoreSubject Subject, std::string_view After) {
     std::string Path =
         fmt::format("{}?prefix={}", RangePath, prefixOf(Subject));
     if (!After.empty())
       Path += "&after=" + percentEncoded(After);
-    return decodeAnswer(
-        Reader->get(Path, DurationMs(0), Timeout * TransferFactor),
-        &decodePage);
+    auto Page = decodeAnswer(get(Path, DurationMs(0)), &decodePage);
+    if (!Page.Value)
+      return Page;
+    if (After.empty())
+      RangeEpoch = Epoch;
+    if (RangeEpoch != Epoch)
+      return historyGone<StorePage>("restored between two pages");
+    return numbered(std::move(Page), &StorePage::Items);
+  }
+
+  PlatformRead<StoreChanges> watch(std::uint64_t After, DurationMs Wait) {
+    const std::string Path =
+        fmt::format("{}?prefix=&after={}&wait_ms={}", WatchPath,
+                    storeRevision(After), Wait.Value);
+    auto Changes = decodeAnswer(get(Path, Wait), &decodeChanges);
+    if (!Changes.Value)
+      return Changes;
+    // The store has given out the revision again, for another change.
+    if (storeEpoch(After) != Epoch)
+      return historyGone<StoreChanges>("restored from an older copy");
+    return numbered(std::move(Changes), &StoreChanges::Changes);
+  }
+
+  void cancel() { Reader.cancel(); }
+
+private:
+  PlatformRead<std::string> get(const std::string &Path, DurationMs Wait) {
+    auto Answer = Reader.get(Path, Wait, Transfer);
+    if (Answer.Reason == ResultCode::Ok)
+      readEpoch();
+    return Answer;
+  }
+
+  /// An answer that does not name its epoch belongs to the last one.
+  void readEpoch() {
+    const auto Text = Reader.field(std::string(StoreEpochField));
+    const auto Read = Text ? decodeEpoch(*Text) : std::nullopt;
+    Epoch = Read.value_or(Epoch);
+    const bool IsBad = Text && !Read;
+    if (IsBad && !std::exchange(ReportedBadEpoch, IsBad) && OnEvent)
+      OnEvent({EventId::StoreEpochUnread, {{"reason", *Text}}});
+    ReportedBadEpoch = IsBad;
+  }
+
+  /// Replaces the store's own revisions in an answer.
+  template <typename T>
+  PlatformRead<T> numbered(PlatformRead<T> Answer,
+                           std::vector<StoreChange> T::*Member) const {
+    if (Epoch == 0)
+      return Answer;
+    if (Answer.Value->Revision > MaxStoreRevision)
+      return {std::nullopt, ResultCode::PlatformMalformed,
+              "the revision is too large"};
+    Answer.Value->Revision = storeNumber(Epoch, Answer.Value->Revision);
+    for (StoreChange &Item : (*Answer.Value).*Member)
+      Item.Revision = storeNumber(Epoch, Item.Revision);
+    return Answer;
+  }
+
+  HttpReader Reader;
+  const DurationMs Transfer; ///< Longest time of an answer once it has begun.
+  const EventHook OnEvent;
+  std::uint64_t Epoch = 0;      ///< Of the last answer that named one.
+  std::uint64_t RangeEpoch = 0; ///< Of the first page of the last range.
+  bool ReportedBadEpoch = false;
+};
+
+} // namespace
+
+StoreCalls storeCalls(const Endpoint &Server, DurationMs Timeout,
+                      std::uint16_t NodePort, EventHook OnEvent) {
+  // Shared because the calls are copyable and must all use the same reader.
+  const auto Store =
+      std::make_shared<StoreConnection>(Server, Timeout, std::move(OnEvent));
+  StoreCalls Calls;
+  Calls.Range = [Store](StoreSubject Subject, std::string_view After) {
+    return Store->range(Subject, After);
   };
-  Calls.Watch = [Reader, Timeout](std::uint64_t After, DurationMs Wait) {
-    const std::string Path = fmt::format("{}?prefix=&after={}&wait_ms={}",
-                                         WatchPath, After, Wait.Value);
-    return decodeAnswer(Reader->get(Path, Wait, Timeout * TransferFactor),
-                        &decodeChanges);
+  Calls.Watch = [Store](std::uint64_t After, DurationMs Wait) {
+    return Store->watch(After, Wait);
   };
   Calls.DecodeTarget = [NodePort](std::string_view Id, std::string_view Value) {
     return decodeTarget(Id, Value, NodePort);
   };
-  Calls.Cancel = [Reader] { Reader->cancel(); };
+  Calls.ConfigurationNumber = &configurationNumber;
+  Calls.Cancel = [Store] { Store->cancel(); };
   return Calls;
 }
 
--- a/src/platform/StoreClient.h
+++ b/src/platform/StoreClient.h
@@ -5,6 +5,7 @@
 #define FESCUEWOOD_PLATFORM_STORECLIENT_H
 
 #include "core/Endpoint.h"
+#include "core/Event.h"
 #include "sources/StoreChange.h"
 
 namespace fescuewood::platform {
@@ -12,8 +13,9 @@
 /// Returns the calls to the store at \p Server.
 /// \param Timeout maximum duration of a call, in addition to its wait.
 /// \param NodePort port on which every node accepts peer connections.
+/// \param OnEvent called on the thread that makes the calls; may be empty.
 StoreCalls storeCalls(const Endpoint &Server, DurationMs Timeout,
-                      std::uint16_t NodePort);
+                      std::uint16_t NodePort, EventHook OnEvent = {});
 
 } // namespace fescuewood::platform
 
--- a/src/platform/StoreCodec.cpp
+++ b/src/platform/StoreCodec.cpp
@@ -4,9 +4,11 @@
 #include "core/JsonText.h"
 #include "nodes/PeerEnvelope.h"
 #include "platform/PlatformNames.h"
+#include "sources/StoreRevision.h"
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cmath>
 
 #include <fmt/format.h>
@@ -251,6 +253,23 @@
           ResultCode::Ok, ""};
 }
 
+std::optional<std::uint64_t> decodeEpoch(std::string_view Text) {
+  std::uint64_t Epoch = 0;
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Epoch);
+  const bool IsNumber =
+      Error == std::errc() && End == Text.data() + Text.size();
+  return IsNumber && Epoch > 0 && Epoch <= MaxStoreEpoch ? std::optional(Epoch)
+                                                         : std::nullopt;
+}
+
+std::uint64_t configurationNumber(std::string_view Text) {
+  const auto Document = jsonMembers(Text, {ConfigurationNumber});
+  if (!Document)
+    return 0;
+  return unsignedValue(memberText(*Document, ConfigurationNumber)).value_or(0);
+}
+
 std::optional<ListedInstance> decodeTarget(std::string_view Id,
                                            std::string_view Text,
                                            std::uint16_t NodePort) {
--- a/src/platform/StoreCodec.h
+++ b/src/platform/StoreCodec.h
@@ -10,6 +10,8 @@
 
 #include "sources/StoreChange.h"
 
+#include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace fescuewood::platform {
@@ -20,6 +22,14 @@
 /// Decodes the answer to a watch.
 PlatformRead<StoreChanges> decodeChanges(std::string_view Json);
 
+/// Decodes the header field that names the store's epoch; std::nullopt for
+/// anything but a number from 1 to \ref MaxStoreEpoch.
+std::optional<std::uint64_t> decodeEpoch(std::string_view Text);
+
+/// Number that the operators gave a configuration; 0 if it has none or cannot
+/// be read.
+std::uint64_t configurationNumber(std::string_view Json);
+
 /// Decodes a target's entry. Returns std::nullopt when the entry is malformed
 /// or does not describe a usable target.
 /// \param NodePort port on which the target's node accepts peer connections;
--- a/src/sources/HttpReader.cpp
+++ b/src/sources/HttpReader.cpp
@@ -114,6 +114,21 @@
     return resultForStatus(std::move(Received.Bytes));
   }
 
+  std::optional<std::string> field(const std::string &Name) const {
+    constexpr int LastRequest = -1;
+    std::optional<std::string> Values;
+    curl_header *Header = nullptr;
+    std::size_t Count = 1;
+    for (std::size_t I = 0; I < Count; ++I) {
+      if (curl_easy_header(Handle.get(), Name.c_str(), I, CURLH_HEADER,
+                           LastRequest, &Header) != CURLHE_OK)
+        break;
+      Count = Header->amount;
+      Values = (Values ? *Values + ", " : "") + Header->value;
+    }
+    return Values;
+  }
+
   void cancel() {
     Cancelled = true;
     curl_multi_wakeup(Transfers.get());
@@ -208,6 +223,10 @@
   return State->get(Path, Wait, Transfer);
 }
 
+std::optional<std::string> HttpReader::field(const std::string &Name) const {
+  return State->field(Name);
+}
+
 void HttpReader::cancel() { State->cancel(); }
 
 } // namespace fescuewood
--- a/src/sources/HttpReader.h
+++ b/src/sources/HttpReader.h
@@ -12,6 +12,7 @@
 #include "sources/PlatformSource.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace fescuewood {
@@ -35,6 +36,10 @@
   PlatformRead<std::string> get(const std::string &Path, DurationMs Wait,
                                 DurationMs Transfer);
 
+  /// Value of a header field of the last answer; the values of a repeated field
+  /// are joined by ", ". std::nullopt if the answer did not have the field.
+  std::optional<std::string> field(const std::string &Name) const;
+
   /// Makes a blocked read and all later ones return. Callable from any thread.
   void cancel();
 
--- a/src/sources/StoreChange.h
+++ b/src/sources/StoreChange.h
@@ -73,6 +73,9 @@
   std::function<std::optional<ListedInstance>(std::string_view Id,
                                               std::string_view Value)>
       DecodeTarget;
+  /// Number that orders two configurations, whatever their revisions; 0 if the
+  /// configuration has none. May be empty: no configuration has one.
+  std::function<std::uint64_t(std::string_view Value)> ConfigurationNumber = {};
   /// Makes a blocked call and all later ones return. Callable from any thread.
   std::function<void()> Cancel;
 };
--- a/src/sources/StoreLoop.cpp
+++ b/src/sources/StoreLoop.cpp
@@ -1,6 +1,7 @@
 #include "sources/StoreLoop.h"
 
 #include "policy/Backoff.h"
+#include "sources/StoreRevision.h"
 
 #include <algorithm>
 #include <cmath>
@@ -45,12 +46,13 @@
                      std::uint64_t Seed, RelayCalls Relays)
     : Calls(std::move(Calls)), Relays(std::move(Relays)), Timing(Timing),
       Hooks(std::move(Hooks)), Time(std::move(Time)), Random(Seed),
-      View(std::move(LocalTarget), this->Hooks, this->Calls.DecodeTarget),
+      View(std::move(LocalTarget), this->Hooks, this->Calls.DecodeTarget,
+           this->Calls.ConfigurationNumber),
       Health(this->Hooks.OnSourceState, this->Hooks.OnEvent) {}
 
 DurationMs StoreLoop::step() {
   const TimeMs Now = Time.now();
-  View.targets().expire(Now);
+  View.expire(Now);
   View.publish();
   if (Now < NextCall)
     return untilNextStep(Now);
@@ -65,8 +67,7 @@
 }
 
 DurationMs StoreLoop::untilNextStep(TimeMs Now) const {
-  return std::max(DurationMs(0),
-                  std::min(NextCall, View.targets().nextExpiry()) - Now);
+  return std::max(DurationMs(0), std::min(NextCall, View.nextExpiry()) - Now);
 }
 
 PlatformReaderCounts StoreLoop::counts() const {
@@ -104,6 +105,8 @@
                                    ? PartialRange->Items.back().Key
                                    : "";
   PlatformRead<StorePage> Read = Calls.Range(Subject, AfterKey);
+  if (Read.Reason == ResultCode::StoreHistoryGone)
+    return onHistoryLost(Read.Reason, Read.Detail);
   if (!Read.Value)
     return onFailure(SentAt, Read.Reason, Read.Detail);
   View.countLeftOut(Read.Value->Unreadable);
@@ -144,7 +147,7 @@
 }
 
 void StoreLoop::onIntentRead(StorePage Range) {
-  View.onIntentRead(Range);
+  View.onIntentRead(Range, Time.now());
   NextPhase = Phase::Watch;
   View.publish();
   reportProof(RangeSentAt);
@@ -170,20 +173,13 @@
   if (Now - ProvenAt > Timing.maxRelayedAge())
     return DurationMs(0);
   return std::max(DurationMs(0),
-                  std::min(Timing.Wait, View.targets().nextExpiry() - Now));
+                  std::min(Timing.Wait, View.nextExpiry() - Now));
 }
 
 void StoreLoop::onWatchFailed(TimeMs SentAt,
                               const PlatformRead<StoreChanges> &Read) {
-  if (needsFullRead(Read.Reason)) {
-    emit(EventId::StoreHistoryLost,
-         {{"version", std::to_string(View.revision())},
-          {"reason",
-           std::string(resultName(Read.Reason)) + ": " + Read.Detail}});
-    restart();
-    NextCall = TimeMs(0);
-    return;
-  }
+  if (needsFullRead(Read.Reason))
+    return onHistoryLost(Read.Reason, Read.Detail);
   onFailure(SentAt, Read.Reason, Read.Detail);
   // The same watch would return the same bytes. The store may answer every
   // watch like this, so the full read is no sooner than a watch.
@@ -193,6 +189,14 @@
   }
 }
 
+void StoreLoop::onHistoryLost(ResultCode Reason, const std::string &Detail) {
+  emit(EventId::StoreHistoryLost,
+       {{"version", std::to_string(View.revision())},
+        {"reason", std::string(resultName(Reason)) + ": " + Detail}});
+  restart();
+  NextCall = TimeMs(0);
+}
+
 void StoreLoop::onWatched(TimeMs SentAt, StoreChanges Read) {
   onSuccess(SentAt);
   const TimeMs Now = Time.now();
@@ -265,6 +269,8 @@
 bool StoreLoop::isUsable(const RelayedChanges &Relayed, TimeMs Now) const {
   if (Now - Relayed.ProvenAt > Timing.maxRelayedAge())
     return false;
+  if (storeEpoch(Relayed.Read.Revision) < storeEpoch(View.revision()))
+    return false;
   return Relayed.Whole ? Relayed.Read.Revision >= View.revision()
                        : View.hasIntent();
 }
--- a/src/sources/StoreLoop.h
+++ b/src/sources/StoreLoop.h
@@ -96,6 +96,7 @@
   void watch();
   DurationMs watchWait(TimeMs Now) const;
   void onWatchFailed(TimeMs SentAt, const PlatformRead<StoreChanges> &Read);
+  void onHistoryLost(ResultCode Reason, const std::string &Detail);
   void onWatched(TimeMs SentAt, StoreChanges Read);
   static ConfigurationCount countConfigurations(const StoreChanges &Read);
   void reportConfigurations(const ConfigurationCount &Found,
--- a/src/sources/StoreView.h
+++ b/src/sources/StoreView.h
@@ -31,9 +31,10 @@
   /// Called when the entry of this node's own target has changed; std::nullopt
   /// when the store has none.
   std::function<void(std::optional<ListedInstance>)> OnOwnTarget;
-  /// Called when the store has proved that the intent of this revision was
-  /// current at time \p At.
-  std::function<void(TimeMs At, std::uint64_t Revision)> OnProof;
+  /// Called when the store has proved that the intent of this revision, whose
+  /// configuration has this number, was current at time \p At.
+  std::function<void(TimeMs At, std::uint64_t Revision, std::uint64_t Number)>
+      OnProof;
   /// Called when the store becomes unreachable (false) or reachable again
   /// (true).
   std::function<void(bool Reachable)> OnSourceState;
@@ -54,9 +55,12 @@
   using DecodeTargetHook = std::function<std::optional<ListedInstance>(
       std::string_view Id, std::string_view Value)>;
 
+  /// Number of a configuration, as in StoreCalls::ConfigurationNumber.
+  using NumberHook = std::function<std::uint64_t(std::string_view Value)>;
+
   /// \param Hooks must outlive the view.
   StoreView(OwnTarget LocalTarget, const StoreLoopHooks &Hooks,
-            DecodeTargetHook DecodeTarget);
+            DecodeTargetHook DecodeTarget, NumberHook ConfigurationNumber);
 
   /// Whether the intent has been read as a whole and may be followed from \ref
   /// revision on.
@@ -73,7 +77,7 @@
   void onTargetsRead(const StorePage &Range, TimeMs Now);
 
   /// Applies a full reading of the intent.
-  void onIntentRead(const StorePage &Range);
+  void onIntentRead(const StorePage &Range, TimeMs Now);
 
   /// Requires the intent to be read as a whole again.
   void forgetIntent() { IntentReadAt = 0; }
@@ -84,6 +88,12 @@
   /// Applies the items of a whole store.
   void replaceAll(const StoreChanges &Whole, TimeMs Now);
 
+  /// Drops what was assumed for a limited time that has passed.
+  void expire(TimeMs Now);
+
+  /// Time of the next effect of \ref expire; Never if there is none.
+  TimeMs nextExpiry() const;
+
   /// Counts items that could not be read.
   void countLeftOut(std::size_t Count) { LeftOut += Count; }
 
@@ -92,21 +102,30 @@
   void publish();
 
   /// Reports that the intent was current at \p ProvenAt. The intent itself must
-  /// have been published before.
+  /// have been published before. The copy from which a store was restored
+  /// proves nothing until operators have had time to write again what it lacks.
   void reportProof(TimeMs ProvenAt) const;
 
 private:
   bool isNew(const StoreChange &Change) const;
   void applyItem(const StoreChange &Change, TimeMs Now);
+  void applyConfiguration(const StoreChange &Change);
   void applyTarget(const StoreChange &Change, TimeMs Now);
   std::optional<ListedInstance> decodeTarget(const StoreChange &Entry);
+  void followEpoch(std::uint64_t Read, TimeMs Now);
   void reportLeftOut();
+  std::uint64_t bundleRevision() const;
   void publishIntent();
   void publishOwnTarget();
 
   OwnTarget LocalTarget;
   const StoreLoopHooks &Hooks;
   DecodeTargetHook DecodeTarget;
+  NumberHook ConfigurationNumber;
+  std::optional<std::uint64_t> Epoch; ///< The newest that has been read.
+  TimeMs SettlesAt{0};                ///< End of the time after a restore.
+  /// Revision of the first answer after a restore.
+  std::uint64_t CopyRevision = 0;
   std::uint64_t Revision = 0;
   /// Revisions at which the targets and the intent were last read as a whole.
   std::uint64_t TargetsReadAt = 0;
@@ -114,6 +133,14 @@
   StoreBundle Intent;
   /// Whether the newest configuration could not be read; an older one is used.
   bool ConfigurationUnread = false;
+  /// Whether the store holds an older configuration than the intent.
+  bool ConfigurationOutdated = false;
+  std::uint64_t IntentNumber = 0; ///< Of the configuration.
+  std::uint64_t NumberEpoch = 0;  ///< In which it was read.
+  /// Domains without work that a restored store has lost, until it settles.
+  std::set<std::string, std::less<>> DomainsHeld;
+  /// Revision of the intent from which they were dropped; 0 if never.
+  std::uint64_t SettledRevision = 0;
   std::size_t LeftOut = 0; ///< Items left out and not yet reported.
   bool IntentChanged = false;
   std::uint64_t IntentRevision = 0;
--- a/tests/platform/StoreCodecTest.cpp
+++ b/tests/platform/StoreCodecTest.cpp
@@ -360,3 +360,18 @@
     decodeChanges(*rc::gen::arbitrary<std::string>());
   });
 }
+
+TEST(StoreCodec, ReadsTheEpochOfAnAnswer) {
+  LONGS_EQUAL(7, decodeEpoch("7").value_or(0));
+  for (const char *Bad : {"", "0", "-1", "1.5", "7 ", "x", "1, 2", "65536",
+                          "99999999999999999999"})
+    CHECK_FALSE_TEXT(decodeEpoch(Bad).has_value(), Bad);
+}
+
+TEST(StoreCodec, ReadsTheNumberOfAConfiguration) {
+  LONGS_EQUAL(12, configurationNumber(R"({"routes":[],"version":12})"));
+  for (const char *Without :
+       {"", "[]", "{}", R"({"version":"12"})", R"({"version":-1})",
+        R"({"routes":[{"version":3}]})"})
+    LONGS_EQUAL_TEXT(0, configurationNumber(Without), Without);
+}
--- a/tests/platform/StoreMeshFixture.cpp
+++ b/tests/platform/StoreMeshFixture.cpp
@@ -141,6 +141,14 @@
       standins::ask(storeAddress(Instances.front()), Text).Body);
 }
 
+std::uint64_t StoreMesh::storeRevision() const {
+  return commandStore("stats").at("at").get<std::uint64_t>();
+}
+
+void StoreMesh::restoreStore(std::uint64_t Revision) const {
+  commandStore("restore?to=" + std::to_string(Revision));
+}
+
 void StoreMesh::putItem(const std::string &Key,
                         const std::string &Value) const {
   commandStore("put?key=" + Key, Value);
@@ -245,6 +253,17 @@
   }
 }
 
+nlohmann::json StoreMesh::status(const StoreMeshInstance &Instance) const {
+  try {
+    return nlohmann::json::parse(
+        standins::ask(endpoint(Instance.Ip, OperatorsPort),
+                      standins::requestText("GET", "/status", "", ""))
+            .Body);
+  } catch (const std::exception &) {
+    return {};
+  }
+}
+
 double StoreMesh::metric(const StoreMeshInstance &Instance,
                          const std::string &Name) const {
   try {
--- a/tests/platform/StoreMeshFixture.h
+++ b/tests/platform/StoreMeshFixture.h
@@ -10,6 +10,7 @@
 #include "standins/Process.h"
 #include "support/TemporaryFolder.h"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -58,6 +59,10 @@
   /// Sends a control command to the fake store and returns its answer.
   nlohmann::json commandStore(const std::string &Command,
                               const std::string &Body = "") const;
+  /// Revision of the store.
+  std::uint64_t storeRevision() const;
+  /// Sets the store back to a copy that was taken at \p Revision.
+  void restoreStore(std::uint64_t Revision) const;
   /// Writes an item to the store.
   void putItem(const std::string &Key, const std::string &Value) const;
 
@@ -97,6 +102,9 @@
   /// Address at which other nodes reach the node.
   static std::string peerAddress(const StoreMeshInstance &Instance);
 
+  /// The status page of a node; null when it does not answer.
+  nlohmann::json status(const StoreMeshInstance &Instance) const;
+
   /// Value of a metric of a node without labels; 0 when the node does not
   /// answer.
   double metric(const StoreMeshInstance &Instance,
--- a/tests/sources/ModelStore.h
+++ b/tests/sources/ModelStore.h
@@ -258,7 +258,7 @@
     Hooks.OnOwnTarget = [this](std::optional<ListedInstance> L) {
       LocalTarget = std::move(L);
     };
-    Hooks.OnProof = [this](TimeMs At, std::uint64_t Revision) {
+    Hooks.OnProof = [this](TimeMs At, std::uint64_t Revision, std::uint64_t) {
       onProof(At, Revision);
     };
     Hooks.OnReplicated = [this](const ReplicaUpdate &Update) {
--- a/tests/sources/StoreLoopFixture.h
+++ b/tests/sources/StoreLoopFixture.h
@@ -9,6 +9,7 @@
 #include "sources/StoreLoop.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -84,6 +85,10 @@
       Row.TargetAddress = std::string(Value) + ":80";
       return Row;
     };
+    // The leading digits of a configuration are its number.
+    Calls.ConfigurationNumber = [](std::string_view Value) -> std::uint64_t {
+      return std::strtoull(std::string(Value).c_str(), nullptr, 10);
+    };
     return Calls;
   }
 
@@ -125,7 +130,7 @@
       LocalTarget = L;
       LocalTargetAt = Store.Now;
     };
-    Hooks.OnProof = [this](TimeMs At, std::uint64_t Revision) {
+    Hooks.OnProof = [this](TimeMs At, std::uint64_t Revision, std::uint64_t) {
       Proofs.emplace_back(At, Revision);
     };
     Hooks.OnSourceState = [this](bool Reachable) {
--- a/tests/standins/StoreMain.cpp
+++ b/tests/standins/StoreMain.cpp
@@ -7,6 +7,7 @@
 ///   POST /control/remove?key=K    removes the item
 ///   GET  /control/set?NAME=VALUE  sets \ref Faults, clears the others
 ///   GET  /control/compact         discards the history
+///   GET  /control/restore?to=R    goes back to a copy of revision R
 ///   GET  /control/stats           call counters by path and status
 ///
 /// Prints "listening PORT" once it accepts connections.
@@ -33,6 +34,9 @@
 DEFINE_int32(page_items, 500, "maximum number of items per page");
 DEFINE_int32(reads_per_s, 0,
              "calls per second beyond which the status is 429; 0: no limit");
+DEFINE_int32(era, 1,
+             "era at the start, which each restore raises; 0: the answers have "
+             "no header field for it");
 
 using Json = nlohmann::json;
 using SteadyClock = std::chrono::steady_clock;
@@ -123,6 +127,11 @@
     return Response{404};
   }
 
+  /// Header lines of every answer.
+  std::string headerLines() const {
+    return Era == 0 ? "" : "Store-Era: " + std::to_string(Era) + "\r\n";
+  }
+
   void count(const std::string &Path, int Status) {
     ++Counts[Path + " " + std::to_string(Status)];
   }
@@ -218,11 +227,23 @@
       write(text(Target, "key"), std::nullopt);
     else if (Command == "compact")
       CompactedRevision = Revision;
+    else if (Command == "restore")
+      restore(number(Target, "to"));
     else if (Command == "set")
       set(Target);
     return {200, Json{{"at", Revision}, {"calls", Counts}}.dump()};
   }
 
+  /// Loses all changes after a revision; later ones get the same revisions.
+  void restore(std::uint64_t To) {
+    std::erase_if(Changes,
+                  [To](const Change &Each) { return Each.Revision > To; });
+    Revision = std::min(Revision, To);
+    CompactedRevision = std::min(CompactedRevision, To);
+    if (Era > 0)
+      ++Era;
+  }
+
   void write(const std::string &Key, std::optional<std::string> Value) {
     const auto Items = itemsAt(Revision);
     const auto Old = Items.find(Key);
@@ -252,6 +273,7 @@
   std::vector<Change> Changes;
   std::uint64_t Revision = 1;
   std::uint64_t CompactedRevision = 0;
+  std::uint64_t Era = static_cast<std::uint64_t>(FLAGS_era);
   std::map<std::string, std::uint64_t> Counts;
   std::deque<SteadyClock::time_point> RecentCalls;
 };
@@ -345,7 +367,9 @@
   asio::awaitable<void> write(const std::string &Target, const Response &A) {
     ServedStore.count(Target.substr(0, Target.find('?')), A.Status);
     const std::string Text = standins::responseText(
-        A.Status, "Content-Type: application/json\r\n", A.Body);
+        A.Status,
+        ServedStore.headerLines() + "Content-Type: application/json\r\n",
+        A.Body);
     co_await asio::async_write(Socket, asio::buffer(Text), asio::use_awaitable);
   }
 
