--- a/src/nodes/ControlCore.cpp
+++ b/src/nodes/ControlCore.cpp
@@ -141,8 +141,8 @@
                         PeerMessage.Starting);
 }
 
-/// A configuration that is newer but has no later revision than the one in force
-/// was lost by the source, so what the source has proved since counts for
+/// A configuration that is newer but has no later revision than the one in
+/// force was lost by the source, so what the source has proved since counts for
 /// nothing.
 void ControlCore::dropProofOfCopy(const Version &OfPeer) {
   const auto &InForce = Versions.keeper().inForce();
