--- a/soak/Checker.cpp
+++ b/soak/Checker.cpp
@@ -204,11 +204,11 @@
           fmt::format("code {} {} ms after SIGTERM", D.Code, LastedMs));
   }
 
-  /// Whether another fault may have kept a call of the node from ending.
+  /// Whether a stopped node may have kept a call of this one from ending.
   bool isHeldUp(const Drain &D) const {
     for (std::size_t I = 0; I < Seen.FaultTimes.size(); ++I) {
       const FaultTime &F = Seen.FaultTimes[I];
-      if (I != D.OwnFault && F.FromMs <= D.ToMs &&
+      if (I != D.OwnFault && F.StopsANode && F.FromMs <= D.ToMs &&
           F.ToMs + Limits.Contact.Value >= D.FromMs)
         return true;
     }
--- a/soak/History.h
+++ b/soak/History.h
@@ -81,6 +81,7 @@
 struct FaultTime {
   std::int64_t FromMs = 0;
   std::int64_t ToMs = 0;
+  bool StopsANode = false; ///< Calls to it stay open meanwhile.
 };
 
 /// Exit codes of a node after SIGTERM.
--- a/soak/Injector.cpp
+++ b/soak/Injector.cpp
@@ -65,7 +65,8 @@
         {IsStore ? std::nullopt : std::optional(Fault.Node), From,
          Never.Value});
   const std::size_t Number = Seen.FaultTimes.size();
-  Seen.FaultTimes.push_back({From, Never.Value - Plan.Limits.Contact.Value});
+  Seen.FaultTimes.push_back({From, Never.Value - Plan.Limits.Contact.Value,
+                             Fault.Kind == FaultKind::NodeStop});
   co_await run(Fault, Number);
   Seen.FaultTimes[Number].ToMs = nowMs();
   if (IsNode || IsStore)
--- a/src/sources/StoreLoopHooks.h
+++ b/src/sources/StoreLoopHooks.h
@@ -26,9 +26,10 @@
   /// Called when the entry of this node's own target has changed; std::nullopt
   /// when the store has none.
   std::function<void(std::optional<ListedInstance>)> OnOwnTarget;
-  /// Called when the store has proved that the intent of this revision was
-  /// current at time \p At.
-  std::function<void(TimeMs At, std::uint64_t Revision)> OnProof;
+  /// Called when the store has proved that the intent of this revision, whose
+  /// configuration has this number, was current at time \p At.
+  std::function<void(TimeMs At, std::uint64_t Revision, std::uint64_t Number)>
+      OnProof;
   /// Called when the store becomes unreachable (false) or reachable again
   /// (true).
   std::function<void(bool Reachable)> OnSourceState;
--- a/tests/soak/CheckerTest.cpp
+++ b/tests/soak/CheckerTest.cpp
@@ -278,20 +278,23 @@
   checkBroken("process", "node 0");
 }
 
-TEST(SoakChecker, AcceptsADrainThatAnotherFaultHeldUp) {
-  Seen.FaultTimes = {{10'000, 15'000}, {6000, 7000}};
+TEST(SoakChecker, AcceptsADrainBesideAStoppedNode) {
+  Seen.FaultTimes = {{10'000, 15'000}, {6000, 7000, true}};
   Seen.Drains = {{0, 10'000, 15'000, DrainTimedOutCode, 0}};
   checkHeld();
 }
 
 TEST(SoakChecker, FindsADrainThatGivesUpEarly) {
-  Seen.FaultTimes = {{10'000, 15'000}, {6000, 7000}};
+  Seen.FaultTimes = {{10'000, 15'000}, {6000, 7000, true}};
   Seen.Drains = {{0, 10'000, 14'999, DrainTimedOutCode, 0}};
   checkBroken("process", "node 0");
 }
 
-TEST(SoakChecker, FindsADrainThatRunsOutOfTimeWithoutAnotherFault) {
-  Seen.FaultTimes = {{10'000, 15'000}, {6000, 6999}, {15'001, 16'000}};
+TEST(SoakChecker, FindsADrainThatRunsOutOfTimeWithoutAStoppedNode) {
+  Seen.FaultTimes = {{10'000, 15'000},
+                     {6000, 6999, true},
+                     {15'001, 16'000, true},
+                     {9000, 16'000}};
   Seen.Drains = {{0, 10'000, 15'000, DrainTimedOutCode, 0}};
   checkBroken("process", "node 0");
 }
