--- a/src/targets/TargetClient.h
+++ b/src/targets/TargetClient.h
@@ -63,7 +63,7 @@
   std::size_t MaxRequests = 1024; ///< Limit on unfinished requests.
   /// A connection is closed after so many requests, which bounds the IDs that
   /// are kept of them.
-  std::uint32_t MaxConnectionRequests = 4096;
+  std::uint32_t MaxConnectionRequests = 1024;
   DurationMs ConnectTimeout{1000};
   /// Names of the fields that authenticate an answer and associate it with its
   /// request.
--- a/src/targets/TargetConnections.cpp
+++ b/src/targets/TargetConnections.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Digest.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cstddef>
 #include <netinet/in.h>
@@ -53,15 +54,23 @@
 TargetConnections::onRequest(int LocalPort,
                              std::optional<std::string_view> Id) {
   Connection *Known = find(LocalPort);
-  if (!Known || (Id && !Known->SentIds.insert(stableHash(*Id)).second))
+  if (!Known)
     return std::nullopt;
+  if (Id) {
+    const std::uint64_t Hash = stableHash(*Id);
+    if (std::ranges::find(Known->SentIds, Hash) != Known->SentIds.end())
+      return std::nullopt;
+    Known->SentIds.push_back(Hash);
+  }
   return ++Known->Requests;
 }
 
-/// The connection with a local port, which it gets with its first request.
+/// The connection with a local port, which it gets with its first request. One
+/// that was reset has lost its port, which another may have by now.
 TargetConnections::Connection *TargetConnections::find(int LocalPort) {
   for (auto &[Socket, Each] : Connections)
-    if (Each.LocalPort == LocalPort && !Each.Ended)
+    if (Each.LocalPort == LocalPort && localPort(Socket) == LocalPort &&
+        !Each.Ended)
       return &Each;
   for (auto &[Socket, Each] : Connections) {
     if (Each.LocalPort != 0 || localPort(Socket) != LocalPort)
--- a/src/targets/TargetConnections.h
+++ b/src/targets/TargetConnections.h
@@ -13,7 +13,7 @@
 #include <optional>
 #include <set>
 #include <string_view>
-#include <unordered_set>
+#include <vector>
 
 #include <curl/curl.h>
 
@@ -47,7 +47,7 @@
   struct Connection {
     int LocalPort = 0; ///< 0 until its first request.
     std::uint32_t Requests = 0;
-    std::unordered_set<std::uint64_t> SentIds; ///< Hashes.
+    std::vector<std::uint64_t> SentIds; ///< Hashes.
     bool Ended = false; ///< By \ref endReadable; libcurl still holds it.
   };
 
