--- a/src/callers/HeaderFields.cpp
+++ b/src/callers/HeaderFields.cpp
@@ -45,6 +45,10 @@
   return Byte == '\t' || (Byte >= ' ' && Byte != 0x7f);
 }
 
+bool isFieldValue(std::string_view Text) {
+  return std::all_of(Text.begin(), Text.end(), isFieldValueByte);
+}
+
 std::string_view trimmedFieldValue(std::string_view Value) {
   return trimmed(Value, " \t");
 }
--- a/src/callers/HeaderFields.h
+++ b/src/callers/HeaderFields.h
@@ -24,6 +24,9 @@
 /// above 0x7f are allowed, since they may belong to any charset.
 bool isFieldValueByte(unsigned char Byte);
 
+/// Whether a text consists of such bytes only.
+bool isFieldValue(std::string_view Text);
+
 /// Removes leading and trailing spaces and tabs from a field value.
 std::string_view trimmedFieldValue(std::string_view Value);
 
--- a/src/targets/StatusLine.cpp
+++ b/src/targets/StatusLine.cpp
@@ -39,8 +39,7 @@
     return std::nullopt;
   const std::string_view Reason =
       Line.substr(std::min(ReasonPosition, Line.size()));
-  if (!std::all_of(Reason.begin(), Reason.end(), isFieldValueByte) ||
-      containsStatusLine(Reason))
+  if (!isFieldValue(Reason) || containsStatusLine(Reason))
     return std::nullopt;
   int Status = 0;
   for (const char Digit : Line.substr(StatusPosition, StatusDigits))
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -21,6 +21,9 @@
 
 namespace fescuewood {
 
+/// Lower status codes denote interim answers.
+inline constexpr int FirstFinalStatus = 200;
+
 /// Returns the place of a request on a connection, or std::nullopt to reject
 /// the connection; see TargetConnections::onRequest.
 using ConnectionHook = std::function<std::optional<std::uint32_t>(
--- a/tests/targets/TargetTransferTest.cpp
+++ b/tests/targets/TargetTransferTest.cpp
@@ -8,6 +8,8 @@
 #include <string>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace fescuewood;
@@ -179,10 +181,11 @@
 
 // Guards against an answer of status 000 that a caller gets as an answer.
 TEST(TargetTransfer, RejectsAnAnswerOfAStatusThatDoesNotExist) {
-  const std::string Rest =
-      " Odd\r\nId: mine\r\nSigned: s\r\nContent-Length: 2\r\n\r\nok";
   for (const std::string Status : {"000", "0", "099", "600", "999"}) {
-    const TargetResult Result = resultFor("HTTP/1.1 " + Status + Rest);
+    const TargetResult Result =
+        resultFor(fmt::format("HTTP/1.1 {} Odd\r\nId: mine\r\nSigned: s\r\n"
+                              "Content-Length: 2\r\n\r\nok",
+                              Status));
 
     CHECK_FALSE_TEXT(Result.Answer.has_value(), Status.c_str());
     CHECK_TRUE_TEXT(ResultCode::TargetAnswerMalformed == Result.Reason,
