Start nodes where the platform names no bounds of keys and quotas

Cause: the settings template names the bounds of keys and rates in any case. The fixture of real processes renders the sections of the template and can run without organisations.

--- a/tests/platform/StoreMeshFixture.cpp
+++ b/tests/platform/StoreMeshFixture.cpp
@@ -68,6 +68,19 @@
     Text.replace(Position, Name.size(), Value);
 }
 
+/// Keeps the text of each section `{{#Name}}` of the template, or removes it.
+void renderSections(std::string &Text, const std::string &Name, bool Kept) {
+  const std::string Begin = "{{#" + Name + "}}";
+  const std::string End = "{{/" + Name + "}}";
+  for (std::size_t From = Text.find(Begin); From != std::string::npos;
+       From = Text.find(Begin, From)) {
+    const std::size_t To = Text.find(End, From);
+    const std::size_t Inner = From + Begin.size();
+    const std::string Content = Text.substr(Inner, To - Inner);
+    Text.replace(From, To + End.size() - From, Kept ? Content : "");
+  }
+}
+
 } // namespace
 
 StoreMesh::StoreMesh() {
@@ -157,17 +170,20 @@
 void StoreMesh::configure(const std::string &OpenService,
                           const std::string &Keys) const {
   static int Version = 0;
+  const std::string Organisations = fmt::format(
+      R"(,"tenants":[{{"name":"clerks","api_keys":[{}],"priority":1,)"
+      R"("rate_per_s":1000,"burst":1000}}])",
+      Keys);
   putItem("op/config",
           fmt::format(
               R"({{"version":{},"routes":[{},{},{}],"services":[{},{}],)"
               R"("limits":{{"max_header_bytes":16384,"max_body_bytes":100000,)"
-              R"("header_timeout_s":3,"idle_timeout_s":15}},)"
-              R"("tenants":[{{"name":"clerks","api_keys":[{}],"priority":1,)"
-              R"("rate_per_s":1000,"burst":1000}}]}})",
+              R"("header_timeout_s":3,"idle_timeout_s":15}}{}}})",
               ++Version, routeJson("open", OpenService, "idempotent", true),
               routeJson("read", "queue", "idempotent", false),
               routeJson("book", "ledger", "non_idempotent", false),
-              serviceJson("queue"), serviceJson("ledger"), Keys));
+              serviceJson("queue"), serviceJson("ledger"),
+              HasOrganisations ? Organisations : ""));
 }
 
 void StoreMesh::registerTarget(const StoreMeshInstance &Instance,
@@ -198,6 +214,8 @@
                        MaxTemplateBytes);
   if (!Text)
     throw std::runtime_error("deploy/settings.ini cannot be read");
+  for (const char *Bound : {"bounds.revoke_s", "bounds.quota_window_s"})
+    renderSections(*Text, Bound, HasOrganisations);
   const std::array<std::pair<std::string, std::string>, 13> Placeholders{{
       {"{{ip}}", Instance.Ip},
       {"{{zone}}", Instance.Domain},
--- a/tests/platform/StoreMeshFixture.h
+++ b/tests/platform/StoreMeshFixture.h
@@ -95,6 +95,9 @@
 
   std::vector<StoreMeshInstance> Instances;
   int Slots = 6; ///< Of each target.
+  /// Whether the deployment has organisations, with keys and quotas; set before
+  /// \ref start.
+  bool HasOrganisations = true;
 
   /// Starts the node of an instance; its previous process must have ended.
   void startNode(StoreMeshInstance &Instance) const;
