Rank calls of targets in meshes without organisations

Cause: a call that a target makes while it runs a request is recognised by its lack of an organisation. Where there are no organisations, it had the rank of a caller's request and was shed by its objective, and the work of its parent was lost. Change: the id of such a call is the id of its parent, a separator and a suffix. The node beside the target knows what it runs and gives a call whose id names a running parent the rank of inner calls and at most the parent's time. The platform shows such ids but does not promise them (docs/PLATFORM.md); without them calls are ranked as before.

--- a/src/callers/HeaderScheme.h
+++ b/src/callers/HeaderScheme.h
@@ -53,6 +53,9 @@
   bool KeyInFieldOrQuery = true;
   /// Whether calls inside the mesh are identified by \ref CallToken.
   bool UseCallTokens = true;
+  /// Separator between the id of a request and what the target that runs it
+  /// appends to that id for a call of its own; '\0' if ids are not nested.
+  char ChildIdSeparator = '\0';
   /// Whether `Retry-After` may contain fractions of a second.
   bool FractionalRetryAfter = false;
 };
--- a/src/calls/CallContext.h
+++ b/src/calls/CallContext.h
@@ -12,6 +12,7 @@
 #include "nodes/CallMessages.h"
 #include "policy/CallSettings.h"
 #include "policy/CrashGuard.h"
+#include "policy/ParentRequests.h"
 
 #include <cstdint>
 #include <deque>
@@ -35,6 +36,7 @@
       : Identity(std::move(Identity)), Settings(Settings),
         Hooks(std::move(Hooks)), Time(std::move(Time)),
         Guard({Settings.CrashLimit, Settings.CrashMemory}),
+        Parents(this->Identity.Scheme.ChildIdSeparator),
         Process(processId(this->Identity.Name, this->Identity.Incarnation)) {}
 
   CallIdentity Identity;
@@ -43,6 +45,7 @@
   Clock Time;
   SnapshotPtr Config; ///< Null until a configuration is in force.
   CrashGuard Guard;
+  ParentRequests Parents;      ///< Requests that the local target is running.
   const std::uint64_t Process; ///< Of this node, see \ref processId.
   CallStatus Counters;
   /// Set while the node drains: a call that may end later is not taken.
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -46,6 +46,7 @@
 void EntrySide::submit(CallHandle Handle, CallRequest Request,
                        AnswerHook OnAnswer) {
   const TimeMs Now = Context.now();
+  adoptParent(Request);
   EntryCall &Call = Calls[Handle];
   Call.OnAnswer = std::move(OnAnswer);
   Call.SubmittedAt = Now;
@@ -67,6 +68,21 @@
     dispatch(Handle, Call);
 }
 
+/// Ranks a call that the local target makes while it runs another request, and
+/// bounds its time by that request's. Where there are organisations, the entry
+/// knows such a call by its lack of one.
+void EntrySide::adoptParent(CallRequest &Request) const {
+  if (!Context.Config || !Context.Config->Organisations.empty())
+    return;
+  const std::optional<TimeMs> ParentDeadline = Context.Parents.parentDeadline(
+      requestId(Request, Context.Identity.Scheme));
+  if (!ParentDeadline)
+    return;
+  Request.Priority = InnerCallPriority;
+  Request.Remaining =
+      std::min(Request.Remaining, *ParentDeadline - Context.now());
+}
+
 void EntrySide::cancel(CallHandle Handle) {
   const auto Found = Calls.find(Handle);
   if (Found == Calls.end())
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -182,6 +182,7 @@
 
   using CallMap = std::map<CallHandle, EntryCall>;
 
+  void adoptParent(CallRequest &Request) const;
   /// Returns the call if \p Id is its current attempt, otherwise null.
   EntryCall *find(CallHandle Handle, const CallId &Id);
   /// Schedules the next step for \p When or the end of the call, whichever is
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -97,6 +97,8 @@
   Call.TargetId = NamedTarget;
   Call.AnswerBytes = Memory.reserve(Call.Request.Route);
   ++InFlight;
+  Context.Parents.add(requestId(Call.Request, Context.Identity.Scheme),
+                      Call.Deadline);
   Announced.onRequestSent(Now);
   ++Context.Counters.Runs;
   Context.Counters.QueueWait.add(Now - Call.ArrivedAt);
@@ -136,6 +138,8 @@
     return;
   const TimeMs Now = Context.now();
   HeldCall &Call = Found->second;
+  Context.Parents.remove(requestId(Call.Request, Context.Identity.Scheme),
+                         Call.Deadline);
   Context.Counters.TargetLatency.add(Now - Call.StartedAt);
   recordResult(Call, Result, Now);
   reportRun(Call, Result, Now);
--- a/src/platform/PlatformScheme.cpp
+++ b/src/platform/PlatformScheme.cpp
@@ -23,6 +23,7 @@
   Scheme.KeyPrefix = "token ";
   Scheme.KeyInFieldOrQuery = false;
   Scheme.UseCallTokens = false;
+  Scheme.ChildIdSeparator = '.';
   Scheme.FractionalRetryAfter = true;
   return Scheme;
 }
