Render the sections of the settings template in one place

Change: the fixture of real processes and the soak call one renderer, tests/standins/SettingsTemplate.h, which also knows sections for a missing value.

--- a/soak/PlatformWords.cpp
+++ b/soak/PlatformWords.cpp
@@ -1,6 +1,7 @@
 #include "soak/PlatformWords.h"
 
-#include <array>
+#include "standins/SettingsTemplate.h"
+
 #include <stdexcept>
 #include <string_view>
 #include <utility>
@@ -40,13 +41,6 @@
           {"tls", false}};
 }
 
-void replaceAll(std::string &Text, std::string_view Name,
-                std::string_view Value) {
-  for (std::size_t At = Text.find(Name); At != std::string::npos;
-       At = Text.find(Name, At + Value.size()))
-    Text.replace(At, Name.size(), Value);
-}
-
 } // namespace
 
 std::string targetKey(const std::string &TargetId) {
@@ -94,29 +88,24 @@
   std::string Regions;
   for (const std::string &Domain : Place.Domains)
     Regions += (Regions.empty() ? "" : ",") + Domain + ":coast";
-  const std::array<std::pair<std::string_view, std::string>, 14> Values{{
-      {"{{ip}}", Place.Ip},
-      {"{{zone}}", Place.Domain},
-      {"{{service}}", Place.Service},
-      {"{{listen_addresses.outbound}}", Place.CallersAddress},
-      {"{{listen_addresses.inbound}}", Place.PeersAddress},
-      {"{{listen_addresses.ready}}", Place.ReadyAddress},
-      {"{{app_address}}", Place.TargetAddress},
-      {"{{provider.address}}", Place.StoreAddress},
-      {"{{#zones}}{{@}}:{{.}}{{,}}{{/zones}}", Regions},
-      {"{{bounds.config_apply_s}}", "2"},
-      {"{{bounds.revoke_s}}",
+  const standins::TemplateValues Values = {
+      {"ip", Place.Ip},
+      {"zone", Place.Domain},
+      {"service", Place.Service},
+      {"listen_addresses.outbound", Place.CallersAddress},
+      {"listen_addresses.inbound", Place.PeersAddress},
+      {"listen_addresses.ready", Place.ReadyAddress},
+      {"app_address", Place.TargetAddress},
+      {"provider.address", Place.StoreAddress},
+      {"zones", Regions},
+      {"bounds.config_apply_s", "2"},
+      {"bounds.revoke_s",
        fmt::format("{}", static_cast<double>(KeyWithdrawalMs) / MsPerSecond)},
-      {"{{bounds.quota_window_s}}", "5"},
-      {"{{bounds.quota_overage}}", "0.25"},
-      {"{{bounds.quota_slack}}", "20"},
-  }};
-  for (const auto &[Name, Value] : Values)
-    replaceAll(Template, Name, Value);
-  if (Template.find("{{") != std::string::npos)
-    throw std::runtime_error(
-        "the settings template has an unknown placeholder");
-  return Template;
+      {"bounds.quota_window_s", "5"},
+      {"bounds.quota_overage", "0.25"},
+      {"bounds.quota_slack", "20"},
+  };
+  return standins::renderTemplate(std::move(Template), Values);
 }
 
 } // namespace fescuewood::soak::platform
--- a/tests/platform/StoreMeshFixture.cpp
+++ b/tests/platform/StoreMeshFixture.cpp
@@ -1,9 +1,9 @@
 #include "platform/StoreMeshFixture.h"
 
 #include "core/ReadFile.h"
+#include "standins/SettingsTemplate.h"
 #include "support/Await.h"
 
-#include <array>
 #include <stdexcept>
 #include <unistd.h>
 
@@ -61,26 +61,6 @@
          (Public ? "true}" : "false}");
 }
 
-void replaceAll(std::string &Text, std::string_view Name,
-                std::string_view Value) {
-  for (std::size_t Position = Text.find(Name); Position != std::string::npos;
-       Position = Text.find(Name, Position + Value.size()))
-    Text.replace(Position, Name.size(), Value);
-}
-
-/// Keeps the text of each section `{{#Name}}` of the template, or removes it.
-void renderSections(std::string &Text, const std::string &Name, bool Kept) {
-  const std::string Begin = "{{#" + Name + "}}";
-  const std::string End = "{{/" + Name + "}}";
-  for (std::size_t From = Text.find(Begin); From != std::string::npos;
-       From = Text.find(Begin, From)) {
-    const std::size_t To = Text.find(End, From);
-    const std::size_t Inner = From + Begin.size();
-    const std::string Content = Text.substr(Inner, To - Inner);
-    Text.replace(From, To + End.size() - From, Kept ? Content : "");
-  }
-}
-
 } // namespace
 
 StoreMesh::StoreMesh() {
@@ -214,30 +194,25 @@
                        MaxTemplateBytes);
   if (!Text)
     throw std::runtime_error("deploy/settings.ini cannot be read");
-  for (const char *Bound : {"bounds.revoke_s", "bounds.quota_window_s"})
-    renderSections(*Text, Bound, HasOrganisations);
-  const std::array<std::pair<std::string, std::string>, 13> Placeholders{{
-      {"{{ip}}", Instance.Ip},
-      {"{{zone}}", Instance.Domain},
-      {"{{service}}", Instance.Service},
-      {"{{listen_addresses.outbound}}", endpoint(Instance.Ip, CallersPort)},
-      {"{{listen_addresses.inbound}}", endpoint(Instance.Ip, PeersPort)},
-      {"{{listen_addresses.ready}}", endpoint(Instance.Ip, ReadyPort)},
-      {"{{app_address}}", endpoint(Instance.Ip, TargetPort)},
-      {"{{provider.address}}", storeAddress(Instance)},
-      {"{{#zones}}{{@}}:{{.}}{{,}}{{/zones}}", "east:coast,west:coast"},
-      {"{{bounds.config_apply_s}}", "2"},
-      {"{{bounds.revoke_s}}", "5"},
-      {"{{bounds.quota_window_s}}", "5"},
-      {"{{bounds.quota_overage}}", "0.25"},
-  }};
-  for (const auto &[Name, Value] : Placeholders)
-    replaceAll(*Text, Name, Value);
-  replaceAll(*Text, "{{bounds.quota_slack}}", "20");
-  if (Text->find("{{") != std::string::npos)
-    throw std::runtime_error(
-        "deploy/settings.ini contains an unknown placeholder");
-  return *Text;
+  standins::TemplateValues Values = {
+      {"ip", Instance.Ip},
+      {"zone", Instance.Domain},
+      {"service", Instance.Service},
+      {"listen_addresses.outbound", endpoint(Instance.Ip, CallersPort)},
+      {"listen_addresses.inbound", endpoint(Instance.Ip, PeersPort)},
+      {"listen_addresses.ready", endpoint(Instance.Ip, ReadyPort)},
+      {"app_address", endpoint(Instance.Ip, TargetPort)},
+      {"provider.address", storeAddress(Instance)},
+      {"zones", "east:coast,west:coast"},
+      {"bounds.config_apply_s", "2"},
+  };
+  if (HasOrganisations) {
+    Values["bounds.revoke_s"] = "5";
+    Values["bounds.quota_window_s"] = "5";
+    Values["bounds.quota_overage"] = "0.25";
+    Values["bounds.quota_slack"] = "20";
+  }
+  return standins::renderTemplate(std::move(*Text), Values);
 }
 
 std::string StoreMesh::logFile(const StoreMeshInstance &Instance) const {
