Add routing by the expected end of a run

Cause: with free slots at all targets, near-first picks slow and fast targets alike; on a platform whose targets differ in speed by more than two, most answers of the slow ones are late. Change: routing = earliest-finish ranks candidates as near-first does, with the run time of the last load report added. Result: Router.ByFinishLeavesSlowTargetsToTheLoadThatFastOnesCannotTake; no deployment uses it yet.

--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -18,7 +18,9 @@
 RouterSettings routerSettings(const CallSettings &Settings) {
   RouterSettings Result;
   Result.PickAtRandom = Settings.Routing == RoutingMode::Random;
-  Result.NearFirst = Settings.Routing == RoutingMode::NearFirst;
+  Result.ByFinish = Settings.Routing == RoutingMode::EarliestFinish;
+  Result.NearFirst =
+      Settings.Routing == RoutingMode::NearFirst || Result.ByFinish;
   Result.Choices = Settings.Choices;
   Result.RegionCost = Settings.RegionCost;
   Result.RemoteCost = Settings.RemoteCost;
--- a/src/policy/CallSettings.h
+++ b/src/policy/CallSettings.h
@@ -19,6 +19,8 @@
   TwoChoices, ///< The best of a few random candidates.
   Random,     ///< A random target of the service; for comparison.
   NearFirst,  ///< The own domain, unless another one is faster by its cost.
+  /// As NearFirst, by the expected end of the run in place of its start.
+  EarliestFinish,
 };
 
 /// How a node limits the concurrent requests to its target.
--- a/src/policy/Router.cpp
+++ b/src/policy/Router.cpp
@@ -243,10 +243,18 @@
                                                       Candidate.SentSinceLoad));
   const double Queue = std::max(0.0, Requests + 1 - Limit) / Limit;
   const double Utilisation = std::min(1.0, Requests / Limit);
-  return distanceCost(Candidate) +
+  return distanceCost(Candidate) + runTime(Candidate) +
          (Queue + UtilisationCost * Utilisation) * Latency;
 }
 
+/// Expected run time at a target as far as it counts in the wait; 0 before the
+/// first load report, so that a new target is tried.
+double Router::runTime(const Entry &Candidate) const {
+  if (!Settings.ByFinish || !Candidate.Load)
+    return 0;
+  return static_cast<double>(Candidate.Load->Latency.Value);
+}
+
 /// Wait equivalent to the distance to a target, in milliseconds.
 double Router::distanceCost(const Entry &Candidate) const {
   switch (nearnessOf(Candidate)) {
--- a/src/policy/Router.h
+++ b/src/policy/Router.h
@@ -9,6 +9,11 @@
 /// (Mitzenmacher, 2001). This tolerates stale load reports and does not direct
 /// all entry nodes to the same idle target.
 ///
+/// RouterSettings::ByFinish answers the load of targets that differ in speed:
+/// with free slots everywhere, a slow target starts a run as early as a fast
+/// one and ends it much later. The expected run time then counts as well, so
+/// that slow targets are left to the load that the fast ones cannot take.
+///
 /// Instances in a failure domain that is out get no calls; those in one that
 /// has returned get a growing share. Where the view of the router is out of
 /// date, the target's node rejects what the target cannot accept.
@@ -34,8 +39,10 @@
 
 /// Configuration of a \ref Router.
 struct RouterSettings {
-  bool PickAtRandom = false;        ///< Ignore load; for comparison.
-  bool NearFirst = false;           ///< Leave the own domain only for a gain.
+  bool PickAtRandom = false; ///< Ignore load; for comparison.
+  bool NearFirst = false;    ///< Leave the own domain only for a gain.
+  /// Rank candidates by the expected end of the run, not by its start.
+  bool ByFinish = false;
   std::uint32_t Choices = 2;        ///< Candidates drawn per call.
   DurationMs RegionCost{2};         ///< Wait added for another domain.
   DurationMs RemoteCost{40};        ///< Wait added for another region.
@@ -136,6 +143,7 @@
   Nearness nearnessOf(const Entry &Candidate) const;
   double weightOf(const Entry &Candidate, TimeMs Now) const;
   double expectedWait(const Entry &Candidate, TimeMs Now) const;
+  double runTime(const Entry &Candidate) const;
   double distanceCost(const Entry &Candidate) const;
   const Entry *bestOfSample(std::vector<Choice> Eligible, TimeMs Now,
                             const RandomHook &Random) const;
--- a/src/settings/CallRows.cpp
+++ b/src/settings/CallRows.cpp
@@ -32,7 +32,7 @@
   const CallSettings Defaults;
   // clang-format off
   return {
-      row("routing", "", "two-choices", oneOf<RoutingMode>({{"two-choices", RoutingMode::TwoChoices}, {"random", RoutingMode::Random}, {"near-first", RoutingMode::NearFirst}}), &CallSettings::Routing, "How a target is selected; near-first suits platforms where traffic between failure domains is expensive, random is for comparison."),
+      row("routing", "", "two-choices", oneOf<RoutingMode>({{"two-choices", RoutingMode::TwoChoices}, {"random", RoutingMode::Random}, {"near-first", RoutingMode::NearFirst}, {"earliest-finish", RoutingMode::EarliestFinish}}), &CallSettings::Routing, "How a target is selected; near-first suits platforms where traffic between failure domains is expensive, earliest-finish such platforms whose targets differ in speed, random is for comparison."),
       row("admission", "", "adaptive", oneOf<AdmissionMode>({{"adaptive", AdmissionMode::Adaptive}, {"slots", AdmissionMode::Slots}, {"off", AdmissionMode::Off}}), &CallSettings::Admission, "How the concurrency of the target is limited; slots and off are for comparison."),
       row("retry", "", "fetch", oneOf<RetryMode>({{"fetch", RetryMode::Fetch}, {"plain", RetryMode::Plain}}), &CallSettings::Retry, "What to do when no response arrives; plain may run a request twice and is for comparison."),
       row("choices", "", text(Defaults.Choices), wholeNumber<std::uint32_t>(1, 16), &CallSettings::Choices, "Targets that are compared for each call."),
--- a/tests/policy/RouterTest.cpp
+++ b/tests/policy/RouterTest.cpp
@@ -188,3 +188,35 @@
       RC_ASSERT(Allowed.contains(Picked->Name));
   });
 }
+
+// Guards against slow targets that get as many requests as fast ones while all
+// have free slots, and so answer most of theirs late.
+TEST(Router, ByFinishLeavesSlowTargetsToTheLoadThatFastOnesCannotTake) {
+  RouterSettings Settings;
+  Settings.NearFirst = true;
+  Settings.ByFinish = true;
+  Settings.RegionCost = DurationMs(1000);
+  Router Uneven(Settings, "east");
+  Uneven.setSnapshot(config(), Now);
+  Uneven.setInstances(instances());
+  const auto Report = [&](const char *Name, std::uint32_t Busy, int LatencyMs) {
+    Uneven.onLoad(Name, {Busy, 0, 6, DurationMs(LatencyMs), TargetState::Ready},
+                  Now);
+  };
+  const auto SharesOfSlow = [&] {
+    double Slow = 0;
+    for (int I = 0; I < 1000; ++I) {
+      const Instance *Picked = Uneven.pick("queue", {}, Now, Random);
+      Slow += Picked->Name == "east/0" ? 0.001 : 0;
+    }
+    return Slow;
+  };
+  Report("east/0", 1, 100);
+  Report("east/1", 3, 40);
+  Report("east/2", 3, 40);
+  CHECK_COMPARE(SharesOfSlow(), <, 0.01);
+
+  Report("east/1", 18, 40);
+  Report("east/2", 18, 40);
+  CHECK_COMPARE(SharesOfSlow(), >, 0.5);
+}
