Fetch pieces ahead from a node that sends small ones

A node that schedules its link will send pieces of 16 KiB at most. Fetched one after the other, each costs the link a round trip without work: 8 to 13 % at 10 Mbit/s, more than half at 200 Mbit/s. The entry node now fetches up to 64 KiB ahead once a piece is shorter than asked for, and the assembler keeps pieces that arrive before an earlier one. A failed fetch ahead is no sign of silence; the piece is fetched again when it is the next one. Pieces of other nodes are 64 KiB, so nothing changes there.

--- a/src/calls/EntryMessages.cpp
+++ b/src/calls/EntryMessages.cpp
@@ -120,13 +120,40 @@
     onReply(Handle, Call, Reply);
     return;
   }
-  // A connection that delivered a reply since the request was sent is reused.
+  sendFetch(Handle, Current, Fetch, fetchRoute(Current, Route), Timeout);
+}
+
+/// The open connection if it delivered a reply since the request was sent,
+/// otherwise \p Route.
+PeerRoute EntrySide::fetchRoute(const Attempt &Current, PeerRoute Route) {
   const Link &Known = Links[Current.Address];
   const bool IsConnectionProven =
-      Now - Known.LastReplyAt < Context.Settings.HeartbeatInterval &&
+      Context.now() - Known.LastReplyAt < Context.Settings.HeartbeatInterval &&
       Known.LastReplyAt >= Current.SentAt && Current.UnansweredFetches == 0;
-  sendFetch(Handle, Current, Fetch,
-            IsConnectionProven ? PeerRoute::Reuse : Route, Timeout);
+  return IsConnectionProven ? PeerRoute::Reuse : Route;
+}
+
+/// Fetches the pieces after the next one from a node that sends small pieces,
+/// so that its link is not idle for a round trip after each of them. As many
+/// bytes are under way as in one piece of a node that does not schedule.
+void EntrySide::fetchAhead(CallHandle Handle, EntryCall &Call) {
+  Attempt &Current = *Call.Current;
+  if (Current.PieceBytes == 0 || Current.UnansweredFetches > 0)
+    return;
+  const std::uint64_t End = std::min(
+      Current.Answer.totalBytes(), Current.Answer.offset() + AnswerPieceBytes);
+  for (std::uint64_t Offset = Current.Answer.offset() + Current.PieceBytes;
+       Offset < End; Offset += Current.PieceBytes) {
+    if (Current.Answer.keepsAhead(Offset) ||
+        !Current.FetchedAhead.insert(Offset).second)
+      continue;
+    ++Context.Counters.Fetches;
+    CallFetch Fetch;
+    Fetch.Id = Current.Id;
+    Fetch.Offset = Offset;
+    sendFetch(Handle, Current, Fetch, fetchRoute(Current, PeerRoute::Reuse),
+              fetchTimeout(Call));
+  }
 }
 
 CallFetch EntrySide::outcomeFetch(const Attempt &Current) const {
@@ -165,12 +192,12 @@
   Message.Body = encode(Fetch);
   Message.Timeout = Timeout;
   Message.Route = Route;
-  Context.Hooks.Send(std::move(Message), [this, Handle, Id = Current.Id,
-                                          Route](const PeerReply &Reply) {
-    Context.run([this, Handle, Id, Reply, Route] {
-      onFetchReply(Handle, Id, Reply, Route);
-    });
-  });
+  Context.Hooks.Send(std::move(Message),
+                     [this, Handle, Fetch, Route](const PeerReply &Reply) {
+                       Context.run([this, Handle, Fetch, Reply, Route] {
+                         onFetchReply(Handle, Fetch, Reply, Route);
+                       });
+                     });
 }
 
 void EntrySide::sendCancel(const Attempt &Cancelled) {
--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -49,12 +49,14 @@
     fetchOutcome(Handle, *Call, PeerRoute::Fresh);
 }
 
-void EntrySide::onFetchReply(CallHandle Handle, const CallId &Id,
+void EntrySide::onFetchReply(CallHandle Handle, const CallFetch &Fetch,
                              const PeerReply &Reply, PeerRoute Route) {
-  EntryCall *Call = find(Handle, Id);
+  EntryCall *Call = find(Handle, Fetch.Id);
   if (!Call)
     return;
-  Call->Current->FetchPending = false;
+  const bool WasAhead = Call->Current->FetchedAhead.erase(Fetch.Offset) > 0;
+  if (!WasAhead)
+    Call->Current->FetchPending = false;
   const auto Decoded = Reply.Body ? decodeCallReply(*Reply.Body) : std::nullopt;
   if (Decoded)
     onReplyMetadata(*Decoded, Reply.Sender, *Call->Current, Route);
@@ -63,7 +65,9 @@
     return;
   }
   if (!Decoded) {
-    onFetchFailed(Handle, *Call);
+    // A piece that was fetched ahead is fetched again when it is the next one.
+    if (!WasAhead)
+      onFetchFailed(Handle, *Call);
     return;
   }
   Call->Current->UnansweredFetches = 0;
@@ -203,6 +207,11 @@
     refuse(Handle, Call, ResultCode::AnswerLost, Outcome::Ran);
     return;
   }
+  const bool IsPaced = Reply.Piece.size() > ProbePieceBytes &&
+                       Reply.Piece.size() < AnswerPieceBytes &&
+                       Reply.Offset + Reply.Piece.size() < Reply.TotalBytes;
+  if (IsPaced)
+    Current.PieceBytes = Reply.Piece.size();
   const bool Added = Current.Answer.add(Reply);
   if (Added && !Current.Answer.complete()) {
     awaitRest(Handle, Call);
@@ -217,15 +226,25 @@
     refuse(Handle, Call, ResultCode::AnswerLost, Outcome::Ran);
 }
 
-/// Fetches the next piece of an incomplete answer, unless one is under way.
+/// Fetches the next piece of an incomplete answer, unless one is under way, and
+/// those after it if the node sends small pieces.
 void EntrySide::awaitRest(CallHandle Handle, EntryCall &Call) {
-  const Attempt &Current = *Call.Current;
-  if (Current.FetchPending)
-    return;
-  if (Current.StartPending)
+  Attempt &Current = *Call.Current;
+  if (Current.FetchedAhead.erase(Current.Answer.offset()) > 0) {
+    Current.FetchPending = true;
     schedule(Handle, Call, Context.now() + fetchTimeout(Call));
-  else
+  }
+  if (!Current.FetchPending && Current.StartPending) {
+    schedule(Handle, Call, Context.now() + fetchTimeout(Call));
+    return;
+  }
+  if (Current.Address.empty()) {
+    fetchOutcome(Handle, Call, PeerRoute::Reuse);
+    return;
+  }
+  if (!Current.FetchPending)
     fetchOutcome(Handle, Call, PeerRoute::Reuse);
+  fetchAhead(Handle, Call);
 }
 
 void EntrySide::onAnswer(CallHandle Handle, EntryCall &Call,
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -142,7 +142,7 @@
   std::size_t Bytes = 0;
   for (const auto &[Handle, Call] : Calls)
     if (Call.Current)
-      Bytes += Call.Current->Answer.offset();
+      Bytes += Call.Current->Answer.heldBytes();
   return Bytes;
 }
 
@@ -346,7 +346,9 @@
   Attempt &Current = *Call.Current;
   if (Current.MayBeDelivered)
     --Call.PossibleDeliveries;
-  Current.StartPending = false; // A reply meanwhile was ignored.
+  // Replies meanwhile were ignored.
+  Current.StartPending = false;
+  Current.FetchedAhead.clear();
   Targets.onSent(Current.Target);
   Context.report(EventId::CallMoved,
                  {{"request", requestId(Call.Request, Context.Identity.Scheme)},
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -102,6 +102,11 @@
   /// next reply.
   std::optional<SilentAttempt> Silence;
   AnswerAssembler Answer;
+  /// Size of the pieces of a node that sends smaller ones than asked for, since
+  /// its link is scheduled; 0 otherwise.
+  std::size_t PieceBytes = 0;
+  /// Offsets of the pieces that are fetched ahead of the next one.
+  std::set<std::uint64_t> FetchedAhead;
 };
 
 /// Calls that entered at one node. Not thread-safe; used only inside
@@ -199,6 +204,8 @@
   DurationMs firstFetchDelay(const Attempt &Current) const;
   void sendStart(CallHandle Handle, EntryCall &Call);
   void queryIncarnation(CallHandle Handle, EntryCall &Call);
+  PeerRoute fetchRoute(const Attempt &Current, PeerRoute Route);
+  void fetchAhead(CallHandle Handle, EntryCall &Call);
   CallFetch outcomeFetch(const Attempt &Current) const;
   DurationMs fetchTimeout(EntryCall &Call) const;
   void sendFetch(CallHandle Handle, const Attempt &Current,
@@ -208,8 +215,8 @@
 
   void onStartReply(CallHandle Handle, const CallId &Id, const PeerReply &Reply,
                     PeerRoute Route);
-  void onFetchReply(CallHandle Handle, const CallId &Id, const PeerReply &Reply,
-                    PeerRoute Route);
+  void onFetchReply(CallHandle Handle, const CallFetch &Fetch,
+                    const PeerReply &Reply, PeerRoute Route);
   void onReply(CallHandle Handle, EntryCall &Call, const CallReply &Reply);
   void onIncarnationReply(CallHandle Handle, EntryCall &Call, bool Answered);
   void onFetchFailed(CallHandle Handle, EntryCall &Call);
--- a/src/nodes/CallMessages.cpp
+++ b/src/nodes/CallMessages.cpp
@@ -179,14 +179,34 @@
     return false;
   // Growth in steps would copy a large answer several times.
   Received.reserve(std::min<std::uint64_t>(*Total, MaxCallBytes));
-  if (Reply.Offset > Received.size())
+  if (Reply.Offset > Received.size()) {
+    if (!Reply.Piece.empty() && Ahead.size() < MaxPiecesAhead)
+      Ahead.emplace(Reply.Offset, Reply.Piece);
     return true;
-  const std::size_t Known = Received.size() - Reply.Offset;
-  if (Known < Reply.Piece.size())
-    Received.append(Reply.Piece, Known);
+  }
+  append(Reply.Offset, Reply.Piece);
+  while (!Ahead.empty() && Ahead.begin()->first <= Received.size()) {
+    append(Ahead.begin()->first, Ahead.begin()->second);
+    Ahead.erase(Ahead.begin());
+  }
   return true;
 }
 
+/// Appends what a piece adds to the received bytes, which it must not leave a
+/// gap to.
+void AnswerAssembler::append(std::uint64_t Offset, std::string_view Piece) {
+  const std::size_t Known = Received.size() - Offset;
+  if (Known < Piece.size())
+    Received.append(Piece.substr(Known));
+}
+
+std::size_t AnswerAssembler::heldBytes() const {
+  std::size_t Bytes = Received.size();
+  for (const auto &[Offset, Piece] : Ahead)
+    Bytes += Piece.size();
+  return Bytes;
+}
+
 std::optional<CallAnswer> AnswerAssembler::answer() const {
   if (!complete())
     return std::nullopt;
--- a/src/nodes/CallMessages.h
+++ b/src/nodes/CallMessages.h
@@ -17,6 +17,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -131,24 +132,40 @@
 void addAnswerPiece(CallReply &Reply, std::string_view EncodedAnswer,
                     std::uint64_t Offset, std::uint64_t MaxPieceBytes);
 
+/// Largest number of pieces that are kept ahead of a missing one.
+inline constexpr std::size_t MaxPiecesAhead = 8;
+
 /// Joins the pieces of one answer. Pieces may be lost, repeated or reordered.
 class AnswerAssembler {
 public:
   /// Adds the part of a reply's piece that lies beyond \ref offset. A piece
-  /// that starts later is ignored. Returns false when the reply contradicts the
-  /// total size or exceeds it.
+  /// that starts later is kept until those before it are here, if there are not
+  /// too many. Returns false when the reply contradicts the total size or
+  /// exceeds it.
   bool add(const CallReply &Reply);
 
   /// Offset of the next piece to request.
   std::uint64_t offset() const { return Received.size(); }
 
+  /// Size of the answer; 0 while it is unknown.
+  std::uint64_t totalBytes() const { return Total.value_or(0); }
+
+  /// Whether a piece from \p Offset on is kept ahead of a missing one.
+  bool keepsAhead(std::uint64_t Offset) const { return Ahead.contains(Offset); }
+
+  /// Bytes that are held, those ahead of a missing piece included.
+  std::size_t heldBytes() const;
+
   bool complete() const { return Total && Received.size() == *Total; }
 
   /// The answer; std::nullopt while incomplete or when its bytes are malformed.
   std::optional<CallAnswer> answer() const;
 
 private:
+  void append(std::uint64_t Offset, std::string_view Piece);
+
   std::string Received;
+  std::map<std::uint64_t, std::string> Ahead; ///< Later pieces, by offset.
   std::optional<std::uint64_t> Total;
 };
 
