Send large answers in turn and admit them by the link

Answers of 90 kB in pieces of 64 kB saturate a link of 10 Mbit/s, and small answers of the same node are hundreds of ms late. With [calls] link_mbps, the node beside the target sends replies with a piece above 8 KiB by the link schedule, in pieces of at most 16 KiB; small ones go at once and are accounted for, as are the messages of the entry side. A fetch that waits is answered without a piece after half of its timeout, so that the node is not taken for silent.

A request of another node whose expected answer is above 8 KiB is refused as LinkBusy (524, not run) on arrival and before its run if the link cannot carry the answer before its deadline; once the link has been busy for as long as the objective, before the objective. Gauge of the backlog, counter of the refusals, field link_ms of RunEnded. At 0, the default, replies are sent as before.

--- a/bench/model/FakeCallMesh.h
+++ b/bench/model/FakeCallMesh.h
@@ -77,7 +77,8 @@
     Node->Place.Domain = Domain;
     Node->Place.Service = Service;
     Node->Place.PeerAddress = Name;
-    Node->Target = std::make_unique<FakeTarget>(Time, Options, Random());
+    Node->Target =
+        std::make_unique<FakeTarget>(Time, std::move(Options), Random());
     Nodes.push_back(std::move(Node));
     startNode(Nodes.size() - 1);
     return Nodes.size() - 1;
--- a/bench/model/FakeTarget.h
+++ b/bench/model/FakeTarget.h
@@ -32,6 +32,7 @@
   double ShedFactor = 4.0;
   /// Bytes appended to the body of each answer.
   std::size_t PaddingBytes = 0;
+  std::map<std::string, std::size_t> PaddingOfRoute; ///< Instead, by route.
 };
 
 /// The body of a target's answer to the request with this body.
@@ -47,7 +48,8 @@
 class FakeTarget {
 public:
   FakeTarget(VirtualTime &Time, FakeTargetOptions Options, std::uint64_t Seed)
-      : Time(Time), Options(Options), Random(Seed), Started(Time.nowUs()) {}
+      : Time(Time), Options(std::move(Options)), Random(Seed),
+        Started(Time.nowUs()) {}
 
   void run(const fescuewood::CallRequest &Request,
            fescuewood::DurationMs Timeout, fescuewood::RunHook OnResult) {
@@ -81,7 +83,7 @@
     Ms *= std::max(1.0, inFlight() / Capacity);
     if (isCold())
       Ms *= Options.ColdSlowdown;
-    answer(Id, 200, answerBody(Request.Body, Options.PaddingBytes),
+    answer(Id, 200, answerBody(Request.Body, paddingBytes(Request.Route)),
            static_cast<std::int64_t>(Ms * 1000));
     Time.after(Timeout.Value * VirtualTime::UsPerMs,
                [this, Id] { endRun(Id, fescuewood::RunFailure::TimedOut); });
@@ -147,7 +149,11 @@
     return static_cast<std::uint32_t>(Runs.size());
   }
 
-  std::size_t paddingBytes() const { return Options.PaddingBytes; }
+  std::size_t paddingBytes(const std::string &Route) const {
+    const auto Found = Options.PaddingOfRoute.find(Route);
+    return Found == Options.PaddingOfRoute.end() ? Options.PaddingBytes
+                                                 : Found->second;
+  }
 
   /// What it says about itself in its answers.
   fescuewood::TargetNotice Notice;
--- a/src/calls/CallCore.cpp
+++ b/src/calls/CallCore.cpp
@@ -16,7 +16,20 @@
                [this](const CallFetch &Fetch) { return Target.fetch(Fetch); },
                [this](const CallCancel &Cancel) {
                  return Target.cancel(Cancel);
-               }}) {}
+               }}) {
+  if (Context.Settings.LinkMbps > 0)
+    accountForMessages();
+}
+
+/// Messages of the entry side pass the same link as the replies.
+void CallCore::accountForMessages() {
+  PeerSend Send = std::move(Context.Hooks.Send);
+  Context.Hooks.Send = [this, Send = std::move(Send)](PeerRequest Message,
+                                                      PeerReplyHook OnReply) {
+    Target.onSentToPeer(Message.Body.size());
+    Send(std::move(Message), std::move(OnReply));
+  };
+}
 
 void CallCore::submit(CallHandle Handle, CallRequest Request,
                       AnswerHook OnAnswer) {
@@ -35,14 +48,12 @@
   Context.run([this, Kind, Body = std::string(Body), Reply = std::move(Reply)] {
     if (Kind == PeerKind::CallStart) {
       if (auto Start = decodeCallStart(Body)) {
-        Target.start(std::move(*Start), [Reply](const CallReply &Answer) {
-          Reply(encode(Answer));
-        });
+        Target.startForPeer(std::move(*Start), Reply);
         return;
       }
     } else if (Kind == PeerKind::CallFetch) {
       if (const auto Fetch = decodeCallFetch(Body)) {
-        Reply(encode(Target.fetch(*Fetch)));
+        Target.fetchForPeer(*Fetch, Reply);
         return;
       }
     } else if (Kind == PeerKind::CallCancel) {
--- a/src/calls/CallCore.h
+++ b/src/calls/CallCore.h
@@ -57,6 +57,8 @@
   std::vector<RouterCandidate> explain(std::string_view Service) const;
 
 private:
+  void accountForMessages();
+
   CallContext Context;
   TargetSide Target;
   EntrySide Entries;
--- a/src/calls/CallStatus.h
+++ b/src/calls/CallStatus.h
@@ -60,9 +60,11 @@
   std::size_t Quarantined = 0; ///< Requests refused for crashing targets.
   std::size_t LedgerIds = 0;
   std::size_t KeptBytes = 0;
-  std::size_t AnswerLimit = 0;    ///< Limit on all bytes of answers.
-  LatencyHistogram TargetLatency; ///< From the start of a run to its end.
-  LatencyHistogram QueueWait;     ///< From arrival to the start of the run.
+  std::size_t AnswerLimit = 0;      ///< Limit on all bytes of answers.
+  std::size_t LinkBacklogBytes = 0; ///< Of large answers, see PacedReplies.
+  std::uint64_t LinkRefusals = 0;   ///< Requests refused as LinkBusy.
+  LatencyHistogram TargetLatency;   ///< From the start of a run to its end.
+  LatencyHistogram QueueWait;       ///< From arrival to the start of the run.
 };
 
 } // namespace fescuewood
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -67,7 +67,7 @@
     if (!Next)
       return;
     HeldCall &Call = HeldCalls.at(*Next);
-    const ResultCode Refusal = refusalOnStart(Call.Request);
+    const ResultCode Refusal = refusalOnStart(Call);
     if (Refusal == ResultCode::Ok)
       run(*Next, Call);
     else
@@ -96,6 +96,7 @@
   Call.Epoch = Epoch;
   Call.TargetId = NamedTarget;
   Call.AnswerBytes = Memory.reserve(Call.Request.Route);
+  ProducingBytes += Call.LinkBytes;
   ++InFlight;
   Context.Parents.add(requestId(Call.Request, Context.Identity.Scheme),
                       Call.Deadline);
@@ -177,20 +178,23 @@
 
 void TargetSide::reportRun(const HeldCall &Call, const RunResult &Result,
                            TimeMs Now) const {
-  Context.report(
-      EventId::RunEnded,
-      {{"request", requestId(Call.Request, Context.Identity.Scheme)},
-       {"call", Call.Request.Id.text()},
-       {"organisation", Call.Request.Organisation},
-       {"route", Call.Request.Route},
-       {"target",
-        Listing.entry() ? Listing.entry()->TargetId : Context.Identity.Name},
-       {"queued_ms", std::to_string((Call.StartedAt - Call.ArrivedAt).Value)},
-       {"ran_ms", std::to_string((Now - Call.StartedAt).Value)},
-       {"connection", std::to_string(Result.Use.LocalPort)},
-       {"place", std::to_string(Result.Use.Place)},
-       {"status", std::to_string(Result.Answer ? Result.Answer->Status : 0)},
-       {"reason", std::string(resultName(Result.Reason))}});
+  std::vector<EventField> Fields = {
+      {"request", requestId(Call.Request, Context.Identity.Scheme)},
+      {"call", Call.Request.Id.text()},
+      {"organisation", Call.Request.Organisation},
+      {"route", Call.Request.Route},
+      {"target",
+       Listing.entry() ? Listing.entry()->TargetId : Context.Identity.Name},
+      {"queued_ms", std::to_string((Call.StartedAt - Call.ArrivedAt).Value)},
+      {"ran_ms", std::to_string((Now - Call.StartedAt).Value)},
+      {"connection", std::to_string(Result.Use.LocalPort)},
+      {"place", std::to_string(Result.Use.Place)},
+      {"status", std::to_string(Result.Answer ? Result.Answer->Status : 0)},
+      {"reason", std::string(resultName(Result.Reason))}};
+  if (Call.LinkBytes > 0)
+    Fields.push_back(
+        {"link_ms", std::to_string(Replies.timeToSend(Call.LinkBytes).Value)});
+  Context.report(EventId::RunEnded, std::move(Fields));
 }
 
 void TargetSide::recordResult(const HeldCall &Call, const RunResult &Result,
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -41,6 +41,7 @@
                                Context.Settings.AnswerMemoryShare,
                                Context.Identity.MachineBytes)),
       Ledger(ledgerLimits(Context.Settings, Memory.limit()), Context.now()),
+      Replies(Context, [this](const CallFetch &Fetch) { return fetch(Fetch); }),
       Queue(queueSettings(Context.Settings),
             [this](const CallId &Id) {
               refuse(Id, ResultCode::DeadlineUnreachable);
@@ -48,6 +49,11 @@
       Limit(admissionSettings(Context.Settings), 1, Context.now()) {}
 
 void TargetSide::start(CallStart Start, const CallReplyHook &OnReply) {
+  accept(std::move(Start), OnReply, false);
+}
+
+void TargetSide::accept(CallStart Start, const CallReplyHook &OnReply,
+                        bool FromPeer) {
   const TimeMs Now = Context.now();
   const CallId Id = Start.Request.Id;
   Context.Guard.merge(Start.Marks, Now);
@@ -67,7 +73,10 @@
   Call.Deadline = Now + Start.Request.Remaining;
   Call.Request = std::move(Start.Request);
   Call.OnReply = OnReply;
-  const ResultCode Refusal = refusalOnArrival(Call.Request);
+  Call.FromPeer = FromPeer;
+  const ResultCode Refusal = refusalOnArrival(Call);
+  Call.LinkBytes = linkBytes(Call);
+  AcceptedBytes += Call.LinkBytes;
   if (Refusal == ResultCode::Ok)
     enqueue(Id);
   else
@@ -87,6 +96,7 @@
 CallReply TargetSide::cancel(const CallCancel &Cancel) {
   Ledger.fence(Cancel.Id, Context.now());
   Ledger.release(Cancel.Id);
+  Replies.drop(Cancel.Id);
   const auto Found = HeldCalls.find(Cancel.Id);
   if (Found == HeldCalls.end())
     return stateReply(Cancel.Id);
@@ -146,6 +156,7 @@
   const TimeMs Now = Context.now();
   Queue.expire(serviceRate(), Now);
   Ledger.expire(Now);
+  Replies.tick();
   if (Now >= NextGuardExpiry) {
     Context.Guard.expire(Now);
     NextGuardExpiry = Now + GuardExpiryInterval;
@@ -161,7 +172,9 @@
 TimeMs TargetSide::nextDue() const {
   if (Queue.size() > 0)
     return Context.now();
-  TimeMs Next = AbandonedRuns.empty() ? Never : AbandonedRuns.front();
+  TimeMs Next = Replies.nextDue();
+  if (!AbandonedRuns.empty())
+    Next = std::min(Next, AbandonedRuns.front());
   if (Suspended || Down)
     Next = std::min(Next, NextProbe);
   return Next;
@@ -193,6 +206,7 @@
   Status.LedgerIds = Ledger.size();
   Status.KeptBytes = Ledger.keptBytes();
   Status.AnswerLimit = Memory.limit();
+  Status.LinkBacklogBytes = Replies.backlogBytes();
 }
 
 CallReply TargetSide::baseReply() {
@@ -238,6 +252,8 @@
 DurationMs TargetSide::retryAfter(ResultCode Reason) {
   if (Reason == ResultCode::TargetRateUsed)
     return Announced.limit().wait(Queue.size(), Context.now());
+  if (Reason == ResultCode::LinkBusy)
+    return Replies.timeToSend(ProducingBytes);
   const bool Busy = Reason == ResultCode::QueueFull ||
                     Reason == ResultCode::AnswerMemoryFull ||
                     Reason == ResultCode::DeadlineUnreachable;
@@ -249,24 +265,28 @@
                     std::max(1U, Current.Limit));
 }
 
-ResultCode TargetSide::refusalOnArrival(const CallRequest &Request) {
-  const TimeMs Deadline = Context.now() + Request.Remaining;
-  if (Context.outlastsDrain(Deadline) ||
-      Context.mayCutForGood(Request, Deadline))
+ResultCode TargetSide::refusalOnArrival(const HeldCall &Call) {
+  const CallRequest &Request = Call.Request;
+  if (Context.outlastsDrain(Call.Deadline) ||
+      Context.mayCutForGood(Request, Call.Deadline))
     return ResultCode::TargetDraining;
   if (!Context.Identity.Service.empty() &&
       Request.Service != Context.Identity.Service)
     return ResultCode::NoTargetAvailable;
   if (Down)
     return ResultCode::TargetDown;
-  if (const ResultCode Refusal = refusalOnStart(Request);
+  if (const ResultCode Refusal = refusalOnStart(Call);
+      Refusal != ResultCode::Ok)
+    return Refusal;
+  if (const ResultCode Refusal = refusalByLink(Call, AcceptedBytes);
       Refusal != ResultCode::Ok)
     return Refusal;
   return exceedsNamedRate(Request) ? ResultCode::TargetRateUsed
                                    : ResultCode::Ok;
 }
 
-ResultCode TargetSide::refusalOnStart(const CallRequest &Request) {
+ResultCode TargetSide::refusalOnStart(const HeldCall &Call) {
+  const CallRequest &Request = Call.Request;
   if (const ResultCode Refusal = refusalByListing(); Refusal != ResultCode::Ok)
     return Refusal;
   if (isOwnDomainOut())
@@ -280,7 +300,7 @@
   if (Memory.expectsLarge(Request.Route) &&
       !Memory.fits(Request.Route, Ledger.keptBytes() + JoiningBytes()))
     return ResultCode::AnswerMemoryFull;
-  return ResultCode::Ok;
+  return refusalByLink(Call, ProducingBytes);
 }
 
 QueuedCall TargetSide::queueEntry(const CallRequest &Request,
@@ -323,6 +343,9 @@
   const auto Found = HeldCalls.find(Id);
   const CallReplyHook OnReply = std::move(Found->second.OnReply);
   Memory.release(Found->second.AnswerBytes);
+  AcceptedBytes -= Found->second.LinkBytes;
+  if (Found->second.Running)
+    ProducingBytes -= Found->second.LinkBytes;
   HeldCalls.erase(Found);
   OnReply(Reply);
 }
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -10,6 +10,7 @@
 #define FESCUEWOOD_CALLS_TARGETSIDE_H
 
 #include "calls/CallContext.h"
+#include "calls/PacedReplies.h"
 #include "calls/TargetPort.h"
 #include "nodes/CallMessages.h"
 #include "policy/AdmissionLimit.h"
@@ -47,6 +48,21 @@
   /// for a call id that is already in the ledger, immediately with its state.
   void start(CallStart Start, const CallReplyHook &OnReply);
 
+  /// As \ref start, for a call that entered at another node. The reply waits
+  /// for its turn on the link if it carries a large piece.
+  void startForPeer(CallStart Start, const ReplyHook &OnReply);
+
+  /// Replies to a fetch of another node, see \ref startForPeer.
+  void fetchForPeer(const CallFetch &Fetch, const ReplyHook &OnReply) {
+    Replies.reply(Fetch, OnReply);
+  }
+
+  /// Accounts for a message that this node sends to another one.
+  void onSentToPeer(std::size_t Bytes) {
+    if (Replies.limited())
+      Replies.onSent(Bytes);
+  }
+
   /// Returns the state of a call; fences its id if the message requests it.
   CallReply fetch(const CallFetch &Fetch);
 
@@ -75,7 +91,9 @@
   TimeMs nextDue() const;
 
   /// Whether no call is queued or running.
-  bool idle() const { return HeldCalls.empty() && InFlight == 0; }
+  bool idle() const {
+    return HeldCalls.empty() && InFlight == 0 && Replies.idle();
+  }
 
   /// Load of the target, as sent with every reply.
   LoadReport load();
@@ -95,6 +113,9 @@
     std::uint64_t Epoch = 0;     ///< Target epoch in which its run started.
     std::string TargetId;        ///< That its run was meant for.
     std::size_t AnswerBytes = 0; ///< Reserved for its answer while it runs.
+    bool FromPeer = false;       ///< It entered at another node.
+    /// Expected size of a large answer that the link will carry, or 0.
+    std::size_t LinkBytes = 0;
     /// Reason for a broken run, Ok otherwise. A broken run is answered once it
     /// is known whether the target crashed.
     ResultCode BrokenReason = ResultCode::Ok;
@@ -106,8 +127,11 @@
                         std::uint64_t MaxPieceBytes = 0);
   CallReply baseReply();
   DurationMs retryAfter(ResultCode Reason);
-  ResultCode refusalOnArrival(const CallRequest &Request);
-  ResultCode refusalOnStart(const CallRequest &Request);
+  ResultCode refusalOnArrival(const HeldCall &Call);
+  ResultCode refusalOnStart(const HeldCall &Call);
+  void accept(CallStart Start, const CallReplyHook &OnReply, bool FromPeer);
+  std::size_t linkBytes(const HeldCall &Call) const;
+  ResultCode refusalByLink(const HeldCall &Call, std::size_t Others);
   QueuedCall queueEntry(const CallRequest &Request, TimeMs Deadline) const;
   void enqueue(const CallId &Id);
   void startQueued();
@@ -155,6 +179,9 @@
   std::function<std::size_t()> JoiningBytes;
   AnswerMemory Memory;
   CallLedger Ledger;
+  PacedReplies Replies;
+  std::size_t AcceptedBytes = 0;  ///< LinkBytes of all held calls.
+  std::size_t ProducingBytes = 0; ///< LinkBytes of the running ones.
   FairQueue Queue;
   AdmissionLimit Limit;
   WithdrawnKeys Withdrawn;
--- a/src/operators/Metrics.cpp
+++ b/src/operators/Metrics.cpp
@@ -149,6 +149,8 @@
   Collector.add(MetricId::AnswerBytesKept, toDouble(Calls.KeptBytes));
   Collector.add(MetricId::AnswerBytesLimit, toDouble(Calls.AnswerLimit));
   Collector.add(MetricId::AnswerBytesJoining, toDouble(Calls.JoiningBytes));
+  Collector.add(MetricId::LinkBacklogBytes, toDouble(Calls.LinkBacklogBytes));
+  Collector.add(MetricId::LinkRefusals, toDouble(Calls.LinkRefusals));
 }
 
 void addOrganisations(const LimiterStatus &Status, MetricCollector &Collector) {
