Separate the interface and the overtake statistics of the target's queue

Cause: a second order of the queue shares its interface and the mean of how often requests are overtaken. Change: policy/CallQueue declares push, pop, remove and expire, and policy/OvertakeMean holds the statistics of FairQueue, whose decisions stay the same.

--- a/src/policy/FairQueue.cpp
+++ b/src/policy/FairQueue.cpp
@@ -1,7 +1,6 @@
 #include "policy/FairQueue.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -9,15 +8,6 @@
 
 namespace {
 
-/// Least time before the deadline at which a request is started, as a multiple
-/// of its expected service time; one that is started later mostly times out and
-/// wastes its slot.
-constexpr double MinRemainingCostFactor = 1.5;
-
-/// Half-life of the overtake statistics of a priority; a burst is over within a
-/// few half-lives.
-constexpr double OvertakeHalfLifeMs = 1000;
-
 /// How long all starts must be late before the queue sheds load. A shorter
 /// burst is served completely although late; objectives are about as long.
 constexpr DurationMs LateGracePeriod{500};
@@ -26,26 +16,9 @@
 /// peaks at intervals of a second or less count as one overload.
 constexpr DurationMs SheddingHoldTime{1000};
 
-/// Factor on the overtakes of a request that left the queue unserved.
-constexpr double UnservedOvertakeFactor = 2;
-
 /// Overtakes per request below which a lane needs no statistics.
 constexpr double NegligibleOvertakes = 0.5;
 
-/// Least time before the deadline at which a request is started.
-DurationMs minRemainingTime(const QueuedCall &Call, const ServiceRate &Rate) {
-  // An idle target is tried whatever its recent latency.
-  if (Call.CanWait || Rate.Latency <= DurationMs(0))
-    return DurationMs(0);
-  return DurationMs(static_cast<std::int64_t>(
-      MinRemainingCostFactor * static_cast<double>(Call.Cost.Value)));
-}
-
-/// Virtual service time of a request before division by its weight.
-double cost(const QueuedCall &Call) {
-  return static_cast<double>(std::max<std::int64_t>(1, Call.Cost.Value));
-}
-
 } // namespace
 
 FairQueue::FairQueue(FairQueueSettings Settings, ExpiryHook OnExpiry)
@@ -85,7 +58,7 @@
   Backlog &Own = Destination.Backlogs[Call.Organisation];
   Own.Weight = Call.Weight;
   const double Start = std::max(Destination.VirtualTime, Own.LastFinish);
-  Own.LastFinish = Start + cost(Call) / Call.Weight;
+  Own.LastFinish = Start + virtualCost(Call) / Call.Weight;
   ++Destination.Size;
   Bytes += Call.Bytes;
   BytesByOrganisation[Call.Organisation] += Call.Bytes;
@@ -127,7 +100,7 @@
   const QueuedCall Call = std::move(At->Call);
   Own.Entries.erase(At);
   --Source.Size;
-  onUnserved(Source, Now);
+  Source.Overtakes.onUnserved(Source.Size, Now);
   release(Call);
   return true;
 }
@@ -148,46 +121,14 @@
   std::erase_if(Lanes, [Now](const auto &Item) {
     const Lane &Each = Item.second;
     return Each.Size == 0 && Each.Backlogs.empty() &&
-           expectedOvertakes(Each, Now) < NegligibleOvertakes;
+           Each.Overtakes.expected(Now) < NegligibleOvertakes;
   });
 }
 
-double FairQueue::meanOvertakes(const Lane &Current, TimeMs Now) {
-  const double Age = static_cast<double>((Now - Current.MeanUpdatedAt).Value);
-  return Current.MeanOvertakes * std::exp2(-Age / OvertakeHalfLifeMs);
-}
-
-/// Expected overtakes by higher priorities per request of a lane: the decaying
-/// mean, or more if the request at the head has been overtaken more
-/// often.
-double FairQueue::expectedOvertakes(const Lane &Current, TimeMs Now) {
-  const double Mean = meanOvertakes(Current, Now);
-  return std::max(Mean, (Mean + Current.HeadOvertakes) / 2);
-}
-
-void FairQueue::onServed(Lane &Current, TimeMs Now) {
-  Current.MeanOvertakes =
-      (meanOvertakes(Current, Now) + Current.HeadOvertakes) / 2;
-  Current.HeadOvertakes = 0;
-  Current.MeanUpdatedAt = Now;
-}
-
-/// A request left a lane without being served. It would have been
-/// overtaken more often before being served, by an unknown number.
-void FairQueue::onUnserved(Lane &Current, TimeMs Now) {
-  Current.MeanOvertakes =
-      std::max(meanOvertakes(Current, Now),
-               UnservedOvertakeFactor * Current.HeadOvertakes);
-  Current.MeanUpdatedAt = Now;
-  if (Current.Size == 0)
-    Current.HeadOvertakes = 0;
-}
-
 void FairQueue::onSpareCapacity() {
   LateSince.reset();
   for (auto &[Id, Each] : Lanes) {
-    Each.HeadOvertakes = 0;
-    Each.MeanOvertakes = 0;
+    Each.Overtakes.reset();
   }
 }
 
@@ -231,11 +172,11 @@
     if (Id.Type != Type || Each.Size == 0)
       continue;
     if (Next) {
-      ++Each.HeadOvertakes;
+      Each.Overtakes.onOvertaken();
       continue;
     }
     Next = popLane(Each);
-    onServed(Each, Now);
+    Each.Overtakes.onServed(Now);
   }
   return Next;
 }
@@ -280,7 +221,7 @@
                    Call.Weight,
                static_cast<double>(Destination.Size + 1));
   const double Turns = static_cast<double>(HigherPriority) +
-                       OwnTurns * (1 + expectedOvertakes(Destination, Now));
+                       OwnTurns * (1 + Destination.Overtakes.expected(Now));
   const double Rounds = Turns / std::max(1U, Rate.Limit);
   return DurationMs(static_cast<std::int64_t>(
       Rounds * static_cast<double>(Rate.Latency.Value)));
--- a/src/policy/FairQueue.h
+++ b/src/policy/FairQueue.h
@@ -30,9 +30,8 @@
 #ifndef FESCUEWOOD_POLICY_FAIRQUEUE_H
 #define FESCUEWOOD_POLICY_FAIRQUEUE_H
 
-#include "calls/Call.h"
-#include "core/Clock.h"
-#include "core/ResultCode.h"
+#include "policy/CallQueue.h"
+#include "policy/OvertakeMean.h"
 
 #include <compare>
 #include <cstddef>
@@ -46,66 +45,30 @@
 
 namespace fescuewood {
 
-/// Configuration of a \ref FairQueue.
-struct FairQueueSettings {
-  std::size_t MaxBytes = 16 << 20;
-  std::size_t MaxRequests = 20000;
-  std::uint32_t WaitingShare = 8; ///< One pop in this many is deferrable.
-};
-
-/// A request as the queue sees it.
-struct QueuedCall {
-  CallId Id;
-  std::string Organisation;
-  std::uint32_t Weight = 1;   ///< Weight of the organisation.
-  bool CanWait = false;       ///< Deferrable; all others are urgent.
-  std::uint16_t Priority = 0; ///< 0 is the highest.
-  TimeMs Deadline;
-  TimeMs SoftDeadline = Never; ///< Soft deadline of the answer.
-  std::size_t Bytes = 0;       ///< Memory held by the request.
-  DurationMs Cost{1};          ///< Expected service time at the target.
-};
-
-/// Current capacity of the target.
-struct ServiceRate {
-  std::uint32_t Limit = 1; ///< Concurrent requests.
-  DurationMs Latency{0};   ///< Typical service time of a request.
-};
+using FairQueueSettings = CallQueueSettings;
 
 /// Fair queue of one target. Not thread-safe.
-class FairQueue {
+class FairQueue : public CallQueue {
 public:
   /// Called with each request that is dropped because it has expired.
   using ExpiryHook = std::function<void(const CallId &)>;
 
   FairQueue(FairQueueSettings Settings, ExpiryHook OnExpiry);
 
-  /// Adds a request.
-  ///
-  /// On failure returns false and sets \ref lastReason to
-  /// ResultCode::QueueFull, when there is no room for the organisation, or to
-  /// ResultCode::DeadlineUnreachable, when an urgent request would be late.
-  bool push(QueuedCall Call, const ServiceRate &Rate, TimeMs Now);
-
-  /// Removes and returns the next request that can still be answered in time.
-  std::optional<CallId> pop(const ServiceRate &Rate, TimeMs Now);
-
-  /// Removes a request. Returns false when it is not queued.
-  bool remove(const CallId &Id, TimeMs Now);
+  bool push(QueuedCall Call, const ServiceRate &Rate, TimeMs Now) override;
+  std::optional<CallId> pop(const ServiceRate &Rate, TimeMs Now) override;
+  bool remove(const CallId &Id, TimeMs Now) override;
 
   /// Drops requests that can no longer be answered in time; each is passed to
   /// the expiry hook.
-  void expire(const ServiceRate &Rate, TimeMs Now);
-
-  /// Reports that the target has spare capacity and the queue is empty. Resets
-  /// the overtake statistics of all priorities.
-  void onSpareCapacity();
+  void expire(const ServiceRate &Rate, TimeMs Now) override;
 
-  std::size_t size() const { return Index.size(); }
-  std::size_t bytes() const { return Bytes; }
+  /// Resets the overtake statistics of all priorities.
+  void onSpareCapacity() override;
 
-  /// Reason for the most recent failed \ref push.
-  ResultCode lastReason() const { return LastReason; }
+  std::size_t size() const override { return Index.size(); }
+  std::size_t bytes() const override { return Bytes; }
+  ResultCode lastReason() const override { return LastReason; }
 
 private:
   enum class Class : std::uint8_t { Urgent, Deferrable };
@@ -127,12 +90,7 @@
     std::map<std::string, Backlog, std::less<>> Backlogs;
     double VirtualTime = 0;
     std::size_t Size = 0;
-    /// Pops of higher priorities since the last pop from this lane, or since
-    /// its first request arrived.
-    std::uint32_t HeadOvertakes = 0;
-    /// Decaying mean of \ref HeadOvertakes per request of this lane.
-    double MeanOvertakes = 0;
-    TimeMs MeanUpdatedAt;
+    OvertakeMean Overtakes; ///< By higher priorities.
   };
 
   /// Lanes are ordered by class, then by priority.
@@ -154,10 +112,6 @@
                           TimeMs Now) const;
   void onStart(const QueuedCall &Call, TimeMs Now);
   std::optional<QueuedCall> popClass(Class Type, TimeMs Now);
-  static double meanOvertakes(const Lane &Current, TimeMs Now);
-  static double expectedOvertakes(const Lane &Current, TimeMs Now);
-  static void onServed(Lane &Current, TimeMs Now);
-  static void onUnserved(Lane &Current, TimeMs Now);
   bool refuse(ResultCode Reason);
   bool hasRoom(const QueuedCall &Call) const;
   bool isTooLate(const QueuedCall &Call, const ServiceRate &Rate,
