Order the queue of a target by objectives where a setting says so

Cause: the queue of objectives needs the time that a call has spent since it arrived, and its entry node has to hear of a request that is displaced. Change: [calls] queue_order = arrival (default) or objective. CallStart has the age of the call at its entry node, with bounds checked. A displaced request ends with 524 Displaced, which the entry treats like 509; event 1516 names the request that took its place; three metrics count displaced, late and shed requests.

--- a/bench/QueueOrderBench.cpp
+++ b/bench/QueueOrderBench.cpp
@@ -80,13 +80,13 @@
   std::deque<QueuedCall> Calls;
 };
 
-std::unique_ptr<CallQueue> makeQueue(const std::string &Name) {
+std::unique_ptr<CallQueue> makeQueue(const std::string &Name,
+                                     const CallQueueSettings &Settings = {}) {
   using Call = QueuedCall;
   if (Name == "arrival")
-    return std::make_unique<FairQueue>(FairQueueSettings(),
-                                       [](const CallId &) {});
+    return std::make_unique<FairQueue>(Settings, [](const CallId &) {});
   if (Name == "objective")
-    return std::make_unique<ObjectiveQueue>(CallQueueSettings(),
+    return std::make_unique<ObjectiveQueue>(Settings,
                                             [](const QueueRefusal &) {});
   if (Name == "LIFO")
     return std::make_unique<PlainQueue>(
@@ -171,10 +171,19 @@
   int Late = 0;
 };
 
-/// Microseconds per decision on a queue of constant size: the median and the
-/// 99th percentile of pairs of a push and a pop, per decision.
-std::string timeDecisions(const std::string &Order) {
-  const auto Queue = makeQueue(Order);
+/// What is timed on a queue of constant size.
+enum class Timed : std::uint8_t {
+  PushAndPop,
+  PushWithoutRoom, ///< Refuses the arrival or displaces another request.
+};
+
+/// Microseconds per decision: the median and the 99th percentile.
+std::string timeDecisions(const std::string &Order, Timed What) {
+  CallQueueSettings Settings;
+  const bool HasRoom = What == Timed::PushAndPop;
+  if (!HasRoom)
+    Settings.MaxRequests = FLAGS_queued;
+  const auto Queue = makeQueue(Order, Settings);
   const ServiceRate Rate{Slots, DurationMs(1)};
   std::mt19937_64 Random(FLAGS_seed);
   std::vector<double> Times;
@@ -189,14 +198,14 @@
         Now + DurationMs(static_cast<std::int64_t>(Random() % 1500));
     Call.Deadline = Now + DurationMs(60'000);
     const auto Begin = std::chrono::steady_clock::now();
+    const bool WasFull = Queue->size() >= FLAGS_queued;
     Queue->push(std::move(Call), Rate, Now);
-    const bool IsFull = Queue->size() > FLAGS_queued;
-    if (IsFull)
+    if (HasRoom && Queue->size() > FLAGS_queued)
       Queue->pop(Rate, Now);
     const std::chrono::duration<double, std::micro> Took =
         std::chrono::steady_clock::now() - Begin;
-    if (IsFull)
-      Times.push_back(Took.count() / 2);
+    if (WasFull)
+      Times.push_back(Took.count() / (HasRoom ? 2 : 1));
   }
   if (Times.empty())
     return "never so long";
@@ -221,8 +230,15 @@
     std::puts((Row + " |").c_str());
   }
   std::puts("\nTime of a decision, microseconds:\n\n"
-            "| Order | median | 99th percentile |\n|---|---|---|");
-  for (const std::string Order : {"arrival", "objective"})
-    std::puts(("| " + Order + " | " + timeDecisions(Order) + " |").c_str());
+            "| Order | Decision | median | 99th percentile |\n"
+            "|---|---|---|---|");
+  for (const std::string Order : {"arrival", "objective"}) {
+    std::puts(("| " + Order + " | push or pop | " +
+               timeDecisions(Order, Timed::PushAndPop) + " |")
+                  .c_str());
+    std::puts(("| " + Order + " | push without room | " +
+               timeDecisions(Order, Timed::PushWithoutRoom) + " |")
+                  .c_str());
+  }
   return 0;
 }
--- a/src/calls/Call.h
+++ b/src/calls/Call.h
@@ -63,6 +63,7 @@
   /// without a key. It lets a key withdrawal also end queued calls.
   std::uint64_t KeyDigestPrefix = 0;
   DurationMs Remaining{0};      ///< Time left when the request was sent.
+  DurationMs Age{0};            ///< Time since its arrival, when it was sent.
   std::uint16_t Priority = 0;   ///< 0 is highest, see \ref callPriority.
   std::uint8_t MaxAttempts = 0; ///< Targets tried; 0 for the settings' limit.
   std::uint8_t Depth = 0;       ///< Nesting depth; 0 from outside the mesh.
--- a/src/calls/CallStatus.h
+++ b/src/calls/CallStatus.h
@@ -56,6 +56,9 @@
   std::size_t Queued = 0;
   std::size_t QueuedBytes = 0;
   std::uint64_t Runs = 0;
+  std::uint64_t Displaced = 0;   ///< Queued requests that gave way to others.
+  std::uint64_t StartedLate = 0; ///< Runs too late for their objectives.
+  std::uint64_t Shed = 0;        ///< Refused for lack of time or room.
   std::uint64_t Crashes = 0;
   std::size_t Quarantined = 0; ///< Requests refused for crashing targets.
   std::size_t LedgerIds = 0;
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -121,8 +121,8 @@
                                           OnAnswer](
                                              const RateDecision &Decision) {
     if (Decision.Admitted) {
-      SharedCall->Remaining =
-          SharedCall->Remaining - (Options.Time.now() - ArrivedAt);
+      SharedCall->Age = Options.Time.now() - ArrivedAt;
+      SharedCall->Remaining = SharedCall->Remaining - SharedCall->Age;
       const AnswerHook OnEnd = returningToken(*SharedCall, Decision, OnAnswer);
       Hooks.Submit(Number, std::move(*SharedCall), OnEnd);
       return;
--- a/src/calls/EntryMessages.cpp
+++ b/src/calls/EntryMessages.cpp
@@ -62,6 +62,7 @@
   Start.Request = Call.Request;
   Start.Request.Id = Current.Id;
   Start.Request.Remaining = Call.Deadline - Now;
+  Start.Request.Age = Call.Request.Age + (Now - Call.SubmittedAt);
   Start.Marks = Context.Guard.encode(Now);
   schedule(Handle, Call, Now + firstFetchDelay(Current));
   if (IsLocal) {
--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -270,7 +270,7 @@
                           DurationMs RetryAfter) {
   Call.LastRefusal = Reason;
   Call.RetryAfter = RetryAfter;
-  if (Reason == ResultCode::DeadlineUnreachable)
+  if (isLackOfTime(Reason))
     RefusedLately.add(
         profileOf(Call, Call.Current->Target, Call.Current->SentAt), RetryAfter,
         Context.now());
--- a/src/calls/TargetNotices.cpp
+++ b/src/calls/TargetNotices.cpp
@@ -22,7 +22,8 @@
 /// Whether the target takes the request too late, by the rate that it named.
 bool TargetSide::exceedsNamedRate(const CallRequest &Request) const {
   return !Request.CanWait &&
-         Announced.limit().wait(Queue.size(), Context.now()) > MaxNamedRateWait;
+         Announced.limit().wait(Queue->size(), Context.now()) >
+             MaxNamedRateWait;
 }
 
 /// The slower of \p BySlots and the rate that the target has named.
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -58,12 +58,12 @@
 void TargetSide::startQueued() {
   while (!Down && !Suspended && !AwaitingNotice &&
          InFlight < concurrencyLimit()) {
-    if (Queue.size() == 0)
-      return Queue.onSpareCapacity();
+    if (Queue->size() == 0)
+      return Queue->onSpareCapacity();
     if (!Announced.limit().mayStart(Context.now()) ||
         !Warmup.take(Context.now()))
       return;
-    const auto Next = Queue.pop(serviceRate(), Context.now());
+    const auto Next = Queue->pop(serviceRate(), Context.now());
     if (!Next)
       return;
     HeldCall &Call = HeldCalls.at(*Next);
@@ -101,6 +101,8 @@
                       Call.Deadline);
   Announced.onRequestSent(Now);
   ++Context.Counters.Runs;
+  if (Now > Call.LatestTimelyStart)
+    ++Context.Counters.StartedLate;
   Context.Counters.QueueWait.add(Now - Call.ArrivedAt);
   CallRequest Request = targetRequest(Call);
   const DurationMs Timeout = Request.Remaining;
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -1,5 +1,8 @@
 #include "calls/TargetSide.h"
 
+#include "policy/FairQueue.h"
+#include "policy/RetryRules.h"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -25,8 +28,8 @@
   return Limits;
 }
 
-FairQueueSettings queueSettings(const CallSettings &Settings) {
-  FairQueueSettings Queue;
+CallQueueSettings queueSettings(const CallSettings &Settings) {
+  CallQueueSettings Queue;
   Queue.MaxBytes = Settings.MaxQueueBytes;
   Queue.WaitingShare = Settings.WaitingShare;
   return Queue;
@@ -41,12 +44,20 @@
                                Context.Settings.AnswerMemoryShare,
                                Context.Identity.MachineBytes)),
       Ledger(ledgerLimits(Context.Settings, Memory.limit()), Context.now()),
-      Queue(queueSettings(Context.Settings),
-            [this](const CallId &Id) {
-              refuse(Id, ResultCode::DeadlineUnreachable);
-            }),
+      Queue(makeQueue()),
       Limit(admissionSettings(Context.Settings), 1, Context.now()) {}
 
+std::unique_ptr<CallQueue> TargetSide::makeQueue() {
+  const CallQueueSettings Settings = queueSettings(Context.Settings);
+  if (Context.Settings.Order == QueueOrder::Objective)
+    return std::make_unique<ObjectiveQueue>(
+        Settings,
+        [this](const QueueRefusal &Refusal) { onQueueRefusal(Refusal); });
+  return std::make_unique<FairQueue>(Settings, [this](const CallId &Id) {
+    onQueueRefusal({Id, ResultCode::DeadlineUnreachable, {}});
+  });
+}
+
 void TargetSide::start(CallStart Start, const CallReplyHook &OnReply) {
   const TimeMs Now = Context.now();
   const CallId Id = Start.Request.Id;
@@ -90,7 +101,7 @@
   const auto Found = HeldCalls.find(Cancel.Id);
   if (Found == HeldCalls.end())
     return stateReply(Cancel.Id);
-  if (Queue.remove(Cancel.Id, Context.now())) {
+  if (Queue->remove(Cancel.Id, Context.now())) {
     refuse(Cancel.Id, ResultCode::CallerGone);
   } else if (!Found->second.Cancelled) {
     Found->second.Cancelled = true;
@@ -125,7 +136,7 @@
       if (!Call.Running && Withdrawn.contains(Call.Request.KeyDigestPrefix))
         Revoked.push_back(Id);
     for (const CallId &Id : Revoked) {
-      Queue.remove(Id, Context.now());
+      Queue->remove(Id, Context.now());
       Context.report(EventId::WaitingCallRevoked, {{"call", Id.text()}});
       refuse(Id, ResultCode::KeyWithdrawn);
     }
@@ -144,7 +155,7 @@
 
 void TargetSide::tick() {
   const TimeMs Now = Context.now();
-  Queue.expire(serviceRate(), Now);
+  Queue->expire(serviceRate(), Now);
   Ledger.expire(Now);
   if (Now >= NextGuardExpiry) {
     Context.Guard.expire(Now);
@@ -159,7 +170,7 @@
 }
 
 TimeMs TargetSide::nextDue() const {
-  if (Queue.size() > 0)
+  if (Queue->size() > 0)
     return Context.now();
   TimeMs Next = AbandonedRuns.empty() ? Never : AbandonedRuns.front();
   if (Suspended || Down)
@@ -176,7 +187,7 @@
   if (Warmup.cold(Context.now()))
     Load.Limit = 1;
   Load.Limit = std::min(Load.Limit, Announced.concurrency(Limit.latency()));
-  Load.Queued = static_cast<std::uint32_t>(Queue.size());
+  Load.Queued = static_cast<std::uint32_t>(Queue->size());
   Load.Latency = Limit.latency();
   Load.State = ReportedState.value_or(TargetState::Cold);
   return Load;
@@ -187,8 +198,8 @@
   Status.InFlight = InFlight;
   Status.Limit = load().Limit;
   Status.Slots = Limit.slots();
-  Status.Queued = Queue.size();
-  Status.QueuedBytes = Queue.bytes();
+  Status.Queued = Queue->size();
+  Status.QueuedBytes = Queue->bytes();
   Status.Quarantined = Context.Guard.quarantined();
   Status.LedgerIds = Ledger.size();
   Status.KeptBytes = Ledger.keptBytes();
@@ -237,14 +248,14 @@
 /// Estimated time until the calls that are queued now have been served.
 DurationMs TargetSide::retryAfter(ResultCode Reason) {
   if (Reason == ResultCode::TargetRateUsed)
-    return Announced.limit().wait(Queue.size(), Context.now());
+    return Announced.limit().wait(Queue->size(), Context.now());
   const bool Busy = Reason == ResultCode::QueueFull ||
                     Reason == ResultCode::AnswerMemoryFull ||
-                    Reason == ResultCode::DeadlineUnreachable;
+                    isLackOfTime(Reason);
   if (!Busy)
     return DurationMs(0);
   const ServiceRate Current = serviceRate();
-  const auto PendingCalls = static_cast<std::int64_t>(Queue.size()) + 1;
+  const auto PendingCalls = static_cast<std::int64_t>(Queue->size()) + 1;
   return DurationMs(Current.Latency.Value * PendingCalls /
                     std::max(1U, Current.Limit));
 }
@@ -301,22 +312,56 @@
   if (Known != Context.Config->Organisations.end())
     Call.Weight = Known->second.Weight;
   // An inner call has no objective: the request that waits for it needs it
-  // until its deadline. The objective is at least two runs long, so that calls
-  // can also queue for a target that is slower than the objective.
+  // until its deadline.
   const Route *MatchedRoute = Context.Config->findRouteByName(Request.Route);
   if (MatchedRoute && MatchedRoute->Objective > DurationMs(0) &&
       Request.Priority != InnerCallPriority)
     Call.SoftDeadline =
-        Context.now() +
-        std::max(MatchedRoute->Objective, DurationMs(2 * Call.Cost.Value));
+        softDeadline(Request, MatchedRoute->Objective, Call.Cost);
   return Call;
 }
 
+TimeMs TargetSide::softDeadline(const CallRequest &Request,
+                                DurationMs Objective, DurationMs Cost) const {
+  if (Context.Settings.Order == QueueOrder::Objective)
+    return Context.now() - Request.Age + Objective;
+  // The objective is at least two runs long, so that calls can also queue for a
+  // target that is slower than the objective.
+  return Context.now() + std::max(Objective, DurationMs(2 * Cost.Value));
+}
+
 void TargetSide::enqueue(const CallId &Id) {
-  const HeldCall &Call = HeldCalls.at(Id);
-  if (!Queue.push(queueEntry(Call.Request, Call.Deadline), serviceRate(),
-                  Context.now()))
-    refuse(Id, Queue.lastReason());
+  HeldCall &Call = HeldCalls.at(Id);
+  QueuedCall Entry = queueEntry(Call.Request, Call.Deadline);
+  if (Entry.SoftDeadline != Never)
+    Call.LatestTimelyStart = Entry.SoftDeadline - Entry.Cost;
+  if (!Queue->push(std::move(Entry), serviceRate(), Context.now()))
+    onQueueRefusal({Id, Queue->lastReason(), {}});
+}
+
+void TargetSide::onQueueRefusal(const QueueRefusal &Refusal) {
+  if (Refusal.Reason == ResultCode::Displaced) {
+    ++Context.Counters.Displaced;
+    reportDisplaced(Refusal);
+  } else {
+    ++Context.Counters.Shed;
+  }
+  refuse(Refusal.Id, Refusal.Reason);
+}
+
+void TargetSide::reportDisplaced(const QueueRefusal &Refusal) const {
+  const HeldCall &Displaced = HeldCalls.at(Refusal.Id);
+  const CallRequest &Arrival = HeldCalls.at(Refusal.DisplacedBy).Request;
+  const HeaderScheme &Scheme = Context.Identity.Scheme;
+  const DurationMs Waited = Context.now() - Displaced.ArrivedAt;
+  Context.report(EventId::CallDisplaced,
+                 {{"request", requestId(Displaced.Request, Scheme)},
+                  {"call", Refusal.Id.text()},
+                  {"route", Displaced.Request.Route},
+                  {"queued_ms", std::to_string(Waited.Value)},
+                  {"by_request", requestId(Arrival, Scheme)},
+                  {"by_call", Arrival.Id.text()},
+                  {"by_route", Arrival.Route}});
 }
 
 void TargetSide::finish(const CallId &Id, const CallReply &Reply) {
@@ -338,7 +383,7 @@
     if (!Call.Running)
       Queued.push_back(Id);
   for (const CallId &Id : Queued) {
-    Queue.remove(Id, Context.now());
+    Queue->remove(Id, Context.now());
     refuse(Id, Reason);
   }
 }
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -16,8 +16,9 @@
 #include "policy/AnnouncedState.h"
 #include "policy/AnswerMemory.h"
 #include "policy/CallLedger.h"
+#include "policy/CallQueue.h"
 #include "policy/CrashEvidence.h"
-#include "policy/FairQueue.h"
+#include "policy/ObjectiveQueue.h"
 #include "policy/TargetListing.h"
 #include "policy/WarmupLimit.h"
 #include "policy/WithdrawnKeys.h"
@@ -27,6 +28,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -90,6 +92,7 @@
     TimeMs ArrivedAt;
     TimeMs StartedAt;
     TimeMs Deadline;
+    TimeMs LatestTimelyStart = Never; ///< A later one is after its objective.
     bool Running = false;
     bool Cancelled = false;
     std::uint64_t Epoch = 0;     ///< Target epoch in which its run started.
@@ -108,6 +111,8 @@
   DurationMs retryAfter(ResultCode Reason);
   ResultCode refusalOnArrival(const CallRequest &Request);
   ResultCode refusalOnStart(const CallRequest &Request);
+  TimeMs softDeadline(const CallRequest &Request, DurationMs Objective,
+                      DurationMs Cost) const;
   QueuedCall queueEntry(const CallRequest &Request, TimeMs Deadline) const;
   void enqueue(const CallId &Id);
   void startQueued();
@@ -126,6 +131,9 @@
   void recordResult(const HeldCall &Call, const RunResult &Result, TimeMs Now);
   void finish(const CallId &Id, const CallReply &Reply);
   void refuse(const CallId &Id, ResultCode Reason);
+  std::unique_ptr<CallQueue> makeQueue();
+  void onQueueRefusal(const QueueRefusal &Refusal);
+  void reportDisplaced(const QueueRefusal &Refusal) const;
   void refuseAllQueued(ResultCode Reason);
   void onMistaken();
   void onUnreached(TimeMs SentAt);
@@ -155,7 +163,7 @@
   std::function<std::size_t()> JoiningBytes;
   AnswerMemory Memory;
   CallLedger Ledger;
-  FairQueue Queue;
+  std::unique_ptr<CallQueue> Queue;
   AdmissionLimit Limit;
   WithdrawnKeys Withdrawn;
   std::map<CallId, HeldCall> HeldCalls;
--- a/src/nodes/CallMessages.cpp
+++ b/src/nodes/CallMessages.cpp
@@ -13,7 +13,7 @@
 /// Number of encoded fields of each message; a message with any other number is
 /// malformed.
 template <typename Message> constexpr std::uint32_t FieldCount = 0;
-template <> constexpr std::uint32_t FieldCount<CallStart> = 17;
+template <> constexpr std::uint32_t FieldCount<CallStart> = 18;
 template <> constexpr std::uint32_t FieldCount<CallFetch> = 5;
 template <> constexpr std::uint32_t FieldCount<CallCancel> = 2;
 template <> constexpr std::uint32_t FieldCount<CallReply> = 14;
@@ -40,6 +40,7 @@
   Fields.bytes(Request.Service, MaxNameBytes);
   Fields.bytes(Request.Organisation, MaxNameBytes);
   Fields.span(Request.Remaining);
+  Fields.span(Request.Age);
   Fields.number(Request.Depth);
   Fields.number(Request.Priority);
   Fields.flag(Request.Idempotent);
--- a/src/operators/Metrics.cpp
+++ b/src/operators/Metrics.cpp
@@ -144,6 +144,9 @@
   Collector.add(MetricId::TargetQueuedBytes, toDouble(Calls.QueuedBytes));
   Collector.add(MetricId::TargetRuns, toDouble(Calls.Runs));
   Collector.add(MetricId::TargetCrashes, toDouble(Calls.Crashes));
+  Collector.add(MetricId::QueueDisplaced, toDouble(Calls.Displaced));
+  Collector.add(MetricId::QueueStartedLate, toDouble(Calls.StartedLate));
+  Collector.add(MetricId::QueueShed, toDouble(Calls.Shed));
   Collector.add(MetricId::TargetSeconds, Calls.TargetLatency);
   Collector.add(MetricId::QueueSeconds, Calls.QueueWait);
   Collector.add(MetricId::AnswerBytesKept, toDouble(Calls.KeptBytes));
--- a/src/policy/CallSettings.h
+++ b/src/policy/CallSettings.h
@@ -34,6 +34,12 @@
   Plain, ///< Resends the call after a timeout, whatever its state.
 };
 
+/// Which of an organisation's queued requests starts next.
+enum class QueueOrder : std::uint8_t {
+  Arrival,   ///< The first to arrive.
+  Objective, ///< Of those that can still meet their objective, the most urgent.
+};
+
 /// Settings of calls; docs/SETTINGS.md lists their bounds.
 struct CallSettings {
   RoutingMode Routing = RoutingMode::TwoChoices;
@@ -66,6 +72,7 @@
   DurationMs ProbeInterval{250};   ///< Between probes of a target that is down.
 
   // Queue.
+  QueueOrder Order = QueueOrder::Arrival;
   std::size_t MaxQueueBytes = 16 << 20; ///< Total of all queued requests.
   std::uint32_t WaitingShare = 8;       ///< One pop in this many is deferrable.
 
--- a/src/policy/RetryRules.cpp
+++ b/src/policy/RetryRules.cpp
@@ -49,9 +49,13 @@
   }
 }
 
-bool isRepeatFutile(ResultCode Reason) {
+bool isLackOfTime(ResultCode Reason) {
   return Reason == ResultCode::DeadlineUnreachable ||
-         Reason == ResultCode::TargetRateUsed;
+         Reason == ResultCode::Displaced;
+}
+
+bool isRepeatFutile(ResultCode Reason) {
+  return isLackOfTime(Reason) || Reason == ResultCode::TargetRateUsed;
 }
 
 } // namespace fescuewood
--- a/src/policy/RetryRules.h
+++ b/src/policy/RetryRules.h
@@ -23,6 +23,10 @@
 /// Whether every target would refuse the call for the same reason.
 bool isFinal(ResultCode Reason);
 
+/// Whether a target refused the call because it serves others in the time that
+/// the call has left.
+bool isLackOfTime(ResultCode Reason);
+
 /// Whether targets that were tried would give the same refusal again if they
 /// were tried once more in the time of the call.
 bool isRepeatFutile(ResultCode Reason);
--- a/tests/nodes/CallMessagesTest.cpp
+++ b/tests/nodes/CallMessagesTest.cpp
@@ -1,6 +1,10 @@
 #include "support/Property.h"
 
 #include "nodes/CallMessages.h"
+#include "nodes/FieldCodec.h"
+
+#include <sstream>
+#include <string>
 
 #include <CppUTest/TestHarness.h>
 
@@ -20,6 +24,7 @@
   R.Body = *rc::gen::arbitrary<std::string>();
   R.Organisation = *rc::gen::arbitrary<std::string>();
   R.Remaining = DurationMs(*rc::gen::inRange(0, 100'000));
+  R.Age = DurationMs(*rc::gen::inRange(0, 100'000));
   R.Idempotent = *rc::gen::arbitrary<bool>();
   R.KeyDigestPrefix = *rc::gen::arbitrary<std::uint64_t>();
   Start.Recipient = *rc::gen::arbitrary<std::uint64_t>();
@@ -42,6 +47,13 @@
   return Reply;
 }
 
+/// A time span as it is encoded in a message.
+std::string encodedNumber(DurationMs Span) {
+  std::ostringstream Bytes;
+  msgpack::pack(Bytes, Span.Value);
+  return Bytes.str();
+}
+
 } // namespace
 
 TEST_GROUP(CallMessages){};
@@ -62,6 +74,7 @@
     RC_ASSERT(Decoded->Request.Body == Start.Request.Body);
     RC_ASSERT(Decoded->Request.Organisation == Start.Request.Organisation);
     RC_ASSERT(Decoded->Request.Remaining == Start.Request.Remaining);
+    RC_ASSERT(Decoded->Request.Age == Start.Request.Age);
     RC_ASSERT(Decoded->Request.Idempotent == Start.Request.Idempotent);
     RC_ASSERT(Decoded->Request.KeyDigestPrefix ==
               Start.Request.KeyDigestPrefix);
@@ -98,10 +111,32 @@
     decodeAnswer(Bytes);
 
     RC_ASSERT(!Start || Start->Request.Headers.size() <= MaxHeaderFields);
+    RC_ASSERT(!Start || (Start->Request.Age >= DurationMs(0) &&
+                         Start->Request.Age <= MaxFieldSpan));
     RC_ASSERT(!Reply || Reply->Piece.size() <= MaxAnswerPieceBytes);
   });
 }
 
+// Guards against an objective that is computed from an age out of bounds.
+TEST(CallMessages, RefuseAnAgeOutOfBounds) {
+  CallStart Start;
+  Start.Request.Age = MaxFieldSpan;
+  std::string Bytes = encode(Start);
+  const std::string Longest = encodedNumber(MaxFieldSpan);
+  const std::size_t At = Bytes.find(Longest);
+  CHECK(At != std::string::npos);
+  CHECK_TRUE(decodeCallStart(Bytes).has_value());
+
+  Bytes.replace(At, Longest.size(),
+                encodedNumber(MaxFieldSpan + DurationMs(1)));
+  CHECK_FALSE(decodeCallStart(Bytes).has_value());
+
+  const std::string Negative = encodedNumber(DurationMs(-1));
+  CHECK_FALSE(
+      decodeCallStart(encode(Start).replace(At, Longest.size(), Negative))
+          .has_value());
+}
+
 TEST(CallMessages, RefuseBytesAfterTheMessage) {
   const std::string Bytes = encode(CallCancel{{1, 2}});
 
--- a/tests/policy/RetryRulesTest.cpp
+++ b/tests/policy/RetryRulesTest.cpp
@@ -9,7 +9,8 @@
 TEST(RetryRules, RefusalForLoadCostsRetryBudget) {
   for (const ResultCode Reason :
        {ResultCode::QueueFull, ResultCode::TargetRateUsed,
-        ResultCode::DeadlineUnreachable, ResultCode::TargetRefused})
+        ResultCode::DeadlineUnreachable, ResultCode::Displaced,
+        ResultCode::TargetRefused})
     CHECK_FALSE(isFreeToRetry(Reason));
   CHECK_TRUE(isFreeToRetry(ResultCode::TargetDraining));
 }
@@ -23,6 +24,7 @@
 TEST(RetryRules, UsedRateAndUnreachableDeadlineAreNotTriedAgain) {
   CHECK_TRUE(isRepeatFutile(ResultCode::TargetRateUsed));
   CHECK_TRUE(isRepeatFutile(ResultCode::DeadlineUnreachable));
+  CHECK_TRUE(isRepeatFutile(ResultCode::Displaced));
   CHECK_FALSE(isRepeatFutile(ResultCode::QueueFull));
 }
 
