--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -17,8 +17,9 @@
 #include "policy/AnnouncedState.h"
 #include "policy/AnswerMemory.h"
 #include "policy/CallLedger.h"
+#include "policy/CallQueue.h"
 #include "policy/CrashEvidence.h"
-#include "policy/FairQueue.h"
+#include "policy/ObjectiveQueue.h"
 #include "policy/TargetListing.h"
 #include "policy/WarmupLimit.h"
 #include "policy/WithdrawnKeys.h"
@@ -28,6 +29,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -108,6 +110,7 @@
     TimeMs ArrivedAt;
     TimeMs StartedAt;
     TimeMs Deadline;
+    TimeMs LatestTimelyStart = Never; ///< A later one is after its objective.
     bool Running = false;
     bool Cancelled = false;
     std::uint64_t Epoch = 0;     ///< Target epoch in which its run started.
@@ -132,6 +135,8 @@
   void accept(CallStart Start, const CallReplyHook &OnReply, bool FromPeer);
   std::size_t linkBytes(const HeldCall &Call) const;
   ResultCode refusalByLink(const HeldCall &Call, std::size_t Others);
+  TimeMs softDeadline(const CallRequest &Request, DurationMs Objective,
+                      DurationMs Cost) const;
   QueuedCall queueEntry(const CallRequest &Request, TimeMs Deadline) const;
   void enqueue(const CallId &Id);
   void startQueued();
@@ -150,6 +155,9 @@
   void recordResult(const HeldCall &Call, const RunResult &Result, TimeMs Now);
   void finish(const CallId &Id, const CallReply &Reply);
   void refuse(const CallId &Id, ResultCode Reason);
+  std::unique_ptr<CallQueue> makeQueue();
+  void onQueueRefusal(const QueueRefusal &Refusal);
+  void reportDisplaced(const QueueRefusal &Refusal) const;
   void refuseAllQueued(ResultCode Reason);
   void onMistaken();
   void onUnreached(TimeMs SentAt);
@@ -182,7 +190,7 @@
   PacedReplies Replies;
   std::size_t AcceptedBytes = 0;  ///< LinkBytes of all held calls.
   std::size_t ProducingBytes = 0; ///< LinkBytes of the running ones.
-  FairQueue Queue;
+  std::unique_ptr<CallQueue> Queue;
   AdmissionLimit Limit;
   WithdrawnKeys Withdrawn;
   std::map<CallId, HeldCall> HeldCalls;
