Add the messages by which request bodies are staged

A start of a staged body is a message kind of its own, since messages about calls have a fixed length.

--- a/src/nodes/CallMessages.cpp
+++ b/src/nodes/CallMessages.cpp
@@ -18,6 +18,8 @@
 template <> constexpr std::uint32_t FieldCount<CallCancel> = 2;
 template <> constexpr std::uint32_t FieldCount<CallReply> = 14;
 template <> constexpr std::uint32_t FieldCount<CallAnswer> = 5;
+template <> constexpr std::uint32_t FieldCount<CallBody> = 10;
+template <> constexpr std::uint32_t FieldCount<CallBodyReply> = 9;
 
 /// Typical size of the fields of a message without its body, in bytes.
 constexpr std::size_t TypicalFieldBytes = 1024;
@@ -94,6 +96,28 @@
   Fields.reason(Value.Reason);
 }
 
+template <typename Codec, MessageRef<CallBody> Message>
+void visitFields(Codec &Fields, Message &Value) {
+  Fields.id(Value.Id);
+  Fields.number(Value.Offset, MaxStagedBodyBytes);
+  Fields.number(Value.TotalBytes, MaxStagedBodyBytes);
+  Fields.bytes(Value.Piece, BodyPieceBytes);
+  Fields.number(Value.Recipient);
+  Fields.span(Value.Remaining);
+  Fields.bytes(Value.Route, MaxNameBytes);
+  Fields.bytes(Value.Service, MaxNameBytes);
+  Fields.flag(Value.Idempotent);
+}
+
+template <typename Codec, MessageRef<CallBodyReply> Message>
+void visitFields(Codec &Fields, Message &Value) {
+  Fields.reason(Value.Reason);
+  Fields.span(Value.RetryAfter);
+  Fields.number(Value.HeldBytes, MaxStagedBodyBytes);
+  Fields.number(Value.GrantedBytes, MaxStagedBodyBytes);
+  visitFields(Fields, Value.Load);
+}
+
 template <typename Message>
 std::string encodeFields(const Message &Value, std::size_t BodyBytes = 0) {
   FieldWriter Writer(FieldCount<Message>, BodyBytes + TypicalFieldBytes);
@@ -140,6 +164,12 @@
 std::string encode(const CallReply &Message) {
   return encodeFields(Message, Message.Piece.size());
 }
+std::string encode(const CallBody &Message) {
+  return encodeFields(Message, Message.Piece.size());
+}
+std::string encode(const CallBodyReply &Message) {
+  return encodeFields(Message);
+}
 std::string encodeAnswer(const CallAnswer &Answer) {
   return encodeFields(Answer, Answer.Body.size());
 }
@@ -156,6 +186,12 @@
 std::optional<CallReply> decodeCallReply(std::string_view Bytes) {
   return decodeFields<CallReply>(Bytes);
 }
+std::optional<CallBody> decodeCallBody(std::string_view Bytes) {
+  return decodeFields<CallBody>(Bytes);
+}
+std::optional<CallBodyReply> decodeCallBodyReply(std::string_view Bytes) {
+  return decodeFields<CallBodyReply>(Bytes);
+}
 std::optional<CallAnswer> decodeAnswer(std::string_view Bytes) {
   return decodeFields<CallAnswer>(Bytes);
 }
--- a/src/nodes/CallMessages.h
+++ b/src/nodes/CallMessages.h
@@ -2,7 +2,9 @@
 /// Messages by which one node runs a call at another, encoded in msgpack.
 ///
 /// The entry node sends one \ref CallStart, then as many \ref CallFetch as
-/// needed; each is answered by a \ref CallReply. The encoded answer is
+/// needed; each is answered by a \ref CallReply. A large body may precede the
+/// start in pieces, each a \ref CallBody that is answered by a
+/// \ref CallBodyReply. The encoded answer is
 /// transferred in pieces that are requested by call id and offset, so messages
 /// may be lost, delayed or repeated. \ref AnswerAssembler joins the pieces.
 ///
@@ -14,6 +16,7 @@
 
 #include "calls/Call.h"
 #include "policy/Instance.h"
+#include "policy/StagedBodies.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -45,6 +48,17 @@
 /// Longest request target, header name or header value, in bytes.
 inline constexpr std::size_t MaxFieldBytes = 32 * 1024;
 
+/// Load of one target as measured by its node; part of every reply.
+struct LoadReport {
+  std::uint32_t InFlight = 0;
+  std::uint32_t Limit = 0; ///< Concurrency limit of the node for its target.
+  std::uint32_t Queued = 0;
+  DurationMs Latency{0}; ///< Recent typical duration of a request.
+  TargetState State = TargetState::Cold;
+
+  bool operator==(const LoadReport &) const = default;
+};
+
 /// Asks a node to run a request at its target.
 struct CallStart {
   CallRequest Request;
@@ -52,6 +66,39 @@
   /// when unknown, which is permitted for idempotent requests only.
   std::uint64_t Recipient = 0;
   std::string Marks; ///< Crash marks as encoded by policy/CrashGuard.
+  /// The body was staged and Request::Body is empty. Not encoded: sent as
+  /// PeerKind::CallStartStaged.
+  bool IsStaged = false;
+};
+
+/// A piece of a request body that is staged before its CallStart; without bytes
+/// to ask for a grant. It never runs a request.
+struct CallBody {
+  CallId Id;
+  std::uint64_t Offset = 0;     ///< Position of \ref Piece in the body.
+  std::uint64_t TotalBytes = 0; ///< Size of the body.
+  std::string Piece;
+  /// As in \ref CallStart.
+  std::uint64_t Recipient = 0;
+  DurationMs Remaining{0}; ///< Time left when the message was sent.
+  std::string Route;
+  std::string Service;
+  bool Idempotent = false;
+
+  bool operator==(const CallBody &) const = default;
+};
+
+/// The reply to a \ref CallBody. It may be deferred until the link of the
+/// replying node has room for more of the body.
+struct CallBodyReply {
+  /// Ok, or why the body was dropped or not accepted. The call has not run.
+  ResultCode Reason = ResultCode::Ok;
+  DurationMs RetryAfter{0};       ///< Minimum retry delay when refused.
+  std::uint64_t HeldBytes = 0;    ///< Bytes received without gaps.
+  std::uint64_t GrantedBytes = 0; ///< The body may be sent up to here.
+  LoadReport Load;
+
+  bool operator==(const CallBodyReply &) const = default;
 };
 
 /// Requests the state of a call and its answer from an offset on.
@@ -81,17 +128,6 @@
   Refused = 3,   ///< Not run, never will be; see \ref CallReply::Reason.
 };
 
-/// Load of one target as measured by its node; part of every reply.
-struct LoadReport {
-  std::uint32_t InFlight = 0;
-  std::uint32_t Limit = 0; ///< Concurrency limit of the node for its target.
-  std::uint32_t Queued = 0;
-  DurationMs Latency{0}; ///< Recent typical duration of a request.
-  TargetState State = TargetState::Cold;
-
-  bool operator==(const LoadReport &) const = default;
-};
-
 /// The reply to a start, a fetch or a cancel.
 struct CallReply {
   CallState State = CallState::NeverSeen;
@@ -115,11 +151,15 @@
 std::string encode(const CallFetch &Message);
 std::string encode(const CallCancel &Message);
 std::string encode(const CallReply &Message);
+std::string encode(const CallBody &Message);
+std::string encode(const CallBodyReply &Message);
 
 std::optional<CallStart> decodeCallStart(std::string_view Bytes);
 std::optional<CallFetch> decodeCallFetch(std::string_view Bytes);
 std::optional<CallCancel> decodeCallCancel(std::string_view Bytes);
 std::optional<CallReply> decodeCallReply(std::string_view Bytes);
+std::optional<CallBody> decodeCallBody(std::string_view Bytes);
+std::optional<CallBodyReply> decodeCallBodyReply(std::string_view Bytes);
 
 /// Encodes a complete answer, which is then transferred in pieces.
 std::string encodeAnswer(const CallAnswer &Answer);
--- a/src/nodes/PeerTransport.h
+++ b/src/nodes/PeerTransport.h
@@ -30,6 +30,8 @@
   CallStart = 10, ///< Starts a call.
   CallFetch = 11, ///< Fetches the state of a call and its answer.
   CallCancel = 12,
+  CallBody = 13,        ///< Stages a piece of a request body.
+  CallStartStaged = 14, ///< As CallStart, with a body that was staged.
   Tokens = 20, ///< Leases and transfers of rate tokens.
 };
 
--- a/tests/nodes/CallMessagesTest.cpp
+++ b/tests/nodes/CallMessagesTest.cpp
@@ -42,6 +42,30 @@
   return Reply;
 }
 
+CallBody anyBody() {
+  CallBody Body;
+  Body.Id = {*rc::gen::arbitrary<std::uint64_t>(), 7};
+  Body.Offset = *rc::gen::inRange<std::uint64_t>(0, MaxStagedBodyBytes);
+  Body.TotalBytes = *rc::gen::inRange<std::uint64_t>(0, MaxStagedBodyBytes);
+  Body.Piece = *rc::gen::arbitrary<std::string>();
+  Body.Recipient = *rc::gen::arbitrary<std::uint64_t>();
+  Body.Remaining = DurationMs(*rc::gen::inRange(0, 100'000));
+  Body.Route = "receipt";
+  Body.Service = "records";
+  Body.Idempotent = *rc::gen::arbitrary<bool>();
+  return Body;
+}
+
+CallBodyReply anyBodyReply() {
+  CallBodyReply Reply;
+  Reply.Reason = *rc::gen::element(ResultCode::Ok, ResultCode::QueueFull);
+  Reply.RetryAfter = DurationMs(*rc::gen::inRange(0, 100'000));
+  Reply.HeldBytes = *rc::gen::inRange<std::uint64_t>(0, MaxStagedBodyBytes);
+  Reply.GrantedBytes = *rc::gen::inRange<std::uint64_t>(0, MaxStagedBodyBytes);
+  Reply.Load.Queued = *rc::gen::arbitrary<std::uint32_t>();
+  return Reply;
+}
+
 } // namespace
 
 TEST_GROUP(CallMessages){};
@@ -73,12 +97,56 @@
   });
 }
 
+TEST(CallMessages, RoundTripOfBodies) {
+  checkProperty("decode(encode(x)) = x", [] {
+    const CallBody Body = anyBody();
+    const CallBodyReply Reply = anyBodyReply();
+
+    RC_ASSERT(decodeCallBody(encode(Body)) == std::optional(Body));
+    RC_ASSERT(decodeCallBodyReply(encode(Reply)) == std::optional(Reply));
+  });
+}
+
+// Guards against a node that reserves memory, or fills its link, beyond what a
+// message about a body may claim.
+TEST(CallMessages, RefuseBodiesOutOfBounds) {
+  CallBody Body;
+  Body.Piece = std::string(BodyPieceBytes, 'b');
+  Body.Offset = MaxStagedBodyBytes;
+  Body.TotalBytes = MaxStagedBodyBytes;
+  CHECK_TRUE(decodeCallBody(encode(Body)).has_value());
+
+  CallBody LongPiece = Body;
+  LongPiece.Piece += "b";
+  CallBody FarOffset = Body;
+  ++FarOffset.Offset;
+  CallBody LargeTotal = Body;
+  ++LargeTotal.TotalBytes;
+  CallBody LongRoute = Body;
+  LongRoute.Route = std::string(MaxNameBytes + 1, 'r');
+  for (const CallBody &Refused : {LongPiece, FarOffset, LargeTotal, LongRoute})
+    CHECK_FALSE(decodeCallBody(encode(Refused)).has_value());
+  CHECK_FALSE(decodeCallBody(encode(Body) + "x").has_value());
+}
+
 // Any input may arrive from the network. A truncated, extended or altered
 // message must be refused or decode to a message within the bounds.
 TEST(CallMessages, StayWithinBoundsOnMutatedBytes) {
   checkProperty("no decoder fails on mutated bytes", [] {
-    std::string Bytes =
-        *rc::gen::arbitrary<bool>() ? encode(anyStart()) : encode(anyReply());
+    std::string Bytes;
+    switch (*rc::gen::inRange(0, 4)) {
+    case 0:
+      Bytes = encode(anyStart());
+      break;
+    case 1:
+      Bytes = encode(anyReply());
+      break;
+    case 2:
+      Bytes = encode(anyBody());
+      break;
+    default:
+      Bytes = encode(anyBodyReply());
+    }
     const auto Offset = *rc::gen::inRange<std::size_t>(0, Bytes.size());
     switch (*rc::gen::inRange(0, 3)) {
     case 0:
@@ -96,7 +164,11 @@
     decodeCallFetch(Bytes);
     decodeCallCancel(Bytes);
     decodeAnswer(Bytes);
+    const auto Body = decodeCallBody(Bytes);
+    const auto BodyReply = decodeCallBodyReply(Bytes);
 
+    RC_ASSERT(!Body || Body->Piece.size() <= BodyPieceBytes);
+    RC_ASSERT(!BodyReply || BodyReply->HeldBytes <= MaxStagedBodyBytes);
     RC_ASSERT(!Start || Start->Request.Headers.size() <= MaxHeaderFields);
     RC_ASSERT(!Reply || Reply->Piece.size() <= MaxAnswerPieceBytes);
   });
