Read the kind upload and route large bodies like large answers

The kind was read as not idempotent without notice of its large bodies, so an upload crossed failure domains as readily as a small request. AnswerSize becomes PayloadSize.

--- a/src/calls/Call.h
+++ b/src/calls/Call.h
@@ -68,8 +68,9 @@
   std::uint8_t Depth = 0;       ///< Nesting depth; 0 from outside the mesh.
   bool Idempotent = false;
   bool CanWait = false;
-  /// A large answer is expected. Set on the entry node only, not sent.
-  bool ExpectsLargeAnswer = false;
+  /// The body or the expected answer is large. Set on the entry node only, not
+  /// sent.
+  bool HasLargePayload = false;
 };
 
 /// The request id from the caller, for logs; empty if it sent none.
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -3,6 +3,7 @@
 #include "callers/HeaderFields.h"
 #include "calls/KeyStrip.h"
 #include "calls/Refusals.h"
+#include "policy/StagedBodies.h"
 
 #include <algorithm>
 #include <utility>
@@ -158,7 +159,9 @@
   Call.Service = Current.Splits.pick(MatchedRoute);
   Call.Idempotent = MatchedRoute.Idempotent;
   Call.CanWait = MatchedRoute.CanWait;
-  Call.ExpectsLargeAnswer = MatchedRoute.Large;
+  Call.HasLargePayload =
+      MatchedRoute.Large ||
+      (MatchedRoute.LargeBody && Call.Body.size() > BodyPieceBytes);
   Call.Remaining = MatchedRoute.Timeout;
   Call.MaxAttempts =
       static_cast<std::uint8_t>(std::min(MatchedRoute.MaxAttempts, 255U));
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -217,8 +217,8 @@
 /// call, as they have lately refused like ones, count as tried.
 const Instance *EntrySide::pickTarget(EntryCall &Call) {
   const TimeMs Now = Context.now();
-  const AnswerSize Size =
-      Call.Request.ExpectsLargeAnswer ? AnswerSize::Large : AnswerSize::Usual;
+  const PayloadSize Size =
+      Call.Request.HasLargePayload ? PayloadSize::Large : PayloadSize::Usual;
   while (const Instance *Target =
              Targets.pick(Call.Request.Service, Call.TriedTargets, Now,
                           Context.Hooks.Random, Size)) {
--- a/src/intent/Snapshot.h
+++ b/src/intent/Snapshot.h
@@ -139,6 +139,7 @@
   bool Idempotent = false; ///< Can safely run more than once.
   bool CanWait = false;    ///< Queued instead of rejected under load.
   bool Large = false;      ///< Responses are large.
+  bool LargeBody = false;  ///< Request bodies are large.
   DurationMs Timeout{2000};
   DurationMs Objective{0}; ///< Latency objective; 0 for none.
   std::uint32_t MaxAttempts =
--- a/src/platform/ConfigCodec.cpp
+++ b/src/platform/ConfigCodec.cpp
@@ -153,6 +153,7 @@
   setDestination(Object, Config, Result);
   const std::string Kind = stringMember(Object, RouteKind);
   Result.Large = Kind == KindDownload;
+  Result.LargeBody = Kind == KindUpload;
   Result.Idempotent = Result.Large || Kind == KindIdempotent;
   // A timeout of 0 means that none is configured.
   if (const DurationMs Timeout = durationMember(Object, RouteTimeout);
--- a/src/platform/PlatformNames.h
+++ b/src/platform/PlatformNames.h
@@ -63,6 +63,7 @@
 inline constexpr std::string_view RouteKind = "kind";
 inline constexpr std::string_view KindIdempotent = "idempotent";
 inline constexpr std::string_view KindDownload = "download";
+inline constexpr std::string_view KindUpload = "upload";
 inline constexpr std::string_view RouteTimeout = "timeout_s";
 inline constexpr std::string_view RouteObjective = "target_latency_s";
 inline constexpr std::string_view RouteAttempts = "max_attempts";
--- a/src/policy/Router.cpp
+++ b/src/policy/Router.cpp
@@ -15,7 +15,7 @@
 /// Longest time that a silent node is avoided, as a multiple of the first.
 constexpr std::int64_t MaxSuspectFactor = 8;
 
-/// Factor on the distance cost of a large answer.
+/// Factor on the distance cost of a large payload.
 constexpr double LargeDistanceFactor = 5;
 
 /// Latency assumed before the first load report.
@@ -118,7 +118,7 @@
 
 const Instance *Router::pick(std::string_view Service,
                              std::span<const std::string> Excluded, TimeMs Now,
-                             const RandomHook &Random, AnswerSize Size) const {
+                             const RandomHook &Random, PayloadSize Size) const {
   const std::vector<Choice> Eligible = choices(Service, Excluded, Now);
   if (Eligible.empty())
     return nullptr;
@@ -160,7 +160,7 @@
 /// shorter expected wait including its distance cost.
 const Router::Entry *Router::nearFirst(const std::vector<Choice> &Eligible,
                                        TimeMs Now, const RandomHook &Random,
-                                       AnswerSize Size) const {
+                                       PayloadSize Size) const {
   std::vector<Choice> Near;
   std::vector<Choice> Others;
   for (const Choice &Each : Eligible) {
@@ -171,7 +171,7 @@
     return bestOfSample(Eligible, Now, Random);
   const Entry *BestNear = bestOfSample(std::move(Near), Now, Random);
   const Entry *BestOther = bestOfSample(std::move(Others), Now, Random);
-  const double Factor = Size == AnswerSize::Large ? LargeDistanceFactor : 1;
+  const double Factor = Size == PayloadSize::Large ? LargeDistanceFactor : 1;
   // The expected wait includes the distance cost once.
   const double OtherCost =
       expectedWait(*BestOther, Now) + (Factor - 1) * distanceCost(*BestOther);
--- a/src/policy/Router.h
+++ b/src/policy/Router.h
@@ -55,8 +55,8 @@
   TargetState State = TargetState::Cold;
 };
 
-/// Expected size of the answer to a call.
-enum class AnswerSize : std::uint8_t { Usual, Large };
+/// Size of what crosses the network for a call: its body or expected answer.
+enum class PayloadSize : std::uint8_t { Usual, Large };
 
 /// Draws one uniform 64-bit number.
 using RandomHook = std::function<std::uint64_t()>;
@@ -102,12 +102,12 @@
   /// Selects the instance for a call, or null if none is eligible.
   /// The result is valid until the next \ref setInstances.
   /// \param Excluded names of instances to exclude, which were tried before.
-  /// \param Size a large answer raises the cost of other domains if
+  /// \param Size a large payload raises the cost of other domains if
   /// RouterSettings::NearFirst is set.
   const Instance *pick(std::string_view Service,
                        std::span<const std::string> Excluded, TimeMs Now,
                        const RandomHook &Random,
-                       AnswerSize Size = AnswerSize::Usual) const;
+                       PayloadSize Size = PayloadSize::Usual) const;
 
   /// The state of all instances of a service, as used by \ref pick.
   std::vector<RouterCandidate> explain(std::string_view Service,
@@ -140,7 +140,7 @@
   const Entry *bestOfSample(std::vector<Choice> Eligible, TimeMs Now,
                             const RandomHook &Random) const;
   const Entry *nearFirst(const std::vector<Choice> &Eligible, TimeMs Now,
-                         const RandomHook &Random, AnswerSize Size) const;
+                         const RandomHook &Random, PayloadSize Size) const;
   std::vector<Choice> choices(std::string_view Service,
                               std::span<const std::string> Excluded,
                               TimeMs Now) const;
--- a/tests/platform/ConfigCodecTest.cpp
+++ b/tests/platform/ConfigCodecTest.cpp
@@ -79,6 +79,21 @@
   CHECK_TRUE(Config->findRoute("GET", "else.example", "/pay/") == nullptr);
 }
 
+// Guards against an upload that runs twice, or that crosses failure domains as
+// if its body were small.
+TEST(ConfigCodec, DecodesUploadsAsLargeBodiesThatAreNotIdempotent) {
+  const std::string Uploads = replaced(
+      ValidDocument, "\"kind\":\"non_idempotent\"", "\"kind\":\"upload\"");
+
+  const SnapshotPtr Config = compile(Uploads, Error);
+
+  const Route *Upload = Config->findRoute("POST", "shop.example", "/pay/");
+  CHECK_TRUE(Upload->LargeBody);
+  CHECK_FALSE(Upload->Large);
+  CHECK_FALSE(Upload->Idempotent);
+  CHECK_FALSE(Config->findRoute("GET", "shop.example", "/file/a")->LargeBody);
+}
+
 TEST(ConfigCodec, DecodesOrganisationsKeysAndDomains) {
   const SnapshotPtr Config = compile(ValidDocument, Error);
 
--- a/tests/policy/RouterTest.cpp
+++ b/tests/policy/RouterTest.cpp
@@ -148,7 +148,7 @@
   STRCMP_EQUAL("north", Near.pick("queue", {}, Now, Random)->Domain.c_str());
   STRCMP_EQUAL(
       "east",
-      Near.pick("queue", {}, Now, Random, AnswerSize::Large)->Domain.c_str());
+      Near.pick("queue", {}, Now, Random, PayloadSize::Large)->Domain.c_str());
 }
 
 // Never selects an instance that is draining, down, excluded, or in a domain
