Add the setting [calls] link_mbps

The rate of the machine's link, by which large responses and bodies take their turn; 0, the default, changes nothing. No code reads it yet.

--- a/src/policy/CallSettings.h
+++ b/src/policy/CallSettings.h
@@ -74,6 +74,9 @@
   double AnswerMemoryShare = 0.15;     ///< Of the machine's memory, for them.
   DurationMs KeepTime{20000};          ///< Lifetime of a stored answer.
 
+  // Link.
+  double LinkMbps = 0; ///< Rate of the machine's link; 0 for no scheduling.
+
   // Ledger.
   std::size_t MaxLedgerIds = 200000; ///< Largest number of call ids stored.
 
--- a/src/settings/CallRows.cpp
+++ b/src/settings/CallRows.cpp
@@ -59,6 +59,7 @@
       row("max_kept_bytes", "bytes", text(Defaults.MaxKeptBytes), wholeNumber<std::size_t>(65536, 1073741824), &CallSettings::MaxKeptBytes, "Memory limit for responses that a node receives, keeps for other nodes or joins, whatever its machine."),
       row("answer_memory_share", "", text(Defaults.AnswerMemoryShare), decimalNumber(0.01, 0.9), &CallSettings::AnswerMemoryShare, "Fraction of the machine's memory that these responses may use; the smaller limit applies."),
       row("keep_ms", "ms", text(Defaults.KeepTime), milliseconds(1000, 600000), &CallSettings::KeepTime, "Maximum time for which such a response is kept; it is dropped earlier once nobody can ask for it."),
+      row("link_mbps", "Mbit/s", text(Defaults.LinkMbps), decimalNumber(0, 100000), &CallSettings::LinkMbps, "Rate of the machine's link in each direction, by which large responses and bodies are sent in turn so that small ones are not late; 0 to send all at once."),
       row("max_ledger_ids", "", text(Defaults.MaxLedgerIds), wholeNumber<std::size_t>(1000, 10000000), &CallSettings::MaxLedgerIds, "Number of calls that are remembered to prevent duplicate execution."),
       row("crash_limit", "", text(Defaults.CrashLimit), wholeNumber<std::uint32_t>(1, 8), &CallSettings::CrashLimit, "Number of targets that a request may crash before it is rejected."),
       row("crash_memory_ms", "ms", text(Defaults.CrashMemory), milliseconds(1000, 86400000), &CallSettings::CrashMemory, "Time for which a crash is remembered."),
