Send a piece of a body again that arrived before an earlier one

The receiver ignores such a piece. A reply now names the piece it is for; one that the receiver lacks is sent again, once a round.

--- a/src/policy/BodyTransfer.cpp
+++ b/src/policy/BodyTransfer.cpp
@@ -12,17 +12,21 @@
   const std::size_t Bytes = std::min(Granted - Sent, BodyPieceBytes);
   if (Bytes == 0 && Outstanding > 0)
     return std::nullopt;
-  const BodyRange Range{Sent, Bytes};
+  const BodyRange Range{Sent, Bytes, Round};
   Sent += Bytes;
   ++Outstanding;
   return Range;
 }
 
-void BodyTransfer::onReply(std::size_t NowHeld, std::size_t NowGranted) {
+void BodyTransfer::onReply(const BodyRange &Message, std::size_t NowHeld,
+                           std::size_t NowGranted) {
   Lost = 0;
   Held = std::clamp(NowHeld, Held, TotalBytes);
   Granted = std::clamp(NowGranted, std::max(Granted, Held), TotalBytes);
   Sent = std::max(Sent, Held);
+  // Replies to pieces of an earlier round say nothing about those sent since.
+  if (Message.Offset + Message.Bytes > Held && Message.Round == Round)
+    sendAgain();
   onEnded();
 }
 
@@ -32,12 +36,16 @@
   onEnded();
 }
 
-/// Once no message is under way, bytes that the receiver does not have were
-/// lost or arrived out of order.
+/// Once no message is under way, what the receiver does not have was lost.
 void BodyTransfer::onEnded() {
   --Outstanding;
-  if (Outstanding == 0)
-    Sent = Held;
+  if (Outstanding == 0 && Sent > Held)
+    sendAgain();
+}
+
+void BodyTransfer::sendAgain() {
+  Sent = Held;
+  ++Round;
 }
 
 } // namespace fescuewood
--- a/src/policy/BodyTransfer.h
+++ b/src/policy/BodyTransfer.h
@@ -24,6 +24,7 @@
 struct BodyRange {
   std::size_t Offset = 0;
   std::size_t Bytes = 0;
+  std::uint32_t Round = 0; ///< Number of times that bytes were sent again.
 
   bool operator==(const BodyRange &) const = default;
 };
@@ -37,10 +38,12 @@
   /// once the body is complete.
   std::optional<BodyRange> next();
 
-  /// Handles the reply to a message.
-  /// \param Held bytes that the receiver has.
-  /// \param Granted bytes of the body that may be sent.
-  void onReply(std::size_t Held, std::size_t Granted);
+  /// Handles the reply to a message. A piece that the receiver does not have
+  /// by then arrived before an earlier one and is sent again.
+  /// \param NowHeld bytes that the receiver has.
+  /// \param NowGranted bytes of the body that may be sent.
+  void onReply(const BodyRange &Message, std::size_t NowHeld,
+               std::size_t NowGranted);
 
   /// Handles a message without reply: what is not known to have arrived is sent
   /// again.
@@ -53,11 +56,13 @@
 
 private:
   void onEnded();
+  void sendAgain();
 
   std::size_t TotalBytes;
   std::size_t Held = 0;
   std::size_t Granted = 0;
   std::size_t Sent = 0; ///< Begin of the next piece.
+  std::uint32_t Round = 0;
   std::uint32_t Outstanding = 0;
   std::uint32_t Lost = 0; ///< Times that no message was replied to.
 };
--- a/tests/policy/StagedBodiesTest.cpp
+++ b/tests/policy/StagedBodiesTest.cpp
@@ -104,27 +104,45 @@
 
   CHECK(BodyRange({0, 0}) == *Transfer.next());
   CHECK_FALSE(Transfer.next().has_value());
-  Transfer.onReply(0, 2 * BodyPieceBytes);
+  Transfer.onReply({0, 0}, 0, 2 * BodyPieceBytes);
   CHECK(BodyRange({0, BodyPieceBytes}) == *Transfer.next());
   CHECK(BodyRange({BodyPieceBytes, BodyPieceBytes}) == *Transfer.next());
   CHECK_FALSE(Transfer.next().has_value());
-  Transfer.onReply(BodyPieceBytes, 3 * BodyPieceBytes);
+  Transfer.onReply({0, BodyPieceBytes}, BodyPieceBytes, 3 * BodyPieceBytes);
   CHECK(BodyRange({2 * BodyPieceBytes, BodyPieceBytes}) == *Transfer.next());
 }
 
 TEST(BodyTransfer, SendsTheSameOffsetAgainAfterALoss) {
   BodyTransfer Transfer(BodyPieceBytes);
   Transfer.next();
-  Transfer.onReply(0, BodyPieceBytes);
+  Transfer.onReply({0, 0}, 0, BodyPieceBytes);
   Transfer.next();
 
   Transfer.onLost();
   CHECK_FALSE(Transfer.receiverSilent());
-  CHECK(BodyRange({0, BodyPieceBytes}) == *Transfer.next());
+  CHECK(BodyRange({0, BodyPieceBytes, 1}) == *Transfer.next());
   Transfer.onLost();
   CHECK_TRUE(Transfer.receiverSilent());
 }
 
+// Guards against a window that moves on past a piece that was ignored, as it
+// arrived before an earlier one: the rest of the body was then ignored too.
+TEST(BodyTransfer, SendsAPieceAgainThatArrivedTooEarly) {
+  BodyTransfer Transfer(4 * BodyPieceBytes);
+  Transfer.next();
+  Transfer.onReply({0, 0}, 0, 2 * BodyPieceBytes);
+  Transfer.next();
+  const BodyRange Early = *Transfer.next();
+
+  Transfer.onReply(Early, BodyPieceBytes, 3 * BodyPieceBytes);
+
+  const BodyRange Again = *Transfer.next();
+  LONGS_EQUAL(Early.Offset, Again.Offset);
+  // Once is enough, also if more pieces arrived too early.
+  Transfer.onReply(Early, BodyPieceBytes, 3 * BodyPieceBytes);
+  LONGS_EQUAL(2 * BodyPieceBytes, Transfer.next()->Offset);
+}
+
 // Guards against a transfer that stalls, or a body that differs from what was
 // sent, when messages and replies are lost, repeated or reordered.
 TEST(BodyTransfer, DeliversTheWholeBodyWhateverTheNetworkDoes) {
@@ -149,16 +167,17 @@
         continue;
       }
       const int Copies = *rc::gen::inRange(1, 3);
-      for (int I = 0; I < Copies; ++I)
+      for (int I = 0; I < Copies; ++I) {
         RC_ASSERT(
             Bodies.add(First, Range.Offset, Body.size(),
                        std::string_view(Body).substr(Range.Offset, Range.Bytes),
                        Now) != PieceResult::Contradicting);
+      }
       Bodies.grant(First, BodyPieceBytes);
       if (occursOnceIn(5)) // The reply is lost.
         Transfer.onLost();
       else
-        Transfer.onReply(Bodies.find(First)->Bytes.size(),
+        Transfer.onReply(Range, Bodies.find(First)->Bytes.size(),
                          Bodies.find(First)->GrantedBytes);
     }
 
