Receive staged bodies by the schedule of the node's inbound link

The node beside a target receives all bodies for it, so it paces them: the reply to a piece waits for the turn of the next one, at most 200 ms. A body is refused before it crosses the link if the link, the queue or the memory has no room for it; a start whose body is missing is refused as not run.

--- a/src/app/Node.cpp
+++ b/src/app/Node.cpp
@@ -33,8 +33,7 @@
 }
 
 bool NodeParts::startPeerServer() {
-  for (PeerKind Kind :
-       {PeerKind::CallStart, PeerKind::CallFetch, PeerKind::CallCancel}) {
+  for (PeerKind Kind : CallMessageKinds) {
     Server.handle(Kind, [this, Kind](const PeerIdentity &Sender,
                                      std::string_view Body, ReplyHook Reply) {
       Engine.handlePeer(Kind, Sender, Body, std::move(Reply));
--- a/src/calls/CallCore.cpp
+++ b/src/calls/CallCore.cpp
@@ -16,7 +16,24 @@
                [this](const CallFetch &Fetch) { return Target.fetch(Fetch); },
                [this](const CallCancel &Cancel) {
                  return Target.cancel(Cancel);
-               }}) {}
+               }}) {
+  if (Context.Settings.LinkMbps > 0)
+    accountForReplies();
+}
+
+/// Replies to the entry side pass the same link as the bodies for the target.
+void CallCore::accountForReplies() {
+  PeerSend Send = std::move(Context.Hooks.Send);
+  Context.Hooks.Send = [this, Send = std::move(Send)](PeerRequest Message,
+                                                      PeerReplyHook OnReply) {
+    Send(std::move(Message),
+         [this, OnReply = std::move(OnReply)](PeerReply Reply) {
+           if (Reply.Body)
+             Target.onReceivedFromPeer(Reply.Body->size());
+           OnReply(std::move(Reply));
+         });
+  };
+}
 
 void CallCore::submit(CallHandle Handle, CallRequest Request,
                       AnswerHook OnAnswer) {
@@ -33,8 +50,11 @@
 void CallCore::handlePeer(PeerKind Kind, std::string_view Body,
                           ReplyHook Reply) {
   Context.run([this, Kind, Body = std::string(Body), Reply = std::move(Reply)] {
-    if (Kind == PeerKind::CallStart) {
+    if (Kind != PeerKind::CallBody)
+      Target.onReceivedFromPeer(Body.size());
+    if (Kind == PeerKind::CallStart || Kind == PeerKind::CallStartStaged) {
       if (auto Start = decodeCallStart(Body)) {
+        Start->IsStaged = Kind == PeerKind::CallStartStaged;
         Target.start(std::move(*Start), [Reply](const CallReply &Answer) {
           Reply(encode(Answer));
         });
@@ -50,6 +70,11 @@
         Reply(encode(Target.cancel(*Cancel)));
         return;
       }
+    } else if (Kind == PeerKind::CallBody) {
+      if (const auto Piece = decodeCallBody(Body)) {
+        Target.receiveBody(*Piece, Reply);
+        return;
+      }
     }
     Reply({});
   });
--- a/src/calls/CallCore.h
+++ b/src/calls/CallCore.h
@@ -28,8 +28,8 @@
   void submit(CallHandle Handle, CallRequest Request, AnswerHook OnAnswer);
   void cancel(CallHandle Handle);
 
-  /// Handles a CallStart, CallFetch or CallCancel message. The reply to a
-  /// malformed message is empty.
+  /// Handles a message about a call. The reply to a malformed message is
+  /// empty.
   void handlePeer(PeerKind Kind, std::string_view Body, ReplyHook Reply);
 
   void setSnapshot(SnapshotPtr Snapshot);
@@ -57,6 +57,8 @@
   std::vector<RouterCandidate> explain(std::string_view Service) const;
 
 private:
+  void accountForReplies();
+
   CallContext Context;
   TargetSide Target;
   EntrySide Entries;
--- a/src/calls/CallEngine.h
+++ b/src/calls/CallEngine.h
@@ -3,7 +3,7 @@
 /// calls to its target on one worker thread.
 ///
 /// \ref CallEngine::submit starts a call and passes its answer to a hook. The
-/// node's transport passes CallStart, CallFetch and CallCancel messages to
+/// node's transport passes messages of \ref CallMessageKinds to
 /// \ref CallEngine::handlePeer. The worker thread owns all call state; every
 /// function may be called from any thread.
 
@@ -23,6 +23,7 @@
 #include "policy/MemberRecord.h"
 #include "policy/Router.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -64,6 +65,11 @@
   std::function<std::optional<std::size_t>()> ResidentMemory;
 };
 
+/// Messages that a node's transport passes to its call engine.
+inline constexpr std::array CallMessageKinds = {
+    PeerKind::CallStart, PeerKind::CallFetch, PeerKind::CallCancel,
+    PeerKind::CallBody, PeerKind::CallStartStaged};
+
 /// Identifies a submitted call for \ref CallEngine::cancel.
 using CallHandle = std::uint64_t;
 
@@ -90,8 +96,8 @@
   /// Ends a call whose caller has disconnected; its hook is still called once.
   void cancel(CallHandle Handle);
 
-  /// Handles a CallStart, CallFetch or CallCancel message. With \p Kind bound,
-  /// it is a \ref PeerHandler.
+  /// Handles a message about a call. With \p Kind bound, it is a
+  /// \ref PeerHandler.
   void handlePeer(PeerKind Kind, const PeerIdentity &From,
                   std::string_view Body, ReplyHook Reply);
 
--- a/src/calls/CallStatus.h
+++ b/src/calls/CallStatus.h
@@ -61,6 +61,9 @@
   std::size_t LedgerIds = 0;
   std::size_t KeptBytes = 0;
   std::size_t AnswerLimit = 0;    ///< Limit on all bytes of answers.
+  std::size_t StagedBodies = 0;   ///< Bodies that arrive ahead of their calls.
+  std::size_t BodyBytes = 0;      ///< Reserved for them and for queued ones.
+  std::size_t BodyLimit = 0;      ///< Limit on \ref BodyBytes.
   LatencyHistogram TargetLatency; ///< From the start of a run to its end.
   LatencyHistogram QueueWait;     ///< From arrival to the start of the run.
 };
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -41,6 +41,7 @@
                                Context.Settings.AnswerMemoryShare,
                                Context.Identity.MachineBytes)),
       Ledger(ledgerLimits(Context.Settings, Memory.limit()), Context.now()),
+      Bodies(Context, bodyHooks()),
       Queue(queueSettings(Context.Settings),
             [this](const CallId &Id) {
               refuse(Id, ResultCode::DeadlineUnreachable);
@@ -67,7 +68,10 @@
   Call.Deadline = Now + Start.Request.Remaining;
   Call.Request = std::move(Start.Request);
   Call.OnReply = OnReply;
-  const ResultCode Refusal = refusalOnArrival(Call.Request);
+  ResultCode Refusal =
+      Bodies.claim(Start.IsStaged, Call.Request, Call.BodyBytes);
+  if (Refusal == ResultCode::Ok)
+    Refusal = refusalOnArrival(Call.Request);
   if (Refusal == ResultCode::Ok)
     enqueue(Id);
   else
@@ -79,6 +83,8 @@
   bool Fenced = false;
   if (Fetch.Fence)
     Fenced = Ledger.fence(Fetch.Id, Context.now());
+  if (Fenced)
+    Bodies.drop(Fetch.Id);
   CallReply Reply = ledgerReply(Fetch.Id, Fetch.Offset, Fetch.MaxPieceBytes);
   Reply.Fenced = Reply.Fenced || Fenced;
   return Reply;
@@ -87,6 +93,7 @@
 CallReply TargetSide::cancel(const CallCancel &Cancel) {
   Ledger.fence(Cancel.Id, Context.now());
   Ledger.release(Cancel.Id);
+  Bodies.drop(Cancel.Id);
   const auto Found = HeldCalls.find(Cancel.Id);
   if (Found == HeldCalls.end())
     return stateReply(Cancel.Id);
@@ -146,6 +153,7 @@
   const TimeMs Now = Context.now();
   Queue.expire(serviceRate(), Now);
   Ledger.expire(Now);
+  Bodies.tick();
   if (Now >= NextGuardExpiry) {
     Context.Guard.expire(Now);
     NextGuardExpiry = Now + GuardExpiryInterval;
@@ -159,7 +167,7 @@
 }
 
 TimeMs TargetSide::nextDue() const {
-  if (Queue.size() > 0)
+  if (Queue.size() > 0 || !Bodies.idle())
     return Context.now();
   TimeMs Next = AbandonedRuns.empty() ? Never : AbandonedRuns.front();
   if (Suspended || Down)
@@ -193,6 +201,7 @@
   Status.LedgerIds = Ledger.size();
   Status.KeptBytes = Ledger.keptBytes();
   Status.AnswerLimit = Memory.limit();
+  Bodies.fill(Status);
 }
 
 CallReply TargetSide::baseReply() {
@@ -240,6 +249,7 @@
     return Announced.limit().wait(Queue.size(), Context.now());
   const bool Busy = Reason == ResultCode::QueueFull ||
                     Reason == ResultCode::AnswerMemoryFull ||
+                    Reason == ResultCode::BodyMemoryFull ||
                     Reason == ResultCode::DeadlineUnreachable;
   if (!Busy)
     return DurationMs(0);
@@ -314,8 +324,9 @@
 
 void TargetSide::enqueue(const CallId &Id) {
   const HeldCall &Call = HeldCalls.at(Id);
-  if (!Queue.push(queueEntry(Call.Request, Call.Deadline), serviceRate(),
-                  Context.now()))
+  QueuedCall Entry = queueEntry(Call.Request, Call.Deadline);
+  Entry.Bytes -= Call.BodyBytes;
+  if (!Queue.push(std::move(Entry), serviceRate(), Context.now()))
     refuse(Id, Queue.lastReason());
 }
 
@@ -323,6 +334,7 @@
   const auto Found = HeldCalls.find(Id);
   const CallReplyHook OnReply = std::move(Found->second.OnReply);
   Memory.release(Found->second.AnswerBytes);
+  Bodies.release(Found->second.BodyBytes);
   HeldCalls.erase(Found);
   OnReply(Reply);
 }
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -9,6 +9,7 @@
 #ifndef FESCUEWOOD_CALLS_TARGETSIDE_H
 #define FESCUEWOOD_CALLS_TARGETSIDE_H
 
+#include "calls/BodyReceiver.h"
 #include "calls/CallContext.h"
 #include "calls/TargetPort.h"
 #include "nodes/CallMessages.h"
@@ -29,6 +30,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace fescuewood {
 
@@ -47,6 +49,14 @@
   /// for a call id that is already in the ledger, immediately with its state.
   void start(CallStart Start, const CallReplyHook &OnReply);
 
+  /// Handles a piece of a body that is staged before its call starts.
+  void receiveBody(const CallBody &Message, ReplyHook OnReply) {
+    Bodies.receive(Message, std::move(OnReply));
+  }
+
+  /// Accounts for a message or a reply of another node, except for bodies.
+  void onReceivedFromPeer(std::size_t Bytes) { Bodies.onReceived(Bytes); }
+
   /// Returns the state of a call; fences its id if the message requests it.
   CallReply fetch(const CallFetch &Fetch);
 
@@ -75,7 +85,9 @@
   TimeMs nextDue() const;
 
   /// Whether no call is queued or running.
-  bool idle() const { return HeldCalls.empty() && InFlight == 0; }
+  bool idle() const {
+    return HeldCalls.empty() && InFlight == 0 && Bodies.idle();
+  }
 
   /// Load of the target, as sent with every reply.
   LoadReport load();
@@ -95,6 +107,7 @@
     std::uint64_t Epoch = 0;     ///< Target epoch in which its run started.
     std::string TargetId;        ///< That its run was meant for.
     std::size_t AnswerBytes = 0; ///< Reserved for its answer while it runs.
+    std::size_t BodyBytes = 0;   ///< Reserved for its body by BodyReceiver.
     /// Reason for a broken run, Ok otherwise. A broken run is answered once it
     /// is known whether the target crashed.
     ResultCode BrokenReason = ResultCode::Ok;
@@ -106,6 +119,8 @@
                         std::uint64_t MaxPieceBytes = 0);
   CallReply baseReply();
   DurationMs retryAfter(ResultCode Reason);
+  BodyReceiverHooks bodyHooks();
+  BodyRefusal refusalOfBody(const CallRequest &Request);
   ResultCode refusalOnArrival(const CallRequest &Request);
   ResultCode refusalOnStart(const CallRequest &Request);
   QueuedCall queueEntry(const CallRequest &Request, TimeMs Deadline) const;
@@ -155,6 +170,7 @@
   std::function<std::size_t()> JoiningBytes;
   AnswerMemory Memory;
   CallLedger Ledger;
+  BodyReceiver Bodies;
   FairQueue Queue;
   AdmissionLimit Limit;
   WithdrawnKeys Withdrawn;
--- a/src/operators/Metrics.cpp
+++ b/src/operators/Metrics.cpp
@@ -149,6 +149,9 @@
   Collector.add(MetricId::AnswerBytesKept, toDouble(Calls.KeptBytes));
   Collector.add(MetricId::AnswerBytesLimit, toDouble(Calls.AnswerLimit));
   Collector.add(MetricId::AnswerBytesJoining, toDouble(Calls.JoiningBytes));
+  Collector.add(MetricId::StagedBodies, toDouble(Calls.StagedBodies));
+  Collector.add(MetricId::BodyBytes, toDouble(Calls.BodyBytes));
+  Collector.add(MetricId::BodyBytesLimit, toDouble(Calls.BodyLimit));
 }
 
 void addOrganisations(const LimiterStatus &Status, MetricCollector &Collector) {
--- a/src/policy/RetryRules.cpp
+++ b/src/policy/RetryRules.cpp
@@ -11,6 +11,7 @@
   case ResultCode::TargetUnlisted:
   case ResultCode::NoTargetAvailable:
   case ResultCode::CallFenced:
+  case ResultCode::StagedBodyMissing:
     return true;
   default:
     return false;
@@ -51,6 +52,7 @@
 
 bool isRepeatFutile(ResultCode Reason) {
   return Reason == ResultCode::DeadlineUnreachable ||
+         Reason == ResultCode::LinkBusy ||
          Reason == ResultCode::TargetRateUsed;
 }
 
