Stage large bodies at target nodes while the rate of the link is set

Bodies of 60 kB, each in one message, kept the link of a target's node busy, and small calls waited behind them. A body above 16 KiB for another node now crosses in pieces before the request itself is sent. Until then the request has certainly not run, so a refusal, a silent node or a missing body moves it. At-most-once is unchanged: only the start runs a request.

--- a/src/calls/EntryMessages.cpp
+++ b/src/calls/EntryMessages.cpp
@@ -28,7 +28,7 @@
   const bool Known = IsLocal || (Links[Current.Address].Incarnation != 0 &&
                                  !Targets.isSuspected(Current.Target));
   if (Known || Call.Request.Idempotent)
-    sendStart(Handle, Call);
+    sendBodyOrStart(Handle, Call);
   else
     queryIncarnation(Handle, Call);
 }
@@ -59,7 +59,14 @@
   CallStart Start;
   Start.Recipient = IsLocal ? Context.Identity.Incarnation
                             : Links[Current.Address].Incarnation;
+  Start.IsStaged = Current.IsStaged;
+  // The body may be large, so it is not copied if it is not sent.
+  std::string StagedBody;
+  if (Current.IsStaged)
+    StagedBody.swap(Call.Request.Body);
   Start.Request = Call.Request;
+  if (Current.IsStaged)
+    StagedBody.swap(Call.Request.Body);
   Start.Request.Id = Current.Id;
   Start.Request.Remaining = Call.Deadline - Now;
   Start.Marks = Context.Guard.encode(Now);
@@ -79,7 +86,8 @@
   }
   PeerRequest Message;
   Message.Address = Current.Address;
-  Message.Kind = PeerKind::CallStart;
+  Message.Kind =
+      Start.IsStaged ? PeerKind::CallStartStaged : PeerKind::CallStart;
   Message.Body = encode(Start);
   Message.Timeout = Call.Deadline + AnswerGrace - Now;
   if (Call.UseFreshConnections || Links[Current.Address].FreshUntil > Now)
--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -77,7 +77,7 @@
   Attempt &Current = *Call.Current;
   if (Answered) {
     Current.AwaitingIncarnation = false;
-    sendStart(Handle, Call);
+    sendBodyOrStart(Handle, Call);
     return;
   }
   // The request has not been sent, so it cannot have run. The connection may be
@@ -94,9 +94,14 @@
 void EntrySide::onReplyMetadata(const CallReply &Reply,
                                 const PeerIdentity &Sender,
                                 const Attempt &Source, PeerRoute Route) {
+  Context.Guard.merge(Reply.Marks, Context.now());
+  onHeard(Reply.Load, Sender, Source, Route);
+}
+
+void EntrySide::onHeard(const LoadReport &Load, const PeerIdentity &Sender,
+                        const Attempt &Source, PeerRoute Route) {
   const TimeMs Now = Context.now();
-  Targets.onLoad(Source.Target, targetLoad(Reply.Load), Now);
-  Context.Guard.merge(Reply.Marks, Now);
+  Targets.onLoad(Source.Target, targetLoad(Load), Now);
   if (Source.Address.empty())
     return;
   Link &Known = Links[Source.Address];
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -62,12 +62,19 @@
     refuse(Handle, Call, ResultCode::ShuttingDown, Outcome::NotRun);
   else if (!Context.Config)
     refuse(Handle, Call, ResultCode::NotConfigured, Outcome::NotRun);
-  else if (!Call.Request.CanWait && HeldBytes > Context.Settings.MaxHeldBytes)
+  else if (!Call.Request.CanWait && exceedsHeldBytes(Call))
     refuse(Handle, Call, ResultCode::QueueFull, Outcome::NotRun);
   else
     dispatch(Handle, Call);
 }
 
+/// Whether there is no memory for a call beside the others. With staged bodies,
+/// a single one may be as large as the callers' limit.
+bool EntrySide::exceedsHeldBytes(const EntryCall &Call) const {
+  const bool IsAlone = Context.Settings.LinkMbps > 0 && HeldBytes == Call.Bytes;
+  return HeldBytes > Context.Settings.MaxHeldBytes && !IsAlone;
+}
+
 /// Ranks a call that the local target makes while it runs another request, and
 /// bounds its time by that request's. Where there are organisations, the entry
 /// knows such a call by its lack of one.
@@ -88,7 +95,7 @@
   if (Found == Calls.end())
     return;
   EntryCall &Call = Found->second;
-  const bool Sent = Call.Current && !Call.Current->AwaitingIncarnation;
+  const bool Sent = Call.Current && Call.Current->isStarted();
   endAttempt(Call, RemoteWork::MayContinue);
   refuse(Handle, Call, ResultCode::CallerGone,
          Sent ? Outcome::Unknown : outcomeOfEarlierAttempts(Call));
@@ -126,7 +133,7 @@
   while (!Calls.empty()) {
     const CallHandle Handle = Calls.begin()->first;
     EntryCall &Call = Calls.begin()->second;
-    const bool Sent = Call.Current && !Call.Current->AwaitingIncarnation;
+    const bool Sent = Call.Current && Call.Current->isStarted();
     refuse(Handle, Call, ResultCode::ShuttingDown,
            Sent ? Outcome::Unknown : outcomeOfEarlierAttempts(Call));
   }
@@ -176,6 +183,14 @@
     dispatch(Handle, Call);
     return;
   }
+  if (Call.Current->Staging) {
+    // Each message has its own timeout; only the deadline remains.
+    if (Now >= Call.Deadline)
+      expire(Handle, Call);
+    else
+      schedule(Handle, Call, Call.Deadline);
+    return;
+  }
   if (Context.Settings.Retry == RetryMode::Plain) {
     // Baseline mode: retries without fetching the outcome of the first attempt.
     if (claimRetry(Call, true))
@@ -366,9 +381,9 @@
            outcomeOfEarlierAttempts(Call));
     return;
   }
-  const Outcome Known = Call.Current->AwaitingIncarnation
-                            ? outcomeOfEarlierAttempts(Call)
-                            : Outcome::Unknown;
+  const Outcome Known = Call.Current->isStarted()
+                            ? Outcome::Unknown
+                            : outcomeOfEarlierAttempts(Call);
   endAttempt(Call, RemoteWork::MayContinue);
   refuse(Handle, Call, ResultCode::DeadlineExceeded, Known);
 }
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -16,6 +16,7 @@
 
 #include "calls/CallContext.h"
 #include "nodes/CallMessages.h"
+#include "policy/BodyTransfer.h"
 #include "policy/MissingServices.h"
 #include "policy/RecentRefusals.h"
 #include "policy/RetryBudget.h"
@@ -90,6 +91,9 @@
   TimeMs SentAt;
   /// The request is not sent yet: the node's incarnation is being fetched.
   bool AwaitingIncarnation = false;
+  /// The request is not sent yet: its body is being staged at the node.
+  std::optional<BodyTransfer> Staging;
+  bool IsStaged = false; ///< The node has the body.
   /// The target may have been given the request.
   bool MayBeDelivered = false;
   bool StartPending = false; ///< The reply to the start may still arrive.
@@ -102,6 +106,9 @@
   /// next reply.
   std::optional<SilentAttempt> Silence;
   AnswerAssembler Answer;
+
+  /// Whether the request itself was sent, so that it may have run.
+  bool isStarted() const { return !AwaitingIncarnation && !Staging; }
 };
 
 /// Calls that entered at one node. Not thread-safe; used only inside
@@ -183,6 +190,7 @@
   using CallMap = std::map<CallHandle, EntryCall>;
 
   void adoptParent(CallRequest &Request) const;
+  bool exceedsHeldBytes(const EntryCall &Call) const;
   /// Returns the call if \p Id is its current attempt, otherwise null.
   EntryCall *find(CallHandle Handle, const CallId &Id);
   /// Schedules the next step for \p When or the end of the call, whichever is
@@ -197,6 +205,14 @@
   void waitOrRefuse(CallHandle Handle, EntryCall &Call);
   void startAttempt(CallHandle Handle, EntryCall &Call, const Instance &Target);
   DurationMs firstFetchDelay(const Attempt &Current) const;
+  void sendBodyOrStart(CallHandle Handle, EntryCall &Call);
+  bool usesStaging(const EntryCall &Call) const;
+  void sendBody(CallHandle Handle, EntryCall &Call);
+  void sendBodyPiece(CallHandle Handle, const EntryCall &Call,
+                     const BodyRange &Range);
+  void onBodyReply(CallHandle Handle, const CallId &Id, const BodyRange &Range,
+                   const PeerReply &Reply, PeerRoute Route);
+  void onBodyUnanswered(CallHandle Handle, EntryCall &Call, ResultCode Reason);
   void sendStart(CallHandle Handle, EntryCall &Call);
   void queryIncarnation(CallHandle Handle, EntryCall &Call);
   CallFetch outcomeFetch(const Attempt &Current) const;
@@ -225,6 +241,8 @@
   void onAnswer(CallHandle Handle, EntryCall &Call, CallAnswer Answer);
   void onReplyMetadata(const CallReply &Reply, const PeerIdentity &Sender,
                        const Attempt &Source, PeerRoute Route);
+  void onHeard(const LoadReport &Load, const PeerIdentity &Sender,
+               const Attempt &Source, PeerRoute Route);
 
   /// Whether the remote node may still work on an attempt that has ended here.
   enum class RemoteWork : std::uint8_t {
