Test staged bodies in the simulated mesh, with a receiving link

FakeCallMesh gets a receiving link, one queue a node; a target answers a large body with its digest.

--- a/bench/model/FakeCallMesh.h
+++ b/bench/model/FakeCallMesh.h
@@ -35,6 +35,8 @@
   std::int64_t LateUs = 2'000'000;
   /// Bytes per millisecond that a node can send; 0 if unlimited.
   std::uint64_t LinkBytesPerMs = 0;
+  /// Bytes per millisecond that a node can receive; 0 if unlimited.
+  std::uint64_t ReceiveBytesPerMs = 0;
 };
 
 /// A call as seen by its caller.
@@ -58,7 +60,8 @@
   std::uint64_t ProcessGeneration =
       0; ///< Incremented at each start and kill of the process.
   std::int64_t PausedUntilUs = 0;
-  std::int64_t LinkFreeUs = 0; ///< When its link has sent all messages.
+  std::int64_t LinkFreeUs = 0;    ///< When its link has sent all messages.
+  std::int64_t ReceiveFreeUs = 0; ///< When it has received all messages.
   fescuewood::TargetState PublishedState = fescuewood::TargetState::Cold;
 };
 
@@ -256,6 +259,21 @@
     return FreeUs - Time.nowUs() + delay();
   }
 
+  /// Calls \p OnArrival once a message has passed the receiving link of a node,
+  /// which takes one message after the other.
+  void receive(std::size_t To, std::size_t Bytes,
+               std::function<void()> OnArrival) {
+    if (Network.ReceiveBytesPerMs == 0) {
+      OnArrival();
+      return;
+    }
+    std::int64_t &FreeUs = Nodes.at(To)->ReceiveFreeUs;
+    FreeUs = std::max(FreeUs, Time.nowUs());
+    FreeUs += static_cast<std::int64_t>(Bytes * VirtualTime::UsPerMs /
+                                        Network.ReceiveBytesPerMs);
+    Time.after(FreeUs - Time.nowUs(), std::move(OnArrival));
+  }
+
   /// Runs work on a node once it is not paused, unless its process was killed
   /// or restarted meanwhile.
   void runOnNode(std::size_t At, std::function<void(FakeNode &)> Work) {
@@ -348,10 +366,14 @@
     for (int I = 0; I < Copies; ++I) {
       Time.after(transferDelay(From, Request.Body.size()),
                  [this, From, ProcessGeneration, To, Request, Open] {
-                   runOnNode(*To, [this, From, ProcessGeneration, To, Request,
-                                   Open](FakeNode &Node) {
-                     deliver(From, ProcessGeneration, *To, Node, Request, Open);
-                   });
+                   receive(*To, Request.Body.size(),
+                           [this, From, ProcessGeneration, To, Request, Open] {
+                             runOnNode(*To, [this, From, ProcessGeneration, To,
+                                             Request, Open](FakeNode &Node) {
+                               deliver(From, ProcessGeneration, *To, Node,
+                                       Request, Open);
+                             });
+                           });
                  });
     }
   }
@@ -417,7 +439,10 @@
           Reply.Body = std::move(Body);
           Reply.Sender = Sender;
           Time.after(DelayUs, [this, From, ProcessGeneration, Open, Reply] {
-            completeExchange(From, ProcessGeneration, Open, Reply);
+            receive(From, Reply.Body->size(),
+                    [this, From, ProcessGeneration, Open, Reply] {
+                      completeExchange(From, ProcessGeneration, Open, Reply);
+                    });
           });
         });
   }
--- a/bench/model/FakeTarget.h
+++ b/bench/model/FakeTarget.h
@@ -6,6 +6,7 @@
 #define FESCUEWOOD_BENCH_MODEL_FAKETARGET_H
 
 #include "calls/TargetPort.h"
+#include "core/Digest.h"
 #include "model/VirtualTime.h"
 
 #include <algorithm>
@@ -34,10 +35,17 @@
   std::size_t PaddingBytes = 0;
 };
 
-/// The body of a target's answer to the request with this body.
+/// Largest request body that an answer repeats, in bytes.
+inline constexpr std::size_t MaxRepeatedBytes = 4096;
+
+/// The body of a target's answer to the request with this body. The answer to a
+/// large body has its digest instead.
 inline std::string answerBody(const std::string &RequestBody,
                               std::size_t PaddingBytes) {
-  return RequestBody + std::string(PaddingBytes, '.');
+  const std::string Padding(PaddingBytes, '.');
+  if (RequestBody.size() <= MaxRepeatedBytes)
+    return RequestBody + Padding;
+  return fescuewood::Digest::sha256(RequestBody).hex() + Padding;
 }
 
 /// Body of a request that crashes every target that runs it.
