--- a/src/calls/CallCore.cpp
+++ b/src/calls/CallCore.cpp
@@ -21,13 +21,19 @@
     accountForMessages();
 }
 
-/// Messages of the entry side pass the same link as the replies.
+/// Messages of the entry side pass the same link as the replies, and the
+/// replies to them pass it in the direction of the bodies for the target.
 void CallCore::accountForMessages() {
   PeerSend Send = std::move(Context.Hooks.Send);
   Context.Hooks.Send = [this, Send = std::move(Send)](PeerRequest Message,
                                                       PeerReplyHook OnReply) {
     Target.onSentToPeer(Message.Body.size());
-    Send(std::move(Message), std::move(OnReply));
+    Send(std::move(Message),
+         [this, OnReply = std::move(OnReply)](PeerReply Reply) {
+           if (Reply.Body)
+             Target.onReceivedFromPeer(Reply.Body->size());
+           OnReply(std::move(Reply));
+         });
   };
 }
 
@@ -46,8 +52,11 @@
 void CallCore::handlePeer(PeerKind Kind, std::string_view Body,
                           ReplyHook Reply) {
   Context.run([this, Kind, Body = std::string(Body), Reply = std::move(Reply)] {
-    if (Kind == PeerKind::CallStart) {
+    if (Kind != PeerKind::CallBody)
+      Target.onReceivedFromPeer(Body.size());
+    if (Kind == PeerKind::CallStart || Kind == PeerKind::CallStartStaged) {
       if (auto Start = decodeCallStart(Body)) {
+        Start->IsStaged = Kind == PeerKind::CallStartStaged;
         Target.startForPeer(std::move(*Start), Reply);
         return;
       }
@@ -61,6 +70,11 @@
         Reply(encode(Target.cancel(*Cancel)));
         return;
       }
+    } else if (Kind == PeerKind::CallBody) {
+      if (const auto Piece = decodeCallBody(Body)) {
+        Target.receiveBody(*Piece, Reply);
+        return;
+      }
     }
     Reply({});
   });
--- a/src/calls/PacedReplies.cpp
+++ b/src/calls/PacedReplies.cpp
@@ -20,7 +20,7 @@
 
 PacedReplies::PacedReplies(CallContext &Context, FetchHook Fetch)
     : Context(Context), Fetch(std::move(Fetch)),
-      Link(linkBytesPerMs(Context.Settings.LinkMbps)) {}
+      Link(linkBytesPerMs(Context.Settings.scheduledMbps())) {}
 
 void PacedReplies::reply(const CallId &Id, TimeMs Deadline,
                          const CallReply &Reply, ReplyHook OnReply) {
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -45,7 +45,7 @@
                                Context.Identity.MachineBytes)),
       Ledger(ledgerLimits(Context.Settings, Memory.limit()), Context.now()),
       Replies(Context, [this](const CallFetch &Fetch) { return fetch(Fetch); }),
-      Queue(makeQueue()),
+      Bodies(Context, bodyHooks()), Queue(makeQueue()),
       Limit(admissionSettings(Context.Settings), 1, Context.now()) {}
 
 std::unique_ptr<CallQueue> TargetSide::makeQueue() {
@@ -85,7 +85,10 @@
   Call.Request = std::move(Start.Request);
   Call.OnReply = OnReply;
   Call.FromPeer = FromPeer;
-  const ResultCode Refusal = refusalOnArrival(Call);
+  ResultCode Refusal =
+      Bodies.claim(Start.IsStaged, Call.Request, Call.BodyBytes);
+  if (Refusal == ResultCode::Ok)
+    Refusal = refusalOnArrival(Call);
   Call.LinkBytes = linkBytes(Call);
   AcceptedBytes += Call.LinkBytes;
   if (Refusal == ResultCode::Ok)
@@ -99,6 +102,8 @@
   bool Fenced = false;
   if (Fetch.Fence)
     Fenced = Ledger.fence(Fetch.Id, Context.now());
+  if (Fenced)
+    Bodies.drop(Fetch.Id);
   CallReply Reply = ledgerReply(Fetch.Id, Fetch.Offset, Fetch.MaxPieceBytes);
   Reply.Fenced = Reply.Fenced || Fenced;
   return Reply;
@@ -108,6 +113,7 @@
   Ledger.fence(Cancel.Id, Context.now());
   Ledger.release(Cancel.Id);
   Replies.drop(Cancel.Id);
+  Bodies.drop(Cancel.Id);
   const auto Found = HeldCalls.find(Cancel.Id);
   if (Found == HeldCalls.end())
     return stateReply(Cancel.Id);
@@ -168,6 +174,7 @@
   Queue->expire(serviceRate(), Now);
   Ledger.expire(Now);
   Replies.tick();
+  Bodies.tick();
   if (Now >= NextGuardExpiry) {
     Context.Guard.expire(Now);
     NextGuardExpiry = Now + GuardExpiryInterval;
@@ -181,7 +188,7 @@
 }
 
 TimeMs TargetSide::nextDue() const {
-  if (Queue->size() > 0)
+  if (Queue->size() > 0 || !Bodies.idle())
     return Context.now();
   TimeMs Next = Replies.nextDue();
   if (!AbandonedRuns.empty())
@@ -218,6 +225,7 @@
   Status.KeptBytes = Ledger.keptBytes();
   Status.AnswerLimit = Memory.limit();
   Status.LinkBacklogBytes = Replies.backlogBytes();
+  Bodies.fill(Status);
 }
 
 CallReply TargetSide::baseReply() {
@@ -267,6 +275,7 @@
     return Replies.timeToSend(ProducingBytes);
   const bool Busy = Reason == ResultCode::QueueFull ||
                     Reason == ResultCode::AnswerMemoryFull ||
+                    Reason == ResultCode::BodyMemoryFull ||
                     isLackOfTime(Reason);
   if (!Busy)
     return DurationMs(0);
@@ -353,6 +362,7 @@
 void TargetSide::enqueue(const CallId &Id) {
   HeldCall &Call = HeldCalls.at(Id);
   QueuedCall Entry = queueEntry(Call.Request, Call.Deadline);
+  Entry.Bytes -= Call.BodyBytes;
   if (Entry.SoftDeadline != Never)
     Call.LatestTimelyStart = Entry.SoftDeadline - Entry.Cost;
   if (!Queue->push(std::move(Entry), serviceRate(), Context.now()))
@@ -388,6 +398,7 @@
   const auto Found = HeldCalls.find(Id);
   const CallReplyHook OnReply = std::move(Found->second.OnReply);
   Memory.release(Found->second.AnswerBytes);
+  Bodies.release(Found->second.BodyBytes);
   AcceptedBytes -= Found->second.LinkBytes;
   if (Found->second.Running)
     ProducingBytes -= Found->second.LinkBytes;
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -9,6 +9,7 @@
 #ifndef FESCUEWOOD_CALLS_TARGETSIDE_H
 #define FESCUEWOOD_CALLS_TARGETSIDE_H
 
+#include "calls/BodyReceiver.h"
 #include "calls/CallContext.h"
 #include "calls/PacedReplies.h"
 #include "calls/TargetPort.h"
@@ -32,6 +33,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace fescuewood {
 
@@ -64,6 +66,13 @@
     if (Replies.limited())
       Replies.onSent(Bytes);
   }
+  /// Handles a piece of a body that is staged before its call starts.
+  void receiveBody(const CallBody &Message, ReplyHook OnReply) {
+    Bodies.receive(Message, std::move(OnReply));
+  }
+
+  /// Accounts for a message or a reply of another node, except for bodies.
+  void onReceivedFromPeer(std::size_t Bytes) { Bodies.onReceived(Bytes); }
 
   /// Returns the state of a call; fences its id if the message requests it.
   CallReply fetch(const CallFetch &Fetch);
@@ -94,7 +103,8 @@
 
   /// Whether no call is queued or running.
   bool idle() const {
-    return HeldCalls.empty() && InFlight == 0 && Replies.idle();
+    return HeldCalls.empty() && InFlight == 0 && Replies.idle() &&
+           Bodies.idle();
   }
 
   /// Load of the target, as sent with every reply.
@@ -119,6 +129,7 @@
     bool FromPeer = false;       ///< It entered at another node.
     /// Expected size of a large answer that the link will carry, or 0.
     std::size_t LinkBytes = 0;
+    std::size_t BodyBytes = 0; ///< Reserved for its body by BodyReceiver.
     /// Reason for a broken run, Ok otherwise. A broken run is answered once it
     /// is known whether the target crashed.
     ResultCode BrokenReason = ResultCode::Ok;
@@ -137,6 +148,8 @@
   ResultCode refusalByLink(const HeldCall &Call, std::size_t Others);
   TimeMs softDeadline(const CallRequest &Request, DurationMs Objective,
                       DurationMs Cost) const;
+  BodyReceiverHooks bodyHooks();
+  BodyRefusal refusalOfBody(const CallRequest &Request);
   QueuedCall queueEntry(const CallRequest &Request, TimeMs Deadline) const;
   void enqueue(const CallId &Id);
   void startQueued();
@@ -190,6 +203,7 @@
   PacedReplies Replies;
   std::size_t AcceptedBytes = 0;  ///< LinkBytes of all held calls.
   std::size_t ProducingBytes = 0; ///< LinkBytes of the running ones.
+  BodyReceiver Bodies;
   std::unique_ptr<CallQueue> Queue;
   AdmissionLimit Limit;
   WithdrawnKeys Withdrawn;
--- a/src/policy/CallSettings.h
+++ b/src/policy/CallSettings.h
@@ -85,6 +85,12 @@
 
   // Link.
   double LinkMbps = 0; ///< Rate of the machine's link; 0 for no scheduling.
+  /// Fraction of that rate which is scheduled; the rest is for the headers of
+  /// the network and for messages that are not scheduled.
+  double LinkShare = 1;
+
+  /// Scheduled rate of the link.
+  double scheduledMbps() const { return LinkMbps * LinkShare; }
 
   // Ledger.
   std::size_t MaxLedgerIds = 200000; ///< Largest number of call ids stored.
--- a/src/policy/RetryRules.cpp
+++ b/src/policy/RetryRules.cpp
@@ -11,6 +11,7 @@
   case ResultCode::TargetUnlisted:
   case ResultCode::NoTargetAvailable:
   case ResultCode::CallFenced:
+  case ResultCode::StagedBodyMissing:
     return true;
   default:
     return false;
@@ -55,7 +56,8 @@
 }
 
 bool isRepeatFutile(ResultCode Reason) {
-  return isLackOfTime(Reason) || Reason == ResultCode::TargetRateUsed;
+  return isLackOfTime(Reason) || Reason == ResultCode::LinkBusy ||
+         Reason == ResultCode::TargetRateUsed;
 }
 
 } // namespace fescuewood
