Let a node be told the memory of its machine

Cause: memory limits derive from what the system reports, so a test on real processes cannot run a node as on a machine of 160 MB. Change: setting [node] memory_mb, 0 by default for what the system reports. The stand-ins' client gives up after 30 s without a response instead of waiting for ever.

--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -34,6 +34,13 @@
 /// the rest is reserved for small requests on connections that are now idle.
 constexpr std::size_t LargeBodiesDivisor = 2;
 
+/// Memory of the machine in bytes; 0 if unknown.
+std::size_t memoryOfMachine(const NodeIdentity &Node) {
+  constexpr std::size_t BytesPerMb = 1'000'000;
+  return Node.MemoryMb > 0 ? Node.MemoryMb * BytesPerMb
+                           : machineMemory().value_or(0);
+}
+
 HeaderScheme selectScheme(const NodeSettings &Settings) {
   return isStorePlatform(Settings.Platform) ? platform::headerScheme()
                                             : HeaderScheme();
@@ -114,7 +121,7 @@
 NodeParts::NodeParts(NodeSettings InitialSettings, std::string Text)
     : Settings(std::move(InitialSettings)), SettingsText(std::move(Text)),
       Scheme(selectScheme(Settings)), Incarnation(newIncarnation()),
-      MachineBytes(machineMemory().value_or(0)),
+      MachineBytes(memoryOfMachine(Settings.Node)),
       Log(Settings.Log.Level, Settings.Log.File),
       Recorder(
           Settings.Node.Name, Settings.Node.Domain, MaxRecentEvents,
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -118,6 +118,7 @@
       keyRow<S>("node", "service", "", Required, nameForm(), member(&S::Node, &NodeIdentity::Service), "Service of the local target."),
       keyRow<S>("node", "slot", "", Required, wholeNumber<std::uint32_t>(0, 65535), member(&S::Node, &NodeIdentity::Slot), "Declared node slot of this instance in its failure domain."),
       keyRow<S>("node", "address", "", Required, ipAddressForm(), member(&S::Node, &NodeIdentity::Address), "IP address of this instance, from which it connects to other nodes."),
+      keyRow<S>("node", "memory_mb", "MB", "0", wholeNumber<std::uint32_t>(0, 16777216), member(&S::Node, &NodeIdentity::MemoryMb), "Memory of the machine, from which memory limits are derived; 0 for what the system reports."),
       keyRow<S>("callers", "listen", "", Required, endpointForm(), member(&S::Callers, &CallerSettings::Listen), "Listen address for callers."),
       keyRow<S>("callers", "max_header_bytes", "bytes", "16384", wholeNumber<std::size_t>(1024, 65536), member(&S::Callers, &CallerSettings::MaxHeaderBytes), "Maximum size of a request head."),
       keyRow<S>("callers", "max_body_bytes", "bytes", "1048576", wholeNumber<std::size_t>(0, 16777216), member(&S::Callers, &CallerSettings::MaxBodyBytes), "Maximum size of a request body; a route may set a lower limit."),
--- a/src/settings/NodeSettings.h
+++ b/src/settings/NodeSettings.h
@@ -32,6 +32,8 @@
   std::string Service;    ///< Service of the local target.
   std::uint32_t Slot = 0; ///< Declared node slot in the domain, from 0.
   std::string Address;    ///< Source IP address of outgoing connections.
+  /// Memory of the machine in millions of bytes; 0 if the system reports it.
+  std::uint32_t MemoryMb = 0;
 };
 
 /// [callers]: listener and limits for callers.
--- a/tests/standins/Http.h
+++ b/tests/standins/Http.h
@@ -6,6 +6,7 @@
 #ifndef FESCUEWOOD_TESTS_STANDINS_HTTP_H
 #define FESCUEWOOD_TESTS_STANDINS_HTTP_H
 
+#include <chrono>
 #include <cstdlib>
 #include <functional>
 #include <map>
@@ -181,24 +182,28 @@
 }
 
 /// Sends the request \p Text on a new connection and blocks until the response
-/// has been read; throws on failure.
-inline Message ask(const std::string &Address, const std::string &Text) {
+/// has been read; throws on failure and after \p Limit.
+inline Message ask(const std::string &Address, const std::string &Text,
+                   std::chrono::seconds Limit = std::chrono::seconds(30)) {
   asio::io_context Context;
   Tcp::socket Socket(Context);
-  Socket.connect(endpointOf(Address));
-  asio::write(Socket, asio::buffer(Text));
   std::string Buffer;
   std::optional<Message> Answer;
   std::exception_ptr Failure;
   asio::co_spawn(
       Context,
       [&]() -> asio::awaitable<void> {
+        co_await Socket.async_connect(endpointOf(Address), asio::use_awaitable);
+        co_await asio::async_write(Socket, asio::buffer(Text),
+                                   asio::use_awaitable);
         Answer = co_await readMessage(Socket, Buffer);
       },
       [&](const std::exception_ptr &Error) { Failure = Error; });
-  Context.run();
+  Context.run_for(Limit);
   if (Failure)
     std::rethrow_exception(Failure);
+  if (!Answer)
+    throw std::runtime_error("no response in time");
   return *Answer;
 }
 
