--- a/tests/platform/StoreMeshFixture.cpp
+++ b/tests/platform/StoreMeshFixture.cpp
@@ -81,6 +81,21 @@
   }
 }
 
+/// Adds a line `key = value` to a section, in place of the one with its key.
+void addSetting(std::string &Text, const std::string &Section,
+                const std::string &Line) {
+  const std::string Heading = "[" + Section + "]\n";
+  const std::size_t Start = Text.find(Heading);
+  if (Start == std::string::npos)
+    throw std::runtime_error("deploy/settings.ini has no section " + Section);
+  const std::size_t Lines = Start + Heading.size();
+  const std::size_t End = Text.find("\n\n", Lines);
+  const std::string Key = "\n" + Line.substr(0, Line.find('=') + 1);
+  if (const std::size_t Old = Text.find(Key, Lines - 1); Old < End)
+    Text.erase(Old + 1, Text.find('\n', Old + 1) - Old);
+  Text.insert(Lines, Line + "\n");
+}
+
 } // namespace
 
 StoreMesh::StoreMesh() {
@@ -115,6 +130,18 @@
   return endpoint(Instance.Ip, PeersPort);
 }
 
+std::string StoreMesh::callersAddress(const StoreMeshInstance &Instance) {
+  return endpoint(Instance.Ip, CallersPort);
+}
+
+std::string StoreMesh::readyAddress(const StoreMeshInstance &Instance) {
+  return endpoint(Instance.Ip, ReadyPort);
+}
+
+std::string StoreMesh::operatorsAddress(const StoreMeshInstance &Instance) {
+  return endpoint(Instance.Ip, OperatorsPort);
+}
+
 void StoreMesh::start() {
   std::string Addresses;
   for (const StoreMeshInstance &Instance : Instances)
@@ -174,16 +201,16 @@
       R"(,"tenants":[{{"name":"clerks","api_keys":[{}],"priority":1,)"
       R"("rate_per_s":1000,"burst":1000}}])",
       Keys);
-  putItem("op/config",
-          fmt::format(
-              R"({{"version":{},"routes":[{},{},{}],"services":[{},{}],)"
-              R"("limits":{{"max_header_bytes":16384,"max_body_bytes":100000,)"
-              R"("header_timeout_s":3,"idle_timeout_s":15}}{}}})",
-              ++Version, routeJson("open", OpenService, "idempotent", true),
-              routeJson("read", "queue", "idempotent", false),
-              routeJson("book", "ledger", "non_idempotent", false),
-              serviceJson("queue"), serviceJson("ledger"),
-              HasOrganisations ? Organisations : ""));
+  putItem(
+      "op/config",
+      fmt::format(R"({{"version":{},"routes":[{},{},{}],"services":[{},{}],)"
+                  R"("limits":{{"max_header_bytes":16384,"max_body_bytes":{},)"
+                  R"("header_timeout_s":3,"idle_timeout_s":15}}{}}})",
+                  ++Version, routeJson("open", OpenService, "idempotent", true),
+                  routeJson("read", "queue", "idempotent", false),
+                  routeJson("book", "ledger", "non_idempotent", false),
+                  serviceJson("queue"), serviceJson("ledger"), MaxBodyBytes,
+                  HasOrganisations ? Organisations : ""));
 }
 
 void StoreMesh::registerTarget(const StoreMeshInstance &Instance,
@@ -216,6 +243,8 @@
     throw std::runtime_error("deploy/settings.ini cannot be read");
   for (const char *Bound : {"bounds.revoke_s", "bounds.quota_window_s"})
     renderSections(*Text, Bound, HasOrganisations);
+  for (const auto &[Section, Line] : AddedSettings)
+    addSetting(*Text, Section, Line);
   const std::array<std::pair<std::string, std::string>, 13> Placeholders{{
       {"{{ip}}", Instance.Ip},
       {"{{zone}}", Instance.Domain},
@@ -248,13 +277,14 @@
                                   const StoreMeshRequest &Request) const {
   std::string Text =
       fmt::format("{} {} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {}\r\n"
-                  "Deadline-Ms: {}\r\nContent-Length: 0\r\n{}",
+                  "Deadline-Ms: {}\r\nContent-Length: {}\r\n{}",
                   Request.Method, Request.Path, Request.Id, Request.TimeLeftMs,
-                  Request.ExtraFields);
+                  Request.Body.size(), Request.ExtraFields);
   if (!Request.Key.empty())
     Text += "Authorization: Token " + Request.Key + "\r\n";
   try {
-    return standins::ask(endpoint(Receiver.Ip, CallersPort), Text + "\r\n");
+    return standins::ask(callersAddress(Receiver),
+                         Text + "\r\n" + Request.Body);
   } catch (const std::exception &) {
     return {};
   }
@@ -263,7 +293,7 @@
 bool StoreMesh::isReady(const StoreMeshInstance &Instance) const {
   try {
     return standins::ask(
-               endpoint(Instance.Ip, ReadyPort),
+               readyAddress(Instance),
                standins::requestText("GET", "/fescuewood/ready", "", ""))
                .status() == 200;
   } catch (const std::exception &) {
@@ -274,7 +304,7 @@
 nlohmann::json StoreMesh::status(const StoreMeshInstance &Instance) const {
   try {
     return nlohmann::json::parse(
-        standins::ask(endpoint(Instance.Ip, OperatorsPort),
+        standins::ask(operatorsAddress(Instance),
                       standins::requestText("GET", "/status", "", ""))
             .Body);
   } catch (const std::exception &) {
@@ -286,7 +316,7 @@
                          const std::string &Name) const {
   try {
     const std::string Page =
-        standins::ask(endpoint(Instance.Ip, OperatorsPort),
+        standins::ask(operatorsAddress(Instance),
                       standins::requestText("GET", "/metrics", "", ""))
             .Body;
     const std::size_t Line = Page.find("\n" + Name + " ");
--- a/tests/platform/StoreMeshFixture.h
+++ b/tests/platform/StoreMeshFixture.h
@@ -10,10 +10,12 @@
 #include "standins/Process.h"
 #include "support/TemporaryFolder.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -37,7 +39,8 @@
   std::string Key = {};
   std::string Method = "GET";
   std::string ExtraFields = {}; ///< Additional header lines, each with CRLF.
-  int TimeLeftMs = 5000;        ///< Value of the deadline field.
+  std::string Body = {};
+  int TimeLeftMs = 5000; ///< Value of the deadline field.
 };
 
 /// A mesh of two failure domains, `east` and `west`, with one target of `queue`
@@ -98,6 +101,10 @@
   /// Whether the deployment has organisations, with keys and quotas; set before
   /// \ref start.
   bool HasOrganisations = true;
+  std::size_t MaxBodyBytes = 100'000; ///< Declared in the configuration.
+  /// Lines that are added to sections of the settings, by section; set before
+  /// \ref start. They replace lines of the same key.
+  std::vector<std::pair<std::string, std::string>> AddedSettings;
 
   /// Starts the node of an instance; its previous process must have ended.
   void startNode(StoreMeshInstance &Instance) const;
@@ -105,6 +112,15 @@
   /// Address at which other nodes reach the node.
   static std::string peerAddress(const StoreMeshInstance &Instance);
 
+  /// Address at which callers reach the node.
+  static std::string callersAddress(const StoreMeshInstance &Instance);
+
+  /// Address of the node's readiness check.
+  static std::string readyAddress(const StoreMeshInstance &Instance);
+
+  /// Address of the node's status and metrics.
+  static std::string operatorsAddress(const StoreMeshInstance &Instance);
+
   /// The status page of a node; null when it does not answer.
   nlohmann::json status(const StoreMeshInstance &Instance) const;
 
