Add the account of what a node holds for its clients

Cause: nothing knows what all connections of a listener hold together, so nothing can choose which one to close when memory or descriptors run out. Change: policy/ClientMemory accounts for connections by bytes, activity and progress, and names the one to close: the stalled one that holds most for longest, then one of the address with most connections; never one that waits for the node. Not used yet.

--- /dev/null
+++ b/src/policy/ClientMemory.cpp
@@ -0,0 +1,125 @@
+#include "policy/ClientMemory.h"
+
+#include <algorithm>
+
+namespace fescuewood {
+
+namespace {
+
+/// Compares connections by bytes and time without progress.
+double weight(std::size_t Bytes, DurationMs Age) {
+  return static_cast<double>(Bytes) * static_cast<double>(Age.Value);
+}
+
+} // namespace
+
+ClientMemory::ClientId ClientMemory::open(const std::string &Address,
+                                          TimeMs Now) {
+  const ClientId Id = ++LastId;
+  Clients[Id] = {Address, ClientActivity::Idle, 0, Now};
+  ++ConnectionsByAddress[Address];
+  return Id;
+}
+
+void ClientMemory::close(ClientId Id) {
+  const auto Found = Clients.find(Id);
+  if (Found == Clients.end())
+    return;
+  HeldBytes -= Found->second.Bytes;
+  const auto Crowd = ConnectionsByAddress.find(Found->second.Address);
+  if (--Crowd->second == 0)
+    ConnectionsByAddress.erase(Crowd);
+  Clients.erase(Found);
+}
+
+void ClientMemory::update(ClientId Id, ClientActivity Activity,
+                          std::size_t Bytes, bool Progress, TimeMs Now) {
+  const auto Found = Clients.find(Id);
+  if (Found == Clients.end())
+    return;
+  Client &Item = Found->second;
+  HeldBytes = HeldBytes - Item.Bytes + Bytes;
+  // Time that passed in the node is not held against the client.
+  const bool Resumed = Item.Activity == ClientActivity::Waiting &&
+                       Activity != ClientActivity::Waiting;
+  if (Progress || Resumed)
+    Item.LastProgress = Now;
+  Item.Activity = Activity;
+  Item.Bytes = Bytes;
+}
+
+std::optional<ClientMemory::ClientId>
+ClientMemory::findExcess(TimeMs Now) const {
+  if (HeldBytes > Limits.MaxBytes) {
+    const auto Stalled = largestStalled(Now);
+    return Stalled ? Stalled : oldestOfLargestCrowd(Now);
+  }
+  if (Clients.size() >= Limits.MaxConnections)
+    return longestIdle(Now);
+  return std::nullopt;
+}
+
+std::optional<ClientMemory::ClientId>
+ClientMemory::largestStalled(TimeMs Now) const {
+  std::optional<ClientId> Result;
+  double MaxWeight = -1;
+  for (const auto &[Id, Item] : Clients) {
+    const DurationMs Age = Now - Item.LastProgress;
+    if (Item.Activity == ClientActivity::Waiting || Age < ClientStallTime)
+      continue;
+    if (const double Weight = weight(Item.Bytes, Age); Weight > MaxWeight) {
+      MaxWeight = Weight;
+      Result = Id;
+    }
+  }
+  return Result;
+}
+
+/// Of the address with most connections, the one that holds most for longest.
+/// None if no address has more than one, since its only connection may belong
+/// to an ordinary request.
+std::optional<ClientMemory::ClientId>
+ClientMemory::oldestOfLargestCrowd(TimeMs Now) const {
+  const auto Crowd =
+      std::max_element(ConnectionsByAddress.begin(), ConnectionsByAddress.end(),
+                       [](const auto &Left, const auto &Right) {
+                         return Left.second < Right.second;
+                       });
+  if (Crowd == ConnectionsByAddress.end() || Crowd->second < 2)
+    return std::nullopt;
+  std::optional<ClientId> Result;
+  double MaxWeight = -1;
+  for (const auto &[Id, Item] : Clients) {
+    if (Item.Activity == ClientActivity::Waiting ||
+        Item.Address != Crowd->first)
+      continue;
+    // One more, so that among the newest ones the bytes decide.
+    const DurationMs Age = Now - Item.LastProgress + DurationMs(1);
+    if (const double Weight = weight(Item.Bytes, Age); Weight > MaxWeight) {
+      MaxWeight = Weight;
+      Result = Id;
+    }
+  }
+  return Result;
+}
+
+std::optional<ClientMemory::ClientId>
+ClientMemory::longestIdle(TimeMs Now) const {
+  std::optional<ClientId> Result;
+  DurationMs MaxAge{0};
+  for (const auto &[Id, Item] : Clients) {
+    if (Item.Activity == ClientActivity::Waiting)
+      continue;
+    const DurationMs Age = Now - Item.LastProgress;
+    const DurationMs MinAge = Item.Activity == ClientActivity::Idle
+                                  ? MinClientIdleTime
+                                  : ClientStallTime;
+    if (Age >= MinAge && Age > MaxAge) {
+      MaxAge = Age;
+      Result = Id;
+    }
+  }
+  return Result;
+}
+
+} // namespace fescuewood
--- a/tests/platform/FakeClients.cpp
+++ b/tests/platform/FakeClients.cpp
@@ -64,7 +64,8 @@
       asio::socket_base::send_buffer_size(SocketBufferBytes));
   Item.Socket.non_blocking(true);
   // Asio's connect would block.
-  ::connect(Item.Socket.native_handle(), Server.data(), Server.size());
+  static_cast<void>(
+      ::connect(Item.Socket.native_handle(), Server.data(), Server.size()));
 }
 
 void FakeClients::step() {
