Bound what a node holds for its callers by one account

Cause: memory was bounded for large bodies only. Small bodies, header fields, chunk records (16 bytes per chunk in RESTinio), pipelined requests and answers that are not read had no bound in sum, and connections could take every descriptor. After an accept fails for lack of descriptors, RESTinio never accepts again on that socket. When it is exhausted, or there are more connections than allowed, a stalled or idle one is closed. A client's progress while it reads is what its system has received. Connections get at most 0.6 of the descriptors that are not for files. Of pipelined requests, eight of a connection run at a time, and a connection is not read while several requests and their answers hold more than 64 kB.

--- a/src/app/NodePages.cpp
+++ b/src/app/NodePages.cpp
@@ -105,6 +105,7 @@
   Status.Source = Store ? Store->counts() : SourceReads->counts();
   for (const MemberStatus &Member : Control.status().Members)
     Status.Fleet.push_back(fleetRow(Member));
+  Status.Callers = Callers.status();
   Status.Calls = Engine.status();
   Status.Organisations = Limiter.status();
   Status.Traffic = Link.Traffic.byKind();
--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -6,6 +6,7 @@
 #include "platform/PlatformScheme.h"
 #include "platform/StoreClient.h"
 #include "policy/AnswerMemory.h"
+#include "policy/ClientMemory.h"
 
 #include <algorithm>
 #include <cmath>
@@ -46,17 +47,26 @@
                                             : HeaderScheme();
 }
 
-CallerServerOptions callerOptions(const CallerSettings &Settings,
-                                  const CallSettings &Calls,
-                                  const HeaderScheme &Scheme) {
+CallerServerOptions callerOptions(const NodeSettings &Node,
+                                  const HeaderScheme &Scheme,
+                                  std::size_t MachineBytes) {
+  const CallerSettings &Settings = Node.Callers;
+  const std::size_t MaxDescriptors = Node.Node.MaxDescriptors > 0
+                                         ? Node.Node.MaxDescriptors
+                                         : descriptorLimit().value_or(0);
+  const ClientLimits Limits =
+      clientLimits({MachineBytes, Settings.MemoryShare, MaxDescriptors,
+                    Settings.MaxConnections});
   CallerServerOptions Options;
   Options.Scheme = Scheme;
   Options.Address = Settings.Listen.Ip;
   Options.Port = Settings.Listen.Port;
   Options.MaxHeaderBytes = Settings.MaxHeaderBytes;
   Options.MaxBodyBytes = Settings.MaxBodyBytes;
-  Options.MaxHeldBytes = Calls.MaxHeldBytes / LargeBodiesDivisor;
-  Options.MaxConnections = Settings.MaxConnections;
+  Options.MaxHeldBytes =
+      std::min(Node.Calls.MaxHeldBytes, Limits.MaxBytes) / LargeBodiesDivisor;
+  Options.MaxConnections = Limits.MaxConnections;
+  Options.MaxClientBytes = Limits.MaxBytes;
   Options.ReadTimeout = std::min(Settings.ReadTimeout, Settings.IdleTimeout);
   return Options;
 }
@@ -156,7 +166,7 @@
           [this] { return keysProven(); },
           {Scheme, Settings.Node.Service, Incarnation}),
       Callers(
-          callerOptions(Settings.Callers, Settings.Calls, Scheme),
+          callerOptions(Settings, Scheme, MachineBytes),
           [this](CallerRequest Request, const AnswerHook &OnAnswer) {
             Bridge.onRequest(std::move(Request), OnAnswer);
           },
--- a/src/callers/CallerServer.cpp
+++ b/src/callers/CallerServer.cpp
@@ -38,6 +38,10 @@
   return State->Core->unansweredCount();
 }
 
+CallerServerStatus CallerServer::status() const {
+  return State->Core->status();
+}
+
 void CallerServer::stop() { State->Core->stop(); }
 
 ResultCode CallerServer::lastReason() const {
--- a/src/callers/CallerServer.h
+++ b/src/callers/CallerServer.h
@@ -58,6 +58,8 @@
   /// memory is released.
   std::size_t MaxHeldBytes = 8 * 1024 * 1024;
   std::size_t MaxConnections = 1024;
+  /// Limit on all that is held for callers, see \ref ClientMemory.
+  std::size_t MaxClientBytes = 64 * 1024 * 1024;
   DurationMs ReadTimeout{60'000};  ///< Per request, including idle time.
   DurationMs WriteTimeout{60'000}; ///< Per answer that is not read.
   /// Time for which idle connections stay open in a drain.
@@ -65,6 +67,14 @@
   HeaderScheme Scheme = {}; ///< Names of the fields that the server reads.
 };
 
+/// What a server holds for its callers.
+struct CallerServerStatus {
+  std::size_t Connections = 0;
+  std::size_t HeldBytes = 0;
+  std::size_t LimitBytes = 0;
+  std::uint64_t ClosedConnections = 0; ///< In favour of others, so far.
+};
+
 /// An HTTP/1.1 server for callers.
 class CallerServer {
 public:
@@ -96,6 +106,9 @@
   /// be in transit on them; 0 then means that the drain is complete.
   std::size_t unansweredCount() const;
 
+  /// What the server holds for its callers now. Thread-safe.
+  CallerServerStatus status() const;
+
   /// Closes all connections and joins the thread. Unwritten answers are lost;
   /// for a graceful shutdown, call \ref stopAccepting first and wait until
   /// \ref unansweredCount is 0.
--- a/src/callers/CallerServerCore.cpp
+++ b/src/callers/CallerServerCore.cpp
@@ -17,10 +17,14 @@
 /// Size of the buffer for one read.
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
 
-/// Maximum number of concurrent requests per connection. Below this limit the
+/// Maximum number of pipelined requests per connection. Below this limit the
 /// server keeps reading, which is how it detects a disconnected caller.
 constexpr std::size_t MaxPipelinedRequests = 32;
 
+/// Maximum number of requests of a connection that run or whose answers are
+/// kept. More than ordinary callers pipeline.
+constexpr std::size_t MaxRunningRequests = 8;
+
 /// Longer than any call: the mesh enforces call deadlines, not RESTinio.
 constexpr std::chrono::hours HandlingTimeout{24};
 
@@ -64,6 +68,27 @@
   return Request;
 }
 
+/// Bytes that the body and the fields of an answer take.
+std::size_t answerBytes(const CallAnswer &Answer) {
+  std::size_t Bytes = Answer.Body.size();
+  for (const Header &Field : Answer.Headers)
+    Bytes += Field.Name.size() + Field.Value.size() + FieldOverheadBytes;
+  return Bytes;
+}
+
+/// Bytes that a request takes: RESTinio's, and the copy that is submitted.
+std::size_t requestBytes(const restinio::request_handle_t &Handle) {
+  constexpr std::size_t Copies = 2;
+  std::size_t Bytes =
+      Handle->body().size() + Handle->header().request_target().size();
+  Handle->header().for_each_field([&](const auto &Field) {
+    Bytes += Field.name().size() + Field.value().size() + FieldOverheadBytes;
+  });
+  const auto *Chunks = Handle->chunked_input_info();
+  return Bytes * Copies +
+         (Chunks ? Chunks->chunk_count() * ChunkOverheadBytes : 0);
+}
+
 /// The request ID given by the caller, or an empty string.
 std::string requestId(const CallerRequest &Request,
                       const HeaderScheme &Scheme) {
@@ -118,12 +143,14 @@
     LastReason = ResultCode::AddressInvalid;
     return false;
   }
-  Registry.configure(
-      configuredLimits(), Options.MaxHeldBytes,
-      [this](const asio::ip::tcp::endpoint &Endpoint) {
-        return hasUnansweredRequest(Endpoint);
-      },
-      [this](ResultCode Reason) { reportRefusal(Reason); });
+  Registry.configure({configuredLimits(),
+                      Options.MaxHeldBytes,
+                      {Options.MaxClientBytes, Options.MaxConnections}},
+                     {[this](const asio::ip::tcp::endpoint &Endpoint) {
+                        return hasUnansweredRequest(Endpoint);
+                      },
+                      [this](ResultCode Reason) { reportRefusal(Reason); },
+                      [this](ClosingReason Reason) { reportClosing(Reason); }});
   try {
     Http = std::make_unique<Server>(restinio::external_io_context(Context),
                                     settings(Address));
@@ -149,7 +176,8 @@
       .port(Options.Port)
       .buffer_size(ReadBufferBytes)
       .max_pipelined_requests(MaxPipelinedRequests)
-      .max_parallel_connections(Options.MaxConnections)
+      .max_parallel_connections(Options.MaxConnections +
+                                spareConnections(Options.MaxConnections))
       .concurrent_accepts_count(ConcurrentAccepts)
       .read_next_http_message_timelimit(toMilliseconds(Options.ReadTimeout))
       .write_http_response_timelimit(toMilliseconds(Options.WriteTimeout))
@@ -175,19 +203,50 @@
 restinio::request_handling_status_t
 CallerServerCore::handleRequest(const restinio::request_handle_t &Handle) {
   const std::uint64_t Number = ++LastRequestNumber;
-  CallerRequest Request = toCallerRequest(Number, Options.Scheme, Handle);
-  PendingRequests[Number] = {Handle,
-                             Handle->connection_id(),
-                             Handle->remote_endpoint(),
-                             Request.Method,
-                             requestId(Request, Options.Scheme),
-                             Registry.takeCompletedBody()};
-  OpenRequests[Handle->connection_id()].insert(Number);
+  PendingRequest &Request = PendingRequests[Number];
+  Request.Handle = Handle;
+  Request.Connection = Handle->connection_id();
+  Request.Endpoint = Handle->remote_endpoint();
+  Request.Body = Registry.takeCompletedBody();
+  Request.Bytes = requestBytes(Handle);
+  Request.ReceivedAt = MonotonicClock.now();
+  Registry.addServed(Request.Endpoint, Request.Bytes);
+  OpenRequests[Request.Connection].insert(Number);
   ++Unanswered;
-  OnRequest(std::move(Request), answerHook(Number));
+  submitNext(Handle->connection_id());
   return restinio::request_accepted();
 }
 
+/// Submits the requests of a connection in order. The later of many wait here,
+/// where they hold little: each one that runs may bring a large answer, which
+/// is kept until the answers before it are read.
+void CallerServerCore::submitNext(restinio::connection_id_t Connection) {
+  const auto Open = OpenRequests.find(Connection);
+  if (Open == OpenRequests.end())
+    return;
+  // A request that is refused at once may change the set.
+  const std::vector<std::uint64_t> Numbers(Open->second.begin(),
+                                           Open->second.end());
+  const std::size_t Count = std::min(Numbers.size(), MaxRunningRequests);
+  for (std::size_t I = 0; I < Count; ++I) {
+    const auto Position = PendingRequests.find(Numbers[I]);
+    if (Position != PendingRequests.end() && !Position->second.Submitted)
+      submit(Numbers[I], Position->second);
+  }
+}
+
+void CallerServerCore::submit(std::uint64_t Number, PendingRequest &Request) {
+  Request.Submitted = true;
+  CallerRequest Call = toCallerRequest(Number, Options.Scheme, Request.Handle);
+  Request.Method = Call.Method;
+  Request.Id = requestId(Call, Options.Scheme);
+  if (Call.Remaining) {
+    const DurationMs Waited = MonotonicClock.now() - Request.ReceivedAt;
+    Call.Remaining = std::max(*Call.Remaining - Waited, DurationMs(0));
+  }
+  OnRequest(std::move(Call), answerHook(Number));
+}
+
 AnswerHook CallerServerCore::answerHook(std::uint64_t Number) {
   return [WeakCore = weak_from_this(), Number](CallAnswer Answer) {
     const auto Core = WeakCore.lock();
@@ -206,7 +265,10 @@
   if (Position == PendingRequests.end() || Position->second.isAnswered())
     return;
   PendingRequest &Request = Position->second;
+  const std::size_t Bytes = answerBytes(Answer);
+  Request.Bytes += Bytes;
   Request.Answer = std::move(Answer);
+  Registry.addAnswer(Request.Endpoint, Bytes);
   writeNext(Request.Connection);
 }
 
@@ -264,8 +326,10 @@
   removePending(Number);
   // RESTinio is still finishing this answer.
   asio::post(Context, [WeakCore = weak_from_this(), Connection] {
-    if (const auto Core = WeakCore.lock())
+    if (const auto Core = WeakCore.lock()) {
       Core->writeNext(Connection);
+      Core->submitNext(Connection);
+    }
   });
 }
 
@@ -282,10 +346,11 @@
     return;
   for (std::uint64_t Number : Closed.mapped()) {
     const bool Answered = PendingRequests.at(Number).isAnswered();
+    const bool Submitted = PendingRequests.at(Number).Submitted;
     if (Answered)
       reportUnwrittenAnswer(PendingRequests.at(Number));
     removePending(Number);
-    if (!Answered && OnDisconnect)
+    if (Submitted && !Answered && OnDisconnect)
       OnDisconnect(Number);
   }
 }
@@ -302,12 +367,13 @@
   if (Position == PendingRequests.end())
     return;
   const auto Endpoint = Position->second.Endpoint;
+  const std::size_t Bytes = Position->second.Bytes;
   if (const auto Open = OpenRequests.find(Position->second.Connection);
       Open != OpenRequests.end())
     Open->second.erase(Number);
   PendingRequests.erase(Position);
   --Unanswered;
-  Registry.onAnswerWritten(Endpoint);
+  Registry.onAnswerWritten(Endpoint, Bytes);
 }
 
 void CallerServerCore::reportUnwrittenAnswer(const PendingRequest &Request) {
@@ -321,6 +387,17 @@
         {EventId::CallRefused, {{"reason", std::string(resultName(Reason))}}});
 }
 
+void CallerServerCore::reportClosing(ClosingReason Reason) {
+  if (OnEvent)
+    OnEvent({EventId::ClientClosed,
+             {{"reason", std::string(closingReasonName(Reason))}}});
+}
+
+CallerServerStatus CallerServerCore::status() const {
+  return {Registry.connectionCount(), Registry.heldBytes(),
+          Options.MaxClientBytes, Registry.closedCount()};
+}
+
 RequestLimits CallerServerCore::configuredLimits() const {
   return {Options.MaxHeaderBytes, Options.MaxHeaderFields,
           Options.MaxBodyBytes};
--- a/src/callers/CallerServerCore.h
+++ b/src/callers/CallerServerCore.h
@@ -5,7 +5,7 @@
 #define FESCUEWOOD_CALLERS_CALLERSERVERCORE_H
 
 #include "callers/CallerServer.h"
-#include "callers/GuardedSocket.h"
+#include "callers/GuardedTraits.h"
 
 #include <atomic>
 #include <map>
@@ -18,24 +18,6 @@
 
 namespace fescuewood {
 
-// RESTinio finds these two functions by argument-dependent lookup.
-// NOLINTBEGIN(readability-identifier-naming): RESTinio's names.
-
-/// Starts reading from a new connection immediately.
-template <typename Connection, typename StartRead, typename Fail>
-void prepare_connection_and_start_read(GuardedSocket &, Connection &,
-                                       StartRead OnReady, Fail) {
-  OnReady();
-}
-
-/// Returns null, since connections do not use TLS.
-inline restinio::tls_socket_t *
-make_tls_socket_pointer_for_state_listener(GuardedSocket &) noexcept {
-  return nullptr;
-}
-
-// NOLINTEND(readability-identifier-naming)
-
 class CallerServerCore;
 
 /// Notifies the core of each opened and closed connection.
@@ -51,12 +33,9 @@
 };
 
 /// Single-threaded RESTinio server that reads through \ref GuardedSocket.
-struct CallerServerTraits : public restinio::default_single_thread_traits_t {
-  // NOLINTBEGIN(readability-identifier-naming): RESTinio's names.
-  using stream_socket_t = GuardedSocket;
+struct CallerServerTraits : public GuardedTraits {
+  // NOLINTNEXTLINE(readability-identifier-naming): RESTinio's name.
   using connection_state_listener_t = ConnectionListener;
-  static constexpr bool use_connection_count_limiter = true;
-  // NOLINTEND(readability-identifier-naming)
 };
 
 /// Owns the HTTP server and the requests whose answers are not written. All
@@ -76,6 +55,7 @@
   void stop();
   void setLimits(const std::optional<CallerLimits> &DeclaredLimits);
   ResultCode lastReason() const { return LastReason; }
+  CallerServerStatus status() const;
 
 private:
   friend class ConnectionListener;
@@ -89,6 +69,9 @@
     std::string Method;
     std::string Id;        ///< Request ID given by the caller.
     StreamShare Body = {}; ///< Memory of its body until it is answered.
+    std::size_t Bytes = 0; ///< Held for it and its answer.
+    TimeMs ReceivedAt = TimeMs(0);
+    bool Submitted = false; ///< Passed to the hook.
     /// Waits for the answers to earlier requests of the connection.
     std::optional<CallAnswer> Answer = std::nullopt;
 
@@ -101,6 +84,8 @@
 
   restinio::request_handling_status_t
   handleRequest(const restinio::request_handle_t &Handle);
+  void submitNext(restinio::connection_id_t Connection);
+  void submit(std::uint64_t Number, PendingRequest &Request);
   AnswerHook answerHook(std::uint64_t Number);
   void answer(std::uint64_t Number, CallAnswer Answer);
   void writeNext(restinio::connection_id_t Connection);
@@ -113,6 +98,7 @@
   void removePending(std::uint64_t Number);
   void reportUnwrittenAnswer(const PendingRequest &Request);
   void reportRefusal(ResultCode Reason);
+  void reportClosing(ClosingReason Reason);
   void closeAcceptor();
   void closeIdleAfterGrace();
   RequestLimits configuredLimits() const;
@@ -122,6 +108,7 @@
   const RequestHook OnRequest;
   const DisconnectHook OnDisconnect;
   const EventHook OnEvent;
+  const Clock MonotonicClock = Clock::monotonic();
   ResultCode LastReason = ResultCode::Ok;
   std::uint16_t Port = 0;
   std::atomic<std::size_t> Unanswered = 0;
--- a/src/callers/GuardedSocket.cpp
+++ b/src/callers/GuardedSocket.cpp
@@ -7,6 +7,8 @@
 #include <utility>
 
 #include <fmt/format.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace fescuewood {
@@ -20,6 +22,10 @@
 /// Memory that is reserved at a time: as much as most bodies need.
 constexpr std::size_t ReservationBytes = 64 * 1024;
 
+/// Bytes held for pipelined requests and their answers above which a connection
+/// is not read. Several ordinary answers fit.
+constexpr std::size_t MaxPipelinedBytes = 64 * 1024;
+
 constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::string refusalText(ResultCode Reason) {
@@ -33,64 +39,122 @@
 
 } // namespace
 
-asio::execution_context::id ConnectionRegistry::id;
+GuardedConnection::GuardedConnection(asio::io_context &Context)
+    : Socket(Context), Registry(asio::use_service<ConnectionRegistry>(Context)),
+      Guard(Registry.Limits), LastActivity(Registry.now()) {
+  Registry.Connections.insert(this);
+}
 
-void ConnectionRegistry::configure(
-    RequestLimits NewLimits, std::size_t MaxHeldBytes,
-    UnansweredRequestHook NewHasUnansweredRequest, RefusalHook NewOnRefusal) {
-  Limits = NewLimits;
-  Budget = StreamBudget(MaxHeldBytes);
-  HasUnansweredRequest = std::move(NewHasUnansweredRequest);
-  OnRefusal = std::move(NewOnRefusal);
+GuardedConnection::~GuardedConnection() {
+  Registry.Clients->close(Id);
+  Registry.ConnectionById.erase(Id);
+  Registry.Connections.erase(this);
+  const auto Position = Registry.ConnectionByEndpoint.find(Endpoint);
+  if (Position != Registry.ConnectionByEndpoint.end() &&
+      Position->second == this)
+    Registry.ConnectionByEndpoint.erase(Position);
 }
 
-void ConnectionRegistry::closeIdle() {
-  for (GuardedConnection *Connection : Connections) {
-    if (Connection->hasInput() || Connection->hasUnansweredRequest())
-      continue;
-    std::error_code Ignored;
-    Connection->Socket.shutdown(asio::socket_base::shutdown_receive, Ignored);
-  }
+void GuardedConnection::onOpened() {
+  registerEndpoint();
+  // The socket may have waited long for its connection.
+  LastActivity = Registry.now();
+  Id = Registry.Clients->open(Endpoint.address().to_string(), LastActivity);
+  Registry.ConnectionById[Id] = this;
+  account(false);
 }
 
-bool ConnectionRegistry::endInput(const asio::ip::tcp::endpoint &Endpoint) {
-  const auto Found = ConnectionByEndpoint.find(Endpoint);
-  return Found != ConnectionByEndpoint.end() && Found->second->endInput();
+ClientActivity GuardedConnection::activity() const {
+  if (IsWriting || HasUnread)
+    return ClientActivity::Reading;
+  if (ServedRequests > 0)
+    return ClientActivity::Waiting;
+  if (Guard.isInRequest() || Refusal)
+    return ClientActivity::Sending;
+  return ClientActivity::Idle;
 }
 
-void ConnectionRegistry::onAnswerWritten(
-    const asio::ip::tcp::endpoint &Endpoint) {
-  if (const auto Found = ConnectionByEndpoint.find(Endpoint);
-      Found != ConnectionByEndpoint.end())
-    Found->second->onAnswerWritten();
+void GuardedConnection::account(bool Progress) {
+  // Requests that a client sends are no progress while it reads no answers.
+  record(Progress && !HasUnread);
 }
 
-void ConnectionRegistry::closeOverdue() {
-  for (GuardedConnection *Connection : Connections)
-    Connection->closeOverdue();
+void GuardedConnection::record(bool Progress) {
+  if (Id == 0)
+    return;
+  Registry.Clients->update(Id, activity(),
+                           ConnectionBytes + Guard.heldBytes() + ServedBytes,
+                           Progress, Registry.now());
+  Registry.onAccountChanged();
 }
 
-void ConnectionRegistry::closeAll() {
-  for (GuardedConnection *Connection : Connections) {
-    std::error_code Ignored;
-    Connection->Socket.close(Ignored);
-    Connection->cancelBody();
-  }
-  Lingering.closeAll();
+void GuardedConnection::addServed(std::size_t Bytes) {
+  ++ServedRequests;
+  ServedBytes += Bytes;
 }
 
-GuardedConnection::GuardedConnection(asio::io_context &Context)
-    : Socket(Context), Registry(asio::use_service<ConnectionRegistry>(Context)),
-      Guard(Registry.Limits), LastActivity(Registry.MonotonicClock.now()) {
-  Registry.Connections.insert(this);
+void GuardedConnection::addAnswer(std::size_t Bytes) {
+  ServedBytes += Bytes;
+  account(false);
 }
 
-GuardedConnection::~GuardedConnection() {
-  Registry.Connections.erase(this);
-  const auto Position = Registry.ConnectionByEndpoint.find(Endpoint);
-  if (Position != Registry.ConnectionByEndpoint.end() &&
-      Position->second == this)
-    Registry.ConnectionByEndpoint.erase(Position);
+/// Whether the client sends requests ahead of their answers, and enough is held
+/// for them. A single request is no reason to stop reading, since the next read
+/// tells whether its caller has left.
+bool GuardedConnection::hasManyAnswers() const {
+  return ServedRequests > 1 && ServedBytes > MaxPipelinedBytes;
+}
+
+void GuardedConnection::resumeReading() {
+  if (hasManyAnswers() || !PausedRead)
+    return;
+  // Not at once, since RESTinio may be finishing an answer. The read keeps the
+  // connection alive.
+  asio::post(Socket.get_executor(), std::exchange(PausedRead, nullptr));
+}
+
+void GuardedConnection::onWriteStarted() {
+  if (!std::exchange(IsWriting, true))
+    account(true);
+}
+
+void GuardedConnection::onWritten(std::size_t Size) {
+  IsWriting = false;
+  WrittenBytes += Size;
+}
+
+/// Takes what the client has received as its progress. What the system has
+/// taken says little: it holds megabytes, and takes more only once much of that
+/// is received.
+void GuardedConnection::accountWriting() {
+  int Queued = 0;
+  const bool MayHaveUnread = IsWriting || HasUnread || ServedRequests > 0;
+  if (!MayHaveUnread || ::ioctl(Socket.native_handle(), SIOCOUTQ, &Queued) != 0)
+    return;
+  const std::size_t Unread =
+      std::min(WrittenBytes, static_cast<std::size_t>(Queued));
+  const std::size_t Before = std::exchange(ReadBytes, WrittenBytes - Unread);
+  HasUnread = Unread > 0;
+  record(ReadBytes > Before);
+}
+
+void GuardedConnection::closeFor(ClosingReason Reason) {
+  Registry.Clients->close(Id);
+  Registry.ConnectionById.erase(Id);
+  Id = 0;
+  Aborted = true;
+  std::error_code Ignored;
+  if (IsWriting) {
+    // What the client does not read is not kept for it.
+    Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+  } else if (Guard.isInRequest() && !Refusal) {
+    refuse(Reason == ClosingReason::Memory ? ResultCode::CallerMemoryFull
+                                           : ResultCode::RequestTooSlow);
+    writeRefusal();
+  }
+  // The outstanding operations end with an error, which closes the connection.
+  Socket.shutdown(asio::socket_base::shutdown_both, Ignored);
+  cancelBody();
 }
 
 void GuardedConnection::registerEndpoint() {
@@ -103,7 +167,9 @@
 }
 
 bool GuardedConnection::hasUnansweredRequest() const {
-  return Endpoint.port() != 0 && Registry.HasUnansweredRequest(Endpoint);
+  if (!Registry.Notify.HasUnansweredRequest)
+    return IsWriting;
+  return Endpoint.port() != 0 && Registry.Notify.HasUnansweredRequest(Endpoint);
 }
 
 /// Whether a request, or its refusal, may follow those that are complete.
@@ -125,13 +191,13 @@
 
 void GuardedConnection::shutdown(asio::socket_base::shutdown_type What,
                                  std::error_code &Error) {
-  if (!InputEnded)
+  if (!InputEnded || Aborted)
     Socket.shutdown(What, Error);
 }
 
 void GuardedConnection::close() {
-  if (InputEnded && Socket.is_open()) {
-    Registry.Lingering.add(std::move(Socket));
+  if (InputEnded && !Aborted && Socket.is_open()) {
+    Registry.linger(std::move(Socket));
     return;
   }
   std::error_code Ignored;
@@ -144,10 +210,17 @@
     discard(std::move(Handler));
     return;
   }
+  if (hasManyAnswers() && Socket.is_open() && !Aborted) {
+    PausedRead = [this, Buffer, Handler = std::move(Handler)] {
+      read(Buffer, Handler);
+    };
+    return;
+  }
   if (!reserveBody(Buffer.size())) {
     DeferredRead = [this, Buffer, Handler = std::move(Handler)] {
       startRead(Buffer, Handler);
     };
+    account(false);
     return;
   }
   writeContinue();
@@ -177,12 +250,16 @@
 void GuardedConnection::onBodyReserved() {
   writeContinue();
   // The read may close the connection, which owns this object.
-  if (const auto Read = std::exchange(DeferredRead, nullptr))
+  if (const auto Read = std::exchange(DeferredRead, nullptr)) {
+    account(true);
     Read();
+  }
 }
 
 void GuardedConnection::cancelBody() {
   Share.release();
+  if (PausedRead)
+    asio::post(Socket.get_executor(), std::exchange(PausedRead, nullptr));
   // Completes the read with an error, since the socket is closed.
   if (const auto Read = std::exchange(DeferredRead, nullptr))
     Read();
@@ -215,7 +292,7 @@
     return;
   }
   registerEndpoint();
-  LastActivity = Registry.MonotonicClock.now();
+  LastActivity = Registry.now();
   const bool WasInHead = Guard.isInHead();
   const ResultCode Reason =
       Guard.consume({static_cast<const char *>(Buffer.data()), Size});
@@ -246,6 +323,7 @@
   Handler({}, Size);
   // The server has taken the share if it got the request.
   Registry.CompletedBody.release();
+  account(true);
 }
 
 /// Whether the end of the connection has already arrived behind what was read.
@@ -256,7 +334,8 @@
 }
 
 void GuardedConnection::refuse(ResultCode Reason) {
-  Registry.OnRefusal(Reason);
+  if (Registry.Notify.OnRefusal)
+    Registry.Notify.OnRefusal(Reason);
   Refusal = Reason;
 }
 
@@ -270,13 +349,18 @@
   Socket.shutdown(asio::socket_base::shutdown_send, Ignored);
 }
 
-void GuardedConnection::onAnswerWritten() {
-  LastActivity = Registry.MonotonicClock.now();
+void GuardedConnection::onAnswerWritten(std::size_t Bytes) {
+  LastActivity = Registry.now();
+  ServedRequests -= std::min<std::size_t>(ServedRequests, 1);
+  ServedBytes -= std::min(ServedBytes, Bytes);
+  account(true);
   writeRefusal();
+  resumeReading();
 }
 
 void GuardedConnection::closeOverdue() {
-  const TimeMs Now = Registry.MonotonicClock.now();
+  accountWriting();
+  const TimeMs Now = Registry.now();
   const RequestLimits &Limits = Registry.Limits;
   const bool HeadOverdue = Limits.HeaderTimeout && Guard.isInHead() &&
                            Now - HeadStart > *Limits.HeaderTimeout;
@@ -301,7 +385,7 @@
     return;
   }
   writeRefusal();
-  Socket.async_read_some(asio::buffer(DiscardBuffer),
+  Socket.async_read_some(asio::buffer(Registry.DiscardBuffer),
                          [this, Handler = std::move(Handler)](
                              const std::error_code &Error, std::size_t Size) {
                            DiscardedBytes += Size;
--- a/src/callers/LingeringSockets.cpp
+++ b/src/callers/LingeringSockets.cpp
@@ -29,7 +29,7 @@
   const auto Item = std::make_shared<Entry>(std::move(Socket));
   std::error_code Ignored;
   Item->Socket.shutdown(asio::socket_base::shutdown_send, Ignored);
-  Entries.insert(Item);
+  Entries.push_back(Item);
   Count = Entries.size();
   Item->Timer.expires_after(LingerTime);
   Item->Timer.async_wait([this, Item](const std::error_code &Error) {
@@ -55,13 +55,18 @@
   std::error_code Ignored;
   Item->Socket.close(Ignored);
   Item->Timer.cancel();
-  Entries.erase(Item);
+  std::erase(Entries, Item);
   Count = Entries.size();
 }
 
+void LingeringSockets::closeOldest() {
+  if (!Entries.empty())
+    close(Entries.front());
+}
+
 void LingeringSockets::closeAll() {
   while (!Entries.empty())
-    close(*Entries.begin());
+    closeOldest();
 }
 
 } // namespace fescuewood
--- a/src/callers/LingeringSockets.h
+++ b/src/callers/LingeringSockets.h
@@ -10,8 +10,8 @@
 
 #include <atomic>
 #include <cstddef>
+#include <list>
 #include <memory>
-#include <set>
 
 #include <asio.hpp>
 
@@ -28,6 +28,9 @@
 
   void closeAll();
 
+  /// Closes the socket that has waited for longest, if there is one.
+  void closeOldest();
+
   /// Number of sockets that are not closed yet; thread-safe.
   std::size_t count() const { return Count; }
 
@@ -38,7 +41,7 @@
   void discard(const EntryPtr &Item);
   void close(const EntryPtr &Item);
 
-  std::set<EntryPtr> Entries;
+  std::list<EntryPtr> Entries; ///< By age.
   std::atomic<std::size_t> Count = 0;
 };
 
--- a/src/callers/RequestGuard.cpp
+++ b/src/callers/RequestGuard.cpp
@@ -45,7 +45,10 @@
   case ResultCode::MethodUnknown:
     return 501;
   case ResultCode::RequestHeadTimeout:
+  case ResultCode::RequestTooSlow:
     return 408;
+  case ResultCode::CallerMemoryFull:
+    return 503;
   default:
     return 400;
   }
@@ -100,9 +103,18 @@
 std::optional<BodyProgress> RequestGuard::body() const {
   if (!InRequest || !HeadComplete)
     return std::nullopt;
-  const std::size_t MaxBytes =
-      Chunked ? Limits.MaxBodyBytes : static_cast<std::size_t>(ContentLength);
-  return BodyProgress{BodyBytes, MaxBytes, !Chunked};
+  const std::size_t Overhead = ChunkCount * ChunkOverheadBytes;
+  const std::size_t MaxBytes = Chunked
+                                   ? Limits.MaxBodyBytes + Overhead
+                                   : static_cast<std::size_t>(ContentLength);
+  return BodyProgress{BodyBytes + Overhead, MaxBytes, !Chunked};
+}
+
+std::size_t RequestGuard::heldBytes() const {
+  if (!InRequest)
+    return 0;
+  return HeadBytes + FieldCount * FieldOverheadBytes + BodyBytes +
+         ChunkCount * ChunkOverheadBytes;
 }
 
 bool RequestGuard::takeContinueRequested() {
@@ -122,6 +134,7 @@
   HeadBytes = 0;
   FieldCount = 0;
   BodyBytes = 0;
+  ChunkCount = 0;
   ContentLength = 0;
   Chunked = false;
   InFieldName = false;
@@ -246,6 +259,10 @@
     S.on_body = [](http_parser *P, const char *, std::size_t Size) {
       return static_cast<RequestGuard *>(P->data)->onBody(Size);
     };
+    S.on_chunk_header = [](http_parser *P) {
+      ++static_cast<RequestGuard *>(P->data)->ChunkCount;
+      return 0;
+    };
     S.on_message_complete = [](http_parser *P) {
       return static_cast<RequestGuard *>(P->data)->onMessageComplete();
     };
--- a/src/callers/RequestGuard.h
+++ b/src/callers/RequestGuard.h
@@ -47,6 +47,13 @@
 /// The HTTP status for a refusal by \ref RequestGuard.
 int refusalStatus(ResultCode Reason);
 
+/// Memory of a header field beside its bytes: two strings and their blocks.
+inline constexpr std::size_t FieldOverheadBytes = 96;
+
+/// Memory of a chunk beside its bytes. RESTinio records 16 bytes per chunk, in
+/// a vector that may have twice the capacity.
+inline constexpr std::size_t ChunkOverheadBytes = 32;
+
 /// Validates the requests of one connection. Not movable, since the parser
 /// holds a pointer to it.
 class RequestGuard {
@@ -77,6 +84,9 @@
   /// The body that is being read; empty between and before bodies.
   std::optional<BodyProgress> body() const;
 
+  /// Memory that RESTinio holds for the request that is being read.
+  std::size_t heldBytes() const;
+
   /// Whether a request was completed since the last call.
   bool takeRequestCompleted() { return std::exchange(RequestCompleted, false); }
 
@@ -109,6 +119,7 @@
   std::size_t HeadBytes = 0;
   std::size_t FieldCount = 0;
   std::size_t BodyBytes = 0;
+  std::size_t ChunkCount = 0;
   std::uint64_t ContentLength = 0; ///< 0 if there is no body or it is chunked.
   bool Chunked = false;
   std::size_t CompleteRequestBytes = 0;
--- a/src/core/ProcessMemory.cpp
+++ b/src/core/ProcessMemory.cpp
@@ -5,6 +5,7 @@
 
 #include <charconv>
 #include <malloc.h>
+#include <sys/resource.h>
 #include <system_error>
 #include <unistd.h>
 
@@ -75,6 +76,13 @@
       static_cast<std::size_t>(PageBytes));
 }
 
+std::optional<std::size_t> descriptorLimit() {
+  rlimit Limit{};
+  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0 || Limit.rlim_cur == RLIM_INFINITY)
+    return std::nullopt;
+  return static_cast<std::size_t>(Limit.rlim_cur);
+}
+
 HeapUse heapUse() {
   const struct mallinfo2 Info = mallinfo2();
   return {Info.uordblks + Info.hblkhd, Info.fordblks};
--- a/src/core/ProcessMemory.h
+++ b/src/core/ProcessMemory.h
@@ -1,5 +1,6 @@
 /// \file
-/// Memory of this process and of its machine, as the kernel reports it.
+/// Memory of this process and of its machine, and the limit on its descriptors,
+/// as the kernel reports them.
 
 #ifndef FESCUEWOOD_CORE_PROCESSMEMORY_H
 #define FESCUEWOOD_CORE_PROCESSMEMORY_H
@@ -25,6 +26,10 @@
 /// The resident memory of this process; std::nullopt if it cannot be read.
 std::optional<std::size_t> residentMemory();
 
+/// Maximum number of open descriptors of this process; std::nullopt if it is
+/// not limited.
+std::optional<std::size_t> descriptorLimit();
+
 /// Memory that the allocator holds, in bytes.
 struct HeapUse {
   std::size_t Used = 0; ///< Allocated.
--- a/src/operators/Metrics.cpp
+++ b/src/operators/Metrics.cpp
@@ -121,6 +121,13 @@
   Collector.add(MetricId::PeerQueuedFrames, toDouble(Status.PeerQueuedFrames));
 }
 
+void addCallers(const CallerServerStatus &Callers, MetricCollector &Collector) {
+  Collector.add(MetricId::ClientConnections, toDouble(Callers.Connections));
+  Collector.add(MetricId::ClientBytes, toDouble(Callers.HeldBytes));
+  Collector.add(MetricId::ClientBytesLimit, toDouble(Callers.LimitBytes));
+  Collector.add(MetricId::ClientsClosed, toDouble(Callers.ClosedConnections));
+}
+
 void addCalls(const CallStatus &Calls, MetricCollector &Collector) {
   for (const auto &[Code, Counts] : Calls.Results) {
     const std::string Name(resultName(Code));
@@ -170,6 +177,7 @@
   addPeers(Status, Collector);
   Collector.add(MetricId::AnswerBytesReceiving,
                 toDouble(Status.ReceivingBytes));
+  addCallers(Status.Callers, Collector);
   addCalls(Status.Calls, Collector);
   addOrganisations(Status.Organisations, Collector);
   return Collector.text();
--- a/src/operators/NodeStatus.h
+++ b/src/operators/NodeStatus.h
@@ -8,6 +8,7 @@
 #ifndef FESCUEWOOD_OPERATORS_NODESTATUS_H
 #define FESCUEWOOD_OPERATORS_NODESTATUS_H
 
+#include "callers/CallerServer.h"
 #include "calls/CallStatus.h"
 #include "core/Clock.h"
 #include "core/Event.h"
@@ -72,6 +73,7 @@
   bool SourceReachable = true;
   PlatformReaderCounts Source;
 
+  CallerServerStatus Callers;
   CallStatus Calls;
   LimiterStatus Organisations;
   std::vector<PeerKindTraffic> Traffic;
--- a/src/policy/ClientMemory.cpp
+++ b/src/policy/ClientMemory.cpp
@@ -6,6 +6,19 @@
 
 namespace {
 
+/// Descriptors that the deployments reserve for files.
+constexpr std::size_t FileDescriptors = 200;
+
+/// Part of the other descriptors that connections of clients may use. The
+/// deployed 2,000 connections fit into the 4,100 of the smallest machine.
+constexpr double ConnectionShare = 0.6;
+
+/// Served even if hardly any descriptors are available.
+constexpr std::size_t MinConnections = 8;
+
+/// Limit where the machine's memory is not known.
+constexpr std::size_t DefaultMaxBytes = 64 * 1024 * 1024;
+
 /// Compares connections by bytes and time without progress.
 double weight(std::size_t Bytes, DurationMs Age) {
   return static_cast<double>(Bytes) * static_cast<double>(Age.Value);
@@ -13,6 +26,23 @@
 
 } // namespace
 
+ClientLimits clientLimits(const ClientResources &Resources) {
+  ClientLimits Limits{DefaultMaxBytes, Resources.MaxConnections};
+  if (Resources.MachineBytes > 0)
+    Limits.MaxBytes = static_cast<std::size_t>(
+        static_cast<double>(Resources.MachineBytes) * Resources.MemoryShare);
+  if (Resources.MaxDescriptors > 0) {
+    const std::size_t Sockets =
+        Resources.MaxDescriptors -
+        std::min(Resources.MaxDescriptors, FileDescriptors);
+    const auto Available = static_cast<std::size_t>(
+        static_cast<double>(Sockets) * ConnectionShare);
+    Limits.MaxConnections =
+        std::min(Limits.MaxConnections, std::max(Available, MinConnections));
+  }
+  return Limits;
+}
+
 ClientMemory::ClientId ClientMemory::open(const std::string &Address,
                                           TimeMs Now) {
   const ClientId Id = ++LastId;
@@ -54,7 +84,7 @@
     const auto Stalled = largestStalled(Now);
     return Stalled ? Stalled : oldestOfLargestCrowd(Now);
   }
-  if (Clients.size() >= Limits.MaxConnections)
+  if (Clients.size() > Limits.MaxConnections)
     return longestIdle(Now);
   return std::nullopt;
 }
@@ -65,7 +95,7 @@
   double MaxWeight = -1;
   for (const auto &[Id, Item] : Clients) {
     const DurationMs Age = Now - Item.LastProgress;
-    if (Item.Activity == ClientActivity::Waiting || Age < ClientStallTime)
+    if (Item.Activity == ClientActivity::Waiting || Age < Limits.StallTime)
       continue;
     if (const double Weight = weight(Item.Bytes, Age); Weight > MaxWeight) {
       MaxWeight = Weight;
@@ -113,7 +143,7 @@
     const DurationMs Age = Now - Item.LastProgress;
     const DurationMs MinAge = Item.Activity == ClientActivity::Idle
                                   ? MinClientIdleTime
-                                  : ClientStallTime;
+                                  : Limits.StallTime;
     if (Age >= MinAge && Age > MaxAge) {
       MaxAge = Age;
       Result = Id;
--- a/src/policy/ClientMemory.h
+++ b/src/policy/ClientMemory.h
@@ -28,14 +28,27 @@
   Reading, ///< For the client to read an answer.
 };
 
+/// Limits on all connections of a listener.
 struct ClientLimits {
   std::size_t MaxBytes = 0;
   std::size_t MaxConnections = 0;
+  /// A client stalls when it has made no progress for this time. Shorter gaps
+  /// are usual on slow links, and while the node itself is busy.
+  DurationMs StallTime{1000};
 };
 
-/// A client stalls when it has made no progress for this time. Shorter gaps are
-/// usual on slow links, and while the node itself is busy.
-inline constexpr DurationMs ClientStallTime{1000};
+/// The limits that follow from a machine.
+struct ClientResources {
+  std::size_t MachineBytes = 0;   ///< Of the machine; 0 if unknown.
+  double MemoryShare = 0;         ///< Part of it for clients.
+  std::size_t MaxDescriptors = 0; ///< Of the process; 0 if not limited.
+  std::size_t MaxConnections = 0; ///< As configured.
+};
+
+/// Clients get at most 0.6 of the descriptors that are not for files. The rest
+/// is a reserve for other nodes, the target, the platform, the operators' and
+/// the ready address, which clients cannot exhaust.
+ClientLimits clientLimits(const ClientResources &Resources);
 
 /// Idle time after which a connection is closed in favour of a new one. It
 /// covers the time from a connection's opening to its first request.
@@ -61,7 +74,7 @@
               bool Progress, TimeMs Now);
 
   /// The connection to close next; std::nullopt while the limits are met or no
-  /// connection may be closed. There has to be room for one more connection.
+  /// connection may be closed.
   ///
   /// With too many bytes, these are: the stalled connection that holds most for
   /// longest; without one, a connection of the address that has most. With too
@@ -69,6 +82,12 @@
   /// connection that waits for the node is never closed.
   std::optional<ClientId> findExcess(TimeMs Now) const;
 
+  /// Whether a limit is exceeded, so that a search may find something.
+  bool isExhausted() const {
+    return HeldBytes > Limits.MaxBytes ||
+           Clients.size() > Limits.MaxConnections;
+  }
+
   std::size_t heldBytes() const { return HeldBytes; }
   std::size_t connectionCount() const { return Clients.size(); }
   const ClientLimits &limits() const { return Limits; }
--- a/src/settings/NodeSettings.h
+++ b/src/settings/NodeSettings.h
@@ -34,6 +34,8 @@
   std::string Address;    ///< Source IP address of outgoing connections.
   /// Memory of the machine in millions of bytes; 0 if the system reports it.
   std::uint32_t MemoryMb = 0;
+  /// Open descriptors that the process may have; 0 for the system's limit.
+  std::uint32_t MaxDescriptors = 0;
 };
 
 /// [callers]: listener and limits for callers.
@@ -42,6 +44,7 @@
   std::size_t MaxHeaderBytes = 0;
   std::size_t MaxBodyBytes = 0;
   std::uint32_t MaxConnections = 0;
+  double MemoryShare = 0;  ///< Of the machine, for all that callers hold.
   DurationMs ReadTimeout;  ///< For receiving one request.
   DurationMs IdleTimeout;  ///< Until an idle connection is closed.
   DurationMs LeaveNotice;  ///< Time that connections are accepted at shutdown.
--- a/tests/policy/ClientMemoryTest.cpp
+++ b/tests/policy/ClientMemoryTest.cpp
@@ -12,7 +12,7 @@
 } // namespace
 
 TEST_GROUP(ClientMemory) {
-  ClientMemory Account{{1000, 4}};
+  ClientMemory Account{{1000, 3}};
 
   ClientMemory::ClientId add(const char *Address, ClientActivity Activity,
                              std::size_t Bytes, TimeMs At = Start) {
@@ -61,7 +61,7 @@
 
 // Guards against closing connections whose requests run.
 TEST(ClientMemory, NeverClosesOneThatWaitsForTheNode) {
-  for (int I = 0; I < 5; ++I)
+  for (int I = 0; I < 4; ++I)
     add("a", ClientActivity::Waiting, 500);
 
   CHECK_FALSE(Account.findExcess(Later).has_value());
