Guard the ready and the operators' addresses

Cause: these servers took bodies and heads of any size on any number of connections; a crowd there took 1.8 GB, and all descriptors. Change: they read through the callers' guard: no bodies, heads of 8 KiB and 64 fields, 16 connections each. A new connection displaces one that is idle or stalled, so that readiness checks are answered beside a crowd.

--- a/src/operators/OperatorServer.cpp
+++ b/src/operators/OperatorServer.cpp
@@ -1,6 +1,9 @@
 #include "operators/OperatorServer.h"
 
+#include "callers/GuardedTraits.h"
+
 #include <string_view>
+#include <system_error>
 #include <thread>
 
 #include <restinio/all.hpp>
@@ -9,12 +12,33 @@
 
 namespace {
 
-using Traits = restinio::default_single_thread_traits_t;
-using Server = restinio::http_server_t<Traits>;
+using Server = restinio::http_server_t<GuardedTraits>;
 using RequestHandle = restinio::request_handle_t;
 
 constexpr auto ReadTimeout = std::chrono::seconds(10);
 constexpr auto WriteTimeout = std::chrono::seconds(10);
+
+/// Enough for the operators' tools and for all load balancers that check
+/// readiness. When all are in use, the one idle for longest is closed.
+constexpr std::size_t MaxConnections = 16;
+
+/// Each connection may hold a request of the largest size; pages are written
+/// from memory that is not accounted for.
+constexpr std::size_t MaxClientBytes = 2 * MaxConnections * ConnectionBytes;
+
+/// Requests for pages have short heads and no body.
+constexpr std::size_t MaxHeaderBytes = 8 * 1024;
+constexpr std::size_t MaxHeaderFields = 64;
+constexpr std::size_t MaxBodyBytes = 0;
+
+/// Shorter than the idle timeout, since a check of readiness is sent at once.
+constexpr DurationMs HeaderTimeout{3000};
+constexpr DurationMs IdleTimeout{10'000};
+
+/// A request for a page arrives whole, so that a gap means a stalled client.
+constexpr DurationMs StallTime{250};
+
+constexpr auto OverdueCheckInterval = std::chrono::milliseconds(250);
 constexpr int MethodNotAllowed = 405;
 constexpr int NotFound = 404;
 constexpr int BadRequest = 400;
@@ -74,15 +98,25 @@
 public:
   Impl(const Endpoint &Listen, Pages PagesByPath)
       : PagesByPath(std::move(PagesByPath)),
-        Http(restinio::external_io_context(Io), [&](auto &Settings) {
-          Settings.address(Listen.Ip)
-              .port(Listen.Port)
-              .read_next_http_message_timelimit(ReadTimeout)
-              .write_http_response_timelimit(WriteTimeout)
-              .request_handler([this](const RequestHandle &Request) {
-                return serve(this->PagesByPath, Request);
-              });
-        }) {}
+        Http(restinio::external_io_context(Io),
+             [&](auto &Settings) {
+               Settings.address(Listen.Ip)
+                   .port(Listen.Port)
+                   .max_parallel_connections(MaxConnections +
+                                             spareConnections(MaxConnections))
+                   .concurrent_accepts_count(spareConnections(MaxConnections))
+                   .read_next_http_message_timelimit(ReadTimeout)
+                   .write_http_response_timelimit(WriteTimeout)
+                   .request_handler([this](const RequestHandle &Request) {
+                     return serve(this->PagesByPath, Request);
+                   });
+             }),
+        Registry(asio::use_service<ConnectionRegistry>(Io)) {
+    const RequestLimits Requests{MaxHeaderBytes, MaxHeaderFields, MaxBodyBytes,
+                                 HeaderTimeout, IdleTimeout};
+    Registry.configure(
+        {Requests, 0, {MaxClientBytes, MaxConnections, StallTime}}, {});
+  }
 
   ~Impl() { stop(); }
 
@@ -92,6 +126,7 @@
     } catch (const std::exception &) {
       return false;
     }
+    scheduleOverdueCheck();
     Thread = std::thread([this] { Io.run(); });
     return true;
   }
@@ -107,9 +142,21 @@
   }
 
 private:
+  void scheduleOverdueCheck() {
+    OverdueTimer.expires_after(OverdueCheckInterval);
+    OverdueTimer.async_wait([this](const std::error_code &Error) {
+      if (Error)
+        return;
+      Registry.closeOverdue();
+      scheduleOverdueCheck();
+    });
+  }
+
   Pages PagesByPath;
   asio::io_context Io{1};
   Server Http;
+  ConnectionRegistry &Registry;
+  asio::steady_timer OverdueTimer{Io};
   std::thread Thread;
 };
 
