--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -6,6 +6,7 @@
 #include "platform/PlatformScheme.h"
 #include "platform/StoreClient.h"
 #include "policy/AnswerMemory.h"
+#include "policy/ClientMemory.h"
 
 #include <algorithm>
 #include <cmath>
@@ -34,22 +35,38 @@
 /// the rest is reserved for small requests on connections that are now idle.
 constexpr std::size_t LargeBodiesDivisor = 2;
 
+/// Memory of the machine in bytes; 0 if unknown.
+std::size_t memoryOfMachine(const NodeIdentity &Node) {
+  constexpr std::size_t BytesPerMb = 1'000'000;
+  return Node.MemoryMb > 0 ? Node.MemoryMb * BytesPerMb
+                           : machineMemory().value_or(0);
+}
+
 HeaderScheme selectScheme(const NodeSettings &Settings) {
   return isStorePlatform(Settings.Platform) ? platform::headerScheme()
                                             : HeaderScheme();
 }
 
-CallerServerOptions callerOptions(const CallerSettings &Settings,
-                                  const CallSettings &Calls,
-                                  const HeaderScheme &Scheme) {
+CallerServerOptions callerOptions(const NodeSettings &Node,
+                                  const HeaderScheme &Scheme,
+                                  std::size_t MachineBytes) {
+  const CallerSettings &Settings = Node.Callers;
+  const std::size_t MaxDescriptors = Node.Node.MaxDescriptors > 0
+                                         ? Node.Node.MaxDescriptors
+                                         : descriptorLimit().value_or(0);
+  const ClientLimits Limits =
+      clientLimits({MachineBytes, Settings.MemoryShare, MaxDescriptors,
+                    Settings.MaxConnections});
   CallerServerOptions Options;
   Options.Scheme = Scheme;
   Options.Address = Settings.Listen.Ip;
   Options.Port = Settings.Listen.Port;
   Options.MaxHeaderBytes = Settings.MaxHeaderBytes;
   Options.MaxBodyBytes = Settings.MaxBodyBytes;
-  Options.MaxHeldBytes = Calls.MaxHeldBytes / LargeBodiesDivisor;
-  Options.MaxConnections = Settings.MaxConnections;
+  Options.MaxHeldBytes =
+      std::min(Node.Calls.MaxHeldBytes, Limits.MaxBytes) / LargeBodiesDivisor;
+  Options.MaxConnections = Limits.MaxConnections;
+  Options.MaxClientBytes = Limits.MaxBytes;
   Options.ReadTimeout = std::min(Settings.ReadTimeout, Settings.IdleTimeout);
   return Options;
 }
@@ -114,7 +131,7 @@
 NodeParts::NodeParts(NodeSettings InitialSettings, std::string Text)
     : Settings(std::move(InitialSettings)), SettingsText(std::move(Text)),
       Scheme(selectScheme(Settings)), Incarnation(newIncarnation()),
-      MachineBytes(machineMemory().value_or(0)),
+      MachineBytes(memoryOfMachine(Settings.Node)),
       Log(Settings.Log.Level, Settings.Log.File),
       Recorder(
           Settings.Node.Name, Settings.Node.Domain, MaxRecentEvents,
@@ -149,7 +166,7 @@
           [this] { return keysProven(); },
           {Scheme, Settings.Node.Service, Incarnation}),
       Callers(
-          callerOptions(Settings.Callers, Settings.Calls, Scheme),
+          callerOptions(Settings, Scheme, MachineBytes),
           [this](CallerRequest Request, const AnswerHook &OnAnswer) {
             Bridge.onRequest(std::move(Request), OnAnswer);
           },
