--- a/tests/platform/StoreMeshFixture.cpp
+++ b/tests/platform/StoreMeshFixture.cpp
@@ -174,16 +174,16 @@
       R"(,"tenants":[{{"name":"clerks","api_keys":[{}],"priority":1,)"
       R"("rate_per_s":1000,"burst":1000}}])",
       Keys);
-  putItem("op/config",
-          fmt::format(
-              R"({{"version":{},"routes":[{},{},{}],"services":[{},{}],)"
-              R"("limits":{{"max_header_bytes":16384,"max_body_bytes":100000,)"
-              R"("header_timeout_s":3,"idle_timeout_s":15}}{}}})",
-              ++Version, routeJson("open", OpenService, "idempotent", true),
-              routeJson("read", "queue", "idempotent", false),
-              routeJson("book", "ledger", "non_idempotent", false),
-              serviceJson("queue"), serviceJson("ledger"),
-              HasOrganisations ? Organisations : ""));
+  putItem(
+      "op/config",
+      fmt::format(R"({{"version":{},"routes":[{},{},{}],"services":[{},{}],)"
+                  R"("limits":{{"max_header_bytes":16384,"max_body_bytes":{},)"
+                  R"("header_timeout_s":3,"idle_timeout_s":15}}{}}})",
+                  ++Version, routeJson("open", OpenService, "idempotent", true),
+                  routeJson("read", "queue", "idempotent", false),
+                  routeJson("book", "ledger", "non_idempotent", false),
+                  serviceJson("queue"), serviceJson("ledger"), MaxBodyBytes,
+                  HasOrganisations ? Organisations : ""));
 }
 
 void StoreMesh::registerTarget(const StoreMeshInstance &Instance,
@@ -234,6 +234,9 @@
   for (const auto &[Name, Value] : Placeholders)
     replaceAll(*Text, Name, Value);
   replaceAll(*Text, "{{bounds.quota_slack}}", "20");
+  if (LinkMbps > 0)
+    replaceAll(*Text, "[calls]\n",
+               fmt::format("[calls]\nlink_mbps = {}\n", LinkMbps));
   if (Text->find("{{") != std::string::npos)
     throw std::runtime_error(
         "deploy/settings.ini contains an unknown placeholder");
@@ -248,13 +251,14 @@
                                   const StoreMeshRequest &Request) const {
   std::string Text =
       fmt::format("{} {} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {}\r\n"
-                  "Deadline-Ms: {}\r\nContent-Length: 0\r\n{}",
+                  "Deadline-Ms: {}\r\nContent-Length: {}\r\n{}",
                   Request.Method, Request.Path, Request.Id, Request.TimeLeftMs,
-                  Request.ExtraFields);
+                  Request.Body.size(), Request.ExtraFields);
   if (!Request.Key.empty())
     Text += "Authorization: Token " + Request.Key + "\r\n";
   try {
-    return standins::ask(endpoint(Receiver.Ip, CallersPort), Text + "\r\n");
+    return standins::ask(endpoint(Receiver.Ip, CallersPort),
+                         Text + "\r\n" + Request.Body);
   } catch (const std::exception &) {
     return {};
   }
--- a/tests/platform/StoreMeshFixture.h
+++ b/tests/platform/StoreMeshFixture.h
@@ -38,6 +38,7 @@
   std::string Method = "GET";
   std::string ExtraFields = {}; ///< Additional header lines, each with CRLF.
   int TimeLeftMs = 5000;        ///< Value of the deadline field.
+  std::string Body = {};
 };
 
 /// A mesh of two failure domains, `east` and `west`, with one target of `queue`
@@ -98,6 +99,9 @@
   /// Whether the deployment has organisations, with keys and quotas; set before
   /// \ref start.
   bool HasOrganisations = true;
+  double LinkMbps = 0; ///< Setting of all nodes; set before \ref start.
+  /// Largest body of a caller; set before \ref start.
+  std::size_t MaxBodyBytes = 100'000;
 
   /// Starts the node of an instance; its previous process must have ended.
   void startNode(StoreMeshInstance &Instance) const;
