Hold a large body once and one copy of it at the target's node

The request for the target was copied with its body and copied again by the client. It is now lent to the client's copy. RunEnded says in staged_ms how long a body took to arrive, and EntryTest covers which bodies count as large. The reason of the window's size now names the arithmetic bound instead of a rate that was never measured.

--- a/src/calls/BodyReceiver.cpp
+++ b/src/calls/BodyReceiver.cpp
@@ -12,8 +12,7 @@
 
 /// Time in which the first grant of a body passes the link: the longest time
 /// between two runs of \ref BodyReceiver::tick and a round trip. A smaller
-/// window leaves a fast link idle; two nodes with 200 Mbit/s and a window of
-/// two pieces reached 52 Mbit/s.
+/// window leaves a fast link idle: two pieces in that time are 26 Mbit/s.
 constexpr DurationMs WindowTime{10};
 
 /// Least pieces of the first grant on an idle link. With two under way, the
@@ -194,23 +193,24 @@
   OnReply(encode(Reply));
 }
 
-ResultCode BodyReceiver::claim(bool IsStaged, CallRequest &Request,
-                               std::size_t &HeldBytes) {
+ClaimedBody BodyReceiver::claim(bool IsStaged, CallRequest &Request) {
   if (IsStaged) {
+    const StagedBody *Staged = Bodies.find(Request.Id);
+    const TimeMs Now = Context.now();
+    const DurationMs StagedFor = Now - (Staged ? Staged->OpenedAt : Now);
     auto Body = Bodies.take(Request.Id);
     drop(Request.Id);
     if (!Body)
-      return ResultCode::StagedBodyMissing;
+      return {ResultCode::StagedBodyMissing};
     Request.Body = std::move(*Body);
-    HeldBytes = Request.Body.size();
-    return ResultCode::Ok;
+    return {ResultCode::Ok, Request.Body.size(), StagedFor};
   }
-  if (!Link.limited() || Request.Body.size() <= BodyPieceBytes)
-    return ResultCode::Ok;
-  if (!Bodies.reserve(Request.Body.size()))
-    return ResultCode::BodyMemoryFull;
-  HeldBytes = Request.Body.size();
-  return ResultCode::Ok;
+  const std::size_t Bytes = Request.Body.size();
+  if (!Link.limited() || Bytes <= BodyPieceBytes)
+    return {};
+  if (!Bodies.reserve(Bytes))
+    return {ResultCode::BodyMemoryFull};
+  return {ResultCode::Ok, Bytes};
 }
 
 void BodyReceiver::drop(const CallId &Id) {
--- a/src/calls/BodyReceiver.h
+++ b/src/calls/BodyReceiver.h
@@ -39,6 +39,13 @@
   DurationMs RetryAfter{0};
 };
 
+/// The body of a call that starts.
+struct ClaimedBody {
+  ResultCode Reason = ResultCode::Ok; ///< If not Ok, the call must not run.
+  std::size_t HeldBytes = 0;          ///< For \ref BodyReceiver::release.
+  DurationMs StagedFor{0}; ///< Since the first message about the body.
+};
+
 /// What the receiver asks of the target side.
 struct BodyReceiverHooks {
   /// Whether a call would be refused for another reason than its body.
@@ -60,9 +67,7 @@
   void receive(const CallBody &Message, ReplyHook OnReply);
 
   /// Gives a call that starts its body and reserves the memory for it.
-  /// \p HeldBytes is set to what \ref release must return. Other results than
-  /// Ok mean that the call must not run.
-  ResultCode claim(bool IsStaged, CallRequest &Request, std::size_t &HeldBytes);
+  ClaimedBody claim(bool IsStaged, CallRequest &Request);
 
   /// Returns the memory of a call that has ended.
   void release(std::size_t HeldBytes) { Bodies.release(HeldBytes); }
--- a/src/calls/Call.cpp
+++ b/src/calls/Call.cpp
@@ -37,6 +37,14 @@
   return Prefix;
 }
 
+CallRequest copyWithoutBody(CallRequest &Request) {
+  std::string Body;
+  Body.swap(Request.Body);
+  CallRequest Copy = Request;
+  Body.swap(Request.Body);
+  return Copy;
+}
+
 std::string requestId(const CallRequest &Request, const HeaderScheme &Scheme) {
   const std::string *Id = findField(Request.Headers, Scheme.RequestId);
   return Id ? *Id : std::string();
--- a/src/calls/Call.h
+++ b/src/calls/Call.h
@@ -73,6 +73,10 @@
   bool HasLargePayload = false;
 };
 
+/// A copy of \p Request without its body, which may be too large to be copied;
+/// \p Request has the same value afterwards.
+CallRequest copyWithoutBody(CallRequest &Request);
+
 /// The request id from the caller, for logs; empty if it sent none.
 std::string requestId(const CallRequest &Request, const HeaderScheme &Scheme);
 
--- a/src/calls/EntryMessages.cpp
+++ b/src/calls/EntryMessages.cpp
@@ -60,13 +60,8 @@
   Start.Recipient = IsLocal ? Context.Identity.Incarnation
                             : Links[Current.Address].Incarnation;
   Start.IsStaged = Current.IsStaged;
-  // The body may be large, so it is not copied if it is not sent.
-  std::string StagedBody;
-  if (Current.IsStaged)
-    StagedBody.swap(Call.Request.Body);
-  Start.Request = Call.Request;
-  if (Current.IsStaged)
-    StagedBody.swap(Call.Request.Body);
+  Start.Request =
+      Current.IsStaged ? copyWithoutBody(Call.Request) : Call.Request;
   Start.Request.Id = Current.Id;
   Start.Request.Remaining = Call.Deadline - Now;
   Start.Marks = Context.Guard.encode(Now);
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -103,16 +103,20 @@
   ++Context.Counters.Runs;
   Context.Counters.QueueWait.add(Now - Call.ArrivedAt);
   CallRequest Request = targetRequest(Call);
+  // Lent for the time of the hook, which makes its own copy.
+  Request.Body.swap(Call.Request.Body);
   const DurationMs Timeout = Request.Remaining;
   Context.Hooks.Target.Run(Request, Timeout, [this, Id](RunResult Result) {
     Context.run([this, Id, Result = std::move(Result)]() mutable {
       onResult(Id, std::move(Result));
     });
   });
+  Request.Body.swap(Call.Request.Body);
 }
 
-CallRequest TargetSide::targetRequest(const HeldCall &Call) const {
-  CallRequest Request = Call.Request;
+/// The request as the target gets it, without its body.
+CallRequest TargetSide::targetRequest(HeldCall &Call) const {
+  CallRequest Request = copyWithoutBody(Call.Request);
   Request.Remaining = Call.Deadline - Call.StartedAt;
   if (Context.Config && Request.CanWait) {
     // The waiting time of a call does not extend its run time.
@@ -185,6 +189,7 @@
        {"route", Call.Request.Route},
        {"target",
         Listing.entry() ? Listing.entry()->TargetId : Context.Identity.Name},
+       {"staged_ms", std::to_string(Call.StagedFor.Value)},
        {"queued_ms", std::to_string((Call.StartedAt - Call.ArrivedAt).Value)},
        {"ran_ms", std::to_string((Now - Call.StartedAt).Value)},
        {"connection", std::to_string(Result.Use.LocalPort)},
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -68,8 +68,10 @@
   Call.Deadline = Now + Start.Request.Remaining;
   Call.Request = std::move(Start.Request);
   Call.OnReply = OnReply;
-  ResultCode Refusal =
-      Bodies.claim(Start.IsStaged, Call.Request, Call.BodyBytes);
+  const ClaimedBody Body = Bodies.claim(Start.IsStaged, Call.Request);
+  Call.BodyBytes = Body.HeldBytes;
+  Call.StagedFor = Body.StagedFor;
+  ResultCode Refusal = Body.Reason;
   if (Refusal == ResultCode::Ok)
     Refusal = refusalOnArrival(Call.Request);
   if (Refusal == ResultCode::Ok)
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -108,6 +108,7 @@
     std::string TargetId;        ///< That its run was meant for.
     std::size_t AnswerBytes = 0; ///< Reserved for its answer while it runs.
     std::size_t BodyBytes = 0;   ///< Reserved for its body by BodyReceiver.
+    DurationMs StagedFor{0};     ///< Time that its body took to arrive.
     /// Reason for a broken run, Ok otherwise. A broken run is answered once it
     /// is known whether the target crashed.
     ResultCode BrokenReason = ResultCode::Ok;
@@ -128,7 +129,7 @@
   void startQueued();
   std::uint32_t concurrencyLimit();
   void run(const CallId &Id, HeldCall &Call);
-  CallRequest targetRequest(const HeldCall &Call) const;
+  CallRequest targetRequest(HeldCall &Call) const;
   void onResult(const CallId &Id, RunResult Result);
   void onAnswer(const CallId &Id, CallAnswer Answer);
   TimeMs answerExpiry(const HeldCall &Call) const;
--- a/src/nodes/PeerTransport.h
+++ b/src/nodes/PeerTransport.h
@@ -32,7 +32,7 @@
   CallCancel = 12,
   CallBody = 13,        ///< Stages a piece of a request body.
   CallStartStaged = 14, ///< As CallStart, with a body that was staged.
-  Tokens = 20, ///< Leases and transfers of rate tokens.
+  Tokens = 20,          ///< Leases and transfers of rate tokens.
 };
 
 /// Largest body of a message in either direction, in bytes.
--- a/src/policy/RetryRules.cpp
+++ b/src/policy/RetryRules.cpp
@@ -52,8 +52,7 @@
 
 bool isRepeatFutile(ResultCode Reason) {
   return Reason == ResultCode::DeadlineUnreachable ||
-         Reason == ResultCode::LinkBusy ||
-         Reason == ResultCode::TargetRateUsed;
+         Reason == ResultCode::LinkBusy || Reason == ResultCode::TargetRateUsed;
 }
 
 } // namespace fescuewood
--- a/src/policy/StagedBodies.cpp
+++ b/src/policy/StagedBodies.cpp
@@ -14,6 +14,7 @@
   StagedBody &Body = Bodies[Id];
   Body.TotalBytes = TotalBytes;
   Body.Deadline = Deadline;
+  Body.OpenedAt = Now;
   Body.HeardAt = Now;
   return true;
 }
--- a/src/policy/StagedBodies.h
+++ b/src/policy/StagedBodies.h
@@ -36,7 +36,7 @@
 inline constexpr std::size_t MaxStagedBodyBytes = 16 * 1024 * 1024;
 
 /// Time without a message after which a body is dropped. Its sender sends one
-/// at least every 500 ms (BodyTransfer), and gives up after two without reply.
+/// every 500 ms by default, and gives up after two without a reply.
 inline constexpr DurationMs StagedSilenceLimit{1500};
 
 /// Transfer state of a staged body. Not thread-safe.
@@ -45,6 +45,7 @@
   std::size_t TotalBytes = 0;   ///< Of the complete body.
   std::size_t GrantedBytes = 0; ///< The sender may send up to here.
   TimeMs Deadline;              ///< Of its call.
+  TimeMs OpenedAt;              ///< First message about it.
   TimeMs HeardAt;               ///< Last message about it.
 
   bool complete() const { return Bytes.size() == TotalBytes; }
--- a/tests/calls/EntryTest.cpp
+++ b/tests/calls/EntryTest.cpp
@@ -2,6 +2,7 @@
 
 #include "callers/HeaderFields.h"
 #include "calls/Entry.h"
+#include "policy/StagedBodies.h"
 
 #include <functional>
 #include <memory>
@@ -136,6 +137,24 @@
   LONGS_EQUAL(0, Charged);
 }
 
+// Guards against large bodies that cross failure domains as readily as small
+// ones, and against small ones of the same route that stay near in vain.
+TEST(Entry, MarksLargeBodiesOfUploadsAsLargePayload) {
+  Snapshot Config = *config();
+  Config.Routes.front().LargeBody = true;
+  Config.Routes.front().MaxBodyBytes = 2 * BodyPieceBytes;
+  RequestEntry.setSnapshot(std::make_shared<const Snapshot>(Config));
+
+  for (const std::size_t Bytes : {BodyPieceBytes, BodyPieceBytes + 1}) {
+    CallerRequest Upload = keyed("/order");
+    Upload.Body = std::string(Bytes, 'b');
+    take(std::move(Upload));
+  }
+
+  CHECK_FALSE(Submitted.at(0).HasLargePayload);
+  CHECK_TRUE(Submitted.at(1).HasLargePayload);
+}
+
 TEST(Entry, RateRefusalHasRetryAfterHeader) {
   Decision = {false, DurationMs(1200)};
 
