--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -85,8 +85,10 @@
   Call.Request = std::move(Start.Request);
   Call.OnReply = OnReply;
   Call.FromPeer = FromPeer;
-  ResultCode Refusal =
-      Bodies.claim(Start.IsStaged, Call.Request, Call.BodyBytes);
+  const ClaimedBody Body = Bodies.claim(Start.IsStaged, Call.Request);
+  Call.BodyBytes = Body.HeldBytes;
+  Call.StagedFor = Body.StagedFor;
+  ResultCode Refusal = Body.Reason;
   if (Refusal == ResultCode::Ok)
     Refusal = refusalOnArrival(Call);
   Call.LinkBytes = linkBytes(Call);
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -130,6 +130,7 @@
     /// Expected size of a large answer that the link will carry, or 0.
     std::size_t LinkBytes = 0;
     std::size_t BodyBytes = 0; ///< Reserved for its body by BodyReceiver.
+    DurationMs StagedFor{0};   ///< Time that its body took to arrive.
     /// Reason for a broken run, Ok otherwise. A broken run is answered once it
     /// is known whether the target crashed.
     ResultCode BrokenReason = ResultCode::Ok;
@@ -155,7 +156,7 @@
   void startQueued();
   std::uint32_t concurrencyLimit();
   void run(const CallId &Id, HeldCall &Call);
-  CallRequest targetRequest(const HeldCall &Call) const;
+  CallRequest targetRequest(HeldCall &Call) const;
   void onResult(const CallId &Id, RunResult Result);
   void onAnswer(const CallId &Id, CallAnswer Answer);
   TimeMs answerExpiry(const HeldCall &Call) const;
--- a/tests/platform/StoreMeshFixture.cpp
+++ b/tests/platform/StoreMeshFixture.cpp
@@ -242,6 +242,8 @@
     Values["limits.link_mbps"] = "1000";
   }
   std::string Rendered = standins::renderTemplate(std::move(*Text), Values);
+  if (LinkMbps > 0)
+    addSetting(Rendered, "calls", fmt::format("link_mbps = {}", LinkMbps));
   for (const auto &[Section, Line] : AddedSettings)
     addSetting(Rendered, Section, Line);
   return Rendered;
--- a/tests/platform/StoreMeshFixture.h
+++ b/tests/platform/StoreMeshFixture.h
@@ -105,6 +105,7 @@
   /// Lines that are added to sections of the settings, by section; set before
   /// \ref start. They replace lines of the same key.
   std::vector<std::pair<std::string, std::string>> AddedSettings;
+  double LinkMbps = 0; ///< Setting of all nodes; set before \ref start.
 
   /// Starts the node of an instance; its previous process must have ended.
   void startNode(StoreMeshInstance &Instance) const;
