Find the whole section when a test replaces a setting

Cause: a rendered template has empty lines within a section, at which the fixture ended its search for the line to replace. The settings then named link_mbps twice, and the nodes of two ScheduledMesh tests did not start. Change: a section ends at the next heading.

--- a/tests/platform/StoreMeshFixture.cpp
+++ b/tests/platform/StoreMeshFixture.cpp
@@ -69,7 +69,7 @@
   if (Start == std::string::npos)
     throw std::runtime_error("deploy/settings.ini has no section " + Section);
   const std::size_t Lines = Start + Heading.size();
-  const std::size_t End = Text.find("\n\n", Lines);
+  const std::size_t End = Text.find("\n[", Lines);
   const std::string Key = "\n" + Line.substr(0, Line.find('=') + 1);
   if (const std::size_t Old = Text.find(Key, Lines - 1); Old < End)
     Text.erase(Old + 1, Text.find('\n', Old + 1) - Old);
