--- a/tests/calls/QueueOrderTest.cpp
+++ b/tests/calls/QueueOrderTest.cpp
@@ -154,8 +154,7 @@
 }
 
 // Guards against a queue that serves requests past their objectives while
-// others become late. Measured: reads 0.99 and 0.97, publishes 0.22 and 0.62,
-// downloads 0.04 and 0.58, all 0.66 and 0.83, of 0.83 that can be served.
+// others become late. 0.83 of the requests can be served.
 TEST(QueueOrder, AnswersMoreWithinTheirObjectivesUnderOverload) {
   runBoth(1.2);
 
@@ -166,8 +165,7 @@
 }
 
 // Guards against ranks that starve: reads alone are 1.2 times what can be
-// served. Measured: reads 0.71 and 0.67, publishes 0.03 and 0.13, downloads
-// 0.06 and 0.35, all 0.44 and 0.48.
+// served.
 TEST(QueueOrder, ServesEveryRankWhileTheHighestSaturatesTheTargets) {
   runBoth(2);
 
