Prove no keys to a node that starts on a fresh copy of the store

Cause: a node that started within seconds of a restore knew no earlier epoch, so the copy's answer proved the copy's keys to it at once. Until a peer had told it of the newer configuration, some 50 ms, it admitted keys that had been withdrawn. Change: in a later epoch than the first, the store proves nothing in the first 3 s of a reading; peers' proofs count meanwhile. The test of the first epoch expected a proof at once in epoch 4, which was the fault; two tests as strict replace that line.

--- a/src/sources/StoreRevision.h
+++ b/src/sources/StoreRevision.h
@@ -23,6 +23,9 @@
 inline constexpr std::uint64_t MaxStoreRevision =
     (1ULL << (StoreEpochShift - StoreStepBits)) - 1;
 
+/// The epoch of a store that has never been restored.
+inline constexpr std::uint64_t FirstEpoch = 1;
+
 /// Epoch of a number; 0 if the store does not name its epochs.
 constexpr std::uint64_t storeEpoch(std::uint64_t Number) {
   return Number >> StoreEpochShift;
--- a/src/sources/StoreView.cpp
+++ b/src/sources/StoreView.cpp
@@ -27,15 +27,17 @@
       DecodeTarget(std::move(DecodeTarget)),
       ConfigurationNumber(std::move(ConfigurationNumber)) {}
 
-/// Handles the first answer of a restored store, before it is applied.
+/// Handles the first answer of an epoch, before it is applied.
 void StoreView::followEpoch(std::uint64_t Read, TimeMs Now) {
   const std::uint64_t New = storeEpoch(Read);
   if (Epoch && New <= *Epoch)
     return;
   const auto Before = std::exchange(Epoch, New);
+  // A node that starts cannot know how long ago the last restore was.
+  if (New > FirstEpoch)
+    SettlesAt = Now + SettleTime;
   if (!Before)
     return;
-  SettlesAt = Now + SettleTime;
   CopyRevision = Read;
   DomainsHeld.insert(Intent.DomainsOut.begin(), Intent.DomainsOut.end());
   Targets.onStoreRestored(Read, Now);
--- a/src/sources/StoreView.h
+++ b/src/sources/StoreView.h
@@ -81,7 +81,8 @@
 
   /// Reports that the intent was current at \p ProvenAt. The intent itself must
   /// have been published before. The copy from which a store was restored
-  /// proves nothing until operators have had time to write again what it lacks.
+  /// proves nothing until operators have had time to write again what it lacks,
+  /// also to a node that starts in these seconds and knows no earlier epoch.
   void reportProof(TimeMs ProvenAt) const;
 
 private:
@@ -101,7 +102,7 @@
   DecodeTargetHook DecodeTarget;
   NumberHook ConfigurationNumber;
   std::optional<std::uint64_t> Epoch; ///< The newest that has been read.
-  TimeMs SettlesAt{0};                ///< End of the time after a restore.
+  TimeMs SettlesAt{0}; ///< Earliest end of the time after the last restore.
   /// Revision of the first answer after a restore.
   std::uint64_t CopyRevision = 0;
   std::uint64_t Revision = 0;
--- a/tests/sources/StoreLoopRestoreTest.cpp
+++ b/tests/sources/StoreLoopRestoreTest.cpp
@@ -131,6 +131,19 @@
   CHECK(Proofs[Proven].first >= RestoredAt + Settled);
 }
 
+// A node that starts after the restore knows no earlier epoch, and the keys of
+// the copy may have been withdrawn.
+TEST(StoreLoopRestore, CopyProvesNothingToANodeThatStartsBeforeItHasSettled) {
+  StoreLoopFixture::setup();
+  Proofs.clear();
+  const TimeMs StartedAt = Store.Now;
+  restore();
+  runFor(Settled * 2);
+
+  CHECK(!Proofs.empty());
+  CHECK(Proofs.front().first >= StartedAt + Settled);
+}
+
 TEST(StoreLoopRestore, DomainOutThatACopyLacksStaysOutUntilTheStoreHasSettled) {
   Store.Intent.pop_back();
   restore();
@@ -183,5 +196,18 @@
 
 TEST(StoreLoopRestore, FirstEpochThatAProcessReadsIsNoRestore) {
   LONGS_EQUAL(0, count(EventId::StoreRestored));
+}
+
+// A start would otherwise always cost the time after a restore.
+TEST(StoreLoopRestore, StoreThatWasNeverRestoredProvesAtOnce) {
+  StoreLoopFixture::setup();
+  Proofs.clear();
+  const TimeMs StartedAt = Store.Now;
+  Store.Revision = storeNumber(FirstEpoch, 10);
+  Store.Intent = {change(StoreSubject::Configuration, "config", "7 new",
+                         storeNumber(FirstEpoch, 4))};
+  step(3);
+
   CHECK_FALSE(Proofs.empty());
+  CHECK(Proofs.front().first < StartedAt + Settled);
 }
