--- a/src/app/CheckCommand.cpp
+++ b/src/app/CheckCommand.cpp
@@ -1,6 +1,6 @@
+#include "app/CheckInput.h"
 #include "app/Commands.h"
 #include "core/Digest.h"
-#include "intent/IntentReport.h"
 
 #include <iostream>
 #include <iterator>
@@ -9,11 +9,13 @@
 
 namespace fescuewood {
 
-ExitCode checkIntent(Arguments Args) {
-  const IntentReport Report = reportIntentFolder(Args.front());
-  fmt::print("{}", Report.Merged);
-  fmt::print(stderr, "{}", Report.Errors);
-  return Report.Accepted ? ExitCode::Success : ExitCode::Negative;
+ExitCode checkConfiguration(Arguments Args) {
+  const CheckInput Input = readCheckInput(Args.front(), std::cin);
+  fmt::print("{}", Input.Merged);
+  fmt::print(stderr, "{}", problemsText(Input.Found));
+  if (!Input.Readable)
+    return ExitCode::Failure;
+  return Input.Config ? ExitCode::Success : ExitCode::Usage;
 }
 
 ExitCode printKeyDigest(Arguments) {
--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -33,10 +33,10 @@
      runNode,
      {"settings"}},
     {"check",
-     "DIR",
+     "INPUT",
      1,
-     "merges and validates an intent folder",
-     checkIntent,
+     "validates an intent folder, a JSON file or, for -, standard input",
+     checkConfiguration,
      {}},
     {"key-digest",
      "",
@@ -79,8 +79,9 @@
     fmt::print(Stream, "  {:<11} {}\n", Row.Name, Row.Summary);
   fmt::print(Stream,
              "\n\"fescuewood COMMAND --help\" shows a command's flags.\n"
-             "exit codes: 0 success, 1 check failed or mesh unhealthy, "
-             "2 invalid command line, 3 failure\n");
+             "exit codes: 0 success, 1 mesh unhealthy, "
+             "2 invalid command line or "
+             "configuration, 3 failure\n");
 }
 
 void printCommandHelp(const CommandRow &Row) {
--- a/src/app/Commands.h
+++ b/src/app/Commands.h
@@ -21,8 +21,8 @@
 /// Runs a node until SIGTERM or SIGINT, then drains it.
 ExitCode runNode(Arguments Args);
 
-/// Merges and validates an intent folder and prints the result.
-ExitCode checkIntent(Arguments Args);
+/// Validates a configuration in either of its forms and prints the result.
+ExitCode checkConfiguration(Arguments Args);
 
 /// Prints the digest of a key that is read from standard input.
 ExitCode printKeyDigest(Arguments Args);
--- a/src/app/ExitCode.h
+++ b/src/app/ExitCode.h
@@ -8,8 +8,8 @@
 
 enum class ExitCode : int {
   Success = 0,
-  Negative = 1, ///< The check failed: invalid intent or unhealthy mesh.
-  Usage = 2,    ///< The command line is invalid.
+  Negative = 1, ///< The mesh is unhealthy.
+  Usage = 2,    ///< The command line or the checked input is invalid.
   Failure = 3,  ///< Settings, an address or a node cannot be used.
 };
 
--- a/src/intent/IntentReport.cpp
+++ b/src/intent/IntentReport.cpp
@@ -1,7 +1,6 @@
 #include "intent/IntentReport.h"
 
 #include "intent/CompileIntent.h"
-#include "intent/IntentFolder.h"
 #include "intent/MergedIntent.h"
 
 #include <algorithm>
@@ -81,15 +80,19 @@
   return Report;
 }
 
+IntentReport reportIntentFolder(const IntentFolder &Folder) {
+  IntentReport Report = reportIntent(Folder.Bundle);
+  for (const std::string &Name : Folder.IgnoredFiles)
+    Report.Merged += "# ignored, not an intent file name: " + Name + "\n";
+  return Report;
+}
+
 IntentReport reportIntentFolder(const std::string &Path) {
   Problems Found;
   const std::optional<IntentFolder> Folder = readIntentFolder(Path, Found);
   if (!Folder)
     return {false, "", problemsText(Found)};
-  IntentReport Report = reportIntent(Folder->Bundle);
-  for (const std::string &Name : Folder->IgnoredFiles)
-    Report.Merged += "# ignored, not an intent file name: " + Name + "\n";
-  return Report;
+  return reportIntentFolder(*Folder);
 }
 
 } // namespace fescuewood
--- a/src/intent/IntentReport.h
+++ b/src/intent/IntentReport.h
@@ -5,6 +5,7 @@
 #ifndef FESCUEWOOD_INTENT_INTENTREPORT_H
 #define FESCUEWOOD_INTENT_INTENTREPORT_H
 
+#include "intent/IntentFolder.h"
 #include "intent/Snapshot.h"
 
 #include <string>
@@ -22,7 +23,10 @@
 /// are errors.
 IntentReport reportIntent(const IntentBundle &Bundle);
 
-/// Reports on a folder of intent files.
+/// Reports on a folder that has been read, including its ignored files.
+IntentReport reportIntentFolder(const IntentFolder &Folder);
+
+/// Reads a folder of intent files and reports on it.
 IntentReport reportIntentFolder(const std::string &Path);
 
 } // namespace fescuewood
