Warn about entries without effect and limits that contradict each other

fescuewood check reported only what a node refuses.

Targets and the settings and machines of nodes are no part of a configuration, so services without targets, connections beyond a target's room and body limits beyond a node's memory are not found.

--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -37,7 +37,7 @@
      1,
      "validates an intent folder, a JSON file or, for -, standard input",
      checkConfiguration,
-     {}},
+     {"strict"}},
     {"key-digest",
      "",
      0,
@@ -77,11 +77,11 @@
   fmt::print(Stream, "usage: fescuewood COMMAND [FLAGS]\n\ncommands:\n");
   for (const CommandRow &Row : Commands)
     fmt::print(Stream, "  {:<11} {}\n", Row.Name, Row.Summary);
-  fmt::print(Stream,
-             "\n\"fescuewood COMMAND --help\" shows a command's flags.\n"
-             "exit codes: 0 success, 1 mesh unhealthy, "
-             "2 invalid command line or "
-             "configuration, 3 failure\n");
+  fmt::print(
+      Stream,
+      "\n\"fescuewood COMMAND --help\" shows a command's flags.\n"
+      "exit codes: 0 success, 1 mesh unhealthy or warnings with --strict, "
+      "2 invalid command line or configuration, 3 failure\n");
 }
 
 void printCommandHelp(const CommandRow &Row) {
