--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -37,7 +37,7 @@
      1,
      "validates an intent folder, a JSON file or, for -, standard input",
      checkConfiguration,
-     {"strict"}},
+     {"against", "strict"}},
     {"key-digest",
      "",
      0,
--- a/src/app/Flags.cpp
+++ b/src/app/Flags.cpp
@@ -6,6 +6,8 @@
 DEFINE_string(log, "",
               "log files or JSON lines files to read, separated by commas");
 DEFINE_bool(json, false, "print JSON instead of text");
+DEFINE_string(against, "",
+              "configuration to compare with: a folder, a JSON file or -");
 DEFINE_bool(strict, false, "end with exit code 1 if there are warnings");
 DEFINE_string(svg, "", "write the timeline as an SVG image to this file");
 DEFINE_string(call, "", "only events of this call id");
--- a/src/app/Flags.h
+++ b/src/app/Flags.h
@@ -11,6 +11,7 @@
 DECLARE_string(node);
 DECLARE_string(log);
 DECLARE_bool(json);
+DECLARE_string(against);
 DECLARE_bool(strict);
 DECLARE_string(svg);
 DECLARE_string(call);
--- a/src/check/Finding.cpp
+++ b/src/check/Finding.cpp
@@ -1,5 +1,7 @@
 #include "check/Finding.h"
 
+#include "check/PrintableText.h"
+
 #include <fmt/format.h>
 
 namespace fescuewood {
@@ -36,8 +38,8 @@
 
 std::string Finding::text() const {
   const std::string Subject = Value.empty() ? Field : Field + " " + Value;
-  return fmt::format("{}: {}: {} ({})", Entry, Subject, Expected,
-                     findingName(Kind));
+  return printableText(fmt::format("{}: {}: {} ({})", Entry, Subject, Expected,
+                                   findingName(Kind)));
 }
 
 } // namespace fescuewood
