--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -23,8 +23,22 @@
   std::string_view Summary;
   ExitCode (*Run)(Arguments);
   std::array<std::string_view, MaxCommandFlags> Flags;
+  std::string_view Example = {}; ///< Shown after the flags.
 };
 
+constexpr std::string_view CheckExample = R"(
+example: a change that withdraws a key and sets an objective above the timeout
+
+  $ fescuewood check --against published changed
+  - key clerks 2d9ac2b9b9b4 (immediate)
+  ~ route read: objective: 0 ms -> 3000 ms
+  # 2 differences, 1 immediate
+  warning: route read: objective 3000 ms: expected at most the timeout, 2000 ms (objective-over-timeout)
+
+exit codes: 0 no errors, 1 warnings with --strict, 2 errors or invalid command
+line, 3 an input cannot be read
+)";
+
 constexpr auto Commands = std::to_array<CommandRow>({
     {"run",
      "",
@@ -37,7 +51,8 @@
      1,
      "validates an intent folder, a JSON file or, for -, standard input",
      checkConfiguration,
-     {"against", "strict"}},
+     {"against", "json", "strict"},
+     CheckExample},
     {"key-digest",
      "",
      0,
@@ -95,6 +110,7 @@
     fmt::print("  --{:<14} {} (default: {})\n", Info.name, Info.description,
                Info.default_value.empty() ? "none" : Info.default_value);
   }
+  fmt::print("{}", Row.Example);
 }
 
 /// Name of a flag that was set but is not accepted by the command, or empty.
--- /dev/null
+++ b/tests/app/CheckReportTest.cpp
@@ -0,0 +1,111 @@
+#include "app/CheckReport.h"
+#include "core/ReadFile.h"
+#include "support/TemporaryFolder.h"
+
+#include <filesystem>
+#include <sstream>
+#include <string>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fescuewood;
+
+namespace {
+
+std::string intentText(const std::string &KeyStatus, int ObjectiveMs) {
+  return fmt::format("[service queue]\n"
+                     "[rate slow]\nper_second = 10\nburst = 5\n"
+                     "[organisation clerks]\nrate = slow\n"
+                     "[key first]\norganisation = clerks\nsha256 = {}\n"
+                     "status = {}\n"
+                     "[key second]\norganisation = clerks\nsha256 = {}\n"
+                     "[route read]\npath = /queue/*\nservice = queue\n"
+                     "objective_ms = {}\n",
+                     Digest::sha256("old key").hex(), KeyStatus,
+                     Digest::sha256("new key").hex(), ObjectiveMs);
+}
+
+/// Indents each line like a code block of a page.
+std::string asCodeBlock(const std::string &Text) {
+  std::string Block;
+  std::istringstream Lines(Text);
+  for (std::string Line; std::getline(Lines, Line);)
+    Block += "    " + Line + "\n";
+  return Block;
+}
+
+} // namespace
+
+TEST_GROUP(CheckReport) {
+  void setup() override {
+    std::filesystem::create_directory(Folder.file("published"));
+    std::filesystem::create_directory(Folder.file("changed"));
+    Folder.write("published/10-all.ini", intentText("active", 0));
+    Folder.write("changed/10-all.ini", intentText("withdrawn", 3000));
+  }
+
+  CheckReport report(const std::string &Name) {
+    return makeCheckReport(readCheckInput(Folder.file(Name), Nothing),
+                           Folder.file("published"),
+                           readCheckInput(Folder.file("published"), Nothing));
+  }
+
+  TemporaryFolder Folder;
+  std::istringstream Nothing;
+};
+
+// Guards against a worked case in docs/OPERATING.md that shows another output
+// than operators get.
+TEST(CheckReport, PrintsWhatTheWorkedCaseShows) {
+  const auto Page = readFile(SOURCE_DIR "/docs/OPERATING.md", 1 << 20);
+
+  const CheckReport Report = report("changed");
+
+  for (const std::string &Part : {checkOutput(Report), checkMessages(Report)})
+    CHECK_TEXT(Page->find("\n" + asCodeBlock(Part)) != std::string::npos,
+               Part.c_str());
+  CHECK_TRUE(ExitCode::Success == checkResult(Report, false));
+  CHECK_TRUE(ExitCode::Negative == checkResult(Report, true));
+}
+
+// Guards against scripts that publish a change despite errors or warnings.
+TEST(CheckReport, SelectsTheMostSevereExitCode) {
+  CHECK_TRUE(ExitCode::Success == checkResult(report("published"), true));
+  CHECK_TRUE(ExitCode::Failure == checkResult(report("none"), false));
+  Folder.write("changed/20-bad.ini", "[route read]\ntimeout_ms = soon\n");
+  CHECK_TRUE(ExitCode::Usage == checkResult(report("changed"), true));
+  Folder.write("published/20-bad.ini", "[route read]\ntimeout_ms = soon\n");
+  CHECK_TRUE(ExitCode::Usage == checkResult(report("published"), false));
+}
+
+// Guards against programs that read the output and miss a part of it.
+TEST(CheckReport, PrintsEveryPartAsJson) {
+  const auto Valid = nlohmann::json::parse(checkJson(report("changed")));
+
+  CHECK_TRUE(Valid["accepted"].get<bool>());
+  LONGS_EQUAL(0, Valid["errors"].size());
+  STRCMP_EQUAL("objective-over-timeout",
+               Valid["warnings"][0]["name"].get<std::string>().c_str());
+  LONGS_EQUAL(2, Valid["differences"].size());
+  CHECK_TRUE(Valid["differences"][0]["new"].is_null());
+  CHECK_TRUE(Valid["differences"][0]["immediate"].get<bool>());
+
+  Folder.write("changed/20-\xff.ini", "");
+  Folder.write("changed/20-bad.ini", "[route read]\ntimeout_ms = soon\n");
+  const auto Invalid = nlohmann::json::parse(checkJson(report("changed")));
+  CHECK_FALSE(Invalid["accepted"].get<bool>());
+  LONGS_EQUAL(2, Invalid["errors"][0]["line"].get<int>());
+  STRCMP_EQUAL("[route read] timeout_ms",
+               Invalid["errors"][0]["entry"].get<std::string>().c_str());
+  CHECK_FALSE(Invalid.contains("differences"));
+}
+
+// Guards against output that depends on the time or on the run.
+TEST(CheckReport, IsTheSameForTheSameInput) {
+  const std::string First = checkJson(report("changed"));
+
+  STRCMP_EQUAL(First.c_str(), checkJson(report("changed")).c_str());
+}
--- a/tests/platform/ConfigCheckTest.cpp
+++ b/tests/platform/ConfigCheckTest.cpp
@@ -6,9 +6,9 @@
 #include <random>
 #include <sstream>
 #include <string>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
-#include <fmt/format.h>
 
 using namespace fescuewood;
 using namespace fescuewood::platform;
