--- a/tests/app/CheckReportTest.cpp
+++ b/tests/app/CheckReportTest.cpp
@@ -1,10 +1,13 @@
 #include "app/CheckReport.h"
 #include "core/ReadFile.h"
+#include "intent/CompileIntent.h"
 #include "support/TemporaryFolder.h"
 
 #include <filesystem>
+#include <random>
 #include <sstream>
 #include <string>
+#include <vector>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -28,6 +31,27 @@
                      Digest::sha256("new key").hex(), ObjectiveMs);
 }
 
+constexpr unsigned Seed = 20261207;
+constexpr int GeneratedFolders = 300;
+
+/// A valid intent with up to two lines replaced, mostly by invalid ones.
+std::string mutatedIntent(std::mt19937 &Random) {
+  static const std::vector<std::string> Others{
+      "burst = 0", "slots = 4",  "organisation = guests", "[route]",
+      "priority",  "host = A b", "timeout_ms = 1e999",    "wait = yes",
+      "x = \xff",  "[till]",     "service = till",        "; note"};
+  std::istringstream Lines(intentText("active", 3000));
+  std::vector<std::string> Text;
+  for (std::string Line; std::getline(Lines, Line);)
+    Text.push_back(Line);
+  for (std::size_t Count = Random() % 3; Count > 0; --Count)
+    Text[Random() % Text.size()] = Others[Random() % Others.size()];
+  std::string Joined;
+  for (const std::string &Line : Text)
+    Joined += Line + "\n";
+  return Joined;
+}
+
 /// Indents each line like a code block of a page.
 std::string asCodeBlock(const std::string &Text) {
   std::string Block;
@@ -109,3 +133,26 @@
 
   STRCMP_EQUAL(First.c_str(), checkJson(report("changed")).c_str());
 }
+
+// Guards against a check that passes a folder which nodes refuse, or the other
+// way round.
+TEST(CheckReport, AcceptsExactlyTheFoldersThatANodeAccepts) {
+  std::mt19937 Random(Seed);
+  int Accepted = 0;
+  for (int I = 0; I < GeneratedFolders; ++I) {
+    const std::string Text = mutatedIntent(Random);
+    Folder.write("changed/10-all.ini", Text);
+
+    const CheckReport Report = report("changed");
+    const CompiledIntent Compiled =
+        compileIntent({1, {{"10-all.ini", Text}}, 0});
+
+    const bool NodeAccepts = Compiled.Result != nullptr;
+    CHECK_EQUAL_TEXT(NodeAccepts, Report.Input.Config != nullptr, Text.c_str());
+    STRCMP_EQUAL(problemsText(Compiled.Found).c_str(),
+                 problemsText(Report.Input.Found).c_str());
+    Accepted += NodeAccepts ? 1 : 0;
+  }
+  CHECK_TRUE(Accepted > GeneratedFolders / 10);
+  CHECK_TRUE(Accepted < GeneratedFolders * 9 / 10);
+}
