End with exit code 2 for unknown flags and invalid flag values

gflags ends the process itself with exit code 1 in these cases, which scripts take for warnings of check or for an unhealthy mesh. The flags are now checked before gflags parses them.

--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -140,6 +142,53 @@
   return ExitCode::Usage;
 }
 
+/// Whether a flag without a value is a switch, such as --json or --nojson.
+bool isSwitch(const std::string &Name) {
+  const auto IsBool = [](const std::string &Candidate) {
+    gflags::CommandLineFlagInfo Info;
+    return gflags::GetCommandLineFlagInfo(Candidate.c_str(), &Info) &&
+           Info.type == "bool";
+  };
+  return IsBool(Name) || (Name.starts_with("no") && IsBool(Name.substr(2)));
+}
+
+/// Describes why a flag cannot be set; empty when it was set.
+std::string setFlag(const std::string &Name, const char *Value) {
+  std::string Current;
+  if (!gflags::GetCommandLineOption(Name.c_str(), &Current))
+    return fmt::format("unknown flag --{}", Name);
+  if (!Value)
+    return fmt::format("--{} has no value", Name);
+  if (gflags::SetCommandLineOption(Name.c_str(), Value).empty())
+    return fmt::format("invalid value \"{}\" of --{}", Value, Name);
+  return "";
+}
+
+/// Describes the first flag that is unknown or has no valid value; empty when
+/// there is none. The flag library's parser would end the process with exit
+/// code 1, which stands for another result.
+std::string invalidFlag(std::span<char *const> Arguments) {
+  for (std::size_t I = 0; I < Arguments.size(); ++I) {
+    std::string_view Text = Arguments[I];
+    if (Text == "--")
+      break;
+    if (!Text.starts_with('-') || Text == "-")
+      continue;
+    Text.remove_prefix(Text.starts_with("--") ? 2 : 1);
+    const std::size_t Equals = Text.find('=');
+    const std::string Name(Text.substr(0, Equals));
+    const bool HasValue = Equals != std::string_view::npos;
+    if (!HasValue && isSwitch(Name))
+      continue;
+    const char *Value = HasValue ? Text.data() + Equals + 1 : nullptr;
+    if (!HasValue && I + 1 < Arguments.size())
+      Value = Arguments[++I];
+    if (std::string Error = setFlag(Name, Value); !Error.empty())
+      return Error;
+  }
+  return "";
+}
+
 /// Parses the flags after the command's name and returns the positional
 /// arguments.
 std::vector<std::string> parseFlags(int Argc, char **Argv) {
@@ -166,6 +215,9 @@
   if (!Row)
     return usageError(
         fmt::format("unknown command \"{}\"; see \"fescuewood help\"", Name));
+  if (const std::string Invalid = invalidFlag({Argv + 2, Argv + Argc});
+      !Invalid.empty())
+    return usageError(Invalid);
   const std::vector<std::string> Args = parseFlags(Argc, Argv);
   if (isHelpRequested()) {
     printCommandHelp(*Row);
