Compare a configuration with the version in force in a node

A node's operator port showed only the digest of its configuration.

The platform's form declares no failure domains; these are compared only if both forms declare them.

--- a/src/app/CheckCommand.cpp
+++ b/src/app/CheckCommand.cpp
@@ -1,6 +1,7 @@
 #include "app/CheckReport.h"
 #include "app/Commands.h"
 #include "app/Flags.h"
+#include "app/OperatorQueries.h"
 #include "core/Digest.h"
 
 #include <iostream>
@@ -17,12 +18,21 @@
     fmt::print(stderr, "check: only one input can be the standard input\n");
     return ExitCode::Usage;
   }
+  if (!FLAGS_against.empty() && !FLAGS_node.empty()) {
+    fmt::print(stderr, "check: --against and --node exclude each other\n");
+    return ExitCode::Usage;
+  }
   CheckInput Input = readCheckInput(Args.front(), std::cin);
   std::optional<CheckInput> Against;
   if (!FLAGS_against.empty())
     Against = readCheckInput(FLAGS_against, std::cin);
+  if (!FLAGS_node.empty())
+    Against = readNodePage(FLAGS_node,
+                           queryNode("check", FLAGS_node, "/configuration"));
+  const std::string &AgainstName =
+      FLAGS_node.empty() ? FLAGS_against : FLAGS_node;
   const CheckReport Report =
-      makeCheckReport(std::move(Input), FLAGS_against, std::move(Against));
+      makeCheckReport(std::move(Input), AgainstName, std::move(Against));
   if (FLAGS_json) {
     fmt::print("{}", checkJson(Report));
   } else {
--- a/src/app/CheckInput.cpp
+++ b/src/app/CheckInput.cpp
@@ -28,6 +28,11 @@
   return Result;
 }
 
+void addEntries(CheckInput &Result) {
+  if (Result.Config)
+    Result.Entries = configEntries(*Result.Config);
+}
+
 CheckInput readFolder(const std::string &Path) {
   CheckInput Result;
   const std::optional<IntentFolder> Folder =
@@ -39,6 +44,8 @@
   Result.Config = std::move(Compiled.Result);
   Result.Found = std::move(Compiled.Found);
   Result.Merged = reportIntentFolder(*Folder).Merged;
+  Result.HasDomains = true;
+  addEntries(Result);
   return Result;
 }
 
@@ -61,6 +68,7 @@
   for (const platform::ConfigProblem &P : Found)
     report(Result.Found,
            {ResultCode::ValueMalformed, {Name, 0}, P.Where, P.detail()});
+  addEntries(Result);
   return Result;
 }
 
@@ -83,4 +91,16 @@
   return decodeDocument(Name, std::move(*Text));
 }
 
+CheckInput readNodePage(const std::string &Address,
+                        const std::optional<std::string> &Page) {
+  if (!Page)
+    return unreadable(Address, "the node cannot be queried");
+  CheckInput Result;
+  Result.HasDomains = true;
+  Result.Entries = parseConfigEntries(*Page);
+  return Result.Entries
+             ? Result
+             : unreadable(Address, "expected a node's configuration page");
+}
+
 } // namespace fescuewood
--- a/src/app/CheckReport.cpp
+++ b/src/app/CheckReport.cpp
@@ -20,7 +20,21 @@
 ExitCode inputResult(const CheckInput &Input) {
   if (!Input.Readable)
     return ExitCode::Failure;
-  return Input.Config ? ExitCode::Success : ExitCode::Usage;
+  return Input.Entries ? ExitCode::Success : ExitCode::Usage;
+}
+
+/// Compares two valid inputs; failure domains only if both forms have them.
+Differences compareInputs(const CheckInput &Old, const CheckInput &New) {
+  ConfigEntries Before = *Old.Entries;
+  ConfigEntries After = *New.Entries;
+  const auto IsDomain = [](const auto &Item) {
+    return Item.first.starts_with(DomainEntryKind);
+  };
+  if (!Old.HasDomains || !New.HasDomains) {
+    std::erase_if(Before, IsDomain);
+    std::erase_if(After, IsDomain);
+  }
+  return compareEntries(Before, After);
 }
 
 std::string differencesText(const Differences &Changes) {
@@ -87,8 +101,8 @@
   Findings Conflicts = findLimitConflicts(*Config);
   std::move(Conflicts.begin(), Conflicts.end(),
             std::back_inserter(Report.Warnings));
-  if (Report.Against && Report.Against->Config)
-    Report.Changes = compareConfigurations(*Report.Against->Config, *Config);
+  if (Report.Against && Report.Against->Entries)
+    Report.Changes = compareInputs(*Report.Against, Report.Input);
   return Report;
 }
 
@@ -100,7 +114,7 @@
 
 std::string checkMessages(const CheckReport &Report) {
   std::string Text = problemsText(Report.Input.Found);
-  if (Report.Against && !Report.Against->Config)
+  if (Report.Against && !Report.Against->Entries)
     Text +=
         fmt::format("check: {} cannot be compared with:\n{}",
                     Report.AgainstName, problemsText(Report.Against->Found));
--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -53,7 +53,7 @@
      1,
      "validates an intent folder, a JSON file or, for -, standard input",
      checkConfiguration,
-     {"against", "json", "strict"},
+     {"against", "node", "json", "strict", "timeout_ms"},
      CheckExample},
     {"key-digest",
      "",
--- a/src/app/NodePages.cpp
+++ b/src/app/NodePages.cpp
@@ -1,5 +1,6 @@
 #include "app/NodeParts.h"
 
+#include "check/ConfigEntries.h"
 #include "core/ProcessMemory.h"
 #include "operators/Explanation.h"
 #include "platform/PlatformScheme.h"
@@ -46,6 +47,14 @@
        }},
       {"/explain",
        [this](const PageQuery &Query) { return explainPage(Query); }},
+      {"/configuration",
+       [this](const PageQuery &) {
+         const SnapshotPtr Current = InForce.read();
+         return Current ? Page{200, "application/json",
+                               configEntriesJson(configEntries(*Current))}
+                        : Page{503, "text/plain",
+                               "no configuration is in force yet\n"};
+       }},
       {"/timeline",
        [this](const PageQuery &) {
          std::string Lines;
--- a/src/check/ConfigDifference.h
+++ b/src/check/ConfigDifference.h
@@ -4,6 +4,7 @@
 #ifndef FESCUEWOOD_CHECK_CONFIGDIFFERENCE_H
 #define FESCUEWOOD_CHECK_CONFIGDIFFERENCE_H
 
+#include "check/ConfigEntries.h"
 #include "intent/Snapshot.h"
 
 #include <optional>
@@ -35,6 +36,10 @@
 /// not name them.
 Differences compareConfigurations(const Snapshot &Old, const Snapshot &New);
 
+/// As \ref compareConfigurations, for entries.
+Differences compareEntries(const ConfigEntries &Before,
+                           const ConfigEntries &After);
+
 } // namespace fescuewood
 
 #endif // FESCUEWOOD_CHECK_CONFIGDIFFERENCE_H
--- a/tests/app/CheckReportTest.cpp
+++ b/tests/app/CheckReportTest.cpp
@@ -4,6 +4,7 @@
 #include "support/TemporaryFolder.h"
 
 #include <filesystem>
+#include <optional>
 #include <random>
 #include <sstream>
 #include <string>
@@ -156,3 +157,39 @@
   CHECK_TRUE(Accepted > GeneratedFolders / 10);
   CHECK_TRUE(Accepted < GeneratedFolders * 9 / 10);
 }
+
+// Guards against a comparison with a node that reports differences where there
+// are none, or that passes when the answer is not a configuration.
+TEST(CheckReport, ComparesWithThePageOfANode) {
+  const auto Published = readCheckInput(Folder.file("published"), Nothing);
+  const std::string Page = configEntriesJson(*Published.Entries);
+  const auto Compared = [&](const std::string &Name,
+                            const std::optional<std::string> &Text) {
+    return makeCheckReport(readCheckInput(Folder.file(Name), Nothing), "node",
+                           readNodePage("node", Text));
+  };
+
+  LONGS_EQUAL(0, Compared("published", Page).Changes->size());
+  STRCMP_EQUAL(checkOutput(report("changed")).c_str(),
+               checkOutput(Compared("changed", Page)).c_str());
+  for (const char *Bad : {"", "{}", "[]", "{\"entries\":[]}",
+                          "{\"entries\":{\"route a\":{\"path\":1}}}"})
+    CHECK_TRUE(ExitCode::Failure ==
+               checkResult(Compared("published", Bad), false));
+  CHECK_TRUE(ExitCode::Failure ==
+             checkResult(Compared("published", std::nullopt), false));
+}
+
+// Guards against failure domains that appear removed because the platform's
+// form does not declare them.
+TEST(CheckReport, ComparesDomainsOnlyIfBothFormsDeclareThem) {
+  CheckInput Node;
+  Node.HasDomains = true;
+  Node.Entries = ConfigEntries{{"domain east", {{"status", "in"}}}};
+  std::istringstream Document(R"({"routes":[],"services":[]})");
+
+  const CheckReport Report = makeCheckReport(
+      readCheckInput(StandardInputName, Document), "node", Node);
+
+  LONGS_EQUAL(0, Report.Changes->size());
+}
