--- a/tests/platform/StoreMeshTest.cpp
+++ b/tests/platform/StoreMeshTest.cpp
@@ -3,6 +3,9 @@
 
 #include "platform/StoreMeshFixture.h"
 
+#include "check/ConfigEntries.h"
+#include "core/Digest.h"
+
 #include <fstream>
 #include <memory>
 
@@ -99,6 +102,22 @@
   LONGS_EQUAL(404, requestStatus("/else/a"));
 }
 
+// Guards against a page that shows operators another configuration than the one
+// in force, or the keys of callers.
+TEST(StoreMesh, ShowsTheConfigurationInForceWithoutItsKeys) {
+  const std::string Page =
+      standins::ask(StoreMesh::operatorsAddress(east()),
+                    standins::requestText("GET", "/configuration", "", ""))
+          .Body;
+
+  const auto Entries = parseConfigEntries(Page);
+  CHECK_TRUE(Entries.has_value());
+  CHECK_TRUE(Entries->contains("organisation clerks"));
+  CHECK_TRUE(
+      Entries->contains("key clerks " + Digest::sha256("key-one").shortHex()));
+  CHECK_TRUE(Page.find("key-one") == std::string::npos);
+}
+
 TEST(StoreMesh, ForwardsTheCallersIdentityWithoutItsKey) {
   const auto TargetFields =
       fieldsAtTarget({.Id = "told",
