--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -23,8 +25,22 @@
   std::string_view Summary;
   ExitCode (*Run)(Arguments);
   std::array<std::string_view, MaxCommandFlags> Flags;
+  std::string_view Example = {}; ///< Shown after the flags.
 };
 
+constexpr std::string_view CheckExample = R"(
+example: a change that withdraws a key and sets an objective above the timeout
+
+  $ fescuewood check --against published changed
+  - key clerks 2d9ac2b9b9b4 (immediate)
+  ~ route read: objective: 0 ms -> 3000 ms
+  # 2 differences, 1 immediate
+  warning: route read: objective 3000 ms: expected at most the timeout, 2000 ms (objective-over-timeout)
+
+exit codes: 0 no errors, 1 warnings with --strict, 2 errors or invalid command
+line, 3 an input cannot be read
+)";
+
 constexpr auto Commands = std::to_array<CommandRow>({
     {"run",
      "",
@@ -33,11 +49,12 @@
      runNode,
      {"settings"}},
     {"check",
-     "DIR",
+     "INPUT",
      1,
-     "merges and validates an intent folder",
-     checkIntent,
-     {}},
+     "validates an intent folder, a JSON file or, for -, standard input",
+     checkConfiguration,
+     {"against", "node", "json", "strict", "timeout_ms"},
+     CheckExample},
     {"key-digest",
      "",
      0,
@@ -77,10 +94,11 @@
   fmt::print(Stream, "usage: fescuewood COMMAND [FLAGS]\n\ncommands:\n");
   for (const CommandRow &Row : Commands)
     fmt::print(Stream, "  {:<11} {}\n", Row.Name, Row.Summary);
-  fmt::print(Stream,
-             "\n\"fescuewood COMMAND --help\" shows a command's flags.\n"
-             "exit codes: 0 success, 1 check failed or mesh unhealthy, "
-             "2 invalid command line, 3 failure\n");
+  fmt::print(
+      Stream,
+      "\n\"fescuewood COMMAND --help\" shows a command's flags.\n"
+      "exit codes: 0 success, 1 mesh unhealthy or warnings with --strict, "
+      "2 invalid command line or configuration, 3 failure\n");
 }
 
 void printCommandHelp(const CommandRow &Row) {
@@ -94,6 +112,7 @@
     fmt::print("  --{:<14} {} (default: {})\n", Info.name, Info.description,
                Info.default_value.empty() ? "none" : Info.default_value);
   }
+  fmt::print("{}", Row.Example);
 }
 
 /// Name of a flag that was set but is not accepted by the command, or empty.
@@ -123,6 +142,53 @@
   return ExitCode::Usage;
 }
 
+/// Whether a flag without a value is a switch, such as --json or --nojson.
+bool isSwitch(const std::string &Name) {
+  const auto IsBool = [](const std::string &Candidate) {
+    gflags::CommandLineFlagInfo Info;
+    return gflags::GetCommandLineFlagInfo(Candidate.c_str(), &Info) &&
+           Info.type == "bool";
+  };
+  return IsBool(Name) || (Name.starts_with("no") && IsBool(Name.substr(2)));
+}
+
+/// Describes why a flag cannot be set; empty when it was set.
+std::string setFlag(const std::string &Name, const char *Value) {
+  std::string Current;
+  if (!gflags::GetCommandLineOption(Name.c_str(), &Current))
+    return fmt::format("unknown flag --{}", Name);
+  if (!Value)
+    return fmt::format("--{} has no value", Name);
+  if (gflags::SetCommandLineOption(Name.c_str(), Value).empty())
+    return fmt::format("invalid value \"{}\" of --{}", Value, Name);
+  return "";
+}
+
+/// Describes the first flag that is unknown or has no valid value; empty when
+/// there is none. The flag library's parser would end the process with exit
+/// code 1, which stands for another result.
+std::string invalidFlag(std::span<char *const> Arguments) {
+  for (std::size_t I = 0; I < Arguments.size(); ++I) {
+    std::string_view Text = Arguments[I];
+    if (Text == "--")
+      break;
+    if (!Text.starts_with('-') || Text == "-")
+      continue;
+    Text.remove_prefix(Text.starts_with("--") ? 2 : 1);
+    const std::size_t Equals = Text.find('=');
+    const std::string Name(Text.substr(0, Equals));
+    const bool HasValue = Equals != std::string_view::npos;
+    if (!HasValue && isSwitch(Name))
+      continue;
+    const char *Value = HasValue ? Text.data() + Equals + 1 : nullptr;
+    if (!HasValue && I + 1 < Arguments.size())
+      Value = Arguments[++I];
+    if (std::string Error = setFlag(Name, Value); !Error.empty())
+      return Error;
+  }
+  return "";
+}
+
 /// Parses the flags after the command's name and returns the positional
 /// arguments.
 std::vector<std::string> parseFlags(int Argc, char **Argv) {
@@ -149,6 +215,9 @@
   if (!Row)
     return usageError(
         fmt::format("unknown command \"{}\"; see \"fescuewood help\"", Name));
+  if (const std::string Invalid = invalidFlag({Argv + 2, Argv + Argc});
+      !Invalid.empty())
+    return usageError(Invalid);
   const std::vector<std::string> Args = parseFlags(Argc, Argv);
   if (isHelpRequested()) {
     printCommandHelp(*Row);
