Count the delay of a target's link when a target is chosen

Cause: entry nodes do not see the link of a target's machine. A target behind a saturated link has free slots, so large requests are sent there, to be refused or answered late, and refused ones are sent there again at once. Change: the load report carries the queueing delay of the link. The router adds what is left of it to the expected wait of large payloads, and half of it for others. The delay takes the place of the retry delay in replies that refuse nothing, where earlier versions do not use it, so they read all messages as before. Without link_mbps the delay is 0 and all choices are the same; a recorded series of picks of the earlier router checks that.

--- a/src/calls/BodyReceiver.h
+++ b/src/calls/BodyReceiver.h
@@ -81,6 +81,10 @@
   /// Grants what has its turn and drops what has expired.
   void tick();
 
+  /// Time until all bodies that are accepted now have been received; 0 if the
+  /// link is not scheduled.
+  DurationMs backlogTime() const { return timeToReceive(0); }
+
   /// Whether no body is being staged.
   bool idle() const { return Bodies.size() == 0; }
 
--- a/src/calls/EntryBodies.cpp
+++ b/src/calls/EntryBodies.cpp
@@ -76,7 +76,8 @@
     onBodyUnanswered(Handle, *Call, Reply.Reason);
     return;
   }
-  onHeard(Decoded->Load, Reply.Sender, Current, Route);
+  onHeard(targetLoad(Decoded->Load, Decoded->Reason, Decoded->RetryAfter),
+          Reply.Sender, Current, Route);
   if (Decoded->Reason != ResultCode::Ok) {
     onRefused(Handle, *Call, Decoded->Reason, Decoded->RetryAfter);
     return;
--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -24,11 +24,6 @@
   return Reply.Fenced && Reply.RetentionTime >= Needed;
 }
 
-TargetLoad targetLoad(const LoadReport &Report) {
-  return {Report.InFlight, Report.Queued, Report.Limit, Report.Latency,
-          Report.State};
-}
-
 } // namespace
 
 void EntrySide::onStartReply(CallHandle Handle, const CallId &Id,
@@ -99,13 +94,32 @@
                                 const PeerIdentity &Sender,
                                 const Attempt &Source, PeerRoute Route) {
   Context.Guard.merge(Reply.Marks, Context.now());
-  onHeard(Reply.Load, Sender, Source, Route);
+  const bool IsRefused = Reply.State == CallState::Refused;
+  onHeard(targetLoad(Reply.Load, IsRefused ? Reply.Reason : ResultCode::Ok,
+                     Reply.RetryAfter),
+          Sender, Source, Route);
 }
 
-void EntrySide::onHeard(const LoadReport &Load, const PeerIdentity &Sender,
+/// Load of a target for the router. A refusal has no link delay, except for one
+/// by the link.
+TargetLoad EntrySide::targetLoad(const LoadReport &Report, ResultCode Refusal,
+                                 DurationMs RetryAfter) {
+  TargetLoad Load{Report.InFlight, Report.Queued, Report.Limit, Report.Latency,
+                  Report.State};
+  if (Refusal == ResultCode::Ok)
+    Load.LinkDelay = Report.LinkDelay;
+  else if (Refusal == ResultCode::LinkBusy)
+    Load.LinkDelay = RetryAfter;
+  return Load;
+}
+
+void EntrySide::onHeard(TargetLoad Load, const PeerIdentity &Sender,
                         const Attempt &Source, PeerRoute Route) {
   const TimeMs Now = Context.now();
-  Targets.onLoad(Source.Target, targetLoad(Load), Now);
+  // What the own target exchanges with this node does not pass the link.
+  if (Source.Address.empty())
+    Load.LinkDelay.reset();
+  Targets.onLoad(Source.Target, Load, Now);
   if (Source.Address.empty())
     return;
   Link &Known = Links[Source.Address];
@@ -290,14 +304,23 @@
       Answer.Reason, Answer.RequestOutcome);
 }
 
+/// Records a refusal that like calls would get as well. Only calls with large
+/// payloads can be refused for lack of room on the link.
+void EntrySide::rememberRefusal(const EntryCall &Call, ResultCode Reason,
+                                DurationMs RetryAfter) {
+  const CallProfile Refused =
+      profileOf(Call, Call.Current->Target, Call.Current->SentAt);
+  if (isLackOfTime(Reason))
+    RefusedLately.add(Refused, RetryAfter, Context.now());
+  else if (Reason == ResultCode::LinkBusy && Call.Request.HasLargePayload)
+    RefusedByLinkLately.add(Refused, RetryAfter, Context.now());
+}
+
 void EntrySide::onRefused(CallHandle Handle, EntryCall &Call, ResultCode Reason,
                           DurationMs RetryAfter) {
   Call.LastRefusal = Reason;
   Call.RetryAfter = RetryAfter;
-  if (isLackOfTime(Reason))
-    RefusedLately.add(
-        profileOf(Call, Call.Current->Target, Call.Current->SentAt), RetryAfter,
-        Context.now());
+  rememberRefusal(Call, Reason, RetryAfter);
   Call.Current->MayBeDelivered = Reason == ResultCode::TargetRefused ||
                                  Reason == ResultCode::TargetMistaken;
   if (isFinal(Reason)) {
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -239,12 +239,16 @@
   while (const Instance *Target =
              Targets.pick(Call.Request.Service, Call.TriedTargets, Now,
                           Context.Hooks.Random, Size)) {
-    const auto RoomIn =
-        RefusedLately.roomIn(profileOf(Call, Target->Name, Now), Now);
-    if (Call.Request.CanWait || !RoomIn)
+    const CallProfile Profile = profileOf(Call, Target->Name, Now);
+    const auto ByQueue = RefusedLately.roomIn(Profile, Now);
+    const auto ByLink = Size == PayloadSize::Large
+                            ? RefusedByLinkLately.roomIn(Profile, Now)
+                            : std::nullopt;
+    if (Call.Request.CanWait || (!ByQueue && !ByLink))
       return Target;
-    Call.LastRefusal = ResultCode::DeadlineUnreachable;
-    Call.RetryAfter = *RoomIn;
+    Call.LastRefusal =
+        ByQueue ? ResultCode::DeadlineUnreachable : ResultCode::LinkBusy;
+    Call.RetryAfter = ByQueue ? *ByQueue : *ByLink;
     Call.TriedTargets.push_back(Target->Name);
   }
   return nullptr;
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -205,6 +205,8 @@
 
   void dispatch(CallHandle Handle, EntryCall &Call);
   const Instance *pickTarget(EntryCall &Call);
+  void rememberRefusal(const EntryCall &Call, ResultCode Reason,
+                       DurationMs RetryAfter);
   static CallProfile profileOf(const EntryCall &Call, std::string_view Target,
                                TimeMs Now);
   void waitOrRefuse(CallHandle Handle, EntryCall &Call);
@@ -248,7 +250,9 @@
   void onAnswer(CallHandle Handle, EntryCall &Call, CallAnswer Answer);
   void onReplyMetadata(const CallReply &Reply, const PeerIdentity &Sender,
                        const Attempt &Source, PeerRoute Route);
-  void onHeard(const LoadReport &Load, const PeerIdentity &Sender,
+  static TargetLoad targetLoad(const LoadReport &Report, ResultCode Refusal,
+                               DurationMs RetryAfter);
+  void onHeard(TargetLoad Load, const PeerIdentity &Sender,
                const Attempt &Source, PeerRoute Route);
 
   /// Whether the remote node may still work on an attempt that has ended here.
@@ -284,7 +288,8 @@
   Router Targets;
   RetryBudget Budget;
   WithdrawnKeys Withdrawn;
-  RecentRefusals RefusedLately;
+  RecentRefusals RefusedLately;       ///< For lack of time.
+  RecentRefusals RefusedByLinkLately; ///< Calls with large payloads.
   MissingServices Missing;
   CallMap Calls;
   std::set<std::pair<TimeMs, CallHandle>> Timers;
--- a/src/calls/TargetLink.cpp
+++ b/src/calls/TargetLink.cpp
@@ -38,6 +38,12 @@
   return Expected > SmallMessageBytes ? Expected : 0;
 }
 
+/// Queueing delay of the link in the direction in which it is longer; 0 if the
+/// link is not scheduled. Includes the expected answers of running calls.
+DurationMs TargetSide::linkDelay() const {
+  return std::max(Replies.timeToSend(ProducingBytes), Bodies.backlogTime());
+}
+
 /// Refuses a call whose answer would leave the link too late, behind the
 /// backlog and \p Others, the bytes of answers that are expected before it.
 ///
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -212,6 +212,7 @@
   Load.Queued = static_cast<std::uint32_t>(Queue->size());
   Load.Latency = Limit.latency();
   Load.State = ReportedState.value_or(TargetState::Cold);
+  Load.LinkDelay = linkDelay();
   return Load;
 }
 
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -146,6 +146,7 @@
   ResultCode refusalOnStart(const HeldCall &Call);
   void accept(CallStart Start, const CallReplyHook &OnReply, bool FromPeer);
   std::size_t linkBytes(const HeldCall &Call) const;
+  DurationMs linkDelay() const;
   ResultCode refusalByLink(const HeldCall &Call, std::size_t Others);
   TimeMs softDeadline(const CallRequest &Request, DurationMs Objective,
                       DurationMs Cost) const;
--- a/src/nodes/CallMessages.cpp
+++ b/src/nodes/CallMessages.cpp
@@ -65,6 +65,7 @@
   Fields.id(Value.Id);
 }
 
+// Without LinkDelay, which takes the place of the retry delay.
 template <typename Codec, MessageRef<LoadReport> Message>
 void visitFields(Codec &Fields, Message &Value) {
   Fields.number(Value.InFlight);
@@ -78,7 +79,8 @@
 void visitFields(Codec &Fields, Message &Value) {
   Fields.choice(Value.State, CallState::Refused);
   Fields.reason(Value.Reason);
-  Fields.span(Value.RetryAfter);
+  Fields.span(Value.State == CallState::Refused ? Value.RetryAfter
+                                                : Value.Load.LinkDelay);
   Fields.flag(Value.Fenced);
   Fields.number(Value.Offset, MaxCallBytes);
   Fields.number(Value.TotalBytes, MaxCallBytes);
@@ -113,7 +115,8 @@
 template <typename Codec, MessageRef<CallBodyReply> Message>
 void visitFields(Codec &Fields, Message &Value) {
   Fields.reason(Value.Reason);
-  Fields.span(Value.RetryAfter);
+  Fields.span(Value.Reason != ResultCode::Ok ? Value.RetryAfter
+                                             : Value.Load.LinkDelay);
   Fields.number(Value.HeldBytes, MaxStagedBodyBytes);
   Fields.number(Value.GrantedBytes, MaxStagedBodyBytes);
   visitFields(Fields, Value.Load);
--- a/src/nodes/CallMessages.h
+++ b/src/nodes/CallMessages.h
@@ -56,6 +56,10 @@
   std::uint32_t Queued = 0;
   DurationMs Latency{0}; ///< Recent typical duration of a request.
   TargetState State = TargetState::Cold;
+  /// Queueing delay of the machine's link; 0 if it is not scheduled. Sent in
+  /// the field of the retry delay, which nodes of earlier versions read in
+  /// refusals only; a refusal has no link delay.
+  DurationMs LinkDelay{0};
 
   bool operator==(const LoadReport &) const = default;
 };
--- a/src/policy/Router.cpp
+++ b/src/policy/Router.cpp
@@ -25,6 +25,10 @@
 /// balances load among targets that all have free slots.
 constexpr double UtilisationCost = 0.5;
 
+/// Share of the link's delay that counts for a payload of usual size: small
+/// messages wait for no turn, but for the piece that is being sent.
+constexpr double UsualLinkShare = 0.5;
+
 /// A uniform random number in [0, 1).
 double uniform(const RandomHook &Random) {
   constexpr int MantissaBits = 53;
@@ -69,6 +73,8 @@
     return;
   Target->Load = Load;
   Target->LoadAt = Now;
+  if (Load.LinkDelay)
+    Target->LinkFreeAt = Now + std::min(*Load.LinkDelay, Settings.LoadMaxAge);
   Target->SentSinceLoad = 0;
   Target->SuspectUntil = TimeMs(0);
   Target->SuspectDuration = DurationMs(0);
@@ -126,15 +132,15 @@
     return &Eligible.at(Random() % Eligible.size()).Candidate->Description;
   const Entry *Picked = Settings.NearFirst
                             ? nearFirst(Eligible, Now, Random, Size)
-                            : bestOfSample(Eligible, Now, Random);
+                            : bestOfSample(Eligible, Now, Random, Size);
   return &Picked->Description;
 }
 
 /// Draws a few candidates by weight and returns the one with the shortest
 /// expected wait. \p Eligible must not be empty.
 const Router::Entry *Router::bestOfSample(std::vector<Choice> Eligible,
-                                          TimeMs Now,
-                                          const RandomHook &Random) const {
+                                          TimeMs Now, const RandomHook &Random,
+                                          PayloadSize Size) const {
   double Total = 0;
   for (const Choice &C : Eligible)
     Total += C.Weight;
@@ -145,7 +151,7 @@
     std::size_t At = 0;
     while (At + 1 < Eligible.size() && Drawn >= Eligible[At].Weight)
       Drawn -= Eligible[At++].Weight;
-    const double Wait = expectedWait(*Eligible[At].Candidate, Now);
+    const double Wait = expectedWait(*Eligible[At].Candidate, Now, Size);
     if (!Best || Wait < BestWait) {
       Best = Eligible[At].Candidate;
       BestWait = Wait;
@@ -168,14 +174,14 @@
     (IsNear ? Near : Others).push_back(Each);
   }
   if (Near.empty() || Others.empty())
-    return bestOfSample(Eligible, Now, Random);
-  const Entry *BestNear = bestOfSample(std::move(Near), Now, Random);
-  const Entry *BestOther = bestOfSample(std::move(Others), Now, Random);
+    return bestOfSample(Eligible, Now, Random, Size);
+  const Entry *BestNear = bestOfSample(std::move(Near), Now, Random, Size);
+  const Entry *BestOther = bestOfSample(std::move(Others), Now, Random, Size);
   const double Factor = Size == PayloadSize::Large ? LargeDistanceFactor : 1;
   // The expected wait includes the distance cost once.
-  const double OtherCost =
-      expectedWait(*BestOther, Now) + (Factor - 1) * distanceCost(*BestOther);
-  return expectedWait(*BestNear, Now) <= OtherCost ? BestNear : BestOther;
+  const double OtherCost = expectedWait(*BestOther, Now, Size) +
+                           (Factor - 1) * distanceCost(*BestOther);
+  return expectedWait(*BestNear, Now, Size) <= OtherCost ? BestNear : BestOther;
 }
 
 std::vector<RouterCandidate> Router::explain(std::string_view Service,
@@ -226,7 +232,8 @@
   return Weight;
 }
 
-double Router::expectedWait(const Entry &Candidate, TimeMs Now) const {
+double Router::expectedWait(const Entry &Candidate, TimeMs Now,
+                            PayloadSize Size) const {
   const bool Fresh =
       Candidate.Load && Now - Candidate.LoadAt <= Settings.LoadMaxAge;
   double Limit = 1;
@@ -244,7 +251,16 @@
   const double Queue = std::max(0.0, Requests + 1 - Limit) / Limit;
   const double Utilisation = std::min(1.0, Requests / Limit);
   return distanceCost(Candidate) + runTime(Candidate) +
-         (Queue + UtilisationCost * Utilisation) * Latency;
+         (Queue + UtilisationCost * Utilisation) * Latency +
+         linkWait(Candidate, Now, Size);
+}
+
+/// Expected wait for the link of a target. The link has sent as much of what it
+/// reported as fits in the time since then.
+double Router::linkWait(const Entry &Candidate, TimeMs Now, PayloadSize Size) {
+  const DurationMs Left = std::max(Candidate.LinkFreeAt - Now, DurationMs(0));
+  const double Share = Size == PayloadSize::Large ? 1 : UsualLinkShare;
+  return Share * static_cast<double>(Left.Value);
 }
 
 /// Expected run time at a target as far as it counts in the wait; 0 before the
--- a/src/policy/Router.h
+++ b/src/policy/Router.h
@@ -14,6 +14,10 @@
 /// one and ends it much later. The expected run time then counts as well, so
 /// that slow targets are left to the load that the fast ones cannot take.
 ///
+/// TargetLoad::LinkDelay answers the load of targets with free slots behind
+/// saturated links: the wait for the link then counts beside the wait for a
+/// slot.
+///
 /// Instances in a failure domain that is out get no calls; those in one that
 /// has returned get a growing share. Where the view of the router is out of
 /// date, the target's node rejects what the target cannot accept.
@@ -60,6 +64,8 @@
   std::uint32_t Limit = 1;
   DurationMs Latency{0};
   TargetState State = TargetState::Cold;
+  /// Queueing delay of the target's link, if the report has one.
+  std::optional<DurationMs> LinkDelay = std::nullopt;
 };
 
 /// Size of what crosses the network for a call: its body or expected answer.
@@ -110,7 +116,7 @@
   /// The result is valid until the next \ref setInstances.
   /// \param Excluded names of instances to exclude, which were tried before.
   /// \param Size a large payload raises the cost of other domains if
-  /// RouterSettings::NearFirst is set.
+  /// RouterSettings::NearFirst is set, and waits for the target's link.
   const Instance *pick(std::string_view Service,
                        std::span<const std::string> Excluded, TimeMs Now,
                        const RandomHook &Random,
@@ -125,6 +131,7 @@
     Instance Description;
     std::optional<TargetLoad> Load;
     TimeMs LoadAt{0};
+    TimeMs LinkFreeAt{0}; ///< According to the last reported delay.
     std::uint32_t SentSinceLoad = 0;
     std::uint32_t Outstanding = 0;
     TimeMs SuspectUntil{0};
@@ -142,11 +149,13 @@
   TargetState stateOf(const Entry &Candidate, TimeMs Now) const;
   Nearness nearnessOf(const Entry &Candidate) const;
   double weightOf(const Entry &Candidate, TimeMs Now) const;
-  double expectedWait(const Entry &Candidate, TimeMs Now) const;
+  double expectedWait(const Entry &Candidate, TimeMs Now,
+                      PayloadSize Size = PayloadSize::Usual) const;
+  static double linkWait(const Entry &Candidate, TimeMs Now, PayloadSize Size);
   double runTime(const Entry &Candidate) const;
   double distanceCost(const Entry &Candidate) const;
   const Entry *bestOfSample(std::vector<Choice> Eligible, TimeMs Now,
-                            const RandomHook &Random) const;
+                            const RandomHook &Random, PayloadSize Size) const;
   const Entry *nearFirst(const std::vector<Choice> &Eligible, TimeMs Now,
                          const RandomHook &Random, PayloadSize Size) const;
   std::vector<Choice> choices(std::string_view Service,
--- a/tests/calls/LinkMeshTest.cpp
+++ b/tests/calls/LinkMeshTest.cpp
@@ -270,3 +270,40 @@
 
   CHECK_COMPARE(durationMs(Own), <, 100);
 }
+
+// Guards against entry nodes to which a target behind a saturated link looks
+// idle, and against a delay of a link that is not scheduled.
+TEST(LinkMesh, EntryNodesLearnTheDelayOfAScheduledLink) {
+  Network.LinkBytesPerMs = 0;
+  for (const bool Scheduled : {true, false}) {
+    Settings.LinkMbps = Scheduled ? 10 : 0;
+    startMesh();
+    for (int I = 0; I < 12; ++I)
+      Mesh->submit(1, requestOf("download", std::to_string(I)));
+    Mesh->runFor(SecondUs / 10);
+    Mesh->submit(1, requestOf("read", "read"));
+    Mesh->runFor(SecondUs / 100);
+
+    const double WaitMs =
+        Mesh->Nodes[1]->Core->explain("queue").front().ExpectedWaitMs;
+    CHECK_TRUE(Scheduled == (WaitMs > 200));
+  }
+}
+
+// Guards against large calls that are sent only to be refused again, while
+// others are not held back.
+TEST(LinkMesh, LargeCallsAreNotSentToALinkThatHasJustRefusedLikeOnes) {
+  startMesh();
+  for (int I = 0; I < 100; ++I) {
+    CallRequest Request = requestOf("download", std::to_string(I));
+    Request.HasLargePayload = true;
+    Downloads.push_back(Mesh->submit(1, Request));
+    Mesh->runFor(SecondUs / 200);
+  }
+  Mesh->runFor(5 * SecondUs);
+
+  const std::size_t Answered = answeredWhole(Downloads);
+  CHECK_COMPARE(Answered, >=, 37);
+  CHECK_COMPARE(Mesh->Nodes[0]->Core->status().LinkRefusals, <, 10);
+  checkInvariants();
+}
--- a/tests/nodes/CallMessagesTest.cpp
+++ b/tests/nodes/CallMessagesTest.cpp
@@ -42,6 +42,9 @@
   Reply.Piece = *rc::gen::arbitrary<std::string>();
   Reply.Load.InFlight = *rc::gen::arbitrary<std::uint32_t>();
   Reply.Load.State = *rc::gen::element(TargetState::Cold, TargetState::Down);
+  DurationMs &Delay = Reply.State == CallState::Refused ? Reply.RetryAfter
+                                                        : Reply.Load.LinkDelay;
+  Delay = DurationMs(*rc::gen::inRange(0, 100'000));
   Reply.RetentionTime = DurationMs(*rc::gen::inRange(0, 100'000));
   Reply.Marks = *rc::gen::arbitrary<std::string>();
   return Reply;
@@ -71,7 +74,9 @@
 CallBodyReply anyBodyReply() {
   CallBodyReply Reply;
   Reply.Reason = *rc::gen::element(ResultCode::Ok, ResultCode::QueueFull);
-  Reply.RetryAfter = DurationMs(*rc::gen::inRange(0, 100'000));
+  DurationMs &Delay =
+      Reply.Reason == ResultCode::Ok ? Reply.Load.LinkDelay : Reply.RetryAfter;
+  Delay = DurationMs(*rc::gen::inRange(0, 100'000));
   Reply.HeldBytes = *rc::gen::inRange<std::uint64_t>(0, MaxStagedBodyBytes);
   Reply.GrantedBytes = *rc::gen::inRange<std::uint64_t>(0, MaxStagedBodyBytes);
   Reply.Load.Queued = *rc::gen::arbitrary<std::uint32_t>();
@@ -142,6 +147,22 @@
   CHECK_FALSE(decodeCallBody(encode(Body) + "x").has_value());
 }
 
+// Guards against replies with a link delay that nodes of earlier versions do
+// not read: they take exactly 14 and 9 fields, the third and second of them a
+// time span that they use in refusals only.
+TEST(CallMessages, CarryTheLinkDelayInAFieldThatEarlierVersionsRead) {
+  CallReply Reply;
+  CallBodyReply BodyReply;
+  Reply.State = CallState::Done;
+  Reply.Load.LinkDelay = DurationMs(7);
+  BodyReply.Load.LinkDelay = DurationMs(8);
+
+  STRCMP_EQUAL("\x9e\x01", encode(Reply).substr(0, 2).c_str());
+  LONGS_EQUAL(7, encode(Reply).at(3));
+  STRCMP_EQUAL("\x99", encode(BodyReply).substr(0, 1).c_str());
+  LONGS_EQUAL(8, encode(BodyReply).at(2));
+}
+
 // Any input may arrive from the network. A truncated, extended or altered
 // message must be refused or decode to a message within the bounds.
 TEST(CallMessages, StayWithinBoundsOnMutatedBytes) {
--- a/tests/policy/RouterTest.cpp
+++ b/tests/policy/RouterTest.cpp
@@ -220,3 +220,44 @@
   Report("east/2", 18, 40);
   CHECK_COMPARE(SharesOfSlow(), >, 0.5);
 }
+
+// Guards against another choice where no link is scheduled: the picks are those
+// of the router that knew nothing of links.
+TEST(Router, PicksAsBeforeWithoutLinkDelays) {
+  Router Near = nearFirst();
+  std::string Picks;
+  for (std::uint32_t I = 0; I < 60; ++I) {
+    Router &Tested = I % 4 < 2 ? Targets : Near;
+    const auto Size = I % 2 == 0 ? PayloadSize::Usual : PayloadSize::Large;
+    const std::string Name = Tested.pick("queue", {}, Now, Random, Size)->Name;
+    Picks += Name.front();
+    Picks += Name.back();
+    Tested.onSent(Name);
+    Tested.onLoad(
+        Name, {I % 7, I * 5 % 11, 6, DurationMs(20 + I), TargetState::Ready},
+        Now);
+  }
+
+  STRCMP_EQUAL("e0e2e1e2e0e1e0e2e1e1e2e1n1e2e2e1e0e1e2e1e0e0e2e2e1n2e2e1n0n0"
+               "e0e0n2n2e1e0e2n0e0e0f1n1e2e2e2e2e2e1e2e1e0e1e1e0e1e0n2e0n1e0",
+               Picks.c_str());
+}
+
+// Guards against a target that is avoided after its link has sent what it
+// reported, and against small requests that count its delay in full.
+TEST(Router, CountsTheLinkDelayThatIsLeftAndHalfOfItForUsualPayloads) {
+  Targets.onLoad("east/0",
+                 {0, 0, 6, DurationMs(5), TargetState::Ready, DurationMs(100)},
+                 Now);
+  Targets.onLoad("east/1", {42, 0, 6, DurationMs(10), TargetState::Ready}, Now);
+  const std::vector<std::string> Others{
+      "east/2", "north/0", "north/1", "north/2", "far/0", "far/1", "far/2"};
+  const auto Picked = [&](PayloadSize Size, DurationMs Later) {
+    return Targets.pick("queue", Others, Now + Later, Random, Size)->Name;
+  };
+
+  // The wait for a slot of "east/1" is about 67 ms.
+  STRCMP_EQUAL("east/1", Picked(PayloadSize::Large, DurationMs(0)).c_str());
+  STRCMP_EQUAL("east/0", Picked(PayloadSize::Usual, DurationMs(0)).c_str());
+  STRCMP_EQUAL("east/0", Picked(PayloadSize::Large, DurationMs(50)).c_str());
+}
