Give both queues of a target one base for what they hold

Cause: FairQueue and ObjectiveQueue each had their own bounds, room check, refusal, release, index and turns of deferrable requests, line by line the same, so that a change to one could miss the other. Change: BoundedCallQueue has them once. The queues keep their order of service.

--- a/src/policy/FairQueue.cpp
+++ b/src/policy/FairQueue.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 FairQueue::FairQueue(FairQueueSettings Settings, ExpiryHook OnExpiry)
-    : Settings(Settings), OnExpiry(std::move(OnExpiry)) {}
+    : BoundedCallQueue(Settings), OnExpiry(std::move(OnExpiry)) {}
 
 bool FairQueue::push(QueuedCall Call, const ServiceRate &Rate, TimeMs Now) {
   Call.Weight = std::max(1U, Call.Weight);
@@ -53,27 +53,21 @@
 }
 
 void FairQueue::add(QueuedCall Call) {
-  const LaneId Key = laneOf(Call);
-  Lane &Destination = Lanes[Key];
+  Lane &Destination = Lanes[laneOf(Call)];
   Backlog &Own = Destination.Backlogs[Call.Organisation];
   Own.Weight = Call.Weight;
   const double Start = std::max(Destination.VirtualTime, Own.LastFinish);
   Own.LastFinish = Start + virtualCost(Call) / Call.Weight;
   ++Destination.Size;
-  Bytes += Call.Bytes;
-  BytesByOrganisation[Call.Organisation] += Call.Bytes;
-  Index.emplace(Call.Id, Location{Key, Call.Organisation});
+  hold(Call);
   Own.Entries.push_back({std::move(Call), Start});
 }
 
 std::optional<CallId> FairQueue::pop(const ServiceRate &Rate, TimeMs Now) {
-  while (!Index.empty()) {
-    const bool DeferrableTurn = ConsecutiveUrgent + 1 >= Settings.WaitingShare;
-    const bool FromDeferrable =
-        sizeOf(Class::Urgent) == 0 ||
-        (DeferrableTurn && sizeOf(Class::Deferrable) > 0);
-    auto Next =
-        popClass(FromDeferrable ? Class::Deferrable : Class::Urgent, Now);
+  while (size() > 0) {
+    const Class Type =
+        nextClass(sizeOf(Class::Urgent) > 0, sizeOf(Class::Deferrable) > 0);
+    auto Next = popClass(Type, Now);
     if (!Next)
       return std::nullopt;
     release(*Next);
@@ -82,23 +76,23 @@
       OnExpiry(Next->Id);
       continue;
     }
-    ConsecutiveUrgent = FromDeferrable ? 0 : ConsecutiveUrgent + 1;
+    onServed(Type);
     return Next->Id;
   }
   return std::nullopt;
 }
 
 bool FairQueue::remove(const CallId &Id, TimeMs Now) {
-  const auto Found = Index.find(Id);
-  if (Found == Index.end())
+  const Location *At = locate(Id);
+  if (!At)
     return false;
-  Lane &Source = Lanes.at(Found->second.Key);
-  Backlog &Own = Source.Backlogs.at(Found->second.Organisation);
-  const auto At =
+  Lane &Source = Lanes.at(At->Key);
+  Backlog &Own = Source.Backlogs.at(At->Organisation);
+  const auto Found =
       std::find_if(Own.Entries.begin(), Own.Entries.end(),
                    [&Id](const Entry &W) { return W.Call.Id == Id; });
-  const QueuedCall Call = std::move(At->Call);
-  Own.Entries.erase(At);
+  const QueuedCall Call = std::move(Found->Call);
+  Own.Entries.erase(Found);
   --Source.Size;
   Source.Overtakes.onUnserved(Source.Size, Now);
   release(Call);
@@ -132,10 +126,6 @@
   }
 }
 
-FairQueue::LaneId FairQueue::laneOf(const QueuedCall &Call) {
-  return {Call.CanWait ? Class::Deferrable : Class::Urgent, Call.Priority};
-}
-
 std::size_t FairQueue::sizeOf(Class Type) const {
   std::size_t Size = 0;
   for (const auto &[Id, Each] : Lanes)
@@ -181,21 +171,6 @@
   return Next;
 }
 
-bool FairQueue::refuse(ResultCode Reason) {
-  LastReason = Reason;
-  return false;
-}
-
-bool FairQueue::hasRoom(const QueuedCall &Call) const {
-  if (Index.size() >= Settings.MaxRequests ||
-      Bytes + Call.Bytes > Settings.MaxBytes)
-    return false;
-  const auto Held = BytesByOrganisation.find(Call.Organisation);
-  if (Held == BytesByOrganisation.end())
-    return true;
-  return Held->second + Call.Bytes <= Settings.MaxBytes - Bytes;
-}
-
 DurationMs FairQueue::expectedWait(const QueuedCall &Call,
                                    const ServiceRate &Rate, TimeMs Now) {
   const LaneId Key = laneOf(Call);
@@ -244,15 +219,6 @@
   return std::move(Next.Call);
 }
 
-void FairQueue::release(const QueuedCall &Call) {
-  Index.erase(Call.Id);
-  Bytes -= Call.Bytes;
-  const auto Held = BytesByOrganisation.find(Call.Organisation);
-  Held->second -= Call.Bytes;
-  if (Held->second == 0)
-    BytesByOrganisation.erase(Held);
-}
-
 void FairQueue::eraseIdleBacklogs(Lane &Source) {
   // A backlog whose finish time has passed no longer affects start times.
   std::erase_if(Source.Backlogs, [&Source](const auto &Item) {
--- a/src/policy/FairQueue.h
+++ b/src/policy/FairQueue.h
@@ -23,17 +23,13 @@
 ///   every answer without raising throughput. Once requests have started too
 ///   late for their soft deadlines for a while, the queue accepts only requests
 ///   that can meet theirs, until it has rejected none for a while.
-///
-/// Memory is bounded. An organisation may hold at most as much as is still
-/// free (Choudhury and Hahne, 1998), so one alone never fills the queue.
 
 #ifndef FESCUEWOOD_POLICY_FAIRQUEUE_H
 #define FESCUEWOOD_POLICY_FAIRQUEUE_H
 
-#include "policy/CallQueue.h"
+#include "policy/BoundedCallQueue.h"
 #include "policy/OvertakeMean.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -48,7 +44,7 @@
 using FairQueueSettings = CallQueueSettings;
 
 /// Fair queue of one target. Not thread-safe.
-class FairQueue : public CallQueue {
+class FairQueue : public BoundedCallQueue {
 public:
   /// Called with each request that is dropped because it has expired.
   using ExpiryHook = std::function<void(const CallId &)>;
@@ -66,13 +62,7 @@
   /// Resets the overtake statistics of all priorities.
   void onSpareCapacity() override;
 
-  std::size_t size() const override { return Index.size(); }
-  std::size_t bytes() const override { return Bytes; }
-  ResultCode lastReason() const override { return LastReason; }
-
 private:
-  enum class Class : std::uint8_t { Urgent, Deferrable };
-
   struct Entry {
     QueuedCall Call;
     double Start = 0; ///< Virtual start time.
@@ -93,27 +83,11 @@
     OvertakeMean Overtakes; ///< By higher priorities.
   };
 
-  /// Lanes are ordered by class, then by priority.
-  struct LaneId {
-    Class Type = Class::Urgent;
-    std::uint16_t Priority = 0;
-
-    auto operator<=>(const LaneId &) const = default;
-  };
-
-  struct Location {
-    LaneId Key;
-    std::string Organisation;
-  };
-
-  static LaneId laneOf(const QueuedCall &Call);
   std::size_t sizeOf(Class Type) const;
   bool missesSoftDeadline(const QueuedCall &Call, TimeMs Start,
                           TimeMs Now) const;
   void onStart(const QueuedCall &Call, TimeMs Now);
   std::optional<QueuedCall> popClass(Class Type, TimeMs Now);
-  bool refuse(ResultCode Reason);
-  bool hasRoom(const QueuedCall &Call) const;
   bool isTooLate(const QueuedCall &Call, const ServiceRate &Rate,
                  TimeMs Now) const;
   bool canMeetDeadline(const QueuedCall &Call, const ServiceRate &Rate,
@@ -122,21 +96,14 @@
   DurationMs expectedWait(const QueuedCall &Call, const ServiceRate &Rate,
                           TimeMs Now);
   std::optional<QueuedCall> popLane(Lane &Source);
-  void release(const QueuedCall &Call);
   static void eraseIdleBacklogs(Lane &Source);
 
-  FairQueueSettings Settings;
   ExpiryHook OnExpiry;
   std::map<LaneId, Lane> Lanes;
-  std::map<CallId, Location> Index;
-  std::map<std::string, std::size_t, std::less<>> BytesByOrganisation;
-  std::size_t Bytes = 0;
-  std::uint32_t ConsecutiveUrgent = 0;
   /// Every start since then has missed its soft deadline.
   std::optional<TimeMs> LateSince;
   /// Until then, only requests that can meet their soft deadline are accepted.
   TimeMs SheddingUntil;
-  ResultCode LastReason = ResultCode::Ok;
 };
 
 } // namespace fescuewood
--- a/src/policy/ObjectiveQueue.cpp
+++ b/src/policy/ObjectiveQueue.cpp
@@ -21,7 +21,7 @@
 
 ObjectiveQueue::ObjectiveQueue(CallQueueSettings Settings,
                                RefusalHook OnRefusal)
-    : Settings(Settings), OnRefusal(std::move(OnRefusal)) {}
+    : BoundedCallQueue(Settings), OnRefusal(std::move(OnRefusal)) {}
 
 bool ObjectiveQueue::push(QueuedCall Call, const ServiceRate &Rate,
                           TimeMs Now) {
@@ -44,15 +44,12 @@
 }
 
 std::optional<CallId> ObjectiveQueue::pop(const ServiceRate &Rate, TimeMs Now) {
-  while (!Index.empty()) {
-    const bool DeferrableTurn = ConsecutiveUrgent + 1 >= Settings.WaitingShare;
-    const bool FromDeferrable =
-        !hasRequests(Class::Urgent) ||
-        (DeferrableTurn && hasRequests(Class::Deferrable));
-    Lane &Source =
-        *nextLane(FromDeferrable ? Class::Deferrable : Class::Urgent);
+  while (size() > 0) {
+    const Class Type =
+        nextClass(hasRequests(Class::Urgent), hasRequests(Class::Deferrable));
+    Lane &Source = *nextLane(Type);
     Share &Own = *nextShare(Source);
-    if (!FromDeferrable) {
+    if (Type == Class::Urgent) {
       const ServicePace Pace =
           pace(laneOf(Own.Requests.next().Call), Own, Rate, Now);
       Own.Requests.deferLate(Pace, MaxMovesPerDecision);
@@ -67,14 +64,14 @@
     Source.VirtualTime = std::max(Source.VirtualTime, Own.Start);
     Own.Start += virtualCost(Next.Call) / Own.Weight;
     onPop(Source, take(Id), Now);
-    ConsecutiveUrgent = FromDeferrable ? 0 : ConsecutiveUrgent + 1;
+    onServed(Type);
     return Id;
   }
   return std::nullopt;
 }
 
 bool ObjectiveQueue::remove(const CallId &Id, TimeMs Now) {
-  if (!Index.contains(Id))
+  if (!locate(Id))
     return false;
   takeUnserved(Id, Now);
   return true;
@@ -82,7 +79,7 @@
 
 ObjectiveBacklog::Entry ObjectiveQueue::takeUnserved(const CallId &Id,
                                                      TimeMs Now) {
-  const Location At = Index.at(Id);
+  const Location At = *locate(Id);
   Lane &Source = Lanes.at(At.Key);
   ObjectiveBacklog::Entry Taken = take(Id);
   Source.Overtakes.onUnserved(Source.Size, Now);
@@ -101,7 +98,7 @@
   for (const auto &[Expiry, Id] : ByExpiry) {
     if (Expiry > Now)
       break;
-    const Location &At = Index.at(Id);
+    const Location &At = *locate(Id);
     const QueuedCall &Call =
         Lanes.at(At.Key).Shares.at(At.Organisation).Requests.find(Id).Call;
     if (Call.Deadline <= Now + minRemainingTime(Call, Rate))
@@ -141,30 +138,11 @@
   }
 }
 
-ObjectiveQueue::LaneId ObjectiveQueue::laneOf(const QueuedCall &Call) {
-  return {Call.CanWait ? Class::Deferrable : Class::Urgent, Call.Priority};
-}
-
 std::pair<TimeMs, CallId> ObjectiveQueue::expiryOf(const QueuedCall &Call) {
   const ServiceRate Busy{1, DurationMs(1)};
   return {Call.Deadline - minRemainingTime(Call, Busy), Call.Id};
 }
 
-bool ObjectiveQueue::refuse(ResultCode Reason) {
-  LastReason = Reason;
-  return false;
-}
-
-bool ObjectiveQueue::hasRoom(const QueuedCall &Call) const {
-  if (Index.size() >= Settings.MaxRequests ||
-      Bytes + Call.Bytes > Settings.MaxBytes)
-    return false;
-  const auto Held = BytesByOrganisation.find(Call.Organisation);
-  if (Held == BytesByOrganisation.end())
-    return true;
-  return Held->second + Call.Bytes <= Settings.MaxBytes - Bytes;
-}
-
 /// Removes requests whose refusal costs callers less than that of \p Call until
 /// it has room. Returns false, and removes none, if that is not possible.
 bool ObjectiveQueue::makeRoom(const QueuedCall &Call, TimeMs Now,
@@ -219,7 +197,7 @@
 bool ObjectiveQueue::shed(const CallId &Arrival, const ServiceRate &Rate,
                           TimeMs Now,
                           std::vector<ObjectiveBacklog::Entry> &Displaced) {
-  const Location At = Index.at(Arrival);
+  const Location At = *locate(Arrival);
   if (At.Key.Type == Class::Deferrable || Rate.Latency <= DurationMs(0))
     return true;
   Share &Own = Lanes.at(At.Key).Shares.at(At.Organisation);
@@ -242,8 +220,7 @@
 
 void ObjectiveQueue::add(ObjectiveBacklog::Entry Added) {
   const QueuedCall &Call = Added.Call;
-  const LaneId Key = laneOf(Call);
-  Lane &Destination = Lanes[Key];
+  Lane &Destination = Lanes[laneOf(Call)];
   Share &Own = Destination.Shares[Call.Organisation];
   Own.Weight = Call.Weight;
   if (Own.Requests.empty())
@@ -252,28 +229,21 @@
     Destination.PassedOver = 0;
   ++Destination.Size;
   Destination.Work = Destination.Work + Call.Cost;
-  Bytes += Call.Bytes;
-  BytesByOrganisation[Call.Organisation] += Call.Bytes;
+  hold(Call);
   ByExpiry.insert(expiryOf(Call));
-  Index.emplace(Call.Id, Location{Key, Call.Organisation});
   Own.Requests.add(std::move(Added));
 }
 
 ObjectiveBacklog::Entry ObjectiveQueue::take(const CallId &Id) {
-  const auto Found = Index.find(Id);
-  Lane &Source = Lanes.at(Found->second.Key);
+  const Location &At = *locate(Id);
+  Lane &Source = Lanes.at(At.Key);
   ObjectiveBacklog::Entry Taken =
-      Source.Shares.at(Found->second.Organisation).Requests.take(Id);
+      Source.Shares.at(At.Organisation).Requests.take(Id);
   const QueuedCall &Call = Taken.Call;
-  Index.erase(Found);
   --Source.Size;
   Source.Work = Source.Work - Call.Cost;
   ByExpiry.erase(expiryOf(Call));
-  Bytes -= Call.Bytes;
-  const auto Held = BytesByOrganisation.find(Call.Organisation);
-  Held->second -= Call.Bytes;
-  if (Held->second == 0)
-    BytesByOrganisation.erase(Held);
+  release(Call);
   return Taken;
 }
 
--- a/src/policy/ObjectiveQueue.h
+++ b/src/policy/ObjectiveQueue.h
@@ -20,11 +20,10 @@
 #ifndef FESCUEWOOD_POLICY_OBJECTIVEQUEUE_H
 #define FESCUEWOOD_POLICY_OBJECTIVEQUEUE_H
 
-#include "policy/CallQueue.h"
+#include "policy/BoundedCallQueue.h"
 #include "policy/ObjectiveBacklog.h"
 #include "policy/OvertakeMean.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -53,7 +52,7 @@
 };
 
 /// Queue of one target in order of objectives. Not thread-safe.
-class ObjectiveQueue : public CallQueue {
+class ObjectiveQueue : public BoundedCallQueue {
 public:
   /// Called with each queued request that is refused.
   using RefusalHook = std::function<void(const QueueRefusal &)>;
@@ -66,21 +65,7 @@
   void expire(const ServiceRate &Rate, TimeMs Now) override;
   void onSpareCapacity() override;
 
-  std::size_t size() const override { return Index.size(); }
-  std::size_t bytes() const override { return Bytes; }
-  ResultCode lastReason() const override { return LastReason; }
-
 private:
-  enum class Class : std::uint8_t { Urgent, Deferrable };
-
-  /// Lanes are ordered by class, then by priority.
-  struct LaneId {
-    Class Type = Class::Urgent;
-    std::uint16_t Priority = 0;
-
-    auto operator<=>(const LaneId &) const = default;
-  };
-
   /// The requests of one organisation in a lane, and its share of the service.
   struct Share {
     ObjectiveBacklog Requests;
@@ -100,15 +85,7 @@
     OvertakeMean Overtakes; ///< Work of other lanes, in ms.
   };
 
-  struct Location {
-    LaneId Key;
-    std::string Organisation;
-  };
-
-  static LaneId laneOf(const QueuedCall &Call);
   static std::pair<TimeMs, CallId> expiryOf(const QueuedCall &Call);
-  bool refuse(ResultCode Reason);
-  bool hasRoom(const QueuedCall &Call) const;
   bool makeRoom(const QueuedCall &Call, TimeMs Now,
                 std::vector<ObjectiveBacklog::Entry> &Displaced);
   const ObjectiveBacklog::Entry *victimFor(const QueuedCall &Call,
@@ -127,17 +104,11 @@
   void drop(const CallId &Id, TimeMs Now);
   void deferLate(const ServiceRate &Rate, TimeMs Now);
 
-  CallQueueSettings Settings;
   RefusalHook OnRefusal;
   std::map<LaneId, Lane> Lanes;
-  std::map<CallId, Location> Index;
   /// Requests by the time from which they are refused.
   std::set<std::pair<TimeMs, CallId>> ByExpiry;
-  std::map<std::string, std::size_t, std::less<>> BytesByOrganisation;
-  std::size_t Bytes = 0;
   std::uint64_t NextArrival = 0;
-  std::uint32_t ConsecutiveUrgent = 0;
-  ResultCode LastReason = ResultCode::Ok;
 };
 
 } // namespace fescuewood
