Share the set-up of one call core between three tests

Cause: ObjectiveOrderTest, CallLogTest and SilentNodeTest each built the node, its configuration, instances, requests and answers in the same way. Change: tests/calls/CoreFixture.h has the set-up. Instances of SilentNodeTest have their names as addresses, and its domains declare two slots like the others, which the calls do not depend on.

--- a/tests/calls/CallLogTest.cpp
+++ b/tests/calls/CallLogTest.cpp
@@ -1,75 +1,22 @@
-#include "calls/CallCore.h"
+#include "calls/CoreFixture.h"
 
-#include <CppUTest/TestHarness.h>
-
-#include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 using namespace fescuewood;
 
-namespace {
-
-constexpr DurationMs Remaining{1000};
-
-Instance instanceOf(const std::string &Name) {
-  Instance Result;
-  Result.Name = Name;
-  Result.Domain = "east";
-  Result.Service = "queue";
-  Result.PeerAddress = Name;
-  Result.State = TargetState::Ready;
-  return Result;
-}
-
-SnapshotPtr oneDomain() {
-  auto Config = std::make_shared<Snapshot>();
-  Config->Id.Revision = 1;
-  Config->Services["queue"] = {"queue", 6};
-  Config->Domains["east"] = {"east", "coast", DomainStatus::In, 2};
-  return Config;
-}
-
-} // namespace
-
 /// A node whose target answers at once, and another one that answers nothing.
-TEST_GROUP(CallLog) {
-  TimeMs Now{10'000};
-  std::vector<Event> Events;
-  std::unique_ptr<CallCore> Core;
+TEST_GROUP_BASE(CallLog, CoreFixture) {
+  const DurationMs Remaining{1000};
 
   void start(int Status) {
-    CallHooks Hooks;
-    Hooks.Send = [](const PeerRequest &, const PeerReplyHook &) {};
-    Hooks.Random = [] { return 0; };
-    Hooks.OnEvent = [this](const Event &Reported) {
-      Events.push_back(Reported);
-    };
     Hooks.Target.Run = [Status](const CallRequest &, DurationMs,
                                 const RunHook &OnResult) {
-      RunResult Result;
-      Result.Answer.emplace();
-      Result.Answer->Status = Status;
-      Result.Answer->RequestOutcome = Outcome::Ran;
-      OnResult(Result);
+      OnResult(makeResult(Status));
     };
-    CallSettings Settings;
     Settings.Routing = RoutingMode::Random;
-    CallIdentity Self;
-    Self.Name = "east/0";
-    Self.Domain = "east";
-    Self.Service = "queue";
-    Self.Incarnation = 1;
-    Core = std::make_unique<CallCore>(Self, Settings, std::move(Hooks),
-                                      Clock([this] { return Now; }));
-    Core->setSnapshot(oneDomain());
-    Core->setInstances({instanceOf("east/0"), instanceOf("east/1")});
-    CallRequest Request;
-    Request.Method = "GET";
-    Request.Target = "/queue";
-    Request.Service = "queue";
-    Request.Remaining = Remaining;
+    startCore(makeConfig(6, {{"east", "coast"}}), {"east/0", "east/1"});
+    CallRequest Request = makeRequest(Remaining);
     Request.Idempotent = true;
     Core->submit(1, Request, [](const CallAnswer &) {});
     const TimeMs End = Now + Remaining * 2;
--- a/tests/calls/ObjectiveOrderTest.cpp
+++ b/tests/calls/ObjectiveOrderTest.cpp
@@ -1,10 +1,7 @@
-#include "calls/CallCore.h"
-
-#include <CppUTest/TestHarness.h>
+#include "calls/CoreFixture.h"
 
 #include <algorithm>
 #include <map>
-#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -13,21 +10,8 @@
 
 namespace {
 
-Instance instanceOf(const std::string &Name) {
-  Instance Result;
-  Result.Name = Name;
-  Result.Domain = "east";
-  Result.Service = "queue";
-  Result.PeerAddress = Name;
-  Result.State = TargetState::Ready;
-  return Result;
-}
-
 SnapshotPtr makeOneRoute() {
-  auto Config = std::make_shared<Snapshot>();
-  Config->Id.Revision = 1;
-  Config->Services["queue"] = {"queue", 1};
-  Config->Domains["east"] = {"east", "coast", DomainStatus::In, 2};
+  auto Config = CoreFixture::makeConfig(1, {{"east", "coast"}});
   Route Read;
   Read.Name = "read";
   Read.Service = "queue";
@@ -38,13 +22,9 @@
 }
 
 CallRequest requestWithId(const std::string &Id) {
-  CallRequest Request;
-  Request.Method = "GET";
-  Request.Target = "/queue";
-  Request.Service = "queue";
+  CallRequest Request = CoreFixture::makeRequest(DurationMs(2500));
   Request.Route = "read";
   Request.Headers.push_back({HeaderScheme().RequestId, Id});
-  Request.Remaining = DurationMs(2500);
   Request.Priority = callPriority(0, 1);
   return Request;
 }
@@ -60,19 +40,15 @@
 
 /// A node in order of objectives, whose target runs one request at a time until
 /// the test ends it.
-TEST_GROUP(ObjectiveOrder) {
-  TimeMs Now{10'000};
-  std::vector<Event> Events;
+TEST_GROUP_BASE(ObjectiveOrder, CoreFixture) {
   std::vector<std::string> Started;
   std::vector<RunHook> Runs;
   std::vector<CallStart> Sent;
   std::vector<PeerReplyHook> Replies;
   std::map<std::string, CallAnswer> Answers;
-  std::unique_ptr<CallCore> Core;
   CallHandle Last = 0;
 
-  void start(const std::vector<Instance> &Instances) {
-    CallHooks Hooks;
+  void start(const std::vector<std::string> &Instances) {
     Hooks.Send = [this](const PeerRequest &Request,
                         const PeerReplyHook &OnReply) {
       if (auto Start = decodeCallStart(Request.Body)) {
@@ -80,27 +56,14 @@
         Replies.push_back(OnReply);
       }
     };
-    Hooks.Random = [] { return 0; };
-    Hooks.OnEvent = [this](const Event &Reported) {
-      Events.push_back(Reported);
-    };
     Hooks.Target.Run = [this](const CallRequest &Request, DurationMs,
                               const RunHook &OnResult) {
       Started.push_back(requestId(Request, HeaderScheme()));
       Runs.push_back(OnResult);
     };
-    CallSettings Settings;
     Settings.Order = QueueOrder::Objective;
     Settings.MaxQueueBytes = 1000;
-    CallIdentity Self;
-    Self.Name = "east/0";
-    Self.Domain = "east";
-    Self.Service = "queue";
-    Self.Incarnation = 1;
-    Core = std::make_unique<CallCore>(Self, Settings, std::move(Hooks),
-                                      Clock([this] { return Now; }));
-    Core->setSnapshot(makeOneRoute());
-    Core->setInstances(Instances);
+    startCore(makeOneRoute(), Instances);
   }
 
   void submit(const CallRequest &Request) {
@@ -111,20 +74,16 @@
   }
 
   void endRun() {
-    RunResult Result;
-    Result.Answer.emplace();
-    Result.Answer->Status = 200;
-    Result.Answer->RequestOutcome = Outcome::Ran;
     const RunHook OnResult = std::move(Runs.back());
     Runs.pop_back();
-    OnResult(Result);
+    OnResult(makeResult(200));
   }
 };
 
 // Guards against a caller that waits for an answer after its request has lost
 // its place, and against an operator who cannot tell to which one.
 TEST(ObjectiveOrder, TellsCallerAndOperatorOfADisplacedRequest) {
-  start({instanceOf("east/0")});
+  start({"east/0"});
   submit(requestWithId("running"));
   CallRequest Low = requestWithId("low");
   Low.Priority = callPriority(0, 2);
@@ -156,7 +115,7 @@
 
 // Guards against an objective that begins anew at each node of a call.
 TEST(ObjectiveOrder, CountsTheObjectiveFromTheArrivalAtTheEntryNode) {
-  start({instanceOf("east/0")});
+  start({"east/0"});
   submit(requestWithId("running"));
   submit(requestWithId("new"));
   CallRequest Old = requestWithId("old");
@@ -169,9 +128,7 @@
 }
 
 TEST(ObjectiveOrder, SendsTheAgeOfACallAlsoAfterARefusal) {
-  Instance Other = instanceOf("east/1");
-  Instance Third = instanceOf("east/2");
-  start({Other, Third});
+  start({"east/1", "east/2"});
   CallRequest Request = requestWithId("moving");
   Request.Idempotent = true;
   Request.Age = DurationMs(20);
--- a/tests/calls/SilentNodeTest.cpp
+++ b/tests/calls/SilentNodeTest.cpp
@@ -1,9 +1,6 @@
-#include "calls/CallCore.h"
-
-#include <CppUTest/TestHarness.h>
+#include "calls/CoreFixture.h"
 
 #include <deque>
-#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -14,35 +11,13 @@
 
 constexpr DurationMs Remaining{1000};
 
-Instance targetIn(const std::string &Domain) {
-  Instance Result;
-  Result.Name = Domain + "/0";
-  Result.Domain = Domain;
-  Result.Service = "queue";
-  Result.PeerAddress = Domain;
-  Result.State = TargetState::Ready;
-  return Result;
-}
-
-SnapshotPtr twoRegions() {
-  auto Config = std::make_shared<Snapshot>();
-  Config->Id.Revision = 1;
-  Config->Services["queue"] = {"queue", 6};
-  for (const char *Name : {"entry", "a", "c"})
-    Config->Domains[Name] = {Name, "near", DomainStatus::In, 1};
-  Config->Domains["b"] = {"b", "far", DomainStatus::In, 1};
-  return Config;
-}
-
 } // namespace
 
 /// An entry node and three targets: "a" answers nothing, another run takes
 /// longer on "b", in another region, than on "c".
-TEST_GROUP(SilentNode) {
-  TimeMs Now{10'000};
+TEST_GROUP_BASE(SilentNode, CoreFixture) {
   std::vector<PeerRequest> Sent;
   std::deque<std::uint64_t> Picks; ///< Index of the target; 0 when empty.
-  std::unique_ptr<CallCore> Core;
 
   std::uint64_t nextPick() {
     if (Picks.empty())
@@ -54,28 +29,21 @@
 
   void start(std::deque<std::uint64_t> PicksInOrder) {
     Picks = std::move(PicksInOrder);
-    CallHooks Hooks;
     Hooks.Send = [this](PeerRequest Message, PeerReplyHook OnReply) {
       Replies.push_back({Now + Message.Timeout, std::move(OnReply)});
       Sent.push_back(std::move(Message));
     };
     Hooks.Random = [this] { return nextPick(); };
-    CallSettings Settings;
     Settings.Routing = RoutingMode::Random;
     Settings.RemoteCost = DurationMs(150);
-    CallIdentity Self;
     Self.Name = "entry/0";
     Self.Domain = "entry";
-    Self.Incarnation = 1;
-    Core = std::make_unique<CallCore>(Self, Settings, std::move(Hooks),
-                                      Clock([this] { return Now; }));
-    Core->setSnapshot(twoRegions());
-    Core->setInstances({targetIn("a"), targetIn("b"), targetIn("c")});
-    CallRequest Request;
-    Request.Method = "GET";
-    Request.Target = "/queue";
-    Request.Service = "queue";
-    Request.Remaining = Remaining;
+    Self.Service.clear();
+    startCore(
+        makeConfig(
+            6, {{"entry", "near"}, {"a", "near"}, {"b", "far"}, {"c", "near"}}),
+        {"a/0", "b/0", "c/0"});
+    CallRequest Request = makeRequest(Remaining);
     Request.Idempotent = true;
     Core->submit(1, Request, [](const CallAnswer &) {});
   }
@@ -120,13 +88,13 @@
   /// Checks that the call moved when the fetch that was cut short ended.
   void checkMovesWhenItsLastFetchEnds() {
     runWithoutReplies();
-    const std::vector<PeerKind> Kinds = sentTo("a");
+    const std::vector<PeerKind> Kinds = sentTo("a/0");
     LONGS_EQUAL(3, Kinds.size());
     CHECK(PeerKind::CallStart == Kinds[0]);
     CHECK(PeerKind::CallFetch == Kinds[1]);
     CHECK(PeerKind::CallFetch == Kinds[2]);
     CHECK(PeerKind::CallStart == Sent.at(3).Kind);
-    CHECK(Sent[3].Address != "a");
+    CHECK(Sent[3].Address != "a/0");
     LONGS_EQUAL(CallSettings().FetchTimeout.Value, Sent[1].Timeout.Value);
     CHECK(Sent[2].Timeout < CallSettings().FetchTimeout);
   }
