Stop the callers' server when a timer has just expired

Cause: the check for overdue connections sets its timer again when it has run. stop() cancels the timer, but not a check that is already queued, which then set it again, so that the thread never ended and stop() did not return. Seen in 2 of 32 runs of a test that ends servers after multiples of the interval of 250 ms. Change: the timers are not set again once the server stops.

--- a/src/callers/CallerServerCore.cpp
+++ b/src/callers/CallerServerCore.cpp
@@ -420,7 +420,8 @@
 void CallerServerCore::scheduleOverdueCheck() {
   OverdueTimer.expires_after(toMilliseconds(OverdueCheckInterval));
   OverdueTimer.async_wait([this](const std::error_code &Error) {
-    if (Error)
+    // An expired timer cannot be cancelled any more.
+    if (Error || Stopping)
       return;
     Registry.closeOverdue();
     scheduleOverdueCheck();
@@ -453,7 +454,7 @@
 void CallerServerCore::closeIdleAfterGrace() {
   GraceTimer.expires_after(toMilliseconds(Options.DrainGrace));
   GraceTimer.async_wait([this](const std::error_code &Error) {
-    if (Error)
+    if (Error || Stopping)
       return;
     Registry.closeIdle();
     InGracePeriod = false;
@@ -467,6 +468,7 @@
   if (!Thread.joinable())
     return;
   asio::post(Context, [this] {
+    Stopping = true;
     closeAcceptor();
     GraceTimer.cancel();
     OverdueTimer.cancel();
--- a/src/callers/CallerServerCore.h
+++ b/src/callers/CallerServerCore.h
@@ -115,6 +115,7 @@
   std::atomic<std::size_t> OpenConnections = 0;
   std::atomic<bool> Draining = false;
   std::atomic<bool> InGracePeriod = false;
+  bool Stopping = false; ///< On the thread of the server only.
 
   asio::io_context Context{1};
   ConnectionRegistry &Registry;
