Serve heads of as many fields as max_header_bytes holds

Cause: heads were limited to 100 fields and messages between nodes to 128, so a single request within max_header_bytes was refused with 431. Change: the limit on fields follows from max_header_bytes: one for each 4 bytes, up to 4,096. Messages between nodes carry these and 32 that nodes may add; those of responses stay at 128. A field is charged 96 bytes beside its text also where requests wait at the entry node and at the target. Two places took quadratic time: the options of Connection were removed one by one, and libcurl's list was walked for each line. A node of an earlier version refuses a message with more than 128 fields as malformed.

--- a/src/callers/CallerServer.h
+++ b/src/callers/CallerServer.h
@@ -51,7 +51,6 @@
   std::string Address = "127.0.0.1";      ///< IP literal to listen on.
   std::uint16_t Port = 0;                 ///< 0 selects any free port.
   std::size_t MaxHeaderBytes = 32 * 1024; ///< Request line and fields.
-  std::size_t MaxHeaderFields = 100;
   std::size_t MaxBodyBytes = 4 * 1024 * 1024;
   /// Limit on the large bodies of all unanswered requests, beside the oldest
   /// one. A connection whose body would exceed it is not read until enough
--- a/src/callers/CallerServerCore.cpp
+++ b/src/callers/CallerServerCore.cpp
@@ -68,12 +68,15 @@
   return Request;
 }
 
+/// Number of fields that a head of this size holds, within what nodes send each
+/// other.
+std::size_t maxFields(std::size_t HeaderBytes) {
+  return std::min(HeaderBytes / MinFieldBytes, MaxCallerFields);
+}
+
 /// Bytes that the body and the fields of an answer take.
 std::size_t answerBytes(const CallAnswer &Answer) {
-  std::size_t Bytes = Answer.Body.size();
-  for (const Header &Field : Answer.Headers)
-    Bytes += Field.Name.size() + Field.Value.size() + FieldOverheadBytes;
-  return Bytes;
+  return Answer.Body.size() + fieldBytes(Answer.Headers);
 }
 
 /// Bytes that a request takes: RESTinio's, and the copy that is submitted.
@@ -399,7 +402,7 @@
 }
 
 RequestLimits CallerServerCore::configuredLimits() const {
-  return {Options.MaxHeaderBytes, Options.MaxHeaderFields,
+  return {Options.MaxHeaderBytes, maxFields(Options.MaxHeaderBytes),
           Options.MaxBodyBytes};
 }
 
@@ -409,6 +412,7 @@
   if (DeclaredLimits) {
     Limits.MaxHeaderBytes =
         std::min(Limits.MaxHeaderBytes, DeclaredLimits->MaxHeaderBytes);
+    Limits.MaxHeaderFields = maxFields(Limits.MaxHeaderBytes);
     Limits.MaxBodyBytes =
         std::min(Limits.MaxBodyBytes, DeclaredLimits->MaxBodyBytes);
     Limits.HeaderTimeout = optionalLimit(DeclaredLimits->HeaderTimeout);
--- a/src/callers/HeaderFields.cpp
+++ b/src/callers/HeaderFields.cpp
@@ -7,6 +7,7 @@
 #include <cctype>
 #include <charconv>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace fescuewood {
@@ -21,6 +22,13 @@
     "Expect",     "Content-Length",
 };
 
+std::string lowerCase(std::string_view Text) {
+  std::string Result(Text);
+  for (char &Byte : Result)
+    Byte = static_cast<char>(std::tolower(static_cast<unsigned char>(Byte)));
+  return Result;
+}
+
 /// Calls \p Visit with each trimmed member of a comma-separated list.
 template <typename Visitor>
 void forEachListMember(std::string_view List, Visitor Visit) {
@@ -112,18 +120,20 @@
 }
 
 void removeHopByHopFields(std::vector<Header> &Fields) {
-  std::vector<std::string> ConnectionOptions;
+  // A set, since a head may hold thousands of fields and of options.
+  std::set<std::string> Removed;
+  for (std::string_view Name : HopByHopFields)
+    Removed.insert(lowerCase(Name));
   for (const Header &Field : Fields) {
     if (!isSameFieldName(Field.Name, "Connection"))
       continue;
     forEachListMember(Field.Value, [&](std::string_view Member) {
-      ConnectionOptions.emplace_back(Member);
+      Removed.insert(lowerCase(Member));
     });
   }
-  for (const std::string &Name : ConnectionOptions)
-    removeField(Fields, Name);
-  for (std::string_view Name : HopByHopFields)
-    removeField(Fields, Name);
+  std::erase_if(Fields, [&](const Header &Field) {
+    return Removed.contains(lowerCase(Field.Name));
+  });
 }
 
 } // namespace fescuewood
--- a/src/callers/RequestGuard.h
+++ b/src/callers/RequestGuard.h
@@ -12,6 +12,7 @@
 #define FESCUEWOOD_CALLERS_REQUESTGUARD_H
 
 #include "callers/RequestLines.h"
+#include "calls/Call.h"
 #include "core/Clock.h"
 #include "core/ResultCode.h"
 
@@ -47,9 +48,6 @@
 /// The HTTP status for a refusal by \ref RequestGuard.
 int refusalStatus(ResultCode Reason);
 
-/// Memory of a header field beside its bytes: two strings and their blocks.
-inline constexpr std::size_t FieldOverheadBytes = 96;
-
 /// Memory of a chunk beside its bytes. RESTinio records 16 bytes per chunk, in
 /// a vector that may have twice the capacity.
 inline constexpr std::size_t ChunkOverheadBytes = 32;
--- a/src/calls/Call.cpp
+++ b/src/calls/Call.cpp
@@ -18,6 +18,13 @@
   return stableHash(fmt::format("{}/{:x}", NodeName, Incarnation));
 }
 
+std::size_t fieldBytes(const std::vector<Header> &Fields) {
+  std::size_t Bytes = 0;
+  for (const Header &Field : Fields)
+    Bytes += Field.Name.size() + Field.Value.size() + FieldOverheadBytes;
+  return Bytes;
+}
+
 std::string_view outcomeName(Outcome Value) {
   switch (Value) {
   case Outcome::NotRun:
--- a/src/calls/Call.h
+++ b/src/calls/Call.h
@@ -13,6 +13,7 @@
 #include "core/ResultCode.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -43,6 +44,19 @@
   bool operator==(const Header &) const = default;
 };
 
+/// Maximum number of header fields of a caller's request: a head of 16,384
+/// bytes holds no more, since a field takes at least \ref MinFieldBytes.
+inline constexpr std::size_t MaxCallerFields = 4096;
+
+/// Bytes of the shortest field: a name of one byte, its colon and a line end.
+inline constexpr std::size_t MinFieldBytes = 4;
+
+/// Memory of a header field beside its bytes: two strings and their blocks.
+inline constexpr std::size_t FieldOverheadBytes = 96;
+
+/// Memory that fields take.
+std::size_t fieldBytes(const std::vector<Header> &Fields);
+
 /// Whether a request ran on a target, as far as it is known.
 enum class Outcome : std::uint8_t { NotRun = 0, Ran = 1, Unknown = 2 };
 
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -32,10 +32,7 @@
 
 std::size_t requestBytes(const CallRequest &Request) {
   std::size_t Bytes = sizeof(CallRequest) + Request.Body.size();
-  Bytes += Request.Target.size();
-  for (const Header &Field : Request.Headers)
-    Bytes += Field.Name.size() + Field.Value.size();
-  return Bytes;
+  return Bytes + Request.Target.size() + fieldBytes(Request.Headers);
 }
 
 } // namespace
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -334,9 +334,8 @@
   Call.Priority = Request.Priority;
   Call.Deadline = Deadline;
   Call.Cost = std::max(DurationMs(1), Limit.latency(Request.Route));
-  Call.Bytes = Request.Target.size() + Request.Body.size();
-  for (const Header &Field : Request.Headers)
-    Call.Bytes += Field.Name.size() + Field.Value.size();
+  Call.Bytes =
+      Request.Target.size() + Request.Body.size() + fieldBytes(Request.Headers);
   if (!Context.Config)
     return Call;
   const auto Known = Context.Config->Organisations.find(Request.Organisation);
--- a/src/nodes/CallMessages.cpp
+++ b/src/nodes/CallMessages.cpp
@@ -36,7 +36,7 @@
   Fields.id(Request.Id);
   Fields.bytes(Request.Method, MaxNameBytes);
   Fields.bytes(Request.Target, MaxFieldBytes);
-  Fields.headers(Request.Headers);
+  Fields.headers(Request.Headers, MaxRequestFields);
   Fields.bytes(Request.Body, MaxCallBytes);
   Fields.bytes(Request.Route, MaxNameBytes);
   Fields.bytes(Request.Service, MaxNameBytes);
@@ -91,7 +91,7 @@
 template <typename Codec, MessageRef<CallAnswer> Message>
 void visitFields(Codec &Fields, Message &Value) {
   Fields.httpStatus(Value.Status);
-  Fields.headers(Value.Headers);
+  Fields.headers(Value.Headers, MaxAnswerFields);
   Fields.bytes(Value.Body, MaxCallBytes);
   Fields.choice(Value.RequestOutcome, Outcome::Unknown);
   Fields.reason(Value.Reason);
@@ -132,7 +132,7 @@
   if (Bytes.size() > MaxCallBytes)
     return std::nullopt;
   constexpr std::size_t MaxDepth = 4;
-  const msgpack::unpack_limit Limit(MaxHeaderFields * 2, 0, MaxCallBytes,
+  const msgpack::unpack_limit Limit(MaxRequestFields * 2, 0, MaxCallBytes,
                                     MaxCallBytes, 0, MaxDepth);
   // Makes msgpack refer to strings in Bytes instead of copying them.
   const auto ReferToInput = [](msgpack::type::object_type, std::size_t,
--- a/src/nodes/CallMessages.h
+++ b/src/nodes/CallMessages.h
@@ -40,8 +40,12 @@
 /// Largest encoded request or answer, in bytes; larger ones are refused.
 inline constexpr std::size_t MaxCallBytes = 8 * 1024 * 1024;
 
-/// Maximum number of header fields of a request or an answer.
-inline constexpr std::size_t MaxHeaderFields = 128;
+/// Maximum number of header fields of a request: those of a caller and as many
+/// as nodes may add.
+inline constexpr std::size_t MaxRequestFields = MaxCallerFields + 32;
+
+/// Maximum number of header fields of an answer.
+inline constexpr std::size_t MaxAnswerFields = 128;
 
 /// Longest method, route, service or organisation name, in bytes.
 inline constexpr std::size_t MaxNameBytes = 256;
--- a/src/nodes/FieldCodec.cpp
+++ b/src/nodes/FieldCodec.cpp
@@ -40,7 +40,8 @@
   Packer.pack_bin_body(Value.data(), Size);
 }
 
-void FieldWriter::headers(const std::vector<Header> &Value) {
+void FieldWriter::headers(const std::vector<Header> &Value,
+                          std::size_t /*Max*/) {
   Packer.pack_array(static_cast<std::uint32_t>(Value.size() * 2));
   for (const Header &Field : Value) {
     bytes(Field.Name);
@@ -86,9 +87,9 @@
     Value.assign(Object->via.bin.ptr, Object->via.bin.size);
 }
 
-void FieldReader::headers(std::vector<Header> &Value) {
+void FieldReader::headers(std::vector<Header> &Value, std::size_t Max) {
   const msgpack::object *Object = next(msgpack::type::ARRAY);
-  Valid = Object && Object->via.array.size <= MaxHeaderFields * 2 &&
+  Valid = Object && Object->via.array.size <= Max * 2 &&
           Object->via.array.size % 2 == 0;
   if (!Valid)
     return;
--- a/src/nodes/FieldCodec.h
+++ b/src/nodes/FieldCodec.h
@@ -47,7 +47,7 @@
   void span(DurationMs Value);
   void id(const CallId &Value);
   void bytes(std::string_view Value, std::size_t Max = 0);
-  void headers(const std::vector<Header> &Value);
+  void headers(const std::vector<Header> &Value, std::size_t Max = 0);
   void reason(ResultCode Value);
   void httpStatus(int Value);
 
@@ -79,7 +79,7 @@
   void span(DurationMs &Value);
   void id(CallId &Value);
   void bytes(std::string &Value, std::size_t Max);
-  void headers(std::vector<Header> &Value);
+  void headers(std::vector<Header> &Value, std::size_t Max);
   /// A reason that is not known here, as a newer node may send, is read as
   /// CallMessageMalformed.
   void reason(ResultCode &Value);
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -121,7 +121,7 @@
       keyRow<S>("node", "memory_mb", "MB", "0", wholeNumber<std::uint32_t>(0, 16777216), member(&S::Node, &NodeIdentity::MemoryMb), "Memory of the machine, from which memory limits are derived; 0 for what the system reports."),
       keyRow<S>("node", "max_descriptors", "", "0", wholeNumber<std::uint32_t>(0, 16777216), member(&S::Node, &NodeIdentity::MaxDescriptors), "Limit on open file descriptors, of which 200 are for files; 0 for the limit of the process. Callers get at most 0.6 of the rest."),
       keyRow<S>("callers", "listen", "", Required, endpointForm(), member(&S::Callers, &CallerSettings::Listen), "Listen address for callers."),
-      keyRow<S>("callers", "max_header_bytes", "bytes", "16384", wholeNumber<std::size_t>(1024, 65536), member(&S::Callers, &CallerSettings::MaxHeaderBytes), "Maximum size of a request head."),
+      keyRow<S>("callers", "max_header_bytes", "bytes", "16384", wholeNumber<std::size_t>(1024, 65536), member(&S::Callers, &CallerSettings::MaxHeaderBytes), "Maximum size of a request head, which may have up to 4,096 fields."),
       keyRow<S>("callers", "max_body_bytes", "bytes", "1048576", wholeNumber<std::size_t>(0, 16777216), member(&S::Callers, &CallerSettings::MaxBodyBytes), "Maximum size of a request body; a route may set a lower limit."),
       keyRow<S>("callers", "max_connections", "", "512", wholeNumber<std::uint32_t>(1, 65535), member(&S::Callers, &CallerSettings::MaxConnections), "Maximum number of concurrent caller connections."),
       keyRow<S>("callers", "memory_share", "", "0.25", decimalNumber(0.01, 0.9), member(&S::Callers, &CallerSettings::MemoryShare), "Fraction of the machine's memory that may be held for callers: connections, requests and unread responses."),
--- a/src/targets/TargetTransfer.cpp
+++ b/src/targets/TargetTransfer.cpp
@@ -107,11 +107,18 @@
     Line += ";";
   else
     Line.append(": ").append(Value);
-  curl_slist *NewList = curl_slist_append(Fields.get(), Line.c_str());
-  if (!NewList)
+  return addLine(Line);
+}
+
+/// Appends behind the last line, since libcurl walks the list from the line
+/// that it is given; from the first one, long lists would take quadratic time.
+bool TargetTransfer::addLine(const std::string &Line) {
+  curl_slist *Appended = curl_slist_append(LastField, Line.c_str());
+  if (!Appended)
     return false;
-  static_cast<void>(Fields.release());
-  Fields.reset(NewList);
+  if (!Fields)
+    Fields.reset(Appended);
+  LastField = LastField ? LastField->next : Appended;
   return true;
 }
 
@@ -124,10 +131,8 @@
   for (const char *DefaultField : {"Accept", "Content-Type", "Expect"}) {
     if (findField(Request.Headers, DefaultField))
       continue;
-    const std::string Line = std::string(DefaultField) + ":";
-    curl_slist *NewList = curl_slist_append(Fields.get(), Line.c_str());
-    static_cast<void>(Fields.release());
-    Fields.reset(NewList);
+    if (!addLine(std::string(DefaultField) + ":"))
+      return false;
   }
   return true;
 }
--- a/src/targets/TargetTransfer.h
+++ b/src/targets/TargetTransfer.h
@@ -97,6 +97,7 @@
   void setTimeouts();
   DurationMs elapsed() const;
   bool addField(std::string_view Name, std::string_view Value);
+  bool addLine(const std::string &Line);
   bool addFields();
   void setBody();
   Outcome outcome(ResultCode Reason) const;
@@ -139,6 +140,7 @@
   const std::chrono::steady_clock::time_point StartTime;
   std::unique_ptr<CURL, EasyDeleter> Easy;
   std::unique_ptr<curl_slist, ListDeleter> Fields;
+  curl_slist *LastField = nullptr; ///< Of \ref Fields.
   StreamShare Share;
   std::function<void()> OnMemory;
   ConnectionHook OnConnection;
--- a/src/targets/TargetTransferAnswer.cpp
+++ b/src/targets/TargetTransferAnswer.cpp
@@ -18,7 +18,7 @@
 
 /// Limits on all lines of an answer's heads and trailer, which libcurl stores
 /// until the answer ends. Above 300 kB it ends a transfer without saying why.
-constexpr std::size_t MaxLines = 4 * MaxHeaderFields;
+constexpr std::size_t MaxLines = 4 * MaxAnswerFields;
 constexpr std::size_t MaxLineBytes = 256 * 1024;
 
 /// Bytes of a large answer that memory is reserved for at a time.
@@ -36,7 +36,7 @@
   ++Lines;
   LineBytes += Line.size();
   FramingTooLarge = Lines > MaxLines || LineBytes > MaxLineBytes;
-  AnswerTooLarge = AnswerTooLarge || Answer.Headers.size() >= MaxHeaderFields ||
+  AnswerTooLarge = AnswerTooLarge || Answer.Headers.size() >= MaxAnswerFields ||
                    Line.size() > MaxFieldBytes;
   if (FramingTooLarge || AnswerTooLarge)
     return false;
--- a/tests/callers/CallerServerTest.cpp
+++ b/tests/callers/CallerServerTest.cpp
@@ -83,6 +83,24 @@
   LONGS_EQUAL(1, receivedCount());
 }
 
+// Guards against limits on the number of fields that refuse a head within its
+// limit, and against heads whose fields exhaust the memory of a node.
+TEST(CallerServer, ReceivesAsManyFieldsAsAHeadHolds) {
+  constexpr std::size_t MaxFields = 2000 / MinFieldBytes;
+  const auto Request = [](std::size_t Fields) {
+    std::string Text = "GET / HTTP/1.1\r\nHost: mesh\r\n";
+    for (std::size_t I = 1; I < Fields; ++I)
+      Text += "x:\r\n";
+    return Text + "\r\n";
+  };
+
+  checkRefused(Request(MaxFields + 1), 431, ResultCode::RequestHeadTooLarge);
+  Caller Client(Server.port());
+  Client.send(Request(MaxFields));
+  LONGS_EQUAL(200, Client.receive().status());
+  LONGS_EQUAL(MaxFields, Received.at(0).first.Headers.size());
+}
+
 // Limits declared by operators apply in addition to the node's own, from the
 // next request on.
 TEST(CallerServer, EnforcesDeclaredLimits) {
