Suspend reads of large requests while the account of callers is full

Cause: a full account closed connections but went on reading from the others. A suspended read owns its connection, and the two together were never freed when a connection lingered or the server ended. Each check for overdue connections resumes suspended reads. Closing a connection ends its suspended reads also if it lingers, and the end of the server drops them.

--- a/src/callers/ConnectionRegistry.cpp
+++ b/src/callers/ConnectionRegistry.cpp
@@ -1,6 +1,7 @@
 #include "callers/GuardedSocket.h"
 
 #include <utility>
+#include <vector>
 
 namespace fescuewood {
 
@@ -29,6 +30,15 @@
 
 ConnectionRegistry::~ConnectionRegistry() = default;
 
+/// Drops the suspended reads, which own their connections.
+void ConnectionRegistry::shutdown() {
+  std::vector<std::function<void()>> Reads;
+  for (GuardedConnection *Connection : Connections) {
+    Reads.push_back(std::exchange(Connection->PausedRead, nullptr));
+    Reads.push_back(std::exchange(Connection->DeferredRead, nullptr));
+  }
+}
+
 void ConnectionRegistry::configure(const ConnectionLimits &NewLimits,
                                    Hooks NewHooks) {
   Limits = NewLimits.Requests;
--- a/src/callers/GuardedSocket.cpp
+++ b/src/callers/GuardedSocket.cpp
@@ -105,8 +105,15 @@
   return ServedRequests > 1 && ServedBytes > MaxPipelinedBytes;
 }
 
+/// Whether the next bytes are not read for now. With a full account, requests
+/// that hold little are still read, so that ordinary ones are served.
+bool GuardedConnection::mustPause() const {
+  return hasManyAnswers() || (Registry.Clients->isMemoryExhausted() &&
+                              Guard.heldBytes() > SmallBodyBytes);
+}
+
 void GuardedConnection::resumeReading() {
-  if (hasManyAnswers() || !PausedRead)
+  if (mustPause() || !PausedRead)
     return;
   // Not at once, since RESTinio may be finishing an answer. The read keeps the
   // connection alive.
@@ -196,12 +203,11 @@
 }
 
 void GuardedConnection::close() {
-  if (InputEnded && !Aborted && Socket.is_open()) {
-    Registry.linger(std::move(Socket));
-    return;
-  }
   std::error_code Ignored;
-  Socket.close(Ignored);
+  if (InputEnded && !Aborted && Socket.is_open())
+    Registry.linger(std::move(Socket));
+  else
+    Socket.close(Ignored);
   cancelBody();
 }
 
@@ -210,7 +216,7 @@
     discard(std::move(Handler));
     return;
   }
-  if (hasManyAnswers() && Socket.is_open() && !Aborted) {
+  if (mustPause() && Socket.is_open() && !Aborted) {
     PausedRead = [this, Buffer, Handler = std::move(Handler)] {
       read(Buffer, Handler);
     };
@@ -360,6 +366,7 @@
 
 void GuardedConnection::closeOverdue() {
   accountWriting();
+  resumeReading();
   const TimeMs Now = Registry.now();
   const RequestLimits &Limits = Registry.Limits;
   const bool HeadOverdue = Limits.HeaderTimeout && Guard.isInHead() &&
--- a/src/callers/GuardedSocket.h
+++ b/src/callers/GuardedSocket.h
@@ -131,7 +131,7 @@
 
 private:
   friend class GuardedConnection;
-  void shutdown() override {}
+  void shutdown() override;
 
   TimeMs now() const { return MonotonicClock.now(); }
   void onAccountChanged();
@@ -211,6 +211,7 @@
   void addServed(std::size_t Bytes);
   void addAnswer(std::size_t Bytes);
   bool hasManyAnswers() const;
+  bool mustPause() const;
   void resumeReading();
   void startRead(asio::mutable_buffer Buffer, ReadHandler Handler);
   bool reserveBody(std::size_t NextBytes);
@@ -229,10 +230,12 @@
   RequestGuard Guard;
   StreamShare Share;                  ///< Memory of the body being read.
   std::function<void()> DeferredRead; ///< Read deferred until memory is free.
-  std::function<void()> PausedRead;   ///< Read paused until answers are read.
-  ClientMemory::ClientId Id = 0;      ///< 0 while it is not accounted for.
-  std::size_t ServedRequests = 0;     ///< Received and not answered.
-  std::size_t ServedBytes = 0;        ///< Of these and their answers.
+  /// Read paused until answers are read or the account has room. Owns the
+  /// connection through RESTinio's handler.
+  std::function<void()> PausedRead;
+  ClientMemory::ClientId Id = 0;  ///< 0 while it is not accounted for.
+  std::size_t ServedRequests = 0; ///< Received and not answered.
+  std::size_t ServedBytes = 0;    ///< Of these and their answers.
   bool IsWriting = false;
   bool HasUnread = false; ///< The client has not received all answers.
   std::size_t WrittenBytes = 0;
--- a/src/policy/ClientMemory.h
+++ b/src/policy/ClientMemory.h
@@ -84,10 +84,11 @@
 
   /// Whether a limit is exceeded, so that a search may find something.
   bool isExhausted() const {
-    return HeldBytes > Limits.MaxBytes ||
-           Clients.size() > Limits.MaxConnections;
+    return isMemoryExhausted() || Clients.size() > Limits.MaxConnections;
   }
 
+  bool isMemoryExhausted() const { return HeldBytes > Limits.MaxBytes; }
+
   std::size_t heldBytes() const { return HeldBytes; }
   std::size_t connectionCount() const { return Clients.size(); }
   const ClientLimits &limits() const { return Limits; }
