Require a minimum rate and a time limit of callers' transfers

Cause: a client that sends a body or reads a response with a byte now and then held its connection and memory for as long as it liked; the only limit on a body closed the connection without a response. Change: a body below 256 bytes/s on average over 10 s is refused with 408 (547), one that exceeds the time of its length at that rate (15 s to 300 s) with 408 (549); a reader below the rate has its connection closed. Time in which the node does not read does not count, and of a pause of the process one second. The rest of a refused request is discarded, 2 s for slow clients, 15 s for others. read_timeout_ms limits heads and idle connections only.

--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -68,6 +68,8 @@
   Options.MaxConnections = Limits.MaxConnections;
   Options.MaxClientBytes = Limits.MaxBytes;
   Options.ReadTimeout = std::min(Settings.ReadTimeout, Settings.IdleTimeout);
+  Options.Transfers = {Settings.MinRate, Settings.RateWindow,
+                       Settings.MinBodyTime, Settings.MaxBodyTime};
   return Options;
 }
 
--- a/src/callers/CallerServer.h
+++ b/src/callers/CallerServer.h
@@ -16,6 +16,7 @@
 #include "core/Event.h"
 #include "core/ResultCode.h"
 #include "intent/Snapshot.h"
+#include "policy/TransferRate.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -59,7 +60,10 @@
   std::size_t MaxConnections = 1024;
   /// Limit on all that is held for callers, see \ref ClientMemory.
   std::size_t MaxClientBytes = 64 * 1024 * 1024;
-  DurationMs ReadTimeout{60'000};  ///< Per request, including idle time.
+  /// For a request head and for an idle connection, unless operators declare
+  /// shorter times.
+  DurationMs ReadTimeout{60'000};
+  TransferLimits Transfers = {};
   DurationMs WriteTimeout{60'000}; ///< Per answer that is not read.
   /// Time for which idle connections stay open in a drain.
   DurationMs DrainGrace{500};
@@ -72,6 +76,7 @@
   std::size_t HeldBytes = 0;
   std::size_t LimitBytes = 0;
   std::uint64_t ClosedConnections = 0; ///< In favour of others, so far.
+  std::uint64_t SlowClients = 0; ///< Refused or closed for their rate or time.
 };
 
 /// An HTTP/1.1 server for callers.
--- a/src/callers/CallerServerCore.cpp
+++ b/src/callers/CallerServerCore.cpp
@@ -39,8 +39,9 @@
   return std::chrono::milliseconds(Duration.Value);
 }
 
-std::optional<DurationMs> optionalLimit(DurationMs Duration) {
-  return Duration > DurationMs(0) ? std::optional(Duration) : std::nullopt;
+/// The shorter of two times, of which the declared one is none if it is 0.
+DurationMs shorterTime(DurationMs Declared, DurationMs Own) {
+  return Declared > DurationMs(0) ? std::min(Declared, Own) : Own;
 }
 
 CallerRequest toCallerRequest(std::uint64_t Number, const HeaderScheme &Scheme,
@@ -182,7 +183,9 @@
       .max_parallel_connections(Options.MaxConnections +
                                 spareConnections(Options.MaxConnections))
       .concurrent_accepts_count(ConcurrentAccepts)
-      .read_next_http_message_timelimit(toMilliseconds(Options.ReadTimeout))
+      // The other limits end a request and an idle connection before it.
+      .read_next_http_message_timelimit(
+          toMilliseconds(Options.ReadTimeout + Options.Transfers.MaxBodyTime))
       .write_http_response_timelimit(toMilliseconds(Options.WriteTimeout))
       .handle_request_timeout(HandlingTimeout)
       .connection_state_listener(std::make_shared<ConnectionListener>(*this))
@@ -385,25 +388,34 @@
 }
 
 void CallerServerCore::reportRefusal(ResultCode Reason) {
-  if (OnEvent)
-    OnEvent(
-        {EventId::CallRefused, {{"reason", std::string(resultName(Reason))}}});
+  if (!OnEvent)
+    return;
+  OnEvent(
+      {EventId::CallRefused, {{"reason", std::string(resultName(Reason))}}});
+  if (Reason == ResultCode::RequestTooSlow ||
+      Reason == ResultCode::RequestTimeout)
+    OnEvent({EventId::ClientTooSlow, {{"direction", "sending"}}});
 }
 
 void CallerServerCore::reportClosing(ClosingReason Reason) {
-  if (OnEvent)
+  if (!OnEvent)
+    return;
+  if (Reason == ClosingReason::Rate)
+    OnEvent({EventId::ClientTooSlow, {{"direction", "reading"}}});
+  else
     OnEvent({EventId::ClientClosed,
              {{"reason", std::string(closingReasonName(Reason))}}});
 }
 
 CallerServerStatus CallerServerCore::status() const {
   return {Registry.connectionCount(), Registry.heldBytes(),
-          Options.MaxClientBytes, Registry.closedCount()};
+          Options.MaxClientBytes, Registry.closedCount(), Registry.slowCount()};
 }
 
 RequestLimits CallerServerCore::configuredLimits() const {
   return {Options.MaxHeaderBytes, maxFields(Options.MaxHeaderBytes),
-          Options.MaxBodyBytes};
+          Options.MaxBodyBytes,   Options.ReadTimeout,
+          Options.ReadTimeout,    Options.Transfers};
 }
 
 void CallerServerCore::setLimits(
@@ -415,8 +427,10 @@
     Limits.MaxHeaderFields = maxFields(Limits.MaxHeaderBytes);
     Limits.MaxBodyBytes =
         std::min(Limits.MaxBodyBytes, DeclaredLimits->MaxBodyBytes);
-    Limits.HeaderTimeout = optionalLimit(DeclaredLimits->HeaderTimeout);
-    Limits.IdleTimeout = optionalLimit(DeclaredLimits->IdleTimeout);
+    Limits.HeaderTimeout =
+        shorterTime(DeclaredLimits->HeaderTimeout, Options.ReadTimeout);
+    Limits.IdleTimeout =
+        shorterTime(DeclaredLimits->IdleTimeout, Options.ReadTimeout);
   }
   asio::post(Context, [this, Limits] { Registry.setLimits(Limits); });
 }
--- a/src/callers/ConnectionRegistry.cpp
+++ b/src/callers/ConnectionRegistry.cpp
@@ -21,7 +21,15 @@
 asio::execution_context::id ConnectionRegistry::id;
 
 std::string_view closingReasonName(ClosingReason Reason) {
-  return Reason == ClosingReason::Memory ? "memory" : "connections";
+  switch (Reason) {
+  case ClosingReason::Memory:
+    return "memory";
+  case ClosingReason::Connections:
+    return "connections";
+  case ClosingReason::Rate:
+    break;
+  }
+  return "rate";
 }
 
 ConnectionRegistry::ConnectionRegistry(asio::execution_context &Owner)
--- a/src/callers/GuardedSocket.cpp
+++ b/src/callers/GuardedSocket.cpp
@@ -7,8 +7,6 @@
 #include <utility>
 
 #include <fmt/format.h>
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace fescuewood {
@@ -118,6 +116,7 @@
   // Not at once, since RESTinio may be finishing an answer. The read keeps the
   // connection alive.
   asio::post(Socket.get_executor(), std::exchange(PausedRead, nullptr));
+  accountSending(0);
 }
 
 void GuardedConnection::onWriteStarted() {
@@ -130,26 +129,17 @@
   WrittenBytes += Size;
 }
 
-/// Takes what the client has received as its progress. What the system has
-/// taken says little: it holds megabytes, and takes more only once much of that
-/// is received.
-void GuardedConnection::accountWriting() {
-  int Queued = 0;
-  const bool MayHaveUnread = IsWriting || HasUnread || ServedRequests > 0;
-  if (!MayHaveUnread || ::ioctl(Socket.native_handle(), SIOCOUTQ, &Queued) != 0)
-    return;
-  const std::size_t Unread =
-      std::min(WrittenBytes, static_cast<std::size_t>(Queued));
-  const std::size_t Before = std::exchange(ReadBytes, WrittenBytes - Unread);
-  HasUnread = Unread > 0;
-  record(ReadBytes > Before);
-}
-
-void GuardedConnection::closeFor(ClosingReason Reason) {
+/// Ends the accounting for a connection that is closed without waiting for its
+/// client.
+void GuardedConnection::abandon() {
   Registry.Clients->close(Id);
   Registry.ConnectionById.erase(Id);
   Id = 0;
   Aborted = true;
+}
+
+void GuardedConnection::closeFor(ClosingReason Reason) {
+  abandon();
   std::error_code Ignored;
   if (IsWriting) {
     // What the client does not read is not kept for it.
@@ -220,12 +210,14 @@
     PausedRead = [this, Buffer, Handler = std::move(Handler)] {
       read(Buffer, Handler);
     };
+    accountSending(0);
     return;
   }
   if (!reserveBody(Buffer.size())) {
     DeferredRead = [this, Buffer, Handler = std::move(Handler)] {
       startRead(Buffer, Handler);
     };
+    accountSending(0);
     account(false);
     return;
   }
@@ -257,6 +249,7 @@
   writeContinue();
   // The read may close the connection, which owns this object.
   if (const auto Read = std::exchange(DeferredRead, nullptr)) {
+    accountSending(0);
     account(true);
     Read();
   }
@@ -284,7 +277,9 @@
   Socket.async_read_some(Buffer,
                          [this, Buffer, Handler = std::move(Handler)](
                              const std::error_code &Error, std::size_t Size) {
-                           if (Error)
+                           if (Error && Refusal)
+                             discard(Handler); // See refuseOverdue.
+                           else if (Error)
                              Handler(Error, Size);
                            else
                              inspect(Buffer, Size, Handler);
@@ -293,7 +288,7 @@
 
 void GuardedConnection::inspect(asio::mutable_buffer Buffer, std::size_t Size,
                                 const ReadHandler &Handler) {
-  if (InputEnded) {
+  if (InputEnded || Refusal) {
     discard(Handler);
     return;
   }
@@ -304,6 +299,9 @@
       Guard.consume({static_cast<const char *>(Buffer.data()), Size});
   if (!WasInHead || Guard.completeRequestBytes() > 0)
     HeadStart = LastActivity;
+  if (Guard.completeRequestBytes() > 0)
+    SendRate.restart();
+  accountSending(Size);
   if (Reason != ResultCode::Ok) {
     refuse(Reason);
     // Complete requests before the invalid one are still served; the next read
@@ -343,6 +341,7 @@
   if (Registry.Notify.OnRefusal)
     Registry.Notify.OnRefusal(Reason);
   Refusal = Reason;
+  RefusalTime = Registry.now();
 }
 
 void GuardedConnection::writeRefusal() {
@@ -364,28 +363,6 @@
   resumeReading();
 }
 
-void GuardedConnection::closeOverdue() {
-  accountWriting();
-  resumeReading();
-  const TimeMs Now = Registry.now();
-  const RequestLimits &Limits = Registry.Limits;
-  const bool HeadOverdue = Limits.HeaderTimeout && Guard.isInHead() &&
-                           Now - HeadStart > *Limits.HeaderTimeout;
-  const bool Idle = Limits.IdleTimeout && !Guard.isInRequest() &&
-                    Now - LastActivity > *Limits.IdleTimeout;
-  if (Refusal || !(HeadOverdue || Idle) || hasUnansweredRequest())
-    return;
-  std::error_code Ignored;
-  if (Socket.available(Ignored) > 0)
-    return;
-  if (HeadOverdue) {
-    refuse(ResultCode::RequestHeadTimeout);
-    writeRefusal();
-  }
-  // The outstanding read sees the end of input and closes the connection.
-  Socket.shutdown(asio::socket_base::shutdown_receive, Ignored);
-}
-
 void GuardedConnection::discard(ReadHandler Handler) {
   if (ReadsCancelled) {
     Handler(asio::error::operation_aborted, 0);
--- a/src/callers/GuardedSocket.h
+++ b/src/callers/GuardedSocket.h
@@ -14,6 +14,7 @@
 #include "core/ResultCode.h"
 #include "policy/ClientMemory.h"
 #include "policy/StreamBudget.h"
+#include "policy/TransferRate.h"
 
 #include <algorithm>
 #include <array>
@@ -57,9 +58,10 @@
 enum class ClosingReason : std::uint8_t {
   Memory,      ///< The account of all connections is exhausted.
   Connections, ///< A new connection takes its place.
+  Rate,        ///< It reads answers at less than the minimum rate.
 };
 
-/// Returns "memory" or "connections".
+/// Returns "memory", "connections" or "rate".
 std::string_view closingReasonName(ClosingReason Reason);
 
 /// All connections of one server, registered as a service of its io_context.
@@ -89,8 +91,9 @@
   /// Replaces the limits for requests that begin after the call.
   void setLimits(const RequestLimits &NewLimits) { Limits = NewLimits; }
 
-  /// Refuses requests whose head exceeds the header timeout and closes
-  /// connections that exceed the idle timeout. To be called periodically.
+  /// Refuses requests that exceed the header timeout, the time limit of a body
+  /// or the minimum rate, and closes connections that exceed the idle timeout
+  /// or read too slowly. To be called periodically.
   void closeOverdue();
 
   /// Adds a request that the server has received to what is held for a
@@ -104,6 +107,7 @@
   std::size_t heldBytes() const { return HeldBytes; }
   std::size_t connectionCount() const { return OpenCount; }
   std::uint64_t closedCount() const { return ClosedCount; }
+  std::uint64_t slowCount() const { return SlowCount; }
 
   /// Takes over the memory of the body of the request that is being handed to
   /// the server. Invalid for a small body.
@@ -148,6 +152,7 @@
   std::atomic<std::size_t> HeldBytes = 0;
   std::atomic<std::size_t> OpenCount = 0;
   std::atomic<std::uint64_t> ClosedCount = 0;
+  std::atomic<std::uint64_t> SlowCount = 0;
   StreamShare CompletedBody;
   Hooks Notify;
   LingeringSockets Lingering;
@@ -181,8 +186,7 @@
   /// Gives up the body that is being read, after the socket is closed.
   void cancelBody();
 
-  /// Refuses the current request if its head exceeds the header timeout, or
-  /// closes the connection if it exceeds the idle timeout.
+  /// As \ref ConnectionRegistry::closeOverdue, for one connection.
   void closeOverdue();
 
   /// As \ref ConnectionRegistry::endInput.
@@ -208,6 +212,12 @@
   void account(bool Progress);
   void record(bool Progress);
   void accountWriting();
+  void accountSending(std::size_t Bytes);
+  std::optional<ResultCode> overdueReason() const;
+  void refuseOverdue(ResultCode Reason);
+  void endDiscarding();
+  void abandon();
+  void closeSlowReader();
   void addServed(std::size_t Bytes);
   void addAnswer(std::size_t Bytes);
   bool hasManyAnswers() const;
@@ -241,9 +251,12 @@
   std::size_t WrittenBytes = 0;
   std::size_t ReadBytes = 0; ///< Of the written ones, by the client's system.
   asio::ip::tcp::endpoint Endpoint;
-  TimeMs LastActivity; ///< Time of the last read or written answer.
-  TimeMs HeadStart;    ///< Arrival of the current head's first byte.
+  TimeMs LastActivity;   ///< Time of the last read or written answer.
+  TimeMs HeadStart;      ///< Arrival of the current head's first byte.
+  TransferRate SendRate; ///< Of the current body.
+  TransferRate ReadRate; ///< Of the unread answers.
   std::optional<ResultCode> Refusal; ///< If set, input is discarded.
+  TimeMs RefusalTime;
   bool InputEnded = false; ///< No request follows; input is discarded.
   bool ReadsCancelled = false;
   bool Aborted = false; ///< Closed without waiting for the client.
--- a/src/callers/RequestGuard.cpp
+++ b/src/callers/RequestGuard.cpp
@@ -46,6 +46,7 @@
     return 501;
   case ResultCode::RequestHeadTimeout:
   case ResultCode::RequestTooSlow:
+  case ResultCode::RequestTimeout:
     return 408;
   case ResultCode::CallerMemoryFull:
     return 503;
--- a/src/callers/RequestGuard.h
+++ b/src/callers/RequestGuard.h
@@ -15,6 +15,7 @@
 #include "calls/Call.h"
 #include "core/Clock.h"
 #include "core/ResultCode.h"
+#include "policy/TransferRate.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -36,6 +37,7 @@
   std::optional<DurationMs> HeaderTimeout = std::nullopt;
   /// Time after which an unused connection is closed.
   std::optional<DurationMs> IdleTimeout = std::nullopt;
+  TransferLimits Transfers = {};
 };
 
 /// How far the body of a request has been read.
--- a/src/operators/Metrics.cpp
+++ b/src/operators/Metrics.cpp
@@ -126,6 +126,7 @@
   Collector.add(MetricId::ClientBytes, toDouble(Callers.HeldBytes));
   Collector.add(MetricId::ClientBytesLimit, toDouble(Callers.LimitBytes));
   Collector.add(MetricId::ClientsClosed, toDouble(Callers.ClosedConnections));
+  Collector.add(MetricId::ClientsTooSlow, toDouble(Callers.SlowClients));
 }
 
 void addCalls(const CallStatus &Calls, MetricCollector &Collector) {
--- a/src/settings/NodeSettings.h
+++ b/src/settings/NodeSettings.h
@@ -44,9 +44,13 @@
   std::size_t MaxHeaderBytes = 0;
   std::size_t MaxBodyBytes = 0;
   std::uint32_t MaxConnections = 0;
-  double MemoryShare = 0;  ///< Of the machine, for all that callers hold.
-  DurationMs ReadTimeout;  ///< For receiving one request.
-  DurationMs IdleTimeout;  ///< Until an idle connection is closed.
+  double MemoryShare = 0;    ///< Of the machine, for all that callers hold.
+  DurationMs ReadTimeout;    ///< For receiving one request.
+  DurationMs IdleTimeout;    ///< Until an idle connection is closed.
+  std::uint32_t MinRate = 0; ///< In bytes per second; 0 for no minimum.
+  DurationMs RateWindow;     ///< Over which the rate is averaged.
+  DurationMs MinBodyTime;    ///< Allowed for any request body.
+  DurationMs MaxBodyTime;    ///< Allowed for the largest request body.
   DurationMs LeaveNotice;  ///< Time that connections are accepted at shutdown.
   DurationMs DrainTimeout; ///< Maximum wait for running requests at shutdown.
 };
