--- a/src/callers/CallerServer.h
+++ b/src/callers/CallerServer.h
@@ -16,6 +16,7 @@
 #include "core/Event.h"
 #include "core/ResultCode.h"
 #include "intent/Snapshot.h"
+#include "policy/TransferRate.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -51,7 +52,6 @@
   std::string Address = "127.0.0.1";      ///< IP literal to listen on.
   std::uint16_t Port = 0;                 ///< 0 selects any free port.
   std::size_t MaxHeaderBytes = 32 * 1024; ///< Request line and fields.
-  std::size_t MaxHeaderFields = 100;
   std::size_t MaxBodyBytes = 4 * 1024 * 1024;
   /// Limit on the large bodies of all unanswered requests, beside the oldest
   /// one. A connection whose body would exceed it is not read until enough
@@ -60,7 +60,10 @@
   std::size_t MaxConnections = 1024;
   /// Limit on all that is held for callers, see \ref ClientMemory.
   std::size_t MaxClientBytes = 64 * 1024 * 1024;
-  DurationMs ReadTimeout{60'000};  ///< Per request, including idle time.
+  /// For a request head and for an idle connection, unless operators declare
+  /// shorter times.
+  DurationMs ReadTimeout{60'000};
+  TransferLimits Transfers = {};
   DurationMs WriteTimeout{60'000}; ///< Per answer that is not read.
   /// Time for which idle connections stay open in a drain.
   DurationMs DrainGrace{500};
@@ -73,6 +76,7 @@
   std::size_t HeldBytes = 0;
   std::size_t LimitBytes = 0;
   std::uint64_t ClosedConnections = 0; ///< In favour of others, so far.
+  std::uint64_t SlowClients = 0; ///< Refused or closed for their rate or time.
 };
 
 /// An HTTP/1.1 server for callers.
--- a/src/callers/CallerServerCore.cpp
+++ b/src/callers/CallerServerCore.cpp
@@ -39,8 +39,9 @@
   return std::chrono::milliseconds(Duration.Value);
 }
 
-std::optional<DurationMs> optionalLimit(DurationMs Duration) {
-  return Duration > DurationMs(0) ? std::optional(Duration) : std::nullopt;
+/// The shorter of two times, of which the declared one is none if it is 0.
+DurationMs shorterTime(DurationMs Declared, DurationMs Own) {
+  return Declared > DurationMs(0) ? std::min(Declared, Own) : Own;
 }
 
 CallerRequest toCallerRequest(std::uint64_t Number, const HeaderScheme &Scheme,
@@ -68,12 +69,15 @@
   return Request;
 }
 
+/// Number of fields that a head of this size holds, within what nodes send each
+/// other.
+std::size_t maxFields(std::size_t HeaderBytes) {
+  return std::min(HeaderBytes / MinFieldBytes, MaxCallerFields);
+}
+
 /// Bytes that the body and the fields of an answer take.
 std::size_t answerBytes(const CallAnswer &Answer) {
-  std::size_t Bytes = Answer.Body.size();
-  for (const Header &Field : Answer.Headers)
-    Bytes += Field.Name.size() + Field.Value.size() + FieldOverheadBytes;
-  return Bytes;
+  return Answer.Body.size() + fieldBytes(Answer.Headers);
 }
 
 /// Bytes that a request takes: RESTinio's, and the copy that is submitted.
@@ -179,7 +183,9 @@
       .max_parallel_connections(Options.MaxConnections +
                                 spareConnections(Options.MaxConnections))
       .concurrent_accepts_count(ConcurrentAccepts)
-      .read_next_http_message_timelimit(toMilliseconds(Options.ReadTimeout))
+      // The other limits end a request and an idle connection before it.
+      .read_next_http_message_timelimit(
+          toMilliseconds(Options.ReadTimeout + Options.Transfers.MaxBodyTime))
       .write_http_response_timelimit(toMilliseconds(Options.WriteTimeout))
       .handle_request_timeout(HandlingTimeout)
       .connection_state_listener(std::make_shared<ConnectionListener>(*this))
@@ -382,25 +388,34 @@
 }
 
 void CallerServerCore::reportRefusal(ResultCode Reason) {
-  if (OnEvent)
-    OnEvent(
-        {EventId::CallRefused, {{"reason", std::string(resultName(Reason))}}});
+  if (!OnEvent)
+    return;
+  OnEvent(
+      {EventId::CallRefused, {{"reason", std::string(resultName(Reason))}}});
+  if (Reason == ResultCode::RequestTooSlow ||
+      Reason == ResultCode::RequestTimeout)
+    OnEvent({EventId::ClientTooSlow, {{"direction", "sending"}}});
 }
 
 void CallerServerCore::reportClosing(ClosingReason Reason) {
-  if (OnEvent)
+  if (!OnEvent)
+    return;
+  if (Reason == ClosingReason::Rate)
+    OnEvent({EventId::ClientTooSlow, {{"direction", "reading"}}});
+  else
     OnEvent({EventId::ClientClosed,
              {{"reason", std::string(closingReasonName(Reason))}}});
 }
 
 CallerServerStatus CallerServerCore::status() const {
   return {Registry.connectionCount(), Registry.heldBytes(),
-          Options.MaxClientBytes, Registry.closedCount()};
+          Options.MaxClientBytes, Registry.closedCount(), Registry.slowCount()};
 }
 
 RequestLimits CallerServerCore::configuredLimits() const {
-  return {Options.MaxHeaderBytes, Options.MaxHeaderFields,
-          Options.MaxBodyBytes};
+  return {Options.MaxHeaderBytes, maxFields(Options.MaxHeaderBytes),
+          Options.MaxBodyBytes,   Options.ReadTimeout,
+          Options.ReadTimeout,    Options.Transfers};
 }
 
 void CallerServerCore::setLimits(
@@ -409,10 +424,13 @@
   if (DeclaredLimits) {
     Limits.MaxHeaderBytes =
         std::min(Limits.MaxHeaderBytes, DeclaredLimits->MaxHeaderBytes);
+    Limits.MaxHeaderFields = maxFields(Limits.MaxHeaderBytes);
     Limits.MaxBodyBytes =
         std::min(Limits.MaxBodyBytes, DeclaredLimits->MaxBodyBytes);
-    Limits.HeaderTimeout = optionalLimit(DeclaredLimits->HeaderTimeout);
-    Limits.IdleTimeout = optionalLimit(DeclaredLimits->IdleTimeout);
+    Limits.HeaderTimeout =
+        shorterTime(DeclaredLimits->HeaderTimeout, Options.ReadTimeout);
+    Limits.IdleTimeout =
+        shorterTime(DeclaredLimits->IdleTimeout, Options.ReadTimeout);
   }
   asio::post(Context, [this, Limits] { Registry.setLimits(Limits); });
 }
@@ -420,7 +438,8 @@
 void CallerServerCore::scheduleOverdueCheck() {
   OverdueTimer.expires_after(toMilliseconds(OverdueCheckInterval));
   OverdueTimer.async_wait([this](const std::error_code &Error) {
-    if (Error)
+    // An expired timer cannot be cancelled any more.
+    if (Error || Stopping)
       return;
     Registry.closeOverdue();
     scheduleOverdueCheck();
@@ -453,7 +472,7 @@
 void CallerServerCore::closeIdleAfterGrace() {
   GraceTimer.expires_after(toMilliseconds(Options.DrainGrace));
   GraceTimer.async_wait([this](const std::error_code &Error) {
-    if (Error)
+    if (Error || Stopping)
       return;
     Registry.closeIdle();
     InGracePeriod = false;
@@ -467,6 +486,7 @@
   if (!Thread.joinable())
     return;
   asio::post(Context, [this] {
+    Stopping = true;
     closeAcceptor();
     GraceTimer.cancel();
     OverdueTimer.cancel();
--- a/src/callers/ConnectionRegistry.cpp
+++ b/src/callers/ConnectionRegistry.cpp
@@ -1,6 +1,7 @@
 #include "callers/GuardedSocket.h"
 
 #include <utility>
+#include <vector>
 
 namespace fescuewood {
 
@@ -20,7 +21,15 @@
 asio::execution_context::id ConnectionRegistry::id;
 
 std::string_view closingReasonName(ClosingReason Reason) {
-  return Reason == ClosingReason::Memory ? "memory" : "connections";
+  switch (Reason) {
+  case ClosingReason::Memory:
+    return "memory";
+  case ClosingReason::Connections:
+    return "connections";
+  case ClosingReason::Rate:
+    break;
+  }
+  return "rate";
 }
 
 ConnectionRegistry::ConnectionRegistry(asio::execution_context &Owner)
@@ -29,6 +38,15 @@
 
 ConnectionRegistry::~ConnectionRegistry() = default;
 
+/// Drops the suspended reads, which own their connections.
+void ConnectionRegistry::shutdown() {
+  std::vector<std::function<void()>> Reads;
+  for (GuardedConnection *Connection : Connections) {
+    Reads.push_back(std::exchange(Connection->PausedRead, nullptr));
+    Reads.push_back(std::exchange(Connection->DeferredRead, nullptr));
+  }
+}
+
 void ConnectionRegistry::configure(const ConnectionLimits &NewLimits,
                                    Hooks NewHooks) {
   Limits = NewLimits.Requests;
