Let runs of the fake targets make inner calls

Cause: the simulated mesh has no target whose runs call another service, so admission by inner calls cannot be tested in it. Change: FakeTarget has a hook that makes the inner calls of a run, and answers 500 if one fails; the size of its answers can change. FakeCallMesh tells the end of a call and the events of its nodes. Without the hooks nothing changes.

--- a/bench/model/FakeCallMesh.h
+++ b/bench/model/FakeCallMesh.h
@@ -174,8 +174,9 @@
   }
 
   /// Sends a call from an outside caller to a node and returns its index in
-  /// \ref Calls.
-  std::size_t submit(std::size_t At, fescuewood::CallRequest Request) {
+  /// \ref Calls. \p OnEnd is called with its answer, once it is recorded.
+  std::size_t submit(std::size_t At, fescuewood::CallRequest Request,
+                     std::function<void(const FakeCall &)> OnEnd = {}) {
     const std::size_t Number = Calls.size();
     FakeCall &Call = Calls.emplace_back();
     Call.Tag = Request.Body;
@@ -183,13 +184,16 @@
     Call.Route = Request.Route;
     Call.Idempotent = Request.Idempotent;
     Call.SentUs = Time.nowUs();
-    runOnNode(At, [this, Number, Request = std::move(Request)](FakeNode &Node) {
+    runOnNode(At, [this, Number, Request = std::move(Request),
+                   OnEnd = std::move(OnEnd)](FakeNode &Node) {
       Node.Core->submit(Number + 1, Request,
-                        [this, Number](fescuewood::CallAnswer Answer) {
+                        [this, Number, OnEnd](fescuewood::CallAnswer Answer) {
                           FakeCall &CallRecord = Calls.at(Number);
                           ++CallRecord.Answers;
                           CallRecord.Answer = std::move(Answer);
                           CallRecord.AnsweredUs = Time.nowUs();
+                          if (OnEnd)
+                            OnEnd(CallRecord);
                         });
     });
     return Number;
@@ -215,6 +219,8 @@
   std::optional<std::uint64_t> SharedIncarnation;
   /// Whether the platform lists targets; for nodes that start from now on.
   bool TargetsListed = false;
+  /// Receives the events of all nodes; may be empty.
+  std::function<void(std::size_t At, const fescuewood::Event &)> OnEvent;
   std::uint64_t BytesSent = 0; ///< Bodies of all messages between nodes.
   std::vector<std::unique_ptr<FakeNode>> Nodes;
   std::deque<FakeCall> Calls;
@@ -315,6 +321,10 @@
                                      fescuewood::PeerReplyHook OnReply) {
       send(At, ProcessGeneration, Request, std::move(OnReply));
     };
+    Hooks.OnEvent = [this, At](const fescuewood::Event &Reported) {
+      if (OnEvent)
+        OnEvent(At, Reported);
+    };
     Hooks.OnTargetState = [this, At](fescuewood::TargetState State) {
       Nodes[At]->PublishedState = State;
     };
--- a/bench/model/FakeTarget.h
+++ b/bench/model/FakeTarget.h
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -91,8 +92,13 @@
     Ms *= std::max(1.0, inFlight() / Capacity);
     if (isCold())
       Ms *= Options.ColdSlowdown;
-    answer(Id, 200, answerBody(Request.Body, paddingBytes(Request.Route)),
-           static_cast<std::int64_t>(Ms * 1000));
+    const std::string Body =
+        answerBody(Request.Body, paddingBytes(Request.Route));
+    const auto DelayUs = static_cast<std::int64_t>(Ms * 1000);
+    if (MakeInnerCalls)
+      callAndAnswer(Id, Request, Body, DelayUs);
+    else
+      answer(Id, 200, Body, DelayUs);
     Time.after(Timeout.Value * VirtualTime::UsPerMs,
                [this, Id] { endRun(Id, fescuewood::RunFailure::TimedOut); });
   }
@@ -163,6 +169,16 @@
                                                  : Found->second;
   }
 
+  /// Sets the size of the answers on a route from now on.
+  void setPadding(const std::string &Route, std::size_t Bytes) {
+    Options.PaddingOfRoute[Route] = Bytes;
+  }
+
+  /// Makes the inner calls of a run and reports once whether all succeeded. The
+  /// run answers 200 after that, or 500. Runs make no calls if it is empty.
+  std::function<void(const fescuewood::CallRequest &,
+                     std::function<void(bool)>)>
+      MakeInnerCalls;
   /// What it says about itself in its answers.
   fescuewood::TargetNotice Notice;
   std::map<std::string, int> RunsOf; ///< By body.
@@ -192,6 +208,18 @@
     return std::max(1.0, Share * Options.Slots);
   }
 
+  /// Makes the inner calls after the run's own work, then answers.
+  void callAndAnswer(std::uint64_t Id, const fescuewood::CallRequest &Request,
+                     const std::string &Body, std::int64_t DelayUs) {
+    Time.after(DelayUs, [this, Id, Request, Body] {
+      if (!Runs.contains(Id))
+        return;
+      MakeInnerCalls(Request, [this, Id, Body](bool Succeeded) {
+        answer(Id, Succeeded ? 200 : 500, Body, 0);
+      });
+    });
+  }
+
   void answer(std::uint64_t Id, int Status, const std::string &Body,
               std::int64_t DelayUs) {
     Time.after(DelayUs, [this, Id, Status, Body] {
