Keep the route of a running request with its deadline

Cause: admission by inner calls is per route of the run that makes them, and ParentRequests knows the deadline only. Change: add takes the route, parentRoute returns it.

--- a/src/policy/ParentRequests.h
+++ b/src/policy/ParentRequests.h
@@ -30,7 +30,10 @@
 
   /// Adds a request that begins to run. The same id may run more than once.
   /// \param Deadline time at which its caller stops waiting.
-  void add(std::string_view RequestId, TimeMs Deadline);
+  /// \param Route route of the request; the empty default for callers of \ref
+  /// parentDeadline only.
+  void add(std::string_view RequestId, TimeMs Deadline,
+           std::string_view Route = {});
 
   /// Removes one run of a request.
   void remove(std::string_view RequestId, TimeMs Deadline);
@@ -39,11 +42,24 @@
   /// with the id \p CallRequestId; std::nullopt if there are none.
   std::optional<TimeMs> parentDeadline(std::string_view CallRequestId) const;
 
+  /// Route of the request whose deadline \ref parentDeadline returns;
+  /// std::nullopt if there is none.
+  std::optional<std::string> parentRoute(std::string_view CallRequestId) const;
+
   std::size_t size() const { return Running.size(); }
 
 private:
+  struct Request {
+    TimeMs Deadline;
+    std::string Route;
+  };
+
+  /// The running request that ends last of those that may have made the call;
+  /// null if there are none.
+  const Request *parent(std::string_view CallRequestId) const;
+
   char Separator;
-  std::multimap<std::string, TimeMs, std::less<>> Running;
+  std::multimap<std::string, Request, std::less<>> Running;
 };
 
 } // namespace fescuewood
