Admit as many dependent requests as the called service sustains

Cause: a calling target runs requests whose inner calls find no room at the called service; the runs end with 500 after they have held a slot. Change: [calls] dependent_admission, off by default. The entry side tells the admission how the inner calls of each route end; the node beside the target refuses excess requests on arrival (528, not run, retry after 1 s), and their entry node tries no other target. Calls that met a silent node, or whose node has replied to nothing since, are no evidence.

--- a/src/calls/CallContext.h
+++ b/src/calls/CallContext.h
@@ -12,6 +12,7 @@
 #include "nodes/CallMessages.h"
 #include "policy/CallSettings.h"
 #include "policy/CrashGuard.h"
+#include "policy/DependentAdmission.h"
 #include "policy/ParentRequests.h"
 
 #include <cstdint>
@@ -45,7 +46,10 @@
   Clock Time;
   SnapshotPtr Config; ///< Null until a configuration is in force.
   CrashGuard Guard;
-  ParentRequests Parents;      ///< Requests that the local target is running.
+  ParentRequests Parents; ///< Requests that the local target is running.
+  /// Admission by the inner calls of these requests, see
+  /// CallSettings::Dependent.
+  DependentAdmission Dependents;
   const std::uint64_t Process; ///< Of this node, see \ref processId.
   CallStatus Counters;
   /// Set while the node drains: a call that may end later is not taken.
@@ -56,6 +60,10 @@
 
   TimeMs now() const { return Time.now(); }
 
+  bool limitsDependents() const {
+    return Settings.Dependent == DependentMode::On;
+  }
+
   /// Whether a call with this deadline may outlast the drain of the node.
   bool outlastsDrain(TimeMs Deadline) const {
     return DrainEnd && Deadline > *DrainEnd;
--- a/src/calls/CallStatus.h
+++ b/src/calls/CallStatus.h
@@ -63,9 +63,11 @@
   std::size_t Quarantined = 0; ///< Requests refused for crashing targets.
   std::size_t LedgerIds = 0;
   std::size_t KeptBytes = 0;
-  std::size_t AnswerLimit = 0;      ///< Limit on all bytes of answers.
-  std::size_t LinkBacklogBytes = 0; ///< Of large answers, see PacedReplies.
-  std::uint64_t LinkRefusals = 0;   ///< Requests refused as LinkBusy.
+  std::size_t AnswerLimit = 0;         ///< Limit on all bytes of answers.
+  std::size_t LinkBacklogBytes = 0;    ///< Of large answers, see PacedReplies.
+  std::uint64_t LinkRefusals = 0;      ///< Requests refused as LinkBusy.
+  std::uint64_t DependentRefusals = 0; ///< Refused as DependencyShort.
+  std::size_t DependentRoutesLimited = 0; ///< Routes that are limited now.
   std::size_t StagedBodies = 0;   ///< Bodies that arrive ahead of their calls.
   std::size_t BodyBytes = 0;      ///< Reserved for them and for queued ones.
   std::size_t BodyLimit = 0;      ///< Limit on \ref BodyBytes.
--- a/src/calls/EntryReplies.cpp
+++ b/src/calls/EntryReplies.cpp
@@ -154,6 +154,7 @@
     return;
   }
   Targets.onSilent(Current.Target, Now);
+  Call.SawSilence = true;
   Context.report(EventId::CallUnanswered,
                  {{"call", Current.Id.text()}, {"target", Current.Target}});
   moveOrWait(Handle, Call);
@@ -304,7 +305,10 @@
     refuse(Handle, Call, Reason, outcomeOfEarlierAttempts(Call));
     return;
   }
-  if (claimRetry(Call, !isFreeToRetry(Reason))) {
+  // Each target would admit a share of its own, and all together more than the
+  // called service has room for.
+  const bool IsFutile = isSharedShortage(Reason) && !Call.Request.CanWait;
+  if (!IsFutile && claimRetry(Call, !isFreeToRetry(Reason))) {
     failOver(Handle, Call, resultName(Reason), RemoteWork::Ended);
     return;
   }
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -48,8 +48,9 @@
 void EntrySide::submit(CallHandle Handle, CallRequest Request,
                        AnswerHook OnAnswer) {
   const TimeMs Now = Context.now();
-  adoptParent(Request);
+  std::optional<std::string> ParentRoute = adoptParent(Request);
   EntryCall &Call = Calls[Handle];
+  Call.ParentRoute = std::move(ParentRoute);
   Call.OnAnswer = std::move(OnAnswer);
   Call.SubmittedAt = Now;
   Call.Deadline = Now + Request.Remaining;
@@ -80,16 +81,21 @@
 /// Ranks a call that the local target makes while it runs another request, and
 /// bounds its time by that request's. Where there are organisations, the entry
 /// knows such a call by its lack of one.
-void EntrySide::adoptParent(CallRequest &Request) const {
+/// Returns the route of that request if inner calls decide on the admission of
+/// its route.
+std::optional<std::string> EntrySide::adoptParent(CallRequest &Request) const {
   if (!Context.Config || !Context.Config->Organisations.empty())
-    return;
-  const std::optional<TimeMs> ParentDeadline = Context.Parents.parentDeadline(
-      requestId(Request, Context.Identity.Scheme));
+    return std::nullopt;
+  const std::string Id = requestId(Request, Context.Identity.Scheme);
+  const std::optional<TimeMs> ParentDeadline =
+      Context.Parents.parentDeadline(Id);
   if (!ParentDeadline)
-    return;
+    return std::nullopt;
   Request.Priority = InnerCallPriority;
   Request.Remaining =
       std::min(Request.Remaining, *ParentDeadline - Context.now());
+  return Context.limitsDependents() ? Context.Parents.parentRoute(Id)
+                                    : std::nullopt;
 }
 
 void EntrySide::cancel(CallHandle Handle) {
@@ -385,6 +391,9 @@
            outcomeOfEarlierAttempts(Call));
     return;
   }
+  // The deadline of a short call passes before its node is queried.
+  if (!hasHeardSince(*Call.Current))
+    Call.SawSilence = true;
   const Outcome Known = Call.Current->isStarted()
                             ? Outcome::Unknown
                             : outcomeOfEarlierAttempts(Call);
@@ -465,11 +474,34 @@
   cancelKept(Call);
   HeldBytes -= Call.Bytes;
   Timers.erase({Call.NextStepAt, Handle});
+  recordInnerCall(Call, Answer);
   const AnswerHook OnAnswer = std::move(Call.OnAnswer);
   Calls.erase(Handle);
   OnAnswer(std::move(Answer));
 }
 
+/// Whether the node of an attempt has replied to any call since it was sent.
+bool EntrySide::hasHeardSince(const Attempt &Sent) const {
+  const auto Found = Links.find(Sent.Address);
+  return Sent.Address.empty() ||
+         (Found != Links.end() && Found->second.LastReplyAt > Sent.SentAt);
+}
+
+/// Passes the end of an inner call to the admission of its parent's route. A
+/// call that met a silent node says nothing about the room at the service.
+void EntrySide::recordInnerCall(const EntryCall &Call,
+                                const CallAnswer &Answer) {
+  if (!Call.ParentRoute || Call.SawSilence)
+    return;
+  const std::optional<InnerCallEnd> End =
+      innerCallEnd(Answer.Reason, Answer.Status);
+  if (End)
+    Context.Dependents.onInnerCall(*Call.ParentRoute,
+                                   {*End, Context.now() - Call.SubmittedAt,
+                                    Call.Deadline - Call.SubmittedAt},
+                                   Context.now());
+}
+
 Outcome EntrySide::outcomeOfEarlierAttempts(const EntryCall &Call) const {
   return Call.MayHaveRun ? Outcome::Unknown : Outcome::NotRun;
 }
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -178,6 +178,10 @@
     ResultCode LastRefusal = ResultCode::NoTargetAvailable;
     /// Set once a message was lost on an open connection.
     bool UseFreshConnections = false;
+    /// Route of the run that made the call; unset if it is no inner call, or
+    /// such calls decide nothing.
+    std::optional<std::string> ParentRoute;
+    bool SawSilence = false; ///< A node that had the call did not answer.
     bool MayHaveRun = false; ///< An earlier attempt ended with unknown outcome.
     /// A target's failure answer, returned to the caller unless a retry
     /// succeeds.
@@ -194,7 +198,9 @@
 
   using CallMap = std::map<CallHandle, EntryCall>;
 
-  void adoptParent(CallRequest &Request) const;
+  std::optional<std::string> adoptParent(CallRequest &Request) const;
+  bool hasHeardSince(const Attempt &Sent) const;
+  void recordInnerCall(const EntryCall &Call, const CallAnswer &Answer);
   bool exceedsHeldBytes(const EntryCall &Call) const;
   /// Returns the call if \p Id is its current attempt, otherwise null.
   EntryCall *find(CallHandle Handle, const CallId &Id);
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -99,7 +99,7 @@
   ProducingBytes += Call.LinkBytes;
   ++InFlight;
   Context.Parents.add(requestId(Call.Request, Context.Identity.Scheme),
-                      Call.Deadline);
+                      Call.Deadline, Call.Request.Route);
   Announced.onRequestSent(Now);
   ++Context.Counters.Runs;
   if (Now > Call.LatestTimelyStart)
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -175,6 +175,7 @@
   const TimeMs Now = Context.now();
   Queue->expire(serviceRate(), Now);
   Ledger.expire(Now);
+  reportDependents();
   Replies.tick();
   Bodies.tick();
   if (Now >= NextGuardExpiry) {
@@ -192,7 +193,7 @@
 TimeMs TargetSide::nextDue() const {
   if (Queue->size() > 0 || !Bodies.idle())
     return Context.now();
-  TimeMs Next = Replies.nextDue();
+  TimeMs Next = std::min(Replies.nextDue(), Context.Dependents.nextChange());
   if (!AbandonedRuns.empty())
     Next = std::min(Next, AbandonedRuns.front());
   if (Suspended || Down)
@@ -227,6 +228,7 @@
   Status.KeptBytes = Ledger.keptBytes();
   Status.AnswerLimit = Memory.limit();
   Status.LinkBacklogBytes = Replies.backlogBytes();
+  Status.DependentRoutesLimited = Context.Dependents.limitedRoutes();
   Bodies.fill(Status);
 }
 
@@ -273,6 +275,8 @@
 DurationMs TargetSide::retryAfter(ResultCode Reason) {
   if (Reason == ResultCode::TargetRateUsed)
     return Announced.limit().wait(Queue->size(), Context.now());
+  if (Reason == ResultCode::DependencyShort)
+    return DependentRetryAfter;
   if (Reason == ResultCode::LinkBusy)
     return Replies.timeToSend(ProducingBytes);
   const bool Busy = Reason == ResultCode::QueueFull ||
@@ -303,8 +307,9 @@
   if (const ResultCode Refusal = refusalByLink(Call, AcceptedBytes);
       Refusal != ResultCode::Ok)
     return Refusal;
-  return exceedsNamedRate(Request) ? ResultCode::TargetRateUsed
-                                   : ResultCode::Ok;
+  if (exceedsNamedRate(Request))
+    return ResultCode::TargetRateUsed;
+  return refusalByDependency(Request);
 }
 
 ResultCode TargetSide::refusalOnStart(const HeldCall &Call) {
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -143,6 +143,8 @@
   CallReply baseReply();
   DurationMs retryAfter(ResultCode Reason);
   ResultCode refusalOnArrival(const HeldCall &Call);
+  ResultCode refusalByDependency(const CallRequest &Request);
+  void reportDependents();
   ResultCode refusalOnStart(const HeldCall &Call);
   void accept(CallStart Start, const CallReplyHook &OnReply, bool FromPeer);
   std::size_t linkBytes(const HeldCall &Call) const;
--- a/src/operators/Metrics.cpp
+++ b/src/operators/Metrics.cpp
@@ -161,6 +161,9 @@
   Collector.add(MetricId::AnswerBytesJoining, toDouble(Calls.JoiningBytes));
   Collector.add(MetricId::LinkBacklogBytes, toDouble(Calls.LinkBacklogBytes));
   Collector.add(MetricId::LinkRefusals, toDouble(Calls.LinkRefusals));
+  Collector.add(MetricId::DependentRefusals, toDouble(Calls.DependentRefusals));
+  Collector.add(MetricId::DependentRoutesLimited,
+                toDouble(Calls.DependentRoutesLimited));
   Collector.add(MetricId::StagedBodies, toDouble(Calls.StagedBodies));
   Collector.add(MetricId::BodyBytes, toDouble(Calls.BodyBytes));
   Collector.add(MetricId::BodyBytesLimit, toDouble(Calls.BodyLimit));
--- a/src/policy/CallSettings.h
+++ b/src/policy/CallSettings.h
@@ -42,6 +42,9 @@
   Objective, ///< Of those that can still meet their objective, the most urgent.
 };
 
+/// Whether requests are refused because a service that they call is short.
+enum class DependentMode : std::uint8_t { Off, On };
+
 /// Settings of calls; docs/SETTINGS.md lists their bounds.
 struct CallSettings {
   RoutingMode Routing = RoutingMode::TwoChoices;
@@ -78,6 +81,9 @@
   std::size_t MaxQueueBytes = 16 << 20; ///< Total of all queued requests.
   std::uint32_t WaitingShare = 8;       ///< One pop in this many is deferrable.
 
+  /// Limits routes whose inner calls are lost at a service short of room.
+  DependentMode Dependent = DependentMode::Off;
+
   // Answers.
   std::size_t MaxKeptBytes = 24 << 20; ///< All answers held, at most.
   double AnswerMemoryShare = 0.15;     ///< Of the machine's memory, for them.
--- a/src/policy/RetryRules.cpp
+++ b/src/policy/RetryRules.cpp
@@ -50,6 +50,10 @@
   }
 }
 
+bool isSharedShortage(ResultCode Reason) {
+  return Reason == ResultCode::DependencyShort;
+}
+
 bool isLackOfTime(ResultCode Reason) {
   return Reason == ResultCode::DeadlineUnreachable ||
          Reason == ResultCode::Displaced;
--- a/src/policy/RetryRules.h
+++ b/src/policy/RetryRules.h
@@ -23,6 +23,10 @@
 /// Whether every target would refuse the call for the same reason.
 bool isFinal(ResultCode Reason);
 
+/// Whether the refusal is for a shortage that the other targets of the service
+/// see as well.
+bool isSharedShortage(ResultCode Reason);
+
 /// Whether a target refused the call because it serves others in the time that
 /// the call has left.
 bool isLackOfTime(ResultCode Reason);
