--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -495,11 +495,12 @@
     return;
   const std::optional<InnerCallEnd> End =
       innerCallEnd(Answer.Reason, Answer.Status);
-  if (End)
-    Context.Dependents.onInnerCall(*Call.ParentRoute,
-                                   {*End, Context.now() - Call.SubmittedAt,
-                                    Call.Deadline - Call.SubmittedAt},
-                                   Context.now());
+  if (!End)
+    return;
+  const TimeMs Now = Context.now();
+  Context.Dependents.onInnerCall(
+      *Call.ParentRoute,
+      {*End, Now - Call.SubmittedAt, Call.Deadline - Call.SubmittedAt}, Now);
 }
 
 Outcome EntrySide::outcomeOfEarlierAttempts(const EntryCall &Call) const {
