Read at most eight pipelined requests of a connection ahead

Cause: a connection runs at most eight requests, but up to 32 were read and held. Change: no more are read than run; the kernel's buffers hold the client back.

--- a/src/callers/CallerServerCore.cpp
+++ b/src/callers/CallerServerCore.cpp
@@ -17,9 +17,10 @@
 /// Size of the buffer for one read.
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
 
-/// Maximum number of pipelined requests per connection. Below this limit the
-/// server keeps reading, which is how it detects a disconnected caller.
-constexpr std::size_t MaxPipelinedRequests = 32;
+/// Maximum number of pipelined requests per connection; more would only be held
+/// until others are answered. Below this limit the server keeps reading, which
+/// is how it detects a disconnected caller.
+constexpr std::size_t MaxPipelinedRequests = 8;
 
 /// Maximum number of requests of a connection that run or whose answers are
 /// kept. More than ordinary callers pipeline.
