--- a/src/policy/Router.cpp
+++ b/src/policy/Router.cpp
@@ -25,10 +25,6 @@
 /// balances load among targets that all have free slots.
 constexpr double UtilisationCost = 0.5;
 
-/// Share of the link's delay that counts for a payload of usual size: small
-/// messages wait for no turn, but for the piece that is being sent.
-constexpr double UsualLinkShare = 0.5;
-
 /// A uniform random number in [0, 1).
 double uniform(const RandomHook &Random) {
   constexpr int MantissaBits = 53;
@@ -193,7 +189,7 @@
   for (const Entry *Each : Found->second)
     Result.push_back({Each->Description.Name, Each->Description.Domain,
                       stateOf(*Each, Now), weightOf(*Each, Now),
-                      expectedWait(*Each, Now)});
+                      expectedWait(*Each, Now, PayloadSize::Large)});
   return Result;
 }
 
@@ -256,11 +252,13 @@
 }
 
 /// Expected wait for the link of a target. The link has sent as much of what it
-/// reported as fits in the time since then.
+/// reported as fits in the time since then. Small messages wait for no turn; if
+/// they counted the delay, they would crowd at the targets with idle links.
 double Router::linkWait(const Entry &Candidate, TimeMs Now, PayloadSize Size) {
+  if (Size != PayloadSize::Large)
+    return 0;
   const DurationMs Left = std::max(Candidate.LinkFreeAt - Now, DurationMs(0));
-  const double Share = Size == PayloadSize::Large ? 1 : UsualLinkShare;
-  return Share * static_cast<double>(Left.Value);
+  return static_cast<double>(Left.Value);
 }
 
 /// Expected run time at a target as far as it counts in the wait; 0 before the
--- a/tests/policy/RouterTest.cpp
+++ b/tests/policy/RouterTest.cpp
@@ -245,7 +245,7 @@
 
 // Guards against a target that is avoided after its link has sent what it
 // reported, and against small requests that count its delay in full.
-TEST(Router, CountsTheLinkDelayThatIsLeftAndHalfOfItForUsualPayloads) {
+TEST(Router, CountsTheLinkDelayThatIsLeftForLargePayloadsOnly) {
   Targets.onLoad("east/0",
                  {0, 0, 6, DurationMs(5), TargetState::Ready, DurationMs(100)},
                  Now);
