Search the connection to close in one place

Cause: ClientMemory had three loops over all connections that differed only in which ones count and by what. A comment told how its number was found. Change: one search takes the weight of a connection, or none. No behaviour changes.

--- a/src/callers/GuardedSocket.h
+++ b/src/callers/GuardedSocket.h
@@ -37,7 +37,7 @@
 class GuardedConnection;
 
 /// Memory of a connection without requests: RESTinio's read buffer and the
-/// objects of RESTinio and this package, as measured with idle connections.
+/// objects of RESTinio and this package.
 inline constexpr std::size_t ConnectionBytes = 20 * 1024;
 
 /// Limits on all connections of one server.
--- a/src/policy/ClientMemory.cpp
+++ b/src/policy/ClientMemory.cpp
@@ -89,15 +89,18 @@
   return std::nullopt;
 }
 
+/// The connection with the largest weight, of those to which \p WeightOf gives
+/// one. Never one that waits for the node.
+template <typename WeightOfClient>
 std::optional<ClientMemory::ClientId>
-ClientMemory::largestStalled(TimeMs Now) const {
+ClientMemory::heaviest(WeightOfClient WeightOf) const {
   std::optional<ClientId> Result;
-  double MaxWeight = -1;
+  std::optional<double> MaxWeight;
   for (const auto &[Id, Item] : Clients) {
-    const DurationMs Age = Now - Item.LastProgress;
-    if (Item.Activity == ClientActivity::Waiting || Age < Limits.StallTime)
+    if (Item.Activity == ClientActivity::Waiting)
       continue;
-    if (const double Weight = weight(Item.Bytes, Age); Weight > MaxWeight) {
+    const std::optional<double> Weight = WeightOf(Item);
+    if (Weight && (!MaxWeight || *Weight > *MaxWeight)) {
       MaxWeight = Weight;
       Result = Id;
     }
@@ -105,6 +108,16 @@
   return Result;
 }
 
+std::optional<ClientMemory::ClientId>
+ClientMemory::largestStalled(TimeMs Now) const {
+  return heaviest([&](const Client &Item) -> std::optional<double> {
+    const DurationMs Age = Now - Item.LastProgress;
+    if (Age < Limits.StallTime)
+      return std::nullopt;
+    return weight(Item.Bytes, Age);
+  });
+}
+
 /// Of the address with most connections, the one that holds most for longest.
 /// None if no address has more than one, since its only connection may belong
 /// to an ordinary request.
@@ -117,39 +130,25 @@
                        });
   if (Crowd == ConnectionsByAddress.end() || Crowd->second < 2)
     return std::nullopt;
-  std::optional<ClientId> Result;
-  double MaxWeight = -1;
-  for (const auto &[Id, Item] : Clients) {
-    if (Item.Activity == ClientActivity::Waiting ||
-        Item.Address != Crowd->first)
-      continue;
+  return heaviest([&](const Client &Item) -> std::optional<double> {
+    if (Item.Address != Crowd->first)
+      return std::nullopt;
     // One more, so that among the newest ones the bytes decide.
-    const DurationMs Age = Now - Item.LastProgress + DurationMs(1);
-    if (const double Weight = weight(Item.Bytes, Age); Weight > MaxWeight) {
-      MaxWeight = Weight;
-      Result = Id;
-    }
-  }
-  return Result;
+    return weight(Item.Bytes, Now - Item.LastProgress + DurationMs(1));
+  });
 }
 
 std::optional<ClientMemory::ClientId>
 ClientMemory::longestIdle(TimeMs Now) const {
-  std::optional<ClientId> Result;
-  DurationMs MaxAge{0};
-  for (const auto &[Id, Item] : Clients) {
-    if (Item.Activity == ClientActivity::Waiting)
-      continue;
+  return heaviest([&](const Client &Item) -> std::optional<double> {
     const DurationMs Age = Now - Item.LastProgress;
     const DurationMs MinAge = Item.Activity == ClientActivity::Idle
                                   ? MinClientIdleTime
                                   : Limits.StallTime;
-    if (Age >= MinAge && Age > MaxAge) {
-      MaxAge = Age;
-      Result = Id;
-    }
-  }
-  return Result;
+    if (Age < MinAge || Age <= DurationMs(0))
+      return std::nullopt;
+    return static_cast<double>(Age.Value);
+  });
 }
 
 } // namespace fescuewood
--- a/src/policy/ClientMemory.h
+++ b/src/policy/ClientMemory.h
@@ -101,6 +101,8 @@
     TimeMs LastProgress;
   };
 
+  template <typename WeightOfClient>
+  std::optional<ClientId> heaviest(WeightOfClient WeightOf) const;
   std::optional<ClientId> largestStalled(TimeMs Now) const;
   std::optional<ClientId> oldestOfLargestCrowd(TimeMs Now) const;
   std::optional<ClientId> longestIdle(TimeMs Now) const;
