Complete calls at work in a stop, whatever the drain timeout is

Cause: the drain compared one fixed time with connections, waiting calls and calls at work alike, and cut what was left.

Change: the drain timeout ends idle connections, calls that wait, and what would begin. Calls at work are completed, at most to their deadlines. Where the deployment kills the process after a grace, [bounds] termination_grace_s names it, and what outlasts it is answered 0.6 s before. Inner calls of runs at work are taken until these end. The exit code is 3 only if a call was cut or an answer not written. The steps are app/ShutdownSequence, the times policy/ShutdownPlan.

Why it works: each call has a deadline, so waiting for those at work ends by itself; only what has no deadline needs a fixed end.

The test of responses behind one that misses the drain timeout now names a grace, since nothing else cuts the first one; it also asks for the 502 and the exit code. Requests of the mesh fixture have a caller's priority, as the entry gives them.

--- a/soak/Mesh.cpp
+++ b/soak/Mesh.cpp
@@ -84,7 +84,7 @@
                   {N.Ip, N.Domain, N.Service, endpoint(N.Ip, CallersPort),
                    endpoint(N.Ip, PeersPort), endpoint(N.Ip, ReadyPort),
                    endpoint(N.Ip, TargetPort), storeAddress(Index), Domains},
-                  Plan.Limits.KeyWithdrawal.Value));
+                  {Plan.Limits.KeyWithdrawal, Plan.Limits.Grace}));
   N.StoppedByDriver = false;
   N.Node = standins::Process({Paths.NodeProgram, "run", "--settings", File},
                              nodeLog(Index));
--- a/soak/PlatformWords.cpp
+++ b/soak/PlatformWords.cpp
@@ -15,8 +15,6 @@
 
 using Json = nlohmann::json;
 
-constexpr int MsPerSecond = 1000;
-
 Json routeJson(const std::string &Name, const std::string &Service,
                bool Repeatable, bool Open) {
   return {{"name", Name},
@@ -41,6 +39,11 @@
           {"tls", false}};
 }
 
+std::string secondsText(DurationMs Duration) {
+  constexpr double MsPerSecond = 1000;
+  return fmt::format("{}", static_cast<double>(Duration.Value) / MsPerSecond);
+}
+
 } // namespace
 
 std::string targetKey(const std::string &TargetId) {
@@ -84,7 +87,7 @@
 }
 
 std::string settingsText(std::string Template, const NodePlace &Place,
-                         std::int64_t KeyWithdrawalMs) {
+                         const NodeBounds &Bounds) {
   std::string Regions;
   for (const std::string &Domain : Place.Domains)
     Regions += (Regions.empty() ? "" : ",") + Domain + ":coast";
@@ -99,8 +102,8 @@
       {"provider.address", Place.StoreAddress},
       {"zones", Regions},
       {"bounds.config_apply_s", "2"},
-      {"bounds.revoke_s",
-       fmt::format("{}", static_cast<double>(KeyWithdrawalMs) / MsPerSecond)},
+      {"bounds.grace_s", secondsText(Bounds.Grace)},
+      {"bounds.revoke_s", secondsText(Bounds.KeyWithdrawal)},
       {"bounds.quota_window_s", "5"},
       {"bounds.quota_overage", "0.25"},
       {"bounds.quota_slack", "20"},
--- a/soak/PlatformWords.h
+++ b/soak/PlatformWords.h
@@ -5,6 +5,8 @@
 #ifndef FESCUEWOOD_SOAK_PLATFORMWORDS_H
 #define FESCUEWOOD_SOAK_PLATFORMWORDS_H
 
+#include "core/Clock.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -55,9 +57,16 @@
   std::string StoreAddress;
   std::vector<std::string> Domains; ///< All of them.
 };
+
+/// Bounds of the deployment that the template names.
+struct NodeBounds {
+  DurationMs KeyWithdrawal;
+  DurationMs Grace; ///< From SIGTERM until the process is killed.
+};
+
 /// Fills in the template; throws if a placeholder remains.
 std::string settingsText(std::string Template, const NodePlace &Place,
-                         std::int64_t KeyWithdrawalMs);
+                         const NodeBounds &Bounds);
 
 } // namespace fescuewood::soak::platform
 
--- a/src/app/Node.cpp
+++ b/src/app/Node.cpp
@@ -5,26 +5,13 @@
 
 #include <fmt/format.h>
 
+#include <chrono>
+#include <string>
 #include <thread>
 
 namespace fescuewood {
 
-namespace {
-
-constexpr DurationMs DrainPollInterval{20};
-
-/// Time for the leave message to reach other nodes before the peer server
-/// stops.
-constexpr DurationMs LeavePropagation{400};
-
-/// Time between the latest deadline of a call that is taken during a shutdown
-/// and the end of the drain, for its answer.
-constexpr DurationMs DrainMargin{200};
-
-/// Time to write the final answers after the remaining calls are cancelled.
-constexpr DurationMs FinalAnswerTime{400};
-
-} // namespace
+namespace {} // namespace
 
 bool NodeParts::failStart(ResultCode Reason) {
   LastReason = Reason;
@@ -69,48 +56,53 @@
   return true;
 }
 
-bool NodeParts::waitUntilAnswered(TimeMs Deadline) const {
-  while (Callers.unansweredCount() > 0 || !Engine.idle()) {
-    if (Monotonic.now() >= Deadline)
-      return false;
-    std::this_thread::sleep_for(
-        std::chrono::milliseconds(DrainPollInterval.Value));
-  }
-  return true;
+ShutdownPlan NodeParts::shutdownPlan() const {
+  return planShutdown({Settings.Callers.LeaveNotice,
+                       Settings.Callers.DrainTimeout,
+                       fromSeconds(Bounds.read().TerminationGrace)},
+                      Monotonic.now());
+}
+
+ShutdownHooks NodeParts::shutdownHooks() {
+  ShutdownHooks Hooks;
+  Hooks.SetLeaving = [this](TimeMs End) { Engine.setLeaving(End); };
+  Hooks.SetDraining = [this](TimeMs End) { Engine.setDraining(End); };
+  Hooks.RefuseWaiting = [this] { Engine.refuseWaiting(); };
+  Hooks.CutEntered = [this] { Engine.refuseAll(); };
+  Hooks.LeaveMesh = [this] { Control.leave(); };
+  Hooks.StopAccepting = [this] { Callers.stopAccepting(); };
+  Hooks.IsIdle = [this] { return Engine.idle(); };
+  Hooks.PendingRequests = [this] { return Callers.pendingCount(); };
+  Hooks.OpenConnections = [this] { return Callers.unansweredCount(); };
+  Hooks.Sleep = [](DurationMs Span) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(Span.Value));
+  };
+  Hooks.OnExtended = [this] {
+    const CallStatus Calls = Engine.status();
+    Recorder.record({EventId::ShutdownExtended,
+                     {{"entered", std::to_string(Calls.Entered)},
+                      {"running", std::to_string(Calls.InFlight)}}});
+  };
+  return Hooks;
 }
 
 bool NodeParts::drain() {
   Draining = true;
-  Recorder.record({EventId::NodeDraining, {}});
-  const TimeMs Deadline = Monotonic.now() + Settings.Callers.DrainTimeout;
-  Engine.setLeaving(Deadline - DrainMargin);
-  // Load balancers must first notice that this node is no longer ready. Until
-  // then other nodes keep sending work to its target, which may go on running
-  // without this node.
-  std::this_thread::sleep_for(
-      std::chrono::milliseconds(Settings.Callers.LeaveNotice.Value));
-  Control.leave();
-  Callers.stopAccepting();
-  std::this_thread::sleep_for(
-      std::chrono::milliseconds(LeavePropagation.Value));
-  // Calls that arrive from now on must end in time, since they would be cut.
-  Engine.setDraining(Deadline - DrainMargin);
-  const bool AllAnswered = waitUntilAnswered(Deadline);
-  Engine.setDraining(Monotonic.now());
-  const bool AllRunsEnded = waitUntilAnswered(Deadline);
-  if (!AllRunsEnded) {
-    // Answers the remaining calls with outcome `unknown`, so that finished
-    // answers queued behind them on a connection are sent before it is closed.
-    Engine.stop();
-    waitUntilAnswered(Monotonic.now() + FinalAnswerTime);
-  }
-  Recorder.record({EventId::NodeStopped,
-                   {{"reason", resultName(AllAnswered && AllRunsEnded
-                                              ? ResultCode::Ok
-                                              : ResultCode::DeadlineExceeded)
-                                   .data()}}});
+  const ShutdownPlan Plan = shutdownPlan();
+  const TimeMs Start = Monotonic.now();
+  const auto After = [Start](TimeMs End) {
+    return End == Never ? "" : std::to_string((End - Start).Value);
+  };
+  Recorder.record(
+      {EventId::NodeDraining,
+       {{"drain_ms", After(Plan.DrainUntil)}, {"cut_ms", After(Plan.CutAt)}}});
+  const bool Completed = ShutdownSequence(shutdownHooks(), Monotonic).run(Plan);
+  const ResultCode Reason =
+      Completed ? ResultCode::Ok : ResultCode::DeadlineExceeded;
+  Recorder.record(
+      {EventId::NodeStopped, {{"reason", std::string(resultName(Reason))}}});
   stop();
-  return AllAnswered && AllRunsEnded;
+  return Completed;
 }
 
 void NodeParts::stop() {
--- a/src/app/Node.h
+++ b/src/app/Node.h
@@ -34,9 +34,9 @@
   /// \ref lastReason when it cannot listen on an address.
   bool start();
 
-  /// Accepts no new work, waits for the calls in progress for at most the drain
-  /// timeout of the settings, and stops all components. Returns whether every
-  /// call was completed.
+  /// Accepts no new work, completes the calls in progress and stops all
+  /// components, see \ref ShutdownSequence. Returns whether every call was
+  /// completed.
   bool drain();
 
   /// Applies a changed text of the settings file, or none of it when it is
--- a/src/app/NodeParts.cpp
+++ b/src/app/NodeParts.cpp
@@ -9,7 +9,6 @@
 #include "policy/ClientMemory.h"
 
 #include <algorithm>
-#include <cmath>
 #include <random>
 
 namespace fescuewood {
@@ -121,13 +120,11 @@
 /// covers the transfer of a request from this node to the target.
 constexpr double ProofValidityShare = 0.85;
 
-constexpr double MsPerSecond = 1000;
-
 } // namespace
 
 RateBound rateBound(const BoundSettings &Settings) {
-  return {DurationMs(std::llround(Settings.RateWindow * MsPerSecond)),
-          Settings.RateOverage, Settings.RateSlack};
+  return {fromSeconds(Settings.RateWindow), Settings.RateOverage,
+          Settings.RateSlack};
 }
 
 NodeParts::NodeParts(NodeSettings InitialSettings, std::string Text)
@@ -296,8 +293,7 @@
         platform::storeCalls(Platform.Source.Server, Platform.Timeout,
                              Settings.Peers.Listen.Port, Recorder.hook());
     auto Cancel = Calls.Cancel;
-    const DurationMs ApplyBound(
-        std::llround(Settings.Bounds.ChangeApply * MsPerSecond));
+    const DurationMs ApplyBound = fromSeconds(Settings.Bounds.ChangeApply);
     Store = std::make_unique<StoreLoop>(
         std::move(Calls),
         OwnTarget{Settings.Target.Address.text(), Settings.Node.Service},
@@ -336,8 +332,7 @@
   if (!isStorePlatform(Settings.Platform) || Withdrawal <= 0)
     return true;
   const TimeMs ProvenAt = Control.provenAt();
-  const DurationMs MaxProofAge(
-      std::llround(Withdrawal * MsPerSecond * ProofValidityShare));
+  const DurationMs MaxProofAge = fromSeconds(Withdrawal * ProofValidityShare);
   return ProvenAt != TimeMs(0) && Monotonic.now() - ProvenAt <= MaxProofAge;
 }
 
--- a/src/app/NodeParts.h
+++ b/src/app/NodeParts.h
@@ -6,6 +6,7 @@
 
 #include "app/CallerBridge.h"
 #include "app/Latest.h"
+#include "app/ShutdownSequence.h"
 #include "app/TargetAdapter.h"
 #include "callers/CallerServer.h"
 #include "calls/CallEngine.h"
@@ -68,7 +69,8 @@
   void putInForce(const SnapshotPtr &Snapshot);
   bool startPeerServer();
   bool failStart(ResultCode Reason);
-  bool waitUntilAnswered(TimeMs Deadline) const;
+  ShutdownHooks shutdownHooks();
+  ShutdownPlan shutdownPlan() const;
   void stop();
 
   const NodeSettings Settings;
--- a/src/callers/CallerServer.cpp
+++ b/src/callers/CallerServer.cpp
@@ -38,6 +38,10 @@
   return State->Core->unansweredCount();
 }
 
+std::size_t CallerServer::pendingCount() const {
+  return State->Core->pendingCount();
+}
+
 CallerServerStatus CallerServer::status() const {
   return State->Core->status();
 }
--- a/src/callers/CallerServer.h
+++ b/src/callers/CallerServer.h
@@ -110,6 +110,10 @@
   /// be in transit on them; 0 then means that the drain is complete.
   std::size_t unansweredCount() const;
 
+  /// Number of requests passed to the hook whose answers are not completely
+  /// written. Thread-safe.
+  std::size_t pendingCount() const;
+
   /// What the server holds for its callers now. Thread-safe.
   CallerServerStatus status() const;
 
--- a/src/callers/CallerServerCore.h
+++ b/src/callers/CallerServerCore.h
@@ -52,6 +52,7 @@
   std::uint16_t port() const { return Port; }
   void stopAccepting();
   std::size_t unansweredCount() const;
+  std::size_t pendingCount() const { return Unanswered; }
   void stop();
   void setLimits(const std::optional<CallerLimits> &DeclaredLimits);
   ResultCode lastReason() const { return LastReason; }
--- a/src/calls/CallCore.cpp
+++ b/src/calls/CallCore.cpp
@@ -113,6 +113,13 @@
   });
 }
 
+void CallCore::refuseWaiting() {
+  Context.run([this] {
+    Entries.refuseUnsent();
+    Target.refuseWaiting();
+  });
+}
+
 void CallCore::refuseAll() {
   Context.run([this] { Entries.refuseAll(); });
 }
--- a/src/calls/CallCore.h
+++ b/src/calls/CallCore.h
@@ -39,6 +39,9 @@
   void setLeaving(TimeMs End);
   void setDraining(TimeMs End);
 
+  /// Refuses calls that have not begun to run.
+  void refuseWaiting();
+
   /// Refuses all unanswered calls that entered at this node with
   /// ResultCode::ShuttingDown.
   void refuseAll();
--- a/src/calls/CallEngine.cpp
+++ b/src/calls/CallEngine.cpp
@@ -125,6 +125,14 @@
     postReliably([this, End] { Core.setDraining(End); });
   }
 
+  void refuseWaiting() {
+    postReliably([this] { Core.refuseWaiting(); });
+  }
+
+  void refuseAll() {
+    postReliably([this] { Core.refuseAll(); });
+  }
+
   bool idle() const { return Idle.load() && Worker.backlog() == 0; }
 
   CallStatus status() const {
@@ -297,6 +305,10 @@
 
 void CallEngine::setDraining(TimeMs End) { State->setDraining(End); }
 
+void CallEngine::refuseWaiting() { State->refuseWaiting(); }
+
+void CallEngine::refuseAll() { State->refuseAll(); }
+
 bool CallEngine::idle() const { return State->idle(); }
 
 CallStatus CallEngine::status() const { return State->status(); }
--- a/src/calls/CallEngine.h
+++ b/src/calls/CallEngine.h
@@ -113,14 +113,22 @@
   /// Sets what other nodes have read about this node's target.
   void setOwnReport(const MemberListing &Report);
 
-  /// Announces a shutdown that cuts calls at \p End: the target runs no new
-  /// call that may last longer and must not be repeated.
+  /// Announces a shutdown: the target begins no call that may last longer than
+  /// \p End, unless the call is idempotent and no other target can take it.
   void setLeaving(TimeMs End);
 
   /// Refuses new calls on both sides that may last longer than \p End; calls in
   /// progress are completed. Callable again with another end.
   void setDraining(TimeMs End);
 
+  /// Refuses calls that have not begun to run. To be called after
+  /// \ref setDraining, so that no more of them arrive.
+  void refuseWaiting();
+
+  /// Answers all calls that entered at this node with
+  /// ResultCode::ShuttingDown. Runs for other nodes continue.
+  void refuseAll();
+
   /// Whether no call is unanswered, queued or running.
   bool idle() const;
 
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -58,7 +58,9 @@
   HeldBytes += Call.Bytes;
   // Calls that can wait need no byte limit: a caller's connection is not read
   // further while its call waits, so the number of connections bounds them.
-  if (Context.outlastsDrain(Call.Deadline))
+  // The run that makes an inner call is completed, so its calls must be too.
+  const bool IsInner = Call.Request.Priority == InnerCallPriority;
+  if (Context.outlastsDrain(Call.Deadline) && !IsInner)
     refuse(Handle, Call, ResultCode::ShuttingDown, Outcome::NotRun);
   else if (!Context.Config)
     refuse(Handle, Call, ResultCode::NotConfigured, Outcome::NotRun);
@@ -144,6 +146,18 @@
   }
 }
 
+void EntrySide::refuseUnsent() {
+  std::vector<CallHandle> Unsent;
+  for (const auto &[Handle, Call] : Calls)
+    if (!Call.Current && Call.Request.Priority != InnerCallPriority)
+      Unsent.push_back(Handle);
+  for (const CallHandle Handle : Unsent) {
+    EntryCall &Call = Calls.at(Handle);
+    refuse(Handle, Call, ResultCode::ShuttingDown,
+           outcomeOfEarlierAttempts(Call));
+  }
+}
+
 void EntrySide::fill(CallStatus &Status) const {
   Status.Entered = Calls.size();
   Status.HeldBytes = HeldBytes;
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -144,6 +144,10 @@
   /// Refuses all unanswered calls with ResultCode::ShuttingDown.
   void refuseAll();
 
+  /// Refuses the calls for which no target is selected with
+  /// ResultCode::ShuttingDown. Calls of the own target's runs stay.
+  void refuseUnsent();
+
   bool idle() const { return Calls.empty(); }
 
   /// Sets the entry-side gauges in \p Status.
--- a/src/calls/TargetListings.cpp
+++ b/src/calls/TargetListings.cpp
@@ -65,7 +65,7 @@
 void TargetSide::applyListing() {
   const ResultCode Refusal = refusalByListing();
   if (Refusal != ResultCode::Ok)
-    refuseAllQueued(Refusal);
+    refuseQueued(Refusal);
   updateState();
   startQueued();
 }
--- a/src/calls/TargetNotices.cpp
+++ b/src/calls/TargetNotices.cpp
@@ -95,7 +95,7 @@
   if (!Change.Leaving)
     return;
   Context.report(EventId::TargetLeaving, {{"target", Context.Identity.Name}});
-  refuseAllQueued(ResultCode::TargetDraining);
+  refuseQueued(ResultCode::TargetDraining);
 }
 
 } // namespace fescuewood
--- a/src/calls/TargetRuns.cpp
+++ b/src/calls/TargetRuns.cpp
@@ -311,7 +311,7 @@
 /// then shows whether the address is still mistaken.
 void TargetSide::onMistaken() {
   MistakenUntil = Context.now() + MistakenPeriod;
-  refuseAllQueued(ResultCode::TargetUnlisted);
+  refuseQueued(ResultCode::TargetUnlisted);
 }
 
 /// Handles a run that could not connect. A target that has answered others
@@ -347,7 +347,7 @@
   if (!Evidence.empty())
     resolveBrokenRuns(CrashVerdict::Crashed);
   updateState();
-  refuseAllQueued(ResultCode::TargetDown);
+  refuseQueued(ResultCode::TargetDown);
 }
 
 void TargetSide::probe() {
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -141,24 +141,17 @@
   const bool AnyWithdrawn = Withdrawn.update(Config);
   const bool WasOut = std::exchange(OwnDomainOut, isOwnDomainOut());
   if (OwnDomainOut)
-    refuseAllQueued(ResultCode::DomainOut);
+    refuseQueued(ResultCode::DomainOut);
   // The target may have restarted undetected while its domain was out.
   if (WasOut && !OwnDomainOut) {
     Limit.reset(Context.now());
     setColdFor(SlowStart);
     probe();
   }
-  if (AnyWithdrawn) {
-    std::vector<CallId> Revoked;
-    for (const auto &[Id, Call] : HeldCalls)
-      if (!Call.Running && Withdrawn.contains(Call.Request.KeyDigestPrefix))
-        Revoked.push_back(Id);
-    for (const CallId &Id : Revoked) {
-      Queue->remove(Id, Context.now());
-      Context.report(EventId::WaitingCallRevoked, {{"call", Id.text()}});
-      refuse(Id, ResultCode::KeyWithdrawn);
-    }
-  }
+  if (AnyWithdrawn)
+    refuseQueued(ResultCode::KeyWithdrawn, [this](const HeldCall &Call) {
+      return Withdrawn.contains(Call.Request.KeyDigestPrefix);
+    });
   askForNotice();
   updateState();
   startQueued();
@@ -418,13 +411,16 @@
   finish(Id, ledgerReply(Id, 0));
 }
 
-void TargetSide::refuseAllQueued(ResultCode Reason) {
-  std::vector<CallId> Queued;
+void TargetSide::refuseQueued(
+    ResultCode Reason, const std::function<bool(const HeldCall &)> &Matches) {
+  std::vector<CallId> Refused;
   for (const auto &[Id, Call] : HeldCalls)
-    if (!Call.Running)
-      Queued.push_back(Id);
-  for (const CallId &Id : Queued) {
+    if (!Call.Running && (!Matches || Matches(Call)))
+      Refused.push_back(Id);
+  for (const CallId &Id : Refused) {
     Queue->remove(Id, Context.now());
+    if (Reason == ResultCode::KeyWithdrawn)
+      Context.report(EventId::WaitingCallRevoked, {{"call", Id.text()}});
     refuse(Id, Reason);
   }
 }
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -94,6 +94,9 @@
   /// from now on.
   void onDraining();
 
+  /// Refuses all queued calls, which other targets may take.
+  void refuseWaiting() { refuseQueued(ResultCode::TargetDraining); }
+
   /// Expires queued calls and ledger entries, and probes a target that is down.
   void tick();
 
@@ -175,7 +178,9 @@
   std::unique_ptr<CallQueue> makeQueue();
   void onQueueRefusal(const QueueRefusal &Refusal);
   void reportDisplaced(const QueueRefusal &Refusal) const;
-  void refuseAllQueued(ResultCode Reason);
+  /// Refuses the queued calls that \p Matches; all of them if it is empty.
+  void refuseQueued(ResultCode Reason,
+                    const std::function<bool(const HeldCall &)> &Matches = {});
   void onMistaken();
   void onUnreached(TimeMs SentAt);
   bool isAlive(TimeMs Since) const;
--- a/src/core/Clock.h
+++ b/src/core/Clock.h
@@ -8,6 +8,7 @@
 #ifndef FESCUEWOOD_CORE_CLOCK_H
 #define FESCUEWOOD_CORE_CLOCK_H
 
+#include <cmath>
 #include <compare>
 #include <cstdint>
 #include <functional>
@@ -34,6 +35,12 @@
   }
 };
 
+/// The duration of a number of seconds, rounded to milliseconds.
+inline DurationMs fromSeconds(double Seconds) {
+  constexpr double MsPerSecond = 1000;
+  return DurationMs(std::llround(Seconds * MsPerSecond));
+}
+
 /// Time point in milliseconds since the epoch of the clock it was read from.
 struct TimeMs {
   std::int64_t Value = 0;
--- a/src/settings/NodeSettings.h
+++ b/src/settings/NodeSettings.h
@@ -52,7 +52,7 @@
   DurationMs MinBodyTime;    ///< Allowed for any request body.
   DurationMs MaxBodyTime;    ///< Allowed for the largest request body.
   DurationMs LeaveNotice;  ///< Time that connections are accepted at shutdown.
-  DurationMs DrainTimeout; ///< Maximum wait for running requests at shutdown.
+  DurationMs DrainTimeout; ///< Time that new calls are taken at shutdown.
 };
 
 /// [peers]: communication with other nodes.
@@ -109,6 +109,8 @@
   double RateWindow = 0;  ///< Window for organisation rates, in seconds.
   double RateOverage = 0; ///< Fraction admitted above rate and burst.
   double RateSlack = 0;   ///< Requests admitted above that.
+  /// Seconds from SIGTERM until the process is killed; 0 if it is not.
+  double TerminationGrace = 0;
 };
 
 /// [operators]: listeners for status, metrics and readiness.
--- a/tests/calls/MeshFixture.cpp
+++ b/tests/calls/MeshFixture.cpp
@@ -43,6 +43,7 @@
   Request.Route = "read";
   Request.Service = "queue";
   Request.Organisation = "large";
+  Request.Priority = callPriority(0, 0);
   Request.Remaining = DurationMs(2000);
   Request.Idempotent = Idempotent;
   return Request;
--- a/tests/platform/StoreMeshFixture.cpp
+++ b/tests/platform/StoreMeshFixture.cpp
@@ -232,6 +232,7 @@
       {"provider.address", storeAddress(Instance)},
       {"zones", "east:coast,west:coast"},
       {"bounds.config_apply_s", "2"},
+      {"bounds.grace_s", "6"},
   };
   if (HasOrganisations) {
     Values["bounds.revoke_s"] = "5";
