Begin no call in a stop that may be cut and can run elsewhere

Cause: mayCutForGood() kept only calls that must not be repeated from the target, and only on arrival: calls in its queue began later all the same.

Change: from the SIGTERM on a call that may outlast the stop is refused as by a draining target, at once and free of the retry budget, if another target can take it; calls in the queue likewise. An idempotent call to the only target still runs, as most end long before their deadlines.

--- a/src/calls/CallContext.h
+++ b/src/calls/CallContext.h
@@ -55,7 +55,7 @@
   /// Set while the node drains: a call that may end later is not taken.
   std::optional<TimeMs> DrainEnd;
   /// Set from the beginning of a shutdown, before the drain: a call that may
-  /// end later is not run on the target, unless it can be repeated elsewhere.
+  /// end later does not begin on the target if it can run elsewhere.
   std::optional<TimeMs> LeaveEnd;
 
   TimeMs now() const { return Time.now(); }
@@ -69,10 +69,10 @@
     return DrainEnd && Deadline > *DrainEnd;
   }
 
-  /// Whether a run with this deadline may be cut although it must not be
-  /// repeated.
-  bool mayCutForGood(const CallRequest &Request, TimeMs Deadline) const {
-    return LeaveEnd && !Request.Idempotent && Deadline > *LeaveEnd;
+  /// Whether a call with this deadline may outlast the shutdown of the node,
+  /// which has begun.
+  bool outlastsShutdown(TimeMs Deadline) const {
+    return LeaveEnd && Deadline > *LeaveEnd;
   }
 
   void report(EventId Id, std::vector<EventField> Fields) const {
--- a/src/calls/CallCore.cpp
+++ b/src/calls/CallCore.cpp
@@ -8,7 +8,10 @@
 CallCore::CallCore(CallIdentity Identity, const CallSettings &Settings,
                    CallHooks Hooks, Clock Time)
     : Context(std::move(Identity), Settings, std::move(Hooks), std::move(Time)),
-      Target(Context, [this] { return Entries.joiningBytes(); }),
+      Target(Context, {[this] { return Entries.joiningBytes(); },
+                       [this](std::string_view Service) {
+                         return Entries.hasOtherTarget(Service);
+                       }}),
       Entries(Context,
               {[this](CallStart Start, const CallReplyHook &OnReply) {
                  Target.start(std::move(Start), OnReply);
@@ -103,7 +106,10 @@
 }
 
 void CallCore::setLeaving(TimeMs End) {
-  Context.run([this, End] { Context.LeaveEnd = End; });
+  Context.run([this, End] {
+    Context.LeaveEnd = End;
+    Target.onLeaving();
+  });
 }
 
 void CallCore::setDraining(TimeMs End) {
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -158,6 +158,11 @@
   }
 }
 
+bool EntrySide::hasOtherTarget(std::string_view Service) const {
+  const std::string Own[] = {Context.Identity.Name};
+  return Targets.hasTarget(Service, Own, Context.now());
+}
+
 void EntrySide::fill(CallStatus &Status) const {
   Status.Entered = Calls.size();
   Status.HeldBytes = HeldBytes;
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -32,6 +32,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -150,6 +151,9 @@
 
   bool idle() const { return Calls.empty(); }
 
+  /// Whether a target beside another node can take calls to a service.
+  bool hasOtherTarget(std::string_view Service) const;
+
   /// Sets the entry-side gauges in \p Status.
   void fill(CallStatus &Status) const;
 
--- a/src/calls/TargetSide.cpp
+++ b/src/calls/TargetSide.cpp
@@ -37,9 +37,8 @@
 
 } // namespace
 
-TargetSide::TargetSide(CallContext &Context,
-                       std::function<std::size_t()> JoiningBytes)
-    : Context(Context), JoiningBytes(std::move(JoiningBytes)),
+TargetSide::TargetSide(CallContext &Context, EntryQueries Entries)
+    : Context(Context), Entries(std::move(Entries)),
       Memory(answerMemoryLimit(Context.Settings.MaxKeptBytes,
                                Context.Settings.AnswerMemoryShare,
                                Context.Identity.MachineBytes)),
@@ -162,6 +161,11 @@
   Warmup.setColdUntil(Now + Span, Now);
 }
 
+void TargetSide::onLeaving() {
+  refuseQueued(ResultCode::TargetDraining,
+               [this](const HeldCall &Call) { return mayBeCut(Call); });
+}
+
 void TargetSide::onDraining() { updateState(); }
 
 void TargetSide::tick() {
@@ -287,8 +291,7 @@
 
 ResultCode TargetSide::refusalOnArrival(const HeldCall &Call) {
   const CallRequest &Request = Call.Request;
-  if (Context.outlastsDrain(Call.Deadline) ||
-      Context.mayCutForGood(Request, Call.Deadline))
+  if (Context.outlastsDrain(Call.Deadline) || mayBeCut(Call))
     return ResultCode::TargetDraining;
   if (!Context.Identity.Service.empty() &&
       Request.Service != Context.Identity.Service)
@@ -319,7 +322,7 @@
       Context.Guard.shouldRefuse(fingerprintOf(Request), Context.now()))
     return ResultCode::RequestCrashesTargets;
   if (Memory.expectsLarge(Request.Route) &&
-      !Memory.fits(Request.Route, Ledger.keptBytes() + JoiningBytes()))
+      !Memory.fits(Request.Route, Ledger.keptBytes() + Entries.JoiningBytes()))
     return ResultCode::AnswerMemoryFull;
   return refusalByLink(Call, ProducingBytes);
 }
@@ -425,6 +428,15 @@
   }
 }
 
+/// Whether the shutdown may cut a call that another target could have run. An
+/// idempotent call without another target is worth the risk: most runs end long
+/// before their deadlines. One that must not be repeated is not.
+bool TargetSide::mayBeCut(const HeldCall &Call) const {
+  return Context.outlastsShutdown(Call.Deadline) &&
+         (!Call.Request.Idempotent ||
+          Entries.HasOtherTarget(Call.Request.Service));
+}
+
 ServiceRate TargetSide::serviceRate() {
   // Only runs update the latency. An idle target is assumed to be fast;
   // otherwise a single slow answer would refuse all shorter calls permanently.
--- a/src/calls/TargetSide.h
+++ b/src/calls/TargetSide.h
@@ -33,6 +33,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace fescuewood {
@@ -41,12 +42,18 @@
 /// until the target has noticed the closed connection.
 inline constexpr DurationMs AbandonedRunHold{100};
 
+/// What the target side asks of the entry side of the same node.
+struct EntryQueries {
+  /// Bytes of answers that the entry side holds in pieces.
+  std::function<std::size_t()> JoiningBytes;
+  /// Whether a target beside another node can take calls to a service.
+  std::function<bool(std::string_view Service)> HasOtherTarget;
+};
+
 /// Calls of one target. Not thread-safe; used only inside CallContext::run.
 class TargetSide {
 public:
-  /// \param JoiningBytes returns the bytes of answers that the entry side of
-  /// this node holds in pieces.
-  TargetSide(CallContext &Context, std::function<std::size_t()> JoiningBytes);
+  TargetSide(CallContext &Context, EntryQueries Entries);
 
   /// Starts a call. \p OnReply is called when the call has ended or is refused;
   /// for a call id that is already in the ledger, immediately with its state.
@@ -90,6 +97,9 @@
   /// Applies what other nodes have read about the target.
   void onReport(const MemberListing &Report);
 
+  /// Refuses queued calls that may outlast the shutdown and can run elsewhere.
+  void onLeaving();
+
   /// Reports the Draining state; calls that may outlast the drain are refused
   /// from now on.
   void onDraining();
@@ -181,6 +191,7 @@
   /// Refuses the queued calls that \p Matches; all of them if it is empty.
   void refuseQueued(ResultCode Reason,
                     const std::function<bool(const HeldCall &)> &Matches = {});
+  bool mayBeCut(const HeldCall &Call) const;
   void onMistaken();
   void onUnreached(TimeMs SentAt);
   bool isAlive(TimeMs Since) const;
@@ -206,7 +217,7 @@
   bool isOwnDomainOut() const;
 
   CallContext &Context;
-  std::function<std::size_t()> JoiningBytes;
+  const EntryQueries Entries;
   AnswerMemory Memory;
   CallLedger Ledger;
   PacedReplies Replies;
--- a/src/policy/Router.cpp
+++ b/src/policy/Router.cpp
@@ -132,6 +132,12 @@
   return &Picked->Description;
 }
 
+bool Router::hasTarget(std::string_view Service,
+                       std::span<const std::string> Excluded,
+                       TimeMs Now) const {
+  return !choices(Service, Excluded, Now).empty();
+}
+
 /// Draws a few candidates by weight and returns the one with the shortest
 /// expected wait. \p Eligible must not be empty.
 const Router::Entry *Router::bestOfSample(std::vector<Choice> Eligible,
--- a/src/policy/Router.h
+++ b/src/policy/Router.h
@@ -122,6 +122,10 @@
                        const RandomHook &Random,
                        PayloadSize Size = PayloadSize::Usual) const;
 
+  /// Whether \ref pick would find an instance.
+  bool hasTarget(std::string_view Service,
+                 std::span<const std::string> Excluded, TimeMs Now) const;
+
   /// The state of all instances of a service, as used by \ref pick.
   std::vector<RouterCandidate> explain(std::string_view Service,
                                        TimeMs Now) const;
