Stop only when other nodes have the whole of their answers

Cause: idle() asked whether something is held, running or queued here. An answer of several pieces is neither between two fetches, and without a link rate nothing tracked it. What was queued for other nodes was dropped as the peer server stopped.

Change: answers of several pieces are tracked without a link rate as well, so a node is idle only once their entry nodes have asked for the last piece, or for nothing any more. A stop also waits, within its drain time, until what is queued for other nodes is written.

--- a/src/app/Node.cpp
+++ b/src/app/Node.cpp
@@ -74,6 +74,7 @@
   Hooks.IsIdle = [this] { return Engine.idle(); };
   Hooks.PendingRequests = [this] { return Callers.pendingCount(); };
   Hooks.OpenConnections = [this] { return Callers.unansweredCount(); };
+  Hooks.QueuedPeerBytes = [this] { return Link.Traffic.queuedBytes(); };
   Hooks.Sleep = [](DurationMs Span) {
     std::this_thread::sleep_for(std::chrono::milliseconds(Span.Value));
   };
--- a/src/app/ShutdownSequence.cpp
+++ b/src/app/ShutdownSequence.cpp
@@ -43,7 +43,8 @@
 }
 
 bool ShutdownSequence::isQuiet() const {
-  return Hooks.OpenConnections() == 0 && Hooks.IsIdle();
+  return Hooks.OpenConnections() == 0 && Hooks.IsIdle() &&
+         Hooks.QueuedPeerBytes() == 0;
 }
 
 /// Returns false if \p Deadline passes first.
--- a/src/app/ShutdownSequence.h
+++ b/src/app/ShutdownSequence.h
@@ -41,6 +41,8 @@
   std::function<std::size_t()> PendingRequests;
   /// The same, plus open connections on which a request may be in transit.
   std::function<std::size_t()> OpenConnections;
+  /// Bytes that wait to be written to other nodes.
+  std::function<std::size_t()> QueuedPeerBytes;
   std::function<void(DurationMs)> Sleep;
   /// Reports that calls at work outlast the drain timeout.
   std::function<void()> OnExtended;
--- a/src/calls/PacedReplies.cpp
+++ b/src/calls/PacedReplies.cpp
@@ -24,6 +24,8 @@
 
 void PacedReplies::reply(const CallId &Id, TimeMs Deadline,
                          const CallReply &Reply, ReplyHook OnReply) {
+  if (!limited())
+    track(Id, Deadline, Reply);
   if (!limited() || !isLarge(Reply)) {
     sendUnscheduled(Reply, OnReply);
     return;
@@ -36,7 +38,9 @@
 
 void PacedReplies::reply(const CallFetch &Asked, ReplyHook OnReply) {
   if (!limited()) {
-    OnReply(encode(Fetch(Asked)));
+    const CallReply Reply = Fetch(Asked);
+    track(Asked.Id, Context.now(), Reply);
+    sendUnscheduled(Reply, OnReply);
     return;
   }
   CallFetch Bounded = Asked;
@@ -73,8 +77,6 @@
 }
 
 void PacedReplies::tick() {
-  if (!limited())
-    return;
   const TimeMs Now = Context.now();
   Link.release(Now);
   for (auto It = Transfers.begin(); It != Transfers.end();) {
@@ -99,7 +101,7 @@
 }
 
 std::size_t PacedReplies::backlogBytes() const {
-  return Link.queuedBytes() + unfetchedBytes();
+  return limited() ? Link.queuedBytes() + unfetchedBytes() : 0;
 }
 
 DurationMs PacedReplies::timeToSend(std::size_t Bytes) const {
@@ -117,6 +119,16 @@
   return Found->second;
 }
 
+/// Records what a reply sends at once of an answer of several pieces.
+void PacedReplies::track(const CallId &Id, TimeMs Deadline,
+                         const CallReply &Reply) {
+  const std::uint64_t End = Reply.Offset + Reply.Piece.size();
+  if (!Transfers.contains(Id) && End >= Reply.TotalBytes)
+    return;
+  Transfer &Open = transfer(Id, Deadline, Reply);
+  Open.SentBytes = std::max(Open.SentBytes, End);
+}
+
 /// Queues the piece of a reply. A piece that is asked for again keeps its turn,
 /// but only the last one who asked gets it.
 void PacedReplies::queue(const CallId &Id, const CallReply &Reply,
--- a/src/calls/PacedReplies.h
+++ b/src/calls/PacedReplies.h
@@ -9,6 +9,9 @@
 /// A fetch that waits for long is answered without a piece, so that its entry
 /// node does not take this one for silent and asks again. An answer whose entry
 /// node asks for nothing more is no longer counted in the backlog.
+///
+/// Without a link rate every reply is sent at once. Answers of several pieces
+/// are still tracked, since they are complete only after their last fetch.
 
 #ifndef FESCUEWOOD_CALLS_PACEDREPLIES_H
 #define FESCUEWOOD_CALLS_PACEDREPLIES_H
@@ -56,7 +59,7 @@
   /// Time from which \ref tick has something to do; Never if there is nothing.
   TimeMs nextDue() const;
 
-  /// Bytes of answers that are still to be sent.
+  /// Bytes of answers that are still to be sent over a link with a rate.
   std::size_t backlogBytes() const;
 
   /// Time until \p Bytes more have been sent after the backlog.
@@ -67,8 +70,9 @@
     return Link.busyFor(Context.now()) >= Span;
   }
 
-  /// Whether no answer is being sent.
-  bool idle() const { return backlogBytes() == 0; }
+  /// Whether no answer is being sent, and no entry node is about to ask for
+  /// the rest of one.
+  bool idle() const { return Link.queuedBytes() == 0 && unfetchedBytes() == 0; }
 
 private:
   /// A piece that waits for its turn.
@@ -90,6 +94,7 @@
   using TransferMap = std::map<CallId, Transfer>;
 
   Transfer &transfer(const CallId &Id, TimeMs Deadline, const CallReply &Reply);
+  void track(const CallId &Id, TimeMs Deadline, const CallReply &Reply);
   void queue(const CallId &Id, const CallReply &Reply, TimeMs AnswerBy,
              ReplyHook OnReply);
   void onTurn(const CallId &Id, std::uint64_t Offset);
--- a/tests/app/ShutdownSequenceTest.cpp
+++ b/tests/app/ShutdownSequenceTest.cpp
@@ -19,6 +19,7 @@
   TimeMs WaitingRefusedAt{0};
   TimeMs ConnectionCloses{0}; ///< Of a caller without a request.
   TimeMs AnswerWritten{0};    ///< Of a caller that reads slowly.
+  TimeMs ReplyWritten{0};     ///< To another node over a slow link.
   std::vector<TimeMs> DrainEnds;
   std::vector<std::string> Steps;
 
@@ -47,6 +48,9 @@
     Hooks.OpenConnections = [this] {
       return pendingRequests() + (Now < ConnectionCloses ? 1 : 0);
     };
+    Hooks.QueuedPeerBytes = [this] {
+      return std::size_t{Now < ReplyWritten ? 1U : 0U};
+    };
     Hooks.Sleep = [this](DurationMs Span) { Now = Now + Span; };
     Hooks.OnExtended = [this] { Steps.emplace_back("extended"); };
     return Hooks;
@@ -139,3 +143,21 @@
 
   CHECK_FALSE(Node.run({Notice, Drain}));
 }
+
+// Guards against an answer for another node that waits behind a slow link when
+// the process ends.
+TEST(ShutdownSequence, WaitsUntilRepliesToOtherNodesAreWritten) {
+  Node.ReplyWritten = Start + DurationMs(4000);
+
+  CHECK_TRUE(Node.run({Notice, Drain}));
+
+  CHECK(Node.Now >= Node.ReplyWritten);
+}
+
+TEST(ShutdownSequence, DoesNotWaitForANodeThatReadsNoReplies) {
+  Node.ReplyWritten = Start + DurationMs(60'000);
+
+  CHECK_TRUE(Node.run({Notice, Drain}));
+
+  CHECK(Node.Now < Start + Drain + FinalAnswerTime + DurationMs(100));
+}
--- a/tests/calls/CallShutdownTest.cpp
+++ b/tests/calls/CallShutdownTest.cpp
@@ -204,3 +204,25 @@
   CHECK_TRUE(Leaving.idle());
   LONGS_EQUAL(200, Mesh->Calls[AtWork].Answer.Status);
 }
+
+// Guards against a node that ends while another node still fetches the answer
+// of a run that has ended: the run cannot be repeated, its caller gets 502.
+TEST(CallShutdown, IsNotIdleBeforeOtherNodesHaveTheWholeAnswers) {
+  FakeTargetOptions Large;
+  Large.PaddingBytes = 600 * 1024;
+  auto Mesh = makeMesh(8, {}, {}, 1, Large);
+  for (int I = 0; I < 12; ++I)
+    Mesh->submit(0, makeRequest("tag" + std::to_string(I), false));
+  Mesh->runFor(SecondUs / 200);
+  const std::size_t Begun = Mesh->Nodes[1]->Target->RunStartsUs.size();
+
+  Mesh->Nodes[1]->Core->setDraining(Mesh->Time.clock().now());
+  while (!Mesh->Nodes[1]->Core->idle())
+    Mesh->runFor(SecondUs / 1000);
+  Mesh->killNode(1);
+  Mesh->runFor(3 * SecondUs);
+
+  CHECK(Begun > 0);
+  for (const FakeCall &Call : Mesh->Calls)
+    LONGS_EQUAL(200, Call.Answer.Status);
+}
