--- a/src/app/Node.cpp
+++ b/src/app/Node.cpp
@@ -11,8 +11,6 @@
 
 namespace fescuewood {
 
-namespace {} // namespace
-
 bool NodeParts::failStart(ResultCode Reason) {
   LastReason = Reason;
   stop();
--- a/src/calls/EntrySide.cpp
+++ b/src/calls/EntrySide.cpp
@@ -149,7 +149,8 @@
 void EntrySide::refuseUnsent() {
   std::vector<CallHandle> Unsent;
   for (const auto &[Handle, Call] : Calls)
-    if (!Call.Current && Call.Request.Priority != InnerCallPriority)
+    if (!Call.Current && !Call.Kept &&
+        Call.Request.Priority != InnerCallPriority)
       Unsent.push_back(Handle);
   for (const CallHandle Handle : Unsent) {
     EntryCall &Call = Calls.at(Handle);
--- a/src/calls/EntrySide.h
+++ b/src/calls/EntrySide.h
@@ -145,8 +145,8 @@
   /// Refuses all unanswered calls with ResultCode::ShuttingDown.
   void refuseAll();
 
-  /// Refuses the calls for which no target is selected with
-  /// ResultCode::ShuttingDown. Calls of the own target's runs stay.
+  /// Refuses the calls that wait for a target with ResultCode::ShuttingDown.
+  /// Calls of the own target's runs stay.
   void refuseUnsent();
 
   bool idle() const { return Calls.empty(); }
