Excuse a drain of the soak that a silent target holds

Cause: the check of drains excused a stopped node only.

Change: a drain may run out of its time while a target is silent, and only then: calls of an earlier silence end before the drain does. Two tests hold both sides.

--- a/soak/Checker.cpp
+++ b/soak/Checker.cpp
@@ -204,12 +204,17 @@
           fmt::format("code {} {} ms after SIGTERM", D.Code, LastedMs));
   }
 
-  /// Whether a stopped node may have kept a call of this one from ending.
+  /// Whether a stopped node or a silent target may have kept a call of this
+  /// node from ending.
   bool isHeldUp(const Drain &D) const {
     for (std::size_t I = 0; I < Seen.FaultTimes.size(); ++I) {
       const FaultTime &F = Seen.FaultTimes[I];
-      if (I != D.OwnFault && F.StopsANode && F.FromMs <= D.ToMs &&
-          F.ToMs + Limits.Contact.Value >= D.FromMs)
+      if (I == D.OwnFault || F.FromMs > D.ToMs)
+        continue;
+      const bool IsStopNear =
+          F.StopsANode && F.ToMs + Limits.Contact.Value >= D.FromMs;
+      // A call that was sent before the drain ends before it is over.
+      if (IsStopNear || (F.SilencesATarget && F.ToMs >= D.FromMs))
         return true;
     }
     return false;
--- a/soak/History.h
+++ b/soak/History.h
@@ -82,6 +82,8 @@
   std::int64_t FromMs = 0;
   std::int64_t ToMs = 0;
   bool StopsANode = false; ///< Calls to it stay open meanwhile.
+  /// Calls that its target takes meanwhile stay open to their deadlines.
+  bool SilencesATarget = false;
 };
 
 /// Exit codes of a node after SIGTERM.
--- a/soak/Injector.cpp
+++ b/soak/Injector.cpp
@@ -66,7 +66,8 @@
          Never.Value});
   const std::size_t Number = Seen.FaultTimes.size();
   Seen.FaultTimes.push_back({From, Never.Value - Plan.Limits.Contact.Value,
-                             Fault.Kind == FaultKind::NodeStop});
+                             Fault.Kind == FaultKind::NodeStop,
+                             Fault.Kind == FaultKind::TargetSilent});
   co_await run(Fault, Number);
   Seen.FaultTimes[Number].ToMs = nowMs();
   if (IsNode || IsStore)
--- a/tests/soak/CheckerTest.cpp
+++ b/tests/soak/CheckerTest.cpp
@@ -284,6 +284,20 @@
   checkHeld();
 }
 
+// The target has taken calls that it never answers; they are cut shortly before
+// the process is killed.
+TEST(SoakChecker, AcceptsADrainBesideASilentTarget) {
+  Seen.FaultTimes = {{10'000, 15'000}, {6000, 10'000, false, true}};
+  Seen.Drains = {{0, 10'000, 15'000, DrainTimedOutCode, 0}};
+  checkHeld();
+}
+
+TEST(SoakChecker, FindsADrainThatRunsOutOfTimeAfterASilentTarget) {
+  Seen.FaultTimes = {{10'000, 15'000}, {6000, 9999, false, true}};
+  Seen.Drains = {{0, 10'000, 15'000, DrainTimedOutCode, 0}};
+  checkBroken("process", "node 0");
+}
+
 TEST(SoakChecker, FindsADrainThatGivesUpEarly) {
   Seen.FaultTimes = {{10'000, 15'000}, {6000, 7000, true}};
   Seen.Drains = {{0, 10'000, 14'999, DrainTimedOutCode, 0}};
