Cut no call because the engine is refusing others

Cause: where the drain lasts to the cut, the engine was asked whether it is idle right after it had been told to refuse the calls that wait, and is never idle before it has done so. The log shows it: no 1008, DeadlineExceeded 33 ms after the drain's end, the last call answered 1 s before.

Change: the drain ends 0.1 s before the cut.

--- a/src/policy/ShutdownPlan.cpp
+++ b/src/policy/ShutdownPlan.cpp
@@ -25,7 +25,8 @@
     Plan.ExitBy = std::max(Start, KilledAt - ExitTime);
     Plan.CutAt = std::max(Start, Plan.ExitBy - FinalAnswerTime);
   }
-  Plan.DrainUntil = std::min(Start + Limits.DrainTimeout, Plan.CutAt);
+  Plan.DrainUntil =
+      std::clamp(Plan.CutAt - RefusalTime, Start, Start + Limits.DrainTimeout);
   Plan.AcceptUntil = std::min(Start + Limits.LeaveNotice, Plan.DrainUntil);
   return Plan;
 }
--- a/src/policy/ShutdownPlan.h
+++ b/src/policy/ShutdownPlan.h
@@ -15,6 +15,9 @@
 
 namespace fescuewood {
 
+/// Time to refuse the calls that wait before those at work are cut.
+inline constexpr DurationMs RefusalTime{100};
+
 /// Time to write the final answers after the remaining calls are cut.
 inline constexpr DurationMs FinalAnswerTime{400};
 
