Convert seconds in one place, and take a stop's start once

Reading the change again: the two codecs of the platform rounded seconds to milliseconds as fromSeconds() does, a stop read the clock twice for its start, and two comments of tests told what callers had got.

Change: the codecs call fromSeconds(); shutdownPlan() takes the start that the log counts from; the comments name the failure only. Behaviour and assertions are as before.

--- a/src/app/Node.cpp
+++ b/src/app/Node.cpp
@@ -54,11 +54,11 @@
   return true;
 }
 
-ShutdownPlan NodeParts::shutdownPlan() const {
+ShutdownPlan NodeParts::shutdownPlan(TimeMs Start) const {
   return planShutdown({Settings.Callers.LeaveNotice,
                        Settings.Callers.DrainTimeout,
                        fromSeconds(Bounds.read().TerminationGrace)},
-                      Monotonic.now());
+                      Start);
 }
 
 ShutdownHooks NodeParts::shutdownHooks() {
@@ -87,8 +87,8 @@
 
 bool NodeParts::drain() {
   Draining = true;
-  const ShutdownPlan Plan = shutdownPlan();
   const TimeMs Start = Monotonic.now();
+  const ShutdownPlan Plan = shutdownPlan(Start);
   const auto After = [Start](TimeMs End) {
     return End == Never ? "" : std::to_string((End - Start).Value);
   };
--- a/src/app/NodeParts.h
+++ b/src/app/NodeParts.h
@@ -70,7 +70,7 @@
   bool startPeerServer();
   bool failStart(ResultCode Reason);
   ShutdownHooks shutdownHooks();
-  ShutdownPlan shutdownPlan() const;
+  ShutdownPlan shutdownPlan(TimeMs Start) const;
   void stop();
 
   const NodeSettings Settings;
--- a/src/app/ShutdownSequence.h
+++ b/src/app/ShutdownSequence.h
@@ -20,6 +20,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <utility>
 
 namespace fescuewood {
 
--- a/src/platform/ConfigCodec.cpp
+++ b/src/platform/ConfigCodec.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <cctype>
-#include <cmath>
 #include <exception>
 #include <limits>
 #include <optional>
@@ -21,8 +20,6 @@
 
 using Json = nlohmann::json;
 
-constexpr double MsPerSecond = 1000;
-
 /// Deepest nesting of a configuration document; the known members need 5.
 constexpr std::size_t MaxNesting = 16;
 
@@ -133,7 +130,7 @@
 DurationMs durationMember(const Element &Object, std::string_view Name) {
   constexpr double MaxSeconds = 24 * 60 * 60;
   const double Seconds = std::min(numberMember(Object, Name, 0), MaxSeconds);
-  return DurationMs(std::llround(Seconds * MsPerSecond));
+  return fromSeconds(Seconds);
 }
 
 /// A rate per second or a burst. Other values than 0 are bounded, so that
--- a/src/platform/StoreCodec.cpp
+++ b/src/platform/StoreCodec.cpp
@@ -9,7 +9,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <cmath>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -21,8 +20,6 @@
 
 using Json = nlohmann::json;
 
-constexpr double MsPerSecond = 1000;
-
 /// Base64 encodes each group of three bytes as four characters.
 constexpr std::size_t GroupBytes = 3;
 constexpr std::size_t GroupChars = 4;
@@ -228,7 +225,7 @@
   const double Seconds = It->get<double>();
   if (!(Seconds >= 0) || Seconds > MaxSlowStartSeconds)
     return std::nullopt;
-  return DurationMs(std::llround(Seconds * MsPerSecond));
+  return fromSeconds(Seconds);
 }
 
 } // namespace
--- a/tests/app/ShutdownSequenceTest.cpp
+++ b/tests/app/ShutdownSequenceTest.cpp
@@ -80,7 +80,7 @@
 }
 
 // Guards against a call at work that is cut at the drain timeout although its
-// target answers in time: its caller got 502 (docs/incidents/fixed-drain.md).
+// target answers in time.
 TEST(ShutdownSequence, CompletesACallThatOutlastsTheDrainTimeout) {
   Node.CallEnds = Start + DurationMs(5600);
 
--- a/tests/integration/MeshTest.cpp
+++ b/tests/integration/MeshTest.cpp
@@ -208,7 +208,7 @@
 }
 
 // Guards against a request that is cut at the drain timeout although its target
-// answers within its time: its caller got 502, the process ended with code 3.
+// answers within its time.
 TEST(MeshAlone, CompletesARequestThatOutlastsTheDrainTimeout) {
   standins::MeshOptions Options = smallMesh();
   Options.CallerSettings = "drain_timeout_ms = 1000\n";
